Design, schemas, and the packages that all others build on

Settings, manifest and messages have JSON Schemas from which msgspec classes are generated. errors, timers, net and telemetry carry working code; a network in memory with cuts and delays serves the tests.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+SEED ?= 1
+STEPS ?= 40
+
+.PHONY: demo test lint format bench binary fuzz faults schema
+
+$(VENV)/installed: pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check $$($(PYTHON) -c "import tomllib; p = tomllib.load(open('pyproject.toml', 'rb'))['project']; print(*p['dependencies'], *p['optional-dependencies']['dev'])")
+	touch $@
+
+demo: $(VENV)/installed
+	$(BIN)/python -m marigoldtrail demo
+
+test: $(VENV)/installed
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/installed
+	$(BIN)/black --check -q marigoldtrail bench
+	$(BIN)/ruff check -q marigoldtrail bench
+	$(BIN)/mypy
+
+format: $(VENV)/installed
+	$(BIN)/black -q marigoldtrail bench
+	$(BIN)/ruff check -q --fix marigoldtrail bench
+
+bench: $(VENV)/installed
+	$(BIN)/python -m bench
+
+fuzz: $(VENV)/installed
+	$(BIN)/python -m marigoldtrail.testing fuzz --seed $(SEED) --steps $(STEPS)
+
+faults: $(VENV)/installed
+	$(BIN)/python -m marigoldtrail.testing faults
+
+binary: $(VENV)/installed
+	mkdir -p dist
+	$(BIN)/shiv -q --compressed -c marigoldtrail -o dist/marigoldtrail .
+
+schema: $(VENV)/installed
+	$(BIN)/python -m marigoldtrail.schema
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each prints the figures that the documentation cites."""
--- /dev/null
+++ b/marigoldtrail/errors/failure.py
@@ -0,0 +1,109 @@
+"""The value that a failed call returns in place of its result."""
+
+from __future__ import annotations
+
+import enum
+from typing import TypeGuard
+
+import msgspec
+
+
+class RunState(enum.StrEnum):
+    """Whether the refused or failed work may have had an effect."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+class Reason(enum.StrEnum):
+    """Why a call failed."""
+
+    BAD_REQUEST = "bad_request"
+    UNKNOWN_PIPELINE = "unknown_pipeline"
+    UNKNOWN_ACCOUNT = "unknown_account"
+    NOT_FOUND = "not_found"
+    KEY_MISMATCH = "key_mismatch"
+    VIEW_NOT_CURRENT = "view_not_current"
+    DRAINING = "draining"
+    OUT_OF_SERVICE = "out_of_service"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    NO_UPSTREAM = "no_upstream"
+    NO_SLOT = "no_slot"
+    UPSTREAM_ERROR = "upstream_error"
+    BAD_ANSWER = "bad_answer"
+    UNREACHABLE = "unreachable"
+    TIMEOUT = "timeout"
+    NOT_LEADER = "not_leader"
+    NO_QUORUM = "no_quorum"
+    UNKNOWN_OUTCOME = "unknown_outcome"
+    CLAIM_PENDING = "claim_pending"
+    CLAIM_MAY_HAVE_RUN = "claim_may_have_run"
+    RECORD_NOT_DURABLE = "record_not_durable"
+    DISK_FULL = "disk_full"
+    DISK_ERROR = "disk_error"
+    CORRUPT = "corrupt"
+    STALE_EPOCH = "stale_epoch"
+    STOPPING = "stopping"
+    INTERNAL = "internal"
+
+
+class Failure(msgspec.Struct, kw_only=True, frozen=True, omit_defaults=True):
+    """
+    A failed call: the reason, the step and the peer at which it arose.
+
+    Parameters
+    ----------
+    reason : Reason
+        Why the call failed.
+    run_state : RunState
+        ``NOT_RUN`` only when it is certain that the work had no effect.
+    step : str
+        Step at which the failure arose, for example ``"claim.open"``.
+    peer : str
+        Host, upstream or address involved; empty if none.
+    detail : str
+        Text for a person.
+    retry_after_s : float
+        Seconds after which another try makes sense; 0 if unknown.
+    hint : str
+        Where to try instead, for example the host of the leader.
+
+    Examples
+    --------
+    >>> exc = Failure(reason=Reason.TIMEOUT, run_state=RunState.MAY_HAVE_RUN, step="claim.open")
+    >>> is_failure(exc)
+    True
+    >>> str(exc)
+    'claim.open: timeout (may_have_run)'
+    """
+
+    reason: Reason
+    run_state: RunState
+    step: str
+    peer: str = ""
+    detail: str = ""
+    retry_after_s: float = 0.0
+    hint: str = ""
+
+    def __str__(self) -> str:
+        where = f" at {self.peer}" if self.peer else ""
+        detail = f": {self.detail}" if self.detail else ""
+        return f"{self.step}{where}: {self.reason.value} ({self.run_state.value}){detail}"
+
+
+def is_failure(value: object) -> TypeGuard[Failure]:
+    """
+    Tell whether a call returned a failure.
+
+    Parameters
+    ----------
+    value : object
+        Result of a call.
+
+    Returns
+    -------
+    bool
+        True for a `Failure`.
+    """
+    return isinstance(value, Failure)
--- /dev/null
+++ b/marigoldtrail/net/__init__.py
@@ -0,0 +1,19 @@
+"""Connections between nodes: addresses, frames, calls."""
+
+from marigoldtrail.net.address import Address
+from marigoldtrail.net.client import PeerClient
+from marigoldtrail.net.frames import MAX_FRAME_BYTES, Envelope, FrameStream
+from marigoldtrail.net.network import Network, TcpNetwork
+from marigoldtrail.net.server import Handlers, serve_peers
+
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "Address",
+    "Envelope",
+    "FrameStream",
+    "Handlers",
+    "Network",
+    "PeerClient",
+    "TcpNetwork",
+    "serve_peers",
+]
--- /dev/null
+++ b/marigoldtrail/net/address.py
@@ -0,0 +1,58 @@
+"""Addresses by IP number and port."""
+
+from __future__ import annotations
+
+import ipaddress
+from typing import NamedTuple
+
+
+class Address(NamedTuple):
+    """
+    IP number and port of a process.
+
+    Parameters
+    ----------
+    ip : str
+        IPv4 or IPv6 number.
+    port : int
+        TCP port, from 0 to 65535.
+    """
+
+    ip: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """
+        Parse ``"ip:port"``.
+
+        Parameters
+        ----------
+        text : str
+            For example ``"127.0.0.1:7000"`` or ``"[::1]:7000"``.
+
+        Returns
+        -------
+        Address
+            The parsed address.
+
+        Raises
+        ------
+        ValueError
+            If the text is not an IP number and a port.
+
+        Examples
+        --------
+        >>> Address.parse("127.0.0.1:7000")
+        Address(ip='127.0.0.1', port=7000)
+        >>> str(Address.parse("[::1]:7000"))
+        '[::1]:7000'
+        """
+        ip, separator, port = text.rpartition(":")
+        if not separator or not port.isdecimal() or int(port) > 65535:
+            raise ValueError(f"{text!r} is not an address of the form ip:port")
+        number = ipaddress.ip_address(ip.strip("[]"))
+        return cls(str(number), int(port))
+
+    def __str__(self) -> str:
+        return f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
--- /dev/null
+++ b/marigoldtrail/net/server.py
@@ -0,0 +1,105 @@
+"""Serves the calls of other nodes."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+import trio
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.net.address import Address
+from marigoldtrail.net.client import STREAM_ERRORS
+from marigoldtrail.net.frames import Envelope, FrameStream
+from marigoldtrail.net.network import Network
+
+MAX_CALLS_PER_CONNECTION = 1024
+
+Handler = Callable[[Any, str], Awaitable[msgspec.Struct]]
+Handlers = dict[type, Handler]
+
+_log = logging.getLogger(__name__)
+
+
+async def serve_peers(
+    network: Network,
+    address: Address,
+    handlers: Handlers,
+    *,
+    host: str,
+    task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """
+    Serve calls until cancelled.
+
+    Parameters
+    ----------
+    network : Network
+        Accepts the connections.
+    address : Address
+        Where to listen.
+    handlers : dict
+        For each request type an asynchronous function of the request and the sender's host; it
+        returns the reply or a `Failure`.
+    host : str
+        Name of this host, sent with each reply.
+    task_status : trio.TaskStatus
+        Started with the address listened on.
+    """
+    by_kind = {request_type.__name__: request_type for request_type in handlers}
+
+    async def serve_connection(stream: trio.abc.Stream) -> None:
+        frames = FrameStream(stream=stream)
+        limit = trio.Semaphore(MAX_CALLS_PER_CONNECTION)
+        try:
+            async with trio.open_nursery() as nursery:
+                while (envelope := await frames.receive()) is not None:
+                    await limit.acquire()
+                    nursery.start_soon(serve_call, frames, envelope, limit)
+                # The caller is gone: nobody waits for the remaining replies.
+                nursery.cancel_scope.cancel()
+        except* STREAM_ERRORS as group:
+            _log.debug("peer connection ended: %s", group.exceptions[0])
+        finally:
+            await frames.aclose()
+
+    async def serve_call(frames: FrameStream, envelope: Envelope, limit: trio.Semaphore) -> None:
+        try:
+            reply = await run_handler(envelope)
+            await frames.send(envelope.call_id, type(reply).__name__, host, reply)
+        except STREAM_ERRORS as exc:
+            _log.debug("reply to %s was not sent: %s", envelope.kind, exc)
+        finally:
+            limit.release()
+
+    async def run_handler(envelope: Envelope) -> msgspec.Struct:
+        request_type = by_kind.get(envelope.kind)
+        if request_type is None:
+            return reject(envelope, "unknown request")
+        try:
+            request: Any = msgspec.msgpack.decode(envelope.body, type=request_type)
+        except msgspec.MsgspecError as exc:
+            return reject(envelope, str(exc))
+        try:
+            return await handlers[request_type](request, envelope.sender)
+        except Exception:
+            _log.exception("handler of %s failed", envelope.kind)
+            return Failure(
+                reason=Reason.INTERNAL,
+                run_state=RunState.MAY_HAVE_RUN,
+                step=envelope.kind,
+                peer=host,
+            )
+
+    def reject(envelope: Envelope, detail: str) -> Failure:
+        return Failure(
+            reason=Reason.BAD_REQUEST,
+            run_state=RunState.NOT_RUN,
+            step=envelope.kind,
+            peer=host,
+            detail=detail,
+        )
+
+    await network.listen(address, serve_connection, task_status=task_status)
--- /dev/null
+++ b/marigoldtrail/net/tests/test_calls.py
@@ -0,0 +1,115 @@
+"""Calls between nodes over the network in memory and over TCP."""
+
+import msgspec
+import trio
+
+from marigoldtrail.errors import Failure, Reason, RunState, is_failure
+from marigoldtrail.net import Address, PeerClient, TcpNetwork, serve_peers
+from marigoldtrail.testing import MemoryNetwork
+
+SERVER = Address("10.0.0.2", 7000)
+
+
+class Echo(msgspec.Struct):
+    text: str
+
+
+class Echoed(msgspec.Struct):
+    text: str
+    sender: str
+
+
+async def echo(request: Echo, sender: str) -> Echoed | Failure:
+    if request.text == "fail":
+        return Failure(reason=Reason.OVERLOADED, run_state=RunState.NOT_RUN, step="echo")
+    if request.text == "crash":
+        raise RuntimeError("crash")
+    if request.text == "slow":
+        await trio.sleep(10)
+    return Echoed(request.text, sender)
+
+
+async def start_pair(nursery, network):
+    await nursery.start(
+        lambda task_status: serve_peers(
+            network.endpoint(SERVER.ip), SERVER, {Echo: echo}, host="b", task_status=task_status
+        )
+    )
+    return PeerClient(network=network.endpoint("10.0.0.1"), host="a", nursery=nursery)
+
+
+async def test_call_returns_reply_or_failure_of_the_peer(autojump_clock, nursery):
+    """Guards against failures of a handler being lost or breaking the connection."""
+    client = await start_pair(nursery, MemoryNetwork())
+    assert await client.call(SERVER, Echo("x"), Echoed, timeout_s=1) == Echoed("x", "a")
+    failure = await client.call(SERVER, Echo("fail"), Echoed, timeout_s=1)
+    assert is_failure(failure) and failure.reason is Reason.OVERLOADED
+    crash = await client.call(SERVER, Echo("crash"), Echoed, timeout_s=1)
+    assert is_failure(crash) and crash.run_state is RunState.MAY_HAVE_RUN
+    assert await client.call(SERVER, Echo("y"), Echoed, timeout_s=1) == Echoed("y", "a")
+
+
+async def test_refused_connection_is_not_run(autojump_clock, nursery):
+    """Guards against `may_have_run` for a request that cannot have left."""
+    client = PeerClient(network=MemoryNetwork().endpoint("10.0.0.1"), host="a", nursery=nursery)
+    failure = await client.call(SERVER, Echo("x"), Echoed, timeout_s=1)
+    assert is_failure(failure) and failure.run_state is RunState.NOT_RUN
+    assert failure.reason is Reason.UNREACHABLE
+
+
+async def test_silent_partition_times_out_and_heals(autojump_clock, nursery):
+    """Guards against a connection that stays dead after a silent partition."""
+    network = MemoryNetwork()
+    client = await start_pair(nursery, network)
+    await client.call(SERVER, Echo("x"), Echoed, timeout_s=1)
+    network.cut("10.0.0.1", SERVER.ip)
+    failure = await client.call(SERVER, Echo("x"), Echoed, timeout_s=1)
+    assert is_failure(failure) and failure.reason is Reason.TIMEOUT
+    assert failure.run_state is RunState.MAY_HAVE_RUN
+    network.restore("10.0.0.1", SERVER.ip)
+    assert await client.call(SERVER, Echo("z"), Echoed, timeout_s=1) == Echoed("z", "a")
+
+
+async def test_slow_call_does_not_delay_others(autojump_clock, nursery):
+    """Guards against head-of-line blocking between calls on one connection."""
+    client = await start_pair(nursery, MemoryNetwork())
+    results = []
+
+    async def call(text: str) -> None:
+        results.append((await client.call(SERVER, Echo(text), Echoed, timeout_s=20)).text)
+
+    async with trio.open_nursery() as calls:
+        calls.start_soon(call, "slow")
+        await trio.sleep(1)
+        calls.start_soon(call, "fast")
+    assert results == ["fast", "slow"]
+
+
+async def test_reset_host_releases_waiting_calls(autojump_clock, nursery):
+    """Guards against calls that hang when the peer's process dies."""
+    network = MemoryNetwork()
+    client = await start_pair(nursery, network)
+
+    async def kill() -> None:
+        await trio.sleep(1)
+        network.reset_host(SERVER.ip)
+
+    nursery.start_soon(kill)
+    failure = await client.call(SERVER, Echo("slow"), Echoed, timeout_s=5)
+    assert is_failure(failure) and failure.reason is Reason.UNREACHABLE
+
+
+async def test_calls_over_tcp(nursery):
+    """Guards against a difference between the network in memory and TCP."""
+    network = TcpNetwork()
+    address = await nursery.start(
+        lambda task_status: serve_peers(
+            network, Address("127.0.0.1", 0), {Echo: echo}, host="b", task_status=task_status
+        )
+    )
+    client = PeerClient(network=network, host="a", nursery=nursery)
+    assert await client.call(address, Echo("x"), Echoed, timeout_s=5) == Echoed("x", "a")
+    stream = await network.dial(address)
+    await stream.send_all(b"\xff\xff\xff\xffgarbage")
+    assert await stream.receive_some() == b""
+    assert await client.call(address, Echo("y"), Echoed, timeout_s=5) == Echoed("y", "a")
--- /dev/null
+++ b/marigoldtrail/schema/__init__.py
@@ -0,0 +1,21 @@
+"""Settings, manifest and messages: schemas, generated classes and strict decoders."""
+
+from marigoldtrail.schema.documents import (
+    Fault,
+    decode_json,
+    load_schema,
+    parse_document,
+    parse_manifest,
+    parse_settings,
+    read_settings,
+)
+
+__all__ = [
+    "Fault",
+    "decode_json",
+    "load_schema",
+    "parse_document",
+    "parse_manifest",
+    "parse_settings",
+    "read_settings",
+]
--- /dev/null
+++ b/marigoldtrail/timers/service.py
@@ -0,0 +1,130 @@
+"""Monotonic time, wall time and periodic ticks for all other modules."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+
+import trio
+
+
+class Ticks:
+    """
+    Asynchronous iterator over the ticks of one subscription.
+
+    A subscriber that falls behind gets the next tick at once and skips those it missed, so that a
+    stalled process does not run a burst of overdue rounds.
+
+    Parameters
+    ----------
+    name : str
+        Name of the subscription, for diagnostics.
+    interval_s : float
+        Seconds between ticks.
+    jitter : float
+        Share of the interval, from 0 to 1, by which each tick is moved at random.
+    rng : random.Random
+        Source of the jitter.
+    """
+
+    __slots__ = ("name", "interval_s", "jitter", "_rng", "_due")
+
+    def __init__(self, *, name: str, interval_s: float, jitter: float, rng: random.Random) -> None:
+        self.name = name
+        self.interval_s = interval_s
+        self.jitter = jitter
+        self._rng = rng
+        self._due = trio.current_time()
+
+    def __aiter__(self) -> Ticks:
+        return self
+
+    async def __anext__(self) -> float:
+        offset = self._rng.uniform(-self.jitter, self.jitter) * self.interval_s
+        self._due = max(self._due + self.interval_s, trio.current_time())
+        await trio.sleep_until(self._due + offset)
+        return trio.current_time()
+
+
+class Timers:
+    """
+    Clock and timer service of one node.
+
+    Parameters
+    ----------
+    wall : callable
+        Returns the wall time in seconds; used to label events, never to measure a duration.
+    seed : int or None
+        Seed of the jitter; None for a random one.
+    """
+
+    __slots__ = ("_wall", "_rng")
+
+    def __init__(self, *, wall: Callable[[], float] = time.time, seed: int | None = None) -> None:
+        self._wall = wall
+        self._rng = random.Random(seed)
+
+    def now(self) -> float:
+        """
+        Return the monotonic time.
+
+        Returns
+        -------
+        float
+            Seconds; only differences have a meaning.
+        """
+        return trio.current_time()
+
+    def wall_ms(self) -> int:
+        """
+        Return the wall time.
+
+        Returns
+        -------
+        int
+            Milliseconds since the epoch.
+        """
+        return int(self._wall() * 1000)
+
+    async def sleep(self, seconds: float) -> None:
+        """
+        Sleep for a time.
+
+        Parameters
+        ----------
+        seconds : float
+            Duration in seconds.
+        """
+        await trio.sleep(seconds)
+
+    async def sleep_until(self, deadline: float) -> None:
+        """
+        Sleep until a monotonic time.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic time in seconds, as `now` returns it.
+        """
+        await trio.sleep_until(deadline)
+
+    def subscribe(self, name: str, interval_s: float, *, jitter: float = 0.0) -> Ticks:
+        """
+        Subscribe to periodic ticks.
+
+        Parameters
+        ----------
+        name : str
+            Name of the subscription.
+        interval_s : float
+            Seconds between ticks.
+        jitter : float
+            Share of the interval by which each tick is moved at random.
+
+        Returns
+        -------
+        Ticks
+            Asynchronous iterator that yields the monotonic time of each tick.
+        """
+        return Ticks(name=name, interval_s=interval_s, jitter=jitter, rng=self._rng)
