--- /dev/null
+++ b/marigoldtrail/slots/client.py
@@ -0,0 +1,362 @@
+"""An entry's side of slots: acquires them, returns them in batches, reports cold upstreams."""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+import trio
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.net import PeerClient
+from marigoldtrail.schema.generated.control import OwnerAssignment
+from marigoldtrail.schema.generated.slots import (
+    AcquireSlot,
+    ReleaseReply,
+    ReleaseSlots,
+    ReportReply,
+    ReportUpstream,
+    SlotGrant,
+    SlotRelease,
+)
+from marigoldtrail.slots.view import SlotView
+from marigoldtrail.timers import Timers
+
+ACQUIRE_TIMEOUT_S = 1.0
+RELEASE_TIMEOUT_S = 1.0
+FLUSH_INTERVAL_S = 0.02
+REPORT_RETRY_INTERVAL_S = 0.5
+# A report is resent until the owner of that time has either answered or been replaced: a partition
+# moves 5 s after its owner's last Sync, and the new owner is known to all nodes 5 s later.
+REPORT_RETRY_FOR_S = 15.0
+MAX_RELEASES_PER_MESSAGE = 256
+
+_log = logging.getLogger(__name__)
+
+
+class HeldSlot(SlotGrant, kw_only=True):
+    """
+    A grant as its holder counts it.
+
+    Parameters
+    ----------
+    expires_at : float
+        Monotonic time in seconds, counted from the moment at which the request for the slot was
+        sent. The call must have ended, or been cancelled, before it.
+    host : str
+        Owner that granted the slot.
+    """
+
+    expires_at: float
+    host: str
+
+
+class QueuedRelease(msgspec.Struct):
+    """A release that its owner has not confirmed yet."""
+
+    release: SlotRelease
+    expires_at: float
+
+
+class QueuedReport(msgspec.Struct):
+    """A report that no owner has confirmed yet."""
+
+    report: ReportUpstream
+    give_up_at: float
+
+
+class SlotClient:
+    """
+    Acquires slots for one entry; `run` must be running to return them.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    incarnation : int
+        Incarnation of this process.
+    view : SlotView
+        This node's view of the fleet.
+    peers : PeerClient
+        Calls the owners.
+    timers : Timers
+        Clock.
+
+    Examples
+    --------
+    Inside a request, for an upstream that is not warm::
+
+        slot = await slots.acquire("llm-3", attempt_id, hold_s=4.0)
+        if isinstance(slot, Failure):
+            return slot                      # always not_run
+        with trio.CancelScope(deadline=slot.expires_at):
+            answer = await call_upstream()
+        slots.release(slot, succeeded=not isinstance(answer, Failure), duration_ms=80)
+
+    See Also
+    --------
+    marigoldtrail.slots.SlotOwner : the side that grants.
+    """
+
+    __slots__ = (
+        "_host",
+        "_incarnation",
+        "_view",
+        "_peers",
+        "_timers",
+        "_epochs",
+        "_releases",
+        "_reports",
+        "_flushing",
+    )
+
+    def __init__(
+        self, *, host: str, incarnation: int, view: SlotView, peers: PeerClient, timers: Timers
+    ) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._view = view
+        self._peers = peers
+        self._timers = timers
+        self._epochs: dict[int, int] = {}
+        self._releases: dict[str, list[QueuedRelease]] = {}
+        self._reports: dict[str, QueuedReport] = {}
+        self._flushing: set[str] = set()
+
+    async def acquire(
+        self, upstream: str, attempt_id: str, hold_s: float, *, timeout_s: float = ACQUIRE_TIMEOUT_S
+    ) -> HeldSlot | Failure:
+        """
+        Ask the owner of an upstream for a slot.
+
+        Parameters
+        ----------
+        upstream : str
+            Name of the upstream.
+        attempt_id : str
+            Id of the attempt that will use the slot; a resend with the same id takes no second one.
+        hold_s : float
+            Longest time in seconds that the call will take.
+        timeout_s : float
+            Longest wait for the answer in seconds.
+
+        Returns
+        -------
+        HeldSlot or Failure
+            The slot, or a failure; every failure is ``NOT_RUN``, since the call was not sent.
+        """
+        owner = self._current_owner(upstream)
+        if isinstance(owner, Failure):
+            return owner
+        request = AcquireSlot(
+            upstream=upstream,
+            host=self._host,
+            incarnation=self._incarnation,
+            attempt_id=attempt_id,
+            hold_s=hold_s,
+        )
+        address = self._view.address_of(owner.host)
+        if address is None:
+            return _refuse(Reason.UNREACHABLE, owner.host, "no address of the slot owner is known")
+        sent = self._timers.now()
+        reply = await self._peers.call(
+            address, request, SlotGrant, timeout_s=timeout_s, step="slot.acquire"
+        )
+        if isinstance(reply, Failure):
+            self._return_lost_slot(upstream, attempt_id, owner, sent + hold_s, reply)
+            return msgspec.structs.replace(reply, run_state=RunState.NOT_RUN, step="slot.acquire")
+        return self._check_grant(reply, owner, sent)
+
+    def _current_owner(self, upstream: str) -> OwnerAssignment | Failure:
+        if not self._view.is_current():
+            return _refuse(Reason.VIEW_NOT_CURRENT, "", "the view of the fleet is not current")
+        owner = self._view.owner_of(upstream)
+        if owner is None:
+            return _refuse(Reason.NO_SLOT, "", f"{upstream} has no slot owner")
+        if owner.epoch < self._epochs.get(owner.partition, 0):
+            return _refuse(Reason.STALE_EPOCH, owner.host, "the view names an outdated slot owner")
+        self._epochs[owner.partition] = owner.epoch
+        return owner
+
+    def _check_grant(
+        self, grant: SlotGrant, owner: OwnerAssignment, sent: float
+    ) -> HeldSlot | Failure:
+        expires_at = sent + grant.expires_in_s
+        remaining_s = expires_at - self._timers.now()
+        # The view may have moved on while the request was under way.
+        latest = self._view.owner_of(grant.upstream)
+        known = max(self._epochs.get(owner.partition, 0), latest.epoch if latest else 0)
+        fields = msgspec.structs.asdict(grant)
+        fields["expires_in_s"] = remaining_s
+        slot = HeldSlot(**fields, expires_at=expires_at, host=owner.host)
+        if grant.epoch < known:
+            self.release(slot, succeeded=False)
+            detail = f"the grant has epoch {grant.epoch}, the partition is at {known}"
+            return _refuse(Reason.STALE_EPOCH, owner.host, detail)
+        self._epochs[owner.partition] = grant.epoch
+        if remaining_s <= 0:
+            return _refuse(Reason.TIMEOUT, owner.host, "the slot expired before its grant arrived")
+        return slot
+
+    def _return_lost_slot(
+        self,
+        upstream: str,
+        attempt_id: str,
+        owner: OwnerAssignment,
+        expires_at: float,
+        failure: Failure,
+    ) -> None:
+        # The owner may have granted although its reply was lost. Slot ids are attempt ids, so that
+        # the slot can be returned without knowing the reply.
+        if failure.run_state is RunState.MAY_HAVE_RUN:
+            release = SlotRelease(slot_id=attempt_id, upstream=upstream, succeeded=False)
+            self._queue_release(owner.host, release, expires_at)
+
+    def release(
+        self,
+        slot: HeldSlot,
+        *,
+        succeeded: bool,
+        duration_ms: int = 0,
+        instance: str = "",
+    ) -> None:
+        """
+        Return a slot; it is sent to the owner with others in the next batch.
+
+        Parameters
+        ----------
+        slot : HeldSlot
+            The slot.
+        succeeded : bool
+            Whether the call was answered; only such calls advance the ramp.
+        duration_ms : int
+            Duration of the call in milliseconds.
+        instance : str
+            Instance that answered; empty if unknown.
+        """
+        release = SlotRelease(
+            slot_id=slot.slot_id,
+            upstream=slot.upstream,
+            succeeded=succeeded,
+            duration_ms=duration_ms,
+            instance=instance,
+        )
+        self._queue_release(slot.host, release, slot.expires_at)
+
+    def _queue_release(self, host: str, release: SlotRelease, expires_at: float) -> None:
+        queued = QueuedRelease(release=release, expires_at=expires_at)
+        self._releases.setdefault(host, []).append(queued)
+
+    async def report(
+        self, upstream: str, instance: str, state: str, reason: str
+    ) -> ReportReply | Failure:
+        """
+        Tell the owner that an upstream has turned cold, is leaving or is down.
+
+        Parameters
+        ----------
+        upstream : str
+            Name of the upstream.
+        instance : str
+            Instance seen; empty if unknown.
+        state : str
+            ``"cold"``, ``"warming"``, ``"leaving"`` or ``"down"``.
+        reason : str
+            Evidence, for the decision log.
+
+        Returns
+        -------
+        ReportReply or Failure
+            State after the report. After a failure `run` resends the report for 15 s.
+        """
+        request = msgspec.convert(
+            {
+                "upstream": upstream,
+                "host": self._host,
+                "instance": instance,
+                "state": state,
+                "reason": reason,
+            },
+            ReportUpstream,
+        )
+        reply = await self._send_report(request)
+        if isinstance(reply, Failure):
+            give_up_at = self._timers.now() + REPORT_RETRY_FOR_S
+            self._reports[upstream] = QueuedReport(report=request, give_up_at=give_up_at)
+        else:
+            self._reports.pop(upstream, None)
+        return reply
+
+    async def _send_report(self, request: ReportUpstream) -> ReportReply | Failure:
+        owner = self._view.owner_of(request.upstream)
+        address = self._view.address_of(owner.host) if owner else None
+        if address is None:
+            return _refuse(Reason.UNREACHABLE, "", f"{request.upstream} has no reachable owner")
+        return await self._peers.call(
+            address, request, ReportReply, timeout_s=RELEASE_TIMEOUT_S, step="slot.report"
+        )
+
+    def pending_releases(self) -> int:
+        """
+        Return the number of releases that owners have not confirmed.
+
+        Returns
+        -------
+        int
+            A draining node waits until it is 0.
+        """
+        return sum(len(queued) for queued in self._releases.values())
+
+    async def run(self) -> None:
+        """Send releases and unconfirmed reports until cancelled."""
+        next_report = self._timers.now()
+        async with trio.open_nursery() as nursery:
+            async for now in self._timers.subscribe("slots.client", FLUSH_INTERVAL_S):
+                for host in self._releases:
+                    # One task for each owner, so that a silent one does not delay the others.
+                    if host not in self._flushing:
+                        self._flushing.add(host)
+                        nursery.start_soon(self._flush_releases, host)
+                if now >= next_report:
+                    next_report = now + REPORT_RETRY_INTERVAL_S
+                    nursery.start_soon(self._resend_reports)
+
+    async def _flush_releases(self, host: str) -> None:
+        queue = self._releases[host]
+        batch = queue[:MAX_RELEASES_PER_MESSAGE]
+        try:
+            if await self._send_releases(host, batch):
+                del queue[: len(batch)]
+            else:
+                # An expired slot needs no release: the owner has dropped it.
+                now = self._timers.now()
+                queue[:] = [queued for queued in queue if queued.expires_at > now]
+            if not queue:
+                del self._releases[host]
+        finally:
+            self._flushing.discard(host)
+
+    async def _send_releases(self, host: str, batch: list[QueuedRelease]) -> bool:
+        address = self._view.address_of(host)
+        if address is None:
+            return False
+        request = ReleaseSlots(host=self._host, releases=[queued.release for queued in batch])
+        reply = await self._peers.call(
+            address, request, ReleaseReply, timeout_s=RELEASE_TIMEOUT_S, step="slot.release"
+        )
+        if isinstance(reply, Failure):
+            _log.debug("releases were not delivered: %s", reply)
+        return not isinstance(reply, Failure)
+
+    async def _resend_reports(self) -> None:
+        for upstream, queued in list(self._reports.items()):
+            expired = self._timers.now() >= queued.give_up_at
+            delivered = expired or not isinstance(await self._send_report(queued.report), Failure)
+            if delivered and self._reports.get(upstream) is queued:
+                del self._reports[upstream]
+
+
+def _refuse(reason: Reason, peer: str, detail: str) -> Failure:
+    return Failure(
+        reason=reason, run_state=RunState.NOT_RUN, step="slot.acquire", peer=peer, detail=detail
+    )
