--- /dev/null
+++ b/marigoldtrail/records/machine.py
@@ -0,0 +1,339 @@
+"""State machine of a record group: claims, and the places of its records.
+
+Every command is idempotent by its own ids, and every result follows from the commands alone: times
+are put into a command by the leader that proposes it, and a repeated record is recognised by the
+request ids kept in the state, not by files that one member may still be fetching.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TypeAlias
+
+import msgspec
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.records.claims import ClaimResult, ClaimTable, KeyClaims, Location, SettledBy
+from marigoldtrail.records.entries import ANSWER, RECORD
+from marigoldtrail.records.segment import IndexedFields, SegmentState
+from marigoldtrail.records.segments import SegmentStore
+from marigoldtrail.schema.generated.records import OpenClaim, PutRecordReply, SettleClaim
+
+SNAPSHOT_VERSION = 1
+# A record is sent again only within the 11 s deadline of its request. One group takes at most
+# about 900 records a second (7,000 requests/s over 8 groups), that is 9,900 in 11 s.
+MAX_RECENT_RECORDS = 16_384
+
+
+class OpenCommand(msgspec.Struct, array_like=True, tag="open"):
+    """
+    Applies an OpenClaim.
+
+    Parameters
+    ----------
+    req : OpenClaim
+        The request.
+    at_ms : int
+        Wall time of the leader in milliseconds.
+    """
+
+    req: OpenClaim
+    at_ms: int
+
+
+class SettleCommand(msgspec.Struct, array_like=True, tag="settle"):
+    """
+    Applies a SettleClaim.
+
+    Parameters
+    ----------
+    req : SettleClaim
+        The request.
+    by : SettledBy
+        Who settles.
+    at_ms : int
+        Wall time of the leader in milliseconds.
+    """
+
+    req: SettleClaim
+    by: SettledBy
+    at_ms: int
+
+
+class PutCommand(msgspec.Struct, array_like=True, tag="put"):
+    """
+    Stores a result record.
+
+    Parameters
+    ----------
+    record : msgspec.Raw
+        The encoded record.
+    at_ms : int
+        Wall time of the leader in milliseconds.
+    """
+
+    record: msgspec.Raw
+    at_ms: int
+
+
+class RetainCommand(msgspec.Struct, array_like=True, tag="retain"):
+    """
+    Drops segments and claims whose retention is over.
+
+    Parameters
+    ----------
+    before_ms : int
+        Wall time before which records and claims are dropped.
+    at_ms : int
+        Wall time of the leader in milliseconds.
+    """
+
+    before_ms: int
+    at_ms: int
+
+
+Command: TypeAlias = OpenCommand | SettleCommand | PutCommand | RetainCommand
+
+
+class RetainResult(msgspec.Struct):
+    """
+    Result of a `RetainCommand`.
+
+    Parameters
+    ----------
+    first_segment : int
+        Oldest segment that is kept.
+    dropped_claims : int
+        Number of claims dropped.
+    """
+
+    first_segment: int
+    dropped_claims: int
+
+
+class StoredAnswer(msgspec.Struct, array_like=True):
+    """
+    Answer of a claim as it stands in a segment.
+
+    Parameters
+    ----------
+    client_account, idempotency_key, stage, attempt_id : str
+        The claim.
+    answer : bytes
+        JSON answer.
+    """
+
+    client_account: str
+    idempotency_key: str
+    stage: str
+    attempt_id: str
+    answer: bytes
+
+
+class MachineState(msgspec.Struct, kw_only=True):
+    """
+    Content of a snapshot.
+
+    Parameters
+    ----------
+    version : int
+        Version of the format.
+    claims : dict
+        Claims by client account and idempotency key.
+    recent : dict
+        Log index by request id of the newest records, oldest first.
+    segments : list of SegmentState
+        The segments.
+    retained_ms : int
+        Wall time before which records were dropped.
+    """
+
+    version: int
+    claims: dict[str, dict[str, KeyClaims]]
+    recent: dict[str, int]
+    segments: list[SegmentState]
+    retained_ms: int
+
+
+CommandResult: TypeAlias = ClaimResult | PutRecordReply | RetainResult | Failure
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Command)
+_fields_decoder = msgspec.msgpack.Decoder(IndexedFields)
+_state_decoder = msgspec.msgpack.Decoder(MachineState)
+_answer_decoder = msgspec.msgpack.Decoder(StoredAnswer)
+
+
+def encode_command(command: Command) -> bytes:
+    """
+    Encode a command for the log.
+
+    Parameters
+    ----------
+    command : OpenCommand, SettleCommand, PutCommand or RetainCommand
+        The command.
+
+    Returns
+    -------
+    bytes
+        Its encoding.
+    """
+    return _encoder.encode(command)
+
+
+def decode_answer(payload: bytes) -> bytes:
+    """
+    Return the answer in an entry of kind ``ANSWER``.
+
+    Parameters
+    ----------
+    payload : bytes
+        Payload of the entry.
+
+    Returns
+    -------
+    bytes
+        JSON answer.
+    """
+    return _answer_decoder.decode(payload).answer
+
+
+class RecordMachine:
+    """
+    The state of one record group; implements the `Machine` protocol of the consensus package.
+
+    Parameters
+    ----------
+    store : SegmentStore
+        Receives records and the answers of claims.
+
+    See Also
+    --------
+    marigoldtrail.records.SegmentStore : how snapshots and segment files belong together.
+    """
+
+    __slots__ = ("claims", "store", "retained_ms", "_recent")
+
+    def __init__(self, *, store: SegmentStore) -> None:
+        self.claims = ClaimTable()
+        self.store = store
+        self.retained_ms = 0
+        self._recent: OrderedDict[str, int] = OrderedDict()
+
+    def apply(self, index: int, command: bytes) -> CommandResult:
+        """
+        Apply a committed command.
+
+        Parameters
+        ----------
+        index : int
+            Its index in the log.
+        command : bytes
+            From `encode_command`.
+
+        Returns
+        -------
+        ClaimResult, PutRecordReply, RetainResult or Failure
+            The result; a failure only for a command that this version does not know.
+        """
+        try:
+            decoded = _decoder.decode(command)
+        except msgspec.MsgspecError as exc:
+            return Failure(
+                reason=Reason.BAD_REQUEST,
+                run_state=RunState.NOT_RUN,
+                step="records.apply",
+                detail=str(exc),
+            )
+        match decoded:
+            case OpenCommand():
+                return self.claims.open(decoded.req, at_ms=decoded.at_ms)
+            case SettleCommand():
+                return self._settle(decoded)
+            case PutCommand():
+                return self._put(index, decoded)
+            case RetainCommand():
+                return self._retain(decoded)
+
+    def _settle(self, command: SettleCommand) -> ClaimResult:
+        req = command.req
+        location: Location | None = None
+        if self.claims.accepts_answer(req, by=command.by):
+            answer = StoredAnswer(
+                req.client_account, req.idempotency_key, req.stage, req.attempt_id, req.answer
+            )
+            location = self.store.append(ANSWER, _encoder.encode(answer), at_ms=command.at_ms)
+        return self.claims.settle(req, by=command.by, at_ms=command.at_ms, answer=location)
+
+    def _put(self, index: int, command: PutCommand) -> PutRecordReply:
+        payload = bytes(command.record)
+        request_id = _fields_decoder.decode(payload).request_id
+        known = self._recent.get(request_id)
+        if known is not None:
+            return PutRecordReply(index=known)
+        self.store.append(RECORD, payload, at_ms=command.at_ms)
+        self._recent[request_id] = index
+        if len(self._recent) > MAX_RECENT_RECORDS:
+            self._recent.popitem(last=False)
+        return PutRecordReply(index=index)
+
+    def _retain(self, command: RetainCommand) -> RetainResult:
+        self.retained_ms = max(self.retained_ms, command.before_ms)
+        first_segment = self.store.drop_before(command.before_ms)
+        dropped = self.claims.forget(
+            first_segment=first_segment, before_ms=command.before_ms, at_ms=command.at_ms
+        )
+        return RetainResult(first_segment, dropped)
+
+    def snapshot(self) -> bytes:
+        """
+        Encode the state.
+
+        Returns
+        -------
+        bytes
+            Claims, recent request ids, and names, checksums and unsynced tails of the segments; the
+            records themselves stay in the segment files.
+        """
+        state = MachineState(
+            version=SNAPSHOT_VERSION,
+            claims=self.claims.dump(),
+            recent=dict(self._recent),
+            segments=self.store.dump(),
+            retained_ms=self.retained_ms,
+        )
+        return _encoder.encode(state)
+
+    def restore(self, data: bytes) -> None:
+        """
+        Replace the state by a snapshot.
+
+        Parameters
+        ----------
+        data : bytes
+            From `snapshot` on any member.
+
+        Raises
+        ------
+        ValueError
+            If the snapshot has another version.
+        """
+        state = _state_decoder.decode(data)
+        if state.version != SNAPSHOT_VERSION:
+            raise ValueError(f"snapshot version {state.version} is not {SNAPSHOT_VERSION}")
+        self.claims = ClaimTable(accounts=state.claims)
+        self._recent = OrderedDict(state.recent)
+        self.retained_ms = state.retained_ms
+        self.store.adopt(state.segments)
+
+    def is_complete(self) -> bool:
+        """
+        Tell whether this host holds all segments that the state names.
+
+        Returns
+        -------
+        bool
+            A learner must not become a voter before it is True: its copy of the records is one of
+            those that a majority relies on.
+        """
+        return self.store.is_complete()
--- /dev/null
+++ b/marigoldtrail/records/search.py
@@ -0,0 +1,132 @@
+"""Look-up and export of result records."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from marigoldtrail.errors import Failure
+from marigoldtrail.records.entries import RECORD
+from marigoldtrail.records.index import Field
+from marigoldtrail.records.segments import SegmentStore
+from marigoldtrail.schema.generated.records import FindRecords, ResultRecord
+
+MAX_FOUND = 1000
+# The reply must fit in one frame of 8 MB.
+MAX_REPLY_BYTES = 4 * 1024 * 1024
+
+_decoder = msgspec.msgpack.Decoder(ResultRecord)
+
+
+async def search_records(store: SegmentStore, req: FindRecords) -> list[ResultRecord] | Failure:
+    """
+    Look up records.
+
+    Parameters
+    ----------
+    store : SegmentStore
+        The segments of the group.
+    req : FindRecords
+        The request; empty fields do not restrict.
+
+    Returns
+    -------
+    list of ResultRecord or Failure
+        Newest first, at most `req.limit`, `MAX_FOUND` and about 4 MB; a failure if a record that
+        may match cannot be read.
+    """
+    field, value = _best_field(req)
+    locations = store.find(field, value)
+    if isinstance(locations, Failure):
+        return locations
+    found: list[ResultRecord] = []
+    size = 0
+    for location in locations:
+        entry = await store.read(location)
+        if isinstance(entry, Failure):
+            return entry
+        record = _decoder.decode(entry.payload)
+        if not _matches(record, req):
+            continue
+        size += len(entry.payload)
+        if found and (size > MAX_REPLY_BYTES or len(found) >= min(req.limit, MAX_FOUND)):
+            break
+        found.append(record)
+    # A record that was sent again after a long time stands twice; the first copy counts.
+    if req.request_id:
+        return found[-1:]
+    return found
+
+
+def _best_field(req: FindRecords) -> tuple[Field, str]:
+    # The most selective index first.
+    if req.request_id:
+        return Field.REQUEST_ID, req.request_id
+    if req.idempotency_key:
+        return Field.IDEMPOTENCY_KEY, req.idempotency_key
+    if req.result_digest:
+        return Field.RESULT_DIGEST, req.result_digest
+    return Field.CLIENT_ACCOUNT, req.client_account
+
+
+def _matches(record: ResultRecord, req: FindRecords) -> bool:
+    return (
+        req.request_id in ("", record.request_id)
+        and req.result_digest in ("", record.result_digest)
+        and req.client_account in ("", record.client_account)
+        and req.idempotency_key in ("", record.idempotency_key)
+    )
+
+
+async def export_records(
+    store: SegmentStore, write_line: Callable[[bytes], Awaitable[None]]
+) -> list[Failure]:
+    """
+    Write every record as one line of JSON, oldest first.
+
+    Parameters
+    ----------
+    store : SegmentStore
+        The segments, flushed and verified.
+    write_line : callable
+        Asynchronous function that takes one line without its end.
+
+    Returns
+    -------
+    list of Failure
+        One for each segment that is damaged; its records from the damage on are left out.
+    """
+    failures: list[Failure] = []
+    for number in store.numbers():
+        offset = 0
+        end = store.durable_size(number)
+        while offset < end:
+            entries = await store.read_entries(number, offset, end)
+            if isinstance(entries, Failure):
+                failures.append(entries)
+                break
+            for entry in entries:
+                if entry.kind == RECORD:
+                    await write_line(record_to_json(_decoder.decode(entry.payload)))
+            offset = entries[-1].end
+    return failures
+
+
+def record_to_json(record: ResultRecord) -> bytes:
+    """
+    Encode a record as JSON for people and their tools.
+
+    Parameters
+    ----------
+    record : ResultRecord
+        The record.
+
+    Returns
+    -------
+    bytes
+        One JSON object; `output` is the JSON text of the output.
+    """
+    fields = msgspec.to_builtins(record, builtin_types=(bytes,))
+    fields["output"] = record.output.decode("utf-8", "replace")
+    return msgspec.json.encode(fields)
--- /dev/null
+++ b/marigoldtrail/records/service.py
@@ -0,0 +1,434 @@
+"""The record groups of one control host: handlers for other nodes and the tasks behind them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+import msgspec
+import trio
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.net import Handlers
+from marigoldtrail.records.claims import ClaimResult, ClaimState, SettledBy
+from marigoldtrail.records.fetch import FetchChunk, fetch_missing
+from marigoldtrail.records.machine import (
+    Command,
+    OpenCommand,
+    PutCommand,
+    RecordMachine,
+    RetainCommand,
+    SettleCommand,
+    decode_answer,
+    encode_command,
+)
+from marigoldtrail.records.search import search_records
+from marigoldtrail.records.segments import MAX_UNFLUSHED_BYTES
+from marigoldtrail.records.sweeper import AskOutcome, LogGroup, Sweeper
+from marigoldtrail.schema.generated.records import (
+    ClaimReply,
+    ClaimsReply,
+    FetchSegment,
+    FindRecords,
+    FindRecordsReply,
+    ListClaims,
+    OpenClaim,
+    PutRecord,
+    PutRecordReply,
+    SegmentChunk,
+    SettleClaim,
+)
+from marigoldtrail.telemetry import Telemetry
+from marigoldtrail.timers import Timers
+
+PROPOSE_TIMEOUT_S = 5.0
+READ_TIMEOUT_S = 3.0
+FLUSH_INTERVAL_S = 0.2
+RETRY_INTERVAL_S = 1.0
+FETCH_INTERVAL_S = 1.0
+RETAIN_INTERVAL_S = 3600.0
+# Retention moves on by at most this much per round, so that a wall clock set far ahead cannot drop
+# the records of years at once; twice the interval lets it catch up.
+RETAIN_STEP_MS = 7_200_000
+DAY_MS = 86_400_000
+# Answers and records larger than this are refused; a frame carries at most 8 MB.
+MAX_PAYLOAD_BYTES = 4 * 1024 * 1024
+MAX_LISTED_CLAIMS = 1000
+
+_CLAIM_STATES = {
+    "pending": ClaimState.PENDING,
+    "done": ClaimState.DONE,
+    "may_have_run": ClaimState.MAY_HAVE_RUN,
+}
+
+
+class RecordGroup:
+    """
+    One record group on this host.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    log : LogGroup
+        Its replicated log; must apply to `machine`.
+    machine : RecordMachine
+        Its state machine.
+    members : sequence of str
+        Hosts of its members; asked for segments that this host lacks.
+    """
+
+    __slots__ = ("name", "log", "machine", "members")
+
+    def __init__(
+        self, *, name: str, log: LogGroup, machine: RecordMachine, members: Sequence[str]
+    ) -> None:
+        self.name = name
+        self.log = log
+        self.machine = machine
+        self.members = members
+
+
+class RecordService:
+    """
+    Serves the record groups that have a member on this host.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    groups : sequence of RecordGroup
+        The groups with a member here.
+    group_of : callable
+        Returns the record group of a client account.
+    ask_outcome : callable
+        Asynchronous function of upstream, outcome path and attempt id; returns an `Outcome` or a
+        `Failure`.
+    fetch_chunk : callable
+        Asynchronous function of a host and a `FetchSegment`; returns a `SegmentChunk` or a
+        `Failure`.
+    timers : Timers
+        Clock.
+    telemetry : Telemetry
+        Receives decisions of the sweeper and of retention.
+    retention_days : int
+        Days that records and settled claims are kept.
+
+    Examples
+    --------
+    On a control host::
+
+        store = SegmentStore(disk=disk, folder="records-0/segments")
+        machine = RecordMachine(store=store)
+        log = Group(..., machine=machine)
+        group = RecordGroup(name="records-0", log=log, machine=machine, members=hosts)
+        service = RecordService(host="c1", groups=[group], ...)
+        nursery.start_soon(service.run)
+        handlers.update(service.handlers())
+    """
+
+    __slots__ = (
+        "_host",
+        "_groups",
+        "_group_of",
+        "_ask_outcome",
+        "_fetch_chunk",
+        "_timers",
+        "_telemetry",
+        "_retention_days",
+    )
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        groups: Sequence[RecordGroup],
+        group_of: Callable[[str], str],
+        ask_outcome: AskOutcome,
+        fetch_chunk: FetchChunk,
+        timers: Timers,
+        telemetry: Telemetry,
+        retention_days: int = 3650,
+    ) -> None:
+        self._host = host
+        self._groups: Mapping[str, RecordGroup] = {group.name: group for group in groups}
+        self._group_of = group_of
+        self._ask_outcome = ask_outcome
+        self._fetch_chunk = fetch_chunk
+        self._timers = timers
+        self._telemetry = telemetry
+        self._retention_days = retention_days
+
+    def handlers(self) -> Handlers:
+        """
+        Return the handlers for `marigoldtrail.net.serve_peers`.
+
+        Returns
+        -------
+        dict
+            A handler for each request type.
+        """
+        return {
+            OpenClaim: self.open_claim,
+            SettleClaim: self.settle_claim,
+            PutRecord: self.put_record,
+            FindRecords: self.find_records,
+            ListClaims: self.list_claims,
+            FetchSegment: self.fetch_segment,
+        }
+
+    # Commands.
+
+    async def open_claim(self, req: OpenClaim, sender: str) -> ClaimReply | Failure:
+        """
+        Answer an OpenClaim.
+
+        Parameters
+        ----------
+        req : OpenClaim
+            The request.
+        sender : str
+            Host that sent it.
+
+        Returns
+        -------
+        ClaimReply or Failure
+            State of the claim, with the recorded answer if it is done.
+        """
+        command = OpenCommand(req, self._timers.wall_ms())
+        return await self._run_claim(req.client_account, command, "claim.open")
+
+    async def settle_claim(self, req: SettleClaim, sender: str) -> ClaimReply | Failure:
+        """
+        Answer a SettleClaim.
+
+        Parameters
+        ----------
+        req : SettleClaim
+            The request; with `operator` set it must name the attempt that holds the claim.
+        sender : str
+            Host that sent it.
+
+        Returns
+        -------
+        ClaimReply or Failure
+            State of the claim after it.
+        """
+        if len(req.answer) > MAX_PAYLOAD_BYTES:
+            return self._refuse("claim.settle", Reason.BAD_REQUEST, "the answer is too large")
+        by = SettledBy.OPERATOR if req.operator else SettledBy.ATTEMPT
+        command = SettleCommand(req, by, self._timers.wall_ms())
+        return await self._run_claim(req.client_account, command, "claim.settle")
+
+    async def _run_claim(
+        self, account: str, command: OpenCommand | SettleCommand, step: str
+    ) -> ClaimReply | Failure:
+        group = self._groups.get(self._group_of(account))
+        if group is None:
+            return self._not_member(step)
+        result = await self._propose(group, command, step)
+        if isinstance(result, Failure):
+            return result
+        return await self._with_answer(group, result, step)
+
+    async def _with_answer(
+        self, group: RecordGroup, result: ClaimResult, step: str
+    ) -> ClaimReply | Failure:
+        if result.answer is None:
+            return result.reply
+        entry = await group.machine.store.read(result.answer)
+        if isinstance(entry, Failure):
+            # The stage ran; only its answer cannot be read now.
+            return msgspec.structs.replace(
+                entry, step=step, peer=self._host, run_state=RunState.MAY_HAVE_RUN
+            )
+        return msgspec.structs.replace(result.reply, answer=decode_answer(entry.payload))
+
+    async def put_record(self, req: PutRecord, sender: str) -> PutRecordReply | Failure:
+        """
+        Answer a PutRecord.
+
+        Parameters
+        ----------
+        req : PutRecord
+            The request.
+        sender : str
+            Host that sent it.
+
+        Returns
+        -------
+        PutRecordReply or Failure
+            The log index at which the record is durable; the first one if it was sent again.
+        """
+        step = "record.put"
+        group = self._groups.get(self._group_of(req.record.client_account))
+        if group is None:
+            return self._not_member(step)
+        payload = msgspec.msgpack.encode(req.record)
+        if len(payload) > MAX_PAYLOAD_BYTES:
+            return self._refuse(step, Reason.BAD_REQUEST, "the record is too large")
+        store = group.machine.store
+        if store.unflushed_bytes() > MAX_UNFLUSHED_BYTES:
+            reason = store.failure.reason if store.failure else Reason.OVERLOADED
+            return self._refuse(step, reason, "segment files cannot be written")
+        command = PutCommand(msgspec.Raw(payload), self._timers.wall_ms())
+        result: PutRecordReply | Failure = await self._propose(group, command, step)
+        return result
+
+    async def _propose(self, group: RecordGroup, command: Command, step: str) -> Any:
+        result = await group.log.propose(encode_command(command), timeout_s=PROPOSE_TIMEOUT_S)
+        if isinstance(result, Failure):
+            return msgspec.structs.replace(result, step=step, peer=self._host)
+        return result
+
+    # Reads.
+
+    async def find_records(self, req: FindRecords, sender: str) -> FindRecordsReply | Failure:
+        """
+        Answer a FindRecords.
+
+        Parameters
+        ----------
+        req : FindRecords
+            The request.
+        sender : str
+            Host that sent it.
+
+        Returns
+        -------
+        FindRecordsReply or Failure
+            Records, newest first; ``CORRUPT`` if one that may match cannot be read.
+        """
+        group = await self._confirm_leader(req.group, "record.find")
+        if isinstance(group, Failure):
+            return group
+        found = await search_records(group.machine.store, req)
+        if isinstance(found, Failure):
+            return msgspec.structs.replace(found, step="record.find", peer=self._host)
+        return FindRecordsReply(records=found)
+
+    async def list_claims(self, req: ListClaims, sender: str) -> ClaimsReply | Failure:
+        """
+        Answer a ListClaims.
+
+        Parameters
+        ----------
+        req : ListClaims
+            The request.
+        sender : str
+            Host that sent it.
+
+        Returns
+        -------
+        ClaimsReply or Failure
+            At most 1,000 claims.
+        """
+        group = await self._confirm_leader(req.group, "claim.list")
+        if isinstance(group, Failure):
+            return group
+        claims = group.machine.claims.list_claims(
+            _CLAIM_STATES[req.state],
+            client_account=req.client_account,
+            limit=min(req.limit, MAX_LISTED_CLAIMS),
+        )
+        return ClaimsReply(claims=claims)
+
+    async def _confirm_leader(self, name: str, step: str) -> RecordGroup | Failure:
+        group = self._groups.get(name)
+        if group is None:
+            return self._not_member(step)
+        barrier = await group.log.read_barrier(timeout_s=READ_TIMEOUT_S)
+        if isinstance(barrier, Failure):
+            return msgspec.structs.replace(barrier, step=step, peer=self._host)
+        return group
+
+    async def fetch_segment(self, req: FetchSegment, sender: str) -> SegmentChunk | Failure:
+        """
+        Answer a FetchSegment; any member does, leader or not.
+
+        Parameters
+        ----------
+        req : FetchSegment
+            The request.
+        sender : str
+            Host that sent it.
+
+        Returns
+        -------
+        SegmentChunk or Failure
+            ``NOT_FOUND`` if this host has not verified the segment.
+        """
+        group = self._groups.get(req.group)
+        if group is None:
+            return self._not_member("segment.fetch")
+        store = group.machine.store
+        data = await store.read_durable(req.segment, req.offset, min(req.length, MAX_PAYLOAD_BYTES))
+        if isinstance(data, Failure):
+            return msgspec.structs.replace(data, step="segment.fetch", peer=self._host)
+        return SegmentChunk(size=store.durable_size(req.segment), data=data)
+
+    def _not_member(self, step: str) -> Failure:
+        return self._refuse(step, Reason.NOT_LEADER, "this host is not a member of the group")
+
+    def _refuse(self, step: str, reason: Reason, detail: str) -> Failure:
+        return Failure(
+            reason=reason, run_state=RunState.NOT_RUN, step=step, peer=self._host, detail=detail
+        )
+
+    # Tasks.
+
+    async def run(self) -> None:
+        """Write and fetch segments, sweep claims and apply retention until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for group in self._groups.values():
+                sweeper = Sweeper(
+                    log=group.log,
+                    machine=group.machine,
+                    ask_outcome=self._ask_outcome,
+                    timers=self._timers,
+                    telemetry=self._telemetry,
+                )
+                nursery.start_soon(sweeper.run)
+                nursery.start_soon(self._write_segments, group)
+                nursery.start_soon(self._fetch_segments, group)
+                nursery.start_soon(self._apply_retention, group)
+
+    async def _write_segments(self, group: RecordGroup) -> None:
+        store = group.machine.store
+        while True:
+            changed = store.changed
+            await store.maintain()
+            # Entries that arrive together share one fsync; they are durable in the log already.
+            await self._timers.sleep(FLUSH_INTERVAL_S)
+            if store.failure is None:
+                await changed.wait()
+            else:
+                await self._timers.sleep(RETRY_INTERVAL_S)
+
+    async def _fetch_segments(self, group: RecordGroup) -> None:
+        async for _ in self._timers.subscribe("records.fetch", FETCH_INTERVAL_S):
+            store = group.machine.store
+            missing = store.missing()
+            if not missing:
+                continue
+            hosts = [host for host in group.members if host != self._host]
+            installed = await fetch_missing(store, group.name, hosts, self._fetch_chunk)
+            self._telemetry.decisions.add(
+                "segment.fetch",
+                group.name,
+                "segments were missing or damaged",
+                missing=len(missing),
+                installed=installed,
+            )
+
+    async def _apply_retention(self, group: RecordGroup) -> None:
+        async for _ in self._timers.subscribe("records.retention", RETAIN_INTERVAL_S):
+            machine = group.machine
+            oldest = machine.store.oldest_ms()
+            if not group.log.is_leader or not oldest:
+                continue
+            now_ms = self._timers.wall_ms()
+            reached = max(machine.retained_ms, oldest)
+            before_ms = min(now_ms - self._retention_days * DAY_MS, reached + RETAIN_STEP_MS)
+            if before_ms > machine.retained_ms:
+                await self._propose(group, RetainCommand(before_ms, now_ms), "records.retain")
