--- /dev/null
+++ b/marigoldtrail/fleet/client.py
@@ -0,0 +1,252 @@
+"""Calls to the control hosts, one coroutine for each message type."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.fleet.groups import CONFIG_GROUP, record_group_of
+from marigoldtrail.fleet.leaders import TRY_TIMEOUT_S, LeaderFinder
+from marigoldtrail.fleet.view import FleetView
+from marigoldtrail.net import PeerClient
+from marigoldtrail.schema.generated.control import (
+    DecisionsReply,
+    GetDecisions,
+    GetManifest,
+    GetStatus,
+    ManifestReply,
+    SetService,
+    StatusReply,
+    SubmitManifest,
+    SubmitReply,
+    Sync,
+    SyncReply,
+)
+from marigoldtrail.schema.generated.records import (
+    ClaimReply,
+    ClaimsReply,
+    FindRecords,
+    FindRecordsReply,
+    ListClaims,
+    OpenClaim,
+    PutRecord,
+    PutRecordReply,
+    SettleClaim,
+)
+from marigoldtrail.schema.generated.settings import LogGroup
+from marigoldtrail.timers import Timers
+
+CALL_TIMEOUT_S = 3.0
+
+Reply = TypeVar("Reply", bound=msgspec.Struct)
+
+
+class ControlClient:
+    """
+    Calls the leaders of the log groups and finds them by itself.
+
+    Parameters
+    ----------
+    peers : PeerClient
+        Carries the calls.
+    view : FleetView
+        Gives the addresses of hosts.
+    timers : Timers
+        Clock and pauses.
+    groups : list of LogGroup
+        All groups, as `groups_of` returns them.
+
+    Attributes
+    ----------
+    record_groups : list of str
+        Names of the record groups in the order of the settings.
+
+    See Also
+    --------
+    marigoldtrail.fleet.groups_of : Groups from the settings.
+    """
+
+    __slots__ = ("record_groups", "_peers", "_view", "_finder")
+
+    def __init__(
+        self, *, peers: PeerClient, view: FleetView, timers: Timers, groups: list[LogGroup]
+    ) -> None:
+        self.record_groups = [group.name for group in groups if group.name != CONFIG_GROUP]
+        self._peers = peers
+        self._view = view
+        self._finder = LeaderFinder(
+            peers=peers,
+            view=view,
+            timers=timers,
+            members={group.name: list(group.members) for group in groups},
+        )
+
+    def leader_of(self, group: str) -> str:
+        """
+        Return the host that answered last as the leader of a group; empty if none is known.
+
+        Parameters
+        ----------
+        group : str
+            Name of the group.
+
+        Returns
+        -------
+        str
+            The host.
+        """
+        return self._finder.leader_of(group)
+
+    async def call_group(
+        self,
+        group: str,
+        request: msgspec.Struct,
+        reply_type: type[Reply],
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+        try_timeout_s: float = TRY_TIMEOUT_S,
+        on_try: Callable[[], None] = lambda: None,
+    ) -> Reply | Failure:
+        """
+        Call the leader of a log group.
+
+        The host that answered last is tried first, then hosts that others name as the leader, then
+        all members in turn, until one answers or the time is up.
+
+        Parameters
+        ----------
+        group : str
+            Name of the group.
+        request : msgspec.Struct
+            The request, idempotent by its own id, since it may be sent more than once.
+        reply_type : type
+            Type of the reply.
+        timeout_s : float
+            Longest wait in seconds over all tries.
+        try_timeout_s : float
+            Longest wait in seconds for one control host.
+        on_try : callable
+            Called right before each try.
+
+        Returns
+        -------
+        msgspec.Struct or Failure
+            The reply, or the last failure; ``MAY_HAVE_RUN`` if any try may have had an effect.
+        """
+        return await self._finder.call(
+            group,
+            request,
+            reply_type,
+            timeout_s=timeout_s,
+            try_timeout_s=try_timeout_s,
+            on_try=on_try,
+        )
+
+    async def call_host(
+        self,
+        host: str,
+        request: msgspec.Struct,
+        reply_type: type[Reply],
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Reply | Failure:
+        """
+        Call one node.
+
+        Parameters
+        ----------
+        host : str
+            The node's host.
+        request : msgspec.Struct
+            The request.
+        reply_type : type
+            Type of the reply.
+        timeout_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        msgspec.Struct or Failure
+            The reply, or the failure.
+        """
+        address = self._view.address_of(host)
+        if address is None:
+            return Failure(
+                reason=Reason.NOT_FOUND,
+                run_state=RunState.NOT_RUN,
+                step=type(request).__name__,
+                peer=host,
+                detail="the host is unknown",
+            )
+        return await self._peers.call(address, request, reply_type, timeout_s=timeout_s)
+
+    async def sync(
+        self, request: Sync, *, timeout_s: float, on_try: Callable[[], None]
+    ) -> SyncReply | Failure:
+        """Send a Sync; `on_try` is called right before each try. See `call_group`."""
+        return await self.call_group(
+            CONFIG_GROUP, request, SyncReply, timeout_s=timeout_s, on_try=on_try
+        )
+
+    async def open_claim(
+        self, request: OpenClaim, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> ClaimReply | Failure:
+        """Claim the one run of a non-idempotent stage. See `call_group`."""
+        group = record_group_of(request.client_account, self.record_groups)
+        return await self.call_group(group, request, ClaimReply, timeout_s=timeout_s)
+
+    async def settle_claim(
+        self, request: SettleClaim, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> ClaimReply | Failure:
+        """Record the outcome of a claimed call. See `call_group`."""
+        group = record_group_of(request.client_account, self.record_groups)
+        return await self.call_group(group, request, ClaimReply, timeout_s=timeout_s)
+
+    async def put_record(
+        self, request: PutRecord, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> PutRecordReply | Failure:
+        """Store a result record. See `call_group`."""
+        group = record_group_of(request.record.client_account, self.record_groups)
+        return await self.call_group(group, request, PutRecordReply, timeout_s=timeout_s)
+
+    async def find_records(
+        self, request: FindRecords, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> FindRecordsReply | Failure:
+        """Look up records in the group that the request names. See `call_group`."""
+        return await self.call_group(request.group, request, FindRecordsReply, timeout_s=timeout_s)
+
+    async def list_claims(
+        self, request: ListClaims, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> ClaimsReply | Failure:
+        """List claims of the group that the request names. See `call_group`."""
+        return await self.call_group(request.group, request, ClaimsReply, timeout_s=timeout_s)
+
+    async def submit_manifest(
+        self, request: SubmitManifest, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> SubmitReply | Failure:
+        """Submit an operator's manifest. See `call_group`."""
+        return await self.call_group(CONFIG_GROUP, request, SubmitReply, timeout_s=timeout_s)
+
+    async def set_service(
+        self, request: SetService, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> SubmitReply | Failure:
+        """Take a target out of service or back in. See `call_group`."""
+        return await self.call_group(CONFIG_GROUP, request, SubmitReply, timeout_s=timeout_s)
+
+    async def get_manifest(self, *, timeout_s: float = CALL_TIMEOUT_S) -> ManifestReply | Failure:
+        """Return the manifest in force. See `call_group`."""
+        request = GetManifest()
+        return await self.call_group(CONFIG_GROUP, request, ManifestReply, timeout_s=timeout_s)
+
+    async def get_status(self, *, timeout_s: float = CALL_TIMEOUT_S) -> StatusReply | Failure:
+        """Return the state of the fleet. See `call_group`."""
+        return await self.call_group(CONFIG_GROUP, GetStatus(), StatusReply, timeout_s=timeout_s)
+
+    async def get_decisions(
+        self, host: str, request: GetDecisions, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> DecisionsReply | Failure:
+        """Return recent decisions of one node. See `call_host`."""
+        return await self.call_host(host, request, DecisionsReply, timeout_s=timeout_s)
--- /dev/null
+++ b/marigoldtrail/fleet/leaders.py
@@ -0,0 +1,193 @@
+"""Finds the leader of a log group by hints and by trying its members in turn."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import TypeVar
+
+import msgspec
+
+from marigoldtrail.errors import Failure, Reason, RunState, is_failure
+from marigoldtrail.fleet.view import FleetView
+from marigoldtrail.net import PeerClient
+from marigoldtrail.timers import Timers
+
+Reply = TypeVar("Reply", bound=msgspec.Struct)
+
+# Bounds one try, so that two silent control hosts in turn leave most of the 5 s of a view.
+TRY_TIMEOUT_S = 0.75
+# An election takes 1 to 2 s; a shorter pause would only add messages.
+ROUND_PAUSE_S = 0.1
+
+# Failures after which another member, or the same one later, may answer. Every command is
+# idempotent by its own id, so that repeating one with an unknown outcome has one effect.
+RETRIED = frozenset(
+    {
+        Reason.NOT_LEADER,
+        Reason.NO_QUORUM,
+        Reason.TIMEOUT,
+        Reason.UNREACHABLE,
+        Reason.UNKNOWN_OUTCOME,
+        Reason.STOPPING,
+    }
+)
+
+
+class LeaderFinder:
+    """
+    Calls the leader of each log group.
+
+    Parameters
+    ----------
+    peers : PeerClient
+        Carries the calls.
+    view : FleetView
+        Gives the addresses of hosts.
+    timers : Timers
+        Clock and pauses.
+    members : dict
+        Control hosts of each group.
+    """
+
+    __slots__ = ("_peers", "_view", "_timers", "_members", "_leaders", "_silent")
+
+    def __init__(
+        self,
+        *,
+        peers: PeerClient,
+        view: FleetView,
+        timers: Timers,
+        members: dict[str, list[str]],
+    ) -> None:
+        self._peers = peers
+        self._view = view
+        self._timers = timers
+        self._members = members
+        self._leaders: dict[str, str] = {}
+        # Time of the last failed try of each host that has not answered since.
+        self._silent: dict[str, float] = {}
+
+    def leader_of(self, group: str) -> str:
+        """
+        Return the host that answered last as the leader of a group.
+
+        Parameters
+        ----------
+        group : str
+            Name of the group.
+
+        Returns
+        -------
+        str
+            The host; empty if none is known.
+        """
+        return self._leaders.get(group, "")
+
+    async def call(
+        self,
+        group: str,
+        request: msgspec.Struct,
+        reply_type: type[Reply],
+        *,
+        timeout_s: float,
+        try_timeout_s: float = TRY_TIMEOUT_S,
+        on_try: Callable[[], None] = lambda: None,
+    ) -> Reply | Failure:
+        """
+        Call the leader of a group; see `ControlClient.call_group`.
+
+        Parameters
+        ----------
+        group : str
+            Name of the group.
+        request : msgspec.Struct
+            The request, idempotent by its own id.
+        reply_type : type
+            Type of the reply.
+        timeout_s : float
+            Longest wait in seconds over all tries.
+        try_timeout_s : float
+            Longest wait in seconds for one control host.
+        on_try : callable
+            Called right before each try.
+
+        Returns
+        -------
+        msgspec.Struct or Failure
+            The reply, or the last failure; ``MAY_HAVE_RUN`` if any try may have had an effect.
+        """
+        if group not in self._members:
+            return _failure(Reason.NOT_FOUND, request, detail=f"no group {group!r}")
+        deadline = self._timers.now() + timeout_s
+        may_have_run = False
+        last: Failure | None = None
+        while True:
+            for host in self._round(group):
+                remaining = deadline - self._timers.now()
+                if remaining <= 0:
+                    return _final(last, request, may_have_run)
+                on_try()
+                reply = await self._try(
+                    host, request, reply_type, timeout_s=min(try_timeout_s, remaining)
+                )
+                if not is_failure(reply):
+                    self._leaders[group] = host
+                    self._silent.pop(host, None)
+                    return reply
+                last = reply
+                may_have_run = may_have_run or reply.run_state is RunState.MAY_HAVE_RUN
+                if reply.reason not in RETRIED:
+                    return _final(last, request, may_have_run)
+                self._note_failure(group, host, reply)
+            await self._timers.sleep(min(ROUND_PAUSE_S, max(0.0, deadline - self._timers.now())))
+
+    def _round(self, group: str) -> Iterator[str]:
+        """Yield each member once: the believed leader first, those silent of late last."""
+        untried = dict.fromkeys(self._members[group])
+        while True:
+            leader = self._leaders.get(group, "")
+            if leader and leader not in self._silent and leader in untried:
+                host = leader
+            elif untried:
+                host = min(untried, key=lambda member: self._silent.get(member, float("-inf")))
+            else:
+                return
+            untried.pop(host)
+            yield host
+            # A hint may name a control host that has joined the group since the settings were read.
+            hinted = self._leaders.get(group, "")
+            if hinted and hinted not in self._members[group]:
+                self._members[group].append(hinted)
+                untried[hinted] = None
+
+    def _note_failure(self, group: str, host: str, failure: Failure) -> None:
+        if failure.reason in (Reason.TIMEOUT, Reason.UNREACHABLE):
+            # Others go on to name a dead leader until an election ends; it is tried last from now.
+            self._silent[host] = self._timers.now()
+        else:
+            self._silent.pop(host, None)
+        if failure.reason is Reason.NOT_LEADER and failure.hint and failure.hint != host:
+            self._leaders[group] = failure.hint
+        elif self._leaders.get(group) == host:
+            del self._leaders[group]
+
+    async def _try(
+        self, host: str, request: msgspec.Struct, reply_type: type[Reply], *, timeout_s: float
+    ) -> Reply | Failure:
+        address = self._view.address_of(host)
+        if address is None:
+            return _failure(Reason.UNREACHABLE, request, detail=f"no address of host {host!r}")
+        return await self._peers.call(address, request, reply_type, timeout_s=timeout_s)
+
+
+def _failure(reason: Reason, request: msgspec.Struct, *, detail: str) -> Failure:
+    step = type(request).__name__
+    return Failure(reason=reason, run_state=RunState.NOT_RUN, step=step, detail=detail)
+
+
+def _final(last: Failure | None, request: msgspec.Struct, may_have_run: bool) -> Failure:
+    if last is None:
+        return _failure(Reason.TIMEOUT, request, detail="no time for a try")
+    if may_have_run and last.run_state is RunState.NOT_RUN:
+        return msgspec.structs.replace(last, run_state=RunState.MAY_HAVE_RUN)
+    return last
