Tell the upstream client whether a call holds a slot

The client reads the load report of a new connection and has to refuse an instance that is not the one known as warm, unless the call holds a slot. The interface gave it no way to know either.

--- a/marigoldtrail/upstream/types.py
+++ b/marigoldtrail/upstream/types.py
@@ -31,6 +31,12 @@
         Most tokens of the whole generation, with those already passed on.
     resume_from : int
         Number of tokens already passed on.
+    warm_instance : str
+        Instance that the caller's view knows as warm; empty if unknown. Without a slot, a
+        connection to another instance of a reporting upstream fails with ``NO_SLOT``, ``not_run``
+        before the first byte, with the instance found as the failure's ``hint``.
+    slot_id : str
+        Slot held for the call; with one, the call may go to a cold instance.
     """
 
     request_id: str
@@ -47,6 +53,8 @@
     input: Any = None
     max_tokens: int = 512
     resume_from: int = 0
+    warm_instance: str = ""
+    slot_id: str = ""
 
 
 class StageAnswer(msgspec.Struct, kw_only=True, frozen=True):
