--- a/marigoldtrail/records/fetch.py
+++ b/marigoldtrail/records/fetch.py
@@ -56,9 +56,7 @@
     data = bytearray()
     while len(data) < segment.flushed:
         length = min(CHUNK_BYTES, segment.flushed - len(data))
-        request = FetchSegment(
-            group=group, segment=segment.number, offset=len(data), length=length
-        )
+        request = FetchSegment(group=group, segment=segment.number, offset=len(data), length=length)
         reply = await fetch_chunk(host, request)
         if isinstance(reply, Failure) or not reply.data:
             _log.info("segment %d of %s cannot be fetched from %s", segment.number, group, host)
--- a/marigoldtrail/records/index.py
+++ b/marigoldtrail/records/index.py
@@ -40,7 +40,7 @@
     int
         64-bit hash.
     """
-    return xxhash.xxh64_intdigest(value)
+    return xxhash.xxh64_intdigest(value.encode())
 
 
 class SegmentIndex:
--- a/marigoldtrail/records/search.py
+++ b/marigoldtrail/records/search.py
@@ -42,7 +42,11 @@
         return locations
     found: list[ResultRecord] = []
     size = 0
+    # A record that was sent again after a long time stands twice: the older copy counts.
+    limit = len(locations) if req.request_id else min(req.limit, MAX_FOUND)
     for location in locations:
+        if len(found) >= limit:
+            break
         entry = await store.read(location)
         if isinstance(entry, Failure):
             return entry
@@ -50,13 +54,10 @@
         if not _matches(record, req):
             continue
         size += len(entry.payload)
-        if found and (size > MAX_REPLY_BYTES or len(found) >= min(req.limit, MAX_FOUND)):
+        if found and size > MAX_REPLY_BYTES:
             break
         found.append(record)
-    # A record that was sent again after a long time stands twice; the first copy counts.
-    if req.request_id:
-        return found[-1:]
-    return found
+    return found[-1:] if req.request_id else found
 
 
 def _best_field(req: FindRecords) -> tuple[Field, str]:
