Add the slot owner, the upstream watch and their tests

An owner grants only under a current view, 12 s after it took an upstream over, and never beyond the cold slots that the upstream reports; a turn to cold in the same process waits 5 s for all views.

--- a/marigoldtrail/records/sweeper.py
+++ b/marigoldtrail/records/sweeper.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import Literal, Protocol
+from typing import Any, Literal, Protocol
 
 import msgspec
 import trio
@@ -36,15 +36,29 @@
     ----------
     state : str
         ``"done"`` or ``"not_found"``.
-    answer : bytes
-        JSON answer of an attempt that is done.
+    output : object
+        Output of an attempt that is done; a JSON value.
     """
 
     state: Literal["done", "not_found"]
-    answer: bytes = b""
+    output: Any = None
 
 
-AskOutcome = Callable[[str, str, str], Awaitable[Outcome | Failure]]
+class OutcomeLike(Protocol):
+    """An `Outcome`, or the upstream client's own type with the same fields."""
+
+    @property
+    def state(self) -> str:
+        """Return ``"done"`` or ``"not_found"``."""
+        ...
+
+    @property
+    def output(self) -> Any:
+        """Return the output of an attempt that is done."""
+        ...
+
+
+AskOutcome = Callable[[str, str, str], Awaitable[OutcomeLike | Failure]]
 
 
 class LogGroup(Protocol):
@@ -167,14 +181,16 @@
     ) -> tuple[Literal["done", "not_run", "may_have_run"], bytes]:
         excluded = bool(claim.targets)
         for target in claim.targets:
-            outcome: Outcome | Failure | None = None
+            outcome: OutcomeLike | Failure | None = None
             if target.outcome_path:
                 with trio.move_on_after(ASK_TIMEOUT_S):
                     outcome = await self._ask(target.upstream, target.outcome_path, attempt)
-            if isinstance(outcome, Outcome) and outcome.state == "done":
-                return "done", outcome.answer
-            believed = target.outcome_final and isinstance(outcome, Outcome)
-            excluded = excluded and believed
+            if outcome is None or isinstance(outcome, Failure):
+                excluded = False
+            elif outcome.state == "done":
+                return "done", msgspec.json.encode(outcome.output)
+            elif outcome.state != "not_found" or not target.outcome_final:
+                excluded = False
         return ("not_run" if excluded else "may_have_run"), b""
 
 
--- a/marigoldtrail/slots/__init__.py
+++ b/marigoldtrail/slots/__init__.py
@@ -1,6 +1,17 @@
 """Leased slots: the limit on calls in progress to upstreams in cold start."""
 
 from marigoldtrail.slots.client import HeldSlot, SlotClient
+from marigoldtrail.slots.owner import SlotOwner
+from marigoldtrail.slots.tracker import MAX_GRANT_S, UpstreamTracker
 from marigoldtrail.slots.view import SlotView
+from marigoldtrail.slots.watch import UpstreamWatch
 
-__all__ = ["HeldSlot", "SlotClient", "SlotView"]
+__all__ = [
+    "MAX_GRANT_S",
+    "HeldSlot",
+    "SlotClient",
+    "SlotOwner",
+    "SlotView",
+    "UpstreamTracker",
+    "UpstreamWatch",
+]
--- a/marigoldtrail/slots/client.py
+++ b/marigoldtrail/slots/client.py
@@ -91,7 +91,7 @@
             return slot                      # always not_run
         with trio.CancelScope(deadline=slot.expires_at):
             answer = await call_upstream()
-        slots.release(slot, succeeded=not isinstance(answer, Failure), duration_ms=80)
+        await slots.release(slot, succeeded=not isinstance(answer, Failure), duration_ms=80)
 
     See Also
     --------
@@ -190,7 +190,8 @@
         fields["expires_in_s"] = remaining_s
         slot = HeldSlot(**fields, expires_at=expires_at, host=owner.host)
         if grant.epoch < known:
-            self.release(slot, succeeded=False)
+            release = SlotRelease(slot_id=slot.slot_id, upstream=slot.upstream, succeeded=False)
+            self._queue_release(slot.host, release, slot.expires_at)
             detail = f"the grant has epoch {grant.epoch}, the partition is at {known}"
             return _refuse(Reason.STALE_EPOCH, owner.host, detail)
         self._epochs[owner.partition] = grant.epoch
@@ -212,7 +213,7 @@
             release = SlotRelease(slot_id=attempt_id, upstream=upstream, succeeded=False)
             self._queue_release(owner.host, release, expires_at)
 
-    def release(
+    async def release(
         self,
         slot: HeldSlot,
         *,
@@ -242,6 +243,7 @@
             instance=instance,
         )
         self._queue_release(slot.host, release, slot.expires_at)
+        await trio.lowlevel.checkpoint()
 
     def _queue_release(self, host: str, release: SlotRelease, expires_at: float) -> None:
         queued = QueuedRelease(release=release, expires_at=expires_at)
--- /dev/null
+++ b/marigoldtrail/slots/tests/test_slots.py
@@ -0,0 +1,164 @@
+"""Slots over the network in memory, with several entries and owners."""
+
+import trio
+
+from marigoldtrail.errors import Reason, RunState, is_failure
+from marigoldtrail.slots.tests.fakes import Fleet
+
+COLD_SLOTS = 2
+
+
+async def start_load(fleet, nursery, seconds=0.3, hosts=("e1", "e2", "e3")):
+    for host in hosts:
+        for worker in range(3):
+            nursery.start_soon(fleet.call_forever, host, worker, seconds)
+
+
+async def test_entries_together_stay_within_cold_slots(autojump_clock, nursery):
+    """Guards against entries that each keep the limit but together exceed it."""
+    fleet = await Fleet(nursery).start()
+    await start_load(fleet, nursery)
+    await trio.sleep(11)
+    assert fleet.upstream.served == 0, "granted within 12 s of learning of the epoch"
+    await trio.sleep(19)
+    assert fleet.upstream.most == COLD_SLOTS
+    assert fleet.upstream.served > 40
+
+
+async def test_owner_dies_and_partition_moves(autojump_clock, nursery):
+    """Guards against a new owner that grants while slots of the dead one are in use."""
+    fleet = await Fleet(nursery).start()
+    await start_load(fleet, nursery, seconds=10.5)
+    await trio.sleep(14)
+    assert fleet.upstream.running == COLD_SLOTS
+    fleet.kill("c1")
+    await trio.sleep(6)
+    fleet.move_to("c2")
+    served = fleet.upstream.served
+    await trio.sleep(30)
+    assert fleet.upstream.most == COLD_SLOTS
+    assert fleet.upstream.served > served
+
+
+async def test_isolated_owner_stops_granting(autojump_clock, nursery):
+    """Guards against an owner that grants although its partition may have moved."""
+    fleet = await Fleet(nursery).start()
+    await trio.sleep(13)
+    fleet.isolated.add("c1")
+    await trio.sleep(5.1)
+    refusal = await fleet.clients["e1"].acquire("u1", "a", hold_s=1)
+    assert is_failure(refusal) and refusal.reason is Reason.VIEW_NOT_CURRENT
+    assert refusal.run_state is RunState.NOT_RUN
+
+
+async def test_two_hosts_believe_to_own_the_upstream(autojump_clock, nursery):
+    """Guards against the sum of two owners' grants exceeding the limit."""
+    fleet = await Fleet(nursery).start()
+    # e3 keeps asking c1, which is cut off from the config leader as e3 is.
+    await start_load(fleet, nursery, seconds=10.5)
+    await trio.sleep(13)
+    fleet.isolated |= {"c1", "e3"}
+    await trio.sleep(5.5)
+    fleet.move_to("c2")
+    await trio.sleep(1)
+    assert fleet.owners["c1"].find_tracker("u1") and fleet.owners["c2"].find_tracker("u1")
+    await trio.sleep(40)
+    assert fleet.upstream.most == COLD_SLOTS
+
+
+async def test_slot_of_a_dead_entry_is_free_after_its_expiry(autojump_clock, nursery):
+    """Guards against slots that are lost with the entry that held them."""
+    fleet = await Fleet(nursery, cold_slots=1).start()
+    await trio.sleep(13)
+    slot = await fleet.clients["e1"].acquire("u1", "a", hold_s=4)
+    fleet.network.reset_host(fleet.ip("e1"))
+    refusal = await fleet.clients["e2"].acquire("u1", "b", hold_s=1)
+    assert is_failure(refusal) and refusal.reason is Reason.NO_SLOT
+    assert 3.9 < refusal.retry_after_s <= 4
+    await trio.sleep_until(slot.expires_at + 0.1)
+    assert not is_failure(await fleet.clients["e2"].acquire("u1", "c", hold_s=1))
+
+
+async def test_grant_with_an_old_epoch_is_refused(autojump_clock, nursery):
+    """Guards against a late grant of a former owner being used."""
+    fleet = await Fleet(nursery).start()
+    await trio.sleep(13)
+    client, view = fleet.clients["e1"], fleet.views["e1"]
+    assert not is_failure(await client.acquire("u1", "a", hold_s=1))
+    fleet.network.link(fleet.ip("c1"), fleet.ip("e1")).delay_s = 0.5
+    results = []
+
+    async def ask():
+        results.append(await client.acquire("u1", "b", hold_s=5))
+
+    nursery.start_soon(ask)
+    await trio.sleep(0.1)
+    fleet.move_to("c2")
+    view.sync(fleet.assignment)
+    await trio.sleep(1)
+    assert is_failure(results[0]) and results[0].reason is Reason.STALE_EPOCH
+
+
+async def test_grant_counts_from_the_request(autojump_clock, nursery):
+    """Guards against an entry that uses a slot after the owner has given it to another."""
+    fleet = await Fleet(nursery).start()
+    await trio.sleep(13)
+    fleet.network.link(fleet.ip("c1"), fleet.ip("e1")).delay_s = 0.4
+    asked_at = trio.current_time()
+    slot = await fleet.clients["e1"].acquire("u1", "a", hold_s=3)
+    assert slot.expires_at <= asked_at + 3
+    assert slot.expires_in_s <= 2.6
+
+
+async def test_lost_reply_gives_the_slot_back(autojump_clock, nursery):
+    """Guards against a slot that stays taken because its grant was lost."""
+    fleet = await Fleet(nursery, cold_slots=1).start()
+    await trio.sleep(13)
+    client = fleet.clients["e1"]
+    await client.release(await client.acquire("u1", "first", hold_s=1), succeeded=True)
+    await trio.sleep(0.5)
+    fleet.network.link(fleet.ip("c1"), fleet.ip("e1")).set_cut(True)
+    lost = await client.acquire("u1", "a", hold_s=10)
+    assert is_failure(lost) and lost.run_state is RunState.NOT_RUN
+    assert client.pending_releases() == 1
+    fleet.network.restore(fleet.ip("c1"), fleet.ip("e1"))
+    await trio.sleep(2.5)
+    assert client.pending_releases() == 0
+    assert not is_failure(await fleet.clients["e2"].acquire("u1", "b", hold_s=1))
+
+
+async def test_repeated_request_takes_one_slot(autojump_clock, nursery):
+    """Guards against a resend with the same attempt id taking a second slot."""
+    fleet = await Fleet(nursery, cold_slots=1).start()
+    await trio.sleep(13)
+    first = await fleet.clients["e1"].acquire("u1", "a", hold_s=5)
+    await trio.sleep(1)
+    again = await fleet.clients["e1"].acquire("u1", "a", hold_s=5)
+    assert again.slot_id == first.slot_id
+    assert again.expires_at <= first.expires_at + 0.1
+
+
+async def test_report_reaches_the_next_owner(autojump_clock, nursery):
+    """Guards against cold evidence that is lost with the owner it was sent to."""
+    fleet = await Fleet(nursery).start()
+    fleet.report.state = "warm"
+    await trio.sleep(13)
+    fleet.kill("c1")
+    reply = await fleet.clients["e1"].report("u1", "i1", "cold", "slow first answer")
+    assert is_failure(reply)
+    await trio.sleep(6)
+    fleet.report.state = "cold"
+    fleet.move_to("c2")
+    await trio.sleep(2)
+    [seen] = fleet.watches["c2"].observations()
+    assert seen.state == "cold"
+
+
+async def test_watch_reports_states_and_leaves_other_owners_alone(autojump_clock, nursery):
+    """Guards against observations of upstreams that another host owns."""
+    fleet = await Fleet(nursery).start()
+    fleet.report.state, fleet.report.running = "warm", 4
+    await trio.sleep(8)
+    [seen] = fleet.watches["c1"].observations()
+    assert (seen.state, seen.instance, seen.load) == ("warm", "i1", 128)
+    assert fleet.watches["c2"].observations() == []
