--- /dev/null
+++ b/marigoldtrail/consensus/following.py
@@ -0,0 +1,312 @@
+"""How a follower or learner takes entries and snapshots from the leader."""
+
+from __future__ import annotations
+
+from marigoldtrail.consensus.state import (
+    FOLLOWER,
+    GroupState,
+    adopt_term,
+    check_disk,
+    hear_leader,
+    restore_machine,
+    stop_group,
+)
+from marigoldtrail.consensus.store import corrupt_snapshot, decode_stored
+from marigoldtrail.errors import Failure, Reason
+from marigoldtrail.schema.generated.consensus import (
+    AppendEntries,
+    AppendReply,
+    InstallSnapshot,
+    SnapshotReply,
+    StoredSnapshot,
+)
+
+
+async def handle_append(state: GroupState, req: AppendEntries) -> AppendReply | Failure:
+    """
+    Take entries of a leader.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    req : AppendEntries
+        The entries.
+
+    Returns
+    -------
+    AppendReply or Failure
+        The failure of the disk.
+    """
+    if state.stopped is not None:
+        return state.stopped
+    if req.target_id != state.storage_id or req.term < state.term:
+        return append_reply(state, False, 0)
+    async with state.lock:
+        refused = await follow(state, req.term, req.leader)
+        if isinstance(refused, Failure):
+            return refused
+        if req.term < state.term:
+            return append_reply(state, False, 0)
+        mismatch = find_mismatch(state, req)
+        if mismatch is not None:
+            return append_reply(state, False, mismatch)
+        matched = await take_entries(state, req)
+        if isinstance(matched, Failure):
+            return matched
+    hear_leader(state, req.leader)
+    if min(req.commit_index, matched) > state.commit_index:
+        state.commit_index = min(req.commit_index, matched)
+        state.committed.notify()
+    return append_reply(state, True, matched)
+
+
+def append_reply(state: GroupState, accepted: bool, last_index: int) -> AppendReply:
+    """
+    Build a reply.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    accepted : bool
+        Whether the logs match.
+    last_index : int
+        Last index that matches, or where to try next.
+
+    Returns
+    -------
+    AppendReply
+        The reply.
+    """
+    return AppendReply(
+        term=state.term, storage_id=state.storage_id, accepted=accepted, last_index=last_index
+    )
+
+
+async def follow(state: GroupState, term: int, leader: str) -> None | Failure:
+    """
+    Follow the leader of a term unless a newer term is known; the caller holds the lock.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    term : int
+        Term of the leader's message.
+    leader : str
+        Host of the leader.
+
+    Returns
+    -------
+    None or Failure
+        The failure of the disk.
+    """
+    if state.stopped is not None:
+        return state.stopped
+    result = await adopt_term(state, term, f"{leader} leads a newer term")
+    if isinstance(result, Failure) or term < state.term:
+        return result
+    state.role = FOLLOWER
+    hear_leader(state, leader)
+    return None
+
+
+def find_mismatch(state: GroupState, req: AppendEntries) -> int | None:
+    """
+    Compare the entry before the new ones.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    req : AppendEntries
+        The entries.
+
+    Returns
+    -------
+    int or None
+        None if the logs match there, else the last index worth trying.
+    """
+    log = state.log
+    if req.prev_index > log.last_index:
+        return log.last_index
+    if req.prev_index <= state.commit_index:
+        # Committed entries are the same on every host.
+        return None
+    if log.term_at(req.prev_index) == req.prev_term:
+        return None
+    return max(log.first_index_of_term(req.prev_index) - 1, state.commit_index)
+
+
+async def take_entries(state: GroupState, req: AppendEntries) -> int | Failure:
+    """
+    Append the entries that are new and remove those that conflict.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    req : AppendEntries
+        Entries whose predecessor matches.
+
+    Returns
+    -------
+    int or Failure
+        Last index that is durable and matches the leader's log.
+    """
+    log = state.log
+    index = req.prev_index
+    known = 0
+    for entry in req.entries:
+        if index + 1 > log.last_index:
+            break
+        if index + 1 > state.commit_index and log.term_at(index + 1) != entry.term:
+            result = await log.truncate_after(index, committed=state.commit_index)
+            if isinstance(result, Failure):
+                stop_group(state, result)
+                return result
+            state.synced_index = min(state.synced_index, index)
+            break
+        index += 1
+        known += 1
+    result = await log.append(req.entries[known:])
+    if isinstance(result, Failure) and result.reason is not Reason.DISK_FULL:
+        stop_group(state, result)
+        return result
+    # Without room the entries before stay valid and the leader tries again later.
+    matched = index if isinstance(result, Failure) else req.prev_index + len(req.entries)
+    synced = check_disk(state, await log.journal.sync())
+    if isinstance(synced, Failure):
+        return synced
+    state.synced_index = log.last_index
+    return matched
+
+
+async def handle_snapshot(state: GroupState, req: InstallSnapshot) -> SnapshotReply | Failure:
+    """
+    Take a chunk of the leader's snapshot; the last one installs it.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    req : InstallSnapshot
+        The chunk.
+
+    Returns
+    -------
+    SnapshotReply or Failure
+        The failure of the disk.
+    """
+    if state.stopped is not None:
+        return state.stopped
+    if req.target_id != state.storage_id or req.term < state.term:
+        return snapshot_reply(state, 0)
+    async with state.lock:
+        refused = await follow(state, req.term, req.leader)
+        if isinstance(refused, Failure):
+            return refused
+        if req.term < state.term:
+            return snapshot_reply(state, 0)
+        received = await take_chunk(state, req)
+        if isinstance(received, Failure):
+            return received
+    hear_leader(state, req.leader)
+    return snapshot_reply(state, received)
+
+
+def snapshot_reply(state: GroupState, received: int) -> SnapshotReply:
+    """
+    Build a reply.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    received : int
+        Bytes received.
+
+    Returns
+    -------
+    SnapshotReply
+        The reply.
+    """
+    return SnapshotReply(term=state.term, storage_id=state.storage_id, received=received)
+
+
+async def take_chunk(state: GroupState, req: InstallSnapshot) -> int | Failure:
+    """
+    Append a chunk to the partial file; chunks out of order begin it anew.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    req : InstallSnapshot
+        The chunk.
+
+    Returns
+    -------
+    int or Failure
+        Bytes received.
+    """
+    if req.index <= state.commit_index:
+        return req.total_bytes
+    disk, name = state.store.disk, state.store.partial_name
+    if req.offset == 0:
+        removed = check_disk(state, await disk.remove(name))
+        if isinstance(removed, Failure):
+            return removed
+        state.incoming = (req.index, 0)
+    if state.incoming != (req.index, req.offset):
+        return state.incoming[1] if state.incoming[0] == req.index else 0
+    appended = check_disk(state, await disk.append(name, req.data))
+    if isinstance(appended, Failure):
+        return appended
+    received = req.offset + len(req.data)
+    state.incoming = (req.index, received)
+    if received < req.total_bytes:
+        return received
+    state.incoming = (0, 0)
+    installed = await install_snapshot(state, name)
+    return installed if isinstance(installed, Failure) else received
+
+
+async def install_snapshot(state: GroupState, name: str) -> None | Failure:
+    """
+    Replace machine and log by a complete snapshot file.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    name : str
+        Name of the file.
+
+    Returns
+    -------
+    None or Failure
+        ``CORRUPT`` if the checksum is wrong; the failure of the disk.
+    """
+    disk = state.store.disk
+    data = await disk.read(name)
+    removed = await disk.remove(name)
+    if isinstance(data, Failure) or isinstance(removed, Failure):
+        return check_disk(state, data if isinstance(data, Failure) else removed)  # type: ignore[arg-type]
+    snapshot = decode_stored(data, StoredSnapshot)
+    if snapshot is None:
+        return corrupt_snapshot(name)
+    saved = check_disk(state, await state.store.save_snapshot(snapshot))
+    if isinstance(saved, Failure):
+        return saved
+    replaced = check_disk(
+        state, await state.log.replace(snapshot.index, snapshot.term, snapshot.voters)
+    )
+    if isinstance(replaced, Failure):
+        return replaced
+    state.synced_index = state.log.last_index
+    if snapshot.index > state.applied_index:
+        restore_machine(state, snapshot)
+    state.report("install_snapshot", "the log was too far behind", index=snapshot.index)
+    return None
--- /dev/null
+++ b/marigoldtrail/consensus/group.py
@@ -0,0 +1,435 @@
+"""One replicated log group on one host."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, TypeVar
+
+import trio
+
+from marigoldtrail.consensus.applying import apply_committed, write_proposals
+from marigoldtrail.consensus.election import run_elections, transfer_leadership
+from marigoldtrail.consensus.log import COMMAND, MEMBERS, encode_voters
+from marigoldtrail.consensus.membership import learners_of
+from marigoldtrail.consensus.replication import confirmed_round, join_round
+from marigoldtrail.consensus.state import (
+    LEADER,
+    GroupState,
+    Machine,
+    Proposal,
+    adopt_term,
+    check_disk,
+    load_state,
+    restore_machine,
+    stop_group,
+)
+from marigoldtrail.consensus.store import open_store
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.net import Address, PeerClient
+from marigoldtrail.schema.generated.consensus import GroupIdentity, LogEntry, Member
+from marigoldtrail.schema.generated.control import GroupStatus
+from marigoldtrail.storage import Disk
+from marigoldtrail.telemetry import Telemetry
+from marigoldtrail.timers import Timers
+
+MAX_COMMAND_BYTES = 4 * 1024 * 1024
+MAX_QUEUED = 8192
+MAX_BATCH_ENTRIES = 1024
+
+Request = TypeVar("Request")
+Reply = TypeVar("Reply")
+
+
+class Group:
+    """
+    One replicated log group on this host.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group, also of its folder on the disk.
+    host : str
+        Name of this host.
+    hosts : list of str
+        Hosts that the group shall have as voters, this one included.
+    addresses : dict
+        Address of each control host.
+    client : PeerClient
+        Calls the other hosts.
+    disk : Disk
+        The data folder.
+    machine : Machine
+        The state machine, in its initial state.
+    timers : Timers
+        Timer service of the node.
+    rng : random.Random or None
+        Source of election timeouts and identities; None for the system's.
+    telemetry : Telemetry or None
+        Where decisions are reported.
+    max_batch : int
+        Largest number of entries in one write; 1 turns group commit off.
+    """
+
+    __slots__ = ("_state", "_disk", "_opened")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        host: str,
+        hosts: list[str],
+        addresses: dict[str, Address],
+        client: PeerClient,
+        disk: Disk,
+        machine: Machine,
+        timers: Timers,
+        rng: random.Random | None = None,
+        telemetry: Telemetry | None = None,
+        max_batch: int = MAX_BATCH_ENTRIES,
+    ) -> None:
+        self._disk = disk
+        self._opened = trio.Event()
+        self._state = GroupState(
+            name=name,
+            host=host,
+            hosts=hosts,
+            addresses=addresses,
+            client=client,
+            machine=machine,
+            timers=timers,
+            rng=rng or random.SystemRandom(),
+            telemetry=telemetry,
+            max_batch=max_batch,
+        )
+
+    @property
+    def name(self) -> str:
+        """Name of the group."""
+        return self._state.name
+
+    @property
+    def leader(self) -> str | None:
+        """Host that leads, as far as this host knows."""
+        return self._state.leader
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this host leads; a read also needs `read_barrier`."""
+        return self._state.role == LEADER
+
+    @property
+    def term(self) -> int:
+        """The current term."""
+        return self._state.term
+
+    @property
+    def applied_index(self) -> int:
+        """Index of the last entry that the machine has applied."""
+        return self._state.applied_index
+
+    @property
+    def stopped(self) -> Failure | None:
+        """The failure of the disk that stopped the group on this host, if any."""
+        return self._state.stopped
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """
+        Take part in the group until cancelled.
+
+        Parameters
+        ----------
+        task_status : trio.TaskStatus
+            Started when the log is open and messages can be handled.
+        """
+        state = self._state
+        async with trio.open_nursery() as nursery:
+            state.nursery = nursery
+            opened = await open_store(self._disk, state.name, state.rng)
+            if isinstance(opened, Failure):
+                stop_group(state, opened)
+            else:
+                load_state(state, opened.store, opened.log)
+                if opened.snapshot is not None:
+                    restore_machine(state, opened.snapshot)
+                nursery.start_soon(run_elections, state)
+                nursery.start_soon(write_proposals, state)
+                nursery.start_soon(apply_committed, state)
+            self._opened.set()
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def propose(self, command: bytes, *, timeout_s: float) -> Any:
+        """
+        Commit a command and apply it.
+
+        Parameters
+        ----------
+        command : bytes
+            The command; it carries an id of its own, so that a resend has one effect.
+        timeout_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        object or Failure
+            What the machine's `apply` returned, or a failure: ``NOT_RUN`` if the command is not in
+            the log, ``MAY_HAVE_RUN`` if it may be.
+        """
+        refused = self._refuse_proposal(command)
+        if refused is not None:
+            return refused
+        state = self._state
+        proposal = Proposal(kind=COMMAND, payload=command)
+        state.queue.append(proposal)
+        state.proposed.notify()
+        with trio.move_on_after(timeout_s):
+            await proposal.done.wait()
+        if proposal.done.is_set():
+            return proposal.result
+        if proposal in state.queue:
+            state.queue.remove(proposal)
+            return state.failure(Reason.TIMEOUT, RunState.NOT_RUN, "propose")
+        return state.failure(Reason.UNKNOWN_OUTCOME, RunState.MAY_HAVE_RUN, "propose")
+
+    def _refuse_proposal(self, command: bytes) -> Failure | None:
+        state = self._state
+        reason, detail = None, ""
+        if state.stopped is not None:
+            reason, detail = state.stopped.reason, state.stopped.detail
+        elif state.role != LEADER:
+            reason = Reason.NOT_LEADER
+        elif state.transferring:
+            reason, detail = Reason.NOT_LEADER, "the leadership is being transferred"
+        elif len(command) > MAX_COMMAND_BYTES:
+            reason, detail = Reason.BAD_REQUEST, f"a command has at most {MAX_COMMAND_BYTES} bytes"
+        elif len(state.queue) >= MAX_QUEUED:
+            reason, detail = Reason.OVERLOADED, f"{MAX_QUEUED} commands are waiting"
+        if reason is None:
+            return None
+        return state.failure(reason, RunState.NOT_RUN, "propose", detail)
+
+    async def read_barrier(self, *, timeout_s: float) -> None | Failure:
+        """
+        Wait until the machine has all that was committed before this call.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        None or Failure
+            None if a quorum has confirmed since the call that this host leads.
+        """
+        state = self._state
+        term = state.term
+        if state.stopped is not None:
+            return state.failure(state.stopped.reason, RunState.NOT_RUN, "read_barrier")
+        if state.role != LEADER:
+            return state.failure(Reason.NOT_LEADER, RunState.NOT_RUN, "read_barrier")
+        with trio.move_on_after(timeout_s):
+            # Before the first commit in its own term a leader does not know what is committed.
+            while state.leads(term) and not 0 < state.first_of_term <= state.commit_index:
+                await state.applied.wait()
+            index = state.commit_index
+            wanted = join_round(state)
+            while state.leads(term) and confirmed_round(state) < wanted:
+                await state.confirmed.wait()
+            while state.leads(term) and state.applied_index < index:
+                await state.applied.wait()
+            if not state.leads(term):
+                return state.failure(Reason.NOT_LEADER, RunState.NOT_RUN, "read_barrier")
+            return None
+        return state.failure(Reason.NO_QUORUM, RunState.NOT_RUN, "read_barrier")
+
+    async def wait_leader(self) -> int:
+        """
+        Wait until this host leads and its machine has all that earlier leaders committed.
+
+        Returns
+        -------
+        int
+            Term in which it leads.
+        """
+        state = self._state
+        while True:
+            if state.role != LEADER:
+                await state.changed.wait()
+            elif not 0 < state.first_of_term <= state.applied_index:
+                await state.applied.wait()
+            else:
+                return state.term
+
+    async def wait_not_leader(self, term: int | None = None) -> None:
+        """
+        Wait until this host does not lead.
+
+        Parameters
+        ----------
+        term : int or None
+            Also return if it leads in another term than this one.
+        """
+        state = self._state
+        while state.role == LEADER and term in (None, state.term):
+            await state.changed.wait()
+
+    async def leaderships(self) -> AsyncIterator[int]:
+        """
+        Iterate over the terms in which this host leads.
+
+        Yields
+        ------
+        int
+            The term, at its begin; the next one after it has ended.
+        """
+        while True:
+            term = await self.wait_leader()
+            yield term
+            await self.wait_not_leader(term)
+
+    async def run_while_leader(self, task: Callable[[int], Awaitable[None]]) -> None:
+        """
+        Run a task whenever this host leads; cancel it when it does not any more.
+
+        Parameters
+        ----------
+        task : callable
+            Asynchronous function of the term. If it returns early it is not run again in that term.
+        """
+        while True:
+            term = await self.wait_leader()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(task, term)
+                await self.wait_not_leader(term)
+                nursery.cancel_scope.cancel()
+
+    async def transfer_leadership(self, *, timeout_s: float) -> bool:
+        """
+        Hand the leadership to the most up-to-date follower.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        bool
+            True if this host does not lead any more.
+        """
+        return await transfer_leadership(self._state, timeout_s=timeout_s)
+
+    def describe(self) -> GroupStatus:
+        """
+        Return the group as this host sees it.
+
+        Returns
+        -------
+        GroupStatus
+            Its leader, indexes, members and learners.
+        """
+        state = self._state
+        opened = self._opened.is_set() and hasattr(state, "log")
+        return GroupStatus(
+            group=state.name,
+            leader=state.leader or "",
+            term=state.term,
+            commit_index=state.commit_index,
+            applied_index=state.applied_index,
+            members=sorted(member.host for member in state.log.voters) if opened else [],
+            learners=learners_of(state) if opened else [],
+        )
+
+    def identify(self) -> GroupIdentity | Failure:
+        """
+        Return the identity of this host's log.
+
+        Returns
+        -------
+        GroupIdentity or Failure
+            The failure that stopped the group.
+        """
+        state = self._state
+        if state.stopped is not None:
+            return state.stopped
+        return GroupIdentity(
+            group=state.name,
+            host=state.host,
+            storage_id=state.storage_id,
+            last_index=state.log.last_index,
+            voters=state.log.voters,
+        )
+
+    async def initialise(self, voters: list[Member]) -> None | Failure:
+        """
+        Give an empty log its first member list.
+
+        Parameters
+        ----------
+        voters : list of Member
+            The first voters, the same on every host.
+
+        Returns
+        -------
+        None or Failure
+            ``KEY_MISMATCH`` if the log is not empty and its voters are others.
+        """
+        state = self._state
+        async with state.lock:
+            if state.stopped is not None:
+                return state.stopped
+            if state.log.voters == voters:
+                return None
+            if state.log.last_index > 0 or not any(
+                m.storage_id == state.storage_id for m in voters
+            ):
+                return state.failure(
+                    Reason.KEY_MISMATCH, RunState.NOT_RUN, "init", "the log is in use"
+                )
+            adopted = await adopt_term(state, 1, "the group is initialised")
+            if isinstance(adopted, Failure):
+                return adopted
+            entry = LogEntry(term=1, kind=MEMBERS, payload=encode_voters(voters))
+            appended = check_disk(state, await state.log.append([entry]))
+            if isinstance(appended, Failure):
+                return appended
+            synced = check_disk(state, await state.log.journal.sync())
+            state.synced_index = state.log.last_index
+            return synced
+
+    async def handle(
+        self, handler: Callable[[GroupState, Request], Awaitable[Reply]], request: Request
+    ) -> Reply | Failure:
+        """
+        Handle a message in a task of the group.
+
+        The end of the connection that brought the message must not cancel a write half-way.
+
+        Parameters
+        ----------
+        handler : callable
+            Asynchronous function of the state and the message.
+        request : msgspec.Struct
+            The message.
+
+        Returns
+        -------
+        msgspec.Struct or Failure
+            The reply.
+        """
+        await self._opened.wait()
+        state = self._state
+        if state.stopped is not None:
+            return state.stopped
+        replies: list[Reply] = []
+        done = trio.Event()
+
+        async def run() -> None:
+            replies.append(await handler(state, request))
+            done.set()
+
+        state.nursery.start_soon(run)
+        await done.wait()
+        return replies[0]
--- /dev/null
+++ b/marigoldtrail/consensus/groups.py
@@ -0,0 +1,243 @@
+"""All log groups of one host, and the initialisation of a fresh fleet."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator, Mapping
+from functools import partial
+from typing import Any
+
+import msgspec
+import trio
+
+from marigoldtrail.consensus.election import handle_campaign, handle_vote
+from marigoldtrail.consensus.following import handle_append, handle_snapshot
+from marigoldtrail.consensus.group import MAX_BATCH_ENTRIES, Group
+from marigoldtrail.consensus.state import GroupState, Machine
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.net import Address, Handlers, PeerClient
+from marigoldtrail.schema.generated.consensus import (
+    AppendEntries,
+    CampaignNow,
+    DescribeGroup,
+    GroupIdentity,
+    InitGroup,
+    InstallSnapshot,
+    Member,
+    RequestVote,
+)
+from marigoldtrail.schema.generated.control import GroupStatus
+from marigoldtrail.storage import Disk
+from marigoldtrail.telemetry import Telemetry
+from marigoldtrail.timers import Timers
+
+_MESSAGE_HANDLERS: dict[type, Any] = {
+    AppendEntries: handle_append,
+    InstallSnapshot: handle_snapshot,
+    RequestVote: handle_vote,
+    CampaignNow: handle_campaign,
+}
+
+
+class GroupSet(Mapping[str, Group]):
+    """
+    All log groups of one host, by name.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    hosts : dict
+        Hosts that each group shall have as voters.
+    addresses : dict
+        Address of each control host.
+    client : PeerClient
+        Calls the other hosts.
+    disk : Disk
+        The data folder.
+    machines : dict
+        State machine of each group of this host; groups without one are left out.
+    timers : Timers
+        Timer service of the node.
+    rng : random.Random or None
+        Source of election timeouts and identities; None for the system's.
+    telemetry : Telemetry or None
+        Where decisions are reported.
+    max_batch : int
+        Largest number of entries in one write; 1 turns group commit off.
+    """
+
+    __slots__ = ("_groups",)
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        hosts: Mapping[str, list[str]],
+        addresses: dict[str, Address],
+        client: PeerClient,
+        disk: Disk,
+        machines: Mapping[str, Machine],
+        timers: Timers,
+        rng: random.Random | None = None,
+        telemetry: Telemetry | None = None,
+        max_batch: int = MAX_BATCH_ENTRIES,
+    ) -> None:
+        self._groups = {
+            name: Group(
+                name=name,
+                host=host,
+                hosts=hosts[name],
+                addresses=addresses,
+                client=client,
+                disk=disk,
+                machine=machine,
+                timers=timers,
+                rng=rng,
+                telemetry=telemetry,
+                max_batch=max_batch,
+            )
+            for name, machine in machines.items()
+        }
+
+    def __getitem__(self, name: str) -> Group:
+        return self._groups[name]
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._groups)
+
+    def __len__(self) -> int:
+        return len(self._groups)
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """
+        Take part in all groups until cancelled.
+
+        Parameters
+        ----------
+        task_status : trio.TaskStatus
+            Started when all logs are open.
+        """
+        async with trio.open_nursery() as nursery:
+            for group in self._groups.values():
+                await nursery.start(partial(group.run))
+            task_status.started()
+
+    def handlers(self) -> Handlers:
+        """
+        Return the handlers of the groups' messages.
+
+        Returns
+        -------
+        dict
+            For `marigoldtrail.net.serve_peers`.
+        """
+        handlers: Handlers = {
+            message: partial(self._dispatch, handler)
+            for message, handler in _MESSAGE_HANDLERS.items()
+        }
+        handlers[DescribeGroup] = partial(self._dispatch, self._describe_group)
+        handlers[InitGroup] = partial(self._dispatch, self._init_group)
+        return handlers
+
+    async def _dispatch(self, handler: Any, request: Any, sender: str) -> msgspec.Struct:
+        group = self._groups.get(request.group)
+        if group is None:
+            return Failure(
+                reason=Reason.NOT_FOUND,
+                run_state=RunState.NOT_RUN,
+                step=type(request).__name__,
+                detail=f"this host has no group {request.group}",
+            )
+        return await group.handle(handler, request)
+
+    async def _describe_group(
+        self, state: GroupState, request: DescribeGroup
+    ) -> GroupIdentity | Failure:
+        return self._groups[request.group].identify()
+
+    async def _init_group(self, state: GroupState, request: InitGroup) -> GroupIdentity | Failure:
+        group = self._groups[request.group]
+        if request.target_id != state.storage_id:
+            return state.failure(
+                Reason.KEY_MISMATCH, RunState.NOT_RUN, "init", "the host has another identity"
+            )
+        result = await group.initialise(request.voters)
+        return result if isinstance(result, Failure) else group.identify()
+
+    def describe(self) -> list[GroupStatus]:
+        """
+        Return all groups as this host sees them.
+
+        Returns
+        -------
+        list of GroupStatus
+            One for each group.
+        """
+        return [group.describe() for group in self._groups.values()]
+
+    async def transfer_leadership(self, *, timeout_s: float) -> bool:
+        """
+        Hand over the leadership of all groups, for a graceful stop.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        bool
+            True if this host leads no group any more.
+        """
+        async with trio.open_nursery() as nursery:
+            for group in self._groups.values():
+                nursery.start_soon(partial(group.transfer_leadership, timeout_s=timeout_s))
+        return not any(group.is_leader for group in self._groups.values())
+
+
+async def init_fleet(
+    client: PeerClient,
+    *,
+    hosts: Mapping[str, list[str]],
+    addresses: dict[str, Address],
+    timeout_s: float,
+) -> None | Failure:
+    """
+    Give every group of a fresh fleet its first member list.
+
+    It may be repeated after it was interrupted; it changes nothing in a fleet that is in use.
+
+    Parameters
+    ----------
+    client : PeerClient
+        Calls the control hosts.
+    hosts : dict
+        First voters of each group.
+    addresses : dict
+        Address of each control host.
+    timeout_s : float
+        Longest wait for each reply in seconds.
+
+    Returns
+    -------
+    None or Failure
+        ``KEY_MISMATCH`` if a group is in use with other voters; the failure of a call.
+    """
+    for group, members in hosts.items():
+        voters = []
+        for host in members:
+            identity = await client.call(
+                addresses[host], DescribeGroup(group=group), GroupIdentity, timeout_s=timeout_s
+            )
+            if isinstance(identity, Failure):
+                return identity
+            voters.append(Member(host=host, storage_id=identity.storage_id))
+        for member in voters:
+            request = InitGroup(group=group, target_id=member.storage_id, voters=voters)
+            result = await client.call(
+                addresses[member.host], request, GroupIdentity, timeout_s=timeout_s
+            )
+            if isinstance(result, Failure):
+                return result
+    return None
--- /dev/null
+++ b/marigoldtrail/storage/__init__.py
@@ -0,0 +1,6 @@
+"""Durable state: the data folder and the journal."""
+
+from marigoldtrail.storage.disk import Disk, FolderDisk, open_folder
+from marigoldtrail.storage.journal import Journal, Record, open_journal
+
+__all__ = ["Disk", "FolderDisk", "Journal", "Record", "open_folder", "open_journal"]
--- /dev/null
+++ b/marigoldtrail/testing/disk.py
@@ -0,0 +1,170 @@
+"""A disk in memory whose writes can be torn, refused, lost and corrupted."""
+
+from __future__ import annotations
+
+import errno
+import random
+
+import trio
+
+from marigoldtrail.errors import Failure
+from marigoldtrail.storage.disk import disk_failure
+
+
+class MemoryFile:
+    """Content of a file, and how much of it is durable."""
+
+    __slots__ = ("data", "synced_bytes")
+
+    def __init__(self) -> None:
+        self.data = bytearray()
+        self.synced_bytes = 0
+
+
+class MemoryDisk:
+    """
+    A `marigoldtrail.storage.Disk` in memory.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of torn writes.
+    sync_delay_s : float
+        Time of each sync and atomic write in seconds.
+
+    Examples
+    --------
+    >>> disk = MemoryDisk(rng=random.Random(1))
+    >>> trio.run(disk.append, "a", b"lost")
+    >>> disk.crash(torn=False)
+    >>> trio.run(disk.list_names)
+    []
+    """
+
+    __slots__ = (
+        "files",
+        "capacity_bytes",
+        "fail_syncs",
+        "lie_about_sync",
+        "sync_delay_s",
+        "syncs",
+        "_rng",
+    )
+
+    def __init__(self, *, rng: random.Random, sync_delay_s: float = 0.001) -> None:
+        self.files: dict[str, MemoryFile] = {}
+        self.capacity_bytes: int | None = None
+        self.fail_syncs = False
+        self.lie_about_sync = False
+        self.sync_delay_s = sync_delay_s
+        self.syncs = 0
+        self._rng = rng
+
+    def crash(self, *, torn: bool = True) -> None:
+        """
+        Lose what is not synced, as a power failure does.
+
+        Parameters
+        ----------
+        torn : bool
+            Whether a random part of the unsynced bytes stays.
+        """
+        for name, file in list(self.files.items()):
+            unsynced = len(file.data) - file.synced_bytes
+            kept = self._rng.randint(0, unsynced) if torn else 0
+            del file.data[file.synced_bytes + kept :]
+            file.synced_bytes = len(file.data)
+            if not file.data:
+                del self.files[name]
+
+    def flip_bit(self, name: str, offset: int) -> None:
+        """Invert one bit of a byte."""
+        self.files[name].data[offset] ^= 1
+
+    async def append(self, name: str, data: bytes) -> None | Failure:
+        """Append to a file; see `Disk.append`."""
+        await trio.lowlevel.checkpoint()
+        if not self._has_room(len(data)):
+            return full_failure("disk.append", name)
+        self.files.setdefault(name, MemoryFile()).data += data
+        return None
+
+    async def sync(self, name: str) -> None | Failure:
+        """Make a file durable; see `Disk.sync`."""
+        file = self.files.get(name)
+        size = len(file.data) if file is not None else 0
+        await trio.sleep(self.sync_delay_s)
+        self.syncs += 1
+        if self.fail_syncs:
+            return disk_failure(OSError(errno.EIO, "input/output error"), "disk.sync", name)
+        if file is not None and not self.lie_about_sync:
+            file.synced_bytes = max(file.synced_bytes, min(size, len(file.data)))
+        return None
+
+    async def read(
+        self, name: str, *, offset: int = 0, length: int | None = None
+    ) -> bytes | Failure:
+        """Read a file; see `Disk.read`."""
+        await trio.lowlevel.checkpoint()
+        if name not in self.files:
+            return missing_failure("disk.read", name)
+        data = self.files[name].data
+        return bytes(data[offset : len(data) if length is None else offset + length])
+
+    async def write_atomic(self, name: str, data: bytes) -> None | Failure:
+        """Replace a file; see `Disk.write_atomic`."""
+        await trio.sleep(self.sync_delay_s)
+        self.syncs += 1
+        if self.fail_syncs:
+            return disk_failure(OSError(errno.EIO, "input/output error"), "disk.write_atomic", name)
+        if not self._has_room(len(data)):
+            return full_failure("disk.write_atomic", name)
+        file = MemoryFile()
+        file.data += data
+        file.synced_bytes = len(data)
+        self.files[name] = file
+        return None
+
+    async def list_names(self, prefix: str = "") -> list[str] | Failure:
+        """List files; see `Disk.list_names`."""
+        await trio.lowlevel.checkpoint()
+        return sorted(name for name in self.files if name.startswith(prefix))
+
+    async def remove(self, name: str) -> None | Failure:
+        """Remove a file; see `Disk.remove`."""
+        await trio.lowlevel.checkpoint()
+        self.files.pop(name, None)
+        return None
+
+    async def truncate(self, name: str, size: int) -> None | Failure:
+        """Cut a file; see `Disk.truncate`."""
+        await trio.lowlevel.checkpoint()
+        if name not in self.files:
+            return missing_failure("disk.truncate", name)
+        file = self.files[name]
+        del file.data[size:]
+        file.synced_bytes = len(file.data)
+        return None
+
+    async def size(self, name: str) -> int | Failure:
+        """Return the size of a file; see `Disk.size`."""
+        await trio.lowlevel.checkpoint()
+        if name not in self.files:
+            return missing_failure("disk.size", name)
+        return len(self.files[name].data)
+
+    def _has_room(self, count: int) -> bool:
+        if self.capacity_bytes is None:
+            return True
+        used = sum(len(file.data) for file in self.files.values())
+        return used + count <= self.capacity_bytes
+
+
+def full_failure(step: str, name: str) -> Failure:
+    """Return the failure of a full disk."""
+    return disk_failure(OSError(errno.ENOSPC, "no space left on device"), step, name)
+
+
+def missing_failure(step: str, name: str) -> Failure:
+    """Return the failure of a missing file."""
+    return disk_failure(FileNotFoundError(errno.ENOENT, "no such file"), step, name)
