--- a/marigoldtrail/consensus/election.py
+++ b/marigoldtrail/consensus/election.py
@@ -375,6 +375,9 @@
     peer = max(peers, key=lambda peer: (peer.match_index, peer.heard_at))
     if state.queue or peer.match_index < state.log.last_index:
         return
+    if state.applied_index < state.log.last_index:
+        # The proposers still wait for their results.
+        return
     request = CampaignNow(group=state.name, term=term, target_id=peer.storage_id)
     await state.client.call(
         state.addresses[peer.host], request, CampaignReply, timeout_s=VOTE_TIMEOUT_S
--- a/marigoldtrail/consensus/group.py
+++ b/marigoldtrail/consensus/group.py
@@ -22,6 +22,7 @@
     check_disk,
     load_state,
     restore_machine,
+    same_voters,
     stop_group,
 )
 from marigoldtrail.consensus.store import open_store
@@ -380,7 +381,7 @@
         async with state.lock:
             if state.stopped is not None:
                 return state.stopped
-            if state.log.voters == voters:
+            if same_voters(state.log.voters, voters):
                 return None
             if state.log.last_index > 0 or not any(
                 m.storage_id == state.storage_id for m in voters
--- a/marigoldtrail/consensus/groups.py
+++ b/marigoldtrail/consensus/groups.py
@@ -13,7 +13,7 @@
 from marigoldtrail.consensus.election import handle_campaign, handle_vote
 from marigoldtrail.consensus.following import handle_append, handle_snapshot
 from marigoldtrail.consensus.group import MAX_BATCH_ENTRIES, Group
-from marigoldtrail.consensus.state import GroupState, Machine
+from marigoldtrail.consensus.state import GroupState, Machine, same_voters
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Address, Handlers, PeerClient
 from marigoldtrail.schema.generated.consensus import (
@@ -225,14 +225,25 @@
         ``KEY_MISMATCH`` if a group is in use with other voters; the failure of a call.
     """
     for group, members in hosts.items():
-        voters = []
-        for host in members:
+        identities = []
+        for host in sorted(members):
             identity = await client.call(
                 addresses[host], DescribeGroup(group=group), GroupIdentity, timeout_s=timeout_s
             )
             if isinstance(identity, Failure):
                 return identity
-            voters.append(Member(host=host, storage_id=identity.storage_id))
+            identities.append(identity)
+        voters = [Member(host=i.host, storage_id=i.storage_id) for i in identities]
+        # No host is changed unless all can be: an empty host must not get a list of its own.
+        for identity in identities:
+            if identity.last_index > 0 and not same_voters(identity.voters, voters):
+                return Failure(
+                    reason=Reason.KEY_MISMATCH,
+                    run_state=RunState.NOT_RUN,
+                    step="init",
+                    peer=identity.host,
+                    detail=f"group {group} is in use with other voters",
+                )
         for member in voters:
             request = InitGroup(group=group, target_id=member.storage_id, voters=voters)
             result = await client.call(
--- a/marigoldtrail/consensus/membership.py
+++ b/marigoldtrail/consensus/membership.py
@@ -27,7 +27,8 @@
     """
     while state.leads(term):
         await state.timers.sleep(HEARTBEAT_S)
-        if not may_change(state):
+        # The leadership may have ended between the end of the sleep and this step.
+        if not state.leads(term) or not may_change(state):
             continue
         change = next_change(state)
         if change is None:
--- a/marigoldtrail/consensus/state.py
+++ b/marigoldtrail/consensus/state.py
@@ -573,3 +573,28 @@
         None if the host has no vote.
     """
     return next((member for member in voters if member.host == host), None)
+
+
+def same_voters(one: list[Member], other: list[Member]) -> bool:
+    """
+    Compare two member lists without regard to their order.
+
+    Parameters
+    ----------
+    one, other : list of Member
+        The lists.
+
+    Returns
+    -------
+    bool
+        True if the same logs vote.
+
+    Examples
+    --------
+    >>> a, b = Member(host="a", storage_id="1"), Member(host="b", storage_id="2")
+    >>> same_voters([a, b], [b, a])
+    True
+    """
+    return sorted((m.host, m.storage_id) for m in one) == sorted(
+        (m.host, m.storage_id) for m in other
+    )
--- /dev/null
+++ b/marigoldtrail/storage/tests/test_disk.py
@@ -0,0 +1,127 @@
+"""The real data folder, and that the disk in memory behaves like it."""
+
+import errno
+import os
+import random
+
+import pytest
+
+from marigoldtrail.errors import Reason, RunState, is_failure
+from marigoldtrail.storage import Record, open_folder, open_journal
+from marigoldtrail.testing import MemoryDisk
+from marigoldtrail.timers import Timers
+
+
+@pytest.fixture(params=["folder", "memory"])
+def disk(request, tmp_path):
+    if request.param == "memory":
+        yield MemoryDisk(rng=random.Random(1))
+        return
+    folder = open_folder(tmp_path / "data", timers=Timers())
+    yield folder
+    folder.close()
+
+
+async def test_files_behave_the_same(disk):
+    """Guards against a difference between the real folder and the disk in memory."""
+    assert await disk.append("g/log/1", b"abc") is None
+    assert await disk.append("g/log/1", b"def") is None
+    assert await disk.sync("g/log/1") is None
+    assert await disk.write_atomic("g/vote", b"old") is None
+    assert await disk.write_atomic("g/vote", b"new") is None
+    assert await disk.read("g/vote") == b"new"
+    assert await disk.read("g/log/1", offset=2, length=3) == b"cde"
+    assert await disk.list_names("g/") == ["g/log/1", "g/vote"]
+    assert await disk.truncate("g/log/1", 2) is None
+    assert await disk.append("g/log/1", b"x") is None
+    assert await disk.read("g/log/1") == b"abx" and await disk.size("g/log/1") == 3
+    assert await disk.remove("g/log/1") is None
+    assert await disk.remove("g/log/1") is None
+    assert (await disk.read("g/log/1")).reason is Reason.NOT_FOUND
+    assert (await disk.size("g/log/1")).reason is Reason.NOT_FOUND
+    assert await disk.append("g/log/1", b"again") is None
+    assert await disk.read("g/log/1") == b"again"
+
+
+async def test_many_files_share_few_descriptors(tmp_path):
+    """Guards against running out of file descriptors, and against appends lost by closing."""
+    disk = open_folder(tmp_path, timers=Timers())
+    for turn in (b"a", b"b"):
+        for number in range(100):
+            assert await disk.append(f"s/{number}", turn) is None
+    assert all([await disk.read(f"s/{number}") == b"ab" for number in range(100)])
+    assert len(os.listdir("/proc/self/fd")) < 100
+    disk.close()
+
+
+async def test_folder_is_used_by_one_process(tmp_path):
+    """Guards against two processes that write one log."""
+    first = open_folder(tmp_path, timers=Timers())
+    second = open_folder(tmp_path, timers=Timers())
+    assert is_failure(second) and "in use" in second.detail
+    first.close()
+    third = open_folder(tmp_path, timers=Timers())
+    assert not is_failure(third)
+    third.close()
+
+
+async def test_names_stay_inside_the_folder(tmp_path):
+    """Guards against a group name that reaches other files of the machine."""
+    disk = open_folder(tmp_path, timers=Timers())
+    for name in ("../x", "/x", "a//b", ""):
+        with pytest.raises(ValueError):
+            await disk.read(name)
+    disk.close()
+
+
+async def test_full_folder_cuts_a_partial_append(tmp_path, monkeypatch):
+    """Guards against half a record that stays in front of later ones after a full disk."""
+    disk = open_folder(tmp_path, timers=Timers())
+    journal = await open_journal(disk, "log/")
+    assert await journal.append([Record(1, 1, b"kept")]) is None
+    write = os.write
+
+    def write_some(fd, data):
+        if len(data) < 20:
+            raise OSError(errno.ENOSPC, "no space left on device")
+        return write(fd, data[:10])
+
+    monkeypatch.setattr(os, "write", write_some)
+    failure = await journal.append([Record(1, 2, b"refused")])
+    monkeypatch.undo()
+    assert failure.reason is Reason.DISK_FULL and failure.run_state is RunState.NOT_RUN
+    assert await journal.append([Record(1, 2, b"after")]) is None
+    again = await open_journal(disk, "log/")
+    assert [record.payload for record in await again.read_from(1)] == [b"kept", b"after"]
+    disk.close()
+
+
+async def test_failed_fsync_of_the_folder_breaks_the_journal(tmp_path, monkeypatch):
+    """Guards against an fsync error, a full disk included, that is taken for a lack of room."""
+    disk = open_folder(tmp_path, timers=Timers())
+    journal = await open_journal(disk, "log/")
+    await journal.append([Record(1, 1, b"x")])
+
+    def fail(fd):
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    monkeypatch.setattr(os, "fsync", fail)
+    assert (await journal.sync()).reason is Reason.DISK_ERROR
+    monkeypatch.undo()
+    assert (await journal.sync()).reason is Reason.DISK_ERROR
+    disk.close()
+
+
+async def test_interrupted_atomic_write_keeps_the_old_content(tmp_path, monkeypatch):
+    """Guards against a vote lost by a crash or a full disk while it was replaced."""
+    disk = open_folder(tmp_path, timers=Timers())
+    await disk.write_atomic("vote", b"old")
+
+    def fail(source, target):
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    monkeypatch.setattr(os, "replace", fail)
+    assert (await disk.write_atomic("vote", b"new")).reason is Reason.DISK_FULL
+    monkeypatch.undo()
+    assert await disk.read("vote") == b"old" and await disk.list_names() == ["vote"]
+    disk.close()
--- /dev/null
+++ b/marigoldtrail/storage/tests/test_journal.py
@@ -0,0 +1,120 @@
+"""The journal over the disk in memory and its faults."""
+
+import random
+
+import pytest
+
+from marigoldtrail.errors import Reason, is_failure
+from marigoldtrail.storage import Record, open_journal
+from marigoldtrail.storage.journal import encode_record
+from marigoldtrail.testing import MemoryDisk
+
+PREFIX = "config/log/"
+
+
+def make_records(first, last, *, term=1):
+    return [Record(term, index, b"payload %d" % index) for index in range(first, last + 1)]
+
+
+async def open_small(disk, **options):
+    """Open with segments of about four records."""
+    return await open_journal(disk, PREFIX, segment_bytes=120, **options)
+
+
+async def fill(disk, last):
+    journal = await open_small(disk)
+    for record in make_records(1, last):
+        assert await journal.append([record]) is None
+    assert await journal.sync() is None
+    return journal
+
+
+@pytest.fixture
+def disk():
+    return MemoryDisk(rng=random.Random(7))
+
+
+async def test_records_survive_reopening_and_dropping(autojump_clock, disk):
+    """Guards against records lost or kept at the borders of segments."""
+    journal = await fill(disk, 20)
+    assert len(disk.files) > 3
+    assert await journal.drop_until(9) is None
+    assert await journal.drop_after(17) is None
+    assert await journal.append(make_records(18, 18, term=2)) is None
+    again = await open_small(disk)
+    assert again.first_index <= 10 and again.last_index == 18
+    expected = [*make_records(10, 17), *make_records(18, 18, term=2)]
+    assert await again.read_from(10) == await journal.read_from(10) == expected
+    assert await again.drop_after(0) is None
+    assert await again.append(make_records(5, 6)) is None and again.first_index == 5
+
+
+async def test_crash_loses_only_what_was_not_synced(autojump_clock, disk):
+    """Guards against a torn tail that stops the journal from opening or cuts synced records."""
+    for seed in range(30):
+        disk = MemoryDisk(rng=random.Random(seed))
+        journal = await fill(disk, 5)
+        await journal.append(make_records(6, 9))
+        disk.crash(torn=True)
+        again = await open_small(disk)
+        assert 5 <= again.last_index <= 9
+        assert await again.read_from(1) == make_records(1, again.last_index)
+        assert await again.append(make_records(again.last_index + 1, 10)) is None
+
+
+async def test_torn_segment_without_records_is_removed(autojump_clock, disk):
+    """Guards against an empty or torn last segment that blocks appending."""
+    await fill(disk, 4)
+    for torn in (b"", encode_record(Record(1, 5, b"torn"))[:-1]):
+        await disk.append(f"{PREFIX}{5:020d}.log", torn)
+        journal = await open_small(disk)
+        assert journal.last_index == 4
+        assert await disk.list_names(PREFIX) == [f"{PREFIX}{1:020d}.log"]
+
+
+@pytest.mark.parametrize("offset", [0, 5, 10, 17, 26])
+async def test_corrupt_middle_is_refused(autojump_clock, disk, offset):
+    """Guards against a journal that skips, guesses or silently cuts a corrupt record."""
+    await fill(disk, 20)
+    name = sorted(disk.files)[1]
+    disk.flip_bit(name, offset)
+    failure = await open_small(disk)
+    assert is_failure(failure) and failure.reason is Reason.CORRUPT and name in failure.detail
+    cut = await open_small(disk, cut_corrupt=True)
+    assert cut.last_index == 4 and (await open_small(disk)).last_index == 4
+
+
+async def test_missing_segment_is_refused(autojump_clock, disk):
+    """Guards against a gap between segments that passes for a complete log."""
+    await fill(disk, 20)
+    await disk.remove(sorted(disk.files)[1])
+    assert (await open_small(disk)).reason is Reason.CORRUPT
+
+
+async def test_record_that_decays_after_opening_is_not_returned(autojump_clock, disk):
+    """Guards against corrupt content in the answer of `read_from`."""
+    journal = await fill(disk, 4)
+    disk.flip_bit(sorted(disk.files)[0], 30)
+    assert (await journal.read_from(1)).reason is Reason.CORRUPT
+
+
+async def test_failed_sync_is_final(autojump_clock, disk):
+    """Guards against a second sync that reports success for pages that were dropped."""
+    journal = await fill(disk, 3)
+    await journal.append(make_records(4, 4))
+    disk.fail_syncs = True
+    assert (await journal.sync()).reason is Reason.DISK_ERROR
+    disk.fail_syncs = False
+    for call in (journal.sync(), journal.append(make_records(5, 5)), journal.drop_after(0)):
+        assert (await call).reason is Reason.DISK_ERROR
+
+
+async def test_full_disk_keeps_nothing_and_recovers(autojump_clock, disk):
+    """Guards against a partial batch, or a journal that stays unusable, after a full disk."""
+    journal = await fill(disk, 3)
+    disk.capacity_bytes = sum(len(file.data) for file in disk.files.values()) + 20
+    assert (await journal.append(make_records(4, 5))).reason is Reason.DISK_FULL
+    assert journal.last_index == 3 and (await open_small(disk)).last_index == 3
+    disk.capacity_bytes = None
+    assert await journal.append(make_records(4, 5)) is None
+    assert (await open_small(disk)).last_index == 5
--- a/marigoldtrail/testing/disk.py
+++ b/marigoldtrail/testing/disk.py
@@ -141,6 +141,8 @@
         await trio.lowlevel.checkpoint()
         if name not in self.files:
             return missing_failure("disk.truncate", name)
+        if self.fail_syncs:
+            return disk_failure(OSError(errno.EIO, "input/output error"), "disk.truncate", name)
         file = self.files[name]
         del file.data[size:]
         file.synced_bytes = len(file.data)
