--- a/marigoldtrail/consensus/applying.py
+++ b/marigoldtrail/consensus/applying.py
@@ -222,3 +222,5 @@
                 check_disk(state, await state.log.compact(snapshot.index))
     finally:
         state.snapshotting = False
+    # Enough may have been applied during the write.
+    start_snapshot(state)
--- a/marigoldtrail/consensus/tests/cluster.py
+++ b/marigoldtrail/consensus/tests/cluster.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import trio
+import trio.testing
 
 from marigoldtrail.consensus import GroupSet, init_fleet
 from marigoldtrail.errors import is_failure
@@ -160,8 +161,11 @@
                 if not is_failure(result):
                     return result
 
+    def ticks(self, interval_s):
+        return Timers().subscribe("test", interval_s)
+
     async def wait(self, condition, *, timeout_s=30):
         with trio.fail_after(timeout_s):
-            async for _ in Timers().subscribe("wait", 0.05):
+            async for _ in self.ticks(0.05):
                 if condition():
                     return
--- /dev/null
+++ b/marigoldtrail/consensus/tests/test_repair.py
@@ -0,0 +1,238 @@
+"""Disk faults, catch-up and replacement of hosts of a log group."""
+
+import pytest
+import trio
+
+from marigoldtrail.consensus import applying
+from marigoldtrail.consensus.tests.cluster import GROUP, Cluster
+from marigoldtrail.errors import Reason, RunState, is_failure
+
+
+def segments(cluster, name):
+    return sorted(n for n in cluster.disks[name].files if n.startswith(f"{GROUP}/log/"))
+
+
+def others_of(cluster, *names):
+    return [name for name in cluster.names if name not in names]
+
+
+def voter_ids(cluster, name):
+    return {m.host: m.storage_id for m in cluster.group(name)._state.log.voters}
+
+
+async def propose_many(cluster, count, prefix=b"c"):
+    """Propose commands in one burst through the leader."""
+    leader = await cluster.leader()
+    results = []
+
+    async def propose(number):
+        command = b"%s%d" % (prefix, number)
+        results.append(await cluster.group(leader).propose(command, timeout_s=20))
+
+    async with trio.open_nursery() as proposers:
+        for number in range(count):
+            proposers.start_soon(propose, number)
+    assert not any(is_failure(result) for result in results)
+    return leader
+
+
+async def test_torn_tail_is_cut_and_fetched_again(autojump_clock, nursery):
+    """Guards against a host that does not start, or loses its vote, after a torn write."""
+    cluster = Cluster(nursery)
+    leader = await cluster.form()
+    follower = others_of(cluster, leader)[0]
+    identity = cluster.ids[follower]
+    await cluster.propose(b"x")
+    await cluster.crash(follower)
+    file = cluster.disks[follower].files[segments(cluster, follower)[-1]]
+    file.data += b"\x00\x00\x00\x10torn"
+    await cluster.propose(b"y")
+    await cluster.start(follower)
+    assert cluster.ids[follower] == identity
+    await cluster.wait(lambda: set(cluster.machines[follower].effects) == {b"x", b"y"})
+
+
+async def test_corrupt_middle_gives_up_the_vote(autojump_clock, nursery):
+    """Guards against a vote cast with a log from which acknowledged entries are missing."""
+    cluster = Cluster(nursery)
+    leader = await cluster.form()
+    follower, other = others_of(cluster, leader)
+    for command in (b"x", b"y", b"z"):
+        await cluster.propose(command)
+    old_id = cluster.ids[follower]
+    await cluster.crash(follower)
+    cluster.disks[follower].flip_bit(segments(cluster, follower)[0], 150)
+    cluster.isolate(follower)
+    await cluster.start(follower)
+    assert cluster.ids[follower] != old_id
+    assert cluster.sets[follower].describe()[0].learners == [follower]
+    # The other two hosts: with one of them gone the corrupt log must not make a quorum.
+    await cluster.crash(other)
+    cluster.heal()
+    cluster.isolate(other)
+    await trio.sleep(10)
+    assert not any(cluster.group(name).is_leader for name in (leader, follower))
+    await cluster.start(other)
+    cluster.heal()
+    await cluster.wait(lambda: voter_ids(cluster, follower).get(follower) == cluster.ids[follower])
+    await cluster.wait(lambda: set(cluster.machines[follower].effects) == {b"x", b"y", b"z"})
+
+
+@pytest.mark.parametrize("victim", ["vote", "snapshot"])
+async def test_corrupt_vote_or_snapshot_gives_up_the_vote(
+    autojump_clock, nursery, victim, monkeypatch
+):
+    """Guards against a second vote in a term whose vote was lost, and against a guessed state."""
+    monkeypatch.setattr(applying, "SNAPSHOT_ENTRIES", 10)
+    cluster = Cluster(nursery)
+    leader = await cluster.form()
+    follower = others_of(cluster, leader)[0]
+    await propose_many(cluster, 30)
+    await cluster.wait(lambda: len(cluster.machines[follower].effects) == 30)
+    await trio.sleep(1)
+    old_id = cluster.ids[follower]
+    await cluster.crash(follower)
+    name = next(n for n in cluster.disks[follower].files if n.startswith(f"{GROUP}/{victim}"))
+    cluster.disks[follower].flip_bit(name, 9)
+    await cluster.start(follower)
+    assert cluster.ids[follower] != old_id
+    await cluster.wait(lambda: voter_ids(cluster, follower).get(follower) == cluster.ids[follower])
+    assert len(cluster.machines[follower].effects) == 30
+
+
+async def test_failed_fsync_stops_the_group_on_that_host(autojump_clock, nursery):
+    """Guards against an acknowledgement for entries that the disk may have dropped."""
+    cluster = Cluster(nursery)
+    leader = await cluster.form()
+    cluster.disks[leader].fail_syncs = True
+    failure = await cluster.group(leader).propose(b"x", timeout_s=5)
+    assert is_failure(failure) and failure.run_state is RunState.MAY_HAVE_RUN
+    assert cluster.group(leader).stopped.reason is Reason.DISK_ERROR
+    again = await cluster.group(leader).propose(b"x", timeout_s=5)
+    assert again.reason is Reason.DISK_ERROR and again.run_state is RunState.NOT_RUN
+    assert is_failure(await cluster.group(leader).read_barrier(timeout_s=1))
+    others = others_of(cluster, leader)
+    new = await cluster.leader(among=others)
+    await cluster.group(new).propose(b"y", timeout_s=2)
+    assert cluster.group(leader).stopped is not None and not cluster.group(leader).is_leader
+
+
+async def test_full_disk_refuses_and_loses_nothing(autojump_clock, nursery):
+    """Guards against a full disk that loses commands, stops the group or lies about `not_run`."""
+    cluster = Cluster(nursery)
+    leader = await cluster.form()
+    await cluster.propose(b"before")
+    disk = cluster.disks[leader]
+    disk.capacity_bytes = sum(len(file.data) for file in disk.files.values()) + 40
+    failure = await cluster.group(leader).propose(b"r" * 100, timeout_s=5)
+    assert failure.reason is Reason.DISK_FULL and failure.run_state is RunState.NOT_RUN
+    assert await cluster.group(leader).read_barrier(timeout_s=1) is None
+    disk.capacity_bytes = None
+    await cluster.group(leader).propose(b"after", timeout_s=5)
+    await cluster.wait(lambda: all(len(m.effects) == 2 for m in cluster.machines.values()))
+    assert all(set(m.effects) == {b"before", b"after"} for m in cluster.machines.values())
+
+
+async def test_follower_with_a_full_disk_catches_up_later(autojump_clock, nursery):
+    """Guards against a full follower that holds up the group or acknowledges what it lacks."""
+    cluster = Cluster(nursery)
+    leader = await cluster.form()
+    follower = others_of(cluster, leader)[0]
+    disk = cluster.disks[follower]
+    disk.capacity_bytes = sum(len(file.data) for file in disk.files.values())
+    await propose_many(cluster, 5)
+    await trio.sleep(2)
+    assert cluster.group(leader).is_leader
+    assert cluster.machines[follower].effects == {}
+    disk.capacity_bytes = None
+    await cluster.wait(lambda: len(cluster.machines[follower].effects) == 5)
+
+
+async def test_catch_up_over_thousands_of_changes(autojump_clock, nursery, monkeypatch):
+    """Guards against a restarted host that never catches up, and against oversized messages."""
+    monkeypatch.setattr(applying, "SNAPSHOT_ENTRIES", 500)
+    cluster = Cluster(nursery)
+    leader = await cluster.form()
+    follower = others_of(cluster, leader)[0]
+    await propose_many(cluster, 100)
+    await cluster.crash(follower)
+    for burst in range(5):
+        await propose_many(cluster, 1000, prefix=b"%d-" % burst + b"x" * 200)
+        await trio.sleep(1)
+    state = cluster.group(leader)._state
+    assert state.log.base_index > 3000 and state.log.snapshot_index > 4500
+    await cluster.start(follower)
+    machine = cluster.machines[follower]
+    await cluster.wait(lambda: len(machine.effects) == 5100)
+    assert machine.restored >= 1
+    assert machine.effects == cluster.machines[leader].effects
+    indexes = [index for index, _ in machine.applied]
+    assert indexes == sorted(set(indexes))
+
+
+async def test_replaced_host_counts_only_after_repair(autojump_clock, nursery):
+    """Guards against an empty host whose vote or acknowledgement makes a quorum."""
+    cluster = Cluster(nursery)
+    leader = await cluster.form()
+    replaced, other = others_of(cluster, leader)
+    old_ids = dict(cluster.ids)
+    await cluster.propose(b"x")
+    await cluster.crash(other)
+    await cluster.replace(replaced)
+    failure = await cluster.group(leader).propose(b"y", timeout_s=3)
+    assert is_failure(failure) and failure.run_state is RunState.MAY_HAVE_RUN
+    await trio.sleep(10)
+    assert not cluster.group(leader).is_leader and not cluster.group(replaced).is_leader
+    await cluster.start(other)
+    await cluster.wait(lambda: voter_ids(cluster, other).get(replaced) == cluster.ids[replaced])
+    assert cluster.ids[replaced] != old_ids[replaced]
+    status = cluster.sets[await cluster.leader()].describe()[0]
+    assert status.members == cluster.names and status.learners == []
+
+
+async def test_second_host_lost_right_after_the_repair(autojump_clock, nursery):
+    """Guards against a repaired host that does not hold what was acknowledged."""
+    cluster = Cluster(nursery)
+    leader = await cluster.form()
+    replaced, other = others_of(cluster, leader)
+    await propose_many(cluster, 200)
+    await cluster.replace(replaced)
+    await cluster.wait(lambda: voter_ids(cluster, leader).get(replaced) == cluster.ids[replaced])
+    await cluster.crash(leader)
+    cluster.disks[leader].files.clear()
+    new = await cluster.leader(among=[replaced, other])
+    assert len(cluster.machines[new].effects) == 200
+    await cluster.group(new).propose(b"more", timeout_s=2)
+    await cluster.start(leader)
+    await cluster.wait(lambda: len(cluster.machines[leader].effects) == 201)
+    await cluster.wait(lambda: voter_ids(cluster, leader).get(leader) == cluster.ids[leader])
+
+
+async def test_two_of_five_hosts_are_replaced_one_at_a_time(autojump_clock, nursery):
+    """Guards against two votes missing at once during repairs."""
+    cluster = Cluster(nursery, size=5)
+    leader = await cluster.form()
+    await propose_many(cluster, 50)
+    first, second = others_of(cluster, leader)[:2]
+    await cluster.replace(first)
+    await cluster.replace(second)
+    state = cluster.group(leader)._state
+    sizes = set()
+    async for _ in cluster.ticks(0.01):
+        sizes.add(len(state.log.voters))
+        if all(voter_ids(cluster, leader).get(n) == cluster.ids[n] for n in (first, second)):
+            break
+    assert min(sizes) == 4
+    await cluster.wait(lambda: all(len(m.effects) == 50 for m in cluster.machines.values()))
+
+
+async def test_interrupted_init_is_completed(autojump_clock, nursery):
+    """Guards against a fleet that stays half initialised after `init` was cut off."""
+    cluster = Cluster(nursery)
+    for name in cluster.names:
+        await cluster.start(name)
+    cluster.network.cut("10.0.1.1", cluster.addresses["c"].ip)
+    assert is_failure(await cluster.init())
+    cluster.network.restore("10.0.1.1", cluster.addresses["c"].ip)
+    assert await cluster.init() is None
+    await cluster.leader()
