Add the state machine and the service of group config

Manifests and takeouts get their outcome by number in the log, so that racing operators and resent submissions see one winner.

--- /dev/null
+++ b/marigoldtrail/control/commands.py
@@ -0,0 +1,315 @@
+"""Commands in the log of group config, and the durable state that they change."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+from marigoldtrail.schema.generated.control import OwnerAssignment, ServiceState
+
+ServiceKind = Literal["data_centre", "host", "upstream"]
+OrderAction = Literal["load_model", "load_adapter", "load_version", "change_role"]
+OrderState = Literal["planned", "sent", "done", "refused"]
+
+LOADING_ACTIONS = frozenset({"load_model", "load_adapter", "load_version"})
+OPEN_STATES = frozenset({"planned", "sent"})
+
+
+class PutManifest(msgspec.Struct, kw_only=True, frozen=True, tag=True):
+    """
+    Puts a validated manifest in force if its number is the highest so far.
+
+    Parameters
+    ----------
+    number : int
+        Number of the manifest.
+    digest : str
+        SHA-256 of the canonical document.
+    document : bytes
+        Canonical document, zlib-compressed.
+    concurrent_loads : int
+        Limit of weight loads, so that applying the command needs no parser.
+    operator : str
+        Who submitted it.
+    wall_ms : int
+        Wall time of the submission in milliseconds.
+    """
+
+    number: int
+    digest: str
+    document: bytes
+    concurrent_loads: int
+    operator: str
+    wall_ms: int
+
+
+class PutService(msgspec.Struct, kw_only=True, frozen=True, tag=True):
+    """
+    Takes a target out of service or back in.
+
+    Parameters
+    ----------
+    kind, name : str
+        The target.
+    state : str
+        ``"in"`` or ``"out"``.
+    number : int
+        Number of the change among those of the target.
+    operator : str
+        Who asked for it.
+    wall_ms : int
+        Wall time in milliseconds.
+    """
+
+    kind: ServiceKind
+    name: str
+    state: Literal["in", "out"]
+    number: int
+    operator: str
+    wall_ms: int
+
+
+class OwnerChange(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    New owner of one partition; has an effect only on the epoch that it names.
+
+    Parameters
+    ----------
+    partition : int
+        The partition.
+    host : str
+        The new owner.
+    previous_epoch : int
+        Epoch that the change replaces; 0 if there was no owner.
+    """
+
+    partition: int
+    host: str
+    previous_epoch: int
+
+
+class AssignOwners(msgspec.Struct, kw_only=True, frozen=True, tag=True):
+    """
+    Assigns partitions of upstreams to slot owners; the log index becomes the epoch.
+
+    Parameters
+    ----------
+    changes : list of OwnerChange
+        The assignments.
+    """
+
+    changes: list[OwnerChange]
+
+
+class PlanOrder(msgspec.Struct, kw_only=True, frozen=True, tag=True):
+    """
+    Plans an order to an engine; the log index becomes its fencing number.
+
+    Parameters
+    ----------
+    upstream : str
+        The engine.
+    action, model, version, adapter : str
+        What it shall do.
+    previous_fencing : int
+        Fencing number of the engine's latest order; 0 if there was none. A resent command finds
+        another one and has no effect.
+    wall_ms : int
+        Wall time in milliseconds.
+    """
+
+    upstream: str
+    action: OrderAction
+    model: str
+    version: str
+    adapter: str = ""
+    previous_fencing: int
+    wall_ms: int
+
+
+class MarkOrder(msgspec.Struct, kw_only=True, frozen=True, tag=True):
+    """
+    Records how far an order has come.
+
+    Parameters
+    ----------
+    upstream : str
+        The engine.
+    fencing : int
+        Number of the order.
+    state : str
+        ``"sent"``, ``"done"`` or ``"refused"``.
+    detail : str
+        Text for a person.
+    """
+
+    upstream: str
+    fencing: int
+    state: OrderState
+    detail: str = ""
+
+
+Command = PutManifest | PutService | AssignOwners | PlanOrder | MarkOrder
+
+_decoder: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(Command)
+
+
+def encode_command(command: Command) -> bytes:
+    """
+    Encode a command for the log.
+
+    Parameters
+    ----------
+    command : Command
+        The command.
+
+    Returns
+    -------
+    bytes
+        Its msgpack form.
+    """
+    return msgspec.msgpack.encode(command)
+
+
+def decode_command(data: bytes) -> Command:
+    """
+    Decode a command from the log.
+
+    Parameters
+    ----------
+    data : bytes
+        As `encode_command` returned it.
+
+    Returns
+    -------
+    Command
+        The command.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        If this release does not know the command. Skipping it would let the replicas diverge.
+    """
+    return _decoder.decode(data)
+
+
+class Accepted(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    First submission that was accepted under a number.
+
+    Parameters
+    ----------
+    number : int
+        The number.
+    content : str
+        Digest of the manifest, or state of the target.
+    operator : str
+        Who submitted it.
+    wall_ms : int
+        Wall time in milliseconds.
+    """
+
+    number: int
+    content: str
+    operator: str
+    wall_ms: int
+
+
+class ServiceEntry(msgspec.Struct, kw_only=True):
+    """
+    A target's state and its recent changes.
+
+    Parameters
+    ----------
+    current : ServiceState
+        The state in force.
+    accepted : dict
+        Accepted changes by number.
+    """
+
+    current: ServiceState
+    accepted: dict[int, Accepted]
+
+
+class Order(msgspec.Struct, kw_only=True):
+    """
+    Latest order to an engine.
+
+    Parameters
+    ----------
+    upstream : str
+        The engine.
+    fencing : int
+        Log index of the plan.
+    action, model, version, adapter : str
+        What it shall do.
+    state : str
+        How far the order has come.
+    detail : str
+        Text for a person.
+    wall_ms : int
+        Wall time of the plan in milliseconds.
+    """
+
+    upstream: str
+    fencing: int
+    action: OrderAction
+    model: str
+    version: str
+    adapter: str
+    state: OrderState
+    detail: str
+    wall_ms: int
+
+    def is_open(self) -> bool:
+        """
+        Tell whether the order may still have an effect on the engine.
+
+        Returns
+        -------
+        bool
+            True until it is done or refused.
+        """
+        return self.state in OPEN_STATES
+
+    def is_loading(self) -> bool:
+        """
+        Tell whether the order counts towards the limit of weight loads.
+
+        Returns
+        -------
+        bool
+            True for open orders that read from the weight store.
+        """
+        return self.is_open() and self.action in LOADING_ACTIONS
+
+
+class ConfigState(msgspec.Struct, kw_only=True):
+    """
+    Durable state of group config; the snapshot is its msgpack form.
+
+    Parameters
+    ----------
+    manifest : PutManifest or None
+        The manifest in force.
+    manifest_index, services_index, owners_index : int
+        Log index of the last change of each part.
+    manifests_accepted : dict
+        Accepted manifests by number.
+    services : dict
+        Targets by kind and name.
+    owners : dict
+        Owner of each partition.
+    orders : dict
+        Latest order of each engine.
+    """
+
+    manifest: PutManifest | None = None
+    manifest_index: int = 0
+    manifests_accepted: dict[int, Accepted] = {}
+    services: dict[str, ServiceEntry] = {}
+    services_index: int = 0
+    owners: dict[int, OwnerAssignment] = {}
+    owners_index: int = 0
+    orders: dict[str, Order] = {}
--- a/marigoldtrail/fleet/sync.py
+++ b/marigoldtrail/fleet/sync.py
@@ -101,6 +101,9 @@
         task_status.started()
         ticks = self._timers.subscribe("sync", SYNC_INTERVAL_S, jitter=SYNC_JITTER)
         while True:
+            if self._wakeup.is_set():
+                self._wakeup = trio.Event()
+                ticks = self._timers.subscribe("sync", SYNC_INTERVAL_S, jitter=SYNC_JITTER)
             while not await self.sync_once():
                 await self._timers.sleep(RETRY_PAUSE_S)
             with trio.CancelScope() as scope:
@@ -108,8 +111,6 @@
                     nursery.start_soon(_cancel_after, self._wakeup, scope)
                     await anext(ticks)
                     scope.cancel()
-            if self._wakeup.is_set():
-                self._wakeup = trio.Event()
 
     async def sync_once(self) -> bool:
         """
