Test group config on a fleet in memory; validate manifests faster

The tests run control hosts and entry nodes on the network in memory over a small stand-in of the log. Validating a manifest of 720 upstreams and 15,000 accounts took 0.87 s on the leader, longer than a try of the client; decoding it into the generated classes takes 0.07 s, and the schema's validator runs only to list the faults, in a thread for large documents.

--- a/marigoldtrail/control/service.py
+++ b/marigoldtrail/control/service.py
@@ -48,6 +48,9 @@
 PLATFORM_INTERVAL_S = 2.0
 PLATFORM_TIMEOUT_S = 2.0
 MAX_NAME_CHARS = 128
+# A manifest of 720 upstreams and 15,000 accounts takes most of a second when it is faulty, which
+# would stop the leader's heartbeats; small ones are not worth a thread.
+INLINE_CHECK_BYTES = 65536
 
 _log = logging.getLogger(__name__)
 
@@ -237,7 +240,10 @@
         if not self._group.is_leader:
             step = "SubmitManifest"
             return self._refuse(Reason.NOT_LEADER, step, hint=self._group.leader or "")
-        checked = check_manifest(request.document)
+        if len(request.document) > INLINE_CHECK_BYTES:
+            checked = await trio.to_thread.run_sync(check_manifest, request.document)
+        else:
+            checked = check_manifest(request.document)
         if isinstance(checked, list):
             return SubmitReply(outcome="invalid", number=0, faults=[str(item) for item in checked])
         command = PutManifest(
--- /dev/null
+++ b/marigoldtrail/control/tests/test_fleet.py
@@ -0,0 +1,296 @@
+"""Distribution of the configuration to the nodes under partitions and changes of leader."""
+
+import trio
+
+from marigoldtrail.control.tests.harness import Fleet, manifest
+from marigoldtrail.errors import Reason, RunState, is_failure
+from marigoldtrail.schema.generated.control import (
+    GetDecisions,
+    GetManifest,
+    ManifestReply,
+    SubmitManifest,
+    SubmitReply,
+    Sync,
+    SyncReply,
+    UpstreamObservation,
+)
+
+
+async def start_fleet(nursery, **options):
+    fleet = Fleet(nursery, **options)
+    await trio.sleep(0.5)
+    fleet.log.elect("c1")
+    await trio.sleep(3)
+    return fleet
+
+
+async def watch_numbers(fleet, seen):
+    while True:
+        for host, node in fleet.nodes.items():
+            if node.view.is_current():
+                seen.setdefault(host, []).append(node.view.number)
+        await trio.sleep(0.1)
+
+
+async def test_racing_operators_see_one_winner(autojump_clock, nursery):
+    """Guards against two operators who both believe that their manifest 5 is in force."""
+    fleet = await start_fleet(nursery, entries=2)
+    replies = {}
+
+    async def submit(host, operator, priority):
+        document = manifest(5, client_accounts=[{"name": operator, "weight": priority}])
+        replies[operator] = await fleet.submit(host, document, operator)
+
+    async with trio.open_nursery() as operators:
+        operators.start_soon(submit, "e1", "ann", 1)
+        operators.start_soon(submit, "e2", "ben", 2)
+    outcomes = {operator: reply.outcome for operator, reply in replies.items()}
+    assert sorted(outcomes.values()) == ["accepted", "conflict"]
+    (winner,) = [operator for operator, outcome in outcomes.items() if outcome == "accepted"]
+    assert {reply.winner_operator for reply in replies.values()} == {winner}
+    await trio.sleep(2)
+    for node in fleet.nodes.values():
+        assert node.view.manifest.client_accounts[0].name == winner
+
+
+async def test_invalid_manifest_changes_nothing(autojump_clock, nursery):
+    """Guards against a manifest that is applied in part."""
+    fleet = await start_fleet(nursery, entries=1)
+    await fleet.submit("e1", manifest(1))
+    reply = await fleet.submit("e1", manifest(2, models=[]))
+    assert reply.outcome == "invalid" and len(reply.faults) == 5
+    assert reply.faults[0].startswith("manifest: $.pipelines[0].stages[0].model: ")
+    await trio.sleep(2)
+    assert fleet["e1"].view.number == 1 and fleet["e1"].view.manifest.models
+
+
+async def test_resent_submission_after_lost_reply(autojump_clock, nursery):
+    """Guards against a resend that is told `conflict` or that applies a second time."""
+    fleet = await start_fleet(nursery, entries=1)
+    await fleet.submit("e1", manifest(1))
+    fleet.network.cut(fleet.ips["c1"], fleet.ips["e1"], both_ways=False)
+    with trio.move_on_after(2):
+        await fleet.submit("e1", manifest(2))
+    applied = len(fleet.log.entries)
+    assert fleet["c1"].group.machine.state.manifest.number == 2
+    fleet.network.restore(fleet.ips["c1"], fleet.ips["e1"])
+    reply = await fleet.submit("e1", manifest(2))
+    assert (reply.outcome, reply.winner_operator) == ("repeated", "eve")
+    assert fleet["c1"].group.machine.state.manifest_index <= applied
+
+
+async def test_no_node_reverts_over_restarts_and_leader_changes(autojump_clock, nursery):
+    """Guards against a current view with an older manifest after a restart or an election."""
+    fleet = await start_fleet(nursery, entries=2)
+    seen = {}
+    nursery.start_soon(watch_numbers, fleet, seen)
+    leaders = ["c2", "c3", "c1"]
+    for number, leader in enumerate(leaders, start=1):
+        assert (await fleet.submit("e1", manifest(number))).outcome == "accepted"
+        fleet.log.elect(leader)
+        fleet["e2"].stop()
+        await trio.sleep(0.3)
+        fleet["e2"].start(fleet.nursery)
+        await trio.sleep(4)
+    for numbers in seen.values():
+        assert numbers == sorted(numbers) and numbers[-1] == 3
+    assert (await fleet.submit("e1", manifest(1))).outcome == "repeated"
+    assert (await fleet["e1"].client.get_manifest()).number == 3
+
+
+async def test_cut_off_node_lapses_and_gets_everything_on_return(autojump_clock, nursery):
+    """Guards against a node that goes on with an old view behind a silent partition."""
+    for both_ways in (True, False):
+        async with trio.open_nursery() as inner:
+            fleet = await start_fleet(inner, entries=2)
+            await fleet.submit("e1", manifest(1))
+            await trio.sleep(2)
+            fleet.isolate("e2", both_ways=both_ways)
+            assert fleet["e2"].view.is_current()
+            await trio.sleep(1)
+            await fleet.submit("e1", manifest(2))
+            await fleet.set_service("e1", "nbo-2", "out", 1)
+            await trio.sleep(4)
+            assert not fleet["e2"].view.is_current()
+            assert fleet["e1"].view.is_current() and fleet["e1"].view.number == 2
+            await trio.sleep(60)
+            fleet.rejoin("e2")
+            await trio.sleep(6)
+            view = fleet["e2"].view
+            assert view.is_current() and view.number == 2 and view.is_out("data_centre", "nbo-2")
+            assert {node.host: node.state for node in view.nodes}["e2"] == "live"
+            inner.cancel_scope.cancel()
+
+
+async def test_takeout_is_known_or_the_view_has_lapsed(autojump_clock, nursery):
+    """Guards against a node of nine that starts work in a data centre 5 s after its takeout."""
+    fleet = await start_fleet(nursery, controls=3, entries=6)
+    await fleet.submit("e1", manifest(1))
+    await trio.sleep(2)
+    fleet.isolate("e6")
+    fleet.network.cut(fleet.ips["e5"], fleet.ips["c1"])
+    fleet["c2"].stop()
+    assert (await fleet.set_service("e1", "nbo-2", "out", 1)).outcome == "accepted"
+    await trio.sleep(5)
+    for host, node in fleet.nodes.items():
+        assert node.view.is_out("data_centre", "nbo-2") or not node.view.is_current(), host
+    assert all(fleet[host].view.is_current() for host in ("c1", "c3", "e1", "e2", "e3", "e4"))
+
+
+async def test_dead_and_silent_control_hosts_do_not_use_up_the_lease(autojump_clock, nursery):
+    """Guards against a view that lapses while a live leader can be found."""
+    fleet = await start_fleet(nursery, controls=5, entries=1)
+    lapses = []
+
+    async def watch():
+        while True:
+            if not fleet["e1"].view.is_current():
+                lapses.append(trio.current_time())
+            await trio.sleep(0.05)
+
+    nursery.start_soon(watch)
+    fleet.isolate("c1")
+    fleet.isolate("c2")
+    await trio.sleep(2)
+    fleet.log.elect("c5")
+    await trio.sleep(20)
+    assert lapses == []
+    assert fleet["e1"].client.leader_of("config") == "c5"
+
+
+async def test_stale_leader_confirms_nothing(autojump_clock, nursery):
+    """Guards against Syncs and submissions that an isolated old leader answers."""
+    fleet = await start_fleet(nursery, entries=2)
+    await fleet.submit("e1", manifest(1))
+    await trio.sleep(2)
+    for other in ("c2", "c3"):
+        fleet.network.cut(fleet.ips["c1"], fleet.ips[other])
+    fleet.log.elect("c2")
+    assert fleet["c1"].group.is_leader
+    before = fleet["e1"].view.current_until()
+    for request, reply_type in ((sync_of("e1"), SyncReply), (GetManifest(), ManifestReply)):
+        fleet["c1"].group.leader = "c1"
+        reply = await fleet["e1"].client.call_host("c1", request, reply_type)
+        assert is_failure(reply) and reply.reason is Reason.NO_QUORUM
+    fleet["c1"].group.leader = "c1"
+    submission = SubmitManifest(document=manifest(9), operator="eve")
+    assert is_failure(await fleet["e1"].client.call_host("c1", submission, SubmitReply))
+    assert (await fleet.submit("e1", manifest(2))).outcome == "accepted"
+    await trio.sleep(3)
+    assert fleet["e1"].view.number == 2 and fleet["e1"].view.current_until() > before
+    assert fleet["c1"].group.machine.state.manifest.number == 1
+
+
+def sync_of(host):
+    return Sync(
+        host=host,
+        data_centre="nbo-1",
+        incarnation=99,
+        roles=["entry"],
+        peer_address="10.0.0.9:1",
+        api_address="",
+    )
+
+
+async def wait_moved(fleet, leader, owner):
+    machine = fleet[leader].group.machine
+    async for _ in fleet.timers.subscribe("test", 0.02):
+        if all(assigned.host != owner for assigned in machine.state.owners.values()):
+            return
+
+
+async def test_owner_moves_only_after_its_lease(autojump_clock, nursery):
+    """Guards against two slot owners that both have a current view."""
+    fleet = await start_fleet(nursery, controls=3)
+    await fleet.submit("c1", manifest(1))
+    owners = {owner.host for owner in fleet["c1"].group.machine.state.owners.values()}
+    assert owners == {"c1", "c2", "c3"}
+    fleet.isolate("c3")
+    await wait_moved(fleet, "c1", "c3")
+    assert not fleet["c3"].view.is_current()
+    moved_at = trio.current_time()
+    assert moved_at - fleet["c3"].view.current_until() < 2
+    fleet.rejoin("c3")
+    await trio.sleep(6)
+    upstream = fleet["c3"].view.manifest.upstreams[0].name
+    assert fleet["c3"].view.owner_of(upstream) == fleet["c1"].view.owner_of(upstream)
+
+
+async def test_new_leader_waits_for_an_owner_that_it_has_not_seen(autojump_clock, nursery):
+    """Guards against a new leader that moves partitions of an owner whose view is current."""
+    fleet = await start_fleet(nursery, controls=3)
+    fleet.isolate("c3")
+    await trio.sleep(1)
+    fleet.log.elect("c2")
+    elected_at = trio.current_time()
+    await wait_moved(fleet, "c2", "c3")
+    assert 5 < trio.current_time() - elected_at < 6
+    assert not fleet["c3"].view.is_current()
+
+
+async def test_displaced_owner_is_not_confirmed_while_the_change_is_open(autojump_clock, nursery):
+    """Guards against an owner whose view is renewed between the plan and the commit of a move."""
+    fleet = await start_fleet(nursery, controls=3)
+    fleet.isolate("c3")
+    group = fleet["c1"].group
+    commit = group.propose
+    gate = trio.Event()
+
+    async def propose(command, *, timeout_s):
+        await gate.wait()
+        return await commit(command, timeout_s=timeout_s)
+
+    group.propose = propose
+    await trio.sleep(6.5)
+    lapsed_at = fleet["c3"].view.current_until()
+    fleet.rejoin("c3")
+    await trio.sleep(4)
+    assert fleet["c3"].view.current_until() == lapsed_at
+    gate.set()
+    await trio.sleep(3)
+    assert fleet["c3"].view.is_current()
+    assert all(owner.host != "c3" for owner in fleet["c3"].view._owners.values())
+
+
+async def test_upstream_states_survive_a_new_leader(autojump_clock, nursery):
+    """Guards against a change of leader that makes every upstream unknown to the nodes."""
+    fleet = await start_fleet(nursery, controls=3, entries=1)
+    await fleet.submit("e1", manifest(1))
+    await trio.sleep(2)
+    view = fleet["e1"].view
+    for upstream in view.manifest.upstreams:
+        owner = fleet[view.owner_of(upstream.name).host]
+        owner.observed = owner.observed + [
+            UpstreamObservation(
+                upstream=upstream.name, instance="i1", state="warm", load=9, sampled_ms=1
+            )
+        ]
+        # Only the owner is believed.
+        other = next(node for node in fleet.nodes.values() if node is not owner)
+        other.observed = other.observed + [
+            UpstreamObservation(upstream=upstream.name, instance="i1", state="down", sampled_ms=2)
+        ]
+    await trio.sleep(2)
+    fleet.log.elect("c2")
+    for _ in range(60):
+        await trio.sleep(0.1)
+        states = {view.upstream_status(item.name).state for item in view.manifest.upstreams}
+        assert states == {"warm"} and view.load_of("llm-3") == 9
+        assert {node.state for node in view.nodes} == {"live"} and len(view.nodes) == 4
+    assert view.term == 2
+
+
+async def test_status_and_decisions(autojump_clock, nursery):
+    """Guards against operators who cannot see the fleet and why it acted."""
+    fleet = await start_fleet(nursery, entries=1)
+    fleet["e1"].loop.announce_draining()
+    await trio.sleep(0.1)
+    status = await fleet["e1"].client.get_status()
+    assert {node.host: node.state for node in status.nodes}["e1"] == "draining"
+    assert status.leader == "c1" and len(status.owners) == 64
+    found = await fleet["e1"].client.get_decisions("c1", GetDecisions(subject="e1"))
+    assert found.decisions[-1].reason == "live to draining"
+    reply = await fleet.set_service("e1", "", "out", 1)
+    assert reply.outcome == "invalid"
+    missing = await fleet["e1"].client.get_manifest()
+    assert missing.reason is Reason.NOT_FOUND and missing.run_state is RunState.NOT_RUN
--- /dev/null
+++ b/marigoldtrail/control/tests/test_soft_state.py
@@ -0,0 +1,130 @@
+"""Soft state of the leader: upstream states, platform list, membership."""
+
+import trio
+
+from marigoldtrail.control.membership import Membership
+from marigoldtrail.control.platform import HostList, LeavingHosts, PlatformHost
+from marigoldtrail.control.upstreams import UpstreamBoard
+from marigoldtrail.schema.generated.control import Sync, UpstreamObservation
+from marigoldtrail.schema.generated.manifest import Upstream
+from marigoldtrail.timers import Timers
+
+
+def make_board():
+    board = UpstreamBoard(timers=Timers(wall=lambda: 0.0))
+    names = ["a", "b"]
+    board.set_upstreams(
+        Upstream(
+            name=name,
+            pool="p",
+            kind="engine",
+            address=f"10.0.0.{number}:1",
+            data_centre="d",
+            host="h",
+            capacity=4,
+        )
+        for number, name in enumerate(names)
+    )
+    return board
+
+
+def see(board, state, sampled_ms, instance="i1", load=0):
+    observation = UpstreamObservation(
+        upstream="a", instance=instance, state=state, sampled_ms=sampled_ms, load=load
+    )
+    board.merge([observation])
+    return board.status("a").state
+
+
+async def test_stale_sample_does_not_turn_cold_into_warm(autojump_clock):
+    """Guards against a sample from before the turn to cold that makes the upstream warm again."""
+    board = make_board()
+    assert see(board, "warm", 100) == "warm"
+    assert see(board, "cold", 90) == "cold"
+    assert see(board, "warm", 100) == "cold"
+    assert see(board, "cold", 120) == "cold"
+    assert see(board, "warm", 110) == "cold"
+    assert see(board, "warm", 130) == "warm"
+
+
+async def test_replaced_instance_is_ignored(autojump_clock):
+    """Guards against a late report of an old instance about an upstream that restarted."""
+    board = make_board()
+    see(board, "warm", 100, "i1")
+    assert see(board, "cold", 50, "i2") == "cold"
+    assert see(board, "warm", 200, "i1") == "cold"
+    assert board.status("a").instance == "i2"
+    assert see(board, "warm", 60, "i2") == "warm"
+
+
+async def test_clock_set_back_does_not_keep_an_upstream_cold_for_ever(autojump_clock):
+    """Guards against trusting the upstream's wall clock without bound."""
+    board = make_board()
+    see(board, "warm", 10_000_000)
+    see(board, "cold", 10_000_000)
+    await trio.sleep(29)
+    assert see(board, "warm", 5) == "cold"
+    await trio.sleep(2)
+    assert see(board, "warm", 6) == "warm"
+
+
+async def test_loads_are_quantised_in_the_order_of_the_manifest(autojump_clock):
+    """Guards against loads of one upstream shown for another."""
+    board = make_board()
+    revision = board.loads_revision
+    see(board, "warm", 1, load=300)
+    assert bytes(board.loads) == b"\xff\x00" and board.loads_revision == revision + 1
+    see(board, "warm", 2, load=255)
+    assert board.loads_revision == revision + 1
+
+
+def read(leaving, version, used=("a", "b"), **states):
+    hosts = [PlatformHost(host=host, state=state) for host, state in states.items()]
+    leaving.observe(HostList(version=version, hosts=hosts), used)
+    return leaving.names()
+
+
+def test_platform_list_is_believed_only_where_it_is_newer():
+    """Guards against an old listing that brings a leaving host back."""
+    leaving = LeavingHosts()
+    assert read(leaving, 5, a="leaving", b="live") == ["a"]
+    assert read(leaving, 5, a="live") == ["a"]
+    assert read(leaving, 4, a="live", b="leaving") == ["a", "b"]
+    assert read(leaving, 5, a="live", b="live") == ["a"]
+    assert read(leaving, 6, b="live") == ["a"]
+    assert read(leaving, 7, a="live", b="live") == []
+    assert read(leaving, 8, a="leaving") == ["a"]
+    assert read(leaving, 9, used=()) == []
+
+
+def sync_of(incarnation, sequence, **changes):
+    return Sync(
+        host="a",
+        data_centre="d",
+        incarnation=incarnation,
+        sequence=sequence,
+        roles=["entry"],
+        peer_address="10.0.0.1:1",
+        api_address="",
+        **changes,
+    )
+
+
+async def test_node_states_follow_its_syncs(autojump_clock):
+    """Guards against late messages of an old process and against silent nodes that stay live."""
+    members = Membership(timers=Timers(wall=lambda: 0.0))
+    assert members.observe(sync_of(1, 5))
+    assert not members.observe(sync_of(1, 4, draining=True))
+    assert members.observe(sync_of(2, 1))
+    assert not members.observe(sync_of(1, 6))
+    states = []
+    for pause_s in (2.9, 0.2, 6.8, 0.2):
+        await trio.sleep(pause_s)
+        members.refresh()
+        states.append(members.state_of("a"))
+    assert states == ["live", "suspect", "suspect", "dead"]
+    assert members.observe(sync_of(1, 7, draining=True))
+    assert members.state_of("a") == "draining"
+    await trio.sleep(1000)
+    members.refresh()
+    assert members.entries.values() == []
--- a/marigoldtrail/control/validation.py
+++ b/marigoldtrail/control/validation.py
@@ -68,17 +68,18 @@
     >>> faults[0].path
     '$.number'
     """
+    value = decode_json(data, SOURCE)
+    if isinstance(value, Fault):
+        return [value]
     try:
-        manifest = parse_manifest(data, SOURCE)
+        # Stops at the first fault, but takes a tenth of the time of the schema's validator.
+        manifest = msgspec.convert(value, Manifest)
     except msgspec.ValidationError as exc:
-        return [_fault("$", "", str(exc))]
-    if isinstance(manifest, list):
-        return manifest
+        return _find_schema_faults(data) or [_fault("$", "", str(exc))]
     faults = check_references(manifest)
     if faults:
         return faults
     try:
-        value = decode_json(data, SOURCE)
         text = json.dumps(value, sort_keys=True, separators=(",", ":"), allow_nan=False)
         document = text.encode()
         # Every node decodes exactly these bytes; one that cannot would stop serving.
@@ -89,6 +90,14 @@
     return CheckedManifest(manifest=manifest, document=document, digest=digest)
 
 
+def _find_schema_faults(data: bytes) -> list[Fault]:
+    try:
+        faults = parse_manifest(data, SOURCE)
+    except msgspec.ValidationError:
+        return []
+    return faults if isinstance(faults, list) else []
+
+
 def check_references(manifest: Manifest) -> list[Fault]:
     """
     Check the rules between the sections of a manifest that follows its schema.
--- a/marigoldtrail/fleet/client.py
+++ b/marigoldtrail/fleet/client.py
@@ -40,6 +40,9 @@
 from marigoldtrail.timers import Timers
 
 CALL_TIMEOUT_S = 3.0
+# Validating a manifest of the two-year size takes up to a second.
+SUBMIT_TIMEOUT_S = 12.0
+SUBMIT_TRY_TIMEOUT_S = 4.0
 
 Reply = TypeVar("Reply", bound=msgspec.Struct)
 
@@ -225,10 +228,16 @@
         return await self.call_group(request.group, request, ClaimsReply, timeout_s=timeout_s)
 
     async def submit_manifest(
-        self, request: SubmitManifest, *, timeout_s: float = CALL_TIMEOUT_S
+        self, request: SubmitManifest, *, timeout_s: float = SUBMIT_TIMEOUT_S
     ) -> SubmitReply | Failure:
         """Submit an operator's manifest. See `call_group`."""
-        return await self.call_group(CONFIG_GROUP, request, SubmitReply, timeout_s=timeout_s)
+        return await self.call_group(
+            CONFIG_GROUP,
+            request,
+            SubmitReply,
+            timeout_s=timeout_s,
+            try_timeout_s=SUBMIT_TRY_TIMEOUT_S,
+        )
 
     async def set_service(
         self, request: SetService, *, timeout_s: float = CALL_TIMEOUT_S
