Add policy and a first usable Server

Callers need one request run through its pipeline: admission, stages, claims, streams, record, drain. The policies are modules of plain functions with small state classes; serving composes them.

--- /dev/null
+++ b/marigoldtrail/policy/quantiles.py
@@ -0,0 +1,106 @@
+"""Durations learned from measurements, with old ones losing weight."""
+
+from __future__ import annotations
+
+import math
+
+# Buckets 8% apart: an estimate is within 4% of the true quantile, in 200 counters a stage.
+GROWTH = 1.08
+SMALLEST_MS = 0.05
+BUCKETS = 200
+MIN_SAMPLES = 20
+# Halving the counts every 500 samples forgets a change within some seconds at 100 calls/s.
+HALVE_AFTER = 500
+CACHE_SAMPLES = 16
+
+_LOG_GROWTH = math.log(GROWTH)
+
+
+class Estimator:
+    """
+    Decaying histogram of durations.
+
+    Parameters
+    ----------
+    expected_ms : float
+        Duration assumed until `MIN_SAMPLES` have been added, in milliseconds.
+
+    Examples
+    --------
+    >>> estimator = Estimator(expected_ms=100.0)
+    >>> estimator.quantile(0.5), estimator.quantile(0.95)
+    (100.0, 200.0)
+    >>> for value in range(1, 101):
+    ...     estimator.add(float(value))
+    >>> 46 < estimator.quantile(0.5) < 54
+    True
+    """
+
+    __slots__ = ("_expected_ms", "_counts", "_total", "_samples", "_cache", "_cached_at")
+
+    def __init__(self, *, expected_ms: float) -> None:
+        self._expected_ms = expected_ms
+        self._counts = [0.0] * BUCKETS
+        self._total = 0.0
+        self._samples = 0
+        self._cache: dict[float, float] = {}
+        self._cached_at = 0
+
+    @property
+    def is_learned(self) -> bool:
+        """Whether the quantiles come from measurements."""
+        return self._samples >= MIN_SAMPLES
+
+    def add(self, duration_ms: float) -> None:
+        """
+        Add a measured duration.
+
+        Parameters
+        ----------
+        duration_ms : float
+            Duration in milliseconds.
+        """
+        self._counts[_bucket_of(duration_ms)] += 1.0
+        self._total += 1.0
+        self._samples += 1
+        if self._samples % HALVE_AFTER == 0:
+            self._counts = [count / 2 for count in self._counts]
+            self._total /= 2
+
+    def quantile(self, share: float) -> float:
+        """
+        Return the duration that a share of the calls stays within.
+
+        Parameters
+        ----------
+        share : float
+            Between 0 and 1.
+
+        Returns
+        -------
+        float
+            Milliseconds; before enough samples, the expected duration for the median and up to
+            twice of it above.
+        """
+        if not self.is_learned:
+            return self._expected_ms * max(1.0, min(2.0, 1.0 + (share - 0.5) / 0.45))
+        if self._samples - self._cached_at >= CACHE_SAMPLES:
+            self._cache.clear()
+            self._cached_at = self._samples
+        if share not in self._cache:
+            self._cache[share] = self._find(share)
+        return self._cache[share]
+
+    def _find(self, share: float) -> float:
+        left = share * self._total
+        for index, count in enumerate(self._counts):
+            left -= count
+            if left <= 0 and count:
+                return SMALLEST_MS * GROWTH ** (index + 0.5)
+        return SMALLEST_MS * GROWTH**BUCKETS
+
+
+def _bucket_of(duration_ms: float) -> int:
+    if duration_ms <= SMALLEST_MS:
+        return 0
+    return min(BUCKETS - 1, int(math.log(duration_ms / SMALLEST_MS) / _LOG_GROWTH))
--- /dev/null
+++ b/marigoldtrail/serving/generation.py
@@ -0,0 +1,349 @@
+"""Generation: a numbered token stream that survives the death of its engine."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.policy.moves import is_move_worthwhile
+from marigoldtrail.schema.generated.manifest import Stage
+from marigoldtrail.serving.calls import CallRecord, bad_answer, build_call
+from marigoldtrail.serving.idempotent import (
+    MAX_ATTEMPTS,
+    AttemptOutcome,
+    gate_failure,
+    may_retry,
+)
+from marigoldtrail.serving.outcomes import StageResult, cost_of
+from marigoldtrail.serving.run import Run
+from marigoldtrail.serving.targets import (
+    Target,
+    find_target,
+    prompt_of,
+    recheck,
+    release_target,
+)
+from marigoldtrail.telemetry import mark_failure
+from marigoldtrail.upstream import StageCall, TokenChunk
+
+# 48 times the target of 42 ms between tokens: an engine that is silent for longer has died.
+STALL_S = 2.0
+MOVE_CHECK_S = 0.25
+MOVE_TIMEOUT_S = 1.0
+
+Emit = Callable[[int, str], Awaitable[None]]
+
+
+class Generation:
+    """
+    One generation of one request, over all its engines.
+
+    Parameters
+    ----------
+    run : Run
+        The request.
+    stage : Stage
+        The stage.
+    until : float
+        Monotonic time by which the stage must end, in seconds.
+    emit : callable or None
+        Receives the number of the first token and the text; None if nobody follows the stream.
+
+    Attributes
+    ----------
+    parts : list of str
+        Text passed on so far.
+    next_token : int
+        Number of the next token; equals the number of tokens passed on.
+    """
+
+    __slots__ = (
+        "run",
+        "stage",
+        "until",
+        "emit",
+        "parts",
+        "next_token",
+        "attempts",
+        "tried",
+        "moved_to",
+        "may_move",
+        "check_at",
+        "instance",
+        "instance_state",
+    )
+
+    def __init__(self, *, run: Run, stage: Stage, until: float, emit: Emit | None) -> None:
+        self.run = run
+        self.stage = stage
+        self.until = until
+        self.emit = emit
+        self.parts: list[str] = []
+        self.next_token = 0
+        self.attempts = 0
+        self.tried: set[str] = set()
+        self.moved_to: Target | None = None
+        self.may_move = True
+        self.check_at = 0.0
+        self.instance = ""
+        self.instance_state = ""
+
+
+async def run_generation(
+    run: Run, stage: Stage, *, until: float, emit: Emit | None
+) -> tuple[StageResult | Failure, int]:
+    """
+    Generate text; resume on another engine from the last token passed on.
+
+    Parameters
+    ----------
+    run : Run
+        The request.
+    stage : Stage
+        The stage.
+    until : float
+        Monotonic time by which the stage must end, in seconds.
+    emit : callable or None
+        Receives the tokens.
+
+    Returns
+    -------
+    tuple
+        The result with the whole text, or the last failure; and the number of attempts.
+    """
+    state = Generation(run=run, stage=stage, until=until, emit=emit)
+    run.shared.budget.add_call()
+    fruitless = 1
+    while True:
+        before = state.next_token
+        outcome = await _attempt_in_gate(state)
+        if state.moved_to is not None:
+            continue
+        if not isinstance(outcome.result, Failure):
+            return outcome.result, state.attempts
+        if state.next_token > before:
+            # A resumed stream repeats no work, so that it does not count against the budget.
+            outcome = outcome._replace(was_called=False)
+            fruitless = 1
+        else:
+            fruitless += 1
+        if not may_retry(
+            run,
+            stage,
+            outcome,
+            attempts=fruitless - 1,
+            until=until,
+            is_resume=state.next_token > 0,
+        ):
+            return outcome.result, state.attempts
+
+
+async def _attempt_in_gate(state: Generation) -> AttemptOutcome:
+    run, stage = state.run, state.stage
+    gate = run.shared.gate(stage.pool)
+    with trio.move_on_at(state.until) as scope:
+        await gate.enter(run.arrived)
+    if scope.cancelled_caught:
+        return AttemptOutcome(gate_failure(run, stage), False)
+    try:
+        return await _attempt(state)
+    finally:
+        gate.leave()
+
+
+async def _attempt(state: Generation) -> AttemptOutcome:
+    run, stage, shared = state.run, state.stage, state.run.shared
+    attempt_id = shared.new_id()
+    target: Target | Failure | None = state.moved_to
+    state.moved_to = None
+    if target is None:
+        target = await find_target(
+            run, stage, attempt_id=attempt_id, until=state.until, avoid=state.tried
+        )
+    if isinstance(target, Failure):
+        return AttemptOutcome(target, False)
+    failure = recheck(run, target)
+    if failure is not None:
+        release_target(run, target, succeeded=False, duration_ms=0.0)
+        return AttemptOutcome(failure, False)
+    state.tried.add(target.upstream.name)
+    state.attempts += 1
+    failure = await _stream_from(state, target, attempt_id)
+    if failure is not None:
+        return AttemptOutcome(failure, True)
+    text = "".join(state.parts)
+    shared.prefixes.add(prompt_of(run), target.upstream.name)
+    result = StageResult(
+        output=text,
+        attempt_id=attempt_id,
+        upstream=target.upstream.name,
+        instance=state.instance or target.instance,
+        tokens=state.next_token,
+        cost=cost_of(run, stage, target, text, state.next_token),
+    )
+    return AttemptOutcome(result, True)
+
+
+async def _stream_from(state: Generation, target: Target, attempt_id: str) -> Failure | None:
+    run, stage, shared = state.run, state.stage, state.run.shared
+    timers = shared.timers
+    timeout_s = max(0.0, min(state.until, target.expires_at) - timers.now())
+    call = build_call(
+        run,
+        stage,
+        target,
+        attempt_id=attempt_id,
+        timeout_s=timeout_s,
+        resume_from=state.next_token,
+    )
+    first_token = state.next_token
+    record = CallRecord(run=run, stage=stage, target=target, attempt_id=attempt_id)
+    name = target.upstream.name
+    with shared.telemetry.span(
+        "stage.attempt", stage=stage.name, upstream=name, attempt_id=attempt_id
+    ) as span:
+        try:
+            failure = await _read_in_time(state, target, call, timeout_s)
+        except trio.Cancelled:
+            record.abandon()
+            raise
+        span.set_attribute("tokens", state.next_token - first_token)
+        if failure is not None:
+            mark_failure(span, failure)
+            record.fail(failure)
+            return failure
+    duration_ms = record.duration_ms()
+    tokens = max(1, state.next_token - first_token)
+    # Engines are compared by the time of a token, since generations differ in length.
+    record.succeed(
+        instance=state.instance, state=state.instance_state, usual_ms=duration_ms / tokens
+    )
+    if first_token == 0 and state.moved_to is None:
+        shared.estimator(run.pipeline.name, stage).add(duration_ms)
+    return None
+
+
+async def _read_in_time(
+    state: Generation, target: Target, call: StageCall, timeout_s: float
+) -> Failure | None:
+    with trio.move_on_after(timeout_s):
+        async with state.run.shared.upstreams.stream(
+            target.upstream, call, timeout_s=timeout_s
+        ) as stream:
+            if isinstance(stream, Failure):
+                return stream
+            state.instance, state.instance_state = stream.instance, stream.state
+            failure = _check_owner(state, call, stream, target)
+            return failure or await _read_stream(state, target, call, stream)
+    return Failure(
+        reason=Reason.TIMEOUT,
+        run_state=RunState.MAY_HAVE_RUN,
+        step=state.run.step,
+        peer=target.upstream.name,
+        detail="the stream did not end in time",
+    )
+
+
+def _check_owner(state: Generation, call: StageCall, stream: Any, target: Target) -> Failure | None:
+    for field in ("request_id", "attempt_id", "client_account"):
+        got = getattr(stream, field, "")
+        if got and got != getattr(call, field):
+            detail = f"{field} {got!r} is not that of the call"
+            return bad_answer(state.run, target.upstream.name, detail)
+    return None
+
+
+async def _read_stream(
+    state: Generation, target: Target, call: StageCall, stream: Any
+) -> Failure | None:
+    timers = state.run.shared.timers
+    with trio.CancelScope(deadline=_stall_at(state)) as scope:
+        async for chunk in stream:
+            if isinstance(chunk, Failure):
+                return chunk
+            scope.deadline = float("inf")
+            failure = await _pass_on(state, chunk, target.upstream.name)
+            if failure is not None:
+                return failure
+            if timers.now() >= state.check_at and await _try_move(state, target, call):
+                return None
+            scope.deadline = timers.now() + STALL_S
+        return None
+    return Failure(
+        reason=Reason.TIMEOUT,
+        run_state=RunState.MAY_HAVE_RUN,
+        step=state.run.step,
+        peer=target.upstream.name,
+        detail=f"no token for {STALL_S} s",
+    )
+
+
+def _stall_at(state: Generation) -> float:
+    """Return the time by which the first token of an attempt must have come."""
+    now = state.run.shared.timers.now()
+    if state.attempts >= MAX_ATTEMPTS:
+        return state.until
+    return now + max(STALL_S, (state.until - now) / 2)
+
+
+async def _pass_on(state: Generation, chunk: TokenChunk, peer: str) -> Failure | None:
+    if chunk.first + chunk.count <= state.next_token:
+        return None
+    if chunk.first != state.next_token:
+        detail = f"token {chunk.first} came in place of token {state.next_token}"
+        return bad_answer(state.run, peer, detail)
+    first = state.next_token
+    state.next_token += chunk.count
+    state.parts.append(chunk.text)
+    if state.emit is not None:
+        state.run.in_doubt += first == 0
+        await state.emit(first, chunk.text)
+    return None
+
+
+async def _try_move(state: Generation, target: Target, call: StageCall) -> bool:
+    """Move to an engine that stays, if this one is leaving and its cache is worth the transfer."""
+    run, shared, timers = state.run, state.run.shared, state.run.shared.timers
+    state.check_at = timers.now() + MOVE_CHECK_S
+    move_cache = getattr(shared.upstreams, "move_cache", None)
+    if not state.may_move or move_cache is None or shared.is_usable(target.upstream):
+        return False
+    state.may_move = False
+    goal = await find_target(
+        run, state.stage, attempt_id="", until=timers.now(), avoid={target.upstream.name}
+    )
+    if isinstance(goal, Failure):
+        return False
+    if goal.grant is not None or not _is_worthwhile(state, target, goal):
+        release_target(run, goal, succeeded=False, duration_ms=0.0)
+        return False
+    with shared.telemetry.span("stage.move", upstream=goal.upstream.name):
+        moved = await move_cache(target.upstream, goal.upstream, call, timeout_s=MOVE_TIMEOUT_S)
+    if isinstance(moved, Failure):
+        return False
+    state.moved_to = goal
+    shared.telemetry.decisions.add(
+        "move",
+        target.upstream.name,
+        "the engine is leaving",
+        request_id=run.req.request_id,
+        target=goal.upstream.name,
+        tokens=state.next_token,
+    )
+    return True
+
+
+def _is_worthwhile(state: Generation, source: Target, goal: Target) -> bool:
+    run = state.run
+    return is_move_worthwhile(
+        prompt_chars=len(prompt_of(run)),
+        tokens=state.next_token,
+        price_per_mb=run.catalog.price_per_mb(
+            source.upstream.data_centre, goal.upstream.data_centre
+        ),
+        price_per_token=run.catalog.token_price_of(state.stage.model),
+        remaining_s=state.until - run.shared.timers.now(),
+    )
--- /dev/null
+++ b/marigoldtrail/serving/idempotent.py
@@ -0,0 +1,265 @@
+"""Stages that may be repeated: retry and hedge within the budget, the first answer wins."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import trio
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.policy import hedge_delay, limit_attempt
+from marigoldtrail.schema.generated.manifest import Stage
+from marigoldtrail.serving.calls import send_call
+from marigoldtrail.serving.outcomes import StageResult, cost_of
+from marigoldtrail.serving.run import Run, has_effects
+from marigoldtrail.serving.targets import find_target, recheck, release_target
+
+MAX_ATTEMPTS = 3
+
+# Another upstream may answer after one of these.
+RETRIED = frozenset(
+    {
+        Reason.UNREACHABLE,
+        Reason.TIMEOUT,
+        Reason.UPSTREAM_ERROR,
+        Reason.BAD_ANSWER,
+        Reason.OVERLOADED,
+        Reason.NO_SLOT,
+    }
+)
+
+
+class AttemptOutcome(NamedTuple):
+    """
+    End of an attempt.
+
+    Parameters
+    ----------
+    result : StageResult or Failure
+        Its result.
+    was_called : bool
+        Whether an upstream was called; a retry then counts against the budget.
+    """
+
+    result: StageResult | Failure
+    was_called: bool
+
+
+class StageState:
+    """
+    Attempts of one stage of one request.
+
+    Parameters
+    ----------
+    run : Run
+        The request.
+    stage : Stage
+        The stage.
+    until : float
+        Monotonic time by which the stage must end, in seconds.
+    """
+
+    __slots__ = (
+        "run",
+        "stage",
+        "until",
+        "attempts",
+        "running",
+        "tried",
+        "hedged",
+        "outcomes",
+        "_end",
+    )
+
+    def __init__(self, *, run: Run, stage: Stage, until: float) -> None:
+        self.run = run
+        self.stage = stage
+        self.until = until
+        self.attempts = 0
+        self.running = 0
+        self.tried: set[str] = set()
+        self.hedged = False
+        self._end, self.outcomes = trio.open_memory_channel[AttemptOutcome](MAX_ATTEMPTS)
+
+    async def run_attempt(self, *, is_hedge: bool) -> None:
+        """Make one attempt and report its outcome."""
+        outcome = await attempt_once(self, is_hedge=is_hedge)
+        self._end.send_nowait(outcome)
+
+    def start(self, nursery: trio.Nursery, *, is_hedge: bool = False) -> None:
+        """Start an attempt."""
+        self.attempts += 1
+        self.running += 1
+        nursery.start_soon(lambda: self.run_attempt(is_hedge=is_hedge))
+
+
+async def run_idempotent(
+    run: Run, stage: Stage, *, until: float
+) -> tuple[StageResult | Failure, int]:
+    """
+    Run a stage that may be repeated.
+
+    Parameters
+    ----------
+    run : Run
+        The request.
+    stage : Stage
+        The stage.
+    until : float
+        Monotonic time by which the stage must end, in seconds.
+
+    Returns
+    -------
+    tuple
+        The result or the last failure, and the number of attempts.
+    """
+    state = StageState(run=run, stage=stage, until=until)
+    result: StageResult | Failure | None = None
+    async with trio.open_nursery() as nursery:
+        run.shared.budget.add_call()
+        state.start(nursery)
+        while result is None:
+            outcome = await _next_outcome(state, nursery)
+            state.running -= 1
+            if not isinstance(outcome.result, Failure):
+                result = outcome.result
+            elif state.running == 0:
+                if may_retry(run, stage, outcome, attempts=state.attempts, until=until):
+                    state.start(nursery)
+                else:
+                    result = outcome.result
+        nursery.cancel_scope.cancel()
+    return result, state.attempts
+
+
+async def _next_outcome(state: StageState, nursery: trio.Nursery) -> AttemptOutcome:
+    run, timers = state.run, state.run.shared.timers
+    estimator = run.shared.estimator(run.pipeline.name, state.stage)
+    delay_s = hedge_delay(estimator, state.until - timers.now())
+    if delay_s is None or state.hedged or state.attempts > 1:
+        return await state.outcomes.receive()
+    with trio.move_on_after(delay_s):
+        return await state.outcomes.receive()
+    state.hedged = True
+    if run.shared.gate(state.stage.pool).is_free and run.shared.budget.take():
+        run.shared.telemetry.decisions.add(
+            "hedge",
+            state.stage.name,
+            f"no answer after {delay_s * 1000:.0f} ms",
+            request_id=run.req.request_id,
+            slow=",".join(sorted(state.tried)),
+        )
+        run.shared.telemetry.metrics.count("hedges")
+        state.start(nursery, is_hedge=True)
+    return await state.outcomes.receive()
+
+
+def may_retry(
+    run: Run,
+    stage: Stage,
+    outcome: AttemptOutcome,
+    *,
+    attempts: int,
+    until: float,
+    is_resume: bool = False,
+) -> bool:
+    """
+    Decide whether another attempt follows a failed one.
+
+    Parameters
+    ----------
+    run : Run
+        The request.
+    stage : Stage
+        The stage.
+    outcome : AttemptOutcome
+        The failed attempt.
+    attempts : int
+        Number of attempts made.
+    until : float
+        Monotonic time by which the stage must end, in seconds.
+    is_resume : bool
+        Whether only the rest of the stage is left, which may take any time.
+
+    Returns
+    -------
+    bool
+        True if the failure and the time left allow it and, after a call, the budget too.
+    """
+    failure = outcome.result
+    if not isinstance(failure, Failure) or attempts >= MAX_ATTEMPTS:
+        return False
+    # With a peer, the chosen upstream left service before the call; without, there is none.
+    has_left = failure.reason is Reason.NO_UPSTREAM and failure.peer != ""
+    if failure.step.startswith("gate") or not (has_left or failure.reason in RETRIED):
+        return False
+    shared = run.shared
+    usual_s = shared.estimator(run.pipeline.name, stage).quantile(0.5) / 1000
+    if until - shared.timers.now() < (0.0 if is_resume else usual_s):
+        return False
+    if outcome.was_called and not shared.budget.take():
+        shared.telemetry.metrics.count("retries.over_budget")
+        return False
+    shared.telemetry.metrics.count("retries")
+    return True
+
+
+async def attempt_once(state: StageState, *, is_hedge: bool) -> AttemptOutcome:
+    """Make one attempt with its own id, within the node's share of the pool."""
+    run = state.run
+    gate = run.shared.gate(state.stage.pool)
+    if is_hedge:
+        if not gate.try_enter():
+            return AttemptOutcome(gate_failure(run, state.stage), False)
+    else:
+        with trio.move_on_at(state.until) as scope:
+            await gate.enter(run.arrived)
+        if scope.cancelled_caught:
+            return AttemptOutcome(gate_failure(run, state.stage), False)
+    try:
+        return await _attempt_in_gate(state)
+    finally:
+        gate.leave()
+
+
+async def _attempt_in_gate(state: StageState) -> AttemptOutcome:
+    run, stage, shared = state.run, state.stage, state.run.shared
+    attempt_id = shared.new_id()
+    target = await find_target(
+        run, stage, attempt_id=attempt_id, until=state.until, avoid=state.tried
+    )
+    if isinstance(target, Failure):
+        return AttemptOutcome(target, False)
+    failure = recheck(run, target)
+    if failure is not None:
+        release_target(run, target, succeeded=False, duration_ms=0.0)
+        return AttemptOutcome(failure, False)
+    state.tried.add(target.upstream.name)
+    estimator = shared.estimator(run.pipeline.name, stage)
+    budget_s = state.until - shared.timers.now()
+    timeout_s = limit_attempt(budget_s, estimator, may_repeat=state.attempts < MAX_ATTEMPTS)
+    run.in_doubt += has_effects(stage)
+    answer = await send_call(run, stage, target, attempt_id=attempt_id, timeout_s=timeout_s)
+    if isinstance(answer, Failure):
+        if answer.run_state is RunState.NOT_RUN:
+            run.in_doubt -= has_effects(stage)
+        return AttemptOutcome(answer, True)
+    result = StageResult(
+        output=answer.output,
+        attempt_id=attempt_id,
+        upstream=target.upstream.name,
+        instance=answer.instance or target.instance,
+        cost=cost_of(run, stage, target, answer.output),
+    )
+    return AttemptOutcome(result, True)
+
+
+def gate_failure(run: Run, stage: Stage) -> Failure:
+    """Return the failure of a stage that found no room in its time."""
+    return Failure(
+        reason=Reason.OVERLOADED,
+        run_state=RunState.NOT_RUN,
+        step=f"gate.{stage.name}",
+        detail=f"no room in this node's share of pool {stage.pool!r}",
+        retry_after_s=0.5,
+    )
--- /dev/null
+++ b/marigoldtrail/serving/run.py
@@ -0,0 +1,132 @@
+"""State of one request in progress."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.policy import Estimator
+from marigoldtrail.schema.generated.manifest import Pipeline, Stage
+from marigoldtrail.schema.generated.records import StageRecord
+from marigoldtrail.serving.catalog import Catalog
+from marigoldtrail.serving.shared import Shared
+from marigoldtrail.serving.types import PipelineRequest
+
+
+class Run:
+    """
+    One request in progress.
+
+    Parameters
+    ----------
+    shared : Shared
+        State of the node.
+    req : PipelineRequest
+        The request.
+    pipeline : Pipeline
+        Its pipeline.
+    catalog : Catalog
+        Manifest under which it runs from start to end.
+    arrived : float
+        Monotonic time of its arrival in seconds.
+
+    Attributes
+    ----------
+    in_doubt : int
+        Number of effects that the request has had or may have had: calls of stages with effects,
+        text passed on to the caller, another run under the same idempotency key.
+    step : str
+        Step that it is in, for failures.
+    """
+
+    __slots__ = (
+        "shared",
+        "req",
+        "pipeline",
+        "catalog",
+        "arrived",
+        "started_ms",
+        "in_doubt",
+        "step",
+        "outputs",
+        "records",
+        "tokens",
+    )
+
+    def __init__(
+        self,
+        *,
+        shared: Shared,
+        req: PipelineRequest,
+        pipeline: Pipeline,
+        catalog: Catalog,
+        arrived: float,
+    ) -> None:
+        self.shared = shared
+        self.req = req
+        self.pipeline = pipeline
+        self.catalog = catalog
+        self.arrived = arrived
+        self.started_ms = shared.timers.wall_ms()
+        self.in_doubt = 0
+        self.step = "start"
+        self.outputs: dict[str, Any] = {}
+        self.records: list[StageRecord] = []
+        self.tokens = 1
+
+    @property
+    def run_state(self) -> RunState:
+        """What a refusal may say of the request: ``NOT_RUN`` only without any possible effect."""
+        return RunState.MAY_HAVE_RUN if self.in_doubt else RunState.NOT_RUN
+
+    def remaining_s(self) -> float:
+        """Return the seconds until the deadline."""
+        return self.req.deadline - self.shared.timers.now()
+
+    def estimators_from(self, index: int) -> list[Estimator]:
+        """Return the learned durations of the stages from an index on, and of the record."""
+        stages = self.pipeline.stages[index:]
+        return [
+            *(self.shared.estimator(self.pipeline.name, stage) for stage in stages),
+            self.shared.record_time,
+        ]
+
+    def stage_input(self) -> dict[str, Any]:
+        """Return the input of the next stage."""
+        return {"input": self.req.input, "stages": dict(self.outputs)}
+
+    def fail(self, reason: Reason, detail: str = "", *, retry_after_s: float = 0.0) -> Failure:
+        """Return a failure of the current step with the run state of the request."""
+        return Failure(
+            reason=reason,
+            run_state=self.run_state,
+            step=self.step,
+            detail=detail,
+            retry_after_s=retry_after_s,
+        )
+
+    def settle_failure(self, failure: Failure) -> Failure:
+        """Return a failure of a part with the run state of the whole request."""
+        if failure.run_state is self.run_state:
+            return failure
+        return msgspec.structs.replace(failure, run_state=self.run_state)
+
+
+def has_effects(stage: Stage) -> bool:
+    """
+    Tell whether a call of a stage can have an effect outside the system.
+
+    Parameters
+    ----------
+    stage : Stage
+        The stage.
+
+    Returns
+    -------
+    bool
+        True for services, whose idempotent calls may also change something; encoding, retrieval,
+        ranking and generation only compute.
+    """
+    return not stage.idempotent or stage.kind == "service"
--- /dev/null
+++ b/marigoldtrail/serving/shared.py
@@ -0,0 +1,274 @@
+"""What all requests of a node share: the other services and the learned state of the policies."""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+
+from marigoldtrail.policy import (
+    Admission,
+    Estimator,
+    PoolGate,
+    PrefixIndex,
+    RetryBudget,
+    UpstreamHealth,
+    UpstreamLoad,
+    share_of,
+)
+from marigoldtrail.schema.generated.control import UpstreamStatus
+from marigoldtrail.schema.generated.manifest import Stage, Upstream
+from marigoldtrail.schema.generated.settings import Settings
+from marigoldtrail.serving.catalog import Catalog
+from marigoldtrail.telemetry import Telemetry
+from marigoldtrail.timers import Timers
+
+# The capacity of a pool changes with states and takeouts; adding it up for each call would cost
+# more than the choice itself.
+LIMIT_AGE_S = 0.25
+RECORD_MS = 30.0
+
+
+class Shared:
+    """
+    Services and policy state of one entry node.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Settings of the node.
+    view : FleetView
+        What the node knows of the fleet.
+    control : ControlClient
+        Claims and records.
+    slots : SlotClient
+        Slots of upstreams in cold start.
+    upstreams : UpstreamClient
+        Calls to upstreams.
+    timers : Timers
+        Clock.
+    telemetry : Telemetry
+        Spans, metrics, decisions.
+    rng : random.Random
+        Source of ids and random choices.
+    """
+
+    __slots__ = (
+        "cfg",
+        "view",
+        "control",
+        "slots",
+        "upstreams",
+        "timers",
+        "telemetry",
+        "rng",
+        "admission",
+        "budget",
+        "prefixes",
+        "loads",
+        "health",
+        "background",
+        "record_time",
+        "_estimators",
+        "_gates",
+        "_limits",
+        "_cold",
+        "_catalog",
+    )
+
+    def __init__(
+        self,
+        *,
+        cfg: Settings,
+        view: Any,
+        control: Any,
+        slots: Any,
+        upstreams: Any,
+        timers: Timers,
+        telemetry: Telemetry,
+        rng: random.Random,
+    ) -> None:
+        self.cfg = cfg
+        self.view = view
+        self.control = control
+        self.slots = slots
+        self.upstreams = upstreams
+        self.timers = timers
+        self.telemetry = telemetry
+        self.rng = rng
+        self.admission = Admission(timers=timers, limit_of=self.limit_of)
+        self.budget = RetryBudget()
+        self.prefixes = PrefixIndex()
+        self.loads: dict[str, UpstreamLoad] = defaultdict(UpstreamLoad)
+        self.health: dict[str, UpstreamHealth] = defaultdict(UpstreamHealth)
+        self.background = Background()
+        self.record_time = Estimator(expected_ms=RECORD_MS)
+        self._estimators: dict[tuple[str, str], Estimator] = {}
+        self._gates: dict[str, PoolGate] = defaultdict(PoolGate)
+        self._limits: dict[str, tuple[float, int]] = {}
+        self._cold: dict[str, UpstreamStatus | None] = {}
+        self._catalog: Catalog | None = None
+
+    def catalog(self) -> Catalog | None:
+        """Return the index of the manifest in force; None before the first."""
+        manifest = self.view.manifest
+        if manifest is None:
+            return None
+        if self._catalog is None or self._catalog.manifest is not manifest:
+            self._catalog = Catalog(manifest=manifest)
+            self._limits.clear()
+            self._drop_state_of_removed(self._catalog)
+        return self._catalog
+
+    def _drop_state_of_removed(self, catalog: Catalog) -> None:
+        names = {upstream.name for upstream in catalog.manifest.upstreams}
+        for name in [name for name in self.loads if name not in names]:
+            # Kept while calls are in progress, which count their end on it.
+            if self.loads[name].outstanding == 0:
+                del self.loads[name]
+                self.health.pop(name, None)
+
+    def estimator(self, pipeline: str, stage: Stage) -> Estimator:
+        """Return the learned duration of a stage."""
+        key = (pipeline, stage.name)
+        if key not in self._estimators:
+            self._estimators[key] = Estimator(expected_ms=stage.expected_ms)
+        return self._estimators[key]
+
+    def gate(self, pool: str) -> PoolGate:
+        """Return the bound on own outstanding calls to a pool."""
+        gate = self._gates[pool]
+        limit = self.limit_of(pool)
+        if gate.limit != limit:
+            gate.set_limit(limit)
+        return gate
+
+    def limit_of(self, pool: str) -> int:
+        """Return the calls that this node may have in progress at a pool."""
+        now = self.timers.now()
+        valid_until, limit = self._limits.get(pool, (0.0, 0))
+        if now < valid_until:
+            return limit
+        catalog = self._catalog
+        capacity = 0
+        for upstream in catalog.pools.get(pool, ()) if catalog is not None else ():
+            if not self.is_usable(upstream):
+                continue
+            # Those in cold start add what their slots allow.
+            capacity += upstream.capacity if self.is_warm(upstream) else upstream.cold_slots
+        limit = share_of(capacity, self.live_entries())
+        self._limits[pool] = (now + LIMIT_AGE_S, limit)
+        return limit
+
+    def live_entries(self) -> int:
+        """Return the number of entries that share the upstreams; at least 1."""
+        nodes = self.view.nodes
+        return max(1, sum(node.state == "live" and "entry" in node.roles for node in nodes))
+
+    def is_usable(self, upstream: Upstream) -> bool:
+        """Tell whether operators, platform and state allow new calls to an upstream."""
+        view = self.view
+        status = view.upstream_status(upstream.name)
+        return not (
+            (status is not None and status.state in ("leaving", "down"))
+            or view.is_out("upstream", upstream.name)
+            or view.is_out("host", upstream.host)
+            or view.is_out("data_centre", upstream.data_centre)
+            or view.is_leaving_host(upstream.host)
+        )
+
+    def is_warm(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream may be called without a slot."""
+        status = self.view.upstream_status(upstream.name)
+        if upstream.name in self._cold:
+            if _same_status(self._cold[upstream.name], status):
+                return False
+            del self._cold[upstream.name]
+        return status is not None and status.state == "warm"
+
+    def note_cold(self, upstream: Upstream, instance: str, reason: str) -> None:
+        """
+        Act on evidence that an upstream has turned cold.
+
+        It counts as cold here until the distributed status changes, which only the owner of its
+        slots can bring about.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The upstream.
+        instance : str
+            Instance that was seen; empty if unknown.
+        reason : str
+            The evidence.
+        """
+        if upstream.name in self._cold or not self.is_warm(upstream):
+            return
+        self._cold[upstream.name] = self.view.upstream_status(upstream.name)
+        self._limits.pop(upstream.pool, None)
+        self.prefixes.forget(upstream.name)
+        self.telemetry.decisions.add("turn_cold", upstream.name, reason, instance=instance)
+        self.background.start(self.slots.report, upstream.name, instance, "cold", reason)
+
+    def new_id(self) -> str:
+        """Return a fresh id of an attempt."""
+        return f"{self.rng.getrandbits(96):024x}"
+
+
+def _same_status(one: UpstreamStatus | None, other: UpstreamStatus | None) -> bool:
+    if one is None or other is None:
+        return one is other
+    return (one.instance, one.state, one.changed_ms) == (
+        other.instance,
+        other.state,
+        other.changed_ms,
+    )
+
+
+class Background:
+    """Work that outlives the request that caused it."""
+
+    __slots__ = ("_nursery", "_running", "_idle")
+
+    def __init__(self) -> None:
+        self._nursery: trio.Nursery | None = None
+        self._running = 0
+        self._idle = trio.Event()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether work can be started."""
+        return self._nursery is not None
+
+    def open(self, nursery: trio.Nursery) -> None:
+        """Start work in this nursery from now on."""
+        self._nursery = nursery
+
+    def close(self) -> None:
+        """Accept no more work."""
+        self._nursery = None
+
+    def start(self, function: Callable[..., Awaitable[object]], *args: object) -> None:
+        """Run a coroutine function to its end; dropped after `close`."""
+        if self._nursery is not None:
+            self._running += 1
+            self._nursery.start_soon(self._run, function, args)
+
+    async def _run(
+        self, function: Callable[..., Awaitable[object]], args: tuple[object, ...]
+    ) -> None:
+        try:
+            await function(*args)
+        finally:
+            self._running -= 1
+            if self._running == 0:
+                self._idle.set()
+
+    async def wait_idle(self) -> None:
+        """Wait until no work is left."""
+        while self._running:
+            self._idle = trio.Event()
+            await self._idle.wait()
--- /dev/null
+++ b/marigoldtrail/serving/targets.py
@@ -0,0 +1,225 @@
+"""Finding an upstream that may take an attempt, with a slot if it is not warm."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.policy import Candidate, choose
+from marigoldtrail.schema.generated.manifest import Stage, Upstream
+from marigoldtrail.schema.generated.slots import SlotGrant
+from marigoldtrail.serving.run import Run
+from marigoldtrail.serving.types import text_of
+from marigoldtrail.telemetry import mark_failure
+
+# Bytes of input and output assumed for the transfer price of a call.
+CALL_MB = 0.01
+RETRY_AFTER_S = 1.0
+SLOT_PAUSE_S = 0.1
+# The call ends this long before its slot expires.
+SLOT_MARGIN_S = 0.1
+
+
+class Target:
+    """
+    An upstream chosen for an attempt.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        The upstream.
+    instance : str
+        Instance that the view knows as warm; empty if unknown.
+    grant : SlotGrant or None
+        Slot held for the attempt; None for a warm upstream.
+    expires_at : float
+        Monotonic time by which the call must have ended, in seconds.
+    """
+
+    __slots__ = ("upstream", "instance", "grant", "expires_at")
+
+    def __init__(
+        self, *, upstream: Upstream, instance: str, grant: SlotGrant | None, expires_at: float
+    ) -> None:
+        self.upstream = upstream
+        self.instance = instance
+        self.grant = grant
+        self.expires_at = expires_at
+
+
+def check_view(run: Run) -> Failure | None:
+    """Return a failure if the node may not rely on its view now."""
+    if run.shared.view.is_current():
+        return None
+    return Failure(
+        reason=Reason.VIEW_NOT_CURRENT,
+        run_state=RunState.NOT_RUN,
+        step=run.step,
+        detail="the node has not confirmed its view of the fleet for 5 s",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def recheck(run: Run, target: Target) -> Failure | None:
+    """Return a failure if a target chosen earlier may not be called any more."""
+    failure = check_view(run)
+    if failure is not None:
+        return failure
+    shared = run.shared
+    usable = shared.is_usable(target.upstream)
+    if usable and (target.grant is not None or shared.is_warm(target.upstream)):
+        return None
+    return Failure(
+        reason=Reason.NO_UPSTREAM if not usable else Reason.NO_SLOT,
+        run_state=RunState.NOT_RUN,
+        step=run.step,
+        peer=target.upstream.name,
+        detail="its state changed before the call",
+    )
+
+
+async def find_target(
+    run: Run, stage: Stage, *, attempt_id: str, until: float, avoid: Collection[str] = ()
+) -> Target | Failure:
+    """
+    Choose an upstream and acquire a slot if it is not warm.
+
+    Parameters
+    ----------
+    run : Run
+        The request.
+    stage : Stage
+        The stage.
+    attempt_id : str
+        The attempt that the slot is for.
+    until : float
+        Monotonic time until which a slot may be waited for, in seconds.
+    avoid : collection of str
+        Upstreams that are used only if there is no other.
+
+    Returns
+    -------
+    Target or Failure
+        The target, or a failure without any effect.
+    """
+    timers = run.shared.timers
+    refused: dict[str, Failure] = {}
+    while True:
+        failure = check_view(run)
+        if failure is not None:
+            return failure
+        candidate = _choose_candidate(run, stage, avoid, refused)
+        if candidate is None and refused:
+            last = next(reversed(refused.values()))
+            pause_s = max(SLOT_PAUSE_S, last.retry_after_s)
+            if timers.now() + pause_s >= until:
+                return last
+            refused.clear()
+            await timers.sleep(pause_s)
+            continue
+        if candidate is None:
+            return _no_upstream(run, stage)
+        target = await _reserve(run, candidate, attempt_id, until)
+        if not isinstance(target, Failure):
+            return target
+        refused[candidate.name] = target
+
+
+def release_target(run: Run, target: Target, *, succeeded: bool, duration_ms: float) -> None:
+    """Return the slot of a target, if it has one."""
+    grant = target.grant
+    if grant is None:
+        return
+
+    async def release() -> None:
+        await run.shared.slots.release(
+            grant, succeeded=succeeded, duration_ms=round(duration_ms), instance=target.instance
+        )
+
+    run.shared.background.start(release)
+
+
+def transfer_price(run: Run, upstream: Upstream, megabytes: float = CALL_MB) -> float:
+    """Return the cost of a transfer between this node and an upstream, in cost units."""
+    here, there = run.shared.cfg.data_centre, upstream.data_centre
+    return run.catalog.price_per_mb(here, there) * megabytes
+
+
+def prompt_of(run: Run) -> str:
+    """Return the text whose prefix engines may have in their cache."""
+    return text_of(run.req.input)
+
+
+def _choose_candidate(
+    run: Run, stage: Stage, avoid: Collection[str], refused: Collection[str]
+) -> Candidate | None:
+    shared = run.shared
+    now = shared.timers.now()
+    usable = [
+        upstream
+        for upstream in run.catalog.upstreams_for(stage, run.pipeline.data_centres)
+        if upstream.name not in refused and shared.is_usable(upstream)
+    ]
+    usable = [item for item in usable if item.name not in avoid] or usable
+    # With every one ejected, a guess among all of them is better than none.
+    healthy = [item for item in usable if shared.health[item.name].is_usable(now)] or usable
+    entries = shared.live_entries()
+    candidates = [_describe(run, item, now, entries) for item in healthy]
+    favourite = shared.prefixes.find(prompt_of(run)) if stage.kind == "generate" else ""
+    usual_ms = shared.estimator(run.pipeline.name, stage).quantile(0.5)
+    return choose(candidates, usual_ms=usual_ms, rng=shared.rng, favourite=favourite)
+
+
+def _describe(run: Run, upstream: Upstream, now: float, entries: int) -> Candidate:
+    shared = run.shared
+    load = shared.loads[upstream.name]
+    in_progress = load.estimate(
+        now,
+        capacity=upstream.capacity,
+        reported=shared.view.load_of(upstream.name),
+        reports=upstream.reports_load,
+        entries=entries,
+    )
+    return Candidate(
+        name=upstream.name,
+        is_warm=shared.is_warm(upstream),
+        load=in_progress / upstream.capacity,
+        capacity=upstream.capacity,
+        service_ms=load.service_ms,
+        delay_ms=run.catalog.delay_ms(shared.cfg.data_centre, upstream.data_centre),
+        price=upstream.price + transfer_price(run, upstream),
+    )
+
+
+async def _reserve(
+    run: Run, candidate: Candidate, attempt_id: str, until: float
+) -> Target | Failure:
+    shared = run.shared
+    upstream = next(item for item in run.catalog.manifest.upstreams if item.name == candidate.name)
+    status = shared.view.upstream_status(candidate.name)
+    instance = status.instance if status is not None else ""
+    if candidate.is_warm:
+        return Target(upstream=upstream, instance=instance, grant=None, expires_at=float("inf"))
+    asked_at = shared.timers.now()
+    with shared.telemetry.span("slot", upstream=upstream.name) as span:
+        grant = await shared.slots.acquire(upstream.name, attempt_id, max(0.0, until - asked_at))
+        if isinstance(grant, Failure):
+            mark_failure(span, grant)
+            return grant
+    expires_at = asked_at + grant.expires_in_s - SLOT_MARGIN_S
+    return Target(
+        upstream=upstream,
+        instance=grant.instance or instance,
+        grant=grant,
+        expires_at=expires_at,
+    )
+
+
+def _no_upstream(run: Run, stage: Stage) -> Failure:
+    return Failure(
+        reason=Reason.NO_UPSTREAM,
+        run_state=RunState.NOT_RUN,
+        step=run.step,
+        detail=f"no upstream of pool {stage.pool!r} is in service",
+        retry_after_s=RETRY_AFTER_S,
+    )
