Add the upstream client and the stand-in upstreams

Serving needs calls to upstreams whose failures tell truthfully whether the call may have run, and the tests and the demo need upstreams that fail on demand.

The client runs httpcore's HTTP/1.1 connection on streams of a Network. A new connection to a reporting upstream reads GET /load first and is bound to the instance found; an unknown instance or a cold state refuses the call before it is written. Head and body are held back until the first read, so a failure before it is known to be not run. Nothing is repeated.

The stand-ins run in one trio task each, so many fit into one process.

--- /dev/null
+++ b/marigoldtrail/standins/__init__.py
@@ -0,0 +1,23 @@
+"""Small upstreams, a platform host list and a weight store for tests, benches and the demo."""
+
+from marigoldtrail.standins.engine import Engine, count_tokens, generate_text, token_text
+from marigoldtrail.standins.platform import HostList, WeightStore
+from marigoldtrail.standins.process import Knobs, Process
+from marigoldtrail.standins.runner import Standin, run_standin
+from marigoldtrail.standins.services import EffectService, PoolService, pool_output
+
+__all__ = [
+    "EffectService",
+    "Engine",
+    "HostList",
+    "Knobs",
+    "PoolService",
+    "Process",
+    "Standin",
+    "WeightStore",
+    "count_tokens",
+    "generate_text",
+    "pool_output",
+    "run_standin",
+    "token_text",
+]
--- /dev/null
+++ b/marigoldtrail/standins/http.py
@@ -0,0 +1,204 @@
+"""A small HTTP/1.1 server over any `Network`, for the stand-in upstreams."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qsl
+
+import h11
+import msgspec
+import trio
+
+from marigoldtrail.net import Address, Network
+
+READ_BYTES = 65536
+STREAM_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
+
+_encode = msgspec.json.Encoder().encode
+
+
+class HttpRequest(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A request as a stand-in sees it.
+
+    Parameters
+    ----------
+    method, path : str
+        Method and path without the query.
+    query, headers : dict
+        Parameters of the query; headers with lower-case names.
+    body : bytes
+        The body.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+class HttpReply:
+    """
+    Sends one response on a connection.
+
+    Parameters
+    ----------
+    conn : h11.Connection
+        State of the connection.
+    stream : trio.abc.Stream
+        The connection.
+    """
+
+    __slots__ = ("stream", "_conn")
+
+    def __init__(self, *, conn: h11.Connection, stream: trio.abc.Stream) -> None:
+        self.stream = stream
+        self._conn = conn
+
+    async def send_json(self, status: int, value: Any, headers: dict[str, str]) -> bytes:
+        """Send a complete response with a JSON body; return its bytes."""
+        return await self.send_bytes(status, _encode(value), headers, "application/json")
+
+    async def send_bytes(
+        self, status: int, body: bytes, headers: dict[str, str], content_type: str
+    ) -> bytes:
+        """Send a complete response; return its bytes."""
+        fields = {**headers, "content-type": content_type, "content-length": str(len(body))}
+        response = h11.Response(status_code=status, headers=list(fields.items()))
+        data = self._send(response) + self._send(h11.Data(data=body)) + self._send_end()
+        await self.stream.send_all(data)
+        return data
+
+    async def start_stream(self, headers: dict[str, str]) -> None:
+        """Start a response of server-sent events."""
+        fields = {**headers, "content-type": "text/event-stream", "cache-control": "no-store"}
+        response = h11.Response(status_code=200, headers=list(fields.items()))
+        await self.stream.send_all(self._send(response))
+
+    async def send_event(self, data: bytes) -> None:
+        """Send one event of a stream."""
+        await self.stream.send_all(self._send(h11.Data(data=b"data: " + data + b"\n\n")))
+
+    async def end_stream(self) -> None:
+        """Send the end of a stream."""
+        await self.stream.send_all(self._send_end())
+
+    def _send(self, event: Any) -> bytes:
+        return self._conn.send(event) or b""
+
+    def _send_end(self) -> bytes:
+        return self._send(h11.EndOfMessage())
+
+
+RequestHandler = Callable[[HttpRequest, HttpReply], Awaitable[None]]
+
+
+async def read_request(conn: h11.Connection, stream: trio.abc.Stream) -> HttpRequest | None:
+    """
+    Read one request.
+
+    Parameters
+    ----------
+    conn : h11.Connection
+        State of the connection.
+    stream : trio.abc.Stream
+        The connection.
+
+    Returns
+    -------
+    HttpRequest or None
+        None if the peer closed the connection.
+    """
+    request: h11.Request | None = None
+    chunks: list[bytes] = []
+    while True:
+        event = conn.next_event()
+        if event is h11.NEED_DATA:
+            conn.receive_data(bytes(await stream.receive_some(READ_BYTES)))
+        elif isinstance(event, h11.Request):
+            request = event
+        elif isinstance(event, h11.Data):
+            chunks.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage) and request is not None:
+            return build_request(request, b"".join(chunks))
+        else:
+            return None
+
+
+def build_request(request: h11.Request, body: bytes) -> HttpRequest:
+    """Convert a request of h11."""
+    path, _, query = request.target.decode("ascii").partition("?")
+    return HttpRequest(
+        method=request.method.decode("ascii"),
+        path=path,
+        query=dict(parse_qsl(query)),
+        headers={name.decode(): value.decode("latin-1") for name, value in request.headers},
+        body=body,
+    )
+
+
+async def serve_http(
+    network: Network,
+    address: Address,
+    handler: RequestHandler,
+    *,
+    cancel_on_disconnect: bool = False,
+    task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """
+    Serve requests until cancelled.
+
+    Parameters
+    ----------
+    network : Network
+        Accepts the connections.
+    address : Address
+        Where to listen.
+    handler : callable
+        Asynchronous function of the request and its `HttpReply`.
+    cancel_on_disconnect : bool
+        Whether a handler is cancelled when the peer closes the connection.
+    task_status : trio.TaskStatus
+        Started with the address listened on.
+    """
+
+    async def run_handler(request: HttpRequest, reply: HttpReply, conn: h11.Connection) -> bool:
+        if not cancel_on_disconnect:
+            await handler(request, reply)
+            return True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(cancel_at_end, conn, reply.stream, nursery.cancel_scope)
+            await handler(request, reply)
+            nursery.cancel_scope.cancel()
+            return True
+        return False
+
+    async def serve_connection(stream: trio.abc.Stream) -> None:
+        conn = h11.Connection(h11.SERVER)
+        try:
+            while (request := await read_request(conn, stream)) is not None:
+                reply = HttpReply(conn=conn, stream=stream)
+                if not await run_handler(request, reply, conn):
+                    return
+                if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+                    return
+                conn.start_next_cycle()
+        except* (*STREAM_ERRORS, h11.ProtocolError):
+            pass
+        finally:
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
+
+    await network.listen(address, serve_connection, task_status=task_status)
+
+
+async def cancel_at_end(
+    conn: h11.Connection, stream: trio.abc.Stream, scope: trio.CancelScope
+) -> None:
+    """Cancel a scope when the peer closes the connection; keep bytes of a next request."""
+    while data := await stream.receive_some(READ_BYTES):
+        conn.receive_data(bytes(data))
+    conn.receive_data(b"")
+    scope.cancel()
--- /dev/null
+++ b/marigoldtrail/standins/runner.py
@@ -0,0 +1,110 @@
+"""Runs a stand-in inside one trio task."""
+
+from __future__ import annotations
+
+from typing import Any, Protocol
+
+import msgspec
+import trio
+
+from marigoldtrail.net import Address, Network
+from marigoldtrail.standins.http import HttpReply, HttpRequest, serve_http
+from marigoldtrail.standins.process import Knobs, Process
+
+
+class Standin(Protocol):
+    """What `run_standin` runs."""
+
+    process: Process
+    knobs: Knobs
+    cancel_on_disconnect: bool
+
+    async def handle(self, request: HttpRequest, reply: HttpReply) -> None:
+        """Answer one request."""
+        ...
+
+
+async def run_standin(
+    standin: Standin,
+    *,
+    network: Network,
+    address: Address,
+    task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """
+    Run a stand-in until cancelled; many can run in one process.
+
+    Parameters
+    ----------
+    standin : Standin
+        For example an `Engine`.
+    network : Network
+        Where it listens: loopback TCP or a network in memory.
+    address : Address
+        Its address; port 0 takes a free one, which it keeps over restarts.
+    task_status : trio.TaskStatus
+        Started with the address listened on.
+    """
+    started = False
+    while True:
+        scope = await standin.process.wait_alive()
+        with scope:
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(_serve, standin, network, address)
+                if not started:
+                    task_status.started(address)
+                    started = True
+
+
+async def _serve(
+    standin: Standin,
+    network: Network,
+    address: Address,
+    *,
+    task_status: trio.TaskStatus[Address],
+) -> None:
+    await serve_http(
+        network,
+        address,
+        standin.handle,
+        cancel_on_disconnect=standin.cancel_on_disconnect,
+        task_status=task_status,
+    )
+
+
+async def send_answer(
+    standin: Standin, reply: HttpReply, value: dict[str, Any], *, status: int = 200
+) -> None:
+    """
+    Send the answer of a call, with the faults that the knobs ask for.
+
+    Parameters
+    ----------
+    standin : Standin
+        Its process gives the headers, its knobs the faults.
+    reply : HttpReply
+        Where the answer goes.
+    value : dict
+        The answer.
+    status : int
+        HTTP status.
+    """
+    knobs = standin.knobs
+    if knobs.take("lose_answers"):
+        await reply.stream.aclose()
+        return
+    if knobs.take("swap_answers"):
+        value = {**value, "request_id": "00other", "attempt_id": "other"}
+    data = await reply.send_json(status, value, standin.process.headers())
+    if knobs.take("double_answers"):
+        await reply.stream.send_all(data)
+    if knobs.close_idle:
+        await reply.stream.aclose()
+    elif knobs.half_close_idle and isinstance(reply.stream, trio.abc.HalfCloseableStream):
+        await reply.stream.send_eof()
+
+
+def decode_body(request: HttpRequest) -> dict[str, Any]:
+    """Decode the JSON object in a request."""
+    value: dict[str, Any] = msgspec.json.decode(request.body, type=dict[str, Any])
+    return value
--- /dev/null
+++ b/marigoldtrail/standins/services.py
@@ -0,0 +1,223 @@
+"""Stand-ins for pools (encoder, retriever, reranker) and for services with effects."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import trio
+import xxhash
+
+from marigoldtrail.standins.http import HttpReply, HttpRequest
+from marigoldtrail.standins.process import Knobs, Process
+from marigoldtrail.standins.runner import decode_body, send_answer
+from marigoldtrail.timers import Timers
+
+VECTOR_SIZE = 8
+DOCUMENTS_PER_QUERY = 5
+
+
+def encode_text(text: str) -> list[float]:
+    """Return a deterministic vector for a text."""
+    return [
+        (xxhash.xxh32_intdigest(f"{index}\0{text}".encode()) % 2000) / 1000 - 1
+        for index in range(VECTOR_SIZE)
+    ]
+
+
+def retrieve_documents(query: str) -> list[dict[str, Any]]:
+    """Return deterministic documents for a query."""
+    start = xxhash.xxh32_intdigest(query.encode()) % 10_000
+    return [
+        {"id": f"doc-{start + index}", "text": f"document {start + index} about {query[:40]}"}
+        for index in range(DOCUMENTS_PER_QUERY)
+    ]
+
+
+def rerank_documents(documents: list[Any]) -> list[Any]:
+    """Return documents in a deterministic order."""
+    return sorted(documents, key=lambda document: xxhash.xxh32_intdigest(str(document).encode()))
+
+
+def pool_output(kind: str, value: Any) -> Any:
+    """
+    Return the output of a pool.
+
+    Parameters
+    ----------
+    kind : str
+        ``"encoder"``, ``"retriever"`` or ``"reranker"``.
+    value : object
+        Input of the call.
+
+    Returns
+    -------
+    object
+        Output; the input's text stays in it as ``query``, so that later stages can use it.
+    """
+    fields = value if isinstance(value, dict) else {"query": value}
+    query = str(fields.get("query", ""))
+    if kind == "encoder":
+        return {**fields, "query": query, "vector": encode_text(query)}
+    if kind == "retriever":
+        return {"query": query, "documents": retrieve_documents(query)}
+    return {**fields, "query": query, "documents": rerank_documents(fields.get("documents", []))}
+
+
+class PoolService:
+    """
+    An encoder, retriever or reranker.
+
+    Parameters
+    ----------
+    process : Process
+        Its process.
+    timers : Timers
+        Clock.
+    kind : str
+        ``"encoder"``, ``"retriever"`` or ``"reranker"``.
+    work_s : float
+        Duration of a call in seconds.
+    """
+
+    __slots__ = ("process", "knobs", "cancel_on_disconnect", "runs", "_timers", "_kind", "_work_s")
+
+    def __init__(
+        self, *, process: Process, timers: Timers, kind: str, work_s: float = 0.005
+    ) -> None:
+        self.process = process
+        self.knobs = Knobs()
+        self.cancel_on_disconnect = False
+        self.runs: Counter[str] = Counter()
+        self._timers = timers
+        self._kind = kind
+        self._work_s = work_s
+
+    async def handle(self, request: HttpRequest, reply: HttpReply) -> None:
+        """Answer one request."""
+        if request.path == "/load":
+            report = self.process.report(self.knobs.load_lag_s)
+            await reply.send_json(200, report, self.process.headers())
+            return
+        call = decode_body(request)
+        self.runs[call["attempt_id"]] += 1
+        running = self.process.begin()
+        if running is None or self.knobs.stalled:
+            await trio.sleep_forever()
+            return
+        try:
+            if delay_s := self._work_s + self.knobs.delay_s:
+                await self._timers.sleep(delay_s)
+            self.process.finish(running, succeeded=True)
+            answer = answer_call(call, pool_output(self._kind, call["input"]))
+            await send_answer(self, reply, answer)
+        finally:
+            self.process.finish(running, succeeded=False)
+
+
+class EffectService:
+    """
+    A service whose calls have effects that must not be repeated.
+
+    The effect happens at the end of the work, whether or not the caller is still there. The
+    idempotency key is the field ``idempotency_key`` of the input, or else the request id.
+
+    Parameters
+    ----------
+    process : Process
+        Its process.
+    timers : Timers
+        Clock.
+    work_s : float
+        Duration of a call in seconds.
+    reports_load : bool
+        Whether it answers ``GET /load``.
+    tells_outcomes : bool
+        Whether it answers ``GET /outcome``.
+    """
+
+    __slots__ = (
+        "process",
+        "knobs",
+        "cancel_on_disconnect",
+        "runs_by_attempt",
+        "runs_by_key",
+        "effects_by_key",
+        "outputs",
+        "_timers",
+        "_work_s",
+        "_reports_load",
+        "_tells_outcomes",
+    )
+
+    def __init__(
+        self,
+        *,
+        process: Process,
+        timers: Timers,
+        work_s: float = 0.01,
+        reports_load: bool = True,
+        tells_outcomes: bool = True,
+    ) -> None:
+        self.process = process
+        self.knobs = Knobs()
+        self.cancel_on_disconnect = False
+        self.runs_by_attempt: Counter[str] = Counter()
+        self.runs_by_key: Counter[str] = Counter()
+        self.effects_by_key: Counter[str] = Counter()
+        self.outputs: dict[str, Any] = {}
+        self._timers = timers
+        self._work_s = work_s
+        self._reports_load = reports_load
+        self._tells_outcomes = tells_outcomes
+
+    async def handle(self, request: HttpRequest, reply: HttpReply) -> None:
+        """Answer one request."""
+        if request.method == "GET":
+            await self._answer_get(request, reply)
+            return
+        call = decode_body(request)
+        key = effect_key(call)
+        self.runs_by_attempt[call["attempt_id"]] += 1
+        self.runs_by_key[key] += 1
+        running = self.process.begin()
+        if running is None or self.knobs.stalled:
+            await trio.sleep_forever()
+            return
+        try:
+            if delay_s := self._work_s + self.knobs.delay_s:
+                await self._timers.sleep(delay_s)
+            self.effects_by_key[key] += 1
+            output = {"receipt": f"{self.process.name}-{sum(self.effects_by_key.values())}"}
+            self.outputs[call["attempt_id"]] = output
+            self.process.finish(running, succeeded=True)
+            await send_answer(self, reply, answer_call(call, output))
+        finally:
+            self.process.finish(running, succeeded=False)
+
+    async def _answer_get(self, request: HttpRequest, reply: HttpReply) -> None:
+        headers = self.process.headers()
+        if request.path == "/load" and self._reports_load:
+            await reply.send_json(200, self.process.report(self.knobs.load_lag_s), headers)
+        elif request.path == "/outcome" and self._tells_outcomes:
+            output = self.outputs.get(request.query.get("attempt_id", ""))
+            state = "not_found" if output is None else "done"
+            await reply.send_json(200, {"state": state, "output": output}, headers)
+        else:
+            await reply.send_json(404, {"detail": "no such path"}, headers)
+
+
+def effect_key(call: dict[str, Any]) -> str:
+    """Return the idempotency key that a call's effect is counted under."""
+    fields = call["input"] if isinstance(call["input"], dict) else {}
+    return f"{call['client_account']}/{fields.get('idempotency_key', call['request_id'])}"
+
+
+def answer_call(call: dict[str, Any], output: Any) -> dict[str, Any]:
+    """Return the body of an answer to a call."""
+    return {
+        "request_id": call["request_id"],
+        "attempt_id": call["attempt_id"],
+        "client_account": call["client_account"],
+        "output": output,
+    }
--- /dev/null
+++ b/marigoldtrail/upstream/client.py
@@ -0,0 +1,561 @@
+"""Calls to model engines, pools and services."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import msgspec
+import trio
+from opentelemetry import trace
+
+from marigoldtrail.errors import Failure, Reason
+from marigoldtrail.net import Network
+from marigoldtrail.schema.generated.manifest import Upstream
+from marigoldtrail.schema.generated.slots import SlotGrant
+from marigoldtrail.telemetry import Telemetry, mark_failure
+from marigoldtrail.timers import Timers
+from marigoldtrail.upstream.connections import (
+    EXCHANGE_ERRORS,
+    Connection,
+    ConnectionPool,
+    RawAnswer,
+)
+from marigoldtrail.upstream.connector import (
+    DECODE_ERRORS,
+    LOAD_TIMEOUT_S,
+    Connector,
+    may_have_run,
+    refused_answer,
+)
+from marigoldtrail.upstream.gate import EvidenceHandler, Gate, StatusView, answer_labels
+from marigoldtrail.upstream.messages import (
+    CacheEvents,
+    EngineOrder,
+    LoadReport,
+    OrderReply,
+    OutcomeReply,
+    WireAnswer,
+    encode_call,
+    encode_completion,
+    find_mismatch,
+)
+from marigoldtrail.upstream.tokens import EngineStream
+from marigoldtrail.upstream.types import StageAnswer, StageCall
+
+OUTCOME_TIMEOUT_S = 3.0
+ORDER_TIMEOUT_S = 5.0
+KV_TIMEOUT_S = 5.0
+# A cancellation is best effort: closing the connection also ends the attempt.
+CANCEL_TIMEOUT_S = 0.25
+
+STATUS_REFUSED = 409
+
+Reply = TypeVar("Reply")
+
+_decode_answer = msgspec.json.Decoder(WireAnswer).decode
+
+
+class UpstreamClient:
+    """
+    Calls upstreams over connections that are bound to one instance each.
+
+    No call is ever repeated here. A `Failure` is ``NOT_RUN`` only if no byte of the call can have
+    left this process.
+
+    Parameters
+    ----------
+    network : Network
+        Opens the connections.
+    timers : Timers
+        Clock.
+    view : StatusView
+        States of the upstreams, for example a `marigoldtrail.fleet.FleetView`.
+    telemetry : Telemetry
+        Spans, metrics and decisions.
+    on_evidence : callable
+        Called with upstream, instance, state and reason when an upstream proves not to be warm;
+        must not block.
+
+    See Also
+    --------
+    marigoldtrail.standins : Upstreams to try it on.
+    """
+
+    __slots__ = ("_timers", "_telemetry", "_gate", "_connector")
+
+    def __init__(
+        self,
+        *,
+        network: Network,
+        timers: Timers,
+        view: StatusView,
+        telemetry: Telemetry,
+        on_evidence: EvidenceHandler,
+    ) -> None:
+        self._timers = timers
+        self._telemetry = telemetry
+
+        def record_evidence(upstream: str, instance: str, state: str, reason: str) -> None:
+            telemetry.decisions.add("evidence", upstream, reason, instance=instance, state=state)
+            on_evidence(upstream, instance, state, reason)
+
+        gate = Gate(view=view, timers=timers, on_evidence=record_evidence)
+        self._gate = gate
+        self._connector = Connector(network=network, timers=timers, gate=gate)
+
+    def needs_slot(self, upstream: Upstream) -> bool:
+        """
+        Tell whether a call needs a slot, by the view and by evidence of this node.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The upstream.
+
+        Returns
+        -------
+        bool
+            True if it is not known to be warm.
+        """
+        return self._gate.needs_slot(upstream, self._connector.pool_of(upstream))
+
+    async def call(
+        self,
+        upstream: Upstream,
+        request: StageCall,
+        *,
+        timeout_s: float,
+        may_repeat: bool,
+        slot: SlotGrant | None = None,
+    ) -> StageAnswer | Failure:
+        """
+        Call a pool or a service once.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            Whom to call.
+        request : StageCall
+            The call.
+        timeout_s : float
+            Longest wait in seconds, connecting included.
+        may_repeat : bool
+            Whether the stage is idempotent. Only labels the span: no call is repeated here, and
+            every connection is checked right before its use.
+        slot : SlotGrant or None
+            Slot on an upstream that is not warm.
+
+        Returns
+        -------
+        StageAnswer or Failure
+            The answer, checked to belong to this call.
+        """
+        step = f"stage.{request.stage}.attempt"
+        with self._telemetry.span(
+            "upstream.call",
+            upstream=upstream.name,
+            attempt_id=request.attempt_id,
+            may_repeat=may_repeat,
+        ) as span:
+            pool = self._connector.pool_of(upstream)
+            conn: Connection | None = None
+            with trio.move_on_after(timeout_s):
+                found = await self._connector.connect(upstream, pool, step, slot)
+                if isinstance(found, Failure):
+                    mark_failure(span, found)
+                    return found
+                conn = found
+                body = encode_call(request)
+                answer = await self._connector.exchange(
+                    upstream, pool, conn, "POST", request.path, body, step, headers_of(span)
+                )
+                result = self._read_answer(upstream, pool, conn, request, answer, step, slot)
+                if isinstance(result, Failure):
+                    mark_failure(span, result)
+                    await conn.aclose()
+                else:
+                    await pool.give_back(conn)
+                return result
+            failure = await self._connector.time_out(upstream, pool, conn, step)
+            mark_failure(span, failure)
+            return failure
+
+    def _read_answer(
+        self,
+        upstream: Upstream,
+        pool: ConnectionPool,
+        conn: Connection,
+        request: StageCall,
+        answer: RawAnswer | Failure,
+        step: str,
+        slot: SlotGrant | None,
+    ) -> StageAnswer | Failure:
+        if isinstance(answer, Failure):
+            return answer
+        instance, state, load = answer_labels(answer)
+        self._gate.check_answer(upstream, pool, conn, instance, state, slot)
+        if answer.status != 200:
+            return refused_answer(upstream, step, answer)
+        try:
+            wire = _decode_answer(answer.body)
+        except DECODE_ERRORS as exc:
+            return may_have_run(upstream, step, Reason.BAD_ANSWER, str(exc))
+        mismatch = find_mismatch(request, wire)
+        if mismatch or wire.stage not in ("", request.stage):
+            detail = mismatch or f"stage is {wire.stage!r}; expected {request.stage!r}"
+            return may_have_run(upstream, step, Reason.BAD_ANSWER, detail)
+        return StageAnswer(
+            request_id=wire.request_id,
+            attempt_id=wire.attempt_id,
+            client_account=wire.client_account,
+            output=wire.output,
+            instance=instance or conn.instance,
+            state=state,
+            load=load,
+            stage=wire.stage,
+        )
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        upstream: Upstream,
+        request: StageCall,
+        *,
+        timeout_s: float,
+        slot: SlotGrant | None = None,
+    ) -> AsyncIterator[EngineStream | Failure]:
+        """
+        Open a generation at an engine; leaving the block early cancels it there.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The engine.
+        request : StageCall
+            The call; `resume_from` tokens are skipped.
+        timeout_s : float
+            Longest duration of the whole stream in seconds, connecting included.
+        slot : SlotGrant or None
+            Slot on an engine that is not warm.
+
+        Yields
+        ------
+        EngineStream or Failure
+            The stream, or why none could be opened.
+        """
+        step = f"stage.{request.stage}.attempt"
+        deadline = self._timers.now() + timeout_s
+        with self._telemetry.span(
+            "upstream.stream",
+            upstream=upstream.name,
+            attempt_id=request.attempt_id,
+            resume_from=request.resume_from,
+        ) as span:
+            opened = await self._open_stream(
+                upstream, request, deadline, step, slot, headers_of(span)
+            )
+            if isinstance(opened, Failure):
+                mark_failure(span, opened)
+                yield opened
+                return
+            try:
+                yield opened
+            finally:
+                with trio.CancelScope(shield=True):
+                    await opened.aclose()
+
+    async def _open_stream(
+        self,
+        upstream: Upstream,
+        request: StageCall,
+        deadline: float,
+        step: str,
+        slot: SlotGrant | None,
+        headers: list[tuple[bytes, bytes]],
+    ) -> EngineStream | Failure:
+        pool = self._connector.pool_of(upstream)
+        conn: Connection | None = None
+        with trio.move_on_at(deadline):
+            found = await self._connector.connect(upstream, pool, step, slot)
+            if isinstance(found, Failure):
+                return found
+            conn = found
+            body = encode_completion(request)
+            try:
+                response = await conn.open("POST", "/v1/completions", body, headers)
+            except EXCHANGE_ERRORS as exc:
+                return self._connector.broken(upstream, pool, conn, step, exc)
+            return await self._start_stream(
+                upstream, pool, conn, request, response, step, slot, deadline
+            )
+        return await self._connector.time_out(upstream, pool, conn, step)
+
+    async def _start_stream(
+        self,
+        upstream: Upstream,
+        pool: ConnectionPool,
+        conn: Connection,
+        request: StageCall,
+        response: Any,
+        step: str,
+        slot: SlotGrant | None,
+        deadline: float,
+    ) -> EngineStream | Failure:
+        head = RawAnswer(
+            response.status, {name.lower(): value for name, value in response.headers}, b""
+        )
+        instance, state, load = answer_labels(head)
+        self._gate.check_answer(upstream, pool, conn, instance, state, slot)
+        if response.status != 200:
+            await conn.aclose()
+            return refused_answer(upstream, step, head)
+
+        async def release(complete: bool, still_running: bool) -> None:
+            if complete:
+                await pool.give_back(conn)
+                return
+            await conn.aclose()
+            if still_running:
+                await self.cancel(upstream, request.attempt_id)
+            else:
+                pool.broken = True
+
+        stream = EngineStream(
+            conn=conn,
+            response=response,
+            call=request,
+            peer=upstream.name,
+            step=step,
+            deadline=deadline,
+            release=release,
+        )
+        stream.instance = instance or conn.instance
+        stream.state = state
+        stream.load = load
+        return stream
+
+    async def cancel(self, upstream: Upstream, attempt_id: str) -> None:
+        """
+        Ask an engine to end an attempt; failures are ignored.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The engine.
+        attempt_id : str
+            The attempt.
+        """
+        body = msgspec.json.encode({"attempt_id": attempt_id})
+        await self._ask(upstream, "POST", "/cancel", body, CANCEL_TIMEOUT_S, "upstream.cancel")
+
+    async def read_load(
+        self, upstream: Upstream, *, timeout_s: float = LOAD_TIMEOUT_S
+    ) -> LoadReport | Failure:
+        """
+        Read the load report of an upstream.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The upstream.
+        timeout_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        LoadReport or Failure
+            The report. The failure's detail is ``"refused"`` if no process listens.
+        """
+        step = "upstream.load"
+        answer = await self._ask(upstream, "GET", "/load", b"", timeout_s, step)
+        return self._decode(upstream, answer, LoadReport, step)
+
+    async def ask_outcome(
+        self,
+        upstream: Upstream,
+        outcome_path: str,
+        attempt_id: str,
+        *,
+        timeout_s: float = OUTCOME_TIMEOUT_S,
+    ) -> OutcomeReply | Failure:
+        """
+        Ask for the outcome of an earlier call.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            Whom the call was sent to.
+        outcome_path : str
+            Path from the manifest.
+        attempt_id : str
+            Attempt of the call.
+        timeout_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        OutcomeReply or Failure
+            Whether the call is known there, and its output.
+        """
+        step = "upstream.outcome"
+        target = f"{outcome_path}?attempt_id={quote(attempt_id, safe='')}"
+        answer = await self._ask(upstream, "GET", target, b"", timeout_s, step)
+        return self._decode(upstream, answer, OutcomeReply, step)
+
+    async def send_order(
+        self, upstream: Upstream, order: EngineOrder, *, timeout_s: float = ORDER_TIMEOUT_S
+    ) -> OrderReply | Failure:
+        """
+        Send an order to an engine.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The engine.
+        order : EngineOrder
+            The order with its fencing number.
+        timeout_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        OrderReply or Failure
+            Whether the engine carried it out or refused it.
+        """
+        step = "upstream.order"
+        body = msgspec.json.encode(order)
+        answer = await self._ask(upstream, "POST", "/orders", body, timeout_s, step)
+        if not isinstance(answer, Failure) and answer.status == STATUS_REFUSED:
+            answer = answer._replace(status=200)
+        return self._decode(upstream, answer, OrderReply, step)
+
+    async def read_cache_events(self, upstream: Upstream, since: int) -> CacheEvents | Failure:
+        """
+        Read the changes of an engine's prefix cache.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The engine.
+        since : int
+            Number of the last event seen.
+
+        Returns
+        -------
+        CacheEvents or Failure
+            Later events; they come late and with gaps.
+        """
+        step = "upstream.cache_events"
+        target = f"/cache-events?since={since}"
+        answer = await self._ask(upstream, "GET", target, b"", LOAD_TIMEOUT_S, step)
+        return self._decode(upstream, answer, CacheEvents, step)
+
+    async def export_kv(self, upstream: Upstream, prompt: str, model: str) -> bytes | Failure:
+        """
+        Export the KV cache of a prompt.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The engine that has it.
+        prompt, model : str
+            What it belongs to.
+
+        Returns
+        -------
+        bytes or Failure
+            Opaque data for `import_kv`.
+        """
+        step = "upstream.kv_export"
+        body = msgspec.json.encode({"prompt": prompt, "model": model})
+        answer = await self._ask(upstream, "POST", "/kv/export", body, KV_TIMEOUT_S, step)
+        if isinstance(answer, Failure):
+            return answer
+        return answer.body if answer.status == 200 else refused_answer(upstream, step, answer)
+
+    async def import_kv(self, upstream: Upstream, data: bytes) -> None | Failure:
+        """
+        Import an exported KV cache.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The engine that gets it.
+        data : bytes
+            From `export_kv`.
+
+        Returns
+        -------
+        None or Failure
+            None once it is imported.
+        """
+        step = "upstream.kv_import"
+        answer = await self._ask(upstream, "POST", "/kv/import", data, KV_TIMEOUT_S, step)
+        if isinstance(answer, Failure):
+            return answer
+        return None if answer.status == 200 else refused_answer(upstream, step, answer)
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        await self._connector.aclose()
+
+    async def _ask(
+        self, upstream: Upstream, method: str, target: str, body: bytes, timeout_s: float, step: str
+    ) -> RawAnswer | Failure:
+        # Questions and orders are not work: they need neither a warm upstream nor a slot.
+        pool = self._connector.pool_of(upstream)
+        conn: Connection | None = None
+        with trio.move_on_after(timeout_s):
+            conn = await pool.take("")
+            is_bound = conn is not None
+            if conn is None:
+                dialled = await self._connector.dial(upstream, pool, step)
+                if isinstance(dialled, Failure):
+                    return dialled
+                conn = dialled
+            answer = await self._connector.exchange(
+                upstream, pool, conn, method, target, body, step, []
+            )
+            if isinstance(answer, Failure) or not is_bound:
+                # A new connection carries no work before it has been bound to an instance.
+                await conn.aclose()
+            else:
+                await pool.give_back(conn)
+            return answer
+        return await self._connector.time_out(upstream, pool, conn, step)
+
+    def _decode(
+        self, upstream: Upstream, answer: RawAnswer | Failure, reply_type: type[Reply], step: str
+    ) -> Reply | Failure:
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status != 200:
+            return refused_answer(upstream, step, answer)
+        try:
+            return msgspec.json.decode(answer.body, type=reply_type)
+        except DECODE_ERRORS as exc:
+            return may_have_run(upstream, step, Reason.BAD_ANSWER, str(exc))
+
+
+def headers_of(span: trace.Span) -> list[tuple[bytes, bytes]]:
+    """
+    Return the headers that carry a span's context to an upstream.
+
+    Parameters
+    ----------
+    span : opentelemetry.trace.Span
+        Span of the call.
+
+    Returns
+    -------
+    list of tuple
+        The ``traceparent`` header; empty without a recording tracer.
+    """
+    context = span.get_span_context()
+    if not context.is_valid:
+        return []
+    value = f"00-{context.trace_id:032x}-{context.span_id:016x}-{int(context.trace_flags):02x}"
+    return [(b"traceparent", value.encode())]
--- /dev/null
+++ b/marigoldtrail/upstream/connections.py
@@ -0,0 +1,208 @@
+"""HTTP/1.1 connections to one upstream, each bound to one instance of it."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import httpcore
+import trio
+
+from marigoldtrail.net import Address
+from marigoldtrail.timers import Timers
+from marigoldtrail.upstream.streams import HttpStream
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_IDLE_CONNECTIONS = 64
+# Servers commonly close idle connections after 5 s; closing earlier avoids that race.
+MAX_IDLE_S = 4.0
+
+EXCHANGE_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+
+
+class AnswerTooLargeError(Exception):
+    """An answer exceeds `MAX_ANSWER_BYTES`."""
+
+
+class RawAnswer(NamedTuple):
+    """
+    Status, headers and body of a response.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : dict
+        Headers with lower-case names.
+    body : bytes
+        Complete body.
+    """
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+class Connection:
+    """
+    One connection; `instance` is the process at its other end.
+
+    Parameters
+    ----------
+    address : Address
+        The upstream's address.
+    stream : trio.abc.Stream
+        The connected stream.
+    """
+
+    __slots__ = ("instance", "idle_since", "stream", "_http", "_host", "_header_host", "_port")
+
+    def __init__(self, *, address: Address, stream: trio.abc.Stream) -> None:
+        self.instance = ""
+        self.idle_since = 0.0
+        self.stream = HttpStream(stream=stream)
+        self._host = address.ip.encode()
+        self._header_host = str(address).encode()
+        self._port = address.port
+        origin = httpcore.Origin(b"http", self._host, self._port)
+        self._http = httpcore.AsyncHTTP11Connection(origin=origin, stream=self.stream)
+
+    async def open(
+        self, method: str, target: str, body: bytes, headers: list[tuple[bytes, bytes]]
+    ) -> httpcore.Response:
+        """
+        Send a request and receive the head of its response.
+
+        Parameters
+        ----------
+        method, target : str
+            HTTP method; path and query.
+        body : bytes
+            Body; may be empty.
+        headers : list
+            Headers besides ``host`` and those that describe the body.
+
+        Returns
+        -------
+        httpcore.Response
+            Its body is not yet received.
+
+        Raises
+        ------
+        httpcore.NetworkError, httpcore.ProtocolError
+            If the exchange fails; `stream.wrote` tells whether the request may have left.
+        """
+        self.stream.wrote = False
+        fields = [(b"host", self._header_host), *headers]
+        if body:
+            fields += (
+                (b"content-type", b"application/json"),
+                (b"content-length", str(len(body)).encode()),
+            )
+        url = httpcore.URL(scheme=b"http", host=self._host, port=self._port, target=target.encode())
+        request = httpcore.Request(method, url, headers=fields, content=body)
+        return await self._http.handle_async_request(request)
+
+    async def exchange(
+        self, method: str, target: str, body: bytes, headers: list[tuple[bytes, bytes]]
+    ) -> RawAnswer:
+        """
+        Send a request and receive its complete response; see `open`.
+
+        Raises
+        ------
+        AnswerTooLargeError
+            If the body exceeds `MAX_ANSWER_BYTES`.
+        """
+        response = await self.open(method, target, body, headers)
+        chunks: list[bytes] = []
+        size = 0
+        async for chunk in response.stream:  # type: ignore[union-attr]
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_ANSWER_BYTES:
+                await self.aclose()
+                raise AnswerTooLargeError(f"more than {MAX_ANSWER_BYTES} bytes")
+        await response.aclose()
+        fields = {name.lower(): value for name, value in response.headers}
+        return RawAnswer(response.status, fields, b"".join(chunks))
+
+    def is_idle(self) -> bool:
+        """Tell whether the last exchange is complete and the peer keeps the connection."""
+        # Bytes after the end of a response belong to no request of this connection.
+        return self._http.is_idle() and not self._http._h11_state.trailing_data[0]
+
+    async def is_reusable(self) -> bool:
+        """Tell whether the connection is idle and the peer has neither closed it nor sent more."""
+        return self.is_idle() and await self.stream.is_quiet()
+
+    async def aclose(self) -> None:
+        """Close the connection at once."""
+        with trio.CancelScope(shield=True):
+            await self._http.aclose()
+
+
+class ConnectionPool:
+    """
+    Idle connections to one upstream and what is known about its process.
+
+    Parameters
+    ----------
+    address : Address
+        The upstream's address.
+    timers : Timers
+        Clock.
+    """
+
+    __slots__ = ("address", "broken", "cold_mark", "evidence", "evidence_at", "_timers", "_idle")
+
+    def __init__(self, *, address: Address, timers: Timers) -> None:
+        self.address = address
+        # Set when the peer ended a connection without having announced it.
+        self.broken = False
+        # The view's status that evidence of a cold start contradicts; None if there is none.
+        self.cold_mark: tuple[str, int] | None = None
+        self.evidence: tuple[str, str, str] = ("", "", "")
+        self.evidence_at = 0.0
+        self._timers = timers
+        self._idle: list[Connection] = []
+
+    async def take(self, instance: str) -> Connection | None:
+        """
+        Take an idle connection whose idleness has just been checked.
+
+        Parameters
+        ----------
+        instance : str
+            Instance that it must be bound to; empty for any.
+
+        Returns
+        -------
+        Connection or None
+            None if a new one must be opened.
+        """
+        while self._idle:
+            conn = self._idle.pop()
+            if self._timers.now() - conn.idle_since > MAX_IDLE_S:
+                await conn.aclose()
+            elif not await conn.is_reusable():
+                self.broken = True
+                await conn.aclose()
+            elif instance and conn.instance and conn.instance != instance:
+                await conn.aclose()
+            else:
+                return conn
+        return None
+
+    async def give_back(self, conn: Connection) -> None:
+        """Keep a connection for later calls, or close it if it cannot be used again."""
+        if conn.is_idle() and len(self._idle) < MAX_IDLE_CONNECTIONS:
+            conn.idle_since = self._timers.now()
+            self._idle.append(conn)
+        else:
+            await conn.aclose()
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        idle, self._idle = self._idle, []
+        for conn in idle:
+            await conn.aclose()
--- /dev/null
+++ b/marigoldtrail/upstream/gate.py
@@ -0,0 +1,185 @@
+"""Decides whether a call may be sent on a connection: instances, cold starts, evidence."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.schema.generated.control import UpstreamStatus
+from marigoldtrail.schema.generated.manifest import Upstream
+from marigoldtrail.schema.generated.slots import SlotGrant
+from marigoldtrail.timers import Timers
+from marigoldtrail.upstream.connections import Connection, ConnectionPool, RawAnswer
+from marigoldtrail.upstream.messages import LoadReport
+
+# Evidence that is still not reflected in the view is reported again after this time.
+EVIDENCE_INTERVAL_S = 1.0
+
+NEEDS_SLOT = ("cold", "warming")
+NO_WORK = ("leaving", "down")
+
+EvidenceHandler = Callable[[str, str, str, str], None]
+
+
+class StatusView(Protocol):
+    """What a `marigoldtrail.fleet.FleetView` tells about upstreams."""
+
+    def upstream_status(self, upstream: str) -> UpstreamStatus | None:
+        """Return the state of an upstream; None if it is unknown."""
+        ...
+
+
+class Gate:
+    """
+    Keeps work without a slot away from upstreams that are not known to be warm.
+
+    Parameters
+    ----------
+    view : StatusView
+        States of the upstreams.
+    timers : Timers
+        Clock.
+    on_evidence : callable
+        Called with upstream, instance, state and reason; must not block.
+    """
+
+    __slots__ = ("_view", "_timers", "_on_evidence")
+
+    def __init__(self, *, view: StatusView, timers: Timers, on_evidence: EvidenceHandler) -> None:
+        self._view = view
+        self._timers = timers
+        self._on_evidence = on_evidence
+
+    def needs_slot(self, upstream: Upstream, pool: ConnectionPool) -> bool:
+        """Tell whether a call needs a slot: not warm, or evidence speaks against it."""
+        status = self._view.upstream_status(upstream.name)
+        if status is None or status.state != "warm":
+            return True
+        if pool.cold_mark is None:
+            return False
+        # The view has changed since the evidence: the owner has judged it.
+        if pool.cold_mark != _mark_of(status):
+            pool.cold_mark = None
+            pool.broken = False
+            return False
+        return True
+
+    def check_state(
+        self, upstream: Upstream, pool: ConnectionPool, step: str, slot: SlotGrant | None
+    ) -> Failure | None:
+        """Refuse a call that the view or earlier evidence rules out."""
+        status = self._view.upstream_status(upstream.name)
+        if status is not None and status.state in NO_WORK:
+            return _refuse(upstream, step, Reason.NO_UPSTREAM, f"upstream is {status.state}")
+        if slot is not None or not self.needs_slot(upstream, pool):
+            return None
+        if pool.cold_mark is not None:
+            self._repeat_evidence(upstream, pool)
+        return _refuse(upstream, step, Reason.NO_SLOT, "upstream is not known to be warm")
+
+    def check_report(
+        self,
+        upstream: Upstream,
+        pool: ConnectionPool,
+        report: LoadReport,
+        step: str,
+        slot: SlotGrant | None,
+    ) -> Failure | None:
+        """Compare the load report of a new connection with what is known."""
+        if report.state in NO_WORK:
+            self.add_evidence(upstream, pool, report.instance, report.state, "load report")
+            return _refuse(upstream, step, Reason.NO_UPSTREAM, f"upstream is {report.state}")
+        expected = self.expected_instance(upstream, slot)
+        if expected and report.instance != expected:
+            state = report.state if report.state in NEEDS_SLOT else "cold"
+            reason = f"instance is {report.instance}; expected {expected}"
+            self.add_evidence(upstream, pool, report.instance, state, reason)
+            return _refuse(upstream, step, Reason.NO_SLOT, reason)
+        if slot is None and report.state in NEEDS_SLOT:
+            self.add_evidence(upstream, pool, report.instance, report.state, "load report")
+            return _refuse(upstream, step, Reason.NO_SLOT, f"upstream is {report.state}")
+        return None
+
+    def check_unreported(
+        self, upstream: Upstream, pool: ConnectionPool, step: str, slot: SlotGrant | None
+    ) -> Failure | None:
+        """Count a new connection after an abnormal close as evidence of a cold start."""
+        if slot is not None or not pool.broken:
+            return None
+        reason = "new connection after an abnormal close"
+        self.add_evidence(upstream, pool, "", "cold", reason)
+        return _refuse(upstream, step, Reason.NO_SLOT, reason)
+
+    def check_answer(
+        self,
+        upstream: Upstream,
+        pool: ConnectionPool,
+        conn: Connection,
+        instance: str,
+        state: str,
+        slot: SlotGrant | None,
+    ) -> None:
+        """Take the headers of an answer as evidence; they do not invalidate the answer."""
+        expected = conn.instance or self.expected_instance(upstream, slot)
+        if instance and not conn.instance:
+            conn.instance = instance
+        if state in NO_WORK:
+            self.add_evidence(upstream, pool, instance, state, "answer header")
+        elif instance and expected and instance != expected:
+            reason = f"answer header: instance is {instance}; expected {expected}"
+            self.add_evidence(upstream, pool, instance, "cold", reason)
+        elif slot is None and state in NEEDS_SLOT:
+            self.add_evidence(upstream, pool, instance, state, "answer header")
+
+    def expected_instance(self, upstream: Upstream, slot: SlotGrant | None) -> str:
+        """Return the instance that a call is meant for; empty if it is not known."""
+        if slot is not None:
+            return slot.instance
+        status = self._view.upstream_status(upstream.name)
+        return status.instance if status is not None else ""
+
+    def add_evidence(
+        self, upstream: Upstream, pool: ConnectionPool, instance: str, state: str, reason: str
+    ) -> None:
+        """Stop work without a slot on this node at once, and report why."""
+        status = self._view.upstream_status(upstream.name)
+        pool.cold_mark = _mark_of(status) if status is not None else ("", 0)
+        pool.evidence = (instance, state, reason)
+        pool.evidence_at = self._timers.now()
+        self._on_evidence(upstream.name, instance, state, reason)
+
+    def _repeat_evidence(self, upstream: Upstream, pool: ConnectionPool) -> None:
+        if self._timers.now() - pool.evidence_at >= EVIDENCE_INTERVAL_S:
+            pool.evidence_at = self._timers.now()
+            self._on_evidence(upstream.name, *pool.evidence)
+
+
+def _mark_of(status: UpstreamStatus) -> tuple[str, int]:
+    return (status.instance, status.changed_ms)
+
+
+def _refuse(upstream: Upstream, step: str, reason: Reason, detail: str) -> Failure:
+    return Failure(
+        reason=reason, run_state=RunState.NOT_RUN, step=step, peer=upstream.name, detail=detail
+    )
+
+
+def answer_labels(answer: RawAnswer) -> tuple[str, str, int]:
+    """
+    Return instance, state and load from the headers of an answer.
+
+    Parameters
+    ----------
+    answer : RawAnswer
+        The answer.
+
+    Returns
+    -------
+    tuple of str, str, int
+        Empty texts and -1 where a header is missing or malformed.
+    """
+    instance = answer.headers.get(b"x-instance", b"").decode("latin-1")
+    state = answer.headers.get(b"x-state", b"").decode("latin-1")
+    load = answer.headers.get(b"x-load", b"")
+    return instance, state, min(255, int(load)) if load.isdigit() else -1
