Accept slots by id and name the instance found in refusals

A SlotGrant passed as slot= still binds the call to the granted instance. Reads at /query of an effect service count no effect, since they may be retried.

--- a/marigoldtrail/standins/services.py
+++ b/marigoldtrail/standins/services.py
@@ -134,6 +134,8 @@
         Whether it answers ``GET /load``.
     tells_outcomes : bool
         Whether it answers ``GET /outcome``.
+    read_paths : tuple of str
+        Paths whose calls have no effect and are counted by attempt only.
     """
 
     __slots__ = (
@@ -148,6 +150,7 @@
         "_work_s",
         "_reports_load",
         "_tells_outcomes",
+        "_read_paths",
     )
 
     def __init__(
@@ -158,6 +161,7 @@
         work_s: float = 0.01,
         reports_load: bool = True,
         tells_outcomes: bool = True,
+        read_paths: tuple[str, ...] = ("/query",),
     ) -> None:
         self.process = process
         self.knobs = Knobs()
@@ -170,6 +174,7 @@
         self._work_s = work_s
         self._reports_load = reports_load
         self._tells_outcomes = tells_outcomes
+        self._read_paths = read_paths
 
     async def handle(self, request: HttpRequest, reply: HttpReply) -> None:
         """Answer one request."""
@@ -177,9 +182,10 @@
             await self._answer_get(request, reply)
             return
         call = decode_body(request)
-        key = effect_key(call)
+        has_effect = request.path not in self._read_paths
         self.runs_by_attempt[call["attempt_id"]] += 1
-        self.runs_by_key[key] += 1
+        if has_effect:
+            self.runs_by_key[effect_key(call)] += 1
         running = self.process.begin()
         if running is None or self.knobs.stalled:
             await trio.sleep_forever()
@@ -187,14 +193,18 @@
         try:
             if delay_s := self._work_s + self.knobs.delay_s:
                 await self._timers.sleep(delay_s)
-            self.effects_by_key[key] += 1
-            output = {"receipt": f"{self.process.name}-{sum(self.effects_by_key.values())}"}
-            self.outputs[call["attempt_id"]] = output
+            output = self._apply_effect(call) if has_effect else {"found": call["input"]}
             self.process.finish(running, succeeded=True)
             await send_answer(self, reply, answer_call(call, output))
         finally:
             self.process.finish(running, succeeded=False)
 
+    def _apply_effect(self, call: dict[str, Any]) -> dict[str, Any]:
+        self.effects_by_key[effect_key(call)] += 1
+        output = {"receipt": f"{self.process.name}-{sum(self.effects_by_key.values())}"}
+        self.outputs[call["attempt_id"]] = output
+        return output
+
     async def _answer_get(self, request: HttpRequest, reply: HttpReply) -> None:
         headers = self.process.headers()
         if request.path == "/load" and self._reports_load:
--- a/marigoldtrail/upstream/client.py
+++ b/marigoldtrail/upstream/client.py
@@ -30,7 +30,13 @@
     may_have_run,
     refused_answer,
 )
-from marigoldtrail.upstream.gate import EvidenceHandler, Gate, StatusView, answer_labels
+from marigoldtrail.upstream.gate import (
+    EvidenceHandler,
+    Gate,
+    StatusView,
+    answer_labels,
+    slot_of,
+)
 from marigoldtrail.upstream.messages import (
     CacheEvents,
     EngineOrder,
@@ -146,7 +152,7 @@
             Whether the stage is idempotent. Only labels the span: no call is repeated here, and
             every connection is checked right before its use.
         slot : SlotGrant or None
-            Slot on an upstream that is not warm.
+            Slot on an upstream that is not warm; it holds for its instance only.
 
         Returns
         -------
@@ -154,6 +160,7 @@
             The answer, checked to belong to this call.
         """
         step = f"stage.{request.stage}.attempt"
+        slot = slot_of(upstream, request, slot)
         with self._telemetry.span(
             "upstream.call",
             upstream=upstream.name,
@@ -247,6 +254,7 @@
             The stream, or why none could be opened.
         """
         step = f"stage.{request.stage}.attempt"
+        slot = slot_of(upstream, request, slot)
         deadline = self._timers.now() + timeout_s
         with self._telemetry.span(
             "upstream.stream",
--- a/marigoldtrail/upstream/gate.py
+++ b/marigoldtrail/upstream/gate.py
@@ -12,6 +12,7 @@
 from marigoldtrail.timers import Timers
 from marigoldtrail.upstream.connections import Connection, ConnectionPool, RawAnswer
 from marigoldtrail.upstream.messages import LoadReport
+from marigoldtrail.upstream.types import StageCall
 
 # Evidence that is still not reflected in the view is reported again after this time.
 EVIDENCE_INTERVAL_S = 1.0
@@ -95,10 +96,11 @@
             state = report.state if report.state in NEEDS_SLOT else "cold"
             reason = f"instance is {report.instance}; expected {expected}"
             self.add_evidence(upstream, pool, report.instance, state, reason)
-            return _refuse(upstream, step, Reason.NO_SLOT, reason)
+            return _refuse(upstream, step, Reason.NO_SLOT, reason, hint=report.instance)
         if slot is None and report.state in NEEDS_SLOT:
             self.add_evidence(upstream, pool, report.instance, report.state, "load report")
-            return _refuse(upstream, step, Reason.NO_SLOT, f"upstream is {report.state}")
+            detail = f"upstream is {report.state}"
+            return _refuse(upstream, step, Reason.NO_SLOT, detail, hint=report.instance)
         return None
 
     def check_unreported(
@@ -159,9 +161,41 @@
     return (status.instance, status.changed_ms)
 
 
-def _refuse(upstream: Upstream, step: str, reason: Reason, detail: str) -> Failure:
+def _refuse(
+    upstream: Upstream, step: str, reason: Reason, detail: str, *, hint: str = ""
+) -> Failure:
     return Failure(
-        reason=reason, run_state=RunState.NOT_RUN, step=step, peer=upstream.name, detail=detail
+        reason=reason,
+        run_state=RunState.NOT_RUN,
+        step=step,
+        peer=upstream.name,
+        detail=detail,
+        hint=hint,
+    )
+
+
+def slot_of(upstream: Upstream, call: StageCall, slot: SlotGrant | None) -> SlotGrant | None:
+    """
+    Return the slot that a call holds.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        Whom the call goes to.
+    call : StageCall
+        The call; its `slot_id` alone stands for a slot on any instance.
+    slot : SlotGrant or None
+        The granted slot, if the caller passes it.
+
+    Returns
+    -------
+    SlotGrant or None
+        None for a call without a slot.
+    """
+    if slot is not None or not call.slot_id:
+        return slot
+    return SlotGrant(
+        slot_id=call.slot_id, upstream=upstream.name, epoch=0, expires_in_s=0.0, instance=""
     )
 
 
