--- a/marigoldtrail/records/segments.py
+++ b/marigoldtrail/records/segments.py
@@ -19,7 +19,6 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.records.claims import Location
-from marigoldtrail.records.disk import Disk
 from marigoldtrail.records.entries import (
     HEADER_BYTES,
     Entry,
@@ -30,6 +29,7 @@
 )
 from marigoldtrail.records.index import Field, SegmentIndex
 from marigoldtrail.records.segment import Segment, SegmentState
+from marigoldtrail.storage import Disk
 
 SEGMENT_BYTES = 64 * 1024 * 1024
 READ_PIECE_BYTES = 1024 * 1024
