--- a/marigoldtrail/records/segments.py
+++ b/marigoldtrail/records/segments.py
@@ -52,7 +52,7 @@
     disk : Disk
         Where the files are.
     folder : str
-        Prefix of their names, for example ``"records-0/segments"``.
+        Prefix of their names, for example ``"segments/records-0"``.
     segment_bytes : int
         Size in bytes at which a segment is sealed. All members must use the same.
 
@@ -60,7 +60,7 @@
     --------
     On the disk of a control host::
 
-        store = SegmentStore(disk=disk, folder="records-0/segments")
+        store = SegmentStore(disk=disk, folder="segments/records-0")
         location = store.append(RECORD, payload, at_ms=1)
         await store.flush()
         entry = await store.read(location)
--- a/marigoldtrail/records/service.py
+++ b/marigoldtrail/records/service.py
@@ -51,8 +51,8 @@
 # the records of years at once; twice the interval lets it catch up.
 RETAIN_STEP_MS = 7_200_000
 DAY_MS = 86_400_000
-# Answers and records larger than this are refused; a frame carries at most 8 MB.
-MAX_PAYLOAD_BYTES = 4 * 1024 * 1024
+# Answers and records larger than this are refused; a command has at most 4 MB.
+MAX_PAYLOAD_BYTES = 2 * 1024 * 1024
 MAX_LISTED_CLAIMS = 1000
 
 _CLAIM_STATES = {
@@ -118,7 +118,7 @@
     --------
     On a control host::
 
-        store = SegmentStore(disk=disk, folder="records-0/segments")
+        store = SegmentStore(disk=disk, folder="segments/records-0")
         machine = RecordMachine(store=store)
         log = Group(..., machine=machine)
         group = RecordGroup(name="records-0", log=log, machine=machine, members=hosts)
--- /dev/null
+++ b/marigoldtrail/records/tests/test_claims_stateful.py
@@ -0,0 +1,186 @@
+"""Claims under lost, repeated and reordered messages, against the runs that really happened."""
+
+import msgspec
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import run_state_machine_as_test as run_machine
+
+from marigoldtrail.records import claims
+from marigoldtrail.records.claims import ClaimState, SettledBy
+from marigoldtrail.records.entries import decode_entry
+from marigoldtrail.records.machine import (
+    OpenCommand,
+    SettleCommand,
+    StoredAnswer,
+    encode_command,
+)
+from marigoldtrail.records.tests.fakes import make_disk, make_machine, open_claim, settle_claim
+from marigoldtrail.schema.generated.records import SettleClaim
+
+FIXED = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=50,
+    suppress_health_check=list(HealthCheck),
+)
+KEYS = ("k1", "k2")
+
+
+class Attempt:
+    """An entry's attempt: waits for its claim, then calls once, then settles."""
+
+    def __init__(self, name, key, digest):
+        self.name = name
+        self.key = key
+        self.digest = digest
+        self.state = "opening"
+        self.ran = False
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """
+    The oracle is the list of attempts that the upstream really ran, for each key.
+
+    Messages stay in the network after they were delivered, so that each can arrive again later.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.machine = make_machine(make_disk())
+        self.index = 0
+        self.network = []
+        self.attempts = {}
+        self.runs = {key: [] for key in KEYS}
+        self.answers = {}
+
+    def apply(self, command):
+        self.index += 1
+        return self.machine.apply(self.index, encode_command(command))
+
+    @rule(key=st.sampled_from(KEYS), digest=st.sampled_from(["d1", "d1", "d2"]))
+    def start_attempt(self, key, digest):
+        attempt = Attempt(f"a{len(self.attempts)}", key, digest)
+        self.attempts[attempt.name] = attempt
+        self.network.append(open_claim(attempt.name, key=key, digest=digest))
+
+    @precondition(lambda self: self.network)
+    @rule()
+    def deliver_all(self):
+        for age in reversed(range(min(len(self.network), 4))):
+            self.deliver(age, False)
+
+    @precondition(lambda self: self.network)
+    @rule(age=st.integers(0, 6), reply_lost=st.sampled_from([False, False, True]))
+    def deliver(self, age, reply_lost):
+        message = self.network[max(-1 - age, -len(self.network))]
+        attempt = self.attempts[message.attempt_id]
+        if isinstance(message, SettleClaim):
+            result = self.apply(SettleCommand(message, SettledBy.ATTEMPT, self.index))
+            if message.state == "done":
+                assert result.reply.state == "done", "an answer of the holder is recorded"
+            return
+        result = self.apply(OpenCommand(message, self.index))
+        if result.reply.state == "done":
+            self.check_answer(attempt, result)
+        elif attempt.key in self.answers:
+            assert result.reply.state in ("mismatch", "not_run"), "done is final"
+        if attempt.state == "opening" and not reply_lost:
+            attempt.state = "granted" if result.reply.state == "granted" else "refused"
+
+    def check_answer(self, attempt, result):
+        """The answer is that of a run for the same digest, and never another one."""
+        segment = self.machine.store._segments[result.answer.segment]
+        entry = claims_entry(segment, result.answer.offset)
+        assert entry.attempt_id in self.runs[attempt.key]
+        assert self.attempts[entry.attempt_id].digest == attempt.digest
+        assert self.answers.setdefault(attempt.key, entry.answer) == entry.answer
+
+    def pick(self, data, *states):
+        names = sorted(name for name, item in self.attempts.items() if item.state in states)
+        return self.attempts[data.draw(st.sampled_from(names))] if names else None
+
+    @rule(data=st.data(), seen=st.booleans())
+    def call_upstream(self, data, seen):
+        attempt = self.pick(data, "granted")
+        if attempt is not None:
+            attempt.ran = True
+            attempt.state = "ended"
+            self.runs[attempt.key].append(attempt.name)
+            state = "done" if seen else "may_have_run"
+            self.settle(attempt, state, answer=attempt.name.encode() if seen else b"")
+
+    @rule(data=st.data(), dies=st.booleans())
+    def end_without_call(self, data, dies):
+        attempt = self.pick(data, "opening", "granted", "refused")
+        if attempt is not None:
+            attempt.state = "ended"
+            if not dies:
+                self.settle(attempt, "not_run")
+
+    def settle(self, attempt, state, answer=b""):
+        self.network.append(settle_claim(state, attempt.name, key=attempt.key, answer=answer))
+
+    @rule(final=st.booleans())
+    def sweep(self, final):
+        """Settle every pending claim whose attempt is over, by the upstream's word."""
+        for key, claim in [(item.idempotency_key, item.claim) for item in self.pending()]:
+            attempt = self.attempts[claim.attempt_id]
+            if attempt.state in ("ended", "refused"):
+                state = "done" if attempt.ran else "not_run" if final else "may_have_run"
+                answer = attempt.name.encode() if attempt.ran else b""
+                req = settle_claim(state, attempt.name, key=key, answer=answer)
+                self.apply(SettleCommand(req, SettledBy.SWEEPER, self.index))
+
+    def pending(self):
+        return self.machine.claims.pending()
+
+    @rule()
+    def operator_frees(self):
+        for status in self.machine.claims.list_claims(ClaimState.MAY_HAVE_RUN):
+            attempt = self.attempts[status.attempt_id]
+            if not attempt.ran and attempt.state == "ended":
+                req = settle_claim("not_run", attempt.name, key=attempt.key)
+                self.apply(SettleCommand(req, SettledBy.OPERATOR, self.index))
+
+    @rule()
+    def restore_from_snapshot(self):
+        data = self.machine.snapshot()
+        self.machine = make_machine(make_disk())
+        self.machine.restore(data)
+        assert self.machine.snapshot() == data
+
+    @invariant()
+    def each_key_runs_at_most_once(self):
+        for key, runs in self.runs.items():
+            assert len(runs) <= 1, (key, runs)
+
+
+def claims_entry(segment, offset):
+    entry = decode_entry(segment.tail, offset - segment.flushed, segment.flushed)
+    return msgspec.msgpack.decode(entry.payload, type=StoredAnswer)
+
+
+def test_each_key_runs_at_most_once():
+    """Guards against a second run under losses, repeats, reordering, sweeps and restores."""
+    run_machine(ClaimMachine, settings=FIXED)
+
+
+def allow_every_change(monkeypatch):
+    monkeypatch.setattr(claims, "_may_change", lambda claim, state, by: True)
+
+
+def ignore_digests(monkeypatch):
+    monkeypatch.setattr(claims.KeyClaims, "is_free", lambda self: True)
+
+
+@pytest.mark.parametrize("fault", [allow_every_change, ignore_digests])
+def test_machine_finds_a_fault(monkeypatch, fault):
+    """Guards against a state machine that cannot fail."""
+    fault(monkeypatch)
+    found = settings(FIXED, phases=[Phase.generate], print_blob=False)
+    with pytest.raises(AssertionError):
+        run_machine(ClaimMachine, settings=found)
