--- /dev/null
+++ b/marigoldtrail/records/tests/test_segments.py
@@ -0,0 +1,218 @@
+"""Segment files over a disk that tears, corrupts and refuses."""
+
+import json
+
+import msgspec
+import pytest
+
+from marigoldtrail.errors import Reason, is_failure
+from marigoldtrail.records import RecordMachine, SegmentStore, export_records
+from marigoldtrail.records.fetch import fetch_missing
+from marigoldtrail.records.machine import PutCommand, RetainCommand, encode_command
+from marigoldtrail.records.search import search_records
+from marigoldtrail.records.tests.fakes import FOLDER, corrupt, make_disk, make_machine, make_record
+from marigoldtrail.schema.generated.records import FindRecords, SegmentChunk
+
+FILE = f"{FOLDER}/{1:08d}.seg"
+
+
+def put(machine, numbers, **fields):
+    for number in numbers:
+        payload = msgspec.Raw(msgspec.msgpack.encode(make_record(number, **fields)))
+        machine.apply(number, encode_command(PutCommand(payload, number)))
+
+
+async def find(machine, **fields):
+    found = await search_records(machine.store, FindRecords(group="records-0", **fields))
+    return found if is_failure(found) else [record.request_id for record in found]
+
+
+async def restart(machine, disk, *, crash=True):
+    """Restore the newest snapshot over the files on the disk."""
+    data = machine.snapshot()
+    if crash:
+        disk.crash()
+    again = make_machine(disk)
+    again.restore(data)
+    await again.store.maintain()
+    return again
+
+
+async def test_records_are_found_by_each_field_in_memory_and_on_disk(autojump_clock):
+    """Guards against an index that loses records when segments are flushed, sealed or reloaded."""
+    disk = make_disk()
+    machine = make_machine(disk)
+    put(machine, range(20))
+    for step in range(3):
+        assert await find(machine, request_id="00000007") == ["00000007"]
+        assert await find(machine, result_digest="r3") == ["00000007", "00000006"]
+        assert await find(machine, idempotency_key="key9", client_account="acme") == ["00000009"]
+        assert await find(machine, idempotency_key="key9", client_account="other") == []
+        assert len(await find(machine, client_account="acme")) == 20
+        assert await find(machine, limit=2) == ["00000013", "00000012"]
+        await machine.store.maintain()
+        if step == 1:
+            machine = await restart(machine, disk)
+    assert len(machine.store.numbers()) > 2
+    assert machine.is_complete()
+
+
+async def test_repeated_record_is_stored_once(autojump_clock):
+    """Guards against duplicates after a lost response, also across a restore."""
+    machine = make_machine(make_disk())
+    put(machine, [1, 2])
+    again = make_machine(make_disk())
+    again.restore(machine.snapshot())
+    payload = msgspec.Raw(msgspec.msgpack.encode(make_record(1)))
+    reply = again.apply(9, encode_command(PutCommand(payload, 9)))
+    assert reply.index == 1
+    assert again.snapshot() == machine.snapshot()
+
+
+async def test_torn_tail_is_cut_and_written_again(autojump_clock):
+    """Guards against half an entry between two valid ones."""
+    disk = make_disk()
+    machine = make_machine(disk)
+    put(machine, range(3))
+    await machine.store.flush()
+    snapshot = machine.snapshot()
+    size = await disk.size(FILE)
+    put(machine, range(3, 5))
+    await disk.append(FILE, b"\0\0\1\0half an entry")
+    again = make_machine(disk)
+    again.restore(snapshot)
+    put(again, range(3, 5))
+    await again.store.flush()
+    assert await disk.size(FILE) > size
+    assert await find(again, client_account="acme") == [f"00{n:06x}" for n in (4, 3, 2, 1, 0)]
+    assert again.snapshot() != snapshot
+    assert (await restart(again, disk)).is_complete()
+
+
+async def test_lost_unsynced_bytes_come_back_from_the_snapshot(autojump_clock):
+    """Guards against a snapshot that relies on bytes which are not yet durable."""
+    disk = make_disk()
+    machine = make_machine(disk)
+    put(machine, range(2))
+    await machine.store.flush()
+    put(machine, range(2, 4))
+    again = await restart(machine, disk)
+    assert await find(again, client_account="acme") == [f"00{n:06x}" for n in (3, 2, 1, 0)]
+
+
+async def test_corrupt_record_is_reported_and_fetched_again(autojump_clock):
+    """Guards against a damaged record that is returned as valid, or stays damaged."""
+    disk, other = make_disk(), make_disk()
+    machine, member = make_machine(disk), make_machine(other)
+    for each in (machine, member):
+        put(each, range(12))
+        await each.store.flush()
+    corrupt(disk, 1, 100)
+    first = await find(machine, request_id="00000000")
+    assert is_failure(first) and first.reason is Reason.CORRUPT
+    assert await find(machine, request_id="00000005") == ["00000005"], "others stay readable"
+    await machine.store.maintain()
+    assert [segment.number for segment in machine.store.missing()] == [1]
+    assert not machine.is_complete()
+
+    async def fetch(host, req):
+        data = await member.store.read_durable(req.segment, req.offset, 700)
+        return data if is_failure(data) else SegmentChunk(size=0, data=data)
+
+    assert await fetch_missing(machine.store, "records-0", ["c2"], fetch) == 1
+    assert await find(machine, request_id="00000000") == ["00000000"]
+    assert machine.is_complete()
+
+
+async def test_content_that_does_not_match_is_not_installed(autojump_clock):
+    """Guards against a damaged copy of another member replacing the file."""
+    disk = make_disk()
+    machine = make_machine(disk)
+    put(machine, range(2))
+    await machine.store.flush()
+    corrupt(disk, 1, 50)
+    damaged = bytes(disk.files[FILE].data)
+    again = await restart(machine, disk, crash=False)
+    [segment] = again.store.missing()
+    assert not await again.store.install(segment, damaged)
+    assert not again.is_complete()
+    failure = await find(again, client_account="acme")
+    assert is_failure(failure) and failure.retry_after_s > 0
+
+
+async def test_full_disk_and_failed_sync_lose_nothing(autojump_clock):
+    """Guards against entries that are dropped or written twice after an error of the disk."""
+    disk = make_disk()
+    machine = make_machine(disk)
+    put(machine, range(2))
+    disk.capacity_bytes = 10
+    await machine.store.maintain()
+    assert machine.store.failure.reason is Reason.DISK_FULL
+    disk.capacity_bytes = None
+    disk.fail_syncs = True
+    await machine.store.maintain()
+    assert machine.store.failure.reason is Reason.DISK_ERROR
+    assert machine.store.unflushed_bytes() > 0
+    disk.fail_syncs = False
+    await machine.store.maintain()
+    assert machine.store.failure is None and machine.store.unflushed_bytes() == 0
+    assert await find(await restart(machine, disk), client_account="acme") == [
+        "00000001",
+        "00000000",
+    ]
+
+
+async def test_retention_drops_whole_old_segments_and_their_files(autojump_clock):
+    """Guards against files that stay after retention, or young records that go with old ones."""
+    disk = make_disk()
+    machine = make_machine(disk)
+    put(machine, range(20))
+    await machine.store.flush()
+    before = machine.store.numbers()
+    machine.apply(21, encode_command(RetainCommand(10, 100)))
+    await machine.store.maintain()
+    kept = machine.store.numbers()
+    assert kept[0] > before[0] and kept[-1] == before[-1]
+    assert await find(machine, request_id="0000000a") == ["0000000a"]
+    names = await disk.list_names(FOLDER)
+    assert {int(name[len(FOLDER) + 1 :][:8]) for name in names} == set(kept)
+
+
+async def test_members_write_the_same_bytes(autojump_clock):
+    """Guards against segments that depend on when a member flushed."""
+    one, two = make_disk(), make_disk()
+    first, second = make_machine(one), make_machine(two)
+    for number in range(15):
+        put(first, [number])
+        put(second, [number])
+        await first.store.flush()
+    await second.store.flush()
+    for name in await one.list_names(FOLDER):
+        assert one.files[name].data == two.files[name].data
+
+
+async def test_export_writes_json_lines_and_reports_damage(autojump_clock):
+    """Guards against an export that stops at, or hides, a damaged segment."""
+    disk = make_disk()
+    machine = make_machine(disk)
+    put(machine, range(30), output=b'{"price": 7}')
+    await machine.store.flush()
+    corrupt(disk, 2, 30)
+    lines = []
+
+    async def write(line):
+        lines.append(json.loads(line))
+
+    failures = await export_records(machine.store, write)
+    assert [failure.reason for failure in failures] == [Reason.CORRUPT]
+    ids = [line["request_id"] for line in lines]
+    assert ids[0] == "00000000" and ids[-1] == "0000001d" and 15 < len(ids) < 30
+    assert lines[0]["output"] == '{"price": 7}'
+
+
+def test_snapshot_of_another_version_is_refused():
+    """Guards against a snapshot that is read with the wrong meaning."""
+    machine = RecordMachine(store=SegmentStore(disk=make_disk(), folder=FOLDER))
+    state = msgspec.msgpack.decode(machine.snapshot())
+    with pytest.raises(ValueError, match="version 9"):
+        machine.restore(msgspec.msgpack.encode({**state, "version": 9}))
