Run the whole path: node, command line and demo

One typer program runs nodes and all tools; a node is composed from its roles; the demo runs the two deployments (17 nodes, 65 stand-in upstreams on loopback sockets), kills an engine, takes a data centre out and in under load, and compares what callers were told with what upstreams did.

--- /dev/null
+++ b/marigoldtrail/cli/inspect.py
@@ -0,0 +1,170 @@
+"""Subcommands of callers and inspectors: request, trace, explain, addresses."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from marigoldtrail.api import ApiClient, ApiStream
+from marigoldtrail.cli.context import ApiOption, JsonOption, call_api, read_input
+from marigoldtrail.cli.exits import ExitCode, print_result
+from marigoldtrail.cli.operate import format_ms
+from marigoldtrail.errors import Failure
+
+DIGEST_CHARS = 64
+
+
+def submit_request(
+    pipeline: Annotated[str, typer.Argument(help="Name of the pipeline.")],
+    api: ApiOption,
+    client_account: Annotated[str, typer.Option(help="Who asks.")],
+    value: Annotated[str, typer.Option("--input", help="JSON input.")] = "null",
+    input_file: Annotated[Path | None, typer.Option(help="File with the JSON input.")] = None,
+    key: Annotated[str, typer.Option(help="Idempotency key: the order runs at most once.")] = "",
+    deadline_ms: Annotated[int, typer.Option(min=0, help="0 for the pipeline's own.")] = 0,
+    stream: Annotated[bool, typer.Option(help="Print tokens as they come.")] = False,
+    as_json: JsonOption = False,
+) -> None:
+    """Send a request as a caller does.
+
+    Example: marigoldtrail request stock_question --client-account resellers
+    --input '{"item": "star"}' --api 10.0.0.1:8000
+    """
+    text = read_input(input_file).decode(errors="replace") if input_file else value
+    try:
+        decoded = json.loads(text)
+    except ValueError as exc:
+        typer.echo(f"error: --input: {exc}", err=True)
+        raise typer.Exit(ExitCode.INVALID_INPUT) from exc
+
+    async def run(client: ApiClient) -> dict[str, Any] | Failure:
+        if not stream:
+            return await client.submit(
+                pipeline, client_account, decoded, idempotency_key=key, deadline_ms=deadline_ms
+            )
+        async with client.stream(
+            pipeline, client_account, decoded, idempotency_key=key, deadline_ms=deadline_ms
+        ) as answer:
+            return answer if isinstance(answer, Failure) else await print_tokens(answer, as_json)
+
+    print_result(call_api(api, run), as_json=as_json)
+
+
+async def print_tokens(answer: ApiStream, as_json: bool) -> dict[str, Any] | Failure:
+    """
+    Print the tokens of a streamed answer as they come.
+
+    Parameters
+    ----------
+    answer : ApiStream
+        The answer.
+    as_json : bool
+        Whether only the result is printed.
+
+    Returns
+    -------
+    dict or Failure
+        Request id, text and end marker, once the marker is verified.
+    """
+    async for _, text in answer:
+        if not as_json:
+            typer.echo(text, nl=False)
+    if not as_json:
+        typer.echo()
+    if answer.failure is not None:
+        return answer.failure
+    return {"request_id": answer.request_id, "output": answer.text, "end": answer.end}
+
+
+def list_addresses(
+    api: ApiOption,
+    data_centre: Annotated[str, typer.Option(help="Data centre of the caller.")] = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Print which addresses to use, best first.
+
+    Example: marigoldtrail addresses --data-centre nbo-1 --api 10.0.0.1:8000
+    """
+    addresses = call_api(api, lambda client: client.addresses(data_centre))
+    print_result(addresses, as_json=as_json, text="\n".join(addresses))
+
+
+def trace_result(
+    subject: Annotated[str, typer.Argument(help="Request id, or digest of a result.")],
+    api: ApiOption,
+    as_json: JsonOption = False,
+) -> None:
+    """Print which request produced a result, and how.
+
+    Example: marigoldtrail trace 00f3a1... --api 10.0.0.1:8000
+    """
+
+    async def find(client: ApiClient) -> list[dict[str, Any]] | Failure:
+        if len(subject) == DIGEST_CHARS:
+            found = await client.show_results(subject)
+            return found if isinstance(found, Failure) else found["records"]
+        record = await client.show_request(subject)
+        return record if isinstance(record, Failure) else [record]
+
+    records = call_api(api, find)
+    text = "\n\n".join(format_record(record) for record in records)
+    print_result(records, as_json=as_json, text=text)
+
+
+def format_record(record: dict[str, Any]) -> str:
+    """
+    Format a result record for a person.
+
+    Parameters
+    ----------
+    record : dict
+        The record as the API gives it.
+
+    Returns
+    -------
+    str
+        One line for the request and one for each stage.
+    """
+    lines = [
+        f"request {record['request_id']} of {record['client_account']}: {record['outcome']}",
+        f"  pipeline {record['pipeline']}, manifest {record['manifest_number']}, "
+        f"entry {record['entry']} in {record['data_centre']}",
+        f"  started {format_ms(record['started_ms'])}, "
+        f"took {record['finished_ms'] - record['started_ms']} ms",
+        f"  request digest {record['request_digest']}",
+        f"  result digest  {record['result_digest']}",
+    ]
+    for stage in record["stages"]:
+        model = f", {stage['model']} {stage['version']}".rstrip() if stage["model"] else ""
+        lines.append(
+            f"  stage {stage['stage']}: {stage['upstream']} ({stage['instance']}){model}, "
+            f"attempt {stage['attempt_id']}, {stage['attempts']} tried, "
+            f"{stage['duration_ms']} ms, result {stage['result_digest'][:12]}"
+        )
+    return "\n".join(lines)
+
+
+def explain(
+    api: ApiOption,
+    request_id: Annotated[str, typer.Option(help="Decisions about this request.")] = "",
+    upstream: Annotated[str, typer.Option(help="Decisions about this upstream or host.")] = "",
+    limit: Annotated[int, typer.Option(min=1, max=1000)] = 100,
+    as_json: JsonOption = False,
+) -> None:
+    """Print automatic decisions with their reasons and inputs.
+
+    Example: marigoldtrail explain --upstream engines-1 --api 10.0.0.1:8000
+    """
+    reply = call_api(
+        api,
+        lambda client: client.decisions(request_id=request_id, upstream=upstream, limit=limit),
+    )
+    lines = [
+        f"{format_ms(item['wall_ms'])} {item['host']}: {item['kind']} {item['subject']}: "
+        f"{item['reason']} {json.dumps(item['inputs'])}"
+        for item in reply["decisions"]
+    ]
+    print_result(reply, as_json=as_json, text="\n".join(lines) or "no decisions")
--- a/marigoldtrail/control/service.py
+++ b/marigoldtrail/control/service.py
@@ -81,7 +81,7 @@
         """Confirm leadership by a quorum; return None or a `Failure`."""
         ...
 
-    async def wait_leader(self) -> None:
+    async def wait_leader(self) -> int | None:
         """Return once this host leads the group."""
         ...
 
--- /dev/null
+++ b/marigoldtrail/demo/command.py
@@ -0,0 +1,193 @@
+"""The subcommand ``demo``."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+from functools import partial
+from pathlib import Path
+from typing import Annotated
+
+import trio
+import typer
+
+from marigoldtrail.cli.exits import ExitCode
+from marigoldtrail.cli.serve import build_telemetry, init_groups
+from marigoldtrail.demo.deployments import (
+    DEPLOYMENTS,
+    Deployment,
+    build_manifest,
+    build_settings,
+    write_deployment,
+)
+from marigoldtrail.demo.jobs import Job
+from marigoldtrail.demo.world import World
+from marigoldtrail.errors import Failure
+from marigoldtrail.net import Address, TcpNetwork
+from marigoldtrail.node import run_node
+from marigoldtrail.schema import parse_manifest, parse_settings
+from marigoldtrail.schema.generated.manifest import Manifest
+from marigoldtrail.schema.generated.settings import Settings
+from marigoldtrail.storage import open_folder
+from marigoldtrail.timers import Timers
+
+TIME_LIMIT_S = 58.0
+INIT_PAUSE_S = 0.2
+INIT_LIMIT_S = 20.0
+
+
+def run_demo_command(
+    folder: Annotated[
+        Path | None,
+        typer.Option(help="Folder for settings, data and traces; a temporary one by default."),
+    ] = None,
+    prepare: Annotated[
+        bool, typer.Option("--prepare", help="Only write settings and manifests.")
+    ] = False,
+    external: Annotated[
+        bool, typer.Option("--external", help="The nodes already run as processes of their own.")
+    ] = False,
+) -> None:
+    """Run both deployments on this machine and check the promises.
+
+    Without --external all nodes run inside this process. Ends by itself within 60 s and exits
+    non-zero if a promise was broken.
+
+    Example: marigoldtrail demo
+    """
+    folder = folder or Path(tempfile.mkdtemp(prefix="marigoldtrail-demo-"))
+    for deployment in DEPLOYMENTS:
+        write_deployment(deployment, folder)
+    if prepare:
+        return
+    broken = trio.run(partial(run_demo, folder, external=external))
+    for promise in broken:
+        typer.echo(f"broken: {promise}")
+    typer.echo("all promises held" if not broken else f"{len(broken)} promises broken")
+    raise typer.Exit(ExitCode.FAILED if broken else ExitCode.OK)
+
+
+async def run_demo(folder: Path, *, external: bool) -> list[str]:
+    """
+    Run the demo on all deployments at the same time.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder of the settings.
+    external : bool
+        Whether the nodes already run.
+
+    Returns
+    -------
+    list of str
+        Broken promises.
+    """
+    broken: list[str] = []
+    with trio.move_on_after(TIME_LIMIT_S) as limit:
+        async with trio.open_nursery() as nursery:
+            for deployment in DEPLOYMENTS:
+                nursery.start_soon(run_deployment, deployment, folder, external, broken)
+    if limit.cancelled_caught:
+        broken.append(f"the demo did not end within {TIME_LIMIT_S:.0f} s")
+    return broken
+
+
+async def run_deployment(
+    deployment: Deployment, folder: Path, external: bool, broken: list[str]
+) -> None:
+    """
+    Run the demo on one deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Its shape.
+    folder : Path
+        Folder of the settings.
+    external : bool
+        Whether the nodes already run.
+    broken : list of str
+        Takes the broken promises.
+    """
+    timers = Timers()
+    fleet = [parse_node_settings(document) for document in build_settings(deployment, folder)]
+    world = World(manifest=load_manifest(deployment), network=TcpNetwork(), timers=timers)
+    job = Job(
+        deployment=deployment,
+        entries=[Address.parse(cfg.api_address) for cfg in fleet],
+        world=world,
+        timers=timers,
+        say=lambda text: typer.echo(f"{timers.now() - started:5.1f} s {text}"),
+    )
+    started = timers.now()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(world.run)
+        if not external:
+            for cfg in fleet:
+                await nursery.start(partial(run_embedded, cfg))
+        await init_when_ready(fleet[0])
+        try:
+            await job.run()
+        finally:
+            broken += job.broken
+        nursery.cancel_scope.cancel()
+
+
+def load_manifest(deployment: Deployment) -> Manifest:
+    """Return the parsed manifest of a deployment."""
+    manifest = parse_manifest(json.dumps(build_manifest(deployment)).encode())
+    assert not isinstance(manifest, list), manifest
+    return manifest
+
+
+def parse_node_settings(document: dict[str, object]) -> Settings:
+    """Return the parsed settings of a node."""
+    cfg = parse_settings(json.dumps(document).encode())
+    assert not isinstance(cfg, list), cfg
+    return cfg
+
+
+async def run_embedded(
+    cfg: Settings, *, task_status: trio.TaskStatus[object] = trio.TASK_STATUS_IGNORED
+) -> None:
+    """
+    Run a node inside this process.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Its settings.
+    task_status : trio.TaskStatus
+        Started with the node.
+    """
+    timers = Timers()
+    disk = None
+    if "control" in cfg.roles:
+        opened = open_folder(cfg.data_folder, timers=timers)
+        if isinstance(opened, Failure):
+            raise RuntimeError(str(opened))
+        disk = opened
+    await run_node(
+        cfg,
+        network=TcpNetwork(),
+        timers=timers,
+        telemetry=build_telemetry(cfg, timers),
+        disk=disk,
+        task_status=task_status,
+    )
+
+
+async def init_when_ready(cfg: Settings) -> None:
+    """
+    Initialise the log groups once all control hosts answer.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Settings of any node.
+    """
+    with trio.fail_after(INIT_LIMIT_S):
+        async for _ in Timers().subscribe("demo.init", INIT_PAUSE_S):
+            if await init_groups(cfg) is None:
+                return
--- /dev/null
+++ b/marigoldtrail/demo/world.py
@@ -0,0 +1,189 @@
+"""The upstreams of a deployment, as stand-ins that count what reaches them."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import trio
+
+from marigoldtrail.net import Address, Network
+from marigoldtrail.schema.generated.manifest import Manifest, Upstream
+from marigoldtrail.standins import (
+    EffectService,
+    Engine,
+    PoolService,
+    Process,
+    Standin,
+    run_standin,
+)
+from marigoldtrail.timers import Timers
+
+READ_PATHS = ("/query",)
+
+
+class World:
+    """
+    Stand-ins for every upstream of a manifest.
+
+    Parameters
+    ----------
+    manifest : Manifest
+        The manifest.
+    network : Network
+        Where the stand-ins listen.
+    timers : Timers
+        Their clock.
+    """
+
+    __slots__ = ("manifest", "standins", "_network")
+
+    def __init__(self, *, manifest: Manifest, network: Network, timers: Timers) -> None:
+        self.manifest = manifest
+        self.standins = {
+            upstream.name: build_standin(upstream, timers) for upstream in manifest.upstreams
+        }
+        self._network = network
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """
+        Run all stand-ins until cancelled.
+
+        Parameters
+        ----------
+        task_status : trio.TaskStatus
+            Started when all of them listen.
+        """
+        async with trio.open_nursery() as nursery:
+            for upstream in self.manifest.upstreams:
+
+                async def run_one(
+                    task_status: trio.TaskStatus[Address], upstream: Upstream = upstream
+                ) -> None:
+                    await run_standin(
+                        self.standins[upstream.name],
+                        network=self._network,
+                        address=Address.parse(upstream.address),
+                        task_status=task_status,
+                    )
+
+                await nursery.start(run_one)
+            task_status.started()
+
+    def process(self, upstream: str) -> Process:
+        """
+        Return the process of an upstream.
+
+        Parameters
+        ----------
+        upstream : str
+            Its name.
+
+        Returns
+        -------
+        Process
+            For example to end it.
+        """
+        return self.standins[upstream].process
+
+    def upstreams_in(self, data_centre: str) -> list[str]:
+        """
+        Return the names of the upstreams in a data centre.
+
+        Parameters
+        ----------
+        data_centre : str
+            The data centre.
+
+        Returns
+        -------
+        list of str
+            Their names.
+        """
+        return [up.name for up in self.manifest.upstreams if up.data_centre == data_centre]
+
+    def calls_of(self, upstream: str) -> int:
+        """
+        Return how many calls have reached an upstream.
+
+        Parameters
+        ----------
+        upstream : str
+            Its name.
+
+        Returns
+        -------
+        int
+            Calls since the start.
+        """
+        standin = self.standins[upstream]
+        if isinstance(standin, Engine):
+            return sum(standin.runs.values())
+        if isinstance(standin, EffectService):
+            return sum(standin.runs_by_attempt.values())
+        if isinstance(standin, PoolService):
+            return sum(standin.runs.values())
+        raise TypeError(f"{upstream} is not a stand-in of the demo")
+
+    def effects(self) -> Counter[tuple[str, str]]:
+        """
+        Return how often each order took effect.
+
+        Returns
+        -------
+        Counter
+            By pool and idempotency key, over all replicas of the pool.
+        """
+        effects: Counter[tuple[str, str]] = Counter()
+        for upstream in self.manifest.upstreams:
+            standin = self.standins[upstream.name]
+            if isinstance(standin, EffectService):
+                for key, count in standin.effects_by_key.items():
+                    effects[upstream.pool, key] += count
+        return effects
+
+    def cold_limit_exceeded(self) -> int:
+        """
+        Return how often a call exceeded what an upstream in cold start carries.
+
+        Returns
+        -------
+        int
+            Over all upstreams.
+        """
+        return sum(standin.process.cold_exceeded for standin in self.standins.values())
+
+
+def build_standin(upstream: Upstream, timers: Timers) -> Standin:
+    """
+    Build the stand-in of one upstream; its first instance is warm.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        From the manifest.
+    timers : Timers
+        Clock.
+
+    Returns
+    -------
+    Standin
+        Not running yet.
+    """
+    process = Process(
+        name=upstream.name,
+        timers=timers,
+        capacity=upstream.capacity,
+        cold_slots=upstream.cold_slots,
+    )
+    process.models = list(upstream.models)
+    if upstream.kind == "engine":
+        return Engine(process=process, timers=timers, checks_fencing=upstream.checks_fencing)
+    if upstream.kind == "service":
+        return EffectService(
+            process=process,
+            timers=timers,
+            reports_load=upstream.reports_load,
+            tells_outcomes=bool(upstream.outcome_path),
+            read_paths=READ_PATHS,
+        )
+    return PoolService(process=process, timers=timers, kind=upstream.kind)
--- /dev/null
+++ b/marigoldtrail/node/__init__.py
@@ -0,0 +1,16 @@
+"""Composition of a node from its parts."""
+
+from marigoldtrail.node.control_role import ControlRole, build_control_role
+from marigoldtrail.node.entry_role import EntryRole, build_entry_role
+from marigoldtrail.node.node import Node, run_node
+from marigoldtrail.node.parts import NodeParts
+
+__all__ = [
+    "ControlRole",
+    "EntryRole",
+    "Node",
+    "NodeParts",
+    "build_control_role",
+    "build_entry_role",
+    "run_node",
+]
--- /dev/null
+++ b/marigoldtrail/node/entry_role.py
@@ -0,0 +1,107 @@
+"""The role entry: HTTP for callers, pipelines, calls to upstreams."""
+
+from __future__ import annotations
+
+import trio
+
+from marigoldtrail.api import ApiContext, build_app, serve_api
+from marigoldtrail.net import Address
+from marigoldtrail.node.parts import NodeParts
+from marigoldtrail.serving import Server
+
+
+class EntryRole:
+    """
+    Services of an entry.
+
+    Parameters
+    ----------
+    parts : NodeParts
+        Shared parts of the node.
+    server : Server
+        Runs requests.
+    app : callable
+        ASGI application.
+    """
+
+    __slots__ = ("parts", "server", "app", "_shutdown")
+
+    def __init__(self, *, parts: NodeParts, server: Server, app: object) -> None:
+        self.parts = parts
+        self.server = server
+        self.app = app
+        self._shutdown = trio.Event()
+
+    async def run(
+        self, *, serve_http: bool, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """
+        Serve until cancelled or stopped.
+
+        Parameters
+        ----------
+        serve_http : bool
+            Whether to listen on the API address; tests call the server directly.
+        task_status : trio.TaskStatus
+            Started when callers can connect.
+        """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.parts.slots.run)
+            await nursery.start(self.server.run)
+            if serve_http:
+                address = Address.parse(self.parts.cfg.api_address)
+                await nursery.start(self._serve_http, address)
+            task_status.started()
+
+    async def _serve_http(self, address: Address, *, task_status: trio.TaskStatus[Address]) -> None:
+        await serve_api(
+            self.app, address, shutdown=self._shutdown, task_status=task_status  # type: ignore
+        )
+
+    async def drain(self) -> None:
+        """Refuse new requests once callers know other addresses; finish those in progress."""
+        self.server.start_draining()
+        await self.server.wait_idle()
+
+    def close(self) -> None:
+        """Stop to accept connections."""
+        self._shutdown.set()
+
+
+def build_entry_role(parts: NodeParts) -> EntryRole:
+    """
+    Build the services of an entry.
+
+    Parameters
+    ----------
+    parts : NodeParts
+        Shared parts of the node.
+
+    Returns
+    -------
+    EntryRole
+        The services, not running yet.
+    """
+    cfg = parts.cfg
+    server = Server(
+        cfg=cfg,
+        view=parts.view,
+        control=parts.control,
+        slots=parts.slots,
+        upstreams=parts.upstreams,
+        timers=parts.timers,
+        telemetry=parts.telemetry,
+        rng=parts.rng,
+    )
+    ctx = ApiContext(
+        server=server,
+        view=parts.view,
+        control=parts.control,
+        telemetry=parts.telemetry,
+        timers=parts.timers,
+        host=cfg.host,
+        data_centre=cfg.data_centre,
+        max_body_bytes=cfg.max_body_bytes,
+        rng=parts.rng,
+    )
+    return EntryRole(parts=parts, server=server, app=build_app(ctx))
--- /dev/null
+++ b/marigoldtrail/node/parts.py
@@ -0,0 +1,111 @@
+"""What both roles of a node share."""
+
+from __future__ import annotations
+
+import random
+
+import trio
+
+from marigoldtrail.fleet import ControlClient, FleetView, groups_of
+from marigoldtrail.net import Network, PeerClient
+from marigoldtrail.schema.generated.manifest import Upstream
+from marigoldtrail.schema.generated.settings import Settings
+from marigoldtrail.slots import SlotClient
+from marigoldtrail.telemetry import Telemetry
+from marigoldtrail.timers import Timers
+from marigoldtrail.upstream import UpstreamClient
+
+
+class NodeParts:
+    """
+    Parts that a node has in every role.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Settings of the node.
+    network : Network
+        Opens and accepts connections.
+    timers : Timers
+        Timer service.
+    telemetry : Telemetry
+        Spans, metrics, decisions.
+    rng : random.Random
+        Source of random choices.
+    nursery : trio.Nursery
+        Runs the tasks of connections.
+    """
+
+    __slots__ = (
+        "cfg",
+        "network",
+        "timers",
+        "telemetry",
+        "rng",
+        "nursery",
+        "incarnation",
+        "peers",
+        "view",
+        "control",
+        "slots",
+        "upstreams",
+    )
+
+    def __init__(
+        self,
+        *,
+        cfg: Settings,
+        network: Network,
+        timers: Timers,
+        telemetry: Telemetry,
+        rng: random.Random,
+        nursery: trio.Nursery,
+    ) -> None:
+        self.cfg = cfg
+        self.network = network
+        self.timers = timers
+        self.telemetry = telemetry
+        self.rng = rng
+        self.nursery = nursery
+        self.incarnation = timers.wall_ms()
+        self.peers = PeerClient(network=network, host=cfg.host, nursery=nursery)
+        self.view = FleetView(timers=timers, control_hosts=cfg.control_hosts)
+        self.control = ControlClient(
+            peers=self.peers, view=self.view, timers=timers, groups=groups_of(cfg)
+        )
+        self.slots = SlotClient(
+            host=cfg.host,
+            incarnation=self.incarnation,
+            view=self.view,
+            peers=self.peers,
+            timers=timers,
+        )
+        self.upstreams = UpstreamClient(
+            network=network,
+            timers=timers,
+            view=self.view,
+            telemetry=telemetry,
+            on_evidence=self._report_evidence,
+        )
+
+    def _report_evidence(self, upstream: str, instance: str, state: str, reason: str) -> None:
+        self.nursery.start_soon(self.slots.report, upstream, instance, state, reason)
+
+    def find_upstream(self, name: str) -> Upstream | None:
+        """
+        Return an upstream of the manifest in force.
+
+        Parameters
+        ----------
+        name : str
+            Its name.
+
+        Returns
+        -------
+        Upstream or None
+            None if the manifest has none of that name.
+        """
+        manifest = self.view.manifest
+        if manifest is None:
+            return None
+        return next((upstream for upstream in manifest.upstreams if upstream.name == name), None)
--- a/marigoldtrail/standins/services.py
+++ b/marigoldtrail/standins/services.py
@@ -55,6 +55,7 @@
     object
         Output; the input's text stays in it as ``query``, so that later stages can use it.
     """
+    value = request_input(value)
     fields = value if isinstance(value, dict) else {"query": value}
     query = str(fields.get("query", ""))
     if kind == "encoder":
@@ -219,8 +220,16 @@
 
 def effect_key(call: dict[str, Any]) -> str:
     """Return the idempotency key that a call's effect is counted under."""
-    fields = call["input"] if isinstance(call["input"], dict) else {}
-    return f"{call['client_account']}/{fields.get('idempotency_key', call['request_id'])}"
+    fields = request_input(call["input"])
+    key = fields.get("idempotency_key") if isinstance(fields, dict) else None
+    return f"{call['client_account']}/{key or call['request_id']}"
+
+
+def request_input(stage_input: Any) -> Any:
+    """Return the caller's input from a stage's input, which may carry earlier stages' outputs."""
+    if isinstance(stage_input, dict) and stage_input.keys() == {"input", "stages"}:
+        return stage_input["input"]
+    return stage_input
 
 
 def answer_call(call: dict[str, Any], output: Any) -> dict[str, Any]:
