Drain a node and kill the leader in the demo; separate processes for make demo

make demo starts every node as a process of its own. Under load one entry gets SIGTERM and must exit 0, and the leader of group config is killed; the manifest must stay in force.

Seen: a stand-in service ends the demo when it gets POST /cancel, which it does not offer.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	touch $@
 
 demo: $(VENV)/installed
-	$(BIN)/python -m marigoldtrail demo
+	scripts/demo
 
 test: $(VENV)/installed
 	$(BIN)/python -m pytest
--- a/marigoldtrail/demo/command.py
+++ b/marigoldtrail/demo/command.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import os
+import signal
 import tempfile
 from functools import partial
 from pathlib import Path
@@ -24,7 +26,7 @@
 from marigoldtrail.demo.world import World
 from marigoldtrail.errors import Failure
 from marigoldtrail.net import Address, TcpNetwork
-from marigoldtrail.node import run_node
+from marigoldtrail.node import Node, run_node
 from marigoldtrail.schema import parse_manifest, parse_settings
 from marigoldtrail.schema.generated.manifest import Manifest
 from marigoldtrail.schema.generated.settings import Settings
@@ -111,6 +113,7 @@
         Takes the broken promises.
     """
     timers = Timers()
+    nodes: dict[str, Node] = {}
     fleet = [parse_node_settings(document) for document in build_settings(deployment, folder)]
     world = World(manifest=load_manifest(deployment), network=TcpNetwork(), timers=timers)
     job = Job(
@@ -119,13 +122,15 @@
         world=world,
         timers=timers,
         say=lambda text: typer.echo(f"{timers.now() - started:5.1f} s {text}"),
+        drain_node=partial(drain_node, folder, nodes, fleet[-1].host),
+        kill_leader=partial(kill_node, folder, nodes),
     )
     started = timers.now()
     async with trio.open_nursery() as nursery:
         await nursery.start(world.run)
         if not external:
             for cfg in fleet:
-                await nursery.start(partial(run_embedded, cfg))
+                nodes[cfg.host] = await nursery.start(run_embedded, cfg)
         await init_when_ready(fleet[0])
         try:
             await job.run()
@@ -149,7 +154,7 @@
 
 
 async def run_embedded(
-    cfg: Settings, *, task_status: trio.TaskStatus[object] = trio.TASK_STATUS_IGNORED
+    cfg: Settings, *, task_status: trio.TaskStatus[Node] = trio.TASK_STATUS_IGNORED
 ) -> None:
     """
     Run a node inside this process.
@@ -191,3 +196,53 @@
         async for _ in Timers().subscribe("demo.init", INIT_PAUSE_S):
             if await init_groups(cfg) is None:
                 return
+
+
+async def drain_node(folder: Path, nodes: dict[str, Node], host: str) -> bool:
+    """
+    Shut a node down gracefully and wait for its end.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder with the files of processes, ``HOST.pid`` and ``HOST.exit``.
+    nodes : dict
+        Nodes inside this process, by host.
+    host : str
+        The node.
+
+    Returns
+    -------
+    bool
+        Whether it ended by itself, with exit code 0 if it is a process of its own.
+    """
+    if host in nodes:
+        await nodes[host].drain()
+        return True
+    os.kill(int((folder / f"{host}.pid").read_text()), signal.SIGTERM)
+    async for _ in Timers().subscribe("demo.exit", INIT_PAUSE_S):
+        exit_file = folder / f"{host}.exit"
+        if exit_file.exists():
+            return exit_file.read_text().strip() == "0"
+    return False
+
+
+async def kill_node(folder: Path, nodes: dict[str, Node], host: str) -> bool:
+    """
+    End a node at once.
+
+    Parameters
+    ----------
+    folder, nodes, host
+        See `drain_node`.
+
+    Returns
+    -------
+    bool
+        Always True.
+    """
+    if host in nodes:
+        nodes[host].kill()
+    else:
+        os.kill(int((folder / f"{host}.pid").read_text()), signal.SIGKILL)
+    return True
--- a/marigoldtrail/demo/jobs.py
+++ b/marigoldtrail/demo/jobs.py
@@ -5,7 +5,7 @@
 import itertools
 import json
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import trio
@@ -29,6 +29,7 @@
 OPERATOR = "demo"
 
 Print = Callable[[str], None]
+Stop = Callable[[], Awaitable[bool]]
 
 
 class Job:
@@ -47,6 +48,9 @@
         Clock.
     say : callable
         Prints a line of progress.
+    drain_node, kill_leader : callable
+        Asynchronous; shut a node down gracefully, and end the leader of ``config`` at once. Both
+        return whether it went as it should.
     """
 
     __slots__ = (
@@ -57,6 +61,8 @@
         "callers",
         "_timers",
         "_say",
+        "_drain_node",
+        "_kill_leader",
         "_orders",
         "_operator",
     )
@@ -69,6 +75,8 @@
         world: World,
         timers: Timers,
         say: Print,
+        drain_node: Stop,
+        kill_leader: Callable[[str], Awaitable[bool]],
     ) -> None:
         self.deployment = deployment
         self.entries = entries
@@ -76,8 +84,11 @@
         self.broken: list[str] = []
         self._timers = timers
         self._say = lambda text: say(f"{deployment.name:<10} {text}")
+        self._drain_node = drain_node
+        self._kill_leader = kill_leader
         self._orders = itertools.count(1)
-        self._operator = ApiClient(address=entries[-1])
+        # The last entry is the one that is shut down, the first ones may lead.
+        self._operator = ApiClient(address=entries[-2])
         rng = random.Random(7)
         self.callers = [
             Caller(
@@ -93,13 +104,17 @@
     async def run(self) -> None:
         """Run all steps; `broken` lists the promises that did not hold."""
         await self.submit_manifest()
+        await self.wait_warm()
         await self.show_requests()
         async with trio.open_nursery() as nursery:
             stop = trio.Event()
             for caller in self.callers:
                 nursery.start_soon(self.keep_calling, caller, stop)
             await self.kill_engine()
-            await self.move_data_centre()
+            async with trio.open_nursery() as steps:
+                steps.start_soon(self.move_data_centre)
+                steps.start_soon(self.drain_node)
+            await self.kill_leader()
             stop.set()
         self.report_load()
         await self.check_promises()
@@ -132,6 +147,18 @@
             f"{waited:.1f} s later"
         )
 
+    async def wait_warm(self) -> None:
+        """Wait until the system knows the upstreams that report their load as warm."""
+        reporting = {up.name for up in self.world.manifest.upstreams if up.reports_load}
+        started = self._timers.now()
+        warm: set[str] = set()
+        while not reporting <= warm and self._timers.now() - started < READY_TIMEOUT_S:
+            await self._timers.sleep(POLL_S)
+            status = await self.retry(self._operator.status)
+            warm = {item["upstream"] for item in status["upstreams"] if item["state"] == "warm"}
+        waited = self._timers.now() - started
+        self._say(f"{len(warm)} of {len(self.world.standins)} upstreams warm after {waited:.1f} s")
+
     async def retry(self, call: Callable[[], Any]) -> Any:
         """Repeat a call until it succeeds or the time is up."""
         with trio.fail_after(READY_TIMEOUT_S):
@@ -203,6 +230,28 @@
         await self._timers.sleep(RETURN_S)
         self._say(f"{data_centre} in: {self.calls_in(data_centre) - after} calls since")
 
+    async def drain_node(self) -> None:
+        """Shut an entry down gracefully under load."""
+        self._say("the last entry shuts down")
+        ended = await self._drain_node()
+        self.expect(ended, "a graceful shutdown ends by itself with exit code 0")
+
+    async def kill_leader(self) -> None:
+        """End the process that leads group config; the others go on."""
+        status = await self.retry(self._operator.status)
+        leader = status["leader"]
+        await self._kill_leader(leader)
+        started = self._timers.now()
+        while True:
+            await self._timers.sleep(POLL_S)
+            status = await self.retry(self._operator.status)
+            if status["leader"] != leader:
+                break
+        waited = self._timers.now() - started
+        self._say(f"{leader} killed; {status['leader']} leads {waited:.1f} s later")
+        self.expect(status["manifest_number"] == 1, "an accepted manifest never reverts")
+        await self._timers.sleep(RETURN_S)
+
     async def set_data_centre(self, data_centre: str, state: str, number: int) -> None:
         """Submit a takeout or its end."""
         reply = await self.retry(
