Test faults of real processes: SIGTERM, SIGKILL, a lost disk

A fleet of four nodes as processes of their own serves bookings while nodes are ended.

Seen: the graceful shutdown under load and the single process of a node pass. After a restart of all control hosts, and after a repair, looking up the record of an answered request does not succeed within 90 s; the cause is not known yet.

--- /dev/null
+++ b/marigoldtrail/node/tests/test_processes.py
@@ -0,0 +1,124 @@
+"""Faults of real processes: SIGTERM under load, SIGKILL, a replaced disk."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import trio
+
+from marigoldtrail.demo.callers import Caller
+from marigoldtrail.node.tests.fleet import ProcessFleet, run_fleet
+
+BOOKINGS = 12
+
+
+async def book(caller: Caller, keys: list[str]) -> None:
+    for key in keys:
+        await caller.send("book", {"idempotency_key": key, "quantity": 1}, key=key)
+
+
+def booking_keys(prefix: str) -> list[str]:
+    return [f"{prefix}-{number}" for number in range(BOOKINGS)]
+
+
+def assert_truthful(fleet: ProcessFleet, callers: list[Caller]) -> None:
+    """Compare what callers were told with what the services did."""
+    effects = fleet.world.effects()
+    for caller in callers:
+        for outcome in caller.outcomes:
+            count = effects["booking", f"{outcome.client_account}/{outcome.key}"]
+            assert count <= 1, f"{outcome.key} ran {count} times"
+            if outcome.state == "answered":
+                assert count == 1, f"{outcome.key} was answered and did not run"
+            if outcome.state == "not_run":
+                assert count == 0, f"{outcome.key} ran: {outcome.failure}"
+    assert fleet.world.cold_limit_exceeded() == 0
+
+
+async def test_sigterm_under_load_cuts_off_no_request(tmp_path: Path) -> None:
+    """Guards against a shutdown that breaks connections or exits with an error."""
+    async with run_fleet(tmp_path) as fleet:
+        callers = [fleet.caller(f"account-{number}", number) for number in range(4)]
+        codes = []
+
+        async def terminate() -> None:
+            codes.append(await fleet.terminate("tsvetanov-4"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(terminate)
+            for number, caller in enumerate(callers):
+                nursery.start_soon(book, caller, booking_keys(f"drain-{number}"))
+        assert codes == [0]
+        outcomes = [outcome for caller in callers for outcome in caller.outcomes]
+        assert [outcome.failure for outcome in outcomes if outcome.state != "answered"] == []
+        assert_truthful(fleet, callers)
+
+
+async def test_node_is_one_process(tmp_path: Path) -> None:
+    """Guards against a launcher or a library that starts further processes."""
+    async with run_fleet(tmp_path) as fleet:
+        for process in fleet.processes.values():
+            children = trio.Path(f"/proc/{process.pid}/task/{process.pid}/children")
+            assert await children.read_text() == ""
+
+
+async def test_killed_control_hosts_keep_what_they_acknowledged(tmp_path: Path) -> None:
+    """Guards against acknowledgements before the write is durable."""
+    async with run_fleet(tmp_path) as fleet:
+        callers = [fleet.caller(f"account-{number}", number) for number in range(4)]
+        hosts = ["tsvetanov-1", "tsvetanov-2", "tsvetanov-3"]
+        keys = [booking_keys(f"kill-{number}") for number in range(4)]
+        async with trio.open_nursery() as nursery:
+            for caller, mine in zip(callers, keys, strict=True):
+                nursery.start_soon(book, caller, mine)
+            await trio.sleep(0.3)
+            for host in hosts:
+                fleet.kill(host)
+            for host in hosts:
+                fleet.start(host)
+        first = [outcome for caller in callers for outcome in caller.outcomes]
+        status = await fleet.ask("tsvetanov-1", lambda client: client.status())
+        assert status["manifest_number"] == 1
+        await fleet.wait_warm("tsvetanov-1")
+        for caller, mine in zip(callers, keys, strict=True):
+            await book(caller, mine)
+        assert_truthful(fleet, callers)
+        answered = [outcome for outcome in first if outcome.answer is not None]
+        for outcome in answered:
+            request_id = outcome.answer["request_id"]  # type: ignore[index]
+            record = await fleet.ask(
+                "tsvetanov-1", lambda client, request_id=request_id: client.show_request(request_id)
+            )
+            assert record["client_account"] == outcome.client_account
+
+
+async def test_second_host_lost_right_after_a_repair(tmp_path: Path) -> None:
+    """Guards against a replaced host that counts towards a quorum before it holds everything."""
+    async with run_fleet(tmp_path) as fleet:
+        caller = fleet.caller("account-1")
+        await book(caller, booking_keys("before"))
+        status = await fleet.ask("tsvetanov-4", lambda client: client.status())
+        others = [host for host in list(fleet.settings)[:3] if host != status["leader"]]
+        replaced, lost = others
+        fleet.kill(replaced)
+        fleet.forget_disk(replaced)
+        fleet.start(replaced)
+
+        def is_repaired(answer: dict) -> bool:
+            return all(
+                replaced in group["members"] and replaced not in group["learners"]
+                for group in answer["groups"]
+            )
+
+        await fleet.wait_for("tsvetanov-4", lambda client: client.status(), is_repaired)
+        fleet.kill(lost)
+        await book(caller, booking_keys("after"))
+        assert_truthful(fleet, [caller])
+        for outcome in caller.outcomes:
+            if outcome.answer is not None:
+                request_id = outcome.answer["request_id"]
+                await fleet.ask(
+                    "tsvetanov-4",
+                    lambda client, request_id=request_id: client.show_request(request_id),
+                )
+        assert sum(outcome.state == "answered" for outcome in caller.outcomes) >= BOOKINGS
