--- a/marigoldtrail/control/orders.py
+++ b/marigoldtrail/control/orders.py
@@ -20,7 +20,7 @@
 )
 from marigoldtrail.control.leader import LeaderState
 from marigoldtrail.control.machine import ConfigMachine
-from marigoldtrail.errors import Failure
+from marigoldtrail.errors import Failure, RunState
 from marigoldtrail.schema.generated.control import UpstreamStatus
 from marigoldtrail.schema.generated.manifest import Model, Upstream
 from marigoldtrail.telemetry import Telemetry
@@ -32,6 +32,9 @@
 # An order of the old leader was sent before its lease ended and arrives within the order timeout.
 OLD_ORDERS_S = LEADER_LEASE_S + ORDER_TIMEOUT_S
 RESEND_INTERVAL_S = 2.0
+# An engine that ignores fencing numbers may carry a resent order out a second time; its report has
+# the time to show the effect of the first.
+CAREFUL_RESEND_INTERVAL_S = 30.0
 REFUSED_PAUSE_S = 30.0
 # An engine that cannot be reached gives its place among the loads back after this time; keeping
 # it for as long as a data centre is lost would stop all other loads.
@@ -193,7 +196,9 @@
             answer: OrderAnswer | Failure | None = None
             with trio.move_on_after(ORDER_TIMEOUT_S):
                 answer = await self._send_order(upstream, order)
-            self._retry_at[upstream.name] = self._timers.now() + RESEND_INTERVAL_S
+            self._retry_at[upstream.name] = self._timers.now() + pause_before_resend(
+                upstream, answer
+            )
             if not isinstance(answer, OrderAnswer):
                 _log.warning(
                     "order %d to %s: %s", order.fencing, upstream.name, answer or "timeout"
@@ -324,5 +329,27 @@
         return await self._group.propose(encode_command(command), timeout_s=PROPOSE_TIMEOUT_S)
 
 
+def pause_before_resend(upstream: Upstream, answer: OrderAnswer | Failure | None) -> float:
+    """
+    Return how long to wait before an order is sent again.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        The engine.
+    answer : OrderAnswer, Failure or None
+        Answer to the last try; None after a timeout.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    not_run = isinstance(answer, Failure) and answer.run_state is RunState.NOT_RUN
+    if upstream.checks_fencing or not_run or isinstance(answer, OrderAnswer):
+        return RESEND_INTERVAL_S
+    return CAREFUL_RESEND_INTERVAL_S
+
+
 def _is_up(status: UpstreamStatus | None) -> bool:
     return status is not None and status.state not in ("down", "leaving")
--- a/marigoldtrail/control/service.py
+++ b/marigoldtrail/control/service.py
@@ -81,12 +81,12 @@
         """Confirm leadership by a quorum; return None or a `Failure`."""
         ...
 
-    async def wait_leader(self) -> int | None:
-        """Return once this host leads the group."""
+    async def wait_leader(self) -> int:
+        """Return the term once this host leads and has applied all earlier commands."""
         ...
 
-    async def wait_not_leader(self) -> None:
-        """Return once this host does not lead the group."""
+    async def wait_not_leader(self, term: int | None = None) -> None:
+        """Return once this host does not lead the group, or not in this term."""
         ...
 
 
@@ -200,7 +200,7 @@
                         nursery.start_soon(self._poll_platform, leader, self._read_hosts)
                     if self._send_order is not None:
                         nursery.start_soon(self._keep_orders, leader, self._send_order)
-                    await self._group.wait_not_leader()
+                    await self._group.wait_not_leader(leader.term)
                     nursery.cancel_scope.cancel()
             await trio.lowlevel.checkpoint()
 
--- a/marigoldtrail/control/upstreams.py
+++ b/marigoldtrail/control/upstreams.py
@@ -70,6 +70,7 @@
         "_on_change",
         "_records",
         "_positions",
+        "_reporting",
     )
 
     def __init__(
@@ -85,6 +86,7 @@
         self._on_change = on_change
         self._records: dict[str, UpstreamRecord] = {}
         self._positions: dict[str, int] = {}
+        self._reporting: frozenset[str] = frozenset()
 
     def set_upstreams(self, upstreams: Iterable[Upstream]) -> None:
         """
@@ -95,7 +97,9 @@
         upstreams : iterable of Upstream
             Upstreams in the order of the manifest.
         """
-        positions = {upstream.name: index for index, upstream in enumerate(upstreams)}
+        listed = list(upstreams)
+        self._reporting = frozenset(item.name for item in listed if item.reports_load)
+        positions = {upstream.name: index for index, upstream in enumerate(listed)}
         loads = bytearray(len(positions))
         for name, index in positions.items():
             if name in self._positions:
@@ -172,11 +176,15 @@
             self._take(record, known, seen)
             return
         rise = _WORK_RANK[seen.state] - _WORK_RANK[known.state]
-        is_older = seen.sampled_ms < record.sampled_ms
+        # Without load reports there are no samples; the order of the owner's Syncs is all there is.
+        has_samples = seen.upstream in self._reporting
+        is_older = has_samples and seen.sampled_ms < record.sampled_ms
         if rise < 0:
             record.fell_sampled_ms = max(record.sampled_ms, seen.sampled_ms)
         elif rise > 0:
-            is_older = is_older or seen.sampled_ms <= record.fell_sampled_ms
+            is_older = has_samples and seen.sampled_ms <= max(
+                record.fell_sampled_ms, record.sampled_ms - 1
+            )
             if is_older and now - record.changed_at < SAMPLE_DOUBT_S:
                 return
         elif is_older and now - record.taken_at < SAMPLE_DOUBT_S:
--- a/marigoldtrail/fleet/leaders.py
+++ b/marigoldtrail/fleet/leaders.py
@@ -16,6 +16,10 @@
 
 # Bounds one try, so that two silent control hosts in turn leave most of the 5 s of a view.
 TRY_TIMEOUT_S = 0.75
+# A host that has just been silent gets less, so that an election is noticed soon after it ends.
+SILENT_TRY_TIMEOUT_S = 0.3
+# Afterwards it gets the whole time again: it may be back, but slow.
+SILENT_PERIOD_S = 4.0
 # An election takes 1 to 2 s; a shorter pause would only add messages.
 ROUND_PAUSE_S = 0.1
 
@@ -64,8 +68,8 @@
         self._timers = timers
         self._members = members
         self._leaders: dict[str, str] = {}
-        # Time of the last failed try of each host that has not answered since.
-        self._silent: dict[str, float] = {}
+        # First and last failed try of each host that has not answered since.
+        self._silent: dict[str, tuple[float, float]] = {}
 
     def leader_of(self, group: str) -> str:
         """
@@ -127,9 +131,8 @@
                 if remaining <= 0:
                     return _final(last, request, may_have_run)
                 on_try()
-                reply = await self._try(
-                    host, request, reply_type, timeout_s=min(try_timeout_s, remaining)
-                )
+                timeout_s = min(self._bound_try(host, try_timeout_s), remaining)
+                reply = await self._try(host, request, reply_type, timeout_s=timeout_s)
                 if not is_failure(reply):
                     self._leaders[group] = host
                     self._silent.pop(host, None)
@@ -154,7 +157,7 @@
             if leader and leader not in self._silent and leader in untried:
                 host = leader
             elif untried:
-                host = min(untried, key=lambda member: self._silent.get(member, float("-inf")))
+                host = min(untried, key=self._last_silence)
             else:
                 return
             untried.pop(host)
@@ -171,7 +174,9 @@
     def _note_failure(self, group: str, host: str, failure: Failure) -> None:
         if failure.reason in (Reason.TIMEOUT, Reason.UNREACHABLE):
             # Others go on to name a dead leader until an election ends; it is tried last from now.
-            self._silent[host] = self._timers.now()
+            now = self._timers.now()
+            since, _ = self._silent.get(host, (now, now))
+            self._silent[host] = (since, now)
         else:
             self._silent.pop(host, None)
         if failure.reason is Reason.NOT_LEADER and failure.hint and failure.hint != host:
@@ -179,6 +184,15 @@
         elif self._leaders.get(group) == host:
             del self._leaders[group]
 
+    def _last_silence(self, host: str) -> float:
+        return self._silent[host][1] if host in self._silent else float("-inf")
+
+    def _bound_try(self, host: str, timeout_s: float) -> float:
+        silent = self._silent.get(host)
+        if silent is None or self._timers.now() - silent[0] > SILENT_PERIOD_S:
+            return timeout_s
+        return min(timeout_s, SILENT_TRY_TIMEOUT_S)
+
     async def _try(
         self, host: str, request: msgspec.Struct, reply_type: type[Reply], *, timeout_s: float
     ) -> Reply | Failure:
