Give each slot request an id of its own

An attempt that asked again after a lost reply got the same slot, and the release of the lost one then freed it while its call was in progress: three calls on an upstream with two cold slots.

--- a/marigoldtrail/slots/client.py
+++ b/marigoldtrail/slots/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 
 import msgspec
@@ -108,6 +109,7 @@
         "_releases",
         "_reports",
         "_flushing",
+        "_numbers",
     )
 
     def __init__(
@@ -122,6 +124,7 @@
         self._releases: dict[str, list[QueuedRelease]] = {}
         self._reports: dict[str, QueuedReport] = {}
         self._flushing: set[str] = set()
+        self._numbers = itertools.count(1)
 
     async def acquire(
         self, upstream: str, attempt_id: str, hold_s: float, *, timeout_s: float = ACQUIRE_TIMEOUT_S
@@ -134,7 +137,7 @@
         upstream : str
             Name of the upstream.
         attempt_id : str
-            Id of the attempt that will use the slot; a resend with the same id takes no second one.
+            Id of the attempt that will use the slot.
         hold_s : float
             Longest time in seconds that the call will take.
         timeout_s : float
@@ -148,11 +151,14 @@
         owner = self._current_owner(upstream)
         if isinstance(owner, Failure):
             return owner
+        # An attempt may ask again after a lost reply. Each request has an id of its own, so that
+        # the release of the slot that was lost cannot free the slot of the later request.
+        slot_id = f"{attempt_id}.{next(self._numbers)}"
         request = AcquireSlot(
             upstream=upstream,
             host=self._host,
             incarnation=self._incarnation,
-            attempt_id=attempt_id,
+            attempt_id=slot_id,
             hold_s=hold_s,
         )
         address = self._view.address_of(owner.host)
@@ -163,7 +169,7 @@
             address, request, SlotGrant, timeout_s=timeout_s, step="slot.acquire"
         )
         if isinstance(reply, Failure):
-            self._return_lost_slot(upstream, attempt_id, owner, sent + hold_s, reply)
+            self._return_lost_slot(upstream, slot_id, owner, sent + hold_s, reply)
             return msgspec.structs.replace(reply, run_state=RunState.NOT_RUN, step="slot.acquire")
         return self._check_grant(reply, owner, sent)
 
@@ -202,15 +208,14 @@
     def _return_lost_slot(
         self,
         upstream: str,
-        attempt_id: str,
+        slot_id: str,
         owner: OwnerAssignment,
         expires_at: float,
         failure: Failure,
     ) -> None:
-        # The owner may have granted although its reply was lost. Slot ids are attempt ids, so that
-        # the slot can be returned without knowing the reply.
+        # The owner may have granted although its reply was lost.
         if failure.run_state is RunState.MAY_HAVE_RUN:
-            release = SlotRelease(slot_id=attempt_id, upstream=upstream, succeeded=False)
+            release = SlotRelease(slot_id=slot_id, upstream=upstream, succeeded=False)
             self._queue_release(owner.host, release, expires_at)
 
     async def release(
--- a/marigoldtrail/slots/owner.py
+++ b/marigoldtrail/slots/owner.py
@@ -20,9 +20,6 @@
 from marigoldtrail.telemetry import Telemetry
 from marigoldtrail.timers import Timers
 
-# Least time after which an entry should ask again when no slot is free.
-MIN_RETRY_S = 0.05
-
 
 class SlotOwner:
     """
@@ -171,7 +168,7 @@
         now = self._timers.now()
         expires_at = tracker.grant(req.attempt_id, now=now, hold_s=req.hold_s)
         if expires_at is None:
-            retry_after_s = max(tracker.free_at(now) - now, MIN_RETRY_S)
+            retry_after_s = tracker.free_in(now)
             detail = f"{req.upstream} is {tracker.state}: {len(tracker.slots)} slots are held"
             return self._refuse(Reason.NO_SLOT, detail, retry_after_s=retry_after_s)
         return SlotGrant(
@@ -228,7 +225,11 @@
                 continue
             state = tracker.state
             released += tracker.release(
-                item.slot_id, succeeded=item.succeeded, instance=item.instance, now=now
+                item.slot_id,
+                succeeded=item.succeeded,
+                instance=item.instance,
+                now=now,
+                duration_s=item.duration_ms / 1000,
             )
             self._log_change(tracker, state, req.host)
         return ReleaseReply(released=released)
--- a/marigoldtrail/slots/tracker.py
+++ b/marigoldtrail/slots/tracker.py
@@ -26,6 +26,12 @@
 # A single lost probe is not evidence that a process is gone.
 MAX_FAILED_PROBES = 3
 MAX_FORMER_INSTANCES = 8
+# Least time after which an entry should ask again when no slot is free.
+MIN_RETRY_S = 0.05
+# Before a call has been released, one is taken to last this long.
+INITIAL_DURATION_S = 0.5
+# Share of the newest duration in the moving average.
+DURATION_WEIGHT = 0.2
 MAX_LOAD = 255
 
 
@@ -134,6 +140,7 @@
         "ramp_round",
         "successes",
         "failed_probes",
+        "typical_s",
         "_former",
         "_offset_ms",
         "_turned_at",
@@ -166,6 +173,7 @@
         self.ramp_round = 0
         self.successes = 0
         self.failed_probes = 0
+        self.typical_s = INITIAL_DURATION_S
         self._former: deque[str] = deque(maxlen=MAX_FORMER_INSTANCES)
         self._offset_ms: float | None = None
         # A report may still describe the time before this owner took over.
@@ -224,13 +232,30 @@
         self.slots[attempt_id] = Slot(expires_at, self.instance, self.ramp_round)
         return expires_at
 
-    def free_at(self, now: float) -> float:
-        """Return the monotonic time at which a slot is free at the latest, if one may be."""
-        if now < self.grants_from:
-            return self.grants_from
-        return min((slot.expires_at for slot in self.slots.values()), default=now)
+    def free_in(self, now: float) -> float:
+        """
+        Return the time after which it makes sense to ask again.
 
-    def release(self, slot_id: str, *, succeeded: bool, instance: str, now: float) -> bool:
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        float
+            Seconds: the end of a wait, or a typical call's share for each slot, but no longer than
+            until the next slot expires.
+        """
+        if now < self.grants_from:
+            return self.grants_from - now
+        expires_at = min((slot.expires_at for slot in self.slots.values()), default=now)
+        typical_s = self.typical_s / max(self.allowed(), 1)
+        return max(MIN_RETRY_S, min(expires_at - now, typical_s))
+
+    def release(
+        self, slot_id: str, *, succeeded: bool, instance: str, now: float, duration_s: float = 0.0
+    ) -> bool:
         """
         Take a slot back and advance or reset the ramp.
 
@@ -244,12 +269,16 @@
             Instance that answered; empty if unknown.
         now : float
             Monotonic time in seconds.
+        duration_s : float
+            Duration of the call in seconds; 0 if unknown.
 
         Returns
         -------
         bool
             Whether the slot was still held.
         """
+        if duration_s > 0:
+            self.typical_s += DURATION_WEIGHT * (duration_s - self.typical_s)
         self.drop_expired(now)
         slot = self.slots.pop(slot_id, None)
         if slot is None:
