--- a/marigoldtrail/standins/engine.py
+++ b/marigoldtrail/standins/engine.py
@@ -223,7 +223,8 @@
     checks_fencing : bool
         Whether orders with an old fencing number are refused.
     load_weights : callable or None
-        Asynchronous function of a model, awaited for each order that loads weights.
+        Asynchronous function of a model, awaited once for each fencing number of an order that
+        loads weights; False if the load was refused.
     cache_blocks : int
         Size of the prefix cache.
     event_lag_s : float
@@ -260,7 +261,7 @@
         token_s: float = 0.01,
         prefill_s: float = 0.005,
         checks_fencing: bool = False,
-        load_weights: Callable[[str], Awaitable[None]] | None = None,
+        load_weights: Callable[[str], Awaitable[bool]] | None = None,
         cache_blocks: int = 1024,
         event_lag_s: float = 0.5,
         lose_every: int = 0,
@@ -342,7 +343,7 @@
     async def _generate(self, call: dict[str, Any], reply: HttpReply, running: Running) -> None:
         prompt = call["prompt"] if isinstance(call["prompt"], str) else str(call["prompt"])
         model = str(call.get("model", ""))
-        count = count_tokens(prompt, model, int(call.get("max_tokens", 512)))
+        count = self._count(prompt, model, int(call.get("max_tokens", 512)))
         first = int(call.get("resume_from", 0))
         batch = self._batch
         await batch.acquire(int(call.get("priority", 5)))
@@ -360,6 +361,9 @@
         finally:
             batch.release()
 
+    def _count(self, prompt: str, model: str, max_tokens: int) -> int:
+        return count_tokens(prompt, model, max_tokens)
+
     async def _send_end(self, reply: HttpReply, running: Running) -> None:
         await reply.send_event(b"[DONE]")
         await reply.end_stream()
@@ -387,13 +391,23 @@
                 return
             self.stale_orders += 1
         self._fencing = max(self._fencing, fencing)
-        if self._load_weights is not None and order["action"] != "change_role":
-            await self._load_weights(str(order["model"]))
-        self.orders.append(order)
+        if fencing not in (done["fencing"] for done in self.orders):
+            detail = await self._carry_out(order)
+            if detail:
+                answer = {"state": "refused", "detail": detail}
+                await reply.send_json(409, answer, self.process.headers())
+                return
+        await reply.send_json(200, {"state": "done", "detail": ""}, self.process.headers())
+
+    async def _carry_out(self, order: dict[str, Any]) -> str:
         model = str(order["model"])
+        load = self._load_weights if order["action"] != "change_role" else None
+        if load is not None and not await load(model):
+            return "the weight store refused the load"
+        self.orders.append(order)
         if order["action"] == "load_model" and model not in self.process.models:
             self.process.models.append(model)
-        await reply.send_json(200, {"state": "done", "detail": ""}, self.process.headers())
+        return ""
 
     async def _export_kv(self, request: HttpRequest, reply: HttpReply) -> None:
         call = decode_body(request)
--- a/marigoldtrail/standins/http.py
+++ b/marigoldtrail/standins/http.py
@@ -164,13 +164,19 @@
         Started with the address listened on.
     """
 
+    async def answer(request: HttpRequest, reply: HttpReply) -> None:
+        try:
+            await handler(request, reply)
+        except (KeyError, ValueError, msgspec.MsgspecError) as exc:
+            await reply.send_json(400, {"detail": repr(exc)}, {})
+
     async def run_handler(request: HttpRequest, reply: HttpReply, conn: h11.Connection) -> bool:
         if not cancel_on_disconnect:
-            await handler(request, reply)
+            await answer(request, reply)
             return True
         async with trio.open_nursery() as nursery:
             nursery.start_soon(cancel_at_end, conn, reply.stream, nursery.cancel_scope)
-            await handler(request, reply)
+            await answer(request, reply)
             nursery.cancel_scope.cancel()
             return True
         return False
--- a/marigoldtrail/standins/services.py
+++ b/marigoldtrail/standins/services.py
@@ -99,7 +99,7 @@
             report = self.process.report(self.knobs.load_lag_s)
             await reply.send_json(200, report, self.process.headers())
             return
-        call = decode_body(request)
+        call = decode_call(request)
         self.runs[call["attempt_id"]] += 1
         running = self.process.begin()
         if running is None or self.knobs.stalled:
@@ -181,7 +181,7 @@
         if request.method == "GET":
             await self._answer_get(request, reply)
             return
-        call = decode_body(request)
+        call = decode_call(request)
         has_effect = request.path not in self._read_paths
         self.runs_by_attempt[call["attempt_id"]] += 1
         if has_effect:
@@ -217,6 +217,31 @@
             await reply.send_json(404, {"detail": "no such path"}, headers)
 
 
+def decode_call(request: HttpRequest) -> dict[str, Any]:
+    """
+    Decode a call.
+
+    Parameters
+    ----------
+    request : HttpRequest
+        The request.
+
+    Returns
+    -------
+    dict
+        Its fields.
+
+    Raises
+    ------
+    KeyError
+        If a field is missing; nothing has been counted then.
+    """
+    call = decode_body(request)
+    for name in ("request_id", "attempt_id", "client_account", "stage", "deadline_ms", "input"):
+        call[name]
+    return call
+
+
 def effect_key(call: dict[str, Any]) -> str:
     """Return the idempotency key that a call's effect is counted under."""
     fields = call["input"] if isinstance(call["input"], dict) else {}
--- a/marigoldtrail/upstream/connections.py
+++ b/marigoldtrail/upstream/connections.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
+import h11
 import httpcore
 import trio
 
@@ -13,6 +15,7 @@
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 64
+READ_BYTES = 65536
 # Servers commonly close idle connections after 5 s; closing earlier avoids that race.
 MAX_IDLE_S = 4.0
 
@@ -54,12 +57,22 @@
         The connected stream.
     """
 
-    __slots__ = ("instance", "idle_since", "stream", "_http", "_host", "_header_host", "_port")
+    __slots__ = (
+        "instance",
+        "idle_since",
+        "stream",
+        "_http",
+        "_body_ended",
+        "_host",
+        "_header_host",
+        "_port",
+    )
 
     def __init__(self, *, address: Address, stream: trio.abc.Stream) -> None:
         self.instance = ""
         self.idle_since = 0.0
         self.stream = HttpStream(stream=stream)
+        self._body_ended = True
         self._host = address.ip.encode()
         self._header_host = str(address).encode()
         self._port = address.port
@@ -92,6 +105,7 @@
             If the exchange fails; `stream.wrote` tells whether the request may have left.
         """
         self.stream.wrote = False
+        self._body_ended = False
         fields = [(b"host", self._header_host), *headers]
         if body:
             fields += (
@@ -116,7 +130,7 @@
         response = await self.open(method, target, body, headers)
         chunks: list[bytes] = []
         size = 0
-        async for chunk in response.stream:  # type: ignore[union-attr]
+        while chunk := await self.read_body():
             chunks.append(chunk)
             size += len(chunk)
             if size > MAX_ANSWER_BYTES:
@@ -126,6 +140,52 @@
         fields = {name.lower(): value for name, value in response.headers}
         return RawAnswer(response.status, fields, b"".join(chunks))
 
+    async def read_body(self, deadline: float = math.inf) -> bytes:
+        """
+        Receive the next part of a response's body: everything that has arrived.
+
+        This drives the state of h11 directly. The iterator of httpcore passes each HTTP chunk, and
+        so each token of a stream, through five context managers and two generators.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic time in seconds after which to give up.
+
+        Returns
+        -------
+        bytes
+            Empty at the end of the body.
+
+        Raises
+        ------
+        httpcore.NetworkError, httpcore.ProtocolError, httpcore.ReadTimeout
+            If the response breaks off, is malformed or does not come in time.
+        """
+        state = self._http._h11_state
+        parts: list[bytes] = []
+        try:
+            while not self._body_ended:
+                event = state.next_event()
+                if type(event) is h11.Data:
+                    parts.append(bytes(event.data))
+                elif event is not h11.NEED_DATA:
+                    self._body_ended = True
+                elif parts:
+                    break
+                else:
+                    state.receive_data(await self._read(deadline))
+        except h11.RemoteProtocolError as exc:
+            raise httpcore.RemoteProtocolError(str(exc)) from exc
+        return b"".join(parts)
+
+    async def _read(self, deadline: float) -> bytes:
+        if deadline == math.inf:
+            return await self.stream.read(READ_BYTES)
+        with trio.CancelScope(deadline=deadline):
+            return await self.stream.read(READ_BYTES)
+        raise httpcore.ReadTimeout("the deadline has passed")
+
     def is_idle(self) -> bool:
         """Tell whether the last exchange is complete and the peer keeps the connection."""
         # Bytes after the end of a response belong to no request of this connection.
--- a/marigoldtrail/upstream/messages.py
+++ b/marigoldtrail/upstream/messages.py
@@ -67,12 +67,12 @@
     Parameters
     ----------
     state : str
-        ``done`` or ``refused``.
+        ``accepted`` while the engine carries the order out, ``done`` or ``refused``.
     detail : str
         Why it was refused.
     """
 
-    state: Literal["done", "refused"]
+    state: Literal["accepted", "done", "refused"]
     detail: str = ""
 
 
--- a/marigoldtrail/upstream/queries.py
+++ b/marigoldtrail/upstream/queries.py
@@ -61,10 +61,12 @@
         Parameters
         ----------
         upstream : Upstream
-            The engine.
+            The engine. Pools and services have no such call, so that nothing is sent to them.
         attempt_id : str
             The attempt.
         """
+        if upstream.kind != "engine":
+            return
         body = msgspec.json.encode({"attempt_id": attempt_id})
         await self._ask(upstream, "POST", "/cancel", body, CANCEL_TIMEOUT_S, "upstream.cancel")
 
--- a/marigoldtrail/upstream/tests/helpers.py
+++ b/marigoldtrail/upstream/tests/helpers.py
@@ -48,7 +48,7 @@
         self.upstream = Upstream(
             name=self.process.name,
             pool="p",
-            kind="service",
+            kind="engine" if isinstance(standin, Engine) else "service",
             address=str(ADDRESS),
             data_centre="nbo-1",
             host="h",
--- a/marigoldtrail/upstream/tokens.py
+++ b/marigoldtrail/upstream/tokens.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import httpcore
@@ -52,7 +52,6 @@
         "client_account",
         "_conn",
         "_response",
-        "_body",
         "_call",
         "_peer",
         "_step",
@@ -85,7 +84,6 @@
         self.client_account = ""
         self._conn = conn
         self._response = response
-        self._body: AsyncIterator[bytes] = response.stream.__aiter__()  # type: ignore[union-attr]
         self._call = call
         self._peer = peer
         self._step = step
@@ -111,16 +109,15 @@
         return self._items.popleft()
 
     async def _receive(self) -> None:
-        data: bytes | None = None
-        with trio.move_on_at(self._deadline):
-            try:
-                data = await anext(self._body, b"")
-            except EXCHANGE_ERRORS as exc:
-                self._fail(Reason.UNREACHABLE, str(exc) or type(exc).__name__)
-                return
-        if data is None:
+        try:
+            data = await self._conn.read_body(self._deadline)
+        except httpcore.TimeoutException:
             self._fail(Reason.TIMEOUT, "no end marker before the deadline")
-        elif data:
+            return
+        except EXCHANGE_ERRORS as exc:
+            self._fail(Reason.UNREACHABLE, str(exc) or type(exc).__name__)
+            return
+        if data:
             self._parse(data)
         else:
             self._fail(Reason.BAD_ANSWER, "the stream ended without its end marker")
@@ -190,11 +187,10 @@
         self._released = True
         complete = False
         if self._done:
-            with trio.move_on_after(END_OF_BODY_S):
-                try:
-                    complete = not await anext(self._body, b"")
-                except EXCHANGE_ERRORS:
-                    pass
+            try:
+                complete = not await self._conn.read_body(trio.current_time() + END_OF_BODY_S)
+            except EXCHANGE_ERRORS:
+                pass
         if complete:
             await self._response.aclose()
         # After the end of the connection the engine has stopped by itself.
