Offer the target rate of tokens in the hop benchmark

Two engines offer 6,400 tokens/s; the processor time of a bare send and receive with trio is measured in the same run, so that figures from a loaded machine can be judged.

--- a/bench/hop.py
+++ b/bench/hop.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import random
 import statistics
@@ -14,7 +15,7 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from functools import partial
 from typing import Any
 
@@ -43,10 +44,14 @@
 CALLS_PER_ROUND = 100
 MANY_STAGES = 6
 
-STREAMS = 16
+# Together the engines offer the target of 6,400 tokens a second for two seconds.
+ENGINES = 2
+STREAMS = 32
 TOKENS_PER_STREAM = 400
 TOKEN_S = 0.005
 
+SOCKET_ROUNDS = 2000
+
 LOOPBACK = Address("127.0.0.1", 0)
 PAYLOAD = {"query": "a long design brief " * 20}
 
@@ -164,15 +169,15 @@
         return self._statuses.get(upstream)
 
 
-def build_manifest(ports: list[int]) -> Manifest:
+def build_manifest(pool_port: int, engine_ports: list[int]) -> Manifest:
     """Return a manifest with pipelines of one and of many stages."""
 
     def stage(number: int) -> dict[str, Any]:
         return {"name": f"s{number}", "kind": "encode", "pool": "pool", "path": "/encode"}
 
-    def upstream(pool: str, kind: str, port: int) -> dict[str, Any]:
+    def upstream(pool: str, kind: str, port: int, number: int = 1) -> dict[str, Any]:
         return {
-            "name": f"{pool}-1",
+            "name": f"{pool}-{number}",
             "pool": pool,
             "kind": kind,
             "address": f"127.0.0.1:{port}",
@@ -190,8 +195,11 @@
                 {"name": "generate", "stages": [stage(0)]},
             ],
             "upstreams": [
-                upstream("pool", "encoder", ports[0]),
-                upstream("engine", "engine", ports[1]),
+                upstream("pool", "encoder", pool_port),
+                *(
+                    upstream("engine", "engine", port, number)
+                    for number, port in enumerate(engine_ports, 1)
+                ),
             ],
         },
         Manifest,
@@ -202,10 +210,10 @@
     """Relays one generation to the caller, with or without joining tokens into events."""
 
     def __init__(
-        self, upstreams: UpstreamClient, engine: Upstream, timers: Timers, coalesced: bool
+        self, upstreams: UpstreamClient, engines: list[Upstream], timers: Timers, coalesced: bool
     ) -> None:
         self._upstreams = upstreams
-        self._engine = engine
+        self._engines = itertools.cycle(engines)
         self._timers = timers
         self._coalesced = coalesced
 
@@ -224,7 +232,7 @@
             coalescer = Coalescer(timers=self._timers, sink=sink)
             nursery.start_soon(coalescer.run)
             emit = coalescer.add if self._coalesced else sink.token
-            async with self._upstreams.stream(self._engine, call, timeout_s=60) as stream:
+            async with self._upstreams.stream(next(self._engines), call, timeout_s=60) as stream:
                 if isinstance(stream, Failure):
                     return stream
                 async for chunk in stream:
@@ -247,13 +255,17 @@
 class Bench:
     """An entry in this process, connected to stand-ins in another one."""
 
-    def __init__(self, ports: list[int], instances: list[str]) -> None:
+    def __init__(self, standins: list[dict[str, Any]]) -> None:
         self.timers = Timers(seed=1)
         self.telemetry = Telemetry(host="bench", timers=self.timers)
-        self.manifest = build_manifest(ports)
-        self.pool, self.engine = self.manifest.upstreams
-        names = ["pool-1", "engine-1"]
-        self.view = WarmView(self.manifest, dict(zip(names, instances, strict=True)))
+        self.manifest = build_manifest(
+            standins[0]["ports"][0], [standin["ports"][1] for standin in standins]
+        )
+        self.pool, *self.engines = self.manifest.upstreams
+        instances = {self.pool.name: standins[0]["instances"][0]}
+        for engine, standin in zip(self.engines, standins, strict=True):
+            instances[engine.name] = standin["instances"][1]
+        self.view = WarmView(self.manifest, instances)
         self.upstreams = UpstreamClient(
             network=TcpNetwork(),
             timers=self.timers,
@@ -377,7 +389,7 @@
 
 async def measure_tokens(bench: Bench, *, coalesced: bool) -> dict[str, Any]:
     """Relay streams to a reader in another process; return processor time for each token."""
-    relay = RelayServer(bench.upstreams, bench.engine, bench.timers, coalesced)
+    relay = RelayServer(bench.upstreams, bench.engines, bench.timers, coalesced)
     ctx = ApiContext(
         server=relay,  # type: ignore[arg-type]
         view=bench.view,  # type: ignore[arg-type]
@@ -400,6 +412,8 @@
     return {
         "tokens": counts["tokens"],
         "events": counts["events"],
+        "tokens_per_s": round(counts["tokens"] / wall),
+        "share_of_a_core": round(cpu / wall, 2),
         "cpu_us_per_token": round(cpu / counts["tokens"] * 1e6, 1),
         "cpu_us_per_event": round(cpu / counts["events"] * 1e6, 1),
         "tokens_per_s_of_one_core": round(counts["tokens"] / cpu),
@@ -407,20 +421,35 @@
     }
 
 
+async def measure_socket() -> float:
+    """Return the processor time in microseconds of sending and receiving 100 bytes with trio."""
+    left, right = (trio.SocketStream(sock) for sock in trio.socket.socketpair())
+    cpu = time.process_time()
+    for _ in range(SOCKET_ROUNDS):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(right.receive_some, 100)
+            await trio.lowlevel.checkpoint()
+            await left.send_all(bytes(100))
+    return (time.process_time() - cpu) / SOCKET_ROUNDS * 1e6
+
+
 async def measure() -> dict[str, Any]:
     """Run all measurements."""
-    with child("standins") as standins:
-        found = json.loads(await trio.to_thread.run_sync(standins.stdout.readline))
-        bench = Bench(found["ports"], found["instances"])
+    with ExitStack() as stack:
+        children = [stack.enter_context(child("standins")) for _ in range(ENGINES)]
+        found = [json.loads(await trio.to_thread.run_sync(c.stdout.readline)) for c in children]
+        bench = Bench(found)
         async with trio.open_nursery() as nursery:
             await nursery.start(bench.server.run)
             hops = await measure_hops(bench)
+            socket_us = await measure_socket()
             plain = await measure_tokens(bench, coalesced=False)
             joined = await measure_tokens(bench, coalesced=True)
             nursery.cancel_scope.cancel()
     return {
         "hop": hops,
         "hop_target": {"stage_to_bare": TARGET_RATIO},
+        "bare_send_and_receive_cpu_us": round(socket_us, 1),
         "relay": {"without_coalescing": plain, "with_coalescing": joined},
         "relay_target": {"events_per_s_of_one_core": TARGET_EVENTS_PER_S},
     }
