Notice a restart of an upstream without reports in its answers

An upstream without reports that restarts while no connection is open shows no abnormal close. The instance in the header of an answer is now compared with that of the last one; a change is evidence of a cold start.

--- a/marigoldtrail/upstream/connections.py
+++ b/marigoldtrail/upstream/connections.py
@@ -213,12 +213,23 @@
         Clock.
     """
 
-    __slots__ = ("address", "broken", "cold_mark", "evidence", "evidence_at", "_timers", "_idle")
+    __slots__ = (
+        "address",
+        "broken",
+        "last_instance",
+        "cold_mark",
+        "evidence",
+        "evidence_at",
+        "_timers",
+        "_idle",
+    )
 
     def __init__(self, *, address: Address, timers: Timers) -> None:
         self.address = address
         # Set when the peer ended a connection without having announced it.
         self.broken = False
+        # Instance in the header of the last answer; empty if none was given.
+        self.last_instance = ""
         # The view's status that evidence of a cold start contradicts; None if there is none.
         self.cold_mark: tuple[str, int] | None = None
         self.evidence: tuple[str, str, str] = ("", "", "")
--- a/marigoldtrail/upstream/gate.py
+++ b/marigoldtrail/upstream/gate.py
@@ -124,8 +124,12 @@
     ) -> None:
         """Take the headers of an answer as evidence; they do not invalidate the answer."""
         expected = conn.instance or self.expected_instance(upstream, slot)
-        if instance and not conn.instance:
-            conn.instance = instance
+        if not expected and slot is None:
+            # An upstream without reports may have restarted while no connection was open.
+            expected = pool.last_instance
+        if instance:
+            conn.instance = conn.instance or instance
+            pool.last_instance = instance
         if state in NO_WORK:
             self.add_evidence(upstream, pool, instance, state, "answer header")
         elif instance and expected and instance != expected:
--- a/marigoldtrail/upstream/tests/test_calls.py
+++ b/marigoldtrail/upstream/tests/test_calls.py
@@ -179,6 +179,24 @@
     assert rig.evidence == []
 
 
+async def test_restart_while_no_connection_is_open_shows_in_the_answer(autojump_clock, nursery):
+    """Guards against a restart that goes unnoticed because the connection had been idle."""
+    rig = await effect_rig(reports_load=False).start(nursery)
+    rig.view.set(rig.process, instance="")
+    await rig.call("a1")
+    await trio.sleep(60)
+    await rig.client.aclose()
+    rig.process.restart(warm_next=True)
+    await trio.sleep(1)
+    assert (await rig.call("a2")).instance == rig.process.instance
+    assert [evidence[:3] for evidence in rig.evidence] == [
+        ("ledger-1", rig.process.instance, "cold")
+    ]
+    check(await rig.call("a3"), Reason.NO_SLOT, RunState.NOT_RUN)
+    assert (await rig.call("a4", slot=rig.grant(""))).attempt_id == "a4"
+    assert len(rig.evidence) == 1
+
+
 async def test_states_that_take_no_work(autojump_clock, nursery):
     """Guards against new work on an upstream that is leaving, down, cold or unknown."""
     rig = await effect_rig().start(nursery)
