Move starting of nodes out of the command line; name what a wait saw last

The demo package imported the command line and the other way round, which failed when the demo was imported first. Starting a node and initialising groups now live in node.launch, the text of records in api.display, and the subcommand in cli.demo.

--- a/marigoldtrail/api/__init__.py
+++ b/marigoldtrail/api/__init__.py
@@ -4,6 +4,7 @@
 from marigoldtrail.api.app import build_app
 from marigoldtrail.api.client import ApiClient, ApiStream
 from marigoldtrail.api.context import ApiContext
+from marigoldtrail.api.display import format_ms, format_record
 from marigoldtrail.api.server import serve_api
 
 __all__ = [
@@ -13,6 +14,8 @@
     "ApiStream",
     "EntryAddress",
     "build_app",
+    "format_ms",
+    "format_record",
     "rank_addresses",
     "serve_api",
 ]
--- a/marigoldtrail/cli/app.py
+++ b/marigoldtrail/cli/app.py
@@ -10,8 +10,8 @@
 from marigoldtrail import __version__
 from marigoldtrail.cli import inspect, operate, serve
 from marigoldtrail.cli.context import JsonOption, load_settings
+from marigoldtrail.cli.demo import run_demo_command
 from marigoldtrail.cli.exits import print_result
-from marigoldtrail.demo.command import run_demo_command
 
 EPILOG = (
     "Exit codes: 0 done, 1 failed, 2 invalid input, 3 refused and not run, 4 may have run, "
--- a/marigoldtrail/cli/inspect.py
+++ b/marigoldtrail/cli/inspect.py
@@ -8,10 +8,9 @@
 
 import typer
 
-from marigoldtrail.api import ApiClient, ApiStream
+from marigoldtrail.api import ApiClient, ApiStream, format_ms, format_record
 from marigoldtrail.cli.context import ApiOption, JsonOption, call_api, read_input
 from marigoldtrail.cli.exits import ExitCode, print_result
-from marigoldtrail.cli.operate import format_ms
 from marigoldtrail.errors import Failure
 
 DIGEST_CHARS = 64
@@ -114,39 +113,6 @@
     print_result(records, as_json=as_json, text=text)
 
 
-def format_record(record: dict[str, Any]) -> str:
-    """
-    Format a result record for a person.
-
-    Parameters
-    ----------
-    record : dict
-        The record as the API gives it.
-
-    Returns
-    -------
-    str
-        One line for the request and one for each stage.
-    """
-    lines = [
-        f"request {record['request_id']} of {record['client_account']}: {record['outcome']}",
-        f"  pipeline {record['pipeline']}, manifest {record['manifest_number']}, "
-        f"entry {record['entry']} in {record['data_centre']}",
-        f"  started {format_ms(record['started_ms'])}, "
-        f"took {record['finished_ms'] - record['started_ms']} ms",
-        f"  request digest {record['request_digest']}",
-        f"  result digest  {record['result_digest']}",
-    ]
-    for stage in record["stages"]:
-        model = f", {stage['model']} {stage['version']}".rstrip() if stage["model"] else ""
-        lines.append(
-            f"  stage {stage['stage']}: {stage['upstream']} ({stage['instance']}){model}, "
-            f"attempt {stage['attempt_id']}, {stage['attempts']} tried, "
-            f"{stage['duration_ms']} ms, result {stage['result_digest'][:12]}"
-        )
-    return "\n".join(lines)
-
-
 def explain(
     api: ApiOption,
     request_id: Annotated[str, typer.Option(help="Decisions about this request.")] = "",
--- a/marigoldtrail/cli/operate.py
+++ b/marigoldtrail/cli/operate.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import json
-from datetime import datetime
 from pathlib import Path
 from typing import Annotated, Any
 
 import typer
 
-from marigoldtrail.api import ApiClient
+from marigoldtrail.api import ApiClient, format_ms
 from marigoldtrail.cli.context import (
     ApiOption,
     JsonOption,
@@ -287,20 +286,3 @@
             raise typer.Exit(ExitCode.INVALID_INPUT) from exc
     reply = call_api(api, lambda client: client.settle_claim(client_account, key, settlement))
     print_result(reply, as_json=as_json, text=f"{client_account} {key}: {reply['state']}")
-
-
-def format_ms(wall_ms: int) -> str:
-    """
-    Format a wall time.
-
-    Parameters
-    ----------
-    wall_ms : int
-        Milliseconds since the epoch.
-
-    Returns
-    -------
-    str
-        Local time to the second.
-    """
-    return datetime.fromtimestamp(wall_ms / 1000).isoformat(sep=" ", timespec="seconds")
--- a/marigoldtrail/cli/serve.py
+++ b/marigoldtrail/cli/serve.py
@@ -4,24 +4,17 @@
 
 import logging
 import signal
-from functools import partial
 
 import trio
 import typer
 
 from marigoldtrail.cli.context import SettingsOption, load_settings
 from marigoldtrail.cli.exits import ExitCode, fail
-from marigoldtrail.consensus import init_fleet
 from marigoldtrail.errors import Failure
 from marigoldtrail.fleet import groups_of
-from marigoldtrail.net import Address, PeerClient, TcpNetwork
-from marigoldtrail.node import Node, run_node
+from marigoldtrail.node import Node, init_groups, launch_node
 from marigoldtrail.schema.generated.settings import Settings
-from marigoldtrail.storage import open_folder
-from marigoldtrail.telemetry import Metrics, Telemetry, build_tracer_provider, configure_logging
-from marigoldtrail.timers import Timers
-
-INIT_TIMEOUT_S = 5.0
+from marigoldtrail.telemetry import configure_logging
 
 control_app = typer.Typer(no_args_is_help=True, help="Initialise the control hosts of a fleet.")
 
@@ -42,7 +35,7 @@
 
 async def serve_node(cfg: Settings) -> Failure | None:
     """
-    Run a node in this process.
+    Run a node in this process until it is drained.
 
     Parameters
     ----------
@@ -52,62 +45,23 @@
     Returns
     -------
     Failure or None
-        Why the node could not start or had to stop.
+        Why the node could not start.
     """
-    timers = Timers()
-    disk = None
-    if "control" in cfg.roles:
-        opened = open_folder(cfg.data_folder, timers=timers)
-        if isinstance(opened, Failure):
-            return opened
-        disk = opened
-    node_task = partial(
-        run_node,
-        cfg,
-        network=TcpNetwork(),
-        timers=timers,
-        telemetry=build_telemetry(cfg, timers),
-        disk=disk,
-    )
+    result: Failure | None = None
     async with trio.open_nursery() as nursery:
-        stopped = trio.Event()
 
-        async def run(task_status: trio.TaskStatus[Node]) -> None:
-            await node_task(task_status=task_status)
-            stopped.set()
+        async def run(task_status: trio.TaskStatus[Node | None]) -> None:
+            nonlocal result
+            result = await launch_node(cfg, task_status=task_status)
+            if result is not None:
+                task_status.started(None)
             nursery.cancel_scope.cancel()
 
-        node: Node = await nursery.start(run)
-        _log.info("serving on %s, peers on %s", cfg.api_address, cfg.peer_address)
-        nursery.start_soon(drain_on_signal, node)
-    return None
-
-
-def build_telemetry(cfg: Settings, timers: Timers) -> Telemetry:
-    """
-    Build the telemetry that the settings ask for.
-
-    Parameters
-    ----------
-    cfg : Settings
-        Settings of the node.
-    timers : Timers
-        Timer service.
-
-    Returns
-    -------
-    Telemetry
-        Exports spans and metrics.
-    """
-    provider = None
-    if cfg.telemetry.trace_file or cfg.telemetry.otlp_endpoint:
-        provider = build_tracer_provider(
-            host=cfg.host,
-            trace_file=cfg.telemetry.trace_file,
-            otlp_endpoint=cfg.telemetry.otlp_endpoint,
-        )
-    metrics = Metrics(address=cfg.telemetry.statsd_address)
-    return Telemetry(host=cfg.host, timers=timers, metrics=metrics, provider=provider)
+        node: Node | None = await nursery.start(run)
+        if node is not None:
+            _log.info("serving on %s, peers on %s", cfg.api_address, cfg.peer_address)
+            nursery.start_soon(drain_on_signal, node)
+    return result
 
 
 async def drain_on_signal(node: Node) -> None:
@@ -142,29 +96,3 @@
     names = ", ".join(group.name for group in groups_of(cfg))
     typer.echo(f"initialised {names}")
     raise typer.Exit(ExitCode.OK)
-
-
-async def init_groups(cfg: Settings) -> Failure | None:
-    """
-    Give the log groups of a fresh fleet their first members.
-
-    Parameters
-    ----------
-    cfg : Settings
-        Settings of any node of the fleet.
-
-    Returns
-    -------
-    Failure or None
-        Why it was not done.
-    """
-    async with trio.open_nursery() as nursery:
-        client = PeerClient(network=TcpNetwork(), host=f"init-{cfg.host}", nursery=nursery)
-        result = await init_fleet(
-            client,
-            hosts={group.name: list(group.members) for group in groups_of(cfg)},
-            addresses={peer.host: Address.parse(peer.peer_address) for peer in cfg.control_hosts},
-            timeout_s=INIT_TIMEOUT_S,
-        )
-        nursery.cancel_scope.cancel()
-    return result
--- a/marigoldtrail/demo/jobs.py
+++ b/marigoldtrail/demo/jobs.py
@@ -10,8 +10,7 @@
 
 import trio
 
-from marigoldtrail.api import ApiClient
-from marigoldtrail.cli.inspect import format_record
+from marigoldtrail.api import ApiClient, format_record
 from marigoldtrail.demo.callers import Caller, Outcome
 from marigoldtrail.demo.deployments import ACCOUNTS, Deployment, build_manifest
 from marigoldtrail.demo.world import World
--- a/marigoldtrail/demo/command.py
+++ b/marigoldtrail/demo/runner.py
@@ -1,36 +1,29 @@
-"""The subcommand ``demo``."""
+"""Runs the demo on all deployments at the same time."""
 
 from __future__ import annotations
 
 import json
 import os
 import signal
-import tempfile
 from functools import partial
 from pathlib import Path
-from typing import Annotated
 
 import trio
 import typer
 
-from marigoldtrail.cli.exits import ExitCode
-from marigoldtrail.cli.serve import build_telemetry, init_groups
 from marigoldtrail.demo.deployments import (
     DEPLOYMENTS,
     Deployment,
     build_manifest,
     build_settings,
-    write_deployment,
 )
 from marigoldtrail.demo.jobs import Job
 from marigoldtrail.demo.world import World
-from marigoldtrail.errors import Failure
 from marigoldtrail.net import Address, TcpNetwork
-from marigoldtrail.node import Node, run_node
+from marigoldtrail.node import Node, init_groups, launch_node
 from marigoldtrail.schema import parse_manifest, parse_settings
 from marigoldtrail.schema.generated.manifest import Manifest
 from marigoldtrail.schema.generated.settings import Settings
-from marigoldtrail.storage import open_folder
 from marigoldtrail.timers import Timers
 
 TIME_LIMIT_S = 58.0
@@ -38,37 +31,6 @@
 INIT_LIMIT_S = 20.0
 
 
-def run_demo_command(
-    folder: Annotated[
-        Path | None,
-        typer.Option(help="Folder for settings, data and traces; a temporary one by default."),
-    ] = None,
-    prepare: Annotated[
-        bool, typer.Option("--prepare", help="Only write settings and manifests.")
-    ] = False,
-    external: Annotated[
-        bool, typer.Option("--external", help="The nodes already run as processes of their own.")
-    ] = False,
-) -> None:
-    """Run both deployments on this machine and check the promises.
-
-    Without --external all nodes run inside this process. Ends by itself within 60 s and exits
-    non-zero if a promise was broken.
-
-    Example: marigoldtrail demo
-    """
-    folder = folder or Path(tempfile.mkdtemp(prefix="marigoldtrail-demo-"))
-    for deployment in DEPLOYMENTS:
-        write_deployment(deployment, folder)
-    if prepare:
-        return
-    broken = trio.run(partial(run_demo, folder, external=external))
-    for promise in broken:
-        typer.echo(f"broken: {promise}")
-    typer.echo("all promises held" if not broken else f"{len(broken)} promises broken")
-    raise typer.Exit(ExitCode.FAILED if broken else ExitCode.OK)
-
-
 async def run_demo(folder: Path, *, external: bool) -> list[str]:
     """
     Run the demo on all deployments at the same time.
@@ -165,22 +127,15 @@
         Its settings.
     task_status : trio.TaskStatus
         Started with the node.
+
+    Raises
+    ------
+    RuntimeError
+        If the node cannot start.
     """
-    timers = Timers()
-    disk = None
-    if "control" in cfg.roles:
-        opened = open_folder(cfg.data_folder, timers=timers)
-        if isinstance(opened, Failure):
-            raise RuntimeError(str(opened))
-        disk = opened
-    await run_node(
-        cfg,
-        network=TcpNetwork(),
-        timers=timers,
-        telemetry=build_telemetry(cfg, timers),
-        disk=disk,
-        task_status=task_status,
-    )
+    failure = await launch_node(cfg, task_status=task_status)
+    if failure is not None:
+        raise RuntimeError(str(failure))
 
 
 async def init_when_ready(cfg: Settings) -> None:
--- a/marigoldtrail/node/__init__.py
+++ b/marigoldtrail/node/__init__.py
@@ -2,6 +2,7 @@
 
 from marigoldtrail.node.control_role import ControlRole, build_control_role
 from marigoldtrail.node.entry_role import EntryRole, build_entry_role
+from marigoldtrail.node.launch import build_telemetry, init_groups, launch_node
 from marigoldtrail.node.node import Node, run_node
 from marigoldtrail.node.parts import NodeParts
 
@@ -12,5 +13,8 @@
     "NodeParts",
     "build_control_role",
     "build_entry_role",
+    "build_telemetry",
+    "init_groups",
+    "launch_node",
     "run_node",
 ]
--- a/marigoldtrail/node/tests/fleet.py
+++ b/marigoldtrail/node/tests/fleet.py
@@ -18,7 +18,6 @@
 
 from marigoldtrail.api import ApiClient
 from marigoldtrail.demo.callers import Caller
-from marigoldtrail.demo.command import init_when_ready, parse_node_settings
 from marigoldtrail.demo.deployments import (
     API_PORT_OFFSET,
     TSVETANOV,
@@ -27,6 +26,7 @@
     build_manifest,
     build_settings,
 )
+from marigoldtrail.demo.runner import init_when_ready, parse_node_settings
 from marigoldtrail.demo.world import World
 from marigoldtrail.errors import Failure
 from marigoldtrail.net import Address, TcpNetwork
@@ -110,12 +110,14 @@
     ) -> Any:
         """Repeat a call to one entry until its answer is accepted."""
         async with self.client(host) as client:
-            with trio.fail_after(PATIENCE_S):
+            answer: Any = None
+            with trio.move_on_after(PATIENCE_S):
                 while True:
                     answer = await call(client)
                     if not isinstance(answer, Failure) and accept(answer):
                         return answer
                     await trio.sleep(POLL_S)
+            raise AssertionError(f"no accepted answer within {PATIENCE_S} s; the last: {answer}")
 
     async def wait_warm(self, host: str) -> None:
         names = set(self.world.standins)
