--- a/marigoldtrail/consensus/tests/cluster.py
+++ b/marigoldtrail/consensus/tests/cluster.py
@@ -40,10 +40,18 @@
 class Cluster:
     """Hosts a, b, c, ... that can be stopped, started and replaced."""
 
-    def __init__(self, nursery, *, size=3, seed=1, delay_s=0.002, hosts=None):
+    def __init__(
+        self,
+        nursery,
+        *,
+        size=3,
+        seed=1,
+        make_machine=lambda host: Register(),
+        make_telemetry=lambda host: None,
+    ):
         self.nursery = nursery
         self.rng = random.Random(seed)
-        self.network = MemoryNetwork(seed=seed, delay_s=delay_s)
+        self.network = MemoryNetwork(seed=seed)
         self.names = [chr(ord("a") + i) for i in range(size)]
         self.addresses = {
             name: Address(f"10.0.0.{i + 1}", 7000) for i, name in enumerate(self.names)
@@ -52,7 +60,8 @@
         self.sets = {}
         self.machines = {}
         self.scopes = {}
-        self.max_batch = 1024
+        self.make_machine = make_machine
+        self.make_telemetry = make_telemetry
 
     @property
     def ids(self):
@@ -69,7 +78,7 @@
         with trio.CancelScope() as scope:
             async with trio.open_nursery() as nursery:
                 network = self.network.endpoint(self.addresses[name].ip)
-                machine = Register()
+                machine = self.make_machine(name)
                 groups = GroupSet(
                     host=name,
                     hosts={GROUP: self.names},
@@ -79,7 +88,7 @@
                     machines={GROUP: machine},
                     timers=Timers(seed=1),
                     rng=self.rng,
-                    max_batch=self.max_batch,
+                    telemetry=self.make_telemetry(name),
                 )
                 self.sets[name] = groups
                 self.machines[name] = machine
@@ -111,9 +120,13 @@
         """Bring a host back with an empty disk."""
         if name in self.sets:
             await self.crash(name)
-        self.disks[name] = MemoryDisk(rng=self.rng)
+        self.empty_disk(name)
         await self.start(name)
 
+    def empty_disk(self, name):
+        self.disks[name] = MemoryDisk(rng=self.rng)
+        return self.disks[name]
+
     async def init(self):
         """Give the fresh fleet its first configuration."""
         async with trio.open_nursery() as nursery:
