--- /dev/null
+++ b/bench/loopback.py
@@ -0,0 +1,80 @@
+"""A network that counts what it carries."""
+
+from __future__ import annotations
+
+import trio
+
+from marigoldtrail.net import Address, Network
+from marigoldtrail.net.network import StreamHandler
+
+
+class CountingNetwork:
+    """
+    Counts bytes and sends of the streams that it dials.
+
+    Parameters
+    ----------
+    network : Network
+        Opens and accepts the streams.
+    """
+
+    def __init__(self, *, network: Network) -> None:
+        self._network = network
+        self.reset()
+
+    def reset(self) -> None:
+        """Begin to count anew."""
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.sends = 0
+
+    async def dial(self, address: Address) -> trio.abc.Stream:
+        """Open a stream; see `Network.dial`."""
+        return CountingStream(stream=await self._network.dial(address), network=self)
+
+    async def listen(
+        self,
+        address: Address,
+        handler: StreamHandler,
+        *,
+        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept streams; see `Network.listen`."""
+        await self._network.listen(address, handler, task_status=task_status)
+
+
+class CountingStream(trio.abc.Stream):
+    """
+    A stream whose traffic is counted.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        The stream.
+    network : CountingNetwork
+        Keeps the counts.
+    """
+
+    def __init__(self, *, stream: trio.abc.Stream, network: CountingNetwork) -> None:
+        self._stream = stream
+        self._network = network
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Send and count."""
+        self._network.sends += 1
+        self._network.sent_bytes += len(data)
+        await self._stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait; see `trio.abc.SendStream`."""
+        await self._stream.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes | bytearray:
+        """Receive and count."""
+        data = await self._stream.receive_some(max_bytes)
+        self._network.received_bytes += len(data)
+        return data
+
+    async def aclose(self) -> None:
+        """Close the stream."""
+        await self._stream.aclose()
