--- a/marigoldtrail/records/__init__.py
+++ b/marigoldtrail/records/__init__.py
@@ -1,6 +1,7 @@
 """State machine of record groups: claims and result records."""
 
-from marigoldtrail.records.claims import ClaimResult, ClaimState, ClaimTable, Location, SettledBy
+from marigoldtrail.records.claim import ClaimResult, ClaimState, Location, SettledBy
+from marigoldtrail.records.claims import ClaimTable
 from marigoldtrail.records.machine import RecordMachine, encode_command
 from marigoldtrail.records.search import export_records, record_to_json
 from marigoldtrail.records.segments import SegmentStore
--- a/marigoldtrail/records/claims.py
+++ b/marigoldtrail/records/claims.py
@@ -12,13 +12,25 @@
 
 from __future__ import annotations
 
-import enum
 import itertools
+import sys
 from collections.abc import Iterator
-from typing import Literal, NamedTuple
+from typing import Literal
 
 import msgspec
 
+from marigoldtrail.records.claim import (
+    Claim,
+    ClaimResult,
+    ClaimState,
+    KeyClaims,
+    Location,
+    PendingClaim,
+    SettledBy,
+    Target,
+    pack_location,
+    unpack_location,
+)
 from marigoldtrail.schema.generated.records import (
     ClaimReply,
     ClaimStatus,
@@ -33,23 +45,6 @@
 FREED_MEMORY_MS = 3_600_000
 
 
-class ClaimState(enum.IntEnum):
-    """State of a claim."""
-
-    FREE = 0
-    PENDING = 1
-    DONE = 2
-    MAY_HAVE_RUN = 3
-
-
-class SettledBy(enum.IntEnum):
-    """Who settled a claim."""
-
-    ATTEMPT = 0
-    SWEEPER = 1
-    OPERATOR = 2
-
-
 _STATE_NAMES: dict[ClaimState, Literal["not_run", "pending", "done", "may_have_run"]] = {
     ClaimState.FREE: "not_run",
     ClaimState.PENDING: "pending",
@@ -58,139 +53,6 @@
 }
 
 
-class Location(NamedTuple):
-    """
-    Place of an entry in the segments.
-
-    Parameters
-    ----------
-    segment : int
-        Number of the segment.
-    offset : int
-        First byte of the entry in it.
-    """
-
-    segment: int
-    offset: int
-
-
-class Target(msgspec.Struct, array_like=True, frozen=True, gc=False):
-    """
-    An upstream that the claimed call may have been sent to.
-
-    Parameters
-    ----------
-    upstream : str
-        Name of the upstream.
-    outcome_path : str
-        Path that tells the outcome of an attempt; empty if it cannot be asked.
-    outcome_final : bool
-        Whether its "not found" excludes a later run.
-    """
-
-    upstream: str
-    outcome_path: str
-    outcome_final: bool
-
-
-class Claim(msgspec.Struct, array_like=True, kw_only=True):
-    """
-    The claim of one stage under an idempotency key.
-
-    Parameters
-    ----------
-    stage : str
-        Name of the stage.
-    state : ClaimState
-        Its state.
-    request_id, attempt_id, entry : str
-        Holder of the claim.
-    targets : tuple of Target
-        Every upstream that the holder has named.
-    opened_ms, deadline_ms, settled_ms : int
-        Wall times in milliseconds; the first and last are the leader's.
-    settled_by : SettledBy
-        Who settled it.
-    freed : tuple of str
-        Attempts that did not run, newest last.
-    answer : Location or None
-        Where the recorded answer is.
-    """
-
-    stage: str
-    state: ClaimState = ClaimState.FREE
-    request_id: str = ""
-    attempt_id: str = ""
-    entry: str = ""
-    targets: tuple[Target, ...] = ()
-    opened_ms: int = 0
-    deadline_ms: int = 0
-    settled_ms: int = 0
-    settled_by: SettledBy = SettledBy.ATTEMPT
-    freed: tuple[str, ...] = ()
-    answer: Location | None = None
-
-
-class KeyClaims(msgspec.Struct, array_like=True, kw_only=True):
-    """
-    The claims under one idempotency key.
-
-    Parameters
-    ----------
-    digest : str
-        Digest of the request that uses the key.
-    claims : list of Claim
-        One for each stage.
-    """
-
-    digest: str
-    claims: list[Claim]
-
-    def find(self, stage: str) -> Claim | None:
-        """Return the claim of a stage, if any."""
-        for claim in self.claims:
-            if claim.stage == stage:
-                return claim
-        return None
-
-    def is_free(self) -> bool:
-        """Tell whether no stage holds the key."""
-        return all(claim.state is ClaimState.FREE for claim in self.claims)
-
-
-class ClaimResult(msgspec.Struct):
-    """
-    Result of a claim command.
-
-    Parameters
-    ----------
-    reply : ClaimReply
-        Reply to the caller, without the answer.
-    answer : Location or None
-        Where the answer of a claim that is done is stored.
-    """
-
-    reply: ClaimReply
-    answer: Location | None = None
-
-
-class PendingClaim(NamedTuple):
-    """
-    A claim that the sweeper watches.
-
-    Parameters
-    ----------
-    client_account, idempotency_key : str
-        Key of the claim.
-    claim : Claim
-        The claim.
-    """
-
-    client_account: str
-    idempotency_key: str
-    claim: Claim
-
-
 class ClaimTable:
     """
     All claims of a record group.
@@ -211,7 +73,7 @@
     'pending'
     """
 
-    __slots__ = ("_accounts", "_open")
+    __slots__ = ("_accounts", "_open", "_targets")
 
     def __init__(self, *, accounts: dict[str, dict[str, KeyClaims]] | None = None) -> None:
         self._accounts = accounts or {}
@@ -219,7 +81,12 @@
             ClaimState.PENDING: set(),
             ClaimState.MAY_HAVE_RUN: set(),
         }
+        # Targets and names are shared between claims: they take a third of the memory otherwise.
+        self._targets: dict[tuple[Target, ...], tuple[Target, ...]] = {}
         for account, key, claim in self._all():
+            claim.stage = sys.intern(claim.stage)
+            claim.entry = sys.intern(claim.entry)
+            claim.targets = self._targets.setdefault(claim.targets, claim.targets)
             if claim.state in self._open:
                 self._open[claim.state].add((account, key, claim.stage))
 
@@ -241,11 +108,11 @@
         keys = self._accounts.setdefault(account, {})
         entry = keys.get(key)
         if entry is None:
-            entry = keys[key] = KeyClaims(digest=digest, claims=[])
+            entry = keys[key] = KeyClaims(digest=digest, claims=())
         claim = entry.find(stage)
         if claim is None:
-            claim = Claim(stage=stage)
-            entry.claims.append(claim)
+            claim = Claim(stage=sys.intern(stage))
+            entry.claims = (*entry.claims, claim)
         return claim
 
     def open(self, req: OpenClaim, *, at_ms: int) -> ClaimResult:
@@ -282,18 +149,26 @@
         if claim.state is ClaimState.FREE:
             self._grant(claim, req, at_ms)
         if claim.state is ClaimState.PENDING and claim.attempt_id == req.attempt_id:
-            _add_target(claim, req)
+            self._add_target(claim, req)
             reply = ClaimReply(
                 state="granted", request_id=claim.request_id, attempt_id=claim.attempt_id
             )
             return ClaimResult(reply)
         return _describe(claim)
 
+    def _add_target(self, claim: Claim, req: OpenClaim) -> None:
+        # Targets only accumulate: copies of an attempt's commands may arrive in any order, and the
+        # sweeper must ask every upstream that the attempt may have reached.
+        target = Target(req.upstream, req.outcome_path, req.outcome_final)
+        if target not in claim.targets:
+            targets = (*claim.targets, target)
+            claim.targets = self._targets.setdefault(targets, targets)
+
     def _grant(self, claim: Claim, req: OpenClaim, at_ms: int) -> None:
         claim.state = ClaimState.PENDING
         claim.request_id = req.request_id
         claim.attempt_id = req.attempt_id
-        claim.entry = req.entry
+        claim.entry = sys.intern(req.entry)
         claim.targets = ()
         claim.opened_ms = at_ms
         claim.deadline_ms = req.deadline_wall_ms
@@ -391,7 +266,7 @@
         claim.settled_by = by
         if req.state == "done":
             claim.state = ClaimState.DONE
-            claim.answer = answer
+            claim.answer = pack_location(answer)
         elif req.state == "may_have_run":
             claim.state = ClaimState.MAY_HAVE_RUN
             self._open[ClaimState.MAY_HAVE_RUN].add(key)
@@ -486,11 +361,11 @@
             keys = self._accounts[account]
             for key in list(keys):
                 entry = keys[key]
-                kept = [
+                kept = tuple(
                     claim
                     for claim in entry.claims
                     if _is_kept(claim, first_segment, before_ms, at_ms - FREED_MEMORY_MS)
-                ]
+                )
                 for claim in entry.claims:
                     if claim not in kept:
                         dropped += 1
@@ -509,8 +384,9 @@
         return True
     if claim.state is ClaimState.FREE:
         return claim.settled_ms >= freed_before_ms
-    if claim.answer is not None:
-        return claim.answer.segment >= first_segment
+    answer = unpack_location(claim.answer)
+    if answer is not None:
+        return answer.segment >= first_segment
     return claim.settled_ms >= before_ms
 
 
@@ -533,14 +409,6 @@
     return by is SettledBy.ATTEMPT and claim.settled_by is SettledBy.SWEEPER
 
 
-def _add_target(claim: Claim, req: OpenClaim) -> None:
-    # Targets only accumulate: copies of an attempt's commands may arrive in any order, and the
-    # sweeper must ask every upstream that the attempt may have reached.
-    target = Target(req.upstream, req.outcome_path, req.outcome_final)
-    if target not in claim.targets:
-        claim.targets = (*claim.targets, target)
-
-
 def _remember_freed(claim: Claim, attempt_id: str) -> None:
     if attempt_id not in claim.freed:
         claim.freed = (*claim.freed, attempt_id)[-MAX_FREED_ATTEMPTS:]
@@ -550,7 +418,7 @@
     reply = ClaimReply(
         state=_STATE_NAMES[claim.state], request_id=claim.request_id, attempt_id=claim.attempt_id
     )
-    return ClaimResult(reply, claim.answer if claim.state is ClaimState.DONE else None)
+    return ClaimResult(reply, unpack_location(claim.answer))
 
 
 def _freed_reply(req: SettleClaim) -> ClaimResult:
--- a/marigoldtrail/records/index.py
+++ b/marigoldtrail/records/index.py
@@ -59,7 +59,8 @@
     __slots__ = ("_open", "_hashes", "_offsets")
 
     def __init__(self) -> None:
-        self._open: list[dict[int, list[int]]] | None = [{} for _ in Field]
+        # A single offset stands without a list: most values belong to one record.
+        self._open: list[dict[int, int | list[int]]] | None = [{} for _ in Field]
         self._hashes: list[array[int]] = []
         self._offsets: list[array[int]] = []
 
@@ -76,8 +77,14 @@
         offset : int
             Offset of the record.
         """
-        if value and self._open is not None:
-            self._open[field].setdefault(hash_value(value), []).append(offset)
+        if not value or self._open is None:
+            return
+        by_hash, key = self._open[field], hash_value(value)
+        found = by_hash.setdefault(key, offset)
+        if isinstance(found, list):
+            found.append(offset)
+        elif found != offset:
+            by_hash[key] = [found, offset]
 
     def find(self, field: Field, value: str) -> list[int]:
         """
@@ -97,7 +104,7 @@
         """
         wanted = hash_value(value)
         if self._open is not None:
-            return sorted(self._open[field].get(wanted, ()))
+            return _as_list(self._open[field].get(wanted))
         hashes = self._hashes[field]
         first = last = bisect_left(hashes, wanted)
         while last < len(hashes) and hashes[last] == wanted:
@@ -115,7 +122,7 @@
         """
         if self._open is not None:
             by_request = self._open[Field.REQUEST_ID]
-            return sorted(offset for found in by_request.values() for offset in found)
+            return sorted(offset for found in by_request.values() for offset in _as_list(found))
         return sorted(self._offsets[Field.REQUEST_ID])
 
     def seal(self) -> None:
@@ -123,7 +130,9 @@
         if self._open is None:
             return
         for by_hash in self._open:
-            pairs = sorted((key, offset) for key, found in by_hash.items() for offset in found)
+            pairs = sorted(
+                (key, offset) for key, found in by_hash.items() for offset in _as_list(found)
+            )
             self._hashes.append(array("Q", [key for key, _ in pairs]))
             self._offsets.append(array("I", [offset for _, offset in pairs]))
         self._open = None
@@ -177,3 +186,9 @@
             index._hashes.append(hashes)
             index._offsets.append(offsets)
         return index
+
+
+def _as_list(found: int | list[int] | None) -> list[int]:
+    if found is None:
+        return []
+    return sorted(found) if isinstance(found, list) else [found]
--- a/marigoldtrail/records/machine.py
+++ b/marigoldtrail/records/machine.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from marigoldtrail.errors import Failure, Reason, RunState
-from marigoldtrail.records.claims import ClaimResult, ClaimTable, KeyClaims, Location, SettledBy
+from marigoldtrail.records.claim import ClaimResult, KeyClaims, Location, SettledBy
+from marigoldtrail.records.claims import ClaimTable
 from marigoldtrail.records.entries import ANSWER, RECORD
 from marigoldtrail.records.segment import IndexedFields, SegmentState
 from marigoldtrail.records.segments import SegmentStore
--- a/marigoldtrail/records/segments.py
+++ b/marigoldtrail/records/segments.py
@@ -18,7 +18,7 @@
 from crc32c import crc32c
 
 from marigoldtrail.errors import Failure, Reason, RunState
-from marigoldtrail.records.claims import Location
+from marigoldtrail.records.claim import Location
 from marigoldtrail.records.entries import (
     HEADER_BYTES,
     Entry,
--- a/marigoldtrail/records/service.py
+++ b/marigoldtrail/records/service.py
@@ -10,7 +10,7 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Handlers
-from marigoldtrail.records.claims import ClaimResult, ClaimState, SettledBy
+from marigoldtrail.records.claim import ClaimResult, ClaimState, SettledBy
 from marigoldtrail.records.fetch import FetchChunk, fetch_missing
 from marigoldtrail.records.machine import (
     Command,
--- a/marigoldtrail/records/sweeper.py
+++ b/marigoldtrail/records/sweeper.py
@@ -14,7 +14,7 @@
 import trio
 
 from marigoldtrail.errors import Failure
-from marigoldtrail.records.claims import Claim, PendingClaim, SettledBy
+from marigoldtrail.records.claim import Claim, PendingClaim, SettledBy
 from marigoldtrail.records.machine import RecordMachine, SettleCommand, encode_command
 from marigoldtrail.schema.generated.records import SettleClaim
 from marigoldtrail.telemetry import Telemetry
--- a/marigoldtrail/records/tests/test_claims.py
+++ b/marigoldtrail/records/tests/test_claims.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from marigoldtrail.records.claims import ClaimState, ClaimTable, Location, SettledBy
+from marigoldtrail.records.claim import ClaimState, Location, SettledBy
+from marigoldtrail.records.claims import ClaimTable
 from marigoldtrail.records.tests.fakes import open_claim, settle_claim
 
 HOLDER, SWEEPER, OPERATOR = SettledBy.ATTEMPT, SettledBy.SWEEPER, SettledBy.OPERATOR
--- a/marigoldtrail/records/tests/test_claims_stateful.py
+++ b/marigoldtrail/records/tests/test_claims_stateful.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import run_state_machine_as_test as run_machine
 
 from marigoldtrail.records import claims
-from marigoldtrail.records.claims import ClaimState, SettledBy
+from marigoldtrail.records.claim import ClaimState, SettledBy
 from marigoldtrail.records.entries import decode_entry
 from marigoldtrail.records.machine import (
     OpenCommand,
