--- a/bench/policy.py
+++ b/bench/policy.py
@@ -27,6 +27,7 @@
 from marigoldtrail.policy import PrefixIndex, share_of
 from marigoldtrail.serving import Answer
 from marigoldtrail.serving.tests.fakes import (
+    REFUSED,
     FakeStream,
     FakeUpstreams,
     World,
@@ -53,6 +54,7 @@
 # The upstream that turns slow, or that others occupy, in some of the loads.
 STRAGGLER = "stock-0"
 FOREIGN_CALLS = 3
+CONNECT_S = 0.002
 # Sessions with a common prompt prefix; an engine keeps the prefixes of some of them.
 SESSIONS, CACHED_SESSIONS = 60, 15
 CACHED_S, UNCACHED_S = 0.05, 0.3
@@ -70,11 +72,15 @@
         self.places: dict[str, trio.Semaphore] = defaultdict(lambda: trio.Semaphore(CAPACITY))
         self.accepted: Counter[str] = Counter()
         self.slow_from: dict[str, float] = {}
+        self.dead_from: dict[str, float] = {}
 
     async def call(self, upstream, request, *, timeout_s, may_repeat, slot=None):  # type: ignore
         name = upstream.name
         if trio.current_time() >= WARM_UP_S:
             self.accepted[name] += 1
+        if trio.current_time() >= self.dead_from.get(name, math.inf):
+            await trio.sleep(CONNECT_S)
+            return REFUSED
         self.running[name] += 1
         try:
             async with self.places[name]:
@@ -161,6 +167,8 @@
     fleet = Fleet(seed)
     if fault == "slow":
         fleet.upstreams.slow_from[STRAGGLER] = WARM_UP_S + 2.0
+    if fault == "dead":
+        fleet.upstreams.dead_from[STRAGGLER] = WARM_UP_S + 2.0
     outcomes: dict[str, Counter[str]] = defaultdict(Counter)
     durations: list[float] = []
     refusal_delays: list[float] = []
@@ -326,6 +334,7 @@
     "burst": (burst, ""),
     "straggler": (constant(0.7), "slow"),
     "occupied": (constant(0.7), "occupied"),
+    "dead": (constant(0.7), "dead"),
 }
 OVERCOMMITS = (1.0, 1.25, 1.5, 2.0, 3.0)
 
