--- a/marigoldtrail/records/segments.py
+++ b/marigoldtrail/records/segments.py
@@ -19,7 +19,6 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.records.claims import Location
-from marigoldtrail.records.disk import Disk
 from marigoldtrail.records.entries import (
     HEADER_BYTES,
     Entry,
@@ -30,6 +29,7 @@
 )
 from marigoldtrail.records.index import Field, SegmentIndex
 from marigoldtrail.records.segment import Segment, SegmentState
+from marigoldtrail.storage import Disk
 
 SEGMENT_BYTES = 64 * 1024 * 1024
 READ_PIECE_BYTES = 1024 * 1024
@@ -52,7 +52,7 @@
     disk : Disk
         Where the files are.
     folder : str
-        Prefix of their names, for example ``"records-0/segments"``.
+        Prefix of their names, for example ``"segments/records-0"``.
     segment_bytes : int
         Size in bytes at which a segment is sealed. All members must use the same.
 
@@ -60,7 +60,7 @@
     --------
     On the disk of a control host::
 
-        store = SegmentStore(disk=disk, folder="records-0/segments")
+        store = SegmentStore(disk=disk, folder="segments/records-0")
         location = store.append(RECORD, payload, at_ms=1)
         await store.flush()
         entry = await store.read(location)
--- a/marigoldtrail/standins/services.py
+++ b/marigoldtrail/standins/services.py
@@ -55,6 +55,7 @@
     object
         Output; the input's text stays in it as ``query``, so that later stages can use it.
     """
+    value = request_input(value)
     fields = value if isinstance(value, dict) else {"query": value}
     query = str(fields.get("query", ""))
     if kind == "encoder":
@@ -99,7 +100,7 @@
             report = self.process.report(self.knobs.load_lag_s)
             await reply.send_json(200, report, self.process.headers())
             return
-        call = decode_body(request)
+        call = decode_call(request)
         self.runs[call["attempt_id"]] += 1
         running = self.process.begin()
         if running is None or self.knobs.stalled:
@@ -181,7 +182,7 @@
         if request.method == "GET":
             await self._answer_get(request, reply)
             return
-        call = decode_body(request)
+        call = decode_call(request)
         has_effect = request.path not in self._read_paths
         self.runs_by_attempt[call["attempt_id"]] += 1
         if has_effect:
@@ -217,10 +218,43 @@
             await reply.send_json(404, {"detail": "no such path"}, headers)
 
 
+def decode_call(request: HttpRequest) -> dict[str, Any]:
+    """
+    Decode a call.
+
+    Parameters
+    ----------
+    request : HttpRequest
+        The request.
+
+    Returns
+    -------
+    dict
+        Its fields.
+
+    Raises
+    ------
+    KeyError
+        If a field is missing; nothing has been counted then.
+    """
+    call = decode_body(request)
+    for name in ("request_id", "attempt_id", "client_account", "stage", "deadline_ms", "input"):
+        call[name]
+    return call
+
+
 def effect_key(call: dict[str, Any]) -> str:
     """Return the idempotency key that a call's effect is counted under."""
-    fields = call["input"] if isinstance(call["input"], dict) else {}
-    return f"{call['client_account']}/{fields.get('idempotency_key', call['request_id'])}"
+    fields = request_input(call["input"])
+    key = fields.get("idempotency_key") if isinstance(fields, dict) else None
+    return f"{call['client_account']}/{key or call['request_id']}"
+
+
+def request_input(stage_input: Any) -> Any:
+    """Return the caller's input from a stage's input, which may carry earlier stages' outputs."""
+    if isinstance(stage_input, dict) and stage_input.keys() == {"input", "stages"}:
+        return stage_input["input"]
+    return stage_input
 
 
 def answer_call(call: dict[str, Any], output: Any) -> dict[str, Any]:
