--- a/marigoldtrail/upstream/queries.py
+++ b/marigoldtrail/upstream/queries.py
@@ -24,9 +24,7 @@
     LoadReport,
     OrderReply,
     OutcomeReply,
-    prompt_text,
 )
-from marigoldtrail.upstream.types import StageCall
 
 OUTCOME_TIMEOUT_S = 3.0
 ORDER_TIMEOUT_S = 5.0
@@ -217,34 +215,6 @@
             return answer
         return None if answer.status == 200 else refused_answer(upstream, step, answer)
 
-    async def move_cache(
-        self, source: Upstream, target: Upstream, call: StageCall, *, timeout_s: float
-    ) -> None | Failure:
-        """
-        Copy the KV cache of a call's prompt from one engine to another.
-
-        Parameters
-        ----------
-        source, target : Upstream
-            The engines.
-        call : StageCall
-            The call.
-        timeout_s : float
-            Longest duration in seconds.
-
-        Returns
-        -------
-        None or Failure
-            None once the target has it.
-        """
-        with trio.move_on_after(timeout_s):
-            data = await self.export_kv(source, prompt_text(call.input), call.model)
-            if isinstance(data, Failure):
-                return data
-            return await self.import_kv(target, data)
-        detail = f"the cache was not moved within {timeout_s} s"
-        return may_have_run(target, "upstream.move_cache", Reason.TIMEOUT, detail)
-
     async def _ask(
         self, upstream: Upstream, method: str, target: str, body: bytes, timeout_s: float, step: str
     ) -> RawAnswer | Failure:
