Test answers doubled in one segment and calls that break off

Two mutations of the upstream client passed its tests: reuse of a connection with bytes left in its buffer, and no cold evidence after a call that broke off. Both now have a test that fails.

--- a/marigoldtrail/standins/http.py
+++ b/marigoldtrail/standins/http.py
@@ -57,18 +57,27 @@
         self.stream = stream
         self._conn = conn
 
-    async def send_json(self, status: int, value: Any, headers: dict[str, str]) -> bytes:
-        """Send a complete response with a JSON body; return its bytes."""
-        return await self.send_bytes(status, _encode(value), headers, "application/json")
+    async def send_json(
+        self, status: int, value: Any, headers: dict[str, str], *, copies: int = 1
+    ) -> bytes:
+        """Send a complete response with a JSON body, `copies` times at once; return its bytes."""
+        body = _encode(value)
+        return await self.send_bytes(status, body, headers, "application/json", copies=copies)
 
     async def send_bytes(
-        self, status: int, body: bytes, headers: dict[str, str], content_type: str
+        self,
+        status: int,
+        body: bytes,
+        headers: dict[str, str],
+        content_type: str,
+        *,
+        copies: int = 1,
     ) -> bytes:
-        """Send a complete response; return its bytes."""
+        """Send a complete response, `copies` times at once; return its bytes."""
         fields = {**headers, "content-type": content_type, "content-length": str(len(body))}
         response = h11.Response(status_code=status, headers=list(fields.items()))
         data = self._send(response) + self._send(h11.Data(data=body)) + self._send_end()
-        await self.stream.send_all(data)
+        await self.stream.send_all(data * copies)
         return data
 
     async def start_stream(self, headers: dict[str, str]) -> None:
--- a/marigoldtrail/standins/process.py
+++ b/marigoldtrail/standins/process.py
@@ -27,7 +27,9 @@
     swap_answers : int
         Number of next calls that get the answer of another request.
     double_answers : int
-        Number of next calls that are answered twice.
+        Number of next calls that are answered twice in one segment.
+    repeat_answers : int
+        Number of next calls whose answer is followed by a copy of it.
     close_idle : bool
         The connection is closed after each answer without having been announced.
     half_close_idle : bool
@@ -43,6 +45,7 @@
     lose_answers: int = 0
     swap_answers: int = 0
     double_answers: int = 0
+    repeat_answers: int = 0
     close_idle: bool = False
     half_close_idle: bool = False
     break_after_tokens: int = 0
--- a/marigoldtrail/standins/runner.py
+++ b/marigoldtrail/standins/runner.py
@@ -95,8 +95,9 @@
         return
     if knobs.take("swap_answers"):
         value = {**value, "request_id": "00other", "attempt_id": "other"}
-    data = await reply.send_json(status, value, standin.process.headers())
-    if knobs.take("double_answers"):
+    copies = 2 if knobs.take("double_answers") else 1
+    data = await reply.send_json(status, value, standin.process.headers(), copies=copies)
+    if knobs.take("repeat_answers"):
         await reply.stream.send_all(data)
     if knobs.close_idle:
         await reply.stream.aclose()
--- a/marigoldtrail/upstream/tests/test_calls.py
+++ b/marigoldtrail/upstream/tests/test_calls.py
@@ -98,10 +98,12 @@
 async def test_second_answer_does_not_reach_the_next_call(autojump_clock, nursery):
     """Guards against bytes left on a connection being read as the next call's answer."""
     rig = await effect_rig().start(nursery)
-    rig.standin.knobs.double_answers = 1
-    assert (await rig.call("a1")).attempt_id == "a1"
-    assert (await rig.call("a2")).attempt_id == "a2"
-    assert rig.standin.runs_by_attempt == {"a1": 1, "a2": 1}
+    for number, knob in enumerate(("double_answers", "repeat_answers")):
+        setattr(rig.standin.knobs, knob, 1)
+        for attempt_id in (f"{number}-first", f"{number}-second"):
+            assert (await rig.call(attempt_id)).attempt_id == attempt_id
+            await trio.sleep(0.1)
+    assert set(rig.standin.runs_by_attempt.values()) == {1}
 
 
 async def test_cancelled_call_closes_its_connection(autojump_clock, nursery):
@@ -170,6 +172,16 @@
     assert (await rig.call("a5")).attempt_id == "a5"
 
 
+async def test_new_connection_after_a_broken_call_is_cold_evidence(autojump_clock, nursery):
+    """Guards against more work on an upstream without reports that died during a call."""
+    rig = await effect_rig(reports_load=False).start(nursery)
+    rig.standin.knobs.lose_answers = 1
+    check(await rig.call("a1"), Reason.UNREACHABLE, RunState.MAY_HAVE_RUN)
+    check(await rig.call("a2"), Reason.NO_SLOT, RunState.NOT_RUN)
+    assert [evidence[2] for evidence in rig.evidence] == ["cold"]
+    assert rig.standin.runs_by_attempt == {"a1": 1}
+
+
 async def test_own_idle_close_is_no_evidence(autojump_clock, nursery):
     """Guards against slots being demanded after every quiet period."""
     rig = await effect_rig(reports_load=False).start(nursery)
