Close the connection of an answer that breaks off in its body

Reading the body without httpcore's iterator left the connection open when the call timed out or was cancelled in the middle of an answer. Connections that were idle too long are closed from the front of the pool as well, so that a burst leaves none behind.

--- a/marigoldtrail/upstream/connections.py
+++ b/marigoldtrail/upstream/connections.py
@@ -130,12 +130,15 @@
         response = await self.open(method, target, body, headers)
         chunks: list[bytes] = []
         size = 0
-        while chunk := await self.read_body():
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_ANSWER_BYTES:
-                await self.aclose()
-                raise AnswerTooLargeError(f"more than {MAX_ANSWER_BYTES} bytes")
+        try:
+            while chunk := await self.read_body():
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > MAX_ANSWER_BYTES:
+                    raise AnswerTooLargeError(f"more than {MAX_ANSWER_BYTES} bytes")
+        except BaseException:
+            await self.aclose()
+            raise
         await response.aclose()
         fields = {name.lower(): value for name, value in response.headers}
         return RawAnswer(response.status, fields, b"".join(chunks))
@@ -193,7 +196,11 @@
 
     async def is_reusable(self) -> bool:
         """Tell whether the connection is idle and the peer has neither closed it nor sent more."""
-        return self.is_idle() and await self.stream.is_quiet()
+        try:
+            return self.is_idle() and await self.stream.is_quiet()
+        except trio.Cancelled:
+            await self.aclose()
+            raise
 
     async def aclose(self) -> None:
         """Close the connection at once."""
@@ -253,7 +260,7 @@
         """
         while self._idle:
             conn = self._idle.pop()
-            if self._timers.now() - conn.idle_since > MAX_IDLE_S:
+            if self._is_expired(conn):
                 await conn.aclose()
             elif not await conn.is_reusable():
                 self.broken = True
@@ -264,8 +271,14 @@
                 return conn
         return None
 
+    def _is_expired(self, conn: Connection) -> bool:
+        return self._timers.now() - conn.idle_since > MAX_IDLE_S
+
     async def give_back(self, conn: Connection) -> None:
         """Keep a connection for later calls, or close it if it cannot be used again."""
+        # The last one is taken first, so that those beyond the present need expire in front.
+        while self._idle and self._is_expired(self._idle[0]):
+            await self._idle.pop(0).aclose()
         if conn.is_idle() and len(self._idle) < MAX_IDLE_CONNECTIONS:
             conn.idle_since = self._timers.now()
             self._idle.append(conn)
--- a/marigoldtrail/upstream/tests/test_streams.py
+++ b/marigoldtrail/upstream/tests/test_streams.py
@@ -118,20 +118,22 @@
     assert (rig.process.cold_exceeded, rig.process.deaths) == (1, 1)
 
 
-async def serve_raw(rig, nursery, body):
-    """Answer every request with a canned stream, on the address of the rig."""
+async def serve_raw(rig, nursery, body, *, length=None):
+    """Answer every request with a canned body; return what the peers of connections did."""
+    ends = []
 
     async def answer(stream):
-        head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n".encode()
+        size = len(body) if length is None else length
         await stream.receive_some(65536)
-        await stream.send_all(head + body)
-        await trio.sleep_forever()
+        await stream.send_all(f"HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n".encode() + body)
+        ends.append(await stream.receive_some(65536))
 
     endpoint = rig.memory.endpoint("10.0.0.9")
     address = Address.parse(rig.upstream.address)
     await nursery.start(
         lambda task_status: endpoint.listen(address, answer, task_status=task_status)
     )
+    return ends
 
 
 async def test_malformed_streams_end_with_a_failure(autojump_clock):
@@ -196,3 +198,16 @@
     await serve_raw(rig, nursery, b"x" * (9 * 1024 * 1024))
     failure = await rig.call()
     assert (failure.reason, failure.run_state) == (Reason.BAD_ANSWER, RunState.MAY_HAVE_RUN)
+
+
+async def test_connection_of_an_incomplete_answer_is_closed(autojump_clock, nursery):
+    """Guards against connections left open by calls that end in the middle of an answer."""
+    rig = pool_rig()
+    rig.upstream.reports_load = False
+    ends = await serve_raw(rig, nursery, b"{", length=10)
+    failure = await rig.call(timeout_s=1)
+    assert (failure.reason, failure.run_state) == (Reason.TIMEOUT, RunState.MAY_HAVE_RUN)
+    with trio.move_on_after(1):
+        await rig.call("a2", slot=rig.grant(""))
+    await trio.sleep(1)
+    assert ends == [b"", b""]
