Show the storage id of each member of a log group

An operator, and the test of a second lost host, could not tell a replaced host that still waits for its repair from one that is a member again: both have the same name.

Before: the test ended the second host too early and the group rightly had no quorum. After: it waits for the new storage id and passes.

--- a/marigoldtrail/consensus/group.py
+++ b/marigoldtrail/consensus/group.py
@@ -333,14 +333,16 @@
         """
         state = self._state
         opened = self._opened.is_set() and hasattr(state, "log")
+        voters = sorted(state.log.voters, key=lambda member: member.host) if opened else []
         return GroupStatus(
             group=state.name,
             leader=state.leader or "",
             term=state.term,
             commit_index=state.commit_index,
             applied_index=state.applied_index,
-            members=sorted(member.host for member in state.log.voters) if opened else [],
+            members=[member.host for member in voters],
             learners=learners_of(state) if opened else [],
+            storage_ids=[member.storage_id for member in voters],
         )
 
     def identify(self) -> GroupIdentity | Failure:
--- a/marigoldtrail/demo/callers.py
+++ b/marigoldtrail/demo/callers.py
@@ -151,6 +151,7 @@
             reason=Reason.UNREACHABLE, run_state=RunState.NOT_RUN, step="caller"
         )
         tries = 0
+        any_lost = False
         entry = self._entries[0]
         while tries < MAX_TRIES:
             entries = await self.pick_entries()
@@ -162,18 +163,23 @@
                 break
             # With a key a repeat is safe whatever happened to the first try.
             lost = result.reason in (Reason.UNREACHABLE, Reason.TIMEOUT) and bool(key)
-            if result.run_state is not RunState.NOT_RUN and not lost:
-                break
+            if result.run_state is not RunState.NOT_RUN:
+                any_lost = True
+                if not lost:
+                    break
             self._ranked_at = float("-inf")
             await self._timers.sleep(max(RETRY_PAUSE_S, min(1.0, result.retry_after_s)))
-        failed = isinstance(result, Failure)
+        state = "answered"
+        if isinstance(result, Failure):
+            # A refusal speaks of its own try; an earlier one that was lost may have run.
+            state = (RunState.MAY_HAVE_RUN if any_lost else result.run_state).value
         outcome = Outcome(
             pipeline=pipeline,
             client_account=self.client_account,
             key=key,
-            state=result.run_state.value if isinstance(result, Failure) else "answered",
+            state=state,
             answer=None if isinstance(result, Failure) else result,
-            failure=str(result) if failed else "",
+            failure=str(result) if isinstance(result, Failure) else "",
             tries=tries,
             duration_ms=int((self._timers.now() - started) * 1000),
             entry=str(entry),
--- a/marigoldtrail/node/tests/test_processes.py
+++ b/marigoldtrail/node/tests/test_processes.py
@@ -98,6 +98,7 @@
         caller = fleet.caller("account-1")
         await book(caller, booking_keys("before"))
         status = await fleet.ask("tsvetanov-4", lambda client: client.status())
+        old_ids = {id_ for group in status["groups"] for id_ in group["storage_ids"]}
         others = [host for host in list(fleet.settings)[:3] if host != status["leader"]]
         replaced, lost = others
         fleet.kill(replaced)
@@ -106,7 +107,7 @@
 
         def is_repaired(answer: dict) -> bool:
             return all(
-                replaced in group["members"] and replaced not in group["learners"]
+                len(group["members"]) == 3 and len(old_ids & set(group["storage_ids"])) == 2
                 for group in answer["groups"]
             )
 
