Add a whole fleet on a network and disks in memory

Real nodes, consensus, records, slots and serving run in one trio loop under the virtual clock, for fuzzing and the fault matrix. World moves to the stand-ins, where tests can use it too.

--- a/marigoldtrail/demo/jobs.py
+++ b/marigoldtrail/demo/jobs.py
@@ -13,9 +13,9 @@
 from marigoldtrail.api import ApiClient, format_record
 from marigoldtrail.demo.callers import Caller, Outcome
 from marigoldtrail.demo.deployments import ACCOUNTS, Deployment, build_manifest
-from marigoldtrail.demo.world import World
 from marigoldtrail.errors import Failure
 from marigoldtrail.net import Address
+from marigoldtrail.standins.world import World
 from marigoldtrail.timers import Timers
 
 READY_TIMEOUT_S = 20.0
--- a/marigoldtrail/demo/runner.py
+++ b/marigoldtrail/demo/runner.py
@@ -18,12 +18,12 @@
     build_settings,
 )
 from marigoldtrail.demo.jobs import Job
-from marigoldtrail.demo.world import World
 from marigoldtrail.net import Address, TcpNetwork
 from marigoldtrail.node import Node, init_groups, launch_node
 from marigoldtrail.schema import parse_manifest, parse_settings
 from marigoldtrail.schema.generated.manifest import Manifest
 from marigoldtrail.schema.generated.settings import Settings
+from marigoldtrail.standins.world import World
 from marigoldtrail.timers import Timers
 
 TIME_LIMIT_S = 58.0
--- a/marigoldtrail/node/tests/fleet.py
+++ b/marigoldtrail/node/tests/fleet.py
@@ -27,11 +27,11 @@
     build_settings,
 )
 from marigoldtrail.demo.runner import init_when_ready, parse_node_settings
-from marigoldtrail.demo.world import World
 from marigoldtrail.errors import Failure
 from marigoldtrail.net import Address, TcpNetwork
 from marigoldtrail.schema import parse_manifest
 from marigoldtrail.schema.generated.settings import Settings
+from marigoldtrail.standins.world import World
 from marigoldtrail.timers import Timers
 
 # Outcomes are awaited for so long; no test judges how long they take.
--- a/marigoldtrail/standins/__init__.py
+++ b/marigoldtrail/standins/__init__.py
@@ -5,6 +5,7 @@
 from marigoldtrail.standins.process import Knobs, Process
 from marigoldtrail.standins.runner import Standin, run_standin
 from marigoldtrail.standins.services import EffectService, PoolService, pool_output
+from marigoldtrail.standins.world import World, build_standin
 
 __all__ = [
     "EffectService",
@@ -15,6 +16,8 @@
     "Process",
     "Standin",
     "WeightStore",
+    "World",
+    "build_standin",
     "count_tokens",
     "generate_text",
     "pool_output",
--- a/marigoldtrail/demo/world.py
+++ b/marigoldtrail/standins/world.py
@@ -1,4 +1,4 @@
-"""The upstreams of a deployment, as stand-ins that count what reaches them."""
+"""The upstreams of a manifest, as stand-ins that count what reaches them."""
 
 from __future__ import annotations
 
@@ -8,14 +8,10 @@
 
 from marigoldtrail.net import Address, Network
 from marigoldtrail.schema.generated.manifest import Manifest, Upstream
-from marigoldtrail.standins import (
-    EffectService,
-    Engine,
-    PoolService,
-    Process,
-    Standin,
-    run_standin,
-)
+from marigoldtrail.standins.engine import Engine
+from marigoldtrail.standins.process import Process
+from marigoldtrail.standins.runner import Standin, run_standin
+from marigoldtrail.standins.services import EffectService, PoolService
 from marigoldtrail.timers import Timers
 
 READ_PATHS = ("/query",)
--- /dev/null
+++ b/marigoldtrail/testing/fleet.py
@@ -0,0 +1,375 @@
+"""A whole fleet in one trio loop: real nodes on a network and disks in memory."""
+
+from __future__ import annotations
+
+import random
+from functools import partial
+
+import msgspec
+import trio
+
+from marigoldtrail.consensus import init_fleet
+from marigoldtrail.errors import Failure
+from marigoldtrail.fleet import groups_of, new_request_id, record_groups_of
+from marigoldtrail.net import Address, PeerClient
+from marigoldtrail.node import Node, run_node
+from marigoldtrail.schema.generated.control import SetService, SubmitManifest, SubmitReply
+from marigoldtrail.schema.generated.manifest import Manifest
+from marigoldtrail.schema.generated.settings import ControlHost, Settings
+from marigoldtrail.serving import Answer, PipelineRequest, digest_of
+from marigoldtrail.standins import World
+from marigoldtrail.telemetry import Telemetry
+from marigoldtrail.testing.disk import MemoryDisk
+from marigoldtrail.testing.network import MemoryNetwork
+from marigoldtrail.timers import Timers
+
+PEER_PORT = 7000
+API_PORT = 8000
+WORLD_IP = "10.9.0.1"
+INIT_TIMEOUT_S = 2.0
+POLL_S = 0.25
+# Virtual wall time at which every run begins, so that labels are the same on every run.
+START_WALL_S = 1_800_000_000.0
+
+
+class CollectedTokens:
+    """
+    Keeps the tokens of a streamed answer.
+
+    Attributes
+    ----------
+    parts : list of tuple
+        Number of the first token, and text, in the order of arrival.
+    """
+
+    __slots__ = ("parts",)
+
+    def __init__(self) -> None:
+        self.parts: list[tuple[int, str]] = []
+
+    async def token(self, first: int, text: str) -> None:
+        """Keep consecutive tokens."""
+        self.parts.append((first, text))
+
+    @property
+    def text(self) -> str:
+        """Return the text so far."""
+        return "".join(text for _, text in self.parts)
+
+
+class MemoryFleet:
+    """
+    Nodes, their disks, the network between them, and the upstreams.
+
+    Parameters
+    ----------
+    manifest : Manifest
+        Manifest of the upstreams; it is not submitted by itself.
+    data_centres : list of str
+        Data centre of each host, in order.
+    control_hosts : int
+        Number of hosts with a disk, the first ones.
+    seed : int
+        Seed of everything random.
+    nursery : trio.Nursery
+        Runs the nodes.
+
+    Attributes
+    ----------
+    world : World
+        Stand-ins of the upstreams.
+    nodes : dict of str to Node
+        Running nodes by host.
+    disks : dict of str to MemoryDisk
+        Disks of the control hosts.
+    """
+
+    __slots__ = (
+        "network",
+        "timers",
+        "world",
+        "nodes",
+        "disks",
+        "settings",
+        "_rng",
+        "_nursery",
+        "_starts",
+    )
+
+    def __init__(
+        self,
+        *,
+        manifest: Manifest,
+        data_centres: list[str],
+        control_hosts: int,
+        seed: int,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._rng = random.Random(seed)
+        self.network = MemoryNetwork(seed=seed)
+        self.timers = virtual_timers(seed)
+        self.world = World(
+            manifest=manifest, network=self.network.endpoint(WORLD_IP), timers=self.timers
+        )
+        self.settings = build_memory_settings(data_centres, control_hosts)
+        self.nodes: dict[str, Node] = {}
+        self.disks = {
+            cfg.host: MemoryDisk(rng=self._rng)
+            for cfg in self.settings.values()
+            if "control" in cfg.roles
+        }
+        self._nursery = nursery
+        self._starts = 0
+
+    def ip_of(self, host: str) -> str:
+        """Return the IP number of a host."""
+        return Address.parse(self.settings[host].peer_address).ip
+
+    async def start_world(self) -> None:
+        """Start the upstreams."""
+        await self._nursery.start(self.world.run)
+
+    async def start_node(self, host: str) -> Node:
+        """
+        Start the process of a host.
+
+        Parameters
+        ----------
+        host : str
+            The host; its disk keeps what was synced.
+
+        Returns
+        -------
+        Node
+            The running node.
+        """
+        self._starts += 1
+        cfg = self.settings[host]
+        timers = virtual_timers(self._starts)
+        run = partial(
+            run_node,
+            cfg,
+            network=self.network.endpoint(self.ip_of(host)),
+            timers=timers,
+            telemetry=Telemetry(host=host, timers=timers),
+            disk=self.disks.get(host),
+            rng=random.Random(self._rng.random()),
+            serve_http=False,
+        )
+        node: Node = await self._nursery.start(run)
+        self.nodes[host] = node
+        return node
+
+    async def start(self) -> None:
+        """Start upstreams and nodes, and initialise the log groups."""
+        await self.start_world()
+        for host in self.settings:
+            await self.start_node(host)
+        cfg = next(iter(self.settings.values()))
+        client = PeerClient(
+            network=self.network.endpoint(WORLD_IP), host="init", nursery=self._nursery
+        )
+        failure = await init_fleet(
+            client,
+            hosts={group.name: list(group.members) for group in groups_of(cfg)},
+            addresses={peer.host: Address.parse(peer.peer_address) for peer in cfg.control_hosts},
+            timeout_s=INIT_TIMEOUT_S,
+        )
+        assert failure is None, failure
+
+    def kill(self, host: str, *, torn: bool = False) -> None:
+        """
+        End the process of a host; what its disk had not synced is lost.
+
+        Parameters
+        ----------
+        host : str
+            The host.
+        torn : bool
+            Whether a random part of the unsynced bytes stays.
+        """
+        node = self.nodes.pop(host, None)
+        if node is not None:
+            node.kill()
+        self.network.reset_host(self.ip_of(host))
+        if host in self.disks:
+            self.disks[host].crash(torn=torn)
+
+    def replace_disk(self, host: str) -> None:
+        """Give a host that is not running an empty disk."""
+        self.disks[host] = MemoryDisk(rng=self._rng)
+
+    def isolate(self, host: str, *, inbound: bool = True, outbound: bool = True) -> None:
+        """Cut a host off silently from all other hosts and from the upstreams."""
+        for other in [*map(self.ip_of, self.settings), WORLD_IP]:
+            if other != self.ip_of(host):
+                if outbound:
+                    self.network.cut(self.ip_of(host), other, both_ways=False)
+                if inbound:
+                    self.network.cut(other, self.ip_of(host), both_ways=False)
+
+    def rejoin(self, host: str) -> None:
+        """Restore all links of a host."""
+        for other in [*map(self.ip_of, self.settings), WORLD_IP]:
+            if other != self.ip_of(host):
+                self.network.restore(self.ip_of(host), other)
+
+    async def submit_manifest(
+        self, host: str, document: bytes, operator: str = "operator"
+    ) -> SubmitReply | Failure:
+        """Submit a manifest through a node."""
+        request = SubmitManifest(document=document, operator=operator)
+        return await self.nodes[host].parts.control.submit_manifest(request)
+
+    async def set_service(
+        self, host: str, kind: str, name: str, state: str, number: int, operator: str = "operator"
+    ) -> SubmitReply | Failure:
+        """Take a target out of service or back in through a node."""
+        fields = {"kind": kind, "name": name, "state": state, "number": number}
+        request = msgspec.convert({**fields, "operator": operator}, SetService)
+        return await self.nodes[host].parts.control.set_service(request)
+
+    async def wait_ready(self, *, timeout_s: float = 60.0) -> None:
+        """
+        Wait until every running node has the manifest and knows its upstreams as warm.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait in virtual seconds.
+
+        Raises
+        ------
+        trio.TooSlowError
+            If it takes longer.
+        """
+        reporting = [up.name for up in self.world.manifest.upstreams if up.reports_load]
+        with trio.fail_after(timeout_s):
+            async for _ in self.timers.subscribe("testing.ready", POLL_S):
+                if all(is_ready(node, reporting) for node in self.nodes.values()):
+                    return
+
+    async def send(
+        self,
+        host: str,
+        pipeline: str,
+        client_account: str,
+        value: object,
+        *,
+        key: str = "",
+        deadline_s: float = 5.0,
+        sink: CollectedTokens | None = None,
+    ) -> Answer | Failure:
+        """
+        Send a request to an entry as a caller does.
+
+        Parameters
+        ----------
+        host : str
+            The entry.
+        pipeline, client_account : str
+            What runs, and for whom.
+        value : object
+            JSON input.
+        key : str
+            Idempotency key; empty for none.
+        deadline_s : float
+            Time for the answer in seconds.
+        sink : CollectedTokens or None
+            Receives the tokens of a streamed answer.
+
+        Returns
+        -------
+        Answer or Failure
+            What the entry answers.
+        """
+        node = self.nodes[host]
+        assert node.entry is not None
+        request_id = new_request_id(client_account, record_groups_of(node.parts.cfg))
+        req = PipelineRequest(
+            request_id=request_id,
+            pipeline=pipeline,
+            client_account=client_account,
+            idempotency_key=key or request_id,
+            deadline=self.timers.now() + deadline_s,
+            input=value,
+            digest=digest_of([pipeline, value]),
+            stream=sink is not None,
+        )
+        return await node.entry.server.run_request(req, sink)
+
+
+def virtual_timers(seed: int) -> Timers:
+    """
+    Return timers whose wall time follows the virtual clock.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the jitter.
+
+    Returns
+    -------
+    Timers
+        The same times on every run.
+    """
+    return Timers(wall=lambda: START_WALL_S + trio.current_time(), seed=seed)
+
+
+def is_ready(node: Node, upstreams: list[str]) -> bool:
+    """
+    Tell whether a node can serve.
+
+    Parameters
+    ----------
+    node : Node
+        The node.
+    upstreams : list of str
+        Upstreams that it shall know as warm.
+
+    Returns
+    -------
+    bool
+        Whether its view is current and complete.
+    """
+    view = node.parts.view
+    if not view.is_current() or view.manifest is None:
+        return False
+    statuses = [view.upstream_status(name) for name in upstreams]
+    return all(status is not None and status.state == "warm" for status in statuses)
+
+
+def build_memory_settings(data_centres: list[str], control_hosts: int) -> dict[str, Settings]:
+    """
+    Build the settings of hosts ``h1``, ``h2`` and so on.
+
+    Parameters
+    ----------
+    data_centres : list of str
+        Data centre of each host.
+    control_hosts : int
+        Number of hosts with a disk, the first ones.
+
+    Returns
+    -------
+    dict of str to Settings
+        Settings by host.
+    """
+    names = [f"h{number + 1}" for number in range(len(data_centres))]
+    peers = [f"10.0.0.{number + 1}:{PEER_PORT}" for number in range(len(names))]
+    members = [
+        ControlHost(host=names[i], data_centre=data_centres[i], peer_address=peers[i])
+        for i in range(control_hosts)
+    ]
+    return {
+        name: Settings(
+            host=name,
+            data_centre=data_centres[index],
+            roles=["entry", "control"] if index < control_hosts else ["entry"],
+            peer_address=peers[index],
+            api_address=f"10.0.0.{index + 1}:{API_PORT}",
+            data_folder="data" if index < control_hosts else "",
+            control_hosts=members,
+        )
+        for index, name in enumerate(names)
+    }
--- /dev/null
+++ b/marigoldtrail/testing/tests/test_fleet.py
@@ -0,0 +1,67 @@
+"""The fleet in memory serves, and fails when its parts fail."""
+
+import json
+
+from marigoldtrail.demo.deployments import TSVETANOV, Deployment, build_manifest
+from marigoldtrail.errors import is_failure
+from marigoldtrail.schema import parse_manifest
+from marigoldtrail.serving import Answer
+from marigoldtrail.testing.fleet import CollectedTokens, MemoryFleet
+
+SMALL = Deployment(
+    name="tsvetanov",
+    data_centres=TSVETANOV.data_centres,
+    hosts=4,
+    control_hosts=3,
+    engines=2,
+    services={"booking": True},
+    replicas=2,
+    first_port=22000,
+)
+
+
+async def start_fleet(nursery, seed: int = 1) -> MemoryFleet:
+    document = json.dumps({**build_manifest(SMALL), "client_accounts": []}).encode()
+    manifest = parse_manifest(document)
+    data_centres = [*SMALL.data_centres, SMALL.data_centres[0]]
+    fleet = MemoryFleet(
+        manifest=manifest,
+        data_centres=data_centres,
+        control_hosts=SMALL.control_hosts,
+        seed=seed,
+        nursery=nursery,
+    )
+    await fleet.start()
+    reply = await fleet.submit_manifest("h4", document)
+    assert not is_failure(reply) and reply.outcome == "accepted"
+    await fleet.wait_ready()
+    return fleet
+
+
+async def test_fleet_in_memory_serves(autojump_clock, nursery):
+    """Guards against a fake network or disk that differs from the real one in what works."""
+    fleet = await start_fleet(nursery)
+    value = {"idempotency_key": "k1", "quantity": 1}
+    first = await fleet.send("h4", "book", "yard-7", value, key="k1")
+    again = await fleet.send("h2", "book", "yard-7", value, key="k1")
+    assert isinstance(first, Answer) and isinstance(again, Answer)
+    assert first.output == again.output
+    assert fleet.world.effects() == {("booking", "yard-7/k1"): 1}
+    sink = CollectedTokens()
+    streamed = await fleet.send("h1", "assistant", "yard-7", {"query": "q"}, sink=sink)
+    assert isinstance(streamed, Answer) and sink.text == streamed.output
+    nursery.cancel_scope.cancel()
+
+
+async def test_isolated_entry_refuses_within_its_lease(autojump_clock, nursery):
+    """Guards against an entry that serves on an old view behind a silent partition."""
+    fleet = await start_fleet(nursery)
+    fleet.isolate("h4")
+    await fleet.timers.sleep(6)
+    refused = await fleet.send("h4", "slot_list", "yard-7", {"day": 1})
+    assert is_failure(refused) and refused.reason == "view_not_current"
+    assert refused.run_state == "not_run"
+    fleet.rejoin("h4")
+    await fleet.timers.sleep(4)
+    assert isinstance(await fleet.send("h4", "slot_list", "yard-7", {"day": 1}), Answer)
+    nursery.cancel_scope.cancel()
