Share one read barrier between Syncs that arrive together

Most of the leader's work for a Sync was the messages of its read barrier. Also tests a new leader's first replies and the pause before resends, which removing them did not fail before.

--- a/marigoldtrail/control/service.py
+++ b/marigoldtrail/control/service.py
@@ -43,6 +43,9 @@
 
 # Below the client's bound for one try, so that the reply still reaches it.
 BARRIER_TIMEOUT_S = 0.6
+# Syncs that arrive within this time share one read barrier, whose messages to the other members
+# are most of the leader's work at 330 nodes.
+GATHER_S = 0.02
 PROPOSE_TIMEOUT_S = 2.0
 MEMBERS_INTERVAL_S = 0.5
 PLATFORM_INTERVAL_S = 2.0
@@ -90,6 +93,19 @@
         ...
 
 
+class BarrierBatch:
+    """Syncs that wait for the same read barrier."""
+
+    __slots__ = ("done", "result")
+
+    def __init__(self, *, host: str) -> None:
+        self.done = trio.Event()
+        # Stays if the task that runs the barrier is cancelled.
+        self.result: Failure | None = Failure(
+            reason=Reason.NO_QUORUM, run_state=RunState.NOT_RUN, step="Sync", peer=host
+        )
+
+
 class ControlService:
     """
     Group ``config`` on one control host.
@@ -136,6 +152,7 @@
         "_send_order",
         "_group_statuses",
         "_leader",
+        "_batch",
     )
 
     def __init__(
@@ -161,6 +178,7 @@
         self._send_order = send_order
         self._group_statuses = group_statuses
         self._leader: LeaderState | None = None
+        self._batch: BarrierBatch | None = None
 
     def handlers(self) -> Handlers:
         """
@@ -226,7 +244,7 @@
         if not leader.take_sync(request):
             detail = "a later incarnation of the host, or a later Sync, is known"
             return self._refuse(Reason.STALE_EPOCH, "Sync", detail=detail)
-        failure = await self._group.read_barrier(timeout_s=BARRIER_TIMEOUT_S)
+        failure = await self._share_barrier()
         if failure is not None:
             return failure
         if self._leader_state() is not leader:
@@ -236,6 +254,24 @@
             return self._refuse(Reason.UNKNOWN_OUTCOME, "Sync", detail=detail)
         return leader.build_reply(request)
 
+    async def _share_barrier(self) -> Failure | None:
+        """Run a read barrier that begins after this call, shared with other callers."""
+        if self._batch is not None:
+            batch = self._batch
+            await batch.done.wait()
+            return batch.result
+        batch = self._batch = BarrierBatch(host=self._host)
+        try:
+            try:
+                await self._timers.sleep(GATHER_S)
+            finally:
+                # Whoever comes from here on needs a barrier that begins later.
+                self._batch = None
+            batch.result = await self._group.read_barrier(timeout_s=BARRIER_TIMEOUT_S)
+        finally:
+            batch.done.set()
+        return batch.result
+
     async def _submit_manifest(self, request: SubmitManifest, sender: str) -> SubmitReply | Failure:
         if not self._group.is_leader:
             step = "SubmitManifest"
--- a/marigoldtrail/control/tests/test_orders.py
+++ b/marigoldtrail/control/tests/test_orders.py
@@ -127,7 +127,8 @@
 
 
 async def test_new_leader_waits_before_engines_that_ignore_fencing(autojump_clock, nursery):
-    """Guards against an order of the old leader that arrives after one of the new leader."""
+    """Guards against an order of the old leader that arrives after one of the new leader, and
+    against quick resends to an engine that would carry them out again."""
     value = manifest(1).replace(b'"checks_fencing": true', b'"checks_fencing": false')
     upstreams = json.loads(value)["upstreams"]
     fleet, engines = await start(nursery, min_warm=1, loads=1, upstreams=upstreams)
@@ -139,7 +140,7 @@
     await fleet.move_leader()
     await trio.sleep(12)
     after = [time for time, _, _ in engines.received if time > old_leader_until]
-    assert 6 <= after[0] - old_leader_until < 9
+    assert 6 <= after[0] - old_leader_until < 9 and len(after) == 1
 
 
 async def test_engine_that_stays_unreachable_gives_its_load_back(autojump_clock, nursery):
--- a/marigoldtrail/control/tests/test_soft_state.py
+++ b/marigoldtrail/control/tests/test_soft_state.py
@@ -1,12 +1,19 @@
 """Soft state of the leader: upstream states, platform list, membership."""
 
+import zlib
+
 import trio
 
+from marigoldtrail.control import ConfigMachine, ControlService
+from marigoldtrail.control.commands import PutManifest, encode_command
+from marigoldtrail.control.leader import LeaderState
 from marigoldtrail.control.membership import Membership
 from marigoldtrail.control.platform import HostList, LeavingHosts, PlatformHost
+from marigoldtrail.control.tests.harness import manifest
 from marigoldtrail.control.upstreams import UpstreamBoard
-from marigoldtrail.schema.generated.control import Sync, UpstreamObservation
+from marigoldtrail.schema.generated.control import Sync, SyncReply, UpstreamObservation
 from marigoldtrail.schema.generated.manifest import Upstream
+from marigoldtrail.telemetry import Telemetry
 from marigoldtrail.timers import Timers
 
 
@@ -136,3 +143,87 @@
     await trio.sleep(1000)
     members.refresh()
     assert members.entries.values() == []
+
+
+def make_machine():
+    machine = ConfigMachine()
+    document = zlib.compress(manifest(1))
+    command = PutManifest(
+        number=1, digest="x", document=document, concurrent_loads=1, operator="eve", wall_ms=0
+    )
+    machine.apply(5, encode_command(command))
+    return machine
+
+
+async def test_new_leader_sends_everything_that_it_has_rebuilt(autojump_clock):
+    """Guards against a node that keeps sections of another term for equal revisions, and against
+    a new leader that overwrites upstream states before their owners have reported."""
+    timers = Timers(wall=lambda: 0.0)
+    leader = LeaderState(
+        term=2,
+        machine=make_machine(),
+        timers=timers,
+        telemetry=Telemetry(host="a", timers=timers),
+        reads_platform=True,
+    )
+    first = leader.build_reply(sync_of(1, 1))
+    assert first.upstreams == [] and first.nodes == [] and first.leaving_hosts is None
+    known = {**first.revisions, "leaving_hosts": 1}
+    other = leader.build_reply(sync_of(1, 2, term=1, revisions=known))
+    assert other.manifest and other.owners == [] and other.services == []
+    assert other.upstreams is None and other.nodes is None and not other.loads
+    assert set(other.revisions) == {"manifest", "owners", "services"}
+    same = leader.build_reply(sync_of(1, 3, term=2, revisions=known))
+    assert not same.manifest and same.owners is None and same.nodes is None
+    await trio.sleep(2)
+    settled = leader.build_reply(sync_of(1, 4, term=2, revisions=other.revisions))
+    assert settled.upstreams == [] and settled.loads == bytes(4) and not settled.manifest
+
+
+class SlowBarrier:
+    """A group that leads, and whose read barrier takes half a second."""
+
+    is_leader = True
+    leader = "a"
+    term = 1
+
+    def __init__(self):
+        self.begun = []
+
+    async def read_barrier(self, *, timeout_s):
+        self.begun.append(trio.current_time())
+        await trio.sleep(0.5)
+
+
+async def test_sync_waits_for_a_barrier_that_begins_after_it(autojump_clock):
+    """Guards against a confirmation by a read barrier that began before the Sync came in."""
+    timers = Timers(wall=lambda: 0.0)
+    group = SlowBarrier()
+    service = ControlService(
+        host="a",
+        group=group,
+        machine=make_machine(),
+        timers=timers,
+        telemetry=Telemetry(host="a", timers=timers),
+    )
+    handler = service.handlers()[Sync]
+    replies = []
+
+    async def sync(sequence, delay_s, limit_s=9):
+        await trio.sleep(delay_s)
+        with trio.move_on_after(limit_s):
+            reply = await handler(sync_of(1, sequence), "a")
+            replies.append((sequence, trio.current_time(), isinstance(reply, SyncReply)))
+
+    started = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        for sequence, delay_s in ((1, 0), (2, 0.01), (3, 0.1)):
+            nursery.start_soon(sync, sequence, delay_s)
+    assert len(group.begun) == 2
+    times = {sequence: round(time - started, 2) for sequence, time, _ in replies}
+    assert times == {1: 0.52, 2: 0.52, 3: 0.62}
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(sync, 4, 0, 0.1)
+        nursery.start_soon(sync, 5, 0.01)
+    # The one that ran the barrier was cancelled: the other is refused and sends another Sync.
+    assert replies[-1][0] == 5 and not replies[-1][2]
