--- a/marigoldtrail/upstream/connections.py
+++ b/marigoldtrail/upstream/connections.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
+import h11
 import httpcore
 import trio
 
@@ -13,6 +15,7 @@
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 64
+READ_BYTES = 65536
 # Servers commonly close idle connections after 5 s; closing earlier avoids that race.
 MAX_IDLE_S = 4.0
 
@@ -54,12 +57,22 @@
         The connected stream.
     """
 
-    __slots__ = ("instance", "idle_since", "stream", "_http", "_host", "_header_host", "_port")
+    __slots__ = (
+        "instance",
+        "idle_since",
+        "stream",
+        "_http",
+        "_body_ended",
+        "_host",
+        "_header_host",
+        "_port",
+    )
 
     def __init__(self, *, address: Address, stream: trio.abc.Stream) -> None:
         self.instance = ""
         self.idle_since = 0.0
         self.stream = HttpStream(stream=stream)
+        self._body_ended = True
         self._host = address.ip.encode()
         self._header_host = str(address).encode()
         self._port = address.port
@@ -92,6 +105,7 @@
             If the exchange fails; `stream.wrote` tells whether the request may have left.
         """
         self.stream.wrote = False
+        self._body_ended = False
         fields = [(b"host", self._header_host), *headers]
         if body:
             fields += (
@@ -116,16 +130,65 @@
         response = await self.open(method, target, body, headers)
         chunks: list[bytes] = []
         size = 0
-        async for chunk in response.stream:  # type: ignore[union-attr]
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_ANSWER_BYTES:
-                await self.aclose()
-                raise AnswerTooLargeError(f"more than {MAX_ANSWER_BYTES} bytes")
+        try:
+            while chunk := await self.read_body():
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > MAX_ANSWER_BYTES:
+                    raise AnswerTooLargeError(f"more than {MAX_ANSWER_BYTES} bytes")
+        except BaseException:
+            await self.aclose()
+            raise
         await response.aclose()
         fields = {name.lower(): value for name, value in response.headers}
         return RawAnswer(response.status, fields, b"".join(chunks))
 
+    async def read_body(self, deadline: float = math.inf) -> bytes:
+        """
+        Receive the next part of a response's body: everything that has arrived.
+
+        This drives the state of h11 directly. The iterator of httpcore passes each HTTP chunk, and
+        so each token of a stream, through five context managers and two generators.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic time in seconds after which to give up.
+
+        Returns
+        -------
+        bytes
+            Empty at the end of the body.
+
+        Raises
+        ------
+        httpcore.NetworkError, httpcore.ProtocolError, httpcore.ReadTimeout
+            If the response breaks off, is malformed or does not come in time.
+        """
+        state = self._http._h11_state
+        parts: list[bytes] = []
+        try:
+            while not self._body_ended:
+                event = state.next_event()
+                if type(event) is h11.Data:
+                    parts.append(bytes(event.data))
+                elif event is not h11.NEED_DATA:
+                    self._body_ended = True
+                elif parts:
+                    break
+                else:
+                    state.receive_data(await self._read(deadline))
+        except h11.RemoteProtocolError as exc:
+            raise httpcore.RemoteProtocolError(str(exc)) from exc
+        return b"".join(parts)
+
+    async def _read(self, deadline: float) -> bytes:
+        if deadline == math.inf:
+            return await self.stream.read(READ_BYTES)
+        with trio.CancelScope(deadline=deadline):
+            return await self.stream.read(READ_BYTES)
+        raise httpcore.ReadTimeout("the deadline has passed")
+
     def is_idle(self) -> bool:
         """Tell whether the last exchange is complete and the peer keeps the connection."""
         # Bytes after the end of a response belong to no request of this connection.
@@ -133,7 +196,11 @@
 
     async def is_reusable(self) -> bool:
         """Tell whether the connection is idle and the peer has neither closed it nor sent more."""
-        return self.is_idle() and await self.stream.is_quiet()
+        try:
+            return self.is_idle() and await self.stream.is_quiet()
+        except trio.Cancelled:
+            await self.aclose()
+            raise
 
     async def aclose(self) -> None:
         """Close the connection at once."""
@@ -153,12 +220,23 @@
         Clock.
     """
 
-    __slots__ = ("address", "broken", "cold_mark", "evidence", "evidence_at", "_timers", "_idle")
+    __slots__ = (
+        "address",
+        "broken",
+        "last_instance",
+        "cold_mark",
+        "evidence",
+        "evidence_at",
+        "_timers",
+        "_idle",
+    )
 
     def __init__(self, *, address: Address, timers: Timers) -> None:
         self.address = address
         # Set when the peer ended a connection without having announced it.
         self.broken = False
+        # Instance in the header of the last answer; empty if none was given.
+        self.last_instance = ""
         # The view's status that evidence of a cold start contradicts; None if there is none.
         self.cold_mark: tuple[str, int] | None = None
         self.evidence: tuple[str, str, str] = ("", "", "")
@@ -182,7 +260,7 @@
         """
         while self._idle:
             conn = self._idle.pop()
-            if self._timers.now() - conn.idle_since > MAX_IDLE_S:
+            if self._is_expired(conn):
                 await conn.aclose()
             elif not await conn.is_reusable():
                 self.broken = True
@@ -193,8 +271,14 @@
                 return conn
         return None
 
+    def _is_expired(self, conn: Connection) -> bool:
+        return self._timers.now() - conn.idle_since > MAX_IDLE_S
+
     async def give_back(self, conn: Connection) -> None:
         """Keep a connection for later calls, or close it if it cannot be used again."""
+        # The last one is taken first, so that those beyond the present need expire in front.
+        while self._idle and self._is_expired(self._idle[0]):
+            await self._idle.pop(0).aclose()
         if conn.is_idle() and len(self._idle) < MAX_IDLE_CONNECTIONS:
             conn.idle_since = self._timers.now()
             self._idle.append(conn)
