Take evidence of cold starts from the upstream client

The client tells on_evidence what it sees; Server.note_evidence takes it and reports each status once to the slot owner, together with what the server sees itself. A move to another engine never takes a slot.

--- a/marigoldtrail/policy/admission.py
+++ b/marigoldtrail/policy/admission.py
@@ -185,10 +185,9 @@
             with trio.move_on_at(latest) as scope:
                 await waiter.event.wait()
         except trio.Cancelled:
-            if not waiter.event.is_set():
-                self._remove(account, item)
-            elif waiter.failure is None:
-                self.leave(demand, None)
+            # A task that has been woken is not cancelled in its wait any more, so that the item is
+            # still there.
+            self._remove(account, item)
             raise
         if scope.cancelled_caught and not waiter.event.is_set():
             self._remove(account, item)
--- a/marigoldtrail/policy/shares.py
+++ b/marigoldtrail/policy/shares.py
@@ -95,11 +95,10 @@
         try:
             await event.wait()
         except trio.Cancelled:
-            if event.is_set():
-                self.leave()
-            else:
-                self._waiting.remove(item)
-                heapq.heapify(self._waiting)
+            # A task that has been woken is not cancelled in its wait any more, so that the item is
+            # still there.
+            self._waiting.remove(item)
+            heapq.heapify(self._waiting)
             raise
 
     def try_enter(self) -> bool:
--- a/marigoldtrail/serving/calls.py
+++ b/marigoldtrail/serving/calls.py
@@ -85,7 +85,7 @@
         else:
             self._health.cancel()
         if failure.reason is Reason.NO_SLOT:
-            shared.note_cold(self.target.upstream, failure.hint, failure.detail)
+            shared.note_evidence(self.target.upstream.name, failure.hint, "cold", failure.detail)
         release_target(self.run, self.target, succeeded=False, duration_ms=self.duration_ms())
 
     def abandon(self) -> None:
@@ -130,13 +130,14 @@
             )
 
     def _look_for_cold(self, instance: str, state: str) -> None:
-        upstream, known = self.target.upstream, self.target.instance
+        name, known = self.target.upstream.name, self.target.instance
         if self.target.grant is not None:
             return
         if state and state != "warm":
-            self.run.shared.note_cold(upstream, instance, f"reply header says {state}")
+            self.run.shared.note_evidence(name, instance, state, f"the answer says {state}")
         elif instance and known and instance != known:
-            self.run.shared.note_cold(upstream, instance, f"instance {instance}, not {known}")
+            reason = f"instance is {instance}; expected {known}"
+            self.run.shared.note_evidence(name, instance, "cold", reason)
 
 
 async def send_call(
--- a/marigoldtrail/serving/generation.py
+++ b/marigoldtrail/serving/generation.py
@@ -8,6 +8,7 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.policy.deadlines import PATIENCE
 from marigoldtrail.policy.moves import is_move_worthwhile
 from marigoldtrail.schema.generated.manifest import Stage
 from marigoldtrail.serving.calls import CallRecord, bad_answer, build_call
@@ -261,10 +262,15 @@
     state: Generation, target: Target, call: StageCall, stream: Any
 ) -> Failure | None:
     timers = state.run.shared.timers
+    opened: float | None = timers.now()
     with trio.CancelScope(deadline=_stall_at(state)) as scope:
         async for chunk in stream:
             if isinstance(chunk, Failure):
                 return chunk
+            if opened is not None:
+                taken_ms = (timers.now() - opened) * 1000
+                state.run.shared.first_token(state.run.pipeline.name, state.stage).add(taken_ms)
+                opened = None
             scope.deadline = float("inf")
             failure = await _pass_on(state, chunk, target.upstream.name)
             if failure is not None:
@@ -287,7 +293,12 @@
     now = state.run.shared.timers.now()
     if state.attempts >= MAX_ATTEMPTS:
         return state.until
-    return now + max(STALL_S, (state.until - now) / 2)
+    estimator = state.run.shared.first_token(state.run.pipeline.name, state.stage)
+    half_s = (state.until - now) / 2
+    if not estimator.is_learned:
+        return now + max(STALL_S, half_s)
+    # A busy engine may take several times the usual time before it starts.
+    return now + max(STALL_S, min(half_s, PATIENCE * estimator.quantile(0.95) / 1000))
 
 
 async def _pass_on(state: Generation, chunk: TokenChunk, peer: str) -> Failure | None:
@@ -313,12 +324,16 @@
         return False
     state.may_move = False
     goal = await find_target(
-        run, state.stage, attempt_id="", until=timers.now(), avoid={target.upstream.name}
+        run,
+        state.stage,
+        attempt_id="",
+        until=timers.now(),
+        avoid={target.upstream.name},
+        warm_only=True,
     )
     if isinstance(goal, Failure):
         return False
-    if goal.grant is not None or not _is_worthwhile(state, target, goal):
-        release_target(run, goal, succeeded=False, duration_ms=0.0)
+    if goal.upstream.name == target.upstream.name or not _is_worthwhile(state, target, goal):
         return False
     with shared.telemetry.span("stage.move", upstream=goal.upstream.name):
         moved = await _copy_cache(state, target, goal, call)
--- a/marigoldtrail/serving/server.py
+++ b/marigoldtrail/serving/server.py
@@ -311,6 +311,21 @@
     async def _put_once(self, record: ResultRecord) -> None:
         await self._shared.control.put_record(PutRecord(record=record), timeout_s=FIND_TIMEOUT_S)
 
+    def note_evidence(self, upstream: str, instance: str, state: str, reason: str) -> None:
+        """
+        Take evidence that an upstream is not warm; this is `on_evidence` of the upstream client.
+
+        Parameters
+        ----------
+        upstream, instance : str
+            What was seen.
+        state : str
+            ``"cold"``, ``"warming"``, ``"leaving"`` or ``"down"``.
+        reason : str
+            The evidence.
+        """
+        self._shared.note_evidence(upstream, instance, state, reason)
+
     def start_draining(self) -> None:
         """Refuse new requests from `GRACE_S` on; callers still hold the address until then."""
         if self._draining_since is None:
--- a/marigoldtrail/serving/shared.py
+++ b/marigoldtrail/serving/shared.py
@@ -73,6 +73,7 @@
         "background",
         "record_time",
         "_estimators",
+        "_first_tokens",
         "_gates",
         "_limits",
         "_cold",
@@ -107,9 +108,10 @@
         self.background = Background()
         self.record_time = Estimator(expected_ms=RECORD_MS)
         self._estimators: dict[tuple[str, str], Estimator] = {}
+        self._first_tokens: dict[tuple[str, str], Estimator] = {}
         self._gates: dict[str, PoolGate] = defaultdict(PoolGate)
         self._limits: dict[str, tuple[float, int]] = {}
-        self._cold: dict[str, UpstreamStatus | None] = {}
+        self._cold: dict[str, UpstreamStatus] = {}
         self._catalog: Catalog | None = None
 
     def catalog(self) -> Catalog | None:
@@ -138,6 +140,13 @@
             self._estimators[key] = Estimator(expected_ms=stage.expected_ms)
         return self._estimators[key]
 
+    def first_token(self, pipeline: str, stage: Stage) -> Estimator:
+        """Return the learned time to the first token of a generation."""
+        key = (pipeline, stage.name)
+        if key not in self._first_tokens:
+            self._first_tokens[key] = Estimator(expected_ms=stage.expected_ms)
+        return self._first_tokens[key]
+
     def gate(self, pool: str) -> PoolGate:
         """Return the bound on own outstanding calls to a pool."""
         gate = self._gates[pool]
@@ -183,51 +192,54 @@
     def is_warm(self, upstream: Upstream) -> bool:
         """Tell whether an upstream may be called without a slot."""
         status = self.view.upstream_status(upstream.name)
-        if upstream.name in self._cold:
-            if _same_status(self._cold[upstream.name], status):
-                return False
-            del self._cold[upstream.name]
-        return status is not None and status.state == "warm"
+        return (
+            status is not None
+            and status.state == "warm"
+            and not self._is_doubted(upstream.name, status)
+        )
 
-    def note_cold(self, upstream: Upstream, instance: str, reason: str) -> None:
+    def note_evidence(self, upstream: str, instance: str, state: str, reason: str) -> None:
         """
-        Act on evidence that an upstream has turned cold.
+        Act on evidence that an upstream is not warm.
 
-        It counts as cold here until the distributed status changes, which only the owner of its
-        slots can bring about.
+        It is not called without a slot here until the distributed status changes, which only the
+        owner of its slots can bring about. The owner is told once for each status.
 
         Parameters
         ----------
-        upstream : Upstream
+        upstream : str
             The upstream.
         instance : str
             Instance that was seen; empty if unknown.
+        state : str
+            ``"cold"``, ``"warming"``, ``"leaving"`` or ``"down"``.
         reason : str
             The evidence.
         """
-        if upstream.name in self._cold or not self.is_warm(upstream):
+        status = self.view.upstream_status(upstream)
+        if status is None or status.state != "warm" or self._is_doubted(upstream, status):
             return
-        self._cold[upstream.name] = self.view.upstream_status(upstream.name)
-        self._limits.pop(upstream.pool, None)
-        self.prefixes.forget(upstream.name)
-        self.telemetry.decisions.add("turn_cold", upstream.name, reason, instance=instance)
-        self.background.start(self.slots.report, upstream.name, instance, "cold", reason)
+        self._cold[upstream] = status
+        self._limits.clear()
+        self.prefixes.forget(upstream)
+        self.telemetry.decisions.add("turn_cold", upstream, reason, instance=instance, state=state)
+        self.background.start(self.slots.report, upstream, instance, state, reason)
+
+    def _is_doubted(self, upstream: str, status: UpstreamStatus) -> bool:
+        doubted = self._cold.get(upstream)
+        if doubted is None:
+            return False
+        known = (doubted.instance, doubted.state, doubted.changed_ms)
+        if known == (status.instance, status.state, status.changed_ms):
+            return True
+        del self._cold[upstream]
+        return False
 
     def new_id(self) -> str:
         """Return a fresh id of an attempt."""
         return f"{self.rng.getrandbits(96):024x}"
 
 
-def _same_status(one: UpstreamStatus | None, other: UpstreamStatus | None) -> bool:
-    if one is None or other is None:
-        return one is other
-    return (one.instance, one.state, one.changed_ms) == (
-        other.instance,
-        other.state,
-        other.changed_ms,
-    )
-
-
 class Background:
     """Work that outlives the request that caused it."""
 
--- a/marigoldtrail/serving/targets.py
+++ b/marigoldtrail/serving/targets.py
@@ -79,7 +79,13 @@
 
 
 async def find_target(
-    run: Run, stage: Stage, *, attempt_id: str, until: float, avoid: Collection[str] = ()
+    run: Run,
+    stage: Stage,
+    *,
+    attempt_id: str,
+    until: float,
+    avoid: Collection[str] = (),
+    warm_only: bool = False,
 ) -> Target | Failure:
     """
     Choose an upstream and acquire a slot if it is not warm.
@@ -96,6 +102,8 @@
         Monotonic time until which a slot may be waited for, in seconds.
     avoid : collection of str
         Upstreams that are used only if there is no other.
+    warm_only : bool
+        Whether to leave out those that need a slot.
 
     Returns
     -------
@@ -108,7 +116,7 @@
         failure = check_view(run)
         if failure is not None:
             return failure
-        candidate = _choose_candidate(run, stage, avoid, refused)
+        candidate = _choose_candidate(run, stage, avoid, refused, warm_only)
         if candidate is None and refused:
             last = next(reversed(refused.values()))
             pause_s = max(SLOT_PAUSE_S, last.retry_after_s)
@@ -147,14 +155,16 @@
 
 
 def _choose_candidate(
-    run: Run, stage: Stage, avoid: Collection[str], refused: Collection[str]
+    run: Run, stage: Stage, avoid: Collection[str], refused: Collection[str], warm_only: bool
 ) -> Candidate | None:
     shared = run.shared
     now = shared.timers.now()
     usable = [
         upstream
         for upstream in run.catalog.upstreams_for(stage, run.pipeline.data_centres)
-        if upstream.name not in refused and shared.is_usable(upstream)
+        if upstream.name not in refused
+        and shared.is_usable(upstream)
+        and (not warm_only or shared.is_warm(upstream))
     ]
     usable = [item for item in usable if item.name not in avoid] or usable
     # With every one ejected, a guess among all of them is better than none.
