Hold the slot of a call that may still run at its upstream

Cause: an entry released the slot of a call that it had given up (deadline, lost hedge), and the owner forgot slots at the call's deadline; services go on with such calls. Besides, SlotClient.release had become a coroutine that the serving package never awaited, so that no slot was released at all. Ruled out: a cancel request, which services do not offer. Change: releases say whether the upstream has ended the call; without that the owner counts the slot for the longest grant (12 s). release is a plain function again.

--- a/marigoldtrail/serving/calls.py
+++ b/marigoldtrail/serving/calls.py
@@ -16,6 +16,8 @@
 UPSTREAM_FAULTS = frozenset(
     {Reason.UNREACHABLE, Reason.TIMEOUT, Reason.UPSTREAM_ERROR, Reason.BAD_ANSWER}
 )
+# Failures that are answers of the upstream: it does not work on the call any more.
+ANSWERED_FAULTS = frozenset({Reason.UPSTREAM_ERROR, Reason.OVERLOADED})
 CANCEL_TIMEOUT_S = 0.5
 
 
@@ -86,7 +88,10 @@
             self._health.cancel()
         if failure.reason is Reason.NO_SLOT:
             shared.note_evidence(self.target.upstream.name, failure.hint, "cold", failure.detail)
-        release_target(self.run, self.target, succeeded=False, duration_ms=self.duration_ms())
+        ended = failure.run_state is RunState.NOT_RUN or failure.reason in ANSWERED_FAULTS
+        release_target(
+            self.run, self.target, succeeded=False, ended=ended, duration_ms=self.duration_ms()
+        )
 
     def abandon(self) -> None:
         """Count a cancelled call and cancel it at the upstream."""
@@ -99,7 +104,10 @@
         if is_slow:
             self._health.note_duration(duration_ms)
             self._eject_if_due()
-        release_target(self.run, self.target, succeeded=False, duration_ms=self.duration_ms())
+        # Services go on with a call whose connection was closed, and a cancel may be lost.
+        release_target(
+            self.run, self.target, succeeded=False, ended=False, duration_ms=self.duration_ms()
+        )
         shared.background.start(self._cancel_upstream)
 
     async def _cancel_upstream(self) -> None:
--- a/marigoldtrail/serving/targets.py
+++ b/marigoldtrail/serving/targets.py
@@ -133,13 +133,19 @@
         refused[candidate.name] = target
 
 
-def release_target(run: Run, target: Target, *, succeeded: bool, duration_ms: float) -> None:
-    """Return the slot of a target, if it has one."""
+def release_target(
+    run: Run, target: Target, *, succeeded: bool, duration_ms: float, ended: bool = True
+) -> None:
+    """Return the slot of a target, if it has one; held on if the call may not have ended."""
     grant = target.grant
     if grant is None:
         return
     run.shared.slots.release(
-        grant, succeeded=succeeded, duration_ms=round(duration_ms), instance=target.instance
+        grant,
+        succeeded=succeeded,
+        ended=ended,
+        duration_ms=round(duration_ms),
+        instance=target.instance,
     )
 
 
--- a/marigoldtrail/serving/tests/fakes.py
+++ b/marigoldtrail/serving/tests/fakes.py
@@ -181,7 +181,7 @@
             host="c1",
         )
 
-    def release(self, grant, *, succeeded, duration_ms, instance):
+    def release(self, grant, *, succeeded, ended, duration_ms, instance):
         self.held[grant.upstream] -= 1
         self.released.append((grant.upstream, succeeded))
 
--- a/marigoldtrail/slots/client.py
+++ b/marigoldtrail/slots/client.py
@@ -92,7 +92,7 @@
             return slot                      # always not_run
         with trio.CancelScope(deadline=slot.expires_at):
             answer = await call_upstream()
-        await slots.release(slot, succeeded=not isinstance(answer, Failure), duration_ms=80)
+        slots.release(slot, succeeded=not isinstance(answer, Failure), duration_ms=80)
 
     See Also
     --------
@@ -218,11 +218,12 @@
             release = SlotRelease(slot_id=slot_id, upstream=upstream, succeeded=False)
             self._queue_release(owner.host, release, expires_at)
 
-    async def release(
+    def release(
         self,
         slot: HeldSlot,
         *,
         succeeded: bool,
+        ended: bool = True,
         duration_ms: int = 0,
         instance: str = "",
     ) -> None:
@@ -235,6 +236,9 @@
             The slot.
         succeeded : bool
             Whether the call was answered; only such calls advance the ramp.
+        ended : bool
+            Whether the upstream has ended the call. A call that was given up may still run there;
+            its slot is held until it expires.
         duration_ms : int
             Duration of the call in milliseconds.
         instance : str
@@ -244,11 +248,11 @@
             slot_id=slot.slot_id,
             upstream=slot.upstream,
             succeeded=succeeded,
+            ended=ended,
             duration_ms=duration_ms,
             instance=instance,
         )
         self._queue_release(slot.host, release, slot.expires_at)
-        await trio.lowlevel.checkpoint()
 
     def _queue_release(self, host: str, release: SlotRelease, expires_at: float) -> None:
         queued = QueuedRelease(release=release, expires_at=expires_at)
--- a/marigoldtrail/slots/owner.py
+++ b/marigoldtrail/slots/owner.py
@@ -227,6 +227,7 @@
             released += tracker.release(
                 item.slot_id,
                 succeeded=item.succeeded,
+                ended=item.ended,
                 instance=item.instance,
                 now=now,
                 duration_s=item.duration_ms / 1000,
--- a/marigoldtrail/slots/tests/fakes.py
+++ b/marigoldtrail/slots/tests/fakes.py
@@ -196,4 +196,4 @@
             with trio.CancelScope(deadline=slot.expires_at) as scope:
                 await self.upstream.call(seconds)
             done = not scope.cancelled_caught
-            await client.release(slot, succeeded=done, instance=slot.instance)
+            client.release(slot, succeeded=done, instance=slot.instance)
--- a/marigoldtrail/slots/tests/test_slots.py
+++ b/marigoldtrail/slots/tests/test_slots.py
@@ -5,6 +5,7 @@
 
 from marigoldtrail.errors import Reason, RunState, is_failure
 from marigoldtrail.schema.generated.slots import AcquireSlot
+from marigoldtrail.slots import MAX_GRANT_S
 from marigoldtrail.slots.tests.fakes import Fleet
 
 COLD_SLOTS = 2
@@ -78,6 +79,9 @@
     assert is_failure(refusal) and refusal.reason is Reason.NO_SLOT
     assert 0 < refusal.retry_after_s <= 4
     await trio.sleep_until(slot.expires_at + 0.1)
+    # The upstream may go on with the call of the dead entry.
+    assert is_failure(await fleet.clients["e2"].acquire("u1", "b2", hold_s=1))
+    await trio.sleep(MAX_GRANT_S)
     assert not is_failure(await fleet.clients["e2"].acquire("u1", "c", hold_s=1))
 
 
@@ -117,7 +121,7 @@
     fleet = await Fleet(nursery, cold_slots=1).start()
     await trio.sleep(13)
     client = fleet.clients["e1"]
-    await client.release(await client.acquire("u1", "first", hold_s=1), succeeded=True)
+    client.release(await client.acquire("u1", "first", hold_s=1), succeeded=True)
     await trio.sleep(0.5)
     fleet.network.link(fleet.ip("c1"), fleet.ip("e1")).set_cut(True)
     lost = await client.acquire("u1", "a", hold_s=10)
@@ -146,7 +150,7 @@
     fleet = await Fleet(nursery, cold_slots=2).start()
     await trio.sleep(13)
     client = fleet.clients["e1"]
-    await client.release(await client.acquire("u1", "first", hold_s=1), succeeded=True)
+    client.release(await client.acquire("u1", "first", hold_s=1), succeeded=True)
     fleet.network.link(fleet.ip("c1"), fleet.ip("e1")).set_cut(True)
     assert is_failure(await client.acquire("u1", "a", hold_s=10))
     fleet.network.restore(fleet.ip("c1"), fleet.ip("e1"))
--- a/marigoldtrail/slots/tests/test_slots_stateful.py
+++ b/marigoldtrail/slots/tests/test_slots_stateful.py
@@ -1,9 +1,6 @@
 """Slots under random losses, delays, restarts and moves: calls in progress against the limit."""
 
-import functools
-
 import pytest
-import trio
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -147,7 +144,7 @@
         attempt = data.draw(st.sampled_from(sorted(self.calls)))
         entry, slot = self.calls.pop(attempt)
         client = self.clients[entry]
-        trio.run(functools.partial(client.release, slot, succeeded=succeeded))
+        client.release(slot, succeeded=succeeded)
 
     @rule(entry=entries, lost=st.booleans())
     def flush(self, entry, lost):
--- a/marigoldtrail/slots/tracker.py
+++ b/marigoldtrail/slots/tracker.py
@@ -81,7 +81,10 @@
     Parameters
     ----------
     expires_at : float
-        Monotonic time in seconds.
+        Monotonic time in seconds by which the entry must have ended the call.
+    held_until : float
+        Monotonic time in seconds until which the slot counts if nothing says that the upstream has
+        ended the call: services go on with a call that their caller has given up.
     instance : str
         Instance known when it was granted.
     ramp_round : int
@@ -89,6 +92,7 @@
     """
 
     expires_at: float
+    held_until: float
     instance: str
     ramp_round: int
 
@@ -199,8 +203,8 @@
         return self.limit
 
     def drop_expired(self, now: float) -> None:
-        """Forget the slots that have expired."""
-        expired = [slot_id for slot_id, slot in self.slots.items() if slot.expires_at <= now]
+        """Forget the slots that are held no longer."""
+        expired = [slot_id for slot_id, slot in self.slots.items() if slot.held_until <= now]
         for slot_id in expired:
             del self.slots[slot_id]
 
@@ -229,7 +233,7 @@
         if now < self.grants_from or len(self.slots) >= self.allowed():
             return None
         expires_at = now + min(hold_s, MAX_GRANT_S)
-        self.slots[attempt_id] = Slot(expires_at, self.instance, self.ramp_round)
+        self.slots[attempt_id] = Slot(expires_at, now + MAX_GRANT_S, self.instance, self.ramp_round)
         return expires_at
 
     def free_in(self, now: float) -> float:
@@ -245,16 +249,23 @@
         -------
         float
             Seconds: the end of a wait, or a typical call's share for each slot, but no longer than
-            until the next slot expires.
+            until the next slot is held no more.
         """
         if now < self.grants_from:
             return self.grants_from - now
-        expires_at = min((slot.expires_at for slot in self.slots.values()), default=now)
+        free_at = min((slot.held_until for slot in self.slots.values()), default=now)
         typical_s = self.typical_s / max(self.allowed(), 1)
-        return max(MIN_RETRY_S, min(expires_at - now, typical_s))
+        return max(MIN_RETRY_S, min(free_at - now, typical_s))
 
     def release(
-        self, slot_id: str, *, succeeded: bool, instance: str, now: float, duration_s: float = 0.0
+        self,
+        slot_id: str,
+        *,
+        succeeded: bool,
+        instance: str,
+        now: float,
+        duration_s: float = 0.0,
+        ended: bool = True,
     ) -> bool:
         """
         Take a slot back and advance or reset the ramp.
@@ -271,6 +282,8 @@
             Monotonic time in seconds.
         duration_s : float
             Duration of the call in seconds; 0 if unknown.
+        ended : bool
+            Whether the upstream has ended the call; if not, the slot is held for `MAX_GRANT_S`.
 
         Returns
         -------
@@ -280,7 +293,7 @@
         if duration_s > 0:
             self.typical_s += DURATION_WEIGHT * (duration_s - self.typical_s)
         self.drop_expired(now)
-        slot = self.slots.pop(slot_id, None)
+        slot = self.slots.pop(slot_id, None) if ended else self.slots.get(slot_id)
         if slot is None:
             return False
         same_instance = slot.instance == self.instance and instance in ("", self.instance)
--- a/marigoldtrail/testing/tests/test_fleet.py
+++ b/marigoldtrail/testing/tests/test_fleet.py
@@ -2,10 +2,13 @@
 
 import json
 
+import trio
+
 from marigoldtrail.demo.deployments import TSVETANOV, Deployment, build_manifest
 from marigoldtrail.errors import is_failure
 from marigoldtrail.schema import parse_manifest
 from marigoldtrail.serving import Answer
+from marigoldtrail.slots import MAX_GRANT_S
 from marigoldtrail.testing.fleet import CollectedTokens, MemoryFleet
 
 SMALL = Deployment(
@@ -65,3 +68,25 @@
     await fleet.timers.sleep(4)
     assert isinstance(await fleet.send("h4", "slot_list", "yard-7", {"day": 1}), Answer)
     nursery.cancel_scope.cancel()
+
+
+async def test_calls_given_up_keep_their_slots(autojump_clock, nursery):
+    """Guards against slots that are granted again while a service still works on the old call."""
+    fleet = await start_fleet(nursery)
+    for name in ("booking-1", "booking-2"):
+        fleet.world.standins[name].knobs.delay_s = 4.0
+        fleet.world.process(name).restart()
+    # A new owner grants nothing for as long as a grant of its predecessor may last.
+    await fleet.timers.sleep(MAX_GRANT_S)
+
+    async def ask(host: str) -> None:
+        for number in range(15):
+            await fleet.send(host, "slot_list", "yard-7", {"day": number}, deadline_s=1.5)
+
+    async with trio.open_nursery() as callers:
+        for host in ("h1", "h2", "h3", "h4"):
+            for _ in range(4):
+                callers.start_soon(ask, host)
+    assert max(fleet.world.process(f"booking-{n}").max_cold_running for n in (1, 2)) > 0
+    assert fleet.world.cold_limit_exceeded() == 0
+    nursery.cancel_scope.cancel()
