--- a/marigoldtrail/records/claim.py
+++ b/marigoldtrail/records/claim.py
@@ -191,6 +191,19 @@
     answer: Location | None = None
 
 
+class ArchivedClaims(msgspec.Struct):
+    """
+    Result of a claim command for a key of which only archived claims are known.
+
+    Parameters
+    ----------
+    locations : list of Location
+        Where the stored answers of the key may be.
+    """
+
+    locations: list[Location]
+
+
 class PendingClaim(NamedTuple):
     """
     A claim that the sweeper watches.
--- a/marigoldtrail/records/claims.py
+++ b/marigoldtrail/records/claims.py
@@ -8,18 +8,25 @@
 * ``done`` never changes. ``may_have_run`` changes only with better knowledge.
 * ``not_run`` frees the claim. The freed attempt is remembered, so that a late copy of its OpenClaim
   cannot take the claim again.
+* A key whose claims are all done moves to the archive after `MAX_RECENT_DONE` others. Commands for
+  it return the locations of the stored answers, and the service reads and compares those. If they
+  concern another stage of the same request, the service repeats the OpenClaim and says how many
+  locations it has checked.
 """
 
 from __future__ import annotations
 
 import itertools
 import sys
+from collections import deque
 from collections.abc import Iterator
 from typing import Literal
 
 import msgspec
 
+from marigoldtrail.records.archive import Archive, ArchiveState
 from marigoldtrail.records.claim import (
+    ArchivedClaims,
     Claim,
     ClaimResult,
     ClaimState,
@@ -41,6 +48,8 @@
 # Attempts that a claim remembers as freed. More than one is in flight only if an entry gives up
 # and another takes the key within the life of a network packet.
 MAX_FREED_ATTEMPTS = 8
+# Keys that are done stay in memory until as many others are done: repeats come soon or never.
+MAX_RECENT_DONE = 8_192
 # A freed claim is forgotten after this time: no copy of its OpenClaim is under way any more.
 FREED_MEMORY_MS = 3_600_000
 
@@ -53,14 +62,33 @@
 }
 
 
+class ClaimTableState(msgspec.Struct, array_like=True, kw_only=True):
+    """
+    All claims in a snapshot.
+
+    Parameters
+    ----------
+    accounts : dict
+        Claims by client account and idempotency key.
+    done : list of tuple
+        Account and key of each claim that was settled as done and is not archived, oldest first.
+    archive : ArchiveState
+        The other claims that are done.
+    """
+
+    accounts: dict[str, dict[str, KeyClaims]]
+    done: list[tuple[str, str]]
+    archive: ArchiveState
+
+
 class ClaimTable:
     """
     All claims of a record group.
 
     Parameters
     ----------
-    accounts : dict
-        Claims by client account and idempotency key, for example from `dump`.
+    state : ClaimTableState or None
+        From `dump`; None for an empty table.
 
     Examples
     --------
@@ -73,10 +101,12 @@
     'pending'
     """
 
-    __slots__ = ("_accounts", "_open", "_targets")
+    __slots__ = ("archive", "_accounts", "_done", "_open", "_targets")
 
-    def __init__(self, *, accounts: dict[str, dict[str, KeyClaims]] | None = None) -> None:
-        self._accounts = accounts or {}
+    def __init__(self, *, state: ClaimTableState | None = None) -> None:
+        self.archive = Archive(state=state.archive if state is not None else None)
+        self._accounts = state.accounts if state is not None else {}
+        self._done = deque(state.done if state is not None else ())
         self._open: dict[ClaimState, set[tuple[str, str, str]]] = {
             ClaimState.PENDING: set(),
             ClaimState.MAY_HAVE_RUN: set(),
@@ -90,9 +120,11 @@
             if claim.state in self._open:
                 self._open[claim.state].add((account, key, claim.stage))
 
-    def dump(self) -> dict[str, dict[str, KeyClaims]]:
+    def dump(self) -> ClaimTableState:
         """Return the content for a snapshot."""
-        return self._accounts
+        return ClaimTableState(
+            accounts=self._accounts, done=list(self._done), archive=self.archive.dump()
+        )
 
     def _all(self) -> Iterator[tuple[str, str, Claim]]:
         for account, keys in self._accounts.items():
@@ -115,7 +147,7 @@
             entry.claims = (*entry.claims, claim)
         return claim
 
-    def open(self, req: OpenClaim, *, at_ms: int) -> ClaimResult:
+    def open(self, req: OpenClaim, *, at_ms: int, checked: int = 0) -> ClaimResult | ArchivedClaims:
         """
         Apply an OpenClaim.
 
@@ -125,13 +157,20 @@
             The request.
         at_ms : int
             Wall time of the leader in milliseconds.
+        checked : int
+            Number of archived claims that were found to be of the same request and another stage.
 
         Returns
         -------
-        ClaimResult
+        ClaimResult or ArchivedClaims
             ``granted`` if the attempt holds the claim; else its state, ``not_run`` if the attempt
-            was freed before, or ``mismatch`` if the key belongs to another request.
+            was freed before, or ``mismatch`` if the key belongs to another request. Archived claims
+            if there are others than those checked.
         """
+        if self._find(req.client_account, req.idempotency_key, req.stage) is None:
+            archived = self.archive.find(req.client_account, req.idempotency_key)
+            if len(archived) != checked:
+                return ArchivedClaims(archived)
         entry = self._accounts.get(req.client_account, {}).get(req.idempotency_key)
         if entry is not None and entry.digest != req.digest:
             if not entry.is_free():
@@ -178,7 +217,7 @@
 
     def settle(
         self, req: SettleClaim, *, by: SettledBy, at_ms: int, answer: Location | None = None
-    ) -> ClaimResult:
+    ) -> ClaimResult | ArchivedClaims:
         """
         Apply a SettleClaim.
 
@@ -195,10 +234,14 @@
 
         Returns
         -------
-        ClaimResult
-            State of the claim after the command.
+        ClaimResult or ArchivedClaims
+            State of the claim after the command; archived claims if only such are known.
         """
         claim = self._find(req.client_account, req.idempotency_key, req.stage)
+        if claim is None:
+            archived = self.archive.find(req.client_account, req.idempotency_key)
+            if archived:
+                return ArchivedClaims(archived)
         if claim is None or (
             req.attempt_id != claim.attempt_id and req.attempt_id not in claim.freed
         ):
@@ -267,6 +310,8 @@
         if req.state == "done":
             claim.state = ClaimState.DONE
             claim.answer = pack_location(answer)
+            self._done.append((req.client_account, req.idempotency_key))
+            self._archive_oldest()
         elif req.state == "may_have_run":
             claim.state = ClaimState.MAY_HAVE_RUN
             self._open[ClaimState.MAY_HAVE_RUN].add(key)
@@ -274,6 +319,42 @@
             claim.state = ClaimState.FREE
             _remember_freed(claim, claim.attempt_id)
 
+    def _archive_oldest(self) -> None:
+        for _ in range(len(self._done) - MAX_RECENT_DONE):
+            account, key = self._done.popleft()
+            keys = self._accounts.get(account, {})
+            entry = keys.get(key)
+            if entry is None:
+                continue
+            if any(claim.state is not ClaimState.DONE for claim in entry.claims):
+                # Another stage of the request still needs its claim; try again after the others.
+                self._done.append((account, key))
+                continue
+            for claim in entry.claims:
+                location = unpack_location(claim.answer)
+                if location is not None:
+                    self.archive.add(account, key, location)
+            del keys[key]
+            if not keys:
+                del self._accounts[account]
+
+    def digest_of(self, client_account: str, idempotency_key: str) -> str:
+        """
+        Return the digest of the request that uses a key.
+
+        Parameters
+        ----------
+        client_account, idempotency_key : str
+            The key.
+
+        Returns
+        -------
+        str
+            Empty if the key is not in use or archived.
+        """
+        entry = self._accounts.get(client_account, {}).get(idempotency_key)
+        return entry.digest if entry is not None else ""
+
     def pending(self) -> list[PendingClaim]:
         """
         Return the claims that are pending.
@@ -357,6 +438,7 @@
             Number of claims dropped. Pending claims are never dropped.
         """
         dropped = 0
+        self.archive.forget(first_segment=first_segment)
         for account in list(self._accounts):
             keys = self._accounts[account]
             for key in list(keys):
--- a/marigoldtrail/records/machine.py
+++ b/marigoldtrail/records/machine.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from marigoldtrail.errors import Failure, Reason, RunState
-from marigoldtrail.records.claim import ClaimResult, KeyClaims, Location, SettledBy
-from marigoldtrail.records.claims import ClaimTable
+from marigoldtrail.records.claim import ArchivedClaims, ClaimResult, Location, SettledBy
+from marigoldtrail.records.claims import ClaimTable, ClaimTableState
 from marigoldtrail.records.entries import ANSWER, RECORD
 from marigoldtrail.records.segment import IndexedFields, SegmentState
 from marigoldtrail.records.segments import SegmentStore
@@ -36,10 +36,13 @@
         The request.
     at_ms : int
         Wall time of the leader in milliseconds.
+    checked : int
+        Number of archived claims under the key that the leader has compared.
     """
 
     req: OpenClaim
     at_ms: int
+    checked: int = 0
 
 
 class SettleCommand(msgspec.Struct, array_like=True, tag="settle"):
@@ -118,7 +121,7 @@
 
     Parameters
     ----------
-    client_account, idempotency_key, stage, attempt_id : str
+    client_account, idempotency_key, stage, digest, request_id, attempt_id : str
         The claim.
     answer : bytes
         JSON answer.
@@ -127,6 +130,8 @@
     client_account: str
     idempotency_key: str
     stage: str
+    digest: str
+    request_id: str
     attempt_id: str
     answer: bytes
 
@@ -139,8 +144,8 @@
     ----------
     version : int
         Version of the format.
-    claims : dict
-        Claims by client account and idempotency key.
+    claims : ClaimTableState
+        The claims.
     recent : dict
         Log index by request id of the newest records, oldest first.
     segments : list of SegmentState
@@ -150,13 +155,13 @@
     """
 
     version: int
-    claims: dict[str, dict[str, KeyClaims]]
+    claims: ClaimTableState
     recent: dict[str, int]
     segments: list[SegmentState]
     retained_ms: int
 
 
-CommandResult: TypeAlias = ClaimResult | PutRecordReply | RetainResult | Failure
+CommandResult: TypeAlias = ClaimResult | ArchivedClaims | PutRecordReply | RetainResult | Failure
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Command)
@@ -182,9 +187,9 @@
     return _encoder.encode(command)
 
 
-def decode_answer(payload: bytes) -> bytes:
+def decode_answer(payload: bytes) -> StoredAnswer:
     """
-    Return the answer in an entry of kind ``ANSWER``.
+    Decode an entry of kind ``ANSWER``.
 
     Parameters
     ----------
@@ -193,10 +198,10 @@
 
     Returns
     -------
-    bytes
-        JSON answer.
+    StoredAnswer
+        The claim and its answer.
     """
-    return _answer_decoder.decode(payload).answer
+    return _answer_decoder.decode(payload)
 
 
 class RecordMachine:
@@ -248,7 +253,7 @@
             )
         match decoded:
             case OpenCommand():
-                return self.claims.open(decoded.req, at_ms=decoded.at_ms)
+                return self.claims.open(decoded.req, at_ms=decoded.at_ms, checked=decoded.checked)
             case SettleCommand():
                 return self._settle(decoded)
             case PutCommand():
@@ -256,12 +261,18 @@
             case RetainCommand():
                 return self._retain(decoded)
 
-    def _settle(self, command: SettleCommand) -> ClaimResult:
+    def _settle(self, command: SettleCommand) -> ClaimResult | ArchivedClaims:
         req = command.req
         location: Location | None = None
         if self.claims.accepts_answer(req, by=command.by):
             answer = StoredAnswer(
-                req.client_account, req.idempotency_key, req.stage, req.attempt_id, req.answer
+                client_account=req.client_account,
+                idempotency_key=req.idempotency_key,
+                stage=req.stage,
+                digest=self.claims.digest_of(req.client_account, req.idempotency_key),
+                request_id=req.request_id,
+                attempt_id=req.attempt_id,
+                answer=req.answer,
             )
             location = self.store.append(ANSWER, _encoder.encode(answer), at_ms=command.at_ms)
         return self.claims.settle(req, by=command.by, at_ms=command.at_ms, answer=location)
@@ -322,7 +333,7 @@
         state = _state_decoder.decode(data)
         if state.version != SNAPSHOT_VERSION:
             raise ValueError(f"snapshot version {state.version} is not {SNAPSHOT_VERSION}")
-        self.claims = ClaimTable(accounts=state.claims)
+        self.claims = ClaimTable(state=state.claims)
         self._recent = OrderedDict(state.recent)
         self.retained_ms = state.retained_ms
         self.store.adopt(state.segments)
--- a/marigoldtrail/records/service.py
+++ b/marigoldtrail/records/service.py
@@ -10,7 +10,7 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Handlers
-from marigoldtrail.records.claim import ClaimResult, ClaimState, SettledBy
+from marigoldtrail.records.claim import ArchivedClaims, ClaimState, Location, SettledBy
 from marigoldtrail.records.fetch import FetchChunk, fetch_missing
 from marigoldtrail.records.machine import (
     Command,
@@ -19,6 +19,7 @@
     RecordMachine,
     RetainCommand,
     SettleCommand,
+    StoredAnswer,
     decode_answer,
     encode_command,
 )
@@ -227,22 +228,53 @@
         if group is None:
             return self._not_member(step)
         result = await self._propose(group, command, step)
-        if isinstance(result, Failure):
-            return result
-        return await self._with_answer(group, result, step)
-
-    async def _with_answer(
-        self, group: RecordGroup, result: ClaimResult, step: str
-    ) -> ClaimReply | Failure:
-        if result.answer is None:
-            return result.reply
-        entry = await group.machine.store.read(result.answer)
+        if isinstance(result, ArchivedClaims):
+            return await self._answer_archived(group, command, result.locations, step)
+        if isinstance(result, Failure) or result.answer is None:
+            return result if isinstance(result, Failure) else result.reply
+        stored = await self._read_answer(group, result.answer, step)
+        if isinstance(stored, Failure):
+            return stored
+        return msgspec.structs.replace(result.reply, answer=stored.answer)
+
+    async def _read_answer(
+        self, group: RecordGroup, location: Location, step: str
+    ) -> StoredAnswer | Failure:
+        entry = await group.machine.store.read(location)
         if isinstance(entry, Failure):
             # The stage ran; only its answer cannot be read now.
             return msgspec.structs.replace(
                 entry, step=step, peer=self._host, run_state=RunState.MAY_HAVE_RUN
             )
-        return msgspec.structs.replace(result.reply, answer=decode_answer(entry.payload))
+        return decode_answer(entry.payload)
+
+    async def _answer_archived(
+        self,
+        group: RecordGroup,
+        command: OpenCommand | SettleCommand,
+        locations: Sequence[Location],
+        step: str,
+    ) -> ClaimReply | Failure:
+        req = command.req
+        for location in locations:
+            stored = await self._read_answer(group, location, step)
+            if isinstance(stored, Failure):
+                return stored
+            reply = compare_archived(stored, req)
+            if reply is not None:
+                return reply
+        if isinstance(command, SettleCommand):
+            return ClaimReply(
+                state="mismatch",
+                request_id=req.request_id,
+                attempt_id=req.attempt_id,
+                detail="no such claim is open",
+            )
+        if command.checked:
+            # The archive changed between the two commands.
+            return self._refuse(step, Reason.OVERLOADED, "the key is being archived")
+        checked = OpenCommand(command.req, command.at_ms, len(locations))
+        return await self._run_claim(req.client_account, checked, step)
 
     async def put_record(self, req: PutRecord, sender: str) -> PutRecordReply | Failure:
         """
@@ -432,3 +464,40 @@
             before_ms = min(now_ms - self._retention_days * DAY_MS, reached + RETAIN_STEP_MS)
             if before_ms > machine.retained_ms:
                 await self._propose(group, RetainCommand(before_ms, now_ms), "records.retain")
+
+
+def compare_archived(stored: StoredAnswer, req: OpenClaim | SettleClaim) -> ClaimReply | None:
+    """
+    Compare a request with an archived claim that has the same hash.
+
+    Parameters
+    ----------
+    stored : StoredAnswer
+        The archived claim.
+    req : OpenClaim or SettleClaim
+        The request.
+
+    Returns
+    -------
+    ClaimReply or None
+        ``done`` with the answer, or ``mismatch`` if the key belongs to another request; None if the
+        archived claim is of another key or another stage.
+    """
+    key = (stored.client_account, stored.idempotency_key)
+    if key != (req.client_account, req.idempotency_key):
+        return None
+    if isinstance(req, OpenClaim) and stored.digest != req.digest:
+        return ClaimReply(
+            state="mismatch",
+            request_id=stored.request_id,
+            attempt_id=stored.attempt_id,
+            detail="the idempotency key was used with another request",
+        )
+    if stored.stage != req.stage:
+        return None
+    return ClaimReply(
+        state="done",
+        request_id=stored.request_id,
+        attempt_id=stored.attempt_id,
+        answer=stored.answer,
+    )
--- a/marigoldtrail/records/tests/test_service.py
+++ b/marigoldtrail/records/tests/test_service.py
@@ -5,7 +5,7 @@
 
 from marigoldtrail.consensus import applying
 from marigoldtrail.errors import Reason, RunState, is_failure
-from marigoldtrail.records import Outcome
+from marigoldtrail.records import Outcome, claims
 from marigoldtrail.records.service import DAY_MS, MAX_PAYLOAD_BYTES
 from marigoldtrail.records.tests.cluster import RecordCluster
 from marigoldtrail.records.tests.fakes import (
@@ -180,6 +180,30 @@
     assert reply.run_state is RunState.MAY_HAVE_RUN
 
 
+async def test_archived_claims_answer_as_before(autojump_clock, nursery, monkeypatch):
+    """Guards against a second run, or a lost answer, once a done claim has left the memory."""
+    monkeypatch.setattr(claims, "MAX_RECENT_DONE", 0)
+    machine, log, service = make_host(nursery)
+    await service.open_claim(open_claim(), "e1")
+    settled = settle_claim("done", answer=b'{"seat": 4}')
+    for _ in range(2):
+        reply = await service.settle_claim(settled, "e1")
+        assert reply.state == "done"
+    assert (len(machine.claims.archive), machine.claims.dump().accounts) == (1, {})
+    log.machine = make_machine(machine.store._disk)
+    await machine.store.flush()
+    log.machine.restore(machine.snapshot())
+    service = make_service(log.machine, log)
+    again = await service.open_claim(open_claim("a2"), "e1")
+    assert (again.state, again.attempt_id, again.answer) == ("done", "a1", b'{"seat": 4}')
+    other = await service.open_claim(open_claim("a2", digest="other", stage="pay"), "e1")
+    assert other.state == "mismatch"
+    assert (await service.open_claim(open_claim("a2", stage="pay"), "e1")).state == "granted"
+    assert (await service.open_claim(open_claim("a3", stage="pay"), "e1")).state == "pending"
+    late = await service.settle_claim(settle_claim("not_run", "a9"), "e1")
+    assert (late.state, late.attempt_id) == ("done", "a1")
+
+
 async def test_retention_survives_a_clock_set_years_ahead(autojump_clock, nursery):
     """Guards against years of records dropped at once by a wrong wall clock."""
     wall = [10_000.0]
