--- a/marigoldtrail/demo/command.py
+++ b/marigoldtrail/demo/runner.py
@@ -1,34 +1,29 @@
-"""The subcommand ``demo``."""
+"""Runs the demo on all deployments at the same time."""
 
 from __future__ import annotations
 
 import json
-import tempfile
+import os
+import signal
 from functools import partial
 from pathlib import Path
-from typing import Annotated
 
 import trio
 import typer
 
-from marigoldtrail.cli.exits import ExitCode
-from marigoldtrail.cli.serve import build_telemetry, init_groups
 from marigoldtrail.demo.deployments import (
     DEPLOYMENTS,
     Deployment,
     build_manifest,
     build_settings,
-    write_deployment,
 )
 from marigoldtrail.demo.jobs import Job
-from marigoldtrail.demo.world import World
-from marigoldtrail.errors import Failure
 from marigoldtrail.net import Address, TcpNetwork
-from marigoldtrail.node import run_node
+from marigoldtrail.node import Node, init_groups, launch_node
 from marigoldtrail.schema import parse_manifest, parse_settings
 from marigoldtrail.schema.generated.manifest import Manifest
 from marigoldtrail.schema.generated.settings import Settings
-from marigoldtrail.storage import open_folder
+from marigoldtrail.standins.world import World
 from marigoldtrail.timers import Timers
 
 TIME_LIMIT_S = 58.0
@@ -36,37 +31,6 @@
 INIT_LIMIT_S = 20.0
 
 
-def run_demo_command(
-    folder: Annotated[
-        Path | None,
-        typer.Option(help="Folder for settings, data and traces; a temporary one by default."),
-    ] = None,
-    prepare: Annotated[
-        bool, typer.Option("--prepare", help="Only write settings and manifests.")
-    ] = False,
-    external: Annotated[
-        bool, typer.Option("--external", help="The nodes already run as processes of their own.")
-    ] = False,
-) -> None:
-    """Run both deployments on this machine and check the promises.
-
-    Without --external all nodes run inside this process. Ends by itself within 60 s and exits
-    non-zero if a promise was broken.
-
-    Example: marigoldtrail demo
-    """
-    folder = folder or Path(tempfile.mkdtemp(prefix="marigoldtrail-demo-"))
-    for deployment in DEPLOYMENTS:
-        write_deployment(deployment, folder)
-    if prepare:
-        return
-    broken = trio.run(partial(run_demo, folder, external=external))
-    for promise in broken:
-        typer.echo(f"broken: {promise}")
-    typer.echo("all promises held" if not broken else f"{len(broken)} promises broken")
-    raise typer.Exit(ExitCode.FAILED if broken else ExitCode.OK)
-
-
 async def run_demo(folder: Path, *, external: bool) -> list[str]:
     """
     Run the demo on all deployments at the same time.
@@ -111,6 +75,7 @@
         Takes the broken promises.
     """
     timers = Timers()
+    nodes: dict[str, Node] = {}
     fleet = [parse_node_settings(document) for document in build_settings(deployment, folder)]
     world = World(manifest=load_manifest(deployment), network=TcpNetwork(), timers=timers)
     job = Job(
@@ -119,13 +84,15 @@
         world=world,
         timers=timers,
         say=lambda text: typer.echo(f"{timers.now() - started:5.1f} s {text}"),
+        drain_node=partial(drain_node, folder, nodes, fleet[-1].host),
+        kill_leader=partial(kill_node, folder, nodes),
     )
     started = timers.now()
     async with trio.open_nursery() as nursery:
         await nursery.start(world.run)
         if not external:
             for cfg in fleet:
-                await nursery.start(partial(run_embedded, cfg))
+                nodes[cfg.host] = await nursery.start(run_embedded, cfg)
         await init_when_ready(fleet[0])
         try:
             await job.run()
@@ -149,7 +116,7 @@
 
 
 async def run_embedded(
-    cfg: Settings, *, task_status: trio.TaskStatus[object] = trio.TASK_STATUS_IGNORED
+    cfg: Settings, *, task_status: trio.TaskStatus[Node] = trio.TASK_STATUS_IGNORED
 ) -> None:
     """
     Run a node inside this process.
@@ -160,22 +127,15 @@
         Its settings.
     task_status : trio.TaskStatus
         Started with the node.
+
+    Raises
+    ------
+    RuntimeError
+        If the node cannot start.
     """
-    timers = Timers()
-    disk = None
-    if "control" in cfg.roles:
-        opened = open_folder(cfg.data_folder, timers=timers)
-        if isinstance(opened, Failure):
-            raise RuntimeError(str(opened))
-        disk = opened
-    await run_node(
-        cfg,
-        network=TcpNetwork(),
-        timers=timers,
-        telemetry=build_telemetry(cfg, timers),
-        disk=disk,
-        task_status=task_status,
-    )
+    failure = await launch_node(cfg, task_status=task_status)
+    if failure is not None:
+        raise RuntimeError(str(failure))
 
 
 async def init_when_ready(cfg: Settings) -> None:
@@ -191,3 +151,53 @@
         async for _ in Timers().subscribe("demo.init", INIT_PAUSE_S):
             if await init_groups(cfg) is None:
                 return
+
+
+async def drain_node(folder: Path, nodes: dict[str, Node], host: str) -> bool:
+    """
+    Shut a node down gracefully and wait for its end.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder with the files of processes, ``HOST.pid`` and ``HOST.exit``.
+    nodes : dict
+        Nodes inside this process, by host.
+    host : str
+        The node.
+
+    Returns
+    -------
+    bool
+        Whether it ended by itself, with exit code 0 if it is a process of its own.
+    """
+    if host in nodes:
+        await nodes[host].drain()
+        return True
+    os.kill(int((folder / f"{host}.pid").read_text()), signal.SIGTERM)
+    async for _ in Timers().subscribe("demo.exit", INIT_PAUSE_S):
+        exit_file = folder / f"{host}.exit"
+        if exit_file.exists():
+            return exit_file.read_text().strip() == "0"
+    return False
+
+
+async def kill_node(folder: Path, nodes: dict[str, Node], host: str) -> bool:
+    """
+    End a node at once.
+
+    Parameters
+    ----------
+    folder, nodes, host
+        See `drain_node`.
+
+    Returns
+    -------
+    bool
+        Always True.
+    """
+    if host in nodes:
+        nodes[host].kill()
+    else:
+        os.kill(int((folder / f"{host}.pid").read_text()), signal.SIGKILL)
+    return True
--- a/marigoldtrail/fleet/leaders.py
+++ b/marigoldtrail/fleet/leaders.py
@@ -16,6 +16,11 @@
 
 # Bounds one try, so that two silent control hosts in turn leave most of the 5 s of a view.
 TRY_TIMEOUT_S = 0.75
+# A Sync gives less to a host that has just been silent, so that an election is noticed soon after
+# it ends. Commits may rightly take longer than this.
+SILENT_TRY_TIMEOUT_S = 0.3
+# Afterwards it gets the whole time again: it may be back, but slow.
+SILENT_PERIOD_S = 4.0
 # An election takes 1 to 2 s; a shorter pause would only add messages.
 ROUND_PAUSE_S = 0.1
 
@@ -64,8 +69,8 @@
         self._timers = timers
         self._members = members
         self._leaders: dict[str, str] = {}
-        # Time of the last failed try of each host that has not answered since.
-        self._silent: dict[str, float] = {}
+        # First and last failed try of each host that has not answered since.
+        self._silent: dict[str, tuple[float, float]] = {}
 
     def leader_of(self, group: str) -> str:
         """
@@ -91,6 +96,7 @@
         *,
         timeout_s: float,
         try_timeout_s: float = TRY_TIMEOUT_S,
+        silent_try_timeout_s: float | None = None,
         on_try: Callable[[], None] = lambda: None,
     ) -> Reply | Failure:
         """
@@ -108,6 +114,8 @@
             Longest wait in seconds over all tries.
         try_timeout_s : float
             Longest wait in seconds for one control host.
+        silent_try_timeout_s : float or None
+            The same for a host that has been silent for less than `SILENT_PERIOD_S`.
         on_try : callable
             Called right before each try.
 
@@ -127,8 +135,11 @@
                 if remaining <= 0:
                     return _final(last, request, may_have_run)
                 on_try()
+                bound_s = try_timeout_s
+                if silent_try_timeout_s is not None and self._fell_silent(host):
+                    bound_s = silent_try_timeout_s
                 reply = await self._try(
-                    host, request, reply_type, timeout_s=min(try_timeout_s, remaining)
+                    host, request, reply_type, timeout_s=min(bound_s, remaining)
                 )
                 if not is_failure(reply):
                     self._leaders[group] = host
@@ -142,18 +153,26 @@
             await self._timers.sleep(min(ROUND_PAUSE_S, max(0.0, deadline - self._timers.now())))
 
     def _round(self, group: str) -> Iterator[str]:
-        """Yield each member once: the believed leader first, those silent of late last."""
+        """
+        Yield members: the believed leader first, at most one of those silent of late, last.
+
+        An election may end while a silent host is tried; with more of them in each round, three
+        silent control hosts of seven used up the lease of a view.
+        """
         untried = dict.fromkeys(self._members[group])
         while True:
             leader = self._leaders.get(group, "")
             if leader and leader not in self._silent and leader in untried:
                 host = leader
             elif untried:
-                host = min(untried, key=lambda member: self._silent.get(member, float("-inf")))
+                host = min(untried, key=self._last_silence)
             else:
                 return
             untried.pop(host)
+            was_silent = host in self._silent
             yield host
+            if was_silent:
+                return
             # A hint may name a control host that has joined the group since the settings were read.
             hinted = self._leaders.get(group, "")
             if hinted and hinted not in self._members[group]:
@@ -163,7 +182,9 @@
     def _note_failure(self, group: str, host: str, failure: Failure) -> None:
         if failure.reason in (Reason.TIMEOUT, Reason.UNREACHABLE):
             # Others go on to name a dead leader until an election ends; it is tried last from now.
-            self._silent[host] = self._timers.now()
+            now = self._timers.now()
+            since, _ = self._silent.get(host, (now, now))
+            self._silent[host] = (since, now)
         else:
             self._silent.pop(host, None)
         if failure.reason is Reason.NOT_LEADER and failure.hint and failure.hint != host:
@@ -171,6 +192,13 @@
         elif self._leaders.get(group) == host:
             del self._leaders[group]
 
+    def _last_silence(self, host: str) -> float:
+        return self._silent[host][1] if host in self._silent else float("-inf")
+
+    def _fell_silent(self, host: str) -> bool:
+        silent = self._silent.get(host)
+        return silent is not None and self._timers.now() - silent[0] < SILENT_PERIOD_S
+
     async def _try(
         self, host: str, request: msgspec.Struct, reply_type: type[Reply], *, timeout_s: float
     ) -> Reply | Failure:
--- a/marigoldtrail/standins/http.py
+++ b/marigoldtrail/standins/http.py
@@ -57,18 +57,27 @@
         self.stream = stream
         self._conn = conn
 
-    async def send_json(self, status: int, value: Any, headers: dict[str, str]) -> bytes:
-        """Send a complete response with a JSON body; return its bytes."""
-        return await self.send_bytes(status, _encode(value), headers, "application/json")
+    async def send_json(
+        self, status: int, value: Any, headers: dict[str, str], *, copies: int = 1
+    ) -> bytes:
+        """Send a complete response with a JSON body, `copies` times at once; return its bytes."""
+        body = _encode(value)
+        return await self.send_bytes(status, body, headers, "application/json", copies=copies)
 
     async def send_bytes(
-        self, status: int, body: bytes, headers: dict[str, str], content_type: str
+        self,
+        status: int,
+        body: bytes,
+        headers: dict[str, str],
+        content_type: str,
+        *,
+        copies: int = 1,
     ) -> bytes:
-        """Send a complete response; return its bytes."""
+        """Send a complete response, `copies` times at once; return its bytes."""
         fields = {**headers, "content-type": content_type, "content-length": str(len(body))}
         response = h11.Response(status_code=status, headers=list(fields.items()))
         data = self._send(response) + self._send(h11.Data(data=body)) + self._send_end()
-        await self.stream.send_all(data)
+        await self.stream.send_all(data * copies)
         return data
 
     async def start_stream(self, headers: dict[str, str]) -> None:
@@ -164,13 +173,19 @@
         Started with the address listened on.
     """
 
+    async def answer(request: HttpRequest, reply: HttpReply) -> None:
+        try:
+            await handler(request, reply)
+        except (KeyError, ValueError, msgspec.MsgspecError) as exc:
+            await reply.send_json(400, {"detail": repr(exc)}, {})
+
     async def run_handler(request: HttpRequest, reply: HttpReply, conn: h11.Connection) -> bool:
         if not cancel_on_disconnect:
-            await handler(request, reply)
+            await answer(request, reply)
             return True
         async with trio.open_nursery() as nursery:
             nursery.start_soon(cancel_at_end, conn, reply.stream, nursery.cancel_scope)
-            await handler(request, reply)
+            await answer(request, reply)
             nursery.cancel_scope.cancel()
             return True
         return False
