Keep the leader when an fsync takes longer than the election timeout

A run of the commit benchmark on a busy disk ended with a new election: both followers waited for an fsync for more than a second, heard no heartbeat behind the append in progress, and granted each other a pre-vote.

A leader now sends heartbeats past an append whose reply is late, and a follower answers them without its lock. A vote and its term are one write, votes are waited for longer than pre-votes, and a split vote is followed by the full spread of the election timeout. Two tests cover fsyncs of 4 s and 0.7 s; both fail without this change. bench/commits.py is added.

--- /dev/null
+++ b/bench/commits.py
@@ -0,0 +1,431 @@
+"""
+Commits, catch-up and idle cost of a log group; prints one JSON object.
+
+Run ``python -m bench.commits``. Three hosts run in one process over loopback TCP, each with a data
+folder of its own on a real disk, so that processor times are those of all three together.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import statistics
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from marigoldtrail.consensus import Group, GroupSet, init_fleet
+from marigoldtrail.errors import Failure
+from marigoldtrail.net import Address, PeerClient, TcpNetwork, serve_peers
+from marigoldtrail.net.network import StreamHandler
+from marigoldtrail.storage import FolderDisk
+from marigoldtrail.timers import Timers
+
+HOSTS = ("a", "b", "c")
+PAYLOAD_BYTES = 200
+CLIENTS = 64
+COMMIT_S = 4.0
+COMMIT_ROUNDS = 2
+MISSED = (250, 500, 1000, 2000, 3000, 4000, 8000)
+IDLE_GROUPS = (1, 9)
+IDLE_S = 10.0
+MAX_WAIT_S = 60.0
+POLL_S = 0.002
+
+
+class Counter:
+    """What the network and the disks of a fleet have carried."""
+
+    __slots__ = ("messages", "network_bytes", "disk_bytes", "syncs")
+
+    def __init__(self) -> None:
+        self.messages = 0
+        self.network_bytes = 0
+        self.disk_bytes = 0
+        self.syncs = 0
+
+    def values(self) -> dict[str, int]:
+        """Return the counts by name."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+class CountingStream(trio.abc.Stream):
+    """
+    A stream that counts what is sent; a frame is one call of `send_all`.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        The stream.
+    counter : Counter
+        Where to count.
+    """
+
+    def __init__(self, *, stream: trio.abc.Stream, counter: Counter) -> None:
+        self.stream = stream
+        self.counter = counter
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Count and send."""
+        self.counter.messages += 1
+        self.counter.network_bytes += len(data)
+        await self.stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait for the stream."""
+        await self.stream.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes | bytearray:
+        """Receive from the stream."""
+        return await self.stream.receive_some(max_bytes)
+
+    async def aclose(self) -> None:
+        """Close the stream."""
+        await self.stream.aclose()
+
+
+class CountingNetwork(TcpNetwork):
+    """
+    TCP with counted streams.
+
+    Parameters
+    ----------
+    counter : Counter
+        Where to count.
+    """
+
+    __slots__ = ("counter",)
+
+    def __init__(self, *, counter: Counter) -> None:
+        self.counter = counter
+
+    async def dial(self, address: Address) -> trio.abc.Stream:
+        """Open a counted stream."""
+        return CountingStream(stream=await super().dial(address), counter=self.counter)
+
+    async def listen(
+        self,
+        address: Address,
+        handler: StreamHandler,
+        *,
+        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept counted streams."""
+
+        async def handle(stream: trio.abc.Stream) -> None:
+            await handler(CountingStream(stream=stream, counter=self.counter))
+
+        await super().listen(address, handle, task_status=task_status)
+
+
+class CountingDisk(FolderDisk):
+    """A data folder that counts what is written."""
+
+    __slots__ = ("counter",)
+
+    counter: Counter
+
+    async def append(self, name: str, data: bytes) -> None | Failure:
+        """Count and append."""
+        self.counter.disk_bytes += len(data)
+        return await super().append(name, data)
+
+    async def sync(self, name: str) -> None | Failure:
+        """Count and sync."""
+        self.counter.syncs += 1
+        return await super().sync(name)
+
+    async def write_atomic(self, name: str, data: bytes) -> None | Failure:
+        """Count and write."""
+        self.counter.disk_bytes += len(data)
+        self.counter.syncs += 2
+        return await super().write_atomic(name, data)
+
+
+class CountMachine:
+    """A machine that counts commands."""
+
+    __slots__ = ("count",)
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def apply(self, index: int, command: bytes) -> int:
+        """Count a command."""
+        self.count += 1
+        return self.count
+
+    def snapshot(self) -> bytes:
+        """Return the count."""
+        return self.count.to_bytes(8, "big")
+
+    def restore(self, data: bytes) -> None:
+        """Set the count."""
+        self.count = int.from_bytes(data, "big")
+
+
+class Fleet:
+    """
+    Three hosts in this process.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+        Runs the hosts.
+    folder : pathlib.Path
+        Holds their data folders.
+    groups : int
+        Number of log groups.
+    max_batch : int
+        Largest number of entries in one write.
+    """
+
+    def __init__(
+        self, *, nursery: trio.Nursery, folder: Path, groups: int = 1, max_batch: int = 1024
+    ) -> None:
+        self.nursery = nursery
+        self.folder = folder
+        self.max_batch = max_batch
+        self.counter = Counter()
+        self.network = CountingNetwork(counter=self.counter)
+        self.timers = Timers()
+        self.hosts = {f"group-{number}": list(HOSTS) for number in range(groups)}
+        self.addresses: dict[str, Address] = {}
+        self.sets: dict[str, GroupSet] = {}
+        self.machines: dict[str, dict[str, CountMachine]] = {}
+        self.scopes: dict[str, trio.CancelScope] = {}
+
+    async def form(self) -> GroupSet:
+        """Start all hosts, initialise them; return the leader of the first group."""
+        for host in HOSTS:
+            listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+            self.addresses[host] = Address("127.0.0.1", listener.socket.getsockname()[1])
+            await listener.aclose()
+        for host in HOSTS:
+            await self.start(host)
+        client = PeerClient(network=self.network, host="bench", nursery=self.nursery)
+        failure = await init_fleet(
+            client, hosts=self.hosts, addresses=self.addresses, timeout_s=MAX_WAIT_S
+        )
+        if failure is not None:
+            raise RuntimeError(str(failure))
+        return await self.leader()
+
+    async def leader(self) -> GroupSet:
+        """Wait until every group has a leader; return that of the first one."""
+        await self.wait(
+            lambda: all(any(s[g].is_leader for s in self.sets.values()) for g in self.hosts)
+        )
+        return next(s for s in self.sets.values() if s["group-0"].is_leader)
+
+    async def wait(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        with trio.fail_after(MAX_WAIT_S):
+            async for _ in self.timers.subscribe("wait", POLL_S):
+                if condition():
+                    return
+
+    async def start(self, host: str) -> None:
+        """Start a host."""
+        await self.nursery.start(self._run, host)
+
+    async def _run(self, host: str, *, task_status: trio.TaskStatus[None]) -> None:
+        path = self.folder / host
+        path.mkdir(exist_ok=True)
+        disk = CountingDisk(folder=path, timers=self.timers)
+        disk.counter = self.counter
+        machines = {name: CountMachine() for name in self.hosts}
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                groups = GroupSet(
+                    host=host,
+                    hosts=self.hosts,
+                    addresses=self.addresses,
+                    client=PeerClient(network=self.network, host=host, nursery=nursery),
+                    disk=disk,
+                    machines=machines,
+                    timers=self.timers,
+                    rng=random.Random(host),
+                    max_batch=self.max_batch,
+                )
+                self.sets[host], self.machines[host] = groups, machines
+                self.scopes[host] = scope
+                await nursery.start(groups.run)
+                await nursery.start(
+                    partial(
+                        serve_peers,
+                        self.network,
+                        self.addresses[host],
+                        groups.handlers(),
+                        host=host,
+                    )
+                )
+                task_status.started()
+        disk.close()
+
+    async def stop(self, host: str) -> None:
+        """Stop a host."""
+        self.scopes[host].cancel()
+        del self.sets[host]
+        await trio.sleep(0.1)
+
+
+async def propose_until(groups: GroupSet, deadline: float, timers: Timers) -> int:
+    """Propose from many clients until a time; return the number of commits."""
+    commits = 0
+
+    async def run_client() -> None:
+        nonlocal commits
+        while timers.now() < deadline:
+            result = await groups["group-0"].propose(bytes(PAYLOAD_BYTES), timeout_s=MAX_WAIT_S)
+            if isinstance(result, Failure):
+                raise RuntimeError(str(result))
+            commits += 1
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(CLIENTS):
+            nursery.start_soon(run_client)
+    return commits
+
+
+async def propose_count(groups: GroupSet, count: int) -> None:
+    """Commit a number of commands."""
+    limit = trio.CapacityLimiter(CLIENTS)
+
+    async def propose() -> None:
+        async with limit:
+            result = await groups["group-0"].propose(bytes(PAYLOAD_BYTES), timeout_s=MAX_WAIT_S)
+        if isinstance(result, Failure):
+            raise RuntimeError(str(result))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(count):
+            nursery.start_soon(propose)
+
+
+async def measure_commits(max_batch: int) -> dict[str, float]:
+    """Measure commits with a size of batch."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery=nursery, folder=Path(folder), max_batch=max_batch)
+            leader = await fleet.form()
+            await propose_count(leader, CLIENTS)
+            before, cpu = fleet.counter.values(), time.process_time()
+            started = fleet.timers.now()
+            commits = await propose_until(leader, started + COMMIT_S, fleet.timers)
+            took_s = fleet.timers.now() - started
+            cpu_s = time.process_time() - cpu
+            after = fleet.counter.values()
+            nursery.cancel_scope.cancel()
+    spent = {name: after[name] - before[name] for name in after}
+    return {
+        "commits_per_s": commits / took_s,
+        "cpu_ms_per_commit_3_hosts": cpu_s * 1000 / commits,
+        **{f"{name}_per_commit_3_hosts": count / commits for name, count in spent.items()},
+    }
+
+
+def has_applied(group: Group, index: int) -> bool:
+    """Tell whether a group has applied an index."""
+    return group.applied_index >= index
+
+
+async def measure_catch_up() -> dict[str, Any]:
+    """Measure the time in which a restarted host catches up, by the changes that it missed."""
+    points = []
+    with tempfile.TemporaryDirectory() as folder:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery=nursery, folder=Path(folder))
+            leader = await fleet.form()
+            host = next(name for name in HOSTS if fleet.sets[name] is not leader)
+            for missed in MISSED:
+                await fleet.stop(host)
+                await propose_count(leader, missed)
+                target = leader["group-0"].applied_index
+                before, cpu = fleet.counter.network_bytes, time.process_time()
+                started = fleet.timers.now()
+                await fleet.start(host)
+                opened = fleet.timers.now()
+                group = fleet.sets[host]["group-0"]
+                await fleet.wait(partial(has_applied, group, target))
+                points.append(
+                    {
+                        "missed": missed,
+                        "seconds": fleet.timers.now() - started,
+                        "seconds_to_open": opened - started,
+                        "cpu_s_3_hosts": time.process_time() - cpu,
+                        "network_bytes": fleet.counter.network_bytes - before,
+                        "commands_applied": fleet.machines[host]["group-0"].count,
+                    }
+                )
+            nursery.cancel_scope.cancel()
+    by_entries = [point for point in points if point["missed"] <= 4000]
+    slope = statistics.linear_regression(
+        [point["missed"] for point in by_entries], [point["seconds"] for point in by_entries]
+    )
+    return {
+        "points": points,
+        "slope_ms_per_1000_missed_up_to_4000": slope.slope * 1e6,
+        "intercept_ms": slope.intercept * 1000,
+    }
+
+
+async def measure_idle(groups: int) -> dict[str, float]:
+    """Measure what idle groups cost in all three hosts together."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery=nursery, folder=Path(folder), groups=groups)
+            await fleet.form()
+            await trio.sleep(1)
+            before, cpu = fleet.counter.values(), time.process_time()
+            await trio.sleep(IDLE_S)
+            cpu_s = time.process_time() - cpu
+            after = fleet.counter.values()
+            nursery.cancel_scope.cancel()
+    rates = {name: (after[name] - before[name]) / IDLE_S for name in after}
+    return {"cpu_s": cpu_s / IDLE_S, **rates}
+
+
+def idle_per_member(few: dict[str, float], many: dict[str, float]) -> dict[str, float]:
+    """Return the cost of one more group for one member, per second."""
+    members = (IDLE_GROUPS[1] - IDLE_GROUPS[0]) * len(HOSTS)
+    return {f"{name}_per_s": (many[name] - few[name]) / members for name in few}
+
+
+async def run_all() -> dict[str, Any]:
+    """Run all measurements; batched and single commits alternate."""
+    batched, single = [], []
+    for _ in range(COMMIT_ROUNDS):
+        batched.append(await measure_commits(1024))
+        single.append(await measure_commits(1))
+    ratios = [
+        one["commits_per_s"] / other["commits_per_s"]
+        for one, other in zip(batched, single, strict=True)
+    ]
+    idle = [await measure_idle(groups) for groups in IDLE_GROUPS]
+    return {
+        "clients": CLIENTS,
+        "payload_bytes": PAYLOAD_BYTES,
+        "group_commit": batched,
+        "one_entry_per_write": single,
+        "ratio_of_commits_per_s": ratios,
+        "catch_up": await measure_catch_up(),
+        "idle_one_group_3_hosts_per_s": idle[0],
+        "idle_group_per_member": idle_per_member(*idle),
+    }
+
+
+def main() -> None:
+    """Print the measurements."""
+    json.dump(trio.run(run_all), sys.stdout, indent=2)
+    sys.stdout.write("\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/marigoldtrail/consensus/election.py
+++ b/marigoldtrail/consensus/election.py
@@ -6,7 +6,12 @@
 
 from marigoldtrail.consensus.log import NO_OPERATION
 from marigoldtrail.consensus.membership import maintain_members
-from marigoldtrail.consensus.replication import build_peers, quorum_heard_at, replicate
+from marigoldtrail.consensus.replication import (
+    build_peers,
+    keep_heard,
+    quorum_heard_at,
+    replicate,
+)
 from marigoldtrail.consensus.state import (
     CANDIDATE,
     CHECK_QUORUM_S,
@@ -32,7 +37,9 @@
     VoteReply,
 )
 
-VOTE_TIMEOUT_S = 0.5
+PRE_VOTE_TIMEOUT_S = 0.5
+# A vote is answered after it has been written to a disk, which may be slow.
+VOTE_TIMEOUT_S = 2.0
 # A refused pre-vote costs little: another follower may have heard the old leader a little later.
 RETRY_S = (0.1, 0.5)
 
@@ -76,49 +83,49 @@
     reset_campaign(state)
     if not state.is_voter:
         return
-    if not await campaign(state):
-        retry_at = state.timers.now() + state.rng.uniform(*RETRY_S)
-        state.campaign_at = min(state.campaign_at, retry_at)
+    before = (state.term, state.last_heard)
+    won = await gather_votes(state, state.term + 1, pre_vote=True, transfer=False)
+    if (state.term, state.last_heard) != before:
+        # A leader or a newer term has shown up; the campaign is put off already.
+        return
+    if won:
+        await campaign(state)
+        # After a split vote: slow disks need the whole spread of the election timeout.
+        reset_campaign(state)
+    else:
+        state.campaign_at = state.timers.now() + state.rng.uniform(*RETRY_S)
 
 
-async def campaign(state: GroupState, *, transfer: bool = False) -> bool:
+async def campaign(state: GroupState, *, transfer: bool = False) -> None:
     """
-    Try to become leader.
+    Try to become leader; a pre-vote has succeeded, or the leader has asked for it.
 
     Parameters
     ----------
     state : GroupState
         The group.
     transfer : bool
-        Whether the leader asked for it; no pre-vote is needed then.
-
-    Returns
-    -------
-    bool
-        True if this host leads now, or another host has been heard to lead.
+        Whether the leader asked for it.
     """
     term, heard = state.term, state.last_heard
-    if not transfer and not await gather_votes(state, term + 1, pre_vote=True, transfer=False):
-        return False
     async with state.lock:
         if state.term != term or state.role == LEADER or state.last_heard != heard:
-            return state.last_heard != heard
+            return
         if state.stopped is not None or not state.is_voter:
-            return False
+            return
         saved = check_disk(state, await state.store.save_vote(term + 1, state.storage_id))
         if isinstance(saved, Failure):
-            return False
+            return
         state.term = term + 1
         state.role = CANDIDATE
         state.leader = None
     won = await gather_votes(state, term + 1, pre_vote=False, transfer=transfer)
     if state.term != term + 1 or state.role != CANDIDATE:
-        return False
-    if not won:
+        return
+    if won:
+        become_leader(state)
+    else:
         state.role = FOLLOWER
-        return False
-    become_leader(state)
-    return True
 
 
 async def gather_votes(state: GroupState, term: int, *, pre_vote: bool, transfer: bool) -> bool:
@@ -144,6 +151,7 @@
     needed = quorum_of(state)
     others = [m for m in state.log.voters if m.storage_id != state.storage_id]
     granted = {state.storage_id}
+    timeout_s = PRE_VOTE_TIMEOUT_S if pre_vote else VOTE_TIMEOUT_S
     request = RequestVote(
         group=state.name,
         term=term,
@@ -164,7 +172,7 @@
         )
         request_to.target_id = member.storage_id
         reply = await state.client.call(
-            state.addresses[member.host], request_to, VoteReply, timeout_s=VOTE_TIMEOUT_S
+            state.addresses[member.host], request_to, VoteReply, timeout_s=timeout_s
         )
         if isinstance(reply, Failure) or reply.storage_id != member.storage_id:
             return
@@ -224,6 +232,7 @@
         async with trio.open_nursery() as nursery:
             for peer in state.peers.values():
                 nursery.start_soon(replicate, state, peer, term)
+                nursery.start_soon(keep_heard, state, peer, term)
             nursery.start_soon(maintain_members, state, term)
 
 
@@ -252,21 +261,42 @@
     if req.pre_vote:
         return vote_reply(state, req.term > state.term and is_up_to_date(state, req))
     async with state.lock:
-        adopted = await adopt_term(state, req.term, f"{req.candidate} campaigns in a newer term")
+        if state.stopped is not None:
+            return state.stopped
+        if req.term < state.term or has_voted_otherwise(state, req):
+            return vote_reply(state, False)
+        why = f"{req.candidate} campaigns in a newer term"
+        if not is_up_to_date(state, req):
+            adopted = await adopt_term(state, req.term, why)
+            return adopted if isinstance(adopted, Failure) else vote_reply(state, False)
+        # Term and vote in one write.
+        adopted = await adopt_term(state, req.term, why, voted_for=req.candidate_id)
         if isinstance(adopted, Failure):
             return adopted
-        if req.term < state.term or not is_up_to_date(state, req):
-            return vote_reply(state, False)
-        vote = state.store.vote
-        if vote.term == req.term and vote.voted_for not in ("", req.candidate_id):
-            return vote_reply(state, False)
-        saved = check_disk(state, await state.store.save_vote(req.term, req.candidate_id))
-        if isinstance(saved, Failure):
-            return saved
         reset_campaign(state)
         return vote_reply(state, True)
 
 
+def has_voted_otherwise(state: GroupState, req: RequestVote) -> bool:
+    """
+    Tell whether this host has given its vote in a term to another candidate.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    req : RequestVote
+        The candidate's request.
+
+    Returns
+    -------
+    bool
+        True if it has.
+    """
+    vote = state.store.vote
+    return vote.term == req.term and vote.voted_for not in ("", req.candidate_id)
+
+
 def vote_reply(state: GroupState, granted: bool) -> VoteReply:
     """
     Build a reply.
@@ -380,7 +410,7 @@
         return
     request = CampaignNow(group=state.name, term=term, target_id=peer.storage_id)
     await state.client.call(
-        state.addresses[peer.host], request, CampaignReply, timeout_s=VOTE_TIMEOUT_S
+        state.addresses[peer.host], request, CampaignReply, timeout_s=PRE_VOTE_TIMEOUT_S
     )
 
 
@@ -411,5 +441,5 @@
 
 
 async def run_transfer(state: GroupState) -> None:
-    """Campaign without a pre-vote; see `campaign`."""
+    """Campaign because the leader asked for it; see `campaign`."""
     await campaign(state, transfer=True)
--- a/marigoldtrail/consensus/following.py
+++ b/marigoldtrail/consensus/following.py
@@ -42,6 +42,9 @@
         return state.stopped
     if req.target_id != state.storage_id or req.term < state.term:
         return append_reply(state, False, 0)
+    if is_heartbeat(state, req):
+        accept_leader(state, req, req.prev_index)
+        return append_reply(state, True, req.prev_index)
     async with state.lock:
         refused = await follow(state, req.term, req.leader)
         if isinstance(refused, Failure):
@@ -54,11 +57,55 @@
         matched = await take_entries(state, req)
         if isinstance(matched, Failure):
             return matched
+    accept_leader(state, req, matched)
+    return append_reply(state, True, matched)
+
+
+def is_heartbeat(state: GroupState, req: AppendEntries) -> bool:
+    """
+    Tell whether a message of the known leader changes neither term nor log.
+
+    It is answered without the lock, which a slow write may hold. What it acknowledges is durable,
+    and was in the log before any vote that is being written now was decided on.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    req : AppendEntries
+        The message.
+
+    Returns
+    -------
+    bool
+        True if it is a mere heartbeat.
+    """
+    return (
+        not req.entries
+        and state.role == FOLLOWER
+        and (req.term, req.leader) == (state.term, state.leader)
+        and req.prev_index <= state.synced_index
+        and find_mismatch(state, req) is None
+    )
+
+
+def accept_leader(state: GroupState, req: AppendEntries, matched: int) -> None:
+    """
+    Note that the leader was heard and what it has committed.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    req : AppendEntries
+        The leader's message.
+    matched : int
+        Last index up to which the logs are known to match.
+    """
     hear_leader(state, req.leader)
     if min(req.commit_index, matched) > state.commit_index:
         state.commit_index = min(req.commit_index, matched)
         state.committed.notify()
-    return append_reply(state, True, matched)
 
 
 def append_reply(state: GroupState, accepted: bool, last_index: int) -> AppendReply:
--- a/marigoldtrail/consensus/replication.py
+++ b/marigoldtrail/consensus/replication.py
@@ -18,7 +18,9 @@
     SnapshotReply,
 )
 
-APPEND_TIMEOUT_S = 1.0
+# Longer than a slow fsync of the other host; a silent host is noticed by `keep_heard`.
+APPEND_TIMEOUT_S = 2.0
+HEARTBEAT_TIMEOUT_S = 1.0
 MESSAGE_ENTRIES = 1024
 # Well under the limit of a frame, also with one command of the largest size on top.
 MESSAGE_BYTES = 1024 * 1024
@@ -70,10 +72,12 @@
         Term in which this host leads.
     """
     while state.leads(term):
+        peer.busy_since = state.timers.now()
         if peer.next_index <= state.log.base_index:
             progress = await send_snapshot(state, peer, term)
         else:
             progress = await send_entries(state, peer, term)
+        peer.busy_since = float("inf")
         if not state.leads(term):
             return
         if not progress:
@@ -83,6 +87,64 @@
             await peer.wakeup.wait_for(HEARTBEAT_S)
 
 
+async def keep_heard(state: GroupState, peer: Peer, term: int) -> None:
+    """
+    Send heartbeats past a message whose reply waits for a slow disk.
+
+    Otherwise an fsync that takes longer than the election timeout would unseat the leader.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    peer : Peer
+        The other host.
+    term : int
+        Term in which this host leads.
+    """
+    while state.leads(term):
+        await state.timers.sleep(HEARTBEAT_S)
+        if state.timers.now() >= peer.busy_since + HEARTBEAT_S and state.leads(term):
+            await send_heartbeat(state, peer, term)
+
+
+async def send_heartbeat(state: GroupState, peer: Peer, term: int) -> None:
+    """
+    Send a heartbeat that the other host can answer without its disk.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    peer : Peer
+        The other host.
+    term : int
+        Term in which this host leads.
+    """
+    target, prev_index = peer.storage_id, peer.match_index
+    prev_term = state.log.term_at(prev_index)
+    if not target or prev_term is None:
+        return
+    request = AppendEntries(
+        group=state.name,
+        term=term,
+        leader=state.host,
+        target_id=target,
+        prev_index=prev_index,
+        prev_term=prev_term,
+        entries=[],
+        commit_index=state.commit_index,
+    )
+    sent_round = take_round(state)
+    reply = await state.client.call(
+        state.addresses[peer.host], request, AppendReply, timeout_s=HEARTBEAT_TIMEOUT_S
+    )
+    if isinstance(reply, Failure):
+        return
+    if await accept_reply(state, peer, term, reply.term, reply.storage_id, target):
+        confirm_round(state, peer, sent_round)
+
+
 async def send_entries(state: GroupState, peer: Peer, term: int) -> bool:
     """
     Send the next entries, or a heartbeat if there are none.
--- a/marigoldtrail/consensus/state.py
+++ b/marigoldtrail/consensus/state.py
@@ -132,6 +132,7 @@
         "match_index",
         "confirmed_round",
         "heard_at",
+        "busy_since",
         "wakeup",
     )
 
@@ -142,6 +143,7 @@
         self.match_index = 0
         self.confirmed_round = 0
         self.heard_at = now
+        self.busy_since = float("inf")
         self.wakeup = Signal()
 
     def change_identity(self, storage_id: str) -> None:
@@ -453,9 +455,11 @@
     return result
 
 
-async def adopt_term(state: GroupState, term: int, why: str) -> None | Failure:
+async def adopt_term(
+    state: GroupState, term: int, why: str, *, voted_for: str = ""
+) -> None | Failure:
     """
-    Move on to a newer term as a follower; the caller holds the lock.
+    Move on to a newer term as a follower, and vote in it; the caller holds the lock.
 
     Parameters
     ----------
@@ -465,20 +469,24 @@
         Term seen in a message.
     why : str
         Reason, for the log.
+    voted_for : str
+        Storage id to vote for, also in the current term; empty for none.
 
     Returns
     -------
     None or Failure
         The failure of the disk; the term is not adopted then.
     """
-    if term <= state.term:
+    if term < state.term or (term == state.term and not voted_for):
         return None
-    step_down(state, why)
-    result = check_disk(state, await state.store.save_vote(term, ""))
+    if term > state.term:
+        step_down(state, why)
+    result = check_disk(state, await state.store.save_vote(term, voted_for))
     if isinstance(result, Failure):
         return result
-    state.term = term
-    state.leader = None
+    if term > state.term:
+        state.term = term
+        state.leader = None
     return None
 
 
--- a/marigoldtrail/consensus/tests/test_repair.py
+++ b/marigoldtrail/consensus/tests/test_repair.py
@@ -117,6 +117,28 @@
     assert cluster.group(leader).stopped is not None and not cluster.group(leader).is_leader
 
 
+async def test_slow_disks_do_not_unseat_the_leader(autojump_clock, nursery):
+    """Guards against an election, and lost proposals, because an fsync takes seconds."""
+    cluster = Cluster(nursery)
+    leader = await cluster.form()
+    term = cluster.group(leader).term
+    for name in others_of(cluster, leader):
+        cluster.disks[name].sync_delay_s = 4.0
+    assert not is_failure(await cluster.group(leader).propose(b"x", timeout_s=20))
+    assert await cluster.group(leader).read_barrier(timeout_s=1) is None
+    assert cluster.group(leader).term == term
+
+
+async def test_election_succeeds_on_slow_disks(autojump_clock, nursery):
+    """Guards against a group without a leader because votes take long to write."""
+    cluster = Cluster(nursery)
+    leader = await cluster.form()
+    for disk in cluster.disks.values():
+        disk.sync_delay_s = 0.7
+    await cluster.crash(leader)
+    await cluster.leader(timeout_s=15)
+
+
 async def test_full_disk_refuses_and_loses_nothing(autojump_clock, nursery):
     """Guards against a full disk that loses commands, stops the group or lies about `not_run`."""
     cluster = Cluster(nursery)
