--- a/marigoldtrail/consensus/tests/test_repair.py
+++ b/marigoldtrail/consensus/tests/test_repair.py
@@ -4,7 +4,7 @@
 import trio
 
 from marigoldtrail.consensus import applying
-from marigoldtrail.consensus.tests.cluster import GROUP, Cluster
+from marigoldtrail.consensus.tests.cluster import GROUP, Cluster, Register
 from marigoldtrail.errors import Reason, RunState, is_failure
 
 
@@ -258,3 +258,47 @@
     cluster.network.restore("10.0.1.1", cluster.addresses["c"].ip)
     assert await cluster.init() is None
     await cluster.leader()
+
+
+async def test_majority_of_empty_hosts_never_makes_a_quorum(autojump_clock, nursery):
+    """Guards against hosts that lost their logs and agree among themselves on an empty state."""
+    cluster = Cluster(nursery)
+    kept = await cluster.form()
+    await cluster.propose(b"x")
+    for name in others_of(cluster, kept):
+        await cluster.replace(name)
+    assert is_failure(await cluster.init())
+    await trio.sleep(60)
+    assert not any(cluster.group(name).is_leader for name in cluster.names)
+    assert all(cluster.sets[n].describe()[0].learners for n in others_of(cluster, kept))
+
+
+async def test_large_commands_reach_a_host_that_missed_them(autojump_clock, nursery):
+    """Guards against a message of several large commands that is over the limit of a frame."""
+    cluster = Cluster(nursery)
+    leader = await cluster.form()
+    follower = others_of(cluster, leader)[0]
+    await cluster.crash(follower)
+    for number in range(4):
+        await cluster.propose(bytes([number]) * (4 * 1024 * 1024))
+    refused = await cluster.group(leader).propose(bytes(4 * 1024 * 1024 + 1), timeout_s=5)
+    assert refused.reason is Reason.BAD_REQUEST and refused.run_state is RunState.NOT_RUN
+    await cluster.start(follower)
+    await cluster.wait(lambda: len(cluster.machines[follower].effects) == 4)
+
+
+class RaisingRegister(Register):
+    def apply(self, index, command):
+        if command == b"poison":
+            raise ValueError("cannot apply")
+        return super().apply(index, command)
+
+
+async def test_command_that_raises_does_not_stop_the_group(autojump_clock, nursery):
+    """Guards against one command that ends the process of every host, again at each restart."""
+    cluster = Cluster(nursery, make_machine=lambda host: RaisingRegister())
+    leader = await cluster.form()
+    failure = await cluster.group(leader).propose(b"poison", timeout_s=2)
+    assert is_failure(failure) and failure.reason is Reason.INTERNAL
+    await cluster.propose(b"next")
+    await cluster.wait(lambda: all(set(m.effects) == {b"next"} for m in cluster.machines.values()))
