--- a/marigoldtrail/consensus/applying.py
+++ b/marigoldtrail/consensus/applying.py
@@ -8,15 +8,9 @@
 import trio
 
 from marigoldtrail.consensus.log import COMMAND
+from marigoldtrail.consensus.parts import Proposal
 from marigoldtrail.consensus.replication import advance_commit
-from marigoldtrail.consensus.state import (
-    LEADER,
-    GroupState,
-    Proposal,
-    check_disk,
-    step_down,
-    stop_group,
-)
+from marigoldtrail.consensus.state import LEADER, GroupState, check_disk, step_down, stop_group
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.schema.generated.consensus import LogEntry, StoredSnapshot
 
--- a/marigoldtrail/consensus/election.py
+++ b/marigoldtrail/consensus/election.py
@@ -6,6 +6,7 @@
 
 from marigoldtrail.consensus.log import NO_OPERATION
 from marigoldtrail.consensus.membership import maintain_members
+from marigoldtrail.consensus.parts import Proposal
 from marigoldtrail.consensus.replication import (
     build_peers,
     keep_heard,
@@ -20,7 +21,6 @@
     HEARTBEAT_S,
     LEADER,
     GroupState,
-    Proposal,
     adopt_term,
     check_disk,
     learn_term,
--- a/marigoldtrail/consensus/group.py
+++ b/marigoldtrail/consensus/group.py
@@ -12,12 +12,11 @@
 from marigoldtrail.consensus.election import run_elections, transfer_leadership
 from marigoldtrail.consensus.log import COMMAND, MEMBERS, encode_voters
 from marigoldtrail.consensus.membership import learners_of
+from marigoldtrail.consensus.parts import Machine, Proposal
 from marigoldtrail.consensus.replication import confirmed_round, join_round
 from marigoldtrail.consensus.state import (
     LEADER,
     GroupState,
-    Machine,
-    Proposal,
     adopt_term,
     check_disk,
     load_state,
--- a/marigoldtrail/consensus/groups.py
+++ b/marigoldtrail/consensus/groups.py
@@ -13,7 +13,8 @@
 from marigoldtrail.consensus.election import handle_campaign, handle_vote
 from marigoldtrail.consensus.following import handle_append, handle_snapshot
 from marigoldtrail.consensus.group import MAX_BATCH_ENTRIES, Group
-from marigoldtrail.consensus.state import GroupState, Machine, same_voters
+from marigoldtrail.consensus.parts import Machine
+from marigoldtrail.consensus.state import GroupState, same_voters
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Address, Handlers, PeerClient
 from marigoldtrail.schema.generated.consensus import (
--- a/marigoldtrail/consensus/membership.py
+++ b/marigoldtrail/consensus/membership.py
@@ -3,14 +3,8 @@
 from __future__ import annotations
 
 from marigoldtrail.consensus.log import MEMBERS, encode_voters
-from marigoldtrail.consensus.state import (
-    CHECK_QUORUM_S,
-    HEARTBEAT_S,
-    GroupState,
-    Peer,
-    Proposal,
-    voter_of,
-)
+from marigoldtrail.consensus.parts import Peer, Proposal
+from marigoldtrail.consensus.state import CHECK_QUORUM_S, HEARTBEAT_S, GroupState, voter_of
 from marigoldtrail.schema.generated.consensus import Member
 
 
--- a/marigoldtrail/consensus/replication.py
+++ b/marigoldtrail/consensus/replication.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from marigoldtrail.consensus.parts import Peer
 from marigoldtrail.consensus.state import (
     HEARTBEAT_S,
     GroupState,
-    Peer,
     learn_term,
     quorum_value,
     voter_of,
