Open the claim before looking for a slot

A repeat of a booking that had run was refused as not_run because its upstream was cold and no slot was free: the slot was acquired before the claim was looked at. The node test with killed control hosts showed it.

The claim is now opened first, naming the upstream that the call will probably go to, and named again if the slot is found elsewhere. A repeat hears the recorded outcome even without any upstream in service. If the record group does not answer, a request with a caller's key is may_have_run, since an earlier request under the key may have run.

--- a/marigoldtrail/serving/claims.py
+++ b/marigoldtrail/serving/claims.py
@@ -6,7 +6,7 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
-from marigoldtrail.schema.generated.manifest import Stage
+from marigoldtrail.schema.generated.manifest import Stage, Upstream
 from marigoldtrail.schema.generated.records import ClaimReply, OpenClaim, SettleClaim
 from marigoldtrail.serving.calls import send_call
 from marigoldtrail.serving.idempotent import (
@@ -16,7 +16,14 @@
 )
 from marigoldtrail.serving.outcomes import StageResult, cost_of
 from marigoldtrail.serving.run import Run
-from marigoldtrail.serving.targets import Target, find_target, recheck, release_target
+from marigoldtrail.serving.targets import (
+    Target,
+    check_view,
+    find_target,
+    plan_upstream,
+    recheck,
+    release_target,
+)
 from marigoldtrail.serving.types import digest_of
 from marigoldtrail.telemetry import mark_failure
 from marigoldtrail.upstream import StageAnswer
@@ -148,37 +155,66 @@
     if scope.cancelled_caught:
         return AttemptOutcome(gate_failure(run, stage), False)
     try:
-        target = await find_target(
-            run, stage, attempt_id=state.attempt_id, until=state.until, avoid=state.tried
-        )
-        if isinstance(target, Failure):
-            return AttemptOutcome(target, False)
-        return await _attempt_at(state, target)
+        return await _claim_and_call(state)
     finally:
         gate.leave()
 
 
-async def _attempt_at(state: ClaimedStage, target: Target) -> AttemptOutcome | ClaimReply:
-    claimed = False
+async def _claim_and_call(state: ClaimedStage) -> AttemptOutcome | ClaimReply:
+    """
+    Open the claim, then reserve the upstream, then call it.
+
+    The claim comes first: a repeat must hear the recorded outcome, and never ``NOT_RUN`` for a key
+    that has run, even if no upstream or slot is to be had at the moment.
+    """
+    run, stage = state.run, state.stage
+    failure = check_view(run)
+    if failure is not None:
+        return AttemptOutcome(failure, False)
+    planned = plan_upstream(run, stage, state.tried)
+    reply = await _open_claim(state, planned)
+    if isinstance(reply, Failure):
+        return AttemptOutcome(reply, False)
+    if not _is_granted(state, reply):
+        return _read_claim(state, reply)
+    run.step = f"stage.{stage.name}"
+    target = await find_target(
+        run,
+        stage,
+        attempt_id=state.attempt_id,
+        until=state.until,
+        avoid=state.tried,
+        preferred=planned.name,
+    )
+    if isinstance(target, Failure):
+        return AttemptOutcome(target, False)
+    return await _call_at(state, target, planned)
+
+
+async def _call_at(state: ClaimedStage, target: Target, planned: Upstream) -> AttemptOutcome:
+    """Call the target once the claim names it and it is still in service."""
+    is_ready = False
     try:
-        reply = await _open_claim(state, target)
-        if isinstance(reply, Failure):
-            return AttemptOutcome(reply, False)
-        claimed = reply.state == "granted" or _is_own(state, reply)
-        if not claimed:
-            return _read_claim(state, reply)
-        failure = recheck(state.run, target)
-        if failure is not None:
-            claimed = False
-            return AttemptOutcome(failure, False)
+        if target.upstream.name != planned.name:
+            # The sweeper asks the upstreams that the claim names.
+            reply = await _open_claim(state, target.upstream)
+            if isinstance(reply, Failure):
+                return AttemptOutcome(reply, False)
+            if not _is_granted(state, reply):
+                failure = state.run.fail(Reason.CLAIM_PENDING, "the claim was lost")
+                return AttemptOutcome(failure, False)
+        gone = recheck(state.run, target)
+        if gone is not None:
+            return AttemptOutcome(gone, False)
+        is_ready = True
     finally:
-        if not claimed:
+        if not is_ready:
             release_target(state.run, target, succeeded=False, duration_ms=0.0)
     return await _call_once(state, target)
 
 
-async def _open_claim(state: ClaimedStage, target: Target) -> ClaimReply | Failure:
-    run, shared, upstream = state.run, state.run.shared, target.upstream
+async def _open_claim(state: ClaimedStage, upstream: Upstream) -> ClaimReply | Failure:
+    run, shared = state.run, state.run.shared
     remaining_s = state.until - shared.timers.now()
     request = OpenClaim(
         client_account=run.req.client_account,
@@ -197,21 +233,26 @@
     # Until the reply is known the claim may be held, though nothing has been sent under it.
     held = bool(state.unsettled)
     state.unsettled = "not_run"
+    # An earlier request under the caller's key may have run; that is open until the record group
+    # has answered.
+    is_open = not held and run.req.idempotency_key != run.req.request_id
+    run.in_doubt += is_open
     with shared.telemetry.span("claim.open", stage=state.stage.name) as span:
         reply = await shared.control.open_claim(request, timeout_s=max(0.0, remaining_s))
         if isinstance(reply, Failure):
             mark_failure(span, reply)
             if reply.run_state is RunState.NOT_RUN and not held:
                 state.unsettled = ""
-            return msgspec.structs.replace(
-                reply, run_state=RunState.NOT_RUN, step="claim.open", peer=reply.peer
-            )
+            return msgspec.structs.replace(reply, run_state=run.run_state, step="claim.open")
+    run.in_doubt -= is_open
     return reply
 
 
-def _is_own(state: ClaimedStage, reply: ClaimReply) -> bool:
-    """Tell whether a pending claim is this attempt's, granted by a reply that was lost."""
-    return reply.state == "pending" and reply.attempt_id == state.attempt_id
+def _is_granted(state: ClaimedStage, reply: ClaimReply) -> bool:
+    """Tell whether the claim is this attempt's, maybe granted by a reply that was lost."""
+    return reply.state == "granted" or (
+        reply.state == "pending" and reply.attempt_id == state.attempt_id
+    )
 
 
 def _read_claim(state: ClaimedStage, reply: ClaimReply) -> AttemptOutcome | ClaimReply:
--- a/marigoldtrail/serving/targets.py
+++ b/marigoldtrail/serving/targets.py
@@ -86,6 +86,7 @@
     until: float,
     avoid: Collection[str] = (),
     warm_only: bool = False,
+    preferred: str = "",
 ) -> Target | Failure:
     """
     Choose an upstream and acquire a slot if it is not warm.
@@ -104,6 +105,8 @@
         Upstreams that are used only if there is no other.
     warm_only : bool
         Whether to leave out those that need a slot.
+    preferred : str
+        Upstream that is taken if it still may be.
 
     Returns
     -------
@@ -116,7 +119,7 @@
         failure = check_view(run)
         if failure is not None:
             return failure
-        candidate = _choose_candidate(run, stage, avoid, refused, warm_only)
+        candidate = _choose_candidate(run, stage, avoid, refused, warm_only, preferred)
         if candidate is None and refused:
             last = next(reversed(refused.values()))
             pause_s = max(SLOT_PAUSE_S, last.retry_after_s)
@@ -133,6 +136,34 @@
         refused[candidate.name] = target
 
 
+def plan_upstream(run: Run, stage: Stage, avoid: Collection[str]) -> Upstream:
+    """
+    Return the upstream that an attempt will probably go to; a slot is not acquired yet.
+
+    Parameters
+    ----------
+    run : Run
+        The request.
+    stage : Stage
+        The stage.
+    avoid : collection of str
+        Upstreams that are used only if there is no other.
+
+    Returns
+    -------
+    Upstream
+        The choice; any of the pool if none is in service.
+    """
+    candidate = _choose_candidate(run, stage, avoid)
+    if candidate is None:
+        return run.catalog.pools[stage.pool][0]
+    return _upstream_of(run, candidate.name)
+
+
+def _upstream_of(run: Run, name: str) -> Upstream:
+    return next(item for item in run.catalog.manifest.upstreams if item.name == name)
+
+
 def release_target(run: Run, target: Target, *, succeeded: bool, duration_ms: float) -> None:
     """Return the slot of a target, if it has one."""
     grant = target.grant
@@ -155,7 +186,12 @@
 
 
 def _choose_candidate(
-    run: Run, stage: Stage, avoid: Collection[str], refused: Collection[str], warm_only: bool
+    run: Run,
+    stage: Stage,
+    avoid: Collection[str],
+    refused: Collection[str] = (),
+    warm_only: bool = False,
+    preferred: str = "",
 ) -> Candidate | None:
     shared = run.shared
     now = shared.timers.now()
@@ -171,6 +207,9 @@
     healthy = [item for item in usable if shared.health[item.name].is_usable(now)] or usable
     entries = shared.live_entries()
     candidates = [_describe(run, item, now, entries) for item in healthy]
+    for candidate in candidates:
+        if candidate.name == preferred:
+            return candidate
     favourite = shared.prefixes.find(prompt_of(run)) if stage.kind == "generate" else ""
     usual_ms = shared.estimator(run.pipeline.name, stage).quantile(0.5)
     return choose(candidates, usual_ms=usual_ms, rng=shared.rng, favourite=favourite)
@@ -201,7 +240,7 @@
     run: Run, candidate: Candidate, attempt_id: str, until: float
 ) -> Target | Failure:
     shared = run.shared
-    upstream = next(item for item in run.catalog.manifest.upstreams if item.name == candidate.name)
+    upstream = _upstream_of(run, candidate.name)
     status = shared.view.upstream_status(candidate.name)
     instance = status.instance if status is not None else ""
     if candidate.is_warm:
