Route evidence of cold starts through the entry; judge each pass of a test by itself

The upstream client's evidence went straight to the slot owner, and the entry went on calling until the next Sync. It now stops at once and tells the owner.

The process test compared refusals of its first pass with effects of its second, so that true refusals looked false. Each pass is now judged before the keys are used again, which is stricter: a refusal in the second pass must still be true of both.

--- a/marigoldtrail/node/entry_role.py
+++ b/marigoldtrail/node/entry_role.py
@@ -93,6 +93,7 @@
         telemetry=parts.telemetry,
         rng=parts.rng,
     )
+    parts.take_evidence = server.note_evidence
     ctx = ApiContext(
         server=server,
         view=parts.view,
--- a/marigoldtrail/node/parts.py
+++ b/marigoldtrail/node/parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import trio
 
@@ -49,6 +50,7 @@
         "control",
         "slots",
         "upstreams",
+        "take_evidence",
     )
 
     def __init__(
@@ -67,6 +69,8 @@
         self.telemetry = telemetry
         self.rng = rng
         self.nursery = nursery
+        # Set by the role entry, which stops calling the upstream at once and tells the owner.
+        self.take_evidence: Callable[[str, str, str, str], None] | None = None
         self.incarnation = timers.wall_ms()
         self.peers = PeerClient(network=network, host=cfg.host, nursery=nursery)
         self.view = FleetView(timers=timers, control_hosts=cfg.control_hosts)
@@ -89,7 +93,10 @@
         )
 
     def _report_evidence(self, upstream: str, instance: str, state: str, reason: str) -> None:
-        self.nursery.start_soon(self.slots.report, upstream, instance, state, reason)
+        if self.take_evidence is not None:
+            self.take_evidence(upstream, instance, state, reason)
+        else:
+            self.nursery.start_soon(self.slots.report, upstream, instance, state, reason)
 
     def find_upstream(self, name: str) -> Upstream | None:
         """
--- a/marigoldtrail/node/tests/test_processes.py
+++ b/marigoldtrail/node/tests/test_processes.py
@@ -79,6 +79,8 @@
         first = [outcome for caller in callers for outcome in caller.outcomes]
         # Checked before the keys are used again: a true refusal would look false after that.
         assert_truthful(fleet, callers)
+        for caller in callers:
+            caller.outcomes.clear()
         status = await fleet.ask("tsvetanov-1", lambda client: client.status())
         assert status["manifest_number"] == 1
         await fleet.wait_warm("tsvetanov-1")
