--- a/marigoldtrail/standins/engine.py
+++ b/marigoldtrail/standins/engine.py
@@ -325,6 +325,7 @@
         call = decode_body(request)
         attempt_id = str(call["attempt_id"])
         self.runs[attempt_id] = self.runs.get(attempt_id, 0) + 1
+        self.process.notify("call", call)
         running = self.process.begin()
         if running is None or self.knobs.stalled:
             await trio.sleep_forever()
--- a/marigoldtrail/standins/process.py
+++ b/marigoldtrail/standins/process.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Literal
+from collections.abc import Callable
+from typing import Any, Literal
 
 import msgspec
 import trio
@@ -115,6 +116,12 @@
         Whether the first instance is warm from the start.
     falls_over : bool
         Whether too many calls in cold start end the process.
+
+    Attributes
+    ----------
+    observer : callable or None
+        Receives the kind of each event (``"call"``, ``"output"`` or ``"cold_exceeded"``), the call
+        and its output; tests set it.
     """
 
     __slots__ = (
@@ -131,6 +138,7 @@
         "cold_exceeded",
         "max_cold_running",
         "deaths",
+        "observer",
         "_timers",
         "_epoch",
         "_epoch_running",
@@ -159,6 +167,7 @@
         self.cold_exceeded = 0
         self.max_cold_running = 0
         self.deaths = 0
+        self.observer: Callable[[str, dict[str, Any], Any], None] | None = None
         self._timers = timers
         self._epoch = 0
         self._instances = 0
@@ -223,6 +232,11 @@
         self._scope = trio.CancelScope()
         return self._scope
 
+    def notify(self, event: str, call: dict[str, Any], output: Any = None) -> None:
+        """Pass an event on to the observer, if there is one."""
+        if self.observer is not None:
+            self.observer(event, call, output)
+
     def begin(self) -> Running | None:
         """Count the start of a call; None if the process fell over because of it."""
         self.running += 1
@@ -232,6 +246,7 @@
         self.max_cold_running = max(self.max_cold_running, self._epoch_running)
         if self._epoch_running > self.limit:
             self.cold_exceeded += 1
+            self.notify("cold_exceeded", {})
             if self.falls_over:
                 self.restart()
                 return None
--- a/marigoldtrail/standins/services.py
+++ b/marigoldtrail/standins/services.py
@@ -102,6 +102,7 @@
             return
         call = decode_call(request)
         self.runs[call["attempt_id"]] += 1
+        self.process.notify("call", call)
         running = self.process.begin()
         if running is None or self.knobs.stalled:
             await trio.sleep_forever()
@@ -110,7 +111,9 @@
             if delay_s := self._work_s + self.knobs.delay_s:
                 await self._timers.sleep(delay_s)
             self.process.finish(running, succeeded=True)
-            answer = answer_call(call, pool_output(self._kind, call["input"]))
+            output = pool_output(self._kind, call["input"])
+            self.process.notify("output", call, output)
+            answer = answer_call(call, output)
             await send_answer(self, reply, answer)
         finally:
             self.process.finish(running, succeeded=False)
@@ -185,6 +188,7 @@
         call = decode_call(request)
         has_effect = request.path not in self._read_paths
         self.runs_by_attempt[call["attempt_id"]] += 1
+        self.process.notify("call", call)
         if has_effect:
             self.runs_by_key[effect_key(call)] += 1
         running = self.process.begin()
@@ -195,6 +199,7 @@
             if delay_s := self._work_s + self.knobs.delay_s:
                 await self._timers.sleep(delay_s)
             output = self._apply_effect(call) if has_effect else {"found": call["input"]}
+            self.process.notify("output", call, output)
             self.process.finish(running, succeeded=True)
             await send_answer(self, reply, answer_call(call, output))
         finally:
--- a/marigoldtrail/testing/fleet.py
+++ b/marigoldtrail/testing/fleet.py
@@ -82,6 +82,8 @@
         Running nodes by host.
     disks : dict of str to MemoryDisk
         Disks of the control hosts.
+    wall_offsets : dict of str to float
+        Error of the wall clock of each host in seconds; none by default.
     """
 
     __slots__ = (
@@ -91,6 +93,7 @@
         "nodes",
         "disks",
         "settings",
+        "wall_offsets",
         "_rng",
         "_nursery",
         "_starts",
@@ -113,6 +116,7 @@
         )
         self.settings = build_memory_settings(data_centres, control_hosts)
         self.nodes: dict[str, Node] = {}
+        self.wall_offsets: dict[str, float] = {}
         self.disks = {
             cfg.host: MemoryDisk(rng=self._rng)
             for cfg in self.settings.values()
@@ -145,7 +149,10 @@
         """
         self._starts += 1
         cfg = self.settings[host]
-        timers = virtual_timers(self._starts)
+        timers = Timers(
+            wall=lambda: START_WALL_S + trio.current_time() + self.wall_offsets.get(host, 0.0),
+            seed=self._starts,
+        )
         run = partial(
             run_node,
             cfg,
@@ -259,6 +266,7 @@
         key: str = "",
         deadline_s: float = 5.0,
         sink: CollectedTokens | None = None,
+        request_id: str = "",
     ) -> Answer | Failure:
         """
         Send a request to an entry as a caller does.
@@ -277,6 +285,8 @@
             Time for the answer in seconds.
         sink : CollectedTokens or None
             Receives the tokens of a streamed answer.
+        request_id : str
+            Id of the request; empty for a new one.
 
         Returns
         -------
@@ -285,7 +295,7 @@
         """
         node = self.nodes[host]
         assert node.entry is not None
-        request_id = new_request_id(client_account, record_groups_of(node.parts.cfg))
+        request_id = request_id or new_request_id(client_account, record_groups_of(node.parts.cfg))
         req = PipelineRequest(
             request_id=request_id,
             pipeline=pipeline,
