Slow down disks in the simulation of a log group

Heartbeats are now answered without the lock while a write is in progress; the simulation did not reach that path often with syncs of at most 10 ms.

--- a/marigoldtrail/consensus/tests/simulation.py
+++ b/marigoldtrail/consensus/tests/simulation.py
@@ -24,6 +24,7 @@
     "corrupt": 4,
     "fill_disk": 4,
     "fail_syncs": 2,
+    "slow_disk": 6,
     "transfer": 4,
 }
 CLIENTS = 3
@@ -249,6 +250,7 @@
         self.cluster.heal()
         for disk in self.cluster.disks.values():
             disk.capacity_bytes = None
+            disk.sync_delay_s = 0.002
 
     async def delay(self):
         one, other = self.rng.sample(self.cluster.names, 2)
@@ -293,6 +295,10 @@
         if name is not None:
             self.cluster.disks[name].fail_syncs = True
 
+    async def slow_disk(self):
+        disk = self.cluster.disks[self.rng.choice(self.cluster.names)]
+        disk.sync_delay_s = self.rng.choice([0.02, 0.3, 1.5])
+
     async def transfer(self):
         name = self.pick()
         if name is not None:
