Let a claim be opened before an upstream is chosen

OpenClaim with an empty upstream now takes or reads the claim without naming a target; the sweeper settles a claim that never named one as not_run, since nothing is sent before the claim was opened again with the upstream's name.

--- a/marigoldtrail/records/claims.py
+++ b/marigoldtrail/records/claims.py
@@ -197,7 +197,11 @@
 
     def _add_target(self, claim: Claim, req: OpenClaim) -> None:
         # Targets only accumulate: copies of an attempt's commands may arrive in any order, and the
-        # sweeper must ask every upstream that the attempt may have reached.
+        # sweeper must ask every upstream that the attempt may have reached. An entry may hold a
+        # claim before it has chosen an upstream; it opens it again with the upstream's name before
+        # it sends anything.
+        if not req.upstream:
+            return
         target = Target(req.upstream, req.outcome_path, req.outcome_final)
         if target not in claim.targets:
             targets = (*claim.targets, target)
--- a/marigoldtrail/records/sweeper.py
+++ b/marigoldtrail/records/sweeper.py
@@ -179,7 +179,8 @@
     async def _ask_targets(
         self, claim: Claim, attempt: str
     ) -> tuple[Literal["done", "not_run", "may_have_run"], bytes]:
-        excluded = bool(claim.targets)
+        # Without any target nothing can have been sent.
+        excluded = True
         for target in claim.targets:
             outcome: OutcomeLike | Failure | None = None
             if target.outcome_path:
--- a/marigoldtrail/records/tests/test_service.py
+++ b/marigoldtrail/records/tests/test_service.py
@@ -114,6 +114,8 @@
         ([("u1", ASKED, NOT_FOUND)], "may_have_run"),
         ([("u1", FINAL, GONE)], "may_have_run"),
         ([("u1", {}, DONE)], "may_have_run"),
+        ([("", {}, GONE)], "not_run"),
+        ([("", {}, GONE), ("u1", ASKED, GONE)], "may_have_run"),
         ([("u1", FINAL, NOT_FOUND), ("u2", FINAL, NOT_FOUND)], "not_run"),
         ([("u1", FINAL, NOT_FOUND), ("u2", FINAL, GONE)], "may_have_run"),
         ([("u1", FINAL, GONE), ("u2", ASKED, DONE)], "done"),
