--- a/marigoldtrail/serving/tests/fakes.py
+++ b/marigoldtrail/serving/tests/fakes.py
@@ -164,11 +164,13 @@
         self.free = free or {}
         self.held, self.most_held = defaultdict(int), defaultdict(int)
         self.released, self.reports = [], []
+        self.on_acquire = lambda: None
 
     async def acquire(self, upstream, attempt_id, hold_s):
         await trio.sleep(0.001)
         if self.held[upstream] >= self.free.get(upstream, 0):
             return failure(Reason.NO_SLOT, step="slot")
+        self.on_acquire()
         self.held[upstream] += 1
         self.most_held[upstream] = max(self.most_held[upstream], self.held[upstream])
         return HeldSlot(
