Keep the places of tasks that are cancelled together

A branch taken to be dead was removed from the waits of admission and pools: a task woken after its cancellation. It does happen when many tasks are cancelled at once and one's end gives its place to the next; the benchmark ended with ValueError in PoolGate.enter.

The branches are back, with a test of each that fails without them.

--- a/marigoldtrail/policy/admission.py
+++ b/marigoldtrail/policy/admission.py
@@ -185,9 +185,12 @@
             with trio.move_on_at(latest) as scope:
                 await waiter.event.wait()
         except trio.Cancelled:
-            # A task that has been woken is not cancelled in its wait any more, so that the item is
-            # still there.
-            self._remove(account, item)
+            # Tasks cancelled together end one after the other: the end of one may have started or
+            # pushed out this one, which had been cancelled already.
+            if not waiter.event.is_set():
+                self._remove(account, item)
+            elif waiter.failure is None:
+                self.leave(demand, None)
             raise
         if scope.cancelled_caught and not waiter.event.is_set():
             self._remove(account, item)
--- a/marigoldtrail/policy/shares.py
+++ b/marigoldtrail/policy/shares.py
@@ -95,10 +95,13 @@
         try:
             await event.wait()
         except trio.Cancelled:
-            # A task that has been woken is not cancelled in its wait any more, so that the item is
-            # still there.
-            self._waiting.remove(item)
-            heapq.heapify(self._waiting)
+            # Tasks cancelled together end one after the other: the end of one may have given its
+            # place to this one, which had been cancelled already.
+            if event.is_set():
+                self.leave()
+            else:
+                self._waiting.remove(item)
+                heapq.heapify(self._waiting)
             raise
 
     def try_enter(self) -> bool:
--- a/marigoldtrail/policy/tests/test_admission.py
+++ b/marigoldtrail/policy/tests/test_admission.py
@@ -135,3 +135,42 @@
     assert gate.outstanding == 1
     gate.leave()
     assert gate.is_free
+
+
+async def test_tasks_cancelled_together_return_all_places(autojump_clock):
+    # Guards against a place that a cancelled task gives to another cancelled one, and an error.
+    gate = PoolGate()
+    gate.set_limit(2)
+
+    async def hold():
+        await gate.enter(0.0)
+        try:
+            await trio.sleep_forever()
+        finally:
+            gate.leave()
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(20):
+            nursery.start_soon(hold)
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.cancel_scope.cancel()
+    assert gate.outstanding == 0 and gate.is_free
+
+
+async def test_requests_cancelled_together_return_all_room(autojump_clock):
+    # Guards against the same for admission, as when many callers go away at once.
+    admission = Admission(timers=Timers(), limit_of=lambda pool: 2)
+
+    async def run(number):
+        assert await occupy(admission, f"account-{number % 3}") is None
+        try:
+            await trio.sleep_forever()
+        finally:
+            admission.leave(ONE_SECOND, None)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(20):
+            nursery.start_soon(run, number)
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.cancel_scope.cancel()
+    assert (admission.running, admission.queued) == (0, 0)
