Keep the cost of a call constant in large fleets

Each choice of an upstream counted all nodes and searched the manifest, and each answer compared the whole pool for stragglers: with 330 nodes and 720 upstreams these cost more than the rest of the bookkeeping.

Measured: pytest marigoldtrail/policy marigoldtrail/serving passes, 108 tests. The cost at that size has not been measured.

--- a/marigoldtrail/serving/calls.py
+++ b/marigoldtrail/serving/calls.py
@@ -6,6 +6,7 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.policy import find_ejection
+from marigoldtrail.policy.health import SLOW_SAMPLES
 from marigoldtrail.schema.generated.manifest import Stage
 from marigoldtrail.serving.run import Run
 from marigoldtrail.serving.targets import Target, release_target
@@ -123,6 +124,10 @@
         return estimator.quantile(0.95)
 
     def _eject_if_due(self) -> None:
+        if not self._health.errors and self._health.samples % SLOW_SAMPLES:
+            # A straggler shows over many calls; comparing the pool after each would cost more than
+            # the rest of the bookkeeping.
+            return
         shared = self.run.shared
         name = self.target.upstream.name
         pool = {
--- a/marigoldtrail/serving/catalog.py
+++ b/marigoldtrail/serving/catalog.py
@@ -26,7 +26,7 @@
         The manifest.
     """
 
-    __slots__ = ("manifest", "pipelines", "pools", "_models", "_weights", "_links")
+    __slots__ = ("manifest", "pipelines", "pools", "upstreams", "_models", "_weights", "_links")
 
     def __init__(self, *, manifest: Manifest) -> None:
         self.manifest = manifest
@@ -34,6 +34,7 @@
         self.pools: dict[str, list[Upstream]] = defaultdict(list)
         for upstream in manifest.upstreams:
             self.pools[upstream.pool].append(upstream)
+        self.upstreams: dict[str, Upstream] = {item.name: item for item in manifest.upstreams}
         self._models: dict[str, Model] = {item.name: item for item in manifest.models}
         self._weights = {item.name: item.weight for item in manifest.client_accounts}
         self._links: dict[tuple[str, str], Link] = {
--- a/marigoldtrail/serving/shared.py
+++ b/marigoldtrail/serving/shared.py
@@ -72,6 +72,8 @@
         "health",
         "background",
         "record_time",
+        "_counted_nodes",
+        "_entries",
         "_estimators",
         "_first_tokens",
         "_gates",
@@ -107,6 +109,8 @@
         self.health: dict[str, UpstreamHealth] = defaultdict(UpstreamHealth)
         self.background = Background()
         self.record_time = Estimator(expected_ms=RECORD_MS)
+        self._counted_nodes: object = None
+        self._entries = 0
         self._estimators: dict[tuple[str, str], Estimator] = {}
         self._first_tokens: dict[tuple[str, str], Estimator] = {}
         self._gates: dict[str, PoolGate] = defaultdict(PoolGate)
@@ -175,7 +179,12 @@
     def live_entries(self) -> int:
         """Return the number of entries that share the upstreams; at least 1."""
         nodes = self.view.nodes
-        return max(1, sum(node.state == "live" and "entry" in node.roles for node in nodes))
+        if nodes is not self._counted_nodes:
+            # The view replaces its list with each change; counting 330 nodes for each choice of an
+            # upstream would cost as much as the choice.
+            self._counted_nodes = nodes
+            self._entries = sum(node.state == "live" and "entry" in node.roles for node in nodes)
+        return max(1, self._entries)
 
     def is_usable(self, upstream: Upstream) -> bool:
         """Tell whether operators, platform and state allow new calls to an upstream."""
--- a/marigoldtrail/serving/targets.py
+++ b/marigoldtrail/serving/targets.py
@@ -157,11 +157,7 @@
     candidate = _choose_candidate(run, stage, avoid)
     if candidate is None:
         return run.catalog.pools[stage.pool][0]
-    return _upstream_of(run, candidate.name)
-
-
-def _upstream_of(run: Run, name: str) -> Upstream:
-    return next(item for item in run.catalog.manifest.upstreams if item.name == name)
+    return run.catalog.upstreams[candidate.name]
 
 
 def release_target(
@@ -246,7 +242,7 @@
     run: Run, candidate: Candidate, attempt_id: str, until: float
 ) -> Target | Failure:
     shared = run.shared
-    upstream = _upstream_of(run, candidate.name)
+    upstream = run.catalog.upstreams[candidate.name]
     status = shared.view.upstream_status(candidate.name)
     instance = status.instance if status is not None else ""
     if candidate.is_warm:
