Refuse the repeat of an order as not run only if its key is unused

Cause: refusals before the claim (overload, draining, out of service, no current view) said not_run of the request alone. A caller that lost the answer to an order and repeats it hears that it was not run, and would place it again under another key. Ruled out: opening the claim at admission, which costs two commits for each refused request. In use or unknown: the refusal is may_have_run and says to repeat under the same key. Requests without a key of their own and pipelines that may be repeated are refused as before. Deviation: an entry without a current view refuses orders under a caller's key as may_have_run; the promise that a refusal is true comes before the rule that such an entry says not_run. Test: test_refused_repeat_of_an_order_is_not_called_not_run; it fails without the look-up. The existing test of refusals before the start now sends requests without a key of the caller's. Checked: pytest of serving, testing and records passes.

--- a/marigoldtrail/fleet/client.py
+++ b/marigoldtrail/fleet/client.py
@@ -28,8 +28,10 @@
 from marigoldtrail.schema.generated.records import (
     ClaimReply,
     ClaimsReply,
+    FindKey,
     FindRecords,
     FindRecordsReply,
+    KeyReply,
     ListClaims,
     OpenClaim,
     PutRecord,
@@ -205,6 +207,13 @@
         group = record_group_of(request.client_account, self.record_groups)
         return await self.call_group(group, request, ClaimReply, timeout_s=timeout_s)
 
+    async def find_key(
+        self, request: FindKey, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> KeyReply | Failure:
+        """Ask whether an idempotency key is in use. See `call_group`."""
+        group = record_group_of(request.client_account, self.record_groups)
+        return await self.call_group(group, request, KeyReply, timeout_s=timeout_s)
+
     async def settle_claim(
         self, request: SettleClaim, *, timeout_s: float = CALL_TIMEOUT_S
     ) -> ClaimReply | Failure:
--- a/marigoldtrail/records/claims.py
+++ b/marigoldtrail/records/claims.py
@@ -219,6 +219,25 @@
         claim.settled_by = SettledBy.ATTEMPT
         self._open[ClaimState.PENDING].add((req.client_account, req.idempotency_key, req.stage))
 
+    def is_in_use(self, client_account: str, idempotency_key: str) -> bool:
+        """
+        Tell whether a request under a key has run, may have run, or is running.
+
+        Parameters
+        ----------
+        client_account, idempotency_key : str
+            The key.
+
+        Returns
+        -------
+        bool
+            Also true, very rarely, for an unused key with the hash of an archived one.
+        """
+        entry = self._accounts.get(client_account, {}).get(idempotency_key)
+        if entry is not None and not entry.is_free():
+            return True
+        return bool(self.archive.find(client_account, idempotency_key))
+
     def settle(
         self, req: SettleClaim, *, by: SettledBy, at_ms: int, answer: Location | None = None
     ) -> ClaimResult | ArchivedClaims:
--- a/marigoldtrail/records/service.py
+++ b/marigoldtrail/records/service.py
@@ -30,8 +30,10 @@
     ClaimReply,
     ClaimsReply,
     FetchSegment,
+    FindKey,
     FindRecords,
     FindRecordsReply,
+    KeyReply,
     ListClaims,
     OpenClaim,
     PutRecord,
@@ -173,6 +175,7 @@
             OpenClaim: self.open_claim,
             SettleClaim: self.settle_claim,
             PutRecord: self.put_record,
+            FindKey: self.find_key,
             FindRecords: self.find_records,
             ListClaims: self.list_claims,
             FetchSegment: self.fetch_segment,
@@ -339,6 +342,28 @@
             return msgspec.structs.replace(found, step="record.find", peer=self._host)
         return FindRecordsReply(records=found)
 
+    async def find_key(self, req: FindKey, sender: str) -> KeyReply | Failure:
+        """
+        Answer a FindKey.
+
+        Parameters
+        ----------
+        req : FindKey
+            The request.
+        sender : str
+            Host that sent it.
+
+        Returns
+        -------
+        KeyReply or Failure
+            Whether the key is in use.
+        """
+        group = await self._confirm_leader(self._group_of(req.client_account), "claim.find")
+        if isinstance(group, Failure):
+            return group
+        claims = group.machine.claims
+        return KeyReply(in_use=claims.is_in_use(req.client_account, req.idempotency_key))
+
     async def list_claims(self, req: ListClaims, sender: str) -> ClaimsReply | Failure:
         """
         Answer a ListClaims.
--- a/marigoldtrail/serving/claims.py
+++ b/marigoldtrail/serving/claims.py
@@ -245,6 +245,7 @@
                 state.unsettled = ""
             return msgspec.structs.replace(reply, run_state=run.run_state, step="claim.open")
     run.in_doubt -= is_open
+    run.is_key_known = True
     return reply
 
 
--- a/marigoldtrail/serving/run.py
+++ b/marigoldtrail/serving/run.py
@@ -49,6 +49,7 @@
         "arrived",
         "started_ms",
         "in_doubt",
+        "is_key_known",
         "step",
         "outputs",
         "records",
@@ -71,6 +72,7 @@
         self.arrived = arrived
         self.started_ms = shared.timers.wall_ms()
         self.in_doubt = 0
+        self.is_key_known = False
         self.step = "start"
         self.outputs: dict[str, Any] = {}
         self.records: list[StageRecord] = []
--- a/marigoldtrail/serving/server.py
+++ b/marigoldtrail/serving/server.py
@@ -20,6 +20,7 @@
 from marigoldtrail.schema.generated.settings import Settings
 from marigoldtrail.serving.addresses import better_addresses
 from marigoldtrail.serving.catalog import Catalog
+from marigoldtrail.serving.keys import qualify_refusal
 from marigoldtrail.serving.pipeline import build_record, run_pipeline
 from marigoldtrail.serving.run import Run
 from marigoldtrail.serving.shared import Shared
@@ -160,6 +161,7 @@
         arrived = shared.timers.now()
         checked = self._check(req)
         if isinstance(checked, Failure):
+            checked = await qualify_refusal(shared, shared.catalog(), req, checked)
             return self._refuse(req, checked)
         catalog, pipeline, weight = checked
         deadline = min(req.deadline, arrived + LONGEST_DEADLINE_S)
@@ -174,6 +176,7 @@
             demand=demand,
         )
         if failure is not None:
+            failure = await qualify_refusal(shared, catalog, req, failure)
             return self._refuse(req, failure)
         run = Run(shared=shared, req=req, pipeline=pipeline, catalog=catalog, arrived=arrived)
         admitted_at = shared.timers.now()
@@ -184,6 +187,8 @@
             answered = isinstance(outcome, Answer)
             duration_s = shared.timers.now() - admitted_at
             shared.admission.leave(demand, duration_s if answered else None)
+        if isinstance(outcome, Failure) and not run.is_key_known:
+            outcome = await qualify_refusal(shared, catalog, req, outcome)
         self._report(run, outcome)
         return outcome
 
--- a/marigoldtrail/serving/shared.py
+++ b/marigoldtrail/serving/shared.py
@@ -72,6 +72,7 @@
         "health",
         "background",
         "record_time",
+        "key_lookups",
         "_counted_nodes",
         "_entries",
         "_estimators",
@@ -108,6 +109,7 @@
         self.loads: dict[str, UpstreamLoad] = defaultdict(UpstreamLoad)
         self.health: dict[str, UpstreamHealth] = defaultdict(UpstreamHealth)
         self.background = Background()
+        self.key_lookups = 0
         self.record_time = Estimator(expected_ms=RECORD_MS)
         self._counted_nodes: object = None
         self._entries = 0
--- a/marigoldtrail/serving/tests/fakes.py
+++ b/marigoldtrail/serving/tests/fakes.py
@@ -12,7 +12,12 @@
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.schema.generated.control import NodeStatus, UpstreamStatus
 from marigoldtrail.schema.generated.manifest import Manifest
-from marigoldtrail.schema.generated.records import ClaimReply, FindRecordsReply, PutRecordReply
+from marigoldtrail.schema.generated.records import (
+    ClaimReply,
+    FindRecordsReply,
+    KeyReply,
+    PutRecordReply,
+)
 from marigoldtrail.schema.generated.settings import Settings
 from marigoldtrail.serving import PipelineRequest, Server
 from marigoldtrail.slots import HeldSlot
@@ -124,6 +129,16 @@
             answer=claim.get("answer", b""),
         )
 
+    async def find_key(self, request, *, timeout_s):
+        return await self._reply("find", request, self._find_key, timeout_s)
+
+    def _find_key(self, req):
+        key = (req.client_account, req.idempotency_key)
+        in_use = any(
+            claim["state"] != "free" for found, claim in self.claims.items() if found[:2] == key
+        )
+        return KeyReply(in_use=in_use)
+
     async def settle_claim(self, request, *, timeout_s):
         return await self._reply("settle", request, self._settle, timeout_s)
 
--- a/marigoldtrail/serving/tests/test_requests.py
+++ b/marigoldtrail/serving/tests/test_requests.py
@@ -57,10 +57,10 @@
         started = world.timers.now()
         results = [
             await world.run("unknown"),
-            await world.run(client_account="nobody"),
+            await world.run(client_account="nobody", idempotency_key="r8", request_id="r8"),
         ]
         world.view.current = False
-        results.append(await world.run())
+        results.append(await world.run(idempotency_key="r9", request_id="r9"))
         assert [item.reason for item in results] == [
             Reason.UNKNOWN_PIPELINE,
             Reason.UNKNOWN_ACCOUNT,
@@ -71,6 +71,22 @@
         assert not world.upstreams.calls
 
 
+async def test_refused_repeat_of_an_order_is_not_called_not_run(autojump_clock):
+    # Guards against a caller that places an order again because its repeat was refused (P5, P6).
+    async with open_world(manifest(PIPELINE)) as world:
+        assert isinstance(await world.run(idempotency_key="k1"), Answer)
+        world.server.start_draining()
+        await world.timers.sleep(6.1)
+        repeat = await world.run(idempotency_key="k1")
+        assert (repeat.reason, repeat.run_state) == (Reason.DRAINING, RunState.MAY_HAVE_RUN)
+        unused = await world.run(idempotency_key="k2")
+        assert (unused.reason, unused.run_state) == (Reason.DRAINING, RunState.NOT_RUN)
+        world.view.current = False
+        unknown = await world.run(idempotency_key="k2")
+        assert unknown.reason is Reason.VIEW_NOT_CURRENT
+        assert unknown.run_state is RunState.MAY_HAVE_RUN
+
+
 async def test_draining_serves_for_the_grace_time_then_names_other_entries(autojump_clock):
     # Guards against callers that are cut off while they hold an address response (P8).
     async with open_world(manifest(PIPELINE), entries=3) as world:
