--- a/marigoldtrail/records/claims.py
+++ b/marigoldtrail/records/claims.py
@@ -197,7 +197,11 @@
 
     def _add_target(self, claim: Claim, req: OpenClaim) -> None:
         # Targets only accumulate: copies of an attempt's commands may arrive in any order, and the
-        # sweeper must ask every upstream that the attempt may have reached.
+        # sweeper must ask every upstream that the attempt may have reached. An entry may hold a
+        # claim before it has chosen an upstream; it opens it again with the upstream's name before
+        # it sends anything.
+        if not req.upstream:
+            return
         target = Target(req.upstream, req.outcome_path, req.outcome_final)
         if target not in claim.targets:
             targets = (*claim.targets, target)
@@ -215,6 +219,25 @@
         claim.settled_by = SettledBy.ATTEMPT
         self._open[ClaimState.PENDING].add((req.client_account, req.idempotency_key, req.stage))
 
+    def is_in_use(self, client_account: str, idempotency_key: str) -> bool:
+        """
+        Tell whether a request under a key has run, may have run, or is running.
+
+        Parameters
+        ----------
+        client_account, idempotency_key : str
+            The key.
+
+        Returns
+        -------
+        bool
+            Also true, very rarely, for an unused key with the hash of an archived one.
+        """
+        entry = self._accounts.get(client_account, {}).get(idempotency_key)
+        if entry is not None and not entry.is_free():
+            return True
+        return bool(self.archive.find(client_account, idempotency_key))
+
     def settle(
         self, req: SettleClaim, *, by: SettledBy, at_ms: int, answer: Location | None = None
     ) -> ClaimResult | ArchivedClaims:
