Show that the oracle catches a fault against each promise

Cause: fuzzing that never fails shows nothing. Change: tests with one deliberate fault for each promise, and fixed seeds that are run twice and compared. Measured: each fault is caught with its fixed sequence; python -m pytest marigoldtrail/testing/tests/test_fuzz.py. Conclusion: the fuzzing can fail.

--- a/marigoldtrail/testing/fuzz.py
+++ b/marigoldtrail/testing/fuzz.py
@@ -43,7 +43,7 @@
     outcomes: dict[str, int]
 
 
-def run_steps(seed: int, steps: Sequence[Step]) -> Verdict:
+def run_steps(seed: int, steps: Sequence[Step], *, settle_s: float = SETTLE_S) -> Verdict:
     """
     Run a sequence on a new fleet, heal the fleet, and check the promises.
 
@@ -53,6 +53,8 @@
         Seed of the fleet.
     steps : sequence of Step
         The sequence.
+    settle_s : float
+        Time between the end of the faults and the check, in seconds.
 
     Returns
     -------
@@ -61,7 +63,7 @@
     """
     fix_schedule(seed)
     clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(run_in_fleet, seed, list(steps), clock=clock)
+    return trio.run(run_in_fleet, seed, list(steps), settle_s, clock=clock)
 
 
 def fix_schedule(seed: int) -> None:
@@ -71,7 +73,7 @@
     random.seed(seed)
 
 
-async def run_in_fleet(seed: int, steps: list[Step]) -> Verdict:
+async def run_in_fleet(seed: int, steps: list[Step], settle_s: float) -> Verdict:
     """Run a sequence in the running trio loop; see `run_steps`."""
     broken: list[str] = []
     async with trio.open_nursery() as nursery:
@@ -80,7 +82,7 @@
         for step in steps:
             await OPERATIONS[step.name](driver, step)
             await driver.fleet.timers.sleep(step.pause_s)
-        broken += await heal(driver)
+        broken += await heal(driver, settle_s)
         broken += await serve_again(driver)
         for _ in range(RECORD_TRIES):
             await driver.collect_records()
@@ -102,7 +104,7 @@
     return Verdict(broken=broken, digest=digest, outcomes=outcomes)
 
 
-async def heal(driver: Driver) -> list[str]:
+async def heal(driver: Driver, settle_s: float) -> list[str]:
     """Wait for the faults to end, repair what is broken, and let the fleet settle."""
     fleet = driver.fleet
     with trio.move_on_after(240.0) as scope:
@@ -121,7 +123,7 @@
         await driver.start_node(host)
     for kind, name in list(driver.service_numbers):
         await put_in_service(driver, kind, name)
-    await fleet.timers.sleep(SETTLE_S)
+    await fleet.timers.sleep(settle_s)
     if not await driver.wait_repaired():
         return ["fleet: a group had not all its members 60 s after the end of the faults"]
     return await wait_views(driver)
--- a/marigoldtrail/testing/operations.py
+++ b/marigoldtrail/testing/operations.py
@@ -136,7 +136,7 @@
 
 
 async def isolate(driver: Driver, step: Step) -> None:
-    """Cut a host off, both ways or one way."""
+    """Cut a host off: both ways, one way, or from the other hosts but not from the upstreams."""
     driver.start_soon(isolate_host, driver, step)
 
 
@@ -145,6 +145,8 @@
     host = pick(driver.hosts, step.a)
     mode = step.b % 4
     driver.fleet.isolate(host, inbound=mode != 1, outbound=mode != 2)
+    if mode == 3:
+        driver.fleet.network.restore(driver.fleet.ip_of(host), WORLD_IP)
     await driver.fleet.timers.sleep(seconds(step.c, 0.5, 20.0))
     driver.restore_links(host)
 
--- /dev/null
+++ b/marigoldtrail/testing/tests/test_fuzz.py
@@ -0,0 +1,139 @@
+"""Fixed sequences keep the promises, and the oracle catches a fault against each of them."""
+
+import logging
+import random
+
+import pytest
+
+from marigoldtrail.control import machine
+from marigoldtrail.errors import RunState
+from marigoldtrail.fleet import FleetView
+from marigoldtrail.serving import claims, generation, pipeline
+from marigoldtrail.serving.run import Run
+from marigoldtrail.serving.server import Server
+from marigoldtrail.serving.shared import Shared
+from marigoldtrail.slots.tracker import UpstreamTracker
+from marigoldtrail.testing.fuzz import run_steps
+from marigoldtrail.testing.operations import Step, build_steps
+from marigoldtrail.upstream import gate
+
+SEEDS = (1, 2)
+STEPS = 10
+ORDER_STOCK = 12
+FULL = 999
+
+
+@pytest.fixture(autouse=True)
+def no_logs():
+    logging.disable(logging.CRITICAL)
+    yield
+    logging.disable(logging.NOTSET)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_fixed_sequences_keep_the_promises(seed):
+    """Guards against a broken promise under mixed faults, and against verdicts that vary."""
+    first, again = (run_steps(seed, build_steps(random.Random(seed), STEPS)) for _ in range(2))
+    assert first.broken == []
+    assert first.outcomes["answer"] > STEPS
+    assert again == first
+
+
+def orders(count: int, pause_s: float = 0.2, a: int = 0) -> Step:
+    """Orders sent at once through all entries."""
+    return Step("send_orders", a, 0, count - 1, pause_s)
+
+
+def find_broken(seed: int, steps: list[Step]) -> set[str]:
+    """Return the names of the broken promises."""
+    verdict = run_steps(seed, steps, settle_s=1.0)
+    return {line.split(":")[0] for line in verdict.broken}
+
+
+async def do_nothing(*args, **kwargs):
+    return None
+
+
+def test_lost_record_breaks_p1(monkeypatch):
+    """Guards against an oracle that misses an answer whose record was never committed."""
+    monkeypatch.setattr(pipeline, "_commit", do_nothing)
+    assert "P1" in find_broken(1, [orders(3)])
+
+
+def test_slots_without_limit_break_p2(monkeypatch):
+    """Guards against an oracle that misses too many calls to a cold upstream."""
+    monkeypatch.setattr(UpstreamTracker, "allowed", lambda self: 1000)
+    cold = [Step("turn_cold", ORDER_STOCK + index, 0, 0, 0.0) for index in range(3)]
+    slow = [Step("slow_upstream", ORDER_STOCK + index, 300, FULL, 0.0) for index in range(3)]
+    load = [orders(12, 0.0, index) for index in range(6)]
+    wait = [Step("submit", 0, 0, 2, 4.0) for _ in range(3)]
+    assert "P2" in find_broken(1, [*wait, *cold, *slow, *load])
+
+
+def test_takeouts_ignored_by_choice_break_p3(monkeypatch):
+    """Guards against an oracle that misses new work at an upstream out of service."""
+    monkeypatch.setattr(Shared, "is_usable", lambda self, upstream: True)
+    out = Step("take_out", ORDER_STOCK, 0, 1, 7.0)
+    assert "P3" in find_broken(1, [out, *(orders(12) for _ in range(3))])
+
+
+def test_view_that_never_lapses_breaks_p3(monkeypatch):
+    """Guards against an oracle that misses an entry that serves on an old view."""
+    monkeypatch.setattr(FleetView, "is_current", lambda self: True)
+    cut = Step("isolate", 3, 3, FULL, 1.0)
+    out = Step("take_out", 1, 1, 0, 7.0)
+    load = [Step("send_burst", 3, 0, index, 0.1) for index in range(8)]
+    assert "P3" in find_broken(1, [cut, out, *load])
+
+
+def test_forgotten_position_of_a_stream_breaks_p4(monkeypatch):
+    """Guards against an oracle that misses tokens repeated after a resume."""
+    original = generation._attempt
+
+    async def forget(state):
+        state.next_token = 0
+        return await original(state)
+
+    monkeypatch.setattr(generation, "_attempt", forget)
+    breaks = [Step("break_streams", index, 5, 0, 0.0) for index in range(2)]
+    load = [Step("send_burst", 0, index, 11, 0.5) for index in range(3)]
+    assert "P4" in find_broken(1, [*breaks, *load])
+
+
+def test_false_not_run_breaks_p5(monkeypatch):
+    """Guards against an oracle that misses a refusal that denies a run."""
+    monkeypatch.setattr(Run, "run_state", property(lambda self: RunState.NOT_RUN))
+    losses = [Step("spoil_answers", ORDER_STOCK + index, 0, 3, 0.0) for index in range(6)]
+    assert "P5" in find_broken(1, [*losses, orders(12)])
+
+
+def test_claim_always_granted_breaks_p6(monkeypatch):
+    """Guards against an oracle that misses an order that ran twice."""
+    monkeypatch.setattr(claims, "_is_granted", lambda state, reply: True)
+    assert "P6" in find_broken(1, [orders(3), Step("repeat_key", 0, 1, 2, 0.5)])
+
+
+def test_leaving_upstream_taken_for_warm_breaks_p7(monkeypatch):
+    """Guards against an oracle that misses calls to an upstream that is leaving."""
+    # Three layers refuse such a call: the choice, the gate and the report of a new connection.
+    monkeypatch.setattr(Shared, "is_usable", lambda self, upstream: True)
+    monkeypatch.setattr(Shared, "is_warm", lambda self, upstream: True)
+    monkeypatch.setattr(gate, "NO_WORK", ())
+    monkeypatch.setattr(gate.Gate, "needs_slot", lambda *args: False)
+    leave = Step("leave_upstream", ORDER_STOCK, 0, FULL, 7.0)
+    assert "P7" in find_broken(1, [leave, *(orders(12) for _ in range(6))])
+
+
+def test_drain_without_waiting_breaks_p8(monkeypatch):
+    """Guards against an oracle that misses requests cut off by a graceful shutdown."""
+    monkeypatch.setattr(Server, "wait_idle", do_nothing)
+    slow = [Step("slow_upstream", ORDER_STOCK + index, 300, FULL, 0.0) for index in range(3)]
+    drains = [Step("drain_node", host, 0, 0, 0.0) for host in (3, 4)]
+    assert "P8" in find_broken(1, [*slow, orders(12), *drains])
+
+
+def test_lower_manifest_accepted_breaks_p9(monkeypatch):
+    """Guards against an oracle that misses a manifest that reverts."""
+    monkeypatch.setattr(machine, "judge_number", lambda *args: None)
+    submits = [Step("submit", 0, index, 2, 2.0) for index in range(2)]
+    assert "P9" in find_broken(1, [*submits, Step("submit", 0, 0, 1, 2.0)])
