Answer the refusals in progress before a drained node exits

Cause: after the grace a draining node looks the key of a refused order up before it answers. A drain that saw no request in progress handed its leadership over and exited meanwhile, so that the connections of such callers broke without a response (P8). Change: after the handover the drain waits until no request is in progress, within its bound. The fault against P8 now leaves out both waits of a drain. Conclusion: a drain answers what it took in, refusals included.

--- a/marigoldtrail/node/node.py
+++ b/marigoldtrail/node/node.py
@@ -81,6 +81,9 @@
                 self.entry.close()
             if self.control is not None:
                 await self.control.stop()
+            if self.entry is not None:
+                # Requests refused in the meantime look up their keys before they are answered.
+                await self.entry.server.wait_answered()
         if bound.cancelled_caught:
             _log.error("draining took longer than %.0f s", DRAIN_BOUND_S)
         self._scope.cancel()
--- a/marigoldtrail/serving/server.py
+++ b/marigoldtrail/serving/server.py
@@ -341,11 +341,15 @@
         timers = self._shared.timers
         if self._draining_since is not None:
             await timers.sleep_until(self._draining_since + GRACE_S)
+        await self.wait_answered()
+        with trio.move_on_after(SETTLE_AT_DRAIN_S):
+            await self._shared.background.wait_idle()
+
+    async def wait_answered(self) -> None:
+        """Wait until no request is in progress; a refusal may still be looking up its key."""
         while self._in_progress:
             self._idle = trio.Event()
             await self._idle.wait()
-        with trio.move_on_after(SETTLE_AT_DRAIN_S):
-            await self._shared.background.wait_idle()
 
     async def find_request(self, request_id: str) -> ResultRecord | Failure:
         """
--- a/marigoldtrail/testing/tests/test_fuzz.py
+++ b/marigoldtrail/testing/tests/test_fuzz.py
@@ -127,6 +127,7 @@
 def test_drain_without_waiting_breaks_p8(monkeypatch):
     """Guards against an oracle that misses requests cut off by a graceful shutdown."""
     monkeypatch.setattr(Server, "wait_idle", do_nothing)
+    monkeypatch.setattr(Server, "wait_answered", do_nothing)
     slow = [Step("slow_upstream", ORDER_STOCK + index, 300, FULL, 0.0) for index in range(3)]
     drains = [Step("drain_node", host, 0, 0, 0.0) for host in (3, 4)]
     assert "P8" in find_broken(1, [*slow, orders(12), *drains])
@@ -137,3 +138,14 @@
     monkeypatch.setattr(machine, "judge_number", lambda *args: None)
     submits = [Step("submit", 0, index, 2, 2.0) for index in range(2)]
     assert "P9" in find_broken(1, [*submits, Step("submit", 0, 0, 1, 2.0)])
+
+
+def test_refusals_at_the_end_of_a_drain_reach_their_callers():
+    """Guards against a node that exits while it looks up the key of a request that it refuses."""
+    steps = [orders(1, 1.0, 3)]
+    for host in range(3):
+        # Orders that came later than the grace are refused after a look-up of 0.1 s.
+        asks = [Step("repeat_key", 0, host, 0, 0.01) for _ in range(5)]
+        steps += [Step("delay_links", host, 400, 0, 0.0), Step("drain_node", host, 0, 0, 6.0)]
+        steps += [*asks, orders(1, 3.0, 3)]
+    assert run_steps(1, steps, settle_s=1.0).broken == []
