Use an upstream that turns warm while a request waits for a slot

Cause: the demo's first generation took 5.8 s. Three owners refused a slot until their predecessor's grants were over and named 5 s as the time to come back; the upstreams were known as warm within 1 s, and the request slept on. Ruled out: the calls themselves; the span of the first attempt took 23 ms. Change: the wait looks every 0.25 s whether an upstream may be called without a slot. Test: test_request_that_waits_for_a_slot_notices_warm_upstreams, fails before and passes after.

--- a/marigoldtrail/serving/targets.py
+++ b/marigoldtrail/serving/targets.py
@@ -16,6 +16,7 @@
 CALL_MB = 0.01
 RETRY_AFTER_S = 1.0
 SLOT_PAUSE_S = 0.1
+VIEW_CHECK_S = 0.25
 # The call ends this long before its slot expires.
 SLOT_MARGIN_S = 0.1
 
@@ -126,7 +127,7 @@
             if timers.now() + pause_s >= until:
                 return last
             refused.clear()
-            await timers.sleep(pause_s)
+            await _wait_for_warm(run, stage, pause_s)
             continue
         if candidate is None:
             return _no_upstream(run, stage)
@@ -136,6 +137,17 @@
         refused[candidate.name] = target
 
 
+async def _wait_for_warm(run: Run, stage: Stage, longest_s: float) -> None:
+    # An owner that waits out its predecessor's grants names a long pause, in which the upstreams
+    # may turn out to be warm.
+    timers = run.shared.timers
+    until = timers.now() + longest_s
+    while timers.now() < until:
+        await timers.sleep(min(VIEW_CHECK_S, until - timers.now()))
+        if _choose_candidate(run, stage, (), warm_only=True) is not None:
+            return
+
+
 def plan_upstream(run: Run, stage: Stage, avoid: Collection[str]) -> Upstream:
     """
     Return the upstream that an attempt will probably go to; a slot is not acquired yet.
--- a/marigoldtrail/testing/tests/test_fleet.py
+++ b/marigoldtrail/testing/tests/test_fleet.py
@@ -5,10 +5,11 @@
 import trio
 
 from marigoldtrail.demo.deployments import TSVETANOV, Deployment, build_manifest
-from marigoldtrail.errors import is_failure
+from marigoldtrail.errors import Failure, Reason, RunState, is_failure
 from marigoldtrail.schema import parse_manifest
 from marigoldtrail.serving import Answer
-from marigoldtrail.slots import MAX_GRANT_S
+from marigoldtrail.serving.shared import Shared
+from marigoldtrail.slots import MAX_GRANT_S, SlotClient
 from marigoldtrail.testing.fleet import CollectedTokens, MemoryFleet
 
 SMALL = Deployment(
@@ -90,3 +91,23 @@
     assert max(fleet.world.process(f"booking-{n}").max_cold_running for n in (1, 2)) > 0
     assert fleet.world.cold_limit_exceeded() == 0
     nursery.cancel_scope.cancel()
+
+
+async def test_request_that_waits_for_a_slot_notices_warm_upstreams(
+    autojump_clock, nursery, monkeypatch
+):
+    """Guards against a wait of 4 s for a slot that is no longer needed."""
+    fleet = await start_fleet(nursery)
+    started = fleet.timers.now()
+
+    async def refuse_slot(slots: SlotClient, *args: object) -> Failure:
+        return Failure(
+            reason=Reason.NO_SLOT, run_state=RunState.NOT_RUN, step="slot", retry_after_s=4.0
+        )
+
+    monkeypatch.setattr(Shared, "is_warm", lambda *args: fleet.timers.now() > started + 0.5)
+    monkeypatch.setattr(SlotClient, "acquire", refuse_slot)
+    answer = await fleet.send("h4", "slot_list", "yard-7", {"day": 1}, deadline_s=5.0)
+    assert isinstance(answer, Answer)
+    assert fleet.timers.now() - started < 1.0
+    nursery.cancel_scope.cancel()
