--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,122 @@
+"""
+Runs the benchmarks and keeps their figures.
+
+``python -m bench`` runs all of them in turn; ``python -m bench NAME ...`` runs some. Each is a
+process with a time limit. The figures go to one JSON file per run under ``bench/results``, and
+``report.md`` there shows them beside those of the newest earlier file.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import time
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+
+from bench.report import write_report
+
+RESULTS = Path(__file__).parent / "results"
+# Longest run of each benchmark in seconds, in the order in which they run.
+LIMITS_S = {
+    "slots": 30,
+    "records": 240,
+    "hop": 120,
+    "commits": 150,
+    "propagation": 300,
+    "nodes": 360,
+    "dataline": 120,
+    "policy": 400,
+}
+ERROR_CHARS = 2000
+
+
+def run_benchmark(name: str) -> dict[str, Any]:
+    """
+    Run one benchmark in a process of its own.
+
+    Parameters
+    ----------
+    name : str
+        Module under ``bench``.
+
+    Returns
+    -------
+    dict
+        ``figures`` or ``error``, with the duration and the machine's load before and after.
+    """
+    started, load = time.monotonic(), os.getloadavg()[0]
+    outcome: dict[str, Any] = {}
+    try:
+        done = subprocess.run(
+            [sys.executable, "-m", f"bench.{name}"],
+            capture_output=True,
+            text=True,
+            timeout=LIMITS_S[name],
+            check=False,
+        )
+    except subprocess.TimeoutExpired:
+        outcome["error"] = f"did not end within {LIMITS_S[name]} s"
+    else:
+        if done.returncode:
+            outcome["error"] = done.stderr[-ERROR_CHARS:]
+        else:
+            outcome["figures"] = json.loads(done.stdout)
+    outcome["seconds"] = round(time.monotonic() - started, 1)
+    outcome["load_before"], outcome["load_after"] = round(load, 2), round(os.getloadavg()[0], 2)
+    return outcome
+
+
+def git(*arguments: str) -> str:
+    """Return the output of a git command; empty outside a repository."""
+    done = subprocess.run(
+        ["git", *arguments], capture_output=True, text=True, cwd=RESULTS.parent, check=False
+    )
+    return done.stdout.strip()
+
+
+def describe_run(started: datetime) -> dict[str, Any]:
+    """Return where and on what the benchmarks run."""
+    return {
+        "started": started.isoformat(timespec="seconds"),
+        "revision": git("rev-parse", "--short", "HEAD") or "unknown",
+        "uncommitted_changes": bool(git("status", "--porcelain", "--untracked-files=no")),
+        "cores": os.cpu_count(),
+        "load": [round(value, 2) for value in os.getloadavg()],
+        "python": sys.version.split()[0],
+    }
+
+
+def main() -> None:
+    """Run benchmarks; exit code 1 if one of them failed."""
+    parser = argparse.ArgumentParser(prog="python -m bench")
+    parser.add_argument("names", nargs="*", metavar="NAME", help=", ".join(LIMITS_S))
+    names = parser.parse_args().names or list(LIMITS_S)
+    for name in names:
+        if name not in LIMITS_S:
+            parser.error(f"{name}: unknown; known are {', '.join(LIMITS_S)}")
+    started = datetime.now(UTC)
+    RESULTS.mkdir(exist_ok=True)
+    earlier = sorted(RESULTS.glob("*.json"))
+    result: dict[str, Any] = {"run": describe_run(started), "benchmarks": {}}
+    revision = result["run"]["revision"]
+    path = RESULTS / f"{started:%Y-%m-%dT%H%M%SZ}-{revision}.json"
+    for name in names:
+        print(f"{name} ...", end=" ", flush=True)
+        outcome = run_benchmark(name)
+        result["benchmarks"][name] = outcome
+        print(outcome.get("error", f"{outcome['seconds']} s"))
+        # Written after each benchmark, so that an interrupted run keeps what it has measured.
+        path.write_text(json.dumps(result, indent=1) + "\n")
+    previous = json.loads(earlier[-1].read_text()) if earlier else None
+    write_report(RESULTS, result, previous)
+    print(f"{path.name} and report.md are in bench/results")
+    sys.exit(any("error" in outcome for outcome in result["benchmarks"].values()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,160 @@
+"""Report of a run of the benchmarks: tables, plots, ratios to an earlier run."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("Agg")
+from matplotlib import pyplot  # noqa: E402
+
+MB_LIMIT, CORE_PERCENT_LIMIT, BYTES_LIMIT = 128, 2.2, 4000
+FIGURE_INCHES = (7, 4)
+
+
+def flatten(value: Any, path: str = "") -> Iterator[tuple[str, float]]:
+    """
+    List the numbers of a nested result by path.
+
+    Examples
+    --------
+    >>> list(flatten({"a": [{"b": 1}, 2.5], "c": "text"}))
+    [('a.0.b', 1.0), ('a.1', 2.5)]
+    """
+    if isinstance(value, dict):
+        items: Any = value.items()
+    elif isinstance(value, list):
+        items = enumerate(value)
+    else:
+        if isinstance(value, int | float) and not isinstance(value, bool):
+            yield path, float(value)
+        return
+    for key, item in items:
+        yield from flatten(item, f"{path}.{key}" if path else str(key))
+
+
+def figures_of(result: dict[str, Any]) -> dict[str, float]:
+    """Return every number that a run has measured, by benchmark and path."""
+    figures = {
+        name: outcome["figures"]
+        for name, outcome in result["benchmarks"].items()
+        if "figures" in outcome
+    }
+    return dict(flatten(figures))
+
+
+def plot_lines(
+    path: Path, lines: dict[str, dict[float, float]], x: str, y: str, limit: float | None = None
+) -> str:
+    """Draw lines through points, with a limit if there is one; return the Markdown of the image."""
+    figure, axes = pyplot.subplots(figsize=FIGURE_INCHES)
+    for label, points in lines.items():
+        axes.plot(list(points), list(points.values()), marker="o", label=label)
+    if limit is not None:
+        axes.axhline(limit, color="red", linestyle="--", label="limit")
+    axes.set_xlabel(x)
+    axes.set_ylabel(y)
+    axes.set_ylim(bottom=0)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
+    return f"![{y} by {x}]({path.name})"
+
+
+def plot_nodes(folder: Path, figures: dict[str, Any]) -> list[str]:
+    """Draw the cost of real processes."""
+    roles = ("entry", "control_leader", "control_follower")
+    charts = (
+        ("nodes", "entries", "core_percent", "% of a core", CORE_PERCENT_LIMIT),
+        ("nodes", "entries", "sent_bytes_per_s", "bytes sent/s", BYTES_LIMIT),
+        ("manifests", "accounts", "resident_mb", "resident MB", MB_LIMIT),
+    )
+    images = []
+    for runs, size, name, label, limit in charts:
+        lines = {role: {run[size]: run[role][name] for run in figures[runs]} for role in roles}
+        images.append(plot_lines(folder / f"{name}.svg", lines, size, label, limit))
+    return images
+
+
+def plot_changes(folder: Path, figures: dict[str, Any]) -> list[str]:
+    """Draw the time until a change is in force."""
+    lines = {
+        name: {run["entries"]: run[f"{name}_max_s"] for run in figures["nodes"]}
+        for name in ("manifest", "takeout")
+    }
+    return [plot_lines(folder / "changes.svg", lines, "entries", "slowest change in s", 11)]
+
+
+def plot_propagation(folder: Path, figures: dict[str, Any]) -> list[str]:
+    """Draw what control hosts spend on Syncs."""
+    runs = figures["sync_cost"]
+    lines = {
+        "all control hosts": {run["nodes"]: 100 * run["control_process_core_share"] for run in runs}
+    }
+    return [plot_lines(folder / "sync.svg", lines, "nodes", "% of a core")]
+
+
+def plot_dataline(folder: Path, figures: dict[str, Any]) -> list[str]:
+    """Draw the processor time of one entry."""
+    images = []
+    for kind, count in (("requests", "requests"), ("streams", "tokens")):
+        runs = figures[kind]["runs"]
+        lines = {
+            role: {run[count]: run[f"{role}_cpu_s"] for run in runs}
+            for role in ("entry", "control")
+        }
+        images.append(plot_lines(folder / f"{kind}.svg", lines, count, "processor s"))
+    return images
+
+
+PLOTS = {
+    "nodes": lambda folder, figures: [*plot_nodes(folder, figures), *plot_changes(folder, figures)],
+    "propagation": plot_propagation,
+    "dataline": plot_dataline,
+}
+
+
+def write_report(folder: Path, result: dict[str, Any], previous: dict[str, Any] | None) -> None:
+    """
+    Write ``report.md`` and its plots.
+
+    Parameters
+    ----------
+    folder : Path
+        Where to write.
+    result : dict
+        This run.
+    previous : dict or None
+        The run to compare with.
+    """
+    run = result["run"]
+    before = figures_of(previous) if previous else {}
+    lines = [
+        "# Benchmarks",
+        "",
+        f"Revision {run['revision']}, {run['started']}, {run['cores']} cores, "
+        f"load {run['load'][0]} at the start.",
+    ]
+    if previous:
+        lines.append(
+            f"Ratios are to revision {previous['run']['revision']}, {previous['run']['started']}, "
+            f"load {previous['run']['load'][0]}."
+        )
+    for name, outcome in result["benchmarks"].items():
+        lines += ["", f"## {name}", "", f"`python -m bench {name}`, {outcome['seconds']} s, "]
+        lines[-1] += f"load {outcome['load_before']} to {outcome['load_after']}."
+        if "error" in outcome:
+            lines += ["", "Failed:", "", "```", outcome["error"], "```"]
+            continue
+        if name in PLOTS:
+            lines += ["", *PLOTS[name](folder, outcome["figures"])]
+        lines += ["", "| figure | value | ratio to the earlier run |", "| --- | --- | --- |"]
+        for path, value in flatten(outcome["figures"]):
+            old = before.get(f"{name}.{path}")
+            ratio = f"{value / old:.2f}" if old else ""
+            lines.append(f"| {path} | {value:.6g} | {ratio} |")
+    (folder / "report.md").write_text("\n".join(lines) + "\n")
--- a/bench/slots.py
+++ b/bench/slots.py
@@ -185,7 +185,7 @@
                 times.append(time.perf_counter() - begun)
                 if isinstance(slot, Failure):
                     raise RuntimeError(str(slot))
-                await client.release(slot, succeeded=False)
+                client.release(slot, succeeded=False)
 
         started, cpu = time.perf_counter(), time.process_time()
         async with trio.open_nursery() as workers:
