Accept the attempt id when a claim is settled

`marigoldtrail claims settle` sends the attempt that it settles, and the route refused the field as unknown, so no claim could be settled from the command line. The route now settles only the claim that this attempt holds.

Run: pytest marigoldtrail/api/tests/test_operators.py, mypy

--- a/marigoldtrail/api/operators.py
+++ b/marigoldtrail/api/operators.py
@@ -276,8 +276,9 @@
     """
     Handle ``POST /v1/claims/{client_account}/{key}/settle``.
 
-    The body is ``{"state": "done" or "not_run", "operator": s, "stage": s, "answer": value}``; the
-    stage may be left out if the key has one open claim, the answer unless it is done.
+    The body is ``{"state": "done" or "not_run", "operator": s, "stage": s, "attempt_id": s,
+    "answer": value}``; the stage may be left out if the key has one open claim, the answer unless
+    it is done. With an attempt id, only the claim that this attempt holds is settled.
     """
     body = await req.read_json(ctx.max_body_bytes)
     if isinstance(body, Failure):
@@ -285,7 +286,7 @@
     fault = _check_settlement(body)
     if fault is not None:
         return failure_response(fault)
-    claim = await _find_open_claim(ctx, req, body.get("stage", ""))
+    claim = await _find_open_claim(ctx, req, body.get("stage", ""), body.get("attempt_id", ""))
     if isinstance(claim, Failure):
         return ctx.refuse(claim)
     request = SettleClaim(
@@ -306,13 +307,13 @@
 
 
 def _check_settlement(body: dict[str, Any]) -> Failure | None:
-    allowed = ("state", "operator", "stage", "answer")
+    allowed = ("state", "operator", "stage", "attempt_id", "answer")
     for name in body:
         if name not in allowed:
             return bad_request(f"body: $.{name[:40]}: unknown; allowed are {', '.join(allowed)}")
     if body.get("state") not in SETTLED_STATES:
         return bad_request(f"body: $.state: one of {', '.join(SETTLED_STATES)} is expected")
-    for name in ("operator", "stage"):
+    for name in ("operator", "stage", "attempt_id"):
         value = body.get(name, "")
         if not isinstance(value, str):
             return bad_request(f"body: $.{name}: a text is expected")
@@ -330,14 +331,18 @@
     return None
 
 
-async def _find_open_claim(ctx: ApiContext, req: ApiRequest, stage: str) -> ClaimStatus | Failure:
+async def _find_open_claim(
+    ctx: ApiContext, req: ApiRequest, stage: str, attempt_id: str
+) -> ClaimStatus | Failure:
     claims = await find_claims(ctx, "may_have_run", req.params["client_account"], MAX_LIMIT)
     if isinstance(claims, Failure):
         return claims
     found = [
         claim
         for claim in claims
-        if claim.idempotency_key == req.params["key"] and stage in ("", claim.stage)
+        if claim.idempotency_key == req.params["key"]
+        and stage in ("", claim.stage)
+        and attempt_id in ("", claim.attempt_id)
     ]
     if not found:
         return not_found("no claim with this key may have run", step="claim.settle")
--- a/marigoldtrail/api/tests/test_operators.py
+++ b/marigoldtrail/api/tests/test_operators.py
@@ -97,7 +97,7 @@
 
 
 async def test_claims_are_listed_completely_and_settled(autojump_clock):
-    """Guards against a partial list, and a settlement of the wrong stage."""
+    """Guards against a partial list, and a settlement of the wrong stage or attempt."""
     rig = Rig()
     path = "/v1/claims/acme/a%2Fb/settle"
     body = b'{"state": "done", "operator": "ana", "answer": {"receipt": 1}}'
@@ -113,5 +113,8 @@
     name, (request,) = rig.control.calls[-1]
     assert (status, name, request.stage, request.state) == (200, "settle_claim", "order", "done")
     assert json.loads(request.answer) == {"receipt": 1} and request.operator == "ana"
+    for attempt, expected in ((b"a1", 200), (b"a2", 404)):
+        one = settled.replace(b'"operator"', b'"attempt_id": "%s", "operator"' % attempt)
+        assert (await rig.ask("POST", path, body=one))[0] == expected
     for bad in (b"{}", b'{"state": "done", "operator": "ana"}', body.replace(b"ana", b"")):
         check_problem(await rig.ask("POST", path, body=bad), 400, text="body")
