--- a/marigoldtrail/cli/serve.py
+++ b/marigoldtrail/cli/serve.py
@@ -4,17 +4,24 @@
 
 import logging
 import signal
+from pathlib import Path
+from typing import Annotated
 
 import trio
 import typer
 
-from marigoldtrail.cli.context import SettingsOption, load_settings
-from marigoldtrail.cli.exits import ExitCode, fail
+from marigoldtrail.cli.context import SettingsOption, load_settings, read_input
+from marigoldtrail.cli.exits import ExitCode, fail, fail_with_faults
 from marigoldtrail.errors import Failure
 from marigoldtrail.fleet import groups_of
+from marigoldtrail.net import TcpNetwork
 from marigoldtrail.node import Node, init_groups, launch_node
+from marigoldtrail.schema import parse_manifest
+from marigoldtrail.schema.generated.manifest import Manifest
 from marigoldtrail.schema.generated.settings import Settings
+from marigoldtrail.standins.world import World
 from marigoldtrail.telemetry import configure_logging
+from marigoldtrail.timers import Timers
 
 control_app = typer.Typer(no_args_is_help=True, help="Initialise the control hosts of a fleet.")
 
@@ -80,6 +87,49 @@
             return
 
 
+def run_standins(
+    manifest: Annotated[Path, typer.Option("--manifest", help="Manifest whose upstreams are run.")],
+) -> None:
+    """Run a stand-in for every upstream of a manifest until SIGTERM or SIGINT.
+
+    For trials on one machine: the stand-ins answer as engines, pools and services do, and keep
+    their state in memory only.
+
+    Example: marigoldtrail standins --manifest manifest.json
+    """
+    parsed = parse_manifest(read_input(manifest), str(manifest))
+    if isinstance(parsed, list):
+        fail_with_faults(parsed)
+    try:
+        trio.run(serve_standins, parsed)
+    except* OSError as group:
+        # A group within a group: the world and each stand-in have nurseries of their own.
+        exc: BaseException = group
+        while isinstance(exc, BaseExceptionGroup):
+            exc = exc.exceptions[0]
+        typer.echo(f"error: {exc}", err=True)
+        raise typer.Exit(ExitCode.FAILED) from None
+
+
+async def serve_standins(manifest: Manifest) -> None:
+    """
+    Run the stand-ins of a manifest until the first SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    manifest : Manifest
+        The manifest.
+    """
+    world = World(manifest=manifest, network=TcpNetwork(), timers=Timers())
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(world.run)
+            typer.echo(f"{len(world.standins)} stand-ins listen")
+            async for _ in signals:
+                break
+            nursery.cancel_scope.cancel()
+
+
 @control_app.command("init")
 def init_control(settings: SettingsOption) -> None:
     """Initialise the log groups of a new fleet, once all its control hosts run.
