Keep a host from voting while it fetches segment files

Change: followers report with each reply whether their machine is complete, and the leader adds only complete ones. Test: test_host_that_still_fetches_files_does_not_become_a_voter, fails without the check.

--- a/bench/commits.py
+++ b/bench/commits.py
@@ -161,6 +161,10 @@
         self.count += 1
         return self.count
 
+    def is_complete(self) -> bool:
+        """Return True: there are no further files."""
+        return True
+
     def snapshot(self) -> bytes:
         """Return the count."""
         return self.count.to_bytes(8, "big")
--- a/marigoldtrail/consensus/following.py
+++ b/marigoldtrail/consensus/following.py
@@ -126,8 +126,13 @@
     AppendReply
         The reply.
     """
+    has_applied_all = state.applied_index >= state.commit_index
     return AppendReply(
-        term=state.term, storage_id=state.storage_id, accepted=accepted, last_index=last_index
+        term=state.term,
+        storage_id=state.storage_id,
+        accepted=accepted,
+        last_index=last_index,
+        is_complete=has_applied_all and state.machine.is_complete(),
     )
 
 
--- a/marigoldtrail/consensus/membership.py
+++ b/marigoldtrail/consensus/membership.py
@@ -105,7 +105,8 @@
         True if it does.
     """
     heard = state.timers.now() < peer.heard_at + CHECK_QUORUM_S
-    return bool(peer.storage_id) and heard and peer.match_index >= state.commit_index
+    has_log = bool(peer.storage_id) and peer.match_index >= state.commit_index
+    return heard and has_log and peer.is_complete
 
 
 def learners_of(state: GroupState) -> list[str]:
--- a/marigoldtrail/consensus/parts.py
+++ b/marigoldtrail/consensus/parts.py
@@ -36,6 +36,18 @@
         """Replace the state by one that `snapshot` returned."""
         ...
 
+    def is_complete(self) -> bool:
+        """
+        Tell whether the machine holds all that it has applied.
+
+        Returns
+        -------
+        bool
+            False while it still fetches files that its snapshot only names; such a host does not
+            become a voter.
+        """
+        ...
+
 
 class Signal:
     """Wakes all tasks that wait for a change."""
@@ -112,6 +124,7 @@
         "confirmed_round",
         "heard_at",
         "busy_since",
+        "is_complete",
         "wakeup",
     )
 
@@ -123,10 +136,12 @@
         self.confirmed_round = 0
         self.heard_at = now
         self.busy_since = float("inf")
+        self.is_complete = False
         self.wakeup = Signal()
 
     def change_identity(self, storage_id: str) -> None:
         """Start over: the host has another log than believed."""
+        self.is_complete = False
         self.storage_id = storage_id
         self.match_index = 0
         self.confirmed_round = 0
--- a/marigoldtrail/consensus/replication.py
+++ b/marigoldtrail/consensus/replication.py
@@ -186,6 +186,7 @@
     if not await accept_reply(state, peer, term, reply.term, reply.storage_id, target):
         return False
     confirm_round(state, peer, sent_round)
+    peer.is_complete = reply.is_complete
     if not reply.accepted:
         peer.next_index = min(reply.last_index + 1, prev_index)
         return True
--- a/marigoldtrail/consensus/tests/cluster.py
+++ b/marigoldtrail/consensus/tests/cluster.py
@@ -23,12 +23,16 @@
         self.applied = []
         self.effects = {}
         self.restored = 0
+        self.complete = True
 
     def apply(self, index, command):
         self.applied.append((index, command))
         self.effects.setdefault(command, index)
         return self.effects[command]
 
+    def is_complete(self):
+        return self.complete
+
     def snapshot(self):
         return msgspec.msgpack.encode(self.effects)
 
--- a/marigoldtrail/consensus/tests/test_repair.py
+++ b/marigoldtrail/consensus/tests/test_repair.py
@@ -302,3 +302,23 @@
     assert is_failure(failure) and failure.reason is Reason.INTERNAL
     await cluster.propose(b"next")
     await cluster.wait(lambda: all(set(m.effects) == {b"next"} for m in cluster.machines.values()))
+
+
+async def test_host_that_still_fetches_files_does_not_become_a_voter(autojump_clock, nursery):
+    """Guards against a vote of a replaced host that holds the log but not the machine's files."""
+    cluster = Cluster(nursery)
+    leader = await cluster.form()
+    replaced, _ = others_of(cluster, leader)
+    old_ids = dict(cluster.ids)
+    await cluster.propose(b"x")
+    await cluster.replace(replaced)
+    cluster.machines[replaced].complete = False
+    await cluster.wait(lambda: b"x" in cluster.machines[replaced].effects)
+    await trio.sleep(10)
+    voters = cluster.group(leader).describe()
+    assert old_ids[replaced] in voters.storage_ids
+    cluster.machines[replaced].complete = True
+    await cluster.wait(
+        lambda: old_ids[replaced] not in cluster.group(leader).describe().storage_ids
+        and len(cluster.group(leader).describe().members) == 3
+    )
--- a/marigoldtrail/control/machine.py
+++ b/marigoldtrail/control/machine.py
@@ -86,6 +86,10 @@
             case MarkOrder():
                 return self._mark_order(decoded)
 
+    def is_complete(self) -> bool:
+        """Return True: the whole state is in the snapshot."""
+        return True
+
     def snapshot(self) -> bytes:
         """
         Encode the whole state.
