Add the fault matrix

Cause: faults at a given step of a claim, commit, slot grant, manifest or drain were tried only one by one. MemoryFleet.isolate cut the links to an address on which no upstream listens; it now cuts those to the upstreams.

--- /dev/null
+++ b/marigoldtrail/testing/fault_kinds.py
@@ -0,0 +1,399 @@
+"""The faults of the matrix, each applied at the moment at which a step is reached."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+
+from marigoldtrail.errors import Failure
+from marigoldtrail.standins.process import Process
+from marigoldtrail.testing.fault_cell import (
+    ENTRY,
+    Cell,
+    links_between,
+    other_ips,
+    upstream_ips,
+    used_bytes,
+)
+from marigoldtrail.testing.taps import Forward, Point
+
+# Longer than every timeout of a call between nodes, and than the deadline of a request.
+LATE_S = 6.0
+DOUBLE_AFTER_S = 1.0
+# Long enough that later messages of the same sender arrive first.
+REORDER_S = 0.4
+SLOW_S = 3.0
+RESTART_S = 0.5
+JUMP_S = 3600.0
+REPAIR_TIMEOUT_S = 30.0
+# A node without Sync is dead after 10 s.
+DEAD_AFTER_S = 11.0
+STALLED_DISK_S = 6.0
+
+Fault = Callable[[Cell, Point, Forward, str], Awaitable[Any]]
+Disturb = Callable[[Cell, Point, str], None]
+
+
+async def lose_message(cell: Cell, point: Point, forward: Forward, group: str) -> Any:
+    """The message never arrives."""
+    return None if point.kind == "caller" else await trio.sleep_forever()
+
+
+async def delay_message(cell: Cell, point: Point, forward: Forward, group: str) -> Any:
+    """The message arrives after its sender has given up; the answer goes nowhere."""
+    if point.kind != "peer":
+        await cell.fleet.timers.sleep(LATE_S)
+        return await forward()
+    cell.nursery.start_soon(forward_later, cell, forward, LATE_S)
+    return await trio.sleep_forever()
+
+
+async def double_message(cell: Cell, point: Point, forward: Forward, group: str) -> Any:
+    """The message arrives a second time; an upstream answers twice."""
+    if point.kind == "upstream":
+        cell.fleet.world.standins[point.receiver].knobs.double_answers += 1
+        return await forward()
+    cell.nursery.start_soon(forward_later, cell, forward, DOUBLE_AFTER_S)
+    return await forward()
+
+
+async def reorder_message(cell: Cell, point: Point, forward: Forward, group: str) -> Any:
+    """Later messages overtake this one; an upstream gives the answer of another request."""
+    if point.kind == "upstream":
+        cell.fleet.world.standins[point.receiver].knobs.swap_answers += 1
+    else:
+        await cell.fleet.timers.sleep(REORDER_S)
+    return await forward()
+
+
+async def lose_answer(cell: Cell, point: Point, forward: Forward, group: str) -> Any:
+    """The effect happens and its answer is lost."""
+    if point.kind == "upstream":
+        cell.fleet.world.standins[point.receiver].knobs.lose_answers += 1
+        return await forward()
+    await forward()
+    return None if point.kind == "caller" else await trio.sleep_forever()
+
+
+async def lose_answer_and_entry(cell: Cell, point: Point, forward: Forward, group: str) -> Any:
+    """The effect happens, its answer is lost, and the entry dies."""
+    result = await lose_answer_of(cell, point, forward)
+    cell.kill(ENTRY)
+    return result
+
+
+async def lose_message_and_leader(cell: Cell, point: Point, forward: Forward, group: str) -> Any:
+    """The message is lost and the leader of the group dies at the same moment."""
+    cell.kill(cell.leader_of(group))
+    return await lose_message(cell, point, forward, group)
+
+
+async def lose_answer_and_leader(cell: Cell, point: Point, forward: Forward, group: str) -> Any:
+    """The effect happens, its answer is lost, and the leader of the group dies."""
+    result = await lose_answer_of(cell, point, forward)
+    cell.kill(cell.leader_of(group))
+    return result
+
+
+async def cut_entry_and_kill_leader(cell: Cell, point: Point, forward: Forward, group: str) -> Any:
+    """The entry is cut off silently while the leader of the group dies."""
+    cell.fleet.isolate(ENTRY)
+    cell.kill(cell.leader_of(group))
+    return await forward()
+
+
+async def lose_answer_of(cell: Cell, point: Point, forward: Forward) -> Any:
+    """Carry out the call and lose its answer, without waiting for its caller."""
+    if point.kind == "upstream":
+        cell.fleet.world.standins[point.receiver].knobs.lose_answers += 1
+    result = await forward()
+    return None if point.kind != "peer" else result
+
+
+async def forward_later(cell: Cell, forward: Forward, delay_s: float) -> None:
+    """Carry out a message some time later; its receiver may have died meanwhile."""
+    await cell.fleet.timers.sleep(delay_s)
+    try:
+        await forward()
+    except RuntimeError as exc:
+        cell.note(f"a late message found a stopped receiver ({exc})")
+
+
+def control_of(cell: Cell, point: Point, group: str) -> str:
+    """Return the control host that a fault of a host hits."""
+    return point.receiver if point.receiver in cell.fleet.disks else cell.leader_of(group)
+
+
+def process_of(cell: Cell, point: Point) -> Process | None:
+    """Return the process of the upstream that the step calls."""
+    return cell.fleet.world.process(point.receiver) if point.kind == "upstream" else None
+
+
+def kill_entry(cell: Cell, point: Point, group: str) -> None:
+    """The process of the entry dies."""
+    cell.kill(ENTRY)
+
+
+def kill_receiver(cell: Cell, point: Point, group: str) -> None:
+    """The process of the receiver dies; of the leader, where the step has no control host."""
+    process = process_of(cell, point)
+    if process is not None:
+        process.die(warm_next=True)
+    else:
+        cell.kill(control_of(cell, point, group))
+
+
+def cut_receiver(cell: Cell, point: Point, *, inbound: bool, outbound: bool, group: str) -> None:
+    """Cut the receiver off; an upstream from the entry."""
+    if point.kind != "upstream":
+        host = control_of(cell, point, group)
+        cell.fleet.isolate(host, inbound=inbound, outbound=outbound)
+        return
+    entry = cell.fleet.ip_of(ENTRY)
+    for ip in upstream_ips(cell.fleet):
+        if inbound:
+            cell.fleet.network.cut(entry, ip, both_ways=False)
+        if outbound:
+            cell.fleet.network.cut(ip, entry, both_ways=False)
+
+
+def cut_both_ways(cell: Cell, point: Point, group: str) -> None:
+    """A silent partition of the receiver, both ways."""
+    cut_receiver(cell, point, inbound=True, outbound=True, group=group)
+
+
+def cut_inbound(cell: Cell, point: Point, group: str) -> None:
+    """A silent partition: nothing reaches the receiver."""
+    cut_receiver(cell, point, inbound=True, outbound=False, group=group)
+
+
+def cut_outbound(cell: Cell, point: Point, group: str) -> None:
+    """A silent partition: nothing that the receiver sends arrives."""
+    cut_receiver(cell, point, inbound=False, outbound=True, group=group)
+
+
+def cut_entry(cell: Cell, point: Point, group: str) -> None:
+    """A silent partition of the entry, both ways."""
+    cell.fleet.isolate(ENTRY)
+
+
+def stall_receiver(cell: Cell, point: Point, group: str) -> None:
+    """The receiver neither answers nor writes for some seconds."""
+    if point.kind == "upstream":
+        cell.fleet.world.standins[point.receiver].knobs.stalled = True
+        return
+    host = control_of(cell, point, group)
+    cell.fleet.isolate(host)
+    cell.fleet.disks[host].sync_delay_s = STALLED_DISK_S
+
+
+def slow_upstreams(cell: Cell, point: Point, group: str) -> None:
+    """Every upstream takes seconds longer."""
+    for standin in cell.fleet.world.standins.values():
+        standin.knobs.delay_s = SLOW_S
+
+
+def slow_links(cell: Cell, point: Point, group: str) -> None:
+    """The links of the entry straggle, with jitter."""
+    entry = cell.fleet.ip_of(ENTRY)
+    for other in other_ips(cell.fleet, ENTRY):
+        for link in links_between(cell.fleet, entry, other):
+            link.delay_s, link.jitter_s = 0.3, 0.5
+
+
+def restart_upstreams(cell: Cell, point: Point, group: str) -> None:
+    """Every service restarts cold; its connections break."""
+    for name in cell.bookings():
+        cell.fleet.world.process(name).restart()
+
+
+def turn_upstreams_cold(cell: Cell, point: Point, group: str) -> None:
+    """Every service turns cold and keeps its process and connections."""
+    for name in cell.bookings():
+        cell.fleet.world.process(name).turn_cold()
+
+
+def fill_disk(cell: Cell, point: Point, group: str) -> None:
+    """The disk of the control host is full."""
+    disk = cell.fleet.disks[control_of(cell, point, group)]
+    disk.capacity_bytes = used_bytes(disk)
+
+
+def fail_fsync(cell: Cell, point: Point, group: str) -> None:
+    """Every fsync of the control host fails."""
+    cell.fleet.disks[control_of(cell, point, group)].fail_syncs = True
+
+
+def tear_write(cell: Cell, point: Point, group: str) -> None:
+    """The control host loses power; a part of its unsynced bytes stays."""
+    host = control_of(cell, point, group)
+    cell.kill(host, torn=True)
+    cell.nursery.start_soon(restart_host, cell, host)
+
+
+def corrupt_record(cell: Cell, point: Point, group: str) -> None:
+    """The control host restarts with one bit inverted in the middle of its log."""
+    host = control_of(cell, point, group)
+    cell.kill(host)
+    disk = cell.fleet.disks[host]
+    name = max(name for name in disk.files if name.startswith(f"{group}/log/"))
+    disk.flip_bit(name, len(disk.files[name].data) // 2)
+    cell.nursery.start_soon(restart_host, cell, host)
+
+
+def replace_host(cell: Cell, point: Point, group: str) -> None:
+    """The control host is replaced by one with an empty disk."""
+    host = control_of(cell, point, group)
+    cell.kill(host)
+    cell.fleet.replace_disk(host)
+    cell.nursery.start_soon(restart_host, cell, host)
+
+
+def lose_second_host(cell: Cell, point: Point, group: str) -> None:
+    """The control host is replaced empty; once repaired, a second one is replaced as well."""
+    first = control_of(cell, point, group)
+    second = next(host for host in sorted(cell.fleet.disks) if host != first)
+    replace_host(cell, point, group)
+    cell.nursery.start_soon(replace_after_repair, cell, first, second)
+
+
+async def replace_after_repair(cell: Cell, first: str, second: str) -> None:
+    """Replace a second host as soon as the first one is a voter of every group again."""
+    with trio.move_on_after(REPAIR_TIMEOUT_S) as scope:
+        async for _ in cell.fleet.timers.subscribe("testing.repair", 0.1):
+            if is_voter(cell, first):
+                break
+    cell.check(not scope.cancelled_caught, f"{first} is not repaired after {REPAIR_TIMEOUT_S} s")
+    cell.note(f"{first} was repaired; {second} lost its disk right after")
+    cell.kill(second)
+    cell.fleet.replace_disk(second)
+    await restart_host(cell, second)
+
+
+def is_voter(cell: Cell, host: str) -> bool:
+    """Tell whether every group lists the present storage id of a host as a voter."""
+    node = cell.fleet.nodes.get(host)
+    if node is None or node.control is None:
+        return False
+    for group in node.control.groups.values():
+        identity = group.identify()
+        if isinstance(identity, Failure):
+            return False
+        if not any(voter.storage_id == identity.storage_id for voter in identity.voters):
+            return False
+    return True
+
+
+async def restart_host(cell: Cell, host: str) -> None:
+    """Start a host again after a moment."""
+    await cell.fleet.timers.sleep(RESTART_S)
+    await cell.start_host(host)
+
+
+def keep_stale_list(cell: Cell, point: Point, group: str) -> None:
+    """A control host dies and the platform goes on listing it as live."""
+    host = control_of(cell, point, group)
+    cell.kill(host)
+    cell.nursery.start_soon(expect_not_live, cell, host)
+
+
+async def expect_not_live(cell: Cell, host: str) -> None:
+    """The leader's own evidence takes precedence over the platform's list."""
+    await cell.fleet.timers.sleep(DEAD_AFTER_S / 2)
+    for name, node in cell.fleet.nodes.items():
+        status = node.parts.view.node(host)
+        cell.check(
+            host in cell.fleet.nodes or status is None or status.state != "live",
+            f"{name} believes the stale list that {host} is live",
+        )
+
+
+def race_operators(cell: Cell, point: Point, group: str) -> None:
+    """Two operators submit different manifests with the same number at the same moment."""
+    cell.nursery.start_soon(cell.submit, 5, "h1", 2.0, "operator-a")
+    cell.nursery.start_soon(cell.submit, 5, "h2", 3.0, "operator-b")
+
+
+def resend_orders(cell: Cell, point: Point, group: str) -> None:
+    """An operator sends the same manifest twice, through two entries."""
+    cell.nursery.start_soon(cell.submit, 6, "h1", 2.0, "operator-a")
+    cell.nursery.start_soon(cell.submit, 6, "h2", 2.0, "operator-a")
+
+
+def jump_clocks(cell: Cell, point: Point, group: str) -> None:
+    """The wall clock of the control host jumps ahead, that of the entry back."""
+    for host, jump_s in ((control_of(cell, point, group), JUMP_S), (ENTRY, -JUMP_S)):
+        node = cell.fleet.nodes.get(host)
+        if node is not None:
+            shift_wall(node.parts.timers, jump_s)
+
+
+def shift_wall(timers: Any, jump_s: float) -> None:
+    """Move the wall clock of one node."""
+    wall = timers._wall
+    timers._wall = lambda: wall() + jump_s
+
+
+def take_data_centre_out(cell: Cell, point: Point, group: str) -> None:
+    """An operator takes the data centre of the entry out of service."""
+    data_centre = cell.fleet.settings[ENTRY].data_centre
+    cell.nursery.start_soon(cell.take_out, "data_centre", data_centre, "out", 1, "h2")
+
+
+def disturbing(disturb: Disturb) -> Fault:
+    """Return the fault that disturbs the fleet and then lets the step go on."""
+
+    async def fault(cell: Cell, point: Point, forward: Forward, group: str) -> Any:
+        disturb(cell, point, group)
+        # A process that died here goes no further.
+        await trio.lowlevel.checkpoint()
+        return await forward()
+
+    fault.__doc__ = disturb.__doc__
+    return fault
+
+
+MESSAGE_FAULTS: dict[str, Fault] = {
+    "message lost": lose_message,
+    "message delayed": delay_message,
+    "message doubled": double_message,
+    "message reordered": reorder_message,
+    "answer lost after the effect": lose_answer,
+}
+STATE_FAULTS: dict[str, Disturb] = {
+    "entry dies": kill_entry,
+    "receiver dies": kill_receiver,
+    "receiver cut off both ways": cut_both_ways,
+    "receiver cut off inbound": cut_inbound,
+    "receiver cut off outbound": cut_outbound,
+    "entry cut off": cut_entry,
+    "receiver stalled": stall_receiver,
+    "upstreams slow": slow_upstreams,
+    "links of the entry straggle": slow_links,
+    "upstreams restarted cold": restart_upstreams,
+    "upstreams turned cold": turn_upstreams_cold,
+    "disk full": fill_disk,
+    "fsync fails": fail_fsync,
+    "torn write": tear_write,
+    "corrupt record": corrupt_record,
+    "host replaced empty": replace_host,
+    "second host lost after a repair": lose_second_host,
+    "stale platform list": keep_stale_list,
+    "operators race": race_operators,
+    "orders resent": resend_orders,
+    "wall clocks jump": jump_clocks,
+    "data centre out": take_data_centre_out,
+}
+PAIRS: dict[str, Fault] = {
+    "answer lost, entry dies": lose_answer_and_entry,
+    "message lost, leader dies": lose_message_and_leader,
+    "answer lost, leader dies": lose_answer_and_leader,
+    "entry cut off, leader dies": cut_entry_and_kill_leader,
+}
+FAULTS: dict[str, Fault] = {
+    **MESSAGE_FAULTS,
+    **{name: disturbing(disturb) for name, disturb in STATE_FAULTS.items()},
+    **PAIRS,
+}
--- a/marigoldtrail/testing/fleet.py
+++ b/marigoldtrail/testing/fleet.py
@@ -201,18 +201,22 @@
 
     def isolate(self, host: str, *, inbound: bool = True, outbound: bool = True) -> None:
         """Cut a host off silently from all other hosts and from the upstreams."""
-        for other in [*map(self.ip_of, self.settings), WORLD_IP]:
-            if other != self.ip_of(host):
-                if outbound:
-                    self.network.cut(self.ip_of(host), other, both_ways=False)
-                if inbound:
-                    self.network.cut(other, self.ip_of(host), both_ways=False)
+        for other in self._other_ips(host):
+            if outbound:
+                self.network.cut(self.ip_of(host), other, both_ways=False)
+            if inbound:
+                self.network.cut(other, self.ip_of(host), both_ways=False)
+
+    def _other_ips(self, host: str) -> list[str]:
+        """Return the IP numbers of all other hosts and those on which the upstreams listen."""
+        upstreams = {Address.parse(up.address).ip for up in self.world.manifest.upstreams}
+        others = {*map(self.ip_of, self.settings), WORLD_IP, *upstreams}
+        return sorted(others - {self.ip_of(host)})
 
     def rejoin(self, host: str) -> None:
         """Restore all links of a host."""
-        for other in [*map(self.ip_of, self.settings), WORLD_IP]:
-            if other != self.ip_of(host):
-                self.network.restore(self.ip_of(host), other)
+        for other in self._other_ips(host):
+            self.network.restore(self.ip_of(host), other)
 
     async def submit_manifest(
         self, host: str, document: bytes, operator: str = "operator"
--- a/marigoldtrail/testing/tests/test_fleet.py
+++ b/marigoldtrail/testing/tests/test_fleet.py
@@ -90,3 +90,14 @@
     assert max(fleet.world.process(f"booking-{n}").max_cold_running for n in (1, 2)) > 0
     assert fleet.world.cold_limit_exceeded() == 0
     nursery.cancel_scope.cancel()
+
+
+async def test_isolated_entry_reaches_no_upstream(autojump_clock, nursery):
+    """Guards against a partition in memory that leaves the links to the upstreams open."""
+    fleet = await start_fleet(nursery)
+    calls = fleet.world.calls_of("booking-1") + fleet.world.calls_of("booking-2")
+    fleet.isolate("h4")
+    refused = await fleet.send("h4", "slot_list", "yard-7", {"day": 1}, deadline_s=1.5)
+    assert is_failure(refused)
+    assert fleet.world.calls_of("booking-1") + fleet.world.calls_of("booking-2") == calls
+    nursery.cancel_scope.cancel()
