--- a/marigoldtrail/testing/fault_kinds.py
+++ b/marigoldtrail/testing/fault_kinds.py
@@ -325,15 +325,7 @@
 def jump_clocks(cell: Cell, point: Point, group: str) -> None:
     """The wall clock of the control host jumps ahead, that of the entry back."""
     for host, jump_s in ((control_of(cell, point, group), JUMP_S), (ENTRY, -JUMP_S)):
-        node = cell.fleet.nodes.get(host)
-        if node is not None:
-            shift_wall(node.parts.timers, jump_s)
-
-
-def shift_wall(timers: Any, jump_s: float) -> None:
-    """Move the wall clock of one node."""
-    wall = timers._wall
-    timers._wall = lambda: wall() + jump_s
+        cell.fleet.wall_offsets[host] = jump_s
 
 
 def take_data_centre_out(cell: Cell, point: Point, group: str) -> None:
--- a/marigoldtrail/testing/fault_report.py
+++ b/marigoldtrail/testing/fault_report.py
@@ -6,8 +6,8 @@
 from collections.abc import Sequence
 
 from marigoldtrail.testing.fault_kinds import FAULTS
+from marigoldtrail.testing.fault_matrix import BROKEN, IMPOSSIBLE, UNTRIED, CellResult
 from marigoldtrail.testing.fault_steps import STEPS
-from marigoldtrail.testing.faults import BROKEN, IMPOSSIBLE, UNTRIED, CellResult
 
 INTRODUCTION = """# Fault matrix
 
--- a/marigoldtrail/testing/faults.py
+++ b/marigoldtrail/testing/faults.py
@@ -1,234 +1,102 @@
-"""The fault matrix: every fault at every step of a small fleet in memory."""
+"""Runs the fault matrix and writes its page: ``python -m marigoldtrail.testing faults``."""
 
 from __future__ import annotations
 
-import contextlib
-import logging
-from collections.abc import Iterable, Iterator
-from typing import Any
-from unittest import mock
+from multiprocessing import Pool
+from pathlib import Path
+from typing import Annotated
 
 import msgspec
-import trio
-import trio.testing
+import typer
 
-from marigoldtrail.control.platform import HostList, PlatformHost
-from marigoldtrail.node import control_role
-from marigoldtrail.testing.fault_cell import Cell, start_cell
 from marigoldtrail.testing.fault_kinds import FAULTS
+from marigoldtrail.testing.fault_matrix import BROKEN, SEED, CellResult, run_matrix
+from marigoldtrail.testing.fault_report import render_page
 from marigoldtrail.testing.fault_steps import STEPS
-from marigoldtrail.testing.taps import Forward, Point, Tap, install_tap
 
-HELD = "held"
-BROKEN = "broken"
-IMPOSSIBLE = "cannot happen"
-UNTRIED = "untried"
+app = typer.Typer(pretty_exceptions_enable=False)
 
-SEED = 1
-# A fault lasts this long, unless the work of the step ends earlier.
-FAULT_S = 8.0
-WORK_TIMEOUT_S = 60.0
-# Longest run of a cell in virtual seconds.
-CELL_VIRTUAL_S = 900.0
 
-
-class CellResult(msgspec.Struct, kw_only=True, frozen=True):
-    """
-    Verdict of one cell.
-
-    Parameters
-    ----------
-    step, fault : str
-        The cell.
-    verdict : str
-        ``held``, ``broken``, ``cannot happen`` or ``untried``.
-    seen : list of str
-        What callers and operators saw, or the reason why the cell did not run.
-    broken : list of str
-        Promises that did not hold.
-    """
-
-    step: str
-    fault: str
-    verdict: str
-    seen: list[str] = []
-    broken: list[str] = []
-
-
-def impossible(step: str, fault: str) -> str:
+def main(argv: list[str]) -> int:
     """
-    Return why a fault cannot act at a step; empty if it can.
+    Run the command line.
 
     Parameters
     ----------
-    step, fault : str
-        The cell.
+    argv : list of str
+        Arguments after the name of the command.
 
     Returns
     -------
-    str
-        The reason.
+    int
+        Exit code: 1 if a cell is broken.
     """
-    if STEPS[step].after and fault in ("message lost", "message delayed", "message reordered"):
-        return "the message has already arrived"
-    if STEPS[step].after and fault == "message doubled":
-        return "same cell as before the effect: the copy comes after it either way"
-    return ""
-
-
-def run_cell(step: str, fault: str, *, seed: int = SEED) -> CellResult:
+    return int(app(argv, prog_name="faults", standalone_mode=False) or 0)
+
+
+@app.command()
+def run_faults(
+    step: Annotated[list[str] | None, typer.Option(help="Only this step; repeatable.")] = None,
+    fault: Annotated[list[str] | None, typer.Option(help="Only this fault; repeatable.")] = None,
+    seed: Annotated[int, typer.Option(help="Seed of everything random.")] = SEED,
+    jobs: Annotated[int, typer.Option(help="Processes that run steps.")] = 4,
+    page: Annotated[Path, typer.Option(help="Page to write.")] = Path("docs/FAULTS.md"),
+    results: Annotated[
+        Path | None, typer.Option(help="Keep results here and run only cells that it lacks.")
+    ] = None,
+) -> int:
+    """Run every fault at every step and write the page of the fault matrix."""
+    known = read_results(results)
+    done = {(cell.step, cell.fault) for cell in known}
+    cells = [
+        (name, kind, seed)
+        for name in step or list(STEPS)
+        for kind in fault or list(FAULTS)
+        if (name, kind) not in done
+    ]
+    with Pool(jobs) as pool:
+        for cell in pool.imap_unordered(run_one_cell, cells):
+            known.append(cell)
+            typer.echo(f"{cell.verdict}: {cell.step} / {cell.fault} {'; '.join(cell.broken)}")
+            if results is not None:
+                with results.open("ab") as file:
+                    file.write(msgspec.json.encode(cell) + b"\n")
+    page.write_text(render_page(known, seed=seed))
+    return int(any(cell.verdict == BROKEN for cell in known))
+
+
+def run_one_cell(cell: tuple[str, str, int]) -> CellResult:
     """
-    Run one cell under a virtual clock.
+    Run one cell in a process of the pool.
 
     Parameters
     ----------
-    step, fault : str
-        Names in `STEPS` and `FAULTS`.
-    seed : int
-        Seed of everything random.
+    cell : tuple of str, str, int
+        Step, fault and seed.
 
     Returns
     -------
     CellResult
-        The verdict; ``untried`` if the step was not reached.
+        Its verdict.
     """
-    reason = impossible(step, fault)
-    if reason:
-        return CellResult(step=step, fault=fault, verdict=IMPOSSIBLE, seen=[reason])
-    with fixed_schedule(seed):
-        clock = trio.testing.MockClock(autojump_threshold=0)
-        return trio.run(run_in_fleet, step, fault, seed, clock=clock)
-
-
-@contextlib.contextmanager
-def fixed_schedule(seed: int) -> Iterator[None]:
-    """Run the tasks of trio in the same order on every run."""
-    core = trio._core._run
-    before = core._r.getstate()
-    with mock.patch.object(core, "_ALLOW_DETERMINISTIC_SCHEDULING", True):
-        core._r.seed(seed)
-        try:
-            yield
-        finally:
-            core._r.setstate(before)
-
-
-async def run_in_fleet(step: str, fault: str, seed: int) -> CellResult:
-    """Start a fleet, inject the fault at the step, heal, settle and judge."""
-    result = CellResult(step=step, fault=fault, verdict=UNTRIED)
-    async with trio.open_nursery() as nursery:
-        box: list[Cell] = []
-
-        async def act(point: Point, forward: Forward) -> Any:
-            return await inject(box[0], step, fault, point, forward)
-
-        tap = Tap(matches=STEPS[step].matches, act=act)
-        with install_tap(tap), install_platform(box):
-            cell = await start_cell(nursery, seed)
-            box.append(cell)
-            with trio.move_on_after(CELL_VIRTUAL_S) as scope:
-                await run_step(cell, step, tap)
-            cell.check(not scope.cancelled_caught, f"the cell runs longer than {CELL_VIRTUAL_S} s")
-            result = judge_cell(cell, tap, step, fault)
-            nursery.cancel_scope.cancel()
-    return result
-
-
-async def inject(cell: Cell, step: str, fault: str, point: Point, forward: Forward) -> Any:
-    """Apply the fault before the point's effect, or after it."""
-    apply, group = FAULTS[fault], STEPS[step].group
-    if not STEPS[step].after:
-        return await apply(cell, point, forward, group)
-    result = await forward()
-
-    async def give() -> Any:
-        return result
-
-    return await apply(cell, point, give, group)
-
-
-async def run_step(cell: Cell, step: str, tap: Tap) -> None:
-    """Bring the fleet to the step, let the fault last, heal, settle and judge."""
-    spec = STEPS[step]
-    if spec.prepare is not None:
-        await spec.prepare(cell)
-    done = trio.Event()
-
-    async def work() -> None:
-        await spec.work(cell)
-        done.set()
-
-    tap.armed = True
-    cell.nursery.start_soon(work)
-    with trio.move_on_after(FAULT_S):
-        await done.wait()
-    # Some work ends at once; the fault then still acts for a moment.
-    await cell.fleet.timers.sleep(1)
-    tap.armed = False
-    await cell.heal()
-    with trio.move_on_after(WORK_TIMEOUT_S):
-        await done.wait()
-    cell.check(done.is_set(), "the work of the step does not end")
-    await cell.heal()
-    await cell.settle()
-    await cell.judge()
-
-
-def judge_cell(cell: Cell, tap: Tap, step: str, fault: str) -> CellResult:
-    """Return the verdict of a cell that ran."""
-    if not tap.fired:
-        seen = [f"the step was not reached; seen: {sorted(tap.seen)}"]
-        return CellResult(step=step, fault=fault, verdict=UNTRIED, seen=seen)
-    return CellResult(
-        step=step,
-        fault=fault,
-        verdict=BROKEN if cell.broken else HELD,
-        seen=list(cell.seen),
-        broken=list(cell.broken),
-    )
-
-
-@contextlib.contextmanager
-def install_platform(box: list[Cell]) -> Iterator[None]:
-    """Let every control host read a platform list on which every host is live for ever."""
-
-    async def read_hosts() -> HostList:
-        await trio.lowlevel.checkpoint()
-        hosts = list(box[0].fleet.settings) if box else []
-        return HostList(version=1, hosts=[PlatformHost(host=host, state="live") for host in hosts])
-
-    with mock.patch.object(control_role, "make_host_reader", lambda url: read_hosts):
-        yield
-
-
-def run_matrix(
-    steps: Iterable[str], faults: Iterable[str], *, seed: int = SEED
-) -> Iterator[CellResult]:
+    step, fault, seed = cell
+    return next(run_matrix([step], [fault], seed=seed))
+
+
+def read_results(path: Path | None) -> list[CellResult]:
     """
-    Run a part of the matrix.
+    Read the results of earlier runs.
 
     Parameters
     ----------
-    steps, faults : iterable of str
-        Which rows and columns.
-    seed : int
-        Seed of everything random.
+    path : Path or None
+        One JSON object a line; may be missing.
 
-    Yields
-    ------
-    CellResult
-        One for each cell, in order.
+    Returns
+    -------
+    list of CellResult
+        The results.
     """
-    logging.disable(logging.CRITICAL)
-    faults = list(faults)
-    try:
-        for step in steps:
-            for fault in faults:
-                try:
-                    yield run_cell(step, fault, seed=seed)
-                except Exception as exc:
-                    # A part of the fleet raised: that breaks the cell, not the run.
-                    broken = [f"raised {exc!r}: {getattr(exc, 'exceptions', ())!r}"]
-                    yield CellResult(step=step, fault=fault, verdict=BROKEN, broken=broken)
-    finally:
-        logging.disable(logging.NOTSET)
+    if path is None or not path.exists():
+        return []
+    return [msgspec.json.decode(line, type=CellResult) for line in path.read_bytes().splitlines()]
--- a/marigoldtrail/testing/tests/test_faults.py
+++ b/marigoldtrail/testing/tests/test_faults.py
@@ -5,9 +5,9 @@
 
 from marigoldtrail.serving import claims
 from marigoldtrail.testing.fault_kinds import FAULTS
+from marigoldtrail.testing.fault_matrix import HELD, UNTRIED, CellResult, run_cell
 from marigoldtrail.testing.fault_report import render_page
 from marigoldtrail.testing.fault_steps import STEPS
-from marigoldtrail.testing.faults import HELD, UNTRIED, CellResult, run_cell
 
 # The promises that matter most: at most once, cold limit, manifests, drains. The whole matrix takes
 # half an hour on one core; these cells fit into a minute.
