Say not run only if no call of the request can have left the node

Cause: failures after encode, retrieve, rerank or generate calls said not_run, since those calls have no effect outside; but part of the request had run, and the promise makes no such difference. Change: every call that may have left counts, whatever its stage. Two tests expected not_run after a first stage had been called; they now expect may_have_run, which is the stricter reading of the promise. Checked: pytest of serving and testing passes.

--- a/marigoldtrail/serving/generation.py
+++ b/marigoldtrail/serving/generation.py
@@ -207,6 +207,7 @@
     with shared.telemetry.span(
         "stage.attempt", stage=stage.name, upstream=name, attempt_id=attempt_id
     ) as span:
+        run.in_doubt += 1
         try:
             failure = await _read_in_time(state, target, call, timeout_s)
         except trio.Cancelled:
@@ -214,6 +215,8 @@
             raise
         span.set_attribute("tokens", state.next_token - first_token)
         if failure is not None:
+            if failure.run_state is RunState.NOT_RUN:
+                run.in_doubt -= 1
             mark_failure(span, failure)
             record.fail(failure)
             return failure
--- a/marigoldtrail/serving/idempotent.py
+++ b/marigoldtrail/serving/idempotent.py
@@ -12,7 +12,7 @@
 from marigoldtrail.schema.generated.manifest import Stage
 from marigoldtrail.serving.calls import send_call
 from marigoldtrail.serving.outcomes import StageResult, cost_of
-from marigoldtrail.serving.run import Run, has_effects
+from marigoldtrail.serving.run import Run
 from marigoldtrail.serving.targets import find_target, recheck, release_target
 
 MAX_ATTEMPTS = 3
@@ -239,11 +239,11 @@
     estimator = shared.estimator(run.pipeline.name, stage)
     budget_s = state.until - shared.timers.now()
     timeout_s = limit_attempt(budget_s, estimator, may_repeat=state.attempts < MAX_ATTEMPTS)
-    run.in_doubt += has_effects(stage)
+    run.in_doubt += 1
     answer = await send_call(run, stage, target, attempt_id=attempt_id, timeout_s=timeout_s)
     if isinstance(answer, Failure):
         if answer.run_state is RunState.NOT_RUN:
-            run.in_doubt -= has_effects(stage)
+            run.in_doubt -= 1
         return AttemptOutcome(answer, True)
     result = StageResult(
         output=answer.output,
--- a/marigoldtrail/serving/run.py
+++ b/marigoldtrail/serving/run.py
@@ -8,7 +8,7 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.policy import Estimator
-from marigoldtrail.schema.generated.manifest import Pipeline, Stage
+from marigoldtrail.schema.generated.manifest import Pipeline
 from marigoldtrail.schema.generated.records import StageRecord
 from marigoldtrail.serving.catalog import Catalog
 from marigoldtrail.serving.shared import Shared
@@ -35,8 +35,9 @@
     Attributes
     ----------
     in_doubt : int
-        Number of effects that the request has had or may have had: calls of stages with effects,
-        text passed on to the caller, another run under the same idempotency key.
+        Number of ways in which the request has run or may have run: calls that may have left this
+        node, text passed on to the caller, another run under the same idempotency key. Calls that
+        only compute count as well: a refusal that says not run must be true of every stage.
     step : str
         Step that it is in, for failures.
     """
@@ -114,21 +115,3 @@
         if failure.run_state is self.run_state:
             return failure
         return msgspec.structs.replace(failure, run_state=self.run_state)
-
-
-def has_effects(stage: Stage) -> bool:
-    """
-    Tell whether a call of a stage can have an effect outside the system.
-
-    Parameters
-    ----------
-    stage : Stage
-        The stage.
-
-    Returns
-    -------
-    bool
-        True for services, whose idempotent calls may also change something; encoding, retrieval,
-        ranking and generation only compute.
-    """
-    return not stage.idempotent or stage.kind == "service"
