--- a/marigoldtrail/cli/inspect.py
+++ b/marigoldtrail/cli/inspect.py
@@ -6,12 +6,15 @@
 from pathlib import Path
 from typing import Annotated, Any
 
+import trio
 import typer
 
 from marigoldtrail.api import ApiClient, ApiStream, format_ms, format_record
 from marigoldtrail.cli.context import ApiOption, JsonOption, call_api, read_input
 from marigoldtrail.cli.exits import ExitCode, print_result
 from marigoldtrail.errors import Failure
+from marigoldtrail.net import Address
+from marigoldtrail.telemetry import follow_decisions
 
 DIGEST_CHARS = 64
 
@@ -134,3 +137,32 @@
         for item in reply["decisions"]
     ]
     print_result(reply, as_json=as_json, text="\n".join(lines) or "no decisions")
+
+
+def follow_events(
+    address: Annotated[
+        str, typer.Option("--address", metavar="IP:PORT", help="Setting events_address of a node.")
+    ],
+    limit: Annotated[int, typer.Option(min=0, help="End after so many events; 0: never.")] = 0,
+) -> None:
+    """Print the decisions of a node as it takes them, one JSON object a line.
+
+    The feed is lossy: what must not be missed is read with explain.
+
+    Example: marigoldtrail events --address 10.0.0.1:9000
+    """
+
+    async def follow() -> None:
+        count = 0
+        async for decision in follow_decisions(address):
+            print_result(decision, as_json=True)
+            count += 1
+            if count == limit:
+                return
+
+    try:
+        Address.parse(address)
+    except ValueError as exc:
+        typer.echo(f"error: --address: {exc}", err=True)
+        raise typer.Exit(ExitCode.INVALID_INPUT) from exc
+    trio.run(follow)
