--- a/bench/dataline.py
+++ b/bench/dataline.py
@@ -100,6 +100,7 @@
         "failures": failures[:3],
         "first_token_p50_ms": percentile_ms(firsts, 0.5),
         "first_token_p95_ms": percentile_ms(firsts, 0.95),
+        "first_token_max_ms": percentile_ms(firsts, 1.0),
         "gap_p50_ms": percentile_ms(gaps, 0.5),
         "gap_p95_ms": percentile_ms(gaps, 0.95),
     }
