Give the callers of the data path benchmark enough connections

Cause: with 16 streams the first token took 6 s for six of them. A trial showed both engines warm and ten streams in progress: the one client has a pool of ten connections, so the wait was the benchmark's own. Change: 40 clients share the calls; 8, 16 and 32 streams in place of 4, 8 and 16. The benchmark of commits also measures commands of the size of a result record.

--- a/bench/commits.py
+++ b/bench/commits.py
@@ -29,6 +29,8 @@
 
 HOSTS = ("a", "b", "c")
 PAYLOAD_BYTES = 200
+# Size of the command that stores a result record of four stages, from bench.records.
+RECORD_BYTES = 2_166
 CLIENTS = 64
 COMMIT_S = 4.0
 COMMIT_ROUNDS = 2
@@ -276,14 +278,16 @@
         await trio.sleep(0.1)
 
 
-async def propose_until(groups: GroupSet, deadline: float, timers: Timers) -> int:
+async def propose_until(
+    groups: GroupSet, deadline: float, timers: Timers, payload_bytes: int
+) -> int:
     """Propose from many clients until a time; return the number of commits."""
     commits = 0
 
     async def run_client() -> None:
         nonlocal commits
         while timers.now() < deadline:
-            result = await groups["group-0"].propose(bytes(PAYLOAD_BYTES), timeout_s=MAX_WAIT_S)
+            result = await groups["group-0"].propose(bytes(payload_bytes), timeout_s=MAX_WAIT_S)
             if isinstance(result, Failure):
                 raise RuntimeError(str(result))
             commits += 1
@@ -309,7 +313,7 @@
             nursery.start_soon(propose)
 
 
-async def measure_commits(max_batch: int) -> dict[str, float]:
+async def measure_commits(max_batch: int, payload_bytes: int = PAYLOAD_BYTES) -> dict[str, float]:
     """Measure commits with a size of batch."""
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
@@ -318,7 +322,7 @@
             await propose_count(leader, CLIENTS)
             before, cpu = fleet.counter.values(), time.process_time()
             started = fleet.timers.now()
-            commits = await propose_until(leader, started + COMMIT_S, fleet.timers)
+            commits = await propose_until(leader, started + COMMIT_S, fleet.timers, payload_bytes)
             took_s = fleet.timers.now() - started
             cpu_s = time.process_time() - cpu
             after = fleet.counter.values()
@@ -408,11 +412,14 @@
         one["commits_per_s"] / other["commits_per_s"]
         for one, other in zip(batched, single, strict=True)
     ]
+    large = [await measure_commits(1024, RECORD_BYTES) for _ in range(COMMIT_ROUNDS)]
     idle = [await measure_idle(groups) for groups in IDLE_GROUPS]
     return {
         "clients": CLIENTS,
         "payload_bytes": PAYLOAD_BYTES,
         "group_commit": batched,
+        "record_bytes": RECORD_BYTES,
+        "group_commit_of_records": large,
         "one_entry_per_write": single,
         "ratio_of_commits_per_s": ratios,
         "catch_up": await measure_catch_up(),
--- a/bench/dataline.py
+++ b/bench/dataline.py
@@ -11,6 +11,7 @@
 import json
 import sys
 import time
+from contextlib import AsyncExitStack
 from typing import Any
 
 import trio
@@ -27,13 +28,15 @@
 
 REQUESTS_PER_S = (10, 20, 40)
 REQUESTS_S = 6.0
-STREAMS = (4, 8, 16)
+STREAMS = (8, 16, 32)
 # 2.1 M tokens/s over 7,000 requests/s; a stream takes 6 s under the deadline of 11 s.
 TOKENS_PER_STREAM = 300
 TOKEN_S = 0.02
 PREFILL_S = 0.005
 STREAM_STAGGER_S = 0.05
 WARM_LIMIT_S = 60.0
+# A client has at most 10 connections; with fewer clients than this, requests would wait for one.
+CALLERS = 40
 
 
 def percentile_ms(values: list[float], share: float) -> float:
@@ -42,7 +45,7 @@
     return round(1000 * ordered[min(len(ordered) - 1, int(share * len(ordered)))], 2)
 
 
-async def send_requests(client: ApiClient, rate: int) -> dict[str, Any]:
+async def send_requests(clients: list[ApiClient], rate: int) -> dict[str, Any]:
     """Send requests at a fixed rate for `REQUESTS_S`."""
     times: list[float] = []
     failures: list[str] = []
@@ -50,6 +53,7 @@
     async def send(number: int) -> None:
         await trio.sleep(number / rate)
         started = time.perf_counter()
+        client = clients[number % len(clients)]
         answer = await client.submit("slot_list", "bench", {"number": number})
         times.append(time.perf_counter() - started)
         if isinstance(answer, Failure):
@@ -66,7 +70,7 @@
     }
 
 
-async def read_streams(client: ApiClient, count: int) -> dict[str, Any]:
+async def read_streams(clients: list[ApiClient], count: int) -> dict[str, Any]:
     """Read streams side by side."""
     firsts: list[float] = []
     gaps: list[float] = []
@@ -76,6 +80,7 @@
     async def read(number: int) -> None:
         nonlocal tokens
         await trio.sleep(number * STREAM_STAGGER_S)
+        client = clients[number % len(clients)]
         last = started = time.perf_counter()
         async with client.stream("generate_only", "bench", f"prompt {number}") as stream:
             if isinstance(stream, Failure):
@@ -108,9 +113,13 @@
 
 async def run_caller(port: int, kind: str, size: int) -> None:
     """Run the callers and print what they saw."""
-    async with ApiClient(address=Address("127.0.0.1", port)) as client:
+    async with AsyncExitStack() as stack:
+        address = Address("127.0.0.1", port)
+        clients = [
+            await stack.enter_async_context(ApiClient(address=address)) for _ in range(CALLERS)
+        ]
         call = send_requests if kind == "requests" else read_streams
-        print(json.dumps(await call(client, size)))
+        print(json.dumps(await call(clients, size)))
 
 
 async def measure_run(fleet: BenchFleet, kind: str, size: int) -> dict[str, Any]:
