Name the winner of a conflict in its detail

The command line printed only the number in force; the operator, time and digest of the winning change were in fields that it did not show.

--- a/marigoldtrail/api/operators.py
+++ b/marigoldtrail/api/operators.py
@@ -9,6 +9,7 @@
 
 from marigoldtrail.api.addresses import AddressAnswer, rank_addresses
 from marigoldtrail.api.context import ApiContext, not_found
+from marigoldtrail.api.display import format_ms
 from marigoldtrail.api.http import (
     ApiRequest,
     Response,
@@ -89,7 +90,7 @@
         reason=reason,
         run_state=RunState.NOT_RUN,
         step=step,
-        detail=f"{reply.outcome}: number {reply.number} is in force",
+        detail=describe_refusal(reply, step),
     )
     extra = {
         "outcome": reply.outcome,
@@ -101,6 +102,32 @@
     return ctx.refuse(failure, faults=reply.faults, extra=extra)
 
 
+def describe_refusal(reply: SubmitReply, step: str) -> str:
+    """
+    Describe why a change was refused, and which change won.
+
+    Parameters
+    ----------
+    reply : SubmitReply
+        Outcome other than accepted or repeated.
+    step : str
+        Step at which it was refused.
+
+    Returns
+    -------
+    str
+        Outcome, number in force, and what is known of the winner: operator, time, and the digest
+        of a manifest or the state of a service.
+    """
+    text = f"{reply.outcome}: number {reply.number} is in force"
+    if reply.winner_operator:
+        text += f", submitted by {reply.winner_operator}"
+    if reply.winner_wall_ms:
+        text += f" at {format_ms(reply.winner_wall_ms)}"
+    label = "digest" if step == "manifest.submit" else "state"
+    return text + (f", {label} {reply.digest[:12]}" if reply.digest else "")
+
+
 async def show_manifest(ctx: ApiContext, req: ApiRequest) -> Response:
     """Handle ``GET /v1/manifest``."""
     reply = await ctx.control.get_manifest()
--- a/marigoldtrail/api/tests/test_operators.py
+++ b/marigoldtrail/api/tests/test_operators.py
@@ -52,7 +52,7 @@
     )
     response = await rig.ask("PUT", "/v1/manifest", body=document)
     problem = check_problem(response, 409, reason="key_mismatch", text="conflict")
-    assert problem.extra["winner_operator"] == "bea"
+    assert problem.extra["winner_operator"] == "bea" and "by bea" in problem.detail
     bad = msgspec.json.encode({**MANIFEST, "number": 0, "colour": "red"})
     problem = check_problem(await rig.ask("PUT", "/v1/manifest", body=bad), 400)
     assert len(problem.faults) == 2 and any("$.number" in fault for fault in problem.faults)
