--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 STEPS ?= 40
 
-.PHONY: demo test lint format bench binary fuzz faults schema
+.PHONY: demo test lint format bench binary fuzz faults schema reference
 
 $(VENV)/installed: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -41,3 +41,6 @@
 
 schema: $(VENV)/installed
 	$(BIN)/python -m marigoldtrail.schema
+
+reference: $(VENV)/installed
+	$(BIN)/python -m marigoldtrail.schema.reference
--- /dev/null
+++ b/marigoldtrail/schema/reference.py
@@ -0,0 +1,156 @@
+"""Writes the reference pages of settings and manifest from their schemas (``make reference``)."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+from marigoldtrail.schema import load_schema
+
+PAGES = ("settings", "manifest")
+FOLDER = Path("docs/reference")
+
+
+def render_page(name: str) -> str:
+    """
+    Render the reference page of a schema.
+
+    Parameters
+    ----------
+    name : str
+        Name of the schema, for example ``"settings"``.
+
+    Returns
+    -------
+    str
+        Markdown.
+
+    Examples
+    --------
+    >>> render_page("settings").splitlines()[0]
+    '# Reference: settings'
+    """
+    schema = load_schema(name)
+    lines = [f"# Reference: {name}", "", schema["description"]]
+    lines += [
+        "",
+        f"Generated from `marigoldtrail/schema/{name}.json` by `make reference`. Unknown fields "
+        "are refused.",
+        "",
+        *render_table(schema),
+    ]
+    for title, definition in schema["$defs"].items():
+        lines += ["", f"## {title}", ""]
+        if "description" in definition:
+            lines += [definition["description"], ""]
+        lines += render_table(definition)
+    return "\n".join(lines) + "\n"
+
+
+def render_table(definition: dict[str, Any]) -> list[str]:
+    """
+    Render the fields of an object.
+
+    Parameters
+    ----------
+    definition : dict
+        Schema of an object.
+
+    Returns
+    -------
+    list of str
+        Lines of a Markdown table.
+    """
+    lines = ["| field | type | allowed | default | meaning |", "| --- | --- | --- | --- | --- |"]
+    for name, field in definition["properties"].items():
+        default = "required"
+        if name not in definition.get("required", ()):
+            default = f"`{json.dumps(field.get('default'))}`"
+        cells = [
+            f"`{name}`",
+            type_of(field),
+            limits_of(field),
+            default,
+            field.get("description", ""),
+        ]
+        lines.append("| " + " | ".join(cell.replace("|", "\\|") for cell in cells) + " |")
+    return lines
+
+
+def type_of(field: dict[str, Any]) -> str:
+    """
+    Return the type of a field as the page names it.
+
+    Parameters
+    ----------
+    field : dict
+        Schema of the field.
+
+    Returns
+    -------
+    str
+        A JSON type, or the section that describes it.
+
+    Examples
+    --------
+    >>> type_of({"type": "array", "items": {"$ref": "#/$defs/Stage"}})
+    'array of [Stage](#stage)'
+    """
+    if "$ref" in field:
+        title = field["$ref"].rpartition("/")[2]
+        return f"[{title}](#{title.lower()})"
+    if field.get("type") == "array":
+        return f"array of {type_of(field['items'])}"
+    return str(field.get("type", "any"))
+
+
+def limits_of(field: dict[str, Any]) -> str:
+    """
+    Return what a field allows.
+
+    Parameters
+    ----------
+    field : dict
+        Schema of the field.
+
+    Returns
+    -------
+    str
+        Its limits, separated by commas; empty if there are none.
+
+    Examples
+    --------
+    >>> limits_of({"type": "integer", "minimum": 1, "maximum": 9})
+    'at least 1, at most 9'
+    """
+    field = {**field.get("items", {}), **field}
+    names = {
+        "minimum": "at least {}",
+        "exclusiveMinimum": "more than {}",
+        "maximum": "at most {}",
+        "minLength": "at least {} characters",
+        "maxLength": "at most {} characters",
+        "minItems": "at least {} items",
+        "maxItems": "at most {} items",
+        "pattern": "pattern `{}`",
+    }
+    limits = [text.format(field[name]) for name, text in names.items() if name in field]
+    if "enum" in field:
+        limits.append(", ".join(f"`{value}`" for value in field["enum"]))
+    if field.get("uniqueItems"):
+        limits.append("no repetitions")
+    return ", ".join(limits)
+
+
+def main() -> None:
+    """Write the pages into `FOLDER`."""
+    for name in PAGES:
+        path = FOLDER / f"{name}.md"
+        path.write_text(render_page(name))
+        sys.stdout.write(f"{path}\n")
+
+
+if __name__ == "__main__":
+    main()
