--- a/marigoldtrail/cli/exits.py
+++ b/marigoldtrail/cli/exits.py
@@ -26,6 +26,15 @@
     CONFLICT = 6
 
 
+# Repeating the same command cannot help.
+_INVALID = (
+    Reason.BAD_REQUEST,
+    Reason.NOT_FOUND,
+    Reason.UNKNOWN_ACCOUNT,
+    Reason.UNKNOWN_PIPELINE,
+)
+
+
 def exit_code_of(failure: Failure) -> ExitCode:
     """
     Return the exit code for a failure.
@@ -51,7 +60,7 @@
         return ExitCode.UNREACHABLE
     if failure.reason is Reason.KEY_MISMATCH:
         return ExitCode.CONFLICT
-    if failure.reason in (Reason.BAD_REQUEST, Reason.NOT_FOUND):
+    if failure.reason in _INVALID:
         return ExitCode.INVALID_INPUT
     return ExitCode.NOT_RUN
 
