--- /dev/null
+++ b/marigoldtrail/cli/tests/test_pages.py
@@ -0,0 +1,81 @@
+"""Every command of README and of the pages of operations, against a small fleet."""
+
+from __future__ import annotations
+
+import json
+import shutil
+from functools import partial
+from pathlib import Path
+
+import trio
+
+from marigoldtrail.cli.tests.pages import ROOT, find_commands, run_page, run_program
+from marigoldtrail.node.tests.fleet import ProcessFleet, run_fleet
+
+# The order counts: manifest.md raises the manifest's number once, at-most-once.md stalls services.
+PAGES = (
+    "README.md",
+    "docs/operations/data-centre.md",
+    "docs/operations/manifest.md",
+    "docs/operations/cold-start.md",
+    "docs/operations/trace.md",
+    "docs/operations/lost-control-host.md",
+    "docs/operations/drain.md",
+    "docs/operations/backup.md",
+    "docs/operations/at-most-once.md",
+)
+STALLED_PAGE = "docs/operations/at-most-once.md"
+# Takeouts of the pages leave this one alone.
+HOST = "tsvetanov-3"
+REFUSED_ADDRESS = "127.0.0.1:1"
+
+
+def prepare_files(fleet: ProcessFleet, folder: Path) -> None:
+    """Lay the files of the fleet out as the pages name them."""
+    first = folder / "first"
+    first.mkdir()
+    text = json.dumps(fleet.manifest, indent=2)
+    (first / "tsvetanov.manifest.json").write_text(text)
+    for host in fleet.settings:
+        shutil.copy(folder / f"{host}.json", first / f"{host}.settings.json")
+
+
+async def test_commands_of_pages(tmp_path: Path, monkeypatch) -> None:
+    """Guards against pages whose commands fail, or promise another exit code or output."""
+    listed = {str(page.relative_to(ROOT)) for page in (ROOT / "docs/operations").glob("*.md")}
+    assert listed | {"README.md"} == set(PAGES)
+    async with run_fleet(tmp_path) as fleet:
+        monkeypatch.chdir(tmp_path)
+        prepare_files(fleet, tmp_path)
+        api = fleet.settings[HOST].api_address
+        run = trio.to_thread.run_sync
+        faults: list[str] = []
+        for page in PAGES:
+            if page == STALLED_PAGE:
+                for name, standin in fleet.world.standins.items():
+                    if name.startswith("booking"):
+                        standin.knobs.stalled = True
+            commands = find_commands(ROOT / page)
+            known: dict[str, str] = {}
+            found = await run(partial(run_page, commands, api=api, known_ids=known))
+            faults += [f"{page}: {fault}" for fault in found]
+        assert not faults, "\n".join(faults)
+        await run(check_exit_codes, api, tmp_path)
+
+
+def check_exit_codes(api: str, folder: Path) -> None:
+    """Check exit codes that no page shows."""
+    book = ["request", "book", "--client-account", "yard-7", "--api", api]
+    cases = {
+        ("request", "no_such_pipeline", "--client-account", "a", "--api", api): 2,
+        (*book, "--input", "{"): 2,
+        (*book, "--input-file", "missing.json"): 2,
+        (*book, "--deadline-ms", "11001"): 2,
+        ("status", "--api", REFUSED_ADDRESS): 5,
+        ("status", "--api", "127.0.0.1"): 2,
+        ("manifest", "submit", "missing.json", "--api", api): 2,
+        ("host", "in", "tsvetanov-2", "--number", "1", "--api", api): 6,
+        ("claims", "list", "--state", "open", "--api", api): 2,
+    }
+    codes = {case: run_program(list(case)).exit_code for case in cases}
+    assert codes == cases
