Check the bound of manifests and add five pairs of faults to the matrix

Cause: the matrix checked manifests only after settling, and an entry that died could still be noted with a result. Change: 11 s after its acceptance a manifest must be in force on every node whose view is current; a dead entry gives a broken connection; five pairs; cells that repeat another one at a later moment are marked as such.

--- a/marigoldtrail/testing/fault_cell.py
+++ b/marigoldtrail/testing/fault_cell.py
@@ -41,6 +41,8 @@
 SETTLE_S = 30.0
 SERVE_TRIES = 30
 LINK_DELAY_S = 0.002
+# An accepted manifest is in force everywhere after that time (P9).
+MANIFEST_BOUND_S = 11.0
 # A takeout is in force everywhere after the 5 s of a view, counted from a Sync once a second.
 TAKEOUT_BOUND_S = 6.0
 
@@ -175,6 +177,9 @@
             except RuntimeError:
                 # The nursery of a node that was killed takes no more tasks.
                 sent.result = None
+        if scope.cancel_called:
+            # A dead entry sends nothing, whatever its last step returned.
+            sent.result = None
         if scope in self._scopes.get(host, []):
             self._scopes[host].remove(scope)
         sent.effects_then = self.effects_of(key)
@@ -199,6 +204,16 @@
         if reply.outcome in ("accepted", "repeated"):
             known = self.accepted.setdefault(number, reply.digest)
             self.check(known == reply.digest, f"two digests were accepted as manifest {number}")
+        if reply.outcome == "accepted":
+            self.nursery.start_soon(self._check_in_force, number)
+
+    async def _check_in_force(self, number: int) -> None:
+        """After the bound a node has the manifest or admits nothing."""
+        await self.fleet.timers.sleep(MANIFEST_BOUND_S)
+        for host, node in self.fleet.nodes.items():
+            view = node.parts.view
+            in_force = not view.is_current() or view.number >= number
+            self.check(in_force, f"P9: {host} still admits under {view.number}, not {number}")
 
     async def take_out(self, kind: str, name: str, state: str, number: int, host: str) -> None:
         """Take a target out of service or back in and keep what the operator saw."""
--- a/marigoldtrail/testing/fault_kinds.py
+++ b/marigoldtrail/testing/fault_kinds.py
@@ -347,6 +347,23 @@
     return fault
 
 
+def both(first: Disturb, second: Disturb) -> Fault:
+    """Return the fault that applies two disturbances at the same moment."""
+
+    def disturb(cell: Cell, point: Point, group: str) -> None:
+        first(cell, point, group)
+        second(cell, point, group)
+
+    return disturbing(disturb)
+
+
+def fill_other_disk(cell: Cell, point: Point, group: str) -> None:
+    """The disk of a second control host is full."""
+    first = control_of(cell, point, group)
+    disk = next(cell.fleet.disks[host] for host in sorted(cell.fleet.disks) if host != first)
+    disk.capacity_bytes = used_bytes(disk)
+
+
 MESSAGE_FAULTS: dict[str, Fault] = {
     "message lost": lose_message,
     "message delayed": delay_message,
@@ -383,6 +400,11 @@
     "message lost, leader dies": lose_message_and_leader,
     "answer lost, leader dies": lose_answer_and_leader,
     "entry cut off, leader dies": cut_entry_and_kill_leader,
+    "entry dies, receiver dies": both(kill_entry, kill_receiver),
+    "entry dies, upstreams restarted cold": both(restart_upstreams, kill_entry),
+    "operators race, receiver dies": both(race_operators, kill_receiver),
+    "data centre out, receiver dies": both(take_data_centre_out, kill_receiver),
+    "host replaced empty, second disk full": both(replace_host, fill_other_disk),
 }
 FAULTS: dict[str, Fault] = {
     **MESSAGE_FAULTS,
--- a/marigoldtrail/testing/fault_matrix.py
+++ b/marigoldtrail/testing/fault_matrix.py
@@ -25,6 +25,14 @@
 IMPOSSIBLE = "cannot happen"
 UNTRIED = "untried"
 
+# Faults of a message that has not arrived yet, and of an answer that has not been sent yet.
+ARRIVING = ("message lost", "message delayed", "message reordered", "message lost, leader dies")
+ANSWER_LOST = (
+    "answer lost after the effect",
+    "answer lost, entry dies",
+    "answer lost, leader dies",
+)
+
 SEED = 1
 # A fault lasts this long, unless the work of the step ends earlier.
 FAULT_S = 8.0
@@ -70,10 +78,14 @@
     str
         The reason.
     """
-    if STEPS[step].after and fault in ("message lost", "message delayed", "message reordered"):
+    if not STEPS[step].after:
+        return ""
+    if fault in ARRIVING:
         return "the message has already arrived"
-    if STEPS[step].after and fault == "message doubled":
+    if fault == "message doubled":
         return "same cell as before the effect: the copy comes after it either way"
+    if step == "claim: answer on its way" and fault in ANSWER_LOST:
+        return "same cell as at claim: call, where the upstream loses the answer after the effect"
     return ""
 
 
