--- a/marigoldtrail/testing/fault_matrix.py
+++ b/marigoldtrail/testing/fault_matrix.py
@@ -12,6 +12,7 @@
 import trio
 import trio.testing
 
+from marigoldtrail.consensus import applying, log
 from marigoldtrail.control.platform import HostList, PlatformHost
 from marigoldtrail.node import control_role
 from marigoldtrail.testing.fault_cell import Cell, start_cell
@@ -24,6 +25,14 @@
 IMPOSSIBLE = "cannot happen"
 UNTRIED = "untried"
 
+# Faults of a message that has not arrived yet, and of an answer that has not been sent yet.
+ARRIVING = ("message lost", "message delayed", "message reordered", "message lost, leader dies")
+ANSWER_LOST = (
+    "answer lost after the effect",
+    "answer lost, entry dies",
+    "answer lost, leader dies",
+)
+
 SEED = 1
 # A fault lasts this long, unless the work of the step ends earlier.
 FAULT_S = 8.0
@@ -69,10 +78,14 @@
     str
         The reason.
     """
-    if STEPS[step].after and fault in ("message lost", "message delayed", "message reordered"):
+    if not STEPS[step].after:
+        return ""
+    if fault in ARRIVING:
         return "the message has already arrived"
-    if STEPS[step].after and fault == "message doubled":
+    if fault == "message doubled":
         return "same cell as before the effect: the copy comes after it either way"
+    if step == "claim: answer on its way" and fault in ANSWER_LOST:
+        return "same cell as at claim: call, where the upstream loses the answer after the effect"
     return ""
 
 
@@ -123,7 +136,7 @@
             return await inject(box[0], step, fault, point, forward)
 
         tap = Tap(matches=STEPS[step].matches, act=act)
-        with install_tap(tap), install_platform(box):
+        with install_tap(tap), install_platform(box), shorten_log(STEPS[step].snapshot_entries):
             cell = await start_cell(nursery, seed)
             box.append(cell)
             with trio.move_on_after(CELL_VIRTUAL_S) as scope:
@@ -201,6 +214,19 @@
         yield
 
 
+@contextlib.contextmanager
+def shorten_log(entries: int) -> Iterator[None]:
+    """Let logs take a snapshot after so few entries, and keep none before it; 0 for no change."""
+    if not entries:
+        yield
+        return
+    with (
+        mock.patch.object(applying, "SNAPSHOT_ENTRIES", entries),
+        mock.patch.object(log, "RETAINED_ENTRIES", 0),
+    ):
+        yield
+
+
 def run_matrix(
     steps: Iterable[str], faults: Iterable[str], *, seed: int = SEED
 ) -> Iterator[CellResult]:
