--- a/marigoldtrail/api/operators.py
+++ b/marigoldtrail/api/operators.py
@@ -9,6 +9,7 @@
 
 from marigoldtrail.api.addresses import AddressAnswer, rank_addresses
 from marigoldtrail.api.context import ApiContext, not_found
+from marigoldtrail.api.display import format_ms
 from marigoldtrail.api.http import (
     ApiRequest,
     Response,
@@ -89,7 +90,7 @@
         reason=reason,
         run_state=RunState.NOT_RUN,
         step=step,
-        detail=f"{reply.outcome}: number {reply.number} is in force",
+        detail=describe_refusal(reply, step),
     )
     extra = {
         "outcome": reply.outcome,
@@ -101,6 +102,32 @@
     return ctx.refuse(failure, faults=reply.faults, extra=extra)
 
 
+def describe_refusal(reply: SubmitReply, step: str) -> str:
+    """
+    Describe why a change was refused, and which change won.
+
+    Parameters
+    ----------
+    reply : SubmitReply
+        Outcome other than accepted or repeated.
+    step : str
+        Step at which it was refused.
+
+    Returns
+    -------
+    str
+        Outcome, number in force, and what is known of the winner: operator, time, and the digest
+        of a manifest or the state of a service.
+    """
+    text = f"{reply.outcome}: number {reply.number} is in force"
+    if reply.winner_operator:
+        text += f", submitted by {reply.winner_operator}"
+    if reply.winner_wall_ms:
+        text += f" at {format_ms(reply.winner_wall_ms)}"
+    label = "digest" if step == "manifest.submit" else "state"
+    return text + (f", {label} {reply.digest[:12]}" if reply.digest else "")
+
+
 async def show_manifest(ctx: ApiContext, req: ApiRequest) -> Response:
     """Handle ``GET /v1/manifest``."""
     reply = await ctx.control.get_manifest()
@@ -276,8 +303,9 @@
     """
     Handle ``POST /v1/claims/{client_account}/{key}/settle``.
 
-    The body is ``{"state": "done" or "not_run", "operator": s, "stage": s, "answer": value}``; the
-    stage may be left out if the key has one open claim, the answer unless it is done.
+    The body is ``{"state": "done" or "not_run", "operator": s, "stage": s, "attempt_id": s,
+    "answer": value}``; the stage may be left out if the key has one open claim, the answer unless
+    it is done. With an attempt id, only the claim that this attempt holds is settled.
     """
     body = await req.read_json(ctx.max_body_bytes)
     if isinstance(body, Failure):
@@ -285,7 +313,7 @@
     fault = _check_settlement(body)
     if fault is not None:
         return failure_response(fault)
-    claim = await _find_open_claim(ctx, req, body.get("stage", ""))
+    claim = await _find_open_claim(ctx, req, body.get("stage", ""), body.get("attempt_id", ""))
     if isinstance(claim, Failure):
         return ctx.refuse(claim)
     request = SettleClaim(
@@ -306,13 +334,13 @@
 
 
 def _check_settlement(body: dict[str, Any]) -> Failure | None:
-    allowed = ("state", "operator", "stage", "answer")
+    allowed = ("state", "operator", "stage", "attempt_id", "answer")
     for name in body:
         if name not in allowed:
             return bad_request(f"body: $.{name[:40]}: unknown; allowed are {', '.join(allowed)}")
     if body.get("state") not in SETTLED_STATES:
         return bad_request(f"body: $.state: one of {', '.join(SETTLED_STATES)} is expected")
-    for name in ("operator", "stage"):
+    for name in ("operator", "stage", "attempt_id"):
         value = body.get(name, "")
         if not isinstance(value, str):
             return bad_request(f"body: $.{name}: a text is expected")
@@ -330,14 +358,18 @@
     return None
 
 
-async def _find_open_claim(ctx: ApiContext, req: ApiRequest, stage: str) -> ClaimStatus | Failure:
+async def _find_open_claim(
+    ctx: ApiContext, req: ApiRequest, stage: str, attempt_id: str
+) -> ClaimStatus | Failure:
     claims = await find_claims(ctx, "may_have_run", req.params["client_account"], MAX_LIMIT)
     if isinstance(claims, Failure):
         return claims
     found = [
         claim
         for claim in claims
-        if claim.idempotency_key == req.params["key"] and stage in ("", claim.stage)
+        if claim.idempotency_key == req.params["key"]
+        and stage in ("", claim.stage)
+        and attempt_id in ("", claim.attempt_id)
     ]
     if not found:
         return not_found("no claim with this key may have run", step="claim.settle")
