Cut and delay the links to the addresses that upstreams listen on

Cause: upstreams listen on another IP number than the one that the operations named, so that an entry that was cut off from the other hosts only could not reach its upstreams either. Ruled out: a change of the product; the calls of the isolated entry ended as unreachable. Change: the operations use the upstreams' own addresses; the fault of a view that never lapses takes the data centre out that the cut-off entry prefers. Measured: the fault breaks P3; the same sequence without the fault breaks no promise. Conclusion: both kinds of isolation are exercised.

--- a/marigoldtrail/testing/driver.py
+++ b/marigoldtrail/testing/driver.py
@@ -14,6 +14,7 @@
 from marigoldtrail.demo.deployments import Deployment, build_manifest
 from marigoldtrail.errors import Failure
 from marigoldtrail.fleet import groups_of, new_request_id, record_groups_of
+from marigoldtrail.net import Address
 from marigoldtrail.schema import parse_manifest
 from marigoldtrail.schema.generated.control import SubmitReply
 from marigoldtrail.schema.generated.manifest import Manifest, Upstream
@@ -125,6 +126,10 @@
         """All upstreams."""
         return self.fleet.world.manifest.upstreams
 
+    def upstream_ips(self) -> list[str]:
+        """Return the IP numbers that upstreams listen on."""
+        return sorted({Address.parse(upstream.address).ip for upstream in self.upstreams})
+
     def now(self) -> float:
         """Return the virtual time in seconds."""
         return self.fleet.timers.now()
--- a/marigoldtrail/testing/operations.py
+++ b/marigoldtrail/testing/operations.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from marigoldtrail.testing.driver import ACCOUNTS, PIPELINES, Driver
-from marigoldtrail.testing.fleet import WORLD_IP
 
 MAX_VALUE = 999
 MAX_PAUSE_S = 1.5
@@ -146,7 +145,8 @@
     mode = step.b % 4
     driver.fleet.isolate(host, inbound=mode != 1, outbound=mode != 2)
     if mode == 3:
-        driver.fleet.network.restore(driver.fleet.ip_of(host), WORLD_IP)
+        for other in driver.upstream_ips():
+            driver.fleet.network.restore(driver.fleet.ip_of(host), other)
     await driver.fleet.timers.sleep(seconds(step.c, 0.5, 20.0))
     driver.restore_links(host)
 
@@ -159,7 +159,7 @@
 async def delay_links(driver: Driver, step: Step) -> None:
     """Delay the links of a host."""
     ip = driver.fleet.ip_of(pick(driver.hosts, step.a))
-    for other in [*map(driver.fleet.ip_of, driver.hosts), WORLD_IP]:
+    for other in [*map(driver.fleet.ip_of, driver.hosts), *driver.upstream_ips()]:
         if other != ip:
             for link in (
                 driver.fleet.network.link(ip, other),
--- a/marigoldtrail/testing/tests/test_fuzz.py
+++ b/marigoldtrail/testing/tests/test_fuzz.py
@@ -81,7 +81,8 @@
     """Guards against an oracle that misses an entry that serves on an old view."""
     monkeypatch.setattr(FleetView, "is_current", lambda self: True)
     cut = Step("isolate", 3, 3, FULL, 1.0)
-    out = Step("take_out", 1, 1, 0, 7.0)
+    # The entry prefers upstreams of its own data centre, which is the one that goes out.
+    out = Step("take_out", 0, 1, 1, 7.0)
     load = [Step("send_burst", 3, 0, index, 0.1) for index in range(8)]
     assert "P3" in find_broken(1, [cut, out, *load])
 
