Break operators' calls when the node that carries them dies

Cause: submissions through a node that was killed ran on and raised in the closed nursery, which the matrix took for broken cells (manifest and takeout with entry dies). Change: all calls through a node share one scope that its death cancels.

--- a/marigoldtrail/testing/fault_cell.py
+++ b/marigoldtrail/testing/fault_cell.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -13,7 +15,6 @@
 from marigoldtrail.fleet import record_group_of, record_groups_of
 from marigoldtrail.net import Address
 from marigoldtrail.schema import parse_manifest
-from marigoldtrail.schema.generated.control import SubmitReply
 from marigoldtrail.schema.generated.manifest import Manifest
 from marigoldtrail.schema.generated.records import FindRecords
 from marigoldtrail.serving import Answer
@@ -102,7 +103,6 @@
         "broken",
         "sent",
         "accepted",
-        "submissions",
         "takeouts",
         "hosts_list",
         "_scopes",
@@ -116,7 +116,6 @@
         self.broken: list[str] = []
         self.sent: list[Sent] = []
         self.accepted: dict[int, str] = {}
-        self.submissions: list[SubmitReply | Failure] = []
         self.takeouts: dict[tuple[str, str], tuple[int, str]] = {}
         self.hosts_list: Any = None
         self._scopes: dict[str, list[trio.CancelScope]] = {}
@@ -161,27 +160,42 @@
                 await self.fleet.timers.sleep(POLL_S)
                 await self.fleet.start_node(host)
 
-    async def book(self, host: str, key: str, *, pipeline: str = "book") -> Sent:
-        """Send a request as a caller does; the death of the entry breaks the connection."""
-        sent = Sent(key=key, pipeline=pipeline)
-        value = {"idempotency_key": key, "query": "q", "quantity": 1}
+    async def _through(self, host: str, call: Callable[[], Awaitable[Any]]) -> Any:
+        """Make a call through a node; None if it is dead or dies before it answers."""
         if host not in self.fleet.nodes:
-            return sent
-        sink = CollectedTokens() if pipeline == "assistant" else None
+            return None
+        result: Any = None
         with trio.CancelScope() as scope:
             self._scopes.setdefault(host, []).append(scope)
             try:
-                sent.result = await self.fleet.send(
-                    host, pipeline, ACCOUNT, value, key=key, deadline_s=DEADLINE_S, sink=sink
-                )
+                result = await call()
             except RuntimeError:
                 # The nursery of a node that was killed takes no more tasks.
-                sent.result = None
-        if scope.cancel_called:
-            # A dead entry sends nothing, whatever its last step returned.
-            sent.result = None
+                if not scope.cancel_called:
+                    raise
         if scope in self._scopes.get(host, []):
             self._scopes[host].remove(scope)
+        # A dead entry sends nothing, whatever its last step returned.
+        return None if scope.cancel_called else result
+
+    async def book(self, host: str, key: str, *, pipeline: str = "book") -> Sent:
+        """Send a request as a caller does; the death of the entry breaks the connection."""
+        sent = Sent(key=key, pipeline=pipeline)
+        value = {"idempotency_key": key, "query": "q", "quantity": 1}
+        sink = CollectedTokens() if pipeline == "assistant" else None
+        sent.result = await self._through(
+            host,
+            partial(
+                self.fleet.send,
+                host,
+                pipeline,
+                ACCOUNT,
+                value,
+                key=key,
+                deadline_s=DEADLINE_S,
+                sink=sink,
+            ),
+        )
         sent.effects_then = self.effects_of(key)
         sent.text = sink.text if sink is not None else ""
         return sent
@@ -195,9 +209,9 @@
     async def submit(self, number: int, host: str, weight: float, operator: str) -> None:
         """Submit a manifest and keep what the operator saw."""
         document = build_document(number, weight)
-        reply = await self.fleet.submit_manifest(host, document, operator)
-        self.submissions.append(reply)
-        if isinstance(reply, Failure):
+        submit = partial(self.fleet.submit_manifest, host, document, operator)
+        reply = await self._through(host, submit)
+        if reply is None or isinstance(reply, Failure):
             self.note(f"{operator}: manifest {number} {describe(reply)}")
             return
         self.note(f"{operator}: manifest {number} {reply.outcome}")
@@ -217,8 +231,9 @@
 
     async def take_out(self, kind: str, name: str, state: str, number: int, host: str) -> None:
         """Take a target out of service or back in and keep what the operator saw."""
-        reply = await self.fleet.set_service(host, kind, name, state, number)
-        if isinstance(reply, Failure):
+        set_service = partial(self.fleet.set_service, host, kind, name, state, number)
+        reply = await self._through(host, set_service)
+        if reply is None or isinstance(reply, Failure):
             self.note(f"operator: {name} {state} {describe(reply)}")
             return
         self.note(f"operator: {name} {state} {reply.outcome}")
