--- a/bench/dataline.py
+++ b/bench/dataline.py
@@ -35,6 +35,8 @@
 PREFILL_S = 0.005
 STREAM_STAGGER_S = 0.05
 WARM_LIMIT_S = 60.0
+# Far above the number of streams: one that waits for a place in a batch would miss its deadline.
+ENGINE_CAPACITY = 64
 # A client has at most 10 connections; with fewer clients than this, requests would wait for one.
 CALLERS = 40
 
@@ -170,8 +172,10 @@
     fleet.manifest["pipelines"].append({"name": "generate_only", "stages": [stage]})
     for upstream in fleet.manifest["upstreams"]:
         if upstream["kind"] == "engine":
+            process = world.standins[upstream["name"]].process
+            upstream["capacity"] = process.capacity = ENGINE_CAPACITY
             world.standins[upstream["name"]] = BenchEngine(
-                process=world.standins[upstream["name"]].process,
+                process=process,
                 timers=Timers(),
                 token_s=TOKEN_S,
                 prefill_s=PREFILL_S,
