--- a/marigoldtrail/cli/tests/pages.py
+++ b/marigoldtrail/cli/tests/pages.py
@@ -20,8 +20,8 @@
 EXIT_CODE = re.compile(r"  # exit code (\d)(?P<later>.*)$")
 # Request ids, digests and attempt ids; those of a page stand for those of the run.
 ID = re.compile(r"\b[0-9a-f]{24,64}\b")
-MAX_REFUSALS = 30
-REFUSAL_PAUSE_S = 1.0
+MAX_REPEATS = 30
+REPEAT_PAUSE_S = 1.0
 # Lines of the shell that start, signal or copy; node/tests does the same with its processes.
 SHELL = ("marigoldtrail()", "export ", "for ", ".venv/bin/python", "kill ", "ls ", "rm ", "tail ")
 
@@ -85,9 +85,9 @@
             if not line.startswith(SHELL):
                 faults.append(f"{line}: unknown command")
             continue
-        if command.later or " demo " in line:
+        if " demo " in line:
             continue
-        result = run_until_served(shlex.split(line.partition(" | ")[0])[1:], api, command.code)
+        result = run_until_settled(command, shlex.split(line.partition(" | ")[0])[1:], api)
         if result.exit_code != command.code:
             faults.append(f"{line}: {result.exit_code}, not {command.code}: {result.output}")
         pairs = zip(ID.findall(command.shown), ID.findall(result.output), strict=False)
@@ -96,18 +96,19 @@
     return faults
 
 
-def run_until_served(arguments: list[str], api: str, code: int) -> Any:
+def run_until_settled(command: Command, arguments: list[str], api: str) -> Any:
     """
-    Run a command; repeat it while it is refused as not run and the page says that it is served.
+    Run a command; repeat it while its outcome may be that of a moment only.
 
-    A busy machine can delay a node until its view lapses or an attempt passes its deadline.
+    A command that the page shows as served may be refused as not run: a busy machine can delay a
+    node until its view lapses. One with an exit code after some seconds may be served before.
     """
-    for _ in range(MAX_REFUSALS):
+    passing = ExitCode.OK if command.later else ExitCode.NOT_RUN
+    for _ in range(MAX_REPEATS):
         result = run_program(arguments, api)
-        if code != ExitCode.OK or result.exit_code != ExitCode.NOT_RUN:
+        if result.exit_code == command.code or result.exit_code != passing:
             break
-        print(f"refused: {' '.join(arguments)}: {result.output}")
-        time.sleep(REFUSAL_PAUSE_S)
+        time.sleep(REPEAT_PAUSE_S)
     return result
 
 
--- a/marigoldtrail/cli/tests/test_pages.py
+++ b/marigoldtrail/cli/tests/test_pages.py
@@ -25,8 +25,8 @@
     "docs/operations/at-most-once.md",
 )
 STALLED_PAGE = "docs/operations/at-most-once.md"
-# Takeouts of the pages leave this one alone.
-HOST = "tsvetanov-3"
+# The entry that the pages call; it is in the data centre that data-centre.md takes out.
+HOST = "tsvetanov-4"
 REFUSED_ADDRESS = "127.0.0.1:1"
 
 
