--- a/marigoldtrail/cli/app.py
+++ b/marigoldtrail/cli/app.py
@@ -40,6 +40,7 @@
 app.command("addresses")(inspect.list_addresses)
 app.command("trace")(inspect.trace_result)
 app.command("explain")(inspect.explain)
+app.command("events")(inspect.follow_events)
 app.command("standins")(serve.run_standins)
 app.command("demo")(run_demo_command)
 
--- a/marigoldtrail/cli/tests/test_commands.py
+++ b/marigoldtrail/cli/tests/test_commands.py
@@ -7,12 +7,15 @@
 from pathlib import Path
 
 import pytest
+import trio
 import typer
 import typer.main
 
 from marigoldtrail.cli import app
 from marigoldtrail.cli.tests.pages import run_program
 from marigoldtrail.demo.deployments import TSVETANOV, build_manifest, write_deployment
+from marigoldtrail.telemetry import DecisionLog, start_feed
+from marigoldtrail.timers import Timers
 
 
 def list_commands(group, path=()) -> list[tuple[str, ...]]:
@@ -83,3 +86,30 @@
         path.write_text(json.dumps(document))
         result = run_program(["standins", "--manifest", str(path)])
     assert result.exit_code == 1 and "in use" in result.output
+
+
+async def test_events_prints_decisions_and_reports_a_wrong_address():
+    """Guards against a live feed that shows nothing, or hangs without a node."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{probe.getsockname()[1]}"
+    run = trio.to_thread.run_sync
+    assert run_program(["events", "--address", "nowhere"]).exit_code == 2
+    result = await run(run_program, ["events", "--address", address])
+    assert result.exit_code == 5 and address in result.output
+    decisions = DecisionLog(host="a", timers=Timers())
+    close = start_feed(decisions, address)
+
+    async def publish() -> None:
+        while True:
+            decisions.add("eject", "engines-1", "slow", duration_s=2)
+            await trio.sleep(0.05)
+
+    with trio.fail_after(60):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(publish)
+            result = await run(run_program, ["events", "--address", address, "--limit", "2"])
+            nursery.cancel_scope.cancel()
+    close()
+    assert result.exit_code == 0
+    assert result.output.count('a: eject engines-1: slow {"duration_s": "2"}') == 2
--- a/marigoldtrail/node/launch.py
+++ b/marigoldtrail/node/launch.py
@@ -11,7 +11,7 @@
 from marigoldtrail.node.node import Node, run_node
 from marigoldtrail.schema.generated.settings import Settings
 from marigoldtrail.storage import open_folder
-from marigoldtrail.telemetry import Metrics, Telemetry, build_tracer_provider
+from marigoldtrail.telemetry import Metrics, Telemetry, build_tracer_provider, start_feed
 from marigoldtrail.timers import Timers
 
 INIT_TIMEOUT_S = 5.0
@@ -42,14 +42,19 @@
         if isinstance(opened, Failure):
             return opened
         disk = opened
-    await run_node(
-        cfg,
-        network=TcpNetwork(),
-        timers=timers,
-        telemetry=build_telemetry(cfg, timers),
-        disk=disk,
-        task_status=task_status,
-    )
+    telemetry = build_telemetry(cfg, timers)
+    close_feed = start_feed(telemetry.decisions, cfg.events_address)
+    try:
+        await run_node(
+            cfg,
+            network=TcpNetwork(),
+            timers=timers,
+            telemetry=telemetry,
+            disk=disk,
+            task_status=task_status,
+        )
+    finally:
+        close_feed()
     return None
 
 
