--- a/marigoldtrail/node/node.py
+++ b/marigoldtrail/node/node.py
@@ -16,7 +16,7 @@
 from marigoldtrail.schema.generated.control import DecisionsReply, GetDecisions
 from marigoldtrail.schema.generated.settings import Settings
 from marigoldtrail.storage import Disk
-from marigoldtrail.telemetry import Telemetry
+from marigoldtrail.telemetry import Telemetry, publish_decisions
 from marigoldtrail.timers import Timers
 
 # Callers' old addresses (5 s) and their way (1 s), the longest deadline (11 s), and 3 s for slots,
@@ -81,6 +81,9 @@
                 self.entry.close()
             if self.control is not None:
                 await self.control.stop()
+            if self.entry is not None:
+                # Requests refused in the meantime look up their keys before they are answered.
+                await self.entry.server.wait_answered()
         if bound.cancelled_caught:
             _log.error("draining took longer than %.0f s", DRAIN_BOUND_S)
         self._scope.cancel()
@@ -194,6 +197,9 @@
         await nursery.start(node.control.run)
     await nursery.start(node.sync.run)
     nursery.start_soon(flush_telemetry, parts)
+    if parts.cfg.events_address:
+        decisions = parts.telemetry.decisions
+        await nursery.start(publish_decisions, decisions, parts.cfg.events_address)
     if node.entry is not None:
         entry = node.entry
 
