--- a/bench/report.py
+++ b/bench/report.py
@@ -135,16 +135,24 @@
         Earlier runs, oldest first.
     """
     run = result["run"]
+    outcomes = {name: (run, outcome, earlier) for name, outcome in result["benchmarks"].items()}
+    # What this run has not measured is shown as the newest earlier run has it.
+    for position in reversed(range(len(earlier))):
+        for name, outcome in earlier[position]["benchmarks"].items():
+            if "figures" in outcome:
+                outcomes.setdefault(name, (earlier[position]["run"], outcome, earlier[:position]))
     lines = [
         "# Benchmarks",
         "",
         f"Revision {run['revision']}, {run['started']}, {run['cores']} cores, "
         f"load {run['load'][0]} at the start.",
     ]
-    for name, outcome in result["benchmarks"].items():
+    for name, (source, outcome, before_it) in outcomes.items():
         lines += ["", f"## {name}", "", f"`python -m bench {name}`, {outcome['seconds']} s, "]
         lines[-1] += f"load {outcome['load_before']} to {outcome['load_after']}."
-        before, other = find_earlier(name, earlier)
+        before, other = find_earlier(name, before_it)
+        if source is not run:
+            lines[-1] += f" Measured at revision {source['revision']}, {source['started']}."
         if other:
             lines[-1] += f" Ratios are to revision {other['revision']} of {other['started']}."
         if "error" in outcome:
--- a/bench/tests/test_report.py
+++ b/bench/tests/test_report.py
@@ -41,3 +41,12 @@
     # Guards against a fit that hides a point far from the line.
     line = fit_line({0: 0.0, 1: 3.0, 2: 0.0})
     assert line == {"slope": 0.0, "intercept": 1.0, "residual": 2.0}
+
+
+def test_benchmark_that_did_not_run_is_shown_from_an_earlier_run(tmp_path: Path) -> None:
+    # Guards against a report that forgets the other benchmarks after a run of one.
+    earlier = [make_run("older", hop={"figures": {"calls": 5}})]
+    write_report(tmp_path, make_run("now", slots={"figures": {"grants": 50}}), earlier)
+    text = (tmp_path / "report.md").read_text()
+    assert "| calls | 5 |  |" in text
+    assert "Measured at revision older" in text
