--- a/marigoldtrail/telemetry/feed.py
+++ b/marigoldtrail/telemetry/feed.py
@@ -1,89 +1,90 @@
-"""Live feed of decision events over pynng PUB/SUB."""
+"""Live feed of decisions over pynng PUB/SUB; optional and lossy, off the path of requests."""
 
 from __future__ import annotations
 
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, Callable
 
 import msgspec
-import trio
 
+from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Address
 from marigoldtrail.schema.generated.control import Decision
 from marigoldtrail.telemetry.decisions import DecisionLog
 
-# Events beyond this are dropped: a slow subscriber must not hold memory of the node.
-MAX_QUEUED = 1000
+# pynng starts about 30 threads when it is imported, so that only processes with a feed import it.
 
 _log = logging.getLogger(__name__)
 
 
-async def publish_decisions(
-    decisions: DecisionLog,
-    address: str,
-    *,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-) -> None:
+def start_feed(decisions: DecisionLog, address: str) -> Callable[[], None]:
     """
-    Publish each new decision until cancelled; a failure of the feed ends the feed only.
+    Publish each new decision; an error of the socket costs the feed only.
 
     Parameters
     ----------
     decisions : DecisionLog
-        Where decisions are recorded.
+        Where decisions come from.
     address : str
-        IP address and port to listen on.
-    task_status : trio.TaskStatus
-        Started when the feed listens, or has failed to.
+        IP address and port to listen on; empty for no feed.
+
+    Returns
+    -------
+    callable
+        Closes the feed.
     """
-    # Opening a socket starts 30 threads, which nodes without a feed shall not have.
+    if not address:
+        return lambda: None
     import pynng
 
     try:
-        publisher = pynng.Pub0(listen=_url(address))
-    except pynng.NNGException as exc:
-        _log.error("the feed of decisions cannot listen on %s: %s", address, exc)
-        task_status.started()
-        return
-    send, receive = trio.open_memory_channel[Decision](MAX_QUEUED)
+        socket = pynng.Pub0(listen=f"tcp://{Address.parse(address)}")
+    except (ValueError, pynng.NNGException) as exc:
+        _log.error("no feed of decisions on %s: %s", address, exc)
+        return lambda: None
 
-    def queue(decision: Decision) -> None:
+    def publish(decision: Decision) -> None:
         try:
-            send.send_nowait(decision)
-        except trio.WouldBlock:
-            return
-
-    decisions.subscribe(queue)
-    with publisher:
-        task_status.started()
-        async for decision in receive:
-            try:
-                await publisher.asend(msgspec.json.encode(decision))
-            except pynng.NNGException as exc:
-                _log.warning("a decision was not published: %s", exc)
+            socket.send(msgspec.json.encode(decision), block=False)
+        except pynng.NNGException as exc:
+            _log.debug("a decision is missing in the feed: %s", exc)
+
+    decisions.subscribe(publish)
+    return socket.close
 
 
-async def follow_decisions(address: str) -> AsyncIterator[Decision]:
+async def follow_feed(address: Address) -> AsyncGenerator[Decision | Failure, None]:
     """
-    Yield the decisions that a node publishes; waits for the node if it does not run yet.
+    Receive the decisions of one node as they are taken.
 
     Parameters
     ----------
-    address : str
-        IP address and port of the feed.
+    address : Address
+        The node's ``events_address``.
 
     Yields
     ------
-    Decision
-        The decisions from now on; some may be missing, since the feed is lossy.
+    Decision or Failure
+        Decisions from now on; a failure, and nothing after it, if the node cannot be reached. A
+        node that comes back is followed again.
     """
     import pynng
 
-    with pynng.Sub0(topics=[b""], recv_timeout=-1) as subscriber:
-        subscriber.dial(_url(address), block=False)
+    try:
+        socket = pynng.Sub0(dial=f"tcp://{address}", block_on_dial=True, topics=b"")
+    except pynng.NNGException as exc:
+        yield Failure(
+            reason=Reason.UNREACHABLE,
+            run_state=RunState.NOT_RUN,
+            step="events.connect",
+            peer=str(address),
+            detail=str(exc),
+        )
+        return
+    with socket:
         while True:
-            yield msgspec.json.decode(await subscriber.arecv(), type=Decision)
-
-
-def _url(address: str) -> str:
-    return f"tcp://{Address.parse(address)}"
+            data = await socket.arecv()
+            try:
+                yield msgspec.json.decode(data, type=Decision)
+            except msgspec.DecodeError:
+                _log.warning("a message of the feed is not a decision")
