--- a/marigoldtrail/testing/fault_report.py
+++ b/marigoldtrail/testing/fault_report.py
@@ -25,7 +25,9 @@
 
 A cell is `held` or `broken` only if it ran. `cannot happen` and `untried` cells name the reason
 below. "Receiver" is the control host or upstream that the message of the step reaches, else the
-leader of the log group concerned.
+leader of the log group concerned. A stalled control host is one whose links and disk stand still;
+its timers go on. Not in the matrix: a stalled entry process, hosts and upstreams that leave (P7),
+answers given to another account (P1), and faults in the middle of writing a snapshot.
 
 {counts}
 """
