--- a/marigoldtrail/cli/inspect.py
+++ b/marigoldtrail/cli/inspect.py
@@ -1,22 +1,20 @@
-"""Subcommands of callers and inspectors: request, trace, explain, events, addresses."""
+"""Subcommands of callers and inspectors: request, trace, explain, addresses."""
 
 from __future__ import annotations
 
 import json
-from contextlib import aclosing
 from pathlib import Path
 from typing import Annotated, Any
 
-import msgspec
 import trio
 import typer
 
 from marigoldtrail.api import ApiClient, ApiStream, format_ms, format_record
 from marigoldtrail.cli.context import ApiOption, JsonOption, call_api, read_input
-from marigoldtrail.cli.exits import ExitCode, fail, print_result
+from marigoldtrail.cli.exits import ExitCode, print_result
 from marigoldtrail.errors import Failure
 from marigoldtrail.net import Address
-from marigoldtrail.telemetry import follow_feed
+from marigoldtrail.telemetry import follow_decisions
 
 DIGEST_CHARS = 64
 
@@ -133,62 +131,38 @@
         api,
         lambda client: client.decisions(request_id=request_id, upstream=upstream, limit=limit),
     )
-    lines = [format_decision(item) for item in reply["decisions"]]
-    print_result(reply, as_json=as_json, text="\n".join(lines) or "no decisions")
-
-
-def format_decision(item: dict[str, Any]) -> str:
-    """
-    Format a decision for a person.
-
-    Parameters
-    ----------
-    item : dict
-        Fields of the decision.
-
-    Returns
-    -------
-    str
-        One line.
-    """
-    return (
+    lines = [
         f"{format_ms(item['wall_ms'])} {item['host']}: {item['kind']} {item['subject']}: "
         f"{item['reason']} {json.dumps(item['inputs'])}"
-    )
+        for item in reply["decisions"]
+    ]
+    print_result(reply, as_json=as_json, text="\n".join(lines) or "no decisions")
 
 
 def follow_events(
     address: Annotated[
-        str, typer.Option("--address", metavar="IP:PORT", help="events_address of a node.")
+        str, typer.Option("--address", metavar="IP:PORT", help="Setting events_address of a node.")
     ],
-    limit: Annotated[int, typer.Option(min=0, help="End after so many; 0 for no end.")] = 0,
-    as_json: JsonOption = False,
+    limit: Annotated[int, typer.Option(min=0, help="End after so many events; 0: never.")] = 0,
 ) -> None:
-    """Print the decisions of one node as they are taken, until SIGINT.
+    """Print the decisions of a node as it takes them, one JSON object a line.
 
-    The feed is lossy: a slow reader misses decisions, which explain still lists.
+    The feed is lossy: what must not be missed is read with explain.
 
     Example: marigoldtrail events --address 10.0.0.1:9000
     """
+
+    async def follow() -> None:
+        count = 0
+        async for decision in follow_decisions(address):
+            print_result(decision, as_json=True)
+            count += 1
+            if count == limit:
+                return
+
     try:
-        parsed = Address.parse(address)
+        Address.parse(address)
     except ValueError as exc:
         typer.echo(f"error: --address: {exc}", err=True)
         raise typer.Exit(ExitCode.INVALID_INPUT) from exc
-
-    async def run() -> Failure | None:
-        count = 0
-        async with aclosing(follow_feed(parsed)) as feed:
-            async for decision in feed:
-                if isinstance(decision, Failure):
-                    return decision
-                item = msgspec.to_builtins(decision)
-                print_result(item, as_json=as_json, text=format_decision(item))
-                count += 1
-                if count == limit:
-                    break
-        return None
-
-    failure = trio.run(run)
-    if failure is not None:
-        fail(failure)
+    trio.run(follow)
--- a/marigoldtrail/node/node.py
+++ b/marigoldtrail/node/node.py
@@ -16,7 +16,7 @@
 from marigoldtrail.schema.generated.control import DecisionsReply, GetDecisions
 from marigoldtrail.schema.generated.settings import Settings
 from marigoldtrail.storage import Disk
-from marigoldtrail.telemetry import Telemetry
+from marigoldtrail.telemetry import Telemetry, publish_decisions
 from marigoldtrail.timers import Timers
 
 # Callers' old addresses (5 s) and their way (1 s), the longest deadline (11 s), and 3 s for slots,
@@ -197,6 +197,9 @@
         await nursery.start(node.control.run)
     await nursery.start(node.sync.run)
     nursery.start_soon(flush_telemetry, parts)
+    if parts.cfg.events_address:
+        decisions = parts.telemetry.decisions
+        await nursery.start(publish_decisions, decisions, parts.cfg.events_address)
     if node.entry is not None:
         entry = node.entry
 
--- a/marigoldtrail/telemetry/__init__.py
+++ b/marigoldtrail/telemetry/__init__.py
@@ -1,7 +1,7 @@
 """Spans, metrics, logs and decision events."""
 
 from marigoldtrail.telemetry.decisions import DecisionLog
-from marigoldtrail.telemetry.feed import follow_feed, start_feed
+from marigoldtrail.telemetry.feed import follow_decisions, publish_decisions
 from marigoldtrail.telemetry.logs import configure_logging, request_id_var
 from marigoldtrail.telemetry.metrics import Metrics, metric_part
 from marigoldtrail.telemetry.service import Telemetry, mark_failure
@@ -14,9 +14,9 @@
     "Telemetry",
     "build_tracer_provider",
     "configure_logging",
-    "follow_feed",
+    "follow_decisions",
     "mark_failure",
     "metric_part",
+    "publish_decisions",
     "request_id_var",
-    "start_feed",
 ]
--- a/marigoldtrail/telemetry/feed.py
+++ b/marigoldtrail/telemetry/feed.py
@@ -1,90 +1,89 @@
-"""Live feed of decisions over pynng PUB/SUB; optional and lossy, off the path of requests."""
+"""Live feed of decision events over pynng PUB/SUB."""
 
 from __future__ import annotations
 
 import logging
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncIterator
 
 import msgspec
+import trio
 
-from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Address
 from marigoldtrail.schema.generated.control import Decision
 from marigoldtrail.telemetry.decisions import DecisionLog
 
-# pynng starts about 30 threads when it is imported, so that only processes with a feed import it.
+# Events beyond this are dropped: a slow subscriber must not hold memory of the node.
+MAX_QUEUED = 1000
 
 _log = logging.getLogger(__name__)
 
 
-def start_feed(decisions: DecisionLog, address: str) -> Callable[[], None]:
+async def publish_decisions(
+    decisions: DecisionLog,
+    address: str,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
     """
-    Publish each new decision; an error of the socket costs the feed only.
+    Publish each new decision until cancelled; a failure of the feed ends the feed only.
 
     Parameters
     ----------
     decisions : DecisionLog
-        Where decisions come from.
+        Where decisions are recorded.
     address : str
-        IP address and port to listen on; empty for no feed.
-
-    Returns
-    -------
-    callable
-        Closes the feed.
+        IP address and port to listen on.
+    task_status : trio.TaskStatus
+        Started when the feed listens, or has failed to.
     """
-    if not address:
-        return lambda: None
+    # Opening a socket starts 30 threads, which nodes without a feed shall not have.
     import pynng
 
     try:
-        socket = pynng.Pub0(listen=f"tcp://{Address.parse(address)}")
+        publisher = pynng.Pub0(listen=_url(address))
     except (ValueError, pynng.NNGException) as exc:
-        _log.error("no feed of decisions on %s: %s", address, exc)
-        return lambda: None
+        _log.error("the feed of decisions cannot listen on %s: %s", address, exc)
+        task_status.started()
+        return
+    send, receive = trio.open_memory_channel[Decision](MAX_QUEUED)
 
-    def publish(decision: Decision) -> None:
+    def queue(decision: Decision) -> None:
         try:
-            socket.send(msgspec.json.encode(decision), block=False)
-        except pynng.NNGException as exc:
-            _log.debug("a decision is missing in the feed: %s", exc)
-
-    decisions.subscribe(publish)
-    return socket.close
+            send.send_nowait(decision)
+        except trio.WouldBlock:
+            return
+
+    decisions.subscribe(queue)
+    with publisher:
+        task_status.started()
+        async for decision in receive:
+            try:
+                await publisher.asend(msgspec.json.encode(decision))
+            except pynng.NNGException as exc:
+                _log.warning("a decision was not published: %s", exc)
 
 
-async def follow_feed(address: Address) -> AsyncGenerator[Decision | Failure, None]:
+async def follow_decisions(address: str) -> AsyncIterator[Decision]:
     """
-    Receive the decisions of one node as they are taken.
+    Yield the decisions that a node publishes; waits for the node if it does not run yet.
 
     Parameters
     ----------
-    address : Address
-        The node's ``events_address``.
+    address : str
+        IP address and port of the feed.
 
     Yields
     ------
-    Decision or Failure
-        Decisions from now on; a failure, and nothing after it, if the node cannot be reached. A
-        node that comes back is followed again.
+    Decision
+        The decisions from now on; some may be missing, since the feed is lossy.
     """
     import pynng
 
-    try:
-        socket = pynng.Sub0(dial=f"tcp://{address}", block_on_dial=True, topics=b"")
-    except pynng.NNGException as exc:
-        yield Failure(
-            reason=Reason.UNREACHABLE,
-            run_state=RunState.NOT_RUN,
-            step="events.connect",
-            peer=str(address),
-            detail=str(exc),
-        )
-        return
-    with socket:
+    with pynng.Sub0(topics=[b""], recv_timeout=-1) as subscriber:
+        subscriber.dial(_url(address), block=False)
         while True:
-            data = await socket.arecv()
-            try:
-                yield msgspec.json.decode(data, type=Decision)
-            except msgspec.DecodeError:
-                _log.warning("a message of the feed is not a decision")
+            yield msgspec.json.decode(await subscriber.arecv(), type=Decision)
+
+
+def _url(address: str) -> str:
+    return f"tcp://{Address.parse(address)}"
--- a/marigoldtrail/telemetry/tests/test_telemetry.py
+++ b/marigoldtrail/telemetry/tests/test_telemetry.py
@@ -3,11 +3,16 @@
 import io
 import json
 import logging
+import socket
+
+import trio
 
 from marigoldtrail.telemetry import (
     Telemetry,
     build_tracer_provider,
     configure_logging,
+    follow_decisions,
+    publish_decisions,
     request_id_var,
 )
 from marigoldtrail.timers import Timers
@@ -48,3 +53,47 @@
     assert telemetry.decisions.find(subject="engine-0") == []
     (found,) = telemetry.decisions.find(subject="engine-2999")
     assert found.inputs == {"count": "2999"}
+
+
+async def test_feed_publishes_decisions(nursery):
+    """Guards against a feed that loses events of a subscriber that keeps up."""
+    telemetry = Telemetry(host="a", timers=Timers())
+    address = f"127.0.0.1:{free_port()}"
+    await nursery.start(publish_decisions, telemetry.decisions, address)
+    received = []
+
+    async def follow() -> None:
+        async for decision in follow_decisions(address):
+            received.append(decision.subject)
+            if decision.subject == "last":
+                nursery.cancel_scope.cancel()
+
+    nursery.start_soon(follow)
+    # A subscriber gets what is published after it has connected.
+    while not received:
+        telemetry.decisions.add("test", "first", "connect")
+        await trio.sleep(0.01)
+    for number in range(100):
+        telemetry.decisions.add("test", str(number), "test")
+    telemetry.decisions.add("test", "last", "test")
+    with trio.move_on_after(30):
+        await trio.sleep_forever()
+    raise AssertionError(f"only {len(received)} decisions arrived")
+
+
+async def test_feed_that_cannot_listen_does_not_harm_the_node(nursery):
+    """Guards against a node that does not start because of an address in use, or a wrong one."""
+    telemetry = Telemetry(host="a", timers=Timers())
+    await nursery.start(publish_decisions, telemetry.decisions, "nowhere")
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        await nursery.start(publish_decisions, telemetry.decisions, address)
+    telemetry.decisions.add("test", "u1", "reason")
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
