Wait for an entry to be back in service before the next page is tried

Cause: the test of the pages booked through an entry whose data centre had just been taken back in; the entry hears of that with its next Sync, up to 1 s later, and rightly refused. 3 of 4 parallel runs failed before, 0 of 4 now.

--- a/marigoldtrail/cli/tests/test_pages.py
+++ b/marigoldtrail/cli/tests/test_pages.py
@@ -55,6 +55,10 @@
                 for name, standin in fleet.world.standins.items():
                     if name.startswith("booking"):
                         standin.knobs.stalled = True
+            # After a data centre is back in service its entries serve once they have heard of it.
+            await fleet.wait_for(
+                HOST, lambda client: client.addresses(), lambda found: api in found
+            )
             commands = find_commands(ROOT / page)
             known: dict[str, str] = {}
             found = await run(partial(run_page, commands, api=api, known_ids=known))
