Run the fault matrix without a pool of processes; heal takeouts whose reply was lost

No module of the package starts processes: make faults runs four parts side by side and joins their results.

--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,15 @@
 fuzz: $(VENV)/installed
 	$(BIN)/python -m marigoldtrail.testing fuzz --seed $(SEED) --steps $(STEPS)
 
+# Parts run side by side; the last command writes the page from their results.
+FAULT_PARTS := 1 2 3 4
 faults: $(VENV)/installed
-	$(BIN)/python -m marigoldtrail.testing faults
+	rm -rf build/faults
+	for part in $(FAULT_PARTS); do \
+	    $(BIN)/python -m marigoldtrail.testing faults --part $$part/4 --results build/faults \
+	        --page build/faults-$$part.md & \
+	done; wait
+	$(BIN)/python -m marigoldtrail.testing faults --results build/faults
 
 binary: $(VENV)/installed
 	mkdir -p dist
--- a/marigoldtrail/testing/fault_cell.py
+++ b/marigoldtrail/testing/fault_cell.py
@@ -104,6 +104,7 @@
         "sent",
         "accepted",
         "takeouts",
+        "tried_takeouts",
         "hosts_list",
         "_scopes",
         "_starting",
@@ -117,6 +118,8 @@
         self.sent: list[Sent] = []
         self.accepted: dict[int, str] = {}
         self.takeouts: dict[tuple[str, str], tuple[int, str]] = {}
+        # Those whose reply was lost may have been accepted.
+        self.tried_takeouts: dict[tuple[str, str], tuple[int, str]] = {}
         self.hosts_list: Any = None
         self._scopes: dict[str, list[trio.CancelScope]] = {}
         # A fault and the repair after it may start the same host.
@@ -231,6 +234,7 @@
 
     async def take_out(self, kind: str, name: str, state: str, number: int, host: str) -> None:
         """Take a target out of service or back in and keep what the operator saw."""
+        self.tried_takeouts[kind, name] = (number, state)
         set_service = partial(self.fleet.set_service, host, kind, name, state, number)
         reply = await self._through(host, set_service)
         if reply is None or isinstance(reply, Failure):
@@ -262,7 +266,7 @@
                 self.kill(host)
         for host in fleet.settings:
             await self.start_host(host)
-        for (kind, name), (number, state) in list(self.takeouts.items()):
+        for (kind, name), (number, state) in list(self.tried_takeouts.items()):
             if state == "out":
                 await self.take_out(kind, name, "in", number + 1, "h2")
 
--- a/marigoldtrail/testing/faults.py
+++ b/marigoldtrail/testing/faults.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from multiprocessing import Pool
 from pathlib import Path
 from typing import Annotated
 
@@ -39,10 +38,12 @@
     step: Annotated[list[str] | None, typer.Option(help="Only this step; repeatable.")] = None,
     fault: Annotated[list[str] | None, typer.Option(help="Only this fault; repeatable.")] = None,
     seed: Annotated[int, typer.Option(help="Seed of everything random.")] = SEED,
-    jobs: Annotated[int, typer.Option(help="Processes that run steps.")] = 4,
+    part: Annotated[
+        str, typer.Option(help="K/N: only the K-th of N parts, for processes side by side.")
+    ] = "1/1",
     page: Annotated[Path, typer.Option(help="Page to write.")] = Path("docs/FAULTS.md"),
     results: Annotated[
-        Path | None, typer.Option(help="Keep results here and run only cells that it lacks.")
+        Path | None, typer.Option(help="Folder of results; only cells that it lacks are run.")
     ] = None,
 ) -> int:
     """Run every fault at every step and write the page of the fault matrix."""
@@ -54,49 +55,51 @@
         for kind in fault or list(FAULTS)
         if (name, kind) not in done
     ]
-    with Pool(jobs) as pool:
-        for cell in pool.imap_unordered(run_one_cell, cells):
-            known.append(cell)
-            typer.echo(f"{cell.verdict}: {cell.step} / {cell.fault} {'; '.join(cell.broken)}")
-            if results is not None:
-                with results.open("ab") as file:
-                    file.write(msgspec.json.encode(cell) + b"\n")
+    number, _, parts = part.partition("/")
+    for name, kind, cell_seed in cells[int(number) - 1 :: int(parts)]:
+        cell = next(run_matrix([name], [kind], seed=cell_seed))
+        known.append(cell)
+        typer.echo(f"{cell.verdict}: {cell.step} / {cell.fault} {'; '.join(cell.broken)}")
+        if results is not None:
+            append_result(results / f"part-{number}.jsonl", cell)
     page.write_text(render_page(known, seed=seed))
     return int(any(cell.verdict == BROKEN for cell in known))
 
 
-def run_one_cell(cell: tuple[str, str, int]) -> CellResult:
+def append_result(path: Path, cell: CellResult) -> None:
     """
-    Run one cell in a process of the pool.
+    Keep the result of a cell.
 
     Parameters
     ----------
-    cell : tuple of str, str, int
-        Step, fault and seed.
-
-    Returns
-    -------
-    CellResult
-        Its verdict.
+    path : Path
+        File with one JSON object a line; created if missing.
+    cell : CellResult
+        The result.
     """
-    step, fault, seed = cell
-    return next(run_matrix([step], [fault], seed=seed))
+    path.parent.mkdir(parents=True, exist_ok=True)
+    with path.open("ab") as file:
+        file.write(msgspec.json.encode(cell) + b"\n")
 
 
-def read_results(path: Path | None) -> list[CellResult]:
+def read_results(folder: Path | None) -> list[CellResult]:
     """
     Read the results of earlier runs.
 
     Parameters
     ----------
-    path : Path or None
-        One JSON object a line; may be missing.
+    folder : Path or None
+        Files with one JSON object a line; may be missing.
 
     Returns
     -------
     list of CellResult
         The results.
     """
-    if path is None or not path.exists():
+    if folder is None:
         return []
-    return [msgspec.json.decode(line, type=CellResult) for line in path.read_bytes().splitlines()]
+    return [
+        msgspec.json.decode(line, type=CellResult)
+        for path in sorted(folder.glob("*.jsonl"))
+        for line in path.read_bytes().splitlines()
+    ]
