Ask upstreams again about orders that may have run

Cause: a claim whose answer was lost was settled as may_have_run by its entry, and the sweeper asked only about pending claims; the order waited for an operator although its upstream knew the outcome. The fault matrix showed it (claim: call, answer lost after the effect). Change: the sweeper asks about such claims after 2 s and then at doubling intervals up to 300 s, and settles them when the upstream says done. 'Not found' changes nothing, since the call may still arrive. Test: test_lost_answer_is_fetched_from_the_upstream; without the change the claim stays open.

--- a/marigoldtrail/records/claims.py
+++ b/marigoldtrail/records/claims.py
@@ -389,6 +389,21 @@
         """
         return list(self._find_open(ClaimState.PENDING))
 
+    def doubtful(self) -> list[PendingClaim]:
+        """
+        Return the claims that may have run and whose upstream can be asked for the outcome.
+
+        Returns
+        -------
+        list of PendingClaim
+            In the order of their keys.
+        """
+        return [
+            item
+            for item in self._find_open(ClaimState.MAY_HAVE_RUN)
+            if any(target.outcome_path for target in item.claim.targets)
+        ]
+
     def _find_open(self, state: ClaimState) -> Iterator[PendingClaim]:
         for account, key, stage in sorted(self._open[state]):
             claim = self._find(account, key, stage)
--- a/marigoldtrail/records/sweeper.py
+++ b/marigoldtrail/records/sweeper.py
@@ -14,7 +14,7 @@
 import trio
 
 from marigoldtrail.errors import Failure
-from marigoldtrail.records.claim import Claim, PendingClaim, SettledBy
+from marigoldtrail.records.claim import Claim, ClaimState, PendingClaim, SettledBy
 from marigoldtrail.records.machine import RecordMachine, SettleCommand, encode_command
 from marigoldtrail.schema.generated.records import SettleClaim
 from marigoldtrail.telemetry import Telemetry
@@ -22,6 +22,10 @@
 
 SWEEP_INTERVAL_S = 1.0
 GRACE_S = 15.0
+# A claim whose answer was lost is settled soon if its upstream can tell; one that cannot be settled
+# is asked about less and less often.
+FIRST_ASK_S = 2.0
+LONGEST_ASK_S = 300.0
 MAX_DEADLINE_S = 11.0
 ASK_TIMEOUT_S = 5.0
 PROPOSE_TIMEOUT_S = 5.0
@@ -83,6 +87,13 @@
         ...
 
 
+class Doubt(msgspec.Struct):
+    """When the upstream of a claim that may have run is asked again, and the pause after that."""
+
+    ask_at: float
+    pause_s: float
+
+
 class Sweeper:
     """
     Watches the pending claims of one group.
@@ -101,7 +112,7 @@
         Receives a decision for each claim settled.
     """
 
-    __slots__ = ("_log", "_machine", "_ask", "_timers", "_telemetry", "_due", "_busy")
+    __slots__ = ("_log", "_machine", "_ask", "_timers", "_telemetry", "_due", "_doubts", "_busy")
 
     def __init__(
         self,
@@ -118,6 +129,7 @@
         self._timers = timers
         self._telemetry = telemetry
         self._due: dict[str, float] = {}
+        self._doubts: dict[str, Doubt] = {}
         self._busy: set[str] = set()
 
     async def run(self) -> None:
@@ -127,10 +139,14 @@
             async for now in self._timers.subscribe("records.sweeper", SWEEP_INTERVAL_S):
                 if not self._log.is_leader:
                     self._due.clear()
+                    self._doubts.clear()
                     continue
                 for pending in self._find_due(now):
                     self._busy.add(pending.claim.attempt_id)
                     nursery.start_soon(self._settle, pending, limit)
+                for doubtful in self._find_doubtful(now):
+                    self._busy.add(doubtful.claim.attempt_id)
+                    nursery.start_soon(self._settle, doubtful, limit)
 
     def _find_due(self, now: float) -> list[PendingClaim]:
         pending = self._machine.claims.pending()
@@ -145,8 +161,24 @@
                 due.append(item)
         return due
 
+    def _find_doubtful(self, now: float) -> list[PendingClaim]:
+        """Return claims that may have run and are due for another question to their upstream."""
+        known = self._doubts
+        self._doubts = {}
+        due = []
+        for item in self._machine.claims.doubtful():
+            attempt = item.claim.attempt_id
+            doubt = known.get(attempt) or Doubt(now + FIRST_ASK_S, FIRST_ASK_S)
+            self._doubts[attempt] = doubt
+            if now >= doubt.ask_at and attempt not in self._busy:
+                doubt.pause_s = min(LONGEST_ASK_S, 2 * doubt.pause_s)
+                doubt.ask_at = now + doubt.pause_s
+                due.append(item)
+        return due
+
     async def _settle(self, pending: PendingClaim, limit: trio.CapacityLimiter) -> None:
         # The claim object may be granted to another attempt while the upstreams are asked.
+        was_pending = pending.claim.state is ClaimState.PENDING
         attempt, stage, request_id, entry = (
             pending.claim.attempt_id,
             pending.claim.stage,
@@ -156,6 +188,9 @@
         try:
             async with limit:
                 state, answer = await self._ask_targets(pending.claim, attempt)
+                if not was_pending and state != "done":
+                    # The call may still arrive; only its run is final.
+                    return
                 req = SettleClaim(
                     client_account=pending.client_account,
                     idempotency_key=pending.idempotency_key,
--- a/marigoldtrail/records/tests/test_service.py
+++ b/marigoldtrail/records/tests/test_service.py
@@ -136,6 +136,23 @@
     assert all(attempt == "a1" for _, _, attempt in upstreams.asked)
 
 
+async def test_lost_answer_is_fetched_from_the_upstream(autojump_clock, nursery):
+    """Guards against an order left to an operator although its upstream knows the outcome."""
+    upstreams = Upstreams()
+    upstreams.outcomes["u1"] = Outcome(state="not_found")
+    machine, _, service = make_host(nursery, upstreams=upstreams)
+    await service.open_claim(open_claim(upstream="u1", outcome_path="/outcome"), "e1")
+    await service.settle_claim(settle_claim("may_have_run", "a1"), "e1")
+    await trio.sleep(60)
+    assert 1 < len(upstreams.asked) < 10, "asked again, but less and less often"
+    assert len(machine.claims.doubtful()) == 1, "not found does not exclude a later run"
+    upstreams.outcomes["u1"] = Outcome(state="done", output={"receipt": 7})
+    await trio.sleep(60)
+    assert not machine.claims.doubtful()
+    reply = await service.open_claim(open_claim("a2"), "e2")
+    assert (reply.state, reply.answer) == ("done", b'{"receipt":7}')
+
+
 async def test_sweeper_counts_anew_on_a_new_leader_and_whatever_the_wall_clock(
     autojump_clock, nursery
 ):
