--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -64,7 +64,7 @@
         outcome["error"] = f"did not end within {LIMITS_S[name]} s"
     else:
         if done.returncode:
-            outcome["error"] = done.stderr[-ERROR_CHARS:]
+            outcome["error"] = last_error(done.stderr)
         else:
             outcome["figures"] = json.loads(done.stdout)
     outcome["seconds"] = round(time.monotonic() - started, 1)
@@ -92,6 +92,29 @@
     }
 
 
+def last_error(output: str) -> str:
+    """
+    Return the last error of a traceback, without the paths of this machine.
+
+    Parameters
+    ----------
+    output : str
+        What a benchmark wrote to standard error.
+
+    Returns
+    -------
+    str
+        One line.
+
+    Examples
+    --------
+    >>> last_error("  | File 'x'\\n  | RuntimeError: no\\n  +-----\\n")
+    'RuntimeError: no'
+    """
+    lines = [line.strip(" |+-") for line in output.splitlines()]
+    return next((line for line in reversed(lines) if line), "")[:ERROR_CHARS]
+
+
 def main() -> None:
     """Run benchmarks; exit code 1 if one of them failed."""
     parser = argparse.ArgumentParser(prog="python -m bench")
