--- a/marigoldtrail/testing/tests/test_fuzz.py
+++ b/marigoldtrail/testing/tests/test_fuzz.py
@@ -4,6 +4,8 @@
 import random
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from marigoldtrail.control import machine
 from marigoldtrail.errors import RunState
@@ -14,7 +16,13 @@
 from marigoldtrail.serving.shared import Shared
 from marigoldtrail.slots.tracker import UpstreamTracker
 from marigoldtrail.testing.fuzz import run_steps
-from marigoldtrail.testing.operations import Step, build_steps
+from marigoldtrail.testing.operations import (
+    MAX_PAUSE_S,
+    MAX_VALUE,
+    OPERATIONS,
+    Step,
+    build_steps,
+)
 from marigoldtrail.upstream import gate
 
 SEEDS = (1, 2)
@@ -39,6 +47,23 @@
     assert again == first
 
 
+STEP = st.builds(
+    Step,
+    name=st.sampled_from(sorted(OPERATIONS)),
+    a=st.integers(0, MAX_VALUE),
+    b=st.integers(0, MAX_VALUE),
+    c=st.integers(0, MAX_VALUE),
+    pause_s=st.integers(0, 15).map(lambda part: part / 15 * MAX_PAUSE_S),
+)
+
+
+@settings(max_examples=6, deadline=None, derandomize=True, database=None)
+@given(steps=st.lists(STEP, min_size=8, max_size=16))
+def test_drawn_sequences_keep_the_promises(steps):
+    """Guards against a broken promise; hypothesis reduces a failing sequence by itself."""
+    assert run_steps(1, steps).broken == []
+
+
 def orders(count: int, pause_s: float = 0.2, a: int = 0) -> Step:
     """Orders sent at once through all entries."""
     return Step("send_orders", a, 0, count - 1, pause_s)
