Enter the gate of a pool in one place

The wait for room in a node's share of a pool stood three times (claims, generation, idempotent stages); run_in_gate serves all of them. A copy of a dictionary in the role control is gone, too. Behaviour is unchanged.

Checked: make lint; pytest of serving, api, node, demo, test_fleet, test_fuzz and test_faults, 184 tests pass.

--- a/marigoldtrail/node/control_role.py
+++ b/marigoldtrail/node/control_role.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from marigoldtrail.consensus import GroupSet
+from marigoldtrail.consensus import GroupSet, Machine
 from marigoldtrail.control import ConfigMachine, ControlService, Order, OrderAnswer
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.fleet import CONFIG_GROUP, groups_of, record_group_of, record_groups_of
@@ -120,16 +120,16 @@
         for name in member_of
         if name != CONFIG_GROUP
     }
-    machines = {**record_machines}
+    machines: dict[str, Machine] = {**record_machines}
+    if CONFIG_GROUP in member_of:
+        machines[CONFIG_GROUP] = config_machine
     groups = GroupSet(
         host=cfg.host,
         hosts=hosts,
         addresses={peer.host: Address.parse(peer.peer_address) for peer in cfg.control_hosts},
         client=parts.peers,
         disk=disk,
-        machines=(
-            {**machines, CONFIG_GROUP: config_machine} if CONFIG_GROUP in member_of else machines
-        ),
+        machines=machines,
         timers=parts.timers,
         rng=parts.rng,
         telemetry=parts.telemetry,
--- a/marigoldtrail/serving/claims.py
+++ b/marigoldtrail/serving/claims.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import msgspec
-import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.schema.generated.manifest import Stage, Upstream
@@ -11,8 +12,8 @@
 from marigoldtrail.serving.calls import send_call
 from marigoldtrail.serving.idempotent import (
     AttemptOutcome,
-    gate_failure,
     may_retry,
+    run_in_gate,
 )
 from marigoldtrail.serving.outcomes import StageResult, cost_of
 from marigoldtrail.serving.run import Run
@@ -115,7 +116,7 @@
     poll_s = FIRST_POLL_S
     waited = False
     while True:
-        outcome = await _attempt_in_gate(state)
+        outcome = await run_in_gate(run, state.stage, state.until, partial(_claim_and_call, state))
         if isinstance(outcome, ClaimReply):
             # Another attempt holds the claim; whether it has run is open.
             run.in_doubt += not waited
@@ -147,19 +148,6 @@
     return may_retry(state.run, state.stage, outcome, attempts=state.rounds, until=state.until)
 
 
-async def _attempt_in_gate(state: ClaimedStage) -> AttemptOutcome | ClaimReply:
-    run, stage = state.run, state.stage
-    gate = run.shared.gate(stage.pool)
-    with trio.move_on_at(state.until) as scope:
-        await gate.enter(run.arrived)
-    if scope.cancelled_caught:
-        return AttemptOutcome(gate_failure(run, stage), False)
-    try:
-        return await _claim_and_call(state)
-    finally:
-        gate.leave()
-
-
 async def _claim_and_call(state: ClaimedStage) -> AttemptOutcome | ClaimReply:
     """
     Open the claim, then reserve the upstream, then call it.
--- a/marigoldtrail/serving/generation.py
+++ b/marigoldtrail/serving/generation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import trio
@@ -15,8 +16,8 @@
 from marigoldtrail.serving.idempotent import (
     MAX_ATTEMPTS,
     AttemptOutcome,
-    gate_failure,
     may_retry,
+    run_in_gate,
 )
 from marigoldtrail.serving.outcomes import StageResult, cost_of
 from marigoldtrail.serving.run import Run
@@ -121,7 +122,7 @@
     fruitless = 1
     while True:
         before = state.next_token
-        outcome = await _attempt_in_gate(state)
+        outcome = await run_in_gate(run, stage, until, partial(_attempt, state))
         if state.moved_to is not None:
             continue
         if not isinstance(outcome.result, Failure):
@@ -143,19 +144,6 @@
             return outcome.result, state.attempts
 
 
-async def _attempt_in_gate(state: Generation) -> AttemptOutcome:
-    run, stage = state.run, state.stage
-    gate = run.shared.gate(stage.pool)
-    with trio.move_on_at(state.until) as scope:
-        await gate.enter(run.arrived)
-    if scope.cancelled_caught:
-        return AttemptOutcome(gate_failure(run, stage), False)
-    try:
-        return await _attempt(state)
-    finally:
-        gate.leave()
-
-
 async def _attempt(state: Generation) -> AttemptOutcome:
     run, stage, shared = state.run, state.stage, state.run.shared
     attempt_id = shared.new_id()
--- a/marigoldtrail/serving/idempotent.py
+++ b/marigoldtrail/serving/idempotent.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import NamedTuple, TypeVar
 
 import trio
 
@@ -17,6 +19,8 @@
 
 MAX_ATTEMPTS = 3
 
+Result = TypeVar("Result")
+
 # Another upstream may answer after one of these.
 RETRIED = frozenset(
     {
@@ -208,17 +212,46 @@
 async def attempt_once(state: StageState, *, is_hedge: bool) -> AttemptOutcome:
     """Make one attempt with its own id, within the node's share of the pool."""
     run = state.run
-    gate = run.shared.gate(state.stage.pool)
     if is_hedge:
+        gate = run.shared.gate(state.stage.pool)
         if not gate.try_enter():
             return AttemptOutcome(gate_failure(run, state.stage), False)
-    else:
-        with trio.move_on_at(state.until) as scope:
-            await gate.enter(run.arrived)
-        if scope.cancelled_caught:
-            return AttemptOutcome(gate_failure(run, state.stage), False)
+        try:
+            return await _attempt_in_gate(state)
+        finally:
+            gate.leave()
+    return await run_in_gate(run, state.stage, state.until, partial(_attempt_in_gate, state))
+
+
+async def run_in_gate(
+    run: Run, stage: Stage, until: float, attempt: Callable[[], Awaitable[Result]]
+) -> Result | AttemptOutcome:
+    """
+    Make an attempt within the node's share of the pool; wait for room until a time.
+
+    Parameters
+    ----------
+    run : Run
+        The request.
+    stage : Stage
+        The stage, whose pool is shared.
+    until : float
+        Monotonic time until which room is waited for, in seconds.
+    attempt : callable
+        Asynchronous; makes the attempt.
+
+    Returns
+    -------
+    object
+        What the attempt returned, or the outcome that there was no room in time.
+    """
+    gate = run.shared.gate(stage.pool)
+    with trio.move_on_at(until) as scope:
+        await gate.enter(run.arrived)
+    if scope.cancelled_caught:
+        return AttemptOutcome(gate_failure(run, stage), False)
     try:
-        return await _attempt_in_gate(state)
+        return await attempt()
     finally:
         gate.leave()
 
