--- a/marigoldtrail/consensus/election.py
+++ b/marigoldtrail/consensus/election.py
@@ -10,6 +10,7 @@
 from marigoldtrail.consensus.replication import (
     build_peers,
     keep_heard,
+    make_peer,
     quorum_heard_at,
     replicate,
 )
@@ -230,10 +231,34 @@
     """
     with scope:
         async with trio.open_nursery() as nursery:
-            for peer in state.peers.values():
-                nursery.start_soon(replicate, state, peer, term)
-                nursery.start_soon(keep_heard, state, peer, term)
-            nursery.start_soon(maintain_members, state, term)
+            state.leader_nursery = nursery
+            try:
+                for peer in state.peers.values():
+                    nursery.start_soon(replicate, state, peer, term)
+                    nursery.start_soon(keep_heard, state, peer, term)
+                await maintain_members(state, term)
+            finally:
+                state.leader_nursery = None
+
+
+def start_peer(state: GroupState, host: str) -> None:
+    """
+    Begin to replicate to a host that became known while this host leads.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group, led by this host.
+    host : str
+        Name of the other host.
+    """
+    if state.leader_nursery is None or host not in state.addresses:
+        # The tasks of the leadership start with all hosts known by then.
+        return
+    peer = make_peer(state, host)
+    state.peers[host] = peer
+    state.leader_nursery.start_soon(replicate, state, peer, state.term)
+    state.leader_nursery.start_soon(keep_heard, state, peer, state.term)
 
 
 async def handle_vote(state: GroupState, req: RequestVote) -> VoteReply | Failure:
--- a/marigoldtrail/consensus/group.py
+++ b/marigoldtrail/consensus/group.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Any, TypeVar
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import trio
 
 from marigoldtrail.consensus.applying import apply_committed, write_proposals
-from marigoldtrail.consensus.election import run_elections, transfer_leadership
+from marigoldtrail.consensus.election import run_elections, start_peer, transfer_leadership
 from marigoldtrail.consensus.log import COMMAND, MEMBERS, encode_voters
 from marigoldtrail.consensus.membership import learners_of
 from marigoldtrail.consensus.parts import Machine, Proposal
@@ -30,9 +30,11 @@
 from marigoldtrail.schema.generated.consensus import GroupIdentity, LogEntry, Member
 from marigoldtrail.schema.generated.control import GroupStatus
 from marigoldtrail.storage import Disk
-from marigoldtrail.telemetry import Telemetry
 from marigoldtrail.timers import Timers
 
+if TYPE_CHECKING:
+    from marigoldtrail.telemetry import Telemetry
+
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
 MAX_QUEUED = 8192
 MAX_BATCH_ENTRIES = 1024
@@ -69,6 +71,8 @@
         Where decisions are reported.
     max_batch : int
         Largest number of entries in one write; 1 turns group commit off.
+    silent_removal_s : float or None
+        Seconds of silence after which the leader takes a voter off the list; None for never.
     """
 
     __slots__ = ("_state", "_disk", "_opened")
@@ -79,7 +83,7 @@
         name: str,
         host: str,
         hosts: list[str],
-        addresses: dict[str, Address],
+        addresses: Mapping[str, Address],
         client: PeerClient,
         disk: Disk,
         machine: Machine,
@@ -87,6 +91,7 @@
         rng: random.Random | None = None,
         telemetry: Telemetry | None = None,
         max_batch: int = MAX_BATCH_ENTRIES,
+        silent_removal_s: float | None = None,
     ) -> None:
         self._disk = disk
         self._opened = trio.Event()
@@ -101,6 +106,7 @@
             rng=rng or random.SystemRandom(),
             telemetry=telemetry,
             max_batch=max_batch,
+            silent_removal_s=silent_removal_s,
         )
 
     @property
@@ -133,6 +139,28 @@
         """The failure of the disk that stopped the group on this host, if any."""
         return self._state.stopped
 
+    @property
+    def has_voters(self) -> bool:
+        """Whether the group was initialised, as far as this host knows."""
+        return self._opened.is_set() and bool(self._state.log.voters)
+
+    def add_host(self, host: str) -> None:
+        """
+        Let the group have a host as a voter that was not known at the start.
+
+        The host gets the log at once, and its vote when it holds the whole log.
+
+        Parameters
+        ----------
+        host : str
+            Name of the host; its address must be known.
+        """
+        state = self._state
+        if host not in state.hosts:
+            state.hosts.append(host)
+        if state.role == LEADER and host != state.host and host not in state.peers:
+            start_peer(state, host)
+
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """
         Take part in the group until cancelled.
--- a/marigoldtrail/consensus/groups.py
+++ b/marigoldtrail/consensus/groups.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Iterator, Mapping
 from functools import partial
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import trio
@@ -29,9 +29,11 @@
 )
 from marigoldtrail.schema.generated.control import GroupStatus
 from marigoldtrail.storage import Disk
-from marigoldtrail.telemetry import Telemetry
 from marigoldtrail.timers import Timers
 
+if TYPE_CHECKING:
+    from marigoldtrail.telemetry import Telemetry
+
 _MESSAGE_HANDLERS: dict[type, Any] = {
     AppendEntries: handle_append,
     InstallSnapshot: handle_snapshot,
@@ -66,6 +68,8 @@
         Where decisions are reported.
     max_batch : int
         Largest number of entries in one write; 1 turns group commit off.
+    silent_removal_s : float or None
+        Seconds of silence after which a leader takes a voter off the list; None for never.
     """
 
     __slots__ = ("_groups",)
@@ -75,7 +79,7 @@
         *,
         host: str,
         hosts: Mapping[str, list[str]],
-        addresses: dict[str, Address],
+        addresses: Mapping[str, Address],
         client: PeerClient,
         disk: Disk,
         machines: Mapping[str, Machine],
@@ -83,6 +87,7 @@
         rng: random.Random | None = None,
         telemetry: Telemetry | None = None,
         max_batch: int = MAX_BATCH_ENTRIES,
+        silent_removal_s: float | None = None,
     ) -> None:
         self._groups = {
             name: Group(
@@ -97,6 +102,7 @@
                 rng=rng,
                 telemetry=telemetry,
                 max_batch=max_batch,
+                silent_removal_s=silent_removal_s,
             )
             for name, machine in machines.items()
         }
@@ -201,7 +207,7 @@
     client: PeerClient,
     *,
     hosts: Mapping[str, list[str]],
-    addresses: dict[str, Address],
+    addresses: Mapping[str, Address],
     timeout_s: float,
 ) -> None | Failure:
     """
--- a/marigoldtrail/consensus/membership.py
+++ b/marigoldtrail/consensus/membership.py
@@ -7,6 +7,9 @@
 from marigoldtrail.consensus.state import CHECK_QUORUM_S, HEARTBEAT_S, GroupState, voter_of
 from marigoldtrail.schema.generated.consensus import Member
 
+# A group of fewer voters could not lose one.
+LEAST_VOTERS = 3
+
 
 async def maintain_members(state: GroupState, term: int) -> None:
     """
@@ -85,9 +88,67 @@
         if member_now is not None and member_now.storage_id != peer.storage_id:
             remaining = [member for member in voters if member is not member_now]
             return remaining, f"remove the old identity of {peer.host}"
+    return remove_silent(state)
+
+
+def remove_silent(state: GroupState) -> tuple[list[Member], str] | None:
+    """
+    Choose a voter to remove because its host has been silent for long.
+
+    A machine that is gone for good would otherwise count towards the quorum for ever. The host
+    gets its vote back once it is heard again.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group, led by this host.
+
+    Returns
+    -------
+    tuple or None
+        The new voters and the reason; None unless at least `LEAST_VOTERS` others remain and all of
+        them are heard and complete.
+    """
+    if state.silent_removal_s is None:
+        return None
+    voters = state.log.voters
+    now = state.timers.now()
+    for member in voters:
+        peer = state.peers.get(member.host)
+        if member.host == state.host or peer is None:
+            continue
+        if now < peer.heard_at + state.silent_removal_s:
+            continue
+        others = [other for other in voters if other is not member]
+        if len(others) >= LEAST_VOTERS and all(is_sound(state, other) for other in others):
+            if member.host in state.hosts:
+                state.hosts.remove(member.host)
+            return others, f"remove {member.host}: silent for {now - peer.heard_at:.1f} s"
     return None
 
 
+def is_sound(state: GroupState, member: Member) -> bool:
+    """
+    Tell whether a voter is this host, or reachable with all that is committed.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group, led by this host.
+    member : Member
+        The voter.
+
+    Returns
+    -------
+    bool
+        True if it is.
+    """
+    if member.host == state.host:
+        return True
+    peer = state.peers.get(member.host)
+    return peer is not None and holds_complete_state(state, peer)
+
+
 def holds_complete_state(state: GroupState, peer: Peer) -> bool:
     """
     Tell whether a host has all that is committed and is reachable.
--- a/marigoldtrail/consensus/replication.py
+++ b/marigoldtrail/consensus/replication.py
@@ -41,23 +41,41 @@
     dict
         One peer for each host that is a voter or shall become one.
     """
-    now = state.timers.now()
     hosts = {member.host for member in state.log.voters} | set(state.hosts)
     peers = {}
     for host in sorted(hosts - {state.host}):
         if host not in state.addresses:
             state.report("skip_member", "the address of the host is not known", member=host)
             continue
-        member = voter_of(state.log.voters, host)
-        peers[host] = Peer(
-            host=host,
-            storage_id=member.storage_id if member is not None else "",
-            next_index=state.log.last_index + 1,
-            now=now,
-        )
+        peers[host] = make_peer(state, host)
     return peers
 
 
+def make_peer(state: GroupState, host: str) -> Peer:
+    """
+    Return what a leader assumes of a host that it has not heard yet.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    host : str
+        Name of the other host.
+
+    Returns
+    -------
+    Peer
+        With the identity of the voter on that host, if there is one.
+    """
+    member = voter_of(state.log.voters, host)
+    return Peer(
+        host=host,
+        storage_id=member.storage_id if member is not None else "",
+        next_index=state.log.last_index + 1,
+        now=state.timers.now(),
+    )
+
+
 async def replicate(state: GroupState, peer: Peer, term: int) -> None:
     """
     Keep the log of one host up to date for as long as this host leads.
--- a/marigoldtrail/consensus/state.py
+++ b/marigoldtrail/consensus/state.py
@@ -5,7 +5,8 @@
 import logging
 import random
 from collections import deque
-from typing import Any
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -15,9 +16,11 @@
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Address, PeerClient
 from marigoldtrail.schema.generated.consensus import Member, StoredSnapshot
-from marigoldtrail.telemetry import Telemetry
 from marigoldtrail.timers import Timers
 
+if TYPE_CHECKING:
+    from marigoldtrail.telemetry import Telemetry
+
 HEARTBEAT_S = 0.25
 ELECTION_TIMEOUT_S = (1.0, 2.0)
 CHECK_QUORUM_S = 1.0
@@ -56,6 +59,8 @@
         Where decisions are reported.
     max_batch : int
         Largest number of entries in one write.
+    silent_removal_s : float or None
+        Seconds of silence after which a leader takes a voter off the list; None for never.
     """
 
     __slots__ = (
@@ -69,6 +74,8 @@
         "rng",
         "telemetry",
         "max_batch",
+        "silent_removal_s",
+        "leader_nursery",
         "lock",
         "nursery",
         "store",
@@ -106,13 +113,14 @@
         name: str,
         host: str,
         hosts: list[str],
-        addresses: dict[str, Address],
+        addresses: Mapping[str, Address],
         client: PeerClient,
         machine: Machine,
         timers: Timers,
         rng: random.Random,
         telemetry: Telemetry | None,
         max_batch: int,
+        silent_removal_s: float | None = None,
     ) -> None:
         self.name = name
         self.host = host
@@ -124,6 +132,9 @@
         self.rng = rng
         self.telemetry = telemetry
         self.max_batch = max_batch
+        self.silent_removal_s = silent_removal_s
+        # Runs the tasks of a leader; None while this host does not lead.
+        self.leader_nursery: trio.Nursery | None = None
         self.lock = trio.Lock()
         self.nursery: trio.Nursery
         self.store: GroupStore
--- a/marigoldtrail/control/leader.py
+++ b/marigoldtrail/control/leader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -15,9 +16,11 @@
 from marigoldtrail.control.upstreams import UpstreamBoard
 from marigoldtrail.schema.generated.control import NodeStatus, Sync, SyncReply, UpstreamStatus
 from marigoldtrail.schema.generated.manifest import Manifest, Upstream
-from marigoldtrail.telemetry import Telemetry
 from marigoldtrail.timers import Timers
 
+if TYPE_CHECKING:
+    from marigoldtrail.telemetry import Telemetry
+
 # Two Sync intervals: a new leader has heard every live node by then.
 SETTLE_S = 2.0
 
--- a/marigoldtrail/control/orders.py
+++ b/marigoldtrail/control/orders.py
@@ -5,7 +5,7 @@
 import logging
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from typing import Any, Literal, Protocol
+from typing import TYPE_CHECKING, Any, Literal, Protocol
 
 import msgspec
 import trio
@@ -23,9 +23,11 @@
 from marigoldtrail.errors import Failure, RunState
 from marigoldtrail.schema.generated.control import UpstreamStatus
 from marigoldtrail.schema.generated.manifest import Model, Upstream
-from marigoldtrail.telemetry import Telemetry
 from marigoldtrail.timers import Timers
 
+if TYPE_CHECKING:
+    from marigoldtrail.telemetry import Telemetry
+
 ORDERS_INTERVAL_S = 0.5
 ORDER_TIMEOUT_S = 5.0
 LEADER_LEASE_S = 1.0
--- a/marigoldtrail/control/service.py
+++ b/marigoldtrail/control/service.py
@@ -5,7 +5,7 @@
 import logging
 import zlib
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import trio
 
@@ -38,9 +38,11 @@
     Sync,
     SyncReply,
 )
-from marigoldtrail.telemetry import Telemetry
 from marigoldtrail.timers import Timers
 
+if TYPE_CHECKING:
+    from marigoldtrail.telemetry import Telemetry
+
 # Below the client's bound for one try, so that the reply still reaches it.
 BARRIER_TIMEOUT_S = 0.6
 # Syncs that arrive within this time share one read barrier, whose messages to the other members
--- a/marigoldtrail/fleet/client.py
+++ b/marigoldtrail/fleet/client.py
@@ -86,7 +86,7 @@
         self._view = view
         self._finder = LeaderFinder(
             peers=peers,
-            view=view,
+            addresses=view,
             timers=timers,
             members={group.name: list(group.members) for group in groups},
         )
--- a/marigoldtrail/fleet/leaders.py
+++ b/marigoldtrail/fleet/leaders.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 import msgspec
 
 from marigoldtrail.errors import Failure, Reason, RunState, is_failure
-from marigoldtrail.fleet.view import FleetView
-from marigoldtrail.net import PeerClient
+from marigoldtrail.net import Address, PeerClient
 from marigoldtrail.timers import Timers
 
 Reply = TypeVar("Reply", bound=msgspec.Struct)
@@ -38,6 +37,14 @@
 )
 
 
+class HostAddresses(Protocol):
+    """Knows where hosts are."""
+
+    def address_of(self, host: str) -> Address | None:
+        """Return the peer address of a host; None if it is not known."""
+        ...
+
+
 class LeaderFinder:
     """
     Calls the leader of each log group.
@@ -46,7 +53,7 @@
     ----------
     peers : PeerClient
         Carries the calls.
-    view : FleetView
+    addresses : HostAddresses
         Gives the addresses of hosts.
     timers : Timers
         Clock and pauses.
@@ -54,18 +61,18 @@
         Control hosts of each group.
     """
 
-    __slots__ = ("_peers", "_view", "_timers", "_members", "_leaders", "_silent")
+    __slots__ = ("_peers", "_addresses", "_timers", "_members", "_leaders", "_silent")
 
     def __init__(
         self,
         *,
         peers: PeerClient,
-        view: FleetView,
+        addresses: HostAddresses,
         timers: Timers,
         members: dict[str, list[str]],
     ) -> None:
         self._peers = peers
-        self._view = view
+        self._addresses = addresses
         self._timers = timers
         self._members = members
         self._leaders: dict[str, str] = {}
@@ -202,7 +209,7 @@
     async def _try(
         self, host: str, request: msgspec.Struct, reply_type: type[Reply], *, timeout_s: float
     ) -> Reply | Failure:
-        address = self._view.address_of(host)
+        address = self._addresses.address_of(host)
         if address is None:
             return _failure(Reason.UNREACHABLE, request, detail=f"no address of host {host!r}")
         return await self._peers.call(address, request, reply_type, timeout_s=timeout_s)
--- a/marigoldtrail/net/network.py
+++ b/marigoldtrail/net/network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -9,6 +10,15 @@
 
 from marigoldtrail.net.address import Address
 
+# Two probes after a second of silence; three seconds for bytes without an acknowledgement.
+_WATCH_OPTIONS = (
+    (socket.SOL_SOCKET, "SO_KEEPALIVE", 1),
+    (socket.IPPROTO_TCP, "TCP_KEEPIDLE", 1),
+    (socket.IPPROTO_TCP, "TCP_KEEPINTVL", 1),
+    (socket.IPPROTO_TCP, "TCP_KEEPCNT", 2),
+    (socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", 3000),
+)
+
 StreamHandler = Callable[[trio.abc.Stream], Awaitable[None]]
 
 
@@ -59,13 +69,20 @@
 
 
 class TcpNetwork:
-    """Streams over TCP."""
+    """
+    Streams over TCP.
+
+    A peer that has fallen silent without closing is noticed by keep-alive probes and, for bytes
+    that it does not acknowledge, by a time-out.
+    """
 
     __slots__ = ()
 
     async def dial(self, address: Address) -> trio.abc.Stream:
         """Open a TCP stream; see `Network.dial`."""
-        return await trio.open_tcp_stream(address.ip, address.port)
+        stream = await trio.open_tcp_stream(address.ip, address.port)
+        watch_peer(stream)
+        return stream
 
     async def listen(
         self,
@@ -78,4 +95,24 @@
         listeners = await trio.open_tcp_listeners(address.port, host=address.ip)
         port = listeners[0].socket.getsockname()[1]
         task_status.started(Address(address.ip, port))
-        await trio.serve_listeners(handler, listeners)
+
+        async def accept(stream: trio.SocketStream) -> None:
+            watch_peer(stream)
+            await handler(stream)
+
+        await trio.serve_listeners(accept, listeners)
+
+
+def watch_peer(stream: trio.SocketStream) -> None:
+    """
+    Let the kernel break a connection whose peer has fallen silent.
+
+    Parameters
+    ----------
+    stream : trio.SocketStream
+        The connection.
+    """
+    for level, name, value in _WATCH_OPTIONS:
+        option = getattr(socket, name, None)
+        if option is not None:
+            stream.setsockopt(level, option, value)
--- /dev/null
+++ b/marigoldtrail/pieces/__init__.py
@@ -0,0 +1,16 @@
+"""Work on the pieces of stages: one scheduler for each service gathers those of all entries."""
+
+from marigoldtrail.pieces.client import PieceClient
+from marigoldtrail.pieces.scheduler import Piece, PieceJob, PieceScheduler, Worker
+from marigoldtrail.pieces.service import PieceCall, PieceResult, PieceService
+
+__all__ = [
+    "Piece",
+    "PieceCall",
+    "PieceClient",
+    "PieceJob",
+    "PieceResult",
+    "PieceScheduler",
+    "PieceService",
+    "Worker",
+]
--- /dev/null
+++ b/marigoldtrail/pieces/scheduler.py
@@ -0,0 +1,348 @@
+"""
+Queue of the pieces of one service and the choice of who works on them, free of any I/O.
+
+Answers the load of many small stages on few upstreams that work on one call at a time: pieces that
+wait together are worked on together, the most urgent first, near where their results are read.
+"""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+
+from marigoldtrail.routing import PieceSpec, Upstream
+
+# Results of at least this size are worth a short wait for an upstream in the reader's data centre.
+LARGE_RESULT_BYTES = 200_000
+LOCAL_WAIT_S = 0.15
+EJECTION_S = 1.5
+BUSY_PAUSE_S = 0.15
+SPEED_WEIGHT = 0.3
+SPEED_HALF_LIFE_S = 3.0
+MAX_TRIES = 3
+
+
+class PieceJob:
+    """
+    One stage of one request.
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    stage : int
+        Number of the stage.
+    key : str
+        Key of the input; empty for a stage that reads results.
+    inputs : list of str
+        Handles of the results that it reads.
+    count : int
+        Number of pieces.
+    expires_at, due_at : float
+        Monotonic times in seconds: when the results are of no more use, and when the request
+        begins to be late.
+    priority : int
+        0 is the most urgent.
+    data_centre : str
+        Where the results are read.
+    result_bytes : int
+        Size of a result.
+    """
+
+    __slots__ = (
+        "request_id",
+        "stage",
+        "key",
+        "inputs",
+        "expires_at",
+        "due_at",
+        "priority",
+        "data_centre",
+        "result_bytes",
+        "handles",
+        "missing",
+        "failure",
+        "done",
+        "queued_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        stage: int,
+        key: str,
+        inputs: list[str],
+        count: int,
+        expires_at: float,
+        due_at: float,
+        priority: int,
+        data_centre: str,
+        result_bytes: int,
+        queued_at: float,
+    ) -> None:
+        self.request_id = request_id
+        self.stage = stage
+        self.key = key
+        self.inputs = inputs
+        self.expires_at = expires_at
+        self.due_at = due_at
+        self.priority = priority
+        self.data_centre = data_centre
+        self.result_bytes = result_bytes
+        self.queued_at = queued_at
+        self.handles: list[str] = [""] * count
+        self.missing = count
+        self.failure = ""
+        self.done = trio.Event()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether results are still wanted."""
+        return not self.done.is_set()
+
+    def finish_piece(self, index: int, handle: str) -> None:
+        """Take a result."""
+        if not self.handles[index]:
+            self.handles[index] = handle
+            self.missing -= 1
+        if self.missing == 0:
+            self.done.set()
+
+    def fail(self, reason: str) -> None:
+        """Give the job up."""
+        if self.is_open:
+            self.failure = reason
+            self.done.set()
+
+
+class Piece(msgspec.Struct, kw_only=True, eq=False):
+    """
+    One piece of a job.
+
+    Parameters
+    ----------
+    job : PieceJob
+        The job.
+    index : int
+        Number of the piece.
+    tries : int
+        How often it was sent.
+    """
+
+    job: PieceJob
+    index: int
+    tries: int = 0
+
+
+class Worker:
+    """
+    An upstream that works on pieces.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        The upstream.
+    """
+
+    __slots__ = (
+        "upstream",
+        "busy_until",
+        "is_busy",
+        "paused_until",
+        "slowness",
+        "timed_at",
+        "room",
+    )
+
+    def __init__(self, *, upstream: Upstream) -> None:
+        self.upstream = upstream
+        self.is_busy = False
+        self.busy_until = 0.0
+        self.paused_until = 0.0
+        self.slowness = 1.0
+        self.timed_at = 0.0
+        # Size of each result that it keeps, by handle.
+        self.room: dict[str, int] = {}
+
+
+class PieceScheduler:
+    """
+    Pieces and workers of one service.
+
+    Parameters
+    ----------
+    spec : PieceSpec
+        Capacity of one upstream.
+    """
+
+    __slots__ = ("spec", "workers", "waiting")
+
+    def __init__(self, *, spec: PieceSpec) -> None:
+        self.spec = spec
+        self.workers: dict[str, Worker] = {}
+        self.waiting: list[Piece] = []
+
+    def set_upstreams(self, upstreams: list[Upstream]) -> None:
+        """Use these upstreams from now on; calls in progress at others are not affected."""
+        names = {upstream.name for upstream in upstreams}
+        for name in [name for name in self.workers if name not in names]:
+            del self.workers[name]
+        for upstream in upstreams:
+            worker = self.workers.get(upstream.name)
+            if worker is None:
+                self.workers[upstream.name] = Worker(upstream=upstream)
+            else:
+                worker.upstream = upstream
+
+    def add(self, job: PieceJob) -> None:
+        """Queue all pieces of a job."""
+        self.waiting += [Piece(job=job, index=index) for index in range(len(job.handles))]
+
+    def put_back(self, pieces: list[Piece], now: float) -> None:
+        """Queue pieces again whose call failed, unless they have been tried too often."""
+        for piece in pieces:
+            if not piece.job.is_open:
+                continue
+            if piece.tries >= MAX_TRIES or now >= piece.job.expires_at:
+                piece.job.fail("upstreams failed")
+            else:
+                self.waiting.append(piece)
+
+    def duration_s(self, worker: Worker, count: int, now: float) -> float:
+        """Return the seconds that a call with some pieces will probably take."""
+        fade = 0.5 ** ((now - worker.timed_at) / SPEED_HALF_LIFE_S)
+        slowness = 1 + (worker.slowness - 1) * fade
+        return (self.spec.call_s + count * self.spec.item_s) * slowness
+
+    def plan(self, now: float) -> list[tuple[Worker, list[Piece]]]:
+        """
+        Choose the calls to make now.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of (Worker, list of Piece)
+            The workers are marked busy and the pieces no longer wait.
+        """
+        self._drop_closed(now)
+        calls = []
+        idle = [w for w in self.workers.values() if not w.is_busy and w.paused_until <= now]
+        idle.sort(key=lambda worker: self.duration_s(worker, 1, now))
+        for worker in idle:
+            if not self.waiting:
+                break
+            pieces = self._take_for(worker, now)
+            if pieces:
+                worker.is_busy = True
+                worker.busy_until = now + self.duration_s(worker, len(pieces), now)
+                calls.append((worker, pieces))
+        return calls
+
+    def _drop_closed(self, now: float) -> None:
+        for piece in self.waiting:
+            if now >= piece.job.expires_at:
+                piece.job.fail("too late")
+        self.waiting = [piece for piece in self.waiting if piece.job.is_open]
+
+    def _take_for(self, worker: Worker, now: float) -> list[Piece]:
+        if self._would_finish_sooner_elsewhere(worker, now):
+            return []
+        near = worker.upstream.data_centre
+        wanted = sorted(
+            (piece for piece in self.waiting if self._suits(piece.job, worker, now)),
+            key=lambda piece: (
+                piece.job.data_centre != near and is_large(piece.job),
+                piece.job.due_at,
+            ),
+        )
+        taken: list[Piece] = []
+        room = self.spec.room_bytes - sum(worker.room.values())
+        for piece in wanted:
+            size = piece.job.result_bytes
+            if len(taken) >= self.spec.batch or (size > room and self.spec.room_bytes):
+                break
+            room -= size
+            taken.append(piece)
+        chosen = set(map(id, taken))
+        self.waiting = [piece for piece in self.waiting if id(piece) not in chosen]
+        for piece in taken:
+            piece.tries += 1
+        return taken
+
+    def _would_finish_sooner_elsewhere(self, worker: Worker, now: float) -> bool:
+        own_s = self.duration_s(worker, 1, now)
+        for other in self.workers.values():
+            if other is worker or other.paused_until > now:
+                continue
+            wait_s = max(0.0, other.busy_until - now) if other.is_busy else 0.0
+            if wait_s + self.duration_s(other, 1, now) < own_s * 0.8:
+                return True
+        return False
+
+    def _suits(self, job: PieceJob, worker: Worker, now: float) -> bool:
+        if job.data_centre in ("", worker.upstream.data_centre) or not is_large(job):
+            return True
+        if now >= job.queued_at + LOCAL_WAIT_S:
+            return True
+        waits = [
+            max(0.0, other.busy_until - now) if other.is_busy else 0.0
+            for other in self.workers.values()
+            if other.upstream.data_centre == job.data_centre and other.paused_until <= now
+        ]
+        return not waits or min(waits) > LOCAL_WAIT_S
+
+    def finish(self, worker: Worker, pieces: int, took_s: float | None, now: float) -> None:
+        """
+        Note the end of a call.
+
+        Parameters
+        ----------
+        worker : Worker
+            Who made it.
+        pieces : int
+            Pieces in the call.
+        took_s : float or None
+            Its duration in seconds; None if it failed.
+        now : float
+            Monotonic time in seconds.
+        """
+        worker.is_busy = False
+        if took_s is None:
+            return
+        ratio = took_s / (self.spec.call_s + pieces * self.spec.item_s)
+        worker.slowness += SPEED_WEIGHT * (max(1.0, ratio) - worker.slowness)
+        if ratio > 2.0:
+            # One such call is not chance: the next ones would be as late.
+            worker.slowness = max(worker.slowness, ratio)
+        worker.timed_at = now
+
+    def pause(self, worker: Worker, seconds: float, now: float) -> None:
+        """Give a worker no pieces for some seconds."""
+        worker.paused_until = now + seconds
+
+    def next_change(self, now: float) -> float:
+        """Return the seconds after which `plan` may find something without any other event."""
+        times = [w.paused_until for w in self.workers.values() if w.paused_until > now]
+        times += [piece.job.queued_at + LOCAL_WAIT_S for piece in self.waiting]
+        times += [piece.job.expires_at for piece in self.waiting]
+        future = [time for time in times if time > now]
+        return max(0.005, min(future) - now) if future else 1.0
+
+    def backlog_s(self, now: float) -> float:
+        """Return the seconds until a piece that came now would probably begin."""
+        workers = [w for w in self.workers.values() if w.paused_until <= now]
+        if not workers:
+            return float("inf")
+        free = min(max(0.0, w.busy_until - now) if w.is_busy else 0.0 for w in workers)
+        calls = len(self.waiting) / self.spec.batch / len(workers)
+        return free + calls * (self.spec.call_s + self.spec.batch * self.spec.item_s)
+
+
+def is_large(job: PieceJob) -> bool:
+    """Tell whether the results of a job should not cross between data centres."""
+    return job.result_bytes >= LARGE_RESULT_BYTES
--- /dev/null
+++ b/marigoldtrail/pieces/service.py
@@ -0,0 +1,301 @@
+"""Runs the schedulers of piece services on a control host."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import trio
+
+from marigoldtrail.consensus.parts import Signal
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.net import Handlers
+from marigoldtrail.pieces.scheduler import (
+    BUSY_PAUSE_S,
+    EJECTION_S,
+    Piece,
+    PieceJob,
+    PieceScheduler,
+    Worker,
+)
+from marigoldtrail.registry import FleetPicture
+from marigoldtrail.routing import PieceSpec, Upstream
+from marigoldtrail.schema.generated.pieces import (
+    DropPieces,
+    PiecesDropped,
+    PiecesReply,
+    Pulse,
+    PulseReply,
+    RunPieces,
+)
+from marigoldtrail.timers import Timers
+
+# A call that takes this many times longer than expected is given up.
+CALL_PATIENCE = 3.0
+CALL_SLACK_S = 0.3
+UPSTREAMS_INTERVAL_S = 0.2
+# How long a dropped request is remembered, in case its pieces come back later.
+MAX_JOBS_KEPT = 4096
+
+_log = logging.getLogger(__name__)
+
+
+class PieceResult(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    What became of one piece of a call.
+
+    Parameters
+    ----------
+    handle : str
+        Names the result; empty if there is none.
+    reason : str
+        Why there is none: ``"late"``, ``"gone"``, ``"room"`` or ``"error"``.
+    """
+
+    handle: str = ""
+    reason: str = ""
+
+
+class PieceCall(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    How upstreams are asked to work on pieces and to free results.
+
+    Parameters
+    ----------
+    run : callable
+        Sends pieces with the seconds that are left of each; returns a result for each.
+    free : callable
+        Frees results at an upstream.
+    """
+
+    run: Callable[[Upstream, list[Piece], list[float]], Awaitable[list[PieceResult] | Failure]]
+    free: Callable[[Upstream, list[str]], Awaitable[None]]
+
+
+class PieceService:
+    """
+    Schedulers of all piece services for which this host is asked.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    picture : FleetPicture
+        Services and upstreams.
+    call : PieceCall
+        Calls the upstreams.
+    timers : Timers
+        Clock.
+    """
+
+    __slots__ = (
+        "_host",
+        "_picture",
+        "_call",
+        "_timers",
+        "_schedulers",
+        "_jobs",
+        "_nursery",
+        "_wake",
+    )
+
+    def __init__(
+        self, *, host: str, picture: FleetPicture, call: PieceCall, timers: Timers
+    ) -> None:
+        self._host = host
+        self._picture = picture
+        self._call = call
+        self._timers = timers
+        self._schedulers: dict[str, PieceScheduler] = {}
+        self._jobs: dict[str, list[PieceJob]] = {}
+        self._nursery: trio.Nursery | None = None
+        self._wake = Signal()
+
+    def handlers(self) -> Handlers:
+        """
+        Return the handlers of this service.
+
+        Returns
+        -------
+        dict
+            For `marigoldtrail.net.serve_peers`.
+        """
+        return {RunPieces: self._run_pieces, DropPieces: self._drop_pieces, Pulse: self._pulse}
+
+    async def run(self) -> None:
+        """Make calls until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while True:
+                self._dispatch()
+                now = self._timers.now()
+                waits = [s.next_change(now) for s in self._schedulers.values() if s.waiting]
+                await self._wake.wait_for(min([UPSTREAMS_INTERVAL_S, *waits]))
+
+    def _dispatch(self) -> None:
+        nursery = self._nursery
+        assert nursery is not None
+        now = self._timers.now()
+        for name, scheduler in self._schedulers.items():
+            scheduler.set_upstreams(self._picture.usable_upstreams(name))
+            for worker, pieces in scheduler.plan(now):
+                nursery.start_soon(self._work, scheduler, worker, pieces)
+
+    def _scheduler(self, service: str) -> PieceScheduler | None:
+        routes = self._picture.routes
+        spec: PieceSpec | None = None
+        if routes is not None and service in routes.services:
+            spec = routes.services[service].pieces
+        if spec is None:
+            return None
+        scheduler = self._schedulers.get(service)
+        if scheduler is None:
+            scheduler = self._schedulers[service] = PieceScheduler(spec=spec)
+            scheduler.set_upstreams(self._picture.usable_upstreams(service))
+        scheduler.spec = spec
+        return scheduler
+
+    async def _run_pieces(self, request: RunPieces, sender: str) -> PiecesReply | Failure:
+        scheduler = self._scheduler(request.service)
+        if scheduler is None:
+            return self._failure(Reason.NOT_FOUND, f"no piece service {request.service!r}")
+        now = self._timers.now()
+        left_s = request.left_ms / 1000
+        if scheduler.backlog_s(now) > left_s:
+            return self._failure(Reason.OVERLOADED, "the pieces can't be done in time")
+        job = PieceJob(
+            request_id=request.request_id,
+            stage=request.stage,
+            key=request.key,
+            inputs=request.inputs,
+            count=request.count,
+            expires_at=now + left_s,
+            due_at=now + request.slack_ms / 1000,
+            priority=request.priority,
+            data_centre=request.data_centre,
+            result_bytes=request.result_bytes,
+            queued_at=now,
+        )
+        self._jobs.setdefault(request.request_id, []).append(job)
+        while len(self._jobs) > MAX_JOBS_KEPT:
+            del self._jobs[next(iter(self._jobs))]
+        scheduler.add(job)
+        self._wake.notify()
+        try:
+            await job.done.wait()
+        finally:
+            # The entry is gone if this is cancelled.
+            job.fail("the entry has left")
+        if job.failure:
+            reason = Reason.NOT_FOUND if job.failure == "gone" else Reason.UPSTREAM_ERROR
+            if job.failure in ("late", "too late"):
+                reason = Reason.DEADLINE
+            return self._failure(reason, job.failure)
+        return PiecesReply(handles=job.handles)
+
+    async def _drop_pieces(self, request: DropPieces, sender: str) -> PiecesDropped:
+        handles = set(request.handles)
+        for job in self._jobs.pop(request.request_id, []):
+            job.fail("dropped")
+            handles.update(handle for handle in job.handles if handle)
+        await self._free(handles)
+        return PiecesDropped()
+
+    async def _pulse(self, request: Pulse, sender: str) -> PulseReply:
+        return PulseReply()
+
+    async def _free(self, handles: set[str]) -> None:
+        by_worker: dict[str, tuple[Worker, list[str]]] = {}
+        for scheduler in self._schedulers.values():
+            for name, worker in scheduler.workers.items():
+                kept = [handle for handle in handles if handle in worker.room]
+                for handle in kept:
+                    del worker.room[handle]
+                if kept:
+                    by_worker[name] = (worker, kept)
+        nursery = self._nursery
+        for worker, kept in by_worker.values():
+            if nursery is not None:
+                nursery.start_soon(self._call.free, worker.upstream, kept)
+        if by_worker:
+            self._wake.notify()
+
+    async def _work(self, scheduler: PieceScheduler, worker: Worker, pieces: list[Piece]) -> None:
+        started = self._timers.now()
+        expected_s = scheduler.duration_s(worker, len(pieces), started)
+        lefts = [max(0.0, piece.job.expires_at - started) for piece in pieces]
+        results: list[PieceResult] | Failure = self._failure(Reason.TIMEOUT, "no answer in time")
+        with trio.move_on_after(expected_s * CALL_PATIENCE + CALL_SLACK_S):
+            results = await self._call.run(worker.upstream, pieces, lefts)
+        now = self._timers.now()
+        if isinstance(results, Failure):
+            self._note_failure(scheduler, worker, pieces, results, now)
+        else:
+            scheduler.finish(worker, len(pieces), now - started, now)
+            await self._take_results(scheduler, worker, pieces, results)
+        self._wake.notify()
+
+    def _note_failure(
+        self,
+        scheduler: PieceScheduler,
+        worker: Worker,
+        pieces: list[Piece],
+        failure: Failure,
+        now: float,
+    ) -> None:
+        scheduler.finish(worker, len(pieces), None, now)
+        is_full = failure.reason is Reason.OVERLOADED
+        scheduler.pause(worker, BUSY_PAUSE_S if is_full else EJECTION_S, now)
+        _log.warning(
+            "pieces failed: %s",
+            failure,
+            extra={"subject": worker.upstream.name, "requests": [p.job.request_id for p in pieces]},
+        )
+        scheduler.put_back(pieces, now)
+
+    async def _take_results(
+        self,
+        scheduler: PieceScheduler,
+        worker: Worker,
+        pieces: list[Piece],
+        results: list[PieceResult],
+    ) -> None:
+        now = self._timers.now()
+        unwanted = set()
+        again = []
+        for piece, result in zip(pieces, results, strict=True):
+            job = piece.job
+            if result.handle:
+                worker.room[result.handle] = job.result_bytes
+                if job.is_open:
+                    job.finish_piece(piece.index, result.handle)
+                else:
+                    unwanted.add(result.handle)
+                self._expire_later(scheduler, worker, result.handle)
+            elif result.reason in ("late", "gone"):
+                job.fail(result.reason)
+            else:
+                again.append(piece)
+        if again:
+            scheduler.pause(worker, BUSY_PAUSE_S, now)
+            scheduler.put_back(again, now)
+        if unwanted:
+            await self._free(unwanted)
+
+    def _expire_later(self, scheduler: PieceScheduler, worker: Worker, handle: str) -> None:
+        async def expire() -> None:
+            await self._timers.sleep(scheduler.spec.keep_s)
+            worker.room.pop(handle, None)
+
+        if self._nursery is not None:
+            self._nursery.start_soon(expire)
+
+    def _failure(self, reason: Reason, detail: str) -> Failure:
+        return Failure(
+            reason=reason,
+            run_state=RunState.NOT_RUN,
+            step="pieces",
+            peer=self._host,
+            detail=detail,
+        )
--- /dev/null
+++ b/marigoldtrail/platform/adapter.py
@@ -0,0 +1,26 @@
+"""All that the product needs to know of the platform, in one value."""
+
+from __future__ import annotations
+
+from marigoldtrail.platform.calls import make_list_reader, make_piece_call
+from marigoldtrail.platform.documents import parse_config
+from marigoldtrail.platform.endpoints import (
+    make_lookup_handler,
+    make_operator_handler,
+    make_ready_handler,
+)
+from marigoldtrail.platform.headers import DIALECT
+from marigoldtrail.site import Adapter
+
+
+def build_adapter() -> Adapter:
+    """Return the adapter of the platform."""
+    return Adapter(
+        dialect=DIALECT,
+        parse_document=parse_config,
+        make_list_reader=make_list_reader,
+        make_piece_call=make_piece_call,
+        make_operator_handler=make_operator_handler,
+        make_lookup_handler=make_lookup_handler,
+        make_ready_handler=make_ready_handler,
+    )
--- /dev/null
+++ b/marigoldtrail/platform/calls.py
@@ -0,0 +1,138 @@
+"""Calls to the platform's list and to its replicas."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.pieces import Piece, PieceCall, PieceResult
+from marigoldtrail.platform.documents import parse_page
+from marigoldtrail.relay import ConnectionPool
+from marigoldtrail.relay.calls import call_upstream
+from marigoldtrail.routing import Upstream
+from marigoldtrail.schema.generated.registry import UpstreamEntry
+
+PAGE_TIMEOUT_S = 0.8
+FREE_TIMEOUT_S = 1.0
+MAX_PAGES = 64
+_JSON = (b"content-type", b"application/json")
+_encode = msgspec.json.Encoder().encode
+
+
+def make_list_reader(
+    pool: ConnectionPool, address: str
+) -> Callable[[], Awaitable[list[UpstreamEntry] | Failure]]:
+    """Return a function that reads the platform's whole list of upstreams."""
+    platform = Upstream(name="platform", service="", address=address, data_centre="", slots=1)
+
+    async def read_list() -> list[UpstreamEntry] | Failure:
+        entries: list[UpstreamEntry] = []
+        token: str | None = None
+        for _ in range(MAX_PAGES):
+            target = "/instances" + (f"?page_token={quote(token)}" if token else "")
+            answer = await call_upstream(
+                pool,
+                platform,
+                method=b"GET",
+                target=target.encode(),
+                headers=[],
+                timeout_s=PAGE_TIMEOUT_S,
+            )
+            if isinstance(answer, Failure):
+                return answer
+            if answer.head.status != 200:
+                return _failure(platform.name, f"status {answer.head.status}")
+            page = parse_page(answer.body)
+            if isinstance(page, str):
+                return _failure(platform.name, page)
+            entries += page[0]
+            token = page[1]
+            if token is None:
+                return entries
+        return _failure(platform.name, f"more than {MAX_PAGES} pages")
+
+    return read_list
+
+
+class _Item(msgspec.Struct):
+    handle: str = ""
+    reason: str = ""
+
+
+class _StageAnswer(msgspec.Struct):
+    items: list[_Item]
+
+
+_stage_decoder = msgspec.json.Decoder(_StageAnswer)
+
+
+def make_piece_call(pool: ConnectionPool) -> PieceCall:
+    """Return the functions that run pieces and free results."""
+
+    async def run(
+        upstream: Upstream, pieces: list[Piece], lefts: list[float]
+    ) -> list[PieceResult] | Failure:
+        items = [encode_piece(piece, left) for piece, left in zip(pieces, lefts, strict=True)]
+        answer = await call_upstream(
+            pool,
+            upstream,
+            method=b"POST",
+            target=b"/-/stage-run",
+            headers=[_JSON, (b"x-expect-instance", upstream.name.encode())],
+            body=_encode({"items": items}),
+            timeout_s=float("inf"),
+        )
+        if isinstance(answer, Failure):
+            return answer
+        if answer.head.status != 200:
+            return _failure(upstream.name, f"status {answer.head.status}")
+        try:
+            results = _stage_decoder.decode(answer.body).items
+        except msgspec.MsgspecError as exc:
+            return _failure(upstream.name, str(exc))
+        if len(results) != len(pieces):
+            return _failure(upstream.name, f"{len(results)} results for {len(pieces)} pieces")
+        return [PieceResult(handle=item.handle, reason=item.reason) for item in results]
+
+    async def free(upstream: Upstream, handles: list[str]) -> None:
+        await call_upstream(
+            pool,
+            upstream,
+            method=b"POST",
+            target=b"/-/stage-free",
+            headers=[_JSON, (b"x-expect-instance", upstream.name.encode())],
+            body=_encode({"handles": handles}),
+            timeout_s=FREE_TIMEOUT_S,
+        )
+
+    return PieceCall(run=run, free=free)
+
+
+def encode_piece(piece: Piece, left_s: float) -> dict[str, Any]:
+    """Return a piece as the platform's replicas read it."""
+    job = piece.job
+    item: dict[str, Any] = {
+        "id": job.request_id,
+        "stage": job.stage,
+        "piece": piece.index,
+        "left_ms": max(1, int(left_s * 1000)),
+    }
+    if job.inputs:
+        item["inputs"] = job.inputs
+    else:
+        item["key"] = job.key
+    return item
+
+
+def _failure(peer: str, detail: str) -> Failure:
+    return Failure(
+        reason=Reason.BAD_ANSWER,
+        run_state=RunState.MAY_HAVE_RUN,
+        step="platform",
+        peer=peer,
+        detail=detail,
+    )
--- /dev/null
+++ b/marigoldtrail/platform/documents.py
@@ -0,0 +1,276 @@
+"""The platform's configuration documents and list of upstreams, as types of the product."""
+
+from __future__ import annotations
+
+import msgspec
+
+from marigoldtrail.routing import (
+    ClientAccount,
+    EngineSpec,
+    Limits,
+    PieceSpec,
+    Route,
+    RouteKind,
+    RouteTable,
+    Service,
+    StageSpec,
+    Target,
+)
+from marigoldtrail.schema.generated.registry import UpstreamEntry
+
+BYTES_PER_MB = 1_000_000
+
+
+class _Stage(msgspec.Struct):
+    service: str
+    after: list[int] = []
+    bytes: float = 0
+
+
+class _Target(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    max_attempts: int = 1
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    service: str | None = None
+    split: list[_Target] | None = None
+    stages: list[_Stage] = []
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    # Tokens of running requests and cached prompts together.
+    kv_capacity: int
+
+
+class _Pieces(msgspec.Struct):
+    slots: int
+    batch: int
+    call_ms: float
+    item_ms: float
+    queue: int = 0
+    # Room for results, although the name says nothing of results.
+    headroom_mb: float = 0.0
+    # How long a result is kept.
+    handle_s: float = 0.0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 64
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+    pieces: _Pieces | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+_config_decoder = msgspec.json.Decoder(_Config)
+
+
+def parse_config(document: bytes) -> RouteTable | str:
+    """
+    Decode a configuration.
+
+    Parameters
+    ----------
+    document : bytes
+        JSON document.
+
+    Returns
+    -------
+    RouteTable or str
+        The table, not checked yet; a text if the document can't be read in full.
+    """
+    try:
+        cfg = _config_decoder.decode(document)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        return f"config: {exc}"
+    accounts = None
+    if cfg.tenants:
+        accounts = tuple(
+            ClientAccount(name=item.name, keys=tuple(item.api_keys), priority=item.priority)
+            for item in cfg.tenants
+        )
+    return RouteTable(
+        version=cfg.version,
+        routes=tuple(_build_route(item) for item in cfg.routes),
+        services=tuple(_build_service(item) for item in cfg.services),
+        limits=_build_limits(cfg.limits),
+        accounts=accounts,
+    )
+
+
+def _build_route(item: _Route) -> Route:
+    if item.split:
+        targets = tuple(Target(service=part.service, weight=part.weight) for part in item.split)
+    elif item.service is not None:
+        targets = (Target(service=item.service, weight=1.0),)
+    else:
+        targets = ()
+    known = item.kind in RouteKind.__members__.values()
+    return Route(
+        name=item.name,
+        hostname=item.host.lower(),
+        prefix=item.path_prefix,
+        # A kind of a newer platform must not run twice.
+        kind=RouteKind(item.kind) if known else RouteKind.UNSAFE,
+        timeout_s=item.timeout_ms / 1000,
+        target_latency_s=item.target_latency_ms / 1000,
+        priority=item.priority,
+        targets=targets,
+        max_attempts=max(1, item.max_attempts),
+        stages=tuple(
+            StageSpec(service=s.service, after=tuple(s.after), result_bytes=round(s.bytes))
+            for s in item.stages
+        ),
+        is_public=item.public,
+        is_resumable=item.resumable,
+        max_gap_s=item.gap_aim_ms / 1000,
+    )
+
+
+def _build_service(item: _Service) -> Service:
+    engine, pieces = None, None
+    if item.engine is not None:
+        engine = EngineSpec(slots=item.engine.slots, kv_tokens=item.engine.kv_capacity)
+    if item.pieces is not None:
+        pieces = PieceSpec(
+            slots=item.pieces.slots,
+            queue=item.pieces.queue,
+            batch=item.pieces.batch,
+            call_s=item.pieces.call_ms / 1000,
+            item_s=item.pieces.item_ms / 1000,
+            room_bytes=item.pieces.headroom_mb * BYTES_PER_MB,
+            keep_s=item.pieces.handle_s,
+        )
+    return Service(
+        name=item.name,
+        max_connections=item.max_connections,
+        cold_start_s=item.cold_start_s,
+        cold_rate=item.cold_per_s,
+        engine=engine,
+        pieces=pieces,
+    )
+
+
+def _build_limits(item: _Limits) -> Limits:
+    return Limits(
+        max_header_bytes=item.max_header_bytes,
+        max_body_bytes=item.max_body_bytes,
+        header_timeout_s=item.header_timeout_ms / 1000,
+        idle_timeout_s=item.idle_timeout_ms / 1000,
+    )
+
+
+class _Listed(msgspec.Struct):
+    id: str
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    cold_remaining_ms: float = 0.0
+    version: str = ""
+    born: int = 0
+
+
+class _Page(msgspec.Struct):
+    instances: list[msgspec.Raw]
+    next: str | None = None
+
+
+_page_decoder = msgspec.json.Decoder(_Page)
+_listed_decoder = msgspec.json.Decoder(_Listed)
+
+
+def parse_page(body: bytes) -> tuple[list[UpstreamEntry], str | None] | str:
+    """
+    Decode a page of the list of upstreams.
+
+    Parameters
+    ----------
+    body : bytes
+        JSON document.
+
+    Returns
+    -------
+    tuple or str
+        The entries that can be used and the token of the next page, None on the last one; a text
+        if the page itself can't be read. An entry with missing or odd fields is left out.
+    """
+    try:
+        page = _page_decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        return f"list of upstreams: {exc}"
+    entries = []
+    for raw in page.instances:
+        entry = parse_listed(raw)
+        if entry is not None:
+            entries.append(entry)
+    return entries, page.next
+
+
+def parse_listed(raw: bytes | msgspec.Raw) -> UpstreamEntry | None:
+    """
+    Decode one entry of the list.
+
+    Parameters
+    ----------
+    raw : bytes
+        JSON object.
+
+    Returns
+    -------
+    UpstreamEntry or None
+        None for an entry that names no upstream to use.
+    """
+    try:
+        item = _listed_decoder.decode(raw)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+    if item.state not in ("ready", "draining"):
+        return None
+    return UpstreamEntry(
+        upstream=item.id,
+        service=item.service,
+        address=item.address,
+        data_centre=item.zone,
+        slots=item.slots,
+        state="ready" if item.state == "ready" else "draining",
+        cold_ms=max(0, round(item.cold_remaining_ms)),
+        born_ms=item.born,
+        version=item.version,
+    )
--- /dev/null
+++ b/marigoldtrail/platform/endpoints.py
@@ -0,0 +1,79 @@
+"""The platform's calls to a control host: configuration, evacuations, look-ups of addresses."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+
+from marigoldtrail.errors import Failure, Reason
+from marigoldtrail.relay import CallerRequest, Reply
+from marigoldtrail.relay.endpoints import Handler
+from marigoldtrail.site.lookup import FindEntries
+from marigoldtrail.site.operations import Operations
+
+_JSON = [(b"content-type", b"application/json")]
+_RETRY = [*_JSON, (b"retry-after", b"0.3")]
+_EVACUATIONS = "/-/evacuations/"
+_encode = msgspec.json.Encoder().encode
+
+
+def make_operator_handler(operations: Operations) -> Handler:
+    """Return the handler of the operator's API."""
+
+    async def handle(request: CallerRequest) -> Reply:
+        if request.path == "/-/config" and request.method == b"PUT":
+            outcome = await operations.submit_routes(request.body)
+            if isinstance(outcome, Failure):
+                return _unavailable(outcome)
+            if outcome.outcome == "invalid":
+                return Reply(status=400, headers=_JSON, body=_encode({"faults": outcome.faults}))
+            return Reply(status=200, headers=_JSON, body=_encode({"version": outcome.version}))
+        if request.path == "/-/config" and request.method == b"GET":
+            reply = await operations.get_routes()
+            if isinstance(reply, Failure):
+                return _unavailable(reply)
+            return Reply(status=200, headers=_JSON, body=reply.document)
+        if request.path.startswith(_EVACUATIONS) and request.method in (b"POST", b"DELETE"):
+            data_centre = unquote(request.path.removeprefix(_EVACUATIONS))
+            if not operations.is_data_centre(data_centre):
+                return Reply(status=404, headers=_JSON, body=_encode({"error": "unknown zone"}))
+            outcome = await operations.set_takeout(data_centre, out=request.method == b"POST")
+            if isinstance(outcome, Failure):
+                return _unavailable(outcome)
+            return Reply(status=200, headers=_JSON, body=b"{}")
+        return Reply(status=404, headers=_JSON, body=_encode({"error": "unknown call"}))
+
+    return handle
+
+
+def _unavailable(failure: Failure) -> Reply:
+    # Another control host, or this one a little later, may know better.
+    status = 404 if failure.reason is Reason.NOT_FOUND else 503
+    return Reply(status=status, headers=_RETRY, body=_encode({"error": str(failure)}))
+
+
+def make_lookup_handler(find_entries: FindEntries) -> Handler:
+    """Return the handler of callers that ask where to connect."""
+
+    async def handle(request: CallerRequest) -> Reply:
+        if request.path != "/-/resolve":
+            return Reply(status=404)
+        query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
+        found = find_entries(query.get("region", [""])[0], query.get("zone", [""])[0])
+        if not found.addresses:
+            return Reply(status=503, headers=_RETRY)
+        body = _encode({"addresses": found.addresses, "ttl_s": found.ttl_s})
+        return Reply(status=200, headers=_JSON, body=body)
+
+    return handle
+
+
+def make_ready_handler(is_ready: Callable[[], bool]) -> Handler:
+    """Return the handler of the readiness check."""
+
+    async def handle(request: CallerRequest) -> Reply:
+        return Reply(status=200 if is_ready() else 503)
+
+    return handle
--- /dev/null
+++ b/marigoldtrail/registry/board.py
@@ -0,0 +1,195 @@
+"""What only the leader knows; rebuilt from reports and from the platform after an election."""
+
+from __future__ import annotations
+
+import logging
+
+from marigoldtrail.consensus.parts import Signal
+from marigoldtrail.schema.generated.registry import (
+    HostEntry,
+    HostReport,
+    UpstreamEntry,
+    UpstreamLoad,
+)
+from marigoldtrail.timers import Timers
+
+# Three reports that did not come.
+HOST_LOST_S = 1.2
+# Every live host has reported to a new leader by then.
+SETTLE_S = 1.2
+
+_log = logging.getLogger(__name__)
+
+
+class HostState:
+    """
+    One host that reports.
+
+    Parameters
+    ----------
+    report : HostReport
+        Its last report.
+    heard_at : float
+        Monotonic time in seconds of that report.
+    """
+
+    __slots__ = ("report", "heard_at")
+
+    def __init__(self, *, report: HostReport, heard_at: float) -> None:
+        self.report = report
+        self.heard_at = heard_at
+
+
+class LeaderBoard:
+    """
+    Hosts, upstreams and loads during one term of leadership.
+
+    Parameters
+    ----------
+    term : int
+        The term.
+    timers : Timers
+        Clock.
+
+    Attributes
+    ----------
+    changed : Signal
+        Notified when hosts or upstreams have changed.
+    """
+
+    __slots__ = (
+        "term",
+        "changed",
+        "upstreams",
+        "upstreams_revision",
+        "hosts_revision",
+        "loads_revision",
+        "_hosts",
+        "_listed",
+        "_timers",
+        "_started_at",
+    )
+
+    def __init__(self, *, term: int, timers: Timers) -> None:
+        self.term = term
+        self.changed = Signal()
+        self.upstreams: list[UpstreamEntry] | None = None
+        self.upstreams_revision = 0
+        self.hosts_revision = 0
+        self.loads_revision = 0
+        self._hosts: dict[str, HostState] = {}
+        self._listed: list[HostEntry] = []
+        self._timers = timers
+        self._started_at = timers.now()
+
+    def is_settled(self) -> bool:
+        """Tell whether every live host has had the time to report to this leader."""
+        return self._timers.now() >= self._started_at + SETTLE_S
+
+    def take_report(self, report: HostReport) -> bool:
+        """
+        Note a report.
+
+        Parameters
+        ----------
+        report : HostReport
+            The report.
+
+        Returns
+        -------
+        bool
+            False if it comes from an earlier start of the host's process.
+        """
+        known = self._hosts.get(report.host)
+        if known is not None and known.report.incarnation > report.incarnation:
+            return False
+        self._hosts[report.host] = HostState(report=report, heard_at=self._timers.now())
+        self.loads_revision += 1
+        self.refresh_hosts()
+        return True
+
+    def refresh_hosts(self) -> None:
+        """Take hosts off the list that have been silent, and note what has changed."""
+        oldest = self._timers.now() - HOST_LOST_S
+        for name in [name for name, state in self._hosts.items() if state.heard_at < oldest]:
+            _log.warning("host lost", extra={"subject": name})
+            del self._hosts[name]
+        listed = [entry_of(state.report) for _, state in sorted(self._hosts.items())]
+        if listed != self._listed:
+            self._listed = listed
+            self.hosts_revision += 1
+            self.changed.notify()
+
+    def hosts(self) -> list[HostEntry]:
+        """Return the hosts that report."""
+        return self._listed
+
+    def take_upstreams(self, entries: list[UpstreamEntry]) -> None:
+        """
+        Note the platform's list.
+
+        Parameters
+        ----------
+        entries : list of UpstreamEntry
+            All upstreams.
+        """
+        entries = sorted(entries, key=lambda entry: entry.upstream)
+        if self.upstreams is not None and same_upstreams(self.upstreams, entries):
+            return
+        self.upstreams = entries
+        self.upstreams_revision += 1
+        self.changed.notify()
+
+    def loads(self) -> list[UpstreamLoad]:
+        """Return the work in progress at the upstreams, summed over all entries."""
+        requests: dict[str, int] = {}
+        tokens: dict[str, int] = {}
+        for state in self._hosts.values():
+            for load in state.report.loads:
+                requests[load.upstream] = requests.get(load.upstream, 0) + load.requests
+                tokens[load.upstream] = tokens.get(load.upstream, 0) + load.prefill_tokens
+        return [
+            UpstreamLoad(upstream=name, requests=count, prefill_tokens=tokens[name])
+            for name, count in requests.items()
+        ]
+
+
+def entry_of(report: HostReport) -> HostEntry:
+    """Return what the other hosts are told of a host."""
+    return HostEntry(
+        host=report.host,
+        role=report.role,
+        data_centre=report.data_centre,
+        region=report.region,
+        peer_address=report.peer_address,
+        request_address=report.request_address,
+        ready=report.ready,
+    )
+
+
+def same_upstreams(old: list[UpstreamEntry], new: list[UpstreamEntry]) -> bool:
+    """
+    Tell whether nothing but the rest of cold times differs.
+
+    Parameters
+    ----------
+    old, new : list of UpstreamEntry
+        Two lists in the order of their names.
+
+    Returns
+    -------
+    bool
+        True if hosts need not be told.
+    """
+    return [_key(entry) for entry in old] == [_key(entry) for entry in new]
+
+
+def _key(entry: UpstreamEntry) -> tuple[str, str, str, str, int, bool]:
+    return (
+        entry.upstream,
+        entry.service,
+        entry.address,
+        entry.state,
+        entry.born_ms,
+        entry.cold_ms > 0,
+    )
--- /dev/null
+++ b/marigoldtrail/registry/picture.py
@@ -0,0 +1,172 @@
+"""What a host knows of the fleet."""
+
+from __future__ import annotations
+
+import logging
+import zlib
+from collections.abc import Callable
+
+from marigoldtrail.consensus.parts import Signal
+from marigoldtrail.routing import RouteIndex, RouteTable, Upstream, build_index
+from marigoldtrail.schema.generated.registry import HostEntry, HostReportReply, UpstreamEntry
+from marigoldtrail.timers import Timers
+
+ParseDocument = Callable[[bytes], RouteTable | str]
+
+_log = logging.getLogger(__name__)
+
+
+class FleetPicture:
+    """
+    Configuration, upstreams and hosts as the leader last told them.
+
+    The configuration never goes back to an older version while the process runs. Everything else
+    is replaced by what a leader says.
+
+    Parameters
+    ----------
+    parse_document : callable
+        Decodes the document of the routes.
+    timers : Timers
+        Clock.
+
+    Attributes
+    ----------
+    routes : RouteIndex or None
+        Configuration in force; None before the first one is known.
+    upstreams : dict
+        Upstreams by name.
+    hosts : list of HostEntry
+        Hosts that report to the leader.
+    loads : dict
+        Requests and unread prompt tokens in progress at each upstream, over all entries.
+    changed : Signal
+        Notified after each change of the upstreams, takeouts or routes.
+    """
+
+    __slots__ = (
+        "routes",
+        "upstreams",
+        "hosts",
+        "loads",
+        "changed",
+        "term",
+        "revisions",
+        "confirmed_at",
+        "_takeouts",
+        "_parse_document",
+        "_timers",
+    )
+
+    def __init__(self, *, parse_document: ParseDocument, timers: Timers) -> None:
+        self.routes: RouteIndex | None = None
+        self.upstreams: dict[str, Upstream] = {}
+        self.hosts: list[HostEntry] = []
+        self.loads: dict[str, tuple[int, int]] = {}
+        self.changed = Signal()
+        self.term = 0
+        self.revisions: dict[str, int] = {}
+        self.confirmed_at = float("-inf")
+        self._takeouts: frozenset[str] = frozenset()
+        self._parse_document = parse_document
+        self._timers = timers
+
+    def age_s(self) -> float:
+        """Return the seconds since a leader last confirmed the picture."""
+        return self._timers.now() - self.confirmed_at
+
+    def is_out(self, data_centre: str) -> bool:
+        """Tell whether operators have taken a data centre out of service."""
+        return data_centre in self._takeouts
+
+    def entry_count(self) -> int:
+        """Return the number of entries that serve, at least 1."""
+        return max(1, sum(host.role == "entry" for host in self.hosts))
+
+    def usable_upstreams(self, service: str) -> list[Upstream]:
+        """
+        Return the upstreams of a service that may get new work.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        list of Upstream
+            Neither leaving nor in a data centre that is out of service.
+        """
+        return [
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.service == service
+            and not upstream.is_leaving
+            and upstream.data_centre not in self._takeouts
+        ]
+
+    def apply(self, reply: HostReportReply, *, sent_at: float) -> None:
+        """
+        Take in what the leader replied to a report.
+
+        Parameters
+        ----------
+        reply : HostReportReply
+            The reply.
+        sent_at : float
+            Monotonic time in seconds at which the report was sent.
+        """
+        if reply.term < self.term:
+            return
+        if reply.term > self.term:
+            self.term = reply.term
+            self.revisions = {}
+        self.revisions.update(reply.revisions)
+        self.confirmed_at = max(self.confirmed_at, sent_at)
+        if reply.routes:
+            self._take_routes(reply)
+        if reply.takeouts is not None:
+            self._takeouts = frozenset(reply.takeouts)
+            _log.info("data centres out of service: %s", sorted(self._takeouts))
+        if reply.upstreams is not None:
+            self._take_upstreams(reply.upstreams)
+        if reply.hosts is not None:
+            self.hosts = reply.hosts
+        if reply.loads is not None:
+            self.loads = {
+                load.upstream: (load.requests, load.prefill_tokens) for load in reply.loads
+            }
+        if reply.routes or reply.takeouts is not None or reply.upstreams is not None:
+            self.changed.notify()
+
+    def _take_routes(self, reply: HostReportReply) -> None:
+        if self.routes is not None and reply.routes_version <= self.routes.table.version:
+            return
+        table = self._parse_document(zlib.decompress(reply.routes))
+        if isinstance(table, str):
+            # A newer release accepted it; the last readable version stays in force here.
+            _log.error("version %d can't be read: %s", reply.routes_version, table)
+            return
+        self.routes = build_index(table)
+        _log.info("configuration in force", extra={"version": table.version})
+
+    def _take_upstreams(self, entries: list[UpstreamEntry]) -> None:
+        now = self._timers.now()
+        upstreams = {}
+        for entry in entries:
+            upstream = Upstream(
+                name=entry.upstream,
+                service=entry.service,
+                address=entry.address,
+                data_centre=entry.data_centre,
+                slots=entry.slots,
+                is_leaving=entry.state == "draining",
+                cold_until=now + entry.cold_ms / 1000 if entry.cold_ms else 0.0,
+                born_ms=entry.born_ms,
+            )
+            upstreams[upstream.name] = upstream
+        for name in self.upstreams.keys() ^ upstreams.keys():
+            _log.info(
+                "upstream %s", "listed" if name in upstreams else "gone", extra={"upstream": name}
+            )
+        self.upstreams = upstreams
--- /dev/null
+++ b/marigoldtrail/registry/service.py
@@ -0,0 +1,330 @@
+"""Serves the reports of hosts and the changes of operators on a control host."""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+import zlib
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+
+from marigoldtrail.consensus import Group
+from marigoldtrail.control.commands import Command, PutManifest, PutService, encode_command
+from marigoldtrail.control.machine import ConfigMachine
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.net import Handlers
+from marigoldtrail.registry.board import LeaderBoard
+from marigoldtrail.registry.picture import ParseDocument
+from marigoldtrail.routing import RouteTable, check_table
+from marigoldtrail.schema.generated.control import SubmitReply
+from marigoldtrail.schema.generated.registry import (
+    GetRoutes,
+    HostReport,
+    HostReportReply,
+    RoutesOutcome,
+    RoutesReply,
+    SetTakeout,
+    SubmitRoutes,
+    UpstreamEntry,
+)
+from marigoldtrail.timers import Timers
+
+ReadUpstreams = Callable[[], Awaitable[list[UpstreamEntry] | Failure]]
+
+BARRIER_TIMEOUT_S = 0.8
+PROPOSE_TIMEOUT_S = 2.0
+# Each reading is a call to the platform; a leaving upstream must be known within drain_ms.
+LIST_INTERVAL_S = 0.7
+LIST_TIMEOUT_S = 1.0
+HOSTS_INTERVAL_S = 0.3
+MAX_WAIT_S = 0.5
+# A document of many routes takes long enough to parse to hold up heartbeats.
+INLINE_PARSE_BYTES = 65536
+OPERATOR = "platform"
+
+_log = logging.getLogger(__name__)
+
+
+class RegistryService:
+    """
+    Group ``config`` of a fleet that finds its members by seeds, on one control host.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host within the group.
+    group : Group
+        The log group.
+    machine : ConfigMachine
+        The group's state machine on this host.
+    parse_document : callable
+        Decodes a document of routes.
+    read_upstreams : callable
+        Reads the platform's list.
+    timers : Timers
+        Clock and pauses.
+    """
+
+    __slots__ = (
+        "_host",
+        "_group",
+        "_machine",
+        "_parse_document",
+        "_read_upstreams",
+        "_timers",
+        "_board",
+        "_takeout_lock",
+    )
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        group: Group,
+        machine: ConfigMachine,
+        parse_document: ParseDocument,
+        read_upstreams: ReadUpstreams,
+        timers: Timers,
+    ) -> None:
+        self._host = host
+        self._group = group
+        self._machine = machine
+        self._parse_document = parse_document
+        self._read_upstreams = read_upstreams
+        self._timers = timers
+        self._board: LeaderBoard | None = None
+        self._takeout_lock = trio.Lock()
+
+    def handlers(self) -> Handlers:
+        """
+        Return the handlers of this service.
+
+        Returns
+        -------
+        dict
+            For `marigoldtrail.net.serve_peers`.
+        """
+        return {
+            HostReport: self._take_report,
+            SubmitRoutes: self._submit_routes,
+            SetTakeout: self._set_takeout,
+            GetRoutes: self._get_routes,
+        }
+
+    async def run(self) -> None:
+        """Carry out the duties of the leader whenever this host leads, until cancelled."""
+        await self._group.run_while_leader(self._lead)
+
+    async def _lead(self, term: int) -> None:
+        board = self._leader_board()
+        if board is None:
+            return
+        _log.info("leads the fleet", extra={"term": term})
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._poll_upstreams, board)
+            async for _ in self._timers.subscribe("hosts", HOSTS_INTERVAL_S):
+                board.refresh_hosts()
+
+    def _leader_board(self) -> LeaderBoard | None:
+        if not self._group.is_leader:
+            return None
+        if self._board is None or self._board.term != self._group.term:
+            self._board = LeaderBoard(term=self._group.term, timers=self._timers)
+        return self._board
+
+    async def _poll_upstreams(self, board: LeaderBoard) -> None:
+        is_readable = True
+        while True:
+            listed: list[UpstreamEntry] | Failure = self._refuse(Reason.TIMEOUT, "list")
+            with trio.move_on_after(LIST_TIMEOUT_S):
+                listed = await self._read_upstreams()
+            if isinstance(listed, Failure):
+                if is_readable:
+                    _log.warning("the list of upstreams was not read: %s", listed)
+            else:
+                if not is_readable:
+                    _log.info("the list of upstreams is read again")
+                board.take_upstreams(listed)
+            is_readable = not isinstance(listed, Failure)
+            await self._timers.sleep(LIST_INTERVAL_S)
+
+    async def _take_report(self, request: HostReport, sender: str) -> HostReportReply | Failure:
+        board = self._leader_board()
+        if board is None:
+            return self._not_leader("HostReport")
+        if request.peer_address:
+            self._group.add_host(request.peer_address)
+        if not board.take_report(request):
+            detail = "a later start of the host is known"
+            return self._refuse(Reason.STALE_EPOCH, "HostReport", detail=detail)
+        with trio.move_on_after(min(request.wait_ms / 1000, MAX_WAIT_S)):
+            while self._is_leading(board) and not self._news_for(board, request):
+                await board.changed.wait()
+        if not self._is_leading(board):
+            return self._not_leader("HostReport")
+        return self._build_reply(board, request)
+
+    def _is_leading(self, board: LeaderBoard) -> bool:
+        return self._group.is_leader and self._group.term == board.term
+
+    def _revisions(self, board: LeaderBoard) -> dict[str, int]:
+        state = self._machine.state
+        revisions = {"routes": state.manifest_index, "takeouts": state.services_index}
+        if board.upstreams is not None:
+            revisions["upstreams"] = board.upstreams_revision
+        if board.is_settled():
+            revisions["hosts"] = board.hosts_revision
+        return revisions
+
+    def _news_for(self, board: LeaderBoard, request: HostReport) -> bool:
+        known = request.revisions if request.term == board.term else {}
+        return any(known.get(name) != value for name, value in self._revisions(board).items())
+
+    def _build_reply(self, board: LeaderBoard, request: HostReport) -> HostReportReply:
+        state = self._machine.state
+        known = request.revisions if request.term == board.term else {}
+        revisions = self._revisions(board)
+        reply = HostReportReply(term=board.term, revisions=revisions)
+
+        def is_news(section: str) -> bool:
+            return section in revisions and known.get(section) != revisions[section]
+
+        if state.manifest is not None and is_news("routes"):
+            reply.routes = state.manifest.document
+            reply.routes_version = state.manifest.number
+        if is_news("takeouts"):
+            reply.takeouts = takeouts_of(self._machine)
+        if is_news("upstreams"):
+            reply.upstreams = board.upstreams
+        if is_news("hosts"):
+            reply.hosts = board.hosts()
+        if request.role == "entry" and known.get("loads") != board.loads_revision:
+            reply.revisions["loads"] = board.loads_revision
+            reply.loads = board.loads()
+        return reply
+
+    async def _submit_routes(self, request: SubmitRoutes, sender: str) -> RoutesOutcome | Failure:
+        if not self._group.is_leader:
+            return self._not_leader("SubmitRoutes")
+        checked = await self._check(request.document)
+        if isinstance(checked, list):
+            _log.info("configuration refused", extra={"faults": checked[:5]})
+            return RoutesOutcome(outcome="invalid", faults=checked)
+        current = self._machine.state.manifest
+        if current is not None and checked.version <= current.number:
+            return await self._confirm_unchanged(checked.version)
+        command = PutManifest(
+            number=checked.version,
+            digest=hashlib.sha256(request.document).hexdigest(),
+            document=zlib.compress(request.document, 6),
+            concurrent_loads=0,
+            operator=OPERATOR,
+            wall_ms=self._timers.wall_ms(),
+        )
+        reply = await self._propose(command)
+        if isinstance(reply, Failure):
+            return reply
+        _log.info("configuration accepted", extra={"version": checked.version})
+        return RoutesOutcome(outcome="in_force", version=checked.version)
+
+    async def _check(self, document: bytes) -> RouteTable | list[str]:
+        if len(document) > INLINE_PARSE_BYTES:
+            return await trio.to_thread.run_sync(check_document, self._parse_document, document)
+        return check_document(self._parse_document, document)
+
+    async def _confirm_unchanged(self, version: int) -> RoutesOutcome | Failure:
+        # A deposed leader must not acknowledge what the new one may not know.
+        failure = await self._group.read_barrier(timeout_s=BARRIER_TIMEOUT_S)
+        if failure is not None:
+            return failure
+        return RoutesOutcome(outcome="in_force", version=version)
+
+    async def _set_takeout(self, request: SetTakeout, sender: str) -> RoutesOutcome | Failure:
+        if not self._group.is_leader:
+            return self._not_leader("SetTakeout")
+        async with self._takeout_lock:
+            failure = await self._group.read_barrier(timeout_s=BARRIER_TIMEOUT_S)
+            if failure is not None:
+                return failure
+            entry = self._machine.state.services.get(f"data_centre/{request.data_centre}")
+            state = "out" if request.out else "in"
+            if (entry.current.state if entry else "in") == state:
+                return RoutesOutcome(outcome="in_force")
+            command = PutService(
+                kind="data_centre",
+                name=request.data_centre,
+                state="out" if request.out else "in",
+                number=(entry.current.number if entry else 0) + 1,
+                operator=OPERATOR,
+                wall_ms=self._timers.wall_ms(),
+            )
+            reply = await self._propose(command)
+        if isinstance(reply, Failure):
+            return reply
+        _log.info("data centre set", extra={"subject": request.data_centre, "state": state})
+        return RoutesOutcome(outcome="in_force")
+
+    async def _get_routes(self, request: GetRoutes, sender: str) -> RoutesReply | Failure:
+        if not self._group.is_leader:
+            return self._not_leader("GetRoutes")
+        failure = await self._group.read_barrier(timeout_s=BARRIER_TIMEOUT_S)
+        if failure is not None:
+            return failure
+        manifest = self._machine.state.manifest
+        if manifest is None:
+            return self._refuse(Reason.NOT_FOUND, "GetRoutes", detail="none was submitted yet")
+        document = zlib.decompress(manifest.document)
+        return RoutesReply(version=manifest.number, document=document)
+
+    async def _propose(self, command: Command) -> SubmitReply | Failure:
+        reply: Any = await self._group.propose(encode_command(command), timeout_s=PROPOSE_TIMEOUT_S)
+        if not isinstance(reply, Failure) and self._board is not None:
+            self._board.changed.notify()
+        return reply
+
+    def _not_leader(self, step: str) -> Failure:
+        return self._refuse(Reason.NOT_LEADER, step, hint=self._group.leader or "")
+
+    def _refuse(self, reason: Reason, step: str, *, detail: str = "", hint: str = "") -> Failure:
+        return Failure(
+            reason=reason,
+            run_state=RunState.NOT_RUN,
+            step=step,
+            peer=self._host,
+            detail=detail,
+            hint="" if hint == self._host else hint,
+        )
+
+
+def check_document(parse_document: ParseDocument, document: bytes) -> RouteTable | list[str]:
+    """
+    Decode and check a document of routes.
+
+    Parameters
+    ----------
+    parse_document : callable
+        Decodes it.
+    document : bytes
+        The document.
+
+    Returns
+    -------
+    RouteTable or list of str
+        The table, or its faults.
+    """
+    table = parse_document(document)
+    if isinstance(table, str):
+        return [table]
+    return check_table(table) or table
+
+
+def takeouts_of(machine: ConfigMachine) -> list[str]:
+    """Return the data centres that are out of service."""
+    entries = machine.state.services.values()
+    return sorted(
+        entry.current.name
+        for entry in entries
+        if entry.current.kind == "data_centre" and entry.current.state == "out"
+    )
--- /dev/null
+++ b/marigoldtrail/relay/__init__.py
@@ -0,0 +1,24 @@
+"""Passes requests of callers on to upstreams byte for byte, on an entry host."""
+
+from marigoldtrail.relay.board import UpstreamBoard
+from marigoldtrail.relay.caller import CallerRequest
+from marigoldtrail.relay.connection import UpstreamConnection
+from marigoldtrail.relay.endpoints import Reply, serve_endpoint
+from marigoldtrail.relay.pool import ConnectionPool
+from marigoldtrail.relay.relay import Relay
+from marigoldtrail.relay.types import AnswerFacts, Dialect, Forwarding, Headers, RequestFacts
+
+__all__ = [
+    "AnswerFacts",
+    "CallerRequest",
+    "ConnectionPool",
+    "Dialect",
+    "Forwarding",
+    "Headers",
+    "Relay",
+    "Reply",
+    "RequestFacts",
+    "UpstreamBoard",
+    "UpstreamConnection",
+    "serve_endpoint",
+]
--- /dev/null
+++ b/marigoldtrail/relay/board.py
@@ -0,0 +1,220 @@
+"""What an entry knows of the upstreams: work in progress, failures, speed, cold starts."""
+
+from __future__ import annotations
+
+from marigoldtrail.policy.placement import Option
+from marigoldtrail.registry import FleetPicture
+from marigoldtrail.routing import Service, Upstream
+from marigoldtrail.schema.generated.registry import UpstreamLoad
+from marigoldtrail.timers import Timers
+
+FIRST_EJECTION_S = 0.5
+LONGEST_EJECTION_S = 4.0
+# Weight of the newest outcome in the failure rate, and the time in which an old one fades.
+OUTCOME_WEIGHT = 0.25
+FAILURE_HALF_LIFE_S = 3.0
+# Failures that a whole pool shares say nothing about one upstream.
+COMMON_FAILURES = 0.15
+SPEED_WEIGHT = 0.2
+SPEED_HALF_LIFE_S = 4.0
+# The share of the cold limit that entries use together; the rest covers requests on their way.
+COLD_SHARE = 0.8
+
+
+class UpstreamRecord:
+    """
+    One upstream as this entry sees it.
+
+    Parameters
+    ----------
+    now : float
+        Monotonic time in seconds.
+    """
+
+    __slots__ = (
+        "requests",
+        "prefill_tokens",
+        "reported_requests",
+        "reported_tokens",
+        "failures_in_row",
+        "ejected_until",
+        "failure_rate",
+        "rated_at",
+        "duration_s",
+        "timed_at",
+        "cold_next_at",
+    )
+
+    def __init__(self, *, now: float) -> None:
+        self.requests = 0
+        self.prefill_tokens = 0
+        self.reported_requests = 0
+        self.reported_tokens = 0
+        self.failures_in_row = 0
+        self.ejected_until = 0.0
+        self.failure_rate = 0.0
+        self.rated_at = now
+        self.duration_s = 0.0
+        self.timed_at = now
+        self.cold_next_at = 0.0
+
+
+class UpstreamBoard:
+    """
+    What an entry knows of all upstreams.
+
+    Parameters
+    ----------
+    picture : FleetPicture
+        Upstreams of the fleet, and the loads of the other entries.
+    data_centre : str
+        Where this entry is.
+    timers : Timers
+        Clock.
+    """
+
+    __slots__ = ("_picture", "_data_centre", "_timers", "_records")
+
+    def __init__(self, *, picture: FleetPicture, data_centre: str, timers: Timers) -> None:
+        self._picture = picture
+        self._data_centre = data_centre
+        self._timers = timers
+        self._records: dict[str, UpstreamRecord] = {}
+
+    def record(self, name: str) -> UpstreamRecord:
+        """Return what is known of an upstream."""
+        record = self._records.get(name)
+        if record is None:
+            record = self._records[name] = UpstreamRecord(now=self._timers.now())
+        return record
+
+    def begin(self, name: str, prefill_tokens: int = 0) -> None:
+        """Count a request that is sent to an upstream."""
+        record = self.record(name)
+        record.requests += 1
+        record.prefill_tokens += prefill_tokens
+
+    def end_prefill(self, name: str, prefill_tokens: int) -> None:
+        """Note that the prompt of a request has been read."""
+        record = self.record(name)
+        record.prefill_tokens = max(0, record.prefill_tokens - prefill_tokens)
+
+    def end(self, name: str) -> None:
+        """Count a request as ended."""
+        record = self.record(name)
+        record.requests = max(0, record.requests - 1)
+
+    def succeed(self, name: str, duration_s: float | None = None) -> None:
+        """Note an answer and the seconds that it took."""
+        record = self.record(name)
+        record.failures_in_row = 0
+        self._rate(record, 0.0)
+        if duration_s is not None:
+            weight = SPEED_WEIGHT if record.duration_s else 1.0
+            record.duration_s += weight * (duration_s - record.duration_s)
+            record.timed_at = self._timers.now()
+
+    def fail(self, name: str, *, is_dead: bool) -> None:
+        """
+        Note a failed request.
+
+        Parameters
+        ----------
+        name : str
+            The upstream.
+        is_dead : bool
+            Whether it didn't answer at all; it then gets no requests for a while.
+        """
+        record = self.record(name)
+        record.failures_in_row += 1
+        self._rate(record, 1.0)
+        if is_dead:
+            pause_s = FIRST_EJECTION_S * 2 ** (record.failures_in_row - 1)
+            record.ejected_until = self._timers.now() + min(LONGEST_EJECTION_S, pause_s)
+
+    def _rate(self, record: UpstreamRecord, outcome: float) -> None:
+        rate = self._failure_rate(record)
+        record.failure_rate = rate + OUTCOME_WEIGHT * (outcome - rate)
+        record.rated_at = self._timers.now()
+
+    def _failure_rate(self, record: UpstreamRecord) -> float:
+        age_s = self._timers.now() - record.rated_at
+        return record.failure_rate * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
+    def options(self, upstreams: list[Upstream], service: Service) -> list[Option]:
+        """
+        Return the upstreams that may get a request now.
+
+        Parameters
+        ----------
+        upstreams : list of Upstream
+            Upstreams of the service in service.
+        service : Service
+            The service.
+
+        Returns
+        -------
+        list of Option
+            Without those that are ejected, unless all are, and cold ones beyond their limit.
+        """
+        now = self._timers.now()
+        usable = [u for u in upstreams if self._accepts_cold(u, service, now)]
+        healthy = [u for u in usable if self.record(u.name).ejected_until <= now]
+        usual_s = self._usual_duration(upstreams)
+        return [self._option(u, usual_s) for u in (healthy or usable)]
+
+    def _accepts_cold(self, upstream: Upstream, service: Service, now: float) -> bool:
+        if upstream.cold_until <= now or not service.cold_rate:
+            return True
+        return self.record(upstream.name).cold_next_at <= now
+
+    def note_sent(self, upstream: Upstream, service: Service) -> None:
+        """Count a request against the limit of a cold upstream, of which each entry has a share."""
+        now = self._timers.now()
+        if upstream.cold_until > now and service.cold_rate:
+            rate = service.cold_rate * COLD_SHARE / self._picture.entry_count()
+            self.record(upstream.name).cold_next_at = now + 1 / rate
+
+    def _usual_duration(self, upstreams: list[Upstream]) -> float:
+        known = sorted(d for u in upstreams if (d := self.record(u.name).duration_s))
+        return known[len(known) // 2] if known else 0.0
+
+    def _option(self, upstream: Upstream, usual_s: float) -> Option:
+        record = self.record(upstream.name)
+        requests, tokens = self._picture.loads.get(upstream.name, (0, 0))
+        others = max(0, requests - record.reported_requests)
+        other_tokens = max(0, tokens - record.reported_tokens)
+        slowness = 1.0
+        if usual_s and record.duration_s:
+            fade = 0.5 ** ((self._timers.now() - record.timed_at) / SPEED_HALF_LIFE_S)
+            slowness = max(1.0, 1 + (record.duration_s / usual_s - 1) * fade)
+        return Option(
+            name=upstream.name,
+            slots=upstream.slots,
+            requests=others + record.requests,
+            prefill_tokens=other_tokens + record.prefill_tokens,
+            failure_rate=max(0.0, self._failure_rate(record) - COMMON_FAILURES),
+            slowness=slowness,
+            is_remote=upstream.data_centre != self._data_centre,
+        )
+
+    def report(self) -> list[UpstreamLoad]:
+        """Return the work in progress for the next report, and note that it was reported."""
+        loads = []
+        for name, record in self._records.items():
+            record.reported_requests = record.requests
+            record.reported_tokens = record.prefill_tokens
+            if record.requests:
+                loads.append(
+                    UpstreamLoad(
+                        upstream=name,
+                        requests=record.requests,
+                        prefill_tokens=record.prefill_tokens,
+                    )
+                )
+        return loads
+
+    def forget_except(self, names: set[str]) -> None:
+        """Drop what is known of upstreams that are gone and have nothing in progress."""
+        for name in [n for n, r in self._records.items() if n not in names and not r.requests]:
+            del self._records[name]
--- /dev/null
+++ b/marigoldtrail/relay/exchange.py
@@ -0,0 +1,134 @@
+"""One request of a caller on its way through stages and upstreams."""
+
+from __future__ import annotations
+
+from marigoldtrail.pieces.client import StageWork
+from marigoldtrail.relay.caller import CallerConnection, CallerRequest
+from marigoldtrail.relay.events import EventCutter
+from marigoldtrail.relay.types import RequestFacts
+from marigoldtrail.routing import ClientAccount, Route, RouteKind, Service
+
+
+class Exchange:
+    """
+    State of one request.
+
+    Parameters
+    ----------
+    conn : CallerConnection
+        Where the answer goes.
+    request : CallerRequest
+        The request.
+    facts : RequestFacts
+        What its head says.
+    route : Route
+        Its route.
+    service : Service
+        Service that runs it.
+    account : ClientAccount or None
+        Whose request it is.
+    hides_key : bool
+        Whether the key is not passed on.
+    started : float
+        Monotonic time in seconds at which it was read.
+    deadline : float
+        Monotonic time in seconds at which it ends.
+
+    Attributes
+    ----------
+    may_have_run : bool
+        Whether an upstream may have begun to work on it.
+    runs : int
+        Upstreams that may have begun to work on it.
+    sends : int
+        Upstreams that it was sent to.
+    tried : set of str
+        Upstreams that failed or refused it.
+    cutter : EventCutter
+        Events of a stream that were passed on.
+    work : StageWork or None
+        Its stages.
+    """
+
+    __slots__ = (
+        "conn",
+        "request",
+        "facts",
+        "route",
+        "service",
+        "account",
+        "hides_key",
+        "started",
+        "deadline",
+        "may_have_run",
+        "runs",
+        "sends",
+        "tried",
+        "cutter",
+        "work",
+        "last_upstream",
+        "first_event_at",
+        "stages_done_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        conn: CallerConnection,
+        request: CallerRequest,
+        facts: RequestFacts,
+        route: Route,
+        service: Service,
+        account: ClientAccount | None,
+        hides_key: bool,
+        started: float,
+        deadline: float,
+    ) -> None:
+        self.conn = conn
+        self.request = request
+        self.facts = facts
+        self.route = route
+        self.service = service
+        self.account = account
+        self.hides_key = hides_key
+        self.started = started
+        self.deadline = deadline
+        self.may_have_run = False
+        self.runs = 0
+        self.sends = 0
+        self.tried: set[str] = set()
+        self.cutter = EventCutter()
+        self.work: StageWork | None = None
+        self.last_upstream = ""
+        self.first_event_at: float | None = None
+        self.stages_done_at: float | None = None
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return self.route.kind is RouteKind.STREAMING
+
+    @property
+    def priority(self) -> int:
+        """Rank of the request: that of its client account before that of its route."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+    @property
+    def account_name(self) -> str:
+        """Name of the client account; empty if there is none."""
+        return self.account.name if self.account is not None else ""
+
+    def shared_prefix(self) -> tuple[str, int]:
+        """
+        Return identity and length of the part of the prompt that other requests share.
+
+        The last part belongs to the request or its session and is left out.
+        """
+        shared = self.facts.prefix[:-1]
+        return "/".join(part for part, _ in shared), sum(tokens for _, tokens in shared)
+
+    def may_run_again(self) -> bool:
+        """Tell whether another upstream may run the request after one may have run it."""
+        return self.route.is_idempotent and self.runs < self.route.max_attempts
--- /dev/null
+++ b/marigoldtrail/relay/pool.py
@@ -0,0 +1,129 @@
+"""Idle connections to the upstreams, each bound to one start of an upstream's process."""
+
+from __future__ import annotations
+
+import trio
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.net import Address, Network
+from marigoldtrail.net.client import STREAM_ERRORS
+from marigoldtrail.relay.connection import UpstreamConnection
+from marigoldtrail.relay.types import Dialect
+from marigoldtrail.routing import Upstream
+from marigoldtrail.timers import Timers
+
+CONNECT_TIMEOUT_S = 0.5
+MAX_IDLE_S = 10.0
+MAX_IDLE_CONNECTIONS = 16
+# An upstream may close an idle connection a little before the time that it states.
+IDLE_SHARE = 0.7
+# A request that can't be repeated is lost if it meets the close of an idle connection.
+MAX_IDLE_UNSAFE_S = 0.8
+
+
+class ConnectionPool:
+    """
+    Open connections to all upstreams.
+
+    Parameters
+    ----------
+    network : Network
+        Opens connections.
+    timers : Timers
+        Clock.
+    dialect : Dialect
+        Reads the heads of answers.
+    """
+
+    __slots__ = ("_network", "_timers", "_dialect", "_idle", "_open")
+
+    def __init__(self, *, network: Network, timers: Timers, dialect: Dialect) -> None:
+        self._network = network
+        self._timers = timers
+        self._dialect = dialect
+        self._idle: dict[str, list[UpstreamConnection]] = {}
+        self._open: dict[str, int] = {}
+
+    def open_count(self, upstream: str) -> int:
+        """Return the number of open connections to an upstream."""
+        return self._open.get(upstream, 0)
+
+    async def take(self, upstream: Upstream, *, may_repeat: bool) -> UpstreamConnection | Failure:
+        """
+        Take an idle connection, or open one.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The upstream.
+        may_repeat : bool
+            Whether the request may be sent again if the connection turns out to be closed.
+
+        Returns
+        -------
+        UpstreamConnection or Failure
+            ``NOT_RUN`` if none could be opened.
+        """
+        idle = self._idle.get(upstream.name, [])
+        while idle:
+            conn = idle.pop()
+            if self._is_fresh(conn, may_repeat) and conn.is_quiet():
+                conn.wrote = False
+                return conn
+            await self.discard(upstream.name, conn)
+        return await self._dial(upstream)
+
+    def _is_fresh(self, conn: UpstreamConnection, may_repeat: bool) -> bool:
+        limit_s = MAX_IDLE_S if may_repeat else MAX_IDLE_UNSAFE_S
+        if conn.idle_limit_s is not None:
+            limit_s = min(limit_s, conn.idle_limit_s * IDLE_SHARE)
+        return self._timers.now() - conn.idle_since <= limit_s
+
+    async def _dial(self, upstream: Upstream) -> UpstreamConnection | Failure:
+        detail = f"not connected within {CONNECT_TIMEOUT_S} s"
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                stream = await self._network.dial(Address.parse(upstream.address))
+                self._open[upstream.name] = self.open_count(upstream.name) + 1
+                return UpstreamConnection(
+                    stream=stream, upstream=upstream.name, dialect=self._dialect
+                )
+            except STREAM_ERRORS as exc:
+                detail = str(exc) or type(exc).__name__
+        return Failure(
+            reason=Reason.UNREACHABLE,
+            run_state=RunState.NOT_RUN,
+            step="upstream.connect",
+            peer=upstream.name,
+            detail=detail,
+        )
+
+    async def give_back(self, upstream: str, conn: UpstreamConnection) -> None:
+        """Keep a connection for later requests, or close it if it can't be used again."""
+        idle = self._idle.setdefault(upstream, [])
+        if not conn.is_reusable() or len(idle) >= MAX_IDLE_CONNECTIONS:
+            await self.discard(upstream, conn)
+            return
+        conn.idle_since = self._timers.now()
+        idle.append(conn)
+
+    async def discard(self, upstream: str, conn: UpstreamConnection) -> None:
+        """Close a connection."""
+        self._open[upstream] = self.open_count(upstream) - 1
+        if self._open[upstream] <= 0:
+            del self._open[upstream]
+        await conn.aclose()
+
+    async def drop_except(self, names: set[str]) -> None:
+        """Close the idle connections to all upstreams but these."""
+        for name in [name for name in self._idle if name not in names]:
+            for conn in self._idle.pop(name):
+                await self.discard(name, conn)
+
+    async def drop_expired(self) -> None:
+        """Close connections that have been idle for so long that they won't be used again."""
+        for name, idle in list(self._idle.items()):
+            while idle and not self._is_fresh(idle[0], True):
+                await self.discard(name, idle.pop(0))
+            if not idle:
+                self._idle.pop(name, None)
--- /dev/null
+++ b/marigoldtrail/routing/check.py
@@ -0,0 +1,77 @@
+"""Checks of a routing table before it is accepted."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from marigoldtrail.routing.types import Route, RouteTable
+
+
+def check_table(table: RouteTable) -> list[str]:
+    """
+    Find what makes a routing table invalid.
+
+    Parameters
+    ----------
+    table : RouteTable
+        The table.
+
+    Returns
+    -------
+    list of str
+        One text for each fault; empty if the table is valid.
+
+    Examples
+    --------
+    >>> check_table(RouteTable(version=1, routes=(), services=()))
+    []
+    """
+    services = {service.name for service in table.services}
+    faults = []
+    for route in table.routes:
+        faults += check_route(route, services)
+    places = Counter((route.hostname, route.prefix) for route in table.routes)
+    faults += [
+        f"{count} routes have the host name {hostname!r} and the prefix {prefix!r}"
+        for (hostname, prefix), count in places.items()
+        if count > 1
+    ]
+    keys = Counter(key for account in table.accounts or () for key in set(account.keys))
+    shared = sum(count > 1 for count in keys.values())
+    if shared:
+        # The keys themselves are secrets and stay out of messages and logs.
+        faults.append(f"{shared} keys belong to more than one client account")
+    return faults
+
+
+def check_route(route: Route, services: set[str]) -> list[str]:
+    """
+    Find what makes a route invalid.
+
+    Parameters
+    ----------
+    route : Route
+        The route.
+    services : set of str
+        Names of all services.
+
+    Returns
+    -------
+    list of str
+        One text for each fault.
+    """
+    faults = []
+    named = {target.service for target in route.targets} | {s.service for s in route.stages}
+    for service in sorted(named - services):
+        faults.append(f"route {route.name!r} names the unknown service {service!r}")
+    if sum(target.weight for target in route.targets) <= 0:
+        faults.append(f"the weights of route {route.name!r} add up to 0")
+    if any(target.weight < 0 for target in route.targets):
+        faults.append(f"route {route.name!r} has a negative weight")
+    if route.timeout_s <= 0:
+        faults.append(f"the timeout of route {route.name!r} is not positive")
+    count = len(route.stages)
+    for number, stage in enumerate(route.stages):
+        if any(not 0 <= other < count or other == number for other in stage.after):
+            faults.append(f"stage {number} of route {route.name!r} follows an unknown stage")
+    return faults
--- a/marigoldtrail/schema/__main__.py
+++ b/marigoldtrail/schema/__main__.py
@@ -15,7 +15,7 @@
 
 # Documents written by people refuse unknown fields; messages between nodes ignore them, so that
 # two releases can run side by side during a rolling upgrade.
-STRICT_SCHEMAS = ("settings", "manifest")
+STRICT_SCHEMAS = ("settings", "manifest", "site")
 
 OPTIONS = [
     "--input-file-type=jsonschema",
--- /dev/null
+++ b/marigoldtrail/site/adapter.py
@@ -0,0 +1,42 @@
+"""What a platform's adapter gives to the product."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from marigoldtrail.pieces import PieceCall
+from marigoldtrail.registry.picture import ParseDocument
+from marigoldtrail.registry.service import ReadUpstreams
+from marigoldtrail.relay import ConnectionPool, Dialect
+from marigoldtrail.relay.endpoints import Handler
+from marigoldtrail.site.lookup import FindEntries
+from marigoldtrail.site.operations import Operations
+
+
+class Adapter(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    Names, formats and calls of a platform.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        Heads of requests and answers.
+    parse_document : callable
+        Decodes a configuration.
+    make_list_reader : callable
+        Returns the function that reads the list of upstreams at an address.
+    make_piece_call : callable
+        Returns the calls that run pieces.
+    make_operator_handler, make_lookup_handler, make_ready_handler : callable
+        Return the handlers of the endpoints.
+    """
+
+    dialect: Dialect
+    parse_document: ParseDocument
+    make_list_reader: Callable[[ConnectionPool, str], ReadUpstreams]
+    make_piece_call: Callable[[ConnectionPool], PieceCall]
+    make_operator_handler: Callable[[Operations], Handler]
+    make_lookup_handler: Callable[[FindEntries], Handler]
+    make_ready_handler: Callable[[Callable[[], bool]], Handler]
--- a/marigoldtrail/telemetry/__init__.py
+++ b/marigoldtrail/telemetry/__init__.py
@@ -1,11 +1,34 @@
-"""Spans, metrics, logs and decision events."""
+"""
+Spans, metrics, logs and decision events.
 
-from marigoldtrail.telemetry.decisions import DecisionLog
-from marigoldtrail.telemetry.feed import follow_decisions, publish_decisions
-from marigoldtrail.telemetry.logs import configure_logging, request_id_var
-from marigoldtrail.telemetry.metrics import Metrics, metric_part
-from marigoldtrail.telemetry.service import Telemetry, mark_failure
-from marigoldtrail.telemetry.spans import FileSpanProcessor, build_tracer_provider
+The parts are loaded when they are first used: the exporters of spans and the feed of decisions
+take most of the memory of a small host.
+"""
+
+import importlib
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from marigoldtrail.telemetry.decisions import DecisionLog
+    from marigoldtrail.telemetry.feed import follow_decisions, publish_decisions
+    from marigoldtrail.telemetry.logs import configure_logging, request_id_var
+    from marigoldtrail.telemetry.metrics import Metrics, metric_part
+    from marigoldtrail.telemetry.service import Telemetry, mark_failure
+    from marigoldtrail.telemetry.spans import FileSpanProcessor, build_tracer_provider
+
+_MODULES = {
+    "DecisionLog": "decisions",
+    "FileSpanProcessor": "spans",
+    "Metrics": "metrics",
+    "Telemetry": "service",
+    "build_tracer_provider": "spans",
+    "configure_logging": "logs",
+    "follow_decisions": "feed",
+    "mark_failure": "service",
+    "metric_part": "metrics",
+    "publish_decisions": "feed",
+    "request_id_var": "logs",
+}
 
 __all__ = [
     "DecisionLog",
@@ -20,3 +43,10 @@
     "publish_decisions",
     "request_id_var",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    module = importlib.import_module(f"{__name__}.{_MODULES[name]}")
+    return getattr(module, name)
