Run whole stage graphs at one scheduler

Now one control host runs all stages of a request, frees results once they are read, takes whole jobs into a call, and counts room with a margin of 6% (measured: results are 5 to 8% over the stated size).

--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -10,13 +10,19 @@
 import msgspec
 import trio
 
+from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES
 from marigoldtrail.routing import PieceSpec, Upstream
 
-# Results of at least this size are worth a short wait for an upstream in the reader's data centre.
-LARGE_RESULT_BYTES = 200_000
+# Large results are worth a short wait for an upstream in the reader's data centre.
 LOCAL_WAIT_S = 0.15
+# Results take a little more room than their stated size.
+SIZE_MARGIN = 1.06
+# Jobs are divided among calls only while less than this share of the room is taken.
+SPLIT_ROOM_SHARE = 0.5
 EJECTION_S = 1.5
 BUSY_PAUSE_S = 0.15
+# A less urgent rank is worth as much as this much more time.
+RANK_S = 1.5
 SPEED_WEIGHT = 0.3
 SPEED_HALF_LIFE_S = 3.0
 MAX_TRIES = 3
@@ -96,6 +102,11 @@
         self.failure = ""
         self.done = trio.Event()
 
+    @property
+    def order(self) -> float:
+        """Place in the queue; the least is first."""
+        return self.due_at + self.priority * RANK_S
+
     @property
     def is_open(self) -> bool:
         """Whether results are still wanted."""
@@ -257,23 +268,41 @@
             (piece for piece in self.waiting if self._suits(piece.job, worker, now)),
             key=lambda piece: (
                 piece.job.data_centre != near and is_large(piece.job),
-                piece.job.due_at,
+                piece.job.order,
             ),
         )
-        taken: list[Piece] = []
-        room = self.spec.room_bytes - sum(worker.room.values())
-        for piece in wanted:
-            size = piece.job.result_bytes
-            if len(taken) >= self.spec.batch or (size > room and self.spec.room_bytes):
-                break
-            room -= size
-            taken.append(piece)
+        taken = self._fill(worker, wanted)
         chosen = set(map(id, taken))
         self.waiting = [piece for piece in self.waiting if id(piece) not in chosen]
         for piece in taken:
             piece.tries += 1
         return taken
 
+    def _fill(self, worker: Worker, wanted: list[Piece]) -> list[Piece]:
+        """
+        Choose pieces that fit one call and the room for its results.
+
+        A job is taken whole where possible: the results of its first pieces would take room while
+        they wait for the rest.
+        """
+        room = self.spec.room_bytes or float("inf")
+        used = sum(worker.room.values()) * SIZE_MARGIN
+        may_split = len(wanted) > self.spec.batch and used < room * SPLIT_ROOM_SHARE
+        taken: list[Piece] = []
+        for pieces in group_by_job(wanted):
+            size = max(1.0, pieces[0].job.result_bytes * SIZE_MARGIN)
+            places = min(
+                self.spec.batch - len(taken), int((room - used) / size) if used < room else 0
+            )
+            if len(pieces) > places and taken and not may_split:
+                continue
+            part = pieces[: max(0, places)]
+            taken += part
+            used += size * len(part)
+            if len(taken) >= self.spec.batch:
+                break
+        return taken
+
     def _would_finish_sooner_elsewhere(self, worker: Worker, now: float) -> bool:
         own_s = self.duration_s(worker, 1, now)
         for other in self.workers.values():
@@ -343,6 +372,14 @@
         return free + calls * (self.spec.call_s + self.spec.batch * self.spec.item_s)
 
 
+def group_by_job(pieces: list[Piece]) -> list[list[Piece]]:
+    """Return the pieces of each job together, jobs in the order of their first pieces."""
+    groups: dict[int, list[Piece]] = {}
+    for piece in pieces:
+        groups.setdefault(id(piece.job), []).append(piece)
+    return list(groups.values())
+
+
 def is_large(job: PieceJob) -> bool:
     """Tell whether the results of a job should not cross between data centres."""
     return job.result_bytes >= LARGE_RESULT_BYTES
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -11,6 +12,7 @@
 from marigoldtrail.consensus.parts import Signal
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Handlers
+from marigoldtrail.pieces.graph import StageGraph
 from marigoldtrail.pieces.scheduler import (
     BUSY_PAUSE_S,
     EJECTION_S,
@@ -22,12 +24,12 @@
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.routing import PieceSpec, Upstream
 from marigoldtrail.schema.generated.pieces import (
-    DropPieces,
-    PiecesDropped,
-    PiecesReply,
+    DropStages,
     Pulse,
     PulseReply,
-    RunPieces,
+    RunStages,
+    StagesDropped,
+    StagesReply,
 )
 from marigoldtrail.timers import Timers
 
@@ -70,7 +72,7 @@
     """
 
     run: Callable[[Upstream, list[Piece], list[float]], Awaitable[list[PieceResult] | Failure]]
-    free: Callable[[Upstream, list[str]], Awaitable[None]]
+    free: Callable[[Upstream, list[str]], Awaitable[Failure | None]]
 
 
 class PieceService:
@@ -121,7 +123,7 @@
         dict
             For `marigoldtrail.net.serve_peers`.
         """
-        return {RunPieces: self._run_pieces, DropPieces: self._drop_pieces, Pulse: self._pulse}
+        return {RunStages: self._run_stages, DropStages: self._drop_stages, Pulse: self._pulse}
 
     async def run(self) -> None:
         """Make calls until cancelled."""
@@ -156,25 +158,69 @@
         scheduler.spec = spec
         return scheduler
 
-    async def _run_pieces(self, request: RunPieces, sender: str) -> PiecesReply | Failure:
-        scheduler = self._scheduler(request.service)
+    async def _run_stages(self, request: RunStages, sender: str) -> StagesReply | Failure:
+        graph = StageGraph(stages=request.stages)
+        expires_at = self._timers.now() + request.left_ms / 1000
+        due_at = self._timers.now() + request.slack_ms / 1000
+        results: dict[int, PieceJob] = {}
+        finished = Signal()
+
+        async def run_stage(job: PieceJob, number: int) -> None:
+            await job.done.wait()
+            results[number] = job
+            finished.notify()
+
+        jobs: list[PieceJob] = []
+        try:
+            async with trio.open_nursery() as nursery:
+                while not graph.is_done():
+                    for number in graph.take_startable():
+                        job = self._queue(request, graph, number, expires_at, due_at)
+                        if isinstance(job, Failure):
+                            nursery.cancel_scope.cancel()
+                            return job
+                        jobs.append(job)
+                        nursery.start_soon(run_stage, job, number)
+                    await finished.wait()
+                    for number, job in list(results.items()):
+                        del results[number]
+                        if job.failure:
+                            nursery.cancel_scope.cancel()
+                            return self._job_failure(job)
+                        self._free(set(graph.finish(number, job.handles)))
+        finally:
+            # Without an effect on jobs that are done; the entry may have left.
+            for job in jobs:
+                job.fail("the request has ended")
+        return StagesReply(handles=graph.final_handles())
+
+    def _queue(
+        self,
+        request: RunStages,
+        graph: StageGraph,
+        number: int,
+        expires_at: float,
+        due_at: float,
+    ) -> PieceJob | Failure:
+        stage = graph.stages[number]
+        scheduler = self._scheduler(stage.service)
         if scheduler is None:
-            return self._failure(Reason.NOT_FOUND, f"no piece service {request.service!r}")
+            return self._failure(Reason.NOT_FOUND, f"no piece service {stage.service!r}")
         now = self._timers.now()
-        left_s = request.left_ms / 1000
-        if scheduler.backlog_s(now) > left_s:
+        if now + scheduler.backlog_s(now) > expires_at:
             return self._failure(Reason.OVERLOADED, "the pieces can't be done in time")
+        inputs = graph.inputs_of(number)
         job = PieceJob(
             request_id=request.request_id,
-            stage=request.stage,
-            key=request.key,
-            inputs=request.inputs,
-            count=request.count,
-            expires_at=now + left_s,
-            due_at=now + request.slack_ms / 1000,
+            stage=number,
+            key="" if inputs else request.key,
+            inputs=inputs,
+            count=stage.count,
+            expires_at=expires_at,
+            due_at=due_at,
             priority=request.priority,
             data_centre=request.data_centre,
-            result_bytes=request.result_bytes,
+            result_bytes=stage.result_bytes,
             queued_at=now,
         )
         self._jobs.setdefault(request.request_id, []).append(job)
@@ -182,47 +228,51 @@
             del self._jobs[next(iter(self._jobs))]
         scheduler.add(job)
         self._wake.notify()
-        try:
-            await job.done.wait()
-        finally:
-            # The entry is gone if this is cancelled.
-            job.fail("the entry has left")
-        if job.failure:
-            reason = Reason.NOT_FOUND if job.failure == "gone" else Reason.UPSTREAM_ERROR
-            if job.failure in ("late", "too late"):
-                reason = Reason.DEADLINE
-            return self._failure(reason, job.failure)
-        return PiecesReply(handles=job.handles)
-
-    async def _drop_pieces(self, request: DropPieces, sender: str) -> PiecesDropped:
-        handles = set(request.handles)
+        return job
+
+    def _job_failure(self, job: PieceJob) -> Failure:
+        reason = Reason.UPSTREAM_ERROR
+        if job.failure == "gone":
+            reason = Reason.NOT_FOUND
+        elif job.failure in ("late", "too late"):
+            reason = Reason.DEADLINE
+        return self._failure(reason, f"stage {job.stage}: {job.failure}")
+
+    async def _drop_stages(self, request: DropStages, sender: str) -> StagesDropped:
+        handles: set[str] = set()
         for job in self._jobs.pop(request.request_id, []):
             job.fail("dropped")
             handles.update(handle for handle in job.handles if handle)
-        await self._free(handles)
-        return PiecesDropped()
+        self._free(handles)
+        return StagesDropped()
 
     async def _pulse(self, request: Pulse, sender: str) -> PulseReply:
         return PulseReply()
 
-    async def _free(self, handles: set[str]) -> None:
-        by_worker: dict[str, tuple[Worker, list[str]]] = {}
+    def _free(self, handles: set[str]) -> None:
+        nursery = self._nursery
+        if not handles or nursery is None:
+            return
         for scheduler in self._schedulers.values():
-            for name, worker in scheduler.workers.items():
+            for worker in scheduler.workers.values():
                 kept = [handle for handle in handles if handle in worker.room]
-                for handle in kept:
-                    del worker.room[handle]
                 if kept:
-                    by_worker[name] = (worker, kept)
-        nursery = self._nursery
-        for worker, kept in by_worker.values():
-            if nursery is not None:
-                nursery.start_soon(self._call.free, worker.upstream, kept)
-        if by_worker:
-            self._wake.notify()
+                    nursery.start_soon(self._free_at, worker, kept)
+
+    async def _free_at(self, worker: Worker, handles: list[str]) -> None:
+        failure = await self._call.free(worker.upstream, handles)
+        if failure is not None:
+            # The results stay until their time is up.
+            _log.warning("results were not freed: %s", failure)
+            return
+        # Only now is there room again at the upstream.
+        for handle in handles:
+            worker.room.pop(handle, None)
+        self._wake.notify()
 
     async def _work(self, scheduler: PieceScheduler, worker: Worker, pieces: list[Piece]) -> None:
         started = self._timers.now()
+        room_mb = sum(worker.room.values()) / 1e6
         expected_s = scheduler.duration_s(worker, len(pieces), started)
         lefts = [max(0.0, piece.job.expires_at - started) for piece in pieces]
         results: list[PieceResult] | Failure = self._failure(Reason.TIMEOUT, "no answer in time")
@@ -233,7 +283,26 @@
             self._note_failure(scheduler, worker, pieces, results, now)
         else:
             scheduler.finish(worker, len(pieces), now - started, now)
-            await self._take_results(scheduler, worker, pieces, results)
+            _log.info(
+                "pieces done",
+                extra={
+                    "subject": worker.upstream.name,
+                    "service": worker.upstream.service,
+                    "count": len(pieces),
+                    "stages": sorted({piece.job.stage for piece in pieces}),
+                    "took_ms": round((now - started) * 1000),
+                    "expected_ms": round(expected_s * 1000),
+                    "waiting": len(scheduler.waiting),
+                    "room_mb": round(sum(worker.room.values()) / 1e6, 2),
+                    "failed": dict(Counter(r.reason for r in results if r.reason)),
+                    "room_before_mb": round(room_mb, 2),
+                    "remote": sum(
+                        p.job.data_centre not in ("", worker.upstream.data_centre) for p in pieces
+                    ),
+                    "requests": [piece.job.request_id for piece in pieces],
+                },
+            )
+            self._take_results(scheduler, worker, pieces, results)
         self._wake.notify()
 
     def _note_failure(
@@ -254,7 +323,7 @@
         )
         scheduler.put_back(pieces, now)
 
-    async def _take_results(
+    def _take_results(
         self,
         scheduler: PieceScheduler,
         worker: Worker,
@@ -281,7 +350,7 @@
             scheduler.pause(worker, BUSY_PAUSE_S, now)
             scheduler.put_back(again, now)
         if unwanted:
-            await self._free(unwanted)
+            self._free(unwanted)
 
     def _expire_later(self, scheduler: PieceScheduler, worker: Worker, handle: str) -> None:
         async def expire() -> None:
--- a/marigoldtrail/platform/calls.py
+++ b/marigoldtrail/platform/calls.py
@@ -98,8 +98,8 @@
             return _failure(upstream.name, f"{len(results)} results for {len(pieces)} pieces")
         return [PieceResult(handle=item.handle, reason=item.reason) for item in results]
 
-    async def free(upstream: Upstream, handles: list[str]) -> None:
-        await call_upstream(
+    async def free(upstream: Upstream, handles: list[str]) -> Failure | None:
+        answer = await call_upstream(
             pool,
             upstream,
             method=b"POST",
@@ -108,6 +108,11 @@
             body=_encode({"handles": handles}),
             timeout_s=FREE_TIMEOUT_S,
         )
+        if isinstance(answer, Failure):
+            return answer
+        if answer.head.status != 200:
+            return _failure(upstream.name, f"status {answer.head.status}")
+        return None
 
     return PieceCall(run=run, free=free)
 
--- a/marigoldtrail/relay/attempt.py
+++ b/marigoldtrail/relay/attempt.py
@@ -142,7 +142,7 @@
             account=exchange.account_name,
             hides_key=exchange.hides_key,
             priority=exchange.priority if exchange.service.engine is not None else None,
-            inputs=tuple(exchange.work.final_handles()) if exchange.work is not None else (),
+            inputs=exchange.work.handles if exchange.work is not None else (),
             resume_after=exchange.cutter.last_id,
         )
         request = exchange.request
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -22,6 +22,7 @@
 from marigoldtrail.relay.types import Dialect, RequestFacts
 from marigoldtrail.routing import Limits, RouteIndex, RouteKind, Upstream
 from marigoldtrail.routing.table import choose_target
+from marigoldtrail.schema.generated.pieces import RunStages, StageRequest
 from marigoldtrail.schema.generated.site import Bounds
 from marigoldtrail.timers import Timers
 
@@ -284,19 +285,31 @@
         return result
 
     async def _run_stages(self, exchange: Exchange) -> Failure | None:
-        counts = exchange.facts.piece_counts
+        counts = list(exchange.facts.piece_counts)
         if not exchange.route.stages or not any(counts):
             return None
         upstream = self._choose(exchange)
-        exchange.work = StageWork(
+        counts = [*counts, *([0] * len(exchange.route.stages))]
+        request = RunStages(
             request_id=exchange.facts.request_id,
-            stages=exchange.route.stages,
-            counts=counts,
+            stages=[
+                StageRequest(
+                    service=stage.service,
+                    count=count,
+                    after=list(stage.after),
+                    result_bytes=stage.result_bytes,
+                )
+                for stage, count in zip(exchange.route.stages, counts, strict=False)
+            ],
             key=exchange.facts.piece_key,
+            left_ms=0,
             priority=exchange.priority,
+            data_centre=upstream.data_centre if upstream is not None else self._data_centre,
+        )
+        exchange.work = StageWork(
+            request=request,
             deadline=exchange.deadline,
             due_at=exchange.started + exchange.route.target_latency_s,
-            data_centre=upstream.data_centre if upstream is not None else self._data_centre,
         )
         failure = await self._pieces.run(exchange.work)
         exchange.stages_done_at = self._timers.now()
