--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -14,7 +14,7 @@
 from marigoldtrail.routing import PieceSpec, Upstream
 
 # Large results are worth a short wait for an upstream in the reader's data centre.
-LOCAL_WAIT_S = 0.15
+LOCAL_WAIT_S = 0.4
 # Results take a little more room than their stated size.
 SIZE_MARGIN = 1.06
 # Jobs are divided among calls only while less than this share of the room is taken.
@@ -44,9 +44,12 @@
         Handles of the results that it reads.
     count : int
         Number of pieces.
-    expires_at, due_at : float
-        Monotonic times in seconds: when the results are of no more use, and when the request
-        begins to be late.
+    expires_at, start_by : float
+        Monotonic times in seconds: when the results are of no more use, and when the work must
+        begin so that the request is not late.
+    may_wait : bool
+        Whether the job may be put off once the request will be late anyway. Results that it would
+        read and that take much room speak against it.
     priority : int
         0 is the most urgent.
     data_centre : str
@@ -61,7 +64,8 @@
         "key",
         "inputs",
         "expires_at",
-        "due_at",
+        "start_by",
+        "may_wait",
         "priority",
         "data_centre",
         "result_bytes",
@@ -81,7 +85,8 @@
         inputs: list[str],
         count: int,
         expires_at: float,
-        due_at: float,
+        start_by: float,
+        may_wait: bool,
         priority: int,
         data_centre: str,
         result_bytes: int,
@@ -92,7 +97,8 @@
         self.key = key
         self.inputs = inputs
         self.expires_at = expires_at
-        self.due_at = due_at
+        self.start_by = start_by
+        self.may_wait = may_wait
         self.priority = priority
         self.data_centre = data_centre
         self.result_bytes = result_bytes
@@ -102,10 +108,15 @@
         self.failure = ""
         self.done = trio.Event()
 
-    @property
-    def order(self) -> float:
-        """Place in the queue; the least is first."""
-        return self.due_at + self.priority * RANK_S
+    def order(self, now: float) -> tuple[bool, float]:
+        """
+        Return the place in the queue; the least is first.
+
+        Requests that will be late anyway come after those that can still be on time: served in the
+        order of their times alone, all of them would be a little late in a burst.
+        """
+        is_late = self.may_wait and now > self.start_by
+        return is_late, self.start_by + self.priority * RANK_S
 
     @property
     def is_open(self) -> bool:
@@ -267,8 +278,9 @@
         wanted = sorted(
             (piece for piece in self.waiting if self._suits(piece.job, worker, now)),
             key=lambda piece: (
+                piece.job.order(now)[0],
                 piece.job.data_centre != near and is_large(piece.job),
-                piece.job.order,
+                piece.job.order(now)[1],
             ),
         )
         taken = self._fill(worker, wanted)
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -12,7 +12,7 @@
 from marigoldtrail.consensus.parts import Signal
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Handlers
-from marigoldtrail.pieces.graph import StageGraph
+from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
 from marigoldtrail.pieces.scheduler import (
     BUSY_PAUSE_S,
     EJECTION_S,
@@ -28,6 +28,7 @@
     Pulse,
     PulseReply,
     RunStages,
+    StageRequest,
     StagesDropped,
     StagesReply,
 )
@@ -217,7 +218,12 @@
             inputs=inputs,
             count=stage.count,
             expires_at=expires_at,
-            due_at=due_at,
+            start_by=due_at - self._path_s(request.stages, number),
+            may_wait=sum(
+                request.stages[other].result_bytes * request.stages[other].count
+                for other in stage.after
+            )
+            < LARGE_RESULT_BYTES,
             priority=request.priority,
             data_centre=request.data_centre,
             result_bytes=stage.result_bytes,
@@ -230,6 +236,18 @@
         self._wake.notify()
         return job
 
+    def _path_s(self, stages: list[StageRequest], number: int) -> float:
+        """Return the seconds that a stage and all that follow it take at least."""
+        stage = stages[number]
+        own_s = 0.0
+        scheduler = self._scheduler(stage.service)
+        if stage.count and scheduler is not None:
+            spec = scheduler.spec
+            own_s = spec.call_s + min(stage.count, spec.batch) * spec.item_s
+        # A stage follows only earlier ones or the graph would never end; see `_run_stages`.
+        later = [self._path_s(stages, n) for n, s in enumerate(stages) if number in s.after]
+        return own_s + max(later, default=0.0)
+
     def _job_failure(self, job: PieceJob) -> Failure:
         reason = Reason.UPSTREAM_ERROR
         if job.failure == "gone":
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -11,7 +11,11 @@
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net.client import STREAM_ERRORS
 from marigoldtrail.pieces.client import PieceClient, StageWork
-from marigoldtrail.policy.placement import choose_engine, choose_service_upstream
+from marigoldtrail.policy.placement import (
+    PREFILL_TOKENS_PER_S,
+    choose_engine,
+    choose_service_upstream,
+)
 from marigoldtrail.policy.window_budget import WindowBudget
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.relay.attempt import Sender, StreamPassedOn, WholeAnswer
@@ -35,6 +39,7 @@
 LEAST_RETRY_S = 0.02
 RETRY_AFTER_S = 0.5
 WORK_S = 0.03
+FIRST_EVENT_S = 0.06
 MEAN_TOKENS = 12_000.0
 # How many times longer than usual a repeatable request may take before another one is asked.
 PATIENCE = 5.0
@@ -309,12 +314,16 @@
         exchange.work = StageWork(
             request=request,
             deadline=exchange.deadline,
-            due_at=exchange.started + exchange.route.target_latency_s,
+            due_at=exchange.started + exchange.route.target_latency_s - self._reading_s(exchange),
         )
         failure = await self._pieces.run(exchange.work)
         exchange.stages_done_at = self._timers.now()
         return failure
 
+    def _reading_s(self, exchange: Exchange) -> float:
+        """Return the seconds from the last stage to the first event, as far as can be said."""
+        return FIRST_EVENT_S + exchange.facts.prompt_tokens / PREFILL_TOKENS_PER_S
+
     async def _try_upstreams(
         self, exchange: Exchange, budget: WindowBudget
     ) -> WholeAnswer | StreamPassedOn | Failure:
--- a/marigoldtrail/routing/check.py
+++ b/marigoldtrail/routing/check.py
@@ -72,6 +72,36 @@
         faults.append(f"the timeout of route {route.name!r} is not positive")
     count = len(route.stages)
     for number, stage in enumerate(route.stages):
-        if any(not 0 <= other < count or other == number for other in stage.after):
+        if any(not 0 <= other < count for other in stage.after):
             faults.append(f"stage {number} of route {route.name!r} follows an unknown stage")
+    if not faults and has_cycle([stage.after for stage in route.stages]):
+        faults.append(f"the stages of route {route.name!r} wait for each other")
     return faults
+
+
+def has_cycle(after: list[tuple[int, ...]]) -> bool:
+    """
+    Tell whether some stages wait for each other.
+
+    Parameters
+    ----------
+    after : list of tuple of int
+        For each stage the numbers of those that it follows.
+
+    Returns
+    -------
+    bool
+        True if no order of the stages is possible.
+
+    Examples
+    --------
+    >>> has_cycle([(), (0,)]), has_cycle([(1,), (0,)])
+    (False, True)
+    """
+    done: set[int] = set()
+    while len(done) < len(after):
+        ready = {n for n, others in enumerate(after) if n not in done and done.issuperset(others)}
+        if not ready:
+            return True
+        done |= ready
+    return False
