Choose the engine at the scheduler, after the stages

Cause: entries chose engines by a hash of the prompt and their own loads, before the stages; prompts were read again and results of 3 MB crossed data centres. An entry without the scheduler chooses by hash as before.

--- a/marigoldtrail/pieces/client.py
+++ b/marigoldtrail/pieces/client.py
@@ -11,11 +11,11 @@
 from marigoldtrail.policy.placement import find_home
 from marigoldtrail.registry import FleetPicture, PeerNames
 from marigoldtrail.schema.generated.pieces import (
-    DropStages,
+    NoteProgress,
+    ProgressNoted,
     Pulse,
     PulseReply,
     RunStages,
-    StagesDropped,
     StagesReply,
 )
 from marigoldtrail.timers import Timers
@@ -26,7 +26,7 @@
 PULSE_TIMEOUT_S = 0.45
 # A scheduler that has not answered is not asked for this time.
 SUSPECT_S = 2.5
-DROP_TIMEOUT_S = 1.0
+NOTE_TIMEOUT_S = 1.0
 PAUSE_S = 0.05
 
 _log = logging.getLogger(__name__)
@@ -47,17 +47,20 @@
     ----------
     handles : tuple of str
         Handles of the results for the upstream.
+    upstream : str
+        Engine that the scheduler has chosen; empty for none.
     askers : set of str
         Schedulers that were asked.
     """
 
-    __slots__ = ("request", "deadline", "due_at", "handles", "askers")
+    __slots__ = ("request", "deadline", "due_at", "handles", "upstream", "askers")
 
     def __init__(self, *, request: RunStages, deadline: float, due_at: float) -> None:
         self.request = request
         self.deadline = deadline
         self.due_at = due_at
         self.handles: tuple[str, ...] = ()
+        self.upstream = ""
         self.askers: set[str] = set()
 
 
@@ -136,6 +139,7 @@
             reply = await self._call(host, work.request, left_s)
             if not isinstance(reply, Failure):
                 work.handles = tuple(reply.handles)
+                work.upstream = reply.upstream
                 return None
             failure = reply
             if reply.reason not in (Reason.UNREACHABLE, Reason.TIMEOUT, Reason.STOPPING):
@@ -176,21 +180,28 @@
                     scope.cancel()
         del self._calls[host]
 
-    def drop(self, work: StageWork) -> None:
+    def note_begin(self, work: StageWork, *, frees_results: bool) -> None:
+        """Tell the scheduler that the engine has read the prompt of a request."""
+        for host in work.askers:
+            self._nursery.start_soon(
+                self._note, host, work.request.request_id, False, frees_results
+            )
+
+    def note_end(self, work: StageWork) -> None:
         """Free the results of a request and drop what is still on its way."""
         askers, work.askers = work.askers, set()
         for host in askers:
-            self._nursery.start_soon(self._drop, host, work.request.request_id)
+            self._nursery.start_soon(self._note, host, work.request.request_id, True, True)
 
-    async def _drop(self, host: str, request_id: str) -> None:
+    async def _note(self, host: str, request_id: str, has_ended: bool, frees_results: bool) -> None:
+        request = NoteProgress(
+            request_id=request_id, has_ended=has_ended, frees_results=frees_results
+        )
         reply = await self._peers.call(
-            self._names[host],
-            DropStages(request_id=request_id),
-            StagesDropped,
-            timeout_s=DROP_TIMEOUT_S,
+            self._names[host], request, ProgressNoted, timeout_s=NOTE_TIMEOUT_S
         )
         if isinstance(reply, Failure):
-            _log.info("results were not freed: %s", reply, extra={"request_id": request_id})
+            _log.info("progress was not noted: %s", reply, extra={"request_id": request_id})
 
     def _failure(self, reason: Reason, detail: str, *, peer: str = "") -> Failure:
         return Failure(
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
@@ -12,6 +13,7 @@
 from marigoldtrail.consensus.parts import Signal
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Handlers
+from marigoldtrail.pieces.engines import EngineBoard, Placement
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
 from marigoldtrail.pieces.scheduler import (
     BUSY_PAUSE_S,
@@ -21,15 +23,16 @@
     PieceScheduler,
     Worker,
 )
+from marigoldtrail.policy.placement import choose_engine
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.routing import PieceSpec, Upstream
 from marigoldtrail.schema.generated.pieces import (
-    DropStages,
+    NoteProgress,
+    ProgressNoted,
     Pulse,
     PulseReply,
     RunStages,
     StageRequest,
-    StagesDropped,
     StagesReply,
 )
 from marigoldtrail.timers import Timers
@@ -38,6 +41,8 @@
 CALL_PATIENCE = 3.0
 CALL_SLACK_S = 0.3
 UPSTREAMS_INTERVAL_S = 0.2
+# A kept prompt of this length decides where a request will run.
+LONG_PROMPT_TOKENS = 2000
 # How long a dropped request is remembered, in case its pieces come back later.
 MAX_JOBS_KEPT = 4096
 
@@ -90,9 +95,13 @@
         Calls the upstreams.
     timers : Timers
         Clock.
+    rng : random.Random
+        Breaks ties between engines.
     """
 
     __slots__ = (
+        "_rng",
+        "_engines",
         "_host",
         "_picture",
         "_call",
@@ -104,9 +113,17 @@
     )
 
     def __init__(
-        self, *, host: str, picture: FleetPicture, call: PieceCall, timers: Timers
+        self,
+        *,
+        host: str,
+        picture: FleetPicture,
+        call: PieceCall,
+        timers: Timers,
+        rng: random.Random,
     ) -> None:
         self._host = host
+        self._rng = rng
+        self._engines: dict[str, EngineBoard] = {}
         self._picture = picture
         self._call = call
         self._timers = timers
@@ -124,7 +141,7 @@
         dict
             For `marigoldtrail.net.serve_peers`.
         """
-        return {RunStages: self._run_stages, DropStages: self._drop_stages, Pulse: self._pulse}
+        return {RunStages: self._run_stages, NoteProgress: self._note_progress, Pulse: self._pulse}
 
     async def run(self) -> None:
         """Make calls until cancelled."""
@@ -163,6 +180,7 @@
         graph = StageGraph(stages=request.stages)
         expires_at = self._timers.now() + request.left_ms / 1000
         due_at = self._timers.now() + request.slack_ms / 1000
+        data_centre = self._expected_data_centre(request)
         results: dict[int, PieceJob] = {}
         finished = Signal()
 
@@ -176,7 +194,7 @@
             async with trio.open_nursery() as nursery:
                 while not graph.is_done():
                     for number in graph.take_startable():
-                        job = self._queue(request, graph, number, expires_at, due_at)
+                        job = self._queue(request, graph, number, expires_at, due_at, data_centre)
                         if isinstance(job, Failure):
                             nursery.cancel_scope.cancel()
                             return job
@@ -193,7 +211,75 @@
             # Without an effect on jobs that are done; the entry may have left.
             for job in jobs:
                 job.fail("the request has ended")
-        return StagesReply(handles=graph.final_handles())
+        handles = graph.final_handles()
+        upstream = self._place(request, handles, jobs, expires_at)
+        return StagesReply(handles=handles, upstream=upstream or "")
+
+    def _engine_board(self, service: str) -> EngineBoard | None:
+        routes = self._picture.routes
+        spec = None
+        if routes is not None and service in routes.services:
+            spec = routes.services[service].engine
+        if spec is None:
+            return None
+        board = self._engines.get(service)
+        if board is None:
+            board = self._engines[service] = EngineBoard(spec=spec)
+        board.spec = spec
+        return board
+
+    def _engine_candidates(self, request: RunStages) -> list[Upstream]:
+        now = self._timers.now()
+        upstreams = self._picture.usable_upstreams(request.engine_service)
+        untried = [u for u in upstreams if u.name not in request.excluded]
+        # Entries share the limit of a cold engine; the scheduler leaves it to them.
+        warm = [u for u in untried if u.cold_until <= now]
+        return warm or untried
+
+    def _expected_data_centre(self, request: RunStages) -> str:
+        """Return where the results will be read if an engine has kept the prompt; else nothing."""
+        board = self._engine_board(request.engine_service)
+        if board is None:
+            return request.data_centre
+        upstreams = self._engine_candidates(request)
+        cached = {u.data_centre: board.cached_tokens(u.name, request.prompt) for u in upstreams}
+        best = max(cached, key=lambda name: cached[name], default="")
+        return best if cached.get(best, 0) >= LONG_PROMPT_TOKENS else ""
+
+    def _place(
+        self, request: RunStages, handles: list[str], jobs: list[PieceJob], expires_at: float
+    ) -> str | None:
+        board = self._engine_board(request.engine_service)
+        if board is None:
+            return None
+        options = board.options(
+            self._engine_candidates(request),
+            request.prompt,
+            loads=self._picture.loads,
+            bytes_in=self._bytes_by_data_centre(set(handles)),
+            now=self._timers.now(),
+        )
+        name = choose_engine(options, prompt_tokens=request.prompt_tokens, rng=self._rng)
+        if name is not None:
+            cached = next(o.cached_tokens for o in options if o.name == name)
+            placement = Placement(
+                upstream=name,
+                unread=max(0, request.prompt_tokens - cached),
+                tokens=request.prompt_tokens + request.output_tokens,
+                expires_at=expires_at,
+            )
+            board.place(request.request_id, name, request.prompt, placement)
+        return name
+
+    def _bytes_by_data_centre(self, handles: set[str]) -> dict[str, int]:
+        found: dict[str, int] = {}
+        for scheduler in self._schedulers.values():
+            for worker in scheduler.workers.values():
+                size = sum(worker.room[handle] for handle in handles if handle in worker.room)
+                if size:
+                    data_centre = worker.upstream.data_centre
+                    found[data_centre] = found.get(data_centre, 0) + size
+        return found
 
     def _queue(
         self,
@@ -202,6 +288,7 @@
         number: int,
         expires_at: float,
         due_at: float,
+        data_centre: str,
     ) -> PieceJob | Failure:
         stage = graph.stages[number]
         scheduler = self._scheduler(stage.service)
@@ -225,7 +312,7 @@
             )
             < LARGE_RESULT_BYTES,
             priority=request.priority,
-            data_centre=request.data_centre,
+            data_centre=data_centre,
             result_bytes=stage.result_bytes,
             queued_at=now,
         )
@@ -256,13 +343,19 @@
             reason = Reason.DEADLINE
         return self._failure(reason, f"stage {job.stage}: {job.failure}")
 
-    async def _drop_stages(self, request: DropStages, sender: str) -> StagesDropped:
-        handles: set[str] = set()
-        for job in self._jobs.pop(request.request_id, []):
-            job.fail("dropped")
-            handles.update(handle for handle in job.handles if handle)
-        self._free(handles)
-        return StagesDropped()
+    async def _note_progress(self, request: NoteProgress, sender: str) -> ProgressNoted:
+        for engines in self._engines.values():
+            if request.has_ended:
+                engines.end(request.request_id)
+            else:
+                engines.begin(request.request_id)
+        if request.has_ended or request.frees_results:
+            handles: set[str] = set()
+            for job in self._jobs.pop(request.request_id, []):
+                job.fail("dropped")
+                handles.update(handle for handle in job.handles if handle)
+            self._free(handles)
+        return ProgressNoted()
 
     async def _pulse(self, request: Pulse, sender: str) -> PulseReply:
         return PulseReply()
--- a/marigoldtrail/policy/placement.py
+++ b/marigoldtrail/policy/placement.py
@@ -19,6 +19,10 @@
 # Beyond this share of an engine's memory its newest requests are preempted.
 MEMORY_SHARE = 0.85
 FULL_COST_S = 2.0
+# What each token costs beyond its time if it is read although another engine has kept it.
+REREAD_COST_S = 3e-5
+# A result of 3 MB from another data centre costs as much as a wait of 40 ms.
+REMOTE_BYTE_COST_S = 0.04 / 3e6
 
 
 class Option(msgspec.Struct, kw_only=True, frozen=True):
@@ -83,34 +87,62 @@
     return _cheapest([(cost(option), option.name) for option in options], rng)
 
 
+class EngineOption(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    An engine that could run a generation.
+
+    Parameters
+    ----------
+    name : str
+        The engine.
+    slots : int
+        Requests that it runs at the same time.
+    requests : int
+        Requests in progress there.
+    unread_tokens : int
+        Prompt tokens that wait there to be read.
+    memory_tokens : int
+        Tokens of its memory that those requests take at most.
+    kv_tokens : int
+        Tokens that fit into its memory; 0 if unknown.
+    cached_tokens : int
+        Begin of the prompt that it has kept.
+    remote_bytes : int
+        Bytes of results that it would fetch from other data centres.
+    failure_rate : float
+        Share of failed requests of late, from 0 to 1.
+    slowness : float
+        How many times longer than its peers it takes; 1 for an ordinary one.
+    """
+
+    name: str
+    slots: int
+    requests: int = 0
+    unread_tokens: int = 0
+    memory_tokens: int = 0
+    kv_tokens: int = 0
+    cached_tokens: int = 0
+    remote_bytes: int = 0
+    failure_rate: float = 0.0
+    slowness: float = 1.0
+
+
 def choose_engine(
-    options: Sequence[Option],
-    *,
-    prefix_key: str,
-    shared_tokens: int,
-    kv_tokens: int,
-    tokens_each: float,
-    rng: random.Random,
+    options: Sequence[EngineOption], *, prompt_tokens: int, rng: random.Random
 ) -> str | None:
     """
     Choose the engine of a generation.
 
-    Requests with the same shared prompt meet at the same engine, which then need not read it
-    again, unless the work that waits there would take longer than the reading. Answers a load of
-    long shared prompts that fit the memory of the fleet once, not several times.
+    Requests with the same shared prompt meet at the engine that has read it, unless the work that
+    waits there would take longer than reading it again. Answers a load of long shared prompts
+    that fit the memory of the fleet once, not several times, and of results that are dear to move.
 
     Parameters
     ----------
-    options : sequence of Option
+    options : sequence of EngineOption
         Engines that may get the request.
-    prefix_key : str
-        Identity of the shared part of the prompt; empty if there is none.
-    shared_tokens : int
-        Length of that part.
-    kv_tokens : int
-        Tokens that fit into the memory of one engine; 0 if unknown.
-    tokens_each : float
-        Mean tokens of a request.
+    prompt_tokens : int
+        Length of the prompt.
     rng : random.Random
         Breaks ties.
 
@@ -119,17 +151,21 @@
     str or None
         None if there are no options.
     """
-    home = find_home(prefix_key, [option.name for option in options]) if prefix_key else None
+    most_cached = max((option.cached_tokens for option in options), default=0)
 
-    def cost(option: Option) -> float:
-        read = option.prefill_tokens + (0 if option.name == home else shared_tokens)
+    def cost(option: EngineOption) -> float:
+        read = option.unread_tokens + max(0, prompt_tokens - option.cached_tokens)
         cost_s = read / PREFILL_TOKENS_PER_S + option.requests * RUNNING_COST_S
         cost_s = cost_s * option.slowness + option.failure_rate * FAILURE_COST_S
-        if kv_tokens and (option.requests + 1) * tokens_each > MEMORY_SHARE * kv_tokens:
+        cost_s += (most_cached - option.cached_tokens) * REREAD_COST_S
+        cost_s += option.remote_bytes * REMOTE_BYTE_COST_S
+        if option.kv_tokens and option.memory_tokens + prompt_tokens > (
+            MEMORY_SHARE * option.kv_tokens
+        ):
             cost_s += FULL_COST_S
         if option.requests >= option.slots:
             cost_s += FULL_COST_S * option.requests / option.slots
-        return cost_s + (REMOTE_COST_S if option.is_remote else 0.0)
+        return cost_s
 
     return _cheapest([(cost(option), option.name) for option in options], rng)
 
--- a/marigoldtrail/relay/board.py
+++ b/marigoldtrail/relay/board.py
@@ -163,6 +163,11 @@
         usual_s = self._usual_duration(upstreams)
         return [self._option(u, usual_s) for u in (healthy or usable)]
 
+    def ejected(self) -> set[str]:
+        """Return the upstreams that get no requests for a while."""
+        now = self._timers.now()
+        return {name for name, record in self._records.items() if record.ejected_until > now}
+
     def _accepts_cold(self, upstream: Upstream, service: Service, now: float) -> bool:
         if upstream.cold_until <= now or not service.cold_rate:
             return True
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -13,8 +13,11 @@
 from marigoldtrail.pieces.client import PieceClient, StageWork
 from marigoldtrail.policy.placement import (
     PREFILL_TOKENS_PER_S,
+    EngineOption,
+    Option,
     choose_engine,
     choose_service_upstream,
+    find_home,
 )
 from marigoldtrail.policy.window_budget import WindowBudget
 from marigoldtrail.registry import FleetPicture
@@ -26,7 +29,7 @@
 from marigoldtrail.relay.types import Dialect, RequestFacts
 from marigoldtrail.routing import Limits, RouteIndex, RouteKind, Upstream
 from marigoldtrail.routing.table import choose_target
-from marigoldtrail.schema.generated.pieces import RunStages, StageRequest
+from marigoldtrail.schema.generated.pieces import PromptPart, RunStages, StageRequest
 from marigoldtrail.schema.generated.site import Bounds
 from marigoldtrail.timers import Timers
 
@@ -40,7 +43,7 @@
 RETRY_AFTER_S = 0.5
 WORK_S = 0.03
 FIRST_EVENT_S = 0.06
-MEAN_TOKENS = 12_000.0
+PLACEMENT_TIMEOUT_S = 0.3
 # How many times longer than usual a repeatable request may take before another one is asked.
 PATIENCE = 5.0
 LEAST_PATIENCE_S = 0.1
@@ -127,7 +130,7 @@
             board=board,
             dialect=dialect,
             timers=timers,
-            on_first_event=self._free_results,
+            on_first_event=self._note_first_event,
         )
         self._budgets: dict[str, WindowBudget] = {}
         self._idle: set[trio.CancelScope] = set()
@@ -232,7 +235,7 @@
                 result = await self._run(routed)
             nursery.cancel_scope.cancel()
         if routed.work is not None:
-            self._pieces.drop(routed.work)
+            self._pieces.note_end(routed.work)
         if result is None and not has_left:
             result = deadline_failure(routed)
         self._note_end(routed, result, has_left=has_left)
@@ -286,17 +289,34 @@
             if not isinstance(result, Failure) or result.reason is not Reason.NOT_FOUND:
                 return result
             if exchange.work is not None:
-                self._pieces.drop(exchange.work)
+                self._pieces.note_end(exchange.work)
         return result
 
     async def _run_stages(self, exchange: Exchange) -> Failure | None:
-        counts = list(exchange.facts.piece_counts)
-        if not exchange.route.stages or not any(counts):
+        """Have the stages done and an engine chosen by the fleet's scheduler."""
+        has_pieces = bool(exchange.route.stages) and any(exchange.facts.piece_counts)
+        if not has_pieces and exchange.service.engine is None:
             return None
-        upstream = self._choose(exchange)
-        counts = [*counts, *([0] * len(exchange.route.stages))]
-        request = RunStages(
-            request_id=exchange.facts.request_id,
+        exchange.work = StageWork(
+            request=self._stage_request(exchange),
+            deadline=exchange.deadline,
+            due_at=exchange.started + exchange.route.target_latency_s - self._reading_s(exchange),
+        )
+        if has_pieces:
+            failure = await self._pieces.run(exchange.work)
+            exchange.stages_done_at = self._timers.now()
+            return failure
+        # Without the scheduler this entry chooses by itself.
+        with trio.move_on_after(PLACEMENT_TIMEOUT_S):
+            await self._pieces.run(exchange.work)
+        return None
+
+    def _stage_request(self, exchange: Exchange) -> RunStages:
+        facts = exchange.facts
+        stages = exchange.route.stages
+        counts = [*facts.piece_counts, *([0] * len(stages))]
+        return RunStages(
+            request_id=facts.request_id,
             stages=[
                 StageRequest(
                     service=stage.service,
@@ -304,21 +324,18 @@
                     after=list(stage.after),
                     result_bytes=stage.result_bytes,
                 )
-                for stage, count in zip(exchange.route.stages, counts, strict=False)
+                for stage, count in zip(stages, counts, strict=False)
             ],
-            key=exchange.facts.piece_key,
+            key=facts.piece_key,
             left_ms=0,
             priority=exchange.priority,
-            data_centre=upstream.data_centre if upstream is not None else self._data_centre,
-        )
-        exchange.work = StageWork(
-            request=request,
-            deadline=exchange.deadline,
-            due_at=exchange.started + exchange.route.target_latency_s - self._reading_s(exchange),
+            engine_service=exchange.service.name if exchange.service.engine is not None else "",
+            prompt=[PromptPart(part=part, tokens=tokens) for part, tokens in facts.prefix],
+            prompt_tokens=facts.prompt_tokens,
+            output_tokens=facts.output_tokens,
+            excluded=sorted(exchange.tried | self._board.ejected()),
+            data_centre=self._data_centre,
         )
-        failure = await self._pieces.run(exchange.work)
-        exchange.stages_done_at = self._timers.now()
-        return failure
 
     def _reading_s(self, exchange: Exchange) -> float:
         """Return the seconds from the last stage to the first event, as far as can be said."""
@@ -388,20 +405,32 @@
         upstreams = self._picture.usable_upstreams(exchange.service.name)
         untried = [u for u in upstreams if u.name not in exchange.tried]
         options = self._board.options(untried, exchange.service)
-        if exchange.service.engine is not None:
-            prefix_key, shared = exchange.shared_prefix()
-            name = choose_engine(
-                options,
-                prefix_key=prefix_key,
-                shared_tokens=shared,
-                kv_tokens=exchange.service.engine.kv_tokens,
-                tokens_each=MEAN_TOKENS,
-                rng=self._rng,
-            )
-        else:
+        if exchange.service.engine is None:
             name = choose_service_upstream(options, work_s=WORK_S, rng=self._rng)
+        elif exchange.work is not None and exchange.work.upstream in {o.name for o in options}:
+            name = exchange.work.upstream
+        else:
+            name = self._choose_engine(exchange, options)
         return self._picture.upstreams.get(name) if name is not None else None
 
+    def _choose_engine(self, exchange: Exchange, options: list[Option]) -> str | None:
+        """Choose an engine without the scheduler: all entries prefer the same one for a prompt."""
+        prefix_key, shared = exchange.shared_prefix()
+        home = find_home(prefix_key, [option.name for option in options]) if prefix_key else None
+        engines = [
+            EngineOption(
+                name=option.name,
+                slots=option.slots,
+                requests=option.requests,
+                unread_tokens=option.prefill_tokens,
+                cached_tokens=shared if option.name == home else 0,
+                failure_rate=option.failure_rate,
+                slowness=option.slowness,
+            )
+            for option in options
+        ]
+        return choose_engine(engines, prompt_tokens=exchange.facts.prompt_tokens, rng=self._rng)
+
     def _may_send_again(self, budget: WindowBudget) -> bool:
         return budget.take(self._timers.now(), entries=self._picture.entry_count())
 
@@ -415,10 +444,10 @@
             )
         return budget
 
-    def _free_results(self, exchange: Exchange) -> None:
+    def _note_first_event(self, exchange: Exchange) -> None:
         # The engine has read its inputs once it generates; a resumed stream needs them again.
-        if exchange.work is not None and not exchange.may_run_again():
-            self._pieces.drop(exchange.work)
+        if exchange.work is not None:
+            self._pieces.note_begin(exchange.work, frees_results=not exchange.may_run_again())
 
     def _no_upstream(self, exchange: Exchange) -> Failure:
         return Failure(
--- a/marigoldtrail/site/control_host.py
+++ b/marigoldtrail/site/control_host.py
@@ -71,6 +71,7 @@
             picture=parts.picture,
             call=parts.adapter.make_piece_call(parts.pool),
             timers=parts.timers,
+            rng=parts.rng,
         )
         self.operations = Operations(
             finder=parts.agent.finder,
