--- /dev/null
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -0,0 +1,162 @@
+"""Which upstream works on which pieces, and which stages may begin."""
+
+from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
+from marigoldtrail.pieces.scheduler import PieceJob, PieceScheduler
+from marigoldtrail.routing import PieceSpec, Upstream
+from marigoldtrail.schema.generated.pieces import StageRequest
+
+MB = 1_000_000
+SPEC = PieceSpec(
+    slots=1, queue=2, batch=4, call_s=0.15, item_s=0.03, room_bytes=18 * MB, keep_s=4.0
+)
+
+
+def make_scheduler(*data_centres, spec=SPEC):
+    scheduler = PieceScheduler(spec=spec)
+    scheduler.set_upstreams(
+        [
+            Upstream(name=f"w{n}", service="s", address="10.0.0.1:1", data_centre=dc, slots=1)
+            for n, dc in enumerate(data_centres)
+        ]
+    )
+    return scheduler
+
+
+def make_job(name, count, *, start_by=1.0, size=1000, data_centre="", queued_at=0.0, **fields):
+    return PieceJob(
+        request_id=name,
+        stage=0,
+        key="k",
+        inputs=[],
+        count=count,
+        expires_at=fields.get("expires_at", 100.0),
+        start_by=start_by,
+        may_wait=fields.get("may_wait", True),
+        priority=fields.get("priority", 0),
+        data_centre=data_centre,
+        result_bytes=size,
+        queued_at=queued_at,
+    )
+
+
+def taken(calls):
+    return {w.upstream.name: [p.job.request_id for p in pieces] for w, pieces in calls}
+
+
+def test_pieces_of_several_requests_share_a_call():
+    """Guards against one call for each request, which a burst of small stages does not bear."""
+    scheduler = make_scheduler("a")
+    scheduler.add(make_job("one", 2))
+    scheduler.add(make_job("two", 2, start_by=2.0))
+    assert taken(scheduler.plan(0.0)) == {"w0": ["one", "one", "two", "two"]}
+    assert scheduler.plan(0.0) == []
+
+
+def test_most_urgent_request_is_first_and_late_ones_are_last():
+    """Guards against a burst in which every request is a little late."""
+    scheduler = make_scheduler("a", spec=SPEC)
+    scheduler.add(make_job("late", 4, start_by=0.5))
+    scheduler.add(make_job("on time", 4, start_by=3.0))
+    scheduler.add(make_job("less urgent", 4, start_by=2.5, priority=1))
+    assert taken(scheduler.plan(1.0)) == {"w0": ["on time"] * 4}
+
+
+def test_job_is_not_divided_while_results_take_much_room():
+    """Guards against results that fill the room while they wait for the rest of their stage."""
+    scheduler = make_scheduler("a", "a")
+    for worker in scheduler.workers.values():
+        worker.room["earlier"] = 10 * MB
+    scheduler.add(make_job("one", 3, size=MB))
+    scheduler.add(make_job("two", 3, start_by=2.0, size=MB))
+    assert sorted(taken(scheduler.plan(0.0)).values()) == [["one"] * 3, ["two"] * 3]
+
+
+def test_no_more_pieces_than_results_fit():
+    """Guards against pieces that are sent again because their results found no room."""
+    scheduler = make_scheduler("a")
+    scheduler.workers["w0"].room["earlier"] = 9 * MB
+    scheduler.add(make_job("one", 4, size=3 * MB))
+    assert taken(scheduler.plan(0.0)) == {"w0": ["one"] * 2}
+
+
+def test_large_results_are_made_near_their_reader():
+    """Guards against megabytes that cross data centres while a near upstream is about to be free."""
+    scheduler = make_scheduler("a", "b")
+    near = scheduler.workers["w1"]
+    near.is_busy, near.busy_until = True, 0.1
+    scheduler.add(make_job("one", 1, size=3 * MB, data_centre="b"))
+    assert scheduler.plan(0.0) == []
+    assert taken(scheduler.plan(1.0)) == {"w0": ["one"]}
+    scheduler.add(make_job("small", 1, size=1000, data_centre="b", queued_at=1.0))
+    scheduler.workers["w0"].is_busy = False
+    assert taken(scheduler.plan(1.0)) == {"w0": ["small"]}
+
+
+def test_slow_upstream_gets_no_work_that_a_fast_one_would_finish_sooner():
+    """Guards against a request held up for a second by an upstream that has become slow."""
+    scheduler = make_scheduler("a", "a")
+    slow, fast = scheduler.workers["w0"], scheduler.workers["w1"]
+    scheduler.finish(slow, 1, 5 * 0.18, 0.0)
+    fast.is_busy, fast.busy_until = True, 0.1
+    scheduler.add(make_job("one", 1))
+    assert scheduler.plan(0.0) == []
+    fast.is_busy = False
+    assert taken(scheduler.plan(0.1)) == {"w1": ["one"]}
+    # Long after its last call it may have recovered.
+    scheduler.add(make_job("two", 1, queued_at=30.0))
+    fast.busy_until = 30.2
+    assert taken(scheduler.plan(30.0)) == {"w0": ["two"]}
+
+
+def test_failed_pieces_are_tried_again_a_few_times():
+    """Guards against pieces that are lost with their call, and against endless repeats."""
+    scheduler = make_scheduler("a")
+    job = make_job("one", 1)
+    scheduler.add(job)
+    for _ in range(3):
+        (worker, pieces) = scheduler.plan(0.0)[0]
+        scheduler.finish(worker, 1, None, 0.0)
+        scheduler.put_back(pieces, 0.0)
+    assert job.failure and scheduler.plan(0.0) == []
+
+
+def test_expired_and_dropped_jobs_are_not_worked_on():
+    """Guards against work for a caller that has left."""
+    scheduler = make_scheduler("a")
+    expired, dropped = make_job("expired", 1, expires_at=1.0), make_job("dropped", 1)
+    scheduler.add(expired)
+    scheduler.add(dropped)
+    dropped.fail("dropped")
+    assert scheduler.plan(2.0) == [] and expired.failure == "too late"
+
+
+def test_graph_frees_results_once_all_readers_are_done():
+    """Guards against room that is taken by results until the request ends."""
+    stages = [
+        StageRequest(service="a", count=1),
+        StageRequest(service="b", count=2, after=[0]),
+        StageRequest(service="c", count=1, after=[0]),
+        StageRequest(service="d", count=0, after=[1]),
+    ]
+    graph = StageGraph(stages=stages)
+    assert graph.take_startable() == [0] and graph.take_startable() == []
+    assert graph.finish(0, ["r0"]) == []
+    assert graph.take_startable() == [1, 2]
+    assert graph.finish(1, ["r1", "r2"]) == [] and graph.inputs_of(1) == ["r0"]
+    assert not graph.is_done()
+    assert graph.finish(2, ["r3"]) == ["r0"]
+    # Stage 3 has no pieces, so nothing reads the results of stage 1 but the engine.
+    assert graph.is_done() and graph.final_handles() == ["r1", "r2", "r3"]
+
+
+def test_large_final_results_are_not_made_too_early():
+    """Guards against room that large results take while a chain of other stages runs."""
+    stages = [
+        StageRequest(service="a", count=1, result_bytes=LARGE_RESULT_BYTES),
+        StageRequest(service="a", count=1, result_bytes=8000),
+        StageRequest(service="b", count=1, after=[1], result_bytes=8000),
+    ]
+    graph = StageGraph(stages=stages)
+    assert graph.take_startable() == [1]
+    graph.finish(1, ["r1"])
+    assert graph.take_startable() == [0, 2]
--- a/marigoldtrail/platform/documents.py
+++ b/marigoldtrail/platform/documents.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from marigoldtrail.net import Address
 from marigoldtrail.routing import (
     ClientAccount,
     EngineSpec,
@@ -261,7 +262,7 @@
         item = _listed_decoder.decode(raw)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return None
-    if item.state not in ("ready", "draining"):
+    if item.state not in ("ready", "draining") or not is_address(item.address):
         return None
     return UpstreamEntry(
         upstream=item.id,
@@ -274,3 +275,11 @@
         born_ms=item.born,
         version=item.version,
     )
+
+
+def is_address(text: str) -> bool:
+    """Tell whether a text is an IP address and port."""
+    try:
+        return Address.parse(text).port > 0
+    except ValueError:
+        return False
