--- a/marigoldtrail/consensus/state.py
+++ b/marigoldtrail/consensus/state.py
@@ -24,6 +24,8 @@
 HEARTBEAT_S = 0.25
 ELECTION_TIMEOUT_S = (1.0, 2.0)
 CHECK_QUORUM_S = 1.0
+# After a start: long enough for a heartbeat of a leader that is there.
+FIRST_ELECTION_S = (0.4, 0.9)
 
 FOLLOWER = "follower"
 CANDIDATE = "candidate"
@@ -215,7 +217,8 @@
     state.term = max(store.vote.term, log.last_term)
     state.commit_index = state.applied_index = log.snapshot_index
     state.synced_index = log.last_index
-    reset_campaign(state)
+    # No leader is being followed yet; a follower of one refuses the pre-vote.
+    state.campaign_at = state.timers.now() + state.rng.uniform(*FIRST_ELECTION_S)
 
 
 def restore_machine(state: GroupState, snapshot: StoredSnapshot) -> None:
--- a/marigoldtrail/pieces/client.py
+++ b/marigoldtrail/pieces/client.py
@@ -28,6 +28,7 @@
 SUSPECT_S = 2.5
 NOTE_TIMEOUT_S = 1.0
 PAUSE_S = 0.05
+ANSWER_S = 0.2
 
 _log = logging.getLogger(__name__)
 
@@ -78,9 +79,20 @@
         Clock.
     nursery : trio.Nursery
         Runs what goes on after a request has ended.
+    seeds : list of str
+        Control hosts to ask before the leader has named any.
     """
 
-    __slots__ = ("_picture", "_peers", "_timers", "_nursery", "_names", "_suspects", "_calls")
+    __slots__ = (
+        "_seeds",
+        "_picture",
+        "_peers",
+        "_timers",
+        "_nursery",
+        "_names",
+        "_suspects",
+        "_calls",
+    )
 
     def __init__(
         self,
@@ -89,7 +101,9 @@
         peers: PeerClient,
         timers: Timers,
         nursery: trio.Nursery,
+        seeds: list[str],
     ) -> None:
+        self._seeds = seeds
         self._picture = picture
         self._peers = peers
         self._timers = timers
@@ -110,6 +124,7 @@
         """
         now = self._timers.now()
         hosts = [h.peer_address for h in self._picture.hosts if h.role == "control"]
+        hosts = hosts or self._seeds
         alive = [host for host in hosts if self._suspects.get(host, 0.0) <= now]
         return find_home(SCHEDULER_KEY, alive or hosts)
 
@@ -142,7 +157,7 @@
                 work.upstream = reply.upstream
                 return None
             failure = reply
-            if reply.reason not in (Reason.UNREACHABLE, Reason.TIMEOUT, Reason.STOPPING):
+            if reply.reason not in (Reason.UNREACHABLE, Reason.STOPPING):
                 break
             self._suspects[host] = self._timers.now() + SUSPECT_S
             _log.warning("scheduler lost: %s", reply, extra={"subject": host})
@@ -157,12 +172,13 @@
         with trio.CancelScope() as scope:
             calls.add(scope)
             try:
+                # The scheduler itself answers when the time is up; its silence is for `_watch`.
                 return await self._peers.call(
-                    self._names[host], request, StagesReply, timeout_s=timeout_s
+                    self._names[host], request, StagesReply, timeout_s=timeout_s + ANSWER_S
                 )
             finally:
                 calls.discard(scope)
-        return self._failure(Reason.TIMEOUT, "the scheduler does not answer", peer=host)
+        return self._failure(Reason.UNREACHABLE, "the scheduler does not answer", peer=host)
 
     async def _watch(self, host: str) -> None:
         """Cancel the calls at a scheduler that stops answering, so that another one is asked."""
--- /dev/null
+++ b/marigoldtrail/pieces/placer.py
@@ -0,0 +1,141 @@
+"""Chooses the engines of generations with what the scheduler knows of the whole fleet."""
+
+from __future__ import annotations
+
+import random
+
+from marigoldtrail.pieces.engines import EngineBoard, Placement
+from marigoldtrail.policy.placement import PREFILL_TOKENS_PER_S, choose_engine
+from marigoldtrail.registry import FleetPicture
+from marigoldtrail.routing import Upstream
+from marigoldtrail.schema.generated.pieces import RunStages
+from marigoldtrail.timers import Timers
+
+# A kept prompt of this length decides where a request will run.
+LONG_PROMPT_TOKENS = 2000
+# An engine that an entry could not reach is avoided for this time.
+SUSPECT_S = 1.0
+
+
+class EnginePlacer:
+    """
+    Engines of all services.
+
+    Parameters
+    ----------
+    picture : FleetPicture
+        Services and upstreams.
+    timers : Timers
+        Clock.
+    rng : random.Random
+        Breaks ties.
+    """
+
+    __slots__ = ("_picture", "_timers", "_rng", "_boards", "_suspects")
+
+    def __init__(self, *, picture: FleetPicture, timers: Timers, rng: random.Random) -> None:
+        self._picture = picture
+        self._timers = timers
+        self._rng = rng
+        self._boards: dict[str, EngineBoard] = {}
+        self._suspects: dict[str, float] = {}
+
+    def note_progress(self, request_id: str, *, has_ended: bool) -> None:
+        """Note that an engine has read the prompt of a request, or that the request has ended."""
+        for board in self._boards.values():
+            if has_ended:
+                board.end(request_id)
+            else:
+                board.begin(request_id)
+
+    def _board(self, service: str) -> EngineBoard | None:
+        routes = self._picture.routes
+        spec = None
+        if routes is not None and service in routes.services:
+            spec = routes.services[service].engine
+        if spec is None:
+            return None
+        board = self._boards.get(service)
+        if board is None:
+            board = self._boards[service] = EngineBoard(spec=spec)
+        board.spec = spec
+        return board
+
+    def _candidates(self, request: RunStages) -> list[Upstream]:
+        now = self._timers.now()
+        for name in request.suspects:
+            self._suspects[name] = now + SUSPECT_S
+        upstreams = self._picture.usable_upstreams(request.engine_service)
+        untried = [u for u in upstreams if u.name not in request.excluded]
+        sound = [u for u in untried if self._suspects.get(u.name, 0.0) <= now] or untried
+        # Entries share the limit of a cold engine; the scheduler leaves it to them.
+        return [u for u in sound if u.cold_until <= now] or sound
+
+    def expected_data_centre(self, request: RunStages) -> str:
+        """
+        Return where the results of a request will be read.
+
+        Parameters
+        ----------
+        request : RunStages
+            The request.
+
+        Returns
+        -------
+        str
+            Data centre of the engine that has kept the prompt; empty if that is open.
+        """
+        board = self._board(request.engine_service)
+        if board is None:
+            return request.data_centre
+        upstreams = self._candidates(request)
+        cached = {u.name: board.cached_tokens(u.name, request.prompt) for u in upstreams}
+        best = max(upstreams, key=lambda u: cached[u.name], default=None)
+        if best is None or cached[best.name] < LONG_PROMPT_TOKENS:
+            return ""
+        return best.data_centre
+
+    def wait_s(self, service: str, upstream: str) -> float:
+        """Return the seconds that an engine needs for the prompts that it has to read."""
+        board = self._boards.get(service)
+        return board.unread_tokens(upstream) / PREFILL_TOKENS_PER_S if board is not None else 0.0
+
+    def place(self, request: RunStages, bytes_in: dict[str, int], expires_at: float) -> str | None:
+        """
+        Choose the engine of a request and count the request there.
+
+        Parameters
+        ----------
+        request : RunStages
+            The request.
+        bytes_in : dict
+            Bytes of the results that it reads, by data centre.
+        expires_at : float
+            Monotonic time in seconds at which it is over in any case.
+
+        Returns
+        -------
+        str or None
+            The engine; None if it needs none or none is in service.
+        """
+        board = self._board(request.engine_service)
+        if board is None:
+            return None
+        options = board.options(
+            self._candidates(request),
+            request.prompt,
+            loads=self._picture.loads,
+            bytes_in=bytes_in,
+            now=self._timers.now(),
+        )
+        name = choose_engine(options, prompt_tokens=request.prompt_tokens, rng=self._rng)
+        if name is not None:
+            cached = next(o.cached_tokens for o in options if o.name == name)
+            placement = Placement(
+                upstream=name,
+                unread=max(0, request.prompt_tokens - cached),
+                tokens=request.prompt_tokens + request.output_tokens,
+                expires_at=expires_at,
+            )
+            board.place(request.request_id, name, request.prompt, placement)
+        return name
--- /dev/null
+++ b/marigoldtrail/pieces/runner.py
@@ -0,0 +1,274 @@
+"""Makes the calls that the schedulers plan, and frees results at the upstreams."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import trio
+
+from marigoldtrail.consensus.parts import Signal
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.pieces.scheduler import (
+    BUSY_PAUSE_S,
+    Piece,
+    PieceScheduler,
+    Worker,
+)
+from marigoldtrail.registry import FleetPicture
+from marigoldtrail.routing import PieceSpec, Upstream
+from marigoldtrail.timers import Timers
+
+# A call that takes this many times longer than expected is given up.
+CALL_PATIENCE = 3.0
+CALL_SLACK_S = 0.3
+UPSTREAMS_INTERVAL_S = 0.2
+NO_ROOM = "room"
+
+_log = logging.getLogger(__name__)
+
+
+class PieceResult(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    What became of one piece of a call.
+
+    Parameters
+    ----------
+    handle : str
+        Names the result; empty if there is none.
+    reason : str
+        Why there is none: ``"late"``, ``"gone"``, ``"room"`` or ``"error"``.
+    """
+
+    handle: str = ""
+    reason: str = ""
+
+
+class PieceCall(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    How upstreams are asked to work on pieces and to free results.
+
+    Parameters
+    ----------
+    run : callable
+        Sends pieces with the seconds that are left of each; returns a result for each.
+    free : callable
+        Frees results at an upstream.
+    """
+
+    run: Callable[[Upstream, list[Piece], list[float]], Awaitable[list[PieceResult] | Failure]]
+    free: Callable[[Upstream, list[str]], Awaitable[Failure | None]]
+
+
+class PieceRunner:
+    """
+    Schedulers of all piece services, and the calls that they plan.
+
+    Parameters
+    ----------
+    picture : FleetPicture
+        Services and upstreams.
+    call : PieceCall
+        Calls the upstreams.
+    timers : Timers
+        Clock.
+    """
+
+    __slots__ = ("_picture", "_call", "_timers", "_schedulers", "_nursery", "_wake")
+
+    def __init__(self, *, picture: FleetPicture, call: PieceCall, timers: Timers) -> None:
+        self._picture = picture
+        self._call = call
+        self._timers = timers
+        self._schedulers: dict[str, PieceScheduler] = {}
+        self._nursery: trio.Nursery | None = None
+        self._wake = Signal()
+
+    async def run(self) -> None:
+        """Make calls until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while True:
+                self._dispatch()
+                now = self._timers.now()
+                waits = [s.next_change(now) for s in self._schedulers.values() if s.waiting]
+                await self._wake.wait_for(min([UPSTREAMS_INTERVAL_S, *waits]))
+
+    def wake(self) -> None:
+        """Plan calls now, since pieces were queued."""
+        self._wake.notify()
+
+    def _dispatch(self) -> None:
+        nursery = self._nursery
+        assert nursery is not None
+        now = self._timers.now()
+        for name, scheduler in self._schedulers.items():
+            scheduler.set_upstreams(self._picture.usable_upstreams(name))
+            for worker, pieces in scheduler.plan(now):
+                nursery.start_soon(self._work, scheduler, worker, pieces)
+
+    def scheduler(self, service: str) -> PieceScheduler | None:
+        """Return the scheduler of a service; None if it does not work on pieces."""
+        routes = self._picture.routes
+        spec: PieceSpec | None = None
+        if routes is not None and service in routes.services:
+            spec = routes.services[service].pieces
+        if spec is None:
+            return None
+        scheduler = self._schedulers.get(service)
+        if scheduler is None:
+            scheduler = self._schedulers[service] = PieceScheduler(spec=spec)
+            scheduler.set_upstreams(self._picture.usable_upstreams(service))
+        scheduler.spec = spec
+        return scheduler
+
+    def bytes_by_data_centre(self, handles: set[str]) -> dict[str, int]:
+        """Return the size of results in each data centre."""
+        found: dict[str, int] = {}
+        for scheduler in self._schedulers.values():
+            for worker in scheduler.workers.values():
+                size = sum(worker.room[handle] for handle in handles if handle in worker.room)
+                if size:
+                    data_centre = worker.upstream.data_centre
+                    found[data_centre] = found.get(data_centre, 0) + size
+        return found
+
+    def free(self, handles: set[str]) -> None:
+        """Free results at the upstreams that keep them."""
+        nursery = self._nursery
+        if not handles or nursery is None:
+            return
+        for scheduler in self._schedulers.values():
+            for worker in scheduler.workers.values():
+                kept = [handle for handle in handles if handle in worker.room]
+                if kept:
+                    nursery.start_soon(self._free_at, worker, kept)
+
+    def free_later(self, handles: set[str], wait_s: float, least_bytes: int) -> None:
+        """Free results of at least some size after some seconds."""
+
+        async def free() -> None:
+            await self._timers.sleep(wait_s)
+            self.free(handles)
+
+        large = any(
+            worker.room.get(handle, 0) >= least_bytes
+            for scheduler in self._schedulers.values()
+            for worker in scheduler.workers.values()
+            for handle in handles
+        )
+        if large and self._nursery is not None:
+            self._nursery.start_soon(free)
+
+    async def _free_at(self, worker: Worker, handles: list[str]) -> None:
+        failure = await self._call.free(worker.upstream, handles)
+        if failure is not None:
+            # The results stay until their time is up.
+            _log.warning("results were not freed: %s", failure)
+            return
+        # Only now is there room again at the upstream.
+        for handle in handles:
+            worker.room.pop(handle, None)
+        self._wake.notify()
+
+    async def _work(self, scheduler: PieceScheduler, worker: Worker, pieces: list[Piece]) -> None:
+        started = self._timers.now()
+        room_mb = sum(worker.room.values()) / 1e6
+        expected_s = scheduler.duration_s(worker, len(pieces), started)
+        lefts = [max(0.0, piece.job.expires_at - started) for piece in pieces]
+        results: list[PieceResult] | Failure = Failure(
+            reason=Reason.TIMEOUT,
+            run_state=RunState.MAY_HAVE_RUN,
+            step="pieces",
+            peer=worker.upstream.name,
+            detail="no answer in time",
+        )
+        with trio.move_on_after(expected_s * CALL_PATIENCE + CALL_SLACK_S):
+            results = await self._call.run(worker.upstream, pieces, lefts)
+        now = self._timers.now()
+        if isinstance(results, Failure):
+            self._note_failure(scheduler, worker, pieces, results, now)
+        else:
+            scheduler.finish(worker, len(pieces), now - started, now)
+            _log.info(
+                "pieces done",
+                extra={
+                    "subject": worker.upstream.name,
+                    "service": worker.upstream.service,
+                    "count": len(pieces),
+                    "stages": sorted({piece.job.stage for piece in pieces}),
+                    "took_ms": round((now - started) * 1000),
+                    "expected_ms": round(expected_s * 1000),
+                    "waiting": len(scheduler.waiting),
+                    "room_mb": round(sum(worker.room.values()) / 1e6, 2),
+                    "failed": dict(Counter(r.reason for r in results if r.reason)),
+                    "room_before_mb": round(room_mb, 2),
+                    "remote": sum(
+                        p.job.data_centre not in ("", worker.upstream.data_centre) for p in pieces
+                    ),
+                    "requests": [piece.job.request_id for piece in pieces],
+                },
+            )
+            self._take_results(scheduler, worker, pieces, results)
+        self._wake.notify()
+
+    def _note_failure(
+        self,
+        scheduler: PieceScheduler,
+        worker: Worker,
+        pieces: list[Piece],
+        failure: Failure,
+        now: float,
+    ) -> None:
+        scheduler.finish(worker, len(pieces), None, now)
+        if failure.reason is Reason.OVERLOADED:
+            scheduler.pause(worker, BUSY_PAUSE_S, now)
+        else:
+            scheduler.eject(worker, now)
+        _log.warning(
+            "pieces failed: %s",
+            failure,
+            extra={"subject": worker.upstream.name, "requests": [p.job.request_id for p in pieces]},
+        )
+        scheduler.put_back(pieces, now)
+
+    def _take_results(
+        self,
+        scheduler: PieceScheduler,
+        worker: Worker,
+        pieces: list[Piece],
+        results: list[PieceResult],
+    ) -> None:
+        now = self._timers.now()
+        unwanted = set()
+        again = []
+        for piece, result in zip(pieces, results, strict=True):
+            job = piece.job
+            if result.handle:
+                worker.room[result.handle] = job.result_bytes
+                if job.is_open:
+                    job.finish_piece(piece.index, result.handle)
+                else:
+                    unwanted.add(result.handle)
+                self._expire_later(scheduler, worker, result.handle)
+            elif result.reason in ("late", "gone"):
+                job.fail(result.reason)
+            else:
+                # Without room a piece was not begun.
+                piece.tries -= result.reason == NO_ROOM
+                again.append(piece)
+        if again:
+            scheduler.pause(worker, BUSY_PAUSE_S, now)
+            scheduler.put_back(again, now)
+        if unwanted:
+            self.free(unwanted)
+
+    def _expire_later(self, scheduler: PieceScheduler, worker: Worker, handle: str) -> None:
+        async def expire() -> None:
+            await self._timers.sleep(scheduler.spec.keep_s)
+            worker.room.pop(handle, None)
+
+        if self._nursery is not None:
+            self._nursery.start_soon(expire)
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import msgspec
 import trio
 
@@ -19,13 +21,19 @@
 SIZE_MARGIN = 1.06
 # Jobs are divided among calls only while less than this share of the room is taken.
 SPLIT_ROOM_SHARE = 0.5
-EJECTION_S = 1.5
-BUSY_PAUSE_S = 0.15
-# A less urgent rank is worth as much as this much more time.
-RANK_S = 1.5
+# With more calls than these waiting, full calls matter more than room.
+SPLIT_CALLS = 2
+RATE_WEIGHT = 0.1
+# A worker whose call failed is left alone, each time in a row for twice as long.
+EJECTION_S = 1.0
+LONGEST_EJECTION_S = 6.0
+# A worker that is full is busy for another scheduler, which this one may have replaced.
+BUSY_PAUSE_S = 0.25
+# Ranks that a request loses once it will be late.
+LATE_RANKS = 2
 SPEED_WEIGHT = 0.3
 SPEED_HALF_LIFE_S = 3.0
-MAX_TRIES = 3
+MAX_TRIES = 4
 
 
 class PieceJob:
@@ -108,15 +116,16 @@
         self.failure = ""
         self.done = trio.Event()
 
-    def order(self, now: float) -> tuple[bool, float]:
+    def order(self, now: float) -> tuple[int, float]:
         """
         Return the place in the queue; the least is first.
 
         Requests that will be late anyway come after those that can still be on time: served in the
-        order of their times alone, all of them would be a little late in a burst.
+        order of their times alone, all of them would be a little late in a burst. A late request
+        of an urgent rank still comes before a timely one two ranks below.
         """
         is_late = self.may_wait and now > self.start_by
-        return is_late, self.start_by + self.priority * RANK_S
+        return self.priority + (LATE_RANKS if is_late else 0), self.start_by
 
     @property
     def is_open(self) -> bool:
@@ -175,6 +184,7 @@
         "slowness",
         "timed_at",
         "room",
+        "failures",
     )
 
     def __init__(self, *, upstream: Upstream) -> None:
@@ -184,6 +194,7 @@
         self.paused_until = 0.0
         self.slowness = 1.0
         self.timed_at = 0.0
+        self.failures = 0
         # Size of each result that it keeps, by handle.
         self.room: dict[str, int] = {}
 
@@ -196,14 +207,26 @@
     ----------
     spec : PieceSpec
         Capacity of one upstream.
+
+    Attributes
+    ----------
+    workers : dict
+        Upstreams by name.
+    waiting : list of Piece
+        Pieces that no call was made for.
+    planned : Counter
+        Pieces of all requests that were taken on and are not done, waiting or not yet, by rank.
     """
 
-    __slots__ = ("spec", "workers", "waiting")
+    __slots__ = ("spec", "workers", "waiting", "planned", "_piece_s")
 
     def __init__(self, *, spec: PieceSpec) -> None:
         self.spec = spec
         self.workers: dict[str, Worker] = {}
         self.waiting: list[Piece] = []
+        self.planned: Counter[int] = Counter()
+        # Seconds of a worker for each piece, over calls that were made while others waited.
+        self._piece_s = spec.call_s / spec.batch + spec.item_s
 
     def set_upstreams(self, upstreams: list[Upstream]) -> None:
         """Use these upstreams from now on; calls in progress at others are not affected."""
@@ -299,7 +322,8 @@
         """
         room = self.spec.room_bytes or float("inf")
         used = sum(worker.room.values()) * SIZE_MARGIN
-        may_split = len(wanted) > self.spec.batch and used < room * SPLIT_ROOM_SHARE
+        has_room = used < room * SPLIT_ROOM_SHARE
+        may_split = len(wanted) > (self.spec.batch if has_room else SPLIT_CALLS * self.spec.batch)
         taken: list[Piece] = []
         for pieces in group_by_job(wanted):
             size = max(1.0, pieces[0].job.result_bytes * SIZE_MARGIN)
@@ -355,6 +379,9 @@
         worker.is_busy = False
         if took_s is None:
             return
+        worker.failures = 0
+        if self.waiting:
+            self._piece_s += RATE_WEIGHT * (took_s / pieces - self._piece_s)
         ratio = took_s / (self.spec.call_s + pieces * self.spec.item_s)
         worker.slowness += SPEED_WEIGHT * (max(1.0, ratio) - worker.slowness)
         if ratio > 2.0:
@@ -362,6 +389,12 @@
             worker.slowness = max(worker.slowness, ratio)
         worker.timed_at = now
 
+    def eject(self, worker: Worker, now: float) -> None:
+        """Give a worker whose call failed no pieces for a while."""
+        pause_s = min(LONGEST_EJECTION_S, EJECTION_S * 2**worker.failures)
+        worker.failures += 1
+        self.pause(worker, pause_s, now)
+
     def pause(self, worker: Worker, seconds: float, now: float) -> None:
         """Give a worker no pieces for some seconds."""
         worker.paused_until = now + seconds
@@ -374,14 +407,13 @@
         future = [time for time in times if time > now]
         return max(0.005, min(future) - now) if future else 1.0
 
-    def backlog_s(self, now: float) -> float:
-        """Return the seconds until a piece that came now would probably begin."""
+    def backlog_s(self, now: float, priority: int) -> float:
+        """Return the seconds in which all that is planned up to some rank will be done."""
         workers = [w for w in self.workers.values() if w.paused_until <= now]
         if not workers:
-            return float("inf")
-        free = min(max(0.0, w.busy_until - now) if w.is_busy else 0.0 for w in workers)
-        calls = len(self.waiting) / self.spec.batch / len(workers)
-        return free + calls * (self.spec.call_s + self.spec.batch * self.spec.item_s)
+            return float("inf") if not self.workers else EJECTION_S
+        planned = sum(count for rank, count in self.planned.items() if rank <= priority)
+        return planned * self._piece_s / len(workers)
 
 
 def group_by_job(pieces: list[Piece]) -> list[list[Piece]]:
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -1,31 +1,22 @@
-"""Runs the schedulers of piece services on a control host."""
+"""Runs the stages of requests and chooses their engines, on a control host."""
 
 from __future__ import annotations
 
 import logging
 import random
-from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Iterable
 
-import msgspec
 import trio
 
 from marigoldtrail.consensus.parts import Signal
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Handlers
-from marigoldtrail.pieces.engines import EngineBoard, Placement
+from marigoldtrail.pieces.admission import judge_demand, path_s, stage_work
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
-from marigoldtrail.pieces.scheduler import (
-    BUSY_PAUSE_S,
-    EJECTION_S,
-    Piece,
-    PieceJob,
-    PieceScheduler,
-    Worker,
-)
-from marigoldtrail.policy.placement import choose_engine
+from marigoldtrail.pieces.placer import EnginePlacer
+from marigoldtrail.pieces.runner import PieceCall, PieceRunner
+from marigoldtrail.pieces.scheduler import PieceJob
 from marigoldtrail.registry import FleetPicture
-from marigoldtrail.routing import PieceSpec, Upstream
 from marigoldtrail.schema.generated.pieces import (
     NoteProgress,
     ProgressNoted,
@@ -37,53 +28,20 @@
 )
 from marigoldtrail.timers import Timers
 
-# A call that takes this many times longer than expected is given up.
-CALL_PATIENCE = 3.0
-CALL_SLACK_S = 0.3
-UPSTREAMS_INTERVAL_S = 0.2
-# A kept prompt of this length decides where a request will run.
-LONG_PROMPT_TOKENS = 2000
-# How long a dropped request is remembered, in case its pieces come back later.
-MAX_JOBS_KEPT = 4096
+# Requests whose results are remembered until their entry says that they have ended.
+MAX_REQUESTS_KEPT = 4096
+# A result may be lost with its upstream; the stages are then run again from the start.
+MAX_RUNS = 3
+GONE = "gone"
+# From the choice of an engine to the time at which it has fetched its inputs, without any queue.
+FETCH_S = 0.12
 
 _log = logging.getLogger(__name__)
 
 
-class PieceResult(msgspec.Struct, kw_only=True, frozen=True):
-    """
-    What became of one piece of a call.
-
-    Parameters
-    ----------
-    handle : str
-        Names the result; empty if there is none.
-    reason : str
-        Why there is none: ``"late"``, ``"gone"``, ``"room"`` or ``"error"``.
-    """
-
-    handle: str = ""
-    reason: str = ""
-
-
-class PieceCall(msgspec.Struct, kw_only=True, frozen=True):
-    """
-    How upstreams are asked to work on pieces and to free results.
-
-    Parameters
-    ----------
-    run : callable
-        Sends pieces with the seconds that are left of each; returns a result for each.
-    free : callable
-        Frees results at an upstream.
-    """
-
-    run: Callable[[Upstream, list[Piece], list[float]], Awaitable[list[PieceResult] | Failure]]
-    free: Callable[[Upstream, list[str]], Awaitable[Failure | None]]
-
-
 class PieceService:
     """
-    Schedulers of all piece services for which this host is asked.
+    Scheduler of the fleet: stages of requests, and the choice of their engines.
 
     Parameters
     ----------
@@ -99,18 +57,7 @@
         Breaks ties between engines.
     """
 
-    __slots__ = (
-        "_rng",
-        "_engines",
-        "_host",
-        "_picture",
-        "_call",
-        "_timers",
-        "_schedulers",
-        "_jobs",
-        "_nursery",
-        "_wake",
-    )
+    __slots__ = ("_host", "_timers", "_runner", "_placer", "_jobs")
 
     def __init__(
         self,
@@ -122,15 +69,10 @@
         rng: random.Random,
     ) -> None:
         self._host = host
-        self._rng = rng
-        self._engines: dict[str, EngineBoard] = {}
-        self._picture = picture
-        self._call = call
         self._timers = timers
-        self._schedulers: dict[str, PieceScheduler] = {}
+        self._runner = PieceRunner(picture=picture, call=call, timers=timers)
+        self._placer = EnginePlacer(picture=picture, timers=timers, rng=rng)
         self._jobs: dict[str, list[PieceJob]] = {}
-        self._nursery: trio.Nursery | None = None
-        self._wake = Signal()
 
     def handlers(self) -> Handlers:
         """
@@ -145,337 +87,174 @@
 
     async def run(self) -> None:
         """Make calls until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            while True:
-                self._dispatch()
-                now = self._timers.now()
-                waits = [s.next_change(now) for s in self._schedulers.values() if s.waiting]
-                await self._wake.wait_for(min([UPSTREAMS_INTERVAL_S, *waits]))
+        await self._runner.run()
 
-    def _dispatch(self) -> None:
-        nursery = self._nursery
-        assert nursery is not None
-        now = self._timers.now()
-        for name, scheduler in self._schedulers.items():
-            scheduler.set_upstreams(self._picture.usable_upstreams(name))
-            for worker, pieces in scheduler.plan(now):
-                nursery.start_soon(self._work, scheduler, worker, pieces)
+    async def _run_stages(self, request: RunStages, sender: str) -> StagesReply | Failure:
+        started = self._timers.now()
+        expires_at = started + request.left_ms / 1000
+        refusal = self._refuse(request)
+        if refusal is not None:
+            return refusal
+        data_centre = self._placer.expected_data_centre(request)
+        for run in range(1, MAX_RUNS + 1):
+            graph = StageGraph(stages=request.stages)
+            failed = await self._run_graph(request, graph, started, data_centre)
+            if failed is None:
+                break
+            if failed.failure != GONE or run == MAX_RUNS or self._timers.now() >= expires_at:
+                return self._job_failure(failed)
+            _log.info("stages are run again", extra={"request_id": request.request_id})
+        handles = graph.final_handles()
+        bytes_in = self._runner.bytes_by_data_centre(set(handles))
+        upstream = self._placer.place(request, bytes_in, expires_at)
+        if upstream is not None and not request.keeps_results:
+            # The engine fetches its inputs before it begins to read the prompt.
+            wait_s = self._placer.wait_s(request.engine_service, upstream) + FETCH_S
+            self._runner.free_later(set(handles), wait_s, LARGE_RESULT_BYTES)
+        return StagesReply(handles=handles, upstream=upstream or "")
 
-    def _scheduler(self, service: str) -> PieceScheduler | None:
-        routes = self._picture.routes
-        spec: PieceSpec | None = None
-        if routes is not None and service in routes.services:
-            spec = routes.services[service].pieces
-        if spec is None:
+    def _refuse(self, request: RunStages) -> Failure | None:
+        """Refuse a request whose stages can't be done in time, or that no upstream works on."""
+        work = []
+        for stage in request.stages:
+            scheduler = self._runner.scheduler(stage.service)
+            if scheduler is None and stage.count:
+                return self._failure(Reason.NOT_FOUND, f"no piece service {stage.service!r}")
+            if scheduler is not None:
+                work.append(stage_work(scheduler, stage, self._timers.now(), request.priority))
+        late_s = judge_demand(
+            work,
+            path_s(request.stages, work),
+            request.left_ms / 1000,
+            priority=request.priority,
+        )
+        if late_s <= 0:
             return None
-        scheduler = self._schedulers.get(service)
-        if scheduler is None:
-            scheduler = self._schedulers[service] = PieceScheduler(spec=spec)
-            scheduler.set_upstreams(self._picture.usable_upstreams(service))
-        scheduler.spec = spec
-        return scheduler
+        _log.info(
+            "request refused",
+            extra={
+                "request_id": request.request_id,
+                "reason": "its stages can't be done in time",
+                "backlog_s": [round(item.backlog_s, 2) for item in work],
+                "left_ms": request.left_ms,
+            },
+        )
+        return self._failure(
+            Reason.OVERLOADED, "the stages can't be done in time", retry_after_s=late_s
+        )
 
-    async def _run_stages(self, request: RunStages, sender: str) -> StagesReply | Failure:
-        graph = StageGraph(stages=request.stages)
-        expires_at = self._timers.now() + request.left_ms / 1000
-        due_at = self._timers.now() + request.slack_ms / 1000
-        data_centre = self._expected_data_centre(request)
-        results: dict[int, PieceJob] = {}
-        finished = Signal()
+    async def _run_graph(
+        self, request: RunStages, graph: StageGraph, started: float, data_centre: str
+    ) -> PieceJob | None:
+        """Run all stages; return the job that failed, if one did."""
+        finished: dict[int, PieceJob] = {}
+        changed = Signal()
 
-        async def run_stage(job: PieceJob, number: int) -> None:
+        async def wait(job: PieceJob, number: int) -> None:
             await job.done.wait()
-            results[number] = job
-            finished.notify()
+            finished[number] = job
+            changed.notify()
 
         jobs: list[PieceJob] = []
+        unfinished = dict(enumerate(request.stages))
+        self._count_planned(unfinished.values(), request.priority, 1)
         try:
             async with trio.open_nursery() as nursery:
                 while not graph.is_done():
                     for number in graph.take_startable():
-                        job = self._queue(request, graph, number, expires_at, due_at, data_centre)
-                        if isinstance(job, Failure):
-                            nursery.cancel_scope.cancel()
-                            return job
+                        job = self._queue(request, graph, number, started, data_centre)
                         jobs.append(job)
-                        nursery.start_soon(run_stage, job, number)
-                    await finished.wait()
-                    for number, job in list(results.items()):
-                        del results[number]
+                        nursery.start_soon(wait, job, number)
+                    await changed.wait()
+                    for number, job in list(finished.items()):
+                        del finished[number]
                         if job.failure:
                             nursery.cancel_scope.cancel()
-                            return self._job_failure(job)
-                        self._free(set(graph.finish(number, job.handles)))
+                            return job
+                        self._count_planned([unfinished.pop(number)], request.priority, -1)
+                        self._runner.free(set(graph.finish(number, job.handles)))
+            return None
         finally:
+            self._count_planned(unfinished.values(), request.priority, -1)
             # Without an effect on jobs that are done; the entry may have left.
             for job in jobs:
                 job.fail("the request has ended")
-        handles = graph.final_handles()
-        upstream = self._place(request, handles, jobs, expires_at)
-        return StagesReply(handles=handles, upstream=upstream or "")
-
-    def _engine_board(self, service: str) -> EngineBoard | None:
-        routes = self._picture.routes
-        spec = None
-        if routes is not None and service in routes.services:
-            spec = routes.services[service].engine
-        if spec is None:
-            return None
-        board = self._engines.get(service)
-        if board is None:
-            board = self._engines[service] = EngineBoard(spec=spec)
-        board.spec = spec
-        return board
-
-    def _engine_candidates(self, request: RunStages) -> list[Upstream]:
-        now = self._timers.now()
-        upstreams = self._picture.usable_upstreams(request.engine_service)
-        untried = [u for u in upstreams if u.name not in request.excluded]
-        # Entries share the limit of a cold engine; the scheduler leaves it to them.
-        warm = [u for u in untried if u.cold_until <= now]
-        return warm or untried
-
-    def _expected_data_centre(self, request: RunStages) -> str:
-        """Return where the results will be read if an engine has kept the prompt; else nothing."""
-        board = self._engine_board(request.engine_service)
-        if board is None:
-            return request.data_centre
-        upstreams = self._engine_candidates(request)
-        cached = {u.data_centre: board.cached_tokens(u.name, request.prompt) for u in upstreams}
-        best = max(cached, key=lambda name: cached[name], default="")
-        return best if cached.get(best, 0) >= LONG_PROMPT_TOKENS else ""
-
-    def _place(
-        self, request: RunStages, handles: list[str], jobs: list[PieceJob], expires_at: float
-    ) -> str | None:
-        board = self._engine_board(request.engine_service)
-        if board is None:
-            return None
-        options = board.options(
-            self._engine_candidates(request),
-            request.prompt,
-            loads=self._picture.loads,
-            bytes_in=self._bytes_by_data_centre(set(handles)),
-            now=self._timers.now(),
-        )
-        name = choose_engine(options, prompt_tokens=request.prompt_tokens, rng=self._rng)
-        if name is not None:
-            cached = next(o.cached_tokens for o in options if o.name == name)
-            placement = Placement(
-                upstream=name,
-                unread=max(0, request.prompt_tokens - cached),
-                tokens=request.prompt_tokens + request.output_tokens,
-                expires_at=expires_at,
-            )
-            board.place(request.request_id, name, request.prompt, placement)
-        return name
 
-    def _bytes_by_data_centre(self, handles: set[str]) -> dict[str, int]:
-        found: dict[str, int] = {}
-        for scheduler in self._schedulers.values():
-            for worker in scheduler.workers.values():
-                size = sum(worker.room[handle] for handle in handles if handle in worker.room)
-                if size:
-                    data_centre = worker.upstream.data_centre
-                    found[data_centre] = found.get(data_centre, 0) + size
-        return found
+    def _count_planned(self, stages: Iterable[StageRequest], priority: int, sign: int) -> None:
+        for stage in stages:
+            scheduler = self._runner.scheduler(stage.service)
+            if scheduler is not None:
+                scheduler.planned[priority] += sign * stage.count
 
     def _queue(
         self,
         request: RunStages,
         graph: StageGraph,
         number: int,
-        expires_at: float,
-        due_at: float,
+        started: float,
         data_centre: str,
-    ) -> PieceJob | Failure:
+    ) -> PieceJob:
         stage = graph.stages[number]
-        scheduler = self._scheduler(stage.service)
-        if scheduler is None:
-            return self._failure(Reason.NOT_FOUND, f"no piece service {stage.service!r}")
         now = self._timers.now()
-        if now + scheduler.backlog_s(now) > expires_at:
-            return self._failure(Reason.OVERLOADED, "the pieces can't be done in time")
         inputs = graph.inputs_of(number)
+        input_bytes = sum(
+            request.stages[other].result_bytes * request.stages[other].count
+            for other in stage.after
+        )
+        scheduler = self._runner.scheduler(stage.service)
+        work = [
+            stage_work(found, item, now, request.priority)
+            for item in request.stages
+            if (found := self._runner.scheduler(item.service)) is not None
+        ]
+        rest_s = path_s(request.stages, work, number)
         job = PieceJob(
             request_id=request.request_id,
             stage=number,
             key="" if inputs else request.key,
             inputs=inputs,
             count=stage.count,
-            expires_at=expires_at,
-            start_by=due_at - self._path_s(request.stages, number),
-            may_wait=sum(
-                request.stages[other].result_bytes * request.stages[other].count
-                for other in stage.after
-            )
-            < LARGE_RESULT_BYTES,
+            expires_at=started + request.left_ms / 1000 - rest_s,
+            start_by=started + request.slack_ms / 1000 - rest_s,
+            may_wait=input_bytes < LARGE_RESULT_BYTES,
             priority=request.priority,
             data_centre=data_centre,
             result_bytes=stage.result_bytes,
             queued_at=now,
         )
         self._jobs.setdefault(request.request_id, []).append(job)
-        while len(self._jobs) > MAX_JOBS_KEPT:
+        while len(self._jobs) > MAX_REQUESTS_KEPT:
             del self._jobs[next(iter(self._jobs))]
-        scheduler.add(job)
-        self._wake.notify()
+        if scheduler is None:
+            job.fail("the service is gone")
+        else:
+            scheduler.add(job)
+        self._runner.wake()
         return job
 
-    def _path_s(self, stages: list[StageRequest], number: int) -> float:
-        """Return the seconds that a stage and all that follow it take at least."""
-        stage = stages[number]
-        own_s = 0.0
-        scheduler = self._scheduler(stage.service)
-        if stage.count and scheduler is not None:
-            spec = scheduler.spec
-            own_s = spec.call_s + min(stage.count, spec.batch) * spec.item_s
-        # A stage follows only earlier ones or the graph would never end; see `_run_stages`.
-        later = [self._path_s(stages, n) for n, s in enumerate(stages) if number in s.after]
-        return own_s + max(later, default=0.0)
-
     def _job_failure(self, job: PieceJob) -> Failure:
-        reason = Reason.UPSTREAM_ERROR
-        if job.failure == "gone":
-            reason = Reason.NOT_FOUND
-        elif job.failure in ("late", "too late"):
-            reason = Reason.DEADLINE
+        reason = Reason.DEADLINE if job.failure in ("late", "too late") else Reason.UPSTREAM_ERROR
         return self._failure(reason, f"stage {job.stage}: {job.failure}")
 
     async def _note_progress(self, request: NoteProgress, sender: str) -> ProgressNoted:
-        for engines in self._engines.values():
-            if request.has_ended:
-                engines.end(request.request_id)
-            else:
-                engines.begin(request.request_id)
+        self._placer.note_progress(request.request_id, has_ended=request.has_ended)
         if request.has_ended or request.frees_results:
             handles: set[str] = set()
             for job in self._jobs.pop(request.request_id, []):
                 job.fail("dropped")
                 handles.update(handle for handle in job.handles if handle)
-            self._free(handles)
+            self._runner.free(handles)
         return ProgressNoted()
 
     async def _pulse(self, request: Pulse, sender: str) -> PulseReply:
         return PulseReply()
 
-    def _free(self, handles: set[str]) -> None:
-        nursery = self._nursery
-        if not handles or nursery is None:
-            return
-        for scheduler in self._schedulers.values():
-            for worker in scheduler.workers.values():
-                kept = [handle for handle in handles if handle in worker.room]
-                if kept:
-                    nursery.start_soon(self._free_at, worker, kept)
-
-    async def _free_at(self, worker: Worker, handles: list[str]) -> None:
-        failure = await self._call.free(worker.upstream, handles)
-        if failure is not None:
-            # The results stay until their time is up.
-            _log.warning("results were not freed: %s", failure)
-            return
-        # Only now is there room again at the upstream.
-        for handle in handles:
-            worker.room.pop(handle, None)
-        self._wake.notify()
-
-    async def _work(self, scheduler: PieceScheduler, worker: Worker, pieces: list[Piece]) -> None:
-        started = self._timers.now()
-        room_mb = sum(worker.room.values()) / 1e6
-        expected_s = scheduler.duration_s(worker, len(pieces), started)
-        lefts = [max(0.0, piece.job.expires_at - started) for piece in pieces]
-        results: list[PieceResult] | Failure = self._failure(Reason.TIMEOUT, "no answer in time")
-        with trio.move_on_after(expected_s * CALL_PATIENCE + CALL_SLACK_S):
-            results = await self._call.run(worker.upstream, pieces, lefts)
-        now = self._timers.now()
-        if isinstance(results, Failure):
-            self._note_failure(scheduler, worker, pieces, results, now)
-        else:
-            scheduler.finish(worker, len(pieces), now - started, now)
-            _log.info(
-                "pieces done",
-                extra={
-                    "subject": worker.upstream.name,
-                    "service": worker.upstream.service,
-                    "count": len(pieces),
-                    "stages": sorted({piece.job.stage for piece in pieces}),
-                    "took_ms": round((now - started) * 1000),
-                    "expected_ms": round(expected_s * 1000),
-                    "waiting": len(scheduler.waiting),
-                    "room_mb": round(sum(worker.room.values()) / 1e6, 2),
-                    "failed": dict(Counter(r.reason for r in results if r.reason)),
-                    "room_before_mb": round(room_mb, 2),
-                    "remote": sum(
-                        p.job.data_centre not in ("", worker.upstream.data_centre) for p in pieces
-                    ),
-                    "requests": [piece.job.request_id for piece in pieces],
-                },
-            )
-            self._take_results(scheduler, worker, pieces, results)
-        self._wake.notify()
-
-    def _note_failure(
-        self,
-        scheduler: PieceScheduler,
-        worker: Worker,
-        pieces: list[Piece],
-        failure: Failure,
-        now: float,
-    ) -> None:
-        scheduler.finish(worker, len(pieces), None, now)
-        is_full = failure.reason is Reason.OVERLOADED
-        scheduler.pause(worker, BUSY_PAUSE_S if is_full else EJECTION_S, now)
-        _log.warning(
-            "pieces failed: %s",
-            failure,
-            extra={"subject": worker.upstream.name, "requests": [p.job.request_id for p in pieces]},
-        )
-        scheduler.put_back(pieces, now)
-
-    def _take_results(
-        self,
-        scheduler: PieceScheduler,
-        worker: Worker,
-        pieces: list[Piece],
-        results: list[PieceResult],
-    ) -> None:
-        now = self._timers.now()
-        unwanted = set()
-        again = []
-        for piece, result in zip(pieces, results, strict=True):
-            job = piece.job
-            if result.handle:
-                worker.room[result.handle] = job.result_bytes
-                if job.is_open:
-                    job.finish_piece(piece.index, result.handle)
-                else:
-                    unwanted.add(result.handle)
-                self._expire_later(scheduler, worker, result.handle)
-            elif result.reason in ("late", "gone"):
-                job.fail(result.reason)
-            else:
-                again.append(piece)
-        if again:
-            scheduler.pause(worker, BUSY_PAUSE_S, now)
-            scheduler.put_back(again, now)
-        if unwanted:
-            self._free(unwanted)
-
-    def _expire_later(self, scheduler: PieceScheduler, worker: Worker, handle: str) -> None:
-        async def expire() -> None:
-            await self._timers.sleep(scheduler.spec.keep_s)
-            worker.room.pop(handle, None)
-
-        if self._nursery is not None:
-            self._nursery.start_soon(expire)
-
-    def _failure(self, reason: Reason, detail: str) -> Failure:
+    def _failure(self, reason: Reason, detail: str, *, retry_after_s: float = 0.0) -> Failure:
         return Failure(
             reason=reason,
             run_state=RunState.NOT_RUN,
             step="pieces",
             peer=self._host,
             detail=detail,
+            retry_after_s=retry_after_s,
         )
--- a/marigoldtrail/pieces/tests/test_scheduler.py
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -80,7 +80,7 @@
 
 
 def test_large_results_are_made_near_their_reader():
-    """Guards against megabytes that cross data centres while a near upstream is about to be free."""
+    """Guards against megabytes from afar while a near upstream is about to be free."""
     scheduler = make_scheduler("a", "b")
     near = scheduler.workers["w1"]
     near.is_busy, near.busy_until = True, 0.1
@@ -114,7 +114,7 @@
     job = make_job("one", 1)
     scheduler.add(job)
     for _ in range(3):
-        (worker, pieces) = scheduler.plan(0.0)[0]
+        worker, pieces = scheduler.plan(0.0)[0]
         scheduler.finish(worker, 1, None, 0.0)
         scheduler.put_back(pieces, 0.0)
     assert job.failure and scheduler.plan(0.0) == []
--- a/marigoldtrail/platform/tests/test_formats.py
+++ b/marigoldtrail/platform/tests/test_formats.py
@@ -52,7 +52,12 @@
     assert (route.timeout_s, route.target_latency_s, route.max_gap_s) == (8.0, 2.0, 0.2)
     assert route.is_idempotent and [t.weight for t in route.targets] == [90, 10]
     assert (engine.engine.kv_tokens, engine.cold_rate) == (1000, 6.6)
-    assert (pieces.call_s, pieces.item_s, pieces.room_bytes, pieces.keep_s) == (0.15, 0.032, 18e6, 4)
+    assert (pieces.call_s, pieces.item_s, pieces.room_bytes, pieces.keep_s) == (
+        0.15,
+        0.032,
+        18e6,
+        4,
+    )
     assert table.accounts[0].keys == ("k",) and table.limits.idle_timeout_s == 15.0
 
 
--- a/marigoldtrail/registry/service.py
+++ b/marigoldtrail/registry/service.py
@@ -169,23 +169,27 @@
     def _is_leading(self, board: LeaderBoard) -> bool:
         return self._group.is_leader and self._group.term == board.term
 
-    def _revisions(self, board: LeaderBoard) -> dict[str, int]:
+    def _revisions(self, board: LeaderBoard, request: HostReport) -> dict[str, int]:
         state = self._machine.state
         revisions = {"routes": state.manifest_index, "takeouts": state.services_index}
         if board.upstreams is not None:
             revisions["upstreams"] = board.upstreams_revision
-        if board.is_settled():
+        # A host that has just started gains from the few hosts known; others keep the old list.
+        knows_some = request.term == board.term and "hosts" in request.revisions
+        if board.is_settled() or request.term == 0 or knows_some:
             revisions["hosts"] = board.hosts_revision
         return revisions
 
     def _news_for(self, board: LeaderBoard, request: HostReport) -> bool:
         known = request.revisions if request.term == board.term else {}
-        return any(known.get(name) != value for name, value in self._revisions(board).items())
+        return any(
+            known.get(name) != value for name, value in self._revisions(board, request).items()
+        )
 
     def _build_reply(self, board: LeaderBoard, request: HostReport) -> HostReportReply:
         state = self._machine.state
         known = request.revisions if request.term == board.term else {}
-        revisions = self._revisions(board)
+        revisions = self._revisions(board, request)
         reply = HostReportReply(term=board.term, revisions=revisions)
 
         def is_news(section: str) -> bool:
--- a/marigoldtrail/relay/attempt.py
+++ b/marigoldtrail/relay/attempt.py
@@ -17,6 +17,9 @@
 from marigoldtrail.timers import Timers
 
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+# A stream that may be resumed goes on elsewhere after a silence of this length.
+STALL_S = 0.8
+FIRST_EVENT_STALL_S = 1.5
 HTTP_OK = range(200, 300)
 HTTP_SERVER_ERROR = 500
 
@@ -65,9 +68,11 @@
         Clock.
     on_first_event : callable
         Called when the first event of a stream has arrived.
+    may_leave : callable
+        Tells whether a stream that has stopped may go on at another upstream.
     """
 
-    __slots__ = ("_pool", "_board", "_dialect", "_timers", "_on_first_event")
+    __slots__ = ("_pool", "_board", "_dialect", "_timers", "_on_first_event", "_may_leave")
 
     def __init__(
         self,
@@ -77,12 +82,14 @@
         dialect: Dialect,
         timers: Timers,
         on_first_event: Callable[[Exchange], None],
+        may_leave: Callable[[Exchange], bool],
     ) -> None:
         self._pool = pool
         self._board = board
         self._dialect = dialect
         self._timers = timers
         self._on_first_event = on_first_event
+        self._may_leave = may_leave
 
     async def send(
         self, exchange: Exchange, upstream: Upstream, *, prefill_tokens: int
@@ -214,7 +221,7 @@
         if not caller.has_started:
             await caller.start_answer(head.status, self._dialect.build_answer(head.headers))
         while True:
-            data = await conn.read_part()
+            data = await self._read_events(exchange, conn)
             if isinstance(data, Failure):
                 cutter.drop_rest()
                 return data
@@ -223,7 +230,7 @@
             events = cutter.push(data)
             if events:
                 if exchange.first_event_at is None:
-                    exchange.first_event_at = self._timers.now()
+                    exchange.note_first_event(self._timers.now())
                     self._on_first_event(exchange)
                 counted.end()
                 await caller.send_part(events)
@@ -233,6 +240,16 @@
         await caller.end_answer()
         return StreamPassedOn()
 
+    async def _read_events(self, exchange: Exchange, conn: UpstreamConnection) -> bytes | Failure:
+        """Read the next bytes of a stream; leave a silent upstream if another one may go on."""
+        is_first = exchange.first_event_at is None
+        while exchange.may_run_again():
+            with trio.move_on_after(FIRST_EVENT_STALL_S if is_first else STALL_S):
+                return await conn.read_part()
+            if self._may_leave(exchange):
+                return conn.failure(Reason.TIMEOUT, "the stream has stopped")
+        return await conn.read_part()
+
 
 class PrefillCount:
     """
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import trio
+
 from marigoldtrail.pieces.client import StageWork
 from marigoldtrail.relay.caller import CallerConnection, CallerRequest
 from marigoldtrail.relay.events import EventCutter
 from marigoldtrail.relay.types import RequestFacts
 from marigoldtrail.routing import ClientAccount, Route, RouteKind, Service
 
+# Callers leave a stream that pauses for longer than the largest of these: seconds, target latencies
+# of its route, and longest pauses of an answer that is on time.
+LEAST_PATIENCE_S = 2.0
+PATIENCE_TARGETS = 4.0
+PATIENCE_GAPS = 8.0
+
 
 class Exchange:
     """
@@ -48,6 +56,10 @@
         Events of a stream that were passed on.
     work : StageWork or None
         Its stages.
+    scope : trio.CancelScope
+        Ends the request when its time is up.
+    has_grant : bool
+        Whether the budget has granted the next send already.
     """
 
     __slots__ = (
@@ -69,6 +81,8 @@
         "last_upstream",
         "first_event_at",
         "stages_done_at",
+        "scope",
+        "has_grant",
     )
 
     def __init__(
@@ -102,6 +116,26 @@
         self.last_upstream = ""
         self.first_event_at: float | None = None
         self.stages_done_at: float | None = None
+        self.scope = trio.CancelScope(deadline=self.begin_by)
+        self.has_grant = False
+
+    @property
+    def begin_by(self) -> float:
+        """Monotonic time in seconds until which a caller waits for the first event of a stream."""
+        if not self.is_stream:
+            return self.deadline
+        route = self.route
+        patience_s = max(
+            LEAST_PATIENCE_S,
+            PATIENCE_TARGETS * route.target_latency_s,
+            PATIENCE_GAPS * route.max_gap_s,
+        )
+        return min(self.deadline, self.started + patience_s)
+
+    def note_first_event(self, now: float) -> None:
+        """Note that the stream has begun; from now on only its deadline ends it."""
+        self.first_event_at = now
+        self.scope.deadline = self.deadline
 
     @property
     def is_stream(self) -> bool:
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -131,6 +131,7 @@
             dialect=dialect,
             timers=timers,
             on_first_event=self._note_first_event,
+            may_leave=self._may_leave,
         )
         self._budgets: dict[str, WindowBudget] = {}
         self._idle: set[trio.CancelScope] = set()
@@ -231,7 +232,7 @@
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(watch)
-            with trio.CancelScope(deadline=routed.deadline):
+            with routed.scope:
                 result = await self._run(routed)
             nursery.cancel_scope.cancel()
         if routed.work is not None:
@@ -279,13 +280,12 @@
         return Refusal(status=status, detail=detail)
 
     async def _run(self, exchange: Exchange) -> WholeAnswer | StreamPassedOn | Failure:
-        budget = self._budget(exchange.service.name)
-        budget.add_request(self._timers.now())
+        self._budget(exchange.service.name).add_request(self._timers.now())
         for _ in range(MAX_STAGE_RUNS):
             failure = await self._run_stages(exchange)
             if failure is not None:
                 return failure
-            result = await self._try_upstreams(exchange, budget)
+            result = await self._try_upstreams(exchange)
             if not isinstance(result, Failure) or result.reason is not Reason.NOT_FOUND:
                 return result
             if exchange.work is not None:
@@ -299,7 +299,7 @@
             return None
         exchange.work = StageWork(
             request=self._stage_request(exchange),
-            deadline=exchange.deadline,
+            deadline=exchange.begin_by - self._reading_s(exchange),
             due_at=exchange.started + exchange.route.target_latency_s - self._reading_s(exchange),
         )
         if has_pieces:
@@ -333,25 +333,28 @@
             prompt=[PromptPart(part=part, tokens=tokens) for part, tokens in facts.prefix],
             prompt_tokens=facts.prompt_tokens,
             output_tokens=facts.output_tokens,
-            excluded=sorted(exchange.tried | self._board.ejected()),
+            excluded=sorted(exchange.tried),
+            suspects=sorted(self._board.ejected()),
             data_centre=self._data_centre,
+            keeps_results=exchange.may_run_again(),
         )
 
     def _reading_s(self, exchange: Exchange) -> float:
         """Return the seconds from the last stage to the first event, as far as can be said."""
         return FIRST_EVENT_S + exchange.facts.prompt_tokens / PREFILL_TOKENS_PER_S
 
-    async def _try_upstreams(
-        self, exchange: Exchange, budget: WindowBudget
-    ) -> WholeAnswer | StreamPassedOn | Failure:
+    async def _try_upstreams(self, exchange: Exchange) -> WholeAnswer | StreamPassedOn | Failure:
         spare: WholeAnswer | None = None
         failure = self._no_upstream(exchange)
         while True:
             upstream = self._choose(exchange)
             if upstream is None:
                 break
-            if exchange.sends > 0 and not self._may_send_again(budget):
+            if exchange.sends > 0 and not (
+                exchange.has_grant or self._may_send_again(exchange.service.name)
+            ):
                 break
+            exchange.has_grant = False
             self._board.note_sent(upstream, exchange.service)
             result = await self._send(exchange, upstream)
             if isinstance(result, StreamPassedOn):
@@ -431,8 +434,15 @@
         ]
         return choose_engine(engines, prompt_tokens=exchange.facts.prompt_tokens, rng=self._rng)
 
-    def _may_send_again(self, budget: WindowBudget) -> bool:
-        return budget.take(self._timers.now(), entries=self._picture.entry_count())
+    def _may_send_again(self, service: str) -> bool:
+        return self._budget(service).take(self._timers.now(), entries=self._picture.entry_count())
+
+    def _may_leave(self, exchange: Exchange) -> bool:
+        """Tell whether a silent stream may go on elsewhere; the repeated send is then granted."""
+        upstreams = self._picture.usable_upstreams(exchange.service.name)
+        others = [u for u in upstreams if u.name not in exchange.tried | {exchange.last_upstream}]
+        exchange.has_grant = bool(others) and self._may_send_again(exchange.service.name)
+        return exchange.has_grant
 
     def _budget(self, service: str) -> WindowBudget:
         budget = self._budgets.get(service)
--- a/marigoldtrail/routing/tests/test_routing.py
+++ b/marigoldtrail/routing/tests/test_routing.py
@@ -16,7 +16,9 @@
 from marigoldtrail.routing.table import choose_target
 
 
-def make_route(name="r", prefix="/", *, targets=None, timeout_s=1.0, stages=(), hostname="a.example"):
+def make_route(
+    name="r", prefix="/", *, targets=None, timeout_s=1.0, stages=(), hostname="a.example"
+):
     return Route(
         name=name,
         hostname=hostname,
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -50,6 +50,7 @@
                 peers=parts.peers,
                 timers=parts.timers,
                 nursery=parts.nursery,
+                seeds=parts.seed_names(),
             ),
             dialect=parts.adapter.dialect,
             bounds=parts.cfg.bounds,
