--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -186,7 +186,11 @@
             detail="no answer in time",
         )
         with trio.move_on_after(expected_s * CALL_PATIENCE + CALL_SLACK_S):
-            results = await self._call.run(worker.upstream, pieces, lefts)
+            try:
+                results = await self._call.run(worker.upstream, pieces, lefts)
+            except Exception:
+                # A fault in one call must not end the schedulers.
+                _log.exception("a call failed")
         now = self._timers.now()
         if isinstance(results, Failure):
             self._note_failure(scheduler, worker, pieces, results, now)
--- a/marigoldtrail/relay/caller.py
+++ b/marigoldtrail/relay/caller.py
@@ -313,6 +313,9 @@
     Refusal or None
         None if the head is fine.
     """
+    size = sum(len(name) + len(value) for name, value in head.headers) + len(head.target)
+    if size > limits.max_header_bytes:
+        return Refusal(status=431, detail=f"a head has at most {limits.max_header_bytes} bytes")
     names = [name for name, _ in head.headers]
     if b"transfer-encoding" in names and b"content-length" in names:
         return Refusal(status=400, detail="content-length and transfer-encoding exclude each other")
--- a/marigoldtrail/relay/endpoints.py
+++ b/marigoldtrail/relay/endpoints.py
@@ -66,5 +66,7 @@
                 break
     except STREAM_ERRORS as exc:
         _log.debug("connection to an endpoint broke: %s", exc)
+    except Exception:
+        _log.exception("an endpoint failed")
     finally:
         await conn.aclose()
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -180,6 +180,9 @@
             at_once = False
         except* STREAM_ERRORS as group:
             _log.debug("connection of a caller broke: %s", group.exceptions[0])
+        except* Exception as group:
+            # One request must not end the process and with it all others.
+            _log.error("a request failed", exc_info=group)
         finally:
             self.connections -= 1
             await conn.aclose(at_once=at_once)
--- /dev/null
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -0,0 +1,175 @@
+"""An entry's relay in memory with scripted upstreams, for the tests of this package."""
+
+from __future__ import annotations
+
+import random
+
+import trio
+
+from marigoldtrail.net import Address, PeerClient
+from marigoldtrail.pieces import PieceClient
+from marigoldtrail.platform.headers import DIALECT
+from marigoldtrail.registry import FleetPicture
+from marigoldtrail.relay import ConnectionPool, Relay, UpstreamBoard
+from marigoldtrail.routing import (
+    ClientAccount,
+    Limits,
+    Route,
+    RouteKind,
+    RouteTable,
+    Service,
+    Target,
+    Upstream,
+    build_index,
+)
+from marigoldtrail.schema.generated.site import Bounds
+from marigoldtrail.testing import MemoryNetwork
+from marigoldtrail.timers import Timers
+
+ENTRY = Address("10.0.0.1", 80)
+SEAL = "x-response-seal: s\r\n"
+
+
+def make_route(kind, **fields):
+    values = {
+        "name": "r",
+        "hostname": "a.example",
+        "prefix": "/x/",
+        "kind": kind,
+        "timeout_s": 5.0,
+        "target_latency_s": 0.5,
+        "priority": 0,
+        "targets": (Target(service="s", weight=1.0),),
+        "max_attempts": 1,
+        "is_public": True,
+    }
+    return Route(**{**values, **fields})
+
+
+class Bed:
+    """A relay, and upstreams whose connections are served by functions of the tests."""
+
+    def __init__(self, nursery, kind=RouteKind.SAFE, *, accounts=None, **route):
+        self.nursery = nursery
+        self.network = MemoryNetwork(seed=1)
+        self.timers = Timers(seed=1)
+        self.picture = FleetPicture(parse_document=lambda data: "", timers=self.timers)
+        table = RouteTable(
+            version=1,
+            routes=(make_route(kind, **route),),
+            services=(Service(name="s", max_connections=9),),
+            limits=Limits(max_header_bytes=2000, max_body_bytes=5000),
+            accounts=accounts,
+        )
+        self.picture.routes = build_index(table)
+        self.picture.confirmed_at = trio.current_time() + 1e5
+        endpoint = self.network.endpoint(ENTRY.ip)
+        self.endpoint = endpoint
+        self.pool = ConnectionPool(network=endpoint, timers=self.timers, dialect=DIALECT)
+        peers = PeerClient(network=endpoint, host="entry", nursery=nursery)
+        self.board = UpstreamBoard(picture=self.picture, data_centre="a", timers=self.timers)
+        self.relay = Relay(
+            host="entry",
+            data_centre="a",
+            picture=self.picture,
+            board=self.board,
+            pool=self.pool,
+            pieces=PieceClient(
+                picture=self.picture, peers=peers, timers=self.timers, nursery=nursery, seeds=[]
+            ),
+            dialect=DIALECT,
+            bounds=Bounds(retry_budget_slack=50.0),
+            timers=self.timers,
+            rng=random.Random(1),
+        )
+
+    async def start(self, *scripts):
+        """Serve callers, and one upstream for each script."""
+        await self.nursery.start(self.endpoint.listen, ENTRY, self.relay.serve)
+        for number, script in enumerate(scripts):
+            await self.add_upstream(number, script)
+
+    async def add_upstream(self, number, script):
+        address = Address(f"10.0.1.{number}", 80)
+        name = f"i-{number}"
+        self.picture.upstreams[name] = Upstream(
+            name=name, service="s", address=str(address), data_centre="a", slots=4
+        )
+
+        async def serve(stream):
+            try:
+                await script(stream)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+            finally:
+                await trio.aclose_forcefully(stream)
+
+        await self.nursery.start(self.network.endpoint(address.ip).listen, address, serve)
+
+    async def connect(self):
+        return await self.network.endpoint("10.0.9.9").dial(ENTRY)
+
+    async def ask(self, request, *, timeout_s=20.0):
+        """Send bytes on a connection of their own; return all that comes back."""
+        stream = await self.connect()
+        await stream.send_all(request)
+        return await read_all(stream, timeout_s)
+
+
+async def read_all(stream, timeout_s=20.0):
+    data = b""
+    with trio.move_on_after(timeout_s):
+        try:
+            while chunk := await stream.receive_some(65536):
+                data += chunk
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+    return data
+
+
+async def read_request(stream):
+    """Read one request without a body longer than its first packet."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        chunk = await stream.receive_some(65536)
+        if not chunk:
+            raise trio.ClosedResourceError
+        data += chunk
+    return data
+
+
+def request(*, method="GET", path="/x/1", request_id="id-1", body=b"", headers=()):
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        "Host: a.example",
+        f"X-Request-Id: {request_id}",
+        "X-Deadline-Ms: 4000",
+        "Connection: close",
+        *headers,
+    ]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def answer(body="ok", *, status="200 OK", request_id="id-1", headers=SEAL):
+    head = f"HTTP/1.1 {status}\r\nx-request-id: {request_id}\r\n{headers}"
+    return f"{head}content-length: {len(body)}\r\n\r\n{body}".encode()
+
+
+def replying(*answers, seen=None):
+    """Return a script that answers one request after the other with these bytes."""
+    rest = list(answers)
+
+    async def script(stream):
+        while True:
+            data = await read_request(stream)
+            if seen is not None:
+                seen.append(data)
+            await stream.send_all(rest.pop(0) if len(rest) > 1 else rest[0])
+
+    return script
+
+
+def accounts():
+    return (ClientAccount(name="acme", keys=("k1",)),)
