Take jobs whole where room is short, and finish divided jobs first

The test that asked for two of four pieces in the free room is replaced: a job that is not begun waits, a begun one takes the two.

--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -19,10 +19,8 @@
 LOCAL_WAIT_S = 0.4
 # Results take a little more room than their stated size.
 SIZE_MARGIN = 1.06
-# Jobs are divided among calls only while less than this share of the room is taken.
-SPLIT_ROOM_SHARE = 0.5
-# With more calls than these waiting, full calls matter more than room.
-SPLIT_CALLS = 2
+# Jobs are divided among calls while more calls than these are waiting.
+SPLIT_CALLS = 1.5
 RATE_WEIGHT = 0.1
 # A worker whose call failed is left alone, each time in a row for twice as long.
 EJECTION_S = 1.0
@@ -78,6 +76,7 @@
         "data_centre",
         "result_bytes",
         "handles",
+        "is_begun",
         "missing",
         "failure",
         "done",
@@ -112,6 +111,7 @@
         self.result_bytes = result_bytes
         self.queued_at = queued_at
         self.handles: list[str] = [""] * count
+        self.is_begun = False
         self.missing = count
         self.failure = ""
         self.done = trio.Event()
@@ -125,7 +125,9 @@
         of an urgent rank still comes before a timely one two ranks below.
         """
         is_late = self.may_wait and now > self.start_by
-        return self.priority + (LATE_RANKS if is_late else 0), self.start_by
+        rank = self.priority + (LATE_RANKS if is_late else 0)
+        # The results of a job that was divided take room until the rest is done.
+        return (-1 if self.is_begun else rank), self.start_by
 
     @property
     def is_open(self) -> bool:
@@ -311,6 +313,7 @@
         self.waiting = [piece for piece in self.waiting if id(piece) not in chosen]
         for piece in taken:
             piece.tries += 1
+            piece.job.is_begun = True
         return taken
 
     def _fill(self, worker: Worker, wanted: list[Piece]) -> list[Piece]:
@@ -322,17 +325,19 @@
         """
         room = self.spec.room_bytes or float("inf")
         used = sum(worker.room.values()) * SIZE_MARGIN
-        has_room = used < room * SPLIT_ROOM_SHARE
-        may_split = len(wanted) > (self.spec.batch if has_room else SPLIT_CALLS * self.spec.batch)
+        may_split = len(wanted) > SPLIT_CALLS * self.spec.batch
         taken: list[Piece] = []
         for pieces in group_by_job(wanted):
             size = max(1.0, pieces[0].job.result_bytes * SIZE_MARGIN)
-            places = min(
-                self.spec.batch - len(taken), int((room - used) / size) if used < room else 0
-            )
-            if len(pieces) > places and taken and not may_split:
+            places = self.spec.batch - len(taken)
+            fitting = max(0, int(min(places, (room - used) / size)))
+            whole = min(len(pieces), places)
+            if fitting < whole and not (pieces[0].job.is_begun or not worker.room):
+                # A part of the job would only hold the room that the rest waits for.
                 continue
-            part = pieces[: max(0, places)]
+            if whole < len(pieces) and taken and not (may_split or pieces[0].job.is_begun):
+                continue
+            part = pieces[:fitting]
             taken += part
             used += size * len(part)
             if len(taken) >= self.spec.batch:
