--- a/marigoldtrail/pieces/admission.py
+++ b/marigoldtrail/pieces/admission.py
@@ -14,9 +14,6 @@
 from marigoldtrail.pieces.scheduler import PieceScheduler
 from marigoldtrail.schema.generated.pieces import StageRequest
 
-# Share of its time that a request may have to wait, by its rank: estimates leave out what arrives
-# later and is more urgent.
-WAIT_SHARES = (0.85, 0.7, 0.45)
 # Results are kept for a few seconds only, so that stages must not wait for longer between two.
 MAX_BACKLOG_S = 2.5
 
@@ -95,7 +92,7 @@
 
 
 def judge_demand(
-    work: Sequence[StageWork], path: float, left_s: float, *, priority: int = 0
+    work: Sequence[StageWork], path: float, left_s: float, *, wait_share: float = 1.0
 ) -> float:
     """
     Compare what a request has to wait for with its time.
@@ -108,8 +105,8 @@
         Seconds that they take without any waiting.
     left_s : float
         Seconds after which their results are of no more use.
-    priority : int
-        Rank of the request; 0 is the most urgent.
+    wait_share : float
+        Share of that time that the request may spend waiting and being worked on.
 
     Returns
     -------
@@ -122,5 +119,4 @@
     True
     """
     longest = max((item.backlog_s for item in work), default=0.0)
-    share = WAIT_SHARES[min(max(0, priority), len(WAIT_SHARES) - 1)]
-    return max(path + longest - share * left_s, longest - MAX_BACKLOG_S)
+    return max(path + longest - wait_share * left_s, longest - MAX_BACKLOG_S)
--- a/marigoldtrail/pieces/client.py
+++ b/marigoldtrail/pieces/client.py
@@ -157,6 +157,9 @@
                 work.upstream = reply.upstream
                 return None
             failure = reply
+            if reply.reason is Reason.VIEW_NOT_CURRENT:
+                await self._timers.sleep(PAUSE_S)
+                continue
             if reply.reason not in (Reason.UNREACHABLE, Reason.STOPPING):
                 break
             self._suspects[host] = self._timers.now() + SUSPECT_S
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -119,14 +119,16 @@
         for stage in request.stages:
             scheduler = self._runner.scheduler(stage.service)
             if scheduler is None and stage.count:
-                return self._failure(Reason.NOT_FOUND, f"no piece service {stage.service!r}")
+                # This host has just started, or is a version behind.
+                detail = f"no piece service {stage.service!r} is known yet"
+                return self._failure(Reason.VIEW_NOT_CURRENT, detail)
             if scheduler is not None:
                 work.append(stage_work(scheduler, stage, self._timers.now(), request.priority))
         late_s = judge_demand(
             work,
             path_s(request.stages, work),
             request.left_ms / 1000,
-            priority=request.priority,
+            wait_share=request.wait_share,
         )
         if late_s <= 0:
             return None
--- a/marigoldtrail/pieces/tests/test_scheduler.py
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -94,7 +94,7 @@
     """Guards against results that hold room while the rest of their job waits."""
     scheduler = make_scheduler("a")
     scheduler.add(make_job("begun", 7, start_by=5.0, priority=2))
-    (worker, _) = scheduler.plan(0.0)[0]
+    worker, _ = scheduler.plan(0.0)[0]
     scheduler.finish(worker, 4, 0.3, 0.3)
     scheduler.add(make_job("urgent", 4, start_by=1.0))
     assert taken(scheduler.plan(0.3))["w0"][:3] == ["begun"] * 3
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -16,6 +16,10 @@
 PATIENCE_TARGETS = 4.0
 PATIENCE_GAPS = 8.0
 
+ROUTE_RANKS = 3
+# By the rank of the route: estimates of waiting leave out what arrives later and is more urgent.
+WAIT_SHARES = (0.7, 0.5, 0.3)
+
 
 class Exchange:
     """
@@ -142,12 +146,26 @@
         """Whether the answer is a stream of events."""
         return self.route.kind is RouteKind.STREAMING
 
+    @property
+    def route_rank(self) -> int:
+        """Rank of the route, bounded so that the rank of an account goes before it."""
+        return min(max(0, self.route.priority), ROUTE_RANKS - 1)
+
     @property
     def priority(self) -> int:
-        """Rank of the request: that of its client account before that of its route."""
-        if self.account is not None and self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
+        """
+        Rank of the request; 0 is the most urgent.
+
+        The rank of the client account takes precedence; among equals that of the route decides.
+        """
+        if self.account is None or self.account.priority is None:
+            return self.route_rank
+        return max(0, self.account.priority) * ROUTE_RANKS + self.route_rank
+
+    @property
+    def wait_share(self) -> float:
+        """Share of its time that the request may spend waiting for its stages."""
+        return WAIT_SHARES[self.route_rank]
 
     @property
     def account_name(self) -> str:
