--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -27,8 +27,8 @@
 LONGEST_EJECTION_S = 6.0
 # A worker that is full is busy for another scheduler, which this one may have replaced.
 BUSY_PAUSE_S = 0.25
-# Ranks that a request loses once it will be late.
-LATE_RANKS = 2
+# How much a request yields to others once it will be late.
+LATE_YIELD_S = 3.0
 SPEED_WEIGHT = 0.3
 SPEED_HALF_LIFE_S = 3.0
 MAX_TRIES = 4
@@ -56,8 +56,8 @@
     may_wait : bool
         Whether the job may be put off once the request will be late anyway. Results that it would
         read and that take much room speak against it.
-    priority : int
-        0 is the most urgent.
+    yield_s : float
+        Seconds by which the request yields to more urgent ones.
     data_centre : str
         Where the results are read.
     result_bytes : int
@@ -72,7 +72,7 @@
         "expires_at",
         "start_by",
         "may_wait",
-        "priority",
+        "yield_s",
         "data_centre",
         "result_bytes",
         "handles",
@@ -94,7 +94,7 @@
         expires_at: float,
         start_by: float,
         may_wait: bool,
-        priority: int,
+        yield_s: float,
         data_centre: str,
         result_bytes: int,
         queued_at: float,
@@ -106,7 +106,7 @@
         self.expires_at = expires_at
         self.start_by = start_by
         self.may_wait = may_wait
-        self.priority = priority
+        self.yield_s = yield_s
         self.data_centre = data_centre
         self.result_bytes = result_bytes
         self.queued_at = queued_at
@@ -116,18 +116,16 @@
         self.failure = ""
         self.done = trio.Event()
 
-    def order(self, now: float) -> tuple[int, float]:
+    def order(self, now: float) -> tuple[bool, float]:
         """
         Return the place in the queue; the least is first.
 
-        Requests that will be late anyway come after those that can still be on time: served in the
-        order of their times alone, all of them would be a little late in a burst. A late request
-        of an urgent rank still comes before a timely one two ranks below.
+        Requests that will be late anyway yield to those that can still be on time: served in the
+        order of their times alone, all of them would be a little late in a burst. The results of
+        a job that was divided take room until the rest is done, so that it comes first.
         """
         is_late = self.may_wait and now > self.start_by
-        rank = self.priority + (LATE_RANKS if is_late else 0)
-        # The results of a job that was divided take room until the rest is done.
-        return (-1 if self.is_begun else rank), self.start_by
+        return not self.is_begun, self.start_by + self.yield_s + (LATE_YIELD_S if is_late else 0.0)
 
     @property
     def is_open(self) -> bool:
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -219,7 +219,7 @@
             expires_at=started + request.left_ms / 1000 - rest_s,
             start_by=started + request.slack_ms / 1000 - rest_s,
             may_wait=input_bytes < LARGE_RESULT_BYTES,
-            priority=request.priority,
+            yield_s=request.yield_ms / 1000,
             data_centre=data_centre,
             result_bytes=stage.result_bytes,
             queued_at=now,
--- a/marigoldtrail/pieces/tests/test_scheduler.py
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -32,7 +32,7 @@
         expires_at=fields.get("expires_at", 100.0),
         start_by=start_by,
         may_wait=fields.get("may_wait", True),
-        priority=fields.get("priority", 0),
+        yield_s=fields.get("yield_s", 0.0),
         data_centre=data_centre,
         result_bytes=size,
         queued_at=queued_at,
@@ -57,7 +57,7 @@
     scheduler = make_scheduler("a", spec=SPEC)
     scheduler.add(make_job("late", 4, start_by=0.5))
     scheduler.add(make_job("on time", 4, start_by=3.0))
-    scheduler.add(make_job("less urgent", 4, start_by=2.5, priority=1))
+    scheduler.add(make_job("less urgent", 4, start_by=2.5, yield_s=1.0))
     assert taken(scheduler.plan(1.0)) == {"w0": ["on time"] * 4}
 
 
@@ -93,7 +93,7 @@
 def test_divided_job_is_finished_first():
     """Guards against results that hold room while the rest of their job waits."""
     scheduler = make_scheduler("a")
-    scheduler.add(make_job("begun", 7, start_by=5.0, priority=2))
+    scheduler.add(make_job("begun", 7, start_by=5.0, yield_s=2.0))
     worker, _ = scheduler.plan(0.0)[0]
     scheduler.finish(worker, 4, 0.3, 0.3)
     scheduler.add(make_job("urgent", 4, start_by=1.0))
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -18,7 +18,10 @@
 
 ROUTE_RANKS = 3
 # By the rank of the route: estimates of waiting leave out what arrives later and is more urgent.
-WAIT_SHARES = (0.7, 0.5, 0.3)
+WAIT_SHARES = (0.7, 0.5, 0.4)
+# Neighbouring ranks differ little; the last one yields to all requests that can be on time.
+YIELDS_S = (0.0, 0.6, 2.0)
+ACCOUNT_YIELD_S = 1.5
 
 
 class Exchange:
@@ -162,6 +165,11 @@
             return self.route_rank
         return max(0, self.account.priority) * ROUTE_RANKS + self.route_rank
 
+    @property
+    def yield_s(self) -> float:
+        """Seconds by which the stages of the request yield to those of more urgent ones."""
+        return YIELDS_S[self.route_rank] + ACCOUNT_YIELD_S * (self.priority // ROUTE_RANKS)
+
     @property
     def wait_share(self) -> float:
         """Share of its time that the request may spend waiting for its stages."""
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -333,6 +333,7 @@
             left_ms=0,
             priority=exchange.priority,
             wait_share=exchange.wait_share,
+            yield_ms=round(exchange.yield_s * 1000),
             engine_service=exchange.service.name if exchange.service.engine is not None else "",
             prompt=[PromptPart(part=part, tokens=tokens) for part, tokens in facts.prefix],
             prompt_tokens=facts.prompt_tokens,
