--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -19,6 +19,7 @@
 )
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.routing import PieceSpec, Upstream
+from marigoldtrail.telemetry.exposition import Exposition
 from marigoldtrail.timers import Timers
 
 # A call that takes this many times longer than expected is given up.
@@ -74,14 +75,19 @@
         Calls the upstreams.
     timers : Timers
         Clock.
+    metrics : Exposition
+        Counts pieces.
     """
 
-    __slots__ = ("_picture", "_call", "_timers", "_schedulers", "_nursery", "_wake")
+    __slots__ = ("_picture", "_call", "_timers", "_metrics", "_schedulers", "_nursery", "_wake")
 
-    def __init__(self, *, picture: FleetPicture, call: PieceCall, timers: Timers) -> None:
+    def __init__(
+        self, *, picture: FleetPicture, call: PieceCall, timers: Timers, metrics: Exposition
+    ) -> None:
         self._picture = picture
         self._call = call
         self._timers = timers
+        self._metrics = metrics
         self._schedulers: dict[str, PieceScheduler] = {}
         self._nursery: trio.Nursery | None = None
         self._wake = Signal()
@@ -227,6 +233,7 @@
         now: float,
     ) -> None:
         scheduler.finish(worker, len(pieces), None, now)
+        self._metrics.count_pieces(failure.reason.value, len(pieces))
         if failure.reason is Reason.OVERLOADED:
             scheduler.pause(worker, BUSY_PAUSE_S, now)
         else:
@@ -246,6 +253,8 @@
         results: list[PieceResult],
     ) -> None:
         now = self._timers.now()
+        for outcome, count in Counter(result.reason or "done" for result in results).items():
+            self._metrics.count_pieces(outcome, count)
         unwanted = set()
         again = []
         for piece, result in zip(pieces, results, strict=True):
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -26,6 +26,7 @@
     StageRequest,
     StagesReply,
 )
+from marigoldtrail.telemetry.exposition import Exposition
 from marigoldtrail.timers import Timers
 
 # Requests whose results are remembered until their entry says that they have ended.
@@ -55,6 +56,8 @@
         Clock.
     rng : random.Random
         Breaks ties between engines.
+    metrics : Exposition
+        Counts pieces.
     """
 
     __slots__ = ("_host", "_timers", "_runner", "_placer", "_jobs")
@@ -67,10 +70,11 @@
         call: PieceCall,
         timers: Timers,
         rng: random.Random,
+        metrics: Exposition,
     ) -> None:
         self._host = host
         self._timers = timers
-        self._runner = PieceRunner(picture=picture, call=call, timers=timers)
+        self._runner = PieceRunner(picture=picture, call=call, timers=timers, metrics=metrics)
         self._placer = EnginePlacer(picture=picture, timers=timers, rng=rng)
         self._jobs: dict[str, list[PieceJob]] = {}
 
--- a/marigoldtrail/registry/picture.py
+++ b/marigoldtrail/registry/picture.py
@@ -75,6 +75,10 @@
         """Return the seconds since a leader last confirmed the picture."""
         return self._timers.now() - self.confirmed_at
 
+    def version(self) -> int:
+        """Return the version of the configuration in force; 0 before the first one."""
+        return self.routes.table.version if self.routes is not None else 0
+
     def is_out(self, data_centre: str) -> bool:
         """Tell whether operators have taken a data centre out of service."""
         return data_centre in self._takeouts
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -27,10 +27,11 @@
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.types import Dialect, RequestFacts
-from marigoldtrail.routing import Limits, RouteIndex, RouteKind, Upstream
+from marigoldtrail.routing import Limits, RouteKind, Upstream
 from marigoldtrail.routing.table import choose_target
 from marigoldtrail.schema.generated.pieces import PromptPart, RunStages, StageRequest
 from marigoldtrail.schema.generated.site import Bounds
+from marigoldtrail.telemetry.exposition import Exposition
 from marigoldtrail.timers import Timers
 
 # A picture that is older says little about routes and keys that it does not have.
@@ -80,6 +81,8 @@
         Clock.
     rng : random.Random
         Breaks ties between upstreams.
+    metrics : Exposition
+        Counts requests.
     """
 
     __slots__ = (
@@ -93,6 +96,7 @@
         "_bounds",
         "_timers",
         "_rng",
+        "_metrics",
         "_sender",
         "_budgets",
         "_idle",
@@ -114,6 +118,7 @@
         bounds: Bounds,
         timers: Timers,
         rng: random.Random,
+        metrics: Exposition,
     ) -> None:
         self._host = host
         self._data_centre = data_centre
@@ -125,6 +130,7 @@
         self._bounds = bounds
         self._timers = timers
         self._rng = rng
+        self._metrics = metrics
         self._sender = Sender(
             pool=pool,
             board=board,
@@ -362,6 +368,9 @@
             exchange.has_grant = False
             self._board.note_sent(upstream, exchange.service)
             result = await self._send(exchange, upstream)
+            self._metrics.count_send(
+                result.reason.value if isinstance(result, Failure) else "answered"
+            )
             if isinstance(result, StreamPassedOn):
                 return result
             if isinstance(result, WholeAnswer):
@@ -526,6 +535,7 @@
             outcome = str(result)
         elif isinstance(result, WholeAnswer):
             outcome = f"status {result.status}"
+        self._count_end(exchange, result, has_left=has_left)
         first_s = exchange.first_event_at
         stages_s = exchange.stages_done_at
         _log.info(
@@ -545,12 +555,30 @@
                 "events": exchange.cutter.count,
                 "took_ms": round((now - exchange.started) * 1000),
                 "left_ms": round((exchange.deadline - now) * 1000),
-                "version": self._version(self._picture.routes),
+                "version": self._picture.version(),
             },
         )
 
-    def _version(self, index: RouteIndex | None) -> int:
-        return index.table.version if index is not None else 0
+    def _count_end(
+        self,
+        exchange: Exchange,
+        result: WholeAnswer | StreamPassedOn | Failure | None,
+        *,
+        has_left: bool,
+    ) -> None:
+        reason = "served"
+        if has_left:
+            reason = "caller_left"
+        elif isinstance(result, Failure):
+            reason = result.reason.value
+        elif isinstance(result, WholeAnswer) and result.is_error:
+            reason = "upstream_status"
+        latency_s = None
+        if exchange.first_event_at is not None:
+            latency_s = exchange.first_event_at - exchange.started
+        elif isinstance(result, WholeAnswer):
+            latency_s = self._timers.now() - exchange.started
+        self._metrics.count_request(exchange.route.name, reason, latency_s)
 
 
 def deadline_failure(exchange: Exchange) -> Failure:
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -23,6 +23,7 @@
     build_index,
 )
 from marigoldtrail.schema.generated.site import Bounds
+from marigoldtrail.telemetry.exposition import Exposition
 from marigoldtrail.testing import MemoryNetwork
 from marigoldtrail.timers import Timers
 
@@ -81,6 +82,7 @@
             bounds=Bounds(retry_budget_slack=50.0),
             timers=self.timers,
             rng=random.Random(1),
+            metrics=Exposition(),
         )
 
     async def start(self, *scripts):
--- a/marigoldtrail/site/control_host.py
+++ b/marigoldtrail/site/control_host.py
@@ -72,6 +72,13 @@
             call=parts.adapter.make_piece_call(parts.pool),
             timers=parts.timers,
             rng=parts.rng,
+            metrics=parts.metrics,
+        )
+        group = self.groups[CONFIG_GROUP]
+        parts.metrics.add_gauge("leads", "Whether this host leads.", lambda: group.is_leader)
+        parts.metrics.add_gauge("term", "Term of the log group.", lambda: group.term)
+        parts.metrics.add_gauge(
+            "applied_index", "Last applied entry of the log.", lambda: group.applied_index
         )
         self.operations = Operations(
             finder=parts.agent.finder,
@@ -105,6 +112,7 @@
 
             await nursery.start(serve)
             await nursery.start(self.groups.run)
+            await nursery.start(parts.serve_metrics)
             nursery.start_soon(self.registry.run)
             nursery.start_soon(self.pieces.run)
             nursery.start_soon(parts.agent.run)
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -56,6 +56,13 @@
             bounds=parts.cfg.bounds,
             timers=parts.timers,
             rng=parts.rng,
+            metrics=parts.metrics,
+        )
+        parts.metrics.add_gauge(
+            "requests_in_progress", "Requests in progress.", lambda: self.relay.requests
+        )
+        parts.metrics.add_gauge(
+            "caller_connections", "Open connections of callers.", lambda: self.relay.connections
         )
         parts.agent.set_loads(self.board.report)
         self._draining = False
@@ -75,6 +82,7 @@
             await nursery.start(
                 parts.network.listen, Address.parse(cfg.request_address), self.relay.serve
             )
+            await nursery.start(parts.serve_metrics)
             nursery.start_soon(parts.agent.run)
             nursery.start_soon(self.relay.run)
             nursery.start_soon(self._announce_ready)
--- a/marigoldtrail/site/parts.py
+++ b/marigoldtrail/site/parts.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
 import trio
 
 from marigoldtrail.net import Address, Network, PeerClient
 from marigoldtrail.registry import FleetPicture, HostAgent, peer_name
-from marigoldtrail.relay import ConnectionPool
+from marigoldtrail.relay import CallerRequest, ConnectionPool, Reply
 from marigoldtrail.relay.endpoints import Handler, serve_endpoint
 from marigoldtrail.routing import Limits
 from marigoldtrail.schema.generated.registry import HostReport
 from marigoldtrail.schema.generated.site import SiteSettings
 from marigoldtrail.site.adapter import Adapter
+from marigoldtrail.telemetry.exposition import Exposition
+from marigoldtrail.telemetry.lines import dropped_lines
 from marigoldtrail.timers import Timers
 
+METRICS_PATH = "/metrics"
+
 
 class SiteParts:
     """
@@ -48,6 +53,7 @@
         "picture",
         "pool",
         "agent",
+        "metrics",
     )
 
     def __init__(
@@ -66,6 +72,7 @@
         self.timers = timers
         self.rng = rng
         self.nursery = nursery
+        self.metrics = Exposition()
         self.peers = PeerClient(network=network, host=cfg.host, nursery=nursery)
         self.picture = FleetPicture(parse_document=adapter.parse_document, timers=timers)
         self.pool = ConnectionPool(network=network, timers=timers, dialect=adapter.dialect)
@@ -85,6 +92,17 @@
             seeds=self.seed_names(),
         )
 
+        self._add_gauges()
+
+    def _add_gauges(self) -> None:
+        picture = self.picture
+        add = self.metrics.add_gauge
+        add("picture_age_seconds", "Time since a leader confirmed the picture.", picture.age_s)
+        add("config_version", "Configuration in force.", lambda: picture.version())
+        add("upstreams", "Upstreams on the list.", lambda: len(picture.upstreams))
+        add("hosts", "Hosts that report.", lambda: len(picture.hosts))
+        add("log_lines_dropped", "Log lines dropped.", dropped_lines)
+
     @property
     def own_name(self) -> str:
         """Name of this host among the control hosts."""
@@ -95,13 +113,29 @@
         port = self.cfg.internal_ports[0]
         return sorted(peer_name(seed, port) for seed in self.cfg.seeds)
 
+    async def serve_metrics(
+        self, *, task_status: trio.TaskStatus[Address | None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve the metrics until cancelled, if the settings name an address."""
+
+        async def handle(request: CallerRequest) -> Reply:
+            if request.path != METRICS_PATH:
+                return Reply(status=404)
+            headers = [(b"content-type", b"text/plain; version=0.0.4")]
+            return Reply(status=200, body=self.metrics.text(), headers=headers)
+
+        if not self.cfg.metrics_address:
+            task_status.started(None)
+            return
+        await self.serve_http(self.cfg.metrics_address, handle, Limits(), task_status=task_status)
+
     async def serve_http(
         self,
         address: str,
         handler: Handler,
         limits: Limits,
         *,
-        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+        task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve a small endpoint until cancelled."""
 
--- /dev/null
+++ b/marigoldtrail/telemetry/exposition.py
@@ -0,0 +1,97 @@
+"""Counters and latency histograms of a host, read as text from its metrics address."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
+# Configurations of many routes must not make the text grow without bound.
+MAX_ROUTES = 64
+OTHER = "other"
+
+
+class Exposition:
+    """
+    Metrics of one host.
+
+    Examples
+    --------
+    >>> metrics = Exposition()
+    >>> metrics.count_request("r", "served", 0.3)
+    >>> b'requests_total{outcome="served",route="r"} 1.0' in metrics.text()
+    True
+    """
+
+    __slots__ = ("_registry", "_requests", "_latency", "_sends", "_pieces", "_routes", "_gauges")
+
+    def __init__(self) -> None:
+        registry = CollectorRegistry()
+        self._registry = registry
+        self._requests = Counter(
+            "requests", "Requests of callers by outcome.", ["route", "outcome"], registry=registry
+        )
+        self._latency = Histogram(
+            "request_seconds",
+            "Time to the first event of a stream, or to the whole answer.",
+            ["route"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self._sends = Counter(
+            "sends", "Requests sent to upstreams by outcome.", ["outcome"], registry=registry
+        )
+        self._pieces = Counter(
+            "pieces", "Pieces of stages by outcome.", ["outcome"], registry=registry
+        )
+        self._routes: set[str] = set()
+        self._gauges: list[Gauge] = []
+
+    def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """
+        Show the value of a function.
+
+        Parameters
+        ----------
+        name, text : str
+            Name and explanation.
+        read : callable
+            Returns the value when the metrics are read.
+        """
+        gauge = Gauge(name, text, registry=self._registry)
+        gauge.set_function(read)
+        self._gauges.append(gauge)
+
+    def count_request(self, route: str, outcome: str, latency_s: float | None) -> None:
+        """
+        Count the end of a request.
+
+        Parameters
+        ----------
+        route : str
+            Its route; beyond `MAX_ROUTES` all are counted together.
+        outcome : str
+            ``"served"`` or a reason.
+        latency_s : float or None
+            Seconds to the first event or whole answer; None if there was none.
+        """
+        if route not in self._routes and len(self._routes) >= MAX_ROUTES:
+            route = OTHER
+        self._routes.add(route)
+        self._requests.labels(route=route, outcome=outcome).inc()
+        if latency_s is not None:
+            self._latency.labels(route=route).observe(latency_s)
+
+    def count_send(self, outcome: str) -> None:
+        """Count a request sent to an upstream by its outcome."""
+        self._sends.labels(outcome=outcome).inc()
+
+    def count_pieces(self, outcome: str, count: int) -> None:
+        """Count pieces by their outcome."""
+        self._pieces.labels(outcome=outcome).inc(count)
+
+    def text(self) -> bytes:
+        """Return all metrics as text."""
+        return bytes(generate_latest(self._registry))
--- a/marigoldtrail/telemetry/lines.py
+++ b/marigoldtrail/telemetry/lines.py
@@ -31,7 +31,16 @@
         The descriptor; it is set to non-blocking.
     """
 
-    __slots__ = ("_fd", "_buffer", "_dropped", "_second", "_written", "_warned", "_partial")
+    __slots__ = (
+        "_fd",
+        "_buffer",
+        "_dropped",
+        "_reported",
+        "_second",
+        "_written",
+        "_warned",
+        "_partial",
+    )
 
     def __init__(self, *, fd: int) -> None:
         super().__init__()
@@ -39,13 +48,14 @@
         self._fd = fd
         self._buffer: deque[bytes] = deque()
         self._dropped = 0
+        self._reported = 0
         self._second = 0.0
         self._written = 0
         self._warned = 0
 
     @property
     def dropped(self) -> int:
-        """Lines that were dropped and not reported yet."""
+        """Lines that were dropped since the start."""
         return self._dropped
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -53,9 +63,9 @@
         if not self._admit(record):
             self._dropped += 1
             return
-        if self._dropped:
-            record.dropped_lines = self._dropped
-            self._dropped = 0
+        if self._dropped > self._reported:
+            record.dropped_lines = self._dropped - self._reported
+            self._reported = self._dropped
         self._buffer.append(self.format(record).encode() + b"\n")
         self._flush_buffer()
         while len(self._buffer) > MAX_BUFFERED_LINES:
@@ -91,6 +101,12 @@
             self._buffer.popleft()
 
 
+def dropped_lines() -> int:
+    """Return the number of log lines that this process has dropped."""
+    handlers = logging.getLogger().handlers
+    return sum(handler.dropped for handler in handlers if isinstance(handler, LineHandler))
+
+
 class _HostFilter(logging.Filter):
     def __init__(self, *, host: str) -> None:
         super().__init__()
