Say may_have_run for the repeat of an order on a node without a manifest; log failed sends

Seen with real processes (2 of 1,970 keys): a node that had just restarted refused the repeat of an order that had run as not_run. The test fails on the old code.

--- a/marigoldtrail/api/requests.py
+++ b/marigoldtrail/api/requests.py
@@ -222,7 +222,7 @@
     PipelineRequest or Failure
         The request, or the first fault with its place and what is allowed.
     """
-    pipeline = find_pipeline(ctx, req.params["name"])
+    pipeline = find_pipeline(ctx, req.params["name"], has_key=b"idempotency-key" in req.headers)
     if isinstance(pipeline, Failure):
         return pipeline
     client_account = find_account(ctx, req)
@@ -260,13 +260,29 @@
     )
 
 
-def find_pipeline(ctx: ApiContext, name: str) -> Pipeline | Failure:
-    """Return a pipeline of the manifest in force, or a failure that names the known ones."""
+def find_pipeline(ctx: ApiContext, name: str, *, has_key: bool = False) -> Pipeline | Failure:
+    """
+    Return a pipeline of the manifest in force.
+
+    Parameters
+    ----------
+    ctx : ApiContext
+        Parts of the node.
+    name : str
+        Name of the pipeline.
+    has_key : bool
+        Whether the caller gave a key, under which an earlier request may have run.
+
+    Returns
+    -------
+    Pipeline or Failure
+        A failure that names the known ones.
+    """
     manifest = ctx.view.manifest
     if manifest is None:
         return Failure(
             reason=Reason.VIEW_NOT_CURRENT,
-            run_state=RunState.NOT_RUN,
+            run_state=RunState.MAY_HAVE_RUN if has_key else RunState.NOT_RUN,
             step="request.parse",
             peer=ctx.host,
             detail="no manifest is known yet",
--- a/marigoldtrail/api/tests/test_requests.py
+++ b/marigoldtrail/api/tests/test_requests.py
@@ -231,3 +231,13 @@
         assert await rig.submit(body, gone_after=1.0) == (0, {}, b"")
     assert trio.current_time() < 3 and rig.server.finished == 0
     assert cancelled == [req.request_id for req in rig.server.requests] and len(cancelled) == 2
+
+
+async def test_repeat_on_a_node_without_a_manifest_may_have_run(autojump_clock):
+    """Guards against "not run" for the repeat of an order by a node that has just restarted."""
+    rig = Rig()
+    rig.view.manifest = None
+    repeat = await rig.submit(headers=[KEY])
+    check_problem(repeat, 503, reason="view_not_current", run_state="may_have_run")
+    first = await rig.submit()
+    check_problem(first, 503, reason="view_not_current", run_state="not_run")
--- a/marigoldtrail/control/leader.py
+++ b/marigoldtrail/control/leader.py
@@ -12,7 +12,7 @@
 from marigoldtrail.control.membership import Membership
 from marigoldtrail.control.owners import OWNER_LEASE_S, plan_owner_changes
 from marigoldtrail.control.partitions import partition_of
-from marigoldtrail.control.platform import LeavingHosts
+from marigoldtrail.control.host_list import LeavingHosts
 from marigoldtrail.control.upstreams import UpstreamBoard
 from marigoldtrail.schema.generated.control import NodeStatus, Sync, SyncReply, UpstreamStatus
 from marigoldtrail.schema.generated.manifest import Manifest, Upstream
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -218,7 +218,7 @@
                     "remote": sum(
                         p.job.data_centre not in ("", worker.upstream.data_centre) for p in pieces
                     ),
-                    "requests": [piece.job.request_id for piece in pieces],
+                    "requests": dict(Counter(piece.job.request_id for piece in pieces)),
                 },
             )
             self._take_results(scheduler, worker, pieces, results)
--- a/marigoldtrail/relay/board.py
+++ b/marigoldtrail/relay/board.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 from marigoldtrail.policy.placement import Option
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.routing import Service, Upstream
@@ -20,6 +22,8 @@
 # The share of the cold limit that entries use together; the rest covers requests on their way.
 COLD_SHARE = 0.8
 
+_log = logging.getLogger(__name__)
+
 
 class UpstreamRecord:
     """
@@ -130,7 +134,12 @@
         self._rate(record, 1.0)
         if is_dead:
             pause_s = FIRST_EJECTION_S * 2 ** (record.failures_in_row - 1)
-            record.ejected_until = self._timers.now() + min(LONGEST_EJECTION_S, pause_s)
+            pause_s = min(LONGEST_EJECTION_S, pause_s)
+            record.ejected_until = self._timers.now() + pause_s
+            _log.info(
+                "upstream ejected",
+                extra={"subject": name, "failures": record.failures_in_row, "pause_s": pause_s},
+            )
 
     def _rate(self, record: UpstreamRecord, outcome: float) -> None:
         rate = self._failure_rate(record)
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -379,6 +379,7 @@
                 spare = result
             else:
                 failure = result
+                self._note_failed_send(exchange, upstream, failure)
                 if result.reason is Reason.NOT_FOUND:
                     return result
             exchange.tried.add(upstream.name)
@@ -392,6 +393,24 @@
             failure = msgspec.structs.replace(failure, run_state=RunState.MAY_HAVE_RUN)
         return failure
 
+    def _note_failed_send(self, exchange: Exchange, upstream: Upstream, failure: Failure) -> None:
+        _log.info(
+            "send failed",
+            extra={
+                "request_id": exchange.facts.request_id,
+                "subject": upstream.name,
+                "address": upstream.address,
+                "failure": str(failure),
+                "sends": exchange.sends,
+                "runs": exchange.runs,
+                "max_attempts": exchange.route.max_attempts,
+                "idempotent": exchange.route.is_idempotent,
+                "last_event": exchange.cutter.last_id,
+                "left_ms": round((exchange.deadline - self._timers.now()) * 1000),
+                "picture_age_ms": round(self._picture.age_s() * 1000),
+            },
+        )
+
     async def _send(
         self, exchange: Exchange, upstream: Upstream
     ) -> WholeAnswer | StreamPassedOn | Failure:
--- /dev/null
+++ b/marigoldtrail/telemetry/tests/test_lines.py
@@ -0,0 +1,64 @@
+"""Log lines and metrics of hosts."""
+
+import json
+import logging
+import os
+
+from marigoldtrail.telemetry import lines
+from marigoldtrail.telemetry.exposition import MAX_ROUTES, Exposition
+
+
+def make_logger(fd):
+    handler = lines.LineHandler(fd=fd)
+    handler.setFormatter(lines.JsonFormatter("%(levelname)s %(message)s"))
+    logger = logging.Logger("test")
+    logger.addHandler(handler)
+    return logger, handler
+
+
+def test_reader_that_stops_does_not_stop_the_process(monkeypatch):
+    """Guards against a process that waits for whoever reads its log."""
+    monkeypatch.setattr(lines, "MAX_LINES_PER_S", 10**9)
+    reader, writer = os.pipe()
+    logger, handler = make_logger(writer)
+    for number in range(20_000):
+        logger.info("line %d", number, extra={"padding": "x" * 200})
+    assert handler.dropped > 0
+    data = b""
+    os.set_blocking(reader, False)
+    while True:
+        try:
+            data += os.read(reader, 1 << 20)
+        except BlockingIOError:
+            break
+    whole = [json.loads(line) for line in data.split(b"\n")[:-1]]
+    assert [line["message"] for line in whole[:2]] == ["line 0", "line 1"]
+    os.close(reader)
+    logger.info("nobody reads")
+    os.close(writer)
+
+
+def test_volume_is_bounded_and_failures_have_their_own_allowance(monkeypatch):
+    """Guards against a flood of lines about served requests that hides the failures."""
+    monkeypatch.setattr(lines.time, "monotonic", lambda: 5.0)
+    reader, writer = os.pipe()
+    logger, handler = make_logger(writer)
+    for _ in range(lines.MAX_LINES_PER_S + 50):
+        logger.info("served")
+    logger.warning("failed")
+    assert handler.dropped == 50
+    text = os.read(reader, 1 << 20).decode().splitlines()
+    assert json.loads(text[-1])["message"] == "failed"
+    assert json.loads(text[-1])["dropped_lines"] == 50
+    os.close(reader)
+    os.close(writer)
+
+
+def test_metrics_of_many_routes_stay_bounded():
+    """Guards against a text of metrics that grows with a configuration of many routes."""
+    metrics = Exposition()
+    for number in range(MAX_ROUTES + 100):
+        metrics.count_request(f"r-{number}", "served", 0.1)
+    text = metrics.text().decode()
+    assert text.count("requests_total{") == MAX_ROUTES + 1
+    assert 'requests_total{outcome="served",route="other"} 100.0' in text
--- a/marigoldtrail/testing/fault_matrix.py
+++ b/marigoldtrail/testing/fault_matrix.py
@@ -13,7 +13,7 @@
 import trio.testing
 
 from marigoldtrail.consensus import applying, log
-from marigoldtrail.control.platform import HostList, PlatformHost
+from marigoldtrail.control.host_list import HostList, PlatformHost
 from marigoldtrail.node import control_role
 from marigoldtrail.testing.fault_cell import Cell, start_cell
 from marigoldtrail.testing.fault_kinds import FAULTS
