--- a/marigoldtrail/cli/app.py
+++ b/marigoldtrail/cli/app.py
@@ -9,9 +9,10 @@
 
 from marigoldtrail import __version__
 from marigoldtrail.cli import inspect, operate, serve
-from marigoldtrail.cli.context import JsonOption, load_settings
+from marigoldtrail.cli.context import JsonOption, load_settings, read_input
 from marigoldtrail.cli.demo import run_demo_command
-from marigoldtrail.cli.exits import print_result
+from marigoldtrail.cli.exits import fail_with_faults, print_result
+from marigoldtrail.schema import is_site_settings, parse_site_settings
 
 EPILOG = (
     "Exit codes: 0 done, 1 failed, 2 invalid input, 3 refused and not run, 4 may have run, "
@@ -52,9 +53,18 @@
 ) -> None:
     """Check a settings file and print it with its defaults.
 
+    Settings with "seeds" are those of a host that finds its fleet by seeds, as on the platform.
+
     Example: marigoldtrail settings check node.json
     """
-    print_result(load_settings(path), as_json=as_json)
+    data = read_input(path)
+    if not is_site_settings(data):
+        print_result(load_settings(path), as_json=as_json)
+        return
+    settings = parse_site_settings(data, str(path))
+    if isinstance(settings, list):
+        fail_with_faults(settings)
+    print_result(settings, as_json=as_json)
 
 
 @app.command("version")
--- a/marigoldtrail/control/__init__.py
+++ b/marigoldtrail/control/__init__.py
@@ -1,10 +1,10 @@
 """State of the fleet that group config agrees on, and its distribution to the nodes."""
 
 from marigoldtrail.control.commands import Order
+from marigoldtrail.control.host_list import HostList, PlatformHost, ReadHosts, parse_host_list
 from marigoldtrail.control.machine import ConfigMachine
 from marigoldtrail.control.orders import OrderAnswer, SendOrder
 from marigoldtrail.control.partitions import PARTITIONS, partition_of
-from marigoldtrail.control.host_list import HostList, PlatformHost, ReadHosts, parse_host_list
 from marigoldtrail.control.service import ConfigGroup, ControlService
 from marigoldtrail.control.validation import CheckedManifest, check_manifest
 
--- a/marigoldtrail/control/leader.py
+++ b/marigoldtrail/control/leader.py
@@ -8,11 +8,11 @@
 import msgspec
 
 from marigoldtrail.control.commands import OwnerChange
+from marigoldtrail.control.host_list import LeavingHosts
 from marigoldtrail.control.machine import ConfigMachine
 from marigoldtrail.control.membership import Membership
 from marigoldtrail.control.owners import OWNER_LEASE_S, plan_owner_changes
 from marigoldtrail.control.partitions import partition_of
-from marigoldtrail.control.host_list import LeavingHosts
 from marigoldtrail.control.upstreams import UpstreamBoard
 from marigoldtrail.schema.generated.control import NodeStatus, Sync, SyncReply, UpstreamStatus
 from marigoldtrail.schema.generated.manifest import Manifest, Upstream
--- a/marigoldtrail/control/service.py
+++ b/marigoldtrail/control/service.py
@@ -16,10 +16,10 @@
     PutService,
     encode_command,
 )
+from marigoldtrail.control.host_list import ReadHosts
 from marigoldtrail.control.leader import LeaderState
 from marigoldtrail.control.machine import ConfigMachine
 from marigoldtrail.control.orders import OrderKeeper, SendOrder
-from marigoldtrail.control.host_list import ReadHosts
 from marigoldtrail.control.validation import MAX_NUMBER, check_manifest
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Handlers
--- a/marigoldtrail/schema/documents.py
+++ b/marigoldtrail/schema/documents.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import functools
+import ipaddress
 import json
 from importlib import resources
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
-import jsonschema
 import msgspec
 
 from marigoldtrail.schema.generated.manifest import Manifest
 from marigoldtrail.schema.generated.settings import Settings
+from marigoldtrail.schema.generated.site import SiteSettings
+
+if TYPE_CHECKING:
+    import jsonschema
 
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
 MAX_DEPTH = 32
@@ -143,6 +147,9 @@
 
 @functools.cache
 def _validator(name: str) -> jsonschema.Draft202012Validator:
+    # Loaded with the first document that a person has written: it takes 6 MB.
+    import jsonschema
+
     return jsonschema.Draft202012Validator(load_schema(name))
 
 
@@ -253,6 +260,66 @@
     return faults
 
 
+def parse_site_settings(data: bytes, source: str = "settings") -> SiteSettings | list[Fault]:
+    """
+    Parse the settings of a host of a fleet that finds its members by seeds.
+
+    Parameters
+    ----------
+    data : bytes
+        The settings, UTF-8 JSON.
+    source : str
+        Name of the file for faults.
+
+    Returns
+    -------
+    SiteSettings or list of Fault
+        The settings, or all their faults.
+    """
+    try:
+        settings: SiteSettings | list[Fault] = msgspec.json.decode(data, type=SiteSettings)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        # The validator names all faults; without one it need not be loaded.
+        settings = parse_document(data, "site", SiteSettings, source)
+    if isinstance(settings, list):
+        return settings
+    needed = {
+        "entry": ("request_address", "ready_address"),
+        "control": ("operator_address", "lookup_address", "data_folder"),
+    }
+    faults = [
+        Fault(source=source, path=f"$.{name}", value="", message=f"needed for {settings.role!r}")
+        for name in needed[settings.role]
+        if not getattr(settings, name)
+    ]
+    for name in ("request_address", "ready_address", "operator_address", "lookup_address"):
+        value = getattr(settings, name)
+        if value and not _is_address(value):
+            message = f"{value!r} is not an IP address and port"
+            faults.append(Fault(source=source, path=f"$.{name}", value=value, message=message))
+    for index, seed in enumerate(settings.seeds):
+        if not _is_address(seed):
+            message = f"{seed!r} is not an IP address and port"
+            path = f"$.seeds[{index}]"
+            faults.append(Fault(source=source, path=path, value=seed, message=message))
+    return faults or settings
+
+
+def _is_address(text: str) -> bool:
+    ip, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(ip.strip("[]"))
+    except ValueError:
+        return False
+    return port.isdecimal() and 0 < int(port) < 65536
+
+
+def is_site_settings(data: bytes) -> bool:
+    """Tell whether a file holds settings for a fleet that finds its members by seeds."""
+    value = decode_json(data, "settings")
+    return isinstance(value, dict) and "seeds" in value
+
+
 def read_settings(path: str | Path) -> Settings | list[Fault]:
     """
     Read the settings file of a node.
--- a/marigoldtrail/site/launch.py
+++ b/marigoldtrail/site/launch.py
@@ -8,11 +8,11 @@
 import sys
 from pathlib import Path
 
-import msgspec
 import trio
 
 from marigoldtrail.errors import Failure
 from marigoldtrail.net import TcpNetwork
+from marigoldtrail.schema import parse_site_settings
 from marigoldtrail.schema.generated.site import SiteSettings
 from marigoldtrail.site.adapter import Adapter
 from marigoldtrail.site.control_host import ControlHost
@@ -45,11 +45,13 @@
     if not path:
         return "no settings file is named"
     try:
-        return msgspec.json.decode(Path(path).read_bytes(), type=SiteSettings)
+        data = Path(path).read_bytes()
     except OSError as exc:
         return f"{path}: {exc.strerror}"
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        return f"{path}: {exc}"
+    settings = parse_site_settings(data, path)
+    if isinstance(settings, list):
+        return "\n".join(str(fault) for fault in settings)
+    return settings
 
 
 def run_site(path: str, adapter: Adapter) -> int:
--- /dev/null
+++ b/marigoldtrail/site/tests/test_settings.py
@@ -0,0 +1,75 @@
+"""Settings of hosts on the platform."""
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from marigoldtrail.cli.app import app
+from marigoldtrail.schema import parse_site_settings
+from marigoldtrail.site.launch import read_settings
+
+GOOD = {
+    "host": "front-1",
+    "role": "entry",
+    "data_centre": "a",
+    "region": "r",
+    "ip": "10.0.0.1",
+    "request_address": "10.0.0.1:80",
+    "ready_address": "10.0.0.1:81",
+    "internal_ports": [7740, 7755],
+    "seeds": ["10.0.0.2:8628"],
+    "upstream_list": {"address": "10.9.0.1:80"},
+    "bounds": {},
+}
+TEMPLATE = Path(__file__).parents[3] / "deploy" / "host.json"
+
+
+@pytest.mark.parametrize(
+    ("change", "path"),
+    [
+        ({"role": "cook"}, "$.role"),
+        ({"request_address": ""}, "$.request_address"),
+        ({"role": "control", "data_folder": "/d", "lookup_address": "10.0.0.1:1"}, "$.operator"),
+        ({"seeds": ["nowhere"]}, "$.seeds[0]"),
+        ({"internal_ports": [1]}, "$.internal_ports"),
+        ({"colour": 1}, "colour"),
+        ({"ready_address": "10.0.0.1:99999"}, "$.ready_address"),
+    ],
+)
+def test_faulty_settings_are_named(tmp_path, change, path):
+    """Guards against a host that starts with settings that it can't work with."""
+    file = tmp_path / "node.json"
+    file.write_text(json.dumps({**GOOD, **change}))
+    faults = read_settings(str(file))
+    assert isinstance(faults, str) and path in faults and str(file) in faults
+    result = CliRunner().invoke(app, ["settings", "check", str(file)])
+    assert result.exit_code == 2 and path in result.output
+
+
+def test_good_settings_are_read(tmp_path):
+    """Guards against settings that are refused without a fault."""
+    file = tmp_path / "node.json"
+    file.write_text(json.dumps(GOOD))
+    assert read_settings(str(file)).host == "front-1"
+    result = CliRunner().invoke(app, ["settings", "check", str(file), "--json"])
+    assert result.exit_code == 0 and json.loads(result.output)["role"] == "entry"
+    assert isinstance(read_settings(str(tmp_path / "none.json")), str)
+    assert isinstance(read_settings(""), str)
+
+
+def test_template_has_only_known_fields():
+    """Guards against a field of the template that no host reads, or one that is missing."""
+    text = TEMPLATE.read_text()
+    filled = re.sub(r'"\{\{[^}]*\}\}(:\d+)?"', '"10.0.0.1:80"', text)
+    filled = re.sub(r"\{\{(internal_ports)\|json\}\}", "[1, 2]", filled)
+    filled = re.sub(r"\{\{seeds\|json\}\}", '["10.0.0.1:1"]', filled)
+    filled = re.sub(r"\{\{bootstrap\|json\}\}", "true", filled)
+    filled = re.sub(r"\{\{role\|json\}\}", '"entry"', filled)
+    filled = re.sub(r"\{\{(node_name|zone|region|ip)\|json\}\}", '"10.0.0.1"', filled)
+    filled = re.sub(r"\{\{[^}]*\|json\}\}", "1", filled)
+    settings = parse_site_settings(filled.encode())
+    assert not isinstance(settings, list), settings
+    assert set(json.loads(filled)) == set(settings.__struct_fields__)
