--- a/marigoldtrail/pieces/client.py
+++ b/marigoldtrail/pieces/client.py
@@ -162,11 +162,17 @@
                 continue
             if reply.reason not in (Reason.UNREACHABLE, Reason.STOPPING):
                 break
-            self._suspects[host] = self._timers.now() + SUSPECT_S
-            _log.warning("scheduler lost: %s", reply, extra={"subject": host})
+            self._suspect(host, str(reply))
             await self._timers.sleep(PAUSE_S)
         return failure
 
+    def _suspect(self, host: str, why: str) -> None:
+        """Ask other schedulers for a while; logged once while it lasts."""
+        now = self._timers.now()
+        if self._suspects.get(host, 0.0) <= now:
+            _log.warning("scheduler lost: %s", why, extra={"subject": host})
+        self._suspects[host] = now + SUSPECT_S
+
     async def _call(self, host: str, request: RunStages, timeout_s: float) -> StagesReply | Failure:
         calls = self._calls.get(host)
         if calls is None:
@@ -194,7 +200,7 @@
                 self._names[host], Pulse(), PulseReply, timeout_s=PULSE_TIMEOUT_S
             )
             if isinstance(reply, Failure):
-                self._suspects[host] = self._timers.now() + SUSPECT_S
+                self._suspect(host, str(reply))
                 for scope in list(calls):
                     scope.cancel()
         del self._calls[host]
--- a/marigoldtrail/relay/board.py
+++ b/marigoldtrail/relay/board.py
@@ -46,6 +46,7 @@
         "rated_at",
         "duration_s",
         "timed_at",
+        "is_cold",
         "cold_next_at",
     )
 
@@ -60,6 +61,7 @@
         self.rated_at = now
         self.duration_s = 0.0
         self.timed_at = now
+        self.is_cold = False
         self.cold_next_at = 0.0
 
 
@@ -69,6 +71,8 @@
 
     Parameters
     ----------
+    host : str
+        Name of this entry.
     picture : FleetPicture
         Upstreams of the fleet, and the loads of the other entries.
     data_centre : str
@@ -77,9 +81,12 @@
         Clock.
     """
 
-    __slots__ = ("_picture", "_data_centre", "_timers", "_records")
+    __slots__ = ("_host", "_picture", "_data_centre", "_timers", "_records")
 
-    def __init__(self, *, picture: FleetPicture, data_centre: str, timers: Timers) -> None:
+    def __init__(
+        self, *, host: str, picture: FleetPicture, data_centre: str, timers: Timers
+    ) -> None:
+        self._host = host
         self._picture = picture
         self._data_centre = data_centre
         self._timers = timers
@@ -178,16 +185,30 @@
         return {name for name, record in self._records.items() if record.ejected_until > now}
 
     def _accepts_cold(self, upstream: Upstream, service: Service, now: float) -> bool:
+        record = self.record(upstream.name)
         if upstream.cold_until <= now or not service.cold_rate:
+            record.is_cold = False
             return True
-        return self.record(upstream.name).cold_next_at <= now
+        if not record.is_cold:
+            # All entries learn of it at the same time; they begin one after the other.
+            record.is_cold = True
+            record.cold_next_at = now + self._cold_interval_s(service) * self._turn()
+        return record.cold_next_at <= now
+
+    def _cold_interval_s(self, service: Service) -> float:
+        """Return the seconds between two requests of one entry to a cold upstream."""
+        return self._picture.entry_count() / (service.cold_rate * COLD_SHARE)
+
+    def _turn(self) -> float:
+        """Return the place of this entry among all entries, from 0 to 1."""
+        names = [host.host for host in self._picture.hosts if host.role == "entry"]
+        return names.index(self._host) / len(names) if self._host in names else 0.0
 
     def note_sent(self, upstream: Upstream, service: Service) -> None:
         """Count a request against the limit of a cold upstream, of which each entry has a share."""
         now = self._timers.now()
         if upstream.cold_until > now and service.cold_rate:
-            rate = service.cold_rate * COLD_SHARE / self._picture.entry_count()
-            self.record(upstream.name).cold_next_at = now + 1 / rate
+            self.record(upstream.name).cold_next_at = now + self._cold_interval_s(service)
 
     def _usual_duration(self, upstreams: list[Upstream]) -> float:
         known = sorted(d for u in upstreams if (d := self.record(u.name).duration_s))
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -68,7 +68,9 @@
         self.endpoint = endpoint
         self.pool = ConnectionPool(network=endpoint, timers=self.timers, dialect=DIALECT)
         peers = PeerClient(network=endpoint, host="entry", nursery=nursery)
-        self.board = UpstreamBoard(picture=self.picture, data_centre="a", timers=self.timers)
+        self.board = UpstreamBoard(
+            host="entry", picture=self.picture, data_centre="a", timers=self.timers
+        )
         self.relay = Relay(
             host="entry",
             data_centre="a",
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -37,7 +37,10 @@
     def __init__(self, *, parts: SiteParts) -> None:
         self.parts = parts
         self.board = UpstreamBoard(
-            picture=parts.picture, data_centre=parts.cfg.data_centre, timers=parts.timers
+            host=parts.cfg.host,
+            picture=parts.picture,
+            data_centre=parts.cfg.data_centre,
+            timers=parts.timers,
         )
         self.relay = Relay(
             host=parts.cfg.host,
