--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -16,7 +16,7 @@
 from marigoldtrail.routing import PieceSpec, Upstream
 
 # Large results are worth a short wait for an upstream in the reader's data centre.
-LOCAL_WAIT_S = 0.4
+LOCAL_WAIT_S = 0.25
 # Results take a little more room than their stated size.
 SIZE_MARGIN = 1.06
 # Jobs are divided among calls while more calls than these are waiting.
@@ -59,9 +59,11 @@
     yield_s : float
         Seconds by which the request yields to more urgent ones.
     data_centre : str
-        Where the results are read.
+        Where the results are read, or where those that it reads lie; empty if that does not matter.
     result_bytes : int
         Size of a result.
+    moved_bytes : int
+        Bytes that cross data centres if the job is not worked on in `data_centre`.
     """
 
     __slots__ = (
@@ -75,6 +77,7 @@
         "yield_s",
         "data_centre",
         "result_bytes",
+        "moved_bytes",
         "handles",
         "is_begun",
         "missing",
@@ -97,6 +100,7 @@
         yield_s: float,
         data_centre: str,
         result_bytes: int,
+        moved_bytes: int,
         queued_at: float,
     ) -> None:
         self.request_id = request_id
@@ -109,6 +113,7 @@
         self.yield_s = yield_s
         self.data_centre = data_centre
         self.result_bytes = result_bytes
+        self.moved_bytes = moved_bytes
         self.queued_at = queued_at
         self.handles: list[str] = [""] * count
         self.is_begun = False
@@ -357,8 +362,12 @@
             return True
         if now >= job.queued_at + LOCAL_WAIT_S:
             return True
+        count = min(len(job.handles), self.spec.batch)
+        own_s = self.duration_s(worker, count, now)
         waits = [
-            max(0.0, other.busy_until - now) if other.is_busy else 0.0
+            (max(0.0, other.busy_until - now) if other.is_busy else 0.0)
+            + self.duration_s(other, count, now)
+            - own_s
             for other in self.workers.values()
             if other.upstream.data_centre == job.data_centre and other.paused_until <= now
         ]
@@ -428,5 +437,5 @@
 
 
 def is_large(job: PieceJob) -> bool:
-    """Tell whether the results of a job should not cross between data centres."""
-    return job.result_bytes >= LARGE_RESULT_BYTES
+    """Tell whether a job should be worked on in its data centre, even after a short wait."""
+    return job.moved_bytes >= LARGE_RESULT_BYTES
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -213,6 +213,12 @@
             for item in request.stages
             if (found := self._runner.scheduler(item.service)) is not None
         ]
+        moved_bytes = stage.result_bytes
+        if inputs:
+            # Each piece reads all inputs, so that they are moved many times.
+            bytes_in = self._runner.bytes_by_data_centre(set(inputs))
+            moved_bytes = sum(bytes_in.values()) * stage.count
+            data_centre = max(bytes_in, key=lambda name: bytes_in[name], default="")
         rest_s = path_s(request.stages, work, number)
         job = PieceJob(
             request_id=request.request_id,
@@ -226,6 +232,7 @@
             yield_s=request.yield_ms / 1000,
             data_centre=data_centre,
             result_bytes=stage.result_bytes,
+            moved_bytes=moved_bytes,
             queued_at=now,
         )
         self._jobs.setdefault(request.request_id, []).append(job)
--- a/marigoldtrail/pieces/tests/test_scheduler.py
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -35,6 +35,7 @@
         yield_s=fields.get("yield_s", 0.0),
         data_centre=data_centre,
         result_bytes=size,
+        moved_bytes=fields.get("moved", size),
         queued_at=queued_at,
     )
 
@@ -113,6 +114,17 @@
     assert taken(scheduler.plan(1.0)) == {"w0": ["small"]}
 
 
+def test_stage_is_done_where_the_results_that_it_reads_lie():
+    """Guards against inputs that each piece of a stage fetches from another data centre."""
+    scheduler = make_scheduler("a", "b")
+    scheduler.workers["w1"].is_busy = True
+    scheduler.workers["w1"].busy_until = 0.1
+    scheduler.add(make_job("one", 2, size=100, data_centre="b", moved=7 * MB))
+    assert scheduler.plan(0.0) == []
+    scheduler.workers["w1"].is_busy = False
+    assert taken(scheduler.plan(0.1)) == {"w1": ["one"] * 2}
+
+
 def test_slow_upstream_gets_no_work_that_a_fast_one_would_finish_sooner():
     """Guards against a request held up for a second by an upstream that has become slow."""
     scheduler = make_scheduler("a", "a")
