Admit shorter backlogs; do not wait for near upstreams when more than a call each is waiting

Cause: in a burst of 5 s the backlog of 2.5 s made nearly all requests late, and upstreams stood idle for work of other data centres.

--- a/marigoldtrail/pieces/admission.py
+++ b/marigoldtrail/pieces/admission.py
@@ -15,7 +15,7 @@
 from marigoldtrail.schema.generated.pieces import StageRequest
 
 # Results are kept for a few seconds only, so that stages must not wait for longer between two.
-MAX_BACKLOG_S = 2.5
+MAX_BACKLOG_S = 1.3
 
 
 class StageWork(msgspec.Struct, kw_only=True, frozen=True):
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -97,7 +97,11 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             while True:
-                self._dispatch()
+                try:
+                    self._dispatch()
+                except Exception:
+                    # Without the scheduler the host still serves the configuration.
+                    _log.exception("calls were not planned")
                 now = self._timers.now()
                 waits = [s.next_change(now) for s in self._schedulers.values() if s.waiting]
                 await self._wake.wait_for(min([UPSTREAMS_INTERVAL_S, *waits]))
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -357,10 +357,14 @@
                 return True
         return False
 
+    def _is_behind(self) -> bool:
+        """Tell whether more waits than one call of each worker; then no worker may be idle."""
+        return len(self.waiting) > self.spec.batch * len(self.workers)
+
     def _suits(self, job: PieceJob, worker: Worker, now: float) -> bool:
         if job.data_centre in ("", worker.upstream.data_centre) or not is_large(job):
             return True
-        if now >= job.queued_at + LOCAL_WAIT_S:
+        if now >= job.queued_at + LOCAL_WAIT_S or self._is_behind():
             return True
         count = min(len(job.handles), self.spec.batch)
         own_s = self.duration_s(worker, count, now)
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -18,9 +18,9 @@
 
 ROUTE_RANKS = 3
 # By the rank of the route: estimates of waiting leave out what arrives later and is more urgent.
-WAIT_SHARES = (0.7, 0.6, 0.5)
+WAIT_SHARES = (0.7, 0.7, 0.5)
 # Neighbouring ranks differ little; the last one yields to all requests that can be on time.
-YIELDS_S = (0.0, 0.6, 1.3)
+YIELDS_S = (0.0, 0.2, 1.3)
 ACCOUNT_YIELD_S = 1.5
 
 
