--- a/marigoldtrail/pieces/tests/test_scheduler.py
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -1,5 +1,12 @@
 """Which upstream works on which pieces, and which stages may begin."""
 
+from marigoldtrail.pieces.admission import (
+    MAX_BACKLOG_S,
+    StageWork,
+    judge_demand,
+    path_s,
+    stage_work,
+)
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
 from marigoldtrail.pieces.scheduler import MAX_TRIES, PieceJob, PieceScheduler
 from marigoldtrail.routing import PieceSpec, Upstream
@@ -193,3 +200,41 @@
     assert graph.take_startable() == [1]
     graph.finish(1, ["r1"])
     assert graph.take_startable() == [0, 2]
+
+
+def test_no_upstream_is_idle_for_work_of_other_data_centres_under_load():
+    """Guards against capacity that is lost in a burst while pieces wait for a near upstream."""
+    scheduler = make_scheduler("a", "b")
+    near = scheduler.workers["w1"]
+    near.is_busy, near.busy_until = True, 0.1
+    for number in range(3):
+        scheduler.add(make_job(f"id-{number}", 3, size=MB, data_centre="b"))
+    assert len(scheduler.plan(0.0)) == 1
+
+
+def test_stages_that_would_wait_for_too_long_are_refused():
+    """Guards against a burst in which all requests wait and all are late."""
+    scheduler = make_scheduler("a", "a")
+    stage = StageRequest(service="s", count=2)
+    alone = stage_work(scheduler, stage, 0.0, 0)
+    assert alone.backlog_s == 0 and judge_demand([alone], alone.own_s, 2.0) <= 0
+    scheduler.planned[1] += 60
+    behind = stage_work(scheduler, stage, 0.0, 1)
+    assert behind.backlog_s > MAX_BACKLOG_S
+    assert judge_demand([behind], behind.own_s, 100.0) > 0
+    # What is less urgent does not hold an urgent request up.
+    assert stage_work(scheduler, stage, 0.0, 0).backlog_s == 0
+    late_s = judge_demand([alone], alone.own_s, 2.0, wait_share=0.1)
+    assert late_s > 0
+
+
+def test_chain_of_stages_takes_the_sum_of_their_times():
+    """Guards against a chain that is taken for one stage, and so begins too late."""
+    stages = [
+        StageRequest(service="a", count=1),
+        StageRequest(service="b", count=1, after=[0]),
+        StageRequest(service="c", count=1),
+    ]
+    work = [StageWork(own_s=seconds, backlog_s=0.0) for seconds in (0.2, 0.3, 0.4)]
+    assert path_s(stages, work) == 0.5
+    assert path_s(stages, work, 1) == 0.3
