Decide on pieces by job, and measure the stages of a request once

The queue was filtered and sorted piece by piece with the same result for each piece of a job, the end of a worker's next call was worked out in two places, and each queued stage measured all stages again. Behaviour is the same, but for a stage without pieces whose service works on none: the way through the stages is no longer taken as 0 then.

--- a/marigoldtrail/pieces/admission.py
+++ b/marigoldtrail/pieces/admission.py
@@ -35,15 +35,15 @@
 
 
 def stage_work(
-    scheduler: PieceScheduler, stage: StageRequest, now: float, priority: int
+    scheduler: PieceScheduler | None, stage: StageRequest, now: float, priority: int
 ) -> StageWork:
     """
     Describe what a stage has to wait for.
 
     Parameters
     ----------
-    scheduler : PieceScheduler
-        Scheduler of its service.
+    scheduler : PieceScheduler or None
+        Scheduler of its service; None if the service does not work on pieces.
     stage : StageRequest
         The stage.
     now : float
@@ -56,7 +56,7 @@
     StageWork
         Nothing to wait for if the stage has no pieces.
     """
-    if not stage.count:
+    if scheduler is None or not stage.count:
         return StageWork(own_s=0.0, backlog_s=0.0)
     spec = scheduler.spec
     own_s = spec.call_s + min(stage.count, spec.batch) * spec.item_s
@@ -83,8 +83,6 @@
     float
         Time of the stage and of the longest chain of stages that follow it.
     """
-    if len(work) < len(stages):
-        return 0.0
     if number is None:
         return max((path_s(stages, work, n) for n in range(len(stages))), default=0.0)
     later = [path_s(stages, work, n) for n, s in enumerate(stages) if number in s.after]
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -303,23 +303,23 @@
         if self._would_finish_sooner_elsewhere(worker, now):
             return []
         near = worker.upstream.data_centre
-        wanted = sorted(
-            (piece for piece in self.waiting if self._suits(piece.job, worker, now)),
-            key=lambda piece: (
-                piece.job.order(now)[0],
-                piece.job.data_centre != near and is_large(piece.job),
-                piece.job.order(now)[1],
-            ),
-        )
+
+        def place(pieces: list[Piece]) -> tuple[bool, bool, float]:
+            job = pieces[0].job
+            is_last, time = job.order(now)
+            return is_last, job.data_centre != near and is_large(job), time
+
+        groups = group_by_job(self.waiting)
+        wanted = sorted((g for g in groups if self._suits(g[0].job, worker, now)), key=place)
         taken = self._fill(worker, wanted)
-        chosen = set(map(id, taken))
-        self.waiting = [piece for piece in self.waiting if id(piece) not in chosen]
+        chosen = set(taken)
+        self.waiting = [piece for piece in self.waiting if piece not in chosen]
         for piece in taken:
             piece.tries += 1
             piece.job.is_begun = True
         return taken
 
-    def _fill(self, worker: Worker, wanted: list[Piece]) -> list[Piece]:
+    def _fill(self, worker: Worker, wanted: list[list[Piece]]) -> list[Piece]:
         """
         Choose pieces that fit one call and the room for its results.
 
@@ -328,17 +328,18 @@
         """
         room = self.spec.room_bytes or float("inf")
         used = sum(worker.room.values()) * SIZE_MARGIN
-        may_split = len(wanted) > SPLIT_CALLS * self.spec.batch
+        may_split = sum(map(len, wanted)) > SPLIT_CALLS * self.spec.batch
         taken: list[Piece] = []
-        for pieces in group_by_job(wanted):
-            size = max(1.0, pieces[0].job.result_bytes * SIZE_MARGIN)
+        for pieces in wanted:
+            job = pieces[0].job
+            size = max(1.0, job.result_bytes * SIZE_MARGIN)
             places = self.spec.batch - len(taken)
             fitting = max(0, int(min(places, (room - used) / size)))
             whole = min(len(pieces), places)
-            if fitting < whole and not (pieces[0].job.is_begun or not worker.room):
+            if fitting < whole and worker.room and not job.is_begun:
                 # A part of the job would only hold the room that the rest waits for.
                 continue
-            if whole < len(pieces) and taken and not (may_split or pieces[0].job.is_begun):
+            if whole < len(pieces) and taken and not (may_split or job.is_begun):
                 continue
             part = pieces[:fitting]
             taken += part
@@ -347,13 +348,17 @@
                 break
         return taken
 
+    def _done_in_s(self, worker: Worker, count: int, now: float) -> float:
+        """Return the seconds in which a worker would be done with pieces given to it next."""
+        wait_s = max(0.0, worker.busy_until - now) if worker.is_busy else 0.0
+        return wait_s + self.duration_s(worker, count, now)
+
     def _would_finish_sooner_elsewhere(self, worker: Worker, now: float) -> bool:
         own_s = self.duration_s(worker, 1, now)
         for other in self.workers.values():
             if other is worker or other.paused_until > now:
                 continue
-            wait_s = max(0.0, other.busy_until - now) if other.is_busy else 0.0
-            if wait_s + self.duration_s(other, 1, now) < own_s * 0.8:
+            if self._done_in_s(other, 1, now) < own_s * 0.8:
                 return True
         return False
 
@@ -369,9 +374,7 @@
         count = min(len(job.handles), self.spec.batch)
         own_s = self.duration_s(worker, count, now)
         waits = [
-            (max(0.0, other.busy_until - now) if other.is_busy else 0.0)
-            + self.duration_s(other, count, now)
-            - own_s
+            self._done_in_s(other, count, now) - own_s
             for other in self.workers.values()
             if other.upstream.data_centre == job.data_centre and other.paused_until <= now
         ]
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -11,7 +11,7 @@
 from marigoldtrail.consensus.parts import Signal
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Handlers
-from marigoldtrail.pieces.admission import judge_demand, path_s, stage_work
+from marigoldtrail.pieces.admission import StageWork, judge_demand, path_s, stage_work
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
 from marigoldtrail.pieces.placer import EnginePlacer
 from marigoldtrail.pieces.runner import PieceCall, PieceRunner
@@ -96,13 +96,16 @@
     async def _run_stages(self, request: RunStages, sender: str) -> StagesReply | Failure:
         started = self._timers.now()
         expires_at = started + request.left_ms / 1000
-        refusal = self._refuse(request)
+        work = self._measure(request)
+        if isinstance(work, Failure):
+            return work
+        refusal = self._refuse(request, work)
         if refusal is not None:
             return refusal
         data_centre = self._placer.expected_data_centre(request)
         for run in range(1, MAX_RUNS + 1):
             graph = StageGraph(stages=request.stages)
-            failed = await self._run_graph(request, graph, started, data_centre)
+            failed = await self._run_graph(request, graph, work, started, data_centre)
             if failed is None:
                 break
             if failed.failure != GONE or run == MAX_RUNS or self._timers.now() >= expires_at:
@@ -117,8 +120,8 @@
             self._runner.free_later(set(handles), wait_s, LARGE_RESULT_BYTES)
         return StagesReply(handles=handles, upstream=upstream or "")
 
-    def _refuse(self, request: RunStages) -> Failure | None:
-        """Refuse a request whose stages can't be done in time, or that no upstream works on."""
+    def _measure(self, request: RunStages) -> list[StageWork] | Failure:
+        """Return what each stage of a request has to wait for."""
         work = []
         for stage in request.stages:
             scheduler = self._runner.scheduler(stage.service)
@@ -126,8 +129,11 @@
                 # This host has just started, or is a version behind.
                 detail = f"no piece service {stage.service!r} is known yet"
                 return self._failure(Reason.VIEW_NOT_CURRENT, detail)
-            if scheduler is not None:
-                work.append(stage_work(scheduler, stage, self._timers.now(), request.priority))
+            work.append(stage_work(scheduler, stage, self._timers.now(), request.priority))
+        return work
+
+    def _refuse(self, request: RunStages, work: list[StageWork]) -> Failure | None:
+        """Refuse a request whose stages can't be done in time."""
         late_s = judge_demand(
             work,
             path_s(request.stages, work),
@@ -150,7 +156,12 @@
         )
 
     async def _run_graph(
-        self, request: RunStages, graph: StageGraph, started: float, data_centre: str
+        self,
+        request: RunStages,
+        graph: StageGraph,
+        work: list[StageWork],
+        started: float,
+        data_centre: str,
     ) -> PieceJob | None:
         """Run all stages; return the job that failed, if one did."""
         finished: dict[int, PieceJob] = {}
@@ -168,7 +179,7 @@
             async with trio.open_nursery() as nursery:
                 while not graph.is_done():
                     for number in graph.take_startable():
-                        job = self._queue(request, graph, number, started, data_centre)
+                        job = self._queue(request, graph, work, number, started, data_centre)
                         jobs.append(job)
                         nursery.start_soon(wait, job, number)
                     await changed.wait()
@@ -196,6 +207,7 @@
         self,
         request: RunStages,
         graph: StageGraph,
+        work: list[StageWork],
         number: int,
         started: float,
         data_centre: str,
@@ -208,11 +220,6 @@
             for other in stage.after
         )
         scheduler = self._runner.scheduler(stage.service)
-        work = [
-            stage_work(found, item, now, request.priority)
-            for item in request.stages
-            if (found := self._runner.scheduler(item.service)) is not None
-        ]
         moved_bytes = stage.result_bytes
         if inputs:
             # Each piece reads all inputs, so that they are moved many times.
