Call what is there instead of writing it again on the platform's side

One name of the log group, one check of addresses, one POST to replicas, one search for who keeps results; the relay is given its dispatcher instead of passing ten parts on. Removed: a count of connections and two fields that nothing read. The tests of a whole site move to platform/, since they speak its words.

--- a/marigoldtrail/net/__init__.py
+++ b/marigoldtrail/net/__init__.py
@@ -1,6 +1,6 @@
 """Connections between nodes: addresses, frames, calls."""
 
-from marigoldtrail.net.address import Address
+from marigoldtrail.net.address import Address, is_address
 from marigoldtrail.net.client import PeerClient
 from marigoldtrail.net.frames import MAX_FRAME_BYTES, Envelope, FrameStream
 from marigoldtrail.net.network import Network, TcpNetwork
@@ -15,5 +15,6 @@
     "Network",
     "PeerClient",
     "TcpNetwork",
+    "is_address",
     "serve_peers",
 ]
--- a/marigoldtrail/net/address.py
+++ b/marigoldtrail/net/address.py
@@ -56,3 +56,28 @@
 
     def __str__(self) -> str:
         return f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
+
+
+def is_address(text: str) -> bool:
+    """
+    Tell whether a text is the address of a process that can be called.
+
+    Parameters
+    ----------
+    text : str
+        For example ``"127.0.0.1:7000"``.
+
+    Returns
+    -------
+    bool
+        True for an IP number and a port other than 0.
+
+    Examples
+    --------
+    >>> is_address("127.0.0.1:7000"), is_address("127.0.0.1:0"), is_address("localhost:80")
+    (True, False, False)
+    """
+    try:
+        return Address.parse(text).port > 0
+    except ValueError:
+        return False
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -136,13 +136,19 @@
 
     def bytes_by_data_centre(self, handles: set[str]) -> dict[str, int]:
         """Return the size of results in each data centre."""
-        found: dict[str, int] = {}
+        found: Counter[str] = Counter()
+        for worker, kept in self._keepers(handles):
+            found[worker.upstream.data_centre] += sum(worker.room[handle] for handle in kept)
+        return found
+
+    def _keepers(self, handles: set[str]) -> list[tuple[Worker, list[str]]]:
+        """Return the workers that keep some results, each with those that it keeps."""
+        found = []
         for scheduler in self._schedulers.values():
             for worker in scheduler.workers.values():
-                size = sum(worker.room[handle] for handle in handles if handle in worker.room)
-                if size:
-                    data_centre = worker.upstream.data_centre
-                    found[data_centre] = found.get(data_centre, 0) + size
+                kept = [handle for handle in handles if handle in worker.room]
+                if kept:
+                    found.append((worker, kept))
         return found
 
     def free(self, handles: set[str]) -> None:
@@ -150,11 +156,8 @@
         nursery = self._nursery
         if not handles or nursery is None:
             return
-        for scheduler in self._schedulers.values():
-            for worker in scheduler.workers.values():
-                kept = [handle for handle in handles if handle in worker.room]
-                if kept:
-                    nursery.start_soon(self._free_at, worker, kept)
+        for worker, kept in self._keepers(handles):
+            nursery.start_soon(self._free_at, worker, kept)
 
     def free_later(self, handles: set[str], wait_s: float, least_bytes: int) -> None:
         """Free results of at least some size after some seconds."""
@@ -164,10 +167,9 @@
             self.free(handles)
 
         large = any(
-            worker.room.get(handle, 0) >= least_bytes
-            for scheduler in self._schedulers.values()
-            for worker in scheduler.workers.values()
-            for handle in handles
+            worker.room[handle] >= least_bytes
+            for worker, kept in self._keepers(handles)
+            for handle in kept
         )
         if large and self._nursery is not None:
             self._nursery.start_soon(free)
--- a/marigoldtrail/platform/calls.py
+++ b/marigoldtrail/platform/calls.py
@@ -73,25 +73,33 @@
 def make_piece_call(pool: ConnectionPool) -> PieceCall:
     """Return the functions that run pieces and free results."""
 
-    async def run(
-        upstream: Upstream, pieces: list[Piece], lefts: list[float]
-    ) -> list[PieceResult] | Failure:
-        items = [encode_piece(piece, left) for piece, left in zip(pieces, lefts, strict=True)]
+    async def post(
+        upstream: Upstream, target: bytes, value: dict[str, Any], timeout_s: float
+    ) -> bytes | Failure:
         answer = await call_upstream(
             pool,
             upstream,
             method=b"POST",
-            target=b"/-/stage-run",
+            target=target,
             headers=[_JSON, (b"x-expect-instance", upstream.name.encode())],
-            body=_encode({"items": items}),
-            timeout_s=float("inf"),
+            body=_encode(value),
+            timeout_s=timeout_s,
         )
         if isinstance(answer, Failure):
             return answer
         if answer.head.status != 200:
             return _failure(upstream.name, f"status {answer.head.status}")
+        return answer.body
+
+    async def run(
+        upstream: Upstream, pieces: list[Piece], lefts: list[float]
+    ) -> list[PieceResult] | Failure:
+        items = [encode_piece(piece, left) for piece, left in zip(pieces, lefts, strict=True)]
+        body = await post(upstream, b"/-/stage-run", {"items": items}, float("inf"))
+        if isinstance(body, Failure):
+            return body
         try:
-            results = _stage_decoder.decode(answer.body).items
+            results = _stage_decoder.decode(body).items
         except msgspec.MsgspecError as exc:
             return _failure(upstream.name, str(exc))
         if len(results) != len(pieces):
@@ -99,20 +107,8 @@
         return [PieceResult(handle=item.handle, reason=item.reason) for item in results]
 
     async def free(upstream: Upstream, handles: list[str]) -> Failure | None:
-        answer = await call_upstream(
-            pool,
-            upstream,
-            method=b"POST",
-            target=b"/-/stage-free",
-            headers=[_JSON, (b"x-expect-instance", upstream.name.encode())],
-            body=_encode({"handles": handles}),
-            timeout_s=FREE_TIMEOUT_S,
-        )
-        if isinstance(answer, Failure):
-            return answer
-        if answer.head.status != 200:
-            return _failure(upstream.name, f"status {answer.head.status}")
-        return None
+        body = await post(upstream, b"/-/stage-free", {"handles": handles}, FREE_TIMEOUT_S)
+        return body if isinstance(body, Failure) else None
 
     return PieceCall(run=run, free=free)
 
--- a/marigoldtrail/platform/documents.py
+++ b/marigoldtrail/platform/documents.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from marigoldtrail.net import Address
+from marigoldtrail.net import is_address
 from marigoldtrail.routing import (
     ClientAccount,
     EngineSpec,
@@ -275,11 +275,3 @@
         born_ms=item.born,
         version=item.version,
     )
-
-
-def is_address(text: str) -> bool:
-    """Tell whether a text is an IP address and port."""
-    try:
-        return Address.parse(text).port > 0
-    except ValueError:
-        return False
--- a/marigoldtrail/site/tests/test_site.py
+++ b/marigoldtrail/platform/tests/test_site.py
@@ -3,7 +3,7 @@
 import msgspec
 import trio
 
-from marigoldtrail.site.tests.standin import CALLER_IP, DATA_CENTRES, Site, config
+from marigoldtrail.platform.tests.standin import CALLER_IP, DATA_CENTRES, Site, config
 
 
 async def serving_site(nursery, **fields):
@@ -200,7 +200,7 @@
     """Guards against requests that fail with the host that schedules their stages."""
     site = await serving_site(nursery)
     entry = site.hosts[site.entries[0]]
-    scheduler = entry.relay._dispatcher._pieces.scheduler().partition(":")[0]
+    scheduler = entry.pieces.scheduler().partition(":")[0]
     replies = []
 
     async def ask(number):
--- a/marigoldtrail/registry/__init__.py
+++ b/marigoldtrail/registry/__init__.py
@@ -2,12 +2,11 @@
 
 from marigoldtrail.registry.agent import HostAgent
 from marigoldtrail.registry.board import LeaderBoard
-from marigoldtrail.registry.bootstrap import CONFIG_GROUP, PeerNames, found_group, peer_name
+from marigoldtrail.registry.bootstrap import PeerNames, found_group, peer_name
 from marigoldtrail.registry.picture import FleetPicture
 from marigoldtrail.registry.service import RegistryService
 
 __all__ = [
-    "CONFIG_GROUP",
     "FleetPicture",
     "HostAgent",
     "LeaderBoard",
--- a/marigoldtrail/registry/agent.py
+++ b/marigoldtrail/registry/agent.py
@@ -8,9 +8,10 @@
 import msgspec
 
 from marigoldtrail.errors import Failure
+from marigoldtrail.fleet import CONFIG_GROUP
 from marigoldtrail.fleet.leaders import LeaderFinder
 from marigoldtrail.net import PeerClient
-from marigoldtrail.registry.bootstrap import CONFIG_GROUP, PeerNames
+from marigoldtrail.registry.bootstrap import PeerNames
 from marigoldtrail.registry.picture import FleetPicture
 from marigoldtrail.schema.generated.registry import HostReport, HostReportReply, UpstreamLoad
 from marigoldtrail.timers import Timers
--- a/marigoldtrail/registry/bootstrap.py
+++ b/marigoldtrail/registry/bootstrap.py
@@ -7,10 +7,10 @@
 
 from marigoldtrail.consensus import Group, init_fleet
 from marigoldtrail.errors import Failure
+from marigoldtrail.fleet import CONFIG_GROUP
 from marigoldtrail.net import Address, PeerClient
 from marigoldtrail.timers import Timers
 
-CONFIG_GROUP = "config"
 INIT_TIMEOUT_S = 1.0
 INIT_PAUSE_S = 0.1
 
--- a/marigoldtrail/registry/picture.py
+++ b/marigoldtrail/registry/picture.py
@@ -79,10 +79,6 @@
         """Return the version of the configuration in force; 0 before the first one."""
         return self.routes.table.version if self.routes is not None else 0
 
-    def is_out(self, data_centre: str) -> bool:
-        """Tell whether operators have taken a data centre out of service."""
-        return data_centre in self._takeouts
-
     def entry_count(self) -> int:
         """Return the number of entries that serve, at least 1."""
         return max(1, sum(host.role == "entry" for host in self.hosts))
--- a/marigoldtrail/relay/__init__.py
+++ b/marigoldtrail/relay/__init__.py
@@ -3,6 +3,7 @@
 from marigoldtrail.relay.board import UpstreamBoard
 from marigoldtrail.relay.caller import CallerRequest
 from marigoldtrail.relay.connection import UpstreamConnection
+from marigoldtrail.relay.dispatch import Dispatcher
 from marigoldtrail.relay.endpoints import Reply, serve_endpoint
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.relay import Relay
@@ -13,6 +14,7 @@
     "CallerRequest",
     "ConnectionPool",
     "Dialect",
+    "Dispatcher",
     "Forwarding",
     "Headers",
     "Relay",
--- a/marigoldtrail/relay/attempt.py
+++ b/marigoldtrail/relay/attempt.py
@@ -133,7 +133,7 @@
                     await self._pool.give_back(upstream.name, conn)
                 else:
                     # Closing tells the upstream to stop working on the request.
-                    await self._pool.discard(upstream.name, conn)
+                    await conn.aclose()
 
     async def _exchange(
         self,
--- a/marigoldtrail/relay/pool.py
+++ b/marigoldtrail/relay/pool.py
@@ -35,18 +35,13 @@
         Reads the heads of answers.
     """
 
-    __slots__ = ("_network", "_timers", "_dialect", "_idle", "_open")
+    __slots__ = ("_network", "_timers", "_dialect", "_idle")
 
     def __init__(self, *, network: Network, timers: Timers, dialect: Dialect) -> None:
         self._network = network
         self._timers = timers
         self._dialect = dialect
         self._idle: dict[str, list[UpstreamConnection]] = {}
-        self._open: dict[str, int] = {}
-
-    def open_count(self, upstream: str) -> int:
-        """Return the number of open connections to an upstream."""
-        return self._open.get(upstream, 0)
 
     async def take(self, upstream: Upstream, *, may_repeat: bool) -> UpstreamConnection | Failure:
         """
@@ -70,7 +65,7 @@
             if self._is_fresh(conn, may_repeat) and conn.is_quiet():
                 conn.wrote = False
                 return conn
-            await self.discard(upstream.name, conn)
+            await conn.aclose()
         return await self._dial(upstream)
 
     def _is_fresh(self, conn: UpstreamConnection, may_repeat: bool) -> bool:
@@ -84,7 +79,6 @@
         with trio.move_on_after(CONNECT_TIMEOUT_S):
             try:
                 stream = await self._network.dial(Address.parse(upstream.address))
-                self._open[upstream.name] = self.open_count(upstream.name) + 1
                 return UpstreamConnection(
                     stream=stream, upstream=upstream.name, dialect=self._dialect
                 )
@@ -102,28 +96,21 @@
         """Keep a connection for later requests, or close it if it can't be used again."""
         idle = self._idle.setdefault(upstream, [])
         if not conn.is_reusable() or len(idle) >= MAX_IDLE_CONNECTIONS:
-            await self.discard(upstream, conn)
+            await conn.aclose()
             return
         conn.idle_since = self._timers.now()
         idle.append(conn)
 
-    async def discard(self, upstream: str, conn: UpstreamConnection) -> None:
-        """Close a connection."""
-        self._open[upstream] = self.open_count(upstream) - 1
-        if self._open[upstream] <= 0:
-            del self._open[upstream]
-        await conn.aclose()
-
     async def drop_except(self, names: set[str]) -> None:
         """Close the idle connections to all upstreams but these."""
         for name in [name for name in self._idle if name not in names]:
             for conn in self._idle.pop(name):
-                await self.discard(name, conn)
+                await conn.aclose()
 
     async def drop_expired(self) -> None:
         """Close connections that have been idle for so long that they won't be used again."""
         for name, idle in list(self._idle.items()):
             while idle and not self._is_fresh(idle[0], True):
-                await self.discard(name, idle.pop(0))
+                await idle.pop(0).aclose()
             if not idle:
                 self._idle.pop(name, None)
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -10,7 +10,6 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net.client import STREAM_ERRORS
-from marigoldtrail.pieces.client import PieceClient
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.relay.attempt import StreamPassedOn, WholeAnswer
 from marigoldtrail.relay.board import UpstreamBoard
@@ -21,7 +20,6 @@
 from marigoldtrail.relay.types import Dialect, RequestFacts
 from marigoldtrail.routing import Limits
 from marigoldtrail.routing.table import choose_target
-from marigoldtrail.schema.generated.site import Bounds
 from marigoldtrail.telemetry.exposition import Exposition
 from marigoldtrail.timers import Timers
 
@@ -45,24 +43,20 @@
     ----------
     host : str
         Name of this host.
-    data_centre : str
-        Where it is.
     picture : FleetPicture
         Configuration and upstreams.
     board : UpstreamBoard
         Work in progress at the upstreams.
     pool : ConnectionPool
         Connections to the upstreams.
-    pieces : PieceClient
-        Runs the stages.
+    dispatcher : Dispatcher
+        Brings requests to upstreams.
     dialect : Dialect
-        Reads and writes heads.
-    bounds : Bounds
-        Limits for the whole fleet.
+        Reads heads.
     timers : Timers
         Clock.
     rng : random.Random
-        Breaks ties between upstreams.
+        Spreads the times after which callers come back.
     metrics : Exposition
         Counts requests.
     """
@@ -87,13 +81,11 @@
         self,
         *,
         host: str,
-        data_centre: str,
         picture: FleetPicture,
         board: UpstreamBoard,
         pool: ConnectionPool,
-        pieces: PieceClient,
+        dispatcher: Dispatcher,
         dialect: Dialect,
-        bounds: Bounds,
         timers: Timers,
         rng: random.Random,
         metrics: Exposition,
@@ -106,18 +98,7 @@
         self._timers = timers
         self._rng = rng
         self._metrics = metrics
-        self._dispatcher = Dispatcher(
-            data_centre=data_centre,
-            picture=picture,
-            board=board,
-            pool=pool,
-            pieces=pieces,
-            dialect=dialect,
-            bounds=bounds,
-            timers=timers,
-            rng=rng,
-            metrics=metrics,
-        )
+        self._dispatcher = dispatcher
         self._idle: set[trio.CancelScope] = set()
         self._draining = False
         self.connections = 0
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -10,7 +10,7 @@
 from marigoldtrail.pieces import PieceClient
 from marigoldtrail.platform.headers import DIALECT
 from marigoldtrail.registry import FleetPicture
-from marigoldtrail.relay import ConnectionPool, Relay, UpstreamBoard
+from marigoldtrail.relay import ConnectionPool, Dispatcher, Relay, UpstreamBoard
 from marigoldtrail.routing import (
     ClientAccount,
     Limits,
@@ -71,8 +71,8 @@
         self.board = UpstreamBoard(
             host="entry", picture=self.picture, data_centre="a", timers=self.timers
         )
-        self.relay = Relay(
-            host="entry",
+        rng, metrics = random.Random(1), Exposition()
+        dispatcher = Dispatcher(
             data_centre="a",
             picture=self.picture,
             board=self.board,
@@ -83,8 +83,19 @@
             dialect=DIALECT,
             bounds=Bounds(retry_budget_slack=50.0),
             timers=self.timers,
-            rng=random.Random(1),
-            metrics=Exposition(),
+            rng=rng,
+            metrics=metrics,
+        )
+        self.relay = Relay(
+            host="entry",
+            picture=self.picture,
+            board=self.board,
+            pool=self.pool,
+            dispatcher=dispatcher,
+            dialect=DIALECT,
+            timers=self.timers,
+            rng=rng,
+            metrics=metrics,
         )
 
     async def start(self, *scripts):
--- a/marigoldtrail/schema/documents.py
+++ b/marigoldtrail/schema/documents.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import functools
-import ipaddress
 import json
 from importlib import resources
 from pathlib import Path
@@ -11,6 +10,7 @@
 
 import msgspec
 
+from marigoldtrail.net.address import is_address
 from marigoldtrail.schema.generated.manifest import Manifest
 from marigoldtrail.schema.generated.settings import Settings
 from marigoldtrail.schema.generated.site import SiteSettings
@@ -294,26 +294,17 @@
     ]
     for name in ("request_address", "ready_address", "operator_address", "lookup_address"):
         value = getattr(settings, name)
-        if value and not _is_address(value):
+        if value and not is_address(value):
             message = f"{value!r} is not an IP address and port"
             faults.append(Fault(source=source, path=f"$.{name}", value=value, message=message))
     for index, seed in enumerate(settings.seeds):
-        if not _is_address(seed):
+        if not is_address(seed):
             message = f"{seed!r} is not an IP address and port"
             path = f"$.seeds[{index}]"
             faults.append(Fault(source=source, path=path, value=seed, message=message))
     return faults or settings
 
 
-def _is_address(text: str) -> bool:
-    ip, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(ip.strip("[]"))
-    except ValueError:
-        return False
-    return port.isdecimal() and 0 < int(port) < 65536
-
-
 def is_site_settings(data: bytes) -> bool:
     """Tell whether a file holds settings for a fleet that finds its members by seeds."""
     value = decode_json(data, "settings")
--- a/marigoldtrail/site/control_host.py
+++ b/marigoldtrail/site/control_host.py
@@ -9,9 +9,10 @@
 
 from marigoldtrail.consensus import GroupSet
 from marigoldtrail.control.machine import ConfigMachine
+from marigoldtrail.fleet import CONFIG_GROUP
 from marigoldtrail.net import Address, serve_peers
 from marigoldtrail.pieces import PieceService
-from marigoldtrail.registry import CONFIG_GROUP, PeerNames, RegistryService, found_group
+from marigoldtrail.registry import PeerNames, RegistryService, found_group
 from marigoldtrail.routing import Limits
 from marigoldtrail.site.lookup import make_entry_finder
 from marigoldtrail.site.operations import Operations
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -9,7 +9,7 @@
 
 from marigoldtrail.net import Address
 from marigoldtrail.pieces import PieceClient
-from marigoldtrail.relay import Relay, UpstreamBoard
+from marigoldtrail.relay import Dispatcher, Relay, UpstreamBoard
 from marigoldtrail.routing import Limits
 from marigoldtrail.site.parts import SiteParts
 
@@ -32,7 +32,7 @@
         Parts of the host.
     """
 
-    __slots__ = ("parts", "board", "relay", "_draining")
+    __slots__ = ("parts", "board", "pieces", "relay", "_draining")
 
     def __init__(self, *, parts: SiteParts) -> None:
         self.parts = parts
@@ -42,25 +42,36 @@
             data_centre=parts.cfg.data_centre,
             timers=parts.timers,
         )
-        self.relay = Relay(
-            host=parts.cfg.host,
+        self.pieces = PieceClient(
+            picture=parts.picture,
+            peers=parts.peers,
+            timers=parts.timers,
+            nursery=parts.nursery,
+            seeds=parts.seed_names(),
+        )
+        dispatcher = Dispatcher(
             data_centre=parts.cfg.data_centre,
             picture=parts.picture,
             board=self.board,
             pool=parts.pool,
-            pieces=PieceClient(
-                picture=parts.picture,
-                peers=parts.peers,
-                timers=parts.timers,
-                nursery=parts.nursery,
-                seeds=parts.seed_names(),
-            ),
+            pieces=self.pieces,
             dialect=parts.adapter.dialect,
             bounds=parts.cfg.bounds,
             timers=parts.timers,
             rng=parts.rng,
             metrics=parts.metrics,
         )
+        self.relay = Relay(
+            host=parts.cfg.host,
+            picture=parts.picture,
+            board=self.board,
+            pool=parts.pool,
+            dispatcher=dispatcher,
+            dialect=parts.adapter.dialect,
+            timers=parts.timers,
+            rng=parts.rng,
+            metrics=parts.metrics,
+        )
         parts.metrics.add_gauge(
             "requests_in_progress", "Requests in progress.", lambda: self.relay.requests
         )
--- a/marigoldtrail/site/operations.py
+++ b/marigoldtrail/site/operations.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 
 from marigoldtrail.errors import Failure
+from marigoldtrail.fleet import CONFIG_GROUP
 from marigoldtrail.fleet.leaders import LeaderFinder
-from marigoldtrail.registry import CONFIG_GROUP, FleetPicture
+from marigoldtrail.registry import FleetPicture
 from marigoldtrail.schema.generated.registry import (
     GetRoutes,
     RoutesOutcome,
--- a/marigoldtrail/telemetry/exposition.py
+++ b/marigoldtrail/telemetry/exposition.py
@@ -25,7 +25,7 @@
     True
     """
 
-    __slots__ = ("_registry", "_requests", "_latency", "_sends", "_pieces", "_routes", "_gauges")
+    __slots__ = ("_registry", "_requests", "_latency", "_sends", "_pieces", "_routes")
 
     def __init__(self) -> None:
         registry = CollectorRegistry()
@@ -47,7 +47,6 @@
             "pieces", "Pieces of stages by outcome.", ["outcome"], registry=registry
         )
         self._routes: set[str] = set()
-        self._gauges: list[Gauge] = []
 
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """
@@ -60,9 +59,7 @@
         read : callable
             Returns the value when the metrics are read.
         """
-        gauge = Gauge(name, text, registry=self._registry)
-        gauge.set_function(read)
-        self._gauges.append(gauge)
+        Gauge(name, text, registry=self._registry).set_function(read)
 
     def count_request(self, route: str, outcome: str, latency_s: float | None) -> None:
         """
--- a/marigoldtrail/telemetry/lines.py
+++ b/marigoldtrail/telemetry/lines.py
@@ -39,7 +39,6 @@
         "_second",
         "_written",
         "_warned",
-        "_partial",
     )
 
     def __init__(self, *, fd: int) -> None:
