--- a/marigoldtrail/cli/tests/pages.py
+++ b/marigoldtrail/cli/tests/pages.py
@@ -5,15 +5,16 @@
 import re
 import shlex
 import subprocess
-import time
 from pathlib import Path
 from typing import Any
 
 import msgspec
+import trio
 from typer.testing import CliRunner
 
 from marigoldtrail.cli import app
 from marigoldtrail.cli.exits import ExitCode
+from marigoldtrail.timers import Timers
 
 ROOT = Path(__file__).parents[3]
 BLOCK = re.compile(r"^```console\n(.*?)^```$", re.M | re.S)
@@ -108,7 +109,8 @@
         result = run_program(arguments, api)
         if result.exit_code == command.code or result.exit_code != passing:
             break
-        time.sleep(REPEAT_PAUSE_S)
+        # Pages run in a thread of the test's event loop.
+        trio.from_thread.run(Timers().sleep, REPEAT_PAUSE_S)
     return result
 
 
