Fade the speed of a stage upstream between its calls, and take jumps at once

The host of the scheduler stood still for 6 s, so that calls in progress were timed at 20 times their duration. Each later call of normal speed lowered the stored value by 30% and started its fading anew, and an upstream counted as slow was left idle beside 40 waiting pieces: two of four upstreams made 5 calls in 15 s. Ruled out: room for results (0 MB used at both), ejections (none logged), leaving upstreams. A call longer than its own time limit now measures nothing, since only a pause of this process can explain it; a jump of the speed is taken at once in both directions; a slow upstream helps while the others need longer for the queue.

--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -197,7 +197,8 @@
             peer=worker.upstream.name,
             detail="no answer in time",
         )
-        with trio.move_on_after(expected_s * CALL_PATIENCE + CALL_SLACK_S):
+        limit_s = expected_s * CALL_PATIENCE + CALL_SLACK_S
+        with trio.move_on_after(limit_s):
             try:
                 results = await self._call.run(worker.upstream, pieces, lefts)
             except Exception:
@@ -207,7 +208,9 @@
         if isinstance(results, Failure):
             self._note_failure(scheduler, worker, pieces, results, now)
         else:
-            scheduler.finish(worker, len(pieces), now - started, now)
+            # A longer time says that this process stood still, not that the upstream is slow.
+            took_s = now - started if now - started <= limit_s else None
+            scheduler.finish(worker, len(pieces), took_s, now)
             _log.info(
                 "pieces done",
                 extra={
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -31,6 +31,8 @@
 LATE_YIELD_S = 3.0
 SPEED_WEIGHT = 0.3
 SPEED_HALF_LIFE_S = 3.0
+# A change of the speed by this factor is not chance: the next calls will take as long.
+SPEED_JUMP = 2.0
 MAX_TRIES = 4
 
 
@@ -203,6 +205,19 @@
         # Size of each result that it keeps, by handle.
         self.room: dict[str, int] = {}
 
+    def slowness_at(self, now: float) -> float:
+        """Return how many times longer than stated its calls take; fades while it makes none."""
+        fade = 0.5 ** ((now - self.timed_at) / SPEED_HALF_LIFE_S)
+        return 1 + (self.slowness - 1) * fade
+
+    def note_speed(self, ratio: float, now: float) -> None:
+        """Take in how many times longer than stated a call took."""
+        ratio = max(1.0, ratio)
+        known = self.slowness_at(now)
+        is_jump = not known / SPEED_JUMP < ratio < known * SPEED_JUMP
+        self.slowness = ratio if is_jump else known + SPEED_WEIGHT * (ratio - known)
+        self.timed_at = now
+
 
 class PieceScheduler:
     """
@@ -261,9 +276,10 @@
 
     def duration_s(self, worker: Worker, count: int, now: float) -> float:
         """Return the seconds that a call with some pieces will probably take."""
-        fade = 0.5 ** ((now - worker.timed_at) / SPEED_HALF_LIFE_S)
-        slowness = 1 + (worker.slowness - 1) * fade
-        return (self.spec.call_s + count * self.spec.item_s) * slowness
+        return self._stated_s(count) * worker.slowness_at(now)
+
+    def _stated_s(self, count: int) -> float:
+        return self.spec.call_s + count * self.spec.item_s
 
     def plan(self, now: float) -> list[tuple[Worker, list[Piece]]]:
         """
@@ -354,13 +370,12 @@
         return wait_s + self.duration_s(worker, count, now)
 
     def _would_finish_sooner_elsewhere(self, worker: Worker, now: float) -> bool:
+        others = [w for w in self.workers.values() if w is not worker and w.paused_until <= now]
+        # All that waits is more than one call for the others; what is left over comes later.
+        calls = (len(self.waiting) - 1) // self.spec.batch
+        queue_s = calls * self._stated_s(self.spec.batch) / max(1, len(others))
         own_s = self.duration_s(worker, 1, now)
-        for other in self.workers.values():
-            if other is worker or other.paused_until > now:
-                continue
-            if self._done_in_s(other, 1, now) < own_s * 0.8:
-                return True
-        return False
+        return any(self._done_in_s(w, 1, now) + queue_s < own_s * 0.8 for w in others)
 
     def _is_behind(self) -> bool:
         """Tell whether more waits than one call of each worker; then no worker may be idle."""
@@ -401,12 +416,7 @@
         worker.failures = 0
         if self.waiting:
             self._piece_s += RATE_WEIGHT * (took_s / pieces - self._piece_s)
-        ratio = took_s / (self.spec.call_s + pieces * self.spec.item_s)
-        worker.slowness += SPEED_WEIGHT * (max(1.0, ratio) - worker.slowness)
-        if ratio > 2.0:
-            # One such call is not chance: the next ones would be as late.
-            worker.slowness = max(worker.slowness, ratio)
-        worker.timed_at = now
+        worker.note_speed(took_s / self._stated_s(pieces), now)
 
     def eject(self, worker: Worker, now: float) -> None:
         """Give a worker whose call failed no pieces for a while."""
--- a/marigoldtrail/pieces/tests/test_scheduler.py
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -148,6 +148,30 @@
     assert taken(scheduler.plan(30.0)) == {"w0": ["two"]}
 
 
+def test_upstream_that_is_fast_again_is_used_again_at_once():
+    """Guards against an upstream that is avoided for long after one slow call."""
+    scheduler = make_scheduler("a", "a")
+    worker, other = scheduler.workers["w0"], scheduler.workers["w1"]
+    scheduler.finish(worker, 1, 20 * 0.18, 0.0)
+    scheduler.finish(worker, 1, 0.18, 9.0)
+    other.is_busy, other.busy_until = True, 9.2
+    scheduler.add(make_job("one", 1, queued_at=9.0))
+    assert taken(scheduler.plan(9.0)) == {"w0": ["one"]}
+
+
+def test_slow_upstream_helps_while_much_work_waits():
+    """Guards against idle upstreams beside a queue that the others need longer for."""
+    scheduler = make_scheduler("a", "a")
+    slow, fast = scheduler.workers["w0"], scheduler.workers["w1"]
+    scheduler.finish(slow, 1, 4 * 0.18, 0.0)
+    fast.is_busy, fast.busy_until = True, 0.1
+    scheduler.add(make_job("few", 4))
+    assert scheduler.plan(0.0) == []
+    for number in range(5):
+        scheduler.add(make_job(f"id-{number}", 4))
+    assert list(taken(scheduler.plan(0.0))) == ["w0"]
+
+
 def test_failed_pieces_are_tried_again_a_few_times():
     """Guards against pieces that are lost with their call, and against endless repeats."""
     scheduler = make_scheduler("a")
