Free the results of stages as soon as the engine has had time to fetch them

Results were kept for as long as the engine needs for the prompts before it; it fetches its inputs when the request arrives.

--- a/marigoldtrail/pieces/engines.py
+++ b/marigoldtrail/pieces/engines.py
@@ -145,10 +145,6 @@
             _, dropped = cached.popitem(last=False)
             self._cached_tokens[upstream] -= dropped
 
-    def unread_tokens(self, upstream: str) -> int:
-        """Return the prompt tokens that an engine has to read."""
-        return sum(p.unread for p in self._placements.values() if p.upstream == upstream)
-
     def begin(self, request_id: str) -> None:
         """Note that an engine has read the prompt of a request."""
         placement = self._placements.get(request_id)
--- a/marigoldtrail/pieces/placer.py
+++ b/marigoldtrail/pieces/placer.py
@@ -5,7 +5,7 @@
 import random
 
 from marigoldtrail.pieces.engines import EngineBoard, Placement
-from marigoldtrail.policy.placement import PREFILL_TOKENS_PER_S, choose_engine
+from marigoldtrail.policy.placement import choose_engine
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.routing import Upstream
 from marigoldtrail.schema.generated.pieces import RunStages
@@ -95,11 +95,6 @@
             return ""
         return best.data_centre
 
-    def wait_s(self, service: str, upstream: str) -> float:
-        """Return the seconds that an engine needs for the prompts that it has to read."""
-        board = self._boards.get(service)
-        return board.unread_tokens(upstream) / PREFILL_TOKENS_PER_S if board is not None else 0.0
-
     def place(self, request: RunStages, bytes_in: dict[str, int], expires_at: float) -> str | None:
         """
         Choose the engine of a request and count the request there.
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -34,7 +34,7 @@
 # A result may be lost with its upstream; the stages are then run again from the start.
 MAX_RUNS = 3
 GONE = "gone"
-# From the choice of an engine to the time at which it has fetched its inputs, without any queue.
+# From the choice of an engine to the time at which it has fetched its inputs.
 FETCH_S = 0.12
 
 _log = logging.getLogger(__name__)
@@ -115,9 +115,8 @@
         bytes_in = self._runner.bytes_by_data_centre(set(handles))
         upstream = self._placer.place(request, bytes_in, expires_at)
         if upstream is not None and not request.keeps_results:
-            # The engine fetches its inputs before it begins to read the prompt.
-            wait_s = self._placer.wait_s(request.engine_service, upstream) + FETCH_S
-            self._runner.free_later(set(handles), wait_s, LARGE_RESULT_BYTES)
+            # The engine fetches its inputs as soon as it has the request.
+            self._runner.free_later(set(handles), FETCH_S, LARGE_RESULT_BYTES)
         return StagesReply(handles=handles, upstream=upstream or "")
 
     def _measure(self, request: RunStages) -> list[StageWork] | Failure:
