--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -155,16 +155,6 @@
                 _log.warning("room is not known: %s", free, extra={"subject": worker.upstream.name})
                 return
             scheduler.note_free_room(worker, free, self._timers.now())
-            _log.info(
-                "room of earlier results",
-                extra={
-                    "subject": worker.upstream.name,
-                    "service": worker.upstream.service,
-                    "free_mb": round(free / 1e6, 3),
-                    "room_mb": round(worker.own_bytes() / 1e6, 3),
-                    "others_mb": round(worker.other_bytes / 1e6, 3),
-                },
-            )
             if worker.other_bytes < OTHER_BYTES_SHARE * (scheduler.spec.room_bytes or 0):
                 return
             await self._timers.sleep(ROOM_INTERVAL_S)
