--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -26,9 +26,6 @@
 CALL_PATIENCE = 3.0
 CALL_SLACK_S = 0.3
 UPSTREAMS_INTERVAL_S = 0.2
-# While results of an earlier scheduler take more than this share of the room, it is asked for.
-OTHER_BYTES_SHARE = 0.05
-ROOM_INTERVAL_S = 0.5
 NO_ROOM = "room"
 
 _log = logging.getLogger(__name__)
@@ -60,13 +57,10 @@
         Sends pieces with the seconds that are left of each; returns a result for each.
     free : callable
         Frees results at an upstream.
-    read_free_bytes : callable
-        Returns the room for results that an upstream has left.
     """
 
     run: Callable[[Upstream, list[Piece], list[float]], Awaitable[list[PieceResult] | Failure]]
     free: Callable[[Upstream, list[str]], Awaitable[Failure | None]]
-    read_free_bytes: Callable[[Upstream], Awaitable[float | Failure]]
 
 
 class PieceRunner:
@@ -137,28 +131,9 @@
         if scheduler is None:
             scheduler = self._schedulers[service] = PieceScheduler(spec=spec)
             scheduler.set_upstreams(self._picture.usable_upstreams(service))
-            if self._nursery is not None:
-                for worker in scheduler.workers.values():
-                    self._nursery.start_soon(self._learn_room, scheduler, worker)
         scheduler.spec = spec
         return scheduler
 
-    async def _learn_room(self, scheduler: PieceScheduler, worker: Worker) -> None:
-        """
-        Follow how much room the results of an earlier scheduler take at a worker.
-
-        Without it a host that takes over would send pieces which find no room.
-        """
-        while scheduler.workers.get(worker.upstream.name) is worker:
-            free = await self._call.read_free_bytes(worker.upstream)
-            if isinstance(free, Failure):
-                _log.warning("room is not known: %s", free, extra={"subject": worker.upstream.name})
-                return
-            scheduler.note_free_room(worker, free, self._timers.now())
-            if worker.other_bytes < OTHER_BYTES_SHARE * (scheduler.spec.room_bytes or 0):
-                return
-            await self._timers.sleep(ROOM_INTERVAL_S)
-
     def bytes_by_data_centre(self, handles: set[str]) -> dict[str, int]:
         """Return the size of results in each data centre."""
         found: Counter[str] = Counter()
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -191,9 +191,6 @@
         "slowness",
         "timed_at",
         "room",
-        "pending_bytes",
-        "other_bytes",
-        "other_until",
         "failures",
     )
 
@@ -207,19 +204,6 @@
         self.failures = 0
         # Size of each result that it keeps, by handle.
         self.room: dict[str, int] = {}
-        # Size of the results of the call in progress.
-        self.pending_bytes = 0
-        # What results of an earlier scheduler take, and until when that is believed.
-        self.other_bytes = 0.0
-        self.other_until = 0.0
-
-    def own_bytes(self) -> float:
-        """Return the room that the results of this scheduler take."""
-        return (sum(self.room.values()) + self.pending_bytes) * SIZE_MARGIN
-
-    def used_bytes(self, now: float) -> float:
-        """Return the room that all results take, as far as it is known."""
-        return self.own_bytes() + (self.other_bytes if now < self.other_until else 0.0)
 
     def slowness_at(self, now: float) -> float:
         """Return how many times longer than stated its calls take; fades while it makes none."""
@@ -321,7 +305,6 @@
             pieces = self._take_for(worker, now)
             if pieces:
                 worker.is_busy = True
-                worker.pending_bytes = sum(piece.job.result_bytes for piece in pieces)
                 worker.busy_until = now + self.duration_s(worker, len(pieces), now)
                 calls.append((worker, pieces))
         return calls
@@ -344,7 +327,7 @@
 
         groups = group_by_job(self.waiting)
         wanted = sorted((g for g in groups if self._suits(g[0].job, worker, now)), key=place)
-        taken = self._fill(worker, wanted, now)
+        taken = self._fill(worker, wanted)
         chosen = set(taken)
         self.waiting = [piece for piece in self.waiting if piece not in chosen]
         for piece in taken:
@@ -352,7 +335,7 @@
             piece.job.is_begun = True
         return taken
 
-    def _fill(self, worker: Worker, wanted: list[list[Piece]], now: float) -> list[Piece]:
+    def _fill(self, worker: Worker, wanted: list[list[Piece]]) -> list[Piece]:
         """
         Choose pieces that fit one call and the room for its results.
 
@@ -360,7 +343,7 @@
         they wait for the rest.
         """
         room = self.spec.room_bytes or float("inf")
-        used = worker.used_bytes(now)
+        used = sum(worker.room.values()) * SIZE_MARGIN
         may_split = sum(map(len, wanted)) > SPLIT_CALLS * self.spec.batch
         taken: list[Piece] = []
         for pieces in wanted:
@@ -369,7 +352,7 @@
             places = self.spec.batch - len(taken)
             fitting = max(0, int(min(places, (room - used) / size)))
             whole = min(len(pieces), places)
-            if fitting < whole and used and not job.is_begun:
+            if fitting < whole and worker.room and not job.is_begun:
                 # A part of the job would only hold the room that the rest waits for.
                 continue
             if whole < len(pieces) and taken and not (may_split or job.is_begun):
@@ -428,7 +411,6 @@
             Monotonic time in seconds.
         """
         worker.is_busy = False
-        worker.pending_bytes = 0
         if took_s is None:
             return
         worker.failures = 0
@@ -436,30 +418,6 @@
             self._piece_s += RATE_WEIGHT * (took_s / pieces - self._piece_s)
         worker.note_speed(took_s / self._stated_s(pieces), now)
 
-    def note_free_room(self, worker: Worker, free_bytes: float, now: float) -> None:
-        """
-        Note how much room a worker says it has.
-
-        What this scheduler can't account for was made for an earlier one. It only ever becomes
-        less: a later report may still count results that this scheduler has freed meanwhile.
-
-        Parameters
-        ----------
-        worker : Worker
-            The worker.
-        free_bytes : float
-            Room that no result takes.
-        now : float
-            Monotonic time in seconds.
-        """
-        if not self.spec.room_bytes:
-            return
-        unknown = max(0.0, self.spec.room_bytes - free_bytes - worker.own_bytes())
-        if worker.other_until == 0.0:
-            worker.other_bytes = unknown
-            worker.other_until = now + self.spec.keep_s
-        worker.other_bytes = min(worker.other_bytes, unknown)
-
     def eject(self, worker: Worker, now: float) -> None:
         """Give a worker whose call failed no pieces for a while."""
         pause_s = min(LONGEST_EJECTION_S, EJECTION_S * 2**worker.failures)
--- a/marigoldtrail/platform/calls.py
+++ b/marigoldtrail/platform/calls.py
@@ -18,7 +18,6 @@
 
 PAGE_TIMEOUT_S = 0.8
 FREE_TIMEOUT_S = 1.0
-REPORT_TIMEOUT_S = 0.5
 MAX_PAGES = 64
 _JSON = (b"content-type", b"application/json")
 _encode = msgspec.json.Encoder().encode
@@ -68,11 +67,6 @@
     items: list[_Item]
 
 
-class _Report(msgspec.Struct):
-    free_mb: float
-
-
-_report_decoder = msgspec.json.Decoder(_Report)
 _stage_decoder = msgspec.json.Decoder(_StageAnswer)
 
 
@@ -116,23 +110,7 @@
         body = await post(upstream, b"/-/stage-free", {"handles": handles}, FREE_TIMEOUT_S)
         return body if isinstance(body, Failure) else None
 
-    async def read_free_bytes(upstream: Upstream) -> float | Failure:
-        answer = await call_upstream(
-            pool,
-            upstream,
-            method=b"GET",
-            target=b"/-/report",
-            headers=[(b"x-expect-instance", upstream.name.encode())],
-            timeout_s=REPORT_TIMEOUT_S,
-        )
-        if isinstance(answer, Failure):
-            return answer
-        try:
-            return _report_decoder.decode(answer.body).free_mb * 1e6
-        except msgspec.MsgspecError as exc:
-            return _failure(upstream.name, str(exc))
-
-    return PieceCall(run=run, free=free, read_free_bytes=read_free_bytes)
+    return PieceCall(run=run, free=free)
 
 
 def encode_piece(piece: Piece, left_s: float) -> dict[str, Any]:
