Learn from pieces without room what another scheduler has left at an upstream

A piece without room now says exactly what is left; the rest is believed taken, less and less until the results of the other scheduler must have gone. No pause follows.

--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -278,12 +278,14 @@
             elif result.reason in ("late", "gone"):
                 job.fail(result.reason)
             else:
-                # Without room a piece was not begun.
-                piece.tries -= result.reason == NO_ROOM
                 again.append(piece)
-        if again:
-            scheduler.pause(worker, BUSY_PAUSE_S, now)
-            scheduler.put_back(again, now)
+                if result.reason == NO_ROOM:
+                    # The piece was not begun.
+                    piece.tries -= 1
+                    scheduler.note_no_room(worker, now)
+                else:
+                    scheduler.pause(worker, BUSY_PAUSE_S, now)
+        scheduler.put_back(again, now)
         if unwanted:
             self.free(unwanted)
 
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -191,6 +191,8 @@
         "slowness",
         "timed_at",
         "room",
+        "other_bytes",
+        "other_since",
         "failures",
     )
 
@@ -204,6 +206,13 @@
         self.failures = 0
         # Size of each result that it keeps, by handle.
         self.room: dict[str, int] = {}
+        # Room that the results of another scheduler took, and when that was seen.
+        self.other_bytes = 0.0
+        self.other_since = 0.0
+
+    def own_bytes(self) -> float:
+        """Return the room that the results of this scheduler take."""
+        return sum(self.room.values()) * SIZE_MARGIN
 
     def slowness_at(self, now: float) -> float:
         """Return how many times longer than stated its calls take; fades while it makes none."""
@@ -327,7 +336,7 @@
 
         groups = group_by_job(self.waiting)
         wanted = sorted((g for g in groups if self._suits(g[0].job, worker, now)), key=place)
-        taken = self._fill(worker, wanted)
+        taken = self._fill(worker, wanted, now)
         chosen = set(taken)
         self.waiting = [piece for piece in self.waiting if piece not in chosen]
         for piece in taken:
@@ -335,7 +344,7 @@
             piece.job.is_begun = True
         return taken
 
-    def _fill(self, worker: Worker, wanted: list[list[Piece]]) -> list[Piece]:
+    def _fill(self, worker: Worker, wanted: list[list[Piece]], now: float) -> list[Piece]:
         """
         Choose pieces that fit one call and the room for its results.
 
@@ -343,7 +352,7 @@
         they wait for the rest.
         """
         room = self.spec.room_bytes or float("inf")
-        used = sum(worker.room.values()) * SIZE_MARGIN
+        used = worker.own_bytes() + self._other_bytes(worker, now)
         may_split = sum(map(len, wanted)) > SPLIT_CALLS * self.spec.batch
         taken: list[Piece] = []
         for pieces in wanted:
@@ -352,7 +361,7 @@
             places = self.spec.batch - len(taken)
             fitting = max(0, int(min(places, (room - used) / size)))
             whole = min(len(pieces), places)
-            if fitting < whole and worker.room and not job.is_begun:
+            if fitting < whole and used and not job.is_begun:
                 # A part of the job would only hold the room that the rest waits for.
                 continue
             if whole < len(pieces) and taken and not (may_split or job.is_begun):
@@ -364,6 +373,11 @@
                 break
         return taken
 
+    def _other_bytes(self, worker: Worker, now: float) -> float:
+        """Return the room that results of another scheduler take; they go one after the other."""
+        gone = (now - worker.other_since) / self.spec.keep_s
+        return worker.other_bytes * max(0.0, 1 - gone)
+
     def _done_in_s(self, worker: Worker, count: int, now: float) -> float:
         """Return the seconds in which a worker would be done with pieces given to it next."""
         wait_s = max(0.0, worker.busy_until - now) if worker.is_busy else 0.0
@@ -418,6 +432,12 @@
             self._piece_s += RATE_WEIGHT * (took_s / pieces - self._piece_s)
         worker.note_speed(took_s / self._stated_s(pieces), now)
 
+    def note_no_room(self, worker: Worker, now: float) -> None:
+        """Note that a worker had no room for a result: another scheduler has taken the rest."""
+        if self.spec.room_bytes:
+            worker.other_bytes = max(0.0, self.spec.room_bytes - worker.own_bytes())
+            worker.other_since = now
+
     def eject(self, worker: Worker, now: float) -> None:
         """Give a worker whose call failed no pieces for a while."""
         pause_s = min(LONGEST_EJECTION_S, EJECTION_S * 2**worker.failures)
--- a/marigoldtrail/pieces/tests/test_scheduler.py
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -91,6 +91,19 @@
     assert taken(scheduler.plan(0.0)) == {"w0": ["one"] * 2}
 
 
+def test_room_that_another_scheduler_has_taken_is_not_used():
+    """Guards against pieces that find no room after another host has taken over."""
+    scheduler = make_scheduler("a")
+    worker = scheduler.workers["w0"]
+    worker.room["made"] = 6 * MB
+    scheduler.note_no_room(worker, 0.0)
+    job = make_job("one", 1, size=3 * MB)
+    scheduler.add(job)
+    assert scheduler.plan(0.0) == []
+    # The results of others go one after the other.
+    assert taken(scheduler.plan(SPEC.keep_s / 2)) == {"w0": ["one"]}
+
+
 def test_job_larger_than_the_room_is_done_in_parts():
     """Guards against a job that waits for ever for more room than there is."""
     scheduler = make_scheduler("a")
