--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -19,6 +19,9 @@
 LOCAL_WAIT_S = 0.25
 # Results take a little more room than their stated size.
 SIZE_MARGIN = 1.06
+# An answer that there was no room is believed less and less until this time has passed: a call
+# that finds no room for some of its pieces costs little, an idle upstream more.
+ROOM_MEMORY_S = 1.0
 # Jobs are divided among calls while more calls than these are waiting.
 SPLIT_CALLS = 1.5
 RATE_WEIGHT = 0.1
@@ -374,8 +377,8 @@
         return taken
 
     def _other_bytes(self, worker: Worker, now: float) -> float:
-        """Return the room that results of another scheduler take; they go one after the other."""
-        gone = (now - worker.other_since) / self.spec.keep_s
+        """Return the room that results of another scheduler probably take."""
+        gone = (now - worker.other_since) / ROOM_MEMORY_S
         return worker.other_bytes * max(0.0, 1 - gone)
 
     def _done_in_s(self, worker: Worker, count: int, now: float) -> float:
