Let refused callers come back one after the other, and in before new ones

A refused caller was told the time by which it was too late, often under 0.2 s, met the same burst again and was refused a second time; nothing told it from a new one. A deadline shorter than the usual one of its route tells how long a caller has waited: its answer is late from its first try on, it is let in at a longer backlog, waits behind requests that can be on time, and is not counted in the backlog of these. Refused callers are promised one time after another, half of the upstreams' time at most.

--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -11,7 +11,13 @@
 from marigoldtrail.consensus.parts import Signal
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Handlers
-from marigoldtrail.pieces.admission import StageWork, judge_demand, path_s, stage_work
+from marigoldtrail.pieces.admission import (
+    ReturnPlan,
+    StageWork,
+    judge_demand,
+    path_s,
+    stage_work,
+)
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
 from marigoldtrail.pieces.placer import EnginePlacer
 from marigoldtrail.pieces.runner import PieceCall, PieceRunner
@@ -34,6 +40,8 @@
 # A result may be lost with its upstream; the stages are then run again from the start.
 MAX_RUNS = 3
 GONE = "gone"
+# More than any priority.
+LATE_RANK = 1000
 # From the choice of an engine to the time at which it has fetched its inputs.
 FETCH_S = 0.12
 
@@ -60,7 +68,7 @@
         Counts pieces.
     """
 
-    __slots__ = ("_host", "_timers", "_runner", "_placer", "_jobs")
+    __slots__ = ("_host", "_timers", "_runner", "_placer", "_jobs", "_returns")
 
     def __init__(
         self,
@@ -76,6 +84,7 @@
         self._timers = timers
         self._runner = PieceRunner(picture=picture, call=call, timers=timers, metrics=metrics)
         self._placer = EnginePlacer(picture=picture, timers=timers, rng=rng)
+        self._returns = ReturnPlan()
         self._jobs: dict[str, list[PieceJob]] = {}
 
     def handlers(self) -> Handlers:
@@ -96,7 +105,8 @@
     async def _run_stages(self, request: RunStages, sender: str) -> StagesReply | Failure:
         started = self._timers.now()
         expires_at = started + request.left_ms / 1000
-        work = self._measure(request)
+        rank = plan_rank(request)
+        work = self._measure(request, rank)
         if isinstance(work, Failure):
             return work
         refusal = self._refuse(request, work)
@@ -105,7 +115,7 @@
         data_centre = self._placer.expected_data_centre(request)
         for run in range(1, MAX_RUNS + 1):
             graph = StageGraph(stages=request.stages)
-            failed = await self._run_graph(request, graph, work, started, data_centre)
+            failed = await self._run_graph(request, graph, work, started, data_centre, rank)
             if failed is None:
                 break
             if failed.failure != GONE or run == MAX_RUNS or self._timers.now() >= expires_at:
@@ -119,7 +129,7 @@
             self._runner.free_later(set(handles), FETCH_S, LARGE_RESULT_BYTES)
         return StagesReply(handles=handles, upstream=upstream or "")
 
-    def _measure(self, request: RunStages) -> list[StageWork] | Failure:
+    def _measure(self, request: RunStages, rank: int) -> list[StageWork] | Failure:
         """Return what each stage of a request has to wait for."""
         work = []
         for stage in request.stages:
@@ -128,7 +138,7 @@
                 # This host has just started, or is a version behind.
                 detail = f"no piece service {stage.service!r} is known yet"
                 return self._failure(Reason.VIEW_NOT_CURRENT, detail)
-            work.append(stage_work(scheduler, stage, self._timers.now(), request.priority))
+            work.append(stage_work(scheduler, stage, self._timers.now(), rank))
         return work
 
     def _refuse(self, request: RunStages, work: list[StageWork]) -> Failure | None:
@@ -138,9 +148,11 @@
             path_s(request.stages, work),
             request.left_ms / 1000,
             wait_share=request.wait_share,
+            has_returned=request.has_returned,
         )
         if late_s <= 0:
             return None
+        return_s = self._returns.next_return_s(work, late_s, self._timers.now())
         _log.info(
             "request refused",
             extra={
@@ -148,10 +160,12 @@
                 "reason": "its stages can't be done in time",
                 "backlog_s": [round(item.backlog_s, 2) for item in work],
                 "left_ms": request.left_ms,
+                "has_returned": request.has_returned,
+                "return_s": round(return_s, 2),
             },
         )
         return self._failure(
-            Reason.OVERLOADED, "the stages can't be done in time", retry_after_s=late_s
+            Reason.OVERLOADED, "the stages can't be done in time", retry_after_s=return_s
         )
 
     async def _run_graph(
@@ -161,6 +175,7 @@
         work: list[StageWork],
         started: float,
         data_centre: str,
+        rank: int,
     ) -> PieceJob | None:
         """Run all stages; return the job that failed, if one did."""
         finished: dict[int, PieceJob] = {}
@@ -173,7 +188,7 @@
 
         jobs: list[PieceJob] = []
         unfinished = dict(enumerate(request.stages))
-        self._count_planned(unfinished.values(), request.priority, 1)
+        self._count_planned(unfinished.values(), rank, 1)
         try:
             async with trio.open_nursery() as nursery:
                 while not graph.is_done():
@@ -187,20 +202,20 @@
                         if job.failure:
                             nursery.cancel_scope.cancel()
                             return job
-                        self._count_planned([unfinished.pop(number)], request.priority, -1)
+                        self._count_planned([unfinished.pop(number)], rank, -1)
                         self._runner.free(set(graph.finish(number, job.handles)))
             return None
         finally:
-            self._count_planned(unfinished.values(), request.priority, -1)
+            self._count_planned(unfinished.values(), rank, -1)
             # Without an effect on jobs that are done; the entry may have left.
             for job in jobs:
                 job.fail("the request has ended")
 
-    def _count_planned(self, stages: Iterable[StageRequest], priority: int, sign: int) -> None:
+    def _count_planned(self, stages: Iterable[StageRequest], rank: int, sign: int) -> None:
         for stage in stages:
             scheduler = self._runner.scheduler(stage.service)
             if scheduler is not None:
-                scheduler.planned[priority] += sign * stage.count
+                scheduler.planned[rank] += sign * stage.count
 
     def _queue(
         self,
@@ -233,7 +248,8 @@
             inputs=inputs,
             count=stage.count,
             expires_at=started + request.left_ms / 1000 - rest_s,
-            start_by=started + request.slack_ms / 1000 - rest_s,
+            # A request that is late already waits behind those that need not be.
+            start_by=started + max(0, request.slack_ms) / 1000 - rest_s,
             may_wait=input_bytes < LARGE_RESULT_BYTES,
             yield_s=request.yield_ms / 1000,
             data_centre=data_centre,
@@ -277,3 +293,20 @@
             detail=detail,
             retry_after_s=retry_after_s,
         )
+
+
+def plan_rank(request: RunStages) -> int:
+    """
+    Return the rank among all planned work.
+
+    Parameters
+    ----------
+    request : RunStages
+        The request.
+
+    Returns
+    -------
+    int
+        Its priority; behind all others for a request that is late already, since it waits for them.
+    """
+    return request.priority + (LATE_RANK if request.slack_ms <= 0 else 0)
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -158,7 +158,7 @@
         exchange.work = StageWork(
             request=self._stage_request(exchange),
             deadline=exchange.begin_by - self._reading_s(exchange),
-            due_at=exchange.started + exchange.route.target_latency_s - self._reading_s(exchange),
+            due_at=exchange.due_at - self._reading_s(exchange),
         )
         if has_pieces:
             failure = await self._pieces.run(exchange.work)
@@ -187,6 +187,7 @@
             key=facts.piece_key,
             left_ms=0,
             priority=exchange.priority,
+            has_returned=exchange.waited_s > 0,
             wait_share=exchange.wait_share,
             yield_ms=round(exchange.yield_s * 1000),
             engine_service=exchange.service.name if exchange.service.engine is not None else "",
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -46,6 +46,8 @@
         Whether the key is not passed on.
     started : float
         Monotonic time in seconds at which it was read.
+    waited_s : float
+        Seconds for which the caller has waited before, since it first asked.
     deadline : float
         Monotonic time in seconds at which it ends.
 
@@ -78,6 +80,7 @@
         "account",
         "hides_key",
         "started",
+        "waited_s",
         "deadline",
         "may_have_run",
         "runs",
@@ -103,6 +106,7 @@
         account: ClientAccount | None,
         hides_key: bool,
         started: float,
+        waited_s: float,
         deadline: float,
     ) -> None:
         self.conn = conn
@@ -113,6 +117,7 @@
         self.account = account
         self.hides_key = hides_key
         self.started = started
+        self.waited_s = waited_s
         self.deadline = deadline
         self.may_have_run = False
         self.runs = 0
@@ -144,6 +149,11 @@
         self.first_event_at = now
         self.scope.deadline = self.deadline
 
+    @property
+    def due_at(self) -> float:
+        """Monotonic time in seconds at which the answer begins to be late."""
+        return self.started - self.waited_s + self.route.target_latency_s
+
     @property
     def is_stream(self) -> bool:
         """Whether the answer is a stream of events."""
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -10,6 +10,7 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net.client import STREAM_ERRORS
+from marigoldtrail.policy.returning import UsualDeadline
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.relay.attempt import StreamPassedOn, WholeAnswer
 from marigoldtrail.relay.board import UpstreamBoard
@@ -18,7 +19,7 @@
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.types import Dialect, RequestFacts
-from marigoldtrail.routing import Limits
+from marigoldtrail.routing import Limits, Route
 from marigoldtrail.routing.table import choose_target
 from marigoldtrail.telemetry.exposition import Exposition
 from marigoldtrail.timers import Timers
@@ -73,6 +74,7 @@
         "_dispatcher",
         "_idle",
         "_draining",
+        "_usual_deadlines",
         "connections",
         "requests",
     )
@@ -101,6 +103,7 @@
         self._dispatcher = dispatcher
         self._idle: set[trio.CancelScope] = set()
         self._draining = False
+        self._usual_deadlines: dict[str, UsualDeadline] = {}
         self.connections = 0
         self.requests = 0
 
@@ -116,8 +119,15 @@
             if self._picture.age_s() < CURRENT_S:
                 await self._pool.drop_except(names)
                 self._board.forget_except(names)
+            self._forget_routes()
             await self._pool.drop_expired()
 
+    def _forget_routes(self) -> None:
+        routes = self._picture.routes
+        known = {route.name for route in routes.table.routes} if routes is not None else set()
+        for name in [name for name in self._usual_deadlines if name not in known]:
+            del self._usual_deadlines[name]
+
     def start_draining(self) -> None:
         """Close connections after their next answer."""
         self._draining = True
@@ -237,9 +247,17 @@
             account=account,
             hides_key=index.needs_keys,
             started=started,
+            waited_s=self._waited_s(route, left_s),
             deadline=started + min(left_s - ANSWER_MARGIN_S, route.timeout_s),
         )
 
+    def _waited_s(self, route: Route, left_s: float) -> float:
+        """Return for how long the caller has probably waited before this request."""
+        usual = self._usual_deadlines.get(route.name)
+        if usual is None:
+            usual = self._usual_deadlines[route.name] = UsualDeadline()
+        return usual.waited_s(left_s)
+
     def _deny(self, status: int, detail: str) -> Refusal:
         # A host that may have missed a change can't tell that a route or key does not exist.
         if self._picture.age_s() > CURRENT_S:
@@ -317,6 +335,7 @@
                 ),
                 "first_ms": None if first_s is None else round((first_s - exchange.started) * 1e3),
                 "events": exchange.cutter.count,
+                "waited_ms": round(exchange.waited_s * 1000),
                 "took_ms": round((now - exchange.started) * 1000),
                 "left_ms": round((exchange.deadline - now) * 1000),
                 "version": self._picture.version(),
