Soak a site of real processes with faults from outside

Three control hosts and two entries run as processes on loopback addresses, behind a proxy that delays, resets, cuts and silences connections in each direction; processes are killed, stopped, paused, restarted, lose a disk, find a torn write or a full disk; upstreams restart and leave. Callers keep connections open and follow the directory, two operators race. The promises are checked while it runs, from what callers, operators and upstreams see; at the end all kinds of request must be served and the newest configuration read back. A host may now listen on another address than the one that others know (bind_ip).

--- /dev/null
+++ b/bench/soak/callers.py
@@ -0,0 +1,295 @@
+"""Callers and operators: they keep connections open, follow the directory and retry."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections import Counter
+from urllib.parse import urlencode
+
+import h11
+import msgspec
+import trio
+
+from bench.soak.fleet import CONTROL, ENTRIES, Fleet
+from bench.soak.ledger import Attempt, Ledger
+from bench.soak.upstreams import PIECES, STREAM_EVENTS
+from marigoldtrail.net import Address
+
+KEY = "k-soak-secret"
+ACCOUNT = "acme"
+HOST = "a.example"
+DEADLINE_S = 4.0
+CALL_TIMEOUT_S = 1.5
+ORDER_TIMEOUT_S = 10.0
+CONNECT_TIMEOUT_S = 1.0
+THINK_S = 0.12
+ORDERS_PAUSE_S = 1.5
+READ_BYTES = 65536
+# Weights of the kinds of request.
+MIX = {"plain": 6, "order": 5, "version": 3, "stream": 3, "resume": 3}
+_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError)
+
+
+class Connection:
+    """A kept HTTP connection."""
+
+    __slots__ = ("_stream", "_conn")
+
+    def __init__(self, *, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._conn = h11.Connection(h11.CLIENT)
+
+    async def send(self, method: str, target: str, headers: dict[str, str], body: bytes) -> None:
+        """Send a request."""
+        fields = [("host", HOST), ("content-length", str(len(body))), *headers.items()]
+        data = self._conn.send(h11.Request(method=method, target=target, headers=fields))
+        data += self._conn.send(h11.Data(data=body)) + self._conn.send(h11.EndOfMessage())
+        await self._stream.send_all(data)
+
+    async def next_event(self) -> h11.Event | type[h11.Event]:
+        """Return the next part of the answer."""
+        while (event := self._conn.next_event()) is h11.NEED_DATA:
+            self._conn.receive_data(await self._stream.receive_some(READ_BYTES))
+        return event
+
+    async def read_body(self) -> bytes:
+        """Return the rest of the answer; an error if it is not whole."""
+        parts = []
+        while not isinstance(event := await self.next_event(), h11.EndOfMessage):
+            if not isinstance(event, h11.Data):
+                raise h11.RemoteProtocolError("the answer is not whole")
+            parts.append(bytes(event.data))
+        return b"".join(parts)
+
+    def prepare_next(self) -> bool:
+        """Tell whether another request may be sent."""
+        if self._conn.our_state is not h11.DONE or self._conn.their_state is not h11.DONE:
+            return False
+        self._conn.start_next_cycle()
+        return True
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await trio.aclose_forcefully(self._stream)
+
+
+async def open_connection(address: str) -> Connection | None:
+    """Connect; None if that fails."""
+    target = Address.parse(address)
+    with trio.move_on_after(CONNECT_TIMEOUT_S):
+        try:
+            return Connection(stream=await trio.open_tcp_stream(target.ip, target.port))
+        except OSError:
+            return None
+    return None
+
+
+async def call(
+    address: str, method: str, target: str, body: bytes = b"", *, timeout_s: float = CALL_TIMEOUT_S
+) -> tuple[int, bytes] | None:
+    """Make one call on a connection of its own; None without a whole answer."""
+    conn = await open_connection(address)
+    if conn is None:
+        return None
+    with trio.move_on_after(timeout_s):
+        try:
+            await conn.send(method, target, {}, body)
+            head = await conn.next_event()
+            if isinstance(head, h11.Response):
+                return head.status_code, await conn.read_body()
+        except _ERRORS:
+            return None
+        finally:
+            with trio.CancelScope(shield=True):
+                await conn.aclose()
+    return None
+
+
+def make_document(version: int) -> bytes:
+    """Return a configuration; only one route tells its version."""
+    base = {
+        "host": HOST,
+        "timeout_ms": 4000,
+        "target_latency_ms": 1000,
+        "max_attempts": 2,
+        "priority": 0,
+    }
+    stages = [
+        {"service": "board", "after": [], "bytes": 1000},
+        {"service": "board", "after": [0], "bytes": 1000},
+    ]
+    engine = {**base, "kind": "streaming", "service": "llm", "stages": stages, "sticky": True}
+    desk = {**base, "service": "desk"}
+    routes = [
+        {**desk, "name": "plain", "path_prefix": "/plain/", "kind": "safe"},
+        {**desk, "name": "order", "path_prefix": "/order/", "kind": "unsafe"},
+        {**desk, "name": "version", "path_prefix": f"/version/{version}/", "kind": "safe"},
+        {**engine, "name": "stream", "path_prefix": "/stream/", "max_attempts": 1},
+        {**engine, "name": "resume", "path_prefix": "/resume/", "resumable": True},
+    ]
+    pieces = {
+        "slots": 1,
+        "queue": 2,
+        "batch": 4,
+        "call_ms": 20.0,
+        "item_ms": 1.0,
+        "headroom_mb": 5.0,
+        "handle_s": 4.0,
+    }
+    services = [
+        {"name": "desk", "max_connections": 100, "health_path": "/health"},
+        {"name": "llm", "max_connections": 100, "engine": {"slots": 16, "kv_capacity": 200000}},
+        {"name": "board", "max_connections": 100, "pieces": pieces},
+    ]
+    tenants = [{"name": ACCOUNT, "api_keys": [KEY]}]
+    value = {"version": version, "routes": routes, "services": services, "tenants": tenants}
+    return msgspec.json.encode(value)
+
+
+class Operators:
+    """Send configurations, to any control host, until there is a clear answer."""
+
+    __slots__ = ("_ledger", "_fleet", "_rng", "_versions", "newest")
+
+    def __init__(self, *, ledger: Ledger, fleet: Fleet, rng: random.Random) -> None:
+        self._ledger = ledger
+        self._fleet = fleet
+        self._rng = rng
+        self._versions = itertools.count(1)
+        self.newest = 0
+
+    async def run(self) -> None:
+        """Send one configuration after the other until cancelled."""
+        while True:
+            await self.send_next(ORDER_TIMEOUT_S)
+            await trio.sleep(self._rng.uniform(0, ORDERS_PAUSE_S))
+
+    async def send_next(self, timeout_s: float) -> bool:
+        """Send the next configuration; tell whether it was acknowledged."""
+        version = next(self._versions)
+        document = make_document(version)
+        self._ledger.sent[version] = document
+        with trio.move_on_after(timeout_s):
+            while True:
+                address = self._fleet.operator_address(self._rng.choice(CONTROL))
+                reply = await call(address, "PUT", "/-/config", document)
+                if reply is not None and reply[0] == 200:
+                    self._ledger.accepted[version] = document
+                    self.newest = max(self.newest, version)
+                    return True
+                if reply is not None and 400 <= reply[0] < 500:
+                    self._ledger.fail(f"valid configuration {version} is refused: {reply}")
+                    return False
+                await trio.sleep(0.1)
+        return False
+
+
+class Callers:
+    """Callers of entries."""
+
+    __slots__ = ("counts", "_ledger", "_fleet", "_operators", "_rng", "_numbers", "_addresses")
+
+    def __init__(
+        self, *, ledger: Ledger, fleet: Fleet, operators: Operators, rng: random.Random
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self._ledger = ledger
+        self._fleet = fleet
+        self._operators = operators
+        self._rng = rng
+        self._numbers = itertools.count(1)
+        self._addresses = [fleet.request_address(name) for name in ENTRIES]
+
+    async def follow_directory(self) -> None:
+        """Ask again and again which entries to use; keep the last answer while there is none."""
+        query = urlencode({"name": HOST, "region": "r", "zone": "z"})
+        while True:
+            address = self._fleet.lookup_address(self._rng.choice(CONTROL))
+            reply = await call(address, "GET", f"/-/resolve?{query}", timeout_s=1.0)
+            if reply is not None and reply[0] == 200:
+                self._addresses = msgspec.json.decode(reply[1])["addresses"]
+            await trio.sleep(1.0)
+
+    async def run(self) -> None:
+        """Use one connection after the other until cancelled."""
+        while True:
+            await self._use_connection(self._rng.choice(self._addresses))
+            await trio.sleep(self._rng.uniform(0, THINK_S))
+
+    async def _use_connection(self, address: str) -> None:
+        entry = self._fleet.entry_at(address)
+        conn = await open_connection(address)
+        if conn is None:
+            return
+        try:
+            while True:
+                kind = self._rng.choices(list(MIX), list(MIX.values()))[0]
+                if not await self.ask(conn, entry, kind):
+                    return
+                await trio.sleep(self._rng.uniform(0, THINK_S))
+        finally:
+            with trio.CancelScope(shield=True):
+                await conn.aclose()
+
+    async def ask(self, conn: Connection, entry: str, kind: str) -> bool:
+        """Send a request and check the answer; tell whether the connection may be used again."""
+        request_id = f"id-{next(self._numbers)}"
+        body = request_id.encode() * self._rng.randint(0, 20) if kind != "version" else b""
+        version = self._operators.newest
+        path = f"/{kind}/{version}/x" if kind == "version" else f"/{kind}/{request_id}"
+        attempt = Attempt(
+            request_id=request_id,
+            path=path,
+            body=body,
+            may_repeat=kind not in ("order", "stream"),
+            entry=(entry, self._fleet.starts[entry]),
+        )
+        self._ledger.note_attempt(attempt)
+        served_before = self._ledger.version_served(attempt.entry)
+        headers = {
+            "x-request-id": request_id,
+            "x-deadline-ms": str(int(DEADLINE_S * 1000)),
+            "authorization": f"Token {KEY}",
+            "x-token-count": "300,20",
+            "x-prompt-prefix": f"5c1e:200,{next(self._numbers):x}:100",
+            "x-model": "m",
+        }
+        if kind in ("stream", "resume"):
+            headers.update({"x-pieces": ",".join(map(str, PIECES)), "x-piece-key": request_id})
+        outcome = "no answer"
+        may_go_on = False
+        with trio.move_on_after(DEADLINE_S):
+            try:
+                await conn.send("POST" if body else "GET", path, headers, body)
+                head = await conn.next_event()
+                if isinstance(head, h11.Response):
+                    outcome = str(head.status_code)
+                    is_unknown = kind == "version" and head.status_code == 404
+                    if not is_unknown:
+                        self._ledger.note_status(attempt, head.status_code)
+                    if head.status_code == 200:
+                        outcome = "cut"
+                        await self._read_success(conn, attempt, kind, head)
+                        outcome = "200"
+                    else:
+                        await conn.read_body()
+                    may_go_on = conn.prepare_next()
+            except _ERRORS:
+                pass
+        if outcome == "200" and kind == "version":
+            self._ledger.note_version_served(attempt.entry, version, served_before)
+        self.counts[f"{kind} {outcome}"] += 1
+        return may_go_on
+
+    async def _read_success(
+        self, conn: Connection, attempt: Attempt, kind: str, head: h11.Response
+    ) -> None:
+        headers = {name.decode(): value.decode() for name, value in head.headers}
+        if kind not in ("stream", "resume"):
+            self._ledger.note_answer(attempt, headers, await conn.read_body())
+            return
+        events = [e.split(b"\nid: ") for e in (await conn.read_body()).split(b"\n\n") if e]
+        if any(event[0] != b"data: " + attempt.request_id.encode() for event in events):
+            self._ledger.fail(f"{attempt.request_id}: events of another request: {events}")
+        self._ledger.note_stream(attempt, [int(event[1]) for event in events], STREAM_EVENTS)
--- /dev/null
+++ b/bench/soak/plan.py
@@ -0,0 +1,98 @@
+"""Which faults are injected when, drawn from a seed."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+# Weights of the kinds; what hits one process or link, and series of them, come most often.
+HOST_KINDS = {
+    "kill": 4,
+    "term": 3,
+    "pause": 4,
+    "reload": 2,
+    "reset": 3,
+    "cut": 3,
+    "delay": 2,
+    "silence": 2,
+    "hold_requests": 2,
+    "hold_answers": 2,
+}
+CONTROL_KINDS = {"torn_write": 2, "disk_full": 2, "wipe": 1}
+UPSTREAM_KINDS = {"restart": 4, "leave": 2, "reset": 3, "cut": 2, "delay": 2, "silence": 2}
+SERIES_SHARE = 0.25
+POWER_LOSS_SHARE = 0.4
+GAP_S = 0.9
+LONGEST_FAULT_S = 3.0
+SHORTEST_FAULT_S = 0.2
+# The loss of one disk is to be borne at a time, and its host needs time to catch up.
+MOST_WIPES = 1
+
+
+class Fault(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    One fault.
+
+    Parameters
+    ----------
+    at : float
+        Seconds from the start.
+    kind : str
+        What happens.
+    target : str
+        Host or upstream; ``"hosts"`` for all hosts.
+    for_s : float
+        Seconds until it ends, or until a process is started again.
+    """
+
+    at: float
+    kind: str
+    target: str
+    for_s: float
+
+
+def make_plan(
+    seed: int, seconds: float, *, control: list[str], entries: list[str], upstreams: list[str]
+) -> list[Fault]:
+    """
+    Draw faults.
+
+    Parameters
+    ----------
+    seed : int
+        The same seed gives the same faults.
+    seconds : float
+        Time during which faults begin.
+    control, entries, upstreams : list of str
+        What faults may hit.
+
+    Returns
+    -------
+    list of Fault
+        In the order of their times; they overlap.
+    """
+    rng = random.Random(seed)
+    plan: list[Fault] = []
+    wipes = 0
+    at = rng.uniform(0.2, 1.0)
+    while at < seconds:
+        kinds = dict(HOST_KINDS) if rng.random() < 0.65 else dict(UPSTREAM_KINDS)
+        targets = upstreams
+        if "kill" in kinds:
+            is_control = rng.random() < 0.6
+            targets = control if is_control else entries
+            kinds.update(CONTROL_KINDS if is_control else {})
+        kind = rng.choices(list(kinds), list(kinds.values()))[0]
+        if kind == "wipe":
+            wipes += 1
+            kind = "wipe" if wipes <= MOST_WIPES else "kill"
+        count = rng.randint(2, 4) if rng.random() < SERIES_SHARE and kind != "wipe" else 1
+        for _ in range(count):
+            for_s = rng.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S)
+            plan.append(Fault(at=at, kind=kind, target=rng.choice(targets), for_s=for_s))
+            at += rng.expovariate(4 / GAP_S) if count > 1 else 0.0
+        at += rng.expovariate(1 / GAP_S)
+    if rng.random() < POWER_LOSS_SHARE:
+        plan.append(Fault(at=seconds, kind="kill", target="hosts", for_s=rng.uniform(0.2, 1.0)))
+    return plan
--- /dev/null
+++ b/bench/soak/proxy.py
@@ -0,0 +1,136 @@
+"""A loopback proxy that delays, resets, cuts and silences connections."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+import msgspec
+import trio
+
+from marigoldtrail.net import Address
+
+READ_BYTES = 65536
+# With this option a close sends a reset.
+_LINGER_RESET = struct.pack("ii", 1, 0)
+_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+class Link(msgspec.Struct, kw_only=True):
+    """
+    State of all connections to one address.
+
+    Parameters
+    ----------
+    delay_s : float
+        Seconds by which bytes are held back in each direction.
+    is_cut : bool
+        Whether connections are reset at once.
+    holds_requests, holds_answers : bool
+        Whether bytes to the address, and from it, stay on the way until the fault ends.
+    """
+
+    delay_s: float = 0.0
+    is_cut: bool = False
+    holds_requests: bool = False
+    holds_answers: bool = False
+
+
+class Proxy:
+    """
+    Forwards connections from advertised addresses to the real ones.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+        Runs the connections.
+
+    Attributes
+    ----------
+    links : dict of str to Link
+        State by advertised IP address.
+    """
+
+    __slots__ = ("links", "_nursery", "_streams", "_changed")
+
+    def __init__(self, *, nursery: trio.Nursery) -> None:
+        self.links: dict[str, Link] = {}
+        self._nursery = nursery
+        self._streams: dict[str, set[trio.SocketStream]] = {}
+        self._changed = trio.Event()
+
+    async def forward(self, advertised: Address, real: Address) -> None:
+        """Listen on the advertised address until the nursery ends."""
+        self.links.setdefault(advertised.ip, Link())
+        self._streams.setdefault(advertised.ip, set())
+
+        async def serve(client: trio.SocketStream) -> None:
+            await self._serve(client, advertised.ip, real)
+
+        listeners = await trio.open_tcp_listeners(advertised.port, host=advertised.ip)
+        self._nursery.start_soon(trio.serve_listeners, serve, listeners)
+
+    def set_link(self, ip: str, **fields: float | bool) -> None:
+        """Change the state of the connections to an address."""
+        for name, value in fields.items():
+            setattr(self.links[ip], name, value)
+        self._changed.set()
+        self._changed = trio.Event()
+        if self.links[ip].is_cut:
+            self.reset(ip)
+
+    def heal(self, ip: str) -> None:
+        """End all faults of an address."""
+        self.set_link(ip, delay_s=0.0, is_cut=False, holds_requests=False, holds_answers=False)
+
+    def reset(self, ip: str) -> None:
+        """Reset all connections to an address."""
+        for stream in self._streams[ip]:
+            reset_stream(stream)
+
+    async def _serve(self, client: trio.SocketStream, ip: str, real: Address) -> None:
+        if self.links[ip].is_cut:
+            reset_stream(client)
+            return
+        streams = self._streams[ip]
+        try:
+            server = await trio.open_tcp_stream(real.ip, real.port)
+        except OSError:
+            reset_stream(client)
+            return
+        streams |= {client, server}
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._pump, client, server, ip, "holds_requests")
+                nursery.start_soon(self._pump, server, client, ip, "holds_answers")
+        finally:
+            streams -= {client, server}
+            for stream in (client, server):
+                reset_stream(stream)
+
+    async def _pump(
+        self, source: trio.SocketStream, sink: trio.SocketStream, ip: str, gate: str
+    ) -> None:
+        link = self.links[ip]
+        try:
+            while data := await source.receive_some(READ_BYTES):
+                if link.delay_s:
+                    await trio.sleep(link.delay_s)
+                while getattr(link, gate):
+                    await self._changed.wait()
+                await sink.send_all(data)
+            await sink.send_eof()
+        except _ERRORS:
+            # The peer must see the reset, not an end of the stream.
+            for stream in (source, sink):
+                reset_stream(stream)
+
+
+def reset_stream(stream: trio.SocketStream) -> None:
+    """Close a connection with a reset."""
+    try:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+    except OSError:
+        # It is closed already.
+        pass
+    stream.socket.close()
--- a/marigoldtrail/net/network.py
+++ b/marigoldtrail/net/network.py
@@ -74,9 +74,17 @@
 
     A peer that has fallen silent without closing is noticed by keep-alive probes and, for bytes
     that it does not acknowledge, by a time-out.
+
+    Parameters
+    ----------
+    bind_ip : str
+        IP address to listen on in place of the one that others connect to; empty for the same.
     """
 
-    __slots__ = ()
+    __slots__ = ("_bind_ip",)
+
+    def __init__(self, *, bind_ip: str = "") -> None:
+        self._bind_ip = bind_ip
 
     async def dial(self, address: Address) -> trio.abc.Stream:
         """Open a TCP stream; see `Network.dial`."""
@@ -92,7 +100,7 @@
         task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Accept TCP streams; see `Network.listen`."""
-        listeners = await trio.open_tcp_listeners(address.port, host=address.ip)
+        listeners = await trio.open_tcp_listeners(address.port, host=self._bind_ip or address.ip)
         port = listeners[0].socket.getsockname()[1]
         task_status.started(Address(address.ip, port))
 
--- a/marigoldtrail/net/tests/test_calls.py
+++ b/marigoldtrail/net/tests/test_calls.py
@@ -113,3 +113,18 @@
     await stream.send_all(b"\xff\xff\xff\xffgarbage")
     assert await stream.receive_some() == b""
     assert await client.call(address, Echo("y"), Echoed, timeout_s=5) == Echoed("y", "a")
+
+
+async def test_host_behind_a_forwarder_listens_elsewhere():
+    """Guards against a host that can't be reached under an address which it does not have."""
+    network = TcpNetwork(bind_ip="127.0.0.2")
+    async with trio.open_nursery() as nursery:
+
+        async def answer(stream):
+            await stream.send_all(b"here")
+
+        address = await nursery.start(network.listen, Address("127.0.0.3", 0), answer)
+        assert address.ip == "127.0.0.3"
+        stream = await network.dial(Address("127.0.0.2", address.port))
+        assert await stream.receive_some(10) == b"here"
+        nursery.cancel_scope.cancel()
--- a/marigoldtrail/site/launch.py
+++ b/marigoldtrail/site/launch.py
@@ -105,7 +105,7 @@
         parts = SiteParts(
             cfg=cfg,
             adapter=adapter,
-            network=TcpNetwork(),
+            network=TcpNetwork(bind_ip=cfg.bind_ip),
             timers=timers,
             rng=random.Random(),
             nursery=nursery,
