--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,11 @@
 BIN := $(VENV)/bin
 SEED ?= 1
 STEPS ?= 40
+FIRST ?= 1
+COUNT ?= 5
+SECONDS ?= 12
 
-.PHONY: demo test lint format bench binary fuzz faults schema reference
+.PHONY: demo test lint format bench binary fuzz faults soak schema reference
 
 $(VENV)/installed: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -42,6 +45,9 @@
 	done; wait
 	$(BIN)/python -m marigoldtrail.testing faults --results build/faults
 
+soak: $(VENV)/installed
+	$(BIN)/python -m bench.soak --first $(FIRST) --count $(COUNT) --seconds $(SECONDS)
+
 binary: $(VENV)/installed
 	mkdir -p dist
 	$(BIN)/shiv -q --compressed -c marigoldtrail -o dist/marigoldtrail .
