Begin late requests after all that can be on time; let returning callers in like new ones

A late request waited 3 s at most before it went ahead of new ones. Late requests that hold no results now wait for capacity that nobody on time needs; those with results yield for 3 s as before, since results are kept for 4 s.

--- a/marigoldtrail/pieces/admission.py
+++ b/marigoldtrail/pieces/admission.py
@@ -3,7 +3,7 @@
 
 Answers bursts of more stages than the upstreams can work on: what would wait until its caller has
 left is refused before it waits, with the time after which there will be room. Callers come back one
-after the other, and are then let in before new ones.
+after the other.
 """
 
 from __future__ import annotations
@@ -17,8 +17,6 @@
 
 # Results are kept for a few seconds only, so that stages must not wait for longer between two.
 MAX_BACKLOG_S = 1.3
-# A caller that has been refused before is let in sooner than a new one.
-MAX_BACKLOG_OF_RETURNED_S = 2.2
 # Share of the upstreams' time that refused callers are promised; new ones need the rest.
 RETURN_SHARE = 0.5
 # Callers come back after this time at the latest, whatever they are told.
@@ -113,7 +111,6 @@
     left_s: float,
     *,
     wait_share: float = 1.0,
-    has_returned: bool = False,
 ) -> float:
     """
     Compare what a request has to wait for with its time.
@@ -128,8 +125,6 @@
         Seconds after which their results are of no more use.
     wait_share : float
         Share of that time that the request may spend waiting and being worked on.
-    has_returned : bool
-        Whether the caller has been refused before.
 
     Returns
     -------
@@ -142,8 +137,7 @@
     True
     """
     longest = max((item.backlog_s for item in work), default=0.0)
-    most_s = MAX_BACKLOG_OF_RETURNED_S if has_returned else MAX_BACKLOG_S
-    return max(path + longest - wait_share * left_s, longest - most_s)
+    return max(path + longest - wait_share * left_s, longest - MAX_BACKLOG_S)
 
 
 class ReturnPlan:
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -126,16 +126,18 @@
         self.failure = ""
         self.done = trio.Event()
 
-    def order(self, now: float) -> tuple[bool, float]:
+    def order(self, now: float) -> tuple[bool, bool, float]:
         """
         Return the place in the queue; the least is first.
 
-        Requests that will be late anyway yield to those that can still be on time: served in the
-        order of their times alone, all of them would be a little late in a burst. The results of
-        a job that was divided take room until the rest is done, so that it comes first.
+        The results of a job that was divided take room until the rest is done, so that it comes
+        first. Requests that will be late anyway and hold no results yet come last: served in the
+        order of their times alone, all of them would be a little late in a burst. Those that hold
+        results yield for a while only, since results are not kept for long.
         """
         is_late = self.may_wait and now > self.start_by
-        return not self.is_begun, self.start_by + self.yield_s + (LATE_YIELD_S if is_late else 0.0)
+        yield_s = self.yield_s + (LATE_YIELD_S if is_late else 0.0)
+        return not self.is_begun, is_late and not self.inputs, self.start_by + yield_s
 
     @property
     def is_open(self) -> bool:
@@ -332,10 +334,10 @@
             return []
         near = worker.upstream.data_centre
 
-        def place(pieces: list[Piece]) -> tuple[bool, bool, float]:
+        def place(pieces: list[Piece]) -> tuple[bool, bool, bool, float]:
             job = pieces[0].job
-            is_last, time = job.order(now)
-            return is_last, job.data_centre != near and is_large(job), time
+            is_new, is_last, time = job.order(now)
+            return is_new, is_last, job.data_centre != near and is_large(job), time
 
         groups = group_by_job(self.waiting)
         wanted = sorted((g for g in groups if self._suits(g[0].job, worker, now)), key=place)
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -40,8 +40,6 @@
 # A result may be lost with its upstream; the stages are then run again from the start.
 MAX_RUNS = 3
 GONE = "gone"
-# More than any priority.
-LATE_RANK = 1000
 # From the choice of an engine to the time at which it has fetched its inputs.
 FETCH_S = 0.12
 
@@ -105,8 +103,7 @@
     async def _run_stages(self, request: RunStages, sender: str) -> StagesReply | Failure:
         started = self._timers.now()
         expires_at = started + request.left_ms / 1000
-        rank = plan_rank(request)
-        work = self._measure(request, rank)
+        work = self._measure(request)
         if isinstance(work, Failure):
             return work
         refusal = self._refuse(request, work)
@@ -115,7 +112,7 @@
         data_centre = self._placer.expected_data_centre(request)
         for run in range(1, MAX_RUNS + 1):
             graph = StageGraph(stages=request.stages)
-            failed = await self._run_graph(request, graph, work, started, data_centre, rank)
+            failed = await self._run_graph(request, graph, work, started, data_centre)
             if failed is None:
                 break
             if failed.failure != GONE or run == MAX_RUNS or self._timers.now() >= expires_at:
@@ -129,7 +126,7 @@
             self._runner.free_later(set(handles), FETCH_S, LARGE_RESULT_BYTES)
         return StagesReply(handles=handles, upstream=upstream or "")
 
-    def _measure(self, request: RunStages, rank: int) -> list[StageWork] | Failure:
+    def _measure(self, request: RunStages) -> list[StageWork] | Failure:
         """Return what each stage of a request has to wait for."""
         work = []
         for stage in request.stages:
@@ -138,7 +135,7 @@
                 # This host has just started, or is a version behind.
                 detail = f"no piece service {stage.service!r} is known yet"
                 return self._failure(Reason.VIEW_NOT_CURRENT, detail)
-            work.append(stage_work(scheduler, stage, self._timers.now(), rank))
+            work.append(stage_work(scheduler, stage, self._timers.now(), request.priority))
         return work
 
     def _refuse(self, request: RunStages, work: list[StageWork]) -> Failure | None:
@@ -148,7 +145,6 @@
             path_s(request.stages, work),
             request.left_ms / 1000,
             wait_share=request.wait_share,
-            has_returned=request.has_returned,
         )
         if late_s <= 0:
             return None
@@ -160,7 +156,6 @@
                 "reason": "its stages can't be done in time",
                 "backlog_s": [round(item.backlog_s, 2) for item in work],
                 "left_ms": request.left_ms,
-                "has_returned": request.has_returned,
                 "return_s": round(return_s, 2),
             },
         )
@@ -175,7 +170,6 @@
         work: list[StageWork],
         started: float,
         data_centre: str,
-        rank: int,
     ) -> PieceJob | None:
         """Run all stages; return the job that failed, if one did."""
         finished: dict[int, PieceJob] = {}
@@ -188,7 +182,7 @@
 
         jobs: list[PieceJob] = []
         unfinished = dict(enumerate(request.stages))
-        self._count_planned(unfinished.values(), rank, 1)
+        self._count_planned(unfinished.values(), request.priority, 1)
         try:
             async with trio.open_nursery() as nursery:
                 while not graph.is_done():
@@ -202,20 +196,20 @@
                         if job.failure:
                             nursery.cancel_scope.cancel()
                             return job
-                        self._count_planned([unfinished.pop(number)], rank, -1)
+                        self._count_planned([unfinished.pop(number)], request.priority, -1)
                         self._runner.free(set(graph.finish(number, job.handles)))
             return None
         finally:
-            self._count_planned(unfinished.values(), rank, -1)
+            self._count_planned(unfinished.values(), request.priority, -1)
             # Without an effect on jobs that are done; the entry may have left.
             for job in jobs:
                 job.fail("the request has ended")
 
-    def _count_planned(self, stages: Iterable[StageRequest], rank: int, sign: int) -> None:
+    def _count_planned(self, stages: Iterable[StageRequest], priority: int, sign: int) -> None:
         for stage in stages:
             scheduler = self._runner.scheduler(stage.service)
             if scheduler is not None:
-                scheduler.planned[rank] += sign * stage.count
+                scheduler.planned[priority] += sign * stage.count
 
     def _queue(
         self,
@@ -293,20 +287,3 @@
             detail=detail,
             retry_after_s=retry_after_s,
         )
-
-
-def plan_rank(request: RunStages) -> int:
-    """
-    Return the rank among all planned work.
-
-    Parameters
-    ----------
-    request : RunStages
-        The request.
-
-    Returns
-    -------
-    int
-        Its priority; behind all others for a request that is late already, since it waits for them.
-    """
-    return request.priority + (LATE_RANK if request.slack_ms <= 0 else 0)
--- a/marigoldtrail/pieces/tests/test_scheduler.py
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -74,6 +74,14 @@
     assert taken(scheduler.plan(1.0)) == {"w0": ["on time"] * 4}
 
 
+def test_late_requests_begin_after_all_that_can_be_on_time():
+    """Guards against requests that are late already and make others late as well."""
+    scheduler = make_scheduler("a")
+    scheduler.add(make_job("late", 4, start_by=-30.0))
+    scheduler.add(make_job("on time", 4, start_by=3.0))
+    assert taken(scheduler.plan(1.0)) == {"w0": ["on time"] * 4}
+
+
 def test_job_is_not_divided_while_results_take_much_room():
     """Guards against results that fill the room while they wait for the rest of their stage."""
     scheduler = make_scheduler("a", "a")
--- a/marigoldtrail/policy/returning.py
+++ b/marigoldtrail/policy/returning.py
@@ -1,8 +1,8 @@
 """
 Tells callers that come back after a refusal from new ones.
 
-Answers bursts in which many callers are refused: who has waited already is served before those who
-have not, and is late sooner than its new request says.
+Answers bursts in which many callers are refused: the answer to one that has waited already is late
+sooner than its new request says, and must not make the answers to others late.
 """
 
 from __future__ import annotations
