--- a/marigoldtrail/cli/inspect.py
+++ b/marigoldtrail/cli/inspect.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Annotated, Any
 
+import msgspec
 import trio
 import typer
 
@@ -15,6 +16,7 @@
 from marigoldtrail.errors import Failure
 from marigoldtrail.net import Address
 from marigoldtrail.telemetry import follow_decisions
+from marigoldtrail.telemetry.history import LogEvent, explain_request, parse_lines
 
 DIGEST_CHARS = 64
 
@@ -117,16 +119,23 @@
 
 
 def explain(
-    api: ApiOption,
+    api: ApiOption = "",
     request_id: Annotated[str, typer.Option(help="Decisions about this request.")] = "",
     upstream: Annotated[str, typer.Option(help="Decisions about this upstream or host.")] = "",
     limit: Annotated[int, typer.Option(min=1, max=1000)] = 100,
+    log_files: Annotated[
+        list[Path] | None,
+        typer.Option("--lines", help="Log lines of a host; in place of --api."),
+    ] = None,
     as_json: JsonOption = False,
 ) -> None:
     """Print automatic decisions with their reasons and inputs.
 
     Example: marigoldtrail explain --upstream engines-1 --api 10.0.0.1:8000
     """
+    if log_files:
+        explain_from_lines(log_files, request_id, as_json=as_json)
+        return
     reply = call_api(
         api,
         lambda client: client.decisions(request_id=request_id, upstream=upstream, limit=limit),
@@ -139,6 +148,26 @@
     print_result(reply, as_json=as_json, text="\n".join(lines) or "no decisions")
 
 
+def explain_from_lines(paths: list[Path], request_id: str, *, as_json: bool) -> None:
+    """Print the log lines that tell what became of a request."""
+    if not request_id:
+        typer.echo("error: --lines: needs --request-id", err=True)
+        raise typer.Exit(ExitCode.INVALID_INPUT)
+    events: list[LogEvent] = []
+    for path in paths:
+        found, unread = parse_lines(read_input(path))
+        events += found
+        if unread:
+            typer.echo(f"{path}: {unread} lines can't be read", err=True)
+    told = explain_request(events, request_id)
+    text = "\n".join(
+        f"{event.at:%H:%M:%S.%f} {event.host}: {event.message} {json.dumps(event.fields)}"
+        for event in told
+    )
+    values = [msgspec.to_builtins(event) for event in told]
+    print_result(values, as_json=as_json, text=text or "no line names the request")
+
+
 def follow_events(
     address: Annotated[
         str, typer.Option("--address", metavar="IP:PORT", help="Setting events_address of a node.")
--- a/marigoldtrail/consensus/parts.py
+++ b/marigoldtrail/consensus/parts.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from marigoldtrail.timers import Signal
+
 
 class Machine(Protocol):
     """The state machine of a group; its methods must not block for long."""
@@ -49,29 +51,6 @@
         ...
 
 
-class Signal:
-    """Wakes all tasks that wait for a change."""
-
-    __slots__ = ("_event",)
-
-    def __init__(self) -> None:
-        self._event = trio.Event()
-
-    def notify(self) -> None:
-        """Wake the waiting tasks."""
-        self._event.set()
-        self._event = trio.Event()
-
-    async def wait(self) -> None:
-        """Wait for the next `notify`."""
-        await self._event.wait()
-
-    async def wait_for(self, seconds: float) -> None:
-        """Wait for the next `notify`, at most some seconds."""
-        with trio.move_on_after(seconds):
-            await self._event.wait()
-
-
 class Proposal:
     """
     An entry on its way into the log.
--- a/marigoldtrail/consensus/state.py
+++ b/marigoldtrail/consensus/state.py
@@ -11,12 +11,12 @@
 import trio
 
 from marigoldtrail.consensus.log import ReplicatedLog
-from marigoldtrail.consensus.parts import Machine, Peer, Proposal, Signal
+from marigoldtrail.consensus.parts import Machine, Peer, Proposal
 from marigoldtrail.consensus.store import GroupStore
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Address, PeerClient
 from marigoldtrail.schema.generated.consensus import Member, StoredSnapshot
-from marigoldtrail.timers import Timers
+from marigoldtrail.timers import Signal, Timers
 
 if TYPE_CHECKING:
     from marigoldtrail.telemetry import Telemetry
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -9,7 +9,6 @@
 import msgspec
 import trio
 
-from marigoldtrail.consensus.parts import Signal
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.pieces.scheduler import (
     BUSY_PAUSE_S,
@@ -20,7 +19,7 @@
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.routing import PieceSpec, Upstream
 from marigoldtrail.telemetry.exposition import Exposition
-from marigoldtrail.timers import Timers
+from marigoldtrail.timers import Signal, Timers
 
 # A call that takes this many times longer than expected is given up.
 CALL_PATIENCE = 3.0
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -8,7 +8,6 @@
 
 import trio
 
-from marigoldtrail.consensus.parts import Signal
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Handlers
 from marigoldtrail.pieces.admission import (
@@ -33,7 +32,7 @@
     StagesReply,
 )
 from marigoldtrail.telemetry.exposition import Exposition
-from marigoldtrail.timers import Timers
+from marigoldtrail.timers import Signal, Timers
 
 # Requests whose results are remembered until their entry says that they have ended.
 MAX_REQUESTS_KEPT = 4096
--- a/marigoldtrail/registry/board.py
+++ b/marigoldtrail/registry/board.py
@@ -4,14 +4,13 @@
 
 import logging
 
-from marigoldtrail.consensus.parts import Signal
 from marigoldtrail.schema.generated.registry import (
     HostEntry,
     HostReport,
     UpstreamEntry,
     UpstreamLoad,
 )
-from marigoldtrail.timers import Timers
+from marigoldtrail.timers import Signal, Timers
 
 # Three reports that did not come.
 HOST_LOST_S = 1.2
--- a/marigoldtrail/registry/picture.py
+++ b/marigoldtrail/registry/picture.py
@@ -6,10 +6,9 @@
 import zlib
 from collections.abc import Callable
 
-from marigoldtrail.consensus.parts import Signal
 from marigoldtrail.routing import RouteIndex, RouteTable, Upstream, build_index
 from marigoldtrail.schema.generated.registry import HostEntry, HostReportReply, UpstreamEntry
-from marigoldtrail.timers import Timers
+from marigoldtrail.timers import Signal, Timers
 
 ParseDocument = Callable[[bytes], RouteTable | str]
 
--- /dev/null
+++ b/marigoldtrail/telemetry/tests/test_history.py
@@ -0,0 +1,47 @@
+"""From the id of a request to the log lines that explain its end."""
+
+import json
+
+from marigoldtrail.telemetry.history import explain_request, parse_lines
+
+
+def line(seconds, host, message, **fields):
+    at = f"2026-01-08 23:27:{seconds:02d},500"
+    return json.dumps({"asctime": at, "host": host, "message": message, **fields})
+
+
+LINES = "\n".join(
+    [
+        line(1, "entry-1", "configuration in force", version=7),
+        line(20, "entry-1", "configuration in force", version=8),
+        line(21, "control-1", "pieces done", requests={"r1": 2, "r2": 1}, subject="board-1"),
+        line(21, "entry-2", "configuration in force", version=8),
+        line(23, "entry-1", "request ended", request_id="r1", upstream="llm-1", outcome="served"),
+        line(22, "entry-2", "upstream ejected", subject="llm-1"),
+        line(22, "entry-2", "upstream ejected", subject="llm-9"),
+        line(22, "entry-1", "request ended", request_id="r2", upstream="llm-1"),
+    ]
+)
+
+
+def test_lines_of_a_request_and_its_causes_are_found():
+    """Guards against an explanation that leaves out the cause, or drowns it in other lines."""
+    events, unread = parse_lines(LINES.encode())
+    found = [(e.host, e.message) for e in explain_request(events, "r1")]
+    assert unread == 0
+    assert found == [
+        ("entry-1", "configuration in force"),
+        ("control-1", "pieces done"),
+        ("entry-2", "upstream ejected"),
+        ("entry-1", "request ended"),
+    ]
+    assert explain_request(events, "r3") == []
+
+
+def test_unreadable_lines_are_counted():
+    """Guards against a torn line that hides all others."""
+    data = b'{"torn\n' + LINES.encode() + b'\nplain text\n{"message": "no time"}\n12.5 core-1 '
+    data += line(30, "core-1", "start").encode()
+    events, unread = parse_lines(data)
+    assert unread == 3
+    assert len(events) == 9 and events[-1].host == "core-1"
