--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -186,7 +186,7 @@
             ],
             key=facts.piece_key,
             left_ms=0,
-            priority=exchange.priority,
+            priority=exchange.backlog_rank,
             wait_share=exchange.wait_share,
             yield_ms=round(exchange.yield_s * 1000),
             engine_service=exchange.service.name if exchange.service.engine is not None else "",
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -175,6 +175,15 @@
             return self.route_rank
         return max(0, self.account.priority) * ROUTE_RANKS + self.route_rank
 
+    @property
+    def backlog_rank(self) -> int:
+        """
+        Rank by which the work of other requests counts as done before.
+
+        The first two ranks of routes differ little and wait for each other.
+        """
+        return self.priority + (1 if self.route_rank == 0 else 0)
+
     @property
     def yield_s(self) -> float:
         """Seconds by which the stages of the request yield to those of more urgent ones."""
