--- a/bench/commits.py
+++ b/bench/commits.py
@@ -20,10 +20,10 @@
 
 import trio
 
+from bench.loopback import CountingNetwork
 from marigoldtrail.consensus import Group, GroupSet, init_fleet
 from marigoldtrail.errors import Failure
 from marigoldtrail.net import Address, PeerClient, TcpNetwork, serve_peers
-from marigoldtrail.net.network import StreamHandler
 from marigoldtrail.storage import FolderDisk
 from marigoldtrail.timers import Timers
 
@@ -41,101 +41,26 @@
 POLL_S = 0.002
 
 
-class Counter:
-    """What the network and the disks of a fleet have carried."""
+class DiskCounter:
+    """What the disks of a fleet have written."""
 
-    __slots__ = ("messages", "network_bytes", "disk_bytes", "syncs")
+    __slots__ = ("written_bytes", "syncs")
 
     def __init__(self) -> None:
-        self.messages = 0
-        self.network_bytes = 0
-        self.disk_bytes = 0
+        self.written_bytes = 0
         self.syncs = 0
 
-    def values(self) -> dict[str, int]:
-        """Return the counts by name."""
-        return {name: getattr(self, name) for name in self.__slots__}
-
-
-class CountingStream(trio.abc.Stream):
-    """
-    A stream that counts what is sent; a frame is one call of `send_all`.
-
-    Parameters
-    ----------
-    stream : trio.abc.Stream
-        The stream.
-    counter : Counter
-        Where to count.
-    """
-
-    def __init__(self, *, stream: trio.abc.Stream, counter: Counter) -> None:
-        self.stream = stream
-        self.counter = counter
-
-    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
-        """Count and send."""
-        self.counter.messages += 1
-        self.counter.network_bytes += len(data)
-        await self.stream.send_all(data)
-
-    async def wait_send_all_might_not_block(self) -> None:
-        """Wait for the stream."""
-        await self.stream.wait_send_all_might_not_block()
-
-    async def receive_some(self, max_bytes: int | None = None) -> bytes | bytearray:
-        """Receive from the stream."""
-        return await self.stream.receive_some(max_bytes)
-
-    async def aclose(self) -> None:
-        """Close the stream."""
-        await self.stream.aclose()
-
-
-class CountingNetwork(TcpNetwork):
-    """
-    TCP with counted streams.
-
-    Parameters
-    ----------
-    counter : Counter
-        Where to count.
-    """
-
-    __slots__ = ("counter",)
-
-    def __init__(self, *, counter: Counter) -> None:
-        self.counter = counter
-
-    async def dial(self, address: Address) -> trio.abc.Stream:
-        """Open a counted stream."""
-        return CountingStream(stream=await super().dial(address), counter=self.counter)
-
-    async def listen(
-        self,
-        address: Address,
-        handler: StreamHandler,
-        *,
-        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        """Accept counted streams."""
-
-        async def handle(stream: trio.abc.Stream) -> None:
-            await handler(CountingStream(stream=stream, counter=self.counter))
-
-        await super().listen(address, handle, task_status=task_status)
-
 
 class CountingDisk(FolderDisk):
     """A data folder that counts what is written."""
 
     __slots__ = ("counter",)
 
-    counter: Counter
+    counter: DiskCounter
 
     async def append(self, name: str, data: bytes) -> None | Failure:
         """Count and append."""
-        self.counter.disk_bytes += len(data)
+        self.counter.written_bytes += len(data)
         return await super().append(name, data)
 
     async def sync(self, name: str) -> None | Failure:
@@ -145,7 +70,7 @@
 
     async def write_atomic(self, name: str, data: bytes) -> None | Failure:
         """Count and write."""
-        self.counter.disk_bytes += len(data)
+        self.counter.written_bytes += len(data)
         self.counter.syncs += 2
         return await super().write_atomic(name, data)
 
@@ -198,8 +123,8 @@
         self.nursery = nursery
         self.folder = folder
         self.max_batch = max_batch
-        self.counter = Counter()
-        self.network = CountingNetwork(counter=self.counter)
+        self.disks = DiskCounter()
+        self.network = CountingNetwork(network=TcpNetwork(), counts_accepted=True)
         self.timers = Timers()
         self.hosts = {f"group-{number}": list(HOSTS) for number in range(groups)}
         self.addresses: dict[str, Address] = {}
@@ -207,6 +132,15 @@
         self.machines: dict[str, dict[str, CountMachine]] = {}
         self.scopes: dict[str, trio.CancelScope] = {}
 
+    def counts(self) -> dict[str, int]:
+        """Return what the network and the disks have carried; a message is one send."""
+        return {
+            "messages": self.network.sends,
+            "network_bytes": self.network.sent_bytes,
+            "disk_bytes": self.disks.written_bytes,
+            "syncs": self.disks.syncs,
+        }
+
     async def form(self) -> GroupSet:
         """Start all hosts, initialise them; return the leader of the first group."""
         for host in HOSTS:
@@ -245,7 +179,7 @@
         path = self.folder / host
         path.mkdir(exist_ok=True)
         disk = CountingDisk(folder=path, timers=self.timers)
-        disk.counter = self.counter
+        disk.counter = self.disks
         machines = {name: CountMachine() for name in self.hosts}
         with trio.CancelScope() as scope:
             async with trio.open_nursery() as nursery:
@@ -324,12 +258,12 @@
             fleet = Fleet(nursery=nursery, folder=Path(folder), max_batch=max_batch)
             leader = await fleet.form()
             await propose_count(leader, CLIENTS)
-            before, cpu = fleet.counter.values(), time.process_time()
+            before, cpu = fleet.counts(), time.process_time()
             started = fleet.timers.now()
             commits = await propose_until(leader, started + COMMIT_S, fleet.timers, payload_bytes)
             took_s = fleet.timers.now() - started
             cpu_s = time.process_time() - cpu
-            after = fleet.counter.values()
+            after = fleet.counts()
             nursery.cancel_scope.cancel()
     spent = {name: after[name] - before[name] for name in after}
     return {
@@ -356,7 +290,7 @@
                 await fleet.stop(host)
                 await propose_count(leader, missed)
                 target = leader["group-0"].applied_index
-                before, cpu = fleet.counter.network_bytes, time.process_time()
+                before, cpu = fleet.network.sent_bytes, time.process_time()
                 started = fleet.timers.now()
                 await fleet.start(host)
                 opened = fleet.timers.now()
@@ -368,7 +302,7 @@
                         "seconds": fleet.timers.now() - started,
                         "seconds_to_open": opened - started,
                         "cpu_s_3_hosts": time.process_time() - cpu,
-                        "network_bytes": fleet.counter.network_bytes - before,
+                        "network_bytes": fleet.network.sent_bytes - before,
                         "commands_applied": fleet.machines[host]["group-0"].count,
                     }
                 )
@@ -391,10 +325,10 @@
             fleet = Fleet(nursery=nursery, folder=Path(folder), groups=groups)
             await fleet.form()
             await trio.sleep(1)
-            before, cpu = fleet.counter.values(), time.process_time()
+            before, cpu = fleet.counts(), time.process_time()
             await trio.sleep(IDLE_S)
             cpu_s = time.process_time() - cpu
-            after = fleet.counter.values()
+            after = fleet.counts()
             nursery.cancel_scope.cancel()
     rates = {name: (after[name] - before[name]) / IDLE_S for name in after}
     return {"cpu_s": cpu_s / IDLE_S, **rates}
--- a/bench/loopback.py
+++ b/bench/loopback.py
@@ -16,10 +16,13 @@
     ----------
     network : Network
         Opens and accepts the streams.
+    counts_accepted : bool
+        Whether the streams that it accepts are counted as well.
     """
 
-    def __init__(self, *, network: Network) -> None:
+    def __init__(self, *, network: Network, counts_accepted: bool = False) -> None:
         self._network = network
+        self._counts_accepted = counts_accepted
         self.reset()
 
     def reset(self) -> None:
@@ -40,7 +43,13 @@
         task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Accept streams; see `Network.listen`."""
-        await self._network.listen(address, handler, task_status=task_status)
+
+        async def handle(stream: trio.abc.Stream) -> None:
+            if self._counts_accepted:
+                stream = CountingStream(stream=stream, network=self)
+            await handler(stream)
+
+        await self._network.listen(address, handle, task_status=task_status)
 
 
 class CountingStream(trio.abc.Stream):
--- a/marigoldtrail/api/__init__.py
+++ b/marigoldtrail/api/__init__.py
@@ -2,10 +2,11 @@
 
 from marigoldtrail.api.addresses import AddressAnswer, EntryAddress, rank_addresses
 from marigoldtrail.api.app import build_app
-from marigoldtrail.api.client import ApiClient, ApiStream
+from marigoldtrail.api.client import ApiClient
 from marigoldtrail.api.context import ApiContext
 from marigoldtrail.api.display import format_ms, format_record
 from marigoldtrail.api.server import serve_api
+from marigoldtrail.api.stream import ApiStream
 
 __all__ = [
     "AddressAnswer",
--- a/marigoldtrail/api/problems.py
+++ b/marigoldtrail/api/problems.py
@@ -170,3 +170,31 @@
         Always ``NOT_RUN``.
     """
     return Failure(reason=Reason.BAD_REQUEST, run_state=RunState.NOT_RUN, step=step, detail=detail)
+
+
+def failure_of(problem: Problem, peer: str) -> Failure:
+    """
+    Return the failure that a problem document states.
+
+    Parameters
+    ----------
+    problem : Problem
+        The document.
+    peer : str
+        Named if the document names no peer.
+
+    Returns
+    -------
+    Failure
+        With the alternatives as its hint, separated by commas.
+    """
+    faults = "; ".join(problem.faults)
+    return Failure(
+        reason=Reason(problem.reason),
+        run_state=RunState(problem.run_state),
+        step=problem.step,
+        peer=problem.peer or peer,
+        detail=faults or problem.detail,
+        retry_after_s=problem.retry_after_s,
+        hint=",".join(problem.alternatives),
+    )
--- a/marigoldtrail/records/service.py
+++ b/marigoldtrail/records/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -11,13 +12,12 @@
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Handlers
 from marigoldtrail.records.claim import ArchivedClaims, ClaimState, Location, SettledBy
-from marigoldtrail.records.fetch import FetchChunk, fetch_missing
+from marigoldtrail.records.fetch import FetchChunk
+from marigoldtrail.records.group import RecordGroup
 from marigoldtrail.records.machine import (
     Command,
     OpenCommand,
     PutCommand,
-    RecordMachine,
-    RetainCommand,
     SettleCommand,
     StoredAnswer,
     decode_answer,
@@ -25,7 +25,8 @@
 )
 from marigoldtrail.records.search import search_records
 from marigoldtrail.records.segments import MAX_UNFLUSHED_BYTES
-from marigoldtrail.records.sweeper import AskOutcome, LogGroup, Sweeper
+from marigoldtrail.records.sweeper import AskOutcome, Sweeper
+from marigoldtrail.records.upkeep import apply_retention, fetch_segments, write_segments
 from marigoldtrail.schema.generated.records import (
     ClaimReply,
     ClaimsReply,
@@ -46,14 +47,6 @@
 
 PROPOSE_TIMEOUT_S = 5.0
 READ_TIMEOUT_S = 3.0
-FLUSH_INTERVAL_S = 0.2
-RETRY_INTERVAL_S = 1.0
-FETCH_INTERVAL_S = 1.0
-RETAIN_INTERVAL_S = 3600.0
-# Retention moves on by at most this much per round, so that a wall clock set far ahead cannot drop
-# the records of years at once; twice the interval lets it catch up.
-RETAIN_STEP_MS = 7_200_000
-DAY_MS = 86_400_000
 # Answers and records larger than this are refused; a command has at most 4 MB.
 MAX_PAYLOAD_BYTES = 2 * 1024 * 1024
 MAX_LISTED_CLAIMS = 1000
@@ -65,33 +58,6 @@
 }
 
 
-class RecordGroup:
-    """
-    One record group on this host.
-
-    Parameters
-    ----------
-    name : str
-        Name of the group.
-    log : LogGroup
-        Its replicated log; must apply to `machine`.
-    machine : RecordMachine
-        Its state machine.
-    members : sequence of str
-        Hosts of its members; asked for segments that this host lacks.
-    """
-
-    __slots__ = ("name", "log", "machine", "members")
-
-    def __init__(
-        self, *, name: str, log: LogGroup, machine: RecordMachine, members: Sequence[str]
-    ) -> None:
-        self.name = name
-        self.log = log
-        self.machine = machine
-        self.members = members
-
-
 class RecordService:
     """
     Serves the record groups that have a member on this host.
@@ -446,49 +412,22 @@
                     telemetry=self._telemetry,
                 )
                 nursery.start_soon(sweeper.run)
-                nursery.start_soon(self._write_segments, group)
-                nursery.start_soon(self._fetch_segments, group)
-                nursery.start_soon(self._apply_retention, group)
-
-    async def _write_segments(self, group: RecordGroup) -> None:
-        store = group.machine.store
-        while True:
-            changed = store.changed
-            await store.maintain()
-            # Entries that arrive together share one fsync; they are durable in the log already.
-            await self._timers.sleep(FLUSH_INTERVAL_S)
-            if store.failure is None:
-                await changed.wait()
-            else:
-                await self._timers.sleep(RETRY_INTERVAL_S)
-
-    async def _fetch_segments(self, group: RecordGroup) -> None:
-        async for _ in self._timers.subscribe("records.fetch", FETCH_INTERVAL_S):
-            store = group.machine.store
-            missing = store.missing()
-            if not missing:
-                continue
-            hosts = [host for host in group.members if host != self._host]
-            installed = await fetch_missing(store, group.name, hosts, self._fetch_chunk)
-            self._telemetry.decisions.add(
-                "segment.fetch",
-                group.name,
-                "segments were missing or damaged",
-                missing=len(missing),
-                installed=installed,
-            )
-
-    async def _apply_retention(self, group: RecordGroup) -> None:
-        async for _ in self._timers.subscribe("records.retention", RETAIN_INTERVAL_S):
-            machine = group.machine
-            oldest = machine.store.oldest_ms()
-            if not group.log.is_leader or not oldest:
-                continue
-            now_ms = self._timers.wall_ms()
-            reached = max(machine.retained_ms, oldest)
-            before_ms = min(now_ms - self._retention_days * DAY_MS, reached + RETAIN_STEP_MS)
-            if before_ms > machine.retained_ms:
-                await self._propose(group, RetainCommand(before_ms, now_ms), "records.retain")
+                nursery.start_soon(write_segments, group, self._timers)
+                nursery.start_soon(
+                    fetch_segments,
+                    group,
+                    self._host,
+                    self._fetch_chunk,
+                    self._timers,
+                    self._telemetry,
+                )
+                nursery.start_soon(
+                    apply_retention,
+                    group,
+                    self._retention_days,
+                    partial(self._propose, group, step="records.retain"),
+                    self._timers,
+                )
 
 
 def compare_archived(stored: StoredAnswer, req: OpenClaim | SettleClaim) -> ClaimReply | None:
