--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import shutil
+from functools import partial
 from pathlib import Path
 from typing import Annotated
 
@@ -32,10 +33,11 @@
         typer.echo(f"    {fault}")
 
 
-def read_seeds() -> list[int]:
-    """Return the seeds that have failed once."""
+def read_seeds() -> list[tuple[int, float]]:
+    """Return the seeds that have failed once, with the seconds of their faults."""
     lines = SEEDS_FILE.read_text().splitlines()
-    return [int(line.split()[0]) for line in lines if line and not line.startswith("#")]
+    fields = [line.split() for line in lines if line and not line.startswith("#")]
+    return [(int(seed), float(seconds)) for seed, seconds, *_ in fields]
 
 
 def main(
@@ -48,14 +50,14 @@
 ) -> None:
     """Run seeds one after the other."""
     broken = 0
-    seeds = read_seeds() if regressions else list(range(first, first + count))
-    for seed in seeds:
+    seeds = [(seed, seconds) for seed in range(first, first + count)]
+    if regressions:
+        seeds = read_seeds()
+    for seed, length in seeds:
         place = folder.absolute() / str(seed)
         shutil.rmtree(place, ignore_errors=True)
         place.mkdir(parents=True)
-        outcome = trio.run(
-            lambda seed=seed, place=place: run_seed(seed, seconds, network=network, folder=place)
-        )
+        outcome = trio.run(partial(run_seed, seed, length, network=network, folder=place))
         print_outcome(outcome)
         if outcome.faults:
             broken += 1
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -171,4 +171,4 @@
 
 def test_failed_seeds_are_kept_with_their_causes():
     """Guards against a list of seeds that can't be read."""
-    assert all(seed >= 0 for seed in read_seeds())
+    assert all(seed >= 0 and seconds > 0 for seed, seconds in read_seeds())
--- /dev/null
+++ b/marigoldtrail/pieces/tests/test_engines.py
@@ -0,0 +1,123 @@
+"""Which engine runs a request, by what the scheduler knows of all of them."""
+
+import random
+
+from marigoldtrail.pieces.engines import CACHE_SHARE, EngineBoard, Placement
+from marigoldtrail.pieces.placer import SUSPECT_S, EnginePlacer
+from marigoldtrail.registry import FleetPicture
+from marigoldtrail.routing import EngineSpec, Limits, RouteTable, Service, Upstream, build_index
+from marigoldtrail.schema.generated.pieces import PromptPart, RunStages
+from marigoldtrail.timers import Timers
+
+SPEC = EngineSpec(slots=8, kv_tokens=100_000)
+SHARED = PromptPart(part="shared", tokens=8000)
+
+
+def engine(name, *, data_centre="a", cold_until=0.0):
+    return Upstream(
+        name=name,
+        service="llm",
+        address="10.0.0.1:1",
+        data_centre=data_centre,
+        slots=8,
+        cold_until=cold_until,
+    )
+
+
+def make_placer(*engines):
+    timers = Timers(seed=1)
+    picture = FleetPicture(parse_document=lambda data: "", timers=timers)
+    service = Service(name="llm", max_connections=9, engine=SPEC)
+    table = RouteTable(version=1, routes=(), services=(service,), limits=Limits(), accounts=None)
+    picture.routes = build_index(table)
+    picture.upstreams = {upstream.name: upstream for upstream in engines}
+    return EnginePlacer(picture=picture, timers=timers, rng=random.Random(1))
+
+
+def ask(name, *parts, **fields):
+    return RunStages(
+        request_id=name,
+        stages=[],
+        left_ms=5000,
+        engine_service="llm",
+        prompt=list(parts),
+        prompt_tokens=sum(part.tokens for part in parts),
+        output_tokens=100,
+        **fields,
+    )
+
+
+def own(number, tokens=500):
+    return PromptPart(part=f"own-{number}", tokens=tokens)
+
+
+async def test_requests_with_a_shared_prompt_go_to_one_engine(autojump_clock):
+    """Guards against a long shared part that each engine reads again."""
+    placer = make_placer(*[engine(f"e{n}") for n in range(4)])
+    chosen = []
+    for number in range(6):
+        chosen.append(placer.place(ask(f"r{number}", SHARED, own(number)), {}, 100.0))
+        placer.note_progress(f"r{number}", has_ended=True)
+    assert len(set(chosen)) == 1
+
+
+async def test_requests_without_a_shared_prompt_are_spread(autojump_clock):
+    """Guards against an engine that reads all prompts while others are idle."""
+    placer = make_placer(*[engine(f"e{n}") for n in range(4)])
+    chosen = {placer.place(ask(f"r{n}", own(n, 8000)), {}, 100.0) for n in range(4)}
+    assert len(chosen) == 4
+
+
+async def test_results_are_read_near_their_makers(autojump_clock):
+    """Guards against megabytes that cross data centres without need."""
+    placer = make_placer(engine("far", data_centre="a"), engine("near", data_centre="b"))
+    assert placer.place(ask("r", own(1)), {"b": 9_000_000}, 100.0) == "near"
+
+
+async def test_engines_that_failed_or_are_cold_are_left_out(autojump_clock):
+    """Guards against a repeated send to the same engine, and a burst at one that is cold."""
+    placer = make_placer(engine("failed"), engine("cold", cold_until=1e9), engine("sound"))
+    for number in range(5):
+        request = ask(f"r{number}", own(number), excluded=["failed"])
+        assert placer.place(request, {}, 100.0) == "sound"
+    assert placer.place(ask("other", own(9), excluded=["failed", "sound"]), {}, 100.0) == "cold"
+
+
+async def test_engine_that_an_entry_can_not_reach_is_avoided_for_a_while(autojump_clock):
+    """Guards against requests of all entries that go where one has just failed."""
+    placer = make_placer(engine("e0"), engine("e1"))
+    placer.place(ask("first", own(0), suspects=["e0"]), {}, 100.0)
+    chosen = {placer.place(ask(f"r{n}", own(n)), {}, 100.0) for n in range(1, 5)}
+    assert chosen == {"e1"} and SUSPECT_S > 0
+
+
+def test_board_counts_what_engines_have_to_read():
+    """Guards against a queue of prompts at one engine that the choice does not see."""
+    board = EngineBoard(spec=SPEC)
+    placement = Placement(upstream="e", unread=8000, tokens=8100, expires_at=10.0)
+    board.place("r", "e", [SHARED], placement)
+
+    def option(now):
+        (found,) = board.options([engine("e")], [SHARED, own(1)], loads={}, bytes_in={}, now=now)
+        return found
+
+    assert (option(0.0).unread_tokens, option(0.0).requests) == (8000, 1)
+    assert option(0.0).cached_tokens == 8000
+    board.begin("r")
+    assert (option(0.0).unread_tokens, option(0.0).requests) == (0, 1)
+    # An entry that dies never says that its request has ended.
+    assert option(10.0).requests == 0
+
+
+def test_oldest_prompts_leave_the_memory_first():
+    """Guards against a cache that is believed to hold more than the engine's memory."""
+    board = EngineBoard(spec=SPEC)
+    count = int(SPEC.kv_tokens * CACHE_SHARE / SHARED.tokens) + 1
+    parts = [PromptPart(part=f"p{n}", tokens=SHARED.tokens) for n in range(count)]
+    for number, part in enumerate(parts):
+        placement = Placement(upstream="e", unread=0, tokens=1, expires_at=1.0)
+        board.place(f"r{number}", "e", [part], placement)
+    assert board.cached_tokens("e", [parts[0]]) == 0
+    assert board.cached_tokens("e", [parts[-1]]) == SHARED.tokens
+    board.forget_except(set())
+    assert board.cached_tokens("e", [parts[-1]]) == 0
--- /dev/null
+++ b/marigoldtrail/pieces/tests/test_runner.py
@@ -0,0 +1,169 @@
+"""Calls at the upstreams of stages, and the results that they keep."""
+
+import trio
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.pieces.runner import PieceCall, PieceResult, PieceRunner
+from marigoldtrail.pieces.scheduler import PieceJob
+from marigoldtrail.registry import FleetPicture
+from marigoldtrail.routing import Limits, PieceSpec, RouteTable, Service, Upstream, build_index
+from marigoldtrail.telemetry.exposition import Exposition
+from marigoldtrail.timers import Timers
+
+SPEC = PieceSpec(
+    slots=1, queue=2, batch=4, call_s=0.15, item_s=0.03, room_bytes=1_000_000, keep_s=4.0
+)
+WORK_S = 0.2
+
+
+class Upstreams:
+    """Scripted upstreams: each call takes the next answer, or works in the usual time."""
+
+    def __init__(self, nursery, *, count=1):
+        self.answers = []
+        self.calls = []
+        self.freed = []
+        timers = Timers(seed=1)
+        picture = FleetPicture(parse_document=lambda data: "", timers=timers)
+        service = Service(name="s", max_connections=9, pieces=SPEC)
+        table = RouteTable(
+            version=1, routes=(), services=(service,), limits=Limits(), accounts=None
+        )
+        picture.routes = build_index(table)
+        picture.upstreams = {
+            f"w{n}": Upstream(
+                name=f"w{n}", service="s", address="10.0.0.1:1", data_centre="a", slots=1
+            )
+            for n in range(count)
+        }
+        self.runner = PieceRunner(
+            picture=picture,
+            call=PieceCall(run=self.run, free=self.free),
+            timers=timers,
+            metrics=Exposition(),
+        )
+        nursery.start_soon(self.runner.run)
+
+    async def run(self, upstream, pieces, lefts):
+        self.calls.append((upstream.name, len(pieces)))
+        if self.answers:
+            answer = self.answers.pop(0)
+            return answer(pieces) if callable(answer) else answer
+        await trio.sleep(WORK_S)
+        return self.results(pieces)
+
+    def results(self, pieces):
+        call = len(self.calls)
+        return [PieceResult(handle=f"{call}/{p.job.request_id}-{p.index}") for p in pieces]
+
+    async def free(self, upstream, handles):
+        self.freed += handles
+
+    async def work(self, name, count=1, *, expires_s=10.0):
+        """Have a job done and return it."""
+        now = trio.current_time()
+        job = PieceJob(
+            request_id=name,
+            stage=0,
+            key="k",
+            inputs=[],
+            count=count,
+            expires_at=now + expires_s,
+            start_by=now + 1.0,
+            may_wait=True,
+            yield_s=0.0,
+            data_centre="",
+            result_bytes=1000,
+            moved_bytes=0,
+            queued_at=now,
+        )
+        self.runner.scheduler("s").add(job)
+        self.runner.wake()
+        await job.done.wait()
+        return job
+
+    def worker(self, name="w0"):
+        return self.runner.scheduler("s").workers[name]
+
+
+async def test_pieces_whose_call_failed_are_done_elsewhere(autojump_clock, nursery):
+    """Guards against a request that is lost with the upstream of a stage."""
+    upstreams = Upstreams(nursery, count=2)
+    upstreams.answers = [
+        Failure(reason=Reason.UNREACHABLE, run_state=RunState.MAY_HAVE_RUN, step="test")
+    ]
+    job = await upstreams.work("one", 2)
+    assert all(job.handles) and not job.failure
+    assert len({name for name, _ in upstreams.calls}) == 2
+
+
+async def test_silent_upstream_does_not_hold_a_request_up(autojump_clock, nursery):
+    """Guards against a stage that waits for an upstream until its caller has left."""
+    upstreams = Upstreams(nursery, count=2)
+    started = trio.current_time()
+
+    async def be_silent(upstream, pieces, lefts):
+        if not upstreams.calls:
+            upstreams.calls.append((upstream.name, len(pieces)))
+            await trio.sleep_forever()
+        return await upstreams.run(upstream, pieces, lefts)
+
+    upstreams.runner._call = PieceCall(run=be_silent, free=upstreams.free)
+    job = await upstreams.work("one")
+    assert all(job.handles) and trio.current_time() - started < 2.0
+
+
+async def test_pause_of_this_process_is_not_taken_for_a_slow_upstream(autojump_clock, nursery):
+    """Guards against upstreams that are left idle since the scheduler's host stood still."""
+    upstreams = Upstreams(nursery)
+
+    def stand_still(pieces):
+        autojump_clock.jump(7.0)
+        return upstreams.results(pieces)
+
+    upstreams.answers = [stand_still]
+    await upstreams.work("one", expires_s=20.0)
+    assert upstreams.worker().slowness_at(trio.current_time()) == 1.0
+
+
+async def test_pieces_without_room_are_done_once_there_is_some(autojump_clock, nursery):
+    """Guards against pieces that count as failed, and upstreams that idle, for lack of room."""
+    upstreams = Upstreams(nursery)
+    upstreams.answers = [
+        lambda pieces: [PieceResult(handle="h"), *[PieceResult(reason="room")] * (len(pieces) - 1)]
+    ]
+    job = await upstreams.work("one", 3)
+    assert all(job.handles)
+    assert upstreams.calls[0] == ("w0", 3) and sum(count for _, count in upstreams.calls) == 5
+
+
+async def test_lost_inputs_end_the_job_at_once(autojump_clock, nursery):
+    """Guards against pieces that are repeated although what they read is gone."""
+    upstreams = Upstreams(nursery)
+    upstreams.answers = [lambda pieces: [PieceResult(reason="gone")] * len(pieces)]
+    job = await upstreams.work("one", 2)
+    assert job.failure == "gone" and len(upstreams.calls) == 1
+
+
+async def test_results_nobody_waits_for_are_freed(autojump_clock, nursery):
+    """Guards against room that is taken by the results of a caller who has left."""
+    upstreams = Upstreams(nursery)
+
+    async def run(upstream, pieces, lefts):
+        await trio.sleep(WORK_S)
+        pieces[0].job.fail("dropped")
+        return [PieceResult(handle="unwanted")]
+
+    upstreams.runner._call = PieceCall(run=run, free=upstreams.free)
+    await upstreams.work("one")
+    await trio.sleep(0.1)
+    assert upstreams.freed == ["unwanted"] and not upstreams.worker().room
+
+
+async def test_results_are_forgotten_when_their_time_is_up(autojump_clock, nursery):
+    """Guards against room that is believed taken for ever."""
+    upstreams = Upstreams(nursery)
+    await upstreams.work("one", 2)
+    assert len(upstreams.worker().room) == 2
+    await trio.sleep(SPEC.keep_s + 0.1)
+    assert upstreams.worker().room == {}
--- a/marigoldtrail/platform/tests/standin.py
+++ b/marigoldtrail/platform/tests/standin.py
@@ -10,7 +10,7 @@
 import trio.testing
 
 from marigoldtrail.net import Address
-from marigoldtrail.platform import build_adapter
+from marigoldtrail.platform.adapter import build_adapter
 from marigoldtrail.schema.generated.site import Bounds, SiteSettings, UpstreamList
 from marigoldtrail.site.control_host import ControlHost
 from marigoldtrail.site.entry_host import EntryHost
--- a/marigoldtrail/platform/tests/test_site.py
+++ b/marigoldtrail/platform/tests/test_site.py
@@ -214,3 +214,16 @@
         await trio.sleep(0.06)
         await site.crash(scheduler)
     assert replies == [200] * 6
+
+
+async def test_data_centre_that_has_lost_everything_can_be_taken_out(autojump_clock, nursery):
+    """Guards against an operator who is refused since a data centre has no host left."""
+    site = await serving_site(nursery)
+    lost = DATA_CENTRES[2]
+    await site.crash(site.control[2])
+    site.list[:] = [entry for entry in site.list if entry["zone"] != lost]
+    await trio.sleep(5)
+    path = f"/-/evacuations/{lost}"
+    assert (await site.http(f"{site.control[0]}:8628", "POST", path))[0] == 200
+    unknown = "/-/evacuations/nowhere"
+    assert (await site.http(f"{site.control[0]}:8628", "POST", unknown))[0] == 404
--- a/marigoldtrail/registry/picture.py
+++ b/marigoldtrail/registry/picture.py
@@ -37,6 +37,8 @@
         Upstreams by name.
     hosts : list of HostEntry
         Hosts that report to the leader.
+    data_centres : set of str
+        Data centres that had a host or an upstream at any time.
     loads : dict
         Requests and unread prompt tokens in progress at each upstream, over all entries.
     changed : Signal
@@ -47,6 +49,7 @@
         "routes",
         "upstreams",
         "hosts",
+        "data_centres",
         "loads",
         "changed",
         "term",
@@ -61,6 +64,7 @@
         self.routes: RouteIndex | None = None
         self.upstreams: dict[str, Upstream] = {}
         self.hosts: list[HostEntry] = []
+        self.data_centres: set[str] = set()
         self.loads: dict[str, tuple[int, int]] = {}
         self.changed = Signal()
         self.term = 0
@@ -131,6 +135,7 @@
             self._take_upstreams(reply.upstreams)
         if reply.hosts is not None:
             self.hosts = reply.hosts
+            self.data_centres.update(host.data_centre for host in reply.hosts)
         if reply.loads is not None:
             self.loads = {
                 load.upstream: (load.requests, load.prefill_tokens) for load in reply.loads
@@ -169,3 +174,4 @@
                 "upstream %s", "listed" if name in upstreams else "gone", extra={"upstream": name}
             )
         self.upstreams = upstreams
+        self.data_centres.update(entry.data_centre for entry in entries)
--- /dev/null
+++ b/marigoldtrail/registry/tests/test_picture.py
@@ -0,0 +1,122 @@
+"""What a host believes of the fleet."""
+
+import zlib
+
+import trio
+
+from marigoldtrail.registry import FleetPicture
+from marigoldtrail.routing import Limits, RouteTable
+from marigoldtrail.schema.generated.registry import HostEntry, HostReportReply, UpstreamEntry
+from marigoldtrail.timers import Timers
+
+
+def parse(data):
+    if not data.isdigit():
+        return "not a number"
+    return RouteTable(version=int(data), routes=(), services=(), limits=Limits(), accounts=None)
+
+
+def make_picture():
+    return FleetPicture(parse_document=parse, timers=Timers(seed=1))
+
+
+def reply(*, term=1, version=0, document=None, revisions=None, **fields):
+    data = str(version).encode() if document is None else document
+    return HostReportReply(
+        term=term,
+        revisions=revisions or {},
+        routes=zlib.compress(data) if version else b"",
+        routes_version=version,
+        **fields,
+    )
+
+
+def upstream(name, *, state="ready", data_centre="a", service="s", cold_ms=0):
+    return UpstreamEntry(
+        upstream=name,
+        service=service,
+        address="10.0.0.1:1",
+        data_centre=data_centre,
+        slots=1,
+        state=state,
+        cold_ms=cold_ms,
+    )
+
+
+async def test_configuration_never_goes_back(autojump_clock):
+    """Guards against a new leader, or a late reply, that brings an older configuration back."""
+    picture = make_picture()
+    picture.apply(reply(version=5), sent_at=0.0)
+    picture.apply(reply(version=4), sent_at=0.0)
+    picture.apply(reply(term=2, version=3), sent_at=0.0)
+    assert picture.version() == 5
+    picture.apply(reply(term=2, version=6), sent_at=0.0)
+    assert picture.version() == 6
+
+
+async def test_reply_of_an_earlier_leader_changes_nothing(autojump_clock):
+    """Guards against a deposed leader that still answers."""
+    picture = make_picture()
+    picture.apply(reply(term=3, hosts=[], revisions={"hosts": 1}), sent_at=5.0)
+    old = HostEntry(host="h", role="entry", data_centre="a", region="r")
+    picture.apply(reply(term=2, version=9, hosts=[old], revisions={"hosts": 8}), sent_at=9.0)
+    assert picture.hosts == [] and picture.version() == 0
+    assert picture.revisions == {"hosts": 1} and picture.confirmed_at == 5.0
+
+
+async def test_revisions_of_another_leader_are_forgotten(autojump_clock):
+    """Guards against a section that is never sent again since its numbers look the same."""
+    picture = make_picture()
+    picture.apply(reply(revisions={"hosts": 7, "upstreams": 3}), sent_at=0.0)
+    picture.apply(reply(term=2, revisions={"hosts": 1}), sent_at=0.0)
+    assert picture.revisions == {"hosts": 1}
+
+
+async def test_unreadable_configuration_leaves_the_last_one_in_force(autojump_clock):
+    """Guards against a host that loses its routes since it can't read newer ones."""
+    picture = make_picture()
+    picture.apply(reply(version=5), sent_at=0.0)
+    picture.apply(reply(version=6, document=b"from a newer release"), sent_at=0.0)
+    assert picture.version() == 5
+
+
+async def test_only_upstreams_in_service_are_usable(autojump_clock):
+    """Guards against new work for what leaves, is taken out, or is of another service."""
+    picture = make_picture()
+    entries = [
+        upstream("ready"),
+        upstream("leaving", state="draining"),
+        upstream("taken out", data_centre="b"),
+        upstream("other", service="t"),
+    ]
+    picture.apply(reply(upstreams=entries, takeouts=["b"]), sent_at=0.0)
+    assert [u.name for u in picture.usable_upstreams("s")] == ["ready"]
+    picture.apply(reply(takeouts=[]), sent_at=0.0)
+    assert [u.name for u in picture.usable_upstreams("s")] == ["ready", "taken out"]
+
+
+async def test_cold_time_is_counted_from_the_reply(autojump_clock):
+    """Guards against an upstream that stays cold for ever, or is warm at once."""
+    picture = make_picture()
+    picture.apply(reply(upstreams=[upstream("u", cold_ms=1500)]), sent_at=0.0)
+    left_s = picture.upstreams["u"].cold_until - trio.current_time()
+    assert abs(left_s - 1.5) < 1e-6
+
+
+async def test_waiting_tasks_learn_of_changes(autojump_clock):
+    """Guards against a scheduler that plans with upstreams which are gone."""
+    picture = make_picture()
+    woken = []
+
+    async def wait():
+        await picture.changed.wait()
+        woken.append(len(picture.upstreams))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wait)
+        await trio.sleep(0.1)
+        picture.apply(reply(loads=[]), sent_at=0.0)
+        await trio.sleep(0.1)
+        assert woken == []
+        picture.apply(reply(upstreams=[upstream("u")]), sent_at=0.0)
+    assert woken == [1]
--- a/marigoldtrail/site/launch.py
+++ b/marigoldtrail/site/launch.py
@@ -6,54 +6,28 @@
 import random
 import signal
 import sys
-from pathlib import Path
 
 import trio
 
 from marigoldtrail.errors import Failure
 from marigoldtrail.net import TcpNetwork
-from marigoldtrail.schema import parse_site_settings
 from marigoldtrail.schema.generated.site import SiteSettings
 from marigoldtrail.site.adapter import Adapter
 from marigoldtrail.site.control_host import ControlHost
 from marigoldtrail.site.entry_host import EntryHost
 from marigoldtrail.site.parts import SiteParts
+from marigoldtrail.site.settings_file import SettingsFile
 from marigoldtrail.storage import open_folder
 from marigoldtrail.telemetry.lines import configure_lines
 from marigoldtrail.timers import Timers
 
 EXIT_FAILED = 1
 EXIT_INVALID = 2
+WATCH_INTERVAL_S = 1.0
 
 _log = logging.getLogger(__name__)
 
 
-def read_settings(path: str) -> SiteSettings | str:
-    """
-    Read the settings of a host.
-
-    Parameters
-    ----------
-    path : str
-        Path of the file.
-
-    Returns
-    -------
-    SiteSettings or str
-        The settings, or what is wrong with the file.
-    """
-    if not path:
-        return "no settings file is named"
-    try:
-        data = Path(path).read_bytes()
-    except OSError as exc:
-        return f"{path}: {exc.strerror}"
-    settings = parse_site_settings(data, path)
-    if isinstance(settings, list):
-        return "\n".join(str(fault) for fault in settings)
-    return settings
-
-
 def run_site(path: str, adapter: Adapter) -> int:
     """
     Run a host until it is stopped by a signal.
@@ -70,19 +44,20 @@
     int
         Exit status of the process.
     """
-    cfg = read_settings(path)
+    file = SettingsFile(path=path)
+    cfg = file.read()
     if isinstance(cfg, str):
         sys.stderr.write(f"error: {cfg}\n")
         return EXIT_INVALID
     configure_lines(host=cfg.host)
-    failure = trio.run(serve_site, cfg, adapter, path)
+    failure = trio.run(serve_site, cfg, adapter, file)
     if failure is not None:
         _log.error("stopped: %s", failure)
         return EXIT_FAILED
     return 0
 
 
-async def serve_site(cfg: SiteSettings, adapter: Adapter, path: str) -> Failure | None:
+async def serve_site(cfg: SiteSettings, adapter: Adapter, file: SettingsFile) -> Failure | None:
     """
     Serve with some settings until a signal stops the host.
 
@@ -92,7 +67,7 @@
         The settings.
     adapter : Adapter
         The platform.
-    path : str
+    file : SettingsFile
         Where the settings are read again.
 
     Returns
@@ -120,10 +95,11 @@
             host = ControlHost(parts=parts, disk=disk)
         _log.info("start", extra={"role": cfg.role, "first_start": cfg.first_start})
         nursery.start_soon(host.run)
+        nursery.start_soon(watch_settings, parts, file, timers)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    reload_settings(parts, path)
+                    reload_settings(parts, file)
                     continue
                 _log.info("stop", extra={"signal": signal.Signals(number).name})
                 await host.drain()
@@ -132,7 +108,25 @@
     return None
 
 
-def reload_settings(parts: SiteParts, path: str) -> None:
+async def watch_settings(parts: SiteParts, file: SettingsFile, timers: Timers) -> None:
+    """
+    Reload the settings when their file changes without a signal, until cancelled.
+
+    Parameters
+    ----------
+    parts : SiteParts
+        Parts of the host.
+    file : SettingsFile
+        The file.
+    timers : Timers
+        Clock.
+    """
+    async for _ in timers.subscribe("settings", WATCH_INTERVAL_S):
+        if file.has_changed():
+            reload_settings(parts, file)
+
+
+def reload_settings(parts: SiteParts, file: SettingsFile) -> None:
     """
     Take over what may change while a host runs: seeds and bounds.
 
@@ -140,10 +134,10 @@
     ----------
     parts : SiteParts
         Parts of the host.
-    path : str
-        Path of the settings.
+    file : SettingsFile
+        The file.
     """
-    cfg = read_settings(path)
+    cfg = file.read()
     if isinstance(cfg, str):
         _log.error("settings were not reloaded: %s", cfg)
         return
--- a/marigoldtrail/site/operations.py
+++ b/marigoldtrail/site/operations.py
@@ -52,12 +52,8 @@
 
     def is_data_centre(self, name: str) -> bool:
         """Tell whether a data centre of that name is known."""
-        if name in self._data_centres():
-            return True
-        picture = self._picture
-        known = {host.data_centre for host in picture.hosts}
-        known |= {upstream.data_centre for upstream in picture.upstreams.values()}
-        return name in known
+        # One that has lost all of its hosts and upstreams can still be taken out.
+        return name in self._data_centres() or name in self._picture.data_centres
 
     async def submit_routes(self, document: bytes) -> RoutesOutcome | Failure:
         """Put a configuration in force."""
--- /dev/null
+++ b/marigoldtrail/site/settings_file.py
@@ -0,0 +1,59 @@
+"""The settings file of a host, which may change while the host runs."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from marigoldtrail.schema import parse_site_settings
+from marigoldtrail.schema.generated.site import SiteSettings
+
+
+class SettingsFile:
+    """
+    A settings file that is read again when it changes.
+
+    Parameters
+    ----------
+    path : str
+        Path of the file; empty if none is named.
+    """
+
+    __slots__ = ("path", "_stamp")
+
+    def __init__(self, *, path: str) -> None:
+        self.path = path
+        self._stamp: tuple[int, int] | None = None
+
+    def read(self) -> SiteSettings | str:
+        """
+        Read the settings.
+
+        Returns
+        -------
+        SiteSettings or str
+            The settings, or what is wrong with the file.
+        """
+        if not self.path:
+            return "no settings file is named"
+        try:
+            # A change after this moment is seen by `has_changed`.
+            self._stamp = self._read_stamp()
+            data = Path(self.path).read_bytes()
+        except OSError as exc:
+            return f"{self.path}: {exc.strerror}"
+        settings = parse_site_settings(data, self.path)
+        if isinstance(settings, list):
+            return "\n".join(str(fault) for fault in settings)
+        return settings
+
+    def has_changed(self) -> bool:
+        """Tell whether the file differs from the one that was read last."""
+        try:
+            return self._read_stamp() != self._stamp
+        except OSError:
+            # It is being replaced; the settings that were read stay in force.
+            return False
+
+    def _read_stamp(self) -> tuple[int, int]:
+        status = Path(self.path).stat()
+        return status.st_mtime_ns, status.st_size
--- a/marigoldtrail/site/tests/test_settings.py
+++ b/marigoldtrail/site/tests/test_settings.py
@@ -9,7 +9,7 @@
 
 from marigoldtrail.cli.app import app
 from marigoldtrail.schema import parse_site_settings
-from marigoldtrail.site.launch import read_settings
+from marigoldtrail.site.settings_file import SettingsFile
 
 GOOD = {
     "host": "front-1",
@@ -43,7 +43,7 @@
     """Guards against a host that starts with settings that it can't work with."""
     file = tmp_path / "node.json"
     file.write_text(json.dumps({**GOOD, **change}))
-    faults = read_settings(str(file))
+    faults = SettingsFile(path=str(file)).read()
     assert isinstance(faults, str) and path in faults and str(file) in faults
     result = CliRunner().invoke(app, ["settings", "check", str(file)])
     assert result.exit_code == 2 and path in result.output
@@ -53,11 +53,11 @@
     """Guards against settings that are refused without a fault."""
     file = tmp_path / "node.json"
     file.write_text(json.dumps(GOOD))
-    assert read_settings(str(file)).host == "front-1"
+    assert SettingsFile(path=str(file)).read().host == "front-1"
     result = CliRunner().invoke(app, ["settings", "check", str(file), "--json"])
     assert result.exit_code == 0 and json.loads(result.output)["role"] == "entry"
-    assert isinstance(read_settings(str(tmp_path / "none.json")), str)
-    assert isinstance(read_settings(""), str)
+    assert isinstance(SettingsFile(path=str(tmp_path / "none.json")).read(), str)
+    assert isinstance(SettingsFile(path="").read(), str)
 
 
 def test_template_has_only_known_fields():
@@ -73,3 +73,19 @@
     settings = parse_site_settings(filled.encode())
     assert not isinstance(settings, list), settings
     assert set(json.loads(filled)) == set(settings.__struct_fields__)
+
+
+def test_changes_of_the_file_are_seen(tmp_path):
+    """Guards against seeds that change without a signal and are never taken over."""
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(GOOD))
+    file = SettingsFile(path=str(path))
+    assert file.read().host == "front-1"
+    assert not file.has_changed()
+    path.write_text(json.dumps({**GOOD, "host": "front-other"}))
+    assert file.has_changed()
+    assert file.read().host == "front-other"
+    assert not file.has_changed()
+    path.unlink()
+    # While the file is being replaced, the settings stay in force.
+    assert not file.has_changed()
