--- a/marigoldtrail/pieces/admission.py
+++ b/marigoldtrail/pieces/admission.py
@@ -2,8 +2,7 @@
 Decides at once whether the stages of a request can be done in time.
 
 Answers bursts of more stages than the upstreams can work on: what would wait until its caller has
-left is refused before it waits, with the time after which there will be room. Callers come back one
-after the other.
+left is refused before it waits, with the time after which there will be room.
 """
 
 from __future__ import annotations
@@ -17,10 +16,6 @@
 
 # Results are kept for a few seconds only, so that stages must not wait for longer between two.
 MAX_BACKLOG_S = 1.3
-# Share of the upstreams' time that refused callers are promised; new ones need the rest.
-RETURN_SHARE = 0.5
-# Callers come back after this time at the latest, whatever they are told.
-LONGEST_RETURN_S = 5.0
 
 
 class StageWork(msgspec.Struct, kw_only=True, frozen=True):
@@ -33,16 +28,10 @@
         Seconds that its pieces take by themselves.
     backlog_s : float
         Seconds in which its service finishes all that it has taken on.
-    service : str
-        Its service.
-    share_s : float
-        Seconds by which its pieces make that longer.
     """
 
     own_s: float
     backlog_s: float
-    service: str = ""
-    share_s: float = 0.0
 
 
 def stage_work(
@@ -71,12 +60,7 @@
         return StageWork(own_s=0.0, backlog_s=0.0)
     spec = scheduler.spec
     own_s = spec.call_s + min(stage.count, spec.batch) * spec.item_s
-    return StageWork(
-        own_s=own_s,
-        backlog_s=scheduler.backlog_s(now, priority),
-        service=stage.service,
-        share_s=scheduler.time_of_pieces_s(stage.count, now),
-    )
+    return StageWork(own_s=own_s, backlog_s=scheduler.backlog_s(now, priority))
 
 
 def path_s(
@@ -138,51 +122,3 @@
     """
     longest = max((item.backlog_s for item in work), default=0.0)
     return max(path + longest - wait_share * left_s, longest - MAX_BACKLOG_S)
-
-
-class ReturnPlan:
-    """
-    Times at which refused callers are asked to come back.
-
-    Each is given the time after those before it, so that they don't make a new burst.
-
-    Examples
-    --------
-    >>> plan = ReturnPlan()
-    >>> work = [StageWork(own_s=0.2, backlog_s=1.5, service="s", share_s=0.1)]
-    >>> [round(plan.next_return_s(work, 0.2, 0.0), 2) for _ in range(3)]
-    [0.2, 0.4, 0.6]
-    """
-
-    __slots__ = ("_taken_until",)
-
-    def __init__(self) -> None:
-        # For each service the monotonic time in seconds until which it is promised to others.
-        self._taken_until: dict[str, float] = {}
-
-    def next_return_s(self, work: Sequence[StageWork], late_s: float, now: float) -> float:
-        """
-        Return the seconds after which a refused caller finds room.
-
-        Parameters
-        ----------
-        work : sequence of StageWork
-            Its stages.
-        late_s : float
-            Seconds by which they are too late now.
-        now : float
-            Monotonic time in seconds.
-
-        Returns
-        -------
-        float
-            At most `LONGEST_RETURN_S`.
-        """
-        starts = [max(self._taken_until.get(item.service, 0.0), now + late_s) for item in work]
-        start = min(max(starts, default=now + late_s), now + LONGEST_RETURN_S)
-        for item in work:
-            taken = max(self._taken_until.get(item.service, 0.0), start)
-            self._taken_until[item.service] = min(
-                taken + item.share_s / RETURN_SHARE, now + LONGEST_RETURN_S
-            )
-        return start - now
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -467,12 +467,7 @@
         if not workers:
             return float("inf") if not self.workers else EJECTION_S
         planned = sum(count for rank, count in self.planned.items() if rank <= priority)
-        return self.time_of_pieces_s(planned, now)
-
-    def time_of_pieces_s(self, count: int, now: float) -> float:
-        """Return the seconds that all workers in service together need for some pieces."""
-        workers = sum(worker.paused_until <= now for worker in self.workers.values())
-        return count * self._piece_s / max(1, workers)
+        return planned * self._piece_s / len(workers)
 
 
 def group_by_job(pieces: list[Piece]) -> list[list[Piece]]:
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -10,13 +10,7 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Handlers
-from marigoldtrail.pieces.admission import (
-    ReturnPlan,
-    StageWork,
-    judge_demand,
-    path_s,
-    stage_work,
-)
+from marigoldtrail.pieces.admission import StageWork, judge_demand, path_s, stage_work
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
 from marigoldtrail.pieces.placer import EnginePlacer
 from marigoldtrail.pieces.runner import PieceCall, PieceRunner
@@ -65,7 +59,7 @@
         Counts pieces.
     """
 
-    __slots__ = ("_host", "_timers", "_runner", "_placer", "_jobs", "_returns")
+    __slots__ = ("_host", "_timers", "_runner", "_placer", "_jobs")
 
     def __init__(
         self,
@@ -81,7 +75,6 @@
         self._timers = timers
         self._runner = PieceRunner(picture=picture, call=call, timers=timers, metrics=metrics)
         self._placer = EnginePlacer(picture=picture, timers=timers, rng=rng)
-        self._returns = ReturnPlan()
         self._jobs: dict[str, list[PieceJob]] = {}
 
     def handlers(self) -> Handlers:
@@ -147,7 +140,6 @@
         )
         if late_s <= 0:
             return None
-        return_s = self._returns.next_return_s(work, late_s, self._timers.now())
         _log.info(
             "request refused",
             extra={
@@ -155,11 +147,11 @@
                 "reason": "its stages can't be done in time",
                 "backlog_s": [round(item.backlog_s, 2) for item in work],
                 "left_ms": request.left_ms,
-                "return_s": round(return_s, 2),
+                "retry_after_s": round(late_s, 2),
             },
         )
         return self._failure(
-            Reason.OVERLOADED, "the stages can't be done in time", retry_after_s=return_s
+            Reason.OVERLOADED, "the stages can't be done in time", retry_after_s=late_s
         )
 
     async def _run_graph(
