--- a/marigoldtrail/cli/tests/test_reference.py
+++ b/marigoldtrail/cli/tests/test_reference.py
@@ -13,7 +13,7 @@
 from marigoldtrail.cli.tests.pages import ROOT
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.schema import load_schema
-from marigoldtrail.schema.reference import PAGES, render_page
+from marigoldtrail.schema.reference import PAGES, render_events, render_page
 
 REFERENCE = ROOT / "docs/reference"
 METRIC_METHODS = {"count": "counter", "timing": "timing", "gauge": "gauge"}
@@ -25,6 +25,13 @@
     assert (REFERENCE / f"{name}.md").read_text() == render_page(name)
 
 
+def test_catalogue_of_log_lines_is_current():
+    """Guards against log lines that an on-call engineer can't look up."""
+    page = (REFERENCE / "events.md").read_text()
+    assert page == render_events()
+    assert "| `request refused` |" in page and "`backlog_s`" in page
+
+
 def table_rows(page: str) -> set[tuple[str, ...]]:
     lines = (REFERENCE / page).read_text().splitlines()
     cells = [[cell.strip().strip("`") for cell in line.split("|")[1:-1]] for line in lines]
--- a/marigoldtrail/schema/reference.py
+++ b/marigoldtrail/schema/reference.py
@@ -1,4 +1,4 @@
-"""Writes the reference pages of settings and manifest from their schemas (``make reference``)."""
+"""Writes the reference pages of schemas and log lines (``make reference``)."""
 
 from __future__ import annotations
 
@@ -8,9 +8,25 @@
 from typing import Any
 
 from marigoldtrail.schema import load_schema
+from marigoldtrail.telemetry.catalogue import find_events, render_catalogue
 
 PAGES = ("settings", "manifest")
 FOLDER = Path("docs/reference")
+SOURCES = Path(__file__).parent.parent
+# What the processes on the users' platform load.
+EVENT_PACKAGES = (
+    "consensus",
+    "control",
+    "fleet",
+    "net",
+    "pieces",
+    "platform",
+    "registry",
+    "relay",
+    "routing",
+    "site",
+    "storage",
+)
 
 
 def render_page(name: str) -> str:
@@ -144,8 +160,26 @@
     return ", ".join(limits)
 
 
+def render_events() -> str:
+    """
+    Render the page of the log lines.
+
+    Returns
+    -------
+    str
+        Markdown.
+    """
+    events = [
+        event
+        for package in EVENT_PACKAGES
+        for event in find_events(SOURCES / package, f"marigoldtrail.{package}")
+    ]
+    return render_catalogue(sorted(events))
+
+
 def main() -> None:
     """Write the pages into `FOLDER`."""
+    (FOLDER / "events.md").write_text(render_events())
     for name in PAGES:
         path = FOLDER / f"{name}.md"
         path.write_text(render_page(name))
