--- a/marigoldtrail/telemetry/catalogue.py
+++ b/marigoldtrail/telemetry/catalogue.py
@@ -119,7 +119,7 @@
     lines = [
         "# Reference: log lines",
         "",
-        "Generated from the code by `make reference`: what processes on the users' platform can write.",
+        "Generated from the code by `make reference`: what the processes of a site can write.",
         "Each line also has `asctime`, `level`, `name` (the module), `host` and `message`.",
         "",
         "| message | level | fields | module |",
