--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -72,6 +72,12 @@
     ----------
     faults : list of str
         Broken promises.
+    attempts : dict of str to Attempt
+        Requests of callers by id.
+    runs : dict of str to list of Run
+        Runs of each request.
+    accepted, sent : dict of int to bytes
+        Configurations by version: those that were acknowledged, and all.
     """
 
     __slots__ = (
@@ -91,7 +97,6 @@
         self.faults: list[str] = []
         self.attempts: dict[str, Attempt] = {}
         self.runs: dict[str, list[Run]] = defaultdict(list)
-        # Documents by version: those that were acknowledged, and all that were sent.
         self.accepted: dict[int, bytes] = {}
         self.sent: dict[int, bytes] = {}
         self._versions_seen: dict[tuple[str, int], int] = {}
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -9,6 +9,7 @@
 import trio
 
 from marigoldtrail.net import Address
+from marigoldtrail.timers import Signal
 
 READ_BYTES = 65536
 # With this option a close sends a reset.
@@ -57,7 +58,7 @@
         self.links: dict[str, Link] = {}
         self._nursery = nursery
         self._streams: dict[str, set[trio.SocketStream]] = {}
-        self._changed = trio.Event()
+        self._changed = Signal()
 
     async def forward(self, advertised: Address, real: Address) -> None:
         """Listen on the advertised address until the nursery ends."""
@@ -74,8 +75,7 @@
         """Change the state of the connections to an address."""
         for name, value in fields.items():
             setattr(self.links[ip], name, value)
-        self._changed.set()
-        self._changed = trio.Event()
+        self._changed.notify()
         if self.links[ip].is_cut:
             self.reset(ip)
 
