Keep the leader's sums of loads, and look services up in one place

Each report was answered with the loads summed anew over all hosts, and rebuilt the list of hosts: work that grows with the square of the fleet on the leader's path. The sums now follow the reports, and the list is rebuilt when a host has changed. Placer and runner looked a service of the configuration up with the same lines; both call FleetPicture.find_service. What hosts are told is the same; a test follows the sums over new reports and lost hosts.

--- a/marigoldtrail/pieces/placer.py
+++ b/marigoldtrail/pieces/placer.py
@@ -49,10 +49,8 @@
                 board.begin(request_id)
 
     def _board(self, service: str) -> EngineBoard | None:
-        routes = self._picture.routes
-        spec = None
-        if routes is not None and service in routes.services:
-            spec = routes.services[service].engine
+        found = self._picture.find_service(service)
+        spec = found.engine if found is not None else None
         if spec is None:
             return None
         board = self._boards.get(service)
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -17,7 +17,7 @@
     Worker,
 )
 from marigoldtrail.registry import FleetPicture
-from marigoldtrail.routing import PieceSpec, Upstream
+from marigoldtrail.routing import Upstream
 from marigoldtrail.telemetry.exposition import Exposition
 from marigoldtrail.timers import Signal, Timers
 
@@ -120,10 +120,8 @@
 
     def scheduler(self, service: str) -> PieceScheduler | None:
         """Return the scheduler of a service; None if it does not work on pieces."""
-        routes = self._picture.routes
-        spec: PieceSpec | None = None
-        if routes is not None and service in routes.services:
-            spec = routes.services[service].pieces
+        found = self._picture.find_service(service)
+        spec = found.pieces if found is not None else None
         if spec is None:
             return None
         scheduler = self._schedulers.get(service)
--- a/marigoldtrail/registry/board.py
+++ b/marigoldtrail/registry/board.py
@@ -65,6 +65,8 @@
         "loads_revision",
         "_hosts",
         "_listed",
+        "_is_listed",
+        "_loads",
         "_timers",
         "_started_at",
     )
@@ -78,6 +80,10 @@
         self.loads_revision = 0
         self._hosts: dict[str, HostState] = {}
         self._listed: list[HostEntry] = []
+        # Whether the list says what the last reports said.
+        self._is_listed = True
+        # Sums over all hosts; every report is answered with them, so that they are kept.
+        self._loads: dict[str, UpstreamLoad] = {}
         self._timers = timers
         self._started_at = timers.now()
 
@@ -102,6 +108,11 @@
         known = self._hosts.get(report.host)
         if known is not None and known.report.incarnation > report.incarnation:
             return False
+        if known is None or entry_of(known.report) != entry_of(report):
+            self._is_listed = False
+        if known is not None:
+            self._add_loads(known.report.loads, -1)
+        self._add_loads(report.loads, 1)
         self._hosts[report.host] = HostState(report=report, heard_at=self._timers.now())
         self.loads_revision += 1
         self.refresh_hosts()
@@ -112,12 +123,24 @@
         oldest = self._timers.now() - HOST_LOST_S
         for name in [name for name, state in self._hosts.items() if state.heard_at < oldest]:
             _log.warning("host lost", extra={"subject": name})
-            del self._hosts[name]
-        listed = [entry_of(state.report) for _, state in sorted(self._hosts.items())]
-        if listed != self._listed:
-            self._listed = listed
-            self.hosts_revision += 1
-            self.changed.notify()
+            self._add_loads(self._hosts.pop(name).report.loads, -1)
+            self._is_listed = False
+        if self._is_listed:
+            return
+        self._listed = [entry_of(state.report) for _, state in sorted(self._hosts.items())]
+        self._is_listed = True
+        self.hosts_revision += 1
+        self.changed.notify()
+
+    def _add_loads(self, loads: list[UpstreamLoad], sign: int) -> None:
+        for load in loads:
+            total = self._loads.setdefault(
+                load.upstream, UpstreamLoad(upstream=load.upstream, requests=0)
+            )
+            total.requests += sign * load.requests
+            total.prefill_tokens += sign * load.prefill_tokens
+            if not total.requests:
+                del self._loads[load.upstream]
 
     def hosts(self) -> list[HostEntry]:
         """Return the hosts that report."""
@@ -141,16 +164,7 @@
 
     def loads(self) -> list[UpstreamLoad]:
         """Return the work in progress at the upstreams, summed over all entries."""
-        requests: dict[str, int] = {}
-        tokens: dict[str, int] = {}
-        for state in self._hosts.values():
-            for load in state.report.loads:
-                requests[load.upstream] = requests.get(load.upstream, 0) + load.requests
-                tokens[load.upstream] = tokens.get(load.upstream, 0) + load.prefill_tokens
-        return [
-            UpstreamLoad(upstream=name, requests=count, prefill_tokens=tokens[name])
-            for name, count in requests.items()
-        ]
+        return list(self._loads.values())
 
 
 def entry_of(report: HostReport) -> HostEntry:
--- a/marigoldtrail/registry/picture.py
+++ b/marigoldtrail/registry/picture.py
@@ -6,7 +6,7 @@
 import zlib
 from collections.abc import Callable
 
-from marigoldtrail.routing import RouteIndex, RouteTable, Upstream, build_index
+from marigoldtrail.routing import RouteIndex, RouteTable, Service, Upstream, build_index
 from marigoldtrail.schema.generated.registry import HostEntry, HostReportReply, UpstreamEntry
 from marigoldtrail.timers import Signal, Timers
 
@@ -86,6 +86,10 @@
         """Return the number of entries that serve, at least 1."""
         return max(1, sum(host.role == "entry" for host in self.hosts))
 
+    def find_service(self, name: str) -> Service | None:
+        """Return a service of the configuration in force; None if it has none of that name."""
+        return self.routes.services.get(name) if self.routes is not None else None
+
     def usable_upstreams(self, service: str) -> list[Upstream]:
         """
         Return the upstreams of a service that may get new work.
--- a/marigoldtrail/registry/service.py
+++ b/marigoldtrail/registry/service.py
@@ -6,7 +6,7 @@
 import logging
 import zlib
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Literal
 
 import trio
 
@@ -253,13 +253,13 @@
             if failure is not None:
                 return failure
             entry = self._machine.state.services.get(f"data_centre/{request.data_centre}")
-            state = "out" if request.out else "in"
+            state: Literal["in", "out"] = "out" if request.out else "in"
             if (entry.current.state if entry else "in") == state:
                 return RoutesOutcome(outcome="in_force")
             command = PutService(
                 kind="data_centre",
                 name=request.data_centre,
-                state="out" if request.out else "in",
+                state=state,
                 number=(entry.current.number if entry else 0) + 1,
                 operator=OPERATOR,
                 wall_ms=self._timers.wall_ms(),
--- a/marigoldtrail/registry/tests/test_board.py
+++ b/marigoldtrail/registry/tests/test_board.py
@@ -92,3 +92,27 @@
     assert not board.is_settled()
     await trio.sleep(SETTLE_S)
     assert board.is_settled()
+
+
+async def test_loads_follow_new_reports_and_lost_hosts(autojump_clock):
+    """Guards against work that is counted twice, or stays counted after its entry is gone."""
+    board = LeaderBoard(term=1, timers=Timers(seed=1))
+
+    def sums():
+        return {load.upstream: (load.requests, load.prefill_tokens) for load in board.loads()}
+
+    def load(name, requests):
+        return UpstreamLoad(upstream=name, requests=requests, prefill_tokens=10 * requests)
+
+    board.take_report(report("one", loads=[load("e", 2), load("f", 1)]))
+    board.take_report(report("two", loads=[load("e", 3)]))
+    assert sums() == {"e": (5, 50), "f": (1, 10)}
+    board.take_report(report("one", loads=[load("e", 1)]))
+    assert sums() == {"e": (4, 40)}
+    await trio.sleep(HOST_LOST_S * 0.7)
+    board.take_report(report("one", loads=[load("e", 1)]))
+    await trio.sleep(HOST_LOST_S * 0.7)
+    board.refresh_hosts()
+    assert sums() == {"e": (1, 10)}
+    board.take_report(report("one"))
+    assert sums() == {}
