Let tests and the soak share the platform's formats and one HTTP client

bench/soak spoke the platform's words outside its folder, and the site of the tests wrote list entries, answers, configurations and an HTTP client a second time. The formats now stand in platform/standin.py, the client in standins/client.py. Checks and their bounds are the same; the soak's configuration has the numbers of the tests' one.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -5,7 +5,6 @@
 import itertools
 import random
 from collections import Counter
-from urllib.parse import urlencode
 
 import h11
 import msgspec
@@ -15,6 +14,16 @@
 from bench.soak.ledger import Attempt, Ledger
 from bench.soak.upstreams import PIECES, STREAM_EVENTS
 from marigoldtrail.net import Address
+from marigoldtrail.platform.standin import (
+    CONFIG_PATH,
+    caller_headers,
+    encode_config,
+    lookup_target,
+    make_engine_route,
+    make_route,
+)
+from marigoldtrail.standins.client import HttpConnection
+from marigoldtrail.standins.http import STREAM_ERRORS
 
 KEY = "k-soak-secret"
 ACCOUNT = "acme"
@@ -25,61 +34,17 @@
 CONNECT_TIMEOUT_S = 1.0
 THINK_S = 0.12
 ORDERS_PAUSE_S = 1.5
-READ_BYTES = 65536
 # Weights of the kinds of request.
 MIX = {"plain": 6, "order": 5, "version": 3, "stream": 3, "resume": 3}
-_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError)
+_ERRORS = (*STREAM_ERRORS, h11.ProtocolError)
 
 
-class Connection:
-    """A kept HTTP connection."""
-
-    __slots__ = ("_stream", "_conn")
-
-    def __init__(self, *, stream: trio.SocketStream) -> None:
-        self._stream = stream
-        self._conn = h11.Connection(h11.CLIENT)
-
-    async def send(self, method: str, target: str, headers: dict[str, str], body: bytes) -> None:
-        """Send a request."""
-        fields = [("host", HOST), ("content-length", str(len(body))), *headers.items()]
-        data = self._conn.send(h11.Request(method=method, target=target, headers=fields))
-        data += self._conn.send(h11.Data(data=body)) + self._conn.send(h11.EndOfMessage())
-        await self._stream.send_all(data)
-
-    async def next_event(self) -> h11.Event | type[h11.Event]:
-        """Return the next part of the answer."""
-        while (event := self._conn.next_event()) is h11.NEED_DATA:
-            self._conn.receive_data(await self._stream.receive_some(READ_BYTES))
-        return event
-
-    async def read_body(self) -> bytes:
-        """Return the rest of the answer; an error if it is not whole."""
-        parts = []
-        while not isinstance(event := await self.next_event(), h11.EndOfMessage):
-            if not isinstance(event, h11.Data):
-                raise h11.RemoteProtocolError("the answer is not whole")
-            parts.append(bytes(event.data))
-        return b"".join(parts)
-
-    def prepare_next(self) -> bool:
-        """Tell whether another request may be sent."""
-        if self._conn.our_state is not h11.DONE or self._conn.their_state is not h11.DONE:
-            return False
-        self._conn.start_next_cycle()
-        return True
-
-    async def aclose(self) -> None:
-        """Close the connection."""
-        await trio.aclose_forcefully(self._stream)
-
-
-async def open_connection(address: str) -> Connection | None:
+async def open_connection(address: str) -> HttpConnection | None:
     """Connect; None if that fails."""
     target = Address.parse(address)
     with trio.move_on_after(CONNECT_TIMEOUT_S):
         try:
-            return Connection(stream=await trio.open_tcp_stream(target.ip, target.port))
+            return HttpConnection(stream=await trio.open_tcp_stream(target.ip, target.port))
         except OSError:
             return None
     return None
@@ -94,9 +59,9 @@
         return None
     with trio.move_on_after(timeout_s):
         try:
-            await conn.send(method, target, {}, body)
-            head = await conn.next_event()
-            if isinstance(head, h11.Response):
+            await conn.send(method, target, [("host", HOST)], body)
+            head = await conn.read_head()
+            if head is not None:
                 return head.status_code, await conn.read_body()
         except _ERRORS:
             return None
@@ -108,43 +73,15 @@
 
 def make_document(version: int) -> bytes:
     """Return a configuration; only one route tells its version."""
-    base = {
-        "host": HOST,
-        "timeout_ms": 4000,
-        "target_latency_ms": 1000,
-        "max_attempts": 2,
-        "priority": 0,
-    }
-    stages = [
-        {"service": "board", "after": [], "bytes": 1000},
-        {"service": "board", "after": [0], "bytes": 1000},
-    ]
-    engine = {**base, "kind": "streaming", "service": "llm", "stages": stages, "sticky": True}
-    desk = {**base, "service": "desk"}
+    fields = {"timeout_ms": 4000, "target_latency_ms": 1000, "max_attempts": 2}
     routes = [
-        {**desk, "name": "plain", "path_prefix": "/plain/", "kind": "safe"},
-        {**desk, "name": "order", "path_prefix": "/order/", "kind": "unsafe"},
-        {**desk, "name": "version", "path_prefix": f"/version/{version}/", "kind": "safe"},
-        {**engine, "name": "stream", "path_prefix": "/stream/", "max_attempts": 1},
-        {**engine, "name": "resume", "path_prefix": "/resume/", "resumable": True},
+        make_route("plain", "/plain/", "safe", "desk", **fields),
+        make_route("order", "/order/", "unsafe", "desk", **fields),
+        make_route("version", f"/version/{version}/", "safe", "desk", **fields),
+        make_engine_route("stream", "/stream/", **{**fields, "max_attempts": 1}),
+        make_engine_route("resume", "/resume/", resumable=True, **fields),
     ]
-    pieces = {
-        "slots": 1,
-        "queue": 2,
-        "batch": 4,
-        "call_ms": 20.0,
-        "item_ms": 1.0,
-        "headroom_mb": 5.0,
-        "handle_s": 4.0,
-    }
-    services = [
-        {"name": "desk", "max_connections": 100, "health_path": "/health"},
-        {"name": "llm", "max_connections": 100, "engine": {"slots": 16, "kv_capacity": 200000}},
-        {"name": "board", "max_connections": 100, "pieces": pieces},
-    ]
-    tenants = [{"name": ACCOUNT, "api_keys": [KEY]}]
-    value = {"version": version, "routes": routes, "services": services, "tenants": tenants}
-    return msgspec.json.encode(value)
+    return encode_config(version, routes=routes, accounts={ACCOUNT: [KEY]})
 
 
 class Operators:
@@ -173,7 +110,7 @@
         with trio.move_on_after(timeout_s):
             while True:
                 address = self._fleet.operator_address(self._rng.choice(CONTROL))
-                reply = await call(address, "PUT", "/-/config", document)
+                reply = await call(address, "PUT", CONFIG_PATH, document)
                 if reply is not None and reply[0] == 200:
                     self._ledger.accepted[version] = document
                     self.newest = max(self.newest, version)
@@ -203,10 +140,10 @@
 
     async def follow_directory(self) -> None:
         """Ask again and again which entries to use; keep the last answer while there is none."""
-        query = urlencode({"name": HOST, "region": "r", "zone": "z"})
+        target = lookup_target(HOST, "r", "z")
         while True:
             address = self._fleet.lookup_address(self._rng.choice(CONTROL))
-            reply = await call(address, "GET", f"/-/resolve?{query}", timeout_s=1.0)
+            reply = await call(address, "GET", target, timeout_s=1.0)
             if reply is not None and reply[0] == 200:
                 self._addresses = msgspec.json.decode(reply[1])["addresses"]
             await trio.sleep(1.0)
@@ -232,7 +169,7 @@
             with trio.CancelScope(shield=True):
                 await conn.aclose()
 
-    async def ask(self, conn: Connection, entry: str, kind: str) -> bool:
+    async def ask(self, conn: HttpConnection, entry: str, kind: str) -> bool:
         """Send a request and check the answer; tell whether the connection may be used again."""
         request_id = f"id-{next(self._numbers)}"
         body = request_id.encode() * self._rng.randint(0, 20) if kind != "version" else b""
@@ -247,23 +184,24 @@
         )
         self._ledger.note_attempt(attempt)
         served_before = self._ledger.version_served(attempt.entry)
-        headers = {
-            "x-request-id": request_id,
-            "x-deadline-ms": str(int(DEADLINE_S * 1000)),
-            "authorization": f"Token {KEY}",
-            "x-token-count": "300,20",
-            "x-prompt-prefix": f"5c1e:200,{next(self._numbers):x}:100",
-            "x-model": "m",
-        }
-        if kind in ("stream", "resume"):
-            headers.update({"x-pieces": ",".join(map(str, PIECES)), "x-piece-key": request_id})
+        headers = caller_headers(
+            HOST,
+            request_id=request_id,
+            deadline_s=DEADLINE_S,
+            key=KEY,
+            prompt=f"5c1e:200,{next(self._numbers):x}:100",
+            prompt_tokens=300,
+            output_tokens=20,
+            piece_counts=PIECES if kind in ("stream", "resume") else (),
+            piece_key=request_id if kind in ("stream", "resume") else "",
+        )
         outcome = "no answer"
         may_go_on = False
         with trio.move_on_after(DEADLINE_S):
             try:
                 await conn.send("POST" if body else "GET", path, headers, body)
-                head = await conn.next_event()
-                if isinstance(head, h11.Response):
+                head = await conn.read_head()
+                if head is not None:
                     outcome = str(head.status_code)
                     is_unknown = kind == "version" and head.status_code == 404
                     if not is_unknown:
@@ -283,7 +221,7 @@
         return may_go_on
 
     async def _read_success(
-        self, conn: Connection, attempt: Attempt, kind: str, head: h11.Response
+        self, conn: HttpConnection, attempt: Attempt, kind: str, head: h11.Response
     ) -> None:
         headers = {name.decode(): value.decode() for name, value in head.headers}
         if kind not in ("stream", "resume"):
--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from marigoldtrail.platform.standin import seal_in
+
 # These statuses promise that a request has not run and never will.
 PROMISES = frozenset({408, 421, 429, 503})
 
@@ -17,20 +19,16 @@
 
     Parameters
     ----------
-    request_id, upstream, path, account : str
-        What ran where, for whom.
+    request_id, path, account : str
+        What ran, for whom.
     body : bytes
         Body of the request.
-    first_event : int
-        Event with which a stream began.
     """
 
     request_id: str
-    upstream: str
     path: str
     account: str
     body: bytes
-    first_event: int = 0
 
 
 class Attempt(msgspec.Struct, kw_only=True):
@@ -138,8 +136,7 @@
 
     def note_answer(self, attempt: Attempt, headers: dict[str, str], body: bytes) -> None:
         """Check a complete success."""
-        seal = headers.get("x-response-seal", "")
-        if seal != seal_of(attempt.request_id, body):
+        if seal_in(headers) != seal_of(attempt.request_id, body):
             self.fail(f"{attempt.request_id}: the answer is not the upstream's: {body[:80]!r}")
 
     def note_stream(self, attempt: Attempt, numbers: list[int], length: int) -> None:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -18,6 +18,7 @@
 from bench.soak.plan import make_plan
 from bench.soak.proxy import Proxy
 from bench.soak.upstreams import Platform
+from marigoldtrail.platform.standin import CONFIG_PATH, version_of
 from marigoldtrail.timers import Timers
 
 CALLERS = 8
@@ -160,10 +161,10 @@
 
 async def is_read_back(fleet: Fleet, ledger: Ledger, name: str) -> bool:
     """Check the configuration that a control host tells; False if it tells none."""
-    reply = await call(fleet.operator_address(name), "GET", "/-/config")
+    reply = await call(fleet.operator_address(name), "GET", CONFIG_PATH)
     if reply is None or reply[0] != 200:
         return False
-    ledger.check_configuration(msgspec.json.decode(reply[1])["version"], reply[1])
+    ledger.check_configuration(version_of(reply[1]), reply[1])
     return True
 
 
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -12,6 +12,24 @@
 from bench.soak.ledger import Ledger, Run, seal_of
 from bench.soak.proxy import Proxy
 from marigoldtrail.net import Address, TcpNetwork
+from marigoldtrail.platform.standin import (
+    HEALTH_PATH,
+    INTERNAL_PREFIX,
+    LACKS_INPUTS,
+    NOT_RUN,
+    OTHER_UPSTREAM,
+    PIECES_PATH,
+    ReceivedPiece,
+    ReceivedRequest,
+    answer_headers,
+    build_page,
+    build_results,
+    identity_headers,
+    is_for,
+    list_entry,
+    read_pieces,
+    read_received,
+)
 from marigoldtrail.standins.http import HttpReply, HttpRequest, serve_http
 
 PORT = 8080
@@ -27,7 +45,6 @@
 # Stage 1 reads the results of stage 0; the engine reads those of stage 1.
 PIECES = (2, 1)
 SERVICES = ("desk", "desk", "desk", "llm", "llm", "board", "board")
-_NOT_RUN = {"x-not-executed": "1"}
 
 
 class Upstream:
@@ -135,31 +152,22 @@
 
     def _publish(self) -> None:
         self._entries = [
-            {
-                "id": upstream.id,
-                "service": upstream.service,
-                "address": str(upstream.advertised),
-                "zone": "z",
-                "version": "v1",
-                "slots": 8,
-                "state": upstream.state,
-                "cold_remaining_ms": 0,
-            }
-            for upstream in self.upstreams.values()
+            list_entry(item.id, item.service, str(item.advertised), "z", state=item.state)
+            for item in self.upstreams.values()
         ]
 
     async def _answer_list(self, request: HttpRequest, reply: HttpReply) -> None:
-        await reply.send_json(200, {"instances": self._entries, "next": None}, {})
+        await reply.send_json(200, build_page(self._entries), {})
 
     async def _answer(self, upstream: Upstream, request: HttpRequest, reply: HttpReply) -> None:
-        instance = {"x-instance-id": upstream.id}
-        if request.headers.get("x-expect-instance", upstream.id) != upstream.id:
-            await reply.send_json(421, {}, {**instance, **_NOT_RUN})
-        elif request.path == "/health":
-            await reply.send_json(200, {}, instance)
-        elif request.path == "/-/stage-run":
+        identity = identity_headers(upstream.id)
+        if not is_for(request.headers, upstream.id):
+            await reply.send_json(OTHER_UPSTREAM, {}, {**identity, **NOT_RUN})
+        elif request.path == HEALTH_PATH:
+            await reply.send_json(200, {}, identity)
+        elif request.path == PIECES_PATH:
             await self._run_pieces(upstream, request, reply)
-        elif request.path.startswith("/-/"):
+        elif request.path.startswith(INTERNAL_PREFIX):
             await reply.send_json(200, {}, {})
         elif upstream.service == "llm":
             await self._generate(upstream, request, reply)
@@ -170,41 +178,38 @@
         is_long = self._rng.random() < LONG_WORK_SHARE
         await trio.sleep(self._rng.uniform(0, LONG_WORK_S if is_long else WORK_S))
 
-    def _note_run(self, upstream: Upstream, request: HttpRequest, first_event: int = 0) -> str:
-        request_id = request.headers.get("x-request-id", "")
+    def _note_run(self, request: HttpRequest, received: ReceivedRequest) -> None:
         run = Run(
-            request_id=request_id,
-            upstream=upstream.id,
+            request_id=received.request_id,
             path=request.path,
-            account=request.headers.get("x-tenant", ""),
+            account=received.account,
             body=request.body,
-            first_event=first_event,
         )
         self._ledger.note_run(run, request.headers)
-        return request_id
 
     async def _work(self, upstream: Upstream, request: HttpRequest, reply: HttpReply) -> None:
-        request_id = self._note_run(upstream, request)
+        received = read_received(request.headers)
+        request_id = received.request_id
+        self._note_run(request, received)
         await self._pause()
         padding = "x" * self._rng.randrange(MOST_PADDING)
         body = msgspec.json.encode({"id": request_id, "by": upstream.id, "padding": padding})
-        headers = {"x-request-id": request_id, "x-response-seal": seal_of(request_id, body)}
+        headers = answer_headers(request_id, seal_of(request_id, body))
         await reply.send_bytes(200, body, headers, "application/json")
 
     async def _generate(self, upstream: Upstream, request: HttpRequest, reply: HttpReply) -> None:
-        request_id = request.headers.get("x-request-id", "")
-        handles = [h for h in request.headers.get("x-inputs", "").split(",") if h]
-        found = [self._find_result(handle) for handle in handles]
+        received = read_received(request.headers)
+        request_id = received.request_id
+        found = [self._find_result(handle) for handle in received.inputs]
         if None in found:
-            await reply.send_json(409, {}, _NOT_RUN)
+            await reply.send_json(LACKS_INPUTS, {}, NOT_RUN)
             return
         if found != [(request_id, 1, piece) for piece in range(PIECES[1])]:
             self._ledger.fail(f"{request_id}: the engine is given the results {found}")
-        last = request.headers.get("last-event-id", "")
-        first = int(last) + 1 if last else 0
-        self._note_run(upstream, request, first)
+        self._note_run(request, received)
+        first = int(received.resume_after) + 1 if received.resume_after else 0
         await self._pause()
-        await reply.start_stream({"x-request-id": request_id, "x-response-seal": request_id})
+        await reply.start_stream(answer_headers(request_id, request_id))
         for number in range(first, STREAM_EVENTS):
             await reply.send_event(f"{request_id}\nid: {number}".encode())
             await trio.sleep(self._rng.uniform(0, 2 * EVENT_PAUSE_S))
@@ -217,21 +222,22 @@
         return None
 
     async def _run_pieces(self, upstream: Upstream, request: HttpRequest, reply: HttpReply) -> None:
-        items = msgspec.json.decode(request.body)["items"]
+        pieces = read_pieces(request.body)
         await trio.sleep(WORK_S)
-        results = []
-        for item in items:
-            request_id, stage, piece = item["id"], item["stage"], item["piece"]
-            inputs = [self._find_result(handle) for handle in item.get("inputs", ())]
-            if None in inputs:
-                results.append({"reason": "gone"})
-                continue
-            expected = [(request_id, 0, n) for n in range(PIECES[0])] if stage else []
-            if inputs != expected or piece >= PIECES[stage] or (not stage and "key" not in item):
-                self._ledger.fail(f"{request_id}: stage {stage} is given {item}")
-            if request_id not in self._ledger.attempts:
-                self._ledger.fail(f"{request_id}: has pieces, but no caller has sent it")
-            handle = f"{upstream.advertised}/{request_id}-{stage}-{piece}-{len(upstream.handles)}"
-            upstream.handles[handle] = (request_id, stage, piece)
-            results.append({"handle": handle})
-        await reply.send_json(200, {"items": results}, {})
+        results = [self._make_result(upstream, piece) for piece in pieces]
+        await reply.send_json(200, build_results(results), {})
+
+    def _make_result(self, upstream: Upstream, piece: ReceivedPiece) -> str | None:
+        """Check what a piece is given and return the handle of its result; None without inputs."""
+        inputs = [self._find_result(handle) for handle in piece.inputs]
+        if None in inputs:
+            return None
+        request_id, stage, index = piece.request_id, piece.stage, piece.index
+        expected = [(request_id, 0, n) for n in range(PIECES[0])] if stage else []
+        if inputs != expected or index >= PIECES[stage] or (not stage and piece.key is None):
+            self._ledger.fail(f"{request_id}: stage {stage} is given {piece}")
+        if request_id not in self._ledger.attempts:
+            self._ledger.fail(f"{request_id}: has pieces, but no caller has sent it")
+        handle = f"{upstream.advertised}/{request_id}-{stage}-{index}-{len(upstream.handles)}"
+        upstream.handles[handle] = (request_id, stage, index)
+        return handle
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -30,7 +30,7 @@
 
 
 def run(**fields):
-    values = {"request_id": "a", "upstream": "u", "path": "/order/a", "account": "acme"}
+    values = {"request_id": "a", "path": "/order/a", "account": "acme"}
     return Run(**{**values, "body": b"b", **fields})
 
 
@@ -53,7 +53,7 @@
     ledger = make_ledger()
     make_attempt(ledger)
     ledger.note_run(run(), {})
-    ledger.note_run(run(upstream="other"), {})
+    ledger.note_run(run(), {})
     assert ledger.faults == ["a: runs 2 times"]
 
 
--- /dev/null
+++ b/marigoldtrail/platform/standin.py
@@ -0,0 +1,227 @@
+"""
+The other side of the platform's formats, for stand-ins of upstreams, callers and operators.
+
+Tests of a site in memory and the soak of real processes use it, so that they know none of the
+platform's words.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+
+CONFIG_PATH = "/-/config"
+HEALTH_PATH = "/health"
+PIECES_PATH = "/-/stage-run"
+FREE_PATH = "/-/stage-free"
+INTERNAL_PREFIX = "/-/"
+NOT_RUN = {"x-not-executed": "1"}
+OTHER_UPSTREAM = 421
+LACKS_INPUTS = 409
+GONE = "gone"
+
+_encode = msgspec.json.Encoder().encode
+
+
+class ReceivedRequest(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    What an upstream is told of a request.
+
+    Parameters
+    ----------
+    request_id, account, resume_after : str
+        Identity, client account, and last event that the caller has.
+    inputs : tuple of str
+        Handles of the results that it reads.
+    """
+
+    request_id: str
+    account: str
+    resume_after: str
+    inputs: tuple[str, ...]
+
+
+class ReceivedPiece(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    One piece that an upstream is asked for.
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    stage, index : int
+        Number of the stage, and of the piece in it.
+    key : str or None
+        Key of the input of a first stage.
+    inputs : tuple of str
+        Handles of the results that it reads.
+    """
+
+    request_id: str = msgspec.field(name="id")
+    stage: int
+    index: int = msgspec.field(name="piece")
+    key: str | None = None
+    inputs: tuple[str, ...] = ()
+
+
+class _PieceCall(msgspec.Struct):
+    items: list[ReceivedPiece]
+
+
+_piece_decoder = msgspec.json.Decoder(_PieceCall)
+
+
+def list_entry(
+    name: str, service: str, address: str, data_centre: str, *, state: str = "ready"
+) -> dict[str, Any]:
+    """Return an upstream as the platform's list shows it."""
+    return {
+        "id": name,
+        "service": service,
+        "address": address,
+        "zone": data_centre,
+        "version": "v1",
+        "slots": 4,
+        "state": state,
+        "cold_remaining_ms": 0,
+    }
+
+
+def build_page(entries: list[dict[str, Any]]) -> dict[str, Any]:
+    """Return the platform's whole list as one page."""
+    return {"instances": entries, "next": None}
+
+
+def is_for(headers: dict[str, str], name: str) -> bool:
+    """Tell whether a call is meant for the upstream of a name, or for any."""
+    return headers.get("x-expect-instance", name) == name
+
+
+def read_received(headers: dict[str, str]) -> ReceivedRequest:
+    """Return what the headers of a request tell an upstream."""
+    inputs = headers.get("x-inputs", "")
+    return ReceivedRequest(
+        request_id=headers.get("x-request-id", ""),
+        account=headers.get("x-tenant", ""),
+        resume_after=headers.get("last-event-id", ""),
+        inputs=tuple(inputs.split(",")) if inputs else (),
+    )
+
+
+def read_pieces(body: bytes) -> list[ReceivedPiece]:
+    """Return the pieces of a call."""
+    return _piece_decoder.decode(body).items
+
+
+def build_results(results: list[str | None]) -> dict[str, Any]:
+    """Return the answer to a call for pieces; None stands for a piece whose inputs are gone."""
+    return {"items": [{"handle": item} if item else {"reason": GONE} for item in results]}
+
+
+def answer_headers(request_id: str, seal: str) -> dict[str, str]:
+    """Return the headers of a signed answer."""
+    return {"x-request-id": request_id, "x-response-seal": seal}
+
+
+def identity_headers(name: str) -> dict[str, str]:
+    """Return the headers by which an upstream tells its name."""
+    return {"x-instance-id": name}
+
+
+def seal_in(headers: dict[str, str]) -> str:
+    """Return the seal of an answer; empty if it has none."""
+    return headers.get("x-response-seal", "")
+
+
+def caller_headers(
+    hostname: str,
+    *,
+    request_id: str,
+    deadline_s: float,
+    key: str = "",
+    prompt: str = "",
+    prompt_tokens: int = 0,
+    output_tokens: int = 0,
+    piece_counts: tuple[int, ...] = (),
+    piece_key: str = "",
+) -> list[tuple[str, str]]:
+    """Return the headers of a caller's request; what is empty is left out."""
+    fields = {
+        "host": hostname,
+        "x-request-id": request_id,
+        "x-deadline-ms": str(round(deadline_s * 1000)),
+        "authorization": f"Token {key}" if key else "",
+        "x-prompt-prefix": prompt,
+        "x-token-count": f"{prompt_tokens},{output_tokens}" if prompt_tokens else "",
+        "x-model": "m" if prompt_tokens else "",
+        "x-pieces": ",".join(map(str, piece_counts)),
+        "x-piece-key": piece_key,
+    }
+    return [(name, value) for name, value in fields.items() if value]
+
+
+def lookup_target(hostname: str, region: str, data_centre: str) -> str:
+    """Return where callers ask for the entries to use."""
+    query = urlencode({"name": hostname, "region": region, "zone": data_centre})
+    return f"/-/resolve?{query}"
+
+
+def make_route(name: str, prefix: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    """Return a route of a configuration."""
+    return {
+        "host": "a.example",
+        "timeout_ms": 5000,
+        "target_latency_ms": 500,
+        "max_attempts": 1,
+        "priority": 0,
+        "name": name,
+        "path_prefix": prefix,
+        "kind": kind,
+        "service": service,
+        **fields,
+    }
+
+
+def make_engine_route(name: str, prefix: str, **fields: Any) -> dict[str, Any]:
+    """Return a route of streams with two stages, of which the second reads the first."""
+    stages = [
+        {"service": "board", "after": [], "bytes": 1000},
+        {"service": "board", "after": [0], "bytes": 1000},
+    ]
+    return make_route(name, prefix, "streaming", "llm", stages=stages, **fields)
+
+
+def encode_config(
+    version: int, *, routes: list[dict[str, Any]], accounts: dict[str, list[str]], **changes: Any
+) -> bytes:
+    """Return a configuration, as operators write it, with the services desk, llm and board."""
+    value = {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "desk", "max_connections": 50},
+            {"name": "llm", "max_connections": 50, "engine": {"slots": 8, "kv_capacity": 100000}},
+            {
+                "name": "board",
+                "max_connections": 50,
+                "pieces": {
+                    "slots": 1,
+                    "queue": 2,
+                    "batch": 4,
+                    "call_ms": 50.0,
+                    "item_ms": 5.0,
+                    "headroom_mb": 1.0,
+                    "handle_s": 4.0,
+                },
+            },
+        ],
+        "tenants": [{"name": name, "api_keys": keys} for name, keys in accounts.items()],
+    }
+    return _encode({**value, **changes})
+
+
+def version_of(document: bytes) -> int:
+    """Return the version of a configuration."""
+    return int(msgspec.json.decode(document)["version"])
--- a/marigoldtrail/platform/tests/standin.py
+++ b/marigoldtrail/platform/tests/standin.py
@@ -5,17 +5,33 @@
 import random
 
 import h11
-import msgspec
 import trio
 import trio.testing
 
 from marigoldtrail.net import Address
 from marigoldtrail.platform.adapter import build_adapter
+from marigoldtrail.platform.standin import (
+    FREE_PATH,
+    OTHER_UPSTREAM,
+    PIECES_PATH,
+    answer_headers,
+    build_page,
+    build_results,
+    encode_config,
+    identity_headers,
+    is_for,
+    list_entry,
+    make_engine_route,
+    make_route,
+    read_pieces,
+    read_received,
+)
 from marigoldtrail.schema.generated.site import Bounds, SiteSettings, UpstreamList
 from marigoldtrail.site.control_host import ControlHost
 from marigoldtrail.site.entry_host import EntryHost
 from marigoldtrail.site.parts import SiteParts
-from marigoldtrail.standins.http import serve_http
+from marigoldtrail.standins.client import HttpConnection
+from marigoldtrail.standins.http import STREAM_ERRORS, serve_http
 from marigoldtrail.testing import MemoryDisk, MemoryNetwork
 from marigoldtrail.timers import Timers
 
@@ -26,37 +42,15 @@
 KEY = "k-acme"
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
 
-encode = msgspec.json.encode
-
 
 def config(version, **changes):
     """Return a configuration as the platform's operators write it."""
-    route = {
-        "host": "a.example",
-        "timeout_ms": 5000,
-        "target_latency_ms": 500,
-        "max_attempts": 1,
-        "priority": 0,
-    }
-    value = {
-        "version": version,
-        "routes": [
-            {**route, "name": "plain", "path_prefix": "/plain/", "kind": "safe", "service": "desk"},
-            {**route, "name": "ask", "path_prefix": "/ask/", "kind": "streaming", "service": "llm",
-             "stages": [{"service": "board", "after": [], "bytes": 1000},
-                        {"service": "board", "after": [0], "bytes": 1000}]},
-        ],
-        "services": [
-            {"name": "desk", "max_connections": 50},
-            {"name": "llm", "max_connections": 50,
-             "engine": {"slots": 8, "kv_capacity": 100000}},
-            {"name": "board", "max_connections": 50,
-             "pieces": {"slots": 1, "queue": 2, "batch": 4, "call_ms": 50.0, "item_ms": 5.0,
-                        "headroom_mb": 1.0, "handle_s": 4.0}},
-        ],
-        "tenants": [{"name": "acme", "api_keys": [KEY]}],
-    }  # fmt: skip
-    return encode({**value, **changes})
+    routes = [
+        make_route("plain", "/plain/", "safe", "desk"),
+        make_engine_route("ask", "/ask/"),
+    ]
+    value = {"routes": routes, **changes}
+    return encode_config(version, accounts={"acme": [KEY]}, **value)
 
 
 class Site:
@@ -90,8 +84,7 @@
 
     async def add_upstream(self, name, service, data_centre, *, state="ready"):
         address = Address(f"10.1.{len(self.list)}.1", 8080)
-        entry = {"id": name, "service": service, "address": str(address), "zone": data_centre,
-                 "slots": 4, "state": state, "cold_remaining_ms": 0}  # fmt: skip
+        entry = list_entry(name, service, str(address), data_centre, state=state)
         self.list.append(entry)
 
         async def answer(request, reply):
@@ -101,30 +94,27 @@
         await self.nursery.start(self._serve, address, answer)
 
     async def _answer_list(self, request, reply):
-        await reply.send_json(200, {"instances": self.list, "next": None}, {})
+        await reply.send_json(200, build_page(self.list), {})
 
     async def _answer_upstream(self, name, entry, request, reply):
-        expected = request.headers.get("x-expect-instance")
-        if expected != name:
-            await reply.send_json(421, {}, {"x-instance-id": name})
+        if not is_for(request.headers, name):
+            await reply.send_json(OTHER_UPSTREAM, {}, identity_headers(name))
             return
-        if request.path == "/-/stage-run":
-            items = msgspec.json.decode(request.body)["items"]
+        if request.path == PIECES_PATH:
+            pieces = read_pieces(request.body)
             await trio.sleep(0.05)
-            made = [f"{entry['address']}/{i['id']}-{i['stage']}-{i['piece']}" for i in items]
-            self.used_handles.update(h for i in items for h in i.get("inputs", ()))
-            await reply.send_json(200, {"items": [{"handle": handle} for handle in made]}, {})
-        elif request.path == "/-/stage-free":
+            self.used_handles.update(handle for piece in pieces for handle in piece.inputs)
+            made = [f"{entry['address']}/{p.request_id}-{p.stage}-{p.index}" for p in pieces]
+            await reply.send_json(200, build_results(made), {})
+        elif request.path == FREE_PATH:
             await reply.send_json(200, {}, {})
         else:
-            headers = {
-                "x-request-id": request.headers["x-request-id"],
-                "x-response-seal": f"seal-{name}",
-            }
+            received = read_received(request.headers)
+            headers = answer_headers(received.request_id, f"seal-{name}")
             if entry["service"] != "llm":
                 await reply.send_json(200, {"by": name}, headers)
                 return
-            self.used_handles.update(filter(None, request.headers.get("x-inputs", "").split(",")))
+            self.used_handles.update(received.inputs)
             await reply.start_stream(headers)
             for number in range(3):
                 await trio.sleep(0.02)
@@ -187,30 +177,16 @@
 
     async def http(self, address, method, path, *, body=b"", headers=(), source=OPERATOR_IP):
         """Send one request; return status, headers and body, or None without a whole answer."""
-        conn = h11.Connection(h11.CLIENT)
-        fields = [("host", "a.example"), ("content-length", str(len(body))), *headers]
+        fields = [("host", "a.example"), *headers]
         with trio.move_on_after(3):
             try:
                 stream = await self.network.endpoint(source).dial(Address.parse(address))
-                data = conn.send(h11.Request(method=method, target=path, headers=fields))
-                data += conn.send(h11.Data(data=body)) + conn.send(h11.EndOfMessage())
-                await stream.send_all(data)
-                head, parts = None, []
-                while True:
-                    event = conn.next_event()
-                    if event is h11.NEED_DATA:
-                        conn.receive_data(await stream.receive_some(65536))
-                    elif isinstance(event, h11.Response):
-                        head = event
-                    elif isinstance(event, h11.Data):
-                        parts.append(bytes(event.data))
-                    elif isinstance(event, h11.EndOfMessage):
-                        return head.status_code, dict(head.headers), b"".join(parts)
-                    else:
-                        return None
-            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-                return None
-            except h11.RemoteProtocolError:
+                conn = HttpConnection(stream=stream)
+                await conn.send(method, path, fields, body)
+                head = await conn.read_head()
+                if head is not None:
+                    return head.status_code, dict(head.headers), await conn.read_body()
+            except (*STREAM_ERRORS, h11.RemoteProtocolError):
                 return None
         return None
 
