Obey upstreams that leave or want a pause, and bound what they send

Beside it, tests of upstreams in trouble showed on the code before: informational answers and unterminated events were read without end; any byte counted as progress, so that a stalled stream that dribbles was held until its deadline; an answer without id was taken on a connection in use again; a body that was being read when a stop began was cut; hosts were held for 0.5 s by idle callers of their endpoints while they ended, longer than the 0.4 s left of the grace time.

Now: a host that hears it tells the leader with its next report, the leader tells all; refusals with Retry-After close an upstream for this host; whole events are progress; a request is never sent twice on one connection. Unexpected errors in the reports, the list and the trimming are logged and go on.

Ruled out by tests that passed before: endless header lines, chunk extensions and trailers (bounded by the parser), answers of another upstream at the same address. AnswerFacts.load, read by a test only, is gone.

--- a/marigoldtrail/platform/headers.py
+++ b/marigoldtrail/platform/headers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import logging
+import math
+
 from marigoldtrail.relay import AnswerFacts, Dialect, Forwarding, Headers, RequestFacts
 
 _AUTHORIZATION = b"authorization"
@@ -43,6 +46,9 @@
 _LAST_RANK = 9
 _MISDIRECTED = 421
 _CONFLICT = 409
+_UNAVAILABLE = 503
+
+_log = logging.getLogger(__name__)
 
 
 def read_request(headers: Headers) -> RequestFacts:
@@ -119,7 +125,6 @@
 def read_answer(status: int, headers: Headers) -> AnswerFacts:
     """Return what the head of an upstream's answer says."""
     values = {name: value.decode("latin-1").strip() for name, value in headers}
-    load = _numbers(values.get(b"x-server-load", ""))
     is_refusal = b"x-not-executed" in values
     return AnswerFacts(
         request_id=values.get(b"x-request-id", ""),
@@ -128,11 +133,25 @@
         is_other_upstream=status == _MISDIRECTED,
         is_encoded=values.get(b"content-encoding", "identity") != "identity",
         lacks_inputs=is_refusal and status == _CONFLICT,
-        load=(load[0], load[1], load[2]) if len(load) == 3 else None,
+        is_leaving=values.get(b"server-leaving") == "1",
+        pause_s=_pause(values.get(b"retry-after", "")) if status == _UNAVAILABLE else None,
         keep_alive_s=_keep_alive(values.get(b"keep-alive", "")),
     )
 
 
+def _pause(text: str) -> float | None:
+    if not text:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1.0
+    if seconds >= 0 and math.isfinite(seconds):
+        return seconds
+    _log.info("an unreadable Retry-After was ignored", extra={"value": text[:40]})
+    return None
+
+
 def _keep_alive(text: str) -> float | None:
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
--- a/marigoldtrail/platform/tests/test_formats.py
+++ b/marigoldtrail/platform/tests/test_formats.py
@@ -135,8 +135,11 @@
 
 def test_answer_headers():
     """Guards against a refusal, a wrong upstream or an unsigned answer that is not noticed."""
-    facts = read_answer(503, [(b"x-not-executed", b"1"), (b"x-server-load", b"3,1,8")])
-    assert facts.is_refusal and facts.load == (3, 1, 8) and not facts.is_signed
+    refused = [(b"x-not-executed", b"1"), (b"retry-after", b"1.5"), (b"server-leaving", b"1")]
+    facts = read_answer(503, refused)
+    assert facts.is_refusal and facts.pause_s == 1.5 and facts.is_leaving and not facts.is_signed
+    assert read_answer(200, [(b"retry-after", b"1")]).pause_s is None
+    assert not read_answer(200, [(b"server-leaving", b"0")]).is_leaving
     assert read_answer(421, []).is_other_upstream
     assert read_answer(409, [(b"x-not-executed", b"1")]).lacks_inputs
     signed = read_answer(200, [(b"x-response-seal", b"s"), (b"keep-alive", b"timeout=5, max=9")])
--- a/marigoldtrail/registry/agent.py
+++ b/marigoldtrail/registry/agent.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from marigoldtrail.errors import Failure
+from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.fleet import CONFIG_GROUP
 from marigoldtrail.fleet.leaders import LeaderFinder
 from marigoldtrail.net import PeerClient
@@ -86,7 +86,7 @@
         """Report until cancelled."""
         lost = False
         while True:
-            failure = await self.report_once()
+            failure = await self._report_guarded()
             if failure is None:
                 if lost:
                     _log.info("leader found again", extra={"term": self._picture.term})
@@ -97,6 +97,19 @@
             lost = True
             await self._timers.sleep(RETRY_PAUSE_S)
 
+    async def _report_guarded(self) -> Failure | None:
+        """Report once; a reply that can't be taken in must not end the process."""
+        try:
+            return await self.report_once()
+        except Exception as exc:
+            _log.exception("a reply of the leader was not taken in")
+            return Failure(
+                reason=Reason.BAD_ANSWER,
+                run_state=RunState.NOT_RUN,
+                step="HostReport",
+                detail=str(exc),
+            )
+
     async def report_once(self, *, wait_s: float = REPORT_WAIT_S) -> Failure | None:
         """
         Send one report and take in the reply.
@@ -117,6 +130,7 @@
             term=picture.term,
             revisions=picture.revisions,
             loads=self._loads(),
+            leaving=picture.leaving(),
             wait_ms=round(wait_s * 1000),
         )
         reply = await self._finder.call(
--- a/marigoldtrail/registry/board.py
+++ b/marigoldtrail/registry/board.py
@@ -4,6 +4,8 @@
 
 import logging
 
+import msgspec
+
 from marigoldtrail.schema.generated.registry import (
     HostEntry,
     HostReport,
@@ -67,6 +69,8 @@
         "_listed",
         "_is_listed",
         "_loads",
+        "_read",
+        "_leaving",
         "_timers",
         "_started_at",
     )
@@ -84,6 +88,9 @@
         self._is_listed = True
         # Sums over all hosts; every report is answered with them, so that they are kept.
         self._loads: dict[str, UpstreamLoad] = {}
+        # The platform's list as it was read, and what hosts were told by upstreams since.
+        self._read: list[UpstreamEntry] | None = None
+        self._leaving: dict[str, int] = {}
         self._timers = timers
         self._started_at = timers.now()
 
@@ -116,8 +123,18 @@
         self._hosts[report.host] = HostState(report=report, heard_at=self._timers.now())
         self.loads_revision += 1
         self.refresh_hosts()
+        self._take_leaving(report)
         return True
 
+    def _take_leaving(self, report: HostReport) -> None:
+        """Note the upstreams that have told a host that they leave; all hosts are told."""
+        news = {u.upstream: u.born_ms for u in report.leaving}
+        if not news or all(self._leaving.get(name) == born for name, born in news.items()):
+            return
+        self._leaving.update(news)
+        if self._read is not None:
+            self.take_upstreams(self._read)
+
     def refresh_hosts(self) -> None:
         """Take hosts off the list that have been silent, and note what has changed."""
         oldest = self._timers.now() - HOST_LOST_S
@@ -155,13 +172,21 @@
         entries : list of UpstreamEntry
             All upstreams.
         """
-        entries = sorted(entries, key=lambda entry: entry.upstream)
+        self._read = entries
+        born = {entry.upstream: entry.born_ms for entry in entries}
+        self._leaving = {n: ms for n, ms in self._leaving.items() if born.get(n) == ms}
+        entries = sorted(map(self._mark_leaving, entries), key=lambda entry: entry.upstream)
         if self.upstreams is not None and same_upstreams(self.upstreams, entries):
             return
         self.upstreams = entries
         self.upstreams_revision += 1
         self.changed.notify()
 
+    def _mark_leaving(self, entry: UpstreamEntry) -> UpstreamEntry:
+        if entry.state == "draining" or self._leaving.get(entry.upstream) != entry.born_ms:
+            return entry
+        return msgspec.structs.replace(entry, state="draining")
+
     def loads(self) -> list[UpstreamLoad]:
         """Return the work in progress at the upstreams, summed over all entries."""
         return list(self._loads.values())
--- a/marigoldtrail/registry/picture.py
+++ b/marigoldtrail/registry/picture.py
@@ -6,12 +6,22 @@
 import zlib
 from collections.abc import Callable
 
+import msgspec
+
 from marigoldtrail.routing import RouteIndex, RouteTable, Service, Upstream, build_index
-from marigoldtrail.schema.generated.registry import HostEntry, HostReportReply, UpstreamEntry
+from marigoldtrail.schema.generated.registry import (
+    HostEntry,
+    HostReportReply,
+    LeavingUpstream,
+    UpstreamEntry,
+)
 from marigoldtrail.timers import Signal, Timers
 
 ParseDocument = Callable[[bytes], RouteTable | str]
 
+# An upstream that leaves serves on; for this time it gets requests if all others leave too.
+LEAVING_FALLBACK_S = 1.0
+
 _log = logging.getLogger(__name__)
 
 
@@ -56,6 +66,8 @@
         "revisions",
         "confirmed_at",
         "_takeouts",
+        "_told_leaving",
+        "_leaving_since",
         "_parse_document",
         "_timers",
     )
@@ -71,6 +83,9 @@
         self.revisions: dict[str, int] = {}
         self.confirmed_at = float("-inf")
         self._takeouts: frozenset[str] = frozenset()
+        # Upstreams that said in an answer that they leave, with the start that said so.
+        self._told_leaving: dict[str, int] = {}
+        self._leaving_since: dict[str, float] = {}
         self._parse_document = parse_document
         self._timers = timers
 
@@ -102,14 +117,36 @@
         Returns
         -------
         list of Upstream
-            Neither leaving nor in a data centre that is out of service.
+            Neither leaving nor in a data centre that is out of service. If all are leaving, those
+            that have begun to leave just now.
         """
-        return [
+        listed = [
             upstream
             for upstream in self.upstreams.values()
-            if upstream.service == service
-            and not upstream.is_leaving
-            and upstream.data_centre not in self._takeouts
+            if upstream.service == service and upstream.data_centre not in self._takeouts
+        ]
+        staying = [upstream for upstream in listed if not upstream.is_leaving]
+        if staying:
+            return staying
+        oldest = self._timers.now() - LEAVING_FALLBACK_S
+        return [u for u in listed if self._leaving_since.get(u.name, 0.0) >= oldest]
+
+    def note_leaving(self, name: str) -> None:
+        """Note that an upstream has said that it leaves, until it starts again or is gone."""
+        upstream = self.upstreams.get(name)
+        if upstream is None or upstream.is_leaving:
+            return
+        _log.info("upstream says that it leaves", extra={"subject": name})
+        self._told_leaving[name] = upstream.born_ms
+        self._leaving_since[name] = self._timers.now()
+        self.upstreams[name] = msgspec.structs.replace(upstream, is_leaving=True)
+        self.changed.notify()
+
+    def leaving(self) -> list[LeavingUpstream]:
+        """Return the upstreams that have told this host that they leave."""
+        return [
+            LeavingUpstream(upstream=name, born_ms=born_ms)
+            for name, born_ms in self._told_leaving.items()
         ]
 
     def apply(self, reply: HostReportReply, *, sent_at: float) -> None:
@@ -162,13 +199,14 @@
         now = self._timers.now()
         upstreams = {}
         for entry in entries:
+            told = self._told_leaving.get(entry.upstream) == entry.born_ms
             upstream = Upstream(
                 name=entry.upstream,
                 service=entry.service,
                 address=entry.address,
                 data_centre=entry.data_centre,
                 slots=entry.slots,
-                is_leaving=entry.state == "draining",
+                is_leaving=told or entry.state == "draining",
                 cold_until=now + entry.cold_ms / 1000 if entry.cold_ms else 0.0,
                 born_ms=entry.born_ms,
             )
@@ -178,4 +216,14 @@
                 "upstream %s", "listed" if name in upstreams else "gone", extra={"upstream": name}
             )
         self.upstreams = upstreams
+        self._told_leaving = {
+            name: born_ms
+            for name, born_ms in self._told_leaving.items()
+            if name in upstreams and upstreams[name].born_ms == born_ms
+        }
+        self._leaving_since = {
+            name: self._leaving_since.get(name, now)
+            for name, upstream in upstreams.items()
+            if upstream.is_leaving
+        }
         self.data_centres.update(entry.data_centre for entry in entries)
--- a/marigoldtrail/registry/service.py
+++ b/marigoldtrail/registry/service.py
@@ -139,7 +139,11 @@
         while True:
             listed: list[UpstreamEntry] | Failure = self._refuse(Reason.TIMEOUT, "list")
             with trio.move_on_after(LIST_TIMEOUT_S):
-                listed = await self._read_upstreams()
+                try:
+                    listed = await self._read_upstreams()
+                except Exception:
+                    # An unexpected answer of the platform must not end the leader's duties.
+                    _log.exception("the reading of the list failed")
             if isinstance(listed, Failure):
                 if is_readable:
                     _log.warning("the list of upstreams was not read: %s", listed)
--- a/marigoldtrail/registry/tests/test_board.py
+++ b/marigoldtrail/registry/tests/test_board.py
@@ -3,7 +3,12 @@
 import trio
 
 from marigoldtrail.registry.board import HOST_LOST_S, SETTLE_S, LeaderBoard
-from marigoldtrail.schema.generated.registry import HostReport, UpstreamEntry, UpstreamLoad
+from marigoldtrail.schema.generated.registry import (
+    HostReport,
+    LeavingUpstream,
+    UpstreamEntry,
+    UpstreamLoad,
+)
 from marigoldtrail.timers import Timers
 
 
@@ -116,3 +121,26 @@
     assert sums() == {"e": (1, 10)}
     board.take_report(report("one"))
     assert sums() == {}
+
+
+def states(board):
+    return {entry.upstream: entry.state for entry in board.upstreams}
+
+
+async def test_all_hosts_are_told_of_an_upstream_that_leaves(autojump_clock):
+    """Guards against requests of hosts which an upstream that leaves has not answered."""
+    board = LeaderBoard(term=1, timers=Timers(seed=1))
+    listed = [upstream("one", born_ms=5), upstream("two", born_ms=5)]
+    board.take_upstreams(listed)
+    revision = board.upstreams_revision
+    leaving = [LeavingUpstream(upstream="one", born_ms=5)]
+    board.take_report(report("a", leaving=leaving))
+    assert states(board) == {"one": "draining", "two": "ready"}
+    assert board.upstreams_revision == revision + 1
+    board.take_report(report("a", leaving=leaving))
+    board.take_upstreams(listed)
+    assert board.upstreams_revision == revision + 1
+    board.take_upstreams([upstream("one", born_ms=9), upstream("two", born_ms=5)])
+    assert states(board)["one"] == "ready"
+    board.take_report(report("b", leaving=leaving))
+    assert states(board)["one"] == "ready"
--- a/marigoldtrail/registry/tests/test_picture.py
+++ b/marigoldtrail/registry/tests/test_picture.py
@@ -4,9 +4,17 @@
 
 import trio
 
-from marigoldtrail.registry import FleetPicture
+from marigoldtrail.net import Address, PeerClient, serve_peers
+from marigoldtrail.registry import FleetPicture, HostAgent
+from marigoldtrail.registry.picture import LEAVING_FALLBACK_S
 from marigoldtrail.routing import Limits, RouteTable
-from marigoldtrail.schema.generated.registry import HostEntry, HostReportReply, UpstreamEntry
+from marigoldtrail.schema.generated.registry import (
+    HostEntry,
+    HostReport,
+    HostReportReply,
+    UpstreamEntry,
+)
+from marigoldtrail.testing import MemoryNetwork
 from marigoldtrail.timers import Timers
 
 
@@ -120,3 +128,66 @@
         assert woken == []
         picture.apply(reply(upstreams=[upstream("u")]), sent_at=0.0)
     assert woken == [1]
+
+
+async def test_upstream_that_says_it_leaves_is_not_used_until_it_starts_again(autojump_clock):
+    """Guards against a leader's older list that brings a leaving upstream back."""
+    picture = make_picture()
+    both = [upstream("one"), upstream("two")]
+    picture.apply(reply(upstreams=both), sent_at=0.0)
+    picture.note_leaving("one")
+    picture.note_leaving("unknown")
+    assert [u.name for u in picture.usable_upstreams("s")] == ["two"]
+    picture.apply(reply(upstreams=both), sent_at=0.0)
+    assert [u.name for u in picture.usable_upstreams("s")] == ["two"]
+    assert [u.upstream for u in picture.leaving()] == ["one"]
+    both[0].born_ms = 77
+    picture.apply(reply(upstreams=both), sent_at=0.0)
+    assert [u.name for u in picture.usable_upstreams("s")] == ["one", "two"]
+    assert not picture.leaving()
+
+
+async def test_service_whose_upstreams_all_leave_is_served_for_a_while(autojump_clock):
+    """Guards against requests that are refused while upstreams that leave still serve."""
+    picture = make_picture()
+    picture.apply(reply(upstreams=[upstream("one"), upstream("two")]), sent_at=0.0)
+    picture.note_leaving("one")
+    picture.note_leaving("two")
+    assert len(picture.usable_upstreams("s")) == 2
+    await trio.sleep(LEAVING_FALLBACK_S + 0.1)
+    assert not picture.usable_upstreams("s")
+
+
+async def test_odd_reply_of_the_leader_does_not_end_the_reports(autojump_clock, nursery):
+    """Guards against one message that can't be taken in and ends the host's process."""
+    network = MemoryNetwork(seed=1)
+    timers = Timers(seed=1)
+    address = Address("10.0.0.1", 7740)
+    replies = [reply(version=1), reply(version=2)]
+    replies[0].routes = b"no zlib data"
+
+    async def answer(request, sender):
+        await trio.sleep(0.05)
+        return replies.pop(0) if len(replies) > 1 else replies[0]
+
+    async def serve(task_status):
+        await serve_peers(
+            network.endpoint(address.ip),
+            address,
+            {HostReport: answer},
+            host=str(address),
+            task_status=task_status,
+        )
+
+    await nursery.start(serve)
+    picture = make_picture()
+    agent = HostAgent(
+        identity=HostReport(host="e", incarnation=1, role="entry", data_centre="a", region="r"),
+        picture=picture,
+        peers=PeerClient(network=network.endpoint("10.0.0.2"), host="e", nursery=nursery),
+        timers=timers,
+        seeds=[str(address)],
+    )
+    nursery.start_soon(agent.run)
+    await trio.sleep(2)
+    assert picture.version() == 2
--- a/marigoldtrail/relay/attempt.py
+++ b/marigoldtrail/relay/attempt.py
@@ -17,9 +17,8 @@
 from marigoldtrail.timers import Timers
 
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
-# A stream that may be resumed goes on elsewhere after a silence of this length.
-STALL_S = 0.8
-FIRST_EVENT_STALL_S = 1.5
+# Beyond the patience of its caller a stalled stream has no reader.
+PATIENCE_MARGIN_S = 0.5
 HTTP_OK = range(200, 300)
 HTTP_SERVER_ERROR = 500
 
@@ -112,7 +111,11 @@
             The answer; that a stream was passed on; or what went wrong. A failure is ``NOT_RUN``
             only if the upstream has not run the request.
         """
-        conn = await self._pool.take(upstream, may_repeat=exchange.route.is_idempotent)
+        conn = await self._pool.take(
+            upstream,
+            may_repeat=exchange.route.is_idempotent,
+            request_id=exchange.facts.request_id,
+        )
         if isinstance(conn, Failure):
             self._board.fail(upstream.name, is_dead=True)
             return conn
@@ -158,10 +161,16 @@
         was_unrun = not exchange.may_have_run
         exchange.may_have_run = True
         exchange.runs += 1
-        conn.begin(request.method, request.target, headers, request.body)
+        conn.begin(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            request_id=exchange.facts.request_id,
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(conn.send)
-            head = await conn.read_head(exchange.facts.request_id)
+            head = await conn.read_head()
             if isinstance(head, Failure):
                 result: WholeAnswer | StreamPassedOn | Failure = head
             else:
@@ -190,6 +199,7 @@
                 self._board.succeed(name, self._timers.now() - started)
         elif result.reason is Reason.OVERLOADED:
             self._board.fail(name, is_dead=False)
+            self._board.close(name, result.retry_after_s)
         elif result.reason is not Reason.NOT_FOUND:
             self._board.fail(name, is_dead=True)
 
@@ -220,15 +230,20 @@
         caller, cutter = exchange.conn, exchange.cutter
         if not caller.has_started:
             await caller.start_answer(head.status, self._dialect.build_answer(head.headers))
+        stall = StallClock(now=self._timers.now())
         while True:
-            data = await self._read_events(exchange, conn)
+            data = await self._read_events(exchange, conn, stall)
             if isinstance(data, Failure):
                 cutter.drop_rest()
                 return data
             if not data:
                 break
             events = cutter.push(data)
+            if cutter.is_too_long:
+                cutter.drop_rest()
+                return conn.failure(Reason.BAD_ANSWER, "an event without end")
             if events:
+                stall.note_progress(self._timers.now())
                 if exchange.first_event_at is None:
                     exchange.note_first_event(self._timers.now())
                     self._on_first_event(exchange)
@@ -240,15 +255,66 @@
         await caller.end_answer()
         return StreamPassedOn()
 
-    async def _read_events(self, exchange: Exchange, conn: UpstreamConnection) -> bytes | Failure:
-        """Read the next bytes of a stream; leave a silent upstream if another one may go on."""
-        is_first = exchange.first_event_at is None
-        while exchange.may_run_again():
-            with trio.move_on_after(FIRST_EVENT_STALL_S if is_first else STALL_S):
+    async def _read_events(
+        self, exchange: Exchange, conn: UpstreamConnection, stall: StallClock
+    ) -> bytes | Failure:
+        """
+        Read the next bytes of a stream; leave an upstream that sends no events.
+
+        Only whole events are progress: bytes that never make one would hold the request until its
+        deadline.
+        """
+        while True:
+            wake_at = stall.wake_at(exchange)
+            with trio.move_on_after(max(0.0, wake_at - self._timers.now())):
                 return await conn.read_part()
+            if self._timers.now() >= stall.give_up_at(exchange):
+                return conn.failure(Reason.TIMEOUT, "no event while its caller waits for one")
             if self._may_leave(exchange):
                 return conn.failure(Reason.TIMEOUT, "the stream has stopped")
-        return await conn.read_part()
+            stall.asked_at = self._timers.now()
+
+
+class StallClock:
+    """
+    Since when a stream has made no progress.
+
+    Parameters
+    ----------
+    now : float
+        Monotonic time in seconds at which its head arrived.
+
+    Attributes
+    ----------
+    progress_at : float
+        Monotonic time in seconds of its head or last event.
+    asked_at : float
+        When it was last considered to go on elsewhere, or `progress_at`.
+    """
+
+    __slots__ = ("progress_at", "asked_at")
+
+    def __init__(self, *, now: float) -> None:
+        self.progress_at = now
+        self.asked_at = now
+
+    def note_progress(self, now: float) -> None:
+        """Note that an event has arrived."""
+        self.progress_at = self.asked_at = now
+
+    def give_up_at(self, exchange: Exchange) -> float:
+        """Return the time after which no caller waits for the next event."""
+        if exchange.first_event_at is None:
+            # The scope of the request bounds the wait for the first event.
+            return float("inf")
+        return self.progress_at + exchange.patience_s + PATIENCE_MARGIN_S
+
+    def wake_at(self, exchange: Exchange) -> float:
+        """Return the time at which the stream may be left if no bytes arrive."""
+        give_up_at = self.give_up_at(exchange)
+        if not exchange.may_run_again():
+            return give_up_at
+        return min(give_up_at, self.asked_at + exchange.stall_s)
 
 
 class PrefillCount:
@@ -335,4 +401,5 @@
         step="upstream",
         peer=upstream,
         detail=detail,
+        retry_after_s=head.facts.pause_s or 0.0,
     )
--- a/marigoldtrail/relay/board.py
+++ b/marigoldtrail/relay/board.py
@@ -42,6 +42,7 @@
         "reported_tokens",
         "failures_in_row",
         "ejected_until",
+        "closed_until",
         "failure_rate",
         "rated_at",
         "duration_s",
@@ -57,6 +58,7 @@
         self.reported_tokens = 0
         self.failures_in_row = 0
         self.ejected_until = 0.0
+        self.closed_until = 0.0
         self.failure_rate = 0.0
         self.rated_at = now
         self.duration_s = 0.0
@@ -148,6 +150,25 @@
                 extra={"subject": name, "failures": record.failures_in_row, "pause_s": pause_s},
             )
 
+    def close(self, name: str, seconds: float) -> None:
+        """Send an upstream nothing for the seconds for which it wants no requests."""
+        if seconds <= 0:
+            return
+        record = self.record(name)
+        record.closed_until = max(record.closed_until, self._timers.now() + seconds)
+        _log.info("upstream wants no requests", extra={"subject": name, "pause_s": seconds})
+
+    def opens_in_s(self, upstreams: list[Upstream]) -> float:
+        """Return the seconds until some upstream takes requests again; 0 if one does now."""
+        now = self._timers.now()
+        waits = [self.record(u.name).closed_until - now for u in upstreams]
+        return max(0.0, min(waits, default=0.0))
+
+    def closed(self) -> set[str]:
+        """Return the upstreams that want no requests from this host for a while."""
+        now = self._timers.now()
+        return {name for name, record in self._records.items() if record.closed_until > now}
+
     def _rate(self, record: UpstreamRecord, outcome: float) -> None:
         rate = self._failure_rate(record)
         record.failure_rate = rate + OUTCOME_WEIGHT * (outcome - rate)
@@ -171,10 +192,12 @@
         Returns
         -------
         list of Option
-            Without those that are ejected, unless all are, and cold ones beyond their limit.
+            Without those that are ejected, unless all are, those that want no requests, and cold
+            ones beyond their limit.
         """
         now = self._timers.now()
-        usable = [u for u in upstreams if self._accepts_cold(u, service, now)]
+        opened = [u for u in upstreams if self.record(u.name).closed_until <= now]
+        usable = [u for u in opened if self._accepts_cold(u, service, now)]
         healthy = [u for u in usable if self.record(u.name).ejected_until <= now]
         usual_s = self._usual_duration(upstreams)
         return [self._option(u, usual_s) for u in (healthy or usable)]
--- a/marigoldtrail/relay/caller.py
+++ b/marigoldtrail/relay/caller.py
@@ -102,6 +102,11 @@
         """Whether the head of the present answer was sent."""
         return self._started
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of the next request has arrived."""
+        return self._conn.their_state is h11.SEND_BODY or bool(self._conn.trailing_data[0])
+
     async def read_request(self) -> CallerRequest | Refusal | Closed:
         """
         Read the next request.
--- a/marigoldtrail/relay/calls.py
+++ b/marigoldtrail/relay/calls.py
@@ -60,7 +60,8 @@
     Returns
     -------
     CallAnswer or Failure
-        ``OVERLOADED`` and ``NOT_RUN`` if the upstream says that it did not run the request.
+        ``OVERLOADED`` and ``NOT_RUN`` if the upstream says that it did not run the request, with
+        the seconds for which it wants no more of them.
     """
     headers = [(b"host", upstream.address.encode()), *headers]
     conn = None
@@ -90,7 +91,7 @@
 
 
 async def _read_answer(conn: UpstreamConnection) -> CallAnswer | Failure:
-    head = await conn.read_head("")
+    head = await conn.read_head()
     if isinstance(head, Failure):
         return head
     body = await read_whole(conn)
@@ -98,5 +99,7 @@
         return body
     if head.facts.is_refusal or head.facts.is_other_upstream:
         failure = conn.failure(Reason.OVERLOADED, f"refused with status {head.status}")
-        return msgspec.structs.replace(failure, run_state=RunState.NOT_RUN)
+        return msgspec.structs.replace(
+            failure, run_state=RunState.NOT_RUN, retry_after_s=head.facts.pause_s or 0.0
+        )
     return CallAnswer(head=head, body=body)
--- a/marigoldtrail/relay/connection.py
+++ b/marigoldtrail/relay/connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import h11
 import trio
 
@@ -14,6 +16,7 @@
 MAX_HEAD_BYTES = 65536
 MAX_FOREIGN_ANSWERS = 4
 MAX_FOREIGN_BYTES = 1024 * 1024
+MAX_INFORMATIONAL_ANSWERS = 8
 
 
 class Head:
@@ -50,9 +53,13 @@
         Name of the upstream, for failures.
     dialect : Dialect
         Reads the heads of answers.
+    on_leaving : callable or None
+        Called with the upstream's name when an answer says that it leaves.
 
     Attributes
     ----------
+    request_id : str
+        Id of the present or last request; empty if it has none.
     wrote : bool
         Whether a byte of the present request may have left this host.
     idle_since : float
@@ -62,12 +69,15 @@
     """
 
     __slots__ = (
+        "request_id",
         "wrote",
         "idle_since",
         "idle_limit_s",
         "_stream",
         "_upstream",
         "_dialect",
+        "_on_leaving",
+        "_exchanges",
         "_conn",
         "_request",
         "_unsent",
@@ -76,13 +86,23 @@
         "_is_closing",
     )
 
-    def __init__(self, *, stream: trio.abc.Stream, upstream: str, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        *,
+        stream: trio.abc.Stream,
+        upstream: str,
+        dialect: Dialect,
+        on_leaving: Callable[[str], None] | None = None,
+    ) -> None:
+        self.request_id = ""
         self.wrote = False
         self.idle_since = 0.0
         self.idle_limit_s: float | None = None
         self._stream = stream
         self._upstream = upstream
         self._dialect = dialect
+        self._on_leaving = on_leaving
+        self._exchanges = 0
         self._conn = new_client()
         self._request = h11.Request(method="GET", target="/", headers=[("host", "-")])
         self._unsent = b""
@@ -106,7 +126,15 @@
             and not self._conn.trailing_data[0]
         )
 
-    def begin(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
+    def begin(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        *,
+        request_id: str = "",
+    ) -> None:
         """
         Begin an exchange; `send` then sends the request.
 
@@ -118,6 +146,8 @@
             Headers without the length of the body.
         body : bytes
             The body.
+        request_id : str
+            Id that the answer repeats; answers to other requests are dropped. Empty to take any.
 
         Raises
         ------
@@ -126,6 +156,8 @@
         """
         if body or method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
             headers = [*headers, (b"content-length", str(len(body)).encode())]
+        self.request_id = request_id
+        self._exchanges += 1
         self._conn = new_client()
         self._request = h11.Request(method=method, target=target, headers=headers)
         data = self._conn.send(self._request) or b""
@@ -145,15 +177,10 @@
             # The upstream may have answered before it closed; reading tells.
             return
 
-    async def read_head(self, request_id: str) -> Head | Failure:
+    async def read_head(self) -> Head | Failure:
         """
         Read the head of the answer.
 
-        Parameters
-        ----------
-        request_id : str
-            Answers to another request are dropped; empty to take any.
-
         Returns
         -------
         Head or Failure
@@ -163,21 +190,31 @@
             head = await self._read_any_head()
             if isinstance(head, Failure):
                 return head
-            if not request_id or head.facts.request_id in ("", request_id):
+            if not self.request_id or head.facts.request_id == self.request_id:
                 return head
+            if not head.facts.request_id:
+                return self._take_unnamed(head)
             skipped = await self._skip_answer()
             if skipped is not None:
                 return skipped
         return self.failure(Reason.BAD_ANSWER, "answers to other requests")
 
+    def _take_unnamed(self, head: Head) -> Head | Failure:
+        """Take an answer without an id, unless it may be a late copy of an earlier one."""
+        if self._exchanges == 1:
+            return head
+        return self.failure(Reason.BAD_ANSWER, "an answer without id on a used connection")
+
     async def _read_any_head(self) -> Head | Failure:
         try:
-            while True:
+            for _ in range(MAX_INFORMATIONAL_ANSWERS + 1):
                 event = await self._next_event()
                 if isinstance(event, h11.Response):
                     break
                 if not isinstance(event, h11.InformationalResponse):
                     return self.failure(Reason.UNREACHABLE, "closed before the answer")
+            else:
+                return self.failure(Reason.BAD_ANSWER, "informational answers without end")
         except h11.RemoteProtocolError as exc:
             return self.failure(Reason.BAD_ANSWER, str(exc))
         except STREAM_ERRORS as exc:
@@ -185,6 +222,8 @@
         headers = list(event.headers)
         facts = self._dialect.read_answer(event.status_code, headers)
         self.idle_limit_s = facts.keep_alive_s
+        if facts.is_leaving and not facts.is_other_upstream and self._on_leaving is not None:
+            self._on_leaving(self._upstream)
         if any(n == b"connection" and b"close" in v.lower() for n, v in headers):
             self._is_closing = True
         return Head(status=event.status_code, headers=headers, facts=facts)
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -193,7 +193,7 @@
             prompt=[PromptPart(part=part, tokens=tokens) for part, tokens in facts.prefix],
             prompt_tokens=facts.prompt_tokens,
             output_tokens=facts.output_tokens,
-            excluded=sorted(exchange.tried),
+            excluded=sorted(exchange.tried | self._board.closed()),
             suspects=sorted(self._board.ejected()),
             data_centre=self._data_centre,
             keeps_results=exchange.may_run_again(),
@@ -240,7 +240,9 @@
             return spare
         if exchange.may_have_run and failure.run_state is RunState.NOT_RUN:
             failure = msgspec.structs.replace(failure, run_state=RunState.MAY_HAVE_RUN)
-        return failure
+        upstreams = self._picture.usable_upstreams(exchange.service.name)
+        opens_in_s = self._board.opens_in_s(upstreams)
+        return msgspec.structs.replace(failure, retry_after_s=opens_in_s)
 
     def _note_failed_send(self, exchange: Exchange, upstream: Upstream, failure: Failure) -> None:
         _log.info(
--- a/marigoldtrail/relay/endpoints.py
+++ b/marigoldtrail/relay/endpoints.py
@@ -52,6 +52,7 @@
         Limits of requests.
     """
     conn = CallerConnection(stream=stream, limits=lambda: limits)
+    at_once = True
     try:
         while True:
             request = await conn.read_request()
@@ -64,9 +65,11 @@
             await conn.send_answer(reply.status, reply.headers, reply.body)
             if not conn.prepare_next():
                 break
+        at_once = False
     except STREAM_ERRORS as exc:
         _log.debug("connection to an endpoint broke: %s", exc)
     except Exception:
         _log.exception("an endpoint failed")
     finally:
-        await conn.aclose()
+        # A host that stops does not wait for the callers of its endpoints.
+        await conn.aclose(at_once=at_once)
--- a/marigoldtrail/relay/events.py
+++ b/marigoldtrail/relay/events.py
@@ -4,7 +4,12 @@
 
 import re
 
+# Longer events are no answer of an engine.
+MAX_EVENT_BYTES = 256 * 1024
+
 _END = re.compile(rb"\r?\n\r?\n")
+# Bytes of an end that may have arrived without its last one.
+_END_BEGUN = 3
 _ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 
 
@@ -33,7 +38,7 @@
     def __init__(self) -> None:
         self.last_id = ""
         self.count = 0
-        self._rest = b""
+        self._rest = bytearray()
 
     def push(self, data: bytes) -> bytes:
         """
@@ -49,19 +54,26 @@
         bytes
             All events that are complete now.
         """
-        pending = self._rest + data
-        ends = [match.end() for match in _END.finditer(pending)]
+        start = max(0, len(self._rest) - _END_BEGUN)
+        self._rest += data
+        ends = [match.end() for match in _END.finditer(self._rest, start)]
         if not ends:
-            self._rest = pending
             return b""
-        whole, self._rest = pending[: ends[-1]], pending[ends[-1] :]
+        whole = bytes(self._rest[: ends[-1]])
+        del self._rest[: ends[-1]]
         self.count += len(ends)
         ids = _ID.findall(whole)
         if ids:
             self.last_id = ids[-1].decode("latin-1").strip()
         return whole
 
+    @property
+    def is_too_long(self) -> bool:
+        """Whether the event that has begun can't be one of an engine."""
+        return len(self._rest) > MAX_EVENT_BYTES
+
     def drop_rest(self) -> bytes:
         """Forget the begin of an event that will not be completed, and return it."""
-        rest, self._rest = self._rest, b""
+        rest = bytes(self._rest)
+        self._rest.clear()
         return rest
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -16,6 +16,11 @@
 PATIENCE_TARGETS = 4.0
 PATIENCE_GAPS = 8.0
 
+# A stream that may be resumed goes on elsewhere after a silence of the largest of these.
+STALL_S = 0.8
+STALL_GAPS = 4.0
+FIRST_EVENT_STALL_S = 1.5
+
 ROUTE_RANKS = 3
 # By the rank of the route: estimates of waiting leave out what arrives later and is more urgent.
 WAIT_SHARES = (0.7, 0.7, 0.5)
@@ -136,13 +141,23 @@
         """Monotonic time in seconds until which a caller waits for the first event of a stream."""
         if not self.is_stream:
             return self.deadline
-        route = self.route
-        patience_s = max(
+        return min(self.deadline, self.started + self.patience_s)
+
+    @property
+    def patience_s(self) -> float:
+        """Seconds after which callers leave a stream that pauses."""
+        return max(
             LEAST_PATIENCE_S,
-            PATIENCE_TARGETS * route.target_latency_s,
-            PATIENCE_GAPS * route.max_gap_s,
+            PATIENCE_TARGETS * self.route.target_latency_s,
+            PATIENCE_GAPS * self.route.max_gap_s,
         )
-        return min(self.deadline, self.started + patience_s)
+
+    @property
+    def stall_s(self) -> float:
+        """Seconds without an event after which a stream goes on elsewhere if it may."""
+        if self.first_event_at is None:
+            return max(FIRST_EVENT_STALL_S, self.route.target_latency_s)
+        return max(STALL_S, STALL_GAPS * self.route.max_gap_s)
 
     def note_first_event(self, now: float) -> None:
         """Note that the stream has begun; from now on only its deadline ends it."""
--- a/marigoldtrail/relay/pool.py
+++ b/marigoldtrail/relay/pool.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
@@ -33,17 +35,29 @@
         Clock.
     dialect : Dialect
         Reads the heads of answers.
+    on_leaving : callable or None
+        Called with the name of an upstream that says in an answer that it leaves.
     """
 
-    __slots__ = ("_network", "_timers", "_dialect", "_idle")
+    __slots__ = ("_network", "_timers", "_dialect", "_on_leaving", "_idle")
 
-    def __init__(self, *, network: Network, timers: Timers, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        *,
+        network: Network,
+        timers: Timers,
+        dialect: Dialect,
+        on_leaving: Callable[[str], None] | None = None,
+    ) -> None:
         self._network = network
         self._timers = timers
         self._dialect = dialect
+        self._on_leaving = on_leaving
         self._idle: dict[str, list[UpstreamConnection]] = {}
 
-    async def take(self, upstream: Upstream, *, may_repeat: bool) -> UpstreamConnection | Failure:
+    async def take(
+        self, upstream: Upstream, *, may_repeat: bool, request_id: str = ""
+    ) -> UpstreamConnection | Failure:
         """
         Take an idle connection, or open one.
 
@@ -53,6 +67,9 @@
             The upstream.
         may_repeat : bool
             Whether the request may be sent again if the connection turns out to be closed.
+        request_id : str
+            Id of the request. It is not sent twice on one connection, where a late copy of the
+            first answer could be taken for the second one.
 
         Returns
         -------
@@ -62,7 +79,8 @@
         idle = self._idle.get(upstream.name, [])
         while idle:
             conn = idle.pop()
-            if self._is_fresh(conn, may_repeat) and conn.is_quiet():
+            is_repeat = bool(request_id) and conn.request_id == request_id
+            if self._is_fresh(conn, may_repeat) and conn.is_quiet() and not is_repeat:
                 conn.wrote = False
                 return conn
             await conn.aclose()
@@ -80,7 +98,10 @@
             try:
                 stream = await self._network.dial(Address.parse(upstream.address))
                 return UpstreamConnection(
-                    stream=stream, upstream=upstream.name, dialect=self._dialect
+                    stream=stream,
+                    upstream=upstream.name,
+                    dialect=self._dialect,
+                    on_leaving=self._on_leaving,
                 )
             except STREAM_ERRORS as exc:
                 detail = str(exc) or type(exc).__name__
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -22,7 +22,7 @@
 from marigoldtrail.routing import Limits, Route
 from marigoldtrail.routing.table import choose_target
 from marigoldtrail.telemetry.exposition import Exposition
-from marigoldtrail.timers import Timers
+from marigoldtrail.timers import Timers, run_guarded
 
 # A picture that is older says little about routes and keys that it does not have.
 CURRENT_S = 1.5
@@ -72,7 +72,7 @@
         "_rng",
         "_metrics",
         "_dispatcher",
-        "_idle",
+        "_reading",
         "_draining",
         "_usual_deadlines",
         "connections",
@@ -101,7 +101,8 @@
         self._rng = rng
         self._metrics = metrics
         self._dispatcher = dispatcher
-        self._idle: set[trio.CancelScope] = set()
+        # Connections that wait for a request or are reading one.
+        self._reading: dict[trio.CancelScope, CallerConnection] = {}
         self._draining = False
         self._usual_deadlines: dict[str, UsualDeadline] = {}
         self.connections = 0
@@ -115,12 +116,15 @@
     async def run(self) -> None:
         """Keep connections and knowledge in step with the list of upstreams, until cancelled."""
         async for _ in self._timers.subscribe("trim", TRIM_INTERVAL_S):
-            names = set(self._picture.upstreams)
-            if self._picture.age_s() < CURRENT_S:
-                await self._pool.drop_except(names)
-                self._board.forget_except(names)
-            self._forget_routes()
-            await self._pool.drop_expired()
+            await run_guarded(self._trim)
+
+    async def _trim(self) -> None:
+        names = set(self._picture.upstreams)
+        if self._picture.age_s() < CURRENT_S:
+            await self._pool.drop_except(names)
+            self._board.forget_except(names)
+        self._forget_routes()
+        await self._pool.drop_expired()
 
     def _forget_routes(self) -> None:
         routes = self._picture.routes
@@ -133,9 +137,15 @@
         self._draining = True
 
     def close_idle(self) -> None:
-        """Close the connections that wait for a request."""
-        for scope in list(self._idle):
-            scope.cancel()
+        """Close the connections on which no byte of a request has arrived."""
+        for scope, conn in list(self._reading.items()):
+            if not conn.is_receiving:
+                scope.cancel()
+
+    @property
+    def busy(self) -> int:
+        """Requests that are being read or served."""
+        return self.requests + sum(conn.is_receiving for conn in self._reading.values())
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """
@@ -165,11 +175,11 @@
     async def _serve_next(self, conn: CallerConnection) -> bool:
         request: CallerRequest | Refusal | Closed = Closed.CLOSED
         with trio.CancelScope() as scope:
-            self._idle.add(scope)
+            self._reading[scope] = conn
             try:
                 request = await conn.read_request()
             finally:
-                self._idle.discard(scope)
+                del self._reading[scope]
         if isinstance(request, Closed):
             return False
         if isinstance(request, Refusal):
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -66,7 +66,12 @@
         self.picture.confirmed_at = trio.current_time() + 1e5
         endpoint = self.network.endpoint(ENTRY.ip)
         self.endpoint = endpoint
-        self.pool = ConnectionPool(network=endpoint, timers=self.timers, dialect=DIALECT)
+        self.pool = ConnectionPool(
+            network=endpoint,
+            timers=self.timers,
+            dialect=DIALECT,
+            on_leaving=self.picture.note_leaving,
+        )
         peers = PeerClient(network=endpoint, host="entry", nursery=nursery)
         self.board = UpstreamBoard(
             host="entry", picture=self.picture, data_centre="a", timers=self.timers
--- a/marigoldtrail/relay/types.py
+++ b/marigoldtrail/relay/types.py
@@ -62,8 +62,10 @@
         Whether the body is not the upstream's own bytes.
     lacks_inputs : bool
         Whether results of earlier stages were gone.
-    load : tuple of int or None
-        Requests running and waiting there, and its slots.
+    is_leaving : bool
+        Whether the upstream says that it will stop soon.
+    pause_s : float or None
+        Seconds for which a refusing upstream wants no requests from this host.
     keep_alive_s : float or None
         Seconds after which the upstream closes an idle connection.
     """
@@ -74,7 +76,8 @@
     is_other_upstream: bool = False
     is_encoded: bool = False
     lacks_inputs: bool = False
-    load: tuple[int, int, int] | None = None
+    is_leaving: bool = False
+    pause_s: float | None = None
     keep_alive_s: float | None = None
 
 
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -16,7 +16,7 @@
 # Callers keep the addresses that they were told for up to three times the stated time.
 LEAVE_S = 3.5
 # The process must have ended when the platform stops waiting.
-EXIT_MARGIN_S = 0.4
+EXIT_MARGIN_S = 0.8
 POLL_S = 0.05
 
 _log = logging.getLogger(__name__)
@@ -118,7 +118,7 @@
         parts.nursery.start_soon(partial(parts.agent.report_once, wait_s=0.0))
         await parts.timers.sleep(LEAVE_S)
         self.relay.close_idle()
-        while self.relay.requests and parts.timers.now() < last:
+        while self.relay.busy and parts.timers.now() < last:
             await parts.timers.sleep(POLL_S)
             self.relay.close_idle()
-        _log.info("drained", extra={"requests_left": self.relay.requests})
+        _log.info("drained", extra={"requests_left": self.relay.busy})
--- a/marigoldtrail/site/parts.py
+++ b/marigoldtrail/site/parts.py
@@ -75,7 +75,12 @@
         self.metrics = Exposition()
         self.peers = PeerClient(network=network, host=cfg.host, nursery=nursery)
         self.picture = FleetPicture(parse_document=adapter.parse_document, timers=timers)
-        self.pool = ConnectionPool(network=network, timers=timers, dialect=adapter.dialect)
+        self.pool = ConnectionPool(
+            network=network,
+            timers=timers,
+            dialect=adapter.dialect,
+            on_leaving=self.picture.note_leaving,
+        )
         self.agent = HostAgent(
             identity=HostReport(
                 host=cfg.host,
