Keep schedulers of stages going through odd answers, pauses and late copies

Cause: an unexpected error while an answer was taken in ended the process or left its worker busy for good; calls that free results ignored a pause that the upstream had asked for; a late copy of an answer with as many items gave its results to other requests. Handles are remembered with the piece that they were given for; an answer with handles of other pieces fails the call. Each has a test in pieces/tests/test_runner.py that failed before.

--- a/marigoldtrail/pieces/__init__.py
+++ b/marigoldtrail/pieces/__init__.py
@@ -1,8 +1,8 @@
 """Work on the pieces of stages: one scheduler for each service gathers those of all entries."""
 
 from marigoldtrail.pieces.client import PieceClient
-from marigoldtrail.pieces.runner import PieceCall, PieceResult
-from marigoldtrail.pieces.scheduler import Piece, PieceJob, PieceScheduler, Worker
+from marigoldtrail.pieces.runner import PieceCall
+from marigoldtrail.pieces.scheduler import Piece, PieceJob, PieceResult, PieceScheduler, Worker
 from marigoldtrail.pieces.service import PieceService
 
 __all__ = [
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -13,13 +13,14 @@
 from marigoldtrail.pieces.scheduler import (
     BUSY_PAUSE_S,
     Piece,
+    PieceResult,
     PieceScheduler,
     Worker,
 )
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.routing import Upstream
 from marigoldtrail.telemetry.exposition import Exposition
-from marigoldtrail.timers import Signal, Timers
+from marigoldtrail.timers import Signal, Timers, run_guarded
 
 # A call that takes this many times longer than expected is given up.
 CALL_PATIENCE = 3.0
@@ -30,22 +31,6 @@
 _log = logging.getLogger(__name__)
 
 
-class PieceResult(msgspec.Struct, kw_only=True, frozen=True):
-    """
-    What became of one piece of a call.
-
-    Parameters
-    ----------
-    handle : str
-        Names the result; empty if there is none.
-    reason : str
-        Why there is none: ``"late"``, ``"gone"``, ``"room"`` or ``"error"``.
-    """
-
-    handle: str = ""
-    reason: str = ""
-
-
 class PieceCall(msgspec.Struct, kw_only=True, frozen=True):
     """
     How upstreams are asked to work on pieces and to free results.
@@ -154,7 +139,7 @@
         if not handles or nursery is None:
             return
         for worker, kept in self._keepers(handles):
-            nursery.start_soon(self._free_at, worker, kept)
+            nursery.start_soon(run_guarded, self._free_at, worker, kept)
 
     def free_later(self, handles: set[str], wait_s: float, least_bytes: int) -> None:
         """Free results of at least some size after some seconds."""
@@ -169,11 +154,14 @@
             for handle in kept
         )
         if large and self._nursery is not None:
-            self._nursery.start_soon(free)
+            self._nursery.start_soon(run_guarded, free)
 
     async def _free_at(self, worker: Worker, handles: list[str]) -> None:
+        # A worker that wants no calls is not asked to free anything either.
+        await self._timers.sleep(max(0.0, worker.closed_until - self._timers.now()))
         failure = await self._call.free(worker.upstream, handles)
         if failure is not None:
+            worker.close(failure.retry_after_s, self._timers.now())
             # The results stay until their time is up.
             _log.warning("results were not freed: %s", failure)
             return
@@ -183,6 +171,24 @@
         self._wake.notify()
 
     async def _work(self, scheduler: PieceScheduler, worker: Worker, pieces: list[Piece]) -> None:
+        """Make a call; an unexpected error must neither end the process nor lose the worker."""
+        try:
+            await self._make_call(scheduler, worker, pieces)
+        except Exception as exc:
+            _log.exception("a call was not taken in")
+            failure = Failure(
+                reason=Reason.INTERNAL,
+                run_state=RunState.MAY_HAVE_RUN,
+                step="pieces",
+                peer=worker.upstream.name,
+                detail=str(exc),
+            )
+            self._note_failure(scheduler, worker, pieces, failure, self._timers.now())
+        self._wake.notify()
+
+    async def _make_call(
+        self, scheduler: PieceScheduler, worker: Worker, pieces: list[Piece]
+    ) -> None:
         started = self._timers.now()
         room_mb = sum(worker.room.values()) / 1e6
         expected_s = scheduler.duration_s(worker, len(pieces), started)
@@ -202,6 +208,14 @@
                 # A fault in one call must not end the schedulers.
                 _log.exception("a call failed")
         now = self._timers.now()
+        if not isinstance(results, Failure) and worker.is_copy(pieces, results):
+            results = Failure(
+                reason=Reason.BAD_ANSWER,
+                run_state=RunState.MAY_HAVE_RUN,
+                step="pieces",
+                peer=worker.upstream.name,
+                detail="results of an earlier call",
+            )
         if isinstance(results, Failure):
             self._note_failure(scheduler, worker, pieces, results, now)
         else:
@@ -228,7 +242,6 @@
                 },
             )
             self._take_results(scheduler, worker, pieces, results)
-        self._wake.notify()
 
     def _note_failure(
         self,
@@ -242,6 +255,7 @@
         self._metrics.count_pieces(failure.reason.value, len(pieces))
         if failure.reason is Reason.OVERLOADED:
             scheduler.pause(worker, BUSY_PAUSE_S, now)
+            worker.close(failure.retry_after_s, now)
         else:
             scheduler.eject(worker, now)
         _log.warning(
@@ -266,6 +280,7 @@
         for piece, result in zip(pieces, results, strict=True):
             job = piece.job
             if result.handle:
+                worker.note_handle(result.handle, piece)
                 worker.room[result.handle] = job.result_bytes
                 if job.is_open:
                     job.finish_piece(piece.index, result.handle)
@@ -292,4 +307,4 @@
             worker.room.pop(handle, None)
 
         if self._nursery is not None:
-            self._nursery.start_soon(expire)
+            self._nursery.start_soon(run_guarded, expire)
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, OrderedDict
+from collections.abc import Sequence
 
 import msgspec
 import trio
@@ -37,6 +38,8 @@
 # A change of the speed by this factor is not chance: the next calls will take as long.
 SPEED_JUMP = 2.0
 MAX_TRIES = 4
+# Handles by which a late copy of an answer is known.
+RECENT_HANDLES = 512
 
 
 class PieceJob:
@@ -177,6 +180,27 @@
     index: int
     tries: int = 0
 
+    @property
+    def identity(self) -> tuple[str, int, int]:
+        """Request, stage and number of the piece."""
+        return self.job.request_id, self.job.stage, self.index
+
+
+class PieceResult(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    What became of one piece of a call.
+
+    Parameters
+    ----------
+    handle : str
+        Names the result; empty if there is none.
+    reason : str
+        Why there is none: ``"late"``, ``"gone"``, ``"room"`` or ``"error"``.
+    """
+
+    handle: str = ""
+    reason: str = ""
+
 
 class Worker:
     """
@@ -193,6 +217,8 @@
         "busy_until",
         "is_busy",
         "paused_until",
+        "closed_until",
+        "_recent",
         "slowness",
         "timed_at",
         "room",
@@ -206,6 +232,10 @@
         self.is_busy = False
         self.busy_until = 0.0
         self.paused_until = 0.0
+        # Until when it wants no calls of any kind from this host.
+        self.closed_until = 0.0
+        # For each recent handle the request, stage and piece that it was given for.
+        self._recent: OrderedDict[str, tuple[str, int, int]] = OrderedDict()
         self.slowness = 1.0
         self.timed_at = 0.0
         self.failures = 0
@@ -215,6 +245,29 @@
         self.other_bytes = 0.0
         self.other_since = 0.0
 
+    def close(self, seconds: float, now: float) -> None:
+        """Make no calls for some seconds, as the upstream has asked."""
+        self.closed_until = max(self.closed_until, now + seconds)
+        self.paused_until = max(self.paused_until, self.closed_until)
+
+    def note_handle(self, handle: str, piece: Piece) -> None:
+        """Remember for which piece a handle was given."""
+        self._recent[handle] = piece.identity
+        while len(self._recent) > RECENT_HANDLES:
+            self._recent.popitem(last=False)
+
+    def is_copy(self, pieces: Sequence[Piece], results: Sequence[PieceResult]) -> bool:
+        """
+        Tell whether an answer is a late copy of the answer to an earlier call.
+
+        Such a copy has handles that were given for other pieces.
+        """
+        return any(
+            self._recent.get(result.handle, piece.identity) != piece.identity
+            for piece, result in zip(pieces, results, strict=True)
+            if result.handle
+        )
+
     def own_bytes(self) -> float:
         """Return the room that the results of this scheduler take."""
         return sum(self.room.values()) * SIZE_MARGIN
@@ -451,7 +504,7 @@
 
     def pause(self, worker: Worker, seconds: float, now: float) -> None:
         """Give a worker no pieces for some seconds."""
-        worker.paused_until = now + seconds
+        worker.paused_until = max(worker.closed_until, now + seconds)
 
     def next_change(self, now: float) -> float:
         """Return the seconds after which `plan` may find something without any other event."""
--- a/marigoldtrail/pieces/tests/test_runner.py
+++ b/marigoldtrail/pieces/tests/test_runner.py
@@ -3,8 +3,8 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
-from marigoldtrail.pieces.runner import PieceCall, PieceResult, PieceRunner
-from marigoldtrail.pieces.scheduler import PieceJob
+from marigoldtrail.pieces.runner import PieceCall, PieceRunner
+from marigoldtrail.pieces.scheduler import PieceJob, PieceResult
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.routing import Limits, PieceSpec, RouteTable, Service, Upstream, build_index
 from marigoldtrail.telemetry.exposition import Exposition
@@ -167,3 +167,45 @@
     assert len(upstreams.worker().room) == 2
     await trio.sleep(SPEC.keep_s + 0.1)
     assert upstreams.worker().room == {}
+
+
+async def test_upstream_that_wants_no_calls_gets_none(autojump_clock, nursery):
+    """Guards against calls, also those that free results, within an upstream's Retry-After."""
+    upstreams = Upstreams(nursery, count=1)
+    job = await upstreams.work("first")
+    refusal = Failure(
+        reason=Reason.OVERLOADED, run_state=RunState.NOT_RUN, step="test", retry_after_s=2.0
+    )
+    upstreams.answers = [refusal]
+    refused_at = trio.current_time()
+    calls = len(upstreams.calls)
+    nursery.start_soon(upstreams.work, "second")
+    await trio.sleep(0.05)
+    upstreams.runner.free(set(job.handles))
+    await trio.sleep(1.8)
+    assert len(upstreams.calls) == calls + 1 and not upstreams.freed
+    await trio.sleep(0.3 + WORK_S)
+    assert len(upstreams.calls) == calls + 2 and upstreams.freed == job.handles
+    assert trio.current_time() - refused_at < 3.0
+
+
+async def test_late_copy_of_an_earlier_answer_is_not_taken(autojump_clock, nursery):
+    """Guards against a request that is given the results of another one."""
+    upstreams = Upstreams(nursery, count=2)
+    first = await upstreams.work("first", 2)
+    copy = [PieceResult(handle=handle) for handle in first.handles]
+    name = next(n for n, w in upstreams.runner.scheduler("s").workers.items() if w.room)
+    for other in upstreams.runner.scheduler("s").workers:
+        if other != name:
+            upstreams.worker(other).paused_until = trio.current_time() + 0.1
+    upstreams.answers = [copy]
+    second = await upstreams.work("second", 2)
+    assert not set(first.handles) & set(second.handles) and all(second.handles)
+
+
+async def test_unexpected_error_ends_neither_the_scheduler_nor_a_worker(autojump_clock, nursery):
+    """Guards against one odd answer that stops all stages, or takes an upstream out for good."""
+    upstreams = Upstreams(nursery, count=1)
+    upstreams.answers = [lambda pieces: [None for _ in pieces]]
+    job = await upstreams.work("one", 2)
+    assert all(job.handles) and len(upstreams.calls) == 2
