Tell entries of the control hosts only, and of their place among the entries

Cause: each change of any host was sent as the whole list to every host. With 191 entries a restart of all of them in turn is 382 changes x 200 hosts x 24 KB, 1.8 GB through the leader in half a minute, and each entry reads 24 KB over a link of 5 Mbit/s each time. Entries use the list for the control hosts, for the number of entries and for their own place among them; the two numbers now come with each reply. The test plays 191 entries against one board and counts revisions: none for entries, before two each. Control hosts still get all, for look-ups.

--- a/marigoldtrail/registry/board.py
+++ b/marigoldtrail/registry/board.py
@@ -64,9 +64,12 @@
         "upstreams",
         "upstreams_revision",
         "hosts_revision",
+        "controls_revision",
         "loads_revision",
         "_hosts",
         "_listed",
+        "_controls",
+        "_turns",
         "_is_listed",
         "_loads",
         "_read",
@@ -81,9 +84,14 @@
         self.upstreams: list[UpstreamEntry] | None = None
         self.upstreams_revision = 0
         self.hosts_revision = 0
+        self.controls_revision = 0
         self.loads_revision = 0
         self._hosts: dict[str, HostState] = {}
         self._listed: list[HostEntry] = []
+        # Entries are told of the control hosts only: with a list of all hosts in each reply, a
+        # restart of all entries would cost the square of their number.
+        self._controls: list[HostEntry] = []
+        self._turns: dict[str, float] = {}
         # Whether the list says what the last reports said.
         self._is_listed = True
         # Sums over all hosts; every report is answered with them, so that they are kept.
@@ -147,6 +155,12 @@
         self._listed = [entry_of(state.report) for _, state in sorted(self._hosts.items())]
         self._is_listed = True
         self.hosts_revision += 1
+        controls = [entry for entry in self._listed if entry.role == "control"]
+        if controls != self._controls:
+            self._controls = controls
+            self.controls_revision += 1
+        names = [entry.host for entry in self._listed if entry.role == "entry"]
+        self._turns = {name: number / len(names) for number, name in enumerate(names)}
         self.changed.notify()
 
     def _add_loads(self, loads: list[UpstreamLoad], sign: int) -> None:
@@ -159,9 +173,22 @@
             if not total.requests:
                 del self._loads[load.upstream]
 
-    def hosts(self) -> list[HostEntry]:
-        """Return the hosts that report."""
-        return self._listed
+    def hosts(self, role: str = "control") -> list[HostEntry]:
+        """Return the hosts that report, as far as hosts of a role are told of them."""
+        return self._listed if role == "control" else self._controls
+
+    def hosts_revision_for(self, role: str) -> int:
+        """Return the revision of the hosts that hosts of a role are told of."""
+        return self.hosts_revision if role == "control" else self.controls_revision
+
+    @property
+    def entry_count(self) -> int:
+        """Entries that report."""
+        return len(self._turns)
+
+    def turn_of(self, host: str) -> float:
+        """Return the place of an entry among all entries, from 0 to 1."""
+        return self._turns.get(host, 0.0)
 
     def take_upstreams(self, entries: list[UpstreamEntry]) -> None:
         """
--- a/marigoldtrail/registry/picture.py
+++ b/marigoldtrail/registry/picture.py
@@ -46,7 +46,9 @@
     upstreams : dict
         Upstreams by name.
     hosts : list of HostEntry
-        Hosts that report to the leader.
+        Hosts that report to the leader; on entries only control hosts.
+    turn : float
+        Place of this host among all entries, from 0 to 1.
     data_centres : set of str
         Data centres that had a host or an upstream at any time.
     loads : dict
@@ -61,6 +63,7 @@
         "routes",
         "upstreams",
         "hosts",
+        "turn",
         "data_centres",
         "loads",
         "changed",
@@ -68,6 +71,7 @@
         "term",
         "revisions",
         "confirmed_at",
+        "_entry_count",
         "_takeouts",
         "_told_leaving",
         "_leaving_since",
@@ -79,6 +83,8 @@
         self.routes: RouteIndex | None = None
         self.upstreams: dict[str, Upstream] = {}
         self.hosts: list[HostEntry] = []
+        self.turn = 0.0
+        self._entry_count = 0
         self.data_centres: set[str] = set()
         self.loads: dict[str, tuple[int, int]] = {}
         self.changed = Signal()
@@ -103,7 +109,7 @@
 
     def entry_count(self) -> int:
         """Return the number of entries that serve, at least 1."""
-        return max(1, sum(host.role == "entry" for host in self.hosts))
+        return max(1, self._entry_count)
 
     def find_service(self, name: str) -> Service | None:
         """Return a service of the configuration in force; None if it has none of that name."""
@@ -179,6 +185,9 @@
             _log.info("data centres out of service: %s", sorted(self._takeouts))
         if reply.upstreams is not None:
             self._take_upstreams(reply.upstreams)
+        if reply.entry_count:
+            self._entry_count = reply.entry_count
+            self.turn = reply.turn
         if reply.hosts is not None:
             self.hosts = reply.hosts
             self.data_centres.update(host.data_centre for host in reply.hosts)
--- a/marigoldtrail/registry/service.py
+++ b/marigoldtrail/registry/service.py
@@ -181,7 +181,7 @@
         # A host that has just started gains from the few hosts known; others keep the old list.
         knows_some = request.term == board.term and "hosts" in request.revisions
         if board.is_settled() or request.term == 0 or knows_some:
-            revisions["hosts"] = board.hosts_revision
+            revisions["hosts"] = board.hosts_revision_for(request.role)
         return revisions
 
     def _news_for(self, board: LeaderBoard, request: HostReport) -> bool:
@@ -195,6 +195,9 @@
         known = request.revisions if request.term == board.term else {}
         revisions = self._revisions(board, request)
         reply = HostReportReply(term=board.term, revisions=revisions)
+        if "hosts" in revisions:
+            reply.entry_count = board.entry_count
+            reply.turn = board.turn_of(request.host)
 
         def is_news(section: str) -> bool:
             return section in revisions and known.get(section) != revisions[section]
@@ -207,7 +210,7 @@
         if is_news("upstreams"):
             reply.upstreams = board.upstreams
         if is_news("hosts"):
-            reply.hosts = board.hosts()
+            reply.hosts = board.hosts(request.role)
         if request.role == "entry" and known.get("loads") != board.loads_revision:
             reply.revisions["loads"] = board.loads_revision
             reply.loads = board.loads()
--- a/marigoldtrail/registry/tests/test_board.py
+++ b/marigoldtrail/registry/tests/test_board.py
@@ -144,3 +144,23 @@
     assert states(board)["one"] == "ready"
     board.take_report(report("b", leaving=leaving))
     assert states(board)["one"] == "ready"
+
+
+async def test_restarts_of_entries_are_no_news_for_other_entries(autojump_clock):
+    """Guards against a list of 200 hosts for each of 200 hosts whenever one of them restarts."""
+    board = LeaderBoard(term=1, timers=Timers(seed=1))
+    entries = [f"e-{number:03}" for number in range(191)]
+    for name in entries:
+        board.take_report(report(name, ready=True))
+    board.take_report(
+        HostReport(host="c", incarnation=1, role="control", data_centre="a", region="r")
+    )
+    known = board.hosts_revision_for("entry"), board.hosts_revision_for("control")
+    board.take_report(report(entries[0], ready=False))
+    board.take_report(report(entries[0], incarnation=2, ready=True))
+    assert board.hosts_revision_for("entry") == known[0]
+    assert board.hosts_revision_for("control") == known[1] + 2
+    assert [host.host for host in board.hosts("entry")] == ["c"]
+    assert len(board.hosts("control")) == 192 and board.entry_count == 191
+    turns = [board.turn_of(name) for name in entries]
+    assert turns == sorted(set(turns)) and turns[0] == 0.0 and turns[-1] < 1.0
--- a/marigoldtrail/relay/board.py
+++ b/marigoldtrail/relay/board.py
@@ -73,8 +73,6 @@
 
     Parameters
     ----------
-    host : str
-        Name of this entry.
     picture : FleetPicture
         Upstreams of the fleet, and the loads of the other entries.
     data_centre : str
@@ -83,12 +81,9 @@
         Clock.
     """
 
-    __slots__ = ("_host", "_picture", "_data_centre", "_timers", "_records")
+    __slots__ = ("_picture", "_data_centre", "_timers", "_records")
 
-    def __init__(
-        self, *, host: str, picture: FleetPicture, data_centre: str, timers: Timers
-    ) -> None:
-        self._host = host
+    def __init__(self, *, picture: FleetPicture, data_centre: str, timers: Timers) -> None:
         self._picture = picture
         self._data_centre = data_centre
         self._timers = timers
@@ -215,18 +210,13 @@
         if not record.is_cold:
             # All entries learn of it at the same time; they begin one after the other.
             record.is_cold = True
-            record.cold_next_at = now + self._cold_interval_s(service) * self._turn()
+            record.cold_next_at = now + self._cold_interval_s(service) * self._picture.turn
         return record.cold_next_at <= now
 
     def _cold_interval_s(self, service: Service) -> float:
         """Return the seconds between two requests of one entry to a cold upstream."""
         return self._picture.entry_count() / (service.cold_rate * COLD_SHARE)
 
-    def _turn(self) -> float:
-        """Return the place of this entry among all entries, from 0 to 1."""
-        names = [host.host for host in self._picture.hosts if host.role == "entry"]
-        return names.index(self._host) / len(names) if self._host in names else 0.0
-
     def note_sent(self, upstream: Upstream, service: Service) -> None:
         """Count a request against the limit of a cold upstream, of which each entry has a share."""
         now = self._timers.now()
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -73,9 +73,7 @@
             on_leaving=self.picture.note_leaving,
         )
         peers = PeerClient(network=endpoint, host="entry", nursery=nursery)
-        self.board = UpstreamBoard(
-            host="entry", picture=self.picture, data_centre="a", timers=self.timers
-        )
+        self.board = UpstreamBoard(picture=self.picture, data_centre="a", timers=self.timers)
         rng, metrics = random.Random(1), Exposition()
         dispatcher = Dispatcher(
             data_centre="a",
--- a/marigoldtrail/relay/tests/test_board.py
+++ b/marigoldtrail/relay/tests/test_board.py
@@ -5,7 +5,7 @@
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.relay import UpstreamBoard
 from marigoldtrail.routing import Service, Upstream
-from marigoldtrail.schema.generated.registry import HostEntry
+from marigoldtrail.schema.generated.registry import HostReportReply
 from marigoldtrail.schema.generated.site import Bounds
 from marigoldtrail.timers import Timers
 
@@ -19,16 +19,14 @@
 
 
 def make_boards(count):
+    """Return the boards of some entries, and the picture of the first one."""
     timers = Timers(seed=1)
-    picture = FleetPicture(parse_document=lambda data: "", timers=timers)
-    picture.hosts = [
-        HostEntry(host=f"e-{n}", role="entry", data_centre="a", region="r") for n in range(count)
-    ]
-    boards = [
-        UpstreamBoard(host=f"e-{n}", picture=picture, data_centre="a", timers=timers)
-        for n in range(count)
-    ]
-    return picture, boards
+    pictures = [FleetPicture(parse_document=lambda data: "", timers=timers) for _ in range(count)]
+    for number, picture in enumerate(pictures):
+        reply = HostReportReply(term=1, revisions={}, entry_count=count, turn=number / count)
+        picture.apply(reply, sent_at=0.0)
+    boards = [UpstreamBoard(picture=p, data_centre="a", timers=timers) for p in pictures]
+    return pictures[0], boards
 
 
 async def test_cold_upstream_gets_no_more_than_it_bears_from_all_entries(autojump_clock):
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -37,7 +37,6 @@
     def __init__(self, *, parts: SiteParts) -> None:
         self.parts = parts
         self.board = UpstreamBoard(
-            host=parts.cfg.host,
             picture=parts.picture,
             data_centre=parts.cfg.data_centre,
             timers=parts.timers,
