Admit what full calls can do, defer what will be late, and repeat pieces of slow calls

The backlog was measured with the time of a piece in the small calls of an ordinary minute, where calls fill up only when work waits. Requests that could not be on time any more competed with the others until they were late. And upstreams that turned five times slower held their pieces for three times the expected time, were ejected, and came back with an unknown speed.

Now: the backlog is the work in full calls at the speeds of the present workers; a request that can't be on time is deferred when it arrives and is refused only by the total backlog; the pieces of a call that takes 1.75 times the expected time are given to another worker as well, and the late answer tells the speed.

--- a/marigoldtrail/pieces/admission.py
+++ b/marigoldtrail/pieces/admission.py
@@ -27,11 +27,14 @@
     own_s : float
         Seconds that its pieces take by themselves.
     backlog_s : float
+        Seconds in which its service finishes the work that goes before.
+    total_s : float
         Seconds in which its service finishes all that it has taken on.
     """
 
     own_s: float
-    backlog_s: float
+    backlog_s: float = 0.0
+    total_s: float = 0.0
 
 
 def stage_work(
@@ -57,10 +60,14 @@
         Nothing to wait for if the stage has no pieces.
     """
     if scheduler is None or not stage.count:
-        return StageWork(own_s=0.0, backlog_s=0.0)
+        return StageWork(own_s=0.0)
     spec = scheduler.spec
     own_s = spec.call_s + min(stage.count, spec.batch) * spec.item_s
-    return StageWork(own_s=own_s, backlog_s=scheduler.backlog_s(now, priority))
+    return StageWork(
+        own_s=own_s,
+        backlog_s=scheduler.backlog_s(now, priority),
+        total_s=scheduler.total_backlog_s(now),
+    )
 
 
 def path_s(
@@ -89,6 +96,35 @@
     return work[number].own_s + max(later, default=0.0)
 
 
+def can_be_on_time(work: Sequence[StageWork], path: float, slack_s: float) -> bool:
+    """
+    Tell whether the stages of a request can be done before it is late.
+
+    A request that can't is deferred from the start. If it competed with the others until it is
+    late, each request of a burst would be a little late.
+
+    Parameters
+    ----------
+    work : sequence of StageWork
+        Its stages.
+    path : float
+        Seconds that they take without any waiting.
+    slack_s : float
+        Seconds after which it is late.
+
+    Returns
+    -------
+    bool
+        Whether it competes with the requests that are to be on time.
+
+    Examples
+    --------
+    >>> can_be_on_time([StageWork(own_s=0.2, backlog_s=0.5)], 0.2, 1.0)
+    True
+    """
+    return path + max((item.backlog_s for item in work), default=0.0) <= slack_s
+
+
 def judge_demand(
     work: Sequence[StageWork],
     path: float,
@@ -97,7 +133,7 @@
     wait_share: float = 1.0,
 ) -> float:
     """
-    Compare what a request has to wait for with its time.
+    Compare what a request has to wait for, if it is deferred, with its time.
 
     Parameters
     ----------
@@ -117,8 +153,8 @@
 
     Examples
     --------
-    >>> judge_demand([StageWork(own_s=0.2, backlog_s=3.0)], 0.2, 2.0) > 0
+    >>> judge_demand([StageWork(own_s=0.2, total_s=3.0)], 0.2, 2.0) > 0
     True
     """
-    longest = max((item.backlog_s for item in work), default=0.0)
+    longest = max((item.total_s for item in work), default=0.0)
     return max(path + longest - wait_share * left_s, longest - MAX_BACKLOG_S)
--- a/marigoldtrail/pieces/job.py
+++ b/marigoldtrail/pieces/job.py
@@ -33,6 +33,8 @@
     may_wait : bool
         Whether the job may be put off once the request will be late anyway. Results that it would
         read and that take much room speak against it.
+    is_deferred : bool
+        Whether the request will be late in any case and comes after those that need not be.
     yield_s : float
         Seconds by which the request yields to more urgent ones.
     data_centre : str
@@ -53,6 +55,7 @@
         "expires_at",
         "start_by",
         "may_wait",
+        "is_deferred",
         "yield_s",
         "data_centre",
         "result_bytes",
@@ -77,6 +80,7 @@
         expires_at: float,
         start_by: float,
         may_wait: bool,
+        is_deferred: bool,
         yield_s: float,
         data_centre: str,
         result_bytes: int,
@@ -90,6 +94,7 @@
         self.expires_at = expires_at
         self.start_by = start_by
         self.may_wait = may_wait
+        self.is_deferred = is_deferred
         self.yield_s = yield_s
         self.data_centre = data_centre
         self.result_bytes = result_bytes
@@ -112,7 +117,7 @@
         order of their times alone, all of them would be a little late in a burst. Those that hold
         results yield for a while only, since results are not kept for long.
         """
-        is_late = self.may_wait and now > self.start_by
+        is_late = self.may_wait and (self.is_deferred or now > self.start_by)
         yield_s = self.yield_s + (LATE_YIELD_S if is_late else 0.0)
         return not self.is_begun, is_late and not self.inputs, self.start_by + yield_s
 
@@ -126,13 +131,31 @@
         """Whether results are still wanted."""
         return not self.done.is_set()
 
-    def finish_piece(self, index: int, handle: str) -> None:
-        """Take a result."""
-        if not self.handles[index]:
-            self.handles[index] = handle
-            self.missing -= 1
+    def finish_piece(self, piece: Piece, handle: str) -> bool:
+        """
+        Take a result.
+
+        Parameters
+        ----------
+        piece : Piece
+            The piece; it no longer waits.
+        handle : str
+            Names the result.
+
+        Returns
+        -------
+        bool
+            False if nobody wants it any more.
+        """
+        if not self.is_open or self.handles[piece.index]:
+            return False
+        self.handles[piece.index] = handle
+        self.missing -= 1
+        if piece in self.waiting:
+            self.waiting.remove(piece)
         if self.missing == 0:
             self.done.set()
+        return True
 
     def fail(self, reason: str) -> None:
         """Give the job up."""
@@ -153,11 +176,17 @@
         Number of the piece.
     tries : int
         How often it was sent.
+    calls : int
+        Calls in progress that may bring its result.
+    is_repeated : bool
+        Whether another worker was asked for it while a call was still going on.
     """
 
     job: PieceJob
     index: int
     tries: int = 0
+    calls: int = 0
+    is_repeated: bool = False
 
     @property
     def identity(self) -> tuple[str, int, int]:
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -19,8 +19,13 @@
 from marigoldtrail.telemetry.exposition import Exposition
 from marigoldtrail.timers import Signal, Timers, run_guarded
 
+# Other workers are asked for the pieces of a call that takes this many times longer than expected.
+# An upstream does not end a call that it works on when the connection closes, so that its late
+# answer is waited for: it tells how slow the upstream is.
+REPEAT_FACTOR = 1.75
+REPEAT_SLACK_S = 0.05
 # A call that takes this many times longer than expected is given up.
-CALL_PATIENCE = 3.0
+CALL_PATIENCE = 6.0
 CALL_SLACK_S = 0.3
 UPSTREAMS_INTERVAL_S = 0.2
 NO_ROOM = "room"
@@ -235,12 +240,15 @@
             detail="no answer in time",
         )
         limit_s = expected_s * CALL_PATIENCE + CALL_SLACK_S
-        with trio.move_on_after(limit_s):
-            try:
-                results = await self._call.run(worker.upstream, pieces, lefts)
-            except Exception:
-                # A fault in one call must not end the schedulers.
-                _log.exception("a call failed")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._repeat_late, scheduler, worker, pieces, expected_s)
+            with trio.move_on_after(limit_s):
+                try:
+                    results = await self._call.run(worker.upstream, pieces, lefts)
+                except Exception:
+                    # A fault in one call must not end the schedulers.
+                    _log.exception("a call failed")
+            nursery.cancel_scope.cancel()
         now = self._timers.now()
         if not isinstance(results, Failure) and worker.is_copy(pieces, results):
             results = Failure(
@@ -277,6 +285,25 @@
             )
             self._take_results(scheduler, worker, pieces, results)
 
+    async def _repeat_late(
+        self, scheduler: PieceScheduler, worker: Worker, pieces: list[Piece], expected_s: float
+    ) -> None:
+        """Ask other workers for the pieces of a call that takes much longer than expected."""
+        await self._timers.sleep(expected_s * REPEAT_FACTOR + REPEAT_SLACK_S)
+        repeated = scheduler.repeat(pieces)
+        if not repeated:
+            return
+        _log.info(
+            "pieces are repeated",
+            extra={
+                "subject": worker.upstream.name,
+                "count": len(repeated),
+                "expected_ms": round(expected_s * 1000),
+                "requests": sorted({piece.job.request_id for piece in repeated}),
+            },
+        )
+        self._wake.notify()
+
     def _note_failure(
         self,
         scheduler: PieceScheduler,
@@ -291,6 +318,8 @@
             scheduler.pause(worker, BUSY_PAUSE_S, now)
             worker.close(failure.retry_after_s, now)
         else:
+            if failure.reason is Reason.TIMEOUT:
+                worker.note_speed(CALL_PATIENCE, now)
             scheduler.eject(worker, now)
         _log.warning(
             "pieces failed: %s",
@@ -317,9 +346,7 @@
                 worker.note_handle(result.handle, piece)
                 until = now + scheduler.spec.keep_s
                 self._results.add(worker, result.handle, job.result_bytes, until=until)
-                if job.is_open:
-                    job.finish_piece(piece.index, result.handle)
-                else:
+                if not job.finish_piece(piece, result.handle):
                     unwanted.add(result.handle)
             elif result.reason in ("late", "gone"):
                 job.fail(result.reason)
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -23,7 +23,6 @@
 ROOM_MEMORY_S = 1.0
 # Jobs are divided among calls while more calls than these are waiting.
 SPLIT_CALLS = 1.5
-RATE_WEIGHT = 0.1
 # A worker whose call failed is left alone, each time in a row for twice as long.
 EJECTION_S = 1.0
 LONGEST_EJECTION_S = 6.0
@@ -104,20 +103,21 @@
     jobs : dict
         Jobs with pieces that no call was made for, in the order in which they came.
     planned : Counter
-        Pieces of all requests that were taken on and are not done, waiting or not yet, by rank.
+        Pieces of the requests that are to be on time, waiting or not yet, by rank.
+    deferred : int
+        Pieces of the requests that will be late and come after all others.
     """
 
-    __slots__ = ("spec", "workers", "jobs", "planned", "_piece_s", "_soonest")
+    __slots__ = ("spec", "workers", "jobs", "planned", "deferred", "_soonest")
 
     def __init__(self, *, spec: PieceSpec) -> None:
         self.spec = spec
         self.workers: dict[str, Worker] = {}
         self.jobs: dict[PieceJob, None] = {}
         self.planned: Counter[int] = Counter()
+        self.deferred = 0
         # During a plan: when a data centre would be done with a call of some pieces.
         self._soonest: dict[str, dict[int, float]] = {}
-        # Seconds of a worker for each piece, over calls that were made while others waited.
-        self._piece_s = spec.call_s / spec.batch + spec.item_s
 
     def set_upstreams(self, upstreams: list[Upstream]) -> None:
         """Use these upstreams from now on; calls in progress at others are not affected."""
@@ -140,7 +140,11 @@
         """Queue pieces again whose call failed, unless they have been tried too often."""
         for piece in pieces:
             job = piece.job
-            if not job.is_open:
+            piece.calls -= 1
+            if not job.is_open or job.handles[piece.index]:
+                continue
+            if piece.calls or piece in job.waiting:
+                # Another call may still bring its result.
                 continue
             if piece.tries >= MAX_TRIES or now >= job.expires_at:
                 job.fail("upstreams failed")
@@ -148,6 +152,27 @@
                 job.waiting.append(piece)
                 self.jobs[job] = None
 
+    def repeat(self, pieces: list[Piece]) -> list[Piece]:
+        """
+        Queue pieces whose call takes long once more, for another worker.
+
+        Parameters
+        ----------
+        pieces : list of Piece
+            Pieces of the call.
+
+        Returns
+        -------
+        list of Piece
+            Those that were queued; each is repeated once at most.
+        """
+        repeated = [p for p in pieces if p.job.is_open and not p.is_repeated]
+        for piece in repeated:
+            piece.is_repeated = True
+            piece.job.waiting.append(piece)
+            self.jobs[piece.job] = None
+        return repeated
+
     def waiting_count(self) -> int:
         """Return the number of pieces that no call was made for."""
         return sum(len(job.waiting) for job in self.jobs)
@@ -205,6 +230,7 @@
                 job.fail("too late")
             if not job.is_open:
                 job.waiting.clear()
+            if not job.waiting:
                 del self.jobs[job]
 
     def _take_for(self, worker: Worker, queue: Queue, now: float) -> list[Piece]:
@@ -215,6 +241,7 @@
         changed = list(dict.fromkeys(piece.job for piece in taken))
         for piece in taken:
             piece.tries += 1
+            piece.calls += 1
         for job in changed:
             job.is_begun = True
             if not job.waiting:
@@ -321,8 +348,6 @@
         if took_s is None:
             return
         worker.failures = 0
-        if self.jobs:
-            self._piece_s += RATE_WEIGHT * (took_s / pieces - self._piece_s)
         worker.note_speed(took_s / self._stated_s(pieces), now)
 
     def note_no_room(self, worker: Worker, now: float) -> None:
@@ -350,9 +375,37 @@
         return max(0.005, min(future) - now) if future else 1.0
 
     def backlog_s(self, now: float, priority: int) -> float:
-        """Return the seconds in which all that is planned up to some rank will be done."""
+        """
+        Return the seconds in which the work that goes before a request will be done.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        priority : int
+            Rank of the request; what is less urgent, and what is deferred, comes after it.
+
+        Returns
+        -------
+        float
+            Infinite without any worker.
+        """
+        planned = sum(count for rank, count in self.planned.items() if rank <= priority)
+        return self._work_s(planned, now)
+
+    def total_backlog_s(self, now: float) -> float:
+        """Return the seconds in which all work that was taken on will be done."""
+        return self._work_s(sum(self.planned.values()) + self.deferred, now)
+
+    def _work_s(self, pieces: int, now: float) -> float:
+        """
+        Return the seconds for some pieces, in full calls at the speed of the present workers.
+
+        Calls fill up as soon as work waits; the time of a piece in the small calls of an ordinary
+        minute would say that a service is full while it could do twice as much.
+        """
         workers = [w for w in self.workers.values() if w.paused_until <= now]
         if not workers:
             return float("inf") if not self.workers else EJECTION_S
-        planned = sum(count for rank, count in self.planned.items() if rank <= priority)
-        return planned * self._piece_s / len(workers)
+        speed = sum(1 / worker.slowness_at(now) for worker in workers)
+        return pieces * (self.spec.call_s / self.spec.batch + self.spec.item_s) / speed
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -10,7 +10,13 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Handlers
-from marigoldtrail.pieces.admission import StageWork, judge_demand, path_s, stage_work
+from marigoldtrail.pieces.admission import (
+    StageWork,
+    can_be_on_time,
+    judge_demand,
+    path_s,
+    stage_work,
+)
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
 from marigoldtrail.pieces.job import PieceJob
 from marigoldtrail.pieces.placer import EnginePlacer
@@ -98,13 +104,16 @@
         work = self._measure(request)
         if isinstance(work, Failure):
             return work
-        refusal = self._refuse(request, work)
-        if refusal is not None:
-            return refusal
+        path = path_s(request.stages, work)
+        on_time = can_be_on_time(work, path, request.slack_ms / 1000)
+        if not on_time:
+            refusal = self._refuse(request, work, path)
+            if refusal is not None:
+                return refusal
         data_centre = self._placer.expected_data_centre(request)
         for run in range(1, MAX_RUNS + 1):
             graph = StageGraph(stages=request.stages)
-            failed = await self._run_graph(request, graph, work, started, data_centre)
+            failed = await self._run_graph(request, graph, work, started, data_centre, on_time)
             if failed is None:
                 break
             if failed.failure != GONE or run == MAX_RUNS or self._timers.now() >= expires_at:
@@ -130,11 +139,11 @@
             work.append(stage_work(scheduler, stage, self._timers.now(), request.priority))
         return work
 
-    def _refuse(self, request: RunStages, work: list[StageWork]) -> Failure | None:
+    def _refuse(self, request: RunStages, work: list[StageWork], path: float) -> Failure | None:
         """Refuse a request whose stages can't be done in time."""
         late_s = judge_demand(
             work,
-            path_s(request.stages, work),
+            path,
             request.left_ms / 1000,
             wait_share=request.wait_share,
         )
@@ -146,6 +155,7 @@
                 "request_id": request.request_id,
                 "reason": "its stages can't be done in time",
                 "backlog_s": [round(item.backlog_s, 2) for item in work],
+                "total_s": [round(item.total_s, 2) for item in work],
                 "left_ms": request.left_ms,
                 "retry_after_s": round(late_s, 2),
             },
@@ -161,6 +171,7 @@
         work: list[StageWork],
         started: float,
         data_centre: str,
+        on_time: bool,
     ) -> PieceJob | None:
         """Run all stages; return the job that failed, if one did."""
         finished: dict[int, PieceJob] = {}
@@ -173,12 +184,14 @@
 
         jobs: list[PieceJob] = []
         unfinished = dict(enumerate(request.stages))
-        self._count_planned(unfinished.values(), request.priority, 1)
+        self._count_planned(unfinished.values(), request.priority, 1, on_time)
         try:
             async with trio.open_nursery() as nursery:
                 while not graph.is_done():
                     for number in graph.take_startable():
-                        job = self._queue(request, graph, work, number, started, data_centre)
+                        job = self._queue(
+                            request, graph, work, number, started, data_centre, on_time
+                        )
                         jobs.append(job)
                         nursery.start_soon(wait, job, number)
                     await changed.wait()
@@ -187,20 +200,26 @@
                         if job.failure:
                             nursery.cancel_scope.cancel()
                             return job
-                        self._count_planned([unfinished.pop(number)], request.priority, -1)
+                        self._count_planned([unfinished.pop(number)], request.priority, -1, on_time)
                         self._runner.free(set(graph.finish(number, job.handles)))
             return None
         finally:
-            self._count_planned(unfinished.values(), request.priority, -1)
+            self._count_planned(unfinished.values(), request.priority, -1, on_time)
             # Without an effect on jobs that are done; the entry may have left.
             for job in jobs:
                 job.fail("the request has ended")
 
-    def _count_planned(self, stages: Iterable[StageRequest], priority: int, sign: int) -> None:
+    def _count_planned(
+        self, stages: Iterable[StageRequest], priority: int, sign: int, on_time: bool
+    ) -> None:
         for stage in stages:
             scheduler = self._runner.scheduler(stage.service)
-            if scheduler is not None:
+            if scheduler is None:
+                continue
+            if on_time:
                 scheduler.planned[priority] += sign * stage.count
+            else:
+                scheduler.deferred += sign * stage.count
 
     def _queue(
         self,
@@ -210,6 +229,7 @@
         number: int,
         started: float,
         data_centre: str,
+        on_time: bool,
     ) -> PieceJob:
         stage = graph.stages[number]
         now = self._timers.now()
@@ -235,6 +255,7 @@
             expires_at=started + request.left_ms / 1000 - rest_s,
             # A request that is late already waits behind those that need not be.
             start_by=started + max(0, request.slack_ms) / 1000 - rest_s,
+            is_deferred=not on_time,
             may_wait=input_bytes < LARGE_RESULT_BYTES,
             yield_s=request.yield_ms / 1000,
             data_centre=data_centre,
--- a/marigoldtrail/pieces/tests/test_runner.py
+++ b/marigoldtrail/pieces/tests/test_runner.py
@@ -71,6 +71,7 @@
             expires_at=now + expires_s,
             start_by=now + 1.0,
             may_wait=True,
+            is_deferred=False,
             yield_s=0.0,
             data_centre="",
             result_bytes=size,
@@ -232,3 +233,44 @@
     upstreams.answers = [lambda pieces: [None for _ in pieces]]
     job = await upstreams.work("one", 2)
     assert all(job.handles) and len(upstreams.calls) == 2
+
+
+async def test_pieces_of_a_slow_call_are_done_elsewhere(autojump_clock, nursery):
+    """Guards against a request that waits for an upstream which has just become slow."""
+    upstreams = Upstreams(nursery, count=2)
+    started = trio.current_time()
+    is_first = True
+
+    async def run(upstream, pieces, lefts):
+        nonlocal is_first
+        slow, is_first = is_first, False
+        upstreams.calls.append((upstream.name, len(pieces)))
+        results = upstreams.results(pieces)
+        await trio.sleep(WORK_S * (5 if slow else 1))
+        return results
+
+    upstreams.runner._call = PieceCall(run=run, free=upstreams.free)
+    job = await upstreams.work("one", 2, size=SPEC.room_bytes * 3 // 10)
+    assert all(job.handles) and trio.current_time() - started < 4 * WORK_S
+    (slow, _), (fast, _) = upstreams.calls
+    assert slow != fast
+    await trio.sleep(3 * WORK_S)
+    # Its answer came late: it tells the speed, and its results are freed.
+    assert upstreams.worker(slow).slowness_at(trio.current_time()) > 3
+    assert len(upstreams.freed) == 2 and not set(upstreams.freed) & set(job.handles)
+    assert len(upstreams.calls) == 2
+
+
+async def test_answer_that_comes_before_its_repeat_ends_the_wait(autojump_clock, nursery):
+    """Guards against pieces that are worked on again although their results have come."""
+    upstreams = Upstreams(nursery, count=1)
+
+    async def run(upstream, pieces, lefts):
+        upstreams.calls.append((upstream.name, len(pieces)))
+        await trio.sleep(WORK_S * 3)
+        return upstreams.results(pieces)
+
+    upstreams.runner._call = PieceCall(run=run, free=upstreams.free)
+    job = await upstreams.work("one", 2)
+    await trio.sleep(1)
+    assert all(job.handles) and len(upstreams.calls) == 1
--- a/marigoldtrail/pieces/tests/test_scheduler.py
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -40,6 +40,7 @@
         expires_at=fields.get("expires_at", 100.0),
         start_by=start_by,
         may_wait=fields.get("may_wait", True),
+        is_deferred=fields.get("is_deferred", False),
         yield_s=fields.get("yield_s", 0.0),
         data_centre=data_centre,
         result_bytes=size,
