--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -29,8 +29,12 @@
 CALL_SLACK_S = 0.3
 UPSTREAMS_INTERVAL_S = 0.2
 NO_ROOM = "room"
-# Results are freed by a call of their own once more of the room than this share is taken.
+# Results are freed, several at a time, once more of the room than the first share is taken, or than
+# the second one while work waits; above the third share they are freed at once.
 FREE_SHARE = 0.5
+FREE_NEEDED_SHARE = 0.25
+FREE_AT_ONCE_SHARE = 0.75
+FREE_INTERVAL_S = 0.15
 
 _log = logging.getLogger(__name__)
 
@@ -51,6 +55,28 @@
     free: Callable[[Upstream, list[str]], Awaitable[Failure | None]]
 
 
+class CallInProgress:
+    """
+    A call that an upstream works on.
+
+    Parameters
+    ----------
+    scheduler : PieceScheduler
+        Scheduler of its service.
+    pieces : list of Piece
+        What it was asked for.
+    repeat_at : float
+        Monotonic time in seconds at which others are asked for the same.
+    """
+
+    __slots__ = ("scheduler", "pieces", "repeat_at")
+
+    def __init__(self, *, scheduler: PieceScheduler, pieces: list[Piece], repeat_at: float) -> None:
+        self.scheduler = scheduler
+        self.pieces = pieces
+        self.repeat_at = repeat_at
+
+
 class PieceRunner:
     """
     Schedulers of all piece services, and the calls that they plan.
@@ -75,6 +101,7 @@
         "_schedulers",
         "_results",
         "_later",
+        "_in_progress",
         "_listed_at",
         "_nursery",
         "_wake",
@@ -91,6 +118,8 @@
         self._results = ResultStore()
         # Monotonic times in seconds at which results will not be read any more, with their handles.
         self._later: list[tuple[float, list[str]]] = []
+        # Calls by their workers, for the time at which others are asked for their pieces.
+        self._in_progress: dict[Worker, CallInProgress] = {}
         self._listed_at = float("-inf")
         self._nursery: trio.Nursery | None = None
         self._wake = Signal()
@@ -116,6 +145,7 @@
         now = self._timers.now()
         waits = [s.next_change(now) for s in self._schedulers.values() if s.jobs]
         waits += [max(0.0, self._later[0][0] - now)] if self._later else []
+        waits += [max(0.0, call.repeat_at - now) for call in self._in_progress.values()]
         return min([UPSTREAMS_INTERVAL_S, *waits])
 
     def _dispatch(self) -> None:
@@ -125,13 +155,14 @@
         self._results.expire(now)
         self._list_upstreams(now)
         self._release_due(now)
+        self._repeat_late(now)
         for scheduler in self._schedulers.values():
             for worker, pieces in scheduler.plan(now):
                 nursery.start_soon(self._work, scheduler, worker, pieces)
-            if scheduler.jobs:
+            if scheduler.jobs and scheduler.spec.room_bytes:
                 # What waits may wait for their room.
                 for worker in scheduler.idle_workers(now):
-                    self._free_unread(worker)
+                    self._free_if_short(worker, is_needed=True)
 
     def _list_upstreams(self, now: float) -> None:
         """Take over the list of upstreams if it has changed, and from time to time."""
@@ -178,12 +209,18 @@
         for handles in due:
             self.free(set(handles))
 
-    def _free_if_short(self, worker: Worker) -> None:
+    def _free_if_short(self, worker: Worker, *, is_needed: bool = False) -> None:
         """Free results that nobody reads if not much room is left for others."""
         scheduler = self._schedulers.get(worker.upstream.service)
         room = scheduler.spec.room_bytes if scheduler is not None else 0
-        if room and worker.own_bytes() > FREE_SHARE * room:
-            self._free_unread(worker)
+        if not room or not worker.unread:
+            return
+        share = worker.own_bytes() / room
+        if share > (FREE_NEEDED_SHARE if is_needed else FREE_SHARE):
+            now = self._timers.now()
+            if share > FREE_AT_ONCE_SHARE or now >= worker.freed_at + FREE_INTERVAL_S:
+                worker.freed_at = now
+                self._free_unread(worker)
 
     def _free_unread(self, worker: Worker) -> None:
         if not worker.unread or worker.is_freeing or self._nursery is None:
@@ -240,15 +277,19 @@
             detail="no answer in time",
         )
         limit_s = expected_s * CALL_PATIENCE + CALL_SLACK_S
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._repeat_late, scheduler, worker, pieces, expected_s)
+        self._in_progress[worker] = CallInProgress(
+            scheduler=scheduler,
+            pieces=pieces,
+            repeat_at=started + expected_s * REPEAT_FACTOR + REPEAT_SLACK_S,
+        )
+        try:
             with trio.move_on_after(limit_s):
-                try:
-                    results = await self._call.run(worker.upstream, pieces, lefts)
-                except Exception:
-                    # A fault in one call must not end the schedulers.
-                    _log.exception("a call failed")
-            nursery.cancel_scope.cancel()
+                results = await self._call.run(worker.upstream, pieces, lefts)
+        except Exception:
+            # A fault in one call must not end the schedulers.
+            _log.exception("a call failed")
+        finally:
+            del self._in_progress[worker]
         now = self._timers.now()
         if not isinstance(results, Failure) and worker.is_copy(pieces, results):
             results = Failure(
@@ -285,24 +326,22 @@
             )
             self._take_results(scheduler, worker, pieces, results)
 
-    async def _repeat_late(
-        self, scheduler: PieceScheduler, worker: Worker, pieces: list[Piece], expected_s: float
-    ) -> None:
-        """Ask other workers for the pieces of a call that takes much longer than expected."""
-        await self._timers.sleep(expected_s * REPEAT_FACTOR + REPEAT_SLACK_S)
-        repeated = scheduler.repeat(pieces)
-        if not repeated:
-            return
-        _log.info(
-            "pieces are repeated",
-            extra={
-                "subject": worker.upstream.name,
-                "count": len(repeated),
-                "expected_ms": round(expected_s * 1000),
-                "requests": sorted({piece.job.request_id for piece in repeated}),
-            },
-        )
-        self._wake.notify()
+    def _repeat_late(self, now: float) -> None:
+        """Ask other workers for the pieces of calls that take much longer than expected."""
+        for worker, call in self._in_progress.items():
+            if call.repeat_at > now:
+                continue
+            call.repeat_at = float("inf")
+            repeated = call.scheduler.repeat(call.pieces)
+            if repeated:
+                _log.info(
+                    "pieces are repeated",
+                    extra={
+                        "subject": worker.upstream.name,
+                        "count": len(repeated),
+                        "requests": sorted({piece.job.request_id for piece in repeated}),
+                    },
+                )
 
     def _note_failure(
         self,
--- a/marigoldtrail/pieces/worker.py
+++ b/marigoldtrail/pieces/worker.py
@@ -38,6 +38,7 @@
         "slowness",
         "timed_at",
         "is_freeing",
+        "freed_at",
         "unread",
         "_own_bytes",
         "other_bytes",
@@ -60,6 +61,7 @@
         # Results that nobody will read any more, and whether a call that frees some is going on.
         self.unread: list[str] = []
         self.is_freeing = False
+        self.freed_at = float("-inf")
         self._own_bytes = 0
         # Room that the results of another scheduler took, and when that was seen.
         self.other_bytes = 0.0
--- a/marigoldtrail/relay/calls.py
+++ b/marigoldtrail/relay/calls.py
@@ -12,6 +12,9 @@
 from marigoldtrail.relay.types import Headers
 from marigoldtrail.routing import Upstream
 
+# Longer requests are sent while the answer is read already.
+MAX_INLINE_BYTES = 16384
+
 
 class CallAnswer(msgspec.Struct, kw_only=True, frozen=True):
     """
@@ -79,10 +82,7 @@
                 return taken
             conn = taken
             conn.begin(method, target, headers, body)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(conn.send)
-                result = await _read_answer(conn)
-                nursery.cancel_scope.cancel()
+            result = await _exchange(conn, len(body))
     finally:
         if conn is not None:
             with trio.CancelScope(shield=True):
@@ -90,6 +90,18 @@
     return result
 
 
+async def _exchange(conn: UpstreamConnection, body_bytes: int) -> CallAnswer | Failure:
+    if body_bytes <= MAX_INLINE_BYTES:
+        # The buffers of the connection take it, so that a task of its own is not needed.
+        await conn.send()
+        return await _read_answer(conn)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(conn.send)
+        result = await _read_answer(conn)
+        nursery.cancel_scope.cancel()
+    return result
+
+
 async def _read_answer(conn: UpstreamConnection) -> CallAnswer | Failure:
     head = await conn.read_head()
     if isinstance(head, Failure):
