Leave engines out of the loads that entries report

Engines are chosen by the scheduler, which knows their work; the sums that it was to use never reached control hosts. They now cover the plain services only.

--- a/marigoldtrail/pieces/engines.py
+++ b/marigoldtrail/pieces/engines.py
@@ -85,7 +85,6 @@
         upstreams: list[Upstream],
         prompt: Chains,
         *,
-        loads: dict[str, tuple[int, int]],
         bytes_in: dict[str, int],
         now: float,
     ) -> list[EngineOption]:
@@ -98,8 +97,6 @@
             Engines that may get it.
         prompt : list of (str, int)
             Begins of its prompt; see `chains`.
-        loads : dict
-            Requests and unread tokens at each engine as the entries reported them.
         bytes_in : dict
             Bytes of the results that it reads, by data centre.
         now : float
@@ -116,14 +113,12 @@
         found = []
         for upstream in upstreams:
             own = self._work.get(upstream.name, nothing)
-            requests, unread = loads.get(upstream.name, (0, 0))
             found.append(
                 EngineOption(
                     name=upstream.name,
                     slots=self.spec.slots,
-                    # The entries' reports cover what an earlier scheduler has placed.
-                    requests=max(requests, own.requests),
-                    unread_tokens=own.unread if own.requests else unread,
+                    requests=own.requests,
+                    unread_tokens=own.unread,
                     memory_tokens=own.tokens,
                     kv_tokens=self.spec.kv_tokens,
                     cached_tokens=self.cached_tokens(upstream.name, prompt),
--- a/marigoldtrail/pieces/placer.py
+++ b/marigoldtrail/pieces/placer.py
@@ -119,7 +119,6 @@
         options = board.options(
             self._candidates(request),
             prompt,
-            loads=self._picture.loads,
             bytes_in=bytes_in,
             now=self._timers.now(),
         )
--- a/marigoldtrail/registry/board.py
+++ b/marigoldtrail/registry/board.py
@@ -169,7 +169,6 @@
                 load.upstream, UpstreamLoad(upstream=load.upstream, requests=0)
             )
             total.requests += sign * load.requests
-            total.prefill_tokens += sign * load.prefill_tokens
             if not total.requests:
                 del self._loads[load.upstream]
 
--- a/marigoldtrail/registry/picture.py
+++ b/marigoldtrail/registry/picture.py
@@ -52,7 +52,7 @@
     data_centres : set of str
         Data centres that had a host or an upstream at any time.
     loads : dict
-        Requests and unread prompt tokens in progress at each upstream, over all entries.
+        Requests in progress at each upstream but the engines, over all entries.
     upstreams_changed_at : float
         Monotonic time in seconds of the last change of the upstreams or takeouts.
     changed : Signal
@@ -86,7 +86,7 @@
         self.turn = 0.0
         self._entry_count = 0
         self.data_centres: set[str] = set()
-        self.loads: dict[str, tuple[int, int]] = {}
+        self.loads: dict[str, int] = {}
         self.changed = Signal()
         self.upstreams_changed_at = 0.0
         self.term = 0
@@ -192,9 +192,7 @@
             self.hosts = reply.hosts
             self.data_centres.update(host.data_centre for host in reply.hosts)
         if reply.loads is not None:
-            self.loads = {
-                load.upstream: (load.requests, load.prefill_tokens) for load in reply.loads
-            }
+            self.loads = {load.upstream: load.requests for load in reply.loads}
         if reply.takeouts is not None or reply.upstreams is not None:
             self.upstreams_changed_at = self._timers.now()
         if reply.routes or reply.takeouts is not None or reply.upstreams is not None:
--- a/marigoldtrail/relay/board.py
+++ b/marigoldtrail/relay/board.py
@@ -39,7 +39,6 @@
         "requests",
         "prefill_tokens",
         "reported_requests",
-        "reported_tokens",
         "failures_in_row",
         "ejected_until",
         "closed_until",
@@ -55,7 +54,6 @@
         self.requests = 0
         self.prefill_tokens = 0
         self.reported_requests = 0
-        self.reported_tokens = 0
         self.failures_in_row = 0
         self.ejected_until = 0.0
         self.closed_until = 0.0
@@ -229,9 +227,7 @@
 
     def _option(self, upstream: Upstream, usual_s: float) -> Option:
         record = self.record(upstream.name)
-        requests, tokens = self._picture.loads.get(upstream.name, (0, 0))
-        others = max(0, requests - record.reported_requests)
-        other_tokens = max(0, tokens - record.reported_tokens)
+        others = max(0, self._picture.loads.get(upstream.name, 0) - record.reported_requests)
         slowness = 1.0
         if usual_s and record.duration_s:
             fade = 0.5 ** ((self._timers.now() - record.timed_at) / SPEED_HALF_LIFE_S)
@@ -240,28 +236,33 @@
             name=upstream.name,
             slots=upstream.slots,
             requests=others + record.requests,
-            prefill_tokens=other_tokens + record.prefill_tokens,
+            prefill_tokens=record.prefill_tokens,
             failure_rate=max(0.0, self._failure_rate(record) - COMMON_FAILURES),
             slowness=slowness,
             is_remote=upstream.data_centre != self._data_centre,
         )
 
     def report(self) -> list[UpstreamLoad]:
-        """Return the work in progress for the next report, and note that it was reported."""
+        """
+        Return the work in progress for the next report, and note that it was reported.
+
+        Engines are left out: the scheduler, which chooses them, knows their work, and every entry
+        gets the sums several times a second.
+        """
         loads = []
         for name, record in self._records.items():
+            if self._is_engine(name):
+                continue
             record.reported_requests = record.requests
-            record.reported_tokens = record.prefill_tokens
             if record.requests:
-                loads.append(
-                    UpstreamLoad(
-                        upstream=name,
-                        requests=record.requests,
-                        prefill_tokens=record.prefill_tokens,
-                    )
-                )
+                loads.append(UpstreamLoad(upstream=name, requests=record.requests))
         return loads
 
+    def _is_engine(self, name: str) -> bool:
+        upstream = self._picture.upstreams.get(name)
+        service = self._picture.find_service(upstream.service) if upstream is not None else None
+        return service is not None and service.engine is not None
+
     def forget_except(self, names: set[str]) -> None:
         """Drop what is known of upstreams that are gone and have nothing in progress."""
         for name in [n for n, r in self._records.items() if n not in names and not r.requests]:
