Agree on an engine for each long prompt that nobody is known to keep

A scheduler that takes over, or whose model of an engine's memory has dropped a prompt, chose the least loaded engine, where the prompt had to be read again, and entries without a scheduler chose yet another one. All now prefer the home of the prompt by its hash, within the same bounds of load.

--- a/marigoldtrail/pieces/placer.py
+++ b/marigoldtrail/pieces/placer.py
@@ -4,8 +4,10 @@
 
 import random
 
-from marigoldtrail.pieces.engines import EngineBoard, Placement, chains
-from marigoldtrail.policy.placement import choose_engine
+import msgspec
+
+from marigoldtrail.pieces.engines import Chains, EngineBoard, Placement, chains
+from marigoldtrail.policy.placement import EngineOption, choose_engine, find_home
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.routing import Upstream
 from marigoldtrail.schema.generated.pieces import RunStages
@@ -116,15 +118,17 @@
         if board is None:
             return None
         prompt = chains(request.prompt)
+        candidates = self._candidates(request)
         options = board.options(
-            self._candidates(request),
+            candidates,
             prompt,
             bytes_in=bytes_in,
             now=self._timers.now(),
         )
+        options = prefer_home(options, prompt)
         name = choose_engine(options, prompt_tokens=request.prompt_tokens, rng=self._rng)
         if name is not None:
-            cached = next(o.cached_tokens for o in options if o.name == name)
+            cached = board.cached_tokens(name, prompt)
             placement = Placement(
                 upstream=name,
                 unread=max(0, request.prompt_tokens - cached),
@@ -133,3 +137,32 @@
             )
             board.place(request.request_id, prompt, placement)
         return name
+
+
+def prefer_home(options: list[EngineOption], prompt: Chains) -> list[EngineOption]:
+    """
+    Let requests with a long shared prompt meet at one engine that all hosts agree on.
+
+    Answers a scheduler that has just taken over, or has forgotten a prompt that its engine may
+    still keep: without a home each of them would have the prompt read at another engine.
+
+    Parameters
+    ----------
+    options : list of EngineOption
+        Engines that may get the request.
+    prompt : list of (str, int)
+        Begins of its prompt; the last one belongs to the request alone.
+
+    Returns
+    -------
+    list of EngineOption
+        The home counts as an engine that has kept the prompt, unless another one has.
+    """
+    shared, tokens = prompt[-2] if len(prompt) > 1 else ("", 0)
+    if tokens < LONG_PROMPT_TOKENS or any(o.cached_tokens >= LONG_PROMPT_TOKENS for o in options):
+        return options
+    home = find_home(shared, [option.name for option in options])
+    return [
+        msgspec.structs.replace(option, cached_tokens=tokens) if option.name == home else option
+        for option in options
+    ]
--- a/marigoldtrail/pieces/tests/test_engines.py
+++ b/marigoldtrail/pieces/tests/test_engines.py
@@ -122,3 +122,31 @@
     assert board.cached_tokens("e", chains([parts[-1]])) == SHARED.tokens
     board.forget_except(set())
     assert board.cached_tokens("e", chains([parts[-1]])) == 0
+
+
+async def test_schedulers_agree_on_the_engine_of_a_prompt(autojump_clock):
+    """Guards against a long prompt that is read anew at other engines after a takeover."""
+    engines = [engine(f"e{n}") for n in range(8)]
+    prompts = [PromptPart(part=f"shared-{n}", tokens=8000) for n in range(20)]
+
+    def homes(placer):
+        chosen = []
+        for number, part in enumerate(prompts):
+            chosen.append(placer.place(ask(f"r{number}", part, own(number)), {}, 100.0))
+            placer.note_progress(f"r{number}", has_ended=True)
+        return chosen
+
+    first = homes(make_placer(*engines))
+    assert homes(make_placer(*reversed(engines))) == first
+    assert len(set(first)) > 4
+    # The loss of an engine moves only the prompts that it had.
+    fewer = homes(make_placer(*[e for e in engines if e.name != first[0]]))
+    moved = [n for n, name in enumerate(fewer) if name != first[n]]
+    assert all(first[n] == first[0] for n in moved)
+
+
+async def test_home_with_much_work_is_left(autojump_clock):
+    """Guards against requests that wait at the home of their prompt while other engines idle."""
+    placer = make_placer(*[engine(f"e{n}") for n in range(4)])
+    chosen = [placer.place(ask(f"r{n}", SHARED, own(n, 9000)), {}, 100.0) for n in range(12)]
+    assert len(set(chosen)) > 1
