--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -10,42 +10,35 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
-from marigoldtrail.pieces.scheduler import (
-    BUSY_PAUSE_S,
-    Piece,
-    PieceScheduler,
-    Worker,
-)
+from marigoldtrail.pieces.job import Piece, PieceResult
+from marigoldtrail.pieces.results import ResultStore
+from marigoldtrail.pieces.scheduler import BUSY_PAUSE_S, PieceScheduler
+from marigoldtrail.pieces.worker import Worker
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.routing import Upstream
 from marigoldtrail.telemetry.exposition import Exposition
-from marigoldtrail.timers import Signal, Timers
+from marigoldtrail.timers import Signal, Timers, run_guarded
 
+# Other workers are asked for the pieces of a call that takes this many times longer than expected.
+# An upstream does not end a call that it works on when the connection closes, so that its late
+# answer is waited for: it tells how slow the upstream is.
+REPEAT_FACTOR = 1.75
+REPEAT_SLACK_S = 0.05
 # A call that takes this many times longer than expected is given up.
-CALL_PATIENCE = 3.0
+CALL_PATIENCE = 6.0
 CALL_SLACK_S = 0.3
 UPSTREAMS_INTERVAL_S = 0.2
 NO_ROOM = "room"
+# Results are freed, several at a time, once more of the room than the first share is taken, or than
+# the second one while work waits; above the third share they are freed at once.
+FREE_SHARE = 0.5
+FREE_NEEDED_SHARE = 0.25
+FREE_AT_ONCE_SHARE = 0.75
+FREE_INTERVAL_S = 0.15
 
 _log = logging.getLogger(__name__)
 
 
-class PieceResult(msgspec.Struct, kw_only=True, frozen=True):
-    """
-    What became of one piece of a call.
-
-    Parameters
-    ----------
-    handle : str
-        Names the result; empty if there is none.
-    reason : str
-        Why there is none: ``"late"``, ``"gone"``, ``"room"`` or ``"error"``.
-    """
-
-    handle: str = ""
-    reason: str = ""
-
-
 class PieceCall(msgspec.Struct, kw_only=True, frozen=True):
     """
     How upstreams are asked to work on pieces and to free results.
@@ -62,6 +55,28 @@
     free: Callable[[Upstream, list[str]], Awaitable[Failure | None]]
 
 
+class CallInProgress:
+    """
+    A call that an upstream works on.
+
+    Parameters
+    ----------
+    scheduler : PieceScheduler
+        Scheduler of its service.
+    pieces : list of Piece
+        What it was asked for.
+    repeat_at : float
+        Monotonic time in seconds at which others are asked for the same.
+    """
+
+    __slots__ = ("scheduler", "pieces", "repeat_at")
+
+    def __init__(self, *, scheduler: PieceScheduler, pieces: list[Piece], repeat_at: float) -> None:
+        self.scheduler = scheduler
+        self.pieces = pieces
+        self.repeat_at = repeat_at
+
+
 class PieceRunner:
     """
     Schedulers of all piece services, and the calls that they plan.
@@ -78,7 +93,19 @@
         Counts pieces.
     """
 
-    __slots__ = ("_picture", "_call", "_timers", "_metrics", "_schedulers", "_nursery", "_wake")
+    __slots__ = (
+        "_picture",
+        "_call",
+        "_timers",
+        "_metrics",
+        "_schedulers",
+        "_results",
+        "_later",
+        "_in_progress",
+        "_listed_at",
+        "_nursery",
+        "_wake",
+    )
 
     def __init__(
         self, *, picture: FleetPicture, call: PieceCall, timers: Timers, metrics: Exposition
@@ -88,6 +115,12 @@
         self._timers = timers
         self._metrics = metrics
         self._schedulers: dict[str, PieceScheduler] = {}
+        self._results = ResultStore()
+        # Monotonic times in seconds at which results will not be read any more, with their handles.
+        self._later: list[tuple[float, list[str]]] = []
+        # Calls by their workers, for the time at which others are asked for their pieces.
+        self._in_progress: dict[Worker, CallInProgress] = {}
+        self._listed_at = float("-inf")
         self._nursery: trio.Nursery | None = None
         self._wake = Signal()
 
@@ -101,22 +134,44 @@
                 except Exception:
                     # Without the scheduler the host still serves the configuration.
                     _log.exception("calls were not planned")
-                now = self._timers.now()
-                waits = [s.next_change(now) for s in self._schedulers.values() if s.waiting]
-                await self._wake.wait_for(min([UPSTREAMS_INTERVAL_S, *waits]))
+                await self._wake.wait_for(self._next_change())
 
     def wake(self) -> None:
         """Plan calls now, since pieces were queued."""
         self._wake.notify()
 
+    def _next_change(self) -> float:
+        """Return the seconds after which there may be something to do without any event."""
+        now = self._timers.now()
+        waits = [s.next_change(now) for s in self._schedulers.values() if s.jobs]
+        waits += [max(0.0, self._later[0][0] - now)] if self._later else []
+        waits += [max(0.0, call.repeat_at - now) for call in self._in_progress.values()]
+        return min([UPSTREAMS_INTERVAL_S, *waits])
+
     def _dispatch(self) -> None:
         nursery = self._nursery
         assert nursery is not None
         now = self._timers.now()
-        for name, scheduler in self._schedulers.items():
-            scheduler.set_upstreams(self._picture.usable_upstreams(name))
+        self._results.expire(now)
+        self._list_upstreams(now)
+        self._release_due(now)
+        self._repeat_late(now)
+        for scheduler in self._schedulers.values():
             for worker, pieces in scheduler.plan(now):
                 nursery.start_soon(self._work, scheduler, worker, pieces)
+            if scheduler.jobs and scheduler.spec.room_bytes:
+                # What waits may wait for their room.
+                for worker in scheduler.idle_workers(now):
+                    self._free_if_short(worker, is_needed=True)
+
+    def _list_upstreams(self, now: float) -> None:
+        """Take over the list of upstreams if it has changed, and from time to time."""
+        is_known = self._listed_at >= self._picture.upstreams_changed_at
+        if is_known and now < self._listed_at + UPSTREAMS_INTERVAL_S:
+            return
+        self._listed_at = now
+        for name, scheduler in self._schedulers.items():
+            scheduler.set_upstreams(self._picture.usable_upstreams(name))
 
     def scheduler(self, service: str) -> PieceScheduler | None:
         """Return the scheduler of a service; None if it does not work on pieces."""
@@ -133,58 +188,85 @@
 
     def bytes_by_data_centre(self, handles: set[str]) -> dict[str, int]:
         """Return the size of results in each data centre."""
-        found: Counter[str] = Counter()
-        for worker, kept in self._keepers(handles):
-            found[worker.upstream.data_centre] += sum(worker.room[handle] for handle in kept)
-        return found
-
-    def _keepers(self, handles: set[str]) -> list[tuple[Worker, list[str]]]:
-        """Return the workers that keep some results, each with those that it keeps."""
-        found = []
-        for scheduler in self._schedulers.values():
-            for worker in scheduler.workers.values():
-                kept = [handle for handle in handles if handle in worker.room]
-                if kept:
-                    found.append((worker, kept))
-        return found
+        return self._results.bytes_by_data_centre(handles)
 
     def free(self, handles: set[str]) -> None:
-        """Free results at the upstreams that keep them."""
-        nursery = self._nursery
-        if not handles or nursery is None:
-            return
-        for worker, kept in self._keepers(handles):
-            nursery.start_soon(self._free_at, worker, kept)
+        """Let the upstreams that keep some results use their room for others."""
+        for worker in self._results.release(handles):
+            self._free_if_short(worker)
 
     def free_later(self, handles: set[str], wait_s: float, least_bytes: int) -> None:
-        """Free results of at least some size after some seconds."""
-
-        async def free() -> None:
-            await self._timers.sleep(wait_s)
-            self.free(handles)
-
-        large = any(
-            worker.room[handle] >= least_bytes
-            for worker, kept in self._keepers(handles)
-            for handle in kept
-        )
-        if large and self._nursery is not None:
-            self._nursery.start_soon(free)
+        """Free results of at least some size after some seconds, the same for all calls."""
+        large = [handle for handle in handles if self._results.size_of(handle) >= least_bytes]
+        if large:
+            self._later.append((self._timers.now() + wait_s, large))
+            self._wake.notify()
+
+    def _release_due(self, now: float) -> None:
+        """Free the results whose time for that has come."""
+        due = [handles for at, handles in self._later if at <= now]
+        self._later = self._later[len(due) :]
+        for handles in due:
+            self.free(set(handles))
+
+    def _free_if_short(self, worker: Worker, *, is_needed: bool = False) -> None:
+        """Free results that nobody reads if not much room is left for others."""
+        scheduler = self._schedulers.get(worker.upstream.service)
+        room = scheduler.spec.room_bytes if scheduler is not None else 0
+        if not room or not worker.unread:
+            return
+        share = worker.own_bytes() / room
+        if share > (FREE_NEEDED_SHARE if is_needed else FREE_SHARE):
+            now = self._timers.now()
+            if share > FREE_AT_ONCE_SHARE or now >= worker.freed_at + FREE_INTERVAL_S:
+                worker.freed_at = now
+                self._free_unread(worker)
+
+    def _free_unread(self, worker: Worker) -> None:
+        if not worker.unread or worker.is_freeing or self._nursery is None:
+            return
+        handles = self._results.take_unread(worker)
+        if handles:
+            worker.is_freeing = True
+            self._nursery.start_soon(run_guarded, self._free_at, worker, handles)
 
     async def _free_at(self, worker: Worker, handles: list[str]) -> None:
-        failure = await self._call.free(worker.upstream, handles)
+        try:
+            # A worker that wants no calls is not asked to free anything either.
+            await self._timers.sleep(max(0.0, worker.closed_until - self._timers.now()))
+            failure = await self._call.free(worker.upstream, handles)
+        finally:
+            worker.is_freeing = False
         if failure is not None:
+            worker.close(failure.retry_after_s, self._timers.now())
             # The results stay until their time is up.
             _log.warning("results were not freed: %s", failure)
             return
         # Only now is there room again at the upstream.
-        for handle in handles:
-            worker.room.pop(handle, None)
+        self._results.drop(handles)
         self._wake.notify()
 
     async def _work(self, scheduler: PieceScheduler, worker: Worker, pieces: list[Piece]) -> None:
+        """Make a call; an unexpected error must neither end the process nor lose the worker."""
+        try:
+            await self._make_call(scheduler, worker, pieces)
+        except Exception as exc:
+            _log.exception("a call was not taken in")
+            failure = Failure(
+                reason=Reason.INTERNAL,
+                run_state=RunState.MAY_HAVE_RUN,
+                step="pieces",
+                peer=worker.upstream.name,
+                detail=str(exc),
+            )
+            self._note_failure(scheduler, worker, pieces, failure, self._timers.now())
+        self._wake.notify()
+
+    async def _make_call(
+        self, scheduler: PieceScheduler, worker: Worker, pieces: list[Piece]
+    ) -> None:
         started = self._timers.now()
-        room_mb = sum(worker.room.values()) / 1e6
+        room_mb = worker.own_bytes() / 1e6
         expected_s = scheduler.duration_s(worker, len(pieces), started)
         lefts = [max(0.0, piece.job.expires_at - started) for piece in pieces]
         results: list[PieceResult] | Failure = Failure(
@@ -195,13 +277,28 @@
             detail="no answer in time",
         )
         limit_s = expected_s * CALL_PATIENCE + CALL_SLACK_S
-        with trio.move_on_after(limit_s):
-            try:
+        self._in_progress[worker] = CallInProgress(
+            scheduler=scheduler,
+            pieces=pieces,
+            repeat_at=started + expected_s * REPEAT_FACTOR + REPEAT_SLACK_S,
+        )
+        try:
+            with trio.move_on_after(limit_s):
                 results = await self._call.run(worker.upstream, pieces, lefts)
-            except Exception:
-                # A fault in one call must not end the schedulers.
-                _log.exception("a call failed")
+        except Exception:
+            # A fault in one call must not end the schedulers.
+            _log.exception("a call failed")
+        finally:
+            del self._in_progress[worker]
         now = self._timers.now()
+        if not isinstance(results, Failure) and worker.is_copy(pieces, results):
+            results = Failure(
+                reason=Reason.BAD_ANSWER,
+                run_state=RunState.MAY_HAVE_RUN,
+                step="pieces",
+                peer=worker.upstream.name,
+                detail="results of an earlier call",
+            )
         if isinstance(results, Failure):
             self._note_failure(scheduler, worker, pieces, results, now)
         else:
@@ -217,8 +314,8 @@
                     "stages": sorted({piece.job.stage for piece in pieces}),
                     "took_ms": round((now - started) * 1000),
                     "expected_ms": round(expected_s * 1000),
-                    "waiting": len(scheduler.waiting),
-                    "room_mb": round(sum(worker.room.values()) / 1e6, 2),
+                    "waiting": scheduler.waiting_count(),
+                    "room_mb": round(worker.own_bytes() / 1e6, 2),
                     "failed": dict(Counter(r.reason for r in results if r.reason)),
                     "room_before_mb": round(room_mb, 2),
                     "remote": sum(
@@ -228,7 +325,23 @@
                 },
             )
             self._take_results(scheduler, worker, pieces, results)
-        self._wake.notify()
+
+    def _repeat_late(self, now: float) -> None:
+        """Ask other workers for the pieces of calls that take much longer than expected."""
+        for worker, call in self._in_progress.items():
+            if call.repeat_at > now:
+                continue
+            call.repeat_at = float("inf")
+            repeated = call.scheduler.repeat(call.pieces)
+            if repeated:
+                _log.info(
+                    "pieces are repeated",
+                    extra={
+                        "subject": worker.upstream.name,
+                        "count": len(repeated),
+                        "requests": sorted({piece.job.request_id for piece in repeated}),
+                    },
+                )
 
     def _note_failure(
         self,
@@ -242,7 +355,10 @@
         self._metrics.count_pieces(failure.reason.value, len(pieces))
         if failure.reason is Reason.OVERLOADED:
             scheduler.pause(worker, BUSY_PAUSE_S, now)
+            worker.close(failure.retry_after_s, now)
         else:
+            if failure.reason is Reason.TIMEOUT:
+                worker.note_speed(CALL_PATIENCE, now)
             scheduler.eject(worker, now)
         _log.warning(
             "pieces failed: %s",
@@ -266,12 +382,11 @@
         for piece, result in zip(pieces, results, strict=True):
             job = piece.job
             if result.handle:
-                worker.room[result.handle] = job.result_bytes
-                if job.is_open:
-                    job.finish_piece(piece.index, result.handle)
-                else:
+                worker.note_handle(result.handle, piece)
+                until = now + scheduler.spec.keep_s
+                self._results.add(worker, result.handle, job.result_bytes, until=until)
+                if not job.finish_piece(piece, result.handle):
                     unwanted.add(result.handle)
-                self._expire_later(scheduler, worker, result.handle)
             elif result.reason in ("late", "gone"):
                 job.fail(result.reason)
             else:
@@ -283,13 +398,5 @@
                 else:
                     scheduler.pause(worker, BUSY_PAUSE_S, now)
         scheduler.put_back(again, now)
-        if unwanted:
-            self.free(unwanted)
-
-    def _expire_later(self, scheduler: PieceScheduler, worker: Worker, handle: str) -> None:
-        async def expire() -> None:
-            await self._timers.sleep(scheduler.spec.keep_s)
-            worker.room.pop(handle, None)
-
-        if self._nursery is not None:
-            self._nursery.start_soon(expire)
+        self.free(unwanted)
+        self._free_if_short(worker)
--- a/marigoldtrail/registry/board.py
+++ b/marigoldtrail/registry/board.py
@@ -4,6 +4,8 @@
 
 import logging
 
+import msgspec
+
 from marigoldtrail.schema.generated.registry import (
     HostEntry,
     HostReport,
@@ -62,11 +64,16 @@
         "upstreams",
         "upstreams_revision",
         "hosts_revision",
+        "controls_revision",
         "loads_revision",
         "_hosts",
         "_listed",
+        "_controls",
+        "_turns",
         "_is_listed",
         "_loads",
+        "_read",
+        "_leaving",
         "_timers",
         "_started_at",
     )
@@ -77,13 +84,21 @@
         self.upstreams: list[UpstreamEntry] | None = None
         self.upstreams_revision = 0
         self.hosts_revision = 0
+        self.controls_revision = 0
         self.loads_revision = 0
         self._hosts: dict[str, HostState] = {}
         self._listed: list[HostEntry] = []
+        # Entries are told of the control hosts only: with a list of all hosts in each reply, a
+        # restart of all entries would cost the square of their number.
+        self._controls: list[HostEntry] = []
+        self._turns: dict[str, float] = {}
         # Whether the list says what the last reports said.
         self._is_listed = True
         # Sums over all hosts; every report is answered with them, so that they are kept.
         self._loads: dict[str, UpstreamLoad] = {}
+        # The platform's list as it was read, and what hosts were told by upstreams since.
+        self._read: list[UpstreamEntry] | None = None
+        self._leaving: dict[str, int] = {}
         self._timers = timers
         self._started_at = timers.now()
 
@@ -116,8 +131,18 @@
         self._hosts[report.host] = HostState(report=report, heard_at=self._timers.now())
         self.loads_revision += 1
         self.refresh_hosts()
+        self._take_leaving(report)
         return True
 
+    def _take_leaving(self, report: HostReport) -> None:
+        """Note the upstreams that have told a host that they leave; all hosts are told."""
+        news = {u.upstream: u.born_ms for u in report.leaving}
+        if not news or all(self._leaving.get(name) == born for name, born in news.items()):
+            return
+        self._leaving.update(news)
+        if self._read is not None:
+            self.take_upstreams(self._read)
+
     def refresh_hosts(self) -> None:
         """Take hosts off the list that have been silent, and note what has changed."""
         oldest = self._timers.now() - HOST_LOST_S
@@ -130,6 +155,12 @@
         self._listed = [entry_of(state.report) for _, state in sorted(self._hosts.items())]
         self._is_listed = True
         self.hosts_revision += 1
+        controls = [entry for entry in self._listed if entry.role == "control"]
+        if controls != self._controls:
+            self._controls = controls
+            self.controls_revision += 1
+        names = [entry.host for entry in self._listed if entry.role == "entry"]
+        self._turns = {name: number / len(names) for number, name in enumerate(names)}
         self.changed.notify()
 
     def _add_loads(self, loads: list[UpstreamLoad], sign: int) -> None:
@@ -138,13 +169,25 @@
                 load.upstream, UpstreamLoad(upstream=load.upstream, requests=0)
             )
             total.requests += sign * load.requests
-            total.prefill_tokens += sign * load.prefill_tokens
             if not total.requests:
                 del self._loads[load.upstream]
 
-    def hosts(self) -> list[HostEntry]:
-        """Return the hosts that report."""
-        return self._listed
+    def hosts(self, role: str = "control") -> list[HostEntry]:
+        """Return the hosts that report, as far as hosts of a role are told of them."""
+        return self._listed if role == "control" else self._controls
+
+    def hosts_revision_for(self, role: str) -> int:
+        """Return the revision of the hosts that hosts of a role are told of."""
+        return self.hosts_revision if role == "control" else self.controls_revision
+
+    @property
+    def entry_count(self) -> int:
+        """Entries that report."""
+        return len(self._turns)
+
+    def turn_of(self, host: str) -> float:
+        """Return the place of an entry among all entries, from 0 to 1."""
+        return self._turns.get(host, 0.0)
 
     def take_upstreams(self, entries: list[UpstreamEntry]) -> None:
         """
@@ -155,13 +198,21 @@
         entries : list of UpstreamEntry
             All upstreams.
         """
-        entries = sorted(entries, key=lambda entry: entry.upstream)
+        self._read = entries
+        born = {entry.upstream: entry.born_ms for entry in entries}
+        self._leaving = {n: ms for n, ms in self._leaving.items() if born.get(n) == ms}
+        entries = sorted(map(self._mark_leaving, entries), key=lambda entry: entry.upstream)
         if self.upstreams is not None and same_upstreams(self.upstreams, entries):
             return
         self.upstreams = entries
         self.upstreams_revision += 1
         self.changed.notify()
 
+    def _mark_leaving(self, entry: UpstreamEntry) -> UpstreamEntry:
+        if entry.state == "draining" or self._leaving.get(entry.upstream) != entry.born_ms:
+            return entry
+        return msgspec.structs.replace(entry, state="draining")
+
     def loads(self) -> list[UpstreamLoad]:
         """Return the work in progress at the upstreams, summed over all entries."""
         return list(self._loads.values())
--- a/marigoldtrail/registry/picture.py
+++ b/marigoldtrail/registry/picture.py
@@ -6,12 +6,22 @@
 import zlib
 from collections.abc import Callable
 
+import msgspec
+
 from marigoldtrail.routing import RouteIndex, RouteTable, Service, Upstream, build_index
-from marigoldtrail.schema.generated.registry import HostEntry, HostReportReply, UpstreamEntry
+from marigoldtrail.schema.generated.registry import (
+    HostEntry,
+    HostReportReply,
+    LeavingUpstream,
+    UpstreamEntry,
+)
 from marigoldtrail.timers import Signal, Timers
 
 ParseDocument = Callable[[bytes], RouteTable | str]
 
+# An upstream that leaves serves on; for this time it gets requests if all others leave too.
+LEAVING_FALLBACK_S = 1.0
+
 _log = logging.getLogger(__name__)
 
 
@@ -36,11 +46,15 @@
     upstreams : dict
         Upstreams by name.
     hosts : list of HostEntry
-        Hosts that report to the leader.
+        Hosts that report to the leader; on entries only control hosts.
+    turn : float
+        Place of this host among all entries, from 0 to 1.
     data_centres : set of str
         Data centres that had a host or an upstream at any time.
     loads : dict
-        Requests and unread prompt tokens in progress at each upstream, over all entries.
+        Requests in progress at each upstream but the engines, over all entries.
+    upstreams_changed_at : float
+        Monotonic time in seconds of the last change of the upstreams or takeouts.
     changed : Signal
         Notified after each change of the upstreams, takeouts or routes.
     """
@@ -49,13 +63,18 @@
         "routes",
         "upstreams",
         "hosts",
+        "turn",
         "data_centres",
         "loads",
         "changed",
+        "upstreams_changed_at",
         "term",
         "revisions",
         "confirmed_at",
+        "_entry_count",
         "_takeouts",
+        "_told_leaving",
+        "_leaving_since",
         "_parse_document",
         "_timers",
     )
@@ -64,13 +83,19 @@
         self.routes: RouteIndex | None = None
         self.upstreams: dict[str, Upstream] = {}
         self.hosts: list[HostEntry] = []
+        self.turn = 0.0
+        self._entry_count = 0
         self.data_centres: set[str] = set()
-        self.loads: dict[str, tuple[int, int]] = {}
+        self.loads: dict[str, int] = {}
         self.changed = Signal()
+        self.upstreams_changed_at = 0.0
         self.term = 0
         self.revisions: dict[str, int] = {}
         self.confirmed_at = float("-inf")
         self._takeouts: frozenset[str] = frozenset()
+        # Upstreams that said in an answer that they leave, with the start that said so.
+        self._told_leaving: dict[str, int] = {}
+        self._leaving_since: dict[str, float] = {}
         self._parse_document = parse_document
         self._timers = timers
 
@@ -84,7 +109,7 @@
 
     def entry_count(self) -> int:
         """Return the number of entries that serve, at least 1."""
-        return max(1, sum(host.role == "entry" for host in self.hosts))
+        return max(1, self._entry_count)
 
     def find_service(self, name: str) -> Service | None:
         """Return a service of the configuration in force; None if it has none of that name."""
@@ -102,14 +127,37 @@
         Returns
         -------
         list of Upstream
-            Neither leaving nor in a data centre that is out of service.
+            Neither leaving nor in a data centre that is out of service. If all are leaving, those
+            that have begun to leave just now.
         """
-        return [
+        listed = [
             upstream
             for upstream in self.upstreams.values()
-            if upstream.service == service
-            and not upstream.is_leaving
-            and upstream.data_centre not in self._takeouts
+            if upstream.service == service and upstream.data_centre not in self._takeouts
+        ]
+        staying = [upstream for upstream in listed if not upstream.is_leaving]
+        if staying:
+            return staying
+        oldest = self._timers.now() - LEAVING_FALLBACK_S
+        return [u for u in listed if self._leaving_since.get(u.name, 0.0) >= oldest]
+
+    def note_leaving(self, name: str) -> None:
+        """Note that an upstream has said that it leaves, until it starts again or is gone."""
+        upstream = self.upstreams.get(name)
+        if upstream is None or upstream.is_leaving:
+            return
+        _log.info("upstream says that it leaves", extra={"subject": name})
+        self._told_leaving[name] = upstream.born_ms
+        self._leaving_since[name] = self._timers.now()
+        self.upstreams_changed_at = self._timers.now()
+        self.upstreams[name] = msgspec.structs.replace(upstream, is_leaving=True)
+        self.changed.notify()
+
+    def leaving(self) -> list[LeavingUpstream]:
+        """Return the upstreams that have told this host that they leave."""
+        return [
+            LeavingUpstream(upstream=name, born_ms=born_ms)
+            for name, born_ms in self._told_leaving.items()
         ]
 
     def apply(self, reply: HostReportReply, *, sent_at: float) -> None:
@@ -137,13 +185,16 @@
             _log.info("data centres out of service: %s", sorted(self._takeouts))
         if reply.upstreams is not None:
             self._take_upstreams(reply.upstreams)
+        if reply.entry_count:
+            self._entry_count = reply.entry_count
+            self.turn = reply.turn
         if reply.hosts is not None:
             self.hosts = reply.hosts
             self.data_centres.update(host.data_centre for host in reply.hosts)
         if reply.loads is not None:
-            self.loads = {
-                load.upstream: (load.requests, load.prefill_tokens) for load in reply.loads
-            }
+            self.loads = {load.upstream: load.requests for load in reply.loads}
+        if reply.takeouts is not None or reply.upstreams is not None:
+            self.upstreams_changed_at = self._timers.now()
         if reply.routes or reply.takeouts is not None or reply.upstreams is not None:
             self.changed.notify()
 
@@ -162,13 +213,14 @@
         now = self._timers.now()
         upstreams = {}
         for entry in entries:
+            told = self._told_leaving.get(entry.upstream) == entry.born_ms
             upstream = Upstream(
                 name=entry.upstream,
                 service=entry.service,
                 address=entry.address,
                 data_centre=entry.data_centre,
                 slots=entry.slots,
-                is_leaving=entry.state == "draining",
+                is_leaving=told or entry.state == "draining",
                 cold_until=now + entry.cold_ms / 1000 if entry.cold_ms else 0.0,
                 born_ms=entry.born_ms,
             )
@@ -178,4 +230,14 @@
                 "upstream %s", "listed" if name in upstreams else "gone", extra={"upstream": name}
             )
         self.upstreams = upstreams
+        self._told_leaving = {
+            name: born_ms
+            for name, born_ms in self._told_leaving.items()
+            if name in upstreams and upstreams[name].born_ms == born_ms
+        }
+        self._leaving_since = {
+            name: self._leaving_since.get(name, now)
+            for name, upstream in upstreams.items()
+            if upstream.is_leaving
+        }
         self.data_centres.update(entry.data_centre for entry in entries)
--- a/marigoldtrail/relay/board.py
+++ b/marigoldtrail/relay/board.py
@@ -17,6 +17,8 @@
 FAILURE_HALF_LIFE_S = 3.0
 # Failures that a whole pool shares say nothing about one upstream.
 COMMON_FAILURES = 0.15
+# A longer pause that an upstream asks for is taken for a fault of it.
+LONGEST_PAUSE_S = 120.0
 SPEED_WEIGHT = 0.2
 SPEED_HALF_LIFE_S = 4.0
 # The share of the cold limit that entries use together; the rest covers requests on their way.
@@ -39,9 +41,9 @@
         "requests",
         "prefill_tokens",
         "reported_requests",
-        "reported_tokens",
         "failures_in_row",
         "ejected_until",
+        "closed_until",
         "failure_rate",
         "rated_at",
         "duration_s",
@@ -54,9 +56,9 @@
         self.requests = 0
         self.prefill_tokens = 0
         self.reported_requests = 0
-        self.reported_tokens = 0
         self.failures_in_row = 0
         self.ejected_until = 0.0
+        self.closed_until = 0.0
         self.failure_rate = 0.0
         self.rated_at = now
         self.duration_s = 0.0
@@ -71,8 +73,6 @@
 
     Parameters
     ----------
-    host : str
-        Name of this entry.
     picture : FleetPicture
         Upstreams of the fleet, and the loads of the other entries.
     data_centre : str
@@ -81,12 +81,9 @@
         Clock.
     """
 
-    __slots__ = ("_host", "_picture", "_data_centre", "_timers", "_records")
+    __slots__ = ("_picture", "_data_centre", "_timers", "_records")
 
-    def __init__(
-        self, *, host: str, picture: FleetPicture, data_centre: str, timers: Timers
-    ) -> None:
-        self._host = host
+    def __init__(self, *, picture: FleetPicture, data_centre: str, timers: Timers) -> None:
         self._picture = picture
         self._data_centre = data_centre
         self._timers = timers
@@ -148,6 +145,26 @@
                 extra={"subject": name, "failures": record.failures_in_row, "pause_s": pause_s},
             )
 
+    def close(self, name: str, seconds: float) -> None:
+        """Send an upstream nothing for the seconds for which it wants no requests."""
+        if seconds <= 0:
+            return
+        record = self.record(name)
+        seconds = min(seconds, LONGEST_PAUSE_S)
+        record.closed_until = max(record.closed_until, self._timers.now() + seconds)
+        _log.info("upstream wants no requests", extra={"subject": name, "pause_s": seconds})
+
+    def opens_in_s(self, upstreams: list[Upstream]) -> float:
+        """Return the seconds until some upstream takes requests again; 0 if one does now."""
+        now = self._timers.now()
+        waits = [self.record(u.name).closed_until - now for u in upstreams]
+        return max(0.0, min(waits, default=0.0))
+
+    def closed(self) -> set[str]:
+        """Return the upstreams that want no requests from this host for a while."""
+        now = self._timers.now()
+        return {name for name, record in self._records.items() if record.closed_until > now}
+
     def _rate(self, record: UpstreamRecord, outcome: float) -> None:
         rate = self._failure_rate(record)
         record.failure_rate = rate + OUTCOME_WEIGHT * (outcome - rate)
@@ -171,10 +188,12 @@
         Returns
         -------
         list of Option
-            Without those that are ejected, unless all are, and cold ones beyond their limit.
+            Without those that are ejected, unless all are, those that want no requests, and cold
+            ones beyond their limit.
         """
         now = self._timers.now()
-        usable = [u for u in upstreams if self._accepts_cold(u, service, now)]
+        opened = [u for u in upstreams if self.record(u.name).closed_until <= now]
+        usable = [u for u in opened if self._accepts_cold(u, service, now)]
         healthy = [u for u in usable if self.record(u.name).ejected_until <= now]
         usual_s = self._usual_duration(upstreams)
         return [self._option(u, usual_s) for u in (healthy or usable)]
@@ -192,18 +211,13 @@
         if not record.is_cold:
             # All entries learn of it at the same time; they begin one after the other.
             record.is_cold = True
-            record.cold_next_at = now + self._cold_interval_s(service) * self._turn()
+            record.cold_next_at = now + self._cold_interval_s(service) * self._picture.turn
         return record.cold_next_at <= now
 
     def _cold_interval_s(self, service: Service) -> float:
         """Return the seconds between two requests of one entry to a cold upstream."""
         return self._picture.entry_count() / (service.cold_rate * COLD_SHARE)
 
-    def _turn(self) -> float:
-        """Return the place of this entry among all entries, from 0 to 1."""
-        names = [host.host for host in self._picture.hosts if host.role == "entry"]
-        return names.index(self._host) / len(names) if self._host in names else 0.0
-
     def note_sent(self, upstream: Upstream, service: Service) -> None:
         """Count a request against the limit of a cold upstream, of which each entry has a share."""
         now = self._timers.now()
@@ -216,9 +230,7 @@
 
     def _option(self, upstream: Upstream, usual_s: float) -> Option:
         record = self.record(upstream.name)
-        requests, tokens = self._picture.loads.get(upstream.name, (0, 0))
-        others = max(0, requests - record.reported_requests)
-        other_tokens = max(0, tokens - record.reported_tokens)
+        others = max(0, self._picture.loads.get(upstream.name, 0) - record.reported_requests)
         slowness = 1.0
         if usual_s and record.duration_s:
             fade = 0.5 ** ((self._timers.now() - record.timed_at) / SPEED_HALF_LIFE_S)
@@ -227,28 +239,33 @@
             name=upstream.name,
             slots=upstream.slots,
             requests=others + record.requests,
-            prefill_tokens=other_tokens + record.prefill_tokens,
+            prefill_tokens=record.prefill_tokens,
             failure_rate=max(0.0, self._failure_rate(record) - COMMON_FAILURES),
             slowness=slowness,
             is_remote=upstream.data_centre != self._data_centre,
         )
 
     def report(self) -> list[UpstreamLoad]:
-        """Return the work in progress for the next report, and note that it was reported."""
+        """
+        Return the work in progress for the next report, and note that it was reported.
+
+        Engines are left out: the scheduler, which chooses them, knows their work, and every entry
+        gets the sums several times a second.
+        """
         loads = []
         for name, record in self._records.items():
+            if self._is_engine(name):
+                continue
             record.reported_requests = record.requests
-            record.reported_tokens = record.prefill_tokens
             if record.requests:
-                loads.append(
-                    UpstreamLoad(
-                        upstream=name,
-                        requests=record.requests,
-                        prefill_tokens=record.prefill_tokens,
-                    )
-                )
+                loads.append(UpstreamLoad(upstream=name, requests=record.requests))
         return loads
 
+    def _is_engine(self, name: str) -> bool:
+        upstream = self._picture.upstreams.get(name)
+        service = self._picture.find_service(upstream.service) if upstream is not None else None
+        return service is not None and service.engine is not None
+
     def forget_except(self, names: set[str]) -> None:
         """Drop what is known of upstreams that are gone and have nothing in progress."""
         for name in [n for n, r in self._records.items() if n not in names and not r.requests]:
--- a/marigoldtrail/relay/calls.py
+++ b/marigoldtrail/relay/calls.py
@@ -12,6 +12,9 @@
 from marigoldtrail.relay.types import Headers
 from marigoldtrail.routing import Upstream
 
+# Longer requests are sent while the answer is read already.
+MAX_INLINE_BYTES = 16384
+
 
 class CallAnswer(msgspec.Struct, kw_only=True, frozen=True):
     """
@@ -60,7 +63,8 @@
     Returns
     -------
     CallAnswer or Failure
-        ``OVERLOADED`` and ``NOT_RUN`` if the upstream says that it did not run the request.
+        ``OVERLOADED`` and ``NOT_RUN`` if the upstream says that it did not run the request, with
+        the seconds for which it wants no more of them.
     """
     headers = [(b"host", upstream.address.encode()), *headers]
     conn = None
@@ -78,10 +82,7 @@
                 return taken
             conn = taken
             conn.begin(method, target, headers, body)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(conn.send)
-                result = await _read_answer(conn)
-                nursery.cancel_scope.cancel()
+            result = await _exchange(conn, len(body))
     finally:
         if conn is not None:
             with trio.CancelScope(shield=True):
@@ -89,8 +90,20 @@
     return result
 
 
+async def _exchange(conn: UpstreamConnection, body_bytes: int) -> CallAnswer | Failure:
+    if body_bytes <= MAX_INLINE_BYTES:
+        # The buffers of the connection take it, so that a task of its own is not needed.
+        await conn.send()
+        return await _read_answer(conn)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(conn.send)
+        result = await _read_answer(conn)
+        nursery.cancel_scope.cancel()
+    return result
+
+
 async def _read_answer(conn: UpstreamConnection) -> CallAnswer | Failure:
-    head = await conn.read_head("")
+    head = await conn.read_head()
     if isinstance(head, Failure):
         return head
     body = await read_whole(conn)
@@ -98,5 +111,7 @@
         return body
     if head.facts.is_refusal or head.facts.is_other_upstream:
         failure = conn.failure(Reason.OVERLOADED, f"refused with status {head.status}")
-        return msgspec.structs.replace(failure, run_state=RunState.NOT_RUN)
+        return msgspec.structs.replace(
+            failure, run_state=RunState.NOT_RUN, retry_after_s=head.facts.pause_s or 0.0
+        )
     return CallAnswer(head=head, body=body)
