--- a/marigoldtrail/pieces/worker.py
+++ b/marigoldtrail/pieces/worker.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from marigoldtrail.pieces.job import Piece, PieceResult
+from marigoldtrail.policy.fading import fade
 from marigoldtrail.routing import Upstream
 
 # Results take a little more room than their stated size.
@@ -102,8 +103,7 @@
         """Return how many times longer than stated its calls take; fades while it makes none."""
         if self.slowness == 1.0:
             return 1.0
-        fade = 0.5 ** ((now - self.timed_at) / SPEED_HALF_LIFE_S)
-        return 1 + (self.slowness - 1) * fade
+        return 1 + (self.slowness - 1) * fade(now - self.timed_at, SPEED_HALF_LIFE_S)
 
     def note_speed(self, ratio: float, now: float) -> None:
         """Take in how many times longer than stated a call took."""
--- /dev/null
+++ b/marigoldtrail/policy/fading.py
@@ -0,0 +1,27 @@
+"""How much an earlier observation still counts."""
+
+from __future__ import annotations
+
+
+def fade(age_s: float, half_life_s: float) -> float:
+    """
+    Return the weight of an observation by its age.
+
+    Parameters
+    ----------
+    age_s : float
+        Seconds since it was made.
+    half_life_s : float
+        Seconds after which it counts half.
+
+    Returns
+    -------
+    float
+        1 for a new observation, falling to 0.
+
+    Examples
+    --------
+    >>> fade(0.0, 3.0), fade(3.0, 3.0), fade(6.0, 3.0)
+    (1.0, 0.5, 0.25)
+    """
+    return float(0.5 ** (age_s / half_life_s))
--- a/marigoldtrail/relay/board.py
+++ b/marigoldtrail/relay/board.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from marigoldtrail.policy.fading import fade
 from marigoldtrail.policy.placement import Option
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.routing import Service, Upstream
@@ -172,7 +173,7 @@
 
     def _failure_rate(self, record: UpstreamRecord) -> float:
         age_s = self._timers.now() - record.rated_at
-        return record.failure_rate * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+        return record.failure_rate * fade(age_s, FAILURE_HALF_LIFE_S)
 
     def options(self, upstreams: list[Upstream], service: Service) -> list[Option]:
         """
@@ -233,8 +234,8 @@
         others = max(0, self._picture.loads.get(upstream.name, 0) - record.reported_requests)
         slowness = 1.0
         if usual_s and record.duration_s:
-            fade = 0.5 ** ((self._timers.now() - record.timed_at) / SPEED_HALF_LIFE_S)
-            slowness = max(1.0, 1 + (record.duration_s / usual_s - 1) * fade)
+            weight = fade(self._timers.now() - record.timed_at, SPEED_HALF_LIFE_S)
+            slowness = max(1.0, 1 + (record.duration_s / usual_s - 1) * weight)
         return Option(
             name=upstream.name,
             slots=upstream.slots,
--- a/marigoldtrail/relay/tests/test_faulty_upstreams.py
+++ b/marigoldtrail/relay/tests/test_faulty_upstreams.py
@@ -33,6 +33,15 @@
             await trio.sleep(0.0005)
 
 
+async def dribble(stream):
+    """Send one event, and then a byte now and then that never makes another one."""
+    await read_request(stream)
+    await stream.send_all(STREAM_HEAD + chunk(EVENTS[0]))
+    while True:
+        await stream.send_all(chunk(b":"))
+        await trio.sleep(0.3)
+
+
 async def test_upstream_that_says_it_leaves_gets_nothing_new(autojump_clock, nursery):
     """Guards against requests for an upstream which has said in an answer that it leaves."""
     seen = []
@@ -186,13 +195,6 @@
 async def test_bytes_that_are_no_event_are_no_progress(autojump_clock, nursery):
     """Guards against a stalled stream that is never left since it sends a byte now and then."""
 
-    async def dribble(stream):
-        await read_request(stream)
-        await stream.send_all(STREAM_HEAD + chunk(EVENTS[0]))
-        while True:
-            await stream.send_all(chunk(b":"))
-            await trio.sleep(0.3)
-
     async def rest(stream):
         data = await read_request(stream)
         events = EVENTS[1:] if b"last-event-id: 1" in data.lower() else EVENTS
@@ -210,13 +212,6 @@
 async def test_stalled_stream_ends_when_its_caller_has_given_up(autojump_clock, nursery):
     """Guards against a stream that can't go on elsewhere and holds its place until the deadline."""
 
-    async def dribble(stream):
-        await read_request(stream)
-        await stream.send_all(STREAM_HEAD + chunk(EVENTS[0]))
-        while True:
-            await stream.send_all(chunk(b":"))
-            await trio.sleep(0.3)
-
     bed = Bed(nursery, RouteKind.STREAMING, timeout_s=60.0, max_gap_s=0.2, target_latency_s=0.5)
     await bed.start(dribble)
     started = trio.current_time()
