Mend what repeated pieces and lazy frees left open

Found by reading the change: an upstream that answers late or without inputs failed a job whose pieces another one had done; an idle slow upstream waited for one whose call had hung; and the list of results to be freed grew for ever where room is never short. Each has a test that failed before.

--- a/marigoldtrail/pieces/results.py
+++ b/marigoldtrail/pieces/results.py
@@ -72,6 +72,7 @@
             kept = self._kept.pop(handle, None)
             if kept is not None:
                 kept.worker.add_bytes(-kept.size)
+                kept.worker.unread.pop(handle, None)
 
     def expire(self, now: float) -> None:
         """Drop the results whose time is up."""
@@ -111,12 +112,12 @@
         for handle in handles:
             kept = self._kept.get(handle)
             if kept is not None:
-                kept.worker.unread.append(handle)
+                kept.worker.unread[handle] = None
                 workers[kept.worker] = None
         return list(workers)
 
     def take_unread(self, worker: Worker) -> list[str]:
-        """Return the results of an upstream that can be freed, each once."""
-        handles = [handle for handle in dict.fromkeys(worker.unread) if handle in self._kept]
+        """Return the results of an upstream that can be freed; they are returned once."""
+        handles = list(worker.unread)
         worker.unread.clear()
         return handles
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -29,6 +29,8 @@
 CALL_SLACK_S = 0.3
 UPSTREAMS_INTERVAL_S = 0.2
 NO_ROOM = "room"
+# The time of the piece was up, or one of its inputs is gone: repeating it is of no use.
+FINAL_REASONS = ("late", "gone")
 # Results are freed, several at a time, once more of the room than the first share is taken, or than
 # the second one while work waits; above the third share they are freed at once.
 FREE_SHARE = 0.5
@@ -387,8 +389,11 @@
                 self._results.add(worker, result.handle, job.result_bytes, until=until)
                 if not job.finish_piece(piece, result.handle):
                     unwanted.add(result.handle)
-            elif result.reason in ("late", "gone"):
-                job.fail(result.reason)
+            elif result.reason in FINAL_REASONS:
+                if piece.calls == 1 and not job.handles[piece.index]:
+                    job.fail(result.reason)
+                # Otherwise another worker was asked as well.
+                again.append(piece)
             else:
                 again.append(piece)
                 if result.reason == NO_ROOM:
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -30,6 +30,8 @@
 BUSY_PAUSE_S = 0.25
 # An upstream gets no work that another one would finish in this share of its own time.
 FASTER_SHARE = 0.8
+# A call that ends this much later than expected says nothing about when its worker is free.
+OVERDUE_S = 0.1
 MAX_TRIES = 4
 
 # Place of a job in the queue, and a number that keeps equal ones in their order.
@@ -291,6 +293,9 @@
 
     def _done_in_s(self, worker: Worker, count: int, now: float) -> float:
         """Return the seconds in which a worker would be done with pieces given to it next."""
+        if worker.is_busy and now > worker.busy_until + OVERDUE_S:
+            # It has become slow or is gone; nobody knows when its call will end.
+            return float("inf")
         wait_s = max(0.0, worker.busy_until - now) if worker.is_busy else 0.0
         return wait_s + self.duration_s(worker, count, now)
 
--- a/marigoldtrail/pieces/tests/test_runner.py
+++ b/marigoldtrail/pieces/tests/test_runner.py
@@ -274,3 +274,33 @@
     job = await upstreams.work("one", 2)
     await trio.sleep(1)
     assert all(job.handles) and len(upstreams.calls) == 1
+
+
+async def test_slow_answer_does_not_fail_what_was_done_elsewhere(autojump_clock, nursery):
+    """Guards against a job that fails by a late word of an upstream whose pieces were repeated."""
+    for reason in ("late", "gone"):
+        upstreams = Upstreams(nursery, count=2)
+        is_first = True
+
+        async def run(upstream, pieces, lefts, upstreams=upstreams, reason=reason):
+            nonlocal is_first
+            slow, is_first = is_first, False
+            upstreams.calls.append((upstream.name, len(pieces)))
+            results = upstreams.results(pieces)
+            await trio.sleep(WORK_S * (2.5 if slow else 1))
+            return [PieceResult(reason=reason)] * len(pieces) if slow else results
+
+        upstreams.runner._call = PieceCall(run=run, free=upstreams.free)
+        job = await upstreams.work("one", 2)
+        assert all(job.handles) and not job.failure
+
+
+async def test_results_that_are_never_freed_are_forgotten(autojump_clock, nursery):
+    """Guards against memory that grows with each result which expires by itself."""
+    upstreams = Upstreams(nursery)
+    for number in range(10):
+        job = await upstreams.work(f"id-{number}", 4)
+        upstreams.runner.free(set(job.handles))
+    assert len(upstreams.worker().unread) == 40
+    await trio.sleep(SPEC.keep_s + 0.3)
+    assert not upstreams.worker().unread and not len(upstreams.runner._results)
--- a/marigoldtrail/pieces/tests/test_scheduler.py
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -181,6 +181,17 @@
     assert taken(scheduler.plan(9.0)) == {"w0": ["one"]}
 
 
+def test_upstream_whose_call_is_overdue_is_not_waited_for():
+    """Guards against pieces that nobody takes while the fast upstream of two hangs."""
+    scheduler = make_scheduler("a", "a")
+    slow, hanging = scheduler.workers["w0"], scheduler.workers["w1"]
+    scheduler.finish(slow, 1, 5 * 0.18, 0.0)
+    hanging.is_busy, hanging.busy_until = True, 0.1
+    scheduler.add(make_job("one", 1))
+    assert scheduler.plan(0.0) == []
+    assert taken(scheduler.plan(0.3)) == {"w0": ["one"]}
+
+
 def test_slow_upstream_helps_while_much_work_waits():
     """Guards against idle upstreams beside a queue that the others need longer for."""
     scheduler = make_scheduler("a", "a")
--- a/marigoldtrail/pieces/worker.py
+++ b/marigoldtrail/pieces/worker.py
@@ -60,7 +60,7 @@
         self.timed_at = 0.0
         self.failures = 0
         # Results that nobody will read any more, and whether a call that frees some is going on.
-        self.unread: list[str] = []
+        self.unread: dict[str, None] = {}
         self.is_freeing = False
         self.freed_at = float("-inf")
         self._own_bytes = 0
