Carry what is known of an admitted request in one value

Seven arguments went through three functions of the scheduler's service. Behaviour is the same; tests of the stages and of a site in memory pass.

--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -50,11 +50,11 @@
         Monotonic time in seconds.
     """
 
-    __slots__ = ("_now", "_numbers", "_places")
+    __slots__ = ("_now", "_jobs", "_places")
 
     def __init__(self, *, jobs: list[PieceJob], now: float) -> None:
         self._now = now
-        self._numbers = jobs
+        self._jobs = jobs
         self._places: list[Place] = sorted(
             (*job.order(now), number) for number, job in enumerate(jobs)
         )
@@ -71,7 +71,7 @@
             for group in (on_time, places[len(on_time) :]):
                 remote = []
                 for place in group:
-                    job = self._numbers[place[3]]
+                    job = self._jobs[place[3]]
                     if job.is_large and job.data_centre != data_centre:
                         remote.append(job)
                     else:
@@ -81,10 +81,10 @@
     def note_taken(self, jobs: list[PieceJob]) -> None:
         """Take jobs without waiting pieces out, and put those that are begun first."""
         changed = set(map(id, jobs))
-        numbers = [p[3] for p in self._places if id(self._numbers[p[3]]) in changed]
-        self._places = [p for p in self._places if id(self._numbers[p[3]]) not in changed]
+        numbers = [p[3] for p in self._places if id(self._jobs[p[3]]) in changed]
+        self._places = [p for p in self._places if id(self._jobs[p[3]]) not in changed]
         for number in numbers:
-            job = self._numbers[number]
+            job = self._jobs[number]
             if job.waiting:
                 insort(self._places, (*job.order(self._now), number))
 
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Iterable
 
+import msgspec
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
@@ -45,6 +46,36 @@
 _log = logging.getLogger(__name__)
 
 
+class AdmittedRequest(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A request whose stages are run.
+
+    Parameters
+    ----------
+    request : RunStages
+        The request.
+    work : list of StageWork
+        What each of its stages has to wait for.
+    started : float
+        Monotonic time in seconds at which it arrived.
+    data_centre : str
+        Where its results will probably be read; empty if that is open.
+    is_deferred : bool
+        Whether it will be late in any case and comes after those that need not be.
+    """
+
+    request: RunStages
+    work: list[StageWork]
+    started: float
+    data_centre: str
+    is_deferred: bool
+
+    @property
+    def expires_at(self) -> float:
+        """Monotonic time in seconds after which its results are of no more use."""
+        return self.started + self.request.left_ms / 1000
+
+
 class PieceService:
     """
     Scheduler of the fleet: stages of requests, and the choice of their engines.
@@ -99,8 +130,22 @@
         await self._runner.run()
 
     async def _run_stages(self, request: RunStages, sender: str) -> StagesReply | Failure:
+        admitted = self._admit(request)
+        if isinstance(admitted, Failure):
+            return admitted
+        handles = await self._run_until_whole(admitted)
+        if isinstance(handles, Failure):
+            return handles
+        bytes_in = self._runner.bytes_by_data_centre(set(handles))
+        upstream = self._placer.place(request, bytes_in, admitted.expires_at)
+        if upstream is not None and not request.keeps_results:
+            # The engine fetches its inputs as soon as it has the request.
+            self._runner.free_later(set(handles), FETCH_S, LARGE_RESULT_BYTES)
+        return StagesReply(handles=handles, upstream=upstream or "")
+
+    def _admit(self, request: RunStages) -> AdmittedRequest | Failure:
+        """Take a request on, behind all others if it can't be on time, or refuse it."""
         started = self._timers.now()
-        expires_at = started + request.left_ms / 1000
         work = self._measure(request)
         if isinstance(work, Failure):
             return work
@@ -110,22 +155,27 @@
             refusal = self._refuse(request, work, path)
             if refusal is not None:
                 return refusal
-        data_centre = self._placer.expected_data_centre(request)
+        return AdmittedRequest(
+            request=request,
+            work=work,
+            started=started,
+            data_centre=self._placer.expected_data_centre(request),
+            is_deferred=not on_time,
+        )
+
+    async def _run_until_whole(self, admitted: AdmittedRequest) -> list[str] | Failure:
+        """Run all stages, again if results were lost; return the handles of the last ones."""
         for run in range(1, MAX_RUNS + 1):
-            graph = StageGraph(stages=request.stages)
-            failed = await self._run_graph(request, graph, work, started, data_centre, on_time)
+            graph = StageGraph(stages=admitted.request.stages)
+            failed = await self._run_graph(admitted, graph)
             if failed is None:
                 break
-            if failed.failure != GONE or run == MAX_RUNS or self._timers.now() >= expires_at:
+            is_over = run == MAX_RUNS or self._timers.now() >= admitted.expires_at
+            if failed.failure != GONE or is_over:
                 return self._job_failure(failed)
-            _log.info("stages are run again", extra={"request_id": request.request_id})
-        handles = graph.final_handles()
-        bytes_in = self._runner.bytes_by_data_centre(set(handles))
-        upstream = self._placer.place(request, bytes_in, expires_at)
-        if upstream is not None and not request.keeps_results:
-            # The engine fetches its inputs as soon as it has the request.
-            self._runner.free_later(set(handles), FETCH_S, LARGE_RESULT_BYTES)
-        return StagesReply(handles=handles, upstream=upstream or "")
+            request_id = admitted.request.request_id
+            _log.info("stages are run again", extra={"request_id": request_id})
+        return graph.final_handles()
 
     def _measure(self, request: RunStages) -> list[StageWork] | Failure:
         """Return what each stage of a request has to wait for."""
@@ -164,15 +214,7 @@
             Reason.OVERLOADED, "the stages can't be done in time", retry_after_s=late_s
         )
 
-    async def _run_graph(
-        self,
-        request: RunStages,
-        graph: StageGraph,
-        work: list[StageWork],
-        started: float,
-        data_centre: str,
-        on_time: bool,
-    ) -> PieceJob | None:
+    async def _run_graph(self, admitted: AdmittedRequest, graph: StageGraph) -> PieceJob | None:
         """Run all stages; return the job that failed, if one did."""
         finished: dict[int, PieceJob] = {}
         changed = Signal()
@@ -183,15 +225,13 @@
             changed.notify()
 
         jobs: list[PieceJob] = []
-        unfinished = dict(enumerate(request.stages))
-        self._count_planned(unfinished.values(), request.priority, 1, on_time)
+        unfinished = dict(enumerate(graph.stages))
+        self._count_planned(admitted, unfinished.values(), 1)
         try:
             async with trio.open_nursery() as nursery:
                 while not graph.is_done():
                     for number in graph.take_startable():
-                        job = self._queue(
-                            request, graph, work, number, started, data_centre, on_time
-                        )
+                        job = self._queue(admitted, graph, number)
                         jobs.append(job)
                         nursery.start_soon(wait, job, number)
                     await changed.wait()
@@ -200,38 +240,31 @@
                         if job.failure:
                             nursery.cancel_scope.cancel()
                             return job
-                        self._count_planned([unfinished.pop(number)], request.priority, -1, on_time)
+                        self._count_planned(admitted, [unfinished.pop(number)], -1)
                         self._runner.free(set(graph.finish(number, job.handles)))
             return None
         finally:
-            self._count_planned(unfinished.values(), request.priority, -1, on_time)
+            self._count_planned(admitted, unfinished.values(), -1)
             # Without an effect on jobs that are done; the entry may have left.
             for job in jobs:
                 job.fail("the request has ended")
 
     def _count_planned(
-        self, stages: Iterable[StageRequest], priority: int, sign: int, on_time: bool
+        self, admitted: AdmittedRequest, stages: Iterable[StageRequest], sign: int
     ) -> None:
         for stage in stages:
             scheduler = self._runner.scheduler(stage.service)
             if scheduler is None:
                 continue
-            if on_time:
-                scheduler.planned[priority] += sign * stage.count
-            else:
+            if admitted.is_deferred:
                 scheduler.deferred += sign * stage.count
+            else:
+                scheduler.planned[admitted.request.priority] += sign * stage.count
 
-    def _queue(
-        self,
-        request: RunStages,
-        graph: StageGraph,
-        work: list[StageWork],
-        number: int,
-        started: float,
-        data_centre: str,
-        on_time: bool,
-    ) -> PieceJob:
+    def _queue(self, admitted: AdmittedRequest, graph: StageGraph, number: int) -> PieceJob:
+        request = admitted.request
         stage = graph.stages[number]
+        data_centre = admitted.data_centre
         now = self._timers.now()
         inputs = graph.inputs_of(number)
         input_bytes = sum(
@@ -245,17 +278,17 @@
             bytes_in = self._runner.bytes_by_data_centre(set(inputs))
             moved_bytes = sum(bytes_in.values()) * stage.count
             data_centre = max(bytes_in, key=lambda name: bytes_in[name], default="")
-        rest_s = path_s(request.stages, work, number)
+        rest_s = path_s(request.stages, admitted.work, number)
         job = PieceJob(
             request_id=request.request_id,
             stage=number,
             key="" if inputs else request.key,
             inputs=inputs,
             count=stage.count,
-            expires_at=started + request.left_ms / 1000 - rest_s,
+            expires_at=admitted.expires_at - rest_s,
             # A request that is late already waits behind those that need not be.
-            start_by=started + max(0, request.slack_ms) / 1000 - rest_s,
-            is_deferred=not on_time,
+            start_by=admitted.started + max(0, request.slack_ms) / 1000 - rest_s,
+            is_deferred=admitted.is_deferred,
             may_wait=input_bytes < LARGE_RESULT_BYTES,
             yield_s=request.yield_ms / 1000,
             data_centre=data_centre,
