--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -11,6 +11,7 @@
 from bisect import insort
 from collections import Counter
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from marigoldtrail.pieces.job import Piece, PieceJob
 from marigoldtrail.pieces.worker import SIZE_MARGIN, Worker
@@ -34,8 +35,27 @@
 OVERDUE_S = 0.1
 MAX_TRIES = 4
 
-# Place of a job in the queue, and a number that keeps equal ones in their order.
-Place = tuple[bool, bool, float, int]
+
+class Place(NamedTuple):
+    """
+    Place of a job in the queue; the least is first.
+
+    Parameters
+    ----------
+    is_new : bool
+        Whether no piece of it was begun.
+    is_last : bool
+        Whether it comes after all jobs that can be on time.
+    start_by : float
+        Monotonic time in seconds at which it should begin.
+    number : int
+        Keeps equal ones in the order in which they came.
+    """
+
+    is_new: bool
+    is_last: bool
+    start_by: float
+    number: int
 
 
 class Queue:
@@ -44,7 +64,7 @@
 
     Parameters
     ----------
-    jobs : iterable of PieceJob
+    jobs : list of PieceJob
         The jobs.
     now : float
         Monotonic time in seconds.
@@ -55,9 +75,10 @@
     def __init__(self, *, jobs: list[PieceJob], now: float) -> None:
         self._now = now
         self._jobs = jobs
-        self._places: list[Place] = sorted(
-            (*job.order(now), number) for number, job in enumerate(jobs)
-        )
+        self._places = sorted(self._place(number) for number in range(len(jobs)))
+
+    def _place(self, number: int) -> Place:
+        return Place(*self._jobs[number].order(self._now), number)
 
     def jobs_for(self, data_centre: str) -> Iterator[PieceJob]:
         """
@@ -65,13 +86,13 @@
 
         Among jobs that are begun alike, those whose large results are read elsewhere come last.
         """
-        begun = [place for place in self._places if not place[0]]
+        begun = [place for place in self._places if not place.is_new]
         for places in (begun, self._places[len(begun) :]):
-            on_time = [place for place in places if not place[1]]
+            on_time = [place for place in places if not place.is_last]
             for group in (on_time, places[len(on_time) :]):
                 remote = []
                 for place in group:
-                    job = self._jobs[place[3]]
+                    job = self._jobs[place.number]
                     if job.is_large and job.data_centre != data_centre:
                         remote.append(job)
                     else:
@@ -80,13 +101,12 @@
 
     def note_taken(self, jobs: list[PieceJob]) -> None:
         """Take jobs without waiting pieces out, and put those that are begun first."""
-        changed = set(map(id, jobs))
-        numbers = [p[3] for p in self._places if id(self._jobs[p[3]]) in changed]
-        self._places = [p for p in self._places if id(self._jobs[p[3]]) not in changed]
-        for number in numbers:
-            job = self._jobs[number]
-            if job.waiting:
-                insort(self._places, (*job.order(self._now), number))
+        changed = set(jobs)
+        taken = [place for place in self._places if self._jobs[place.number] in changed]
+        self._places = [p for p in self._places if self._jobs[p.number] not in changed]
+        for place in taken:
+            if self._jobs[place.number].waiting:
+                insort(self._places, self._place(place.number))
 
 
 class PieceScheduler:
