Do not take a slow caller for a stall of the upstream

Found by reading the change: the time in which a part waits for its caller counted as silence of the upstream, and a stream whose next events had arrived meanwhile was cut. The test failed before.

--- a/marigoldtrail/relay/attempt.py
+++ b/marigoldtrail/relay/attempt.py
@@ -243,12 +243,13 @@
                 cutter.drop_rest()
                 return conn.failure(Reason.BAD_ANSWER, "an event without end")
             if events:
-                stall.note_progress(self._timers.now())
                 if exchange.first_event_at is None:
                     exchange.note_first_event(self._timers.now())
                     self._on_first_event(exchange)
                 counted.end()
                 await caller.send_part(events)
+                # A caller that reads slowly is no stall of the upstream.
+                stall.note_progress(self._timers.now())
         rest = cutter.drop_rest()
         if rest:
             await caller.send_part(rest)
--- a/marigoldtrail/relay/tests/test_faulty_upstreams.py
+++ b/marigoldtrail/relay/tests/test_faulty_upstreams.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from marigoldtrail.relay.caller import CallerConnection
 from marigoldtrail.relay.events import MAX_EVENT_BYTES, EventCutter
 from marigoldtrail.relay.tests.helpers import Bed, answer, read_request, replying, request
 from marigoldtrail.relay.tests.test_relay import EVENTS, STREAM_HEAD, chunk
@@ -238,6 +239,27 @@
     assert data.endswith(b"0\r\n\r\n")
 
 
+async def test_slow_caller_is_no_stall_of_the_upstream(autojump_clock, nursery, monkeypatch):
+    """Guards against a sound stream that is cut since its caller reads slowly."""
+    send_part = CallerConnection.send_part
+
+    async def send_slowly(self, data):
+        await trio.sleep(3)
+        await send_part(self, data)
+
+    async def whole(stream):
+        await read_request(stream)
+        await stream.send_all(STREAM_HEAD + chunk(EVENTS[0]))
+        await trio.sleep(0.1)
+        await stream.send_all(b"".join(map(chunk, EVENTS[1:])) + b"0\r\n\r\n")
+
+    monkeypatch.setattr(CallerConnection, "send_part", send_slowly)
+    bed = Bed(nursery, RouteKind.STREAMING, timeout_s=60.0, max_gap_s=0.2)
+    await bed.start(whole)
+    data = await bed.ask(request(method="POST", body=b"b", headers=("X-Deadline-Ms: 40000",)))
+    assert data.endswith(b"0\r\n\r\n")
+
+
 async def test_answer_without_id_on_a_used_connection_is_not_taken(autojump_clock, nursery):
     """Guards against a late copy of an answer that can't be told from the next one."""
     copy = b"HTTP/1.1 200 OK\r\nx-response-seal: s\r\ncontent-length: 3\r\n\r\none"
