Count no capacity for calls that are overdue, and do not take a dark upstream for a slow one

A call that is given up set the speed of its upstream to a sixth, so that it stood idle long after it was back, and until then it counted as capacity for admission.

--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -359,8 +359,6 @@
             scheduler.pause(worker, BUSY_PAUSE_S, now)
             worker.close(failure.retry_after_s, now)
         else:
-            if failure.reason is Reason.TIMEOUT:
-                worker.note_speed(CALL_PATIENCE, now)
             scheduler.eject(worker, now)
         _log.warning(
             "pieces failed: %s",
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -311,10 +311,14 @@
         gone = (now - worker.other_since) / ROOM_MEMORY_S
         return worker.other_bytes * max(0.0, 1 - gone)
 
+    @staticmethod
+    def _is_overdue(worker: Worker, now: float) -> bool:
+        """Tell whether a worker has become slow or is gone, so that its call may end at any time."""
+        return worker.is_busy and now > worker.busy_until + OVERDUE_S
+
     def _done_in_s(self, worker: Worker, count: int, now: float) -> float:
         """Return the seconds in which a worker would be done with pieces given to it next."""
-        if worker.is_busy and now > worker.busy_until + OVERDUE_S:
-            # It has become slow or is gone; nobody knows when its call will end.
+        if self._is_overdue(worker, now):
             return float("inf")
         wait_s = max(0.0, worker.busy_until - now) if worker.is_busy else 0.0
         return wait_s + self.duration_s(worker, count, now)
@@ -429,7 +433,11 @@
         Calls fill up as soon as work waits; the time of a piece in the small calls of an ordinary
         minute would say that a service is full while it could do twice as much.
         """
-        workers = [w for w in self.workers.values() if w.paused_until <= now]
+        workers = [
+            worker
+            for worker in self.workers.values()
+            if worker.paused_until <= now and not self._is_overdue(worker, now)
+        ]
         if not workers:
             return float("inf") if not self.workers else EJECTION_S
         speed = sum(1 / worker.slowness_at(now) for worker in workers)
--- a/marigoldtrail/pieces/tests/test_runner.py
+++ b/marigoldtrail/pieces/tests/test_runner.py
@@ -304,3 +304,25 @@
     assert len(upstreams.worker().unread) == 40
     await trio.sleep(SPEC.keep_s + 0.3)
     assert not upstreams.worker().unread and not len(upstreams.runner._results)
+
+
+async def test_upstream_that_was_dark_is_not_taken_for_a_slow_one(autojump_clock, nursery):
+    """Guards against an upstream that is left idle for seconds after it has come back."""
+    upstreams = Upstreams(nursery, count=2)
+    is_dark = True
+
+    async def run(upstream, pieces, lefts):
+        upstreams.calls.append((upstream.name, len(pieces)))
+        if is_dark and upstream.name == upstreams.calls[0][0]:
+            await trio.sleep_forever()
+        results = upstreams.results(pieces)
+        await trio.sleep(WORK_S)
+        return results
+
+    upstreams.runner._call = PieceCall(run=run, free=upstreams.free)
+    job = await upstreams.work("one", 2)
+    assert all(job.handles)
+    await trio.sleep(3)
+    is_dark = False
+    worker = upstreams.worker(upstreams.calls[0][0])
+    assert worker.failures == 1 and worker.slowness_at(trio.current_time()) == 1.0
--- a/marigoldtrail/pieces/tests/test_scheduler.py
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -285,6 +285,18 @@
     assert late_s > 0
 
 
+def test_upstream_whose_call_is_overdue_is_no_capacity():
+    """Guards against requests that are taken on for an upstream which does not answer any more."""
+    scheduler = make_scheduler("a", "a")
+    hanging = scheduler.workers["w1"]
+    scheduler.planned[0] += 12
+    before_s = scheduler.backlog_s(0.0, 0)
+    hanging.is_busy, hanging.busy_until = True, 0.2
+    assert scheduler.backlog_s(0.2, 0) == before_s
+    assert scheduler.backlog_s(1.0, 0) == 2 * before_s
+    assert scheduler.total_backlog_s(1.0) == 2 * before_s
+
+
 def test_chain_of_stages_takes_the_sum_of_their_times():
     """Guards against a chain that is taken for one stage, and so begins too late."""
     stages = [
