--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -313,7 +313,7 @@
 
     @staticmethod
     def _is_overdue(worker: Worker, now: float) -> bool:
-        """Tell whether a worker has become slow or is gone, so that its call may end at any time."""
+        """Tell whether a call takes so long that its worker may be slow or gone."""
         return worker.is_busy and now > worker.busy_until + OVERDUE_S
 
     def _done_in_s(self, worker: Worker, count: int, now: float) -> float:
