--- a/marigoldtrail/pieces/placer.py
+++ b/marigoldtrail/pieces/placer.py
@@ -83,7 +83,8 @@
         Returns
         -------
         str
-            Data centre of the engine that has kept the prompt; empty if that is open.
+            Data centre of the engine that has kept the prompt, or of the home of the prompt; empty
+            if that is open.
         """
         board = self._board(request.engine_service)
         if board is None:
@@ -92,9 +93,10 @@
         prompt = chains(request.prompt)
         cached = {u.name: board.cached_tokens(u.name, prompt) for u in upstreams}
         best = max(upstreams, key=lambda u: cached[u.name], default=None)
-        if best is None or cached[best.name] < LONG_PROMPT_TOKENS:
-            return ""
-        return best.data_centre
+        if best is not None and cached[best.name] >= LONG_PROMPT_TOKENS:
+            return best.data_centre
+        home = find_prompt_home(prompt, [upstream.name for upstream in upstreams])
+        return next((u.data_centre for u in upstreams if u.name == home), "")
 
     def place(self, request: RunStages, bytes_in: dict[str, int], expires_at: float) -> str | None:
         """
@@ -158,11 +160,33 @@
     list of EngineOption
         The home counts as an engine that has kept the prompt, unless another one has.
     """
-    shared, tokens = prompt[-2] if len(prompt) > 1 else ("", 0)
-    if tokens < LONG_PROMPT_TOKENS or any(o.cached_tokens >= LONG_PROMPT_TOKENS for o in options):
+    if any(option.cached_tokens >= LONG_PROMPT_TOKENS for option in options):
+        return options
+    home = find_prompt_home(prompt, [option.name for option in options])
+    if home is None:
         return options
-    home = find_home(shared, [option.name for option in options])
+    _, tokens = prompt[-2]
     return [
         msgspec.structs.replace(option, cached_tokens=tokens) if option.name == home else option
         for option in options
     ]
+
+
+def find_prompt_home(prompt: Chains, names: list[str]) -> str | None:
+    """
+    Return the engine at which requests with a long shared prompt meet.
+
+    Parameters
+    ----------
+    prompt : list of (str, int)
+        Begins of the prompt; the last one belongs to the request alone.
+    names : list of str
+        Engines that may get the request.
+
+    Returns
+    -------
+    str or None
+        None if what is shared is short, or there are no engines.
+    """
+    shared, tokens = prompt[-2] if len(prompt) > 1 else ("", 0)
+    return find_home(shared, names) if tokens >= LONG_PROMPT_TOKENS else None
--- a/marigoldtrail/pieces/tests/test_engines.py
+++ b/marigoldtrail/pieces/tests/test_engines.py
@@ -150,3 +150,15 @@
     placer = make_placer(*[engine(f"e{n}") for n in range(4)])
     chosen = [placer.place(ask(f"r{n}", SHARED, own(n, 9000)), {}, 100.0) for n in range(12)]
     assert len(set(chosen)) > 1
+
+
+async def test_results_are_made_near_the_home_of_the_prompt(autojump_clock):
+    """Guards against megabytes of results that each new prompt moves between data centres."""
+    engines = [engine(f"e{n}", data_centre=f"dc-{n % 4}") for n in range(8)]
+    places = {upstream.name: upstream.data_centre for upstream in engines}
+    for number in range(12):
+        placer = make_placer(*engines)
+        request = ask("r", PromptPart(part=f"shared-{number}", tokens=8000), own(number))
+        expected = placer.expected_data_centre(request)
+        assert places[placer.place(request, {}, 100.0)] == expected
+    assert make_placer(*engines).expected_data_centre(ask("short", own(1), own(2))) == ""
