--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -225,12 +225,11 @@
                 self._free_unread(worker)
 
     def _free_unread(self, worker: Worker) -> None:
-        if not worker.unread or worker.is_freeing or self._nursery is None:
+        if worker.is_freeing or self._nursery is None:
             return
+        worker.is_freeing = True
         handles = self._results.take_unread(worker)
-        if handles:
-            worker.is_freeing = True
-            self._nursery.start_soon(run_guarded, self._free_at, worker, handles)
+        self._nursery.start_soon(run_guarded, self._free_at, worker, handles)
 
     async def _free_at(self, worker: Worker, handles: list[str]) -> None:
         try:
