Return to a scheduler as soon as it answers, at all entries alike

Cause: each entry left a scheduler alone for 2.5 s from the moment at which it had lost it itself. Entries lose schedulers at different moments, so that after a loss of all of them each entry chose by a list of its own until the last of these times was over. Class of fault: a decision that the whole fleet has to share, taken from a timer of each host.

Now a lost scheduler is asked by pulses and used again with its first answer; if it is lost again within 5 s the first pulse comes later each time, so that a host on a bad link is not taken up and dropped by turns. test_entries_agree_on_a_scheduler_soon_after_all_were_gone failed before (two schedulers).

--- a/marigoldtrail/pieces/client.py
+++ b/marigoldtrail/pieces/client.py
@@ -18,14 +18,17 @@
     RunStages,
     StagesReply,
 )
-from marigoldtrail.timers import Timers
+from marigoldtrail.timers import Timers, run_guarded
 
 # All entries name the same scheduler, so that it sees the work of the whole fleet.
 SCHEDULER_KEY = "scheduler"
 PULSE_INTERVAL_S = 0.3
 PULSE_TIMEOUT_S = 0.45
-# A scheduler that has not answered is not asked for this time.
-SUSPECT_S = 2.5
+# A scheduler that was lost is not asked until it answers a pulse: the first one after this time,
+# twice as long for each further loss within the given time.
+FIRST_PROBE_S = 0.3
+LONGEST_PROBE_S = 2.4
+REPEATED_LOSS_S = 5.0
 NOTE_TIMEOUT_S = 1.0
 PAUSE_S = 0.05
 ANSWER_S = 0.2
@@ -65,6 +68,38 @@
         self.askers: set[str] = set()
 
 
+class LostScheduler:
+    """
+    A scheduler that did not answer at some time.
+
+    Attributes
+    ----------
+    probe_after_s : float
+        Seconds from the loss to the first pulse that may bring it back.
+    lost_at : float
+        Monotonic time in seconds of the last loss.
+    is_lost : bool
+        Whether it has not answered since.
+    """
+
+    __slots__ = ("probe_after_s", "lost_at", "is_lost")
+
+    def __init__(self) -> None:
+        self.probe_after_s = FIRST_PROBE_S
+        self.lost_at = float("-inf")
+        self.is_lost = False
+
+    def note_loss(self, now: float) -> None:
+        """Note that it did not answer at a monotonic time in seconds."""
+        is_repeated = now < self.lost_at + REPEATED_LOSS_S
+        if is_repeated:
+            self.probe_after_s = min(2 * self.probe_after_s, LONGEST_PROBE_S)
+        else:
+            self.probe_after_s = FIRST_PROBE_S
+        self.lost_at = now
+        self.is_lost = True
+
+
 class PieceClient:
     """
     Runs the stages of requests through the scheduler on a control host.
@@ -90,7 +125,7 @@
         "_timers",
         "_nursery",
         "_names",
-        "_suspects",
+        "_lost",
         "_calls",
     )
 
@@ -109,7 +144,7 @@
         self._timers = timers
         self._nursery = nursery
         self._names = PeerNames()
-        self._suspects: dict[str, float] = {}
+        self._lost: dict[str, LostScheduler] = {}
         # Calls in progress at each scheduler, cancelled when it stops answering.
         self._calls: dict[str, set[trio.CancelScope]] = {}
 
@@ -122,12 +157,19 @@
         str or None
             The same for all entries while they know of the same failures; None without any.
         """
-        now = self._timers.now()
-        hosts = [h.peer_address for h in self._picture.hosts if h.role == "control"]
-        hosts = hosts or self._seeds
-        alive = [host for host in hosts if self._suspects.get(host, 0.0) <= now]
+        hosts = self._hosts()
+        alive = [host for host in hosts if not self._is_lost(host)]
         return find_home(SCHEDULER_KEY, alive or hosts)
 
+    def _hosts(self) -> list[str]:
+        """Return the control hosts that may schedule pieces."""
+        hosts = [h.peer_address for h in self._picture.hosts if h.role == "control"]
+        return hosts or self._seeds
+
+    def _is_lost(self, host: str) -> bool:
+        lost = self._lost.get(host)
+        return lost is not None and lost.is_lost
+
     async def run(self, work: StageWork) -> Failure | None:
         """
         Run all stages.
@@ -153,6 +195,7 @@
             work.askers.add(host)
             reply = await self._call(host, work.request, left_s)
             if not isinstance(reply, Failure):
+                self._note_answer(host)
                 work.handles = tuple(reply.handles)
                 work.upstream = reply.upstream
                 return None
@@ -162,16 +205,45 @@
                 continue
             if reply.reason not in (Reason.UNREACHABLE, Reason.STOPPING):
                 break
-            self._suspect(host, str(reply))
+            self._note_loss(host, str(reply))
             await self._timers.sleep(PAUSE_S)
         return failure
 
-    def _suspect(self, host: str, why: str) -> None:
-        """Ask other schedulers for a while; logged once while it lasts."""
-        now = self._timers.now()
-        if self._suspects.get(host, 0.0) <= now:
-            _log.warning("scheduler lost: %s", why, extra={"subject": host})
-        self._suspects[host] = now + SUSPECT_S
+    def _note_loss(self, host: str, why: str) -> None:
+        """Ask other schedulers until this one answers again."""
+        if self._is_lost(host):
+            return
+        _log.warning("scheduler lost: %s", why, extra={"subject": host})
+        lost = self._lost.setdefault(host, LostScheduler())
+        lost.note_loss(self._timers.now())
+        self._nursery.start_soon(run_guarded, self._probe, host, lost)
+
+    async def _probe(self, host: str, lost: LostScheduler) -> None:
+        """
+        Bring a lost scheduler back as soon as it answers.
+
+        Entries lose a scheduler at different moments. If each left it alone for some time of its
+        own, their requests would be spread over several schedulers for as long.
+        """
+        await self._timers.sleep(lost.probe_after_s)
+        while lost.is_lost and host in self._hosts():
+            if not isinstance(await self._pulse(host), Failure):
+                self._note_answer(host)
+                return
+            await self._timers.sleep(PULSE_INTERVAL_S)
+        if lost.is_lost:
+            # It is no control host any more.
+            del self._lost[host]
+
+    def _note_answer(self, host: str) -> None:
+        if self._is_lost(host):
+            self._lost[host].is_lost = False
+            _log.info("scheduler found again", extra={"subject": host})
+
+    async def _pulse(self, host: str) -> PulseReply | Failure:
+        return await self._peers.call(
+            self._names[host], Pulse(), PulseReply, timeout_s=PULSE_TIMEOUT_S
+        )
 
     async def _call(self, host: str, request: RunStages, timeout_s: float) -> StagesReply | Failure:
         calls = self._calls.get(host)
@@ -196,11 +268,9 @@
             await self._timers.sleep(PULSE_INTERVAL_S)
             if not calls:
                 break
-            reply = await self._peers.call(
-                self._names[host], Pulse(), PulseReply, timeout_s=PULSE_TIMEOUT_S
-            )
+            reply = await self._pulse(host)
             if isinstance(reply, Failure):
-                self._suspect(host, str(reply))
+                self._note_loss(host, str(reply))
                 for scope in list(calls):
                     scope.cancel()
         del self._calls[host]
--- /dev/null
+++ b/marigoldtrail/pieces/tests/test_client.py
@@ -0,0 +1,83 @@
+"""The choice of a scheduler by entries, while control hosts go and come back."""
+
+import trio
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.pieces.client import PieceClient, StageWork
+from marigoldtrail.registry import FleetPicture
+from marigoldtrail.schema.generated.pieces import Pulse, PulseReply, RunStages, StagesReply
+from marigoldtrail.timers import Timers
+
+HOSTS = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"]
+WORK_S = 0.2
+# Callers are served by one scheduler again within this time (design, section 1.5).
+AGREED_S = 1.0
+
+
+class Hosts:
+    """Control hosts that work on stages, but for those that are down."""
+
+    def __init__(self):
+        self.down = set()
+        self.asked = []
+
+    async def call(self, address, request, reply_type, *, timeout_s):
+        host = f"{address.ip}:{address.port}"
+        if host in self.down:
+            await trio.sleep(min(timeout_s, 0.1))
+            return Failure(reason=Reason.UNREACHABLE, run_state=RunState.NOT_RUN, step="test")
+        if isinstance(request, Pulse):
+            return PulseReply()
+        self.asked.append((trio.current_time(), host))
+        await trio.sleep(WORK_S)
+        return StagesReply(handles=["h"], upstream="")
+
+
+def make_client(nursery, hosts):
+    timers = Timers(seed=1)
+    return PieceClient(
+        picture=FleetPicture(parse_document=lambda data: "", timers=timers),
+        peers=hosts,
+        timers=timers,
+        nursery=nursery,
+        seeds=HOSTS,
+    )
+
+
+async def ask(client):
+    """Have the stages of one request done."""
+    now = trio.current_time()
+    request = RunStages(request_id="r", stages=[], key="", left_ms=0, slack_ms=0, engine_service="")
+    return await client.run(StageWork(request=request, deadline=now + 6.0, due_at=now + 1.5))
+
+
+async def test_entries_agree_on_a_scheduler_soon_after_all_were_gone(autojump_clock, nursery):
+    """Guards against several schedulers at once, none of which knows of the others' calls."""
+    hosts = Hosts()
+    clients = [make_client(nursery, hosts) for _ in range(8)]
+    hosts.down = set(HOSTS)
+    for client in clients:
+        nursery.start_soon(ask, client)
+        await trio.sleep(0.23)
+    hosts.down = {HOSTS[0]}
+    await trio.sleep(0.17)
+    hosts.down = set()
+    await trio.sleep(AGREED_S)
+    hosts.asked.clear()
+    for _ in range(5):
+        for client in clients:
+            assert await ask(client) is None
+    assert len({host for _, host in hosts.asked}) == 1
+
+
+async def test_scheduler_that_is_down_is_not_asked(autojump_clock, nursery):
+    """Guards against requests that wait for a scheduler which is known to be down."""
+    hosts = Hosts()
+    client = make_client(nursery, hosts)
+    hosts.down = {client.scheduler()}
+    for _ in range(20):
+        started = trio.current_time()
+        assert await ask(client) is None
+        waited_s = trio.current_time() - started - WORK_S
+        assert waited_s < 0.2, trio.current_time()
+        await trio.sleep(0.3)
