Wait for the list of upstreams in place of refusing for want of it

Cause: a control host learns the configuration from its log and the upstreams from the leader's next reply. In between, a service without upstreams had an infinite backlog, which counted as overload. Class of fault: what is not known yet is taken for what is known to be so.

Now such a host keeps the request for up to 0.5 s until it is told, and then says that its view is not current, upon which the entry asks again. A service that is known to have no upstreams is refused at once as such, with a finite time. A change of the list counts for the next request, not 0.2 s later.

--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -181,6 +181,7 @@
         spec = found.pieces if found is not None else None
         if spec is None:
             return None
+        self._list_upstreams(self._timers.now())
         scheduler = self._schedulers.get(service)
         if scheduler is None:
             scheduler = self._schedulers[service] = PieceScheduler(spec=spec)
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 from collections.abc import Iterable
 
@@ -40,6 +41,10 @@
 # A result may be lost with its upstream; the stages are then run again from the start.
 MAX_RUNS = 3
 GONE = "gone"
+# A host that was not told of services or upstreams yet keeps a request for this time.
+VIEW_WAIT_S = 0.5
+# A new upstream is listed within this time.
+NO_UPSTREAM_RETRY_S = 1.0
 # From the choice of an engine to the time at which it has fetched its inputs.
 FETCH_S = 0.12
 
@@ -96,7 +101,7 @@
         Counts pieces.
     """
 
-    __slots__ = ("_host", "_timers", "_runner", "_placer", "_jobs")
+    __slots__ = ("_host", "_picture", "_timers", "_runner", "_placer", "_jobs")
 
     def __init__(
         self,
@@ -109,6 +114,7 @@
         metrics: Exposition,
     ) -> None:
         self._host = host
+        self._picture = picture
         self._timers = timers
         self._runner = PieceRunner(picture=picture, call=call, timers=timers, metrics=metrics)
         self._placer = EnginePlacer(picture=picture, timers=timers, rng=rng)
@@ -130,6 +136,7 @@
         await self._runner.run()
 
     async def _run_stages(self, request: RunStages, sender: str) -> StagesReply | Failure:
+        await self._wait_for_view(request)
         admitted = self._admit(request)
         if isinstance(admitted, Failure):
             return admitted
@@ -143,12 +150,31 @@
             self._runner.free_later(set(handles), FETCH_S, LARGE_RESULT_BYTES)
         return StagesReply(handles=handles, upstream=upstream or "")
 
+    async def _wait_for_view(self, request: RunStages) -> None:
+        """Wait until this host was told of all that a request needs, for some time at most."""
+        with trio.move_on_after(VIEW_WAIT_S):
+            while self._missing_view(request):
+                await self._picture.changed.wait()
+
+    def _missing_view(self, request: RunStages) -> str:
+        """Return what this host was not told yet; it has just started, or is a version behind."""
+        for stage in request.stages:
+            if not stage.count:
+                continue
+            scheduler = self._runner.scheduler(stage.service)
+            if scheduler is None:
+                return f"no piece service {stage.service!r} is known yet"
+            if not scheduler.workers and not self._picture.is_listed:
+                return "no upstreams are known yet"
+        return ""
+
     def _admit(self, request: RunStages) -> AdmittedRequest | Failure:
         """Take a request on, behind all others if it can't be on time, or refuse it."""
         started = self._timers.now()
+        missing = self._missing_view(request)
+        if missing:
+            return self._failure(Reason.VIEW_NOT_CURRENT, missing)
         work = self._measure(request)
-        if isinstance(work, Failure):
-            return work
         path = path_s(request.stages, work)
         on_time = can_be_on_time(work, path, request.slack_ms / 1000)
         if not on_time:
@@ -177,17 +203,13 @@
             _log.info("stages are run again", extra={"request_id": request_id})
         return graph.final_handles()
 
-    def _measure(self, request: RunStages) -> list[StageWork] | Failure:
+    def _measure(self, request: RunStages) -> list[StageWork]:
         """Return what each stage of a request has to wait for."""
-        work = []
-        for stage in request.stages:
-            scheduler = self._runner.scheduler(stage.service)
-            if scheduler is None and stage.count:
-                # This host has just started, or is a version behind.
-                detail = f"no piece service {stage.service!r} is known yet"
-                return self._failure(Reason.VIEW_NOT_CURRENT, detail)
-            work.append(stage_work(scheduler, stage, self._timers.now(), request.priority))
-        return work
+        now = self._timers.now()
+        return [
+            stage_work(self._runner.scheduler(stage.service), stage, now, request.priority)
+            for stage in request.stages
+        ]
 
     def _refuse(self, request: RunStages, work: list[StageWork], path: float) -> Failure | None:
         """Refuse a request whose stages can't be done in time."""
@@ -199,6 +221,8 @@
         )
         if late_s <= 0:
             return None
+        if math.isinf(late_s):
+            return self._refuse_without_upstreams(request)
         _log.info(
             "request refused",
             extra={
@@ -214,6 +238,22 @@
             Reason.OVERLOADED, "the stages can't be done in time", retry_after_s=late_s
         )
 
+    def _refuse_without_upstreams(self, request: RunStages) -> Failure:
+        _log.info(
+            "request refused",
+            extra={
+                "request_id": request.request_id,
+                "reason": "a service of its stages has no upstreams",
+                "left_ms": request.left_ms,
+                "retry_after_s": NO_UPSTREAM_RETRY_S,
+            },
+        )
+        return self._failure(
+            Reason.NO_UPSTREAM,
+            "a service of the stages has no upstreams",
+            retry_after_s=NO_UPSTREAM_RETRY_S,
+        )
+
     async def _run_graph(self, admitted: AdmittedRequest, graph: StageGraph) -> PieceJob | None:
         """Run all stages; return the job that failed, if one did."""
         finished: dict[int, PieceJob] = {}
--- /dev/null
+++ b/marigoldtrail/pieces/tests/test_service.py
@@ -0,0 +1,113 @@
+"""Stages of requests at a scheduler whose knowledge of the upstreams is incomplete."""
+
+import math
+import random
+
+import pytest
+import trio
+
+from marigoldtrail.errors import Failure, Reason
+from marigoldtrail.pieces import PieceCall, PieceResult, PieceService
+from marigoldtrail.registry import FleetPicture
+from marigoldtrail.routing import Limits, PieceSpec, RouteTable, Service, build_index
+from marigoldtrail.schema.generated.pieces import RunStages, StageRequest, StagesReply
+from marigoldtrail.schema.generated.registry import HostReportReply, UpstreamEntry
+from marigoldtrail.telemetry.exposition import Exposition
+from marigoldtrail.timers import Timers
+
+SPEC = PieceSpec(slots=1, queue=2, batch=4, call_s=0.15, item_s=0.03, room_bytes=0, keep_s=4.0)
+LEFT_S = 6.0
+
+
+class Scheduler:
+    """A scheduler on a control host that has just started, with the configuration in force."""
+
+    def __init__(self, nursery):
+        timers = Timers(seed=1)
+        self.picture = FleetPicture(parse_document=lambda data: "", timers=timers)
+        service = Service(name="board", max_connections=9, pieces=SPEC)
+        table = RouteTable(
+            version=1, routes=(), services=(service,), limits=Limits(), accounts=None
+        )
+        self.picture.routes = build_index(table)
+        self.service = PieceService(
+            host="c",
+            picture=self.picture,
+            call=PieceCall(run=self.run, free=self.free),
+            timers=timers,
+            rng=random.Random(1),
+            metrics=Exposition(),
+        )
+        nursery.start_soon(self.service.run)
+
+    async def run(self, upstream, pieces, lefts):
+        await trio.sleep(0.2)
+        return [PieceResult(handle=f"{piece.identity}") for piece in pieces]
+
+    async def free(self, upstream, handles):
+        pass
+
+    def list_upstreams(self, names):
+        """Take the list of upstreams from the leader."""
+        entries = [
+            UpstreamEntry(
+                upstream=name,
+                service="board",
+                address="10.0.0.1:1",
+                data_centre="a",
+                slots=1,
+                state="ready",
+                cold_ms=0,
+                born_ms=1,
+            )
+            for name in names
+        ]
+        reply = HostReportReply(term=1, revisions={}, upstreams=entries)
+        self.picture.apply(reply, sent_at=trio.current_time())
+
+    async def ask(self, *, slack_s=1.0, left_s=LEFT_S):
+        request = RunStages(
+            request_id="r",
+            stages=[StageRequest(service="board", count=1)],
+            key="k",
+            left_ms=round(left_s * 1000),
+            slack_ms=round(slack_s * 1000),
+            engine_service="",
+        )
+        return await self.service.handlers()[RunStages](request, "entry")
+
+
+async def test_request_waits_for_the_list_of_upstreams(autojump_clock, nursery):
+    """Guards against refusals by a scheduler that was not told of any upstreams yet."""
+    scheduler = Scheduler(nursery)
+
+    async def list_later():
+        await trio.sleep(0.3)
+        scheduler.list_upstreams(["board-0"])
+
+    nursery.start_soon(list_later)
+    reply = await scheduler.ask()
+    assert isinstance(reply, StagesReply) and len(reply.handles) == 1
+
+
+async def test_scheduler_that_is_told_of_no_upstreams_says_so(autojump_clock, nursery):
+    """Guards against a request that waits at a control host which the leader does not reach."""
+    scheduler = Scheduler(nursery)
+    started = trio.current_time()
+    reply = await scheduler.ask()
+    assert isinstance(reply, Failure) and reply.reason is Reason.VIEW_NOT_CURRENT
+    assert trio.current_time() - started < LEFT_S / 2
+
+
+@pytest.mark.parametrize("slack_s", [1.0, -1.0])
+async def test_service_without_upstreams_is_refused_with_a_finite_time(
+    autojump_clock, nursery, slack_s
+):
+    """Guards against a caller that is told to come back after an infinite time."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams([])
+    started = trio.current_time()
+    reply = await scheduler.ask(slack_s=slack_s)
+    assert isinstance(reply, Failure) and reply.reason is Reason.NO_UPSTREAM
+    assert trio.current_time() == started
+    assert 0 < reply.retry_after_s < math.inf
--- a/marigoldtrail/registry/picture.py
+++ b/marigoldtrail/registry/picture.py
@@ -45,6 +45,8 @@
         Configuration in force; None before the first one is known.
     upstreams : dict
         Upstreams by name.
+    is_listed : bool
+        Whether a leader has told the upstreams since this process started.
     hosts : list of HostEntry
         Hosts that report to the leader; on entries only control hosts.
     turn : float
@@ -62,6 +64,7 @@
     __slots__ = (
         "routes",
         "upstreams",
+        "is_listed",
         "hosts",
         "turn",
         "data_centres",
@@ -82,6 +85,7 @@
     def __init__(self, *, parse_document: ParseDocument, timers: Timers) -> None:
         self.routes: RouteIndex | None = None
         self.upstreams: dict[str, Upstream] = {}
+        self.is_listed = False
         self.hosts: list[HostEntry] = []
         self.turn = 0.0
         self._entry_count = 0
@@ -230,6 +234,7 @@
                 "upstream %s", "listed" if name in upstreams else "gone", extra={"upstream": name}
             )
         self.upstreams = upstreams
+        self.is_listed = True
         self._told_leaving = {
             name: born_ms
             for name, born_ms in self._told_leaving.items()
