Log the decision to defer a request, with what decided it

Late answers of the least urgent kind could not be told apart: deferred when they arrived, or behind what was planned.

--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -181,6 +181,7 @@
             refusal = self._refuse(request, work, path)
             if refusal is not None:
                 return refusal
+            self._note_deferral(request, work, path)
         return AdmittedRequest(
             request=request,
             work=work,
@@ -189,6 +190,20 @@
             is_deferred=not on_time,
         )
 
+    @staticmethod
+    def _note_deferral(request: RunStages, work: list[StageWork], path: float) -> None:
+        _log.info(
+            "request deferred",
+            extra={
+                "request_id": request.request_id,
+                "rank": request.priority,
+                "path_s": round(path, 2),
+                "backlog_s": [round(item.backlog_s, 2) for item in work],
+                "slack_ms": request.slack_ms,
+                "left_ms": request.left_ms,
+            },
+        )
+
     async def _run_until_whole(self, admitted: AdmittedRequest) -> list[str] | Failure:
         """Run all stages, again if results were lost; return the handles of the last ones."""
         for run in range(1, MAX_RUNS + 1):
