Let results make room once an engine has read them, also for streams that may be resumed

Cause: the results of a stream that may be resumed were kept until the stream ended (0.56 s after its stages on average, its first event came after 0.22 s), in case that it has to go on elsewhere. Class of fault: a scarce resource is held for a rare need that has another way out. The stages of such a stream can be run again: the engine says that an input is gone, and has not run the request.

Now results are unread for all streams from the first event on and are freed where room is short. A stream that has begun has until its deadline to have its stages run again; before, only until its caller's patience for a first event. NoteProgress loses the field that told the two kinds apart.

--- a/marigoldtrail/pieces/client.py
+++ b/marigoldtrail/pieces/client.py
@@ -275,23 +275,19 @@
                     scope.cancel()
         del self._calls[host]
 
-    def note_begin(self, work: StageWork, *, frees_results: bool) -> None:
-        """Tell the scheduler that the engine has read the prompt of a request."""
+    def note_begin(self, work: StageWork) -> None:
+        """Tell the scheduler that the engine has read the prompt and the results of a request."""
         for host in work.askers:
-            self._nursery.start_soon(
-                self._note, host, work.request.request_id, False, frees_results
-            )
+            self._nursery.start_soon(self._note, host, work.request.request_id, False)
 
     def note_end(self, work: StageWork) -> None:
         """Free the results of a request and drop what is still on its way."""
         askers, work.askers = work.askers, set()
         for host in askers:
-            self._nursery.start_soon(self._note, host, work.request.request_id, True, True)
+            self._nursery.start_soon(self._note, host, work.request.request_id, True)
 
-    async def _note(self, host: str, request_id: str, has_ended: bool, frees_results: bool) -> None:
-        request = NoteProgress(
-            request_id=request_id, has_ended=has_ended, frees_results=frees_results
-        )
+    async def _note(self, host: str, request_id: str, has_ended: bool) -> None:
+        request = NoteProgress(request_id=request_id, has_ended=has_ended)
         reply = await self._peers.call(
             self._names[host], request, ProgressNoted, timeout_s=NOTE_TIMEOUT_S
         )
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -367,12 +367,11 @@
 
     async def _note_progress(self, request: NoteProgress, sender: str) -> ProgressNoted:
         self._placer.note_progress(request.request_id, has_ended=request.has_ended)
-        if request.has_ended or request.frees_results:
-            handles: set[str] = set()
-            for job in self._jobs.pop(request.request_id, []):
-                job.fail("dropped")
-                handles.update(handle for handle in job.handles if handle)
-            self._runner.free(handles)
+        handles: set[str] = set()
+        for job in self._jobs.pop(request.request_id, []):
+            job.fail("dropped")
+            handles.update(handle for handle in job.handles if handle)
+        self._runner.free(handles)
         return ProgressNoted()
 
     async def _pulse(self, request: Pulse, sender: str) -> PulseReply:
--- a/marigoldtrail/pieces/tests/load.py
+++ b/marigoldtrail/pieces/tests/load.py
@@ -232,7 +232,7 @@
         if not isinstance(reply, Failure):
             await trio.sleep(ENGINE_S)
         await self.service.handlers()[NoteProgress](
-            NoteProgress(request_id=request_id, has_ended=True, frees_results=True), "e"
+            NoteProgress(request_id=request_id, has_ended=True), "e"
         )
         if isinstance(reply, Failure):
             return reply
--- a/marigoldtrail/pieces/tests/test_service.py
+++ b/marigoldtrail/pieces/tests/test_service.py
@@ -10,12 +10,27 @@
 from marigoldtrail.pieces import PieceCall, PieceResult, PieceService
 from marigoldtrail.registry import FleetPicture
 from marigoldtrail.routing import Limits, PieceSpec, RouteTable, Service, build_index
-from marigoldtrail.schema.generated.pieces import RunStages, StageRequest, StagesReply
+from marigoldtrail.schema.generated.pieces import (
+    NoteProgress,
+    RunStages,
+    StageRequest,
+    StagesReply,
+)
 from marigoldtrail.schema.generated.registry import HostReportReply, UpstreamEntry
 from marigoldtrail.telemetry.exposition import Exposition
 from marigoldtrail.timers import Timers
 
-SPEC = PieceSpec(slots=1, queue=2, batch=4, call_s=0.15, item_s=0.03, room_bytes=0, keep_s=4.0)
+RESULT_BYTES = 1000
+WORK_S = 0.2
+SPEC = PieceSpec(
+    slots=1,
+    queue=2,
+    batch=4,
+    call_s=0.15,
+    item_s=0.03,
+    room_bytes=5 * RESULT_BYTES,
+    keep_s=4.0,
+)
 LEFT_S = 6.0
 
 
@@ -41,7 +56,7 @@
         nursery.start_soon(self.service.run)
 
     async def run(self, upstream, pieces, lefts):
-        await trio.sleep(0.2)
+        await trio.sleep(WORK_S)
         return [PieceResult(handle=f"{piece.identity}") for piece in pieces]
 
     async def free(self, upstream, handles):
@@ -65,12 +80,12 @@
         reply = HostReportReply(term=1, revisions={}, upstreams=entries)
         self.picture.apply(reply, sent_at=trio.current_time())
 
-    async def ask(self, *, slack_s=1.0, left_s=LEFT_S):
+    async def ask(self, *, request_id="r", count=1, slack_s=1.0):
         request = RunStages(
-            request_id="r",
-            stages=[StageRequest(service="board", count=1)],
+            request_id=request_id,
+            stages=[StageRequest(service="board", count=count, result_bytes=RESULT_BYTES)],
             key="k",
-            left_ms=round(left_s * 1000),
+            left_ms=round(LEFT_S * 1000),
             slack_ms=round(slack_s * 1000),
             engine_service="",
         )
@@ -111,3 +126,16 @@
     assert isinstance(reply, Failure) and reply.reason is Reason.NO_UPSTREAM
     assert trio.current_time() == started
     assert 0 < reply.retry_after_s < math.inf
+
+
+async def test_results_make_room_once_the_engine_has_read_them(autojump_clock, nursery):
+    """Guards against results of streams in progress that keep the room which stages wait for."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    note = scheduler.service.handlers()[NoteProgress]
+    for number in range(3):
+        started = trio.current_time()
+        reply = await scheduler.ask(request_id=f"r{number}", count=SPEC.batch - 1)
+        assert isinstance(reply, StagesReply), reply
+        assert trio.current_time() - started < 2 * WORK_S
+        await note(NoteProgress(request_id=f"r{number}"), "entry")
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -339,9 +339,10 @@
         return budget
 
     def _note_first_event(self, exchange: Exchange) -> None:
-        # The engine has read its inputs once it generates; a resumed stream needs them again.
+        # The engine has read its inputs once it generates. Few streams are resumed elsewhere: their
+        # stages are run again if the results had to make room for others.
         if exchange.work is not None:
-            self._pieces.note_begin(exchange.work, frees_results=not exchange.may_run_again())
+            self._pieces.note_begin(exchange.work)
 
     def _no_upstream(self, exchange: Exchange) -> Failure:
         return Failure(
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -133,13 +133,13 @@
         self.last_upstream = ""
         self.first_event_at: float | None = None
         self.stages_done_at: float | None = None
-        self.scope = trio.CancelScope(deadline=self.begin_by)
         self.has_grant = False
+        self.scope = trio.CancelScope(deadline=self.begin_by)
 
     @property
     def begin_by(self) -> float:
         """Monotonic time in seconds until which a caller waits for the first event of a stream."""
-        if not self.is_stream:
+        if not self.is_stream or self.first_event_at is not None:
             return self.deadline
         return min(self.deadline, self.started + self.patience_s)
 
