Let jobs that read large results go first, and late ones wait whatever they read

Cause: a less urgent chain yielded at each stage. At its last one it yields while its 8 results of 60 kB take the room of the stage before, for 1.3 s and more, so that every call there is smaller, also for the requests that it yields to: a priority inversion over room. Late chains with a small result, on the other hand, went on among requests that could be on time, and filled the same room next.

Now a job that reads large results is taken in the order of its time alone, and a late job that reads small ones waits like one that reads none. The extra yield of late jobs that hold results is gone.

--- a/marigoldtrail/pieces/job.py
+++ b/marigoldtrail/pieces/job.py
@@ -7,9 +7,6 @@
 
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES
 
-# How much a request yields to others once it will be late.
-LATE_YIELD_S = 3.0
-
 
 class PieceJob:
     """
@@ -31,8 +28,8 @@
         Monotonic times in seconds: when the results are of no more use, and when the work must
         begin so that the request is not late.
     may_wait : bool
-        Whether the job may be put off once the request will be late anyway. Results that it would
-        read and that take much room speak against it.
+        Whether the job yields to more urgent ones, and to all others once the request will be late
+        anyway. Results that it would read and that take much room speak against it.
     is_deferred : bool
         Whether the request will be late in any case and comes after those that need not be.
     yield_s : float
@@ -113,13 +110,14 @@
         Return the place in the queue; the least is first.
 
         The results of a job that was divided take room until the rest is done, so that it comes
-        first. Requests that will be late anyway and hold no results yet come last: served in the
-        order of their times alone, all of them would be a little late in a burst. Those that hold
-        results yield for a while only, since results are not kept for long.
+        first. Requests that will be late anyway come last: served in the order of their times
+        alone, all of them would be a little late in a burst. A job that reads large results does
+        not yield to any other, since they take the room that the others wait for.
         """
-        is_late = self.may_wait and (self.is_deferred or now > self.start_by)
-        yield_s = self.yield_s + (LATE_YIELD_S if is_late else 0.0)
-        return not self.is_begun, is_late and not self.inputs, self.start_by + yield_s
+        if not self.may_wait:
+            return not self.is_begun, False, self.start_by
+        is_late = self.is_deferred or now > self.start_by
+        return not self.is_begun, is_late, self.start_by + self.yield_s
 
     @property
     def is_large(self) -> bool:
--- a/marigoldtrail/pieces/tests/test_scheduler.py
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -79,6 +79,25 @@
     assert taken(scheduler.plan(1.0)) == {"w0": ["on time"] * 4}
 
 
+def test_job_that_reads_large_results_does_not_yield():
+    """Guards against results of a less urgent request that keep the room which all wait for."""
+    scheduler = make_scheduler("a")
+    scheduler.add(make_job("urgent", 4, start_by=2.0))
+    holder = make_job("holder", 4, start_by=1.9, yield_s=1.0, is_deferred=True, may_wait=False)
+    scheduler.add(holder)
+    assert taken(scheduler.plan(1.0)) == {"w0": ["holder"] * 4}
+
+
+def test_late_request_that_reads_small_results_is_last():
+    """Guards against late requests that fill the room with the results of their next stage."""
+    scheduler = make_scheduler("a")
+    late = make_job("late", 4, start_by=0.0, is_deferred=True)
+    late.inputs = ["h"]
+    scheduler.add(late)
+    scheduler.add(make_job("on time", 4, start_by=3.5))
+    assert taken(scheduler.plan(1.0)) == {"w0": ["on time"] * 4}
+
+
 def test_job_is_not_divided_while_results_take_much_room():
     """Guards against results that fill the room while they wait for the rest of their stage."""
     scheduler = make_scheduler("a", "a")
