Free results for what waits also while their upstream works

Cause: results that nobody reads were freed from a quarter of the room on only while the upstream was idle; while it worked, from half of the room on.

Now the lower limit holds whenever work waits for the service, at most every 80 ms an upstream.

--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -36,7 +36,7 @@
 FREE_SHARE = 0.5
 FREE_NEEDED_SHARE = 0.25
 FREE_AT_ONCE_SHARE = 0.75
-FREE_INTERVAL_S = 0.15
+FREE_INTERVAL_S = 0.08
 
 _log = logging.getLogger(__name__)
 
@@ -164,7 +164,7 @@
             if scheduler.jobs and scheduler.spec.room_bytes:
                 # What waits may wait for their room.
                 for worker in scheduler.idle_workers(now):
-                    self._free_if_short(worker, is_needed=True)
+                    self._free_if_short(worker)
 
     def _list_upstreams(self, now: float) -> None:
         """Take over the list of upstreams if it has changed, and from time to time."""
@@ -212,14 +212,14 @@
         for handles in due:
             self.free(set(handles))
 
-    def _free_if_short(self, worker: Worker, *, is_needed: bool = False) -> None:
+    def _free_if_short(self, worker: Worker) -> None:
         """Free results that nobody reads if not much room is left for others."""
         scheduler = self._schedulers.get(worker.upstream.service)
-        room = scheduler.spec.room_bytes if scheduler is not None else 0
-        if not room or not worker.unread:
+        if scheduler is None or not scheduler.spec.room_bytes or not worker.unread:
             return
-        share = worker.own_bytes() / room
-        if share > (FREE_NEEDED_SHARE if is_needed else FREE_SHARE):
+        share = worker.own_bytes() / scheduler.spec.room_bytes
+        # What waits may wait for this room, also while the upstream works on another call.
+        if share > (FREE_NEEDED_SHARE if scheduler.jobs else FREE_SHARE):
             now = self._timers.now()
             if share > FREE_AT_ONCE_SHARE or now >= worker.freed_at + FREE_INTERVAL_S:
                 worker.freed_at = now
--- a/marigoldtrail/pieces/tests/test_runner.py
+++ b/marigoldtrail/pieces/tests/test_runner.py
@@ -1,5 +1,7 @@
 """Calls at the upstreams of stages, and the results that they keep."""
 
+from functools import partial
+
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
@@ -23,6 +25,7 @@
         self.answers = []
         self.calls = []
         self.freed = []
+        self.free_s = 0.0
         timers = Timers(seed=1)
         picture = FleetPicture(parse_document=lambda data: "", timers=timers)
         service = Service(name="s", max_connections=9, pieces=SPEC)
@@ -57,6 +60,7 @@
         return [PieceResult(handle=f"{call}/{p.job.request_id}-{p.index}") for p in pieces]
 
     async def free(self, upstream, handles):
+        await trio.sleep(self.free_s)
         self.freed += handles
 
     async def work(self, name, count=1, *, expires_s=10.0, size=1000):
@@ -175,6 +179,21 @@
     assert trio.current_time() - started < 2 * WORK_S
 
 
+async def test_room_is_made_for_what_waits_while_the_upstream_works(autojump_clock, nursery):
+    """Guards against calls that are half empty since results nobody reads are freed too late."""
+    upstreams = Upstreams(nursery)
+    upstreams.free_s = 0.01
+    first = await upstreams.work("first", 3, size=100_000)
+    nursery.start_soon(partial(upstreams.work, "second", 3, size=100_000))
+    await trio.sleep(WORK_S / 4)
+    for name in ("third", "fourth"):
+        nursery.start_soon(partial(upstreams.work, name, 2, size=150_000))
+    await trio.sleep(WORK_S / 4)
+    upstreams.runner.free(set(first.handles))
+    await trio.sleep(2 * WORK_S)
+    assert upstreams.calls[2] == ("w0", 4)
+
+
 async def test_results_are_not_freed_one_by_one_while_there_is_room(autojump_clock, nursery):
     """Guards against calls that free little and take the scheduler's time from those that work."""
     upstreams = Upstreams(nursery)
