--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -1,9 +1,11 @@
 """The soak: its checks find what they are for, its proxy disturbs, and one short seed holds."""
 
+import pytest
 import trio
 
 from bench.soak.__main__ import read_seeds
 from bench.soak.ledger import Attempt, Ledger, Run, seal_of
+from bench.soak.networks import claim_network
 from bench.soak.plan import make_plan
 from bench.soak.proxy import Proxy
 from bench.soak.run import run_seed
@@ -11,7 +13,6 @@
 
 SEED = 7
 SECONDS = 5.0
-NETWORK = "127.90"
 PLAN = {"control": ["c1", "c2"], "entries": ["e1"], "upstreams": ["u1"]}
 
 
@@ -116,7 +117,14 @@
     assert sum(fault.kind == "wipe" for fault in plans[0]) <= 1
 
 
-async def test_proxy_disturbs_connections():
+@pytest.fixture
+def network():
+    """Give a test loopback addresses that no other run on this machine uses."""
+    with claim_network() as claimed:
+        yield claimed
+
+
+async def test_proxy_disturbs_connections(network):
     """Guards against a proxy whose faults change nothing."""
     async with trio.open_nursery() as nursery:
         proxy = Proxy(nursery=nursery)
@@ -132,7 +140,7 @@
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         port = listeners[0].socket.getsockname()[1]
         nursery.start_soon(trio.serve_listeners, echo, listeners)
-        advertised = Address("127.91.0.1", 7001)
+        advertised = Address(f"{network}.0.1", 7001)
         await proxy.forward(advertised, Address("127.0.0.1", port))
 
         stream = await trio.open_tcp_stream(advertised.ip, advertised.port)
@@ -162,13 +170,21 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_short_seed_keeps_all_promises(tmp_path):
+async def test_short_seed_keeps_all_promises(network, tmp_path):
     """Guards against faults of the whole system with real processes, links and signals."""
-    outcome = await run_seed(SEED, SECONDS, network=NETWORK, folder=tmp_path)
+    outcome = await run_seed(SEED, SECONDS, network=network, folder=tmp_path)
     assert outcome.faults == []
     assert outcome.answers.total() > 0 and outcome.injected.total() > 0
 
 
+def test_runs_at_the_same_time_have_networks_of_their_own():
+    """Guards against addresses in use when the tests run twice on one machine."""
+    with claim_network() as one, claim_network() as other:
+        assert one != other
+    with claim_network() as again:
+        assert again in (one, other)
+
+
 def test_failed_seeds_are_kept_with_their_causes():
     """Guards against a list of seeds that can't be read."""
     assert all(seed >= 0 and seconds > 0 for seed, seconds in read_seeds())
