Keep the end of a run of stages from dropping the run that follows it

Cause: the entry told the scheduler of the end of the first run in a task of its own and asked for the second run at once, with the same id. The message about the end came second and dropped the jobs of the new run. Class of fault: two messages about one thing whose order matters, sent without an order.

--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -136,6 +136,8 @@
         await self._runner.run()
 
     async def _run_stages(self, request: RunStages, sender: str) -> StagesReply | Failure:
+        # An entry that asks again has no use for the results of its first try.
+        self._drop_jobs(request.request_id)
         await self._wait_for_view(request)
         admitted = self._admit(request)
         if isinstance(admitted, Failure):
@@ -367,12 +369,16 @@
 
     async def _note_progress(self, request: NoteProgress, sender: str) -> ProgressNoted:
         self._placer.note_progress(request.request_id, has_ended=request.has_ended)
+        self._drop_jobs(request.request_id)
+        return ProgressNoted()
+
+    def _drop_jobs(self, request_id: str) -> None:
+        """Free the results of a request, and drop what it still waits for."""
         handles: set[str] = set()
-        for job in self._jobs.pop(request.request_id, []):
+        for job in self._jobs.pop(request_id, []):
             job.fail("dropped")
             handles.update(handle for handle in job.handles if handle)
         self._runner.free(handles)
-        return ProgressNoted()
 
     async def _pulse(self, request: Pulse, sender: str) -> PulseReply:
         return PulseReply()
--- a/marigoldtrail/pieces/tests/test_service.py
+++ b/marigoldtrail/pieces/tests/test_service.py
@@ -139,3 +139,14 @@
         assert isinstance(reply, StagesReply), reply
         assert trio.current_time() - started < 2 * WORK_S
         await note(NoteProgress(request_id=f"r{number}"), "entry")
+
+
+async def test_stages_that_are_run_again_replace_their_first_results(autojump_clock, nursery):
+    """Guards against a second run that waits for the room which its first one has taken."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    for _ in range(2):
+        started = trio.current_time()
+        reply = await scheduler.ask(count=SPEC.batch - 1)
+        assert isinstance(reply, StagesReply), reply
+        assert trio.current_time() - started < 2 * WORK_S
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -146,8 +146,6 @@
             result = await self._try_upstreams(exchange)
             if not isinstance(result, Failure) or result.reason is not Reason.NOT_FOUND:
                 return result
-            if exchange.work is not None:
-                self._pieces.note_end(exchange.work)
         return result
 
     async def _run_stages(self, exchange: Exchange) -> Failure | None:
@@ -155,11 +153,16 @@
         has_pieces = bool(exchange.route.stages) and any(exchange.facts.piece_counts)
         if not has_pieces and exchange.service.engine is None:
             return None
-        exchange.work = StageWork(
+        work = StageWork(
             request=self._stage_request(exchange),
             deadline=exchange.begin_by - self._reading_s(exchange),
             due_at=exchange.due_at - self._reading_s(exchange),
         )
+        if exchange.work is not None:
+            # The schedulers of an earlier run are told of the end with all others. Told now, they
+            # could take it for the end of the run that begins.
+            work.askers |= exchange.work.askers
+        exchange.work = work
         if has_pieces:
             failure = await self._pieces.run(exchange.work)
             exchange.stages_done_at = self._timers.now()
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -75,7 +75,7 @@
         peers = PeerClient(network=endpoint, host="entry", nursery=nursery)
         self.board = UpstreamBoard(picture=self.picture, data_centre="a", timers=self.timers)
         rng, metrics = random.Random(1), Exposition()
-        dispatcher = Dispatcher(
+        self.dispatcher = Dispatcher(
             data_centre="a",
             picture=self.picture,
             board=self.board,
@@ -94,7 +94,7 @@
             picture=self.picture,
             board=self.board,
             pool=self.pool,
-            dispatcher=dispatcher,
+            dispatcher=self.dispatcher,
             dialect=DIALECT,
             timers=self.timers,
             rng=rng,
