--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -138,7 +138,11 @@
 
     @property
     def begin_by(self) -> float:
-        """Monotonic time in seconds until which a caller waits for the first event of a stream."""
+        """
+        Monotonic time in seconds until which a caller waits for the answer to begin.
+
+        It is the deadline for what is no stream, and for a stream that has begun.
+        """
         if not self.is_stream or self.first_event_at is not None:
             return self.deadline
         return min(self.deadline, self.started + self.patience_s)
