Log the prompt of a request that was sent in vain, and tell a closed connection from a bad answer

The hypotheses on prompts that crash upstreams can't be told apart from the lines of today: `send failed` names neither the parts of the prompt nor the events that had come, and a connection that ended within an answer is `bad_answer` or `unreachable` by the place at which it ended. The line has `prompt` and `events` now, and the reason is `disconnected` in each case. The dispatch of requests is unchanged.

Lint, and the tests of relay, schema, api, errors and pieces pass.

--- a/marigoldtrail/api/problems.py
+++ b/marigoldtrail/api/problems.py
@@ -22,6 +22,7 @@
     Reason.UPSTREAM_ERROR: 502,
     Reason.BAD_ANSWER: 502,
     Reason.UNREACHABLE: 502,
+    Reason.DISCONNECTED: 502,
     Reason.DEADLINE: 504,
     Reason.TIMEOUT: 504,
     Reason.DISK_FULL: 507,
--- a/marigoldtrail/errors/failure.py
+++ b/marigoldtrail/errors/failure.py
@@ -33,6 +33,7 @@
     UPSTREAM_ERROR = "upstream_error"
     BAD_ANSWER = "bad_answer"
     UNREACHABLE = "unreachable"
+    DISCONNECTED = "disconnected"
     TIMEOUT = "timeout"
     NOT_LEADER = "not_leader"
     NO_QUORUM = "no_quorum"
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -262,6 +262,8 @@
                 "max_attempts": exchange.route.max_attempts,
                 "idempotent": exchange.route.is_idempotent,
                 "last_event": exchange.splitter.last_id,
+                "events": exchange.splitter.count,
+                "prompt": [part for part, _ in exchange.info.prefix],
                 "left_ms": round((exchange.deadline - self._timers.now()) * 1000),
                 "picture_age_ms": round(self._fleet_state.age_s() * 1000),
             },
--- a/marigoldtrail/relay/upstream_connection.py
+++ b/marigoldtrail/relay/upstream_connection.py
@@ -84,6 +84,7 @@
         "_is_sent",
         "_is_response_complete",
         "_is_closing",
+        "_is_closed_by_upstream",
     )
 
     def __init__(
@@ -109,6 +110,7 @@
         self._is_sent = False
         self._is_response_complete = True
         self._is_closing = False
+        self._is_closed_by_upstream = False
 
     def has_no_pending_input(self) -> bool:
         """Return whether the idle connection is open and has no unread data."""
@@ -220,13 +222,13 @@
                 if isinstance(event, h11.Response):
                     break
                 if not isinstance(event, h11.InformationalResponse):
-                    return self.make_failure(Reason.UNREACHABLE, "closed before the answer")
+                    return self.make_failure(Reason.DISCONNECTED, "closed before the answer")
             else:
                 return self.make_failure(Reason.BAD_ANSWER, "informational answers without end")
         except h11.RemoteProtocolError as exc:
-            return self.make_failure(Reason.BAD_ANSWER, str(exc))
+            return self._make_protocol_failure(exc)
         except STREAM_ERRORS as exc:
-            return self.make_failure(Reason.UNREACHABLE, str(exc) or type(exc).__name__)
+            return self.make_failure(Reason.DISCONNECTED, str(exc) or type(exc).__name__)
         headers = list(event.headers)
         info = self._header_codec.parse_response(event.status_code, headers)
         self.idle_limit_s = info.keep_alive_s
@@ -248,7 +250,7 @@
                 return self.make_failure(Reason.BAD_ANSWER, "a long answer to another request")
         if self._conn.their_state is not h11.DONE:
             return self.make_failure(
-                Reason.UNREACHABLE, "closed after an answer to another request"
+                Reason.DISCONNECTED, "closed after an answer to another request"
             )
         rest, is_closed = self._conn.trailing_data
         self._conn = make_client_state()
@@ -279,15 +281,15 @@
                 elif event is h11.NEED_DATA:
                     if parts:
                         break
-                    self._conn.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
+                    await self._receive()
                 else:
-                    return self.make_failure(Reason.UNREACHABLE, "closed within the answer")
+                    return self.make_failure(Reason.DISCONNECTED, "closed within the answer")
         except h11.RemoteProtocolError as exc:
             if parts:
                 return b"".join(parts)
-            return self.make_failure(Reason.BAD_ANSWER, str(exc))
+            return self._make_protocol_failure(exc)
         except STREAM_ERRORS as exc:
-            return self.make_failure(Reason.UNREACHABLE, str(exc) or type(exc).__name__)
+            return self.make_failure(Reason.DISCONNECTED, str(exc) or type(exc).__name__)
         return b"".join(parts)
 
     async def _next_event(self) -> object:
@@ -295,7 +297,17 @@
             event = self._conn.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._conn.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
+            await self._receive()
+
+    async def _receive(self) -> None:
+        data = bytes(await self._stream.receive_some(READ_BYTES))
+        self._is_closed_by_upstream = not data
+        self._conn.receive_data(data)
+
+    def _make_protocol_failure(self, exc: h11.RemoteProtocolError) -> Failure:
+        """Tell an answer that ended with its connection from one that is not valid."""
+        reason = Reason.DISCONNECTED if self._is_closed_by_upstream else Reason.BAD_ANSWER
+        return self.make_failure(reason, str(exc))
 
     def make_failure(self, reason: Reason, detail: str) -> Failure:
         """Return a failure of the current request."""
