Reproduce the prompt part that crashes upstreams in memory

A site of eight entries and nine engines in memory; each engine that begins to write an answer on one part of a prompt crashes and is back after 3 s under another name.

--- a/marigoldtrail/platform/standin.py
+++ b/marigoldtrail/platform/standin.py
@@ -35,12 +35,15 @@
         Request id, client account, and id of the last event that the caller received.
     inputs : tuple of str
         Handles of the results that the request reads.
+    prompt : tuple of str
+        Identities of the parts of the prompt.
     """
 
     request_id: str
     account: str
     resume_after: str
     inputs: tuple[str, ...]
+    prompt: tuple[str, ...]
 
 
 class ReceivedPiece(msgspec.Struct, kw_only=True, frozen=True):
@@ -102,11 +105,13 @@
 def read_received(headers: dict[str, str]) -> ReceivedRequest:
     """Return the content of the headers of a request at an upstream."""
     inputs = headers.get("x-inputs", "")
+    prompt = headers.get("x-prompt-prefix", "")
     return ReceivedRequest(
         request_id=headers.get("x-request-id", ""),
         account=headers.get("x-tenant", ""),
         resume_after=headers.get("last-event-id", ""),
         inputs=tuple(inputs.split(",")) if inputs else (),
+        prompt=tuple(part.partition(":")[0] for part in prompt.split(",") if part),
     )
 
 
--- a/marigoldtrail/platform/tests/standin.py
+++ b/marigoldtrail/platform/tests/standin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 
 import h11
@@ -41,6 +42,9 @@
 PORT = 7740
 KEY = "k-acme"
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
+PREFILL_S = 0.1
+# Time from the crash of an engine to its next start.
+RESTART_S = 3.0
 
 
 def config(version, **changes):
@@ -56,7 +60,7 @@
 class Site:
     """Control hosts, entries and the platform on an in-memory network."""
 
-    def __init__(self, nursery, *, seed=1, control=3, entries=2):
+    def __init__(self, nursery, *, seed=1, control=3, entries=2, engines=3):
         self.nursery = nursery
         self.network = MemoryNetwork(seed=seed)
         self.rng = random.Random(seed)
@@ -66,15 +70,24 @@
         self.disks = {ip: MemoryDisk(rng=self.rng) for ip in self.control}
         self.hosts = {}
         self.scopes = {}
+        self.engines = engines
         self.list = []
+        self.upstreams = 0
+        # Parts of prompts on which an engine crashes when it begins to write an answer.
+        self.deadly_parts = set()
+        self.deadly_arrivals = []
+        self.engine_crashes = []
+        self.engine_scopes = {}
         self.seen = []
         self.used_handles = set()
 
     async def start(self):
         await self.nursery.start(self._serve, LIST, self._answer_list)
         for number, dc in enumerate(DATA_CENTRES):
-            for service in ("desk", "llm", "board"):
+            for service in ("desk", "board"):
                 await self.add_upstream(f"{service}-{number}", service, dc)
+        for number in range(self.engines):
+            await self.add_upstream(f"llm-{number}", "llm", DATA_CENTRES[number % 3])
         for ip in self.control + self.entries:
             await self.start_host(ip, first_start=True)
 
@@ -83,15 +96,38 @@
         await serve_http(endpoint, address, handler, task_status=task_status)
 
     async def add_upstream(self, name, service, data_centre, *, state="ready"):
-        address = Address(f"10.1.{len(self.list)}.1", 8080)
+        address = Address(f"10.1.{self.upstreams}.1", 8080)
+        self.upstreams += 1
         entry = make_list_entry(name, service, str(address), data_centre, state=state)
-        self.list.append(entry)
+        await self.nursery.start(self._run_upstream, entry)
 
-        async def answer(request, reply):
-            self.seen.append((name, request))
-            await self._answer_upstream(name, entry, request, reply)
+    async def _run_upstream(self, entry, *, task_status):
+        """Serve an upstream; after a crash, serve it again under another name."""
+        address = Address.parse(entry["address"])
+        name = entry["id"]
+        for start in itertools.count(1):
+            self.list.append(entry)
 
-        await self.nursery.start(self._serve, address, answer)
+            async def answer(request, reply, entry=entry):
+                self.seen.append((entry["id"], request))
+                await self._answer_upstream(entry["id"], entry, request, reply)
+
+            with trio.CancelScope() as scope:
+                self.engine_scopes[entry["id"]] = scope
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(self._serve, address, answer)
+                    if start == 1:
+                        task_status.started()
+            self.network.reset_host(address.ip)
+            self.list.remove(entry)
+            await trio.sleep(RESTART_S)
+            entry = {**entry, "id": f"{name}-{start}"}
+
+    def _crash_engine(self, name):
+        scope = self.engine_scopes[name]
+        if not scope.cancel_called:
+            self.engine_crashes.append(trio.current_time())
+            scope.cancel()
 
     async def _answer_list(self, request, reply):
         await reply.send_json(200, build_page(self.list), {})
@@ -115,7 +151,14 @@
                 await reply.send_json(200, {"by": name}, headers)
                 return
             self.used_handles.update(received.inputs)
+            is_deadly = not self.deadly_parts.isdisjoint(received.prompt[:-1])
+            if is_deadly:
+                self.deadly_arrivals.append(trio.current_time())
             await reply.start_stream(headers)
+            await trio.sleep(PREFILL_S)
+            if is_deadly:
+                self._crash_engine(name)
+                await trio.sleep_forever()
             for number in range(3):
                 await trio.sleep(0.02)
                 await reply.send_event(b"%d" % number)
