--- a/marigoldtrail/errors/failure.py
+++ b/marigoldtrail/errors/failure.py
@@ -27,6 +27,7 @@
     DRAINING = "draining"
     OUT_OF_SERVICE = "out_of_service"
     OVERLOADED = "overloaded"
+    QUARANTINED = "quarantined"
     DEADLINE = "deadline"
     NO_UPSTREAM = "no_upstream"
     NO_SLOT = "no_slot"
--- a/marigoldtrail/platform/tests/test_prompt_crashes.py
+++ b/marigoldtrail/platform/tests/test_prompt_crashes.py
@@ -38,8 +38,11 @@
             nursery.start_soon(self.send, label, *parts)
             await trio.sleep(interval_s)
 
-    def served_share(self, label, since):
-        statuses = [status for at, status in self.ended[label] if at >= since]
+    def statuses(self, label, since=0.0):
+        return [status for at, status in self.ended[label] if at >= since]
+
+    def served_share(self, label, since=0.0):
+        statuses = self.statuses(label, since)
         assert len(statuses) >= 20
         return statuses.count(200) / len(statuses)
 
@@ -52,8 +55,12 @@
     return sum(at > bound for at in site.deadly_arrivals)
 
 
-async def play(nursery, seconds, *streams, deadly=("bad",)):
-    """Play streams of requests, each (label, interval in seconds, parts)."""
+async def do_nothing(site):
+    """Disturb nothing."""
+
+
+async def play(nursery, seconds, *streams, deadly=("bad",), disturb=do_nothing):
+    """Play streams of requests, each (label, interval in seconds, parts), beside a disturbance."""
     site = await start_serving_site(nursery, entries=ENTRIES, engines=9)
     site.deadly_parts.update(deadly)
     traffic = Traffic(site)
@@ -61,19 +68,148 @@
         async with trio.open_nursery() as callers:
             for label, interval_s, *parts in streams:
                 callers.start_soon(traffic.repeat, callers, label, interval_s, *parts)
+            callers.start_soon(disturb, site)
     return site, traffic
 
 
+def find_leader(site):
+    return next(ip for ip in site.control if site.hosts[ip].groups["config"].is_leader)
+
+
+def held_parts(site):
+    """Return the quarantined parts that each entry knows."""
+    guards = [site.hosts[ip].components.fleet_state.prompts for ip in site.entries]
+    return [{part for held in guard._held for part in held.parts} for guard in guards]
+
+
+SOUND = ("sound", 0.1, "start")
+DEADLY = ("deadly", 0.4, "start", "bad")
+
+
 async def test_requests_with_a_part_that_crashes_upstreams_stop_reaching_them(
     autojump_clock, nursery
 ):
     """Guards against requests that crash one upstream after the other."""
-    site, traffic = await play(
-        nursery, 25, ("sound", 0.1, "start"), ("subject", 0.4, "start", "s"),
-        ("deadly", 0.4, "start", "bad"),
-    )  # fmt: skip
+    site, traffic = await play(nursery, 25, SOUND, ("subject", 0.4, "start", "s"), DEADLY)
     assert len(site.engine_crashes) >= 2
     assert count_late_arrivals(site) <= MAX_ARRIVALS
     since = site.engine_crashes[-1] + 2 * WINDOW_S if len(site.engine_crashes) < 5 else 0.0
     assert traffic.served_share("sound", since) >= 0.8
     assert traffic.served_share("subject", since) >= 0.8
+
+
+async def test_frequent_requests_that_crash_upstreams_are_stopped_within_the_window(
+    autojump_clock, nursery
+):
+    """Guards against crashes that come faster than hosts exchange what they have seen."""
+    site, traffic = await play(nursery, 25, SOUND, ("deadly", 0.05, "start", "bad"))
+    assert count_late_arrivals(site) <= MAX_ARRIVALS
+    assert traffic.served_share("sound", site.engine_crashes[0] + 8) >= 0.95
+
+
+async def test_refusal_of_a_quarantined_prompt_is_immediate_and_says_when_to_return(
+    autojump_clock, nursery
+):
+    """Guards against callers that wait in vain, and against stages run for them."""
+    site, traffic = await play(nursery, 4, SOUND, DEADLY)
+    calls = len(site.seen)
+    fields = [("x-prompt-prefix", "start:1,bad:1,own:1"), ("x-token-count", "3,3"),
+              ("x-pieces", "2,1"), ("x-piece-key", "pk")]  # fmt: skip
+    started = trio.current_time()
+    status, headers, body = await site.send_request("/ask/1", headers=fields, body=b"p")
+    assert status == 503 and b"bad" in body and trio.current_time() - started < 0.1
+    assert float(headers[b"retry-after"]) >= 1.0
+    assert len(site.seen) == calls
+
+
+async def test_quarantine_survives_the_leader_and_a_restarted_entry(autojump_clock, nursery):
+    """Guards against a new leader, or an entry without memory, that lets the part through."""
+
+    async def disturb(site):
+        await trio.sleep(6)
+        leader = find_leader(site)
+        await site.crash(leader)
+        await trio.sleep(3)
+        await site.start_host(leader)
+        await site.crash(site.entries[3])
+        await site.start_host(site.entries[3])
+
+    site, traffic = await play(nursery, 18, SOUND, DEADLY, disturb=disturb)
+    assert count_late_arrivals(site) <= MAX_ARRIVALS
+    assert len(site.engine_crashes) <= CRASHES_BEFORE_BOUND
+    assert held_parts(site) == [{"bad"}] * ENTRIES
+
+
+async def test_quarantine_survives_a_power_failure_of_all_control_hosts(autojump_clock, nursery):
+    """Guards against evidence that is gone with the hosts that pooled it."""
+
+    async def disturb(site):
+        await trio.sleep(6)
+        for ip in site.control:
+            await site.crash(ip)
+        await trio.sleep(2)
+        for ip in site.control:
+            await site.start_host(ip)
+
+    site, traffic = await play(nursery, 18, SOUND, DEADLY, disturb=disturb)
+    assert count_late_arrivals(site) <= MAX_ARRIVALS
+    assert len(site.engine_crashes) <= CRASHES_BEFORE_BOUND
+    assert held_parts(site) == [{"bad"}] * ENTRIES
+
+
+async def test_crashes_seen_while_there_is_no_leader_are_reported_to_the_next(
+    autojump_clock, nursery
+):
+    """Guards against evidence that is lost because no leader was there to receive it."""
+
+    async def disturb(site):
+        for ip in site.control:
+            await site.crash(ip)
+        await trio.sleep(3)
+        for ip in site.control:
+            await site.start_host(ip)
+
+    site, traffic = await play(nursery, 12, SOUND, DEADLY, disturb=disturb)
+    assert count_late_arrivals(site) <= MAX_ARRIVALS
+    assert held_parts(site) == [{"bad"}] * ENTRIES
+
+
+async def test_ordinary_crashes_beside_a_popular_part_quarantine_nothing(autojump_clock, nursery):
+    """Guards against refusals of sound prompts where upstreams crash for other reasons."""
+
+    async def disturb(site):
+        for number in itertools.count():
+            await trio.sleep(0.5)
+            site._crash_engine(list(site.engine_scopes)[-1 - number % 5])
+
+    site, traffic = await play(
+        nursery, 25, ("popular", 0.05, "start", "hot"), ("rare", 0.7, "start", "rare"),
+        deadly=(), disturb=disturb,
+    )  # fmt: skip
+    assert len(site.engine_crashes) >= 20
+    assert held_parts(site) == [set()] * ENTRIES
+    assert 503 not in traffic.statuses("rare")
+
+
+async def test_two_parts_that_crash_upstreams_are_both_stopped(autojump_clock, nursery):
+    """Guards against one crashing part that hides another."""
+    site, traffic = await play(
+        nursery, 25, SOUND, DEADLY, ("worse", 0.5, "start", "s", "worse"), ("s", 0.3, "start", "s"),
+        deadly=("bad", "worse"),
+    )  # fmt: skip
+    assert held_parts(site) == [{"bad", "worse"}] * ENTRIES
+    assert traffic.served_share("s", site.engine_crashes[0] + 6) >= 0.95
+    # Each part has its trials.
+    assert count_late_arrivals(site) <= 2 * MAX_ARRIVALS
+
+
+async def test_part_that_no_longer_crashes_upstreams_returns_to_service(autojump_clock, nursery):
+    """Guards against a part that is refused for ever, for example after a new release."""
+
+    async def disturb(site):
+        await trio.sleep(4)
+        site.deadly_parts.clear()
+
+    site, traffic = await play(nursery, 30, SOUND, DEADLY, disturb=disturb)
+    assert held_parts(site) == [set()] * ENTRIES
+    assert traffic.statuses("deadly")[-20:] == [200] * 20
--- /dev/null
+++ b/marigoldtrail/quarantine/__init__.py
@@ -0,0 +1,7 @@
+"""Quarantine of parts of prompts that crash the upstreams that answer them."""
+
+from marigoldtrail.quarantine.attempt import PromptAttempt
+from marigoldtrail.quarantine.evidence import PromptEvidence
+from marigoldtrail.quarantine.guard import PromptGuard
+
+__all__ = ["PromptAttempt", "PromptEvidence", "PromptGuard"]
--- /dev/null
+++ b/marigoldtrail/quarantine/attempt.py
@@ -0,0 +1,69 @@
+"""One attempt to get an answer on a prompt from an upstream."""
+
+from __future__ import annotations
+
+import trio
+
+from marigoldtrail.quarantine.guard import Prompt, PromptGuard
+
+# An upstream that has written two events has outlived the beginning of its answer.
+MIN_ANSWER_EVENTS = 2
+
+
+class PromptAttempt:
+    """
+    Tells the guard of a host whether an upstream answered a prompt or crashed.
+
+    Parameters
+    ----------
+    guard : PromptGuard
+        Guard of the host.
+    prompt : tuple of (str, int)
+        Parts of the prompt.
+    upstream : str
+        The upstream.
+    is_trial : bool
+        Whether the request is sent although its prompt is quarantined.
+
+    Attributes
+    ----------
+    scope : trio.CancelScope
+        Cancelled if the prompt is quarantined before the answer is under way.
+    """
+
+    __slots__ = ("scope", "_guard", "_prompt", "_upstream", "_events", "_is_answered")
+
+    def __init__(
+        self, *, guard: PromptGuard, prompt: Prompt, upstream: str, is_trial: bool
+    ) -> None:
+        self.scope = trio.CancelScope()
+        self._guard = guard
+        self._prompt = prompt
+        self._upstream = upstream
+        self._events = 0
+        self._is_answered = False
+        if not is_trial:
+            guard.watch(prompt, self.scope)
+
+    def count_events(self, count: int) -> None:
+        """Count events of the answer."""
+        self._events += count
+        if self._events >= MIN_ANSWER_EVENTS:
+            self.record_answer()
+
+    def record_answer(self) -> None:
+        """Record that the answer is under way or complete; further calls have no effect."""
+        if self._is_answered:
+            return
+        self._is_answered = True
+        self._guard.unwatch(self.scope)
+        self._guard.record_answer(self._prompt)
+
+    def record_disconnect(self) -> None:
+        """Record that the upstream closed the connection before the end of its answer."""
+        if not self._is_answered:
+            self._guard.record_crash(self._upstream, self._prompt)
+
+    def end(self) -> None:
+        """Stop watching the request."""
+        self._guard.unwatch(self.scope)
--- /dev/null
+++ b/marigoldtrail/quarantine/evidence.py
@@ -0,0 +1,434 @@
+"""
+Evidence of the whole fleet on parts of prompts that crash upstreams; kept by the leader.
+
+A crash is blamed on the parts of the requests that had no answer yet: those that wait or are about
+to be answered. One answer on a part that is under way after a crash clears the part of it.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from collections.abc import Iterable
+
+from marigoldtrail.schema.generated.registry import PartAnswer, PromptCrash, PromptQuarantine
+
+# Failures at one upstream within this time belong to the same crash.
+CRASH_SPREAD_S = 1.0
+# Crashes within this time may have a common cause and count as one.
+COMMON_CAUSE_S = 0.25
+MAX_CRASHES = 256
+MAX_CRASH_AGE_S = 600.0
+# Crashes beside a part on which no upstream ever wrote an answer.
+MIN_CRASHES = 2
+# Crashes beside a part that was answered before, and has not been since the first of them.
+MIN_CRASHES_ANSWERED = 5
+# The crashes of a single request that is sent again count as evidence from this number on.
+MIN_CRASHES_OF_ONE_REQUEST = 4
+# Time for all hosts to report answers on a suspect part.
+REVIEW_S = 0.3
+MAX_QUARANTINES = 64
+QUARANTINE_EXPIRY_S = 3600.0
+# Delays before a request with a quarantined part is sent as a trial; the last one is repeated. The
+# first is left out if the evidence is strong.
+TRIAL_DELAYS_S = (5.0, 20.0, 1800.0)
+
+_log = logging.getLogger(__name__)
+
+
+class Crash:
+    """
+    Crash of one upstream.
+
+    Parameters
+    ----------
+    upstream : str
+        The upstream.
+    at : float
+        Monotonic time in seconds.
+
+    Attributes
+    ----------
+    requests : dict
+        Parts of the prompt of each request that had no answer yet, by its last part.
+    """
+
+    __slots__ = ("upstream", "at", "requests")
+
+    def __init__(self, *, upstream: str, at: float) -> None:
+        self.upstream = upstream
+        self.at = at
+        self.requests: dict[str, frozenset[str]] = {}
+
+    def is_explained_by(self, parts: frozenset[str]) -> bool:
+        """Return whether a request with all of these parts was at the upstream."""
+        return any(parts <= prompt for prompt in self.requests.values())
+
+
+class Quarantine:
+    """
+    Parts of a prompt that are held off.
+
+    Parameters
+    ----------
+    part : str
+        The part that names the quarantine.
+    parts : frozenset of str
+        This part, and those that could not be told apart from it.
+    last_crash_at : float
+        Monotonic time in seconds of the last crash on the part.
+    trials : int
+        Requests that were sent although they have the parts.
+    trial_at : float
+        Monotonic time in seconds from which the next one may be sent.
+    is_answered_before : bool
+        Whether upstreams had answered on the part before.
+    """
+
+    __slots__ = ("part", "parts", "last_crash_at", "trials", "trial_at", "is_answered_before")
+
+    def __init__(
+        self,
+        *,
+        part: str,
+        parts: frozenset[str],
+        last_crash_at: float,
+        trials: int,
+        trial_at: float,
+        is_answered_before: bool,
+    ) -> None:
+        self.part = part
+        self.parts = parts
+        self.last_crash_at = last_crash_at
+        self.trials = trials
+        self.trial_at = trial_at
+        self.is_answered_before = is_answered_before
+
+
+class PromptEvidence:
+    """
+    Crashes, answers and quarantines of one term of leadership.
+
+    Attributes
+    ----------
+    revision : int
+        Increases when the quarantines or the suspect parts change.
+    """
+
+    __slots__ = (
+        "revision",
+        "_crashes",
+        "_answered_at",
+        "_quarantines",
+        "_suspected_at",
+        "_has_news",
+    )
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._crashes: deque[Crash] = deque(maxlen=MAX_CRASHES)
+        # Time of the last answer on each part that stands beside a crash or is quarantined.
+        self._answered_at: dict[str, float] = {}
+        self._quarantines: dict[str, Quarantine] = {}
+        self._suspected_at: dict[str, float] = {}
+        # Whether something was recorded since the last review.
+        self._has_news = False
+
+    def record_crash(self, crash: PromptCrash, now: float) -> None:
+        """
+        Record a request at an upstream that crashed.
+
+        Parameters
+        ----------
+        crash : PromptCrash
+            The request, as reported by the entry that had sent it; it may be reported again.
+        now : float
+            Monotonic time in seconds.
+        """
+        at = now - crash.age_ms / 1000
+        known = self._find_crash(crash.upstream, at)
+        if known is None:
+            known = Crash(upstream=crash.upstream, at=at)
+            self._crashes.append(known)
+        known.requests[crash.request] = frozenset(crash.parts)
+        self._has_news = True
+
+    def _find_crash(self, upstream: str, at: float) -> Crash | None:
+        for crash in reversed(self._crashes):
+            if crash.upstream == upstream and abs(crash.at - at) <= CRASH_SPREAD_S:
+                return crash
+        return None
+
+    def record_answer(self, answer: PartAnswer, now: float) -> None:
+        """
+        Record an answer on a part, which clears it of earlier crashes.
+
+        Parameters
+        ----------
+        answer : PartAnswer
+            The answer.
+        now : float
+            Monotonic time in seconds.
+        """
+        at = now - answer.age_ms / 1000
+        if at <= self._answered_at.get(answer.part, float("-inf")):
+            return
+        self._answered_at[answer.part] = at
+        self._has_news = True
+        for quarantine in list(self._quarantines.values()):
+            if answer.part in quarantine.parts and self._is_cleared(quarantine, answer.part, at):
+                self._remove_part(quarantine, answer.part)
+
+    def _is_cleared(self, quarantine: Quarantine, part: str, answered_at: float) -> bool:
+        if answered_at > quarantine.last_crash_at:
+            return True
+        # Answers before the crashes are reported late; the part then needs more evidence.
+        return 0 < len(self._list_blamed(part)) < MIN_CRASHES_ANSWERED
+
+    def _remove_part(self, quarantine: Quarantine, part: str) -> None:
+        """Remove a part from a quarantine; lift the quarantine if no part is left."""
+        quarantine.parts -= {part}
+        if part == quarantine.part:
+            del self._quarantines[part]
+            if quarantine.parts:
+                quarantine.part = min(quarantine.parts)
+                self._quarantines[quarantine.part] = quarantine
+        _log.info(
+            "quarantine of a prompt part lifted",
+            extra={"subject": part, "parts": sorted(quarantine.parts)},
+        )
+        self.revision += 1
+
+    def adopt(self, quarantine: PromptQuarantine, now: float) -> None:
+        """
+        Take over a quarantine that a leader of an earlier term has told to a host.
+
+        Parameters
+        ----------
+        quarantine : PromptQuarantine
+            The quarantine.
+        now : float
+            Monotonic time in seconds.
+        """
+        known = self._quarantines.get(quarantine.part)
+        trial_at = now + quarantine.trial_after_ms / 1000
+        if known is None:
+            self._add(
+                Quarantine(
+                    part=quarantine.part,
+                    parts=frozenset(quarantine.parts),
+                    last_crash_at=now - quarantine.age_ms / 1000,
+                    trials=quarantine.trials,
+                    trial_at=trial_at,
+                    is_answered_before=quarantine.is_answered_before,
+                )
+            )
+        elif quarantine.trials > known.trials:
+            known.trials, known.trial_at = quarantine.trials, trial_at
+            self.revision += 1
+
+    def _add(self, quarantine: Quarantine) -> None:
+        self._quarantines[quarantine.part] = quarantine
+        while len(self._quarantines) > MAX_QUARANTINES:
+            self._forget(min(self._quarantines.values(), key=lambda item: item.last_crash_at))
+        self.revision += 1
+
+    def _forget(self, quarantine: Quarantine) -> None:
+        """Drop a quarantine and its crashes, which would be reason for it again."""
+        del self._quarantines[quarantine.part]
+        kept = [crash for crash in self._crashes if not crash.is_explained_by(quarantine.parts)]
+        self._crashes = deque(kept, maxlen=MAX_CRASHES)
+
+    def review(self, now: float) -> None:
+        """
+        Forget what is old, and quarantine parts that hosts had time to clear.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        self._expire(now)
+        if not self._has_news and not self._suspected_at:
+            return
+        self._has_news = False
+        for quarantine in self._quarantines.values():
+            self._note_crashes(quarantine)
+        while True:
+            blamed = self._find_suspects()
+            self._update_suspects(blamed, now)
+            part = min(blamed, key=lambda name: self._rank(name, blamed[name]), default=None)
+            if part is None or now - self._suspected_at[part] < REVIEW_S:
+                return
+            self._quarantine(part, blamed[part], now)
+
+    def _expire(self, now: float) -> None:
+        while self._crashes and self._crashes[0].at < now - MAX_CRASH_AGE_S:
+            self._crashes.popleft()
+        for part, quarantine in list(self._quarantines.items()):
+            if quarantine.last_crash_at < now - QUARANTINE_EXPIRY_S:
+                del self._quarantines[part]
+                self.revision += 1
+        if len(self._answered_at) > 8 * MAX_CRASHES:
+            beside = {part for crash in self._crashes for part in join(crash.requests.values())}
+            beside |= join(quarantine.parts for quarantine in self._quarantines.values())
+            self._answered_at = {p: at for p, at in self._answered_at.items() if p in beside}
+
+    def _note_crashes(self, quarantine: Quarantine) -> None:
+        for crash in self._crashes:
+            if crash.is_explained_by(quarantine.parts):
+                quarantine.last_crash_at = max(quarantine.last_crash_at, crash.at)
+
+    def _find_suspects(self) -> dict[str, list[Crash]]:
+        """Return the parts with enough evidence, and the crashes that they are blamed for."""
+        held = [quarantine.parts for quarantine in self._quarantines.values()]
+        blamed: dict[str, list[Crash]] = {}
+        for crash in self._crashes:
+            if any(crash.is_explained_by(parts) for parts in held):
+                continue
+            for part in join(crash.requests.values()):
+                if crash.at > self._answered_at.get(part, float("-inf")):
+                    blamed.setdefault(part, []).append(crash)
+        return {part: found for part, found in blamed.items() if self._is_suspect(part, found)}
+
+    def _list_blamed(self, part: str) -> list[Crash]:
+        """Return the crashes since the last answer on a part at which a request had it."""
+        since = self._answered_at.get(part, float("-inf"))
+        return [c for c in self._crashes if c.at > since and c.is_explained_by(frozenset((part,)))]
+
+    def _is_suspect(self, part: str, crashes: list[Crash]) -> bool:
+        count = count_causes(crash.at for crash in crashes)
+        requests = {
+            request
+            for crash in crashes
+            for request, prompt in crash.requests.items()
+            if part in prompt
+        }
+        if len(requests) < MIN_CRASHES and count < MIN_CRASHES_OF_ONE_REQUEST:
+            return False
+        return count >= (MIN_CRASHES_ANSWERED if part in self._answered_at else MIN_CRASHES)
+
+    def _rank(self, part: str, crashes: list[Crash]) -> tuple[bool, int, str]:
+        """Return the order of suspects: never answered, beside most crashes, by name."""
+        return part in self._answered_at, -len(crashes), part
+
+    def _update_suspects(self, suspects: Iterable[str], now: float) -> None:
+        updated = {part: self._suspected_at.get(part, now) for part in suspects}
+        if updated.keys() != self._suspected_at.keys():
+            self.revision += 1
+        self._suspected_at = updated
+
+    def _quarantine(self, part: str, crashes: list[Crash], now: float) -> None:
+        prompts = [p for crash in crashes for p in crash.requests.values() if part in p]
+        first_at = min(crash.at for crash in crashes)
+        common = frozenset.intersection(*prompts)
+        # Other parts that come with this one at each crash may be the cause as well. Only requests
+        # with all of them are refused, until an answer tells them apart.
+        alike = {name for name in common if self._may_be_cause(name, part, first_at)}
+        is_answered_before = part in self._answered_at
+        is_certain = not is_answered_before and len(crashes) > MIN_CRASHES
+        self._add(
+            Quarantine(
+                part=part,
+                parts=frozenset(alike),
+                last_crash_at=max(crash.at for crash in crashes),
+                trials=0,
+                trial_at=now + TRIAL_DELAYS_S[1 if is_certain else 0],
+                is_answered_before=is_answered_before,
+            )
+        )
+        _log.warning(
+            "prompt part quarantined",
+            extra={
+                "subject": part,
+                "parts": sorted(alike),
+                "crashes": len(crashes),
+                "upstreams": sorted({crash.upstream for crash in crashes}),
+                "requests": sorted(
+                    {r for c in crashes for r, p in c.requests.items() if part in p}
+                ),
+                "answered_before": is_answered_before,
+            },
+        )
+
+    def _may_be_cause(self, name: str, part: str, first_at: float) -> bool:
+        if name == part:
+            return True
+        if part not in self._answered_at:
+            return name not in self._answered_at
+        return self._answered_at.get(name, float("-inf")) < first_at
+
+    def take_trial(self, part: str, now: float) -> bool:
+        """
+        Allow one request with quarantined parts to be sent, if it is time for a trial.
+
+        Parameters
+        ----------
+        part : str
+            The part that names the quarantine.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the caller may send one request, once.
+        """
+        quarantine = self._quarantines.get(part)
+        if quarantine is None or now < quarantine.trial_at:
+            return False
+        quarantine.trials += 1
+        delay_s = TRIAL_DELAYS_S[min(quarantine.trials, len(TRIAL_DELAYS_S) - 1)]
+        quarantine.trial_at = now + delay_s
+        self.revision += 1
+        _log.info("trial of a prompt part", extra={"subject": part, "trials": quarantine.trials})
+        return True
+
+    def list_suspects(self) -> list[str]:
+        """Return the parts that are about to be quarantined unless a host has seen an answer."""
+        return sorted(self._suspected_at)
+
+    def list_quarantines(self, now: float) -> list[PromptQuarantine]:
+        """Return the quarantines for the hosts at a monotonic time in seconds."""
+        return [
+            PromptQuarantine(
+                part=quarantine.part,
+                parts=sorted(quarantine.parts),
+                trials=quarantine.trials,
+                trial_after_ms=max(0, round((quarantine.trial_at - now) * 1000)),
+                age_ms=max(0, round((now - quarantine.last_crash_at) * 1000)),
+                is_answered_before=quarantine.is_answered_before,
+            )
+            for quarantine in self._quarantines.values()
+        ]
+
+
+def join(groups: Iterable[frozenset[str]]) -> frozenset[str]:
+    """Return all members of several sets."""
+    return frozenset().union(*groups)
+
+
+def count_causes(times: Iterable[float]) -> int:
+    """
+    Count events, taking those that follow each other closely for one.
+
+    Parameters
+    ----------
+    times : iterable of float
+        Monotonic times in seconds.
+
+    Returns
+    -------
+    int
+        Number of groups that are at least `COMMON_CAUSE_S` apart.
+
+    Examples
+    --------
+    >>> count_causes([5.0, 1.0, 1.1, 1.2])
+    2
+    """
+    count, last = 0, float("-inf")
+    for at in sorted(times):
+        if at >= last + COMMON_CAUSE_S:
+            count, last = count + 1, at
+    return count
--- /dev/null
+++ b/marigoldtrail/quarantine/guard.py
@@ -0,0 +1,283 @@
+"""Quarantines known to one host, and what the host has seen of prompts and crashes."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+
+import msgspec
+import trio
+
+from marigoldtrail.schema.generated.registry import PartAnswer, PromptCrash, PromptQuarantine
+from marigoldtrail.timers import Notifier, Timers
+
+MAX_ANSWERED_PARTS = 4096
+MAX_CRASHES = 128
+MAX_CRASHES_PER_REPORT = 32
+
+# Identity and token count of each part of a prompt; the last part belongs to the request alone.
+Prompt = tuple[tuple[str, int], ...]
+
+
+class HeldPrompt(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    Parts of a prompt that are held off.
+
+    Parameters
+    ----------
+    part : str
+        The part that names the quarantine.
+    parts : frozenset of str
+        A request with all of these parts is refused.
+    trials : int
+        Requests that were sent although they have the parts.
+    trial_at : float
+        Monotonic time in seconds from which the leader may allow the next one.
+    last_crash_at : float
+        Monotonic time in seconds of the last crash on the part.
+    is_answered_before : bool
+        Whether upstreams had answered on the part before.
+    """
+
+    part: str
+    parts: frozenset[str]
+    trials: int
+    trial_at: float
+    last_crash_at: float
+    is_answered_before: bool
+
+
+class PromptReport(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    What a host reports to the leader.
+
+    Parameters
+    ----------
+    crashes : list of PromptCrash
+        Requests at upstreams that crashed, unless the leader has confirmed them.
+    answers : list of PartAnswer
+        Answers on parts that the leader asks about, or that stand beside these crashes.
+    quarantines : list of PromptQuarantine
+        Quarantines in force on this host.
+    last_crash : int
+        Number of the last reported crash.
+    answered_at : dict
+        Monotonic time in seconds of each reported answer, by part.
+    """
+
+    crashes: list[PromptCrash]
+    answers: list[PartAnswer]
+    quarantines: list[PromptQuarantine]
+    last_crash: int
+    answered_at: dict[str, float]
+
+
+class PromptGuard:
+    """
+    Holds off prompts that crash upstreams, on one host.
+
+    A host keeps the quarantines that a leader told it for as long as it finds no leader.
+
+    Parameters
+    ----------
+    timers : Timers
+        Clock.
+
+    Attributes
+    ----------
+    crashed : Notifier
+        Notified when a crash is recorded, so that it is reported at once.
+    """
+
+    __slots__ = (
+        "crashed",
+        "_timers",
+        "_held",
+        "_suspects",
+        "_answered_at",
+        "_crashes",
+        "_crash_count",
+        "_term",
+        "_confirmed_crash",
+        "_confirmed_answers",
+        "_unanswered",
+    )
+
+    def __init__(self, *, timers: Timers) -> None:
+        self.crashed = Notifier()
+        self._timers = timers
+        self._held: list[HeldPrompt] = []
+        self._suspects: list[str] = []
+        # Time of the last answer on each part, least recently answered first.
+        self._answered_at: OrderedDict[str, float] = OrderedDict()
+        # Number, time and content of each crash.
+        self._crashes: deque[tuple[int, float, PromptCrash]] = deque(maxlen=MAX_CRASHES)
+        self._crash_count = 0
+        # What the leader of `_term` has confirmed.
+        self._term = 0
+        self._confirmed_crash = 0
+        self._confirmed_answers: dict[str, float] = {}
+        # Requests at upstreams that have no answer yet.
+        self._unanswered: dict[trio.CancelScope, frozenset[str]] = {}
+
+    @property
+    def quarantine_count(self) -> int:
+        """Number of quarantines in force."""
+        return len(self._held)
+
+    def find_held(self, prompt: Prompt) -> list[HeldPrompt]:
+        """
+        Return the quarantines that hold a prompt off.
+
+        Parameters
+        ----------
+        prompt : tuple of (str, int)
+            Parts of the prompt.
+
+        Returns
+        -------
+        list of HeldPrompt
+            Empty if the request may be sent.
+        """
+        if not self._held:
+            return []
+        parts = list_shared_parts(prompt)
+        return [held for held in self._held if held.parts <= parts]
+
+    def watch(self, prompt: Prompt, scope: trio.CancelScope) -> None:
+        """Cancel a scope if a request that has no answer yet is quarantined."""
+        self._unanswered[scope] = list_shared_parts(prompt)
+
+    def unwatch(self, scope: trio.CancelScope) -> None:
+        """Stop watching a request; no effect if it is not watched."""
+        self._unanswered.pop(scope, None)
+
+    def record_answer(self, prompt: Prompt) -> None:
+        """Record that an answer on a prompt is under way."""
+        now = self._timers.now()
+        for part in list_shared_parts(prompt):
+            self._answered_at[part] = now
+            self._answered_at.move_to_end(part)
+        while len(self._answered_at) > MAX_ANSWERED_PARTS:
+            self._answered_at.popitem(last=False)
+
+    def record_crash(self, upstream: str, prompt: Prompt) -> None:
+        """Record that an upstream closed the connection before an answer was under way."""
+        parts = list_shared_parts(prompt)
+        if not parts:
+            return
+        self._crash_count += 1
+        crash = PromptCrash(upstream=upstream, request=prompt[-1][0], parts=sorted(parts))
+        self._crashes.append((self._crash_count, self._timers.now(), crash))
+        self.crashed.notify()
+
+    def apply(self, suspects: list[str], quarantines: list[PromptQuarantine]) -> None:
+        """
+        Replace the suspect parts and the quarantines by those of the leader.
+
+        Parameters
+        ----------
+        suspects : list of str
+            Parts that the leader asks about.
+        quarantines : list of PromptQuarantine
+            Quarantines in force. Requests that have no answer yet are cancelled, unless their
+            answers may clear a part that was answered before.
+        """
+        now = self._timers.now()
+        self._suspects = suspects
+        self._held = [
+            HeldPrompt(
+                part=quarantine.part,
+                parts=frozenset(quarantine.parts),
+                trials=quarantine.trials,
+                trial_at=now + quarantine.trial_after_ms / 1000,
+                last_crash_at=now - quarantine.age_ms / 1000,
+                is_answered_before=quarantine.is_answered_before,
+            )
+            for quarantine in quarantines
+            if quarantine.parts
+        ]
+        certain = [held.parts for held in self._held if not held.is_answered_before]
+        for scope, parts in list(self._unanswered.items()):
+            if any(held_parts <= parts for held_parts in certain):
+                scope.cancel()
+
+    def build_report(self) -> PromptReport:
+        """Return what the leader does not know yet."""
+        now = self._timers.now()
+        untold = [c for c in self._crashes if c[0] > self._confirmed_crash]
+        untold = untold[:MAX_CRASHES_PER_REPORT]
+        crashes = [
+            msgspec.structs.replace(crash, age_ms=round((now - at) * 1000))
+            for _, at, crash in untold
+        ]
+        asked = {*self._suspects, *(part for held in self._held for part in held.parts)}
+        asked.update(part for crash in crashes for part in crash.parts)
+        answered_at = {
+            part: at
+            for part in asked
+            if (at := self._answered_at.get(part, 0.0)) > self._confirmed_answers.get(part, 0.0)
+        }
+        return PromptReport(
+            crashes=crashes,
+            answers=[
+                PartAnswer(part=part, age_ms=round((now - at) * 1000))
+                for part, at in answered_at.items()
+            ],
+            quarantines=[self._describe(held, now) for held in self._held],
+            last_crash=untold[-1][0] if untold else self._confirmed_crash,
+            answered_at=answered_at,
+        )
+
+    @staticmethod
+    def _describe(held: HeldPrompt, now: float) -> PromptQuarantine:
+        return PromptQuarantine(
+            part=held.part,
+            parts=sorted(held.parts),
+            trials=held.trials,
+            trial_after_ms=max(0, round((held.trial_at - now) * 1000)),
+            age_ms=max(0, round((now - held.last_crash_at) * 1000)),
+            is_answered_before=held.is_answered_before,
+        )
+
+    def confirm(self, report: PromptReport, term: int) -> None:
+        """
+        Record that a leader has received a report.
+
+        Parameters
+        ----------
+        report : PromptReport
+            The report.
+        term : int
+            Term of the leader; everything is reported again to a leader of another term.
+        """
+        if term != self._term:
+            self._term = term
+            self._confirmed_crash = 0
+            self._confirmed_answers = {}
+            return
+        self._confirmed_crash = max(self._confirmed_crash, report.last_crash)
+        self._confirmed_answers.update(report.answered_at)
+        while len(self._confirmed_answers) > MAX_ANSWERED_PARTS:
+            del self._confirmed_answers[next(iter(self._confirmed_answers))]
+
+
+def list_shared_parts(prompt: Prompt) -> frozenset[str]:
+    """
+    Return the parts of a prompt that other requests may have too.
+
+    Parameters
+    ----------
+    prompt : tuple of (str, int)
+        Parts of the prompt.
+
+    Returns
+    -------
+    frozenset of str
+        All parts but the last one.
+
+    Examples
+    --------
+    >>> sorted(list_shared_parts((("a", 5), ("b", 7), ("own", 3))))
+    ['a', 'b']
+    """
+    return frozenset(part for part, _ in prompt[:-1])
--- a/marigoldtrail/registry/fleet_state.py
+++ b/marigoldtrail/registry/fleet_state.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from marigoldtrail.quarantine.guard import PromptGuard
 from marigoldtrail.routing import RouteIndex, RouteTable, Service, Upstream, build_index
 from marigoldtrail.schema.generated.registry import (
     HostEntry,
@@ -58,6 +59,8 @@
         Requests in progress at each upstream except the engines, summed over all entries.
     upstreams_changed_at : float
         Monotonic time in seconds of the last change of the upstreams or takeouts.
+    prompts : PromptGuard
+        Parts of prompts that are held off.
     changed : Notifier
         Notified after each change of the upstreams, takeouts or routes.
     """
@@ -70,6 +73,7 @@
         "entry_position",
         "data_centres",
         "loads",
+        "prompts",
         "changed",
         "upstreams_changed_at",
         "term",
@@ -92,6 +96,7 @@
         self._entry_count = 0
         self.data_centres: set[str] = set()
         self.loads: dict[str, int] = {}
+        self.prompts = PromptGuard(timers=timers)
         self.changed = Notifier()
         self.upstreams_changed_at = 0.0
         self.term = 0
@@ -199,6 +204,8 @@
             self.data_centres.update(host.data_centre for host in reply.hosts)
         if reply.loads is not None:
             self.loads = {load.upstream: load.requests for load in reply.loads}
+        if reply.quarantines is not None:
+            self.prompts.apply(reply.suspect_parts, reply.quarantines)
         if reply.takeouts is not None or reply.upstreams is not None:
             self.upstreams_changed_at = self._timers.now()
         if reply.routes or reply.takeouts is not None or reply.upstreams is not None:
--- a/marigoldtrail/registry/reporter.py
+++ b/marigoldtrail/registry/reporter.py
@@ -133,12 +133,16 @@
             None after a reply; otherwise why no leader replied.
         """
         fleet_state = self._fleet_state
+        prompts = fleet_state.prompts.build_report()
         request = msgspec.structs.replace(
             self.identity,
             term=fleet_state.term,
             revisions=fleet_state.revisions,
             loads=self._get_loads(),
             leaving=fleet_state.leaving_upstreams(),
+            crashes=prompts.crashes,
+            answered_parts=prompts.answers,
+            quarantines=prompts.quarantines,
             wait_ms=round(wait_s * 1000),
         )
         reply = await self._finder.call(
@@ -152,6 +156,7 @@
         )
         if isinstance(reply, Failure):
             return reply
+        fleet_state.prompts.confirm(prompts, reply.term)
         fleet_state.apply(reply, sent_at=self._sent_at)
         self.add_seeds([host.peer_address for host in fleet_state.hosts if host.peer_address])
         return None
--- a/marigoldtrail/registry/service.py
+++ b/marigoldtrail/registry/service.py
@@ -23,10 +23,12 @@
     GetRoutes,
     HostReport,
     HostReportReply,
+    RequestTrial,
     RoutesOutcome,
     RoutesReply,
     SetTakeout,
     SubmitRoutes,
+    TrialReply,
     UpstreamEntry,
 )
 from marigoldtrail.timers import Timers
@@ -39,6 +41,7 @@
 LIST_INTERVAL_S = 0.7
 LIST_TIMEOUT_S = 1.0
 HOST_CHECK_INTERVAL_S = 0.3
+PROMPT_REVIEW_INTERVAL_S = 0.1
 MAX_WAIT_S = 0.5
 # Larger documents are parsed in a thread, since parsing many routes would delay heartbeats.
 MAX_INLINE_PARSE_BYTES = 65536
@@ -111,6 +114,7 @@
             SubmitRoutes: self._submit_routes,
             SetTakeout: self._set_takeout,
             GetRoutes: self._get_routes,
+            RequestTrial: self._request_trial,
         }
 
     async def run(self) -> None:
@@ -124,9 +128,14 @@
         _log.info("leads the fleet", extra={"term": term})
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._poll_upstreams, registry)
+            nursery.start_soon(self._review_prompts, registry)
             async for _ in self._timers.subscribe("hosts", HOST_CHECK_INTERVAL_S):
                 registry.refresh_hosts()
 
+    async def _review_prompts(self, registry: RegistryState) -> None:
+        async for _ in self._timers.subscribe("prompts", PROMPT_REVIEW_INTERVAL_S):
+            registry.review_prompts()
+
     def _current_registry(self) -> RegistryState | None:
         if not self._group.is_leader:
             return None
@@ -183,6 +192,9 @@
         has_hosts_of_term = request.term == registry.term and "hosts" in request.revisions
         if registry.is_settled() or request.term == 0 or has_hosts_of_term:
             revisions["hosts"] = registry.hosts_revision_for(request.role)
+        # The quarantines of the former leader are collected from the hosts first.
+        if registry.is_settled() or request.term == 0:
+            revisions["prompts"] = registry.prompts.revision
         return revisions
 
     def _has_changes_for(self, registry: RegistryState, request: HostReport) -> bool:
@@ -212,6 +224,9 @@
             reply.upstreams = registry.upstreams
         if has_changed("hosts"):
             reply.hosts = registry.hosts(request.role)
+        if has_changed("prompts"):
+            reply.suspect_parts = registry.prompts.list_suspects()
+            reply.quarantines = registry.prompts.list_quarantines(self._timers.now())
         if request.role == "entry" and known.get("loads") != registry.loads_revision:
             reply.revisions["loads"] = registry.loads_revision
             reply.loads = registry.loads()
@@ -290,6 +305,13 @@
         document = zlib.decompress(manifest.document)
         return RoutesReply(version=manifest.number, document=document)
 
+    async def _request_trial(self, request: RequestTrial, sender: str) -> TrialReply | Failure:
+        registry = self._current_registry()
+        if registry is None:
+            return self._not_leader("RequestTrial")
+        is_granted = registry.is_settled() and registry.take_trial(request.part)
+        return TrialReply(is_granted=is_granted)
+
     async def _propose(self, command: Command) -> SubmitReply | Failure:
         reply: Any = await self._group.propose(encode_command(command), timeout_s=PROPOSE_TIMEOUT_S)
         if not isinstance(reply, Failure) and self._registry is not None:
--- a/marigoldtrail/registry/state.py
+++ b/marigoldtrail/registry/state.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from marigoldtrail.quarantine.evidence import PromptEvidence
 from marigoldtrail.schema.generated.registry import (
     HostEntry,
     HostReport,
@@ -55,12 +56,15 @@
     Attributes
     ----------
     changed : Notifier
-        Notified when hosts or upstreams have changed.
+        Notified when hosts, upstreams or quarantines have changed.
+    prompts : PromptEvidence
+        Parts of prompts that crash upstreams.
     """
 
     __slots__ = (
         "term",
         "changed",
+        "prompts",
         "upstreams",
         "upstreams_revision",
         "hosts_revision",
@@ -81,6 +85,7 @@
     def __init__(self, *, term: int, timers: Timers) -> None:
         self.term = term
         self.changed = Notifier()
+        self.prompts = PromptEvidence()
         self.upstreams: list[UpstreamEntry] | None = None
         self.upstreams_revision = 0
         self.hosts_revision = 0
@@ -133,8 +138,40 @@
         self.loads_revision += 1
         self.refresh_hosts()
         self._record_leaving(report)
+        self._record_prompts(report)
         return True
 
+    def _record_prompts(self, report: HostReport) -> None:
+        """Record what a host has seen of prompts, and its quarantines if from another term."""
+        now = self._timers.now()
+        adopted = report.quarantines if report.term != self.term else []
+        if not (report.crashes or report.answered_parts or adopted):
+            return
+        revision = self.prompts.revision
+        for quarantine in adopted:
+            self.prompts.adopt(quarantine, now)
+        for answer in report.answered_parts:
+            self.prompts.record_answer(answer, now)
+        for crash in report.crashes:
+            self.prompts.record_crash(crash, now)
+        self.prompts.review(now)
+        if self.prompts.revision != revision:
+            self.changed.notify()
+
+    def review_prompts(self) -> None:
+        """Quarantine the parts of prompts that hosts had time to clear and did not."""
+        revision = self.prompts.revision
+        self.prompts.review(self._timers.now())
+        if self.prompts.revision != revision:
+            self.changed.notify()
+
+    def take_trial(self, part: str) -> bool:
+        """Allow one request with quarantined parts to be sent, if it is time for a trial."""
+        is_taken = self.prompts.take_trial(part, self._timers.now())
+        if is_taken:
+            self.changed.notify()
+        return is_taken
+
     def _record_leaving(self, report: HostReport) -> None:
         """Mark the upstreams that are leaving according to a host, so that all hosts learn it."""
         announced = {u.upstream: u.born_ms for u in report.leaving}
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections.abc import Awaitable, Callable
 
 import msgspec
 import trio
@@ -19,6 +20,7 @@
     choose_service_upstream,
 )
 from marigoldtrail.policy.window_budget import WindowBudget
+from marigoldtrail.quarantine.guard import HeldPrompt
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.pool import ConnectionPool
@@ -42,6 +44,11 @@
 ATTEMPT_TIMEOUT_FACTOR = 5.0
 MIN_ATTEMPT_TIMEOUT_S = 0.1
 MAX_STAGE_RUNS = 2
+# A caller of a quarantined prompt is told to wait at least this long.
+MIN_QUARANTINE_RETRY_S = 1.0
+
+# Asks the leader whether one request with the quarantined part may be sent.
+RequestTrialFn = Callable[[str], Awaitable[bool]]
 
 _log = logging.getLogger(__name__)
 
@@ -72,6 +79,8 @@
         Breaks ties between upstreams.
     metrics : PrometheusMetrics
         Counts sends.
+    request_trial : callable
+        Asks the leader whether one request with a quarantined part may be sent.
     """
 
     __slots__ = (
@@ -85,6 +94,7 @@
         "_metrics",
         "_sender",
         "_budgets",
+        "_request_trial",
     )
 
     def __init__(
@@ -100,6 +110,7 @@
         timers: Timers,
         rng: random.Random,
         metrics: PrometheusMetrics,
+        request_trial: RequestTrialFn,
     ) -> None:
         self._data_centre = data_centre
         self._fleet_state = fleet_state
@@ -109,9 +120,11 @@
         self._timers = timers
         self._rng = rng
         self._metrics = metrics
+        self._request_trial = request_trial
         self._sender = Sender(
             pool=pool,
             monitor=monitor,
+            prompts=fleet_state.prompts,
             header_codec=header_codec,
             timers=timers,
             on_first_event=self._handle_first_event,
@@ -139,6 +152,9 @@
             The response, the note that a stream was forwarded, or the reason for the failure.
         """
         self._get_budget(exchange.service.name).add_request(self._timers.now())
+        held = await self._find_quarantine(exchange)
+        if held is not None:
+            return self._make_quarantine_failure(exchange, held)
         for _ in range(MAX_STAGE_RUNS):
             failure = await self._run_stages(exchange)
             if failure is not None:
@@ -148,6 +164,39 @@
                 return result
         return result
 
+    async def _find_quarantine(self, exchange: Exchange) -> HeldPrompt | None:
+        """Return the quarantine that holds a request off; None if it may be sent."""
+        found = self._fleet_state.prompts.find_held(exchange.info.prefix)
+        if not found:
+            return None
+        held = found[0]
+        if len(found) > 1 or held.trial_at > self._timers.now():
+            return held
+        exchange.has_trial_grant = await self._request_trial(held.part)
+        return None if exchange.has_trial_grant else held
+
+    def _make_quarantine_failure(self, exchange: Exchange, held: HeldPrompt) -> Failure:
+        retry_after_s = max(MIN_QUARANTINE_RETRY_S, held.trial_at - self._timers.now())
+        _log.info(
+            "prompt is quarantined",
+            extra={
+                "request_id": exchange.info.request_id,
+                "subject": held.part,
+                "parts": sorted(held.parts),
+                "sends": exchange.sends,
+                "retry_after_s": round(retry_after_s, 2),
+            },
+        )
+        run_state = RunState.MAY_HAVE_RUN if exchange.may_have_run else RunState.NOT_RUN
+        return Failure(
+            reason=Reason.QUARANTINED,
+            run_state=run_state,
+            step="upstream.choose",
+            peer=exchange.service.name,
+            detail=f"part {held.part} of the prompt has crashed upstreams",
+            retry_after_s=retry_after_s,
+        )
+
     async def _run_stages(self, exchange: Exchange) -> Failure | None:
         """Request the stages, and the choice of an engine, from the fleet's scheduler."""
         has_pieces = bool(exchange.route.stages) and any(exchange.info.piece_counts)
@@ -215,6 +264,10 @@
             upstream = self._choose_upstream(exchange)
             if upstream is None:
                 break
+            # The prompt may have been quarantined since the request arrived.
+            found = self._fleet_state.prompts.find_held(exchange.info.prefix)
+            if found and not exchange.has_trial_grant:
+                return self._make_quarantine_failure(exchange, found[0])
             if exchange.sends > 0 and not (
                 exchange.has_retry_grant or self._may_send_again(exchange.service.name)
             ):
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -76,6 +76,8 @@
         Cancels the request at its deadline, or earlier if a stream has not started in time.
     has_retry_grant : bool
         Whether the retry budget has already granted the next send.
+    has_trial_grant : bool
+        Whether the next send is a trial of a quarantined prompt.
     """
 
     __slots__ = (
@@ -100,6 +102,7 @@
         "stages_done_at",
         "scope",
         "has_retry_grant",
+        "has_trial_grant",
     )
 
     def __init__(
@@ -136,6 +139,7 @@
         self.first_event_at: float | None = None
         self.stages_done_at: float | None = None
         self.has_retry_grant = False
+        self.has_trial_grant = False
         self.scope = trio.CancelScope(deadline=self.start_deadline)
 
     @property
--- a/marigoldtrail/relay/sender.py
+++ b/marigoldtrail/relay/sender.py
@@ -8,6 +8,7 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.quarantine import PromptAttempt, PromptGuard
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.types import Forwarding, HeaderCodec, Headers
@@ -61,6 +62,8 @@
         Connections to the upstreams.
     monitor : UpstreamMonitor
         Records the outcomes.
+    prompts : PromptGuard
+        Holds off prompts that crash upstreams.
     header_codec : HeaderCodec
         Converts headers.
     timers : Timers
@@ -74,6 +77,7 @@
     __slots__ = (
         "_pool",
         "_monitor",
+        "_prompts",
         "_header_codec",
         "_timers",
         "_on_first_event",
@@ -85,6 +89,7 @@
         *,
         pool: ConnectionPool,
         monitor: UpstreamMonitor,
+        prompts: PromptGuard,
         header_codec: HeaderCodec,
         timers: Timers,
         on_first_event: Callable[[Exchange], None],
@@ -92,6 +97,7 @@
     ) -> None:
         self._pool = pool
         self._monitor = monitor
+        self._prompts = prompts
         self._header_codec = header_codec
         self._timers = timers
         self._on_first_event = on_first_event
@@ -177,18 +183,49 @@
             request.body,
             request_id=exchange.info.request_id,
         )
+        attempt = self._start_prompt_attempt(exchange, upstream)
+        result: CompleteResponse | StreamForwarded | Failure | None = None
+        try:
+            with attempt.scope:
+                result = await self._exchange_messages(exchange, conn, reservation, attempt)
+        finally:
+            attempt.end()
+        if result is None:
+            result = conn.make_failure(
+                Reason.QUARANTINED, "the prompt was quarantined before the answer began"
+            )
+        record_prompt_outcome(attempt, result)
+        if isinstance(result, Failure) and result.run_state is RunState.NOT_RUN:
+            exchange.runs -= 1
+            exchange.may_have_run = not had_not_run
+        self._record_outcome(exchange, upstream, result, started)
+        return result
+
+    def _start_prompt_attempt(self, exchange: Exchange, upstream: Upstream) -> PromptAttempt:
+        is_trial, exchange.has_trial_grant = exchange.has_trial_grant, False
+        return PromptAttempt(
+            guard=self._prompts,
+            prompt=exchange.info.prefix,
+            upstream=upstream.name,
+            is_trial=is_trial,
+        )
+
+    async def _exchange_messages(
+        self,
+        exchange: Exchange,
+        conn: UpstreamConnection,
+        reservation: PrefillReservation,
+        attempt: PromptAttempt,
+    ) -> CompleteResponse | StreamForwarded | Failure:
+        """Send the prepared request and handle the response, which may begin meanwhile."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(conn.send_request)
             head = await conn.read_head()
             if isinstance(head, Failure):
                 result: CompleteResponse | StreamForwarded | Failure = head
             else:
-                result = await self._handle_response(exchange, conn, head, reservation)
+                result = await self._handle_response(exchange, conn, head, reservation, attempt)
             nursery.cancel_scope.cancel()
-        if isinstance(result, Failure) and result.run_state is RunState.NOT_RUN:
-            exchange.runs -= 1
-            exchange.may_have_run = not had_not_run
-        self._record_outcome(exchange, upstream, result, started)
         return result
 
     def _record_outcome(
@@ -209,7 +246,7 @@
         elif result.reason is Reason.OVERLOADED:
             self._monitor.record_failure(name, is_dead=False)
             self._monitor.start_pause(name, result.retry_after_s)
-        elif result.reason is not Reason.NOT_FOUND:
+        elif result.reason not in (Reason.NOT_FOUND, Reason.QUARANTINED):
             self._monitor.record_failure(name, is_dead=True)
 
     async def _handle_response(
@@ -218,6 +255,7 @@
         conn: UpstreamConnection,
         head: ResponseHead,
         reservation: PrefillReservation,
+        attempt: PromptAttempt,
     ) -> CompleteResponse | StreamForwarded | Failure:
         info = head.info
         if info.is_misdirected or info.is_refusal:
@@ -231,7 +269,7 @@
                 Reason.BAD_ANSWER, f"an unsigned answer with status {head.status}"
             )
         if exchange.is_stream and is_ok:
-            return await self._forward_stream(exchange, conn, head, reservation)
+            return await self._forward_stream(exchange, conn, head, reservation, attempt)
         body = await read_body(conn)
         if isinstance(body, Failure):
             return body
@@ -247,6 +285,7 @@
         conn: UpstreamConnection,
         head: ResponseHead,
         reservation: PrefillReservation,
+        attempt: PromptAttempt,
     ) -> StreamForwarded | Failure:
         caller, splitter = exchange.conn, exchange.splitter
         if not caller.has_started:
@@ -261,7 +300,9 @@
                 return data
             if not data:
                 break
+            count_before = splitter.count
             events = splitter.feed(data)
+            attempt.count_events(splitter.count - count_before)
             if splitter.is_event_too_long:
                 splitter.discard_partial()
                 return conn.make_failure(Reason.BAD_ANSWER, "an event without end")
@@ -370,6 +411,17 @@
             self._tokens = 0
 
 
+def record_prompt_outcome(
+    attempt: PromptAttempt, result: CompleteResponse | StreamForwarded | Failure
+) -> None:
+    """Record whether an upstream answered a prompt or closed the connection before."""
+    if isinstance(result, Failure):
+        if result.reason is Reason.DISCONNECTED:
+            attempt.record_disconnect()
+    elif not (isinstance(result, CompleteResponse) and result.is_error):
+        attempt.record_answer()
+
+
 async def read_body(conn: UpstreamConnection) -> bytes | Failure:
     """
     Read the whole body of a response.
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -47,6 +47,10 @@
     return Route(**{**values, **fields})
 
 
+async def deny_trial(part):
+    return False
+
+
 class RelayHarness:
     """A relay, and upstreams whose connections are served by functions of the tests."""
 
@@ -94,6 +98,7 @@
             timers=self.timers,
             rng=rng,
             metrics=metrics,
+            request_trial=deny_trial,
         )
         self.relay = Relay(
             host="entry",
--- a/marigoldtrail/schema/reference.py
+++ b/marigoldtrail/schema/reference.py
@@ -22,6 +22,7 @@
     "pieces",
     "platform",
     "registry",
+    "quarantine",
     "relay",
     "routing",
     "site",
--- a/marigoldtrail/site/components.py
+++ b/marigoldtrail/site/components.py
@@ -106,6 +106,11 @@
         add("config_version", "Configuration in force.", lambda: fleet_state.version())
         add("upstreams", "Upstreams on the list.", lambda: len(fleet_state.upstreams))
         add("hosts", "Hosts that report.", lambda: len(fleet_state.hosts))
+        add(
+            "prompt_quarantines",
+            "Quarantines of prompt parts in force.",
+            lambda: fleet_state.prompts.quarantine_count,
+        )
         add("log_lines_dropped", "Log lines dropped.", count_dropped_lines)
 
     @property
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -7,17 +7,23 @@
 
 import trio
 
+from marigoldtrail.errors import Failure
+from marigoldtrail.fleet import CONFIG_GROUP
 from marigoldtrail.net import Address
 from marigoldtrail.pieces import PieceClient
 from marigoldtrail.relay import Dispatcher, Relay, UpstreamMonitor
 from marigoldtrail.routing import Limits
+from marigoldtrail.schema.generated.registry import RequestTrial, TrialReply
 from marigoldtrail.site.components import HostComponents
+from marigoldtrail.timers import run_guarded
 
 # Callers use the addresses of a look-up for up to three times the stated time to live.
 ADDRESS_EXPIRY_S = 3.5
 # Draining stops this long before the grace period ends, so that the process has exited by then.
 EXIT_MARGIN_S = 0.8
 DRAIN_POLL_INTERVAL_S = 0.05
+TRIAL_TIMEOUT_S = 0.5
+CRASH_REPORT_DELAY_S = 0.02
 
 _log = logging.getLogger(__name__)
 
@@ -59,6 +65,7 @@
             timers=components.timers,
             rng=components.rng,
             metrics=components.metrics,
+            request_trial=self._request_trial,
         )
         self.relay = Relay(
             host=components.cfg.host,
@@ -80,6 +87,13 @@
         components.reporter.set_load_source(self.monitor.report_loads)
         self._draining = False
 
+    async def _request_trial(self, part: str) -> bool:
+        """Ask the leader whether one request with a quarantined part may be sent."""
+        reply = await self.components.reporter.finder.call(
+            CONFIG_GROUP, RequestTrial(part=part), TrialReply, timeout_s=TRIAL_TIMEOUT_S
+        )
+        return not isinstance(reply, Failure) and reply.is_granted
+
     def is_ready(self) -> bool:
         """Return whether callers may be directed to this entry."""
         fleet_state = self.components.fleet_state
@@ -101,6 +115,19 @@
             nursery.start_soon(components.reporter.run)
             nursery.start_soon(self.relay.run)
             nursery.start_soon(self._announce_ready)
+            nursery.start_soon(self._report_crashes)
+
+    async def _report_crashes(self) -> None:
+        """Report a crash beside a prompt at once; the periodic report may be held by the leader."""
+        components = self.components
+        while True:
+            await components.fleet_state.prompts.crashed.wait()
+            # The other requests at the upstream are broken off within this time.
+            await components.timers.sleep(CRASH_REPORT_DELAY_S)
+            await run_guarded(self._send_report)
+
+    async def _send_report(self) -> None:
+        await self.components.reporter.report_once(wait_s=0.0)
 
     async def _announce_ready(self) -> None:
         while not self.is_ready():
--- a/marigoldtrail/telemetry/history.py
+++ b/marigoldtrail/telemetry/history.py
@@ -18,6 +18,10 @@
 )
 
 EJECTION_MESSAGE = "upstream ejected"
+# Decisions of the leader on a part of a prompt, which hold for as long as they are not changed.
+PROMPT_EVENT_MESSAGES = frozenset(
+    {"prompt part quarantined", "trial of a prompt part", "quarantine of a prompt part lifted"}
+)
 UPSTREAM_EVENT_MESSAGES = frozenset({EJECTION_MESSAGE, "upstream gone", "upstream listed"})
 
 
@@ -111,8 +115,8 @@
     Returns
     -------
     list of LogEvent
-        Lines about the request, and events of its upstreams and hosts around that time, in order
-        of time; empty if no line names the request.
+        Lines about the request, events of its upstreams and hosts around that time, and earlier
+        decisions on parts of its prompt, in order of time; empty if no line names the request.
     """
     ordered_events = sorted(events, key=lambda event: event.at)
     request_events = [event for event in ordered_events if event.is_about(request_id)]
@@ -123,6 +127,8 @@
     first, last = request_events[0].at - MARGIN_BEFORE, request_events[-1].at + MARGIN_AFTER
 
     def is_cause(event: LogEvent) -> bool:
+        if event.message in PROMPT_EVENT_MESSAGES:
+            return event.at <= last and event.fields.get("subject") in upstreams
         if not first <= event.at <= last or "request_id" in event.fields:
             return False
         if event.message in UPSTREAM_EVENT_MESSAGES:
--- a/marigoldtrail/telemetry/tests/test_history.py
+++ b/marigoldtrail/telemetry/tests/test_history.py
@@ -45,3 +45,20 @@
     events, unreadable = parse_lines(data)
     assert unreadable == 3
     assert len(events) == 9 and events[-1].host == "core-1"
+
+
+def test_earlier_decisions_on_a_part_of_the_prompt_are_found():
+    """Guards against a refusal whose quarantine was decided on another host, long before."""
+    lines = [
+        line(1, "control-1", "prompt part quarantined", subject="p1", crashes=2),
+        line(2, "control-1", "prompt part quarantined", subject="p2", crashes=2),
+        line(50, "entry-1", "prompt is quarantined", request_id="r1", subject="p1"),
+        line(50, "entry-1", "request ended", request_id="r1", outcome="quarantined"),
+        line(55, "control-1", "quarantine of a prompt part lifted", subject="p1"),
+    ]
+    events, _ = parse_lines("\n".join(lines).encode())
+    assert [(e.host, e.message) for e in explain_request(events, "r1")] == [
+        ("control-1", "prompt part quarantined"),
+        ("entry-1", "prompt is quarantined"),
+        ("entry-1", "request ended"),
+    ]
