Keep to the requests a second that an upstream in need names

An upstream names in its answers how many requests a second it takes from all hosts together.

The limit is decoded once, in platform, and reported with the answer, as leaving was. Hosts and the leader hold the latest statement of each upstream; the leader grants a permit for each request to a limited upstream, evenly paced; entries without a leader keep to equal shares; the scheduler of stages spaces its calls.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -101,6 +101,8 @@
             upstream.state = "leaving" if fault.kind == "leave" else "down"
             run_fault = self._platform.leave if fault.kind == "leave" else self._platform.restart
             await run_fault(upstream, fault.duration_s)
+        elif fault.kind == "limit":
+            await self._platform.limit(upstream, fault.requests_per_s, fault.duration_s)
         else:
             await self._inject_link_fault(fault.kind, upstream.advertised.ip, fault.duration_s)
 
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -28,6 +28,11 @@
 MIN_FAULT_S = 0.2
 # A site tolerates the loss of one disk at a time, and the host needs time to catch up.
 MAX_WIPES = 1
+# Limits of upstreams last long enough that the count begins while they hold.
+MAX_LIMITS = 3
+MIN_LIMIT_S = 4.0
+MAX_LIMIT_S = 9.0
+LIMITS_PER_S = (0.5, 1.0, 2.0, 5.0)
 
 
 class Fault(msgspec.Struct, kw_only=True, frozen=True):
@@ -44,12 +49,15 @@
         Host or upstream; ``"hosts"`` for all hosts.
     duration_s : float
         Seconds until it ends, or until a process is started again.
+    requests_per_s : float
+        Requests a second that a limited upstream takes.
     """
 
     at: float
     kind: str
     target: str
     duration_s: float
+    requests_per_s: float = 0.0
 
 
 def make_plan(
@@ -97,4 +105,25 @@
         plan.append(
             Fault(at=seconds, kind="kill", target="hosts", duration_s=rng.uniform(0.2, 1.0))
         )
-    return plan
+    plan += draw_limits(seed, seconds, upstreams)
+    return sorted(plan, key=lambda fault: fault.at)
+
+
+def draw_limits(seed: int, seconds: float, upstreams: list[str]) -> list[Fault]:
+    """
+    Draw the times at which upstreams limit their requests.
+
+    They have a random number generator of their own, so that the other faults of a seed that has
+    failed once stay as they were.
+    """
+    rng = random.Random(f"limits {seed}")
+    return [
+        Fault(
+            at=rng.uniform(0, seconds / 2),
+            kind="limit",
+            target=rng.choice(upstreams),
+            duration_s=rng.uniform(MIN_LIMIT_S, MAX_LIMIT_S),
+            requests_per_s=rng.choice(LIMITS_PER_S),
+        )
+        for _ in range(rng.randint(0, MAX_LIMITS))
+    ]
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -10,6 +10,7 @@
 import trio
 
 from bench.soak.ledger import Ledger, Run, compute_seal
+from bench.soak.limits import NamedLimit
 from bench.soak.proxy import Proxy
 from marigoldtrail.net import Address, TcpNetwork
 from marigoldtrail.platform.standin import (
@@ -26,6 +27,7 @@
     is_addressed_to,
     make_answer_headers,
     make_identity_headers,
+    make_limit_headers,
     make_list_entry,
     read_pieces,
     read_received,
@@ -50,7 +52,17 @@
 class Upstream:
     """An upstream, which has a new id after each start."""
 
-    __slots__ = ("name", "service", "advertised", "real", "starts", "state", "scope", "handles")
+    __slots__ = (
+        "name",
+        "service",
+        "advertised",
+        "real",
+        "starts",
+        "state",
+        "scope",
+        "handles",
+        "limit",
+    )
 
     def __init__(self, *, name: str, service: str, advertised: Address, real: Address) -> None:
         self.name = name
@@ -62,6 +74,7 @@
         self.scope = trio.CancelScope()
         # Request id, stage and piece index of each result.
         self.handles: dict[str, tuple[str, int, int]] = {}
+        self.limit: NamedLimit | None = None
 
     @property
     def id(self) -> str:
@@ -143,6 +156,25 @@
         await trio.sleep(LIST_DELAY_S)
         self._publish()
 
+    async def limit(self, upstream: Upstream, requests_per_s: float, seconds: float) -> None:
+        """Let an upstream limit its requests for some seconds, unless it does so already."""
+        if upstream.limit is None:
+            upstream.limit = NamedLimit(requests_per_s=requests_per_s)
+            await trio.sleep(seconds)
+            upstream.limit = None
+
+    def _check_limit(self, upstream: Upstream) -> dict[str, str]:
+        """Count a request against the limit of an upstream; return the headers that name it."""
+        limit = upstream.limit
+        if limit is None:
+            return {}
+        count = limit.record_request(trio.current_time())
+        if count > limit.max_requests:
+            self._ledger.report_violation(
+                f"{upstream.id}: {count} requests at a limit of {limit.requests_per_s} a second"
+            )
+        return make_limit_headers(f"{limit.requests_per_s:.2f}")
+
     async def leave(self, upstream: Upstream, down_s: float) -> None:
         """Announce that an upstream is leaving, then restart it."""
         upstream.state = "draining"
@@ -167,14 +199,24 @@
             await reply.send_json(STATUS_OTHER_UPSTREAM, {}, {**identity, **NOT_RUN})
         elif request.path == HEALTH_PATH:
             await reply.send_json(200, {}, identity)
-        elif request.path == PIECES_PATH:
-            await self._run_pieces(upstream, request, reply)
+        else:
+            await self._serve(upstream, request, reply, self._check_limit(upstream))
+
+    async def _serve(
+        self,
+        upstream: Upstream,
+        request: HttpRequest,
+        reply: ResponseWriter,
+        limit: dict[str, str],
+    ) -> None:
+        if request.path == PIECES_PATH:
+            await self._run_pieces(upstream, request, reply, limit)
         elif request.path.startswith(INTERNAL_PREFIX):
-            await reply.send_json(200, {}, {})
+            await reply.send_json(200, {}, limit)
         elif upstream.service == "llm":
-            await self._generate(upstream, request, reply)
+            await self._generate(upstream, request, reply, limit)
         else:
-            await self._work(upstream, request, reply)
+            await self._work(upstream, request, reply, limit)
 
     async def _pause(self) -> None:
         is_long = self._rng.random() < LONG_WORK_SHARE
@@ -189,31 +231,41 @@
         )
         self._ledger.record_run(run, request.headers)
 
-    async def _work(self, upstream: Upstream, request: HttpRequest, reply: ResponseWriter) -> None:
+    async def _work(
+        self,
+        upstream: Upstream,
+        request: HttpRequest,
+        reply: ResponseWriter,
+        limit: dict[str, str],
+    ) -> None:
         received = read_received(request.headers)
         request_id = received.request_id
         self._record_run(request, received)
         await self._pause()
         padding = "x" * self._rng.randrange(MAX_PADDING_BYTES)
         body = msgspec.json.encode({"id": request_id, "by": upstream.id, "padding": padding})
-        headers = make_answer_headers(request_id, compute_seal(request_id, body))
+        headers = {**make_answer_headers(request_id, compute_seal(request_id, body)), **limit}
         await reply.send_bytes(200, body, headers, "application/json")
 
     async def _generate(
-        self, upstream: Upstream, request: HttpRequest, reply: ResponseWriter
+        self,
+        upstream: Upstream,
+        request: HttpRequest,
+        reply: ResponseWriter,
+        limit: dict[str, str],
     ) -> None:
         received = read_received(request.headers)
         request_id = received.request_id
         found = [self._find_result(handle) for handle in received.inputs]
         if None in found:
-            await reply.send_json(STATUS_MISSING_INPUTS, {}, NOT_RUN)
+            await reply.send_json(STATUS_MISSING_INPUTS, {}, {**NOT_RUN, **limit})
             return
         if found != [(request_id, 1, piece) for piece in range(PIECES[1])]:
             self._ledger.report_violation(f"{request_id}: the engine received the results {found}")
         self._record_run(request, received)
         first = int(received.resume_after) + 1 if received.resume_after else 0
         await self._pause()
-        await reply.start_stream(make_answer_headers(request_id, request_id))
+        await reply.start_stream({**make_answer_headers(request_id, request_id), **limit})
         for number in range(first, STREAM_EVENTS):
             await reply.send_event(f"{request_id}\nid: {number}".encode())
             await trio.sleep(self._rng.uniform(0, 2 * EVENT_PAUSE_S))
@@ -226,12 +278,16 @@
         return None
 
     async def _run_pieces(
-        self, upstream: Upstream, request: HttpRequest, reply: ResponseWriter
+        self,
+        upstream: Upstream,
+        request: HttpRequest,
+        reply: ResponseWriter,
+        limit: dict[str, str],
     ) -> None:
         pieces = read_pieces(request.body)
         await trio.sleep(WORK_S)
         results = [self._make_result(upstream, piece) for piece in pieces]
-        await reply.send_json(200, build_results(results), {})
+        await reply.send_json(200, build_results(results), limit)
 
     def _make_result(self, upstream: Upstream, piece: ReceivedPiece) -> str | None:
         """Check a piece and return the handle of its result; None if an input is missing."""
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -5,6 +5,7 @@
 
 from bench.soak.__main__ import read_regression_seeds
 from bench.soak.ledger import Attempt, Ledger, Run, compute_seal
+from bench.soak.limits import NamedLimit
 from bench.soak.networks import claim_network
 from bench.soak.plan import make_plan
 from bench.soak.proxy import Proxy
@@ -109,6 +110,16 @@
     assert len(ledger.violations) == 3
 
 
+def test_requests_over_a_limit_are_counted():
+    """Guards against an upstream that gets more than it takes, which the checks miss."""
+    limit = NamedLimit(requests_per_s=2.0)
+    counts = [limit.record_request(number / 10) for number in range(100)]
+    assert set(counts[:30]) == {0}
+    assert max(counts) > limit.max_requests
+    limit = NamedLimit(requests_per_s=2.0)
+    assert max(limit.record_request(number / 2) for number in range(100)) <= limit.max_requests
+
+
 def test_plan_is_determined_by_the_seed():
     """Guards against a seed whose faults cannot be reproduced."""
     plans = [make_plan(seed, 20.0, **PLAN) for seed in (1, 1, 2)]
--- a/marigoldtrail/pieces/placer.py
+++ b/marigoldtrail/pieces/placer.py
@@ -8,6 +8,7 @@
 
 from marigoldtrail.pieces.engines import EngineTracker, Placement, Prefixes, list_prefixes
 from marigoldtrail.policy.placement import EngineOption, choose_by_rendezvous_hash, choose_engine
+from marigoldtrail.ratelimits import PermitLedger
 from marigoldtrail.registry import FleetState
 from marigoldtrail.routing import Upstream
 from marigoldtrail.schema.generated.pieces import RunStages
@@ -17,6 +18,8 @@
 LONG_PROMPT_TOKENS = 2000
 # An engine that an entry could not reach is avoided for this time.
 SUSPECT_S = 1.0
+# Longest time by which requests are placed ahead of the limit of an engine.
+MAX_PLACED_AHEAD_S = 1.0
 
 
 class EnginePlacer:
@@ -33,7 +36,7 @@
         Breaks ties.
     """
 
-    __slots__ = ("_fleet_state", "_timers", "_rng", "_trackers", "_suspects")
+    __slots__ = ("_fleet_state", "_timers", "_rng", "_trackers", "_suspects", "_permits")
 
     def __init__(self, *, fleet_state: FleetState, timers: Timers, rng: random.Random) -> None:
         self._fleet_state = fleet_state
@@ -41,6 +44,8 @@
         self._rng = rng
         self._trackers: dict[str, EngineTracker] = {}
         self._suspects: dict[str, float] = {}
+        # Spreads requests over the engines that limit them; the leader grants the permits to send.
+        self._permits = PermitLedger()
 
     def record_progress(self, request_id: str, *, has_ended: bool) -> None:
         """Record that an engine has read the prompt of a request, or that the request has ended."""
@@ -68,9 +73,14 @@
         upstreams = self._fleet_state.usable_upstreams(request.engine_service)
         untried = [u for u in upstreams if u.name not in request.excluded]
         healthy = [u for u in untried if self._suspects.get(u.name, 0.0) <= now] or untried
+        healthy = [u for u in healthy if self._may_place(u.name, now)] or healthy
         # The entries enforce the shared limit of cold engines, not the scheduler.
         return [u for u in healthy if u.cold_until <= now] or healthy
 
+    def _may_place(self, name: str, now: float) -> bool:
+        limit = self._fleet_state.limits.get_limit(name)
+        return limit is None or self._permits.is_free(name, now)
+
     def expected_data_centre(self, request: RunStages) -> str:
         """
         Return where the results of a request will be read.
@@ -138,6 +148,11 @@
                 expires_at=expires_at,
             )
             tracker.place(request.request_id, prompt, placement)
+            limit = self._fleet_state.limits.get_limit(name)
+            if limit is not None:
+                self._permits.reserve(
+                    name, self._timers.now(), rate=limit, max_wait_s=MAX_PLACED_AHEAD_S
+                )
         return name
 
 
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -36,6 +36,9 @@
 FREE_IDLE_SHARE = 0.5
 FREE_NEEDED_SHARE = 0.25
 FREE_AT_ONCE_SHARE = 0.75
+# Share of the limit of an upstream that one scheduler uses: two of them may make calls while one
+# takes over from the other.
+LIMIT_SHARE = 0.75
 FREE_INTERVAL_S = 0.08
 
 _log = logging.getLogger(__name__)
@@ -240,7 +243,9 @@
     async def _free_at(self, worker: Worker, handles: list[str]) -> None:
         try:
             # The time without calls requested by a worker covers calls that free results too.
-            await self._timers.sleep(max(0.0, worker.no_calls_until - self._timers.now()))
+            wait_until = max(worker.no_calls_until, worker.next_call_at)
+            await self._timers.sleep(max(0.0, wait_until - self._timers.now()))
+            self._count_call(worker)
             failure = await self._call.free(worker.upstream, handles)
         finally:
             worker.is_freeing = False
@@ -253,6 +258,12 @@
         self._results.drop(handles)
         self._wake.notify()
 
+    def _count_call(self, worker: Worker) -> None:
+        """Count a call against the limit that the upstream has set, if any."""
+        limit = self._fleet_state.limits.get_limit(worker.upstream.name)
+        worker.calls_per_s = float("inf") if limit is None else LIMIT_SHARE * limit
+        worker.record_call(self._timers.now())
+
     async def _run_call(
         self, scheduler: PieceScheduler, worker: Worker, pieces: list[Piece]
     ) -> None:
@@ -274,6 +285,7 @@
     async def _make_call(
         self, scheduler: PieceScheduler, worker: Worker, pieces: list[Piece]
     ) -> None:
+        self._count_call(worker)
         started = self._timers.now()
         room_mb = worker.own_bytes() / 1e6
         expected_s = scheduler.duration_s(worker, len(pieces), started)
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -209,7 +209,7 @@
 
     def idle_workers(self, now: float) -> list[Worker]:
         """Return the workers that can take a call now, the fastest first."""
-        idle = [w for w in self.workers.values() if not w.is_busy and w.paused_until <= now]
+        idle = [worker for worker in self.workers.values() if worker.is_idle(now)]
         idle.sort(key=lambda worker: worker.slowness_at(now))
         return idle
 
@@ -398,7 +398,7 @@
 
     def next_change(self, now: float) -> float:
         """Return the seconds after which `plan` may give another result without any event."""
-        times = [w.paused_until for w in self.workers.values() if w.paused_until > now]
+        times = [max(w.paused_until, w.next_call_at) for w in self.workers.values()]
         times += [job.queued_at + LOCAL_WAIT_S for job in self.jobs if job.is_large]
         times += [job.expires_at for job in self.jobs]
         future = [time for time in times if time > now]
@@ -441,5 +441,6 @@
         ]
         if not workers:
             return float("inf") if not self.workers else EJECTION_S
-        speed = sum(1 / worker.slowness_at(now) for worker in workers)
-        return pieces * (self.spec.call_overhead_s / self.spec.batch + self.spec.item_s) / speed
+        full_call_s = self.spec.call_overhead_s + self.spec.batch * self.spec.item_s
+        speed = sum(worker.speed(full_call_s, now) for worker in workers)
+        return pieces * full_call_s / self.spec.batch / speed
--- a/marigoldtrail/pieces/worker.py
+++ b/marigoldtrail/pieces/worker.py
@@ -35,6 +35,8 @@
         "is_busy",
         "paused_until",
         "no_calls_until",
+        "calls_per_s",
+        "next_call_at",
         "_recent",
         "slowness",
         "timed_at",
@@ -54,6 +56,9 @@
         self.paused_until = 0.0
         # Time until which the upstream has asked this host for no calls of any kind.
         self.no_calls_until = 0.0
+        # Calls a second that this scheduler may make, and when the next one may follow.
+        self.calls_per_s = float("inf")
+        self.next_call_at = 0.0
         # For each recent handle, the identity of the piece that it was returned for.
         self._recent: OrderedDict[str, tuple[str, int, int]] = OrderedDict()
         self.slowness = 1.0
@@ -73,6 +78,18 @@
         self.no_calls_until = max(self.no_calls_until, now + seconds)
         self.paused_until = max(self.paused_until, self.no_calls_until)
 
+    def record_call(self, now: float) -> None:
+        """Count a call of any kind against the limit of the upstream."""
+        self.next_call_at = max(self.next_call_at, now) + 1 / self.calls_per_s
+
+    def is_idle(self, now: float) -> bool:
+        """Return whether the upstream can take a call now."""
+        return not self.is_busy and self.paused_until <= now and self.next_call_at <= now
+
+    def speed(self, full_call_s: float, now: float) -> float:
+        """Return full calls per nominal time of a full call, in seconds, at the present speed."""
+        return min(1 / self.slowness_at(now), self.calls_per_s * full_call_s)
+
     def record_handle(self, handle: str, piece: Piece) -> None:
         """Remember the piece that a handle was returned for."""
         self._recent[handle] = piece.identity
--- a/marigoldtrail/platform/headers.py
+++ b/marigoldtrail/platform/headers.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import math
+import re
 
 from marigoldtrail.relay import Forwarding, HeaderCodec, Headers, RequestInfo, ResponseInfo
 
@@ -44,6 +46,7 @@
 # Most and least urgent rank of a request at an engine; the platform's default is 5.
 _MOST_URGENT_RANK = 2
 _LEAST_URGENT_RANK = 9
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 _MISDIRECTED = 421
 _CONFLICT = 409
 _UNAVAILABLE = 503
@@ -138,9 +141,23 @@
             _parse_retry_after(values.get(b"retry-after", "")) if status == _UNAVAILABLE else None
         ),
         keep_alive_s=_parse_keep_alive(values.get(b"keep-alive", "")),
+        requests_per_s=_parse_limits([v for name, v in headers if name == b"server-limit"]),
     )
 
 
+def _parse_limits(texts: list[bytes]) -> float | None:
+    """Return the lowest valid limit; None if there is none."""
+    return min((limit for text in texts if (limit := _parse_limit(text)) is not None), default=None)
+
+
+@functools.lru_cache(maxsize=64)
+def _parse_limit(text: bytes) -> float | None:
+    if _DECIMAL.fullmatch(text.strip()):
+        return float(text)
+    _log.info("invalid Server-Limit header ignored", extra={"value": repr(text[:40])})
+    return None
+
+
 def _parse_retry_after(text: str) -> float | None:
     if not text:
         return None
--- a/marigoldtrail/platform/standin.py
+++ b/marigoldtrail/platform/standin.py
@@ -130,6 +130,11 @@
     return {"x-request-id": request_id, "x-response-seal": seal}
 
 
+def make_limit_headers(limit: str) -> dict[str, str]:
+    """Return the headers with which an upstream limits its requests; none for an empty text."""
+    return {"server-limit": limit} if limit else {}
+
+
 def make_identity_headers(name: str) -> dict[str, str]:
     """Return the headers with which an upstream identifies itself."""
     return {"x-instance-id": name}
--- a/marigoldtrail/platform/tests/standin.py
+++ b/marigoldtrail/platform/tests/standin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import itertools
 import random
 
@@ -22,6 +23,7 @@
     make_answer_headers,
     make_engine_route,
     make_identity_headers,
+    make_limit_headers,
     make_list_entry,
     make_route,
     read_pieces,
@@ -78,6 +80,10 @@
         self.deadly_arrivals = []
         self.engine_crashes = []
         self.engine_scopes = {}
+        # Limit that an upstream names in its answers, by its id.
+        self.limits = {}
+        # Times of the requests and calls that each upstream got.
+        self.arrivals = collections.defaultdict(list)
         self.seen = []
         self.used_handles = set()
 
@@ -136,17 +142,19 @@
         if not is_addressed_to(request.headers, name):
             await reply.send_json(STATUS_OTHER_UPSTREAM, {}, make_identity_headers(name))
             return
+        self.arrivals[name].append(trio.current_time())
+        limit = make_limit_headers(self.limits.get(name, ""))
         if request.path == PIECES_PATH:
             pieces = read_pieces(request.body)
             await trio.sleep(0.05)
             self.used_handles.update(handle for piece in pieces for handle in piece.inputs)
             handles = [f"{entry['address']}/{p.request_id}-{p.stage}-{p.index}" for p in pieces]
-            await reply.send_json(200, build_results(handles), {})
+            await reply.send_json(200, build_results(handles), limit)
         elif request.path == FREE_PATH:
-            await reply.send_json(200, {}, {})
+            await reply.send_json(200, {}, limit)
         else:
             received = read_received(request.headers)
-            headers = make_answer_headers(received.request_id, f"seal-{name}")
+            headers = {**make_answer_headers(received.request_id, f"seal-{name}"), **limit}
             if entry["service"] != "llm":
                 await reply.send_json(200, {"by": name}, headers)
                 return
--- a/marigoldtrail/platform/tests/test_formats.py
+++ b/marigoldtrail/platform/tests/test_formats.py
@@ -1,6 +1,7 @@
 """Decoding and encoding of the platform's formats."""
 
 import msgspec
+import pytest
 
 from marigoldtrail.platform.documents import parse_config, parse_instance, parse_page
 from marigoldtrail.platform.headers import (
@@ -161,3 +162,29 @@
         [(b"x-response-seal", b"s"), (b"content-length", b"3"), (b"te", b"x")]
     )
     assert passed == [(b"x-response-seal", b"s")]
+
+
+@pytest.mark.parametrize(
+    ("values", "expected"),
+    [
+        (["2.0"], 2.0),
+        (["0.5"], 0.5),
+        ([" 50 "], 50.0),
+        (["0"], 0.0),
+        (["999999999"], 999999999.0),
+        (["3", "1.5"], 1.5),
+        (["soon", "4"], 4.0),
+        (["-1"], None),
+        (["nan"], None),
+        (["inf"], None),
+        (["1e3"], None),
+        (["1,5"], None),
+        (["9" * 40], None),
+        ([""], None),
+        ([], None),
+    ],
+)
+def test_limit_of_an_upstream(values, expected):
+    """Guards against a limit that is misread, or ignored beside an invalid one."""
+    headers = [(b"server-limit", value.encode()) for value in values]
+    assert parse_response(200, headers).requests_per_s == expected
--- a/marigoldtrail/registry/fleet_state.py
+++ b/marigoldtrail/registry/fleet_state.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from marigoldtrail.quarantine.guard import PromptGuard
+from marigoldtrail.ratelimits.book import LimitBook
 from marigoldtrail.routing import RouteIndex, RouteTable, Service, Upstream, build_index
 from marigoldtrail.schema.generated.registry import (
     HostEntry,
@@ -61,6 +62,8 @@
         Monotonic time in seconds of the last change of the upstreams or takeouts.
     prompts : PromptGuard
         Parts of prompts that are held off.
+    limits : LimitBook
+        Limits that upstreams set on their requests.
     changed : Notifier
         Notified after each change of the upstreams, takeouts or routes.
     """
@@ -74,6 +77,7 @@
         "data_centres",
         "loads",
         "prompts",
+        "limits",
         "changed",
         "upstreams_changed_at",
         "term",
@@ -97,6 +101,7 @@
         self.data_centres: set[str] = set()
         self.loads: dict[str, int] = {}
         self.prompts = PromptGuard(timers=timers)
+        self.limits = LimitBook()
         self.changed = Notifier()
         self.upstreams_changed_at = 0.0
         self.term = 0
@@ -164,6 +169,26 @@
         self.upstreams[name] = msgspec.structs.replace(upstream, is_leaving=True)
         self.changed.notify()
 
+    def record_limit(self, name: str, requests_per_s: float | None, sent_at: float) -> None:
+        """
+        Record the limit that an upstream named in an answer, or that it named none.
+
+        Parameters
+        ----------
+        name : str
+            The upstream.
+        requests_per_s : float or None
+            Requests a second from all hosts together; None if the answer names no limit.
+        sent_at : float
+            Monotonic time in seconds at which the request was sent.
+        """
+        upstream = self.upstreams.get(name)
+        if upstream is not None:
+            now = self._timers.now()
+            self.limits.record_answer(
+                name, upstream.born_ms, requests_per_s, sent_at=sent_at, now=now
+            )
+
     def leaving_upstreams(self) -> list[LeavingUpstream]:
         """Return the upstreams that have announced to this host that they are leaving."""
         return [
@@ -206,6 +231,8 @@
             self.loads = {load.upstream: load.requests for load in reply.loads}
         if reply.quarantines is not None:
             self.prompts.apply(reply.suspect_parts, reply.quarantines)
+        if reply.limits is not None:
+            self.limits.merge(reply.limits, self._timers.now())
         if reply.takeouts is not None or reply.upstreams is not None:
             self.upstreams_changed_at = self._timers.now()
         if reply.routes or reply.takeouts is not None or reply.upstreams is not None:
@@ -246,6 +273,7 @@
             )
         self.upstreams = upstreams
         self.has_upstream_list = True
+        self.limits.retain({name: upstream.born_ms for name, upstream in upstreams.items()})
         self._announced_leaving = {
             name: born_ms
             for name, born_ms in self._announced_leaving.items()
--- a/marigoldtrail/registry/service.py
+++ b/marigoldtrail/registry/service.py
@@ -23,6 +23,8 @@
     GetRoutes,
     HostReport,
     HostReportReply,
+    PermitReply,
+    RequestPermit,
     RequestTrial,
     RoutesOutcome,
     RoutesReply,
@@ -115,6 +117,7 @@
             SetTakeout: self._set_takeout,
             GetRoutes: self._get_routes,
             RequestTrial: self._request_trial,
+            RequestPermit: self._request_permit,
         }
 
     async def run(self) -> None:
@@ -195,6 +198,8 @@
         # The quarantines of the former leader are collected from the hosts first.
         if registry.is_settled() or request.term == 0:
             revisions["prompts"] = registry.prompts.revision
+        if registry.limits.revision:
+            revisions["limits"] = registry.limits.revision
         return revisions
 
     def _has_changes_for(self, registry: RegistryState, request: HostReport) -> bool:
@@ -227,6 +232,8 @@
         if has_changed("prompts"):
             reply.suspect_parts = registry.prompts.list_suspects()
             reply.quarantines = registry.prompts.list_quarantines(self._timers.now())
+        if has_changed("limits"):
+            reply.limits = registry.limits.list_limits(self._timers.now())
         if request.role == "entry" and known.get("loads") != registry.loads_revision:
             reply.revisions["loads"] = registry.loads_revision
             reply.loads = registry.loads()
@@ -312,6 +319,12 @@
         is_granted = registry.is_settled() and registry.take_trial(request.part)
         return TrialReply(is_granted=is_granted)
 
+    async def _request_permit(self, request: RequestPermit, sender: str) -> PermitReply | Failure:
+        registry = self._current_registry()
+        if registry is None:
+            return self._not_leader("RequestPermit")
+        return registry.reserve_permit(request)
+
     async def _propose(self, command: Command) -> SubmitReply | Failure:
         reply: Any = await self._group.propose(encode_command(command), timeout_s=PROPOSE_TIMEOUT_S)
         if not isinstance(reply, Failure) and self._registry is not None:
--- a/marigoldtrail/registry/state.py
+++ b/marigoldtrail/registry/state.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import logging
+import math
 
 import msgspec
 
 from marigoldtrail.quarantine.evidence import PromptEvidence
+from marigoldtrail.ratelimits import LimitBook, PermitLedger
+from marigoldtrail.ratelimits.book import MIN_REQUESTS_PER_S
 from marigoldtrail.schema.generated.registry import (
     HostEntry,
     HostReport,
+    PermitReply,
+    RequestPermit,
     UpstreamEntry,
     UpstreamLoad,
 )
@@ -59,12 +64,16 @@
         Notified when hosts, upstreams or quarantines have changed.
     prompts : PromptEvidence
         Parts of prompts that crash upstreams.
+    limits : LimitBook
+        Limits that upstreams set on their requests.
     """
 
     __slots__ = (
         "term",
         "changed",
         "prompts",
+        "limits",
+        "_permits",
         "upstreams",
         "upstreams_revision",
         "hosts_revision",
@@ -86,6 +95,8 @@
         self.term = term
         self.changed = Notifier()
         self.prompts = PromptEvidence()
+        self.limits = LimitBook()
+        self._permits = PermitLedger()
         self.upstreams: list[UpstreamEntry] | None = None
         self.upstreams_revision = 0
         self.hosts_revision = 0
@@ -139,8 +150,29 @@
         self.refresh_hosts()
         self._record_leaving(report)
         self._record_prompts(report)
+        self._record_limits(report)
         return True
 
+    def _record_limits(self, report: HostReport) -> None:
+        revision = self.limits.revision
+        self.limits.merge(report.limits, self._timers.now())
+        if self.limits.revision != revision:
+            self.changed.notify()
+
+    def reserve_permit(self, request: RequestPermit) -> PermitReply:
+        """Reserve a time at which one request may be sent to an upstream that limits them."""
+        now = self._timers.now()
+        limit = self.limits.get_limit(request.upstream) or request.requests_per_s
+        if limit <= 0:
+            return PermitReply(is_granted=True)
+        is_granted, wait_s = self._permits.reserve(
+            request.upstream,
+            now,
+            rate=max(limit, MIN_REQUESTS_PER_S),
+            max_wait_s=request.max_wait_ms / 1000,
+        )
+        return PermitReply(is_granted=is_granted, wait_ms=math.ceil(wait_s * 1000))
+
     def _record_prompts(self, report: HostReport) -> None:
         """Record what a host has seen of prompts, and its quarantines if from another term."""
         now = self._timers.now()
@@ -243,6 +275,8 @@
         self._platform_list = entries
         born = {entry.upstream: entry.born_ms for entry in entries}
         self._leaving = {n: ms for n, ms in self._leaving.items() if born.get(n) == ms}
+        self.limits.retain(born)
+        self._permits.retain(set(born))
         entries = sorted(map(self._mark_leaving, entries), key=lambda entry: entry.upstream)
         if self.upstreams is not None and is_equivalent(self.upstreams, entries):
             return
--- a/marigoldtrail/relay/__init__.py
+++ b/marigoldtrail/relay/__init__.py
@@ -1,5 +1,6 @@
 """Forward callers' requests byte for byte to upstreams; runs on entry hosts."""
 
+from marigoldtrail.relay.answers import make_answer_recorder
 from marigoldtrail.relay.caller_connection import CallerRequest
 from marigoldtrail.relay.dispatch import Dispatcher
 from marigoldtrail.relay.endpoints import Reply, serve_endpoint
@@ -22,5 +23,6 @@
     "RequestInfo",
     "UpstreamMonitor",
     "UpstreamConnection",
+    "make_answer_recorder",
     "serve_endpoint",
 ]
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -21,6 +21,7 @@
 )
 from marigoldtrail.policy.window_budget import WindowBudget
 from marigoldtrail.quarantine.guard import HeldPrompt
+from marigoldtrail.ratelimits import UpstreamLimiter
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.pool import ConnectionPool
@@ -44,6 +45,8 @@
 ATTEMPT_TIMEOUT_FACTOR = 5.0
 MIN_ATTEMPT_TIMEOUT_S = 0.1
 MAX_STAGE_RUNS = 2
+# Time without requests after a permit was refused.
+MIN_LIMITED_S = 0.02
 # A caller of a quarantined prompt is told to wait at least this long.
 MIN_QUARANTINE_RETRY_S = 1.0
 
@@ -81,6 +84,8 @@
         Counts sends.
     request_trial : callable
         Asks the leader whether one request with a quarantined part may be sent.
+    limiter : UpstreamLimiter
+        Grants requests to upstreams that limit them.
     """
 
     __slots__ = (
@@ -95,6 +100,7 @@
         "_sender",
         "_budgets",
         "_request_trial",
+        "_limiter",
     )
 
     def __init__(
@@ -111,6 +117,7 @@
         rng: random.Random,
         metrics: PrometheusMetrics,
         request_trial: RequestTrialFn,
+        limiter: UpstreamLimiter,
     ) -> None:
         self._data_centre = data_centre
         self._fleet_state = fleet_state
@@ -121,6 +128,7 @@
         self._rng = rng
         self._metrics = metrics
         self._request_trial = request_trial
+        self._limiter = limiter
         self._sender = Sender(
             pool=pool,
             monitor=monitor,
@@ -245,7 +253,7 @@
             prompt=[PromptPart(part=part, tokens=tokens) for part, tokens in info.prefix],
             prompt_tokens=info.prompt_tokens,
             output_tokens=info.output_tokens,
-            excluded=sorted(exchange.tried | self._monitor.get_paused()),
+            excluded=sorted(exchange.tried | self._monitor.get_blocked()),
             suspects=sorted(self._monitor.get_ejected()),
             data_centre=self._data_centre,
             keeps_results=exchange.may_run_again(),
@@ -262,8 +270,15 @@
         failure = self._make_no_upstream_failure(exchange)
         while True:
             upstream = self._choose_upstream(exchange)
+            max_wait_s = 0.0
+            if upstream is None:
+                # Those that limit their requests may take this one a little later.
+                max_wait_s = self._find_max_wait_s(exchange)
+                upstream = self._choose_first_ready(exchange, max_wait_s)
             if upstream is None:
                 break
+            if not await self._wait_for_permit(exchange, upstream, max_wait_s):
+                continue
             # The prompt may have been quarantined since the request arrived.
             found = self._fleet_state.prompts.find_held(exchange.info.prefix)
             if found and not exchange.has_trial_grant:
@@ -299,8 +314,54 @@
         if exchange.may_have_run and failure.run_state is RunState.NOT_RUN:
             failure = msgspec.structs.replace(failure, run_state=RunState.MAY_HAVE_RUN)
         upstreams = self._fleet_state.usable_upstreams(exchange.service.name)
-        pause_left_s = self._monitor.get_pause_left_s(upstreams)
-        return msgspec.structs.replace(failure, retry_after_s=pause_left_s)
+        ready_in_s = self._monitor.get_ready_in_s(upstreams, exchange.service)
+        return msgspec.structs.replace(failure, retry_after_s=ready_in_s)
+
+    def _find_max_wait_s(self, exchange: Exchange) -> float:
+        """Return the seconds that a request can wait for an upstream and still be on time."""
+        if exchange.service.engine is not None:
+            needed_s = self._estimate_first_event_s(exchange)
+        else:
+            needed_s = DEFAULT_DURATION_S
+        return max(0.0, exchange.due_at - needed_s - self._timers.now())
+
+    def _choose_first_ready(self, exchange: Exchange, max_wait_s: float) -> Upstream | None:
+        """Return the limited upstream that takes a request first, if that is soon enough."""
+        upstreams = [
+            upstream
+            for upstream in self._fleet_state.usable_upstreams(exchange.service.name)
+            if upstream.name not in exchange.tried
+            and self._fleet_state.limits.get_limit(upstream.name) is not None
+        ]
+        service = exchange.service
+        first = min(
+            upstreams, key=lambda u: self._monitor.get_ready_in_s([u], service), default=None
+        )
+        if first is None or self._monitor.get_ready_in_s([first], service) > max_wait_s:
+            return None
+        return first
+
+    async def _wait_for_permit(
+        self, exchange: Exchange, upstream: Upstream, max_wait_s: float
+    ) -> bool:
+        """Wait until a request may be sent to an upstream; return False if another is needed."""
+        permit = await self._limiter.acquire(upstream.name, max_wait_s)
+        if permit.wait_s or not permit.is_granted:
+            _log.info(
+                "upstream is at its limit",
+                extra={
+                    "request_id": exchange.info.request_id,
+                    "subject": upstream.name,
+                    "is_sent_later": permit.is_granted,
+                    "wait_ms": round(permit.wait_s * 1000),
+                },
+            )
+        if permit.is_granted:
+            await self._timers.sleep(permit.wait_s)
+            return True
+        self._metrics.count_send("limited")
+        self._monitor.start_limited(upstream.name, max(permit.wait_s, MIN_LIMITED_S))
+        return False
 
     def _log_failed_send(self, exchange: Exchange, upstream: Upstream, failure: Failure) -> None:
         _log.info(
--- a/marigoldtrail/relay/pool.py
+++ b/marigoldtrail/relay/pool.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Address, Network
 from marigoldtrail.net.client import STREAM_ERRORS
 from marigoldtrail.relay.types import HeaderCodec
-from marigoldtrail.relay.upstream_connection import UpstreamConnection
+from marigoldtrail.relay.upstream_connection import OnAnswer, UpstreamConnection
 from marigoldtrail.routing import Upstream
 from marigoldtrail.timers import Timers
 
@@ -36,11 +34,12 @@
         Clock.
     header_codec : HeaderCodec
         Reads the heads of responses.
-    on_upstream_leaving : callable or None
-        Called with the name of an upstream that announces in a response that it leaves.
+    on_answer : callable or None
+        Called with the name of an upstream, the metadata of each of its responses, and the
+        monotonic time in seconds at which the request was sent.
     """
 
-    __slots__ = ("_network", "_timers", "_header_codec", "_on_upstream_leaving", "_idle")
+    __slots__ = ("_network", "_timers", "_header_codec", "_on_answer", "_idle")
 
     def __init__(
         self,
@@ -48,12 +47,12 @@
         network: Network,
         timers: Timers,
         header_codec: HeaderCodec,
-        on_upstream_leaving: Callable[[str], None] | None = None,
+        on_answer: OnAnswer | None = None,
     ) -> None:
         self._network = network
         self._timers = timers
         self._header_codec = header_codec
-        self._on_upstream_leaving = on_upstream_leaving
+        self._on_answer = on_answer
         self._idle: dict[str, list[UpstreamConnection]] = {}
 
     async def acquire(
@@ -102,7 +101,7 @@
                     stream=stream,
                     upstream=upstream.name,
                     header_codec=self._header_codec,
-                    on_upstream_leaving=self._on_upstream_leaving,
+                    on_answer=self._on_answer,
                 )
             except STREAM_ERRORS as exc:
                 detail = str(exc) or type(exc).__name__
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -6,11 +6,19 @@
 
 import trio
 
+from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Address, PeerClient
 from marigoldtrail.pieces import PieceClient
 from marigoldtrail.platform.headers import HEADER_CODEC
+from marigoldtrail.ratelimits import UpstreamLimiter
 from marigoldtrail.registry import FleetState
-from marigoldtrail.relay import ConnectionPool, Dispatcher, Relay, UpstreamMonitor
+from marigoldtrail.relay import (
+    ConnectionPool,
+    Dispatcher,
+    Relay,
+    UpstreamMonitor,
+    make_answer_recorder,
+)
 from marigoldtrail.routing import (
     ClientAccount,
     Limits,
@@ -51,6 +59,20 @@
     return False
 
 
+def make_leaderless_limiter(fleet_state, timers):
+    """Return a limiter that finds no leader and keeps to the share of one entry."""
+
+    async def fail(request):
+        return Failure(reason=Reason.TIMEOUT, run_state=RunState.NOT_RUN, step="permit")
+
+    return UpstreamLimiter(
+        book=fleet_state.limits,
+        timers=timers,
+        request_permit=fail,
+        entry_count=fleet_state.entry_count,
+    )
+
+
 class RelayHarness:
     """A relay, and upstreams whose connections are served by functions of the tests."""
 
@@ -74,7 +96,7 @@
             network=endpoint,
             timers=self.timers,
             header_codec=HEADER_CODEC,
-            on_upstream_leaving=self.fleet_state.mark_leaving,
+            on_answer=make_answer_recorder(self.fleet_state),
         )
         peers = PeerClient(network=endpoint, host="entry", nursery=nursery)
         self.monitor = UpstreamMonitor(
@@ -99,6 +121,7 @@
             rng=rng,
             metrics=metrics,
             request_trial=deny_trial,
+            limiter=make_leaderless_limiter(self.fleet_state, self.timers),
         )
         self.relay = Relay(
             host="entry",
--- a/marigoldtrail/relay/types.py
+++ b/marigoldtrail/relay/types.py
@@ -68,6 +68,8 @@
         Seconds for which a refusing upstream accepts no requests from this host.
     keep_alive_s : float or None
         Seconds after which the upstream closes an idle connection.
+    requests_per_s : float or None
+        Requests a second that the upstream takes from all hosts together; None if not stated.
     """
 
     request_id: str = ""
@@ -79,6 +81,7 @@
     is_leaving: bool = False
     pause_s: float | None = None
     keep_alive_s: float | None = None
+    requests_per_s: float | None = None
 
 
 class Forwarding(msgspec.Struct, kw_only=True, frozen=True):
--- a/marigoldtrail/relay/upstream_connection.py
+++ b/marigoldtrail/relay/upstream_connection.py
@@ -18,6 +18,8 @@
 MAX_SKIPPED_BYTES = 1024 * 1024
 MAX_INFORMATIONAL_RESPONSES = 8
 
+OnAnswer = Callable[[str, ResponseInfo, float], None]
+
 
 class ResponseHead:
     """
@@ -53,8 +55,9 @@
         Name of the upstream, used in failures.
     header_codec : HeaderCodec
         Reads the heads of responses.
-    on_upstream_leaving : callable or None
-        Called with the upstream's name when a response announces that it leaves.
+    on_answer : callable or None
+        Called with the upstream's name, the metadata of each of its responses, and the monotonic
+        time in seconds at which the request was sent.
 
     Attributes
     ----------
@@ -76,7 +79,8 @@
         "_stream",
         "_upstream",
         "_header_codec",
-        "_on_upstream_leaving",
+        "_on_answer",
+        "_sent_at",
         "_request_count",
         "_conn",
         "_request",
@@ -93,7 +97,7 @@
         stream: trio.abc.Stream,
         upstream: str,
         header_codec: HeaderCodec,
-        on_upstream_leaving: Callable[[str], None] | None = None,
+        on_answer: OnAnswer | None = None,
     ) -> None:
         self.request_id = ""
         self.may_have_sent = False
@@ -102,7 +106,8 @@
         self._stream = stream
         self._upstream = upstream
         self._header_codec = header_codec
-        self._on_upstream_leaving = on_upstream_leaving
+        self._on_answer = on_answer
+        self._sent_at = float("-inf")
         self._request_count = 0
         self._conn = make_client_state()
         self._request = h11.Request(method="GET", target="/", headers=[("host", "-")])
@@ -173,6 +178,7 @@
     async def send_request(self) -> None:
         """Send the prepared request; the response may be read at the same time."""
         self.may_have_sent = True
+        self._sent_at = trio.current_time()
         try:
             await self._stream.send_all(self._unsent)
             self._is_sent = True
@@ -194,7 +200,7 @@
             if isinstance(head, Failure):
                 return head
             if not self.request_id or head.info.request_id == self.request_id:
-                self._report_leaving(head.info)
+                self._report_answer(head.info)
                 return head
             if not head.info.request_id:
                 return self._accept_without_id(head)
@@ -203,15 +209,15 @@
                 return skip_failure
         return self.make_failure(Reason.BAD_ANSWER, "answers to other requests")
 
-    def _report_leaving(self, info: ResponseInfo) -> None:
-        """Report that the upstream leaves, unless another one has its address."""
-        if info.is_leaving and not info.is_misdirected and self._on_upstream_leaving is not None:
-            self._on_upstream_leaving(self._upstream)
+    def _report_answer(self, info: ResponseInfo) -> None:
+        """Report what the upstream says of itself, unless another one has its address."""
+        if not info.is_misdirected and self._on_answer is not None:
+            self._on_answer(self._upstream, info, self._sent_at)
 
     def _accept_without_id(self, head: ResponseHead) -> ResponseHead | Failure:
         """Accept a response without an id unless it may be a late copy of an earlier response."""
         if self._request_count == 1:
-            self._report_leaving(head.info)
+            self._report_answer(head.info)
             return head
         return self.make_failure(Reason.BAD_ANSWER, "an answer without id on a used connection")
 
--- a/marigoldtrail/relay/upstream_monitor.py
+++ b/marigoldtrail/relay/upstream_monitor.py
@@ -46,6 +46,7 @@
         "consecutive_failures",
         "ejected_until",
         "paused_until",
+        "limited_until",
         "failure_rate",
         "failure_rate_updated_at",
         "duration_s",
@@ -61,6 +62,7 @@
         self.consecutive_failures = 0
         self.ejected_until = 0.0
         self.paused_until = 0.0
+        self.limited_until = 0.0
         self.failure_rate = 0.0
         self.failure_rate_updated_at = now
         self.duration_s = 0.0
@@ -160,16 +162,38 @@
         record.paused_until = max(record.paused_until, self._timers.now() + seconds)
         _log.info("upstream wants no requests", extra={"subject": name, "pause_s": seconds})
 
-    def get_pause_left_s(self, upstreams: list[Upstream]) -> float:
-        """Return the seconds until the first pause ends; 0 if an upstream is not paused."""
+    def start_limited(self, name: str, seconds: float) -> None:
+        """Send no requests to an upstream until the limit that it set allows the next one."""
+        self.get_record(name).limited_until = self._timers.now() + seconds
+
+    def get_ready_in_s(self, upstreams: list[Upstream], service: Service) -> float:
+        """
+        Return the time until a request may be sent to one of several upstreams.
+
+        Parameters
+        ----------
+        upstreams : list of Upstream
+            Upstreams of the service that are in service.
+        service : Service
+            The service.
+
+        Returns
+        -------
+        float
+            Seconds; 0 if a request may be sent now, or if there are no upstreams.
+        """
         now = self._timers.now()
-        pauses_s = [self.get_record(u.name).paused_until - now for u in upstreams]
-        return max(0.0, min(pauses_s, default=0.0))
+        times = [self._find_ready_at(upstream, service, now) for upstream in upstreams]
+        return max(0.0, min(times, default=now) - now)
 
-    def get_paused(self) -> set[str]:
+    def get_blocked(self) -> set[str]:
         """Return the upstreams that currently accept no requests from this host."""
         now = self._timers.now()
-        return {name for name, record in self._records.items() if record.paused_until > now}
+        return {
+            name
+            for name, record in self._records.items()
+            if record.paused_until > now or record.limited_until > now
+        }
 
     def _update_failure_rate(self, record: UpstreamRecord, outcome: float) -> None:
         rate = self._get_failure_rate(record)
@@ -194,12 +218,11 @@
         Returns
         -------
         list of UpstreamOption
-            Without paused upstreams, cold ones at their rate limit and ejected ones; ejected ones
-            are included if no others remain.
+            Without paused upstreams, cold ones at their rate limit, those at a limit of their own
+            and ejected ones; ejected ones are included if no others remain.
         """
         now = self._timers.now()
-        unpaused = [u for u in upstreams if self.get_record(u.name).paused_until <= now]
-        usable = [u for u in unpaused if self._may_send_cold(u, service, now)]
+        usable = [u for u in upstreams if self._find_ready_at(u, service, now) <= now]
         healthy = [u for u in usable if self.get_record(u.name).ejected_until <= now]
         median_s = self._median_duration_s(upstreams)
         return [self._make_option(u, median_s) for u in (healthy or usable)]
@@ -209,11 +232,17 @@
         now = self._timers.now()
         return {name for name, record in self._records.items() if record.ejected_until > now}
 
-    def _may_send_cold(self, upstream: Upstream, service: Service, now: float) -> bool:
+    def _find_ready_at(self, upstream: Upstream, service: Service, now: float) -> float:
+        """Return when one more request may be sent to an upstream: the strictest bound holds."""
+        record = self.get_record(upstream.name)
+        cold_at = self._find_cold_ready_at(upstream, service, now)
+        return max(record.paused_until, record.limited_until, cold_at)
+
+    def _find_cold_ready_at(self, upstream: Upstream, service: Service, now: float) -> float:
         record = self.get_record(upstream.name)
         if upstream.cold_until <= now or not service.max_cold_requests_per_s:
             record.is_cold = False
-            return True
+            return now
         if not record.is_cold:
             # All entries learn of a cold upstream at the same time; the offset spreads their first
             # requests.
@@ -221,7 +250,7 @@
             record.cold_next_send_at = (
                 now + self._cold_interval_s(service) * self._fleet_state.entry_position
             )
-        return record.cold_next_send_at <= now
+        return record.cold_next_send_at
 
     def _cold_interval_s(self, service: Service) -> float:
         """Return the seconds between two requests of one entry to a cold upstream."""
--- a/marigoldtrail/schema/reference.py
+++ b/marigoldtrail/schema/reference.py
@@ -23,6 +23,7 @@
     "platform",
     "registry",
     "quarantine",
+    "ratelimits",
     "relay",
     "routing",
     "site",
--- a/marigoldtrail/site/components.py
+++ b/marigoldtrail/site/components.py
@@ -9,7 +9,7 @@
 
 from marigoldtrail.net import Address, Network, PeerClient
 from marigoldtrail.registry import FleetState, HostReporter, peer_name
-from marigoldtrail.relay import CallerRequest, ConnectionPool, Reply
+from marigoldtrail.relay import CallerRequest, ConnectionPool, Reply, make_answer_recorder
 from marigoldtrail.relay.endpoints import Handler, serve_endpoint
 from marigoldtrail.routing import Limits
 from marigoldtrail.schema.generated.registry import HostReport
@@ -79,7 +79,7 @@
             network=network,
             timers=timers,
             header_codec=adapter.header_codec,
-            on_upstream_leaving=self.fleet_state.mark_leaving,
+            on_answer=make_answer_recorder(self.fleet_state),
         )
         self.reporter = HostReporter(
             identity=HostReport(
@@ -111,6 +111,11 @@
             "Quarantines of prompt parts in force.",
             lambda: fleet_state.prompts.quarantine_count,
         )
+        add(
+            "limited_upstreams",
+            "Upstreams that limit their requests.",
+            lambda: fleet_state.limits.count,
+        )
         add("log_lines_dropped", "Log lines dropped.", count_dropped_lines)
 
     @property
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -11,9 +11,15 @@
 from marigoldtrail.fleet import CONFIG_GROUP
 from marigoldtrail.net import Address
 from marigoldtrail.pieces import PieceClient
+from marigoldtrail.ratelimits import UpstreamLimiter
 from marigoldtrail.relay import Dispatcher, Relay, UpstreamMonitor
 from marigoldtrail.routing import Limits
-from marigoldtrail.schema.generated.registry import RequestTrial, TrialReply
+from marigoldtrail.schema.generated.registry import (
+    PermitReply,
+    RequestPermit,
+    RequestTrial,
+    TrialReply,
+)
 from marigoldtrail.site.components import HostComponents
 from marigoldtrail.timers import run_guarded
 
@@ -23,6 +29,7 @@
 EXIT_MARGIN_S = 0.8
 DRAIN_POLL_INTERVAL_S = 0.05
 TRIAL_TIMEOUT_S = 0.5
+PERMIT_TIMEOUT_S = 0.25
 CRASH_REPORT_DELAY_S = 0.02
 
 _log = logging.getLogger(__name__)
@@ -66,6 +73,12 @@
             rng=components.rng,
             metrics=components.metrics,
             request_trial=self._request_trial,
+            limiter=UpstreamLimiter(
+                book=components.fleet_state.limits,
+                timers=components.timers,
+                request_permit=self._request_permit,
+                entry_count=components.fleet_state.entry_count,
+            ),
         )
         self.relay = Relay(
             host=components.cfg.host,
@@ -94,6 +107,12 @@
         )
         return not isinstance(reply, Failure) and reply.is_granted
 
+    async def _request_permit(self, request: RequestPermit) -> PermitReply | Failure:
+        """Ask the leader whether one request may be sent to an upstream that limits them."""
+        return await self.components.reporter.finder.call(
+            CONFIG_GROUP, request, PermitReply, timeout_s=PERMIT_TIMEOUT_S
+        )
+
     def is_ready(self) -> bool:
         """Return whether callers may be directed to this entry."""
         fleet_state = self.components.fleet_state
