--- a/marigoldtrail/relay/calls.py
+++ b/marigoldtrail/relay/calls.py
@@ -7,7 +7,7 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.relay.pool import ConnectionPool
-from marigoldtrail.relay.sender import read_body
+from marigoldtrail.relay.responses import read_body
 from marigoldtrail.relay.types import Headers
 from marigoldtrail.relay.upstream_connection import ResponseHead, UpstreamConnection
 from marigoldtrail.routing import Upstream
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -25,7 +25,8 @@
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.pool import ConnectionPool
-from marigoldtrail.relay.sender import CompleteResponse, Sender, StreamForwarded
+from marigoldtrail.relay.responses import CompleteResponse, StreamForwarded
+from marigoldtrail.relay.sender import Sender
 from marigoldtrail.relay.types import HeaderCodec
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
 from marigoldtrail.routing import RouteKind, Upstream
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -16,7 +16,7 @@
 from marigoldtrail.relay.dispatch import Dispatcher
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.pool import ConnectionPool
-from marigoldtrail.relay.sender import CompleteResponse, StreamForwarded
+from marigoldtrail.relay.responses import CompleteResponse, StreamForwarded
 from marigoldtrail.relay.types import HeaderCodec, RequestInfo
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
 from marigoldtrail.routing import Limits, Route
--- /dev/null
+++ b/marigoldtrail/relay/responses.py
@@ -0,0 +1,101 @@
+"""Responses of upstreams to requests, and failures made from them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.relay.types import Headers
+from marigoldtrail.relay.upstream_connection import ResponseHead, UpstreamConnection
+
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+HTTP_SERVER_ERROR = 500
+
+
+class CompleteResponse(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    Complete response of an upstream that has not been forwarded yet.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : list of tuple
+        Headers for the caller.
+    body : bytes
+        The body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    @property
+    def is_error(self) -> bool:
+        """Whether the status is a server error, which another upstream may not return."""
+        return self.status >= HTTP_SERVER_ERROR
+
+
+class StreamForwarded(msgspec.Struct, frozen=True):
+    """Result of a request whose stream was forwarded to its end."""
+
+
+async def read_body(conn: UpstreamConnection) -> bytes | Failure:
+    """
+    Read the whole body of a response.
+
+    Parameters
+    ----------
+    conn : UpstreamConnection
+        Connection from which the head was read.
+
+    Returns
+    -------
+    bytes or Failure
+        The body, at most `MAX_BUFFERED_BYTES`.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        data = await conn.read_body_part()
+        if isinstance(data, Failure):
+            return data
+        if not data:
+            return b"".join(parts)
+        parts.append(data)
+        size += len(data)
+        if size > MAX_BUFFERED_BYTES:
+            return conn.make_failure(Reason.BAD_ANSWER, f"more than {MAX_BUFFERED_BYTES} bytes")
+
+
+def make_refusal_failure(upstream: str, head: ResponseHead) -> Failure:
+    """
+    Return the failure for a response which states that the request was not run.
+
+    Parameters
+    ----------
+    upstream : str
+        The upstream to which the request was sent.
+    head : ResponseHead
+        Head of the response.
+
+    Returns
+    -------
+    Failure
+        ``STALE_EPOCH`` if another upstream has the address, ``NOT_FOUND`` if inputs were no longer
+        available, else ``OVERLOADED``.
+    """
+    if head.info.is_misdirected:
+        reason, detail = Reason.STALE_EPOCH, "another upstream has the address"
+    elif head.info.is_missing_inputs:
+        reason, detail = Reason.NOT_FOUND, "results of the stages are gone"
+    else:
+        reason, detail = Reason.OVERLOADED, f"refused with status {head.status}"
+    return Failure(
+        reason=reason,
+        run_state=RunState.NOT_RUN,
+        step="upstream",
+        peer=upstream,
+        detail=detail,
+        retry_after_s=head.info.pause_s or 0.0,
+    )
--- a/marigoldtrail/relay/sender.py
+++ b/marigoldtrail/relay/sender.py
@@ -4,52 +4,27 @@
 
 from collections.abc import Callable
 
-import msgspec
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.quarantine import PromptAttempt, PromptGuard
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.pool import ConnectionPool
-from marigoldtrail.relay.types import Forwarding, HeaderCodec, Headers
+from marigoldtrail.relay.prefill import PrefillReservation
+from marigoldtrail.relay.responses import (
+    CompleteResponse,
+    StreamForwarded,
+    make_refusal_failure,
+    read_body,
+)
+from marigoldtrail.relay.stall_timer import StallTimer
+from marigoldtrail.relay.types import Forwarding, HeaderCodec
 from marigoldtrail.relay.upstream_connection import ResponseHead, UpstreamConnection
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
 from marigoldtrail.routing import Upstream
 from marigoldtrail.timers import Timers
 
-MAX_BUFFERED_BYTES = 8 * 1024 * 1024
-# Margin after which the caller of a stalled stream is assumed to have disconnected.
-ABANDON_MARGIN_S = 0.5
 HTTP_SUCCESS = range(200, 300)
-HTTP_SERVER_ERROR = 500
-
-
-class CompleteResponse(msgspec.Struct, kw_only=True, frozen=True):
-    """
-    Complete response of an upstream that has not been forwarded yet.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status.
-    headers : list of tuple
-        Headers for the caller.
-    body : bytes
-        The body.
-    """
-
-    status: int
-    headers: Headers
-    body: bytes
-
-    @property
-    def is_error(self) -> bool:
-        """Whether the status is a server error, which another upstream may not return."""
-        return self.status >= HTTP_SERVER_ERROR
-
-
-class StreamForwarded(msgspec.Struct, frozen=True):
-    """Result of a request whose stream was forwarded to its end."""
 
 
 class Sender:
@@ -343,77 +318,6 @@
             stall_timer.last_check_at = self._timers.now()
 
 
-class StallTimer:
-    """
-    Time since the last progress of a stream.
-
-    Parameters
-    ----------
-    now : float
-        Monotonic time in seconds at which the head of the response was received.
-
-    Attributes
-    ----------
-    last_progress_at : float
-        Monotonic time in seconds of the head or the last event.
-    last_check_at : float
-        Monotonic time in seconds of the last refused move to another upstream, or of the last
-        progress if that is later.
-    """
-
-    __slots__ = ("last_progress_at", "last_check_at")
-
-    def __init__(self, *, now: float) -> None:
-        self.last_progress_at = now
-        self.last_check_at = now
-
-    def note_progress(self, now: float) -> None:
-        """Record that an event has been received."""
-        self.last_progress_at = self.last_check_at = now
-
-    def give_up_at(self, exchange: Exchange) -> float:
-        """Return the time after which the caller no longer waits for the next event."""
-        if exchange.first_event_at is None:
-            # The cancel scope of the request limits the wait for the first event.
-            return float("inf")
-        return self.last_progress_at + exchange.abandon_pause_s + ABANDON_MARGIN_S
-
-    def next_check_at(self, exchange: Exchange) -> float:
-        """Return the time at which the stream is checked for a stall if it sends nothing."""
-        give_up_at = self.give_up_at(exchange)
-        if not exchange.may_run_again():
-            return give_up_at
-        return min(give_up_at, self.last_check_at + exchange.stall_timeout_s)
-
-
-class PrefillReservation:
-    """
-    Prompt tokens that are counted as not prefilled until `release` is called.
-
-    Parameters
-    ----------
-    monitor : UpstreamMonitor
-        Holds the count of the upstream.
-    name : str
-        The upstream.
-    tokens : int
-        Number of tokens.
-    """
-
-    __slots__ = ("_monitor", "_name", "_tokens")
-
-    def __init__(self, *, monitor: UpstreamMonitor, name: str, tokens: int) -> None:
-        self._monitor = monitor
-        self._name = name
-        self._tokens = tokens
-
-    def release(self) -> None:
-        """Subtract the tokens from the count; further calls have no effect."""
-        if self._tokens:
-            self._monitor.finish_prefill(self._name, self._tokens)
-            self._tokens = 0
-
-
 def record_prompt_outcome(
     attempt: PromptAttempt, result: CompleteResponse | StreamForwarded | Failure
 ) -> None:
@@ -423,64 +327,3 @@
             attempt.record_disconnect()
     elif not (isinstance(result, CompleteResponse) and result.is_error):
         attempt.record_answer()
-
-
-async def read_body(conn: UpstreamConnection) -> bytes | Failure:
-    """
-    Read the whole body of a response.
-
-    Parameters
-    ----------
-    conn : UpstreamConnection
-        Connection from which the head was read.
-
-    Returns
-    -------
-    bytes or Failure
-        The body, at most `MAX_BUFFERED_BYTES`.
-    """
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        data = await conn.read_body_part()
-        if isinstance(data, Failure):
-            return data
-        if not data:
-            return b"".join(parts)
-        parts.append(data)
-        size += len(data)
-        if size > MAX_BUFFERED_BYTES:
-            return conn.make_failure(Reason.BAD_ANSWER, f"more than {MAX_BUFFERED_BYTES} bytes")
-
-
-def make_refusal_failure(upstream: str, head: ResponseHead) -> Failure:
-    """
-    Return the failure for a response which states that the request was not run.
-
-    Parameters
-    ----------
-    upstream : str
-        The upstream to which the request was sent.
-    head : ResponseHead
-        Head of the response.
-
-    Returns
-    -------
-    Failure
-        ``STALE_EPOCH`` if another upstream has the address, ``NOT_FOUND`` if inputs were no longer
-        available, else ``OVERLOADED``.
-    """
-    if head.info.is_misdirected:
-        reason, detail = Reason.STALE_EPOCH, "another upstream has the address"
-    elif head.info.is_missing_inputs:
-        reason, detail = Reason.NOT_FOUND, "results of the stages are gone"
-    else:
-        reason, detail = Reason.OVERLOADED, f"refused with status {head.status}"
-    return Failure(
-        reason=reason,
-        run_state=RunState.NOT_RUN,
-        step="upstream",
-        peer=upstream,
-        detail=detail,
-        retry_after_s=head.info.pause_s or 0.0,
-    )
