Move the checks before a send, and the request for stages, out of the dispatcher

SendGate answers whether a request may be sent now (quarantined prompts, permits of limited upstreams), make_stage_request builds the message to the schedulers.

One change with it: a limited upstream that is also paused or at its cold rate is not waited for by its limit alone, and after a wait for a permit the upstream and the prompt are checked again (test_strictest_bound_of_an_upstream_holds).

--- a/marigoldtrail/relay/__init__.py
+++ b/marigoldtrail/relay/__init__.py
@@ -6,6 +6,7 @@
 from marigoldtrail.relay.endpoints import Reply, serve_endpoint
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.relay import Relay
+from marigoldtrail.relay.send_gate import SendGate
 from marigoldtrail.relay.types import Forwarding, HeaderCodec, Headers, RequestInfo, ResponseInfo
 from marigoldtrail.relay.upstream_connection import UpstreamConnection
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
@@ -21,6 +22,7 @@
     "Relay",
     "Reply",
     "RequestInfo",
+    "SendGate",
     "UpstreamMonitor",
     "UpstreamConnection",
     "make_answer_recorder",
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -4,7 +4,6 @@
 
 import logging
 import random
-from collections.abc import Awaitable, Callable
 
 import msgspec
 import trio
@@ -20,17 +19,16 @@
     choose_service_upstream,
 )
 from marigoldtrail.policy.window_budget import WindowBudget
-from marigoldtrail.quarantine.guard import HeldPrompt
-from marigoldtrail.ratelimits import UpstreamLimiter
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.responses import CompleteResponse, StreamForwarded
+from marigoldtrail.relay.send_gate import SendGate
 from marigoldtrail.relay.sender import Sender
+from marigoldtrail.relay.stage_request import make_stage_request
 from marigoldtrail.relay.types import HeaderCodec
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
 from marigoldtrail.routing import RouteKind, Upstream
-from marigoldtrail.schema.generated.pieces import PromptPart, RunStages, StageRequest
 from marigoldtrail.schema.generated.site import Bounds
 from marigoldtrail.telemetry.prometheus import PrometheusMetrics
 from marigoldtrail.timers import Timers
@@ -46,13 +44,6 @@
 ATTEMPT_TIMEOUT_FACTOR = 5.0
 MIN_ATTEMPT_TIMEOUT_S = 0.1
 MAX_STAGE_RUNS = 2
-# Time without requests after a permit was refused.
-MIN_LIMITED_S = 0.02
-# A caller of a quarantined prompt is told to wait at least this long.
-MIN_QUARANTINE_RETRY_S = 1.0
-
-# Asks the leader whether one request with the quarantined part may be sent.
-RequestTrialFn = Callable[[str], Awaitable[bool]]
 
 _log = logging.getLogger(__name__)
 
@@ -83,10 +74,8 @@
         Breaks ties between upstreams.
     metrics : PrometheusMetrics
         Counts sends.
-    request_trial : callable
-        Asks the leader whether one request with a quarantined part may be sent.
-    limiter : UpstreamLimiter
-        Grants requests to upstreams that limit them.
+    gate : SendGate
+        Decides whether requests may be sent now.
     """
 
     __slots__ = (
@@ -100,8 +89,7 @@
         "_metrics",
         "_sender",
         "_budgets",
-        "_request_trial",
-        "_limiter",
+        "_gate",
     )
 
     def __init__(
@@ -117,8 +105,7 @@
         timers: Timers,
         rng: random.Random,
         metrics: PrometheusMetrics,
-        request_trial: RequestTrialFn,
-        limiter: UpstreamLimiter,
+        gate: SendGate,
     ) -> None:
         self._data_centre = data_centre
         self._fleet_state = fleet_state
@@ -128,8 +115,7 @@
         self._timers = timers
         self._rng = rng
         self._metrics = metrics
-        self._request_trial = request_trial
-        self._limiter = limiter
+        self._gate = gate
         self._sender = Sender(
             pool=pool,
             monitor=monitor,
@@ -161,9 +147,9 @@
             The response, the note that a stream was forwarded, or the reason for the failure.
         """
         self._get_budget(exchange.service.name).add_request(self._timers.now())
-        held = await self._find_quarantine(exchange)
-        if held is not None:
-            return self._make_quarantine_failure(exchange, held)
+        failure = await self._gate.check_arrival(exchange)
+        if failure is not None:
+            return failure
         for _ in range(MAX_STAGE_RUNS):
             failure = await self._run_stages(exchange)
             if failure is not None:
@@ -173,46 +159,18 @@
                 return result
         return result
 
-    async def _find_quarantine(self, exchange: Exchange) -> HeldPrompt | None:
-        """Return the quarantine that holds a request off; None if it may be sent."""
-        found = self._fleet_state.prompts.find_held(exchange.info.prefix)
-        if not found:
-            return None
-        held = found[0]
-        if len(found) > 1 or held.trial_at > self._timers.now():
-            return held
-        exchange.has_trial_grant = await self._request_trial(held.part)
-        return None if exchange.has_trial_grant else held
-
-    def _make_quarantine_failure(self, exchange: Exchange, held: HeldPrompt) -> Failure:
-        retry_after_s = max(MIN_QUARANTINE_RETRY_S, held.trial_at - self._timers.now())
-        _log.info(
-            "prompt is quarantined",
-            extra={
-                "request_id": exchange.info.request_id,
-                "subject": held.part,
-                "parts": sorted(held.parts),
-                "sends": exchange.sends,
-                "retry_after_s": round(retry_after_s, 2),
-            },
-        )
-        run_state = RunState.MAY_HAVE_RUN if exchange.may_have_run else RunState.NOT_RUN
-        return Failure(
-            reason=Reason.QUARANTINED,
-            run_state=run_state,
-            step="upstream.choose",
-            peer=exchange.service.name,
-            detail=f"part {held.part} of the prompt has crashed upstreams",
-            retry_after_s=retry_after_s,
-        )
-
     async def _run_stages(self, exchange: Exchange) -> Failure | None:
         """Request the stages, and the choice of an engine, from the fleet's scheduler."""
         has_pieces = bool(exchange.route.stages) and any(exchange.info.piece_counts)
         if not has_pieces and exchange.service.engine is None:
             return None
         stage_run = StageRun(
-            request=self._make_stage_request(exchange),
+            request=make_stage_request(
+                exchange,
+                excluded=exchange.tried | self._monitor.get_blocked(),
+                suspects=self._monitor.get_ejected(),
+                data_centre=self._data_centre,
+            ),
             deadline=exchange.start_deadline - self._estimate_first_event_s(exchange),
             due_at=exchange.due_at - self._estimate_first_event_s(exchange),
         )
@@ -230,36 +188,6 @@
             await self._pieces.run(exchange.stage_run)
         return None
 
-    def _make_stage_request(self, exchange: Exchange) -> RunStages:
-        info = exchange.info
-        stages = exchange.route.stages
-        counts = [*info.piece_counts, *([0] * len(stages))]
-        return RunStages(
-            request_id=info.request_id,
-            stages=[
-                StageRequest(
-                    service=stage.service,
-                    count=count,
-                    after=list(stage.after),
-                    result_bytes=stage.result_bytes,
-                )
-                for stage, count in zip(stages, counts, strict=False)
-            ],
-            key=info.piece_key,
-            left_ms=0,
-            priority=exchange.backlog_rank,
-            wait_share=exchange.wait_share,
-            yield_ms=round(exchange.yield_s * 1000),
-            engine_service=exchange.service.name if exchange.service.engine is not None else "",
-            prompt=[PromptPart(part=part, tokens=tokens) for part, tokens in info.prefix],
-            prompt_tokens=info.prompt_tokens,
-            output_tokens=info.output_tokens,
-            excluded=sorted(exchange.tried | self._monitor.get_blocked()),
-            suspects=sorted(self._monitor.get_ejected()),
-            data_centre=self._data_centre,
-            keeps_results=exchange.may_run_again(),
-        )
-
     def _estimate_first_event_s(self, exchange: Exchange) -> float:
         """Estimate the seconds from the end of the last stage to the first event."""
         return BASE_FIRST_EVENT_S + exchange.info.prompt_tokens / PREFILL_TOKENS_PER_S
@@ -270,20 +198,19 @@
         error_response: CompleteResponse | None = None
         failure = self._make_no_upstream_failure(exchange)
         while True:
+            held = self._gate.check_send(exchange)
+            if held is not None:
+                return held
             upstream = self._choose_upstream(exchange)
             max_wait_s = 0.0
             if upstream is None:
                 # Those that limit their requests may take this one a little later.
                 max_wait_s = self._find_max_wait_s(exchange)
-                upstream = self._choose_first_ready(exchange, max_wait_s)
+                upstream = self._gate.choose_limited(exchange, max_wait_s)
             if upstream is None:
                 break
-            if not await self._wait_for_permit(exchange, upstream, max_wait_s):
+            if not await self._gate.take_permit(exchange, upstream, max_wait_s):
                 continue
-            # The prompt may have been quarantined since the request arrived.
-            found = self._fleet_state.prompts.find_held(exchange.info.prefix)
-            if found and not exchange.has_trial_grant:
-                return self._make_quarantine_failure(exchange, found[0])
             if exchange.sends > 0 and not (
                 exchange.has_retry_grant or self._may_send_again(exchange.service.name)
             ):
@@ -326,44 +253,6 @@
             needed_s = DEFAULT_DURATION_S
         return max(0.0, exchange.due_at - needed_s - self._timers.now())
 
-    def _choose_first_ready(self, exchange: Exchange, max_wait_s: float) -> Upstream | None:
-        """Return the limited upstream that takes a request first, if that is soon enough."""
-        upstreams = [
-            upstream
-            for upstream in self._fleet_state.usable_upstreams(exchange.service.name)
-            if upstream.name not in exchange.tried
-            and self._fleet_state.limits.get_limit(upstream.name) is not None
-        ]
-        service = exchange.service
-        first = min(
-            upstreams, key=lambda u: self._monitor.get_ready_in_s([u], service), default=None
-        )
-        if first is None or self._monitor.get_ready_in_s([first], service) > max_wait_s:
-            return None
-        return first
-
-    async def _wait_for_permit(
-        self, exchange: Exchange, upstream: Upstream, max_wait_s: float
-    ) -> bool:
-        """Wait until a request may be sent to an upstream; return False if another is needed."""
-        permit = await self._limiter.acquire(upstream.name, max_wait_s)
-        if permit.wait_s or not permit.is_granted:
-            _log.info(
-                "upstream is at its limit",
-                extra={
-                    "request_id": exchange.info.request_id,
-                    "subject": upstream.name,
-                    "is_sent_later": permit.is_granted,
-                    "wait_ms": round(permit.wait_s * 1000),
-                },
-            )
-        if permit.is_granted:
-            await self._timers.sleep(permit.wait_s)
-            return True
-        self._metrics.count_send("limited")
-        self._monitor.start_limited(upstream.name, max(permit.wait_s, MIN_LIMITED_S))
-        return False
-
     def _log_failed_send(self, exchange: Exchange, upstream: Upstream, failure: Failure) -> None:
         _log.info(
             "send failed",
--- /dev/null
+++ b/marigoldtrail/relay/send_gate.py
@@ -0,0 +1,201 @@
+"""Whether one more request may be sent now: quarantined prompts, and limits of upstreams."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.quarantine.guard import HeldPrompt
+from marigoldtrail.ratelimits import UpstreamLimiter
+from marigoldtrail.registry import FleetState
+from marigoldtrail.relay.exchange import Exchange
+from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
+from marigoldtrail.routing import Upstream
+from marigoldtrail.telemetry.prometheus import PrometheusMetrics
+from marigoldtrail.timers import Timers
+
+# A caller of a quarantined prompt is told to wait at least this long.
+MIN_QUARANTINE_RETRY_S = 1.0
+# Time without requests after a permit was refused.
+MIN_LIMITED_S = 0.02
+
+# Asks the leader whether one request with the quarantined part may be sent.
+RequestTrialFn = Callable[[str], Awaitable[bool]]
+
+_log = logging.getLogger(__name__)
+
+
+class SendGate:
+    """
+    Decides on one entry whether requests may be sent now.
+
+    Parameters
+    ----------
+    fleet_state : FleetState
+        Upstreams, their limits, and quarantined prompts.
+    monitor : UpstreamMonitor
+        Learns which upstreams are at their limit.
+    limiter : UpstreamLimiter
+        Grants requests to upstreams that limit them.
+    request_trial : callable
+        Asks the leader whether one request with a quarantined part may be sent.
+    timers : Timers
+        Clock and delays.
+    metrics : PrometheusMetrics
+        Counts refused permits.
+    """
+
+    __slots__ = ("_fleet_state", "_monitor", "_limiter", "_request_trial", "_timers", "_metrics")
+
+    def __init__(
+        self,
+        *,
+        fleet_state: FleetState,
+        monitor: UpstreamMonitor,
+        limiter: UpstreamLimiter,
+        request_trial: RequestTrialFn,
+        timers: Timers,
+        metrics: PrometheusMetrics,
+    ) -> None:
+        self._fleet_state = fleet_state
+        self._monitor = monitor
+        self._limiter = limiter
+        self._request_trial = request_trial
+        self._timers = timers
+        self._metrics = metrics
+
+    async def check_arrival(self, exchange: Exchange) -> Failure | None:
+        """
+        Check a request before its stages are run.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request; it may be granted a trial.
+
+        Returns
+        -------
+        Failure or None
+            ``QUARANTINED`` if its prompt is held off.
+        """
+        found = self._fleet_state.prompts.find_held(exchange.info.prefix)
+        if not found:
+            return None
+        if len(found) == 1 and found[0].trial_at <= self._timers.now():
+            exchange.has_trial_grant = await self._request_trial(found[0].part)
+            if exchange.has_trial_grant:
+                return None
+        return self._make_quarantine_failure(exchange, found[0])
+
+    def check_send(self, exchange: Exchange) -> Failure | None:
+        """
+        Check a request before it is sent; its prompt may have been quarantined meanwhile.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+
+        Returns
+        -------
+        Failure or None
+            ``QUARANTINED`` if its prompt is held off and the request is no trial.
+        """
+        found = self._fleet_state.prompts.find_held(exchange.info.prefix)
+        if not found or exchange.has_trial_grant:
+            return None
+        return self._make_quarantine_failure(exchange, found[0])
+
+    def _make_quarantine_failure(self, exchange: Exchange, held: HeldPrompt) -> Failure:
+        retry_after_s = max(MIN_QUARANTINE_RETRY_S, held.trial_at - self._timers.now())
+        _log.info(
+            "prompt is quarantined",
+            extra={
+                "request_id": exchange.info.request_id,
+                "subject": held.part,
+                "parts": sorted(held.parts),
+                "sends": exchange.sends,
+                "retry_after_s": round(retry_after_s, 2),
+            },
+        )
+        run_state = RunState.MAY_HAVE_RUN if exchange.may_have_run else RunState.NOT_RUN
+        return Failure(
+            reason=Reason.QUARANTINED,
+            run_state=run_state,
+            step="upstream.choose",
+            peer=exchange.service.name,
+            detail=f"part {held.part} of the prompt has crashed upstreams",
+            retry_after_s=retry_after_s,
+        )
+
+    def choose_limited(self, exchange: Exchange, max_wait_s: float) -> Upstream | None:
+        """
+        Choose an upstream that limits its requests and can take one soon.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+        max_wait_s : float
+            Longest time in seconds that the request can wait.
+
+        Returns
+        -------
+        Upstream or None
+            The first that is ready; None if that is too late, or if they are blocked otherwise.
+        """
+        service = exchange.service
+        waits_s = {
+            upstream.name: self._monitor.get_limited_s(upstream, service)
+            for upstream in self._fleet_state.usable_upstreams(service.name)
+            if upstream.name not in exchange.tried
+            and self._fleet_state.limits.get_limit(upstream.name) is not None
+        }
+        name = min(waits_s, key=lambda item: waits_s[item], default=None)
+        if name is None or waits_s[name] > max_wait_s:
+            return None
+        return self._fleet_state.upstreams.get(name)
+
+    async def take_permit(self, exchange: Exchange, upstream: Upstream, max_wait_s: float) -> bool:
+        """
+        Wait until a request may be sent to an upstream.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+        upstream : Upstream
+            The upstream.
+        max_wait_s : float
+            Longest time in seconds that the request can wait.
+
+        Returns
+        -------
+        bool
+            False if another upstream has to be chosen.
+        """
+        permit = await self._limiter.acquire(upstream.name, max_wait_s)
+        if permit.is_granted and not permit.wait_s:
+            return True
+        _log.info(
+            "upstream is at its limit",
+            extra={
+                "request_id": exchange.info.request_id,
+                "subject": upstream.name,
+                "is_sent_later": permit.is_granted,
+                "wait_ms": round(permit.wait_s * 1000),
+            },
+        )
+        if not permit.is_granted:
+            self._metrics.count_send("limited")
+            self._monitor.start_limited(upstream.name, max(permit.wait_s, MIN_LIMITED_S))
+            return False
+        await self._timers.sleep(permit.wait_s)
+        # Meanwhile it may have left, paused or turned cold, or the prompt may be quarantined.
+        usable = self._fleet_state.usable_upstreams(exchange.service.name)
+        return (
+            any(other.name == upstream.name for other in usable)
+            and self._monitor.get_limited_s(upstream, exchange.service) != float("inf")
+            and self.check_send(exchange) is None
+        )
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -16,6 +16,7 @@
     ConnectionPool,
     Dispatcher,
     Relay,
+    SendGate,
     UpstreamMonitor,
     make_answer_recorder,
 )
@@ -103,6 +104,14 @@
             fleet_state=self.fleet_state, data_centre="a", timers=self.timers
         )
         rng, metrics = random.Random(1), PrometheusMetrics()
+        self.gate = SendGate(
+            fleet_state=self.fleet_state,
+            monitor=self.monitor,
+            limiter=make_leaderless_limiter(self.fleet_state, self.timers),
+            request_trial=deny_trial,
+            timers=self.timers,
+            metrics=metrics,
+        )
         self.dispatcher = Dispatcher(
             data_centre="a",
             fleet_state=self.fleet_state,
@@ -120,8 +129,7 @@
             timers=self.timers,
             rng=rng,
             metrics=metrics,
-            request_trial=deny_trial,
-            limiter=make_leaderless_limiter(self.fleet_state, self.timers),
+            gate=self.gate,
         )
         self.relay = Relay(
             host="entry",
--- a/marigoldtrail/relay/tests/test_faulty_upstreams.py
+++ b/marigoldtrail/relay/tests/test_faulty_upstreams.py
@@ -418,3 +418,20 @@
         data = await harness.fetch(make_request(method="POST", body=b"b"))
         assert [data.count(event) for event in EVENTS] == [1, 1, 1]
         assert data.endswith(b"0\r\n\r\n")
+
+
+async def test_strictest_bound_of_an_upstream_holds(autojump_clock, nursery):
+    """Guards against a permit that lets a request through a pause, and against a wait beyond it."""
+    seen = []
+    harness = RelayHarness(nursery, target_latency_s=1.0)
+    limited = make_response("a", headers="x-response-seal: s\r\nserver-limit: 4\r\n")
+    await harness.start(reply_with(limited, seen=seen))
+    assert (await harness.fetch(make_request())).endswith(b"a")
+    # The next request waits for the limit only.
+    started = trio.current_time()
+    assert (await harness.fetch(make_request())).endswith(b"a")
+    assert 0.2 <= trio.current_time() - started <= 0.5
+    harness.monitor.start_pause("i-0", 3.0)
+    data = await harness.fetch(make_request())
+    assert data.startswith(b"HTTP/1.1 503") and b"retry-after: 2.9" in data
+    assert len(seen) == 2
--- a/marigoldtrail/relay/tests/test_prompts.py
+++ b/marigoldtrail/relay/tests/test_prompts.py
@@ -156,7 +156,7 @@
         return True
 
     harness = RelayHarness(nursery, RouteKind.STREAMING, is_resumable=True, max_attempts=2)
-    harness.dispatcher._request_trial = grant
+    harness.gate._request_trial = grant
     await harness.start(count_and_crash, count_and_crash)
     harness.fleet_state.prompts.apply([], [PromptQuarantine(part="bad", parts=["bad"])])
     await harness.fetch(make_prompt_request("start:5,bad:7,own:3"))
--- a/marigoldtrail/relay/upstream_monitor.py
+++ b/marigoldtrail/relay/upstream_monitor.py
@@ -166,6 +166,14 @@
         """Send no requests to an upstream until the limit that it set allows the next one."""
         self.get_record(name).limited_until = self._timers.now() + seconds
 
+    def get_limited_s(self, upstream: Upstream, service: Service) -> float:
+        """Return the seconds until an upstream is below its limit; inf if blocked otherwise."""
+        now = self._timers.now()
+        record = self.get_record(upstream.name)
+        if max(record.paused_until, self._find_cold_ready_at(upstream, service, now)) > now:
+            return float("inf")
+        return max(0.0, record.limited_until - now)
+
     def get_ready_in_s(self, upstreams: list[Upstream], service: Service) -> float:
         """
         Return the time until a request may be sent to one of several upstreams.
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -12,7 +12,7 @@
 from marigoldtrail.net import Address
 from marigoldtrail.pieces import PieceClient
 from marigoldtrail.ratelimits import UpstreamLimiter
-from marigoldtrail.relay import Dispatcher, Relay, UpstreamMonitor
+from marigoldtrail.relay import Dispatcher, Relay, SendGate, UpstreamMonitor
 from marigoldtrail.routing import Limits
 from marigoldtrail.schema.generated.registry import (
     PermitReply,
@@ -61,6 +61,19 @@
             nursery=components.nursery,
             seeds=components.seed_names(),
         )
+        gate = SendGate(
+            fleet_state=components.fleet_state,
+            monitor=self.monitor,
+            limiter=UpstreamLimiter(
+                book=components.fleet_state.limits,
+                timers=components.timers,
+                request_permit=self._request_permit,
+                entry_count=components.fleet_state.entry_count,
+            ),
+            request_trial=self._request_trial,
+            timers=components.timers,
+            metrics=components.metrics,
+        )
         dispatcher = Dispatcher(
             data_centre=components.cfg.data_centre,
             fleet_state=components.fleet_state,
@@ -72,13 +85,7 @@
             timers=components.timers,
             rng=components.rng,
             metrics=components.metrics,
-            request_trial=self._request_trial,
-            limiter=UpstreamLimiter(
-                book=components.fleet_state.limits,
-                timers=components.timers,
-                request_permit=self._request_permit,
-                entry_count=components.fleet_state.entry_count,
-            ),
+            gate=gate,
         )
         self.relay = Relay(
             host=components.cfg.host,
