Probe a lost scheduler by one task

The older one brought it back before the longer pause was over, and if the host left the list the second one failed with a KeyError. The new test fails on the commit before and passes; so do the tests of pieces.

--- a/marigoldtrail/pieces/client.py
+++ b/marigoldtrail/pieces/client.py
@@ -80,14 +80,17 @@
         Monotonic time in seconds of the last loss.
     is_lost : bool
         Whether it has not answered since then.
+    is_probed : bool
+        Whether a task probes it.
     """
 
-    __slots__ = ("probe_after_s", "lost_at", "is_lost")
+    __slots__ = ("probe_after_s", "lost_at", "is_lost", "is_probed")
 
     def __init__(self) -> None:
         self.probe_after_s = FIRST_PROBE_DELAY_S
         self.lost_at = float("-inf")
         self.is_lost = False
+        self.is_probed = False
 
     def record_loss(self, now: float) -> None:
         """Record that the scheduler did not answer at a monotonic time in seconds."""
@@ -220,7 +223,9 @@
         )
         lost = self._lost.setdefault(host, LostScheduler())
         lost.record_loss(self._timers.now())
-        self._nursery.start_soon(run_guarded, self._probe, host, lost)
+        if not lost.is_probed:
+            lost.is_probed = True
+            self._nursery.start_soon(run_guarded, self._probe, host, lost)
 
     async def _probe(self, host: str, lost: LostScheduler) -> None:
         """
@@ -229,12 +234,16 @@
         Entries lose a scheduler at different times. If each entry waited for a fixed time, their
         requests would be spread over several schedulers until the last of these times ends.
         """
-        await self._timers.sleep(lost.probe_after_s)
         while lost.is_lost and host in self._hosts():
-            if not isinstance(await self._pulse(host), Failure):
+            # It may answer a call and be lost again meanwhile, which prolongs the pause.
+            probe_at = lost.lost_at + lost.probe_after_s
+            if self._timers.now() < probe_at:
+                await self._timers.sleep_until(probe_at)
+            elif isinstance(await self._pulse(host), Failure):
+                await self._timers.sleep(PULSE_INTERVAL_S)
+            else:
                 self._handle_answer(host)
-                return
-            await self._timers.sleep(PULSE_INTERVAL_S)
+        lost.is_probed = False
         if lost.is_lost:
             # The host has left the list of control hosts.
             del self._lost[host]
--- a/marigoldtrail/pieces/tests/test_client.py
+++ b/marigoldtrail/pieces/tests/test_client.py
@@ -4,6 +4,7 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.pieces.client import (
+    FIRST_PROBE_DELAY_S,
     PULSE_INTERVAL_S,
     PULSE_TIMEOUT_S,
     PieceClient,
@@ -86,3 +87,30 @@
         waited_s = trio.current_time() - started - WORK_S
         assert waited_s < 0.2, trio.current_time()
         await trio.sleep(0.3)
+
+
+async def test_scheduler_that_is_lost_twice_is_probed_once(autojump_clock, nursery, caplog):
+    """Guards against an earlier probe that ends the longer pause, or fails, after a second loss."""
+    hosts = Hosts()
+    client = make_client(nursery, hosts)
+    lost = HOSTS[0]
+    hosts.down = {lost}
+    client._handle_loss(lost, "test")
+    await trio.sleep(0.1)
+    client._handle_answer(lost)
+    client._handle_loss(lost, "test")
+    await trio.sleep(FIRST_PROBE_DELAY_S)
+    hosts.down = set()
+    # The pause after the second loss is twice as long as that after the first.
+    await trio.sleep(FIRST_PROBE_DELAY_S / 2)
+    assert client._is_lost(lost)
+    await trio.sleep(FIRST_PROBE_DELAY_S)
+    assert not client._is_lost(lost)
+
+    hosts.down = {lost}
+    client._handle_loss(lost, "test")
+    client._handle_answer(lost)
+    client._handle_loss(lost, "test")
+    client._seeds = HOSTS[1:]
+    await trio.sleep(10)
+    assert "unexpected" not in caplog.text and client._lost == {}
