--- a/marigoldtrail/pieces/tests/load.py
+++ b/marigoldtrail/pieces/tests/load.py
@@ -11,7 +11,12 @@
 from marigoldtrail.errors import Failure
 from marigoldtrail.pieces import PieceCall, PieceResult, PieceService
 from marigoldtrail.registry import FleetState
-from marigoldtrail.relay.exchange import WAIT_SHARES, YIELD_TIMES_S
+from marigoldtrail.relay.exchange import (
+    ABANDON_PAUSE_TARGETS,
+    MIN_ABANDON_PAUSE_S,
+    WAIT_SHARES,
+    YIELD_TIMES_S,
+)
 from marigoldtrail.routing import (
     EngineSpec,
     Limits,
@@ -29,8 +34,6 @@
 ENGINE_S = 0.2
 # Callers retry after at most this share of their remaining time.
 RETURN_SHARE = 1 / 3
-MIN_PATIENCE_S = 2.0
-PATIENCE_TARGETS = 4.0
 
 
 class Pool(msgspec.Struct, kw_only=True):
@@ -205,7 +208,7 @@
         """Send a request once; return True if on time, False if late, a Failure otherwise."""
         started = trio.current_time()
         deadline_s = kind.deadline_s - waited_s
-        patience_s = max(MIN_PATIENCE_S, PATIENCE_TARGETS * kind.target_s)
+        patience_s = max(MIN_ABANDON_PAUSE_S, ABANDON_PAUSE_TARGETS * kind.target_s)
         request = RunStages(
             request_id=request_id,
             stages=[
