Forget engines that are gone in the scheduler

EngineTracker.forget_except had no caller, and the engines that entries could not reach were never dropped: both grew with the names of engines seen, as would the paces of limited engines. The scheduler forgets what has left the list.

--- a/marigoldtrail/pieces/client.py
+++ b/marigoldtrail/pieces/client.py
@@ -234,16 +234,18 @@
         Entries lose a scheduler at different times. If each entry waited for a fixed time, their
         requests would be spread over several schedulers until the last of these times ends.
         """
-        while lost.is_lost and host in self._hosts():
-            # It may answer a call and be lost again meanwhile, which prolongs the pause.
-            probe_at = lost.lost_at + lost.probe_after_s
-            if self._timers.now() < probe_at:
-                await self._timers.sleep_until(probe_at)
-            elif isinstance(await self._pulse(host), Failure):
-                await self._timers.sleep(PULSE_INTERVAL_S)
-            else:
-                self._handle_answer(host)
-        lost.is_probed = False
+        try:
+            while lost.is_lost and host in self._hosts():
+                # It may answer a call and be lost again meanwhile, which prolongs the pause.
+                probe_at = lost.lost_at + lost.probe_after_s
+                if self._timers.now() < probe_at:
+                    await self._timers.sleep_until(probe_at)
+                elif isinstance(await self._pulse(host), Failure):
+                    await self._timers.sleep(PULSE_INTERVAL_S)
+                else:
+                    self._handle_answer(host)
+        finally:
+            lost.is_probed = False
         if lost.is_lost:
             # The host has left the list of control hosts.
             del self._lost[host]
--- a/marigoldtrail/pieces/placer.py
+++ b/marigoldtrail/pieces/placer.py
@@ -55,6 +55,13 @@
             else:
                 tracker.mark_prompt_read(request_id)
 
+    def forget_except(self, names: set[str]) -> None:
+        """Forget all engines other than those named."""
+        for tracker in self._trackers.values():
+            tracker.forget_except(names)
+        self._suspects = {name: at for name, at in self._suspects.items() if name in names}
+        self._permits.retain(names)
+
     def _tracker(self, service: str) -> EngineTracker | None:
         found = self._fleet_state.find_service(service)
         spec = found.engine if found is not None else None
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -135,7 +135,11 @@
 
     async def run(self) -> None:
         """Plan and make calls until cancelled."""
-        await self._runner.run()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._runner.run)
+            while True:
+                await self._fleet_state.changed.wait()
+                self._placer.forget_except(set(self._fleet_state.upstreams))
 
     async def _run_stages(self, request: RunStages, sender: str) -> StagesReply | Failure:
         # An entry that sends a request again does not need the results of its first attempt.
--- a/marigoldtrail/pieces/tests/test_engines.py
+++ b/marigoldtrail/pieces/tests/test_engines.py
@@ -2,6 +2,8 @@
 
 import random
 
+import trio
+
 from marigoldtrail.pieces.engines import CACHE_SHARE, EngineTracker, Placement, list_prefixes
 from marigoldtrail.pieces.placer import SUSPECT_S, EnginePlacer
 from marigoldtrail.registry import FleetState
@@ -162,3 +164,27 @@
         expected = placer.expected_data_centre(request)
         assert places[placer.place(request, {}, 100.0)] == expected
     assert make_placer(*engines).expected_data_centre(ask("short", own(1), own(2))) == ""
+
+
+async def test_placer_forgets_engines_that_are_gone(autojump_clock):
+    """Guards against memory that grows with each engine that is replaced."""
+    placer = make_placer(engine("e0"), engine("e1"))
+    placer.place(ask("r", own(0, 8000), suspects=["e0"]), {}, 100.0)
+    placer.forget_except({"e1"})
+    assert set(placer._suspects) <= {"e1"}
+    assert all(set(tracker._cached) <= {"e1"} for tracker in placer._trackers.values())
+    placer.forget_except(set())
+    assert not placer._suspects
+    assert not any(tracker._cached for tracker in placer._trackers.values())
+
+
+async def test_engine_at_its_limit_is_placed_on_less(autojump_clock):
+    """Guards against requests placed on an engine that can't get a permit for them."""
+    placer = make_placer(engine("limited"), engine("free"))
+    placer._fleet_state.limits.record_answer("limited", 0, 2.0, sent_at=0.0, now=0.0)
+    chosen = []
+    for number in range(100):
+        chosen.append(placer.place(ask(f"r{number}", own(number)), {}, 100.0))
+        placer.record_progress(f"r{number}", has_ended=True)
+        await trio.sleep(0.05)
+    assert 5 <= chosen.count("limited") <= 12
--- a/marigoldtrail/pieces/tests/test_service.py
+++ b/marigoldtrail/pieces/tests/test_service.py
@@ -150,3 +150,13 @@
         reply = await scheduler.ask(count=SPEC.batch - 1)
         assert isinstance(reply, StagesReply), reply
         assert trio.current_time() - started < 2 * WORK_S
+
+
+async def test_scheduler_forgets_engines_when_the_list_changes(autojump_clock, nursery):
+    """Guards against a scheduler that never forgets the engines it has chosen."""
+    scheduler = Scheduler(nursery)
+    await trio.sleep(0.1)
+    scheduler.service._placer._suspects["gone"] = 1.0
+    scheduler.fleet_state.changed.notify()
+    await trio.sleep(0.1)
+    assert scheduler.service._placer._suspects == {}
