--- a/marigoldtrail/platform/tests/standin.py
+++ b/marigoldtrail/platform/tests/standin.py
@@ -76,8 +76,8 @@
         self.list = []
         self.upstreams = 0
         # Parts of prompts on which an engine crashes when it begins to write an answer.
-        self.deadly_parts = set()
-        self.deadly_arrivals = []
+        self.crashing_parts = set()
+        self.crashing_arrivals = []
         self.engine_crashes = []
         self.engine_scopes = {}
         # Limit that an upstream names in its answers, by its id.
@@ -159,12 +159,12 @@
                 await reply.send_json(200, {"by": name}, headers)
                 return
             self.used_handles.update(received.inputs)
-            is_deadly = not self.deadly_parts.isdisjoint(received.prompt[:-1])
-            if is_deadly:
-                self.deadly_arrivals.append(trio.current_time())
+            is_crashing = not self.crashing_parts.isdisjoint(received.prompt[:-1])
+            if is_crashing:
+                self.crashing_arrivals.append(trio.current_time())
             await reply.start_stream(headers)
             await trio.sleep(PREFILL_S)
-            if is_deadly:
+            if is_crashing:
                 self._crash_engine(name)
                 await trio.sleep_forever()
             for number in range(3):
--- a/marigoldtrail/platform/tests/test_prompt_crashes.py
+++ b/marigoldtrail/platform/tests/test_prompt_crashes.py
@@ -48,21 +48,21 @@
 
 
 def count_late_arrivals(site):
-    """Count the deadly requests that reach engines although the fleet should know the part."""
+    """Count the crashing requests that reach engines although the fleet should know the part."""
     if len(site.engine_crashes) < CRASHES_BEFORE_BOUND:
         return 0
     bound = site.engine_crashes[CRASHES_BEFORE_BOUND - 1] + WINDOW_S
-    return sum(at > bound for at in site.deadly_arrivals)
+    return sum(at > bound for at in site.crashing_arrivals)
 
 
 async def do_nothing(site):
     """Disturb nothing."""
 
 
-async def play(nursery, seconds, *streams, deadly=("bad",), disturb=do_nothing):
+async def play(nursery, seconds, *streams, crashing=("bad",), disturb=do_nothing):
     """Play streams of requests, each (label, interval in seconds, parts), beside a disturbance."""
     site = await start_serving_site(nursery, entries=ENTRIES, engines=9)
-    site.deadly_parts.update(deadly)
+    site.crashing_parts.update(crashing)
     traffic = Traffic(site)
     with trio.move_on_after(seconds):
         async with trio.open_nursery() as callers:
@@ -83,14 +83,14 @@
 
 
 SOUND = ("sound", 0.1, "start")
-DEADLY = ("deadly", 0.4, "start", "bad")
+CRASHING = ("crashing", 0.4, "start", "bad")
 
 
 async def test_requests_with_a_part_that_crashes_upstreams_stop_reaching_them(
     autojump_clock, nursery
 ):
     """Guards against requests that crash one upstream after the other."""
-    site, traffic = await play(nursery, 25, SOUND, ("subject", 0.4, "start", "s"), DEADLY)
+    site, traffic = await play(nursery, 25, SOUND, ("subject", 0.4, "start", "s"), CRASHING)
     assert len(site.engine_crashes) >= 2
     assert count_late_arrivals(site) <= MAX_ARRIVALS
     since = site.engine_crashes[-1] + 2 * WINDOW_S if len(site.engine_crashes) < 5 else 0.0
@@ -102,7 +102,7 @@
     autojump_clock, nursery
 ):
     """Guards against crashes that come faster than hosts exchange what they have seen."""
-    site, traffic = await play(nursery, 25, SOUND, ("deadly", 0.05, "start", "bad"))
+    site, traffic = await play(nursery, 25, SOUND, ("crashing", 0.05, "start", "bad"))
     assert count_late_arrivals(site) <= MAX_ARRIVALS
     assert traffic.served_share("sound", site.engine_crashes[0] + 8) >= 0.95
 
@@ -111,7 +111,7 @@
     autojump_clock, nursery
 ):
     """Guards against callers that wait in vain, and against stages run for them."""
-    site, traffic = await play(nursery, 4, SOUND, DEADLY)
+    site, traffic = await play(nursery, 4, SOUND, CRASHING)
     calls = len(site.seen)
     fields = [("x-prompt-prefix", "start:1,bad:1,own:1"), ("x-token-count", "3,3"),
               ("x-pieces", "2,1"), ("x-piece-key", "pk")]  # fmt: skip
@@ -134,7 +134,7 @@
         await site.crash(site.entries[3])
         await site.start_host(site.entries[3])
 
-    site, traffic = await play(nursery, 18, SOUND, DEADLY, disturb=disturb)
+    site, traffic = await play(nursery, 18, SOUND, CRASHING, disturb=disturb)
     assert count_late_arrivals(site) <= MAX_ARRIVALS
     assert len(site.engine_crashes) <= CRASHES_BEFORE_BOUND
     assert held_parts(site) == [{"bad"}] * ENTRIES
@@ -151,7 +151,7 @@
         for ip in site.control:
             await site.start_host(ip)
 
-    site, traffic = await play(nursery, 18, SOUND, DEADLY, disturb=disturb)
+    site, traffic = await play(nursery, 18, SOUND, CRASHING, disturb=disturb)
     assert count_late_arrivals(site) <= MAX_ARRIVALS
     assert len(site.engine_crashes) <= CRASHES_BEFORE_BOUND
     assert held_parts(site) == [{"bad"}] * ENTRIES
@@ -169,7 +169,7 @@
         for ip in site.control:
             await site.start_host(ip)
 
-    site, traffic = await play(nursery, 12, SOUND, DEADLY, disturb=disturb)
+    site, traffic = await play(nursery, 12, SOUND, CRASHING, disturb=disturb)
     assert count_late_arrivals(site) <= MAX_ARRIVALS
     assert held_parts(site) == [{"bad"}] * ENTRIES
 
@@ -184,7 +184,7 @@
 
     site, traffic = await play(
         nursery, 25, ("popular", 0.05, "start", "hot"), ("rare", 0.7, "start", "rare"),
-        deadly=(), disturb=disturb,
+        crashing=(), disturb=disturb,
     )  # fmt: skip
     assert len(site.engine_crashes) >= 20
     assert held_parts(site) == [set()] * ENTRIES
@@ -194,8 +194,8 @@
 async def test_two_parts_that_crash_upstreams_are_both_stopped(autojump_clock, nursery):
     """Guards against one crashing part that hides another."""
     site, traffic = await play(
-        nursery, 25, SOUND, DEADLY, ("worse", 0.5, "start", "s", "worse"), ("s", 0.3, "start", "s"),
-        deadly=("bad", "worse"),
+        nursery, 25, SOUND, CRASHING, ("worse", 0.5, "start", "s", "worse"),
+        ("s", 0.3, "start", "s"), crashing=("bad", "worse"),
     )  # fmt: skip
     assert held_parts(site) == [{"bad", "worse"}] * ENTRIES
     assert traffic.served_share("s", site.engine_crashes[0] + 6) >= 0.95
@@ -208,8 +208,8 @@
 
     async def disturb(site):
         await trio.sleep(4)
-        site.deadly_parts.clear()
+        site.crashing_parts.clear()
 
-    site, traffic = await play(nursery, 30, SOUND, DEADLY, disturb=disturb)
+    site, traffic = await play(nursery, 30, SOUND, CRASHING, disturb=disturb)
     assert held_parts(site) == [set()] * ENTRIES
-    assert traffic.statuses("deadly")[-20:] == [200] * 20
+    assert traffic.statuses("crashing")[-20:] == [200] * 20
--- a/marigoldtrail/quarantine/tests/test_evidence.py
+++ b/marigoldtrail/quarantine/tests/test_evidence.py
@@ -99,17 +99,17 @@
     assert fleet.held() == [{"bad"}]
 
 
-def test_part_that_turned_deadly_is_quarantined_by_the_fifth_crash():
+def test_answered_part_is_quarantined_by_the_fifth_crash():
     """Guards against trusting a part for ever because it was answered once."""
     fleet = Fleet()
-    fleet.answer("start", "turned")
+    fleet.answer("start", "changed")
     for number in range(MIN_CRASHES_ANSWERED):
         fleet.wait()
         assert fleet.held() == []
-        fleet.crash(f"start turned s{number}")
+        fleet.crash(f"start changed s{number}")
         fleet.answer("start")
     fleet.wait(REVIEW_S + 0.1)
-    assert fleet.held() == [{"turned"}]
+    assert fleet.held() == [{"changed"}]
 
 
 def test_two_parts_that_crash_upstreams_are_both_found():
