Divide the evidence on prompts into crashes and decisions

Moved without change, but for one thing: a leader that takes quarantines over from several hosts keeps the parts that all of them hold, since an answer may have cleared a part on one of them only (test_next_leader_takes_quarantines_and_trials_over). The tests of quarantine, registry and crashing prompts pass.

--- a/marigoldtrail/quarantine/evidence.py
+++ b/marigoldtrail/quarantine/evidence.py
@@ -8,17 +8,11 @@
 from __future__ import annotations
 
 import logging
-from collections import deque
 from collections.abc import Iterable
 
+from marigoldtrail.quarantine.crashes import Crash, CrashLog, count_causes, join
 from marigoldtrail.schema.generated.registry import PartAnswer, PromptCrash, PromptQuarantine
 
-# Failures at one upstream within this time belong to the same crash.
-CRASH_SPREAD_S = 1.0
-# Crashes within this time may have a common cause and count as one.
-COMMON_CAUSE_S = 0.25
-MAX_CRASHES = 256
-MAX_CRASH_AGE_S = 600.0
 # Crashes beside a part on which no upstream ever wrote an answer.
 MIN_CRASHES = 2
 # Crashes beside a part that was answered before, and has not been since the first of them.
@@ -28,6 +22,7 @@
 # Time for all hosts to report answers on a suspect part.
 REVIEW_S = 0.3
 MAX_QUARANTINES = 64
+MAX_ANSWERED_PARTS = 2048
 QUARANTINE_EXPIRY_S = 3600.0
 # Delays before a request with a quarantined part is sent as a trial; the last one is repeated. The
 # first is left out if the evidence is strong.
@@ -36,35 +31,6 @@
 _log = logging.getLogger(__name__)
 
 
-class Crash:
-    """
-    Crash of one upstream.
-
-    Parameters
-    ----------
-    upstream : str
-        The upstream.
-    at : float
-        Monotonic time in seconds.
-
-    Attributes
-    ----------
-    requests : dict
-        Parts of the prompt of each request that had no answer yet, by its last part.
-    """
-
-    __slots__ = ("upstream", "at", "requests")
-
-    def __init__(self, *, upstream: str, at: float) -> None:
-        self.upstream = upstream
-        self.at = at
-        self.requests: dict[str, frozenset[str]] = {}
-
-    def is_explained_by(self, parts: frozenset[str]) -> bool:
-        """Return whether a request with all of these parts was at the upstream."""
-        return any(parts <= prompt for prompt in self.requests.values())
-
-
 class Quarantine:
     """
     Parts of a prompt that are held off.
@@ -126,7 +92,7 @@
 
     def __init__(self) -> None:
         self.revision = 0
-        self._crashes: deque[Crash] = deque(maxlen=MAX_CRASHES)
+        self._crashes = CrashLog()
         # Time of the last answer on each part that stands beside a crash or is quarantined.
         self._answered_at: dict[str, float] = {}
         self._quarantines: dict[str, Quarantine] = {}
@@ -145,20 +111,9 @@
         now : float
             Monotonic time in seconds.
         """
-        at = now - crash.age_ms / 1000
-        known = self._find_crash(crash.upstream, at)
-        if known is None:
-            known = Crash(upstream=crash.upstream, at=at)
-            self._crashes.append(known)
-        known.requests[crash.request] = frozenset(crash.parts)
+        self._crashes.record(crash, now - crash.age_ms / 1000)
         self._has_news = True
 
-    def _find_crash(self, upstream: str, at: float) -> Crash | None:
-        for crash in reversed(self._crashes):
-            if crash.upstream == upstream and abs(crash.at - at) <= CRASH_SPREAD_S:
-                return crash
-        return None
-
     def record_answer(self, answer: PartAnswer, now: float) -> None:
         """
         Record an answer on a part, which clears it of earlier crashes.
@@ -223,9 +178,15 @@
                     is_answered_before=quarantine.is_answered_before,
                 )
             )
-        elif quarantine.trials > known.trials:
+            return
+        if quarantine.trials > known.trials:
             known.trials, known.trial_at = quarantine.trials, trial_at
             self.revision += 1
+        # One host may know of an answer that cleared a part, another may not.
+        common = known.parts.intersection(quarantine.parts)
+        if common and common != known.parts:
+            known.parts = common
+            self.revision += 1
 
     def _add(self, quarantine: Quarantine) -> None:
         self._quarantines[quarantine.part] = quarantine
@@ -236,8 +197,7 @@
     def _forget(self, quarantine: Quarantine) -> None:
         """Drop a quarantine and its crashes, which would be reason for it again."""
         del self._quarantines[quarantine.part]
-        kept = [crash for crash in self._crashes if not crash.is_explained_by(quarantine.parts)]
-        self._crashes = deque(kept, maxlen=MAX_CRASHES)
+        self._crashes.drop_explained(quarantine.parts)
 
     def review(self, now: float) -> None:
         """
@@ -263,13 +223,12 @@
             self._quarantine(part, blamed[part], now)
 
     def _expire(self, now: float) -> None:
-        while self._crashes and self._crashes[0].at < now - MAX_CRASH_AGE_S:
-            self._crashes.popleft()
+        self._crashes.expire(now)
         for part, quarantine in list(self._quarantines.items()):
             if quarantine.last_crash_at < now - QUARANTINE_EXPIRY_S:
                 del self._quarantines[part]
                 self.revision += 1
-        if len(self._answered_at) > 8 * MAX_CRASHES:
+        if len(self._answered_at) > MAX_ANSWERED_PARTS:
             beside = {part for crash in self._crashes for part in join(crash.requests.values())}
             beside |= join(quarantine.parts for quarantine in self._quarantines.values())
             self._answered_at = {p: at for p, at in self._answered_at.items() if p in beside}
@@ -401,34 +360,3 @@
             )
             for quarantine in self._quarantines.values()
         ]
-
-
-def join(groups: Iterable[frozenset[str]]) -> frozenset[str]:
-    """Return all members of several sets."""
-    return frozenset().union(*groups)
-
-
-def count_causes(times: Iterable[float]) -> int:
-    """
-    Count events, taking those that follow each other closely for one.
-
-    Parameters
-    ----------
-    times : iterable of float
-        Monotonic times in seconds.
-
-    Returns
-    -------
-    int
-        Number of groups that are at least `COMMON_CAUSE_S` apart.
-
-    Examples
-    --------
-    >>> count_causes([5.0, 1.0, 1.1, 1.2])
-    2
-    """
-    count, last = 0, float("-inf")
-    for at in sorted(times):
-        if at >= last + COMMON_CAUSE_S:
-            count, last = count + 1, at
-    return count
--- a/marigoldtrail/quarantine/tests/test_evidence.py
+++ b/marigoldtrail/quarantine/tests/test_evidence.py
@@ -1,11 +1,10 @@
 """Decisions on prompt parts from the crashes and answers of a fleet."""
 
+import msgspec
 import pytest
 
+from marigoldtrail.quarantine.crashes import COMMON_CAUSE_S, MAX_CRASH_AGE_S, MAX_CRASHES
 from marigoldtrail.quarantine.evidence import (
-    COMMON_CAUSE_S,
-    MAX_CRASH_AGE_S,
-    MAX_CRASHES,
     MAX_QUARANTINES,
     MIN_CRASHES_ANSWERED,
     QUARANTINE_EXPIRY_S,
@@ -228,10 +227,15 @@
         successor.evidence.adopt(quarantine, successor.now)
     assert successor.held() == [{"bad"}]
     assert not successor.evidence.take_trial("bad", successor.now + TRIAL_DELAYS_S[1] - 1)
+    weaker = msgspec.structs.replace(told[0], parts=["bad", "start"])
+    successor.evidence.adopt(weaker, successor.now)
     successor.answer("bad", age_s=60)
     assert successor.held() == [{"bad"}]
     successor.answer("bad")
     assert successor.held() == []
+    for quarantine in (weaker, told[0]):
+        successor.evidence.adopt(quarantine, successor.now)
+    assert successor.held() == [{"bad"}]
 
 
 def test_memory_is_bounded():
@@ -242,8 +246,8 @@
         fleet.wait(0.5)
         fleet.answer(f"sound{number}")
     assert len(fleet.held()) <= MAX_QUARANTINES
-    assert len(fleet.evidence._crashes) <= MAX_CRASHES
+    assert len(list(fleet.evidence._crashes)) <= MAX_CRASHES
     fleet.wait(MAX_CRASH_AGE_S + 1)
-    assert not fleet.evidence._crashes
+    assert list(fleet.evidence._crashes) == []
     fleet.wait(QUARANTINE_EXPIRY_S)
     assert fleet.held() == []
