Keep the leader's replies apart from its review of prompts, and ask for no trial without a leader

Found in a read-through: an unexpected error in the review would have failed every report of a host, or ended the leader's tasks; a quarantine without parts would have explained all crashes; and while there was no leader, each caller of a quarantined prompt would have waited 0.5 s for a trial.

--- a/marigoldtrail/quarantine/evidence.py
+++ b/marigoldtrail/quarantine/evidence.py
@@ -111,7 +111,7 @@
         now : float
             Monotonic time in seconds.
         """
-        self._crashes.record(crash, now - crash.age_ms / 1000)
+        self._crashes.record(crash, now - max(0, crash.age_ms) / 1000)
         self._has_news = True
 
     def record_answer(self, answer: PartAnswer, now: float) -> None:
@@ -125,7 +125,7 @@
         now : float
             Monotonic time in seconds.
         """
-        at = now - answer.age_ms / 1000
+        at = now - max(0, answer.age_ms) / 1000
         if at <= self._answered_at.get(answer.part, float("-inf")):
             return
         self._answered_at[answer.part] = at
@@ -165,6 +165,8 @@
         now : float
             Monotonic time in seconds.
         """
+        if quarantine.part not in quarantine.parts:
+            return
         known = self._quarantines.get(quarantine.part)
         trial_at = now + quarantine.trial_after_ms / 1000
         if known is None:
--- a/marigoldtrail/quarantine/tests/test_evidence.py
+++ b/marigoldtrail/quarantine/tests/test_evidence.py
@@ -12,7 +12,7 @@
     TRIAL_DELAYS_S,
     PromptEvidence,
 )
-from marigoldtrail.schema.generated.registry import PartAnswer, PromptCrash
+from marigoldtrail.schema.generated.registry import PartAnswer, PromptCrash, PromptQuarantine
 
 
 class Fleet:
@@ -251,3 +251,10 @@
     assert list(fleet.evidence._crashes) == []
     fleet.wait(QUARANTINE_EXPIRY_S)
     assert fleet.held() == []
+
+
+def test_malformed_quarantine_of_a_host_is_ignored():
+    """Guards against one wrong message that explains all crashes, or refuses all prompts."""
+    fleet = Fleet()
+    fleet.evidence.adopt(PromptQuarantine(part="bad", parts=[]), fleet.now)
+    assert fleet.held() == []
--- a/marigoldtrail/registry/state.py
+++ b/marigoldtrail/registry/state.py
@@ -74,6 +74,7 @@
         "prompts",
         "limits",
         "_permits",
+        "_prompts_notified",
         "upstreams",
         "upstreams_revision",
         "hosts_revision",
@@ -97,6 +98,8 @@
         self.prompts = PromptEvidence()
         self.limits = LimitBook()
         self._permits = PermitLedger()
+        # Revision of the quarantines at the last notification.
+        self._prompts_notified = 0
         self.upstreams: list[UpstreamEntry] | None = None
         self.upstreams_revision = 0
         self.hosts_revision = 0
@@ -179,22 +182,23 @@
         adopted = report.quarantines if report.term != self.term else []
         if not (report.crashes or report.answered_parts or adopted):
             return
-        revision = self.prompts.revision
         for quarantine in adopted:
             self.prompts.adopt(quarantine, now)
         for answer in report.answered_parts:
             self.prompts.record_answer(answer, now)
         for crash in report.crashes:
             self.prompts.record_crash(crash, now)
-        self.prompts.review(now)
-        if self.prompts.revision != revision:
-            self.changed.notify()
+        self.review_prompts()
 
     def review_prompts(self) -> None:
         """Quarantine the parts of prompts that hosts had time to clear and did not."""
-        revision = self.prompts.revision
-        self.prompts.review(self._timers.now())
-        if self.prompts.revision != revision:
+        try:
+            self.prompts.review(self._timers.now())
+        except Exception:
+            # The hosts need the replies of the leader also if this decision fails.
+            _log.exception("the evidence on prompts could not be reviewed")
+        if self.prompts.revision != self._prompts_notified:
+            self._prompts_notified = self.prompts.revision
             self.changed.notify()
 
     def take_trial(self, part: str) -> bool:
--- a/marigoldtrail/relay/send_gate.py
+++ b/marigoldtrail/relay/send_gate.py
@@ -17,6 +17,8 @@
 
 # A caller of a quarantined prompt is told to wait at least this long.
 MIN_QUARANTINE_RETRY_S = 1.0
+# Without a leader that has answered so recently no trial is asked for, since its caller would wait.
+MAX_LEADER_AGE_S = 1.0
 # Time without requests after a permit was refused.
 MIN_LIMITED_S = 0.02
 
@@ -82,7 +84,8 @@
         found = self._fleet_state.prompts.find_held(exchange.info.prefix)
         if not found:
             return None
-        if len(found) == 1 and found[0].trial_at <= self._timers.now():
+        is_leader_there = self._fleet_state.age_s() < MAX_LEADER_AGE_S
+        if len(found) == 1 and found[0].trial_at <= self._timers.now() and is_leader_there:
             exchange.has_trial_grant = await self._request_trial(found[0].part)
             if exchange.has_trial_grant:
                 return None
--- a/marigoldtrail/relay/tests/test_prompts.py
+++ b/marigoldtrail/relay/tests/test_prompts.py
@@ -178,3 +178,21 @@
         guard.confirm(report, term)
     guard.apply([], [BAD])
     assert guard.build_report().quarantines[0].parts == ["bad"]
+
+
+async def test_caller_does_not_wait_for_a_trial_without_a_leader(autojump_clock, nursery):
+    """Guards against slow refusals of quarantined prompts while there is no leader."""
+
+    async def wait(part):
+        await trio.sleep(0.5)
+        return False
+
+    harness = RelayHarness(nursery, RouteKind.STREAMING)
+    harness.gate._request_trial = wait
+    await harness.start(send_events(3, then=end_stream))
+    harness.fleet_state.prompts.apply([], [PromptQuarantine(part="bad", parts=["bad"])])
+    harness.fleet_state.confirmed_at = trio.current_time()
+    await trio.sleep(5)
+    started = trio.current_time()
+    data = await harness.fetch(make_prompt_request("start:5,bad:7,own:3"))
+    assert data.startswith(b"HTTP/1.1 503") and trio.current_time() - started < 0.1
