Test that a quarantine outlives the entries that saw its crashes

With the adoption of quarantines switched off, the other tests of a site passed: the entries had reported their crashes again. The new one fails then.

--- a/marigoldtrail/platform/tests/test_prompt_crashes.py
+++ b/marigoldtrail/platform/tests/test_prompt_crashes.py
@@ -213,3 +213,21 @@
     site, traffic = await play(nursery, 30, SOUND, CRASHING, disturb=disturb)
     assert held_parts(site) == [set()] * ENTRIES
     assert traffic.statuses("crashing")[-20:] == [200] * 20
+
+
+async def test_quarantine_survives_a_restart_of_all_entries_and_a_new_leader(
+    autojump_clock, nursery
+):
+    """Guards against a quarantine that ends with the processes that saw the crashes."""
+
+    async def disturb(site):
+        await trio.sleep(4)
+        for ip in site.entries:
+            await site.crash(ip)
+            await site.start_host(ip)
+            await trio.sleep(0.5)
+        await site.crash(find_leader(site))
+
+    site, traffic = await play(nursery, 14, SOUND, CRASHING, disturb=disturb)
+    assert len(site.engine_crashes) <= CRASHES_BEFORE_BOUND
+    assert held_parts(site) == [{"bad"}] * ENTRIES
