--- a/Makefile
+++ b/Makefile
@@ -21,13 +21,13 @@
 	$(BIN)/python -m pytest
 
 lint: $(VENV)/installed
-	$(BIN)/black --check -q marigoldtrail bench
-	$(BIN)/ruff check -q marigoldtrail bench
+	$(BIN)/black --check -q marigoldtrail bench conftest.py
+	$(BIN)/ruff check -q marigoldtrail bench conftest.py
 	$(BIN)/mypy
 
 format: $(VENV)/installed
-	$(BIN)/black -q marigoldtrail bench
-	$(BIN)/ruff check -q --fix marigoldtrail bench
+	$(BIN)/black -q marigoldtrail bench conftest.py
+	$(BIN)/ruff check -q --fix marigoldtrail bench conftest.py
 
 bench: $(VENV)/installed
 	$(BIN)/python -m bench
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -81,6 +81,10 @@
         """Id of the current start on the list of the platform."""
         return f"{self.name}-{self.starts}"
 
+    def limit_headers(self) -> dict[str, str]:
+        """Return the headers that name its limit; none if it has no limit."""
+        return make_limit_headers(f"{self.limit.requests_per_s:.2f}") if self.limit else {}
+
 
 class Platform:
     """
@@ -163,17 +167,16 @@
             await trio.sleep(seconds)
             upstream.limit = None
 
-    def _check_limit(self, upstream: Upstream) -> dict[str, str]:
-        """Count a request against the limit of an upstream; return the headers that name it."""
+    def _check_limit(self, upstream: Upstream) -> None:
+        """Count a request against the limit of an upstream, if it has one."""
         limit = upstream.limit
         if limit is None:
-            return {}
+            return
         count = limit.record_request(trio.current_time())
         if count > limit.max_requests:
             self._ledger.report_violation(
                 f"{upstream.id}: {count} requests at a limit of {limit.requests_per_s} a second"
             )
-        return make_limit_headers(f"{limit.requests_per_s:.2f}")
 
     async def leave(self, upstream: Upstream, down_s: float) -> None:
         """Announce that an upstream is leaving, then restart it."""
@@ -200,23 +203,18 @@
         elif request.path == HEALTH_PATH:
             await reply.send_json(200, {}, identity)
         else:
-            await self._serve(upstream, request, reply, self._check_limit(upstream))
+            self._check_limit(upstream)
+            await self._serve(upstream, request, reply)
 
-    async def _serve(
-        self,
-        upstream: Upstream,
-        request: HttpRequest,
-        reply: ResponseWriter,
-        limit: dict[str, str],
-    ) -> None:
+    async def _serve(self, upstream: Upstream, request: HttpRequest, reply: ResponseWriter) -> None:
         if request.path == PIECES_PATH:
-            await self._run_pieces(upstream, request, reply, limit)
+            await self._run_pieces(upstream, request, reply)
         elif request.path.startswith(INTERNAL_PREFIX):
-            await reply.send_json(200, {}, limit)
+            await reply.send_json(200, {}, upstream.limit_headers())
         elif upstream.service == "llm":
-            await self._generate(upstream, request, reply, limit)
+            await self._generate(upstream, request, reply)
         else:
-            await self._work(upstream, request, reply, limit)
+            await self._work(upstream, request, reply)
 
     async def _pause(self) -> None:
         is_long = self._rng.random() < LONG_WORK_SHARE
@@ -231,41 +229,34 @@
         )
         self._ledger.record_run(run, request.headers)
 
-    async def _work(
-        self,
-        upstream: Upstream,
-        request: HttpRequest,
-        reply: ResponseWriter,
-        limit: dict[str, str],
-    ) -> None:
+    async def _work(self, upstream: Upstream, request: HttpRequest, reply: ResponseWriter) -> None:
         received = read_received(request.headers)
         request_id = received.request_id
         self._record_run(request, received)
         await self._pause()
         padding = "x" * self._rng.randrange(MAX_PADDING_BYTES)
         body = msgspec.json.encode({"id": request_id, "by": upstream.id, "padding": padding})
-        headers = {**make_answer_headers(request_id, compute_seal(request_id, body)), **limit}
+        headers = make_answer_headers(request_id, compute_seal(request_id, body))
+        headers.update(upstream.limit_headers())
         await reply.send_bytes(200, body, headers, "application/json")
 
     async def _generate(
-        self,
-        upstream: Upstream,
-        request: HttpRequest,
-        reply: ResponseWriter,
-        limit: dict[str, str],
+        self, upstream: Upstream, request: HttpRequest, reply: ResponseWriter
     ) -> None:
         received = read_received(request.headers)
         request_id = received.request_id
         found = [self._find_result(handle) for handle in received.inputs]
         if None in found:
-            await reply.send_json(STATUS_MISSING_INPUTS, {}, {**NOT_RUN, **limit})
+            headers = {**NOT_RUN, **upstream.limit_headers()}
+            await reply.send_json(STATUS_MISSING_INPUTS, {}, headers)
             return
         if found != [(request_id, 1, piece) for piece in range(PIECES[1])]:
             self._ledger.report_violation(f"{request_id}: the engine received the results {found}")
         self._record_run(request, received)
         first = int(received.resume_after) + 1 if received.resume_after else 0
         await self._pause()
-        await reply.start_stream({**make_answer_headers(request_id, request_id), **limit})
+        headers = {**make_answer_headers(request_id, request_id), **upstream.limit_headers()}
+        await reply.start_stream(headers)
         for number in range(first, STREAM_EVENTS):
             await reply.send_event(f"{request_id}\nid: {number}".encode())
             await trio.sleep(self._rng.uniform(0, 2 * EVENT_PAUSE_S))
@@ -278,16 +269,12 @@
         return None
 
     async def _run_pieces(
-        self,
-        upstream: Upstream,
-        request: HttpRequest,
-        reply: ResponseWriter,
-        limit: dict[str, str],
+        self, upstream: Upstream, request: HttpRequest, reply: ResponseWriter
     ) -> None:
         pieces = read_pieces(request.body)
         await trio.sleep(WORK_S)
         results = [self._make_result(upstream, piece) for piece in pieces]
-        await reply.send_json(200, build_results(results), limit)
+        await reply.send_json(200, build_results(results), upstream.limit_headers())
 
     def _make_result(self, upstream: Upstream, piece: ReceivedPiece) -> str | None:
         """Check a piece and return the handle of its result; None if an input is missing."""
