Keep one class for a quarantine, at the leader and on hosts

The leader's and the hosts' classes had the same fields, and both were written to and read from the message. Moved without change of behaviour; the tests of quarantine, registry, relay and crashing prompts pass.

--- a/marigoldtrail/quarantine/evidence.py
+++ b/marigoldtrail/quarantine/evidence.py
@@ -11,6 +11,11 @@
 from collections.abc import Iterable
 
 from marigoldtrail.quarantine.crashes import Crash, CrashLog, count_causes, join
+from marigoldtrail.quarantine.quarantine import (
+    Quarantine,
+    decode_quarantine,
+    encode_quarantine,
+)
 from marigoldtrail.schema.generated.registry import PartAnswer, PromptCrash, PromptQuarantine
 
 # Crashes beside a part on which no upstream ever wrote an answer.
@@ -31,46 +36,6 @@
 _log = logging.getLogger(__name__)
 
 
-class Quarantine:
-    """
-    Parts of a prompt that are held off.
-
-    Parameters
-    ----------
-    part : str
-        The part that names the quarantine.
-    parts : frozenset of str
-        This part, and those that could not be told apart from it.
-    last_crash_at : float
-        Monotonic time in seconds of the last crash on the part.
-    trials : int
-        Requests that were sent although they have the parts.
-    trial_at : float
-        Monotonic time in seconds from which the next one may be sent.
-    is_answered_before : bool
-        Whether upstreams had answered on the part before.
-    """
-
-    __slots__ = ("part", "parts", "last_crash_at", "trials", "trial_at", "is_answered_before")
-
-    def __init__(
-        self,
-        *,
-        part: str,
-        parts: frozenset[str],
-        last_crash_at: float,
-        trials: int,
-        trial_at: float,
-        is_answered_before: bool,
-    ) -> None:
-        self.part = part
-        self.parts = parts
-        self.last_crash_at = last_crash_at
-        self.trials = trials
-        self.trial_at = trial_at
-        self.is_answered_before = is_answered_before
-
-
 class PromptEvidence:
     """
     Crashes, answers and quarantines of one term of leadership.
@@ -167,27 +132,17 @@
         """
         if quarantine.part not in quarantine.parts:
             return
+        new = decode_quarantine(quarantine, now)
         known = self._quarantines.get(quarantine.part)
-        trial_at = now + quarantine.trial_after_ms / 1000
         if known is None:
-            self._add(
-                Quarantine(
-                    part=quarantine.part,
-                    parts=frozenset(quarantine.parts),
-                    last_crash_at=now - quarantine.age_ms / 1000,
-                    trials=quarantine.trials,
-                    trial_at=trial_at,
-                    is_answered_before=quarantine.is_answered_before,
-                )
-            )
+            self._add(new)
             return
-        if quarantine.trials > known.trials:
-            known.trials, known.trial_at = quarantine.trials, trial_at
+        if new.trials > known.trials:
+            known.trials, known.trial_at = new.trials, new.trial_at
             self.revision += 1
         # One host may know of an answer that cleared a part, another may not.
-        common = known.parts.intersection(quarantine.parts)
-        if common and common != known.parts:
-            known.parts = common
+        if known.parts - new.parts:
+            known.parts &= new.parts
             self.revision += 1
 
     def _add(self, quarantine: Quarantine) -> None:
@@ -351,14 +306,4 @@
 
     def list_quarantines(self, now: float) -> list[PromptQuarantine]:
         """Return the quarantines for the hosts at a monotonic time in seconds."""
-        return [
-            PromptQuarantine(
-                part=quarantine.part,
-                parts=sorted(quarantine.parts),
-                trials=quarantine.trials,
-                trial_after_ms=max(0, round((quarantine.trial_at - now) * 1000)),
-                age_ms=max(0, round((now - quarantine.last_crash_at) * 1000)),
-                is_answered_before=quarantine.is_answered_before,
-            )
-            for quarantine in self._quarantines.values()
-        ]
+        return [encode_quarantine(item, now) for item in self._quarantines.values()]
--- a/marigoldtrail/quarantine/guard.py
+++ b/marigoldtrail/quarantine/guard.py
@@ -7,6 +7,11 @@
 import msgspec
 import trio
 
+from marigoldtrail.quarantine.quarantine import (
+    Quarantine,
+    decode_quarantine,
+    encode_quarantine,
+)
 from marigoldtrail.schema.generated.registry import PartAnswer, PromptCrash, PromptQuarantine
 from marigoldtrail.timers import Notifier, Timers
 
@@ -18,34 +23,6 @@
 Prompt = tuple[tuple[str, int], ...]
 
 
-class HeldPrompt(msgspec.Struct, kw_only=True, frozen=True):
-    """
-    Parts of a prompt that are held off.
-
-    Parameters
-    ----------
-    part : str
-        The part that names the quarantine.
-    parts : frozenset of str
-        A request with all of these parts is refused.
-    trials : int
-        Requests that were sent although they have the parts.
-    trial_at : float
-        Monotonic time in seconds from which the leader may allow the next one.
-    last_crash_at : float
-        Monotonic time in seconds of the last crash on the part.
-    is_answered_before : bool
-        Whether upstreams had answered on the part before.
-    """
-
-    part: str
-    parts: frozenset[str]
-    trials: int
-    trial_at: float
-    last_crash_at: float
-    is_answered_before: bool
-
-
 class PromptReport(msgspec.Struct, kw_only=True, frozen=True):
     """
     What a host reports to the leader.
@@ -105,7 +82,7 @@
     def __init__(self, *, timers: Timers) -> None:
         self.crashed = Notifier()
         self._timers = timers
-        self._held: list[HeldPrompt] = []
+        self._held: list[Quarantine] = []
         self._suspects: list[str] = []
         # Time of the last answer on each part, least recently answered first.
         self._answered_at: OrderedDict[str, float] = OrderedDict()
@@ -124,7 +101,7 @@
         """Number of quarantines in force."""
         return len(self._held)
 
-    def find_held(self, prompt: Prompt) -> list[HeldPrompt]:
+    def find_held(self, prompt: Prompt) -> list[Quarantine]:
         """
         Return the quarantines that hold a prompt off.
 
@@ -135,7 +112,7 @@
 
         Returns
         -------
-        list of HeldPrompt
+        list of Quarantine
             Empty if the request may be sent.
         """
         if not self._held:
@@ -185,16 +162,7 @@
         now = self._timers.now()
         self._suspects = suspects
         self._held = [
-            HeldPrompt(
-                part=quarantine.part,
-                parts=frozenset(quarantine.parts),
-                trials=quarantine.trials,
-                trial_at=now + quarantine.trial_after_ms / 1000,
-                last_crash_at=now - quarantine.age_ms / 1000,
-                is_answered_before=quarantine.is_answered_before,
-            )
-            for quarantine in quarantines
-            if quarantine.parts
+            decode_quarantine(quarantine, now) for quarantine in quarantines if quarantine.parts
         ]
         certain = [held.parts for held in self._held if not held.is_answered_before]
         for scope, parts in list(self._unanswered.items()):
@@ -223,22 +191,11 @@
                 PartAnswer(part=part, age_ms=round((now - at) * 1000))
                 for part, at in answered_at.items()
             ],
-            quarantines=[self._describe(held, now) for held in self._held],
+            quarantines=[encode_quarantine(held, now) for held in self._held],
             last_crash=untold[-1][0] if untold else self._confirmed_crash,
             answered_at=answered_at,
         )
 
-    @staticmethod
-    def _describe(held: HeldPrompt, now: float) -> PromptQuarantine:
-        return PromptQuarantine(
-            part=held.part,
-            parts=sorted(held.parts),
-            trials=held.trials,
-            trial_after_ms=max(0, round((held.trial_at - now) * 1000)),
-            age_ms=max(0, round((now - held.last_crash_at) * 1000)),
-            is_answered_before=held.is_answered_before,
-        )
-
     def confirm(self, report: PromptReport, term: int) -> None:
         """
         Record that a leader has received a report.
--- a/marigoldtrail/relay/send_gate.py
+++ b/marigoldtrail/relay/send_gate.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from marigoldtrail.errors import Failure, Reason, RunState
-from marigoldtrail.quarantine.guard import HeldPrompt
+from marigoldtrail.quarantine.quarantine import Quarantine
 from marigoldtrail.ratelimits import UpstreamLimiter
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.exchange import Exchange
@@ -110,7 +110,7 @@
             return None
         return self._make_quarantine_failure(exchange, found[0])
 
-    def _make_quarantine_failure(self, exchange: Exchange, held: HeldPrompt) -> Failure:
+    def _make_quarantine_failure(self, exchange: Exchange, held: Quarantine) -> Failure:
         retry_after_s = max(MIN_QUARANTINE_RETRY_S, held.trial_at - self._timers.now())
         _log.info(
             "prompt is quarantined",
