--- a/marigoldtrail/net/frames.py
+++ b/marigoldtrail/net/frames.py
@@ -13,6 +13,10 @@
 _LENGTH = struct.Struct(">I")
 
 
+class FrameTooLargeError(ValueError):
+    """A message that was not sent because its frame exceeds `MAX_FRAME_BYTES`."""
+
+
 class Envelope(msgspec.Struct, array_like=True):
     """
     One message between two nodes.
@@ -71,15 +75,17 @@
 
         Raises
         ------
-        ValueError
-            If the frame exceeds `MAX_FRAME_BYTES`.
+        FrameTooLargeError
+            If the frame exceeds `MAX_FRAME_BYTES`; nothing is sent.
         trio.BrokenResourceError, trio.ClosedResourceError
             If the stream is broken or closed.
         """
         body = msgspec.Raw(self._encoder.encode(message))
         payload = self._encoder.encode(Envelope(call_id, kind, sender, body))
         if len(payload) > MAX_FRAME_BYTES:
-            raise ValueError(f"a {kind} frame of {len(payload)} bytes is over {MAX_FRAME_BYTES}")
+            raise FrameTooLargeError(
+                f"a {kind} frame of {len(payload)} bytes is over {MAX_FRAME_BYTES}"
+            )
         async with self._send_lock:
             try:
                 await self.stream.send_all(_LENGTH.pack(len(payload)) + payload)
--- a/marigoldtrail/net/server.py
+++ b/marigoldtrail/net/server.py
@@ -12,7 +12,7 @@
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net.address import Address
 from marigoldtrail.net.client import STREAM_ERRORS
-from marigoldtrail.net.frames import Envelope, FrameStream
+from marigoldtrail.net.frames import Envelope, FrameStream, FrameTooLargeError
 from marigoldtrail.net.network import Network
 
 MAX_CALLS_PER_CONNECTION = 1024
@@ -68,7 +68,12 @@
     async def serve_call(frames: FrameStream, envelope: Envelope, limit: trio.Semaphore) -> None:
         try:
             reply = await run_handler(envelope)
-            await frames.send(envelope.call_id, type(reply).__name__, host, reply)
+            try:
+                await frames.send(envelope.call_id, type(reply).__name__, host, reply)
+            except FrameTooLargeError as exc:
+                _log.error("the reply to %s was not sent: %s", envelope.kind, exc)
+                failure = fail_internally(envelope, str(exc))
+                await frames.send(envelope.call_id, Failure.__name__, host, failure)
         except STREAM_ERRORS as exc:
             _log.debug("failed to send the reply to %s: %s", envelope.kind, exc)
         finally:
@@ -86,12 +91,16 @@
             return await handlers[request_type](request, envelope.sender)
         except Exception:
             _log.exception("handler of %s raised an exception", envelope.kind)
-            return Failure(
-                reason=Reason.INTERNAL,
-                run_state=RunState.MAY_HAVE_RUN,
-                step=envelope.kind,
-                peer=host,
-            )
+            return fail_internally(envelope)
+
+    def fail_internally(envelope: Envelope, detail: str = "") -> Failure:
+        return Failure(
+            reason=Reason.INTERNAL,
+            run_state=RunState.MAY_HAVE_RUN,
+            step=envelope.kind,
+            peer=host,
+            detail=detail,
+        )
 
     def reject(envelope: Envelope, detail: str) -> Failure:
         return Failure(
--- a/marigoldtrail/net/tests/test_calls.py
+++ b/marigoldtrail/net/tests/test_calls.py
@@ -5,6 +5,7 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState, is_failure
 from marigoldtrail.net import Address, PeerClient, TcpNetwork, serve_peers
+from marigoldtrail.net.frames import MAX_FRAME_BYTES
 from marigoldtrail.testing import MemoryNetwork
 
 SERVER = Address("10.0.0.2", 7000)
@@ -128,3 +129,18 @@
         stream = await network.connect(Address("127.0.0.2", address.port))
         assert await stream.receive_some(10) == b"here"
         nursery.cancel_scope.cancel()
+
+
+async def test_message_over_the_frame_limit_fails_at_once(autojump_clock, nursery):
+    """Guards against a caller that waits for a reply too large to send, and a false run state."""
+    large = "x" * (MAX_FRAME_BYTES - 20)
+    client = await start_pair(nursery, MemoryNetwork())
+    failure = await client.call(SERVER, Echo("x" * MAX_FRAME_BYTES), Echoed, timeout_s=5)
+    assert is_failure(failure) and failure.run_state is RunState.NOT_RUN
+    assert failure.reason is Reason.BAD_REQUEST
+    started = trio.current_time()
+    # The reply repeats the text and names the sender too.
+    failure = await client.call(SERVER, Echo(large), Echoed, timeout_s=60)
+    assert is_failure(failure) and failure.run_state is RunState.MAY_HAVE_RUN
+    assert failure.reason is Reason.INTERNAL and trio.current_time() - started < 10
+    assert await client.call(SERVER, Echo("y"), Echoed, timeout_s=1) == Echoed("y", "a")
