Need more evidence on a prompt part if one upstream broke off all its requests

A part that crashes upstreams crashes each of them, and the next request finds another one, so that one upstream alone is weak evidence now (four crashes).

test_upstream_that_breaks_off_requests_needs_more_crashes fails on the commit before. The tests of quarantine, registry, crashing prompts and the reference pages pass.

--- a/marigoldtrail/quarantine/evidence.py
+++ b/marigoldtrail/quarantine/evidence.py
@@ -22,8 +22,9 @@
 MIN_CRASHES = 2
 # Crashes beside a part that was answered before, and has not been since the first of them.
 MIN_CRASHES_ANSWERED = 5
-# The crashes of a single request that is sent again count as evidence from this number on.
-MIN_CRASHES_OF_ONE_REQUEST = 4
+# Crashes of a single request that is sent again, or of a single upstream, which may be at fault
+# itself, count as evidence from this number on.
+MIN_CRASHES_ALIKE = 4
 # Time for all hosts to report answers on a suspect part.
 REVIEW_S = 0.3
 MAX_QUARANTINES = 64
@@ -220,7 +221,8 @@
             for request, prompt in crash.requests.items()
             if part in prompt
         }
-        if len(requests) < MIN_CRASHES and count < MIN_CRASHES_OF_ONE_REQUEST:
+        upstreams = {crash.upstream for crash in crashes}
+        if min(len(requests), len(upstreams)) < MIN_CRASHES and count < MIN_CRASHES_ALIKE:
             return False
         return count >= (MIN_CRASHES_ANSWERED if part in self._answered_at else MIN_CRASHES)
 
--- a/marigoldtrail/quarantine/tests/test_evidence.py
+++ b/marigoldtrail/quarantine/tests/test_evidence.py
@@ -172,6 +172,16 @@
     assert fleet.held() == [{"s"}]
 
 
+def test_upstream_that_breaks_off_requests_needs_more_crashes():
+    """Guards against blaming a subject whose requests go to one faulty upstream."""
+    fleet = Fleet()
+    for _ in range(4):
+        assert fleet.held() == []
+        fleet.crash("s", upstream="faulty")
+        fleet.wait(1.5)
+    assert fleet.held() == [{"s"}]
+
+
 def quarantine_bad(crashes=2):
     fleet = Fleet()
     for _ in range(crashes):
