Log the software version of upstreams, and which stream a request resumes

The lines of a stream that went on at another software version named neither the version of the upstream nor the attempt that the caller takes up, so that the three hypotheses of the incident could not be told apart. The entries now keep the version from the platform's list and read the caller's header Resumes; nothing decides by them yet.

--- a/marigoldtrail/platform/headers.py
+++ b/marigoldtrail/platform/headers.py
@@ -70,6 +70,7 @@
         piece_counts=tuple(_parse_numbers(values.get(b"x-pieces", ""))),
         piece_key=values.get(b"x-piece-key", ""),
         resume_after=values.get(b"last-event-id", ""),
+        resumed_id=values.get(b"resumes", ""),
     )
 
 
--- a/marigoldtrail/platform/tests/test_formats.py
+++ b/marigoldtrail/platform/tests/test_formats.py
@@ -188,3 +188,10 @@
     """Guards against a limit that is misread, or ignored beside an invalid one."""
     headers = [(b"server-limit", value.encode()) for value in values]
     assert parse_response(200, headers).requests_per_s == expected
+
+
+def test_resumption_is_decoded_from_the_headers_of_a_request():
+    """Guards against a resumed stream that is taken for a new one."""
+    info = parse_request([(b"resumes", b" id-7 "), (b"last-event-id", b"3")])
+    assert (info.resumed_id, info.resume_after) == ("id-7", "3")
+    assert parse_request([]).resumed_id == ""
--- a/marigoldtrail/registry/fleet_state.py
+++ b/marigoldtrail/registry/fleet_state.py
@@ -265,6 +265,7 @@
                 is_leaving=has_announced or entry.state == "draining",
                 cold_until=now + entry.cold_ms / 1000 if entry.cold_ms else 0.0,
                 born_ms=entry.born_ms,
+                version=entry.version,
             )
             upstreams[upstream.name] = upstream
         for name in self.upstreams.keys() ^ upstreams.keys():
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -260,6 +260,7 @@
                 "request_id": exchange.info.request_id,
                 "subject": upstream.name,
                 "address": upstream.address,
+                "upstream_version": upstream.version,
                 "failure": str(failure),
                 "sends": exchange.sends,
                 "runs": exchange.runs,
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -340,6 +340,9 @@
                 "rank": exchange.priority,
                 "outcome": outcome,
                 "upstream": exchange.last_upstream,
+                "upstream_version": self._find_version(exchange.last_upstream),
+                "resumed_id": exchange.info.resumed_id,
+                "resume_after": exchange.info.resume_after,
                 "sends": exchange.sends,
                 "stages_ms": (
                     None if stages_s is None else round((stages_s - exchange.started) * 1e3)
@@ -353,6 +356,10 @@
             },
         )
 
+    def _find_version(self, upstream: str) -> str:
+        found = self._fleet_state.upstreams.get(upstream)
+        return found.version if found is not None else ""
+
     def _count_end(
         self,
         exchange: Exchange,
--- a/marigoldtrail/relay/types.py
+++ b/marigoldtrail/relay/types.py
@@ -31,6 +31,9 @@
         Key that identifies the input of the first stages.
     resume_after : str
         Id of the last event that the caller received; empty for a new stream.
+    resumed_id : str
+        Id of the attempt that brought the first event of the stream that the caller resumes; empty
+        for a new stream.
     """
 
     request_id: str = ""
@@ -42,6 +45,7 @@
     piece_counts: tuple[int, ...] = ()
     piece_key: str = ""
     resume_after: str = ""
+    resumed_id: str = ""
 
 
 class ResponseInfo(msgspec.Struct, kw_only=True, frozen=True):
--- a/marigoldtrail/routing/types.py
+++ b/marigoldtrail/routing/types.py
@@ -265,6 +265,8 @@
         Monotonic time in seconds at which its cold phase ends.
     born_ms : int
         Wall-clock time of its start in milliseconds; 0 if unknown.
+    version : str
+        Version of its software; empty if unknown.
     """
 
     name: str
@@ -275,3 +277,4 @@
     is_leaving: bool = False
     cold_until: float = 0.0
     born_ms: int = 0
+    version: str = ""
