Resume a stream at another host only at the version that began it

What callers saw: a stream whose connection broke was taken up through another host and went on at another software version of the engine, with 200 and a whole body.

Cause: nothing knew at which version a stream had begun, once its host or its connection was gone. Now the log of the control hosts holds, by service, the versions that streams in progress may hold. A listed upstream is announced to hosts only after the log holds its version. The oldest version is the default; a stream that begins at another one is recorded, by a hash of its account and id, while the upstream reads the prompt, and no event is forwarded before the record is durable. A resumed stream asks the leader, behind a read barrier, and is sent to upstreams of its version alone; without an answer, or without such an upstream, it is refused with 503 at once. Versions and records go 60 s after the last use, counted by the present leader, so that no wall clock matters. While one version is in service there are no records, and in the mixed time only for the streams of the newer one.

So a stream is known after its host was killed, all entries or all hosts lost power, or the leader changed; hosts with an outdated view begin streams at the default, or record them.

An entry of the list without a version names no upstream any more, as the platform's page says of missing fields, and the head of a stream is sent with its first event, so that a stream that can't be recorded is refused truthfully.

--- a/marigoldtrail/control/commands.py
+++ b/marigoldtrail/control/commands.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from marigoldtrail.control.version_ledger import VersionLedger
 from marigoldtrail.schema.generated.control import OwnerAssignment, ServiceState
 
 ServiceKind = Literal["data_centre", "host", "upstream"]
@@ -150,7 +151,59 @@
     detail: str = ""
 
 
-Command = PutManifest | PutService | AssignOwners | PlanOrder | MarkOrder
+class AddVersions(msgspec.Struct, kw_only=True, frozen=True, tag=True):
+    """
+    Adds software versions that are now in service.
+
+    Parameters
+    ----------
+    versions : dict
+        New versions by service.
+    """
+
+    versions: dict[str, list[str]]
+
+
+class RemoveVersion(msgspec.Struct, kw_only=True, frozen=True, tag=True):
+    """
+    Removes a software version that no stream in progress can hold any more.
+
+    Parameters
+    ----------
+    service, version : str
+        The version.
+    """
+
+    service: str
+    version: str
+
+
+class PutStreams(msgspec.Struct, kw_only=True, frozen=True, tag=True):
+    """
+    Records the software versions that began streams.
+
+    Parameters
+    ----------
+    streams : dict
+        Versions by stream key.
+    drop_through : int
+        Log index up to which earlier records are dropped; 0 for none.
+    """
+
+    streams: dict[bytes, str]
+    drop_through: int = 0
+
+
+Command = (
+    PutManifest
+    | PutService
+    | AssignOwners
+    | PlanOrder
+    | MarkOrder
+    | AddVersions
+    | RemoveVersion
+    | PutStreams
+)
 
 _decoder: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(Command)
 
@@ -303,6 +356,8 @@
         Owner of each partition.
     orders : dict
         Latest order of each engine.
+    versions : VersionLedger
+        Software versions of services and streams.
     """
 
     manifest: PutManifest | None = None
@@ -313,3 +368,4 @@
     owners: dict[int, OwnerAssignment] = {}
     owners_index: int = 0
     orders: dict[str, Order] = {}
+    versions: VersionLedger = msgspec.field(default_factory=VersionLedger)
--- a/marigoldtrail/control/machine.py
+++ b/marigoldtrail/control/machine.py
@@ -9,6 +9,7 @@
 from marigoldtrail.control.commands import (
     LOADING_ACTIONS,
     AcceptedSubmission,
+    AddVersions,
     AssignOwners,
     ConfigState,
     MarkOrder,
@@ -16,6 +17,8 @@
     PlanOrder,
     PutManifest,
     PutService,
+    PutStreams,
+    RemoveVersion,
     ServiceEntry,
     decode_command,
 )
@@ -66,7 +69,7 @@
         -------
         object
             `SubmitReply` for manifests and services, list of `OwnerAssignment` for owners,
-            `Order` or None (no effect) for orders.
+            `Order` or None (no effect) for orders, the log index for versions and streams.
 
         Raises
         ------
@@ -85,6 +88,15 @@
                 return self._plan_order(index, decoded)
             case MarkOrder():
                 return self._mark_order(decoded)
+            case AddVersions():
+                self.state.versions.add_versions(index, decoded.versions)
+            case RemoveVersion():
+                self.state.versions.remove_version(index, decoded.service, decoded.version)
+            case PutStreams():
+                self.state.versions.put_streams(
+                    index, decoded.streams, drop_through=decoded.drop_through
+                )
+        return index
 
     def is_complete(self) -> bool:
         """Return True, since snapshots contain the whole state."""
--- a/marigoldtrail/platform/documents.py
+++ b/marigoldtrail/platform/documents.py
@@ -202,9 +202,9 @@
     address: str
     zone: str
     state: str
+    version: str
     slots: int = 1
     cold_remaining_ms: float = 0.0
-    version: str = ""
     born: int = 0
 
 
--- a/marigoldtrail/platform/standin.py
+++ b/marigoldtrail/platform/standin.py
@@ -77,7 +77,13 @@
 
 
 def make_list_entry(
-    name: str, service: str, address: str, data_centre: str, *, state: str = "ready"
+    name: str,
+    service: str,
+    address: str,
+    data_centre: str,
+    *,
+    state: str = "ready",
+    version: str = "v1",
 ) -> dict[str, Any]:
     """Return an upstream in the format of the platform's list."""
     return {
@@ -85,7 +91,7 @@
         "service": service,
         "address": address,
         "zone": data_centre,
-        "version": "v1",
+        "version": version,
         "slots": 4,
         "state": state,
         "cold_remaining_ms": 0,
@@ -140,6 +146,12 @@
     return {"x-instance-id": name}
 
 
+def make_resume_headers(request_id: str, last_event: str) -> list[tuple[str, str]]:
+    """Return the headers with which a caller resumes a stream; empty ones are left out."""
+    fields = [("resumes", request_id), ("last-event-id", last_event)]
+    return [(name, value) for name, value in fields if value]
+
+
 def read_seal(headers: dict[str, str]) -> str:
     """Return the seal of an answer; empty if it has none."""
     return headers.get("x-response-seal", "")
--- a/marigoldtrail/platform/tests/standin.py
+++ b/marigoldtrail/platform/tests/standin.py
@@ -45,6 +45,8 @@
 KEY = "k-acme"
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
 PREFILL_S = 0.1
+EVENTS = 3
+EVENT_INTERVAL_S = 0.02
 # Time from the crash of an engine to its next start.
 RESTART_S = 3.0
 
@@ -54,6 +56,7 @@
     routes = [
         make_route("plain", "/plain/", "safe", "desk"),
         make_engine_route("ask", "/ask/"),
+        make_route("talk", "/talk/", "streaming", "llm", resumable=True, max_attempts=2),
     ]
     value = {"routes": routes, **changes}
     return encode_config(version, accounts={"acme": [KEY]}, **value)
@@ -101,10 +104,10 @@
         endpoint = self.network.endpoint(address.ip)
         await serve_http(endpoint, address, handler, task_status=task_status)
 
-    async def add_upstream(self, name, service, data_centre, *, state="ready"):
+    async def add_upstream(self, name, service, data_centre, **fields):
         address = Address(f"10.1.{self.upstreams}.1", 8080)
         self.upstreams += 1
-        entry = make_list_entry(name, service, str(address), data_centre, state=state)
+        entry = make_list_entry(name, service, str(address), data_centre, **fields)
         await self.nursery.start(self._run_upstream, entry)
 
     async def _run_upstream(self, entry, *, task_status):
@@ -167,9 +170,10 @@
             if is_crashing:
                 self._crash_engine(name)
                 await trio.sleep_forever()
-            for number in range(3):
-                await trio.sleep(0.02)
-                await reply.send_event(b"%d" % number)
+            for number in range(int(received.resume_after or 0), EVENTS):
+                await trio.sleep(EVENT_INTERVAL_S)
+                event_id = b"%d" % (number + 1)
+                await reply.send_event(entry["version"].encode(), event_id=event_id)
             await reply.end_stream()
 
     def settings(self, ip, *, first_start):
--- /dev/null
+++ b/marigoldtrail/platform/tests/test_stream_versions.py
@@ -0,0 +1,160 @@
+"""Streams that callers resume while several software versions are in service, on a whole site."""
+
+import re
+
+import trio
+
+from marigoldtrail.platform.standin import make_resume_headers
+from marigoldtrail.platform.tests.standin import EVENTS
+from marigoldtrail.platform.tests.test_site import start_serving_site
+
+OLD, NEW = "v1", "v2"
+STREAMS = 24
+
+
+async def start_mixed_site(nursery, **fields):
+    """Return a site with as many engines of a new version as of the old one."""
+    site = await start_serving_site(nursery, engines=3, entries=3, **fields)
+    for number in range(3):
+        await site.add_upstream(f"new-{number}", "llm", f"dc-{'abc'[number]}", version=NEW)
+    await trio.sleep(2)
+    return site
+
+
+def read_versions(reply):
+    """Return the software version of each event of an answer."""
+    return re.findall(rb"data: (\S+)", reply[2]) if reply is not None else []
+
+
+async def begin_streams(site, *, entry=0):
+    """Begin streams; return the version that began each, by request id."""
+    found = {}
+    for number in range(STREAMS):
+        request_id = f"first-{entry}-{number}"
+        reply = await site.send_request("/talk/1", entry=entry, request_id=request_id, body=b"p")
+        versions = read_versions(reply)
+        assert reply[0] == 200 and len(versions) == EVENTS and len(set(versions)) == 1
+        found[request_id] = versions[0].decode()
+    return found
+
+
+async def resume_stream(site, request_id, *, entry=1, last_event="1"):
+    headers = make_resume_headers(request_id, last_event)
+    return await site.send_request(
+        "/talk/1", entry=entry, request_id=f"again-{entry}-{request_id}", headers=headers, body=b"p"
+    )
+
+
+async def resume_streams(site, began, *, entry=1):
+    """Resume all streams; return the versions of the events of those that went on."""
+    replies = {}
+    for request_id in began:
+        reply = await resume_stream(site, request_id, entry=entry)
+        assert reply[0] in (200, 503)
+        if reply[0] == 200:
+            versions = {version.decode() for version in read_versions(reply)}
+            replies[request_id] = versions
+    return replies
+
+
+def assert_all_went_on(began, resumed):
+    assert resumed == {request_id: {version} for request_id, version in began.items()}
+    assert set(began.values()) == {OLD, NEW}
+
+
+async def restart(site, ips, *, down_s=1.0):
+    for ip in ips:
+        await site.crash(ip)
+    await trio.sleep(down_s)
+    for ip in ips:
+        await site.start_host(ip)
+
+
+async def wait_until_ready(site):
+    async def is_ready():
+        replies = [await site.http(f"{ip}:8621", "GET", "/-/ready") for ip in site.entries]
+        return all(reply is not None and reply[0] == 200 for reply in replies)
+
+    await site.wait(is_ready)
+
+
+async def test_stream_resumed_at_another_entry_continues_at_the_version_that_began_it(
+    autojump_clock, nursery
+):
+    """Guards against a stream whose attempts hold events of two software versions."""
+    site = await start_mixed_site(nursery)
+    began = await begin_streams(site)
+    assert_all_went_on(began, await resume_streams(site, began))
+
+
+async def test_version_of_a_stream_is_known_after_all_entries_were_killed(autojump_clock, nursery):
+    """Guards against versions that only the memory of the entries holds."""
+    site = await start_mixed_site(nursery)
+    began = await begin_streams(site)
+    await restart(site, site.entries)
+    await wait_until_ready(site)
+    assert_all_went_on(began, await resume_streams(site, began))
+
+
+async def test_version_of_a_stream_is_known_after_a_power_failure_of_all_hosts(
+    autojump_clock, nursery
+):
+    """Guards against versions that are not durable before the caller has an event."""
+    site = await start_mixed_site(nursery)
+    began = await begin_streams(site)
+    await restart(site, site.entries + site.control)
+    await wait_until_ready(site)
+    assert_all_went_on(began, await resume_streams(site, began))
+
+
+async def test_version_of_a_stream_is_known_to_the_next_leader(autojump_clock, nursery):
+    """Guards against versions that only the leader holds."""
+    site = await start_mixed_site(nursery)
+    began = await begin_streams(site)
+    leader = next(ip for ip in site.control if site.hosts[ip].groups["config"].is_leader)
+    await site.crash(leader)
+    await trio.sleep(4)
+    assert_all_went_on(began, await resume_streams(site, began))
+
+
+async def test_streams_of_a_version_that_has_left_are_refused_and_others_go_on(
+    autojump_clock, nursery
+):
+    """Guards against a stream of the version that left, continued by the one that replaced it."""
+    site = await start_serving_site(nursery, engines=3, entries=3)
+    old = await begin_streams(site)
+    for number in range(3):
+        await site.add_upstream(f"new-{number}", "llm", "dc-a", version=NEW)
+    site.list[:] = [entry for entry in site.list if not entry["id"].startswith("llm-")]
+    await trio.sleep(2)
+    new = await begin_streams(site, entry=1)
+    await restart(site, site.entries)
+    await wait_until_ready(site)
+    assert set(old.values()) == {OLD} and set(new.values()) == {NEW}
+    assert await resume_streams(site, old, entry=2) == {}
+    resumed = await resume_streams(site, new, entry=2)
+    assert resumed == {request_id: {NEW} for request_id in new}
+
+
+async def test_stream_of_an_unknown_version_is_refused_at_once(autojump_clock, nursery):
+    """Guards against a guess, and against a caller that waits in vain for it."""
+    site = await start_mixed_site(nursery)
+    began = await begin_streams(site)
+    started, calls = trio.current_time(), len(site.seen)
+    status, headers, body = await resume_stream(site, "")
+    assert status == 503 and b"version" in body and b"retry-after" in headers
+    for ip in site.control:
+        await site.crash(ip)
+    status, _, body = await resume_stream(site, next(iter(began)))
+    assert status == 503 and b"version" in body
+    assert trio.current_time() - started < 1.5
+    assert len(site.seen) == calls
+
+
+async def test_new_streams_begin_while_there_is_no_leader(autojump_clock, nursery):
+    """Guards against streams that wait for a record that nobody can make."""
+    site = await start_mixed_site(nursery)
+    for ip in site.control:
+        await site.crash(ip)
+    await trio.sleep(2)
+    assert set((await begin_streams(site)).values()) == {OLD}
--- a/marigoldtrail/registry/fleet_state.py
+++ b/marigoldtrail/registry/fleet_state.py
@@ -48,6 +48,8 @@
         Configuration in force; None before the first one is received.
     upstreams : dict
         Upstreams by name.
+    versions : dict
+        Software versions that streams in progress may hold, oldest first, by service.
     has_upstream_list : bool
         Whether a list of upstreams has been received since this process started.
     hosts : list of HostEntry
@@ -71,6 +73,7 @@
     __slots__ = (
         "routes",
         "upstreams",
+        "versions",
         "has_upstream_list",
         "hosts",
         "entry_position",
@@ -94,6 +97,7 @@
     def __init__(self, *, parse_document: ParseDocument, timers: Timers) -> None:
         self.routes: RouteIndex | None = None
         self.upstreams: dict[str, Upstream] = {}
+        self.versions: dict[str, list[str]] = {}
         self.has_upstream_list = False
         self.hosts: list[HostEntry] = []
         self.entry_position = 0.0
@@ -223,6 +227,8 @@
         if reply.takeouts is not None:
             self._takeouts = frozenset(reply.takeouts)
             _log.info("data centres out of service: %s", sorted(self._takeouts))
+        if reply.versions is not None:
+            self.versions = {entry.service: entry.versions for entry in reply.versions}
         if reply.upstreams is not None:
             self._apply_upstreams(reply.upstreams)
         if reply.entry_count:
--- a/marigoldtrail/registry/service.py
+++ b/marigoldtrail/registry/service.py
@@ -17,6 +17,7 @@
 from marigoldtrail.net import Handlers
 from marigoldtrail.registry.fleet_state import ParseDocument
 from marigoldtrail.registry.state import RegistryState
+from marigoldtrail.registry.version_service import VersionService
 from marigoldtrail.routing import RouteTable, check_table
 from marigoldtrail.schema.generated.control import SubmitReply
 from marigoldtrail.schema.generated.registry import (
@@ -38,6 +39,7 @@
 ReadUpstreams = Callable[[], Awaitable[list[UpstreamEntry] | Failure]]
 
 BARRIER_TIMEOUT_S = 0.8
+BARRIER_RETRY_S = 0.05
 PROPOSE_TIMEOUT_S = 2.0
 # Each read is a call to the platform; a leaving upstream must be detected within drain_ms.
 LIST_INTERVAL_S = 0.7
@@ -81,6 +83,7 @@
         "_timers",
         "_registry",
         "_takeout_lock",
+        "_versions",
     )
 
     def __init__(
@@ -101,6 +104,7 @@
         self._timers = timers
         self._registry: RegistryState | None = None
         self._takeout_lock = trio.Lock()
+        self._versions = VersionService(group=group, machine=machine, timers=timers)
 
     def get_handlers(self) -> Handlers:
         """
@@ -118,6 +122,7 @@
             GetRoutes: self._get_routes,
             RequestTrial: self._request_trial,
             RequestPermit: self._request_permit,
+            **self._versions.get_handlers(),
         }
 
     async def run(self) -> None:
@@ -147,6 +152,9 @@
         return self._registry
 
     async def _poll_upstreams(self, registry: RegistryState) -> None:
+        # A new leader that has not applied its whole log would take all versions for unknown.
+        while await self._group.read_barrier(timeout_s=BARRIER_TIMEOUT_S) is not None:
+            await self._timers.sleep(BARRIER_RETRY_S)
         is_list_readable = True
         while True:
             listed: list[UpstreamEntry] | Failure = self._refuse(Reason.TIMEOUT, "list")
@@ -162,10 +170,22 @@
             else:
                 if not is_list_readable:
                     _log.info("the platform's list of upstreams can be read again")
-                registry.apply_upstreams(listed)
+                await self._apply_list(registry, listed)
             is_list_readable = not isinstance(listed, Failure)
             await self._timers.sleep(LIST_INTERVAL_S)
 
+    async def _apply_list(self, registry: RegistryState, listed: list[UpstreamEntry]) -> None:
+        """Announce the listed upstreams; those of a new version once the log holds it."""
+        known = self._versions.select_known(listed)
+        registry.apply_upstreams(known)
+        if len(known) < len(listed):
+            failure = await self._versions.add_missing(listed)
+            if failure is not None:
+                _log.warning("new versions of upstreams could not be recorded: %s", failure)
+                return
+            registry.apply_upstreams(self._versions.select_known(listed))
+        await self._versions.remove_expired(listed)
+
     async def _handle_report(self, request: HostReport, sender: str) -> HostReportReply | Failure:
         registry = self._current_registry()
         if registry is None:
@@ -188,6 +208,8 @@
     def _revisions(self, registry: RegistryState, request: HostReport) -> dict[str, int]:
         state = self._machine.state
         revisions = {"routes": state.manifest_index, "takeouts": state.services_index}
+        if state.versions.services_index:
+            revisions["versions"] = state.versions.services_index
         if registry.upstreams is not None:
             revisions["upstreams"] = registry.upstreams_revision
         # Until the leader knows all hosts, a host that has just started gets the incomplete list,
@@ -225,6 +247,8 @@
             reply.routes_version = state.manifest.number
         if has_changed("takeouts"):
             reply.takeouts = list_takeouts(self._machine)
+        if has_changed("versions"):
+            reply.versions = self._versions.list_versions()
         if has_changed("upstreams"):
             reply.upstreams = registry.upstreams
         if has_changed("hosts"):
--- a/marigoldtrail/registry/state.py
+++ b/marigoldtrail/registry/state.py
@@ -328,10 +328,11 @@
     return [_comparison_key(entry) for entry in old] == [_comparison_key(entry) for entry in new]
 
 
-def _comparison_key(entry: UpstreamEntry) -> tuple[str, str, str, str, int, bool]:
+def _comparison_key(entry: UpstreamEntry) -> tuple[str, str, str, str, str, int, bool]:
     return (
         entry.upstream,
         entry.service,
+        entry.version,
         entry.address,
         entry.state,
         entry.born_ms,
--- /dev/null
+++ b/marigoldtrail/registry/tests/test_version_service.py
@@ -0,0 +1,95 @@
+"""Versions of services and streams on the leading control host."""
+
+import trio
+
+from marigoldtrail.control.machine import ConfigMachine
+from marigoldtrail.registry.version_service import RETENTION_S, VersionService
+from marigoldtrail.schema.generated.registry import RecordStreams, StreamVersion, UpstreamEntry
+from marigoldtrail.timers import Timers
+
+
+class AppliedGroup:
+    """A log group of one host that applies each command at once."""
+
+    def __init__(self):
+        self.machine = ConfigMachine()
+        self.term = 1
+        self.applied_index = 0
+
+    async def propose(self, command, *, timeout_s):
+        self.applied_index += 1
+        return self.machine.apply(self.applied_index, command)
+
+
+def make_service(group):
+    return VersionService(group=group, machine=group.machine, timers=Timers(seed=1))
+
+
+def make_entries(*versions):
+    return [
+        UpstreamEntry(
+            upstream=f"u-{version}", service="s", address="10.0.0.1:1", data_centre="a", slots=1,
+            state="ready", version=version,
+        )
+        for version in versions
+    ]  # fmt: skip
+
+
+async def record(service, *keys):
+    streams = [StreamVersion(key=key, version="v2") for key in keys]
+    await service._record_streams(RecordStreams(streams=streams), "entry")
+
+
+async def test_upstreams_of_a_new_version_are_withheld_until_the_log_holds_it(autojump_clock):
+    """Guards against streams of a version that other hosts do not know of."""
+    service = make_service(AppliedGroup())
+    entries = make_entries("v1", "v2")
+    assert service.select_known(entries) == []
+    assert await service.add_missing(entries) is None
+    assert service.select_known(entries) == entries
+
+
+async def test_version_is_removed_when_no_stream_can_hold_it(autojump_clock):
+    """Guards against a default that changes too early, and versions that are kept for ever."""
+    service = make_service(AppliedGroup())
+    await service.add_missing(make_entries("v1", "v2"))
+    await service.remove_expired(make_entries("v1", "v2"))
+    await trio.sleep(RETENTION_S - 1)
+    await service.remove_expired(make_entries("v2"))
+    assert service.ledger.services == {"s": ["v1", "v2"]}
+    await trio.sleep(2)
+    await service.remove_expired(make_entries("v2"))
+    assert service.ledger.services == {"s": ["v2"]}
+    await trio.sleep(RETENTION_S * 2)
+    await service.remove_expired([])
+    assert service.ledger.services == {"s": ["v2"]}
+
+
+async def test_new_leader_counts_the_time_of_versions_and_records_anew(autojump_clock):
+    """Guards against a version or a record that a new leader takes for long gone."""
+    group = AppliedGroup()
+    service = make_service(group)
+    await service.add_missing(make_entries("v1", "v2"))
+    await record(service, b"early")
+    await trio.sleep(RETENTION_S * 2)
+    group.term += 1
+    await service.remove_expired(make_entries("v2"))
+    await record(service, b"late")
+    assert service.ledger.services == {"s": ["v1", "v2"]}
+    assert list(service.ledger.streams) == [b"early", b"late"]
+
+
+async def test_records_are_dropped_after_their_time(autojump_clock):
+    """Guards against records that grow without bound while two versions are in service."""
+    service = make_service(AppliedGroup())
+    await service.add_missing(make_entries("v1", "v2"))
+    for number in range(200):
+        await record(service, b"%d" % number)
+        await service.remove_expired(make_entries("v1", "v2"))
+        await trio.sleep(1)
+        assert len(service.ledger.streams) <= RETENTION_S + 8
+    assert len(service.ledger.streams) >= RETENTION_S
+    for _ in range(80):
+        await service.remove_expired(make_entries("v1", "v2"))
+        await trio.sleep(1)
+    assert not service.ledger.streams
--- a/marigoldtrail/relay/__init__.py
+++ b/marigoldtrail/relay/__init__.py
@@ -7,6 +7,7 @@
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.relay import Relay
 from marigoldtrail.relay.send_gate import SendGate
+from marigoldtrail.relay.stream_versions import StreamVersions
 from marigoldtrail.relay.types import Forwarding, HeaderCodec, Headers, RequestInfo, ResponseInfo
 from marigoldtrail.relay.upstream_connection import UpstreamConnection
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
@@ -23,6 +24,7 @@
     "Reply",
     "RequestInfo",
     "SendGate",
+    "StreamVersions",
     "UpstreamMonitor",
     "UpstreamConnection",
     "make_answer_recorder",
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -26,6 +26,7 @@
 from marigoldtrail.relay.send_gate import SendGate
 from marigoldtrail.relay.sender import Sender
 from marigoldtrail.relay.stage_request import make_stage_request
+from marigoldtrail.relay.stream_versions import StreamVersions
 from marigoldtrail.relay.types import HeaderCodec
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
 from marigoldtrail.routing import RouteKind, Upstream
@@ -44,6 +45,8 @@
 ATTEMPT_TIMEOUT_FACTOR = 5.0
 MIN_ATTEMPT_TIMEOUT_S = 0.1
 MAX_STAGE_RUNS = 2
+# Without a leader that has answered so recently, new streams prefer versions without records.
+MAX_LEADER_AGE_S = 1.0
 
 _log = logging.getLogger(__name__)
 
@@ -76,6 +79,8 @@
         Counts sends.
     gate : SendGate
         Decides whether requests may be sent now.
+    versions : StreamVersions
+        Records and finds the versions that began streams.
     """
 
     __slots__ = (
@@ -90,6 +95,7 @@
         "_sender",
         "_budgets",
         "_gate",
+        "_versions",
     )
 
     def __init__(
@@ -106,6 +112,7 @@
         rng: random.Random,
         metrics: PrometheusMetrics,
         gate: SendGate,
+        versions: StreamVersions,
     ) -> None:
         self._data_centre = data_centre
         self._fleet_state = fleet_state
@@ -116,19 +123,23 @@
         self._rng = rng
         self._metrics = metrics
         self._gate = gate
+        self._versions = versions
         self._sender = Sender(
             pool=pool,
             monitor=monitor,
             prompts=fleet_state.prompts,
             header_codec=header_codec,
             timers=timers,
+            admit_stream=self._admit_stream,
             on_first_event=self._handle_first_event,
             may_move_stream=self._may_move_stream,
         )
         self._budgets: dict[str, WindowBudget] = {}
 
     def finish(self, exchange: Exchange) -> None:
-        """Release the stage results that a finished request still holds."""
+        """Release what a finished request still holds: stage results, and an unfinished record."""
+        if exchange.recording is not None:
+            exchange.recording.is_wanted = False
         if exchange.stage_run is not None:
             self._pieces.report_end(exchange.stage_run)
 
@@ -150,6 +161,10 @@
         failure = await self._gate.check_arrival(exchange)
         if failure is not None:
             return failure
+        if exchange.is_resumed:
+            failure = await self._find_stream_version(exchange)
+            if failure is not None:
+                return failure
         for _ in range(MAX_STAGE_RUNS):
             failure = await self._run_stages(exchange)
             if failure is not None:
@@ -159,6 +174,16 @@
                 return result
         return result
 
+    async def _find_stream_version(self, exchange: Exchange) -> Failure | None:
+        """Find which version began a resumed stream, and whether an upstream of it is left."""
+        version = await self._versions.find(exchange.service.name, exchange.stream_key)
+        if isinstance(version, Failure):
+            return version
+        exchange.stream_version = version
+        if self._list_upstreams(exchange):
+            return None
+        return self._make_no_upstream_failure(exchange)
+
     async def _run_stages(self, exchange: Exchange) -> Failure | None:
         """Request the stages, and the choice of an engine, from the fleet's scheduler."""
         has_pieces = bool(exchange.route.stages) and any(exchange.info.piece_counts)
@@ -292,6 +317,7 @@
         if exchange.service.engine is not None:
             _, shared = exchange.get_shared_prefix()
             prefill = max(0, exchange.info.prompt_tokens - shared)
+        self._start_recording(exchange, upstream)
         with trio.move_on_after(self._get_attempt_timeout_s(exchange, upstream)):
             return await self._sender.send(exchange, upstream, prefill_tokens=prefill)
         self._monitor.record_failure(upstream.name, is_dead=True)
@@ -303,6 +329,41 @@
             detail="no answer in the usual time",
         )
 
+    def _start_recording(self, exchange: Exchange, upstream: Upstream) -> None:
+        """Begin to record the version of a new stream, while the upstream reads its prompt."""
+        key = exchange.stream_key
+        if not key or exchange.stream_version is not None:
+            return
+        recording = exchange.recording
+        if recording is None:
+            # Streams of the default version are known without a record.
+            if upstream.version == self._versions.get_default(exchange.service.name):
+                return
+        elif recording.stream.version == upstream.version:
+            return
+        else:
+            recording.is_wanted = False
+        exchange.recording = self._versions.start_recording(key, upstream.version)
+
+    async def _admit_stream(self, exchange: Exchange, upstream: Upstream) -> Failure | None:
+        """
+        Wait until events of an upstream may be forwarded.
+
+        Other hosts must be able to find the version of the stream when its caller has an event.
+        """
+        if exchange.recording is not None:
+            await exchange.recording.wait()
+        current = self._fleet_state.upstreams.get(upstream.name, upstream)
+        if (current.version, current.born_ms) != (upstream.version, upstream.born_ms):
+            return Failure(
+                reason=Reason.BAD_ANSWER,
+                run_state=RunState.MAY_HAVE_RUN,
+                step="upstream",
+                peer=upstream.name,
+                detail="it started again, maybe at another version",
+            )
+        return None
+
     def _get_attempt_timeout_s(self, exchange: Exchange, upstream: Upstream) -> float:
         """Return the seconds after which the request is sent to another upstream."""
         route = exchange.route
@@ -349,9 +410,16 @@
 
     def _list_upstreams(self, exchange: Exchange) -> list[Upstream]:
         """Return the upstreams that may get the request, or continue its stream."""
-        return self._fleet_state.usable_upstreams(
-            exchange.service.name, version=exchange.stream_version
-        )
+        service, version = exchange.service.name, exchange.stream_version
+        if version is None and self._is_record_unlikely(exchange):
+            default = self._versions.get_default(service)
+            if upstreams := self._fleet_state.usable_upstreams(service, version=default):
+                return upstreams
+        return self._fleet_state.usable_upstreams(service, version=version)
+
+    def _is_record_unlikely(self, exchange: Exchange) -> bool:
+        """Return whether a stream of another than the default version would wait for a leader."""
+        return bool(exchange.stream_key) and self._fleet_state.age_s() > MAX_LEADER_AGE_S
 
     def _may_send_again(self, service: str) -> bool:
         return self._get_budget(service).try_take(
@@ -375,7 +443,11 @@
             )
         return budget
 
-    def _handle_first_event(self, exchange: Exchange) -> None:
+    def _handle_first_event(self, exchange: Exchange, upstream: Upstream) -> None:
+        if exchange.stream_version is None:
+            exchange.stream_version = upstream.version
+            if key := exchange.stream_key:
+                self._versions.remember(key, upstream.version)
         # An engine that generates has read its inputs, so their results may be evicted. The stages
         # of the few streams that are resumed at another upstream are then run again.
         if exchange.stage_run is not None:
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -7,6 +7,7 @@
 from marigoldtrail.pieces.client import StageRun
 from marigoldtrail.relay.caller_connection import CallerConnection, CallerRequest
 from marigoldtrail.relay.events import EventSplitter
+from marigoldtrail.relay.stream_versions import Recording, make_stream_key
 from marigoldtrail.relay.types import RequestInfo
 from marigoldtrail.routing import ClientAccount, Route, RouteKind, Service
 
@@ -77,6 +78,9 @@
     stream_version : str or None
         Software version whose events the stream holds; None before its first event. Only upstreams
         of this version may continue it.
+    recording : Recording or None
+        Record of the version that begins the stream; it is durable before the first event is
+        forwarded.
     has_retry_grant : bool
         Whether the retry budget has already granted the next send.
     has_trial_grant : bool
@@ -105,6 +109,7 @@
         "stages_done_at",
         "scope",
         "stream_version",
+        "recording",
         "has_retry_grant",
         "has_trial_grant",
     )
@@ -143,6 +148,7 @@
         self.first_event_at: float | None = None
         self.stages_done_at: float | None = None
         self.stream_version: str | None = None
+        self.recording: Recording | None = None
         self.has_retry_grant = False
         self.has_trial_grant = False
         self.scope = trio.CancelScope(deadline=self.start_deadline)
@@ -189,6 +195,19 @@
         """Whether the response is a stream of events."""
         return self.route.kind is RouteKind.STREAMING
 
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the caller resumes a stream that an earlier attempt began."""
+        return self.is_stream and bool(self.info.resumed_id or self.info.resume_after)
+
+    @property
+    def stream_key(self) -> bytes:
+        """Key of the stream by the attempt that began it; empty if versions are not recorded."""
+        request_id = self.info.resumed_id if self.is_resumed else self.info.request_id
+        if not (request_id and self.is_stream and self.route.is_resumable):
+            return b""
+        return make_stream_key(self.account_name, request_id)
+
     @property
     def route_rank(self) -> int:
         """Rank of the route, limited so that the rank of an account takes precedence."""
--- a/marigoldtrail/relay/sender.py
+++ b/marigoldtrail/relay/sender.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -43,6 +43,8 @@
         Converts headers.
     timers : Timers
         Clock.
+    admit_stream : callable
+        Waits until the events of an upstream may be forwarded; returns why they may not.
     on_first_event : callable
         Called when the first event of a stream is received.
     may_move_stream : callable
@@ -55,6 +57,7 @@
         "_prompts",
         "_header_codec",
         "_timers",
+        "_admit_stream",
         "_on_first_event",
         "_may_move_stream",
     )
@@ -67,7 +70,8 @@
         prompts: PromptGuard,
         header_codec: HeaderCodec,
         timers: Timers,
-        on_first_event: Callable[[Exchange], None],
+        admit_stream: Callable[[Exchange, Upstream], Awaitable[Failure | None]],
+        on_first_event: Callable[[Exchange, Upstream], None],
         may_move_stream: Callable[[Exchange], bool],
     ) -> None:
         self._pool = pool
@@ -75,6 +79,7 @@
         self._prompts = prompts
         self._header_codec = header_codec
         self._timers = timers
+        self._admit_stream = admit_stream
         self._on_first_event = on_first_event
         self._may_move_stream = may_move_stream
 
@@ -270,16 +275,18 @@
         attempt: PromptAttempt,
     ) -> StreamForwarded | Failure:
         caller, splitter = exchange.conn, exchange.splitter
-        if not caller.has_started:
-            await caller.start_response(
-                head.status, self._header_codec.build_response_headers(head.headers)
-            )
+        is_admitted = False
         stall_timer = StallTimer(now=self._timers.now())
         while True:
             data = await self._read_events(exchange, conn, stall_timer)
             if isinstance(data, Failure):
                 splitter.discard_partial()
                 return data
+            if not is_admitted:
+                failure = await self._admit_stream(exchange, upstream)
+                if failure is not None:
+                    return failure
+                is_admitted = True
             if not data:
                 break
             count_before = splitter.count
@@ -289,11 +296,11 @@
                 splitter.discard_partial()
                 return conn.make_failure(Reason.BAD_ANSWER, "an event without end")
             if events:
-                exchange.stream_version = upstream.version
                 if exchange.first_event_at is None:
                     exchange.record_first_event(self._timers.now())
-                    self._on_first_event(exchange)
+                    self._on_first_event(exchange, upstream)
                 reservation.release()
+                await self._start_response(exchange, head)
                 await caller.send_body_part(events)
                 # Time spent on a slow caller does not count as a stall of the upstream.
                 stall_timer.note_progress(self._timers.now())
@@ -301,11 +308,18 @@
         if rest.strip():
             # An answer without length or chunks ends with its connection, also if it is incomplete.
             return conn.make_failure(Reason.DISCONNECTED, "the stream ended within an event")
+        await self._start_response(exchange, head)
         if rest:
             await caller.send_body_part(rest)
         await caller.end_response()
         return StreamForwarded()
 
+    async def _start_response(self, exchange: Exchange, head: ResponseHead) -> None:
+        """Send the head to the caller, once; a stream that moves keeps that of its first events."""
+        if not exchange.conn.has_started:
+            headers = self._header_codec.build_response_headers(head.headers)
+            await exchange.conn.start_response(head.status, headers)
+
     async def _read_events(
         self, exchange: Exchange, conn: UpstreamConnection, stall_timer: StallTimer
     ) -> bytes | Failure:
--- /dev/null
+++ b/marigoldtrail/relay/stream_versions.py
@@ -0,0 +1,199 @@
+"""Versions that began streams: record them for other hosts, and find those of resumed streams."""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+from collections import OrderedDict
+from typing import Protocol, TypeVar
+
+import msgspec
+import trio
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.registry import FleetState
+from marigoldtrail.schema.generated.registry import (
+    FindStreamVersion,
+    RecordStreams,
+    StreamsRecorded,
+    StreamVersion,
+    StreamVersionReply,
+)
+from marigoldtrail.timers import Timers
+
+KEY_BYTES = 16
+# Streams that this host remembers by itself, beyond those in the log.
+MAX_REMEMBERED = 4096
+MAX_BATCH = 256
+RECORD_TIMEOUT_S = 2.0
+RECORD_RETRY_S = 0.1
+FIND_TIMEOUT_S = 1.0
+# A caller may come back when a leader has had time to be elected.
+RETRY_AFTER_S = 1.0
+
+Reply = TypeVar("Reply", bound=msgspec.Struct)
+
+_log = logging.getLogger(__name__)
+
+
+class CallLeader(Protocol):
+    """Call of the leader."""
+
+    async def __call__(
+        self, request: msgspec.Struct, reply_type: type[Reply], timeout_s: float, /
+    ) -> Reply | Failure:
+        """Return the reply, or the failure after a timeout in seconds."""
+        ...
+
+
+class Recording:
+    """
+    Record of the version that begins one stream, while it is made durable.
+
+    Parameters
+    ----------
+    stream : StreamVersion
+        The record.
+    """
+
+    __slots__ = ("stream", "is_wanted", "_done")
+
+    def __init__(self, *, stream: StreamVersion) -> None:
+        self.stream = stream
+        self.is_wanted = True
+        self._done = trio.Event()
+
+    def finish(self) -> None:
+        """Note that the record is durable."""
+        self._done.set()
+
+    async def wait(self) -> None:
+        """Wait until the record is durable."""
+        await self._done.wait()
+
+
+class StreamVersions:
+    """
+    Versions that began streams, on one entry.
+
+    Parameters
+    ----------
+    fleet_state : FleetState
+        Versions of the services.
+    call_leader : callable
+        Calls the leader.
+    timers : Timers
+        Delays between attempts.
+    """
+
+    __slots__ = ("_fleet_state", "_call_leader", "_timers", "_remembered", "_queue", "_queued")
+
+    def __init__(self, *, fleet_state: FleetState, call_leader: CallLeader, timers: Timers) -> None:
+        self._fleet_state = fleet_state
+        self._call_leader = call_leader
+        self._timers = timers
+        self._remembered: OrderedDict[bytes, str] = OrderedDict()
+        self._queue: list[Recording] = []
+        self._queued = trio.Event()
+
+    def get_default(self, service: str) -> str | None:
+        """Return the version whose streams need no record; None if it is not known."""
+        versions = self._fleet_state.versions.get(service)
+        return versions[0] if versions else None
+
+    def start_recording(self, key: bytes, version: str) -> Recording:
+        """Begin to make the version of a stream durable; `run` does it."""
+        recording = Recording(stream=StreamVersion(key=key, version=version))
+        self._queue.append(recording)
+        self._queued.set()
+        return recording
+
+    def remember(self, key: bytes, version: str) -> None:
+        """Remember the version of a stream whose first event is forwarded by this host."""
+        self._remembered[key] = version
+        self._remembered.move_to_end(key)
+        if len(self._remembered) > MAX_REMEMBERED:
+            self._remembered.popitem(last=False)
+
+    async def find(self, service: str, key: bytes) -> str | Failure:
+        """
+        Find the version that began a stream.
+
+        Parameters
+        ----------
+        service : str
+            Service of the stream.
+        key : bytes
+            Key of the stream; empty if its caller did not name it.
+
+        Returns
+        -------
+        str or Failure
+            The version; ``VIEW_NOT_CURRENT`` if it is unknown or no leader answered.
+        """
+        remembered = self._remembered.get(key)
+        if remembered is not None:
+            return remembered
+        request = FindStreamVersion(service=service, key=key)
+        reply = await self._call_leader(request, StreamVersionReply, FIND_TIMEOUT_S)
+        if isinstance(reply, Failure):
+            return make_unknown_failure(service, f"no leader answered: {reply}", RETRY_AFTER_S)
+        if not reply.is_known:
+            return make_unknown_failure(service, "it may have any of several versions")
+        return reply.version
+
+    async def run(self) -> None:
+        """Make queued records durable until cancelled."""
+        while True:
+            self._queue = [recording for recording in self._queue if recording.is_wanted]
+            if not self._queue:
+                self._queued = trio.Event()
+                await self._queued.wait()
+                continue
+            batch = self._queue[:MAX_BATCH]
+            request = RecordStreams(streams=[recording.stream for recording in batch])
+            reply = await self._call_leader(request, StreamsRecorded, RECORD_TIMEOUT_S)
+            if isinstance(reply, Failure):
+                _log.warning("versions of %d streams not recorded: %s", len(batch), reply)
+                await self._timers.sleep(RECORD_RETRY_S)
+                continue
+            del self._queue[: len(batch)]
+            for recording in batch:
+                recording.finish()
+
+
+def make_stream_key(account: str, request_id: str) -> bytes:
+    """
+    Return the key of a stream.
+
+    Parameters
+    ----------
+    account : str
+        Client account, so that callers cannot name the streams of others.
+    request_id : str
+        Id of the attempt that brought its first event.
+
+    Returns
+    -------
+    bytes
+        `KEY_BYTES` long, whatever the length of the id.
+
+    Examples
+    --------
+    >>> make_stream_key("a", "1") == make_stream_key("b", "1")
+    False
+    """
+    text = f"{account}\0{request_id}".encode("utf-8", "surrogateescape")
+    return hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
+
+
+def make_unknown_failure(service: str, detail: str, retry_after_s: float = 0.0) -> Failure:
+    """Return the failure of a resumed stream whose version is not known."""
+    return Failure(
+        reason=Reason.VIEW_NOT_CURRENT,
+        run_state=RunState.NOT_RUN,
+        step="stream.version",
+        peer=service,
+        detail=f"the version that began the stream is not known; {detail}",
+        retry_after_s=retry_after_s,
+    )
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -17,6 +17,7 @@
     Dispatcher,
     Relay,
     SendGate,
+    StreamVersions,
     UpstreamMonitor,
     make_answer_recorder,
 )
@@ -31,6 +32,11 @@
     Upstream,
     build_index,
 )
+from marigoldtrail.schema.generated.registry import (
+    RecordStreams,
+    StreamsRecorded,
+    StreamVersionReply,
+)
 from marigoldtrail.schema.generated.site import Bounds
 from marigoldtrail.telemetry.prometheus import PrometheusMetrics
 from marigoldtrail.testing import MemoryNetwork
@@ -74,6 +80,24 @@
     )
 
 
+class VersionLeader:
+    """A leader that records versions of streams, and knows those of others."""
+
+    def __init__(self):
+        self.recorded = {}
+        self.default = ""
+        # Seconds until an answer.
+        self.delay_s = 0.0
+
+    async def call(self, request, reply_type, timeout_s):
+        await trio.sleep(self.delay_s)
+        if isinstance(request, RecordStreams):
+            self.recorded.update({item.key: item.version for item in request.streams})
+            return StreamsRecorded()
+        version = self.recorded.get(request.key, self.default)
+        return StreamVersionReply(is_known=version is not None, version=version or "")
+
+
 class RelayHarness:
     """A relay, and upstreams whose connections are served by functions of the tests."""
 
@@ -112,6 +136,11 @@
             timers=self.timers,
             metrics=metrics,
         )
+        self.leader = VersionLeader()
+        self.versions = StreamVersions(
+            fleet_state=self.fleet_state, call_leader=self.leader.call, timers=self.timers
+        )
+        nursery.start_soon(self.versions.run)
         self.dispatcher = Dispatcher(
             data_centre="a",
             fleet_state=self.fleet_state,
@@ -130,6 +159,7 @@
             rng=rng,
             metrics=metrics,
             gate=self.gate,
+            versions=self.versions,
         )
         self.relay = Relay(
             host="entry",
--- a/marigoldtrail/relay/tests/test_stream_versions.py
+++ b/marigoldtrail/relay/tests/test_stream_versions.py
@@ -3,7 +3,8 @@
 import msgspec
 import trio
 
-from marigoldtrail.relay.tests.helpers import RelayHarness, make_request, read_request
+from marigoldtrail.relay.stream_versions import KEY_BYTES, make_stream_key
+from marigoldtrail.relay.tests.helpers import RelayHarness, make_request, read_all, read_request
 from marigoldtrail.routing import RouteKind, Target
 from marigoldtrail.routing.table import choose_service
 
@@ -123,3 +124,55 @@
         await harness.fetch(make_request(method="POST", body=b"b", headers=headers))
         assert received[-1] == began.encode()
     assert set(received) == {b"s", b"t"}
+
+
+def set_default(harness, *versions):
+    """Set the versions of the service, oldest first; streams of the first need no record."""
+    harness.fleet_state.versions = {"s": list(versions)}
+    harness.leader.default = versions[0]
+
+
+async def test_no_event_is_forwarded_before_its_version_is_durable(autojump_clock, nursery):
+    """Guards against a caller that resumes a stream whose version no other host can find."""
+    received = []
+    harness = await start(nursery, [write_stream(received=received, label=b"v2")], ["v2"])
+    set_default(harness, "v1", "v2")
+    harness.leader.delay_s = 1.0
+    stream = await harness.connect()
+    await stream.send_all(make_request(method="POST", body=b"b"))
+    with trio.move_on_after(0.9):
+        assert not await stream.receive_some(1000)
+    assert received == [b"v2"] and not harness.leader.recorded
+    assert (await read_all(stream)).count(b"v2") == 3
+    assert list(harness.leader.recorded.values()) == ["v2"]
+
+
+async def test_stream_that_moves_before_its_first_event_is_recorded_anew(autojump_clock, nursery):
+    """Guards against the record of an upstream that failed before it wrote an event."""
+    received = []
+    scripts = [
+        write_stream(received=received, label=b"v2", breaks_after=0),
+        write_stream(received=received, label=b"v1"),
+    ]
+    harness = await start(nursery, scripts, ["v2", "v1"])
+    set_default(harness, "v1", "v2")
+    pause_all_but_first(harness)
+    data = await harness.fetch(make_request(method="POST", body=b"b"))
+    assert received == [b"v2", b"v1"] and data.count(b"v1") == 3
+    assert list(harness.leader.recorded.values()) == ["v1"]
+
+
+async def test_streams_of_the_default_version_need_no_leader(autojump_clock, nursery):
+    """Guards against a call to the leader for each stream while one version is in service."""
+    received = []
+    harness = await start(nursery, [write_stream(received=received, label=b"v1")], ["v1"])
+    set_default(harness, "v1")
+    harness.leader.delay_s = 1e9
+    data = await harness.fetch(make_request(method="POST", body=b"b"))
+    assert data.count(b"v1") == 3
+
+
+def test_stream_keys_differ_by_account_and_have_a_fixed_length():
+    """Guards against invented ids that reach the streams of others, or fill the memory."""
+    assert make_stream_key("acme", "id-1") != make_stream_key("other", "id-1")
+    assert len(make_stream_key("acme", "x" * 10000)) == KEY_BYTES
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -4,7 +4,9 @@
 
 import logging
 from functools import partial
+from typing import TypeVar
 
+import msgspec
 import trio
 
 from marigoldtrail.errors import Failure
@@ -12,7 +14,7 @@
 from marigoldtrail.net import Address
 from marigoldtrail.pieces import PieceClient
 from marigoldtrail.ratelimits import UpstreamLimiter
-from marigoldtrail.relay import Dispatcher, Relay, SendGate, UpstreamMonitor
+from marigoldtrail.relay import Dispatcher, Relay, SendGate, StreamVersions, UpstreamMonitor
 from marigoldtrail.routing import Limits
 from marigoldtrail.schema.generated.registry import (
     PermitReply,
@@ -32,6 +34,8 @@
 PERMIT_TIMEOUT_S = 0.25
 CRASH_REPORT_DELAY_S = 0.02
 
+Reply = TypeVar("Reply", bound=msgspec.Struct)
+
 _log = logging.getLogger(__name__)
 
 
@@ -45,7 +49,7 @@
         Components of the host.
     """
 
-    __slots__ = ("components", "monitor", "pieces", "relay", "_draining")
+    __slots__ = ("components", "monitor", "pieces", "relay", "versions", "_draining")
 
     def __init__(self, *, components: HostComponents) -> None:
         self.components = components
@@ -74,6 +78,11 @@
             timers=components.timers,
             metrics=components.metrics,
         )
+        self.versions = StreamVersions(
+            fleet_state=components.fleet_state,
+            call_leader=self._call_leader,
+            timers=components.timers,
+        )
         dispatcher = Dispatcher(
             data_centre=components.cfg.data_centre,
             fleet_state=components.fleet_state,
@@ -86,6 +95,7 @@
             rng=components.rng,
             metrics=components.metrics,
             gate=gate,
+            versions=self.versions,
         )
         self.relay = Relay(
             host=components.cfg.host,
@@ -109,15 +119,18 @@
 
     async def _request_trial(self, part: str) -> bool:
         """Ask the leader whether one request with a quarantined part may be sent."""
-        reply = await self.components.reporter.finder.call(
-            CONFIG_GROUP, RequestTrial(part=part), TrialReply, timeout_s=TRIAL_TIMEOUT_S
-        )
+        reply = await self._call_leader(RequestTrial(part=part), TrialReply, TRIAL_TIMEOUT_S)
         return not isinstance(reply, Failure) and reply.is_granted
 
     async def _request_permit(self, request: RequestPermit) -> PermitReply | Failure:
         """Ask the leader whether one request may be sent to an upstream that limits them."""
+        return await self._call_leader(request, PermitReply, PERMIT_TIMEOUT_S)
+
+    async def _call_leader(
+        self, request: msgspec.Struct, reply_type: type[Reply], timeout_s: float
+    ) -> Reply | Failure:
         return await self.components.reporter.finder.call(
-            CONFIG_GROUP, request, PermitReply, timeout_s=PERMIT_TIMEOUT_S
+            CONFIG_GROUP, request, reply_type, timeout_s=timeout_s
         )
 
     def is_ready(self) -> bool:
@@ -142,6 +155,7 @@
             nursery.start_soon(self.relay.run)
             nursery.start_soon(self._announce_ready)
             nursery.start_soon(self._report_crashes)
+            nursery.start_soon(self.versions.run)
 
     async def _report_crashes(self) -> None:
         """Report a crash beside a prompt at once; the periodic report may be held by the leader."""
--- a/marigoldtrail/standins/http.py
+++ b/marigoldtrail/standins/http.py
@@ -86,9 +86,10 @@
         response = h11.Response(status_code=200, headers=list(fields.items()))
         await self.stream.send_all(self._send(response))
 
-    async def send_event(self, data: bytes) -> None:
-        """Send one event of a stream."""
-        await self.stream.send_all(self._send(h11.Data(data=b"data: " + data + b"\n\n")))
+    async def send_event(self, data: bytes, *, event_id: bytes = b"") -> None:
+        """Send one event of a stream, with an id unless that is empty."""
+        head = b"id: " + event_id + b"\n" if event_id else b""
+        await self.stream.send_all(self._send(h11.Data(data=head + b"data: " + data + b"\n\n")))
 
     async def end_stream(self) -> None:
         """Send the end of a stream."""
