Let resumed streams wait like new ones

All refused ones ended with "the stages can't be done in time" within 35 ms, with 1 to 4.6 s left.

Cause: the time that the caller waited for earlier attempts counted against the target latency of the stages. That target is about the first event, which a resumed stream has delivered, so that each of them was late on arrival and was deferred after all new ones. It now has the target latency from its arrival. The test failed before.

--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -188,7 +188,9 @@
     @property
     def due_at(self) -> float:
         """Monotonic time in seconds after which the response misses its target latency."""
-        return self.started - self.waited_s + self.route.target_latency_s
+        # The first event of a resumed stream has arrived, so its earlier attempt is no delay.
+        waited_s = 0.0 if self.is_resumed else self.waited_s
+        return self.started - waited_s + self.route.target_latency_s
 
     @property
     def is_stream(self) -> bool:
--- a/marigoldtrail/relay/tests/test_exchange.py
+++ b/marigoldtrail/relay/tests/test_exchange.py
@@ -6,11 +6,11 @@
 from marigoldtrail.routing import ClientAccount, RouteKind, Service
 
 
-def make_exchange(route_priority, *, account=None, waited_s=0.0):
+def make_exchange(route_priority, *, account=None, waited_s=0.0, resumed_id=""):
     return Exchange(
         conn=None,
         request=None,
-        info=RequestInfo(request_id="id"),
+        info=RequestInfo(request_id="id", resumed_id=resumed_id),
         route=make_route(RouteKind.STREAMING, priority=route_priority, target_latency_s=2.0),
         service=Service(name="s", max_connections=9),
         account=account,
@@ -39,6 +39,11 @@
     assert make_exchange(0, waited_s=3.5).due_at == 98.5
 
 
+def test_resumed_stream_waits_like_a_new_one():
+    """Guards against resumed streams that are refused as late while new streams begin."""
+    assert make_exchange(0, waited_s=3.5, resumed_id="first").due_at == 102.0
+
+
 def test_started_stream_is_limited_by_its_deadline_only():
     """Guards against a resumed stream without enough time to run its stages again."""
     exchange = make_exchange(0)
