Measure the contact of an entry with all its upstreams

Failures were counted by upstream, so that an entry that had lost all of them looked like one whose upstreams fail one by one. Two gauges tell them apart: the time for which waiting requests have heard from no upstream, and the upstreams that could not be connected since any connection succeeded. Nothing decides by them yet.

--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -19,6 +19,7 @@
     choose_service_upstream,
 )
 from marigoldtrail.policy.window_budget import WindowBudget
+from marigoldtrail.reachability import UpstreamContact
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.pool import ConnectionPool
@@ -65,6 +66,8 @@
         Observed state of the upstreams.
     pool : ConnectionPool
         Connections to the upstreams.
+    contact : UpstreamContact
+        Contact of this host with the upstreams.
     pieces : PieceClient
         Client of the schedulers that run the stages.
     header_codec : HeaderCodec
@@ -105,6 +108,7 @@
         fleet_state: FleetState,
         monitor: UpstreamMonitor,
         pool: ConnectionPool,
+        contact: UpstreamContact,
         pieces: PieceClient,
         header_codec: HeaderCodec,
         bounds: Bounds,
@@ -126,6 +130,7 @@
         self._versions = versions
         self._sender = Sender(
             pool=pool,
+            contact=contact,
             monitor=monitor,
             prompts=fleet_state.prompts,
             header_codec=header_codec,
--- a/marigoldtrail/relay/pool.py
+++ b/marigoldtrail/relay/pool.py
@@ -7,6 +7,7 @@
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Address, Network
 from marigoldtrail.net.client import STREAM_ERRORS
+from marigoldtrail.reachability import UpstreamContact
 from marigoldtrail.relay.types import HeaderCodec
 from marigoldtrail.relay.upstream_connection import OnAnswer, UpstreamConnection
 from marigoldtrail.routing import Upstream
@@ -37,9 +38,11 @@
     on_answer : callable or None
         Called with the name of an upstream, the metadata of each of its responses, and the
         monotonic time in seconds at which the request was sent.
+    contact : UpstreamContact or None
+        Learns which connections are opened, and that upstreams send.
     """
 
-    __slots__ = ("_network", "_timers", "_header_codec", "_on_answer", "_idle")
+    __slots__ = ("_network", "_timers", "_header_codec", "_on_answer", "_contact", "_idle")
 
     def __init__(
         self,
@@ -48,11 +51,13 @@
         timers: Timers,
         header_codec: HeaderCodec,
         on_answer: OnAnswer | None = None,
+        contact: UpstreamContact | None = None,
     ) -> None:
         self._network = network
         self._timers = timers
         self._header_codec = header_codec
         self._on_answer = on_answer
+        self._contact = contact or UpstreamContact(timers=timers)
         self._idle: dict[str, list[UpstreamConnection]] = {}
 
     async def acquire(
@@ -97,14 +102,17 @@
         with trio.move_on_after(CONNECT_TIMEOUT_S):
             try:
                 stream = await self._network.connect(Address.parse(upstream.address))
+                self._contact.note_connected()
                 return UpstreamConnection(
                     stream=stream,
                     upstream=upstream.name,
                     header_codec=self._header_codec,
                     on_answer=self._on_answer,
+                    on_bytes=self._contact.note_bytes,
                 )
             except STREAM_ERRORS as exc:
                 detail = str(exc) or type(exc).__name__
+        self._contact.note_connect_failed(upstream.name)
         return Failure(
             reason=Reason.UNREACHABLE,
             run_state=RunState.NOT_RUN,
--- a/marigoldtrail/relay/sender.py
+++ b/marigoldtrail/relay/sender.py
@@ -8,6 +8,7 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.quarantine import PromptAttempt, PromptGuard
+from marigoldtrail.reachability import UpstreamContact
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.prefill import PrefillReservation
@@ -35,6 +36,8 @@
     ----------
     pool : ConnectionPool
         Connections to the upstreams.
+    contact : UpstreamContact
+        Counts the requests that wait for upstreams.
     monitor : UpstreamMonitor
         Records the outcomes.
     prompts : PromptGuard
@@ -53,6 +56,7 @@
 
     __slots__ = (
         "_pool",
+        "_contact",
         "_monitor",
         "_prompts",
         "_header_codec",
@@ -66,6 +70,7 @@
         self,
         *,
         pool: ConnectionPool,
+        contact: UpstreamContact,
         monitor: UpstreamMonitor,
         prompts: PromptGuard,
         header_codec: HeaderCodec,
@@ -75,6 +80,7 @@
         may_move_stream: Callable[[Exchange], bool],
     ) -> None:
         self._pool = pool
+        self._contact = contact
         self._monitor = monitor
         self._prompts = prompts
         self._header_codec = header_codec
@@ -115,6 +121,7 @@
         exchange.sends += 1
         exchange.last_upstream = upstream.name
         self._monitor.start_request(upstream.name, prefill_tokens)
+        self._contact.start_request()
         reservation = PrefillReservation(
             monitor=self._monitor, name=upstream.name, tokens=prefill_tokens
         )
@@ -125,6 +132,7 @@
             return result
         finally:
             reservation.release()
+            self._contact.finish_request()
             self._monitor.finish_request(upstream.name)
             with trio.CancelScope(shield=True):
                 if is_done or conn.is_reusable():
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -11,6 +11,7 @@
 from marigoldtrail.pieces import PieceClient
 from marigoldtrail.platform.headers import HEADER_CODEC
 from marigoldtrail.ratelimits import UpstreamLimiter
+from marigoldtrail.reachability import UpstreamContact
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay import (
     ConnectionPool,
@@ -117,11 +118,13 @@
         self.fleet_state.confirmed_at = trio.current_time() + 1e5
         endpoint = self.network.endpoint(ENTRY_ADDRESS.ip)
         self.endpoint = endpoint
+        self.contact = UpstreamContact(timers=self.timers)
         self.pool = ConnectionPool(
             network=endpoint,
             timers=self.timers,
             header_codec=HEADER_CODEC,
             on_answer=make_answer_recorder(self.fleet_state),
+            contact=self.contact,
         )
         peers = PeerClient(network=endpoint, host="entry", nursery=nursery)
         self.monitor = UpstreamMonitor(
@@ -146,6 +149,7 @@
             fleet_state=self.fleet_state,
             monitor=self.monitor,
             pool=self.pool,
+            contact=self.contact,
             pieces=PieceClient(
                 fleet_state=self.fleet_state,
                 peers=peers,
--- a/marigoldtrail/relay/upstream_connection.py
+++ b/marigoldtrail/relay/upstream_connection.py
@@ -58,6 +58,8 @@
     on_answer : callable or None
         Called with the upstream's name, the metadata of each of its responses, and the monotonic
         time in seconds at which the request was sent.
+    on_bytes : callable
+        Called when the upstream has sent something or closed the connection.
 
     Attributes
     ----------
@@ -80,6 +82,7 @@
         "_upstream",
         "_header_codec",
         "_on_answer",
+        "_on_bytes",
         "_sent_at",
         "_request_count",
         "_conn",
@@ -98,6 +101,7 @@
         upstream: str,
         header_codec: HeaderCodec,
         on_answer: OnAnswer | None = None,
+        on_bytes: Callable[[], None] = lambda: None,
     ) -> None:
         self.request_id = ""
         self.may_have_sent = False
@@ -107,6 +111,7 @@
         self._upstream = upstream
         self._header_codec = header_codec
         self._on_answer = on_answer
+        self._on_bytes = on_bytes
         self._sent_at = float("-inf")
         self._request_count = 0
         self._conn = make_client_state()
@@ -308,6 +313,7 @@
     async def _receive(self) -> None:
         data = bytes(await self._stream.receive_some(READ_BYTES))
         self._is_closed_by_upstream = not data
+        self._on_bytes()
         self._conn.receive_data(data)
 
     def _make_protocol_failure(self, exc: h11.RemoteProtocolError) -> Failure:
--- a/marigoldtrail/site/components.py
+++ b/marigoldtrail/site/components.py
@@ -8,6 +8,7 @@
 import trio
 
 from marigoldtrail.net import Address, Network, PeerClient
+from marigoldtrail.reachability import UpstreamContact
 from marigoldtrail.registry import FleetState, HostReporter, peer_name
 from marigoldtrail.relay import CallerRequest, ConnectionPool, Reply, make_answer_recorder
 from marigoldtrail.relay.endpoints import Handler, serve_endpoint
@@ -51,6 +52,7 @@
         "nursery",
         "peers",
         "fleet_state",
+        "contact",
         "pool",
         "reporter",
         "metrics",
@@ -75,11 +77,13 @@
         self.metrics = PrometheusMetrics()
         self.peers = PeerClient(network=network, host=cfg.host, nursery=nursery)
         self.fleet_state = FleetState(parse_document=adapter.parse_document, timers=timers)
+        self.contact = UpstreamContact(timers=timers)
         self.pool = ConnectionPool(
             network=network,
             timers=timers,
             header_codec=adapter.header_codec,
             on_answer=make_answer_recorder(self.fleet_state),
+            contact=self.contact,
         )
         self.reporter = HostReporter(
             identity=HostReport(
@@ -116,6 +120,16 @@
             "Upstreams that limit their requests.",
             lambda: fleet_state.limits.count,
         )
+        add(
+            "upstream_silence_seconds",
+            "Time for which waiting requests have heard from no upstream.",
+            lambda: self.contact.silence_s,
+        )
+        add(
+            "unreached_upstreams",
+            "Upstreams that failed to connect since any connection was opened.",
+            lambda: len(self.contact.unreached),
+        )
         add("log_lines_dropped", "Log lines dropped.", count_dropped_lines)
 
     @property
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -88,6 +88,7 @@
             fleet_state=components.fleet_state,
             monitor=self.monitor,
             pool=components.pool,
+            contact=components.contact,
             pieces=self.pieces,
             header_codec=components.adapter.header_codec,
             bounds=components.cfg.bounds,
