Leave entries that reach no upstream out of the look-up

Requests were held there for up to 5.5 s, one upstream after the other.

Cause: each failure was charged to the upstream, so that an entry that had lost all of them ejected each in turn and never concluded that it is cut off itself. Now an entry watches its contact with all upstreams together. A failed connection, or 0.4 s in which waiting requests hear from no upstream, is followed by probes of up to three upstreams of different services and data centres; if all fail, the entry reports to the leader that it is cut off, the look-up leaves it out, requests that can be repeated elsewhere end at once unless their connections still live, and new ones are refused at once with the advice to return soon, which callers do at another entry. Two upstreams that answer end it. If all entries are cut off, the look-up names all: the upstreams may be down. Ejections that the cut caused end with it.

A probed connection is kept for later requests; quiet engines are probed at doubling intervals.

--- a/marigoldtrail/reachability/__init__.py
+++ b/marigoldtrail/reachability/__init__.py
@@ -1,5 +1,6 @@
 """Whether this host reaches upstreams at all."""
 
 from marigoldtrail.reachability.contact import UpstreamContact
+from marigoldtrail.reachability.monitor import ReachabilityMonitor
 
-__all__ = ["UpstreamContact"]
+__all__ = ["ReachabilityMonitor", "UpstreamContact"]
--- a/marigoldtrail/reachability/contact.py
+++ b/marigoldtrail/reachability/contact.py
@@ -19,12 +19,15 @@
     unreached : dict
         Monotonic time in seconds of the last failed connection by upstream, since the last
         connection to any upstream succeeded.
+    heard_at : float
+        Monotonic time in seconds at which an upstream last sent something.
     """
 
-    __slots__ = ("unreached", "_in_flight", "_quiet_since", "_timers")
+    __slots__ = ("unreached", "heard_at", "_in_flight", "_quiet_since", "_timers")
 
     def __init__(self, *, timers: Timers) -> None:
         self.unreached: dict[str, float] = {}
+        self.heard_at = 0.0
         self._in_flight = 0
         # Since when requests in flight have received nothing.
         self._quiet_since = 0.0
@@ -46,7 +49,7 @@
 
     def note_bytes(self) -> None:
         """Note that an upstream has sent something."""
-        self._quiet_since = self._timers.now()
+        self.heard_at = self._quiet_since = self._timers.now()
 
     def start_request(self) -> None:
         """Count a request that is being sent to an upstream."""
--- /dev/null
+++ b/marigoldtrail/reachability/monitor.py
@@ -0,0 +1,191 @@
+"""Detect that this host reaches no upstream at all, and that it does again."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+
+import trio
+
+from marigoldtrail.reachability.contact import UpstreamContact
+from marigoldtrail.registry import FleetState
+from marigoldtrail.routing import Upstream
+from marigoldtrail.timers import Timers, run_guarded
+
+CHECK_INTERVAL_S = 0.1
+# Silence of waiting requests after which the upstreams are probed.
+MIN_SILENCE_S = 0.4
+MAX_SILENCE_S = 3.2
+PROBE_TIMEOUT_S = 0.4
+# Time between the starts of the probes of one round, most of which end with the first.
+PROBE_STAGGER_S = 0.1
+# Upstreams that must fail in one round, and that must answer at the end of a cut.
+LOSS_PROBES = 3
+RECOVERY_PROBES = 2
+RECOVERY_INTERVAL_S = 0.5
+
+# Tries to connect to an upstream within a number of seconds.
+ProbeUpstream = Callable[[Upstream, float], Awaitable[bool]]
+
+_log = logging.getLogger(__name__)
+
+
+class ReachabilityMonitor:
+    """
+    Decides whether this host is cut off from the upstreams of all services.
+
+    Signs of a cut (a failed connection, or silence) are followed by probes of upstreams in several
+    services and data centres. If all of them fail, the upstreams are not down, but this host is
+    cut off; should they all be down, no host can serve anyway.
+
+    Parameters
+    ----------
+    fleet_state : FleetState
+        The upstreams.
+    contact : UpstreamContact
+        Signs of life from them.
+    probe : callable
+        Tries to connect to an upstream.
+    on_change : callable
+        Called when `is_cut_off` has changed.
+    timers : Timers
+        Clock and ticks.
+    rng : random.Random
+        Chooses the upstreams to probe.
+
+    Attributes
+    ----------
+    is_cut_off : bool
+        Whether this host reaches no upstream.
+    """
+
+    __slots__ = (
+        "is_cut_off",
+        "_fleet_state",
+        "_contact",
+        "_probe",
+        "_on_change",
+        "_timers",
+        "_rng",
+        "_silence_limit_s",
+        "_probed_at",
+        "_attempts",
+    )
+
+    def __init__(
+        self,
+        *,
+        fleet_state: FleetState,
+        contact: UpstreamContact,
+        probe: ProbeUpstream,
+        on_change: Callable[[], None],
+        timers: Timers,
+        rng: random.Random,
+    ) -> None:
+        self.is_cut_off = False
+        self._fleet_state = fleet_state
+        self._contact = contact
+        self._probe = probe
+        self._on_change = on_change
+        self._timers = timers
+        self._rng = rng
+        self._silence_limit_s = MIN_SILENCE_S
+        self._probed_at = 0.0
+        self._attempts: set[trio.CancelScope] = set()
+
+    async def run(self) -> None:
+        """Check the contact until cancelled."""
+        async for _ in self._timers.subscribe("reachability", CHECK_INTERVAL_S):
+            await run_guarded(self._check)
+
+    @contextmanager
+    def cancel_when_cut_off(self, scope: trio.CancelScope) -> Iterator[None]:
+        """Cancel a scope if the host is found to be cut off and its connections are silent."""
+        self._attempts.add(scope)
+        try:
+            yield
+        finally:
+            self._attempts.discard(scope)
+
+    async def _check(self) -> None:
+        if self.is_cut_off:
+            await self._timers.sleep(RECOVERY_INTERVAL_S - CHECK_INTERVAL_S)
+            if await self._reaches_all(self._choose_targets(RECOVERY_PROBES)):
+                self._change(False)
+            return
+        if self._contact.heard_at > self._probed_at:
+            self._silence_limit_s = MIN_SILENCE_S
+        is_silent = self._contact.silence_s >= self._silence_limit_s
+        if not is_silent and not self._contact.unreached:
+            return
+        self._probed_at = self._timers.now()
+        targets = self._choose_targets(LOSS_PROBES)
+        if not targets or await self._reaches_any(targets):
+            # An engine may write nothing for long; the next probe waits longer.
+            self._silence_limit_s = min(MAX_SILENCE_S, 2 * self._silence_limit_s)
+            return
+        self._change(True)
+
+    def _change(self, is_cut_off: bool) -> None:
+        self.is_cut_off = is_cut_off
+        if is_cut_off:
+            silence_s = self._contact.silence_s
+            _log.warning(
+                "no upstream can be reached",
+                extra={
+                    "silence_ms": round(silence_s * 1000),
+                    "unreached": sorted(self._contact.unreached),
+                    "attempts": len(self._attempts),
+                },
+            )
+            # In a cut that refuses new connections, the open ones may still serve.
+            if silence_s >= MIN_SILENCE_S:
+                for scope in self._attempts:
+                    scope.cancel()
+        else:
+            _log.info("upstreams can be reached again")
+        self._on_change()
+
+    def _choose_targets(self, count: int) -> list[Upstream]:
+        """Choose upstreams, as far as possible of different services and data centres."""
+        upstreams = [u for u in self._fleet_state.upstreams.values() if not u.is_leaving]
+        self._rng.shuffle(upstreams)
+        upstreams.sort(key=lambda upstream: upstream.name in self._contact.unreached)
+        chosen: list[Upstream] = []
+        rest: list[Upstream] = []
+        for upstream in upstreams:
+            is_similar = any(
+                upstream.service == other.service or upstream.data_centre == other.data_centre
+                for other in chosen
+            )
+            (rest if is_similar else chosen).append(upstream)
+        return [*chosen, *rest][:count]
+
+    async def _reaches_any(self, targets: list[Upstream]) -> bool:
+        """Probe upstreams one shortly after the other until one answers."""
+        has_reached = False
+
+        async def probe(upstream: Upstream) -> None:
+            nonlocal has_reached
+            if await self._probe(upstream, PROBE_TIMEOUT_S):
+                has_reached = True
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            for upstream in targets:
+                nursery.start_soon(probe, upstream)
+                await self._timers.sleep(PROBE_STAGGER_S)
+        return has_reached
+
+    async def _reaches_all(self, targets: list[Upstream]) -> bool:
+        results: list[bool] = []
+
+        async def probe(upstream: Upstream) -> None:
+            results.append(await self._probe(upstream, PROBE_TIMEOUT_S))
+
+        async with trio.open_nursery() as nursery:
+            for upstream in targets:
+                nursery.start_soon(probe, upstream)
+        return all(results)
--- /dev/null
+++ b/marigoldtrail/reachability/tests/test_monitor.py
@@ -0,0 +1,117 @@
+"""Decision whether a host is cut off from all upstreams."""
+
+import random
+
+import trio
+
+from marigoldtrail.reachability import ReachabilityMonitor, UpstreamContact
+from marigoldtrail.registry import FleetState
+from marigoldtrail.routing import Upstream
+from marigoldtrail.timers import Timers
+
+# Time within which a cut and its end are detected.
+DETECTION_S = 1.5
+
+
+class Probed:
+    """A monitor whose probes reach the upstreams that are not down."""
+
+    def __init__(self, nursery, *, count=6):
+        timers = Timers(seed=1)
+        self.contact = UpstreamContact(timers=timers)
+        fleet_state = FleetState(parse_document=lambda data: "", timers=timers)
+        for number in range(count):
+            name = f"u-{number}"
+            fleet_state.upstreams[name] = Upstream(
+                name=name, service=f"s-{number % 2}", address=f"10.0.1.{number}:1",
+                data_centre=f"dc-{number % 3}", slots=4,
+            )  # fmt: skip
+        self.names = set(fleet_state.upstreams)
+        self.down = set()
+        self.probes = []
+        self.changes = []
+        self.monitor = ReachabilityMonitor(
+            fleet_state=fleet_state, contact=self.contact, probe=self.probe,
+            on_change=lambda: self.changes.append(self.monitor.is_cut_off),
+            timers=timers, rng=random.Random(1),
+        )  # fmt: skip
+        nursery.start_soon(self.monitor.run)
+
+    async def probe(self, upstream, timeout_s):
+        self.probes.append(upstream.name)
+        if upstream.name in self.down:
+            await trio.sleep(timeout_s)
+            self.contact.note_connect_failed(upstream.name)
+            return False
+        self.contact.note_connected()
+        return True
+
+
+async def test_silent_cut_is_detected_and_its_end_too(autojump_clock, nursery):
+    """Guards against an entry that accepts requests while it reaches no upstream."""
+    probed = Probed(nursery)
+    probed.contact.start_request()
+    probed.down = probed.names
+    await trio.sleep(DETECTION_S)
+    assert probed.changes == [True]
+    await trio.sleep(10)
+    assert probed.changes == [True]
+    probed.down = set()
+    await trio.sleep(DETECTION_S)
+    assert probed.changes == [True, False]
+
+
+async def test_refused_connections_are_enough_for_a_cut(autojump_clock, nursery):
+    """Guards against a cut in which open connections live on and hide that new ones fail."""
+    probed = Probed(nursery)
+    probed.down = probed.names
+    probed.contact.start_request()
+    probed.contact.note_connect_failed("u-0")
+    for _ in range(12):
+        await trio.sleep(0.1)
+        probed.contact.note_bytes()
+    assert probed.changes == [True]
+
+
+async def test_failing_upstreams_are_no_cut_while_others_answer(autojump_clock, nursery):
+    """Guards against entries that leave the look-up when upstreams crash."""
+    probed = Probed(nursery)
+    probed.down = {"u-0", "u-1", "u-2", "u-3"}
+    for _ in range(30):
+        for name in sorted(probed.down):
+            probed.contact.note_connect_failed(name)
+        await trio.sleep(0.5)
+    assert probed.changes == []
+
+
+async def test_quiet_engines_are_probed_ever_less(autojump_clock, nursery):
+    """Guards against a connection each 0.4 s while an engine reads a long prompt."""
+    probed = Probed(nursery)
+    probed.contact.start_request()
+    await trio.sleep(20)
+    assert probed.changes == [] and len(probed.probes) <= 12
+
+
+async def test_attempts_are_cancelled_only_if_their_connections_are_silent(autojump_clock, nursery):
+    """Guards against streams that are broken off although their connections live on."""
+    for is_silent in (True, False):
+        probed = Probed(nursery)
+        probed.down = probed.names
+        probed.contact.start_request()
+        probed.contact.note_connect_failed("u-0")
+        with trio.move_on_after(DETECTION_S) as scope, probed.monitor.cancel_when_cut_off(scope):
+            while True:
+                await trio.sleep(0.1)
+                if not is_silent:
+                    probed.contact.note_bytes()
+        assert probed.changes == [True]
+        assert (trio.current_time() < scope.deadline) == is_silent
+
+
+async def test_host_without_upstreams_or_requests_is_not_cut_off(autojump_clock, nursery):
+    """Guards against an entry that leaves the look-up before it has any upstream to reach."""
+    probed = Probed(nursery, count=0)
+    await trio.sleep(5)
+    probed.contact.start_request()
+    await trio.sleep(5)
+    assert probed.changes == [] and not probed.probes
--- a/marigoldtrail/registry/state.py
+++ b/marigoldtrail/registry/state.py
@@ -308,6 +308,7 @@
         peer_address=report.peer_address,
         request_address=report.request_address,
         ready=report.ready,
+        is_cut_off=report.is_cut_off,
     )
 
 
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from contextlib import AbstractContextManager, nullcontext
 
 import msgspec
 import trio
@@ -19,7 +20,7 @@
     choose_service_upstream,
 )
 from marigoldtrail.policy.window_budget import WindowBudget
-from marigoldtrail.reachability import UpstreamContact
+from marigoldtrail.reachability import ReachabilityMonitor, UpstreamContact
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.pool import ConnectionPool
@@ -46,6 +47,8 @@
 ATTEMPT_TIMEOUT_FACTOR = 5.0
 MIN_ATTEMPT_TIMEOUT_S = 0.1
 MAX_STAGE_RUNS = 2
+# A caller may try another entry at once.
+CUT_OFF_RETRY_S = 0.05
 # Without a leader that has answered so recently, new streams prefer versions without records.
 MAX_LEADER_AGE_S = 1.0
 
@@ -68,6 +71,8 @@
         Connections to the upstreams.
     contact : UpstreamContact
         Contact of this host with the upstreams.
+    reachability : ReachabilityMonitor
+        Tells whether this host reaches upstreams.
     pieces : PieceClient
         Client of the schedulers that run the stages.
     header_codec : HeaderCodec
@@ -90,6 +95,7 @@
         "_data_centre",
         "_fleet_state",
         "_monitor",
+        "_reachability",
         "_pieces",
         "_bounds",
         "_timers",
@@ -109,6 +115,7 @@
         monitor: UpstreamMonitor,
         pool: ConnectionPool,
         contact: UpstreamContact,
+        reachability: ReachabilityMonitor,
         pieces: PieceClient,
         header_codec: HeaderCodec,
         bounds: Bounds,
@@ -121,6 +128,7 @@
         self._data_centre = data_centre
         self._fleet_state = fleet_state
         self._monitor = monitor
+        self._reachability = reachability
         self._pieces = pieces
         self._bounds = bounds
         self._timers = timers
@@ -163,6 +171,8 @@
             The response, the note that a stream was forwarded, or the reason for the failure.
         """
         self._get_budget(exchange.service.name).add_request(self._timers.now())
+        if self._reachability.is_cut_off:
+            return self._make_cut_off_failure(exchange)
         failure = await self._gate.check_arrival(exchange)
         if failure is not None:
             return failure
@@ -242,6 +252,8 @@
             held = self._gate.check_send(exchange)
             if held is not None:
                 return held
+            if self._reachability.is_cut_off:
+                return self._make_cut_off_failure(exchange)
             upstream = self._choose_upstream(exchange)
             max_wait_s = 0.0
             if upstream is None:
@@ -323,8 +335,9 @@
             _, shared = exchange.get_shared_prefix()
             prefill = max(0, exchange.info.prompt_tokens - shared)
         self._start_recording(exchange, upstream)
-        with trio.move_on_after(self._get_attempt_timeout_s(exchange, upstream)):
-            return await self._sender.send(exchange, upstream, prefill_tokens=prefill)
+        with trio.move_on_after(self._get_attempt_timeout_s(exchange, upstream)) as scope:
+            with self._cancel_when_cut_off(exchange, scope):
+                return await self._sender.send(exchange, upstream, prefill_tokens=prefill)
         self._monitor.record_failure(upstream.name, is_dead=True)
         return Failure(
             reason=Reason.TIMEOUT,
@@ -334,6 +347,14 @@
             detail="no answer in the usual time",
         )
 
+    def _cancel_when_cut_off(
+        self, exchange: Exchange, scope: trio.CancelScope
+    ) -> AbstractContextManager[None]:
+        """End an attempt when this host is cut off, if its caller may try again elsewhere."""
+        if not exchange.route.is_idempotent:
+            return nullcontext()
+        return self._reachability.cancel_when_cut_off(scope)
+
     def _start_recording(self, exchange: Exchange, upstream: Upstream) -> None:
         """Begin to record the version of a new stream, while the upstream reads its prompt."""
         key = exchange.stream_key
@@ -458,6 +479,17 @@
         if exchange.stage_run is not None:
             self._pieces.report_prompt_read(exchange.stage_run)
 
+    def _make_cut_off_failure(self, exchange: Exchange) -> Failure:
+        run_state = RunState.MAY_HAVE_RUN if exchange.may_have_run else RunState.NOT_RUN
+        return Failure(
+            reason=Reason.UNREACHABLE,
+            run_state=run_state,
+            step="upstream.choose",
+            peer=exchange.service.name,
+            detail="this host reaches no upstream",
+            retry_after_s=CUT_OFF_RETRY_S,
+        )
+
     def _make_no_upstream_failure(self, exchange: Exchange) -> Failure:
         return Failure(
             reason=Reason.NO_UPSTREAM,
--- a/marigoldtrail/relay/pool.py
+++ b/marigoldtrail/relay/pool.py
@@ -97,9 +97,24 @@
             limit_s = min(limit_s, conn.idle_limit_s * KEEP_ALIVE_SHARE)
         return self._timers.now() - conn.idle_since <= limit_s
 
-    async def _dial(self, upstream: Upstream) -> UpstreamConnection | Failure:
-        detail = f"not connected within {CONNECT_TIMEOUT_S} s"
-        with trio.move_on_after(CONNECT_TIMEOUT_S):
+    async def probe(self, upstream: Upstream, timeout_s: float) -> bool:
+        """Open a connection and keep it idle; return whether that took less than a timeout."""
+        conn = await self._dial(upstream, timeout_s)
+        if isinstance(conn, Failure):
+            return False
+        idle = self._idle.setdefault(upstream.name, [])
+        if len(idle) >= MAX_IDLE_CONNECTIONS:
+            await conn.aclose()
+        else:
+            conn.idle_since = self._timers.now()
+            idle.append(conn)
+        return True
+
+    async def _dial(
+        self, upstream: Upstream, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> UpstreamConnection | Failure:
+        detail = f"not connected within {timeout_s} s"
+        with trio.move_on_after(timeout_s):
             try:
                 stream = await self._network.connect(Address.parse(upstream.address))
                 self._contact.note_connected()
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -11,7 +11,7 @@
 from marigoldtrail.pieces import PieceClient
 from marigoldtrail.platform.headers import HEADER_CODEC
 from marigoldtrail.ratelimits import UpstreamLimiter
-from marigoldtrail.reachability import UpstreamContact
+from marigoldtrail.reachability import ReachabilityMonitor, UpstreamContact
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay import (
     ConnectionPool,
@@ -139,6 +139,14 @@
             timers=self.timers,
             metrics=metrics,
         )
+        self.reachability = ReachabilityMonitor(
+            fleet_state=self.fleet_state,
+            contact=self.contact,
+            probe=self.pool.probe,
+            on_change=lambda: None,
+            timers=self.timers,
+            rng=rng,
+        )
         self.leader = VersionLeader()
         self.versions = StreamVersions(
             fleet_state=self.fleet_state, call_leader=self.leader.call, timers=self.timers
@@ -150,6 +158,7 @@
             monitor=self.monitor,
             pool=self.pool,
             contact=self.contact,
+            reachability=self.reachability,
             pieces=PieceClient(
                 fleet_state=self.fleet_state,
                 peers=peers,
--- a/marigoldtrail/relay/upstream_monitor.py
+++ b/marigoldtrail/relay/upstream_monitor.py
@@ -153,6 +153,13 @@
                 },
             )
 
+    def end_ejections(self) -> None:
+        """End all ejections; the failures were those of this host's network."""
+        now = self._timers.now()
+        for record in self._records.values():
+            record.ejected_until = min(record.ejected_until, now)
+            record.consecutive_failures = 0
+
     def start_pause(self, name: str, seconds: float) -> None:
         """Send no requests to an upstream for the number of seconds that it asked for."""
         if seconds <= 0:
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -14,6 +14,7 @@
 from marigoldtrail.net import Address
 from marigoldtrail.pieces import PieceClient
 from marigoldtrail.ratelimits import UpstreamLimiter
+from marigoldtrail.reachability import ReachabilityMonitor
 from marigoldtrail.relay import Dispatcher, Relay, SendGate, StreamVersions, UpstreamMonitor
 from marigoldtrail.routing import Limits
 from marigoldtrail.schema.generated.registry import (
@@ -49,7 +50,15 @@
         Components of the host.
     """
 
-    __slots__ = ("components", "monitor", "pieces", "relay", "versions", "_draining")
+    __slots__ = (
+        "components",
+        "monitor",
+        "pieces",
+        "reachability",
+        "relay",
+        "versions",
+        "_draining",
+    )
 
     def __init__(self, *, components: HostComponents) -> None:
         self.components = components
@@ -83,12 +92,21 @@
             call_leader=self._call_leader,
             timers=components.timers,
         )
+        self.reachability = ReachabilityMonitor(
+            fleet_state=components.fleet_state,
+            contact=components.contact,
+            probe=components.pool.probe,
+            on_change=self._handle_reachability,
+            timers=components.timers,
+            rng=components.rng,
+        )
         dispatcher = Dispatcher(
             data_centre=components.cfg.data_centre,
             fleet_state=components.fleet_state,
             monitor=self.monitor,
             pool=components.pool,
             contact=components.contact,
+            reachability=self.reachability,
             pieces=self.pieces,
             header_codec=components.adapter.header_codec,
             bounds=components.cfg.bounds,
@@ -115,6 +133,9 @@
         components.metrics.add_gauge(
             "caller_connections", "Open connections of callers.", lambda: self.relay.connections
         )
+        components.metrics.add_gauge(
+            "cut_off", "Whether no upstream can be reached.", lambda: self.reachability.is_cut_off
+        )
         components.reporter.set_load_source(self.monitor.report_loads)
         self._draining = False
 
@@ -157,6 +178,7 @@
             nursery.start_soon(self._announce_ready)
             nursery.start_soon(self._report_crashes)
             nursery.start_soon(self.versions.run)
+            nursery.start_soon(self.reachability.run)
 
     async def _report_crashes(self) -> None:
         """Report a crash beside a prompt at once; the periodic report may be held by the leader."""
@@ -170,6 +192,15 @@
     async def _send_report(self) -> None:
         await self.components.reporter.report_once(wait_s=0.0)
 
+    def _handle_reachability(self) -> None:
+        """Tell the leader at once, so that look-ups leave this entry out or name it again."""
+        is_cut_off = self.reachability.is_cut_off
+        if not is_cut_off:
+            # The upstreams were not to blame for their failures.
+            self.monitor.end_ejections()
+        self.components.reporter.identity.is_cut_off = is_cut_off
+        self.components.nursery.start_soon(run_guarded, self._send_report)
+
     async def _announce_ready(self) -> None:
         while not self.is_ready():
             await self.components.fleet_state.changed.wait()
--- a/marigoldtrail/site/lookup.py
+++ b/marigoldtrail/site/lookup.py
@@ -59,6 +59,8 @@
             h for h in fleet_state.hosts if h.role == "entry" and h.ready and h.request_address
         ]
         candidates = [host for host in entries if host.region == region] or entries
+        # If all are cut off, the upstreams may be down, and entries still tell callers so.
+        candidates = [host for host in candidates if not host.is_cut_off] or candidates
         if len(candidates) > MAX_ADDRESSES:
             candidates = rng.sample(candidates, MAX_ADDRESSES)
         return EntryAddresses(
--- a/marigoldtrail/testing/network.py
+++ b/marigoldtrail/testing/network.py
@@ -23,12 +23,13 @@
         Delay of each chunk in seconds.
     """
 
-    __slots__ = ("delay_s", "jitter_s", "is_cut", "changed")
+    __slots__ = ("delay_s", "jitter_s", "is_cut", "is_refused", "changed")
 
     def __init__(self, *, delay_s: float) -> None:
         self.delay_s = delay_s
         self.jitter_s = 0.0
         self.is_cut = False
+        self.is_refused = False
         self.changed = trio.Event()
 
     def set_cut(self, cut: bool) -> None:
@@ -226,10 +227,15 @@
         if both_ways:
             self.link(target, source).set_cut(True)
 
+    def refuse(self, source: str, target: str) -> None:
+        """Refuse new connections from one IP address to another; open ones live on."""
+        self.link(source, target).is_refused = True
+
     def restore(self, source: str, target: str) -> None:
         """Restore both directions of a link."""
-        self.link(source, target).set_cut(False)
-        self.link(target, source).set_cut(False)
+        for link in (self.link(source, target), self.link(target, source)):
+            link.is_refused = False
+            link.set_cut(False)
 
     def reset_host(self, ip: str) -> None:
         """Break every stream of a host, as the end of its process does."""
@@ -238,6 +244,13 @@
                 stream.reset()
         self._forget_closed()
 
+    def reset_link(self, source: str, target: str) -> None:
+        """Break every stream between two IP addresses."""
+        for stream in self._streams:
+            if {source, target} == {stream.local, stream.remote}:
+                stream.reset()
+        self._forget_closed()
+
     def _forget_closed(self) -> None:
         self._streams = [s for s in self._streams if not (s.closed or s.outgoing.is_broken)]
 
@@ -245,6 +258,8 @@
         """Connect an IP address to a listener; blocks while a link between them is cut."""
         forward = self.link(source, address.ip)
         backward = self.link(address.ip, source)
+        if forward.is_refused:
+            raise ConnectionRefusedError(f"connection to {address} refused")
         while forward.is_cut or backward.is_cut:
             await (forward if forward.is_cut else backward).changed.wait()
         await trio.sleep(2 * forward.delay_s)
