Forward requests through another entry while no upstream can be reached

Callers keep old addresses and open connections for some seconds, so that an entry that is cut off still gets requests after it has left the look-up; they were refused at once. Now it forwards them to an entry that the leader names as ready and connected, in the same region: on a connection of its own for each, to one entry at most, with the time that is left, and marked so that no entry forwards it again. The other entry treats it like a request of a caller, so that limits, budgets, permits, evidence on crashes and records of streams count once. What may have run is forwarded only if it may run again and the budget of retries allows it. If no entry is connected, the refusal stays immediate.

--- a/marigoldtrail/platform/headers.py
+++ b/marigoldtrail/platform/headers.py
@@ -27,6 +27,8 @@
         b"expect",
     }
 )
+# Set by an entry that forwards a request to another one.
+_FORWARDED_BY = b"x-marigoldtrail-entry"
 # Set by marigoldtrail only; values sent by a caller are dropped.
 _RESERVED = frozenset(
     {
@@ -41,6 +43,7 @@
         b"kv-from",
         b"kv-fetch",
         b"x-request-priority",
+        _FORWARDED_BY,
     }
 )
 # Most and least urgent rank of a request at an engine; the platform's default is 5.
@@ -70,6 +73,7 @@
         piece_counts=tuple(_parse_numbers(values.get(b"x-pieces", ""))),
         piece_key=values.get(b"x-piece-key", ""),
         resume_after=values.get(b"last-event-id", ""),
+        is_forwarded=_FORWARDED_BY in values,
         resumed_id=values.get(b"resumes", ""),
     )
 
@@ -116,6 +120,14 @@
     return kept
 
 
+def build_forwarded_headers(headers: Headers, left_s: float, host: str) -> Headers:
+    """Return the headers for a request to another entry, which sets what is for upstreams."""
+    dropped = _HOP_BY_HOP | {b"x-deadline-ms", _FORWARDED_BY} | read_connection_options(headers)
+    kept = [(name, value) for name, value in headers if name not in dropped]
+    left_ms = max(1, int(left_s * 1000))
+    return [*kept, (b"x-deadline-ms", str(left_ms).encode()), (_FORWARDED_BY, host.encode())]
+
+
 def read_connection_options(headers: Headers) -> set[bytes]:
     """Return the names of the headers that the ``Connection`` header lists."""
     return {
@@ -190,6 +202,7 @@
 HEADER_CODEC = HeaderCodec(
     parse_request=parse_request,
     build_request_headers=build_request_headers,
+    build_forwarded_headers=build_forwarded_headers,
     parse_response=parse_response,
     build_response_headers=build_response_headers,
 )
--- a/marigoldtrail/platform/tests/test_cut_off_entries.py
+++ b/marigoldtrail/platform/tests/test_cut_off_entries.py
@@ -4,8 +4,8 @@
 import trio
 
 from marigoldtrail.net import Address
-from marigoldtrail.platform.standin import make_lookup_target
-from marigoldtrail.platform.tests.standin import CALLER_IP
+from marigoldtrail.platform.standin import make_lookup_target, make_resume_headers
+from marigoldtrail.platform.tests.standin import CALLER_IP, EVENTS
 from marigoldtrail.platform.tests.test_site import start_serving_site
 
 # Bound of the users' rules, from the beginning of a cut.
@@ -126,3 +126,47 @@
     assert all(took < 0.2 for _, took in ended)
     assert all(status in (200, 503) for status, _ in ended)
     assert all(status == 200 for status, _ in callers.since(cut_at, 0))
+
+
+async def test_requests_at_a_cut_off_entry_are_served_through_another_one(autojump_clock, nursery):
+    """Guards against callers with an old address, or an open connection, that are not served."""
+    for is_refused in (False, True):
+        site, callers = await start(nursery)
+        for entry in (1, 2):
+            cut_off(site, entry, is_refused=is_refused)
+        cut_at = trio.current_time()
+        await trio.sleep(10)
+        for entry in (1, 2):
+            ended = callers.since(cut_at + WINDOW_S, entry)
+            assert len(ended) >= 60
+            assert [status for status, _ in ended].count(200) >= 0.95 * len(ended)
+
+
+async def test_stream_at_a_cut_off_entry_is_served_and_can_be_resumed_elsewhere(
+    autojump_clock, nursery
+):
+    """Guards against streams that another entry records under another name, or joins wrongly."""
+    site, _ = await start(nursery)
+    cut_off(site, 1)
+    await trio.sleep(2)
+    reply = await site.send_request("/talk/1", entry=1, request_id="first", body=b"p")
+    assert reply[0] == 200 and reply[2].count(b"data: ") == EVENTS
+    headers = make_resume_headers("first", "1")
+    for entry in (1, 3):
+        reply = await site.send_request(
+            "/talk/1", entry=entry, request_id=f"again-{entry}", headers=headers, body=b"p"
+        )
+        assert reply[0] == 200 and reply[2].count(b"data: ") == EVENTS - 1
+
+
+async def test_requests_are_refused_at_once_if_all_entries_are_cut_off(autojump_clock, nursery):
+    """Guards against requests that go round between entries which reach no upstream."""
+    site, callers = await start(nursery)
+    for entry in range(4):
+        cut_off(site, entry)
+    cut_at = trio.current_time()
+    await trio.sleep(8)
+    for entry in range(4):
+        ended = callers.since(cut_at + WINDOW_S, entry)
+        assert len(ended) >= 30
+        assert all(status == 503 and took < 0.2 for status, took in ended)
--- a/marigoldtrail/registry/service.py
+++ b/marigoldtrail/registry/service.py
@@ -21,9 +21,11 @@
 from marigoldtrail.routing import RouteTable, check_table
 from marigoldtrail.schema.generated.control import SubmitReply
 from marigoldtrail.schema.generated.registry import (
+    EntryList,
     GetRoutes,
     HostReport,
     HostReportReply,
+    ListEntries,
     PermitReply,
     RequestPermit,
     RequestTrial,
@@ -122,6 +124,7 @@
             GetRoutes: self._get_routes,
             RequestTrial: self._request_trial,
             RequestPermit: self._request_permit,
+            ListEntries: self._list_entries,
             **self._versions.get_handlers(),
         }
 
@@ -349,6 +352,12 @@
             return self._not_leader("RequestPermit")
         return registry.reserve_permit(request)
 
+    async def _list_entries(self, request: ListEntries, sender: str) -> EntryList | Failure:
+        registry = self._current_registry()
+        if registry is None:
+            return self._not_leader("ListEntries")
+        return EntryList(addresses=registry.list_connected_entries(request))
+
     async def _propose(self, command: Command) -> SubmitReply | Failure:
         reply: Any = await self._group.propose(encode_command(command), timeout_s=PROPOSE_TIMEOUT_S)
         if not isinstance(reply, Failure) and self._registry is not None:
--- a/marigoldtrail/registry/state.py
+++ b/marigoldtrail/registry/state.py
@@ -13,6 +13,7 @@
 from marigoldtrail.schema.generated.registry import (
     HostEntry,
     HostReport,
+    ListEntries,
     PermitReply,
     RequestPermit,
     UpstreamEntry,
@@ -22,6 +23,8 @@
 
 # Three missed reports.
 HOST_TIMEOUT_S = 1.2
+# Entries that are named to one that forwards its requests.
+MAX_LISTED_ENTRIES = 16
 # Time within which every live host reports to a new leader.
 SETTLE_S = 1.2
 
@@ -254,6 +257,22 @@
         """Return the reporting hosts that are sent to hosts of a role."""
         return self._host_entries if role == "control" else self._control_entries
 
+    def list_connected_entries(self, request: ListEntries) -> list[str]:
+        """Return addresses of entries that serve and reach upstreams, rotated among senders."""
+        addresses = [
+            host.request_address
+            for host in self._host_entries
+            if host.role == "entry"
+            and host.ready
+            and not host.is_cut_off
+            and host.region == request.region
+            and host.host != request.host
+        ]
+        if len(addresses) <= MAX_LISTED_ENTRIES:
+            return addresses
+        start = round(self.position_of(request.host) * len(addresses))
+        return [*addresses[start:], *addresses[:start]][:MAX_LISTED_ENTRIES]
+
     def hosts_revision_for(self, role: str) -> int:
         """Return the revision of the list of hosts that is sent to hosts of a role."""
         return self.hosts_revision if role == "control" else self.control_hosts_revision
--- a/marigoldtrail/registry/tests/test_state.py
+++ b/marigoldtrail/registry/tests/test_state.py
@@ -6,6 +6,7 @@
 from marigoldtrail.schema.generated.registry import (
     HostReport,
     LeavingUpstream,
+    ListEntries,
     UpstreamEntry,
     UpstreamLoad,
 )
@@ -165,3 +166,15 @@
     assert len(registry.hosts("control")) == 192 and registry.entry_count == 191
     positions = [registry.position_of(name) for name in entries]
     assert positions == sorted(set(positions)) and positions[0] == 0.0 and positions[-1] < 1.0
+
+
+async def test_entries_that_are_cut_off_or_not_ready_are_not_listed_to_others(autojump_clock):
+    """Guards against requests that are forwarded to an entry which can't serve them."""
+    registry = RegistryState(term=1, timers=Timers(seed=1))
+    changes = {"self": {}, "cut": {"is_cut_off": True}, "starting": {"ready": False}, "sound": {}}
+    for host, fields in changes.items():
+        values = {"ready": True, **fields}
+        registry.record_report(report(host, request_address=f"{host}:1", **values))
+    request = ListEntries(host="self", region="r")
+    assert registry.list_connected_entries(request) == ["sound:1"]
+    assert registry.list_connected_entries(ListEntries(host="self", region="q")) == []
--- a/marigoldtrail/relay/__init__.py
+++ b/marigoldtrail/relay/__init__.py
@@ -4,6 +4,7 @@
 from marigoldtrail.relay.caller_connection import CallerRequest
 from marigoldtrail.relay.dispatch import Dispatcher
 from marigoldtrail.relay.endpoints import Reply, serve_endpoint
+from marigoldtrail.relay.peer_forwarding import PeerForwarder
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.relay import Relay
 from marigoldtrail.relay.send_gate import SendGate
@@ -20,6 +21,7 @@
     "Dispatcher",
     "Forwarding",
     "Headers",
+    "PeerForwarder",
     "Relay",
     "Reply",
     "RequestInfo",
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -23,6 +23,7 @@
 from marigoldtrail.reachability import ReachabilityMonitor, UpstreamContact
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.exchange import Exchange
+from marigoldtrail.relay.peer_forwarding import PeerForwarder, make_unforwarded_failure
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.responses import CompleteResponse, StreamForwarded
 from marigoldtrail.relay.send_gate import SendGate
@@ -47,8 +48,6 @@
 ATTEMPT_TIMEOUT_FACTOR = 5.0
 MIN_ATTEMPT_TIMEOUT_S = 0.1
 MAX_STAGE_RUNS = 2
-# A caller may try another entry at once.
-CUT_OFF_RETRY_S = 0.05
 # Without a leader that has answered so recently, new streams prefer versions without records.
 MAX_LEADER_AGE_S = 1.0
 
@@ -89,6 +88,8 @@
         Decides whether requests may be sent now.
     versions : StreamVersions
         Records and finds the versions that began streams.
+    forwarder : PeerForwarder
+        Forwards requests to another entry while this host reaches no upstream.
     """
 
     __slots__ = (
@@ -105,6 +106,7 @@
         "_budgets",
         "_gate",
         "_versions",
+        "_forwarder",
     )
 
     def __init__(
@@ -124,6 +126,7 @@
         metrics: PrometheusMetrics,
         gate: SendGate,
         versions: StreamVersions,
+        forwarder: PeerForwarder,
     ) -> None:
         self._data_centre = data_centre
         self._fleet_state = fleet_state
@@ -136,6 +139,7 @@
         self._metrics = metrics
         self._gate = gate
         self._versions = versions
+        self._forwarder = forwarder
         self._sender = Sender(
             pool=pool,
             contact=contact,
@@ -172,7 +176,7 @@
         """
         self._get_budget(exchange.service.name).add_request(self._timers.now())
         if self._reachability.is_cut_off:
-            return self._make_cut_off_failure(exchange)
+            return await self._serve_elsewhere(exchange)
         failure = await self._gate.check_arrival(exchange)
         if failure is not None:
             return failure
@@ -253,7 +257,7 @@
             if held is not None:
                 return held
             if self._reachability.is_cut_off:
-                return self._make_cut_off_failure(exchange)
+                return await self._serve_elsewhere(exchange)
             upstream = self._choose_upstream(exchange)
             max_wait_s = 0.0
             if upstream is None:
@@ -479,16 +483,21 @@
         if exchange.stage_run is not None:
             self._pieces.report_prompt_read(exchange.stage_run)
 
-    def _make_cut_off_failure(self, exchange: Exchange) -> Failure:
-        run_state = RunState.MAY_HAVE_RUN if exchange.may_have_run else RunState.NOT_RUN
-        return Failure(
-            reason=Reason.UNREACHABLE,
-            run_state=run_state,
-            step="upstream.choose",
-            peer=exchange.service.name,
-            detail="this host reaches no upstream",
-            retry_after_s=CUT_OFF_RETRY_S,
-        )
+    async def _serve_elsewhere(
+        self, exchange: Exchange
+    ) -> CompleteResponse | StreamForwarded | Failure:
+        """Forward a request to another entry, unless it was forwarded or may not run again."""
+        is_new = not exchange.may_have_run
+        if (
+            exchange.info.is_forwarded
+            or exchange.conn.has_started
+            or not (is_new or exchange.may_run_again())
+            or not (is_new or self._may_send_again(exchange.service.name))
+        ):
+            return make_unforwarded_failure(exchange)
+        result = await self._forwarder.forward(exchange)
+        self._metrics.count_send("forwarded")
+        return result
 
     def _make_no_upstream_failure(self, exchange: Exchange) -> Failure:
         return Failure(
--- /dev/null
+++ b/marigoldtrail/relay/peer_forwarding.py
@@ -0,0 +1,223 @@
+"""Forward requests through another entry while this host reaches no upstream."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.net import Address, Network
+from marigoldtrail.net.client import STREAM_ERRORS
+from marigoldtrail.relay.exchange import Exchange
+from marigoldtrail.relay.responses import CompleteResponse, StreamForwarded, read_body
+from marigoldtrail.relay.types import HeaderCodec
+from marigoldtrail.relay.upstream_connection import ResponseHead, UpstreamConnection
+from marigoldtrail.schema.generated.registry import EntryList
+from marigoldtrail.timers import Timers
+
+CONNECT_TIMEOUT_S = 0.3
+MAX_CONNECTS = 2
+# The list of entries is read again after this time, and not used after the second one.
+LIST_INTERVAL_S = 1.0
+MAX_LIST_AGE_S = 5.0
+# Callers have left a stream that pauses for this much longer than they wait.
+PAUSE_MARGIN_S = 0.5
+# A caller may try another entry at once.
+RETRY_AFTER_S = 0.05
+
+HTTP_OK = 200
+# Statuses that promise that the request did not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+# Asks the leader for the entries that reach upstreams.
+ListEntriesFn = Callable[[], Awaitable[EntryList | Failure]]
+
+_log = logging.getLogger(__name__)
+
+
+class PeerForwarder:
+    """
+    Forwards requests to entries that reach upstreams.
+
+    The other entry treats them like requests of callers: its limits, budgets and records count
+    them once. It forwards none of them again. Each request is given to at most one entry, on a
+    connection of its own, so that no answer can belong to another one.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    network : Network
+        Opens connections.
+    header_codec : HeaderCodec
+        Converts headers.
+    list_entries : callable
+        Asks the leader for the entries that reach upstreams.
+    timers : Timers
+        Clock.
+    rng : random.Random
+        Chooses among the entries.
+    """
+
+    __slots__ = (
+        "_host",
+        "_network",
+        "_header_codec",
+        "_list_entries",
+        "_timers",
+        "_rng",
+        "_addresses",
+        "_listed_at",
+        "_tried_at",
+        "_list_lock",
+    )
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        network: Network,
+        header_codec: HeaderCodec,
+        list_entries: ListEntriesFn,
+        timers: Timers,
+        rng: random.Random,
+    ) -> None:
+        self._host = host
+        self._network = network
+        self._header_codec = header_codec
+        self._list_entries = list_entries
+        self._timers = timers
+        self._rng = rng
+        self._addresses: list[str] = []
+        self._listed_at = float("-inf")
+        self._tried_at = float("-inf")
+        self._list_lock = trio.Lock()
+
+    async def forward(self, exchange: Exchange) -> CompleteResponse | StreamForwarded | Failure:
+        """
+        Forward a request and its response.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request; nothing of its response was sent yet.
+
+        Returns
+        -------
+        CompleteResponse, StreamForwarded or Failure
+            The response of the other entry, which may be a refusal; a failure is ``NOT_RUN`` only
+            if no entry got the request.
+        """
+        addresses = list(await self._get_addresses())
+        self._rng.shuffle(addresses)
+        for address in addresses[:MAX_CONNECTS]:
+            conn = await self._connect(address)
+            if conn is None:
+                continue
+            try:
+                return await self._exchange_messages(exchange, conn, address)
+            finally:
+                await conn.aclose()
+        return make_unforwarded_failure(exchange)
+
+    async def _get_addresses(self) -> list[str]:
+        async with self._list_lock:
+            now = self._timers.now()
+            if now >= self._tried_at + LIST_INTERVAL_S:
+                self._tried_at = now
+                reply = await self._list_entries()
+                if not isinstance(reply, Failure):
+                    self._addresses = reply.addresses
+                    self._listed_at = now
+        is_current = self._timers.now() < self._listed_at + MAX_LIST_AGE_S
+        return self._addresses if is_current else []
+
+    async def _connect(self, address: str) -> UpstreamConnection | None:
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                stream = await self._network.connect(Address.parse(address))
+                return UpstreamConnection(
+                    stream=stream, upstream=address, header_codec=self._header_codec
+                )
+            except STREAM_ERRORS as exc:
+                _log.info("entry not reached: %s", exc, extra={"address": address})
+        return None
+
+    async def _exchange_messages(
+        self, exchange: Exchange, conn: UpstreamConnection, address: str
+    ) -> CompleteResponse | StreamForwarded | Failure:
+        request = exchange.request
+        left_s = max(0.0, exchange.deadline - self._timers.now())
+        headers = self._header_codec.build_forwarded_headers(request.headers, left_s, self._host)
+        conn.prepare_request(request.method, request.target, headers, request.body)
+        ran_before = exchange.may_have_run
+        exchange.may_have_run = True
+        exchange.last_upstream = address
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(conn.send_request)
+            head = await conn.read_head()
+            if isinstance(head, Failure):
+                result: CompleteResponse | StreamForwarded | Failure = head
+            elif exchange.is_stream and head.status == HTTP_OK:
+                result = await self._forward_stream(exchange, conn, head)
+            else:
+                result = await self._read_response(conn, head)
+            nursery.cancel_scope.cancel()
+        if isinstance(result, CompleteResponse) and result.status in NOT_RUN_STATUSES:
+            if ran_before:
+                # The promise of the other entry does not hold for an earlier attempt of this one.
+                return conn.make_failure(Reason.OVERLOADED, "refused by another entry")
+            exchange.may_have_run = False
+        return result
+
+    async def _read_response(
+        self, conn: UpstreamConnection, head: ResponseHead
+    ) -> CompleteResponse | Failure:
+        body = await read_body(conn)
+        if isinstance(body, Failure):
+            return body
+        headers = self._header_codec.build_response_headers(head.headers)
+        return CompleteResponse(status=head.status, headers=headers, body=body)
+
+    async def _forward_stream(
+        self, exchange: Exchange, conn: UpstreamConnection, head: ResponseHead
+    ) -> StreamForwarded | Failure:
+        """Forward whole events; a connection that ends within one must not look complete."""
+        caller, splitter = exchange.conn, exchange.splitter
+        headers = self._header_codec.build_response_headers(head.headers)
+        while True:
+            data: bytes | Failure = conn.make_failure(Reason.TIMEOUT, "no event from another entry")
+            with trio.move_on_after(exchange.abandon_pause_s + PAUSE_MARGIN_S):
+                data = await conn.read_body_part()
+            if isinstance(data, Failure):
+                return data
+            events = splitter.feed(data) if data else splitter.discard_partial()
+            if splitter.is_event_too_long:
+                return conn.make_failure(Reason.BAD_ANSWER, "an event without end")
+            if not data and events.strip():
+                return conn.make_failure(Reason.DISCONNECTED, "the stream ended within an event")
+            if events and exchange.first_event_at is None:
+                exchange.record_first_event(self._timers.now())
+            if (events or not data) and not caller.has_started:
+                await caller.start_response(head.status, headers)
+            if events:
+                await caller.send_body_part(events)
+            if not data:
+                await caller.end_response()
+                return StreamForwarded()
+
+
+def make_unforwarded_failure(exchange: Exchange) -> Failure:
+    """Return the failure of a request that no host can serve, or that must not be forwarded."""
+    run_state = RunState.MAY_HAVE_RUN if exchange.may_have_run else RunState.NOT_RUN
+    return Failure(
+        reason=Reason.UNREACHABLE,
+        run_state=run_state,
+        step="upstream.choose",
+        peer=exchange.service.name,
+        detail="this host reaches no upstream",
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -16,6 +16,7 @@
 from marigoldtrail.relay import (
     ConnectionPool,
     Dispatcher,
+    PeerForwarder,
     Relay,
     SendGate,
     StreamVersions,
@@ -34,6 +35,7 @@
     build_index,
 )
 from marigoldtrail.schema.generated.registry import (
+    EntryList,
     RecordStreams,
     StreamsRecorded,
     StreamVersionReply,
@@ -148,6 +150,8 @@
             rng=rng,
         )
         self.leader = VersionLeader()
+        # Addresses of entries that reach upstreams.
+        self.other_entries = []
         self.versions = StreamVersions(
             fleet_state=self.fleet_state, call_leader=self.leader.call, timers=self.timers
         )
@@ -173,6 +177,14 @@
             metrics=metrics,
             gate=self.gate,
             versions=self.versions,
+            forwarder=PeerForwarder(
+                host="entry",
+                network=endpoint,
+                header_codec=HEADER_CODEC,
+                list_entries=self._list_entries,
+                timers=self.timers,
+                rng=rng,
+            ),
         )
         self.relay = Relay(
             host="entry",
@@ -186,6 +198,9 @@
             metrics=metrics,
         )
 
+    async def _list_entries(self):
+        return EntryList(addresses=list(self.other_entries))
+
     async def start(self, *scripts):
         """Start the relay and one upstream for each script."""
         await self.nursery.start(self.endpoint.listen, ENTRY_ADDRESS, self.relay.serve)
--- a/marigoldtrail/relay/types.py
+++ b/marigoldtrail/relay/types.py
@@ -31,6 +31,8 @@
         Key that identifies the input of the first stages.
     resume_after : str
         Id of the last event that the caller received; empty for a new stream.
+    is_forwarded : bool
+        Whether another entry has forwarded the request.
     resumed_id : str
         Id of the attempt that brought the first event of the stream that the caller resumes; empty
         for a new stream.
@@ -45,6 +47,7 @@
     piece_counts: tuple[int, ...] = ()
     piece_key: str = ""
     resume_after: str = ""
+    is_forwarded: bool = False
     resumed_id: str = ""
 
 
@@ -129,6 +132,9 @@
         Returns the metadata of a request from its headers.
     build_request_headers : callable
         Returns the headers of a request to an upstream from those of the caller.
+    build_forwarded_headers : callable
+        Returns the headers of a request to another entry from those of the caller, the seconds
+        that are left, and the name of this host.
     parse_response : callable
         Returns the metadata of a response from its status and headers.
     build_response_headers : callable
@@ -137,5 +143,6 @@
 
     parse_request: Callable[[Headers], RequestInfo]
     build_request_headers: Callable[[Headers, Forwarding], Headers]
+    build_forwarded_headers: Callable[[Headers, float, str], Headers]
     parse_response: Callable[[int, Headers], ResponseInfo]
     build_response_headers: Callable[[Headers], Headers]
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -15,9 +15,18 @@
 from marigoldtrail.pieces import PieceClient
 from marigoldtrail.ratelimits import UpstreamLimiter
 from marigoldtrail.reachability import ReachabilityMonitor
-from marigoldtrail.relay import Dispatcher, Relay, SendGate, StreamVersions, UpstreamMonitor
+from marigoldtrail.relay import (
+    Dispatcher,
+    PeerForwarder,
+    Relay,
+    SendGate,
+    StreamVersions,
+    UpstreamMonitor,
+)
 from marigoldtrail.routing import Limits
 from marigoldtrail.schema.generated.registry import (
+    EntryList,
+    ListEntries,
     PermitReply,
     RequestPermit,
     RequestTrial,
@@ -33,6 +42,7 @@
 DRAIN_POLL_INTERVAL_S = 0.05
 TRIAL_TIMEOUT_S = 0.5
 PERMIT_TIMEOUT_S = 0.25
+LIST_ENTRIES_TIMEOUT_S = 0.3
 CRASH_REPORT_DELAY_S = 0.02
 
 Reply = TypeVar("Reply", bound=msgspec.Struct)
@@ -115,6 +125,14 @@
             metrics=components.metrics,
             gate=gate,
             versions=self.versions,
+            forwarder=PeerForwarder(
+                host=components.cfg.host,
+                network=components.network,
+                header_codec=components.adapter.header_codec,
+                list_entries=self._list_entries,
+                timers=components.timers,
+                rng=components.rng,
+            ),
         )
         self.relay = Relay(
             host=components.cfg.host,
@@ -148,6 +166,12 @@
         """Ask the leader whether one request may be sent to an upstream that limits them."""
         return await self._call_leader(request, PermitReply, PERMIT_TIMEOUT_S)
 
+    async def _list_entries(self) -> EntryList | Failure:
+        """Ask the leader for other entries that reach upstreams."""
+        cfg = self.components.cfg
+        request = ListEntries(host=cfg.host, region=cfg.region)
+        return await self._call_leader(request, EntryList, LIST_ENTRIES_TIMEOUT_S)
+
     async def _call_leader(
         self, request: msgspec.Struct, reply_type: type[Reply], timeout_s: float
     ) -> Reply | Failure:
