--- a/marigoldtrail/platform/standin.py
+++ b/marigoldtrail/platform/standin.py
@@ -141,6 +141,11 @@
     return {"server-limit": limit} if limit else {}
 
 
+def make_brittle_headers(max_rejections: int | None) -> dict[str, str]:
+    """Return the headers with which an upstream says that rejections fell it; none for None."""
+    return {} if max_rejections is None else {"server-brittle": str(max_rejections)}
+
+
 def make_identity_headers(name: str) -> dict[str, str]:
     """Return the headers with which an upstream identifies itself."""
     return {"x-instance-id": name}
--- a/marigoldtrail/platform/tests/standin.py
+++ b/marigoldtrail/platform/tests/standin.py
@@ -14,6 +14,7 @@
 from marigoldtrail.platform.adapter import build_adapter
 from marigoldtrail.platform.standin import (
     FREE_PATH,
+    NOT_RUN,
     PIECES_PATH,
     STATUS_OTHER_UPSTREAM,
     build_page,
@@ -21,6 +22,7 @@
     encode_config,
     is_addressed_to,
     make_answer_headers,
+    make_brittle_headers,
     make_engine_route,
     make_identity_headers,
     make_limit_headers,
@@ -85,6 +87,15 @@
         self.engine_scopes = {}
         # Limit that an upstream names in its answers, by its id.
         self.limits = {}
+        # Rejections in a second that an upstream of a service bears, while the service is brittle.
+        self.max_rejections = {}
+        # Seconds of work of a plain request, and how many upstreams of plain services hold at once.
+        self.work_s = 0.0
+        self.slots = 4
+        self.running = collections.Counter()
+        self.rejections = collections.defaultdict(list)
+        # Times of the falls of upstreams because of rejections.
+        self.falls = []
         # Times of the requests and calls that each upstream got.
         self.arrivals = collections.defaultdict(list)
         self.seen = []
@@ -159,7 +170,7 @@
             received = read_received(request.headers)
             headers = {**make_answer_headers(received.request_id, f"seal-{name}"), **limit}
             if entry["service"] != "llm":
-                await reply.send_json(200, {"by": name}, headers)
+                await self._answer_plain(name, entry["service"], reply, headers)
                 return
             self.used_handles.update(received.inputs)
             is_crashing = not self.crashing_parts.isdisjoint(received.prompt[:-1])
@@ -176,6 +187,29 @@
                 await reply.send_event(entry["version"].encode(), event_id=event_id)
             await reply.end_stream()
 
+    async def _answer_plain(self, name, service, reply, headers):
+        max_rejections = self.max_rejections.get(service)
+        headers = {**headers, **make_brittle_headers(max_rejections)}
+        if self.running[name] >= self.slots:
+            self._note_rejection(name, max_rejections)
+            await reply.send_json(503, {}, {**headers, **NOT_RUN})
+            return
+        self.running[name] += 1
+        try:
+            await trio.sleep(self.work_s)
+            await reply.send_json(200, {"by": name}, headers)
+        finally:
+            self.running[name] -= 1
+
+    def _note_rejection(self, name, max_rejections):
+        """Fall over if a brittle upstream rejects too many requests in a second."""
+        now = trio.current_time()
+        self.rejections[name] = [at for at in self.rejections[name] if at > now - 1.0] + [now]
+        if max_rejections is not None and len(self.rejections[name]) > max_rejections:
+            self.falls.append(now)
+            self.rejections[name] = []
+            self.engine_scopes[name].cancel()
+
     def settings(self, ip, *, first_start):
         is_control = ip in self.control
         number = (self.control if is_control else self.entries).index(ip)
