Take places for requests to upstreams that rejections fell

Cause: the room of an upstream was found by sending until it refuses. Now Server-Brittle is read in every answer and known by service on all hosts, and a request to such a service takes a place at the leader first, as many as the upstream has slots, less one for 3 s after each rejection, and none after N rejections in a second. The entry holds the request while it can be on time. Places go back when a request ends, its caller leaves or its host is lost; without a leader each entry keeps to an equal share of the slots.

--- a/marigoldtrail/platform/headers.py
+++ b/marigoldtrail/platform/headers.py
@@ -155,6 +155,7 @@
         ),
         keep_alive_s=_parse_keep_alive(values.get(b"keep-alive", "")),
         requests_per_s=_parse_limits([v for name, v in headers if name == b"server-limit"]),
+        max_rejections=_parse_limits([v for name, v in headers if name == b"server-brittle"]),
     )
 
 
@@ -167,7 +168,7 @@
 def _parse_limit(text: bytes) -> float | None:
     if _DECIMAL.fullmatch(text.strip()):
         return float(text)
-    _log.info("invalid Server-Limit header ignored", extra={"value": repr(text[:40])})
+    _log.info("invalid limit of an upstream ignored", extra={"value": repr(text[:40])})
     return None
 
 
--- a/marigoldtrail/ratelimits/book.py
+++ b/marigoldtrail/ratelimits/book.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -17,6 +17,29 @@
 _log = logging.getLogger(__name__)
 
 
+# Logs an upstream, its new limit (0: none any more) and the one before.
+LogChange = Callable[[str, float, float], None]
+
+
+def log_request_limit(upstream: str, limit: float, before: float) -> None:
+    """Log that the limit of an upstream on its requests a second has changed."""
+    if limit:
+        _log.info(
+            "upstream limits its requests",
+            extra={"subject": upstream, "requests_per_s": limit, "before": before},
+        )
+    else:
+        _log.info("upstream limit ended", extra={"subject": upstream, "before": before})
+
+
+def log_brittleness(service: str, limit: float, before: float) -> None:
+    """Log that the rejections in a second that upstreams of a service bear have changed."""
+    if limit:
+        _log.info("service is brittle", extra={"subject": service, "max_rejections": limit})
+    else:
+        _log.info("service is brittle no more", extra={"subject": service})
+
+
 class Statement(msgspec.Struct, kw_only=True, frozen=True):
     """
     What an upstream said of its limit.
@@ -40,16 +63,22 @@
     """
     Latest statement of each upstream that has set a limit since it started.
 
+    Parameters
+    ----------
+    log_change : callable
+        Logs an upstream, its new limit (0: none any more) and the one before.
+
     Attributes
     ----------
     revision : int
         Increases when a limit changes, or when a host has to be corrected.
     """
 
-    __slots__ = ("revision", "_statements")
+    __slots__ = ("revision", "_log_change", "_statements")
 
-    def __init__(self) -> None:
+    def __init__(self, *, log_change: LogChange = log_request_limit) -> None:
         self.revision = 0
+        self._log_change = log_change
         self._statements: dict[str, Statement] = {}
 
     def get_limit(self, upstream: str) -> float | None:
@@ -122,17 +151,8 @@
             new = msgspec.structs.replace(new, requests_per_s=before)
         self._statements[upstream] = new
         self.revision += is_changed
-        if is_changed and new.requests_per_s:
-            _log.info(
-                "upstream limits its requests",
-                extra={
-                    "subject": upstream,
-                    "requests_per_s": new.requests_per_s,
-                    "before": before,
-                },
-            )
-        elif is_changed:
-            _log.info("upstream limit ended", extra={"subject": upstream, "before": before})
+        if is_changed:
+            self._log_change(upstream, new.requests_per_s, before)
 
     def retain(self, born_ms: Mapping[str, int]) -> None:
         """
--- a/marigoldtrail/registry/fleet_state.py
+++ b/marigoldtrail/registry/fleet_state.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from marigoldtrail.quarantine.guard import PromptGuard
-from marigoldtrail.ratelimits.book import LimitBook
+from marigoldtrail.ratelimits.book import LimitBook, log_brittleness
 from marigoldtrail.routing import RouteIndex, RouteTable, Service, Upstream, build_index
 from marigoldtrail.schema.generated.registry import (
     HostEntry,
@@ -66,6 +66,8 @@
         Parts of prompts that are held off.
     limits : LimitBook
         Limits that upstreams set on their requests.
+    brittle : LimitBook
+        Rejections in a second that upstreams of brittle services bear, by service.
     changed : Notifier
         Notified after each change of the upstreams, takeouts or routes.
     """
@@ -81,6 +83,7 @@
         "loads",
         "prompts",
         "limits",
+        "brittle",
         "changed",
         "upstreams_changed_at",
         "term",
@@ -106,6 +109,7 @@
         self.loads: dict[str, int] = {}
         self.prompts = PromptGuard(timers=timers)
         self.limits = LimitBook()
+        self.brittle = LimitBook(log_change=log_brittleness)
         self.changed = Notifier()
         self.upstreams_changed_at = 0.0
         self.term = 0
@@ -197,6 +201,27 @@
                 name, upstream.born_ms, requests_per_s, sent_at=sent_at, now=now
             )
 
+    def record_brittleness(self, name: str, max_rejections: float | None, sent_at: float) -> None:
+        """
+        Record how many rejections an upstream bears, or that it said nothing of it.
+
+        Parameters
+        ----------
+        name : str
+            The upstream.
+        max_rejections : float or None
+            Rejections in a second; None if the answer names no bound.
+        sent_at : float
+            Monotonic time in seconds at which the request was sent.
+        """
+        upstream = self.upstreams.get(name)
+        if upstream is not None:
+            now = self._timers.now()
+            # One that has fallen and starts again is as brittle as the others of its service.
+            self.brittle.record_answer(
+                upstream.service, 0, max_rejections, sent_at=sent_at, now=now
+            )
+
     def leaving_upstreams(self) -> list[LeavingUpstream]:
         """Return the upstreams that have announced to this host that they are leaving."""
         return [
@@ -243,6 +268,8 @@
             self.prompts.apply(reply.suspect_parts, reply.quarantines)
         if reply.limits is not None:
             self.limits.merge(reply.limits, self._timers.now())
+        if reply.brittle is not None:
+            self.brittle.merge(reply.brittle, self._timers.now())
         if reply.takeouts is not None or reply.upstreams is not None:
             self.upstreams_changed_at = self._timers.now()
         if reply.routes or reply.takeouts is not None or reply.upstreams is not None:
--- a/marigoldtrail/registry/reporter.py
+++ b/marigoldtrail/registry/reporter.py
@@ -144,6 +144,7 @@
             answered_parts=prompts.answers,
             quarantines=prompts.quarantines,
             limits=fleet_state.limits.list_limits(self._timers.now()),
+            brittle=fleet_state.brittle.list_limits(self._timers.now()),
             wait_ms=round(wait_s * 1000),
         )
         reply = await self._finder.call(
--- a/marigoldtrail/registry/service.py
+++ b/marigoldtrail/registry/service.py
@@ -27,12 +27,16 @@
     HostReportReply,
     ListEntries,
     PermitReply,
+    PlaceReleased,
+    PlaceReply,
+    ReleasePlace,
     RequestPermit,
     RequestTrial,
     RoutesOutcome,
     RoutesReply,
     SetTakeout,
     SubmitRoutes,
+    TakePlace,
     TrialReply,
     UpstreamEntry,
 )
@@ -49,6 +53,7 @@
 HOST_CHECK_INTERVAL_S = 0.3
 PROMPT_REVIEW_INTERVAL_S = 0.1
 MAX_WAIT_S = 0.5
+PLACE_CHECK_INTERVAL_S = 0.05
 # Larger documents are parsed in a thread, since parsing many routes would delay heartbeats.
 MAX_INLINE_PARSE_BYTES = 65536
 OPERATOR = "platform"
@@ -124,6 +129,8 @@
             GetRoutes: self._get_routes,
             RequestTrial: self._request_trial,
             RequestPermit: self._request_permit,
+            TakePlace: self._take_place,
+            ReleasePlace: self._release_place,
             ListEntries: self._list_entries,
             **self._versions.get_handlers(),
         }
@@ -225,6 +232,8 @@
             revisions["prompts"] = registry.prompts.revision
         if registry.limits.revision:
             revisions["limits"] = registry.limits.revision
+        if registry.brittle.revision:
+            revisions["brittle"] = registry.brittle.revision
         return revisions
 
     def _has_changes_for(self, registry: RegistryState, request: HostReport) -> bool:
@@ -261,6 +270,8 @@
             reply.quarantines = registry.prompts.list_quarantines(self._timers.now())
         if has_changed("limits"):
             reply.limits = registry.limits.list_limits(self._timers.now())
+        if has_changed("brittle"):
+            reply.brittle = registry.brittle.list_limits(self._timers.now())
         if request.role == "entry" and known.get("loads") != registry.loads_revision:
             reply.revisions["loads"] = registry.loads_revision
             reply.loads = registry.loads()
@@ -352,6 +363,27 @@
             return self._not_leader("RequestPermit")
         return registry.reserve_permit(request)
 
+    async def _take_place(self, request: TakePlace, sender: str) -> PlaceReply | Failure:
+        registry = self._current_registry()
+        if registry is None:
+            return self._not_leader("TakePlace")
+        until = self._timers.now() + min(request.max_wait_ms / 1000, MAX_WAIT_S)
+        place = registry.take_place(request)
+        while not place and (left_s := until - self._timers.now()) > 0:
+            # Caution after a rejection also ends without a release.
+            await registry.place_released.wait_with_timeout(min(left_s, PLACE_CHECK_INTERVAL_S))
+            if not self._is_leading(registry):
+                return self._not_leader("TakePlace")
+            place = registry.take_place(request)
+        return PlaceReply(place=place)
+
+    async def _release_place(self, request: ReleasePlace, sender: str) -> PlaceReleased | Failure:
+        registry = self._current_registry()
+        if registry is None:
+            return self._not_leader("ReleasePlace")
+        registry.release_place(request)
+        return PlaceReleased()
+
     async def _list_entries(self, request: ListEntries, sender: str) -> EntryList | Failure:
         registry = self._current_registry()
         if registry is None:
--- a/marigoldtrail/registry/state.py
+++ b/marigoldtrail/registry/state.py
@@ -8,14 +8,16 @@
 import msgspec
 
 from marigoldtrail.quarantine.evidence import PromptEvidence
-from marigoldtrail.ratelimits import LimitBook, PermitLedger
-from marigoldtrail.ratelimits.book import MIN_REQUESTS_PER_S
+from marigoldtrail.ratelimits import LimitBook, PermitLedger, PlaceLedger
+from marigoldtrail.ratelimits.book import MIN_REQUESTS_PER_S, log_brittleness
 from marigoldtrail.schema.generated.registry import (
     HostEntry,
     HostReport,
     ListEntries,
     PermitReply,
+    ReleasePlace,
     RequestPermit,
+    TakePlace,
     UpstreamEntry,
     UpstreamLoad,
 )
@@ -65,18 +67,25 @@
     ----------
     changed : Notifier
         Notified when hosts, upstreams or quarantines have changed.
+    place_released : Notifier
+        Notified when a place at a brittle upstream was given back.
     prompts : PromptEvidence
         Parts of prompts that crash upstreams.
     limits : LimitBook
         Limits that upstreams set on their requests.
+    brittle : LimitBook
+        Rejections in a second that upstreams of brittle services bear, by service.
     """
 
     __slots__ = (
         "term",
         "changed",
+        "place_released",
         "prompts",
         "limits",
+        "brittle",
         "_permits",
+        "_places",
         "_prompts_notified",
         "upstreams",
         "upstreams_revision",
@@ -98,9 +107,12 @@
     def __init__(self, *, term: int, timers: Timers) -> None:
         self.term = term
         self.changed = Notifier()
+        self.place_released = Notifier()
         self.prompts = PromptEvidence()
         self.limits = LimitBook()
+        self.brittle = LimitBook(log_change=log_brittleness)
         self._permits = PermitLedger()
+        self._places = PlaceLedger()
         # Revision of the quarantines at the last notification.
         self._prompts_notified = 0
         self.upstreams: list[UpstreamEntry] | None = None
@@ -160,9 +172,10 @@
         return True
 
     def _record_limits(self, report: HostReport) -> None:
-        revision = self.limits.revision
+        revisions = self.limits.revision, self.brittle.revision
         self.limits.merge(report.limits, self._timers.now())
-        if self.limits.revision != revision:
+        self.brittle.merge(report.brittle, self._timers.now())
+        if (self.limits.revision, self.brittle.revision) != revisions:
             self.changed.notify()
 
     def reserve_permit(self, request: RequestPermit) -> PermitReply:
@@ -179,6 +192,32 @@
         )
         return PermitReply(is_granted=is_granted, wait_ms=math.ceil(wait_s * 1000))
 
+    def take_place(self, request: TakePlace) -> int:
+        """Take a place at a brittle upstream; return its number, 0 if none is free."""
+        slots = next(
+            (entry.slots for entry in self.upstreams or () if entry.upstream == request.upstream), 1
+        )
+        if not self.is_settled() and request.upstream in self._loads:
+            # The places that the former leader granted are known by the reported loads only.
+            slots -= self._loads[request.upstream].requests
+        return self._places.take(
+            request.upstream,
+            request.host,
+            self._timers.now(),
+            slots=slots,
+            max_rejections=request.max_rejections,
+        )
+
+    def release_place(self, request: ReleasePlace) -> None:
+        """Give a place back, and wake those who wait for one."""
+        self._places.release(
+            request.upstream,
+            request.place,
+            self._timers.now(),
+            was_rejected=request.was_rejected,
+        )
+        self.place_released.notify()
+
     def _record_prompts(self, report: HostReport) -> None:
         """Record what a host has seen of prompts, and its quarantines if from another term."""
         now = self._timers.now()
@@ -228,6 +267,7 @@
         for name in [name for name, last in self._hosts.items() if last.reported_at < oldest]:
             _log.warning("host lost", extra={"subject": name})
             self._add_loads(self._hosts.pop(name).report.loads, -1)
+            self._places.release_host(name)
             self._is_host_list_current = False
         if self._is_host_list_current:
             return
@@ -300,6 +340,7 @@
         self._leaving = {n: ms for n, ms in self._leaving.items() if born.get(n) == ms}
         self.limits.retain(born)
         self._permits.retain(set(born))
+        self._places.retain(set(born))
         entries = sorted(map(self._mark_leaving, entries), key=lambda entry: entry.upstream)
         if self.upstreams is not None and is_equivalent(self.upstreams, entries):
             return
--- a/marigoldtrail/relay/answers.py
+++ b/marigoldtrail/relay/answers.py
@@ -27,5 +27,6 @@
         if info.is_leaving:
             fleet_state.mark_leaving(name)
         fleet_state.record_limit(name, info.requests_per_s, sent_at)
+        fleet_state.record_brittleness(name, info.max_rejections, sent_at)
 
     return record_answer
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -20,6 +20,7 @@
     choose_service_upstream,
 )
 from marigoldtrail.policy.window_budget import WindowBudget
+from marigoldtrail.ratelimits import Place
 from marigoldtrail.reachability import ReachabilityMonitor, UpstreamContact
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.exchange import Exchange
@@ -266,15 +267,17 @@
                 upstream = self._gate.choose_limited(exchange, max_wait_s)
             if upstream is None:
                 break
-            if not await self._gate.take_permit(exchange, upstream, max_wait_s):
+            place = await self._gate.take_permit(exchange, upstream, max_wait_s)
+            if place is None:
                 continue
             if exchange.sends > 0 and not (
                 exchange.has_retry_grant or self._may_send_again(exchange.service.name)
             ):
+                self._gate.release(place, was_rejected=False)
                 break
             exchange.has_retry_grant = False
             self._monitor.record_send(upstream, exchange.service)
-            result = await self._send(exchange, upstream)
+            result = await self._send_in_place(exchange, upstream, place)
             self._metrics.count_send(
                 result.reason.value if isinstance(result, Failure) else "answered"
             )
@@ -331,6 +334,18 @@
             },
         )
 
+    async def _send_in_place(
+        self, exchange: Exchange, upstream: Upstream, place: Place
+    ) -> CompleteResponse | StreamForwarded | Failure:
+        """Send a request to an upstream and give its place there back."""
+        was_rejected = False
+        try:
+            result = await self._send(exchange, upstream)
+            was_rejected = isinstance(result, Failure) and result.reason is Reason.OVERLOADED
+            return result
+        finally:
+            self._gate.release(place, was_rejected=was_rejected)
+
     async def _send(
         self, exchange: Exchange, upstream: Upstream
     ) -> CompleteResponse | StreamForwarded | Failure:
--- a/marigoldtrail/relay/send_gate.py
+++ b/marigoldtrail/relay/send_gate.py
@@ -7,7 +7,7 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.quarantine.quarantine import Quarantine
-from marigoldtrail.ratelimits import UpstreamLimiter
+from marigoldtrail.ratelimits import Place, PlaceClient, UpstreamLimiter
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
@@ -21,6 +21,8 @@
 MAX_LEADER_AGE_S = 1.0
 # Time without requests after a permit was refused.
 MIN_LIMITED_S = 0.02
+# Time without requests after no place was free at a brittle upstream.
+PLACE_RETRY_S = 0.05
 
 # Asks the leader whether one request with the quarantined part may be sent.
 RequestTrialFn = Callable[[str], Awaitable[bool]]
@@ -40,6 +42,8 @@
         Learns which upstreams are at their limit.
     limiter : UpstreamLimiter
         Grants requests to upstreams that limit them.
+    places : PlaceClient
+        Takes places at brittle upstreams.
     request_trial : callable
         Asks the leader whether one request with a quarantined part may be sent.
     timers : Timers
@@ -48,7 +52,15 @@
         Counts refused permits.
     """
 
-    __slots__ = ("_fleet_state", "_monitor", "_limiter", "_request_trial", "_timers", "_metrics")
+    __slots__ = (
+        "_fleet_state",
+        "_monitor",
+        "_limiter",
+        "_places",
+        "_request_trial",
+        "_timers",
+        "_metrics",
+    )
 
     def __init__(
         self,
@@ -56,6 +68,7 @@
         fleet_state: FleetState,
         monitor: UpstreamMonitor,
         limiter: UpstreamLimiter,
+        places: PlaceClient,
         request_trial: RequestTrialFn,
         timers: Timers,
         metrics: PrometheusMetrics,
@@ -63,6 +76,7 @@
         self._fleet_state = fleet_state
         self._monitor = monitor
         self._limiter = limiter
+        self._places = places
         self._request_trial = request_trial
         self._timers = timers
         self._metrics = metrics
@@ -134,7 +148,7 @@
 
     def choose_limited(self, exchange: Exchange, max_wait_s: float) -> Upstream | None:
         """
-        Choose an upstream that limits its requests and can take one soon.
+        Choose an upstream whose room all hosts share, and that can take a request soon.
 
         Parameters
         ----------
@@ -154,15 +168,24 @@
             for upstream in self._fleet_state.usable_upstreams(
                 service.name, version=exchange.stream_version
             )
-            if upstream.name not in exchange.tried
-            and self._fleet_state.limits.get_limit(upstream.name) is not None
+            if upstream.name not in exchange.tried and self._is_shared(upstream)
         }
         name = min(waits_s, key=lambda item: waits_s[item], default=None)
         if name is None or waits_s[name] > max_wait_s:
             return None
         return self._fleet_state.upstreams.get(name)
 
-    async def take_permit(self, exchange: Exchange, upstream: Upstream, max_wait_s: float) -> bool:
+    def _is_shared(self, upstream: Upstream) -> bool:
+        """Return whether an upstream limits its requests or is brittle."""
+        state = self._fleet_state
+        return (
+            state.limits.get_limit(upstream.name) is not None
+            or state.brittle.get_limit(upstream.service) is not None
+        )
+
+    async def take_permit(
+        self, exchange: Exchange, upstream: Upstream, max_wait_s: float
+    ) -> Place | None:
         """
         Wait until a request may be sent to an upstream.
 
@@ -177,24 +200,39 @@
 
         Returns
         -------
-        bool
-            False if another upstream has to be chosen.
+        Place or None
+            The place of the request, to be given back by `release`; None if another upstream has
+            to be chosen.
         """
+        until = self._timers.now() + max_wait_s
+        place = await self._places.take(upstream.name, upstream.service, max_wait_s)
+        if place is None:
+            self._note_limited(exchange, upstream, is_sent_later=False, wait_s=PLACE_RETRY_S)
+            return None
+        is_permitted = False
+        try:
+            left_s = max(0.0, until - self._timers.now())
+            is_permitted = await self._wait_for_rate(exchange, upstream, left_s)
+        finally:
+            if not is_permitted:
+                self._places.release(place)
+        return place if is_permitted else None
+
+    def release(self, place: Place, *, was_rejected: bool) -> None:
+        """Give back the place of a request that has ended, or was rejected by its upstream."""
+        self._places.release(place, was_rejected=was_rejected)
+
+    async def _wait_for_rate(
+        self, exchange: Exchange, upstream: Upstream, max_wait_s: float
+    ) -> bool:
+        """Wait for a permit of an upstream that limits its requests a second."""
         permit = await self._limiter.acquire(upstream.name, max_wait_s)
         if permit.is_granted and not permit.wait_s:
             return True
-        _log.info(
-            "upstream is at its limit",
-            extra={
-                "request_id": exchange.info.request_id,
-                "subject": upstream.name,
-                "is_sent_later": permit.is_granted,
-                "wait_ms": round(permit.wait_s * 1000),
-            },
+        self._note_limited(
+            exchange, upstream, is_sent_later=permit.is_granted, wait_s=permit.wait_s
         )
         if not permit.is_granted:
-            self._metrics.count_send("limited")
-            self._monitor.start_limited(upstream.name, max(permit.wait_s, MIN_LIMITED_S))
             return False
         await self._timers.sleep(permit.wait_s)
         # Meanwhile it may have left, paused or turned cold, or the prompt may be quarantined.
@@ -204,3 +242,19 @@
             and self._monitor.get_limited_s(upstream, exchange.service) != float("inf")
             and self.check_send(exchange) is None
         )
+
+    def _note_limited(
+        self, exchange: Exchange, upstream: Upstream, *, is_sent_later: bool, wait_s: float
+    ) -> None:
+        _log.info(
+            "upstream is at its limit",
+            extra={
+                "request_id": exchange.info.request_id,
+                "subject": upstream.name,
+                "is_sent_later": is_sent_later,
+                "wait_ms": round(wait_s * 1000),
+            },
+        )
+        if not is_sent_later:
+            self._metrics.count_send("limited")
+            self._monitor.start_limited(upstream.name, max(wait_s, MIN_LIMITED_S))
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -10,7 +10,7 @@
 from marigoldtrail.net import Address, PeerClient
 from marigoldtrail.pieces import PieceClient
 from marigoldtrail.platform.headers import HEADER_CODEC
-from marigoldtrail.ratelimits import UpstreamLimiter
+from marigoldtrail.ratelimits import PlaceClient, UpstreamLimiter
 from marigoldtrail.reachability import ReachabilityMonitor, UpstreamContact
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay import (
@@ -69,6 +69,10 @@
     return False
 
 
+async def fail_to_take_place(request):
+    return Failure(reason=Reason.TIMEOUT, run_state=RunState.NOT_RUN, step="place")
+
+
 def make_leaderless_limiter(fleet_state, timers):
     """Return a limiter that finds no leader and keeps to the share of one entry."""
 
@@ -137,6 +141,14 @@
             fleet_state=self.fleet_state,
             monitor=self.monitor,
             limiter=make_leaderless_limiter(self.fleet_state, self.timers),
+            places=PlaceClient(
+                host="entry",
+                book=self.fleet_state.brittle,
+                take_place=fail_to_take_place,
+                release_place=lambda request: None,
+                get_share=lambda upstream: 1,
+                timers=self.timers,
+            ),
             request_trial=deny_trial,
             timers=self.timers,
             metrics=metrics,
--- a/marigoldtrail/relay/types.py
+++ b/marigoldtrail/relay/types.py
@@ -77,6 +77,8 @@
         Seconds after which the upstream closes an idle connection.
     requests_per_s : float or None
         Requests a second that the upstream takes from all hosts together; None if not stated.
+    max_rejections : float or None
+        Rejections in a second beyond which the upstream falls over; None if it is not brittle.
     """
 
     request_id: str = ""
@@ -89,6 +91,7 @@
     pause_s: float | None = None
     keep_alive_s: float | None = None
     requests_per_s: float | None = None
+    max_rejections: float | None = None
 
 
 class Forwarding(msgspec.Struct, kw_only=True, frozen=True):
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -13,7 +13,7 @@
 from marigoldtrail.fleet import CONFIG_GROUP
 from marigoldtrail.net import Address
 from marigoldtrail.pieces import PieceClient
-from marigoldtrail.ratelimits import UpstreamLimiter
+from marigoldtrail.ratelimits import PlaceClient, UpstreamLimiter, compute_share
 from marigoldtrail.reachability import ReachabilityMonitor
 from marigoldtrail.relay import (
     Dispatcher,
@@ -28,8 +28,12 @@
     EntryList,
     ListEntries,
     PermitReply,
+    PlaceReleased,
+    PlaceReply,
+    ReleasePlace,
     RequestPermit,
     RequestTrial,
+    TakePlace,
     TrialReply,
 )
 from marigoldtrail.site.components import HostComponents
@@ -43,6 +47,8 @@
 TRIAL_TIMEOUT_S = 0.5
 PERMIT_TIMEOUT_S = 0.25
 LIST_ENTRIES_TIMEOUT_S = 0.3
+TAKE_PLACE_TIMEOUT_S = 0.45
+RELEASE_PLACE_TIMEOUT_S = 1.0
 CRASH_REPORT_DELAY_S = 0.02
 
 Reply = TypeVar("Reply", bound=msgspec.Struct)
@@ -93,6 +99,14 @@
                 request_permit=self._request_permit,
                 entry_count=components.fleet_state.entry_count,
             ),
+            places=PlaceClient(
+                host=components.cfg.host,
+                book=components.fleet_state.brittle,
+                take_place=self._take_place,
+                release_place=self._release_place,
+                get_share=self._get_share,
+                timers=components.timers,
+            ),
             request_trial=self._request_trial,
             timers=components.timers,
             metrics=components.metrics,
@@ -166,6 +180,24 @@
         """Ask the leader whether one request may be sent to an upstream that limits them."""
         return await self._call_leader(request, PermitReply, PERMIT_TIMEOUT_S)
 
+    async def _take_place(self, request: TakePlace) -> PlaceReply | Failure:
+        """Ask the leader for a place at a brittle upstream."""
+        return await self._call_leader(request, PlaceReply, TAKE_PLACE_TIMEOUT_S)
+
+    def _release_place(self, request: ReleasePlace) -> None:
+        """Start to give a place at a brittle upstream back to the leader."""
+        self.components.nursery.start_soon(self._send_release, request)
+
+    async def _send_release(self, request: ReleasePlace) -> None:
+        await self._call_leader(request, PlaceReleased, RELEASE_PLACE_TIMEOUT_S)
+
+    def _get_share(self, upstream: str) -> int:
+        """Return the places of this entry at an upstream while there is no leader."""
+        fleet_state = self.components.fleet_state
+        found = fleet_state.upstreams.get(upstream)
+        slots = found.slots if found is not None else 0
+        return compute_share(slots, fleet_state.entry_position, fleet_state.entry_count())
+
     async def _list_entries(self) -> EntryList | Failure:
         """Ask the leader for other entries that reach upstreams."""
         cfg = self.components.cfg
