Divide the dispatcher into choice of upstreams, admission of streams and sends

Which upstreams may get a request, and which is chosen, is now in upstream_chooser.py; what binds a stream to its version is in stream_admission.py. Behaviour is unchanged.

--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -11,14 +11,7 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.pieces.client import PieceClient, StageRun
-from marigoldtrail.policy.placement import (
-    PREFILL_TOKENS_PER_S,
-    EngineOption,
-    UpstreamOption,
-    choose_by_rendezvous_hash,
-    choose_engine,
-    choose_service_upstream,
-)
+from marigoldtrail.policy.placement import PREFILL_TOKENS_PER_S
 from marigoldtrail.policy.window_budget import WindowBudget
 from marigoldtrail.ratelimits import Place
 from marigoldtrail.reachability import ReachabilityMonitor, UpstreamContact
@@ -30,8 +23,10 @@
 from marigoldtrail.relay.send_gate import SendGate
 from marigoldtrail.relay.sender import Sender
 from marigoldtrail.relay.stage_request import make_stage_request
+from marigoldtrail.relay.stream_admission import StreamAdmission
 from marigoldtrail.relay.stream_versions import StreamVersions
 from marigoldtrail.relay.types import HeaderCodec
+from marigoldtrail.relay.upstream_chooser import DEFAULT_DURATION_S, UpstreamChooser
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
 from marigoldtrail.routing import RouteKind, Upstream
 from marigoldtrail.schema.generated.site import Bounds
@@ -40,8 +35,6 @@
 
 # A retry with less time left is not started.
 MIN_RETRY_TIME_S = 0.02
-# Assumed duration of a request to a service without engine until one has been measured.
-DEFAULT_DURATION_S = 0.03
 # Time from the choice of an engine to the first event, without prefill.
 BASE_FIRST_EVENT_S = 0.06
 PLACEMENT_TIMEOUT_S = 0.3
@@ -49,8 +42,6 @@
 ATTEMPT_TIMEOUT_FACTOR = 5.0
 MIN_ATTEMPT_TIMEOUT_S = 0.1
 MAX_STAGE_RUNS = 2
-# Without a leader that has answered so recently, new streams prefer versions without records.
-MAX_LEADER_AGE_S = 1.0
 
 _log = logging.getLogger(__name__)
 
@@ -101,12 +92,12 @@
         "_pieces",
         "_bounds",
         "_timers",
-        "_rng",
         "_metrics",
         "_sender",
         "_budgets",
         "_gate",
-        "_versions",
+        "_chooser",
+        "_admission",
         "_forwarder",
     )
 
@@ -136,10 +127,12 @@
         self._pieces = pieces
         self._bounds = bounds
         self._timers = timers
-        self._rng = rng
         self._metrics = metrics
         self._gate = gate
-        self._versions = versions
+        self._chooser = UpstreamChooser(
+            fleet_state=fleet_state, monitor=monitor, versions=versions, rng=rng
+        )
+        self._admission = StreamAdmission(fleet_state=fleet_state, versions=versions)
         self._forwarder = forwarder
         self._sender = Sender(
             pool=pool,
@@ -148,7 +141,7 @@
             prompts=fleet_state.prompts,
             header_codec=header_codec,
             timers=timers,
-            admit_stream=self._admit_stream,
+            admit_stream=self._admission.admit,
             on_first_event=self._handle_first_event,
             may_move_stream=self._may_move_stream,
         )
@@ -156,8 +149,7 @@
 
     def finish(self, exchange: Exchange) -> None:
         """Release what a finished request still holds: stage results, and an unfinished record."""
-        if exchange.recording is not None:
-            exchange.recording.is_wanted = False
+        self._admission.finish(exchange)
         if exchange.stage_run is not None:
             self._pieces.report_end(exchange.stage_run)
 
@@ -182,9 +174,11 @@
         if failure is not None:
             return failure
         if exchange.is_resumed:
-            failure = await self._find_stream_version(exchange)
+            failure = await self._admission.find_version(exchange)
             if failure is not None:
                 return failure
+            if not self._chooser.list_upstreams(exchange):
+                return self._make_no_upstream_failure(exchange)
         for _ in range(MAX_STAGE_RUNS):
             failure = await self._run_stages(exchange)
             if failure is not None:
@@ -194,16 +188,6 @@
                 return result
         return result
 
-    async def _find_stream_version(self, exchange: Exchange) -> Failure | None:
-        """Find which version began a resumed stream, and whether an upstream of it is left."""
-        version = await self._versions.find(exchange.service.name, exchange.stream_key)
-        if isinstance(version, Failure):
-            return version
-        exchange.stream_version = version
-        if self._list_upstreams(exchange):
-            return None
-        return self._make_no_upstream_failure(exchange)
-
     async def _run_stages(self, exchange: Exchange) -> Failure | None:
         """Request the stages, and the choice of an engine, from the fleet's scheduler."""
         has_pieces = bool(exchange.route.stages) and any(exchange.info.piece_counts)
@@ -212,7 +196,7 @@
         stage_run = StageRun(
             request=make_stage_request(
                 exchange,
-                excluded=self._list_excluded(exchange),
+                excluded=self._chooser.list_excluded(exchange),
                 suspects=self._monitor.get_ejected(),
                 data_centre=self._data_centre,
             ),
@@ -233,17 +217,6 @@
             await self._pieces.run(exchange.stage_run)
         return None
 
-    def _list_excluded(self, exchange: Exchange) -> set[str]:
-        """Return the engines that the scheduler must not choose."""
-        excluded = exchange.tried | self._monitor.get_blocked()
-        if exchange.stream_version is None:
-            return excluded
-        return excluded | {
-            upstream.name
-            for upstream in self._fleet_state.usable_upstreams(exchange.service.name)
-            if upstream.version != exchange.stream_version
-        }
-
     def _estimate_first_event_s(self, exchange: Exchange) -> float:
         """Estimate the seconds from the end of the last stage to the first event."""
         return BASE_FIRST_EVENT_S + exchange.info.prompt_tokens / PREFILL_TOKENS_PER_S
@@ -259,7 +232,7 @@
                 return held
             if self._reachability.is_cut_off:
                 return await self._serve_elsewhere(exchange)
-            upstream = self._choose_upstream(exchange)
+            upstream = self._chooser.choose(exchange)
             max_wait_s = 0.0
             if upstream is None:
                 # Those that limit their requests may take this one a little later.
@@ -301,7 +274,7 @@
             return error_response
         if exchange.may_have_run and failure.run_state is RunState.NOT_RUN:
             failure = msgspec.structs.replace(failure, run_state=RunState.MAY_HAVE_RUN)
-        upstreams = self._list_upstreams(exchange)
+        upstreams = self._chooser.list_upstreams(exchange)
         ready_in_s = self._monitor.get_ready_in_s(upstreams, exchange.service)
         return msgspec.structs.replace(failure, retry_after_s=ready_in_s)
 
@@ -353,7 +326,7 @@
         if exchange.service.engine is not None:
             _, shared = exchange.get_shared_prefix()
             prefill = max(0, exchange.info.prompt_tokens - shared)
-        self._start_recording(exchange, upstream)
+        self._admission.start_recording(exchange, upstream)
         with trio.move_on_after(self._get_attempt_timeout_s(exchange, upstream)) as scope:
             with self._cancel_when_cut_off(exchange, scope):
                 return await self._sender.send(exchange, upstream, prefill_tokens=prefill)
@@ -374,41 +347,6 @@
             return nullcontext()
         return self._reachability.cancel_when_cut_off(scope)
 
-    def _start_recording(self, exchange: Exchange, upstream: Upstream) -> None:
-        """Begin to record the version of a new stream, while the upstream reads its prompt."""
-        key = exchange.stream_key
-        if not key or exchange.stream_version is not None:
-            return
-        recording = exchange.recording
-        if recording is None:
-            # Streams of the default version are known without a record.
-            if upstream.version == self._versions.get_default(exchange.service.name):
-                return
-        elif recording.stream.version == upstream.version:
-            return
-        else:
-            recording.is_wanted = False
-        exchange.recording = self._versions.start_recording(key, upstream.version)
-
-    async def _admit_stream(self, exchange: Exchange, upstream: Upstream) -> Failure | None:
-        """
-        Wait until events of an upstream may be forwarded.
-
-        Other hosts must be able to find the version of the stream when its caller has an event.
-        """
-        if exchange.recording is not None:
-            await exchange.recording.wait()
-        current = self._fleet_state.upstreams.get(upstream.name, upstream)
-        if (current.version, current.born_ms) != (upstream.version, upstream.born_ms):
-            return Failure(
-                reason=Reason.BAD_ANSWER,
-                run_state=RunState.MAY_HAVE_RUN,
-                step="upstream",
-                peer=upstream.name,
-                detail="it started again, maybe at another version",
-            )
-        return None
-
     def _get_attempt_timeout_s(self, exchange: Exchange, upstream: Upstream) -> float:
         """Return the seconds after which the request is sent to another upstream."""
         route = exchange.route
@@ -417,55 +355,6 @@
         usual_s = self._monitor.get_record(upstream.name).duration_s or DEFAULT_DURATION_S
         return max(MIN_ATTEMPT_TIMEOUT_S, ATTEMPT_TIMEOUT_FACTOR * usual_s)
 
-    def _choose_upstream(self, exchange: Exchange) -> Upstream | None:
-        upstreams = self._list_upstreams(exchange)
-        untried = [u for u in upstreams if u.name not in exchange.tried]
-        options = self._monitor.list_options(untried, exchange.service)
-        if exchange.service.engine is None:
-            name = choose_service_upstream(options, work_s=DEFAULT_DURATION_S, rng=self._rng)
-        elif exchange.stage_run is not None and exchange.stage_run.upstream in {
-            o.name for o in options
-        }:
-            name = exchange.stage_run.upstream
-        else:
-            name = self._choose_engine(exchange, options)
-        return self._fleet_state.upstreams.get(name) if name is not None else None
-
-    def _choose_engine(self, exchange: Exchange, options: list[UpstreamOption]) -> str | None:
-        """Choose an engine without the scheduler; all entries prefer the same one for a prefix."""
-        prefix_key, shared = exchange.get_shared_prefix()
-        preferred = (
-            choose_by_rendezvous_hash(prefix_key, [option.name for option in options])
-            if prefix_key
-            else None
-        )
-        engines = [
-            EngineOption(
-                name=option.name,
-                slots=option.slots,
-                requests=option.requests,
-                prefill_tokens=option.prefill_tokens,
-                cached_tokens=shared if option.name == preferred else 0,
-                failure_rate=option.failure_rate,
-                slowness=option.slowness,
-            )
-            for option in options
-        ]
-        return choose_engine(engines, prompt_tokens=exchange.info.prompt_tokens, rng=self._rng)
-
-    def _list_upstreams(self, exchange: Exchange) -> list[Upstream]:
-        """Return the upstreams that may get the request, or continue its stream."""
-        service, version = exchange.service.name, exchange.stream_version
-        if version is None and self._is_record_unlikely(exchange):
-            default = self._versions.get_default(service)
-            if upstreams := self._fleet_state.usable_upstreams(service, version=default):
-                return upstreams
-        return self._fleet_state.usable_upstreams(service, version=version)
-
-    def _is_record_unlikely(self, exchange: Exchange) -> bool:
-        """Return whether a stream of another than the default version would wait for a leader."""
-        return bool(exchange.stream_key) and self._fleet_state.age_s() > MAX_LEADER_AGE_S
-
     def _may_send_again(self, service: str) -> bool:
         return self._get_budget(service).try_take(
             self._timers.now(), entries=self._fleet_state.entry_count()
@@ -473,7 +362,7 @@
 
     def _may_move_stream(self, exchange: Exchange) -> bool:
         """Return whether a stalled stream may move to another upstream, and reserve the retry."""
-        upstreams = self._list_upstreams(exchange)
+        upstreams = self._chooser.list_upstreams(exchange)
         others = [u for u in upstreams if u.name not in exchange.tried | {exchange.last_upstream}]
         exchange.has_retry_grant = bool(others) and self._may_send_again(exchange.service.name)
         return exchange.has_retry_grant
@@ -489,10 +378,7 @@
         return budget
 
     def _handle_first_event(self, exchange: Exchange, upstream: Upstream) -> None:
-        if exchange.stream_version is None:
-            exchange.stream_version = upstream.version
-            if key := exchange.stream_key:
-                self._versions.remember(key, upstream.version)
+        self._admission.note_first_event(exchange, upstream)
         # An engine that generates has read its inputs, so their results may be evicted. The stages
         # of the few streams that are resumed at another upstream are then run again.
         if exchange.stage_run is not None:
--- /dev/null
+++ b/marigoldtrail/relay/stream_admission.py
@@ -0,0 +1,84 @@
+"""Admit streams to upstreams: which version may serve them, and when events may be forwarded."""
+
+from __future__ import annotations
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.registry import FleetState
+from marigoldtrail.relay.exchange import Exchange
+from marigoldtrail.relay.stream_versions import StreamVersions
+from marigoldtrail.routing import Upstream
+
+
+class StreamAdmission:
+    """
+    Binds each stream of one entry to the software version that begins it.
+
+    Parameters
+    ----------
+    fleet_state : FleetState
+        Upstreams of the fleet.
+    versions : StreamVersions
+        Records and finds the versions that began streams.
+    """
+
+    __slots__ = ("_fleet_state", "_versions")
+
+    def __init__(self, *, fleet_state: FleetState, versions: StreamVersions) -> None:
+        self._fleet_state = fleet_state
+        self._versions = versions
+
+    async def find_version(self, exchange: Exchange) -> Failure | None:
+        """Bind a resumed stream to the version that began it; return why that is not known."""
+        version = await self._versions.find(exchange.service.name, exchange.stream_key)
+        if isinstance(version, Failure):
+            return version
+        exchange.stream_version = version
+        return None
+
+    def start_recording(self, exchange: Exchange, upstream: Upstream) -> None:
+        """Begin to record the version of a new stream, while the upstream reads its prompt."""
+        key = exchange.stream_key
+        if not key or exchange.stream_version is not None:
+            return
+        recording = exchange.recording
+        if recording is None:
+            # Streams of the default version are known without a record.
+            if upstream.version == self._versions.get_default(exchange.service.name):
+                return
+        elif recording.stream.version == upstream.version:
+            return
+        else:
+            recording.is_wanted = False
+        exchange.recording = self._versions.start_recording(key, upstream.version)
+
+    async def admit(self, exchange: Exchange, upstream: Upstream) -> Failure | None:
+        """
+        Wait until events of an upstream may be forwarded; return why they may not.
+
+        Other hosts must be able to find the version of the stream when its caller has an event.
+        """
+        if exchange.recording is not None:
+            await exchange.recording.wait()
+        current = self._fleet_state.upstreams.get(upstream.name, upstream)
+        if (current.version, current.born_ms) != (upstream.version, upstream.born_ms):
+            return Failure(
+                reason=Reason.BAD_ANSWER,
+                run_state=RunState.MAY_HAVE_RUN,
+                step="upstream",
+                peer=upstream.name,
+                detail="it started again, maybe at another version",
+            )
+        return None
+
+    def note_first_event(self, exchange: Exchange, upstream: Upstream) -> None:
+        """Bind a new stream to the version of the upstream that wrote its first event."""
+        if exchange.stream_version is not None:
+            return
+        exchange.stream_version = upstream.version
+        if key := exchange.stream_key:
+            self._versions.remember(key, upstream.version)
+
+    def finish(self, exchange: Exchange) -> None:
+        """Withdraw the record of a stream that has ended before it was durable."""
+        if exchange.recording is not None:
+            exchange.recording.is_wanted = False
