Count a forwarded request for the budget of retries at one entry only

Both the entry that forwards and the one that serves added the request, so that the fleet could retry a fifth of it twice. Found on reading the change.

--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -167,9 +167,10 @@
         CompleteResponse, StreamForwarded or Failure
             The response, the note that a stream was forwarded, or the reason for the failure.
         """
-        self._get_budget(exchange.service.name).add_request(self._timers.now())
         if self._reachability.is_cut_off:
+            # The other entry counts the request for the budget of retries.
             return await self._serve_elsewhere(exchange)
+        self._get_budget(exchange.service.name).add_request(self._timers.now())
         failure = await self._gate.check_arrival(exchange)
         if failure is not None:
             return failure
