--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -4,13 +4,9 @@
 
 import logging
 from functools import partial
-from typing import TypeVar
 
-import msgspec
 import trio
 
-from marigoldtrail.errors import Failure
-from marigoldtrail.fleet import CONFIG_GROUP
 from marigoldtrail.net import Address
 from marigoldtrail.pieces import PieceClient
 from marigoldtrail.ratelimits import PlaceClient, UpstreamLimiter, compute_share
@@ -24,19 +20,8 @@
     UpstreamMonitor,
 )
 from marigoldtrail.routing import Limits
-from marigoldtrail.schema.generated.registry import (
-    EntryList,
-    ListEntries,
-    PermitReply,
-    PlaceReleased,
-    PlaceReply,
-    ReleasePlace,
-    RequestPermit,
-    RequestTrial,
-    TakePlace,
-    TrialReply,
-)
 from marigoldtrail.site.components import HostComponents
+from marigoldtrail.site.leader_calls import LeaderCalls
 from marigoldtrail.timers import run_guarded
 
 # Callers use the addresses of a look-up for up to three times the stated time to live.
@@ -44,15 +29,8 @@
 # Draining stops this long before the grace period ends, so that the process has exited by then.
 EXIT_MARGIN_S = 0.8
 DRAIN_POLL_INTERVAL_S = 0.05
-TRIAL_TIMEOUT_S = 0.5
-PERMIT_TIMEOUT_S = 0.25
-LIST_ENTRIES_TIMEOUT_S = 0.3
-TAKE_PLACE_TIMEOUT_S = 0.45
-RELEASE_PLACE_TIMEOUT_S = 1.0
 CRASH_REPORT_DELAY_S = 0.02
 
-Reply = TypeVar("Reply", bound=msgspec.Struct)
-
 _log = logging.getLogger(__name__)
 
 
@@ -90,30 +68,31 @@
             nursery=components.nursery,
             seeds=components.seed_names(),
         )
+        leader = LeaderCalls(components=components)
         gate = SendGate(
             fleet_state=components.fleet_state,
             monitor=self.monitor,
             limiter=UpstreamLimiter(
                 book=components.fleet_state.limits,
                 timers=components.timers,
-                request_permit=self._request_permit,
+                request_permit=leader.request_permit,
                 entry_count=components.fleet_state.entry_count,
             ),
             places=PlaceClient(
                 host=components.cfg.host,
                 book=components.fleet_state.brittle,
-                take_place=self._take_place,
-                release_place=self._release_place,
+                take_place=leader.take_place,
+                release_place=leader.release_place,
                 get_share=self._get_share,
                 timers=components.timers,
             ),
-            request_trial=self._request_trial,
+            request_trial=leader.request_trial,
             timers=components.timers,
             metrics=components.metrics,
         )
         self.versions = StreamVersions(
             fleet_state=components.fleet_state,
-            call_leader=self._call_leader,
+            call_leader=leader.call,
             timers=components.timers,
         )
         self.reachability = ReachabilityMonitor(
@@ -143,7 +122,7 @@
                 host=components.cfg.host,
                 network=components.network,
                 header_codec=components.adapter.header_codec,
-                list_entries=self._list_entries,
+                list_entries=leader.list_entries,
                 timers=components.timers,
                 rng=components.rng,
             ),
@@ -171,26 +150,6 @@
         components.reporter.set_load_source(self.monitor.report_loads)
         self._draining = False
 
-    async def _request_trial(self, part: str) -> bool:
-        """Ask the leader whether one request with a quarantined part may be sent."""
-        reply = await self._call_leader(RequestTrial(part=part), TrialReply, TRIAL_TIMEOUT_S)
-        return not isinstance(reply, Failure) and reply.is_granted
-
-    async def _request_permit(self, request: RequestPermit) -> PermitReply | Failure:
-        """Ask the leader whether one request may be sent to an upstream that limits them."""
-        return await self._call_leader(request, PermitReply, PERMIT_TIMEOUT_S)
-
-    async def _take_place(self, request: TakePlace) -> PlaceReply | Failure:
-        """Ask the leader for a place at a brittle upstream."""
-        return await self._call_leader(request, PlaceReply, TAKE_PLACE_TIMEOUT_S)
-
-    def _release_place(self, request: ReleasePlace) -> None:
-        """Start to give a place at a brittle upstream back to the leader."""
-        self.components.nursery.start_soon(self._send_release, request)
-
-    async def _send_release(self, request: ReleasePlace) -> None:
-        await self._call_leader(request, PlaceReleased, RELEASE_PLACE_TIMEOUT_S)
-
     def _get_share(self, upstream: str) -> int:
         """Return the places of this entry at an upstream while there is no leader."""
         fleet_state = self.components.fleet_state
@@ -198,19 +157,6 @@
         slots = found.slots if found is not None else 0
         return compute_share(slots, fleet_state.entry_position, fleet_state.entry_count())
 
-    async def _list_entries(self) -> EntryList | Failure:
-        """Ask the leader for other entries that reach upstreams."""
-        cfg = self.components.cfg
-        request = ListEntries(host=cfg.host, region=cfg.region)
-        return await self._call_leader(request, EntryList, LIST_ENTRIES_TIMEOUT_S)
-
-    async def _call_leader(
-        self, request: msgspec.Struct, reply_type: type[Reply], timeout_s: float
-    ) -> Reply | Failure:
-        return await self.components.reporter.finder.call(
-            CONFIG_GROUP, request, reply_type, timeout_s=timeout_s
-        )
-
     def is_ready(self) -> bool:
         """Return whether callers may be directed to this entry."""
         fleet_state = self.components.fleet_state
