Probe an upstream of the own data centre before an entry takes itself for cut off

The three probes were drawn from all data centres, so that an entry whose data centre was partitioned from the others could miss the one that it still reaches and stop serving from it. The test fails before. Found on reading the change.

--- a/marigoldtrail/reachability/monitor.py
+++ b/marigoldtrail/reachability/monitor.py
@@ -42,6 +42,8 @@
 
     Parameters
     ----------
+    data_centre : str
+        Data centre of this host.
     fleet_state : FleetState
         The upstreams.
     contact : UpstreamContact
@@ -63,6 +65,7 @@
 
     __slots__ = (
         "is_cut_off",
+        "_data_centre",
         "_fleet_state",
         "_contact",
         "_probe",
@@ -77,6 +80,7 @@
     def __init__(
         self,
         *,
+        data_centre: str,
         fleet_state: FleetState,
         contact: UpstreamContact,
         probe: ProbeUpstream,
@@ -85,6 +89,7 @@
         rng: random.Random,
     ) -> None:
         self.is_cut_off = False
+        self._data_centre = data_centre
         self._fleet_state = fleet_state
         self._contact = contact
         self._probe = probe
@@ -149,10 +154,19 @@
         self._on_change()
 
     def _choose_targets(self, count: int) -> list[Upstream]:
-        """Choose upstreams, as far as possible of different services and data centres."""
+        """
+        Choose upstreams, as far as possible of different services and data centres.
+
+        The first is of the own data centre, which may be all that is reached if that is cut off.
+        """
         upstreams = [u for u in self._fleet_state.upstreams.values() if not u.is_leaving]
         self._rng.shuffle(upstreams)
-        upstreams.sort(key=lambda upstream: upstream.name in self._contact.unreached)
+        upstreams.sort(
+            key=lambda upstream: (
+                upstream.name in self._contact.unreached,
+                upstream.data_centre != self._data_centre,
+            )
+        )
         chosen: list[Upstream] = []
         rest: list[Upstream] = []
         for upstream in upstreams:
--- a/marigoldtrail/reachability/tests/test_monitor.py
+++ b/marigoldtrail/reachability/tests/test_monitor.py
@@ -31,7 +31,7 @@
         self.probes = []
         self.changes = []
         self.monitor = ReachabilityMonitor(
-            fleet_state=fleet_state, contact=self.contact, probe=self.probe,
+            data_centre="dc-0", fleet_state=fleet_state, contact=self.contact, probe=self.probe,
             on_change=lambda: self.changes.append(self.monitor.is_cut_off),
             timers=timers, rng=random.Random(1),
         )  # fmt: skip
@@ -115,3 +115,15 @@
     probed.contact.start_request()
     await trio.sleep(5)
     assert probed.changes == [] and not probed.probes
+
+
+async def test_host_that_reaches_its_own_data_centre_is_not_cut_off(autojump_clock, nursery):
+    """Guards against entries that stop serving when their data centre loses the others."""
+    for seed in range(8):
+        probed = Probed(nursery, count=12)
+        probed.monitor._rng.seed(seed)
+        probed.down = {name for name in probed.names if int(name[2:]) % 3}
+        probed.contact.start_request()
+        probed.contact.note_connect_failed("u-1")
+        await trio.sleep(5)
+        assert probed.changes == []
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -154,6 +154,7 @@
             metrics=metrics,
         )
         self.reachability = ReachabilityMonitor(
+            data_centre="a",
             fleet_state=self.fleet_state,
             contact=self.contact,
             probe=self.pool.probe,
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -96,6 +96,7 @@
             timers=components.timers,
         )
         self.reachability = ReachabilityMonitor(
+            data_centre=components.cfg.data_centre,
             fleet_state=components.fleet_state,
             contact=components.contact,
             probe=components.pool.probe,
