Check an upstream again after a request has waited for a place there

A request that waited for a place at a brittle upstream was sent although the upstream had left the list, paused or turned cold meanwhile, or its prompt was quarantined; after the wait for a rate these were checked. And without a leader the wait for a place of the own share was a loop without a pause, which held the whole process until the request was late.

--- a/marigoldtrail/ratelimits/place_client.py
+++ b/marigoldtrail/ratelimits/place_client.py
@@ -17,6 +17,8 @@
 MAX_HELD_S = 0.2
 # After a call that found no leader, requests use the share of this host for this time.
 LEADERLESS_S = 0.5
+# Time between two looks for a free place of the share.
+OWN_CHECK_INTERVAL_S = 0.02
 
 TakePlaceFn = Callable[[TakePlace], Awaitable[PlaceReply | Failure]]
 ReleasePlaceFn = Callable[[ReleasePlace], None]
@@ -114,7 +116,11 @@
         until = self._timers.now() + max_wait_s
         while True:
             if self._timers.now() < self._leaderless_until:
-                return self._take_own(upstream)
+                place = self._take_own(upstream)
+                if place is not None or self._timers.now() >= until:
+                    return place
+                await self._timers.sleep(OWN_CHECK_INTERVAL_S)
+                continue
             left_s = max(0.0, until - self._timers.now())
             reply = await self._ask(upstream, max_rejections, min(left_s, MAX_HELD_S))
             if isinstance(reply, Failure):
--- a/marigoldtrail/relay/send_gate.py
+++ b/marigoldtrail/relay/send_gate.py
@@ -204,15 +204,17 @@
             The place of the request, to be given back by `release`; None if another upstream has
             to be chosen.
         """
-        until = self._timers.now() + max_wait_s
+        started = self._timers.now()
         place = await self._places.take(upstream.name, upstream.service, max_wait_s)
         if place is None:
             self._note_limited(exchange, upstream, is_sent_later=False, wait_s=PLACE_RETRY_S)
             return None
         is_permitted = False
         try:
-            left_s = max(0.0, until - self._timers.now())
+            left_s = max(0.0, started + max_wait_s - self._timers.now())
             is_permitted = await self._wait_for_rate(exchange, upstream, left_s)
+            if self._timers.now() > started:
+                is_permitted = is_permitted and self._is_still_usable(exchange, upstream)
         finally:
             if not is_permitted:
                 self._places.release(place)
@@ -235,7 +237,10 @@
         if not permit.is_granted:
             return False
         await self._timers.sleep(permit.wait_s)
-        # Meanwhile it may have left, paused or turned cold, or the prompt may be quarantined.
+        return True
+
+    def _is_still_usable(self, exchange: Exchange, upstream: Upstream) -> bool:
+        """Return whether, after a wait, an upstream and a prompt may still be sent requests."""
         usable = self._fleet_state.usable_upstreams(exchange.service.name)
         return (
             any(other.name == upstream.name for other in usable)
