--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -226,6 +226,10 @@
         self.fleet_state.upstreams[name] = Upstream(
             name=name, service=service, address=str(address), data_centre="a", slots=4
         )
+        await self.serve_script(address, script)
+
+    async def serve_script(self, address, script):
+        """Serve each connection to an address by a script."""
 
         async def serve(stream):
             try:
--- a/marigoldtrail/relay/tests/test_peer_forwarding.py
+++ b/marigoldtrail/relay/tests/test_peer_forwarding.py
@@ -29,17 +29,7 @@
     for number in range(others):
         address = Address(f"10.0.2.{number}", 80)
         harness.other_entries.append(str(address))
-        endpoint = harness.network.endpoint(address.ip)
-
-        async def serve(stream):
-            try:
-                await script(stream)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                pass
-            finally:
-                await trio.aclose_forcefully(stream)
-
-        await nursery.start(endpoint.listen, address, serve)
+        await harness.serve_script(address, script)
     return harness
 
 
