--- a/marigoldtrail/platform/standin.py
+++ b/marigoldtrail/platform/standin.py
@@ -142,7 +142,7 @@
 
 
 def make_brittle_headers(max_rejections: int | None) -> dict[str, str]:
-    """Return the headers with which an upstream says that rejections fell it; none for None."""
+    """Return the headers of an upstream that crashes beyond some rejections; none for None."""
     return {} if max_rejections is None else {"server-brittle": str(max_rejections)}
 
 
--- a/marigoldtrail/platform/tests/standin.py
+++ b/marigoldtrail/platform/tests/standin.py
@@ -89,15 +89,15 @@
         self.limits = {}
         # Rejections in a second that an upstream of a service bears, while the service is brittle.
         self.max_rejections = {}
-        # Rejections fell upstreams from this time on; before, they only say that they are brittle.
-        self.falls_from = 0.0
+        # Rejections crash upstreams from this time on; before, they only say that they are brittle.
+        self.crashes_from = 0.0
         # Seconds of work of a plain request, and how many upstreams of plain services hold at once.
         self.work_s = 0.0
         self.slots = 4
         self.running = collections.Counter()
         self.rejections = collections.defaultdict(list)
-        # Times of the falls of upstreams because of rejections.
-        self.falls = []
+        # Times at which upstreams crashed because of rejections.
+        self.overload_crashes = []
         # Times of the requests and calls that each upstream got.
         self.arrivals = collections.defaultdict(list)
         self.seen = []
@@ -204,13 +204,13 @@
             self.running[name] -= 1
 
     def _note_rejection(self, name, max_rejections):
-        """Fall over if a brittle upstream rejects too many requests in a second."""
+        """Crash a brittle upstream that rejects too many requests in a second."""
         now = trio.current_time()
         self.rejections[name] = [at for at in self.rejections[name] if at > now - 1.0] + [now]
-        if max_rejections is None or now < self.falls_from:
+        if max_rejections is None or now < self.crashes_from:
             return
         if len(self.rejections[name]) > max_rejections:
-            self.falls.append(now)
+            self.overload_crashes.append(now)
             self.rejections[name] = []
             self.engine_scopes[name].cancel()
 
--- a/marigoldtrail/ratelimits/places.py
+++ b/marigoldtrail/ratelimits/places.py
@@ -1,4 +1,4 @@
-"""Places at upstreams that rejections fell; taken at the leader, one for each request."""
+"""Places at upstreams that crash when they reject requests; the leader grants them."""
 
 from __future__ import annotations
 
--- a/marigoldtrail/ratelimits/tests/test_places.py
+++ b/marigoldtrail/ratelimits/tests/test_places.py
@@ -23,14 +23,14 @@
 
 
 def test_rejections_take_places_away_for_some_time():
-    """Guards against an upstream with less room than its slots say, which is rejected to death."""
+    """Guards against an upstream with fewer places than slots that rejects until it crashes."""
     ledger = PlaceLedger()
     first, second, third = (take(ledger, 0.0) for _ in range(3))
     ledger.release("u", first, 0.1, was_rejected=True)
     assert not take(ledger, 0.2)
     ledger.release("u", second, 0.2, was_rejected=True)
     ledger.release("u", third, 0.3, was_rejected=False)
-    # One more rejection within a second would fell it.
+    # One more rejection within a second would crash it.
     assert not take(ledger, 0.9)
     assert take(ledger, 1.3) and not take(ledger, 1.3)
     assert take(ledger, 0.3 + CAUTION_S)
--- a/marigoldtrail/reachability/tests/test_contact.py
+++ b/marigoldtrail/reachability/tests/test_contact.py
@@ -25,7 +25,7 @@
 
 
 async def test_one_connection_clears_the_failed_ones(autojump_clock):
-    """Guards against upstreams that fell one after the other and are taken for a cut."""
+    """Guards against upstreams that crash one after the other and are taken for a cut."""
     contact = UpstreamContact(timers=Timers(seed=1))
     contact.note_connect_failed("a")
     contact.note_connect_failed("b")
--- a/marigoldtrail/registry/fleet_state.py
+++ b/marigoldtrail/registry/fleet_state.py
@@ -217,7 +217,7 @@
         upstream = self.upstreams.get(name)
         if upstream is not None:
             now = self._timers.now()
-            # One that has fallen and starts again is as brittle as the others of its service.
+            # One that crashed and starts again is as brittle as the others of its service.
             self.brittle.record_answer(
                 upstream.service, 0, max_rejections, sent_at=sent_at, now=now
             )
--- a/marigoldtrail/relay/types.py
+++ b/marigoldtrail/relay/types.py
@@ -78,7 +78,7 @@
     requests_per_s : float or None
         Requests a second that the upstream takes from all hosts together; None if not stated.
     max_rejections : float or None
-        Rejections in a second beyond which the upstream falls over; None if it is not brittle.
+        Rejections in a second beyond which the upstream crashes; None if it is not brittle.
     """
 
     request_id: str = ""
