--- a/review/common/site_of_review.py
+++ b/review/common/site_of_review.py
@@ -15,6 +15,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -110,6 +111,13 @@
     return head
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, as a process does that crashes with unread data."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def encode(start: str, headers: list[tuple[str, str]], body: bytes = b"") -> bytes:
     lines = [start, *(f"{n}: {v}" for n, v in headers), f"Content-Length: {len(body)}"]
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
@@ -273,7 +281,7 @@
             self.server.close()
             self.server = None
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
