--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,38 +1,32 @@
-"""An order that a frozen control host has read late undoes a later, acknowledged evacuation."""
+"""An entry that is cut off joins a part of an event to the events that another entry brings."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
-from site_of_review import Site, call, run_case  # noqa: E402
+from site_of_review import Site, encode, read_head, run_case  # noqa: E402
 
-ZONE = "zb"
-FREEZE_S = 4.0
+EVENTS = 12
+EVENT_INTERVAL_S = 0.05
+# The first event is written in two parts, as its tokens are made.
+FIRST_PART_S = 0.05
+SECOND_PART_S = 0.2
+STREAMS = 9
+WARM_STREAMS = 30
+CUT_S = 5.5
 CONFIG = {
     "version": 3,
     "routes": [
-        {
-            "name": "stock",
-            "host": "shop.example",
-            "path_prefix": "/stock/",
-            "kind": "safe",
-            "timeout_ms": 600,
-            "target_latency_ms": 120,
-            "priority": 1,
-            "service": "desk",
-            "max_attempts": 2,
-            "stages": [],
-            "public": False,
-            "sticky": False,
-            "resumable": False,
-        }
+        {"name": "draft", "host": "shop.example", "path_prefix": "/draft/", "kind": "streaming",
+         "timeout_ms": 12000, "target_latency_ms": 2000, "priority": 0, "service": "pool",
+         "max_attempts": 2, "stages": [], "public": False, "sticky": False, "resumable": True,
+         "gap_aim_ms": 200}
     ],
     "services": [
-        {"name": "desk", "health_path": "/health", "max_connections": 110, "protocol": "h1",
+        {"name": "pool", "health_path": "/health", "max_connections": 370, "protocol": "h1",
          "tls": False, "cold_start_s": 0.0, "cold_per_s": 0.0}
     ],
     "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
@@ -41,68 +35,114 @@
 }
 
 
-async def send_requests(site: Site) -> None:
-    """Send about 20 requests a second to the entries until cancelled."""
-    number = 0
-    while True:
-        number += 1
-        entry = site.entries[number % len(site.entries)]
-        headers = [("Host", "shop.example"), ("X-Request-Id", f"r{number:05d}"),
-                   ("X-Deadline-Ms", "600"), ("Authorization", "Token key-1")]
-        reply = await call(entry.listen["front"], "GET", "/stock/2f", headers, timeout_s=0.6)
-        site.record.note(
-            f"client: r{number:05d} at {entry.name}: {reply.status if reply else None}"
-            f" {reply.body.decode() if reply else ''}"
-        )
-        await asyncio.sleep(0.05)
+def make_event(number: int) -> bytes:
+    return f"id: {number}\ndata: words of event {number}\n\n".encode()
+
+
+class Cut:
+    """Whether the connections of the first entry are cut off from all replicas."""
+
+    def __init__(self) -> None:
+        self.is_on = False
+        # Connections that carried a request of the first entry.
+        self.of_first_entry: set[int] = set()
+
+
+def make_answer(cut: Cut):
+    async def answer(replica, request, writer) -> bool:
+        request_id = request.get("x-request-id")
+        if request_id.startswith("first") and not cut.is_on:
+            cut.of_first_entry.add(id(writer))
+        if cut.is_on and id(writer) in cut.of_first_entry:
+            await asyncio.Future()
+        first = int(request.get("last-event-id") or 0) + 1
+        replica.site.record.note(f"{replica.id} runs {request_id} from event {first}")
+
+        async def send(data: bytes) -> None:
+            if cut.is_on and id(writer) in cut.of_first_entry:
+                # Nothing passes the cut any more.
+                await asyncio.Future()
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+            await writer.drain()
+
+        head = ["HTTP/1.1 200 OK", f"X-Request-Id: {request_id}",
+                f"X-Response-Seal: s.{request_id}", "Content-Type: text/event-stream",
+                "Transfer-Encoding: chunked"]
+        writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+        for number in range(first, EVENTS + 1):
+            event = make_event(number)
+            if number == first:
+                await asyncio.sleep(FIRST_PART_S)
+                await send(event[:-12])
+                await asyncio.sleep(SECOND_PART_S)
+                await send(event[-12:])
+            else:
+                await send(event)
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    return answer
+
+
+async def follow_stream(site: Site, entry, request_id: str) -> bool:
+    """Request a stream; return whether what came is not the begin of the events in their order."""
+    host, _, port = entry.listen["front"].rpartition(":")
+    headers = [("Host", "shop.example"), ("X-Request-Id", request_id), ("X-Deadline-Ms", "12000"),
+               ("Authorization", "Token key-1")]
+    reader, writer = await asyncio.open_connection(host, int(port))
+    text = b""
+    is_complete = False
+    try:
+        writer.write(encode("POST /draft/1 HTTP/1.1", headers, b"a brief"))
+        head = await read_head(reader)
+        status = head.status if head is not None else None
+        if status == 200:
+            while line := await reader.readline():
+                size = int(line, 16)
+                text += (await reader.readexactly(size + 2))[:-2]
+                is_complete = size == 0
+                if is_complete:
+                    break
+    finally:
+        writer.close()
+    expected = b"".join(make_event(number) for number in range(1, EVENTS + 1))
+    is_wrong = status == 200 and (text != expected if is_complete else not expected.startswith(text))
+    site.record.note(
+        f"client: {request_id} at {entry.name}: status {status}, complete {is_complete}, "
+        f"wrong {is_wrong}; first event {text.split(bytes(2 * [10]))[0]!r}"
+    )
+    return is_wrong
 
 
 async def case(site: Site, with_trouble: bool) -> bool:
     site.add_hosts(["za", "zb", "zc"], ["za", "zb"])
-    replicas = {zone: site.add_replica("desk", zone) for zone in ("za", "zb", "zc")}
+    cut = Cut()
+    for zone in ("za", "zb", "zc"):
+        site.add_replica("pool", zone).answer = make_answer(cut)
     await site.start()
     await site.configure(CONFIG)
     await site.wait_ready()
-    clients = asyncio.create_task(send_requests(site))
     await asyncio.sleep(2.0)
-    leader = await site.find_leader()
-    first, second = (host for host in site.controls if host is not leader)
-    target = f"/-/evacuations/{ZONE}"
-    if await site.order("POST", target, [second, leader]) != 200:
-        raise RuntimeError("the first evacuation was not acknowledged")
-    await asyncio.sleep(6.0)
-
-    # The zone is taken back. The first node that the operator asks has just been frozen.
-    if with_trouble:
-        site.record.note(f"{first.name} is frozen")
-        first.send(signal.SIGSTOP)
-    frozen_at = site.record.now()
-    if await site.order("DELETE", target, [first, second, leader]) != 200:
-        raise RuntimeError("the end of the evacuation was not acknowledged")
-    await asyncio.sleep(0.5)
-    # The zone is evacuated again.
-    if await site.order("POST", target, [second, leader]) != 200:
-        raise RuntimeError("the second evacuation was not acknowledged")
-    acked_at = site.record.now()
-    await asyncio.sleep(max(0.0, frozen_at + FREEZE_S - site.record.now()))
-    first.send(signal.SIGCONT)
-    woken_at = site.record.now()
-    site.record.note(f"{first.name} goes on")
-
-    # The bound, stretched as for an unstable core; then all hosts have long been in touch.
-    bounds = site.bounds
-    judged_from = max(
-        acked_at + (bounds["evac_ms"] + bounds["outer_ms"]) / 1000,
-        woken_at + bounds["stability_window_ms"] / 1000,
-    )
-    await asyncio.sleep(judged_from + 6.0 - site.record.now())
-    clients.cancel()
-    late = [run for run in replicas[ZONE].runs if run[0] > judged_from]
-    site.record.note(
-        f"second evacuation acknowledged at {acked_at:.3f}; judged from {judged_from:.3f}: "
-        f"{len(late)} requests ran in {ZONE}"
+    first, second = site.entries
+    # The second entry has open connections to all replicas.
+    await asyncio.gather(
+        *(follow_stream(site, second, f"second-{n}") for n in range(WARM_STREAMS))
     )
-    return bool(late)
+    streams = [
+        asyncio.create_task(follow_stream(site, first, f"first-{n}")) for n in range(STREAMS)
+    ]
+    if with_trouble:
+        await asyncio.sleep(FIRST_PART_S + SECOND_PART_S / 2)
+        site.record.note(f"{first.name} is cut off from all replicas; new connections are refused")
+        cut.is_on = True
+        for replica in site.replicas:
+            replica.server.close()
+    results = await asyncio.gather(*streams)
+    wrong = sum(results)
+    site.record.note(f"{wrong} of {STREAMS} streams brought bytes that no replica sent so")
+    return wrong > 0
 
 
 if __name__ == "__main__":
