--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 EVENT_INTERVAL_S = 0.05
 # The first event is written in two parts, as its tokens are made.
 FIRST_PART_S = 0.05
-SECOND_PART_S = 0.2
+SECOND_PART_S = 0.4
 STREAMS = 9
 WARM_STREAMS = 30
 CUT_S = 5.5
@@ -46,6 +46,8 @@
         self.is_on = False
         # Connections that carried a request of the first entry.
         self.of_first_entry: set[int] = set()
+        # Streams of the first entry of which the first part was written.
+        self.begun = 0
 
 
 def make_answer(cut: Cut):
@@ -74,6 +76,7 @@
             if number == first:
                 await asyncio.sleep(FIRST_PART_S)
                 await send(event[:-12])
+                cut.begun += request_id.startswith("first")
                 await asyncio.sleep(SECOND_PART_S)
                 await send(event[-12:])
             else:
@@ -134,7 +137,10 @@
         asyncio.create_task(follow_stream(site, first, f"first-{n}")) for n in range(STREAMS)
     ]
     if with_trouble:
-        await asyncio.sleep(FIRST_PART_S + SECOND_PART_S / 2)
+        while not cut.begun:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(SECOND_PART_S / 4)
+        site.record.note(f"{cut.begun} streams have the first part of their first event")
         site.record.note(f"{first.name} is cut off from all replicas; new connections are refused")
         cut.is_on = True
         for replica in site.replicas:
--- a/review/common/site_of_review.py
+++ b/review/common/site_of_review.py
@@ -410,11 +410,11 @@
     async def configure(self, config: dict) -> None:
         """Put a configuration in force; it is sent until it is accepted."""
         body = json.dumps(config).encode()
-        status = await self.order("PUT", "/-/config", self.controls, body, for_s=15.0)
+        status = await self.order("PUT", "/-/config", self.controls, body, for_s=40.0)
         if status != 200:
             raise CaseError(f"the configuration was not accepted: {status}")
 
-    async def wait_ready(self, for_s: float = 15.0) -> None:
+    async def wait_ready(self, for_s: float = 30.0) -> None:
         """Wait until all entries say that they are ready."""
         until = self.record.now() + for_s
         for host in self.entries:
