--- a/review/1/case.py
+++ b/review/1/case.py
@@ -124,7 +124,7 @@
 
 
 async def case(site: Site, with_trouble: bool) -> bool:
-    site.add_hosts(["za", "zb", "zc"], ["za", "zb"])
+    site.add_hosts(["za", "zb", "zc"], ["za", "zb", "zc"])
     cut = Cut()
     for zone in ("za", "zb", "zc"):
         site.add_replica("pool", zone).answer = make_answer(cut)
@@ -132,10 +132,14 @@
     await site.configure(CONFIG)
     await site.wait_ready()
     await asyncio.sleep(2.0)
-    first, second = site.entries
-    # The second entry has open connections to all replicas.
+    first, *others = site.entries
+    # The other entries have open connections to all replicas.
     await asyncio.gather(
-        *(follow_stream(site, second, f"second-{n}") for n in range(WARM_STREAMS))
+        *(
+            follow_stream(site, entry, f"of-{entry.name}-{n}")
+            for entry in others
+            for n in range(WARM_STREAMS)
+        )
     )
     streams = [
         asyncio.create_task(follow_stream(site, first, f"first-{n}")) for n in range(STREAMS)
