Review: cases 1 and 3 are stricter after a second reading

Case 1: other entries tried to open connections during the cut; now they have what they need, and their metrics are checked. Case 3: replicas queue a few streams, and the settings file changes with the SIGHUP.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,10 @@
 FIRST_PART_S = 0.05
 SECOND_PART_S = 0.4
 STREAMS = 9
-WARM_STREAMS = 30
+# As in the site file; an entry then prefers the replica of its own zone.
+SLOTS = 64
+REPLICAS = 3
+WARM_STREAMS = 16
 CUT_S = 5.5
 CONFIG = {
     "version": 3,
@@ -126,21 +129,17 @@
 async def case(site: Site, with_trouble: bool) -> bool:
     site.add_hosts(["za", "zb", "zc"], ["za", "zb", "zc"])
     cut = Cut()
-    for zone in ("za", "zb", "zc"):
-        site.add_replica("pool", zone).answer = make_answer(cut)
+    for zone in ("za", "zb", "zc")[:REPLICAS]:
+        site.add_replica("pool", zone, slots=SLOTS).answer = make_answer(cut)
     await site.start()
     await site.configure(CONFIG)
     await site.wait_ready()
     await asyncio.sleep(2.0)
     first, *others = site.entries
-    # The other entries have open connections to all replicas.
-    await asyncio.gather(
-        *(
-            follow_stream(site, entry, f"of-{entry.name}-{n}")
-            for entry in others
-            for n in range(WARM_STREAMS)
-        )
-    )
+    # The other entries have served streams and have open connections.
+    for entry in others:
+        warm = [follow_stream(site, entry, f"of-{entry.name}-{n}") for n in range(WARM_STREAMS)]
+        await asyncio.gather(*warm)
     streams = [
         asyncio.create_task(follow_stream(site, first, f"first-{n}")) for n in range(STREAMS)
     ]
@@ -154,6 +153,12 @@
         for replica in site.replicas:
             replica.server.close()
     results = await asyncio.gather(*streams)
+    for entry in others:
+        # Refused connections would be a disruption of these entries, too.
+        unreached = await entry.metric("unreached_upstreams")
+        site.record.note(f"upstreams to which {entry.name} failed to connect: {unreached}")
+        if unreached != 0.0:
+            raise RuntimeError(f"{entry.name} tried to open connections during the cut")
     wrong = sum(results)
     site.record.note(f"{wrong} of {STREAMS} streams brought bytes that no replica sent so")
     return wrong > 0
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,9 +10,11 @@
 
 from site_of_review import Site, encode, read_head, run_case  # noqa: E402
 
-EVENTS = 30
+EVENTS = 20
 EVENT_INTERVAL_S = 0.2
+# A replica runs as many streams as it has slots, and queues a few more.
 SLOTS = 4
+QUEUE = 2
 REPLICAS = 3
 SILENT_AFTER_S = 1.0
 SILENCE_S = 1.2
@@ -35,10 +37,11 @@
 
 
 class Load:
-    """Streams that run at each replica, and until when a replica writes nothing."""
+    """Streams that run or wait at each replica, and until when a replica writes nothing."""
 
     def __init__(self) -> None:
-        self.running: dict[str, int] = {}
+        self.held: dict[str, int] = {}
+        self.slots: dict[str, asyncio.Semaphore] = {}
         self.silent_until: dict[str, float] = {}
 
 
@@ -46,14 +49,18 @@
     async def answer(replica, request, writer) -> bool:
         record = replica.site.record
         request_id = request.get("x-request-id")
-        if load.running.get(replica.id, 0) >= SLOTS:
+        if load.held.get(replica.id, 0) >= SLOTS + QUEUE:
             record.note(f"{replica.id} is full and rejects {request_id}")
             headers = [("X-Request-Id", request_id), ("X-Not-Executed", "1")]
             writer.write(encode("HTTP/1.1 503 Service Unavailable", headers))
             return True
         first = int(request.get("last-event-id") or 0) + 1
+        load.held[replica.id] = load.held.get(replica.id, 0) + 1
+        slots = load.slots.setdefault(replica.id, asyncio.Semaphore(SLOTS))
+        if slots.locked():
+            record.note(f"{replica.id} queues {request_id}")
+        await slots.acquire()
         record.note(f"{replica.id} runs {request_id} from event {first}")
-        load.running[replica.id] = load.running.get(replica.id, 0) + 1
         try:
             head = ["HTTP/1.1 200 OK", f"X-Request-Id: {request_id}",
                     f"X-Response-Seal: s.{request_id}", "Content-Type: text/event-stream",
@@ -70,14 +77,15 @@
             writer.write(b"0\r\n\r\n")
             await writer.drain()
         finally:
-            load.running[replica.id] -= 1
+            slots.release()
+            load.held[replica.id] -= 1
         return True
 
     return answer
 
 
 async def follow_stream(site: Site, entry, request_id: str) -> bool:
-    """Request a stream; return whether a complete answer came."""
+    """Request a stream; return whether a complete answer came, which may be a refusal."""
     host, _, port = entry.listen["front"].rpartition(":")
     headers = [("Host", "shop.example"), ("X-Request-Id", request_id), ("X-Deadline-Ms", "12000"),
                ("Authorization", "Token key-1")]
@@ -101,7 +109,7 @@
         f"client: {request_id} at {entry.name}: status {status}, {events} events, "
         f"{'complete' if is_complete else 'the connection ended without a complete answer'}"
     )
-    return is_complete
+    return is_complete or status not in (None, 200)
 
 
 async def case(site: Site, with_trouble: bool) -> bool:
@@ -114,13 +122,14 @@
     await site.wait_ready()
     await asyncio.sleep(4.0)
     first, second = site.entries
-    # Planned work at the first entry: its settings file is announced as changed.
+    # Planned work at the first entry: its settings file has changed.
+    first.write_settings()
     first.send(signal.SIGHUP)
     site.record.note(f"SIGHUP to {first.name}")
     await asyncio.sleep(0.2)
-    # As many streams as all replicas have slots.
+    # As many streams as all replicas run and queue.
     streams = []
-    for number in range(SLOTS * REPLICAS):
+    for number in range((SLOTS + QUEUE) * REPLICAS):
         entry = (first, second)[number % 2]
         streams.append(
             asyncio.create_task(follow_stream(site, entry, f"s{number:02d}"))
--- a/review/common/site_of_review.py
+++ b/review/common/site_of_review.py
@@ -213,12 +213,17 @@
             }
         )
 
-    def start(self) -> None:
-        site = self.site
+    def read_role(self) -> dict:
         with (ROOT / "deploy" / "system.toml").open("rb") as file:
-            role = tomllib.load(file)["roles"][self.role]
+            return tomllib.load(file)["roles"][self.role]
+
+    def write_settings(self) -> Path:
+        """Write the settings file; the seeds are named in another order each time."""
+        site = self.site
         data = site.folder / self.name
         data.mkdir(exist_ok=True)
+        seeds = [h.listen["control"] for h in site.hosts if h.role == "control"][:3]
+        random.shuffle(seeds)
         fields = {
             "node_name": self.name,
             "role": self.role,
@@ -227,14 +232,20 @@
             "ip": self.ip,
             "listen": self.listen,
             "internal_ports": [site.ports[0], site.ports[0] + 9],
-            "seeds": [h.listen["control"] for h in site.hosts if h.role == "control"][:3],
+            "seeds": seeds,
             "bootstrap": self.starts == 0,
             "data_dir": str(data) if self.role == "control" else None,
             "cloud": {"address": site.platform_address},
             "bounds": site.bounds,
         }
         path = site.folder / f"{self.name}.json"
-        path.write_text(render((ROOT / role["template"]).read_text(), fields))
+        path.write_text(render((ROOT / self.read_role()["template"]).read_text(), fields))
+        return path
+
+    def start(self) -> None:
+        site = self.site
+        role = self.read_role()
+        path = self.write_settings()
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
         env["MARIGOLDTRAIL_CONFIG"] = str(path)
