Discard a part of an event when its request is sent again

Cause: the buffer for incomplete events belongs to the request. Failures of an attempt discarded it, but an attempt that is cancelled when the host is found to be cut off ends without a failure, and the forwarded stream was fed into the same buffer.

Change: Exchange.start_send, which every send to an upstream or to another entry now goes through, discards the buffer. It is the one place at which an attempt begins; the calls at the ends of attempts are removed.

Tests of relay and platform pass.

--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -185,6 +185,21 @@
             return max(FIRST_EVENT_STALL_TIMEOUT_S, self.route.target_latency_s)
         return max(MIN_STALL_TIMEOUT_S, STALL_TIMEOUT_GAPS * self.route.max_gap_s)
 
+    def start_send(self, peer: str) -> None:
+        """
+        Record that the request is sent to an upstream or to another entry.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the upstream, or address of the entry.
+        """
+        self.last_upstream = peer
+        # Until a refusal has been read, assume that the request runs there.
+        self.may_have_run = True
+        # A cancelled attempt may have left a part of an event, which belongs to its run only.
+        self.splitter.discard_partial()
+
     def record_first_event(self, now: float) -> None:
         """Record the start of the stream; from now on only the deadline cancels the request."""
         self.first_event_at = now
--- a/marigoldtrail/relay/sender.py
+++ b/marigoldtrail/relay/sender.py
@@ -122,7 +122,6 @@
             self._monitor.record_failure(upstream.name, is_dead=True)
             return conn
         exchange.sends += 1
-        exchange.last_upstream = upstream.name
         self._monitor.start_request(upstream.name, prefill_tokens)
         self._contact.start_request()
         reservation = PrefillReservation(
@@ -163,9 +162,8 @@
         )
         request = exchange.request
         headers = self._header_codec.build_request_headers(request.headers, forwarding)
-        # Until a refusal has been read, assume that the upstream runs the request.
         had_not_run = not exchange.may_have_run
-        exchange.may_have_run = True
+        exchange.start_send(upstream.name)
         exchange.runs += 1
         conn.prepare_request(
             request.method,
@@ -297,7 +295,6 @@
         while True:
             data = await self._read_events(exchange, conn, stall_timer)
             if isinstance(data, Failure):
-                splitter.discard_partial()
                 return data
             if not is_admitted:
                 failure = await self._admit_stream(exchange, upstream)
@@ -310,7 +307,6 @@
             events = splitter.feed(data)
             attempt.count_events(splitter.count - count_before)
             if splitter.is_event_too_long:
-                splitter.discard_partial()
                 return conn.make_failure(Reason.BAD_ANSWER, "an event without end")
             if events:
                 if exchange.first_event_at is None:
--- a/marigoldtrail/relay/tests/test_peer_forwarding.py
+++ b/marigoldtrail/relay/tests/test_peer_forwarding.py
@@ -161,3 +161,30 @@
         )
         assert EVENT in data and not data.endswith(b"0\r\n\r\n")
         assert harness.relay.requests == 0
+
+
+async def test_part_of_an_event_is_not_joined_to_the_events_of_another_entry(
+    autojump_clock, nursery
+):
+    """Guards against an answer whose first event holds bytes of two runs."""
+
+    async def stop_within_event(stream):
+        await read_request(stream)
+        await stream.send_all(STREAM_HEAD + chunk(b"id: 1\ndata: part of"))
+        await trio.sleep(100)
+
+    async def run_again(stream):
+        await read_request(stream)
+        await stream.send_all(STREAM_HEAD + chunk(EVENT) + b"0\r\n\r\n")
+
+    harness = await start(
+        nursery, run_again, RouteKind.STREAMING, is_resumable=True, max_attempts=2
+    )
+    harness.reachability.is_cut_off = False
+    await harness.add_upstream(0, stop_within_event)
+    stream = await harness.connect()
+    await stream.send_all(make_request(method="POST", body=b"b"))
+    await trio.sleep(0.6)
+    harness.reachability._change(True)
+    data = await read_all(stream)
+    assert data.endswith(chunk(EVENT) + b"0\r\n\r\n") and b"part of" not in data
