Send nothing after a write to a caller that was cancelled

On the paths of the fault before: an attempt that is cancelled while a body part is being written leaves a part of a chunk with the caller. The connection was marked as broken, but a later attempt could still have written to it, so that the caller reads its events as the rest of the chunk. This was found by reading and not seen to happen: today the only attempts that are cancelled within an answer are those of a host that is cut off, and none follows while it is.

Change: a write to a connection that is marked as broken raises.

The new test failed before (no exception was raised).

--- a/marigoldtrail/relay/caller_connection.py
+++ b/marigoldtrail/relay/caller_connection.py
@@ -324,6 +324,8 @@
         await self._send(data)
 
     async def _send(self, data: bytes) -> None:
+        if self.is_broken:
+            raise trio.BrokenResourceError("an earlier write did not complete")
         try:
             await self._stream.send_all(data)
         except BaseException:
--- a/marigoldtrail/relay/tests/test_connection_end.py
+++ b/marigoldtrail/relay/tests/test_connection_end.py
@@ -6,6 +6,7 @@
 import trio
 
 from marigoldtrail.net import Address, TcpNetwork
+from marigoldtrail.relay.caller_connection import CallerConnection
 from marigoldtrail.relay.tests.helpers import (
     RelayHarness,
     make_request,
@@ -14,7 +15,7 @@
     reply_with,
 )
 from marigoldtrail.relay.tests.test_relay import EVENTS, STREAM_HEAD, chunk
-from marigoldtrail.routing import RouteKind
+from marigoldtrail.routing import Limits, RouteKind
 
 
 def count(harness, sample):
@@ -78,3 +79,35 @@
         with pytest.raises(trio.BrokenResourceError):
             while await stream.receive_some():
                 pass
+
+
+async def test_nothing_follows_a_write_that_was_cancelled(autojump_clock):
+    """Guards against events behind a chunk of which only a part was sent."""
+
+    class SlowStream:
+        """A stream whose peer reads only ten bytes of a body part."""
+
+        def __init__(self):
+            self.sent = b""
+            self.is_blocked = False
+
+        async def receive_some(self, max_bytes):
+            return make_request()
+
+        async def send_all(self, data):
+            self.sent += data[:10] if self.is_blocked else data
+            if self.is_blocked:
+                await trio.sleep_forever()
+
+    stream = SlowStream()
+    conn = CallerConnection(stream=stream, limits=Limits)
+    await conn.read_request()
+    await conn.start_response(200, [])
+    stream.is_blocked = True
+    with trio.move_on_after(1):
+        await conn.send_body_part(EVENTS[0])
+    stream.is_blocked = False
+    sent = stream.sent
+    with pytest.raises(trio.BrokenResourceError):
+        await conn.send_body_part(EVENTS[1])
+    assert stream.sent == sent
