Give orders on data centres no effect after a later one

Cause: such orders were decided by who comes last at the leader. An endpoint did not notice that the caller had left while it handled a request, and no number tied the command to the time of the order, so that a follower, the leader or its lock could hold it up for any time. An order that seemed to change nothing was acknowledged without a command, though an opposite one could still be committed after it.

Change: the host first reads the number of the data centre's last change behind a read barrier, and sends the order with it; the log accepts it only under the next number, and each order takes one. An endpoint cancels the handling of a request whose caller has closed. Both directions work with hosts of the release before.

--- a/marigoldtrail/consensus/group.py
+++ b/marigoldtrail/consensus/group.py
@@ -14,7 +14,11 @@
 from marigoldtrail.consensus.log import COMMAND, MEMBERS, encode_voters
 from marigoldtrail.consensus.membership import list_learners
 from marigoldtrail.consensus.primitives import Proposal, StateMachine
-from marigoldtrail.consensus.replication import get_confirmed_read_round, request_read_round
+from marigoldtrail.consensus.replication import (
+    get_confirmed_read_round,
+    get_quorum_contact_time,
+    request_read_round,
+)
 from marigoldtrail.consensus.state import (
     LEADER,
     GroupState,
@@ -130,6 +134,17 @@
         """The current term."""
         return self._state.term
 
+    @property
+    def contact_time(self) -> float:
+        """
+        Monotonic time in seconds of the last contact with the leader, or with a quorum as leader.
+
+        Negative infinity if there was none yet.
+        """
+        if self.is_leader:
+            return get_quorum_contact_time(self._state)
+        return self._state.leader_contact_at
+
     @property
     def applied_index(self) -> int:
         """Index of the last entry that was applied to the state machine."""
--- a/marigoldtrail/registry/service.py
+++ b/marigoldtrail/registry/service.py
@@ -23,6 +23,7 @@
 from marigoldtrail.schema.generated.registry import (
     EntryList,
     GetRoutes,
+    GetTakeout,
     HostReport,
     HostReportReply,
     ListEntries,
@@ -36,6 +37,7 @@
     RoutesReply,
     SetTakeout,
     SubmitRoutes,
+    TakeoutReply,
     TakePlace,
     TrialReply,
     UpstreamEntry,
@@ -60,6 +62,8 @@
 MAX_FAULTS = 50
 MAX_FAULT_CHARS = 300
 OPERATOR = "platform"
+# In place of the number of the last change: the one in force when the order is handled.
+NUMBER_IN_FORCE = -1
 
 _log = logging.getLogger(__name__)
 
@@ -92,7 +96,6 @@
         "_read_upstreams",
         "_timers",
         "_registry",
-        "_takeout_lock",
         "_versions",
     )
 
@@ -113,7 +116,6 @@
         self._read_upstreams = read_upstreams
         self._timers = timers
         self._registry: RegistryState | None = None
-        self._takeout_lock = trio.Lock()
         self._versions = VersionService(group=group, machine=machine, timers=timers)
 
     def get_handlers(self) -> Handlers:
@@ -128,6 +130,7 @@
         return {
             HostReport: self._handle_report,
             SubmitRoutes: self._submit_routes,
+            GetTakeout: self._get_takeout,
             SetTakeout: self._set_takeout,
             GetRoutes: self._get_routes,
             RequestTrial: self._request_trial,
@@ -319,29 +322,53 @@
             return failure
         return RoutesOutcome(outcome="in_force", version=version)
 
+    async def _get_takeout(self, request: GetTakeout, sender: str) -> TakeoutReply | Failure:
+        if not self._group.is_leader:
+            return self._not_leader("GetTakeout")
+        failure = await self._group.read_barrier(timeout_s=BARRIER_TIMEOUT_S)
+        if failure is not None:
+            return failure
+        entry = self._machine.state.services.get(make_data_centre_key(request.data_centre))
+        return TakeoutReply(number=entry.current.number if entry else 0)
+
     async def _set_takeout(self, request: SetTakeout, sender: str) -> RoutesOutcome | Failure:
+        """
+        Put an order in force unless another one was since its operator was known to wait.
+
+        Each order takes a number, also if it changes nothing: an opposite one that is older may
+        still be on its way, and has no effect once its number is taken.
+        """
         if not self._group.is_leader:
             return self._not_leader("SetTakeout")
-        async with self._takeout_lock:
-            failure = await self._group.read_barrier(timeout_s=BARRIER_TIMEOUT_S)
-            if failure is not None:
-                return failure
-            entry = self._machine.state.services.get(f"data_centre/{request.data_centre}")
-            state: Literal["in", "out"] = "out" if request.out else "in"
-            if (entry.current.state if entry else "in") == state:
-                return RoutesOutcome(outcome="in_force")
-            command = PutService(
+        after = request.after
+        if after == NUMBER_IN_FORCE:
+            last = await self._get_takeout(GetTakeout(data_centre=request.data_centre), sender)
+            if isinstance(last, Failure):
+                return last
+            after = last.number
+        state: Literal["in", "out"] = "out" if request.out else "in"
+        reply = await self._propose(
+            PutService(
                 kind="data_centre",
                 name=request.data_centre,
                 state=state,
-                number=(entry.current.number if entry else 0) + 1,
+                number=after + 1,
                 operator=OPERATOR,
                 wall_ms=self._timers.wall_ms(),
             )
-            reply = await self._propose(command)
+        )
         if isinstance(reply, Failure):
             return reply
-        _log.info("data centre set", extra={"subject": request.data_centre, "state": state})
+        if reply.outcome not in ("accepted", "repeated"):
+            _log.info(
+                "order on a data centre has no effect after a later one",
+                extra={"subject": request.data_centre, "state": state, "number": after + 1},
+            )
+            return self._refuse(Reason.STALE_EPOCH, "SetTakeout", detail="a later order came first")
+        _log.info(
+            "data centre set",
+            extra={"subject": request.data_centre, "state": state, "number": after + 1},
+        )
         return RoutesOutcome(outcome="in_force")
 
     async def _get_routes(self, request: GetRoutes, sender: str) -> RoutesReply | Failure:
@@ -439,6 +466,11 @@
     return table
 
 
+def make_data_centre_key(data_centre: str) -> str:
+    """Return the key of a data centre among the services of the state machine."""
+    return f"data_centre/{data_centre}"
+
+
 def list_takeouts(machine: ConfigMachine) -> list[str]:
     """Return the data centres that are out of service."""
     entries = machine.state.services.values()
--- a/marigoldtrail/relay/endpoints.py
+++ b/marigoldtrail/relay/endpoints.py
@@ -61,7 +61,9 @@
             if isinstance(request, Refusal):
                 await conn.send_response(request.status, [(b"connection", b"close")], b"")
                 break
-            reply = await handle_guarded(handler, request)
+            reply = await handle_while_connected(conn, handler, request)
+            if reply is None:
+                return
             await conn.send_response(reply.status, reply.headers, reply.body)
             if not conn.prepare_next_request():
                 break
@@ -78,6 +80,39 @@
             _log.info("data of a caller was dropped at an endpoint", extra={"bytes": dropped})
 
 
+async def handle_while_connected(
+    conn: CallerConnection, handler: Handler, request: CallerRequest
+) -> Reply | None:
+    """
+    Return the reply of a handler; cancel it if the caller closes the connection.
+
+    Parameters
+    ----------
+    conn : CallerConnection
+        The connection.
+    handler : callable
+        Returns the reply to a request.
+    request : CallerRequest
+        The request.
+
+    Returns
+    -------
+    Reply or None
+        The reply; None if the caller has left, whose order must not take effect any more.
+    """
+    reply: Reply | None = None
+
+    async def watch(scope: trio.CancelScope) -> None:
+        await conn.wait_closed()
+        scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch, nursery.cancel_scope)
+        reply = await handle_guarded(handler, request)
+        nursery.cancel_scope.cancel()
+    return reply
+
+
 async def handle_guarded(handler: Handler, request: CallerRequest) -> Reply:
     """
     Return the reply of a handler, or one with status 500 if it raises an exception.
--- a/marigoldtrail/site/control_host.py
+++ b/marigoldtrail/site/control_host.py
@@ -15,6 +15,7 @@
 from marigoldtrail.registry import PeerAddresses, RegistryService, bootstrap_group
 from marigoldtrail.routing import Limits
 from marigoldtrail.site.components import HostComponents
+from marigoldtrail.site.continuity import ContinuityMonitor
 from marigoldtrail.site.lookup import make_entry_finder
 from marigoldtrail.site.operations import Operations
 from marigoldtrail.storage import Disk
@@ -40,7 +41,7 @@
         Data folder of the host.
     """
 
-    __slots__ = ("components", "groups", "registry", "pieces", "operations")
+    __slots__ = ("components", "groups", "registry", "pieces", "continuity", "operations")
 
     def __init__(self, *, components: HostComponents, disk: Disk) -> None:
         self.components = components
@@ -85,9 +86,14 @@
         components.metrics.add_gauge(
             "applied_index", "Last applied entry of the log.", lambda: group.applied_index
         )
+        self.continuity = ContinuityMonitor(
+            get_contact_time=lambda: group.contact_time, timers=components.timers
+        )
         self.operations = Operations(
             finder=components.reporter.finder,
             fleet_state=components.fleet_state,
+            continuity=self.continuity,
+            timers=components.timers,
             data_centres=lambda: {components.cfg.data_centre},
         )
 
@@ -121,6 +127,7 @@
             await nursery.start(self.groups.run)
             await nursery.start(components.serve_metrics)
             nursery.start_soon(self.registry.run)
+            nursery.start_soon(self.continuity.run)
             nursery.start_soon(self.pieces.run)
             nursery.start_soon(components.reporter.run)
             await nursery.start(
--- a/marigoldtrail/site/operations.py
+++ b/marigoldtrail/site/operations.py
@@ -2,25 +2,34 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 
-from marigoldtrail.errors import Failure
+from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.fleet import CONFIG_GROUP
 from marigoldtrail.fleet.leaders import LeaderFinder
-from marigoldtrail.registry import FleetState
+from marigoldtrail.registry import NUMBER_IN_FORCE, FleetState
 from marigoldtrail.schema.generated.registry import (
     GetRoutes,
+    GetTakeout,
     RoutesOutcome,
     RoutesReply,
     SetTakeout,
     SubmitRoutes,
+    TakeoutReply,
 )
+from marigoldtrail.site.continuity import ContinuityMonitor
+from marigoldtrail.timers import Timers
 
 # An operator tries another host after 1 s.
 CALL_TIMEOUT_S = 0.9
 ATTEMPT_TIMEOUT_S = 0.8
 # Documents of many routes take longer to send and to check.
 TIMEOUT_S_PER_BYTE = 1 / 200_000
+# With the longest pause that `ContinuityMonitor` tolerates, less than an operator waits.
+READ_TAKEOUT_TIMEOUT_S = 0.4
+
+_log = logging.getLogger(__name__)
 
 
 class Operations:
@@ -33,21 +42,29 @@
         Finds and calls the leader.
     fleet_state : FleetState
         Source of the data centres seen so far.
+    continuity : ContinuityMonitor
+        Tells whether an order was sent recently.
+    timers : Timers
+        Clock.
     data_centres : callable
         Returns the data centres in the settings.
     """
 
-    __slots__ = ("_finder", "_fleet_state", "_data_centres")
+    __slots__ = ("_finder", "_fleet_state", "_continuity", "_timers", "_data_centres")
 
     def __init__(
         self,
         *,
         finder: LeaderFinder,
         fleet_state: FleetState,
+        continuity: ContinuityMonitor,
+        timers: Timers,
         data_centres: Callable[[], set[str]],
     ) -> None:
         self._finder = finder
         self._fleet_state = fleet_state
+        self._continuity = continuity
+        self._timers = timers
         self._data_centres = data_centres
 
     def is_data_centre(self, name: str) -> bool:
@@ -67,15 +84,60 @@
         )
 
     async def set_takeout(self, data_centre: str, *, out: bool) -> RoutesOutcome | Failure:
-        """Take a data centre out of service or back in."""
+        """
+        Take a data centre out of service or back in, for an operator that waits for the answer.
+
+        The operator may have left the order and sent another one elsewhere. So the number of the
+        last change is read first; it was still waiting then if this host had no interruption, and
+        the order has no effect after any later change.
+
+        Parameters
+        ----------
+        data_centre : str
+            The data centre.
+        out : bool
+            Whether to take it out of service.
+
+        Returns
+        -------
+        RoutesOutcome or Failure
+            ``STALE_EPOCH`` if the order may be an old one, or another one came first.
+        """
+        started = self._timers.now()
+        last = await self._read_last_change(data_centre)
+        if isinstance(last, Failure):
+            return last
+        if not self._continuity.is_continuous():
+            _log.info(
+                "order on a data centre refused, since it may be an old one",
+                extra={"subject": data_centre},
+            )
+            return Failure(
+                reason=Reason.STALE_EPOCH,
+                run_state=RunState.NOT_RUN,
+                step="takeout",
+                detail="the order may be older than its operator waits",
+            )
         return await self._finder.call(
             CONFIG_GROUP,
-            SetTakeout(data_centre=data_centre, out=out),
+            SetTakeout(data_centre=data_centre, out=out, after=last),
             RoutesOutcome,
-            timeout_s=CALL_TIMEOUT_S,
+            timeout_s=CALL_TIMEOUT_S - (self._timers.now() - started),
             attempt_timeout_s=ATTEMPT_TIMEOUT_S,
         )
 
+    async def _read_last_change(self, data_centre: str) -> int | Failure:
+        """Return the number of the last change; `NUMBER_IN_FORCE` from an earlier release."""
+        reply = await self._finder.call(
+            CONFIG_GROUP,
+            GetTakeout(data_centre=data_centre),
+            TakeoutReply,
+            timeout_s=READ_TAKEOUT_TIMEOUT_S,
+        )
+        if isinstance(reply, TakeoutReply):
+            return reply.number
+        return NUMBER_IN_FORCE if reply.reason is Reason.BAD_REQUEST else reply
+
     async def get_routes(self) -> RoutesReply | Failure:
         """Return the configuration in force, confirmed by a quorum."""
         return await self._finder.call(
--- a/marigoldtrail/timers/service.py
+++ b/marigoldtrail/timers/service.py
@@ -47,6 +47,11 @@
         return trio.current_time()
 
 
+def measure_suspension_s() -> float:
+    """Return the seconds since boot for which the machine was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.clock_gettime(time.CLOCK_MONOTONIC)
+
+
 class Timers:
     """
     Clock and timer service of one node.
@@ -57,14 +62,21 @@
         Returns the wall time in seconds; only for timestamps, never to measure a duration.
     seed : int or None
         Seed of the jitter; None for a random seed.
+    get_suspension_s : callable
+        Returns the seconds for which the machine was suspended.
     """
 
-    __slots__ = ("_wall_clock", "_rng")
+    __slots__ = ("_wall_clock", "_rng", "_get_suspension_s")
 
     def __init__(
-        self, *, wall_clock: Callable[[], float] = time.time, seed: int | None = None
+        self,
+        *,
+        wall_clock: Callable[[], float] = time.time,
+        seed: int | None = None,
+        get_suspension_s: Callable[[], float] = measure_suspension_s,
     ) -> None:
         self._wall_clock = wall_clock
+        self._get_suspension_s = get_suspension_s
         self._rng = random.Random(seed)
 
     def now(self) -> float:
@@ -78,6 +90,17 @@
         """
         return trio.current_time()
 
+    def elapsed_s(self) -> float:
+        """
+        Return the monotonic time with the time for which the machine was suspended.
+
+        Returns
+        -------
+        float
+            Seconds since an unspecified start; only differences are meaningful.
+        """
+        return trio.current_time() + self._get_suspension_s()
+
     def wall_ms(self) -> int:
         """
         Return the wall time.
