Require a key when the list of client accounts is empty

Cause: parse_config tested the optional list of accounts by its truth, so that an empty list counted as a configuration without accounts, which needs no keys.

Change: the list is compared with None.

Tests of formats, odd configurations and routing pass.

--- a/marigoldtrail/platform/documents.py
+++ b/marigoldtrail/platform/documents.py
@@ -128,7 +128,8 @@
     except DECODE_ERRORS as exc:
         return f"config: {exc}"
     accounts = None
-    if cfg.tenants:
+    # With an empty list all keys have been taken away; without a list no keys are needed.
+    if cfg.tenants is not None:
         accounts = tuple(
             ClientAccount(name=item.name, keys=tuple(item.api_keys), priority=item.priority)
             for item in cfg.tenants
