Leave a silent upstream only for one that has taken the request

Four streams that would have been complete in time were broken off, two of them beside a SIGHUP of their entry.

Cause: a move asked for budget, permit and connection, and left the upstream before the other one had answered. Safe requests that take unusually long moved in the same way.

Change: the request is sent to the other upstream while the first stays open. The other one has taken it if it does not refuse for 0.2 s or begins to respond with success; only then is the first one left. An event of the first one ends the offer. Upstreams that refuse or fail are passed over for the next.

All tests of relay and platform pass.

--- a/marigoldtrail/relay/attempts.py
+++ b/marigoldtrail/relay/attempts.py
@@ -15,6 +15,7 @@
 from marigoldtrail.relay.responses import CompleteResponse, StreamForwarded
 from marigoldtrail.relay.sender import Sender
 from marigoldtrail.relay.stream_admission import StreamAdmission
+from marigoldtrail.relay.transmission import Transmission
 from marigoldtrail.relay.upstream_chooser import DEFAULT_DURATION_S
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
 from marigoldtrail.routing import RouteKind, Upstream
@@ -77,7 +78,7 @@
         self._timers = timers
 
     async def send(
-        self, exchange: Exchange, upstream: Upstream
+        self, exchange: Exchange, upstream: Upstream, *, taken: Transmission | None = None
     ) -> CompleteResponse | StreamForwarded | Failure:
         """
         Send a request to an upstream; see `Sender.send`.
@@ -88,34 +89,33 @@
             The request.
         upstream : Upstream
             The upstream.
+        taken : Transmission or None
+            The transmission if the upstream has taken the request already.
 
         Returns
         -------
         CompleteResponse, StreamForwarded or Failure
             The result; a failure with reason ``TIMEOUT`` if the attempt was given up.
         """
-        prefill = 0
-        if exchange.service.engine is not None:
-            _, shared = exchange.get_shared_prefix()
-            prefill = max(0, exchange.info.prompt_tokens - shared)
         self._admission.start_recording(exchange, upstream)
-        sends_before = exchange.sends
+        reads_before = exchange.reads
         result: CompleteResponse | StreamForwarded | Failure | None = None
         async with trio.open_nursery() as nursery:
-            timeout_s = self._get_attempt_timeout_s(exchange, upstream)
+            runs = exchange.runs + (taken is None)
+            timeout_s = self._get_attempt_timeout_s(exchange, upstream, runs=runs)
             if timeout_s is not None:
                 nursery.start_soon(
                     self._cancel_if_slow, exchange, upstream, timeout_s, nursery.cancel_scope
                 )
             with self._cancel_when_cut_off(exchange, nursery.cancel_scope):
-                result = await self._sender.send(exchange, upstream, prefill_tokens=prefill)
+                result = await self._sender.send(exchange, upstream, taken=taken)
             nursery.cancel_scope.cancel()
         if result is not None:
             if _is_left_without_answer(exchange, result):
                 self._abandoned.watch(exchange, upstream)
             return result
         self._monitor.record_failure(upstream.name, is_dead=True)
-        was_sent = exchange.sends > sends_before
+        was_sent = exchange.reads > reads_before
         if was_sent:
             self._abandoned.watch(exchange, upstream)
         return Failure(
@@ -129,7 +129,7 @@
     async def _cancel_if_slow(
         self, exchange: Exchange, upstream: Upstream, timeout_s: float, scope: trio.CancelScope
     ) -> None:
-        """Cancel an attempt that takes unusually long once another upstream may be sent it."""
+        """Cancel an attempt that takes unusually long once another upstream has taken it."""
         await self._timers.sleep(timeout_s)
         while not await self._mover.reserve(exchange, upstream.name):
             await self._timers.sleep(timeout_s)
@@ -143,10 +143,16 @@
             return nullcontext()
         return self._reachability.cancel_when_cut_off(scope)
 
-    def _get_attempt_timeout_s(self, exchange: Exchange, upstream: Upstream) -> float | None:
-        """Return the seconds after which the request is sent to another upstream, if at all."""
+    def _get_attempt_timeout_s(
+        self, exchange: Exchange, upstream: Upstream, *, runs: int
+    ) -> float | None:
+        """
+        Return the seconds after which the request is offered to another upstream, if at all.
+
+        `runs` counts the upstreams that may have started to run it, with this one.
+        """
         route = exchange.route
-        if route.kind is not RouteKind.SAFE or exchange.runs + 1 >= route.max_attempts:
+        if route.kind is not RouteKind.SAFE or runs >= route.max_attempts:
             return None
         usual_s = self._monitor.get_record(upstream.name).duration_s or DEFAULT_DURATION_S
         return max(MIN_ATTEMPT_TIMEOUT_S, ATTEMPT_TIMEOUT_FACTOR * usual_s)
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -20,13 +20,14 @@
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.peer_forwarding import PeerForwarder, make_unforwarded_failure
 from marigoldtrail.relay.pool import ConnectionPool
-from marigoldtrail.relay.request_mover import RequestMover
+from marigoldtrail.relay.request_mover import Assignment, RequestMover
 from marigoldtrail.relay.responses import CompleteResponse, StreamForwarded
 from marigoldtrail.relay.send_gate import SendGate
 from marigoldtrail.relay.sender import Sender
 from marigoldtrail.relay.stage_request import make_stage_request
 from marigoldtrail.relay.stream_admission import StreamAdmission
 from marigoldtrail.relay.stream_versions import StreamVersions
+from marigoldtrail.relay.transmission import Transmitter
 from marigoldtrail.relay.types import HeaderCodec
 from marigoldtrail.relay.upstream_chooser import DEFAULT_DURATION_S, UpstreamChooser
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
@@ -138,18 +139,26 @@
         )
         self._admission = StreamAdmission(fleet_state=fleet_state, versions=versions, timers=timers)
         self._forwarder = forwarder
+        transmitter = Transmitter(
+            pool=pool,
+            contact=contact,
+            monitor=monitor,
+            prompts=fleet_state.prompts,
+            header_codec=header_codec,
+            timers=timers,
+        )
         self._mover = RequestMover(
             chooser=self._chooser,
             gate=gate,
-            pool=pool,
+            monitor=monitor,
+            transmitter=transmitter,
             has_retry=self._has_retry,
             may_send_again=self._may_send_again,
+            on_refused=self._note_failed_send,
+            nursery=nursery,
         )
         sender = Sender(
-            pool=pool,
-            contact=contact,
-            monitor=monitor,
-            prompts=fleet_state.prompts,
+            transmitter=transmitter,
             header_codec=header_codec,
             timers=timers,
             admit_stream=self._admission.admit,
@@ -275,25 +284,19 @@
                 return held
             if self._reachability.is_cut_off:
                 return await self._serve_elsewhere(exchange)
-            if (reserved := self._mover.take(exchange)) is None:
+            assignment = self._mover.take(exchange)
+            if assignment is None:
                 upstream, place = await self._choose_upstream(exchange)
-            else:
-                upstream, place = reserved
-            if upstream is None:
-                break
-            if place is None:
-                continue
-            if exchange.sends > 0 and not (
-                exchange.has_retry_grant or self._may_send_again(exchange.service.name)
-            ):
-                self._gate.release(place, was_rejected=False)
-                break
-            exchange.has_retry_grant = False
-            self._monitor.record_send(upstream, exchange.service)
-            result = await self._send_in_place(exchange, upstream, place)
-            self._metrics.count_send(
-                result.reason.value if isinstance(result, Failure) else "answered"
-            )
+                if upstream is None:
+                    break
+                if place is None:
+                    continue
+                if exchange.sends > 0 and not self._may_send_again(exchange.service.name):
+                    self._gate.release(place, was_rejected=False)
+                    break
+                self._monitor.record_send(upstream, exchange.service)
+                assignment = Assignment(upstream=upstream, place=place)
+            result = await self._send_in_place(exchange, assignment)
             if isinstance(result, StreamForwarded):
                 return result
             if isinstance(result, CompleteResponse):
@@ -302,10 +305,11 @@
                 error_response = result
             else:
                 failure = result
-                self._log_failed_send(exchange, upstream, failure)
                 if result.reason is Reason.NOT_FOUND:
                     return result
-            exchange.tried.add(upstream.name)
+            exchange.tried.add(assignment.upstream.name)
+            if self._mover.has_taken(exchange):
+                continue
             if exchange.may_have_run and not exchange.may_run_again():
                 break
             if exchange.deadline - self._timers.now() < MIN_RETRY_TIME_S:
@@ -336,7 +340,8 @@
             needed_s = DEFAULT_DURATION_S
         return max(0.0, exchange.due_at - needed_s - self._timers.now())
 
-    def _log_failed_send(self, exchange: Exchange, upstream: Upstream, failure: Failure) -> None:
+    def _note_failed_send(self, exchange: Exchange, upstream: Upstream, failure: Failure) -> None:
+        self._metrics.count_send(failure.reason.value)
         _log.info(
             "send failed",
             extra={
@@ -359,16 +364,22 @@
         )
 
     async def _send_in_place(
-        self, exchange: Exchange, upstream: Upstream, place: Place
+        self, exchange: Exchange, assignment: Assignment
     ) -> CompleteResponse | StreamForwarded | Failure:
         """Send a request to an upstream and give its place there back."""
-        was_rejected = False
+        result: CompleteResponse | StreamForwarded | Failure | None = None
         try:
-            result = await self._attempts.send(exchange, upstream)
-            was_rejected = isinstance(result, Failure) and result.reason is Reason.OVERLOADED
-            return result
+            result = await self._attempts.send(
+                exchange, assignment.upstream, taken=assignment.taken
+            )
         finally:
-            self._gate.release(place, was_rejected=was_rejected)
+            was_rejected = isinstance(result, Failure) and result.reason is Reason.OVERLOADED
+            self._gate.release(assignment.place, was_rejected=was_rejected)
+        if isinstance(result, Failure):
+            self._note_failed_send(exchange, assignment.upstream, result)
+        else:
+            self._metrics.count_send("answered")
+        return result
 
     def _has_retry(self, service: str) -> bool:
         return self._get_budget(service).has_room(
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -68,6 +68,8 @@
         Number of upstreams that may have started to run the request.
     sends : int
         Number of times that the request was sent to an upstream.
+    reads : int
+        Number of upstreams and entries whose response was, or is, read.
     tried : set of str
         Upstreams that failed or refused the request.
     splitter : EventSplitter
@@ -82,8 +84,6 @@
     recording : Recording or None
         Record of the version that begins the stream; it is durable before the first event is
         forwarded.
-    has_retry_grant : bool
-        Whether the retry budget has already granted the next send.
     has_trial_grant : bool
         Whether the next send is a trial of a quarantined prompt.
     """
@@ -104,6 +104,7 @@
         "may_have_run",
         "runs",
         "sends",
+        "reads",
         "tried",
         "splitter",
         "stage_run",
@@ -113,7 +114,6 @@
         "scope",
         "stream_version",
         "recording",
-        "has_retry_grant",
         "has_trial_grant",
     )
 
@@ -146,6 +146,7 @@
         self.may_have_run = False
         self.runs = 0
         self.sends = 0
+        self.reads = 0
         self.tried: set[str] = set()
         self.splitter = EventSplitter()
         self.stage_run: StageRun | None = None
@@ -154,7 +155,6 @@
         self.stages_done_at: float | None = None
         self.stream_version: str | None = None
         self.recording: Recording | None = None
-        self.has_retry_grant = False
         self.has_trial_grant = False
         self.scope = trio.CancelScope(deadline=self.start_deadline)
 
@@ -185,9 +185,9 @@
             return max(FIRST_EVENT_STALL_TIMEOUT_S, self.route.target_latency_s)
         return max(MIN_STALL_TIMEOUT_S, STALL_TIMEOUT_GAPS * self.route.max_gap_s)
 
-    def start_send(self, peer: str) -> None:
+    def start_response_of(self, peer: str) -> None:
         """
-        Record that the request is sent to an upstream or to another entry.
+        Prepare to read the response of an upstream or of another entry to the request.
 
         Parameters
         ----------
@@ -195,8 +195,7 @@
             Name of the upstream, or address of the entry.
         """
         self.last_upstream = peer
-        # Until a refusal has been read, assume that the request runs there.
-        self.may_have_run = True
+        self.reads += 1
         # A cancelled attempt may have left a part of an event, which belongs to its run only.
         self.splitter.discard_partial()
 
@@ -305,6 +304,13 @@
         shared = self.info.prefix[:-1]
         return "/".join(part for part, _ in shared), sum(tokens for _, tokens in shared)
 
+    def count_prefill_tokens(self) -> int:
+        """Return the prompt tokens that an engine which has the shared ones must prefill."""
+        if self.service.engine is None:
+            return 0
+        _, shared = self.get_shared_prefix()
+        return max(0, self.info.prompt_tokens - shared)
+
     def may_run_again(self) -> bool:
         """Return whether another upstream may run the request although one may have run it."""
         return self.route.is_idempotent and self.runs < self.route.max_attempts
--- a/marigoldtrail/relay/peer_forwarding.py
+++ b/marigoldtrail/relay/peer_forwarding.py
@@ -157,7 +157,8 @@
         headers = self._header_codec.build_forwarded_headers(request.headers, left_s, self._host)
         conn.prepare_request(request.method, request.target, headers, request.body)
         ran_before = exchange.may_have_run
-        exchange.start_send(address)
+        exchange.may_have_run = True
+        exchange.start_response_of(address)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(conn.send_request)
             head = await conn.read_head()
--- a/marigoldtrail/relay/pool.py
+++ b/marigoldtrail/relay/pool.py
@@ -89,7 +89,7 @@
                 conn.may_have_sent = False
                 return conn
             await conn.aclose()
-        return await self._dial(upstream)
+        return await self.dial(upstream)
 
     def _is_fresh(self, conn: UpstreamConnection, may_repeat: bool) -> bool:
         limit_s = MAX_IDLE_S if may_repeat else MAX_IDLE_UNREPEATABLE_S
@@ -99,7 +99,7 @@
 
     async def probe(self, upstream: Upstream, timeout_s: float) -> bool:
         """Open a connection and keep it idle; return whether that took less than a timeout."""
-        conn = await self._dial(upstream, timeout_s)
+        conn = await self.dial(upstream, timeout_s)
         if isinstance(conn, Failure):
             return False
         idle = self._idle.setdefault(upstream.name, [])
@@ -120,9 +120,24 @@
             await trio.aclose_forcefully(stream)
         return False
 
-    async def _dial(
+    async def dial(
         self, upstream: Upstream, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> UpstreamConnection | Failure:
+        """
+        Open a new connection.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The upstream.
+        timeout_s : float
+            Timeout in seconds.
+
+        Returns
+        -------
+        UpstreamConnection or Failure
+            ``NOT_RUN`` if it could not be opened.
+        """
         detail = f"not connected within {timeout_s} s"
         with trio.move_on_after(timeout_s):
             try:
--- a/marigoldtrail/relay/responses.py
+++ b/marigoldtrail/relay/responses.py
@@ -9,6 +9,7 @@
 from marigoldtrail.relay.upstream_connection import ResponseHead, UpstreamConnection
 
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+HTTP_SUCCESS = range(200, 300)
 HTTP_SERVER_ERROR = 500
 # Statuses that promise to the caller that the request did not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
--- a/marigoldtrail/relay/tests/test_silent_upstreams.py
+++ b/marigoldtrail/relay/tests/test_silent_upstreams.py
@@ -92,6 +92,106 @@
     assert is_whole(data) and not seen
 
 
+REFUSAL = make_response("", status="503 Full", headers="x-not-executed: 1\r\n")
+
+
+async def refuse(stream):
+    while True:
+        await read_request(stream)
+        await stream.send_all(REFUSAL)
+
+
+async def close(stream):
+    await read_request(stream)
+
+
+async def answer_with_error(stream):
+    await read_request(stream)
+    await stream.send_all(make_response("broken", status="500 No"))
+
+
+async def test_silent_upstream_is_kept_while_the_others_do_not_take_its_stream(
+    autojump_clock, nursery
+):
+    """Guards against a stream that is broken off because all other upstreams are full or fail."""
+    for script in (refuse, close, answer_with_error):
+        data = await fetch_paused_stream(nursery, script, script, prepare=lambda harness: None)
+        assert is_whole(data), script
+
+
+async def test_stream_moves_to_an_upstream_with_room_behind_one_without(autojump_clock, nursery):
+    """Guards against a stalled stream that ends because the first of the others refused it."""
+
+    async def resume(stream):
+        assert b"last-event-id: 1" in (await read_request(stream)).lower()
+        await stream.send_all(STREAM_HEAD + b"".join(map(chunk, EVENTS[1:])) + b"0\r\n\r\n")
+
+    data = await fetch_paused_stream(
+        nursery, refuse, refuse, resume, prepare=lambda harness: None, silence_s=9.0
+    )
+    assert is_whole(data) and [data.count(event) for event in EVENTS] == [1, 1, 1]
+
+
+async def test_event_of_the_silent_upstream_wins_over_the_other_one(autojump_clock, nursery):
+    """Guards against events of two upstreams, and work at one that is not needed."""
+    closed_at = []
+
+    async def run_silently(stream):
+        await read_request(stream)
+        assert not await stream.receive_some(1)
+        closed_at.append(trio.current_time())
+
+    data = await fetch_paused_stream(
+        nursery, run_silently, prepare=lambda harness: None, silence_s=0.9
+    )
+    # The close takes as long to arrive as the end of the response.
+    await trio.sleep(0.05)
+    assert is_whole(data)
+    assert closed_at and trio.current_time() - closed_at[0] < 0.1
+
+
+async def test_stalled_stream_leaves_its_upstream_soon_after_the_other_has_taken_it(
+    autojump_clock, nursery
+):
+    """Guards against a run at two upstreams for over 0.4 s."""
+    left_at, taken_at = [], []
+
+    async def stall(stream):
+        await read_request(stream)
+        await stream.send_all(STREAM_HEAD + chunk(EVENTS[0]))
+        await stream.receive_some(1)
+        left_at.append(trio.current_time())
+
+    async def run_late(stream):
+        await read_request(stream)
+        taken_at.append(trio.current_time())
+        await trio.sleep(0.6)
+        await stream.send_all(STREAM_HEAD + b"".join(map(chunk, EVENTS[1:])) + b"0\r\n\r\n")
+
+    harness = RelayHarness(
+        nursery, RouteKind.STREAMING, is_resumable=True, max_attempts=2, max_gap_s=0.2
+    )
+    await harness.start(stall)
+    nursery.start_soon(add_late, harness, 1, run_late, lambda harness: None)
+    assert is_whole(await harness.fetch(make_request()))
+    assert 0 < left_at[0] - taken_at[0] < 0.3
+
+
+async def test_safe_request_is_kept_while_the_others_refuse_it(autojump_clock, nursery):
+    """Guards against a failure in place of the late answer of an upstream that was silent."""
+
+    async def answer_late(stream):
+        await read_request(stream)
+        await trio.sleep(0.7)
+        await stream.send_all(make_response("late"))
+
+    harness = RelayHarness(nursery, RouteKind.SAFE, max_attempts=3)
+    await harness.start(answer_late)
+    for number in (1, 2):
+        nursery.start_soon(add_late, harness, number, refuse, lambda harness: None)
+    assert (await harness.fetch(make_request())).endswith(b"late")
+
+
 async def test_silent_upstream_of_a_safe_request_is_kept_while_no_other_takes_it(
     autojump_clock, nursery
 ):
--- a/marigoldtrail/relay/upstream_connection.py
+++ b/marigoldtrail/relay/upstream_connection.py
@@ -139,6 +139,11 @@
             return not self._stream.socket.is_readable()
         return True
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether the whole current request was sent."""
+        return self._is_sent
+
     def is_reusable(self) -> bool:
         """Return whether the last request is complete and another one may follow."""
         return (
