Continue a stream only with events

With 200 and plain text, 201 or 206, text with blank lines was forwarded as events of the stream.

Cause: any status from 200 to 299 counted as a stream of events.

Change: only status 200 with the type text/event-stream, or without a type, does. Another answer to a stream that has begun is a failure of that upstream, so that the next one is tried; to a request without a stream it is returned whole. Forwarding through another entry uses the same rule.

--- a/marigoldtrail/relay/peer_forwarding.py
+++ b/marigoldtrail/relay/peer_forwarding.py
@@ -16,6 +16,7 @@
     NOT_RUN_STATUSES,
     CompleteResponse,
     StreamForwarded,
+    is_event_stream,
     read_body,
 )
 from marigoldtrail.relay.types import HeaderCodec
@@ -33,8 +34,6 @@
 # A caller may try another entry at once.
 RETRY_AFTER_S = 0.05
 
-HTTP_OK = 200
-
 # Asks the leader for the entries that reach upstreams.
 ListEntriesFn = Callable[[], Awaitable[EntryList | Failure]]
 
@@ -164,7 +163,7 @@
             head = await conn.read_head()
             if isinstance(head, Failure):
                 result: CompleteResponse | StreamForwarded | Failure = head
-            elif exchange.is_stream and head.status == HTTP_OK:
+            elif exchange.is_stream and is_event_stream(head):
                 result = await self._forward_stream(exchange, conn, head)
             else:
                 result = await self._read_response(conn, head)
--- a/marigoldtrail/relay/responses.py
+++ b/marigoldtrail/relay/responses.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 
 from marigoldtrail.errors import Failure, Reason, RunState
@@ -9,11 +11,13 @@
 from marigoldtrail.relay.upstream_connection import ResponseHead, UpstreamConnection
 
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
-HTTP_SUCCESS = range(200, 300)
+HTTP_OK = 200
 HTTP_SERVER_ERROR = 500
 # Statuses that promise to the caller that the request did not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
+EVENT_STREAM_TYPE = re.compile(rb"\s*text/event-stream\s*(;|$)", re.IGNORECASE)
+
 
 class CompleteResponse(msgspec.Struct, kw_only=True, frozen=True):
     """
@@ -71,6 +75,25 @@
             return conn.make_failure(Reason.BAD_ANSWER, f"more than {MAX_BUFFERED_BYTES} bytes")
 
 
+def is_event_stream(head: ResponseHead) -> bool:
+    """
+    Return whether a response is a stream of events.
+
+    Parameters
+    ----------
+    head : ResponseHead
+        Head of the response.
+
+    Returns
+    -------
+    bool
+        False for another status than 200 or another type of content. A missing type is accepted.
+    """
+    types = [value for name, value in head.headers if name == b"content-type"]
+    is_of_events = all(EVENT_STREAM_TYPE.match(value) for value in types)
+    return head.status == HTTP_OK and is_of_events
+
+
 def make_refusal_failure(upstream: str, head: ResponseHead) -> Failure:
     """
     Return the failure for a response which states that the request was not run.
--- a/marigoldtrail/relay/sender.py
+++ b/marigoldtrail/relay/sender.py
@@ -10,10 +10,10 @@
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.request_mover import RequestMover
 from marigoldtrail.relay.responses import (
-    HTTP_SUCCESS,
     NOT_RUN_STATUSES,
     CompleteResponse,
     StreamForwarded,
+    is_event_stream,
     read_body,
 )
 from marigoldtrail.relay.stall_timer import StallTimer
@@ -143,8 +143,11 @@
             return tx.conn.make_failure(
                 Reason.BAD_ANSWER, f"status {head.status} of a request that may have run"
             )
-        if exchange.is_stream and head.status in HTTP_SUCCESS:
+        if exchange.is_stream and is_event_stream(head):
             return await self._forward_stream(exchange, tx, head)
+        if exchange.conn.has_started:
+            detail = f"status {head.status}, or no events, in place of the rest of a stream"
+            return tx.conn.make_failure(Reason.BAD_ANSWER, detail)
         body = await read_body(tx.conn)
         if isinstance(body, Failure):
             return body
--- a/marigoldtrail/relay/transmission.py
+++ b/marigoldtrail/relay/transmission.py
@@ -11,9 +11,9 @@
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.prefill import PrefillReservation
 from marigoldtrail.relay.responses import (
-    HTTP_SUCCESS,
     CompleteResponse,
     StreamForwarded,
+    is_event_stream,
     make_refusal_failure,
 )
 from marigoldtrail.relay.types import Forwarding, HeaderCodec
@@ -247,8 +247,7 @@
             failure = find_fault(tx, tx.head)
             if failure is not None:
                 return failure
-            is_usable = tx.head.status in HTTP_SUCCESS or not exchange.is_stream
-            if not is_usable:
+            if exchange.is_stream and not is_event_stream(tx.head):
                 return conn.make_failure(Reason.UPSTREAM_ERROR, f"status {tx.head.status}")
         if not conn.is_sent:
             return conn.make_failure(Reason.TIMEOUT, "the request could not be sent in time")
