Bind streams to the version at which their upstream is listed later

Cause: a stream was bound to the version at which its upstream was listed at its first event; later lists were not compared.

Change: each part of a stream with events is compared with the list. If its upstream is listed at another version and still writes 0.3 s later, the stream is bound to that version, and the leader records it. A stream that breaks before may be of either version: it is continued at neither, and the leader records that its version is unknown.

Tests of relay, registry, stream versions, hosts out of step and two releases pass.

--- a/marigoldtrail/registry/fleet_state.py
+++ b/marigoldtrail/registry/fleet_state.py
@@ -175,6 +175,23 @@
         oldest = self._timers.now() - LEAVING_FALLBACK_S
         return [u for u in listed if self._leaving_since.get(u.name, 0.0) >= oldest]
 
+    def find_other_version(self, upstream: Upstream) -> Upstream | None:
+        """
+        Return a later start of an upstream, at another version, that the list shows in its place.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            An upstream as it was listed before.
+
+        Returns
+        -------
+        Upstream or None
+            None if it is listed as before, at the same version, or not at all.
+        """
+        listed = self.upstreams.get(upstream.name)
+        return listed if listed is not None and listed.version != upstream.version else None
+
     def list_versions(self, service: str) -> set[str]:
         """Return the software versions of the listed upstreams of a service."""
         return {u.version for u in self.upstreams.values() if u.service == service}
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -25,7 +25,7 @@
 from marigoldtrail.relay.send_gate import SendGate
 from marigoldtrail.relay.sender import Sender
 from marigoldtrail.relay.stage_request import make_stage_request
-from marigoldtrail.relay.stream_admission import StreamAdmission
+from marigoldtrail.relay.stream_admission import StreamAdmission, is_version_unknown
 from marigoldtrail.relay.stream_versions import StreamVersions
 from marigoldtrail.relay.transmission import Transmitter
 from marigoldtrail.relay.types import HeaderCodec
@@ -163,6 +163,7 @@
             timers=timers,
             admit_stream=self._admission.admit,
             on_first_event=self._handle_first_event,
+            note_events=self._admission.note_events,
             mover=self._mover,
         )
         self._abandoned = AbandonedAttempts(
@@ -401,8 +402,7 @@
             )
         return budget
 
-    def _handle_first_event(self, exchange: Exchange, upstream: Upstream) -> None:
-        self._admission.note_first_event(exchange, upstream)
+    def _handle_first_event(self, exchange: Exchange) -> None:
         # An engine that generates has read its inputs, so their results may be evicted. The stages
         # of the few streams that are resumed at another upstream are then run again.
         if exchange.stage_run is not None:
@@ -430,7 +430,11 @@
             run_state=RunState.NOT_RUN,
             step="upstream.choose",
             peer=exchange.service.name,
-            detail=describe_missing_upstream(exchange.stream_version),
+            detail=(
+                "the list shows the upstream of the stream at another version"
+                if is_version_unknown(exchange, self._fleet_state)
+                else describe_missing_upstream(exchange.stream_version)
+            ),
         )
 
 
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -10,7 +10,7 @@
 from marigoldtrail.relay.events import EventSplitter
 from marigoldtrail.relay.stream_versions import Recording, make_stream_key
 from marigoldtrail.relay.types import RequestInfo
-from marigoldtrail.routing import ClientAccount, Route, RouteKind, Service
+from marigoldtrail.routing import ClientAccount, Route, RouteKind, Service, Upstream
 
 # Callers abandon a stream that pauses for longer than the largest of these: a time in seconds, a
 # multiple of the target latency of its route, and a multiple of the route's longest permitted gap.
@@ -84,6 +84,12 @@
     recording : Recording or None
         Record of the version that begins the stream; it is durable before the first event is
         forwarded.
+    source : Upstream or None
+        Upstream that wrote the latest events of the stream, as it was listed when it got the
+        request.
+    relisted_at : float or None
+        Monotonic time in seconds at which that upstream, listed at another version since, first
+        sent something.
     has_trial_grant : bool
         Whether the next send is a trial of a quarantined prompt.
     """
@@ -114,6 +120,8 @@
         "scope",
         "stream_version",
         "recording",
+        "source",
+        "relisted_at",
         "has_trial_grant",
     )
 
@@ -155,6 +163,8 @@
         self.stages_done_at: float | None = None
         self.stream_version: str | None = None
         self.recording: Recording | None = None
+        self.source: Upstream | None = None
+        self.relisted_at: float | None = None
         self.has_trial_grant = False
         self.scope = trio.CancelScope(deadline=self.start_deadline)
 
--- a/marigoldtrail/relay/sender.py
+++ b/marigoldtrail/relay/sender.py
@@ -41,6 +41,8 @@
         Waits until the events of an upstream may be forwarded; returns why they may not.
     on_first_event : callable
         Called when the first event of a stream is received.
+    note_events : callable
+        Called with the upstream of each received part of a stream that holds events.
     mover : RequestMover
         Moves a stalled stream to another upstream.
     """
@@ -51,6 +53,7 @@
         "_timers",
         "_admit_stream",
         "_on_first_event",
+        "_note_events",
         "_mover",
     )
 
@@ -61,7 +64,8 @@
         header_codec: HeaderCodec,
         timers: Timers,
         admit_stream: Callable[[Exchange, Upstream], Awaitable[Failure | None]],
-        on_first_event: Callable[[Exchange, Upstream], None],
+        on_first_event: Callable[[Exchange], None],
+        note_events: Callable[[Exchange, Upstream], None],
         mover: RequestMover,
     ) -> None:
         self._transmitter = transmitter
@@ -69,6 +73,7 @@
         self._timers = timers
         self._admit_stream = admit_stream
         self._on_first_event = on_first_event
+        self._note_events = note_events
         self._mover = mover
 
     async def send(
@@ -198,7 +203,8 @@
             if events:
                 if exchange.first_event_at is None:
                     exchange.record_first_event(self._timers.now())
-                    self._on_first_event(exchange, tx.upstream)
+                    self._on_first_event(exchange)
+                self._note_events(exchange, tx.upstream)
                 tx.prefill.release()
                 await self._start_response(exchange, head)
                 await caller.send_body_part(events)
--- a/marigoldtrail/relay/stream_admission.py
+++ b/marigoldtrail/relay/stream_admission.py
@@ -14,6 +14,10 @@
 # Longest wait of a resumed stream for the first reply of the leader after an interruption.
 MAX_LIST_WAIT_S = 0.6
 LIST_POLL_INTERVAL_S = 0.02
+# Bytes that an earlier process wrote have been read this long after its successor was listed.
+OLD_BYTES_S = 0.3
+# Recorded for a stream whose version is not known; no version begins with a space.
+UNKNOWN_VERSION = " unknown"
 
 
 class StreamAdmission:
@@ -93,11 +97,30 @@
             )
         return None
 
-    def note_first_event(self, exchange: Exchange, upstream: Upstream) -> None:
-        """Bind a new stream to the version of the upstream that wrote its first event."""
-        if exchange.stream_version is not None:
+    def note_events(self, exchange: Exchange, upstream: Upstream) -> None:
+        """
+        Bind a stream to the version of the upstream that has written its events.
+
+        Until the list shows that an upstream has started again at another version, its streams
+        count as those of its earlier version. What it writes after that is of the later one.
+        """
+        if exchange.stream_version is None:
+            self._bind(exchange, upstream)
+        elif exchange.source is None or exchange.source.name != upstream.name:
+            exchange.source, exchange.relisted_at = upstream, None
+        later = self._fleet_state.find_other_version(exchange.source or upstream)
+        if later is None or not exchange.stream_key:
             return
+        now = self._timers.now()
+        if exchange.relisted_at is None:
+            exchange.relisted_at = now
+        elif now >= exchange.relisted_at + OLD_BYTES_S:
+            self._bind(exchange, later)
+            self._versions.start_recording(exchange.stream_key, later.version)
+
+    def _bind(self, exchange: Exchange, upstream: Upstream) -> None:
         exchange.stream_version = upstream.version
+        exchange.source, exchange.relisted_at = upstream, None
         if key := exchange.stream_key:
             self._versions.remember(key, upstream.version)
 
@@ -105,3 +128,28 @@
         """Withdraw the record of a stream that has ended before it was durable."""
         if exchange.recording is not None:
             exchange.recording.is_wanted = False
+        key = exchange.stream_key
+        if key and is_version_unknown(exchange, self._fleet_state):
+            self._versions.remember(key, UNKNOWN_VERSION)
+            self._versions.start_recording(key, UNKNOWN_VERSION)
+
+
+def is_version_unknown(exchange: Exchange, fleet_state: FleetState) -> bool:
+    """
+    Return whether the latest events of a stream may be of either of two versions.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The request.
+    fleet_state : FleetState
+        Upstreams of the fleet.
+
+    Returns
+    -------
+    bool
+        True if the list has come to show its upstream at another version, and it is not known
+        which of the two wrote them.
+    """
+    source = exchange.source
+    return source is not None and fleet_state.find_other_version(source) is not None
--- a/marigoldtrail/relay/tests/test_stream_versions.py
+++ b/marigoldtrail/relay/tests/test_stream_versions.py
@@ -198,3 +198,61 @@
     with trio.fail_after(2):
         await recording.wait()
     assert not failures
+
+
+def write_slowly(*, count, breaks_at_s):
+    """Return a script that writes an event each 0.2 s, and closes later."""
+
+    async def script(stream):
+        await read_request(stream)
+        started = trio.current_time()
+        await stream.send_all(HEAD)
+        for number in range(1, count + 1):
+            await stream.send_all(chunk(b"id: %d\ndata: first\n\n" % number))
+            await trio.sleep(0.2)
+        await trio.sleep(started + breaks_at_s - trio.current_time())
+
+    return script
+
+
+async def fetch_relisted_stream(nursery, first, other_version):
+    """
+    Fetch a stream whose upstream the list shows at v2 from 0.5 s on, and at v1 before.
+
+    Return the data, the upstreams that continued it, and the version that the leader recorded.
+    """
+    received = []
+    scripts = [first, write_stream(received=received, label=b"other")]
+    # The long gap prevents moves during the pauses.
+    harness = await start(nursery, scripts, ["v1", other_version], max_gap_s=1.0)
+    harness.monitor.start_pause("i-1", 0.3)
+
+    async def relist():
+        await trio.sleep(0.5)
+        upstreams = harness.fleet_state.upstreams
+        upstreams["i-0"] = msgspec.structs.replace(upstreams["i-0"], version="v2", born_ms=5)
+
+    nursery.start_soon(relist)
+    data = await harness.fetch(make_request(method="POST", body=b"b"))
+    await trio.sleep(0.5)
+    return data, received, harness.leader.recorded.get(make_stream_key("", "id-1"))
+
+
+async def test_stream_begun_before_the_list_shows_a_restart_stays_at_the_later_version(
+    autojump_clock, nursery
+):
+    """Guards against events of two versions after an upstream came back at another one."""
+    for other_version, continued in (("v1", []), ("v2", [b"other"])):
+        first = write_slowly(count=7, breaks_at_s=1.6)
+        data, received, recorded = await fetch_relisted_stream(nursery, first, other_version)
+        assert data.count(b"first") == 7 and received == continued
+        assert data.endswith(b"0\r\n\r\n") == bool(continued) and recorded == "v2"
+
+
+async def test_stream_that_may_be_of_either_version_is_not_continued(autojump_clock, nursery):
+    """Guards against events of two versions if the upstream is silent since it was listed anew."""
+    for other_version in ("v1", "v2"):
+        first = write_slowly(count=2, breaks_at_s=1.0)
+        data, received, recorded = await fetch_relisted_stream(nursery, first, other_version)
+        assert data.count(b"first") == 2 and received == []
+        assert not data.endswith(b"0\r\n\r\n") and recorded == " unknown"
--- a/marigoldtrail/relay/upstream_chooser.py
+++ b/marigoldtrail/relay/upstream_chooser.py
@@ -13,6 +13,7 @@
 )
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.exchange import Exchange
+from marigoldtrail.relay.stream_admission import is_version_unknown
 from marigoldtrail.relay.stream_versions import StreamVersions
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
 from marigoldtrail.routing import Upstream
@@ -56,6 +57,8 @@
 
     def list_upstreams(self, exchange: Exchange) -> list[Upstream]:
         """Return the upstreams that may get the request, or continue its stream."""
+        if is_version_unknown(exchange, self._fleet_state):
+            return []
         service, version = exchange.service.name, exchange.stream_version
         if version is None and self._would_record_wait(exchange):
             default = self._versions.get_default(service)
