Treat the upstreams of a returned data centre as cold at first

Cause: the end of a takeout is in force within milliseconds, while the list shows a cold upstream 0.8 s and more later.

Change: a host treats the upstreams of a data centre that has come back as cold for 2 s, which limits services with a cold rate only.

--- a/marigoldtrail/registry/fleet_state.py
+++ b/marigoldtrail/registry/fleet_state.py
@@ -26,6 +26,9 @@
 # A leaving upstream goes on serving. If all upstreams of a service are leaving, it gets requests
 # for this long after it was first seen to leave.
 LEAVING_FALLBACK_S = 1.0
+# The list shows after this time that an upstream was started shortly before its data centre came
+# back into service, and is cold.
+RETURN_CAUTION_S = 2.0
 
 _log = logging.getLogger(__name__)
 
@@ -96,6 +99,7 @@
         "confirmed_at",
         "_entry_count",
         "_takeouts",
+        "_cold_until",
         "_announced_leaving",
         "_leaving_since",
         "_parse_document",
@@ -122,6 +126,9 @@
         self.revisions: dict[str, int] = {}
         self.confirmed_at = float("-inf")
         self._takeouts: frozenset[str] = frozenset()
+        # Monotonic time in seconds until which the upstreams of a data centre that has come back
+        # into service are treated as cold.
+        self._cold_until: dict[str, float] = {}
         # Upstreams that announced in an answer that they are leaving, with the `born_ms` of the
         # process that announced it.
         self._announced_leaving: dict[str, int] = {}
@@ -298,9 +305,21 @@
             self.changed.notify()
 
     def _apply_takeouts(self, reply: HostReportReply) -> None:
-        if reply.takeouts is not None:
-            self._takeouts = frozenset(reply.takeouts)
-            _log.info("data centres out of service: %s", sorted(self._takeouts))
+        if reply.takeouts is None:
+            return
+        cold_until = self._timers.now() + RETURN_CAUTION_S
+        returned = self._takeouts - set(reply.takeouts)
+        self._cold_until.update(dict.fromkeys(returned, cold_until))
+        self._takeouts = frozenset(reply.takeouts)
+        self.upstreams = {
+            name: (
+                msgspec.structs.replace(upstream, cold_until=max(upstream.cold_until, cold_until))
+                if upstream.data_centre in returned
+                else upstream
+            )
+            for name, upstream in self.upstreams.items()
+        }
+        _log.info("data centres out of service: %s", sorted(self._takeouts))
 
     def _apply_versions(self, reply: HostReportReply) -> None:
         if reply.versions is not None:
@@ -358,7 +377,10 @@
                 data_centre=entry.data_centre,
                 slots=entry.slots,
                 is_leaving=has_announced or entry.state == "draining",
-                cold_until=now + entry.cold_ms / 1000 if entry.cold_ms else 0.0,
+                cold_until=max(
+                    now + entry.cold_ms / 1000 if entry.cold_ms else 0.0,
+                    self._cold_until.get(entry.data_centre, 0.0),
+                ),
                 born_ms=entry.born_ms,
                 version=entry.version,
             )
