Keep the pause of an upstream that the list leaves out for a while

Cause: the records of an upstream were removed when the list left it out, by entries and by the scheduler of stages, and with them the pause.

Change: both keep the pause until it ends.

--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -33,6 +33,7 @@
 FASTER_SHARE = 0.8
 # A call overdue by this much gives no estimate of when its worker is free.
 OVERDUE_S = 0.1
+MAX_REMEMBERED_PAUSES = 256
 MAX_TRIES = 4
 
 
@@ -131,7 +132,7 @@
         Unfinished pieces of the deferred requests, which run after all others.
     """
 
-    __slots__ = ("spec", "workers", "jobs", "planned", "deferred", "_finish_times_s")
+    __slots__ = ("spec", "workers", "jobs", "planned", "deferred", "_pauses", "_finish_times_s")
 
     def __init__(self, *, spec: PieceSpec) -> None:
         self.spec = spec
@@ -139,6 +140,8 @@
         self.jobs: dict[PieceJob, None] = {}
         self.planned: Counter[int] = Counter()
         self.deferred = 0
+        # Pauses that upstreams asked for which are not listed now: name, and time of the end.
+        self._pauses: dict[str, float] = {}
         # Cache during a plan: seconds until a data centre finishes a call, by number of pieces.
         self._finish_times_s: dict[str, dict[int, float]] = {}
 
@@ -146,14 +149,23 @@
         """Replace the list of upstreams; calls in progress at removed ones are not affected."""
         names = {upstream.name for upstream in upstreams}
         for name in [name for name in self.workers if name not in names]:
-            del self.workers[name]
+            self._remember_pause(self.workers.pop(name))
         for upstream in upstreams:
             worker = self.workers.get(upstream.name)
             if worker is None:
-                self.workers[upstream.name] = Worker(upstream=upstream)
+                worker = self.workers[upstream.name] = Worker(upstream=upstream)
+                worker.no_calls_until = self._pauses.pop(upstream.name, 0.0)
+                worker.paused_until = worker.no_calls_until
             else:
                 worker.upstream = upstream
 
+    def _remember_pause(self, worker: Worker) -> None:
+        """Keep the pause that an upstream asked for, in case it is listed again."""
+        if worker.no_calls_until:
+            self._pauses[worker.upstream.name] = worker.no_calls_until
+        while len(self._pauses) > MAX_REMEMBERED_PAUSES:
+            del self._pauses[next(iter(self._pauses))]
+
     def add(self, job: PieceJob) -> None:
         """Queue all pieces of a job."""
         job.waiting += [Piece(job=job, index=index) for index in range(len(job.handles))]
--- a/marigoldtrail/pieces/tests/test_scheduler.py
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -360,3 +360,15 @@
 def add_up_longest(stages, work, number):
     later = [add_up_longest(stages, work, n) for n, s in enumerate(stages) if number in s.after]
     return work[number].run_s + max(later, default=0.0)
+
+
+def test_pause_outlasts_a_list_without_the_upstream():
+    """Guards against calls within the Retry-After of an upstream that was left out for a while."""
+    scheduler = make_scheduler("a")
+    upstreams = [worker.upstream for worker in scheduler.workers.values()]
+    scheduler.workers["w0"].back_off(5.0, 0.0)
+    scheduler.set_upstreams([])
+    scheduler.set_upstreams(upstreams)
+    scheduler.add(make_job("one", 1, start_by=20.0))
+    assert scheduler.plan(1.0) == []
+    assert taken(scheduler.plan(5.0)) == {"w0": ["one"]}
--- a/marigoldtrail/relay/tests/test_upstream_monitor.py
+++ b/marigoldtrail/relay/tests/test_upstream_monitor.py
@@ -103,3 +103,16 @@
     monitor.start_request("e", 100)
     monitor.start_request("plain")
     assert [load.upstream for load in monitor.report_loads()] == ["plain"]
+
+
+async def test_pause_outlasts_a_list_without_the_upstream(autojump_clock):
+    """Guards against requests within the Retry-After of an upstream left out for a while."""
+    _, (monitor,) = make_monitors(1)
+    upstreams = [make_upstream("a"), make_upstream("b")]
+    monitor.start_pause("a", 5.0)
+    monitor.remove_except({"b"})
+    assert [o.name for o in monitor.list_options(upstreams, SERVICE)] == ["b"]
+    await trio.sleep(5.1)
+    assert len(monitor.list_options(upstreams, SERVICE)) == 2
+    monitor.remove_except({"b"})
+    assert "a" not in monitor._records
--- a/marigoldtrail/relay/upstream_monitor.py
+++ b/marigoldtrail/relay/upstream_monitor.py
@@ -324,6 +324,13 @@
         return service is not None and service.engine is not None
 
     def remove_except(self, names: set[str]) -> None:
-        """Remove the records of all other upstreams that have no request in progress."""
-        for name in [n for n, r in self._records.items() if n not in names and not r.requests]:
-            del self._records[name]
+        """
+        Remove the records of all other upstreams that are not needed any more.
+
+        Those with requests in progress are kept, and those that asked for a pause: the list may
+        leave an upstream out for some seconds.
+        """
+        now = self._timers.now()
+        for name, record in list(self._records.items()):
+            if name not in names and not record.requests and record.paused_until <= now:
+                del self._records[name]
