Let no request wait for an answer about a place that it no longer needs

Cause: the question to the leader was shielded from cancellation, so that a place which is granted late is given back, and the request waited for it.

Change: the question runs in a task of the host. A request that ends leaves it, and a place that is granted then is given back.

Tests of ratelimits, relay and brittle upstreams pass.

--- a/marigoldtrail/ratelimits/place_client.py
+++ b/marigoldtrail/ratelimits/place_client.py
@@ -8,10 +8,10 @@
 import msgspec
 import trio
 
-from marigoldtrail.errors import Failure
+from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.ratelimits.book import LimitBook
 from marigoldtrail.schema.generated.registry import PlaceReply, ReleasePlace, TakePlace
-from marigoldtrail.timers import Timers
+from marigoldtrail.timers import Timers, run_guarded
 
 # Longest time that the leader holds the question for a place.
 MAX_HELD_S = 0.2
@@ -43,6 +43,28 @@
     is_needed: bool = True
 
 
+class PlaceQuestion:
+    """
+    A question for a place that is under way, and its answer.
+
+    Attributes
+    ----------
+    reply : PlaceReply, Failure or None
+        The answer; None until it has come.
+    is_left : bool
+        Whether the request no longer waits for it.
+    done : trio.Event
+        Set when the answer has come.
+    """
+
+    __slots__ = ("reply", "is_left", "done")
+
+    def __init__(self) -> None:
+        self.reply: PlaceReply | Failure | None = None
+        self.is_left = False
+        self.done = trio.Event()
+
+
 class PlaceClient:
     """
     Takes places at brittle upstreams for the requests of one host.
@@ -61,6 +83,8 @@
         Returns the number of places of this host at an upstream when there is no leader.
     timers : Timers
         Clock.
+    nursery : trio.Nursery
+        Runs the questions, also of requests that have ended meanwhile.
     """
 
     __slots__ = (
@@ -70,6 +94,7 @@
         "_release_place",
         "_get_share",
         "_timers",
+        "_nursery",
         "_leaderless_until",
         "_own",
     )
@@ -83,6 +108,7 @@
         release_place: ReleasePlaceFn,
         get_share: Callable[[str], int],
         timers: Timers,
+        nursery: trio.Nursery,
     ) -> None:
         self._host = host
         self._book = book
@@ -90,6 +116,7 @@
         self._release_place = release_place
         self._get_share = get_share
         self._timers = timers
+        self._nursery = nursery
         self._leaderless_until = float("-inf")
         # Places of the share of this host that are taken, by upstream.
         self._own: Counter[str] = Counter()
@@ -140,16 +167,28 @@
             max_rejections=max_rejections,
             max_wait_ms=int(max_wait_s * 1000),
         )
-        # A place that was granted to a request whose caller has left would stay taken.
-        with trio.CancelScope(shield=True):
-            reply = await self._take_place(request)
+        question = PlaceQuestion()
+        self._nursery.start_soon(run_guarded, self._run_question, request, question)
         try:
-            await trio.lowlevel.checkpoint()
+            await question.done.wait()
         except trio.Cancelled:
-            if not isinstance(reply, Failure) and reply.place:
-                self._release_place(ReleasePlace(upstream=upstream, place=reply.place))
+            question.is_left = True
+            self._release_unused(upstream, question)
             raise
-        return reply
+        return question.reply or make_internal_failure(upstream)
+
+    async def _run_question(self, request: TakePlace, question: PlaceQuestion) -> None:
+        try:
+            question.reply = await self._take_place(request)
+        finally:
+            question.done.set()
+        if question.is_left:
+            self._release_unused(request.upstream, question)
+
+    def _release_unused(self, upstream: str, question: PlaceQuestion) -> None:
+        """Give back a place, if granted, whose request has ended; it would stay taken."""
+        if isinstance(question.reply, PlaceReply) and question.reply.place:
+            self._release_place(ReleasePlace(upstream=upstream, place=question.reply.place))
 
     def _take_own(self, upstream: str) -> Place | None:
         if self._own[upstream] >= self._get_share(upstream):
@@ -194,3 +233,14 @@
     """
     rank = round(position * entries)
     return (rank + 1) * slots // entries - rank * slots // entries
+
+
+def make_internal_failure(upstream: str) -> Failure:
+    """Return the failure of a question for a place that ended with an exception."""
+    return Failure(
+        reason=Reason.INTERNAL,
+        run_state=RunState.NOT_RUN,
+        step="TakePlace",
+        peer=upstream,
+        detail="the question for a place failed",
+    )
--- a/marigoldtrail/ratelimits/tests/test_places.py
+++ b/marigoldtrail/ratelimits/tests/test_places.py
@@ -58,7 +58,7 @@
 class Host:
     """A host whose leader answers after a time, or not at all."""
 
-    def __init__(self, *, is_brittle=True):
+    def __init__(self, nursery, *, is_brittle=True):
         timers = Timers(seed=1)
         book = LimitBook()
         if is_brittle:
@@ -69,7 +69,7 @@
         self.released = []
         self.client = PlaceClient(
             host="h", book=book, take_place=self.take_place, release_place=self.released.append,
-            get_share=lambda upstream: 1, timers=timers,
+            get_share=lambda upstream: 1, timers=timers, nursery=nursery,
         )  # fmt: skip
 
     async def take_place(self, request):
@@ -80,26 +80,29 @@
         return PlaceReply(place=self.replies[0])
 
 
-async def test_upstreams_of_sound_services_need_no_place(autojump_clock):
+async def test_upstreams_of_sound_services_need_no_place(autojump_clock, nursery):
     """Guards against a call to the leader for each request."""
-    host = Host(is_brittle=False)
+    host = Host(nursery, is_brittle=False)
     place = await host.client.take("u", "s", 0.0)
     host.client.release(place)
     assert not place.is_needed and not host.asked and not host.released
 
 
-async def test_place_of_a_caller_that_has_left_is_given_back(autojump_clock):
+async def test_place_of_a_caller_that_has_left_is_given_back(autojump_clock, nursery):
     """Guards against places that are granted to nobody."""
-    host = Host()
+    host = Host(nursery)
     host.delay_s = 0.2
+    started = trio.current_time()
     with trio.move_on_after(0.1):
         await host.client.take("u", "s", 1.0)
+    assert trio.current_time() - started < 0.15
+    await trio.sleep(0.15)
     assert [release.place for release in host.released] == [1]
 
 
-async def test_host_without_a_leader_keeps_to_its_share(autojump_clock):
+async def test_host_without_a_leader_keeps_to_its_share(autojump_clock, nursery):
     """Guards against entries that all fill the same upstream while no leader answers."""
-    host = Host()
+    host = Host(nursery)
     host.replies = []
     place = await host.client.take("u", "s", 0.0)
     assert place.number == 0 and place.is_needed
@@ -108,9 +111,9 @@
     assert await host.client.take("u", "s", 0.0) is not None
 
 
-async def test_request_waits_for_a_place_while_it_can_be_on_time(autojump_clock):
+async def test_request_waits_for_a_place_while_it_can_be_on_time(autojump_clock, nursery):
     """Guards against refusals while a place becomes free in time, and waits without end."""
-    host = Host()
+    host = Host(nursery)
     host.replies = [0]
     started = trio.current_time()
     assert await host.client.take("u", "s", 0.5) is None
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -149,6 +149,7 @@
                 release_place=lambda request: None,
                 get_share=lambda upstream: 1,
                 timers=self.timers,
+                nursery=nursery,
             ),
             request_trial=deny_trial,
             timers=self.timers,
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -84,6 +84,7 @@
                 release_place=leader.release_place,
                 get_share=self._get_share,
                 timers=components.timers,
+                nursery=components.nursery,
             ),
             request_trial=leader.request_trial,
             timers=components.timers,
