Take a data centre out and back in during the soak

The soak held requests to hosts, paused and stopped them, but sent no orders on data centres, so that it could not find an order that arrives late. An operator now takes the data centre of one upstream out of service and back in, and moves on to another host after a second. After the faults, no request may run there if the last order, acknowledged, takes it out.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -150,6 +150,14 @@
                 self._addresses = msgspec.json.decode(reply[1])["addresses"]
             await trio.sleep(1.0)
 
+    async def send_plain(self, entries: tuple[str, ...]) -> None:
+        """Send a plain request to each entry, on connections of their own."""
+        for name in entries:
+            conn = await open_connection(self._fleet.request_address(name))
+            if conn is not None:
+                await self.send_request(conn, name, "plain")
+                await conn.aclose()
+
     async def run(self) -> None:
         """Use connections in sequence until cancelled."""
         while True:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -26,6 +26,7 @@
 from bench.soak.ledger import Ledger
 from bench.soak.plan import make_plan
 from bench.soak.proxy import Proxy
+from bench.soak.takeouts import TakeoutOperator, check_takeout
 from bench.soak.upstreams import Platform
 from marigoldtrail.platform.standin import CONFIG_PATH, read_version
 from marigoldtrail.timers import Timers
@@ -98,6 +99,9 @@
         callers = Callers(
             ledger=ledger, fleet=fleet, operators=operators, rng=random.Random(seed + 3)
         )
+        takeouts = TakeoutOperator(
+            fleet=fleet, count_runs=lambda: platform.other_runs, rng=random.Random(seed + 4)
+        )
         try:
             await platform.start()
             await fleet.start()
@@ -116,9 +120,11 @@
                     for _ in range(CALLER_COUNT):
                         traffic.start_soon(callers.run)
                     traffic.start_soon(callers.follow_directory)
+                    traffic.start_soon(takeouts.run)
                     await injector.run(plan)
                     traffic.cancel_scope.cancel()
                 await check_recovery(fleet, operators, callers, ledger)
+                await check_takeout(takeouts, partial(callers.send_plain, ENTRIES), ledger)
                 crashes = await check_crashing_order(seed, fleet, platform, ledger)
                 injector.counts["crash by an order"] += len(crashes)
             else:
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -49,6 +49,10 @@
 # Stage 1 reads the results of stage 0; the engine reads those of stage 1.
 PIECES = (2, 1)
 SERVICES = ("desk", "desk", "desk", "llm", "llm", "board", "board")
+# The data centre of all upstreams but one, and the one that is taken out of service and back in.
+DATA_CENTRE = "z"
+OTHER_DATA_CENTRE = "y"
+OTHER_UPSTREAM = "desk-2"
 
 
 class Upstream:
@@ -111,6 +115,8 @@
         Body of the orders that crash the upstream that runs them; empty for none.
     crashing_arrivals : list of float
         Monotonic times in seconds at which such orders reached upstreams.
+    other_runs : int
+        Requests that ran in the other data centre.
     """
 
     __slots__ = (
@@ -118,6 +124,7 @@
         "upstreams",
         "crashing_body",
         "crashing_arrivals",
+        "other_runs",
         "_ledger",
         "_nursery",
         "_rng",
@@ -150,6 +157,7 @@
         }
         self.crashing_body = b""
         self.crashing_arrivals: list[float] = []
+        self.other_runs = 0
         self._entries: list[dict[str, Any]] = []
 
     async def start(self) -> None:
@@ -213,7 +221,13 @@
 
     def _publish(self) -> None:
         self._entries = [
-            make_list_entry(item.id, item.service, str(item.advertised), "z", state=item.state)
+            make_list_entry(
+                item.id,
+                item.service,
+                str(item.advertised),
+                OTHER_DATA_CENTRE if item.name == OTHER_UPSTREAM else DATA_CENTRE,
+                state=item.state,
+            )
             for item in self.upstreams.values()
         ]
 
@@ -259,6 +273,7 @@
         received = read_received(request.headers)
         request_id = received.request_id
         self._record_run(request, received)
+        self.other_runs += upstream.name == OTHER_UPSTREAM
         if self.crashing_body and request.body == self.crashing_body:
             self.crashing_arrivals.append(trio.current_time())
             self._crash(upstream)
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -11,6 +11,7 @@
 from bench.soak.plan import make_plan
 from bench.soak.proxy import Proxy
 from bench.soak.run import run_seed
+from bench.soak.takeouts import IN, OUT, TakeoutOperator, check_takeout
 from marigoldtrail.net import Address
 
 SEED = 7
@@ -182,6 +183,24 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_requests_in_a_data_centre_that_was_taken_out_are_reported(autojump_clock):
+    """Guards against a late order that undid the last one and that the check misses."""
+    for last, runs, count in ((OUT, 1, 1), (OUT, 0, 0), (IN, 1, 0), ("", 1, 0)):
+        ledger, seen = make_ledger(), []
+
+        class Operator(TakeoutOperator):
+            async def send(self, method, *, timeout_s=0.0):
+                return method == IN
+
+        async def send_requests(seen=seen, runs=runs):
+            seen.extend([None] * runs)
+
+        operator = Operator(fleet=None, count_runs=lambda seen=seen: len(seen), rng=None)
+        operator.last = last
+        await check_takeout(operator, send_requests, ledger)
+        assert len(ledger.violations) == count
+
+
 async def test_short_seed_keeps_all_promises(network, tmp_path):
     """Guards against broken promises of the complete system with real processes and signals."""
     outcome = await run_seed(SEED, SECONDS, network=network, folder=tmp_path)
--- a/marigoldtrail/platform/standin.py
+++ b/marigoldtrail/platform/standin.py
@@ -254,6 +254,11 @@
     return _encode({**value, **changes})
 
 
+def make_takeout_target(data_centre: str) -> str:
+    """Return the path of orders that take a data centre out of service (POST) or in (DELETE)."""
+    return f"/-/evacuations/{data_centre}"
+
+
 def read_version(document: bytes) -> int:
     """Return the version of a configuration document."""
     return int(msgspec.json.decode(document)["version"])
