--- a/marigoldtrail/platform/endpoints.py
+++ b/marigoldtrail/platform/endpoints.py
@@ -10,7 +10,7 @@
 
 from marigoldtrail.errors import Failure, Reason
 from marigoldtrail.platform.json_elements import is_nested_over
-from marigoldtrail.registry.service import MAX_INLINE_PARSE_BYTES
+from marigoldtrail.registry.operator_changes import MAX_INLINE_PARSE_BYTES
 from marigoldtrail.relay import CallerRequest, Reply
 from marigoldtrail.relay.endpoints import Handler
 from marigoldtrail.site.lookup import FindEntries
--- a/marigoldtrail/platform/tests/test_odd_configs.py
+++ b/marigoldtrail/platform/tests/test_odd_configs.py
@@ -12,7 +12,7 @@
 from marigoldtrail.platform.documents import parse_config
 from marigoldtrail.platform.tests.standin import KEY, Site, config
 from marigoldtrail.platform.tests.test_formats import CONFIG
-from marigoldtrail.registry.service import check_document
+from marigoldtrail.registry.operator_changes import check_document
 from marigoldtrail.routing import RouteTable
 from marigoldtrail.routing.bounds import clamp_table
 
--- a/marigoldtrail/registry/__init__.py
+++ b/marigoldtrail/registry/__init__.py
@@ -2,8 +2,9 @@
 
 from marigoldtrail.registry.bootstrap import PeerAddresses, bootstrap_group, peer_name
 from marigoldtrail.registry.fleet_state import FleetState
+from marigoldtrail.registry.operator_changes import NUMBER_IN_FORCE
 from marigoldtrail.registry.reporter import HostReporter
-from marigoldtrail.registry.service import NUMBER_IN_FORCE, RegistryService
+from marigoldtrail.registry.service import RegistryService
 from marigoldtrail.registry.state import RegistryState
 
 __all__ = [
--- a/marigoldtrail/registry/service.py
+++ b/marigoldtrail/registry/service.py
@@ -2,28 +2,26 @@
 
 from __future__ import annotations
 
-import hashlib
 import logging
-import zlib
 from collections.abc import Awaitable, Callable
-from typing import Any, Literal
 
 import trio
 
 from marigoldtrail.consensus import Group
-from marigoldtrail.control.commands import Command, PutManifest, PutService, encode_command
 from marigoldtrail.control.machine import ConfigMachine
-from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.errors import Failure, Reason
 from marigoldtrail.net import Handlers
 from marigoldtrail.registry.fleet_state import ParseDocument
+from marigoldtrail.registry.operator_changes import (
+    BARRIER_TIMEOUT_S,
+    OperatorChanges,
+    list_takeouts,
+)
+from marigoldtrail.registry.refusals import Refusals
 from marigoldtrail.registry.state import RegistryState
 from marigoldtrail.registry.version_service import VersionService
-from marigoldtrail.routing import RouteTable, check_table
-from marigoldtrail.schema.generated.control import SubmitReply
 from marigoldtrail.schema.generated.registry import (
     EntryList,
-    GetRoutes,
-    GetTakeout,
     HostReport,
     HostReportReply,
     ListEntries,
@@ -33,11 +31,6 @@
     ReleasePlace,
     RequestPermit,
     RequestTrial,
-    RoutesOutcome,
-    RoutesReply,
-    SetTakeout,
-    SubmitRoutes,
-    TakeoutReply,
     TakePlace,
     TrialReply,
     UpstreamEntry,
@@ -46,9 +39,7 @@
 
 ReadUpstreams = Callable[[], Awaitable[list[UpstreamEntry] | Failure]]
 
-BARRIER_TIMEOUT_S = 0.8
 BARRIER_RETRY_S = 0.05
-PROPOSE_TIMEOUT_S = 2.0
 # Each read is a call to the platform; a leaving upstream must be detected within drain_ms.
 LIST_INTERVAL_S = 0.7
 LIST_TIMEOUT_S = 1.0
@@ -56,14 +47,6 @@
 PROMPT_REVIEW_INTERVAL_S = 0.1
 MAX_WAIT_S = 0.5
 PLACE_CHECK_INTERVAL_S = 0.05
-# Larger documents are parsed in a thread, since parsing many routes would delay heartbeats.
-MAX_INLINE_PARSE_BYTES = 65536
-# Faults of a configuration that an answer names, and the length of each.
-MAX_FAULTS = 50
-MAX_FAULT_CHARS = 300
-OPERATOR = "platform"
-# In place of the number of the last change: the one in force when the order is handled.
-NUMBER_IN_FORCE = -1
 
 _log = logging.getLogger(__name__)
 
@@ -89,14 +72,14 @@
     """
 
     __slots__ = (
-        "_host",
         "_group",
         "_machine",
-        "_parse_document",
         "_read_upstreams",
         "_timers",
         "_registry",
         "_versions",
+        "_refusals",
+        "_changes",
     )
 
     def __init__(
@@ -109,14 +92,21 @@
         read_upstreams: ReadUpstreams,
         timers: Timers,
     ) -> None:
-        self._host = host
         self._group = group
         self._machine = machine
-        self._parse_document = parse_document
         self._read_upstreams = read_upstreams
         self._timers = timers
         self._registry: RegistryState | None = None
         self._versions = VersionService(group=group, machine=machine, timers=timers)
+        self._refusals = Refusals(host=host, group=group)
+        self._changes = OperatorChanges(
+            group=group,
+            machine=machine,
+            parse_document=parse_document,
+            refusals=self._refusals,
+            on_change=self._notify_hosts,
+            timers=timers,
+        )
 
     def get_handlers(self) -> Handlers:
         """
@@ -129,16 +119,13 @@
         """
         return {
             HostReport: self._handle_report,
-            SubmitRoutes: self._submit_routes,
-            GetTakeout: self._get_takeout,
-            SetTakeout: self._set_takeout,
-            GetRoutes: self._get_routes,
             RequestTrial: self._request_trial,
             RequestPermit: self._request_permit,
             TakePlace: self._take_place,
             ReleasePlace: self._release_place,
             ListEntries: self._list_entries,
             **self._versions.get_handlers(),
+            **self._changes.get_handlers(),
         }
 
     async def run(self) -> None:
@@ -163,6 +150,11 @@
         async for _ in self._timers.subscribe("prompts", PROMPT_REVIEW_INTERVAL_S):
             registry.review_prompts()
 
+    def _notify_hosts(self) -> None:
+        """Answer the reports that wait for changes."""
+        if self._registry is not None:
+            self._registry.changed.notify()
+
     def _current_registry(self) -> RegistryState | None:
         if not self._group.is_leader:
             return None
@@ -176,7 +168,7 @@
             await self._timers.sleep(BARRIER_RETRY_S)
         is_list_readable = True
         while True:
-            listed: list[UpstreamEntry] | Failure = self._refuse(Reason.TIMEOUT, "list")
+            listed: list[UpstreamEntry] | Failure = self._refusals.refuse(Reason.TIMEOUT, "list")
             with trio.move_on_after(LIST_TIMEOUT_S):
                 try:
                     listed = await self._read_upstreams()
@@ -208,17 +200,17 @@
     async def _handle_report(self, request: HostReport, sender: str) -> HostReportReply | Failure:
         registry = self._current_registry()
         if registry is None:
-            return self._not_leader("HostReport")
+            return self._refusals.not_leader("HostReport")
         if request.peer_address:
             self._group.add_host(request.peer_address)
         if not registry.record_report(request):
             detail = "a later start of the host is known"
-            return self._refuse(Reason.STALE_EPOCH, "HostReport", detail=detail)
+            return self._refusals.refuse(Reason.STALE_EPOCH, "HostReport", detail=detail)
         with trio.move_on_after(min(request.wait_ms / 1000, MAX_WAIT_S)):
             while self._is_leading(registry) and not self._has_changes_for(registry, request):
                 await registry.changed.wait()
         if not self._is_leading(registry):
-            return self._not_leader("HostReport")
+            return self._refusals.not_leader("HostReport")
         return self._build_reply(registry, request)
 
     def _is_leading(self, registry: RegistryState) -> bool:
@@ -286,196 +278,42 @@
             reply.loads = registry.loads()
         return reply
 
-    async def _submit_routes(self, request: SubmitRoutes, sender: str) -> RoutesOutcome | Failure:
-        if not self._group.is_leader:
-            return self._not_leader("SubmitRoutes")
-        checked = await self._check_document(request.document)
-        if isinstance(checked, list):
-            _log.info("configuration refused", extra={"faults": checked[:5]})
-            return RoutesOutcome(outcome="invalid", faults=checked)
-        current = self._machine.state.manifest
-        if current is not None and checked.version <= current.number:
-            return await self._confirm_unchanged(checked.version)
-        command = PutManifest(
-            number=checked.version,
-            digest=hashlib.sha256(request.document).hexdigest(),
-            document=zlib.compress(request.document, 6),
-            concurrent_loads=0,
-            operator=OPERATOR,
-            wall_ms=self._timers.wall_ms(),
-        )
-        reply = await self._propose(command)
-        if isinstance(reply, Failure):
-            return reply
-        _log.info("configuration accepted", extra={"version": checked.version})
-        return RoutesOutcome(outcome="in_force", version=checked.version)
-
-    async def _check_document(self, document: bytes) -> RouteTable | list[str]:
-        if len(document) > MAX_INLINE_PARSE_BYTES:
-            return await trio.to_thread.run_sync(check_document, self._parse_document, document)
-        return check_document(self._parse_document, document)
-
-    async def _confirm_unchanged(self, version: int) -> RoutesOutcome | Failure:
-        # A deposed leader must not acknowledge a version that the new leader may not have.
-        failure = await self._group.read_barrier(timeout_s=BARRIER_TIMEOUT_S)
-        if failure is not None:
-            return failure
-        return RoutesOutcome(outcome="in_force", version=version)
-
-    async def _get_takeout(self, request: GetTakeout, sender: str) -> TakeoutReply | Failure:
-        if not self._group.is_leader:
-            return self._not_leader("GetTakeout")
-        failure = await self._group.read_barrier(timeout_s=BARRIER_TIMEOUT_S)
-        if failure is not None:
-            return failure
-        entry = self._machine.state.services.get(make_data_centre_key(request.data_centre))
-        return TakeoutReply(number=entry.current.number if entry else 0)
-
-    async def _set_takeout(self, request: SetTakeout, sender: str) -> RoutesOutcome | Failure:
-        """
-        Put an order in force unless another one was since its operator was known to wait.
-
-        Each order takes a number, also if it changes nothing: an opposite one that is older may
-        still be on its way, and has no effect once its number is taken.
-        """
-        if not self._group.is_leader:
-            return self._not_leader("SetTakeout")
-        after = request.after
-        if after == NUMBER_IN_FORCE:
-            last = await self._get_takeout(GetTakeout(data_centre=request.data_centre), sender)
-            if isinstance(last, Failure):
-                return last
-            after = last.number
-        state: Literal["in", "out"] = "out" if request.out else "in"
-        reply = await self._propose(
-            PutService(
-                kind="data_centre",
-                name=request.data_centre,
-                state=state,
-                number=after + 1,
-                operator=OPERATOR,
-                wall_ms=self._timers.wall_ms(),
-            )
-        )
-        if isinstance(reply, Failure):
-            return reply
-        if reply.outcome not in ("accepted", "repeated"):
-            _log.info(
-                "order on a data centre has no effect after a later one",
-                extra={"subject": request.data_centre, "state": state, "number": after + 1},
-            )
-            return self._refuse(Reason.STALE_EPOCH, "SetTakeout", detail="a later order came first")
-        _log.info(
-            "data centre set",
-            extra={"subject": request.data_centre, "state": state, "number": after + 1},
-        )
-        return RoutesOutcome(outcome="in_force")
-
-    async def _get_routes(self, request: GetRoutes, sender: str) -> RoutesReply | Failure:
-        if not self._group.is_leader:
-            return self._not_leader("GetRoutes")
-        failure = await self._group.read_barrier(timeout_s=BARRIER_TIMEOUT_S)
-        if failure is not None:
-            return failure
-        manifest = self._machine.state.manifest
-        if manifest is None:
-            return self._refuse(Reason.NOT_FOUND, "GetRoutes", detail="none was submitted yet")
-        document = zlib.decompress(manifest.document)
-        return RoutesReply(version=manifest.number, document=document)
-
     async def _request_trial(self, request: RequestTrial, sender: str) -> TrialReply | Failure:
         registry = self._current_registry()
         if registry is None:
-            return self._not_leader("RequestTrial")
+            return self._refusals.not_leader("RequestTrial")
         is_granted = registry.is_settled() and registry.take_trial(request.part)
         return TrialReply(is_granted=is_granted)
 
     async def _request_permit(self, request: RequestPermit, sender: str) -> PermitReply | Failure:
         registry = self._current_registry()
         if registry is None:
-            return self._not_leader("RequestPermit")
+            return self._refusals.not_leader("RequestPermit")
         return registry.reserve_permit(request)
 
     async def _take_place(self, request: TakePlace, sender: str) -> PlaceReply | Failure:
         registry = self._current_registry()
         if registry is None:
-            return self._not_leader("TakePlace")
+            return self._refusals.not_leader("TakePlace")
         until = self._timers.now() + min(request.max_wait_ms / 1000, MAX_WAIT_S)
         place = registry.take_place(request)
         while not place and (left_s := until - self._timers.now()) > 0:
             # Caution after a rejection also ends without a release.
             await registry.place_released.wait_with_timeout(min(left_s, PLACE_CHECK_INTERVAL_S))
             if not self._is_leading(registry):
-                return self._not_leader("TakePlace")
+                return self._refusals.not_leader("TakePlace")
             place = registry.take_place(request)
         return PlaceReply(place=place)
 
     async def _release_place(self, request: ReleasePlace, sender: str) -> PlaceReleased | Failure:
         registry = self._current_registry()
         if registry is None:
-            return self._not_leader("ReleasePlace")
+            return self._refusals.not_leader("ReleasePlace")
         registry.release_place(request)
         return PlaceReleased()
 
     async def _list_entries(self, request: ListEntries, sender: str) -> EntryList | Failure:
         registry = self._current_registry()
         if registry is None:
-            return self._not_leader("ListEntries")
+            return self._refusals.not_leader("ListEntries")
         return EntryList(addresses=registry.list_connected_entries(request))
-
-    async def _propose(self, command: Command) -> SubmitReply | Failure:
-        reply: Any = await self._group.propose(encode_command(command), timeout_s=PROPOSE_TIMEOUT_S)
-        if not isinstance(reply, Failure) and self._registry is not None:
-            self._registry.changed.notify()
-        return reply
-
-    def _not_leader(self, step: str) -> Failure:
-        return self._refuse(Reason.NOT_LEADER, step, hint=self._group.leader or "")
-
-    def _refuse(self, reason: Reason, step: str, *, detail: str = "", hint: str = "") -> Failure:
-        return Failure(
-            reason=reason,
-            run_state=RunState.NOT_RUN,
-            step=step,
-            peer=self._host,
-            detail=detail,
-            hint="" if hint == self._host else hint,
-        )
-
-
-def check_document(parse_document: ParseDocument, document: bytes) -> RouteTable | list[str]:
-    """
-    Decode and check a configuration document.
-
-    Parameters
-    ----------
-    parse_document : callable
-        Decodes the document.
-    document : bytes
-        The document.
-
-    Returns
-    -------
-    RouteTable or list of str
-        The table, or its first `MAX_FAULTS` faults: an answer with all of them may be too large.
-    """
-    table = parse_document(document)
-    faults = [table] if isinstance(table, str) else check_table(table)
-    if isinstance(table, str) or faults:
-        return [fault[:MAX_FAULT_CHARS] for fault in faults[:MAX_FAULTS]]
-    return table
-
-
-def make_data_centre_key(data_centre: str) -> str:
-    """Return the key of a data centre among the services of the state machine."""
-    return f"data_centre/{data_centre}"
-
-
-def list_takeouts(machine: ConfigMachine) -> list[str]:
-    """Return the data centres that are out of service."""
-    entries = machine.state.services.values()
-    return sorted(
-        entry.current.name
-        for entry in entries
-        if entry.current.kind == "data_centre" and entry.current.state == "out"
-    )
--- a/marigoldtrail/registry/tests/test_takeouts.py
+++ b/marigoldtrail/registry/tests/test_takeouts.py
@@ -2,7 +2,7 @@
 
 from marigoldtrail.errors import Failure, Reason
 from marigoldtrail.registry import NUMBER_IN_FORCE, RegistryService
-from marigoldtrail.registry.service import list_takeouts
+from marigoldtrail.registry.operator_changes import list_takeouts
 from marigoldtrail.registry.tests.test_service import LeadingGroup
 from marigoldtrail.schema.generated.registry import GetTakeout, RoutesOutcome, SetTakeout
 from marigoldtrail.timers import Timers
