Answer 503 for unknown data centres while the view is old

An operator ends a call after the third 404.

Cause: a data centre that this host does not know counted as one that does not exist.

Change: while its view is older than 1.5 s, the host answers 503 with Retry-After, and the operator asks another one.

--- a/marigoldtrail/platform/endpoints.py
+++ b/marigoldtrail/platform/endpoints.py
@@ -47,7 +47,12 @@
         if request.path.startswith(_EVACUATIONS) and request.method in (b"POST", b"DELETE"):
             data_centre = unquote(request.path.removeprefix(_EVACUATIONS))
             if not operations.is_data_centre(data_centre):
-                return Reply(status=404, headers=_JSON, body=_encode({"error": "unknown zone"}))
+                status, headers = (
+                    (503, _RETRY) if operations.may_miss_data_centres() else (404, _JSON)
+                )
+                return Reply(
+                    status=status, headers=headers, body=_encode({"error": "unknown zone"})
+                )
             outcome = await operations.set_takeout(data_centre, out=request.method == b"POST")
             if isinstance(outcome, Failure):
                 return _failure_reply(outcome)
--- a/marigoldtrail/platform/tests/test_late_orders.py
+++ b/marigoldtrail/platform/tests/test_late_orders.py
@@ -96,3 +96,21 @@
     assert await order(site, late, "POST") == 503
     await trio.sleep(3)
     assert await order(site, late, "POST") == 200
+
+
+async def test_host_that_knows_no_leader_refuses_no_data_centre_for_good(autojump_clock, nursery):
+    """Guards against an operator that gives an order up because of a host that has just started."""
+    site = await start_serving_site(nursery)
+    ip = site.control[0]
+    await site.crash(ip)
+    for other in [*site.control[1:], *site.entries]:
+        site.network.cut(ip, other)
+    await site.start_host(ip)
+    await trio.sleep(1)
+    assert await order(site, 0, "POST") == 503
+    for other in [*site.control[1:], *site.entries]:
+        site.network.restore(ip, other)
+    await trio.sleep(5)
+    assert await order(site, 0, "POST") == 200
+    unknown = "/-/evacuations/nowhere"
+    assert (await site.http(f"{ip}:8628", "POST", unknown))[0] == 404
--- a/marigoldtrail/site/operations.py
+++ b/marigoldtrail/site/operations.py
@@ -26,6 +26,8 @@
 ATTEMPT_TIMEOUT_S = 0.8
 # Documents of many routes take longer to send and to check.
 TIMEOUT_S_PER_BYTE = 1 / 200_000
+# An older fleet state does not prove that a data centre is unknown.
+MAX_FLEET_STATE_AGE_S = 1.5
 # With the longest pause that `ContinuityMonitor` tolerates, less than an operator waits.
 READ_TAKEOUT_TIMEOUT_S = 0.4
 
@@ -72,6 +74,10 @@
         # A data centre that has lost all its hosts and upstreams can still be taken out of service.
         return name in self._data_centres() or name in self._fleet_state.data_centres
 
+    def may_miss_data_centres(self) -> bool:
+        """Return whether this host may not know data centres that other hosts know."""
+        return self._fleet_state.age_s() > MAX_FLEET_STATE_AGE_S
+
     async def submit_routes(self, document: bytes) -> RoutesOutcome | Failure:
         """Submit a configuration to be put in force."""
         extra_s = len(document) * TIMEOUT_S_PER_BYTE
