--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -81,7 +81,6 @@
         "_reading",
         "_idle_limits",
         "_stop",
-        "_has_ended",
         "_exchanges",
         "_router",
         "connections",
@@ -114,8 +113,6 @@
         self._reading: set[CallerConnection] = set()
         self._idle_limits = IdleLimits(get_limit_s=lambda: self.limits().idle_timeout_s)
         self._stop = StopAdmission()
-        # Whether a stop lets no request go on.
-        self._has_ended = False
         self._exchanges: set[Exchange] = set()
         self._router = RequestRouter(fleet_state=fleet_state, stop=self._stop)
         self.connections = 0
@@ -181,7 +178,7 @@
             Monotonic time in seconds after which requests in progress fail.
         """
         await self._close_until(latest_end)
-        self._has_ended = True
+        self._stop.end()
         for exchange in self._exchanges:
             exchange.scope.cancel()
         await self._close_until(latest_end + LAST_ANSWERS_S)
@@ -311,7 +308,7 @@
 
     def _make_cancelled_failure(self, exchange: Exchange) -> Failure:
         """Return the failure of a request that the end of a stop, or its deadline, cancelled."""
-        if self._has_ended:
+        if self._stop.has_ended:
             return make_stop_failure(exchange)
         self._dispatcher.handle_deadline(exchange)
         return make_deadline_failure(exchange)
@@ -351,7 +348,7 @@
     def _route(
         self, conn: CallerConnection, request: CallerRequest, info: RequestInfo, started: float
     ) -> Exchange | Refusal:
-        if self._has_ended:
+        if self._stop.has_ended:
             return Refusal(status=503, detail="the host stops")
         try:
             return self._router.make_exchange(conn, request, info, started)
--- a/marigoldtrail/relay/stop_admission.py
+++ b/marigoldtrail/relay/stop_admission.py
@@ -17,6 +17,11 @@
     A request that the end of the process cuts is lost, or runs without an answer; one that is
     refused on arrival is served by another host.
 
+    Attributes
+    ----------
+    has_ended : bool
+        Whether no request may go on any more.
+
     Examples
     --------
     >>> admission = StopAdmission()
@@ -30,13 +35,14 @@
     True
     """
 
-    __slots__ = ("_durations_s", "_started_at", "_ends_at")
+    __slots__ = ("_durations_s", "_started_at", "_ends_at", "has_ended")
 
     def __init__(self) -> None:
         # Recent durations of served requests, by route.
         self._durations_s: dict[str, deque[float]] = {}
         self._started_at = float("inf")
         self._ends_at = float("inf")
+        self.has_ended = False
 
     @property
     def is_stopping(self) -> bool:
@@ -57,6 +63,10 @@
         self._started_at = now
         self._ends_at = ends_at
 
+    def end(self) -> None:
+        """End the stop: requests in progress are cut, and no more are begun."""
+        self.has_ended = True
+
     def record_duration(self, route: str, took_s: float) -> None:
         """Record the seconds that a served request of a route took."""
         durations_s = self._durations_s.get(route)
