Settle the version of a stream when it leaves its upstream

Change: the upstream that wrote the latest events is forgotten when the response of another one is read; its version was compared with the list when that one was chosen.

The new test failed before: no other upstream continued the stream.

--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -206,6 +206,8 @@
         """
         self.last_upstream = peer
         self.reads += 1
+        # The version of the earlier events was settled when this peer was chosen.
+        self.source, self.relisted_at = None, None
         # A cancelled attempt may have left a part of an event, which belongs to its run only.
         self.splitter.discard_partial()
 
--- a/marigoldtrail/relay/tests/test_stream_versions.py
+++ b/marigoldtrail/relay/tests/test_stream_versions.py
@@ -256,3 +256,32 @@
         data, received, recorded = await fetch_relisted_stream(nursery, first, other_version)
         assert data.count(b"first") == 2 and received == []
         assert not data.endswith(b"0\r\n\r\n") and recorded == " unknown"
+
+
+async def test_stream_that_left_before_the_list_showed_a_restart_keeps_its_version(
+    autojump_clock, nursery
+):
+    """Guards against a stream that is broken off because of an upstream that it has left."""
+    received = []
+
+    async def close_without_events(stream):
+        await read_request(stream)
+        await trio.sleep(1.0)
+
+    scripts = [
+        write_slowly(count=1, breaks_at_s=0.3),
+        close_without_events,
+        write_stream(received=received, label=b"v1"),
+    ]
+    harness = await start(nursery, scripts, ["v1", "v1", "v1"], max_gap_s=1.0)
+    harness.monitor.start_pause("i-1", 0.2)
+    harness.monitor.start_pause("i-2", 0.5)
+
+    async def relist():
+        await trio.sleep(0.6)
+        upstreams = harness.fleet_state.upstreams
+        upstreams["i-0"] = msgspec.structs.replace(upstreams["i-0"], version="v2", born_ms=5)
+
+    nursery.start_soon(relist)
+    data = await harness.fetch(make_request(method="POST", body=b"b"))
+    assert received == [b"v1"] and data.endswith(b"0\r\n\r\n")
