Adopt no quarantine that an answer has lifted since

Cause: a new leader adopted every quarantine that hosts hold, without a look at the answers that it had been told of.

Change: parts that were answered after the last crash of the quarantine are left out, and a quarantine whose own part was is not adopted.

The end of test_next_leader_takes_quarantines_and_trials_over asked for the opposite: that a quarantine is adopted again right after an answer on its part. It was wrong, since that answer is later than the crash; it now asks that the quarantine stays lifted, and that it is adopted if its crash is later than the answer. Tests of quarantine, crashing prompts and crashing requests pass.

--- a/marigoldtrail/quarantine/evidence.py
+++ b/marigoldtrail/quarantine/evidence.py
@@ -140,7 +140,15 @@
         if quarantine.part not in quarantine.parts:
             return
         new = decode_quarantine(quarantine, now)
-        known = self._quarantines.get(quarantine.part)
+        # The host tells of it late: these parts were answered after the last crash.
+        new.parts -= {
+            part
+            for part in new.parts
+            if self._answered_at.get(part, float("-inf")) > new.last_crash_at
+        }
+        if new.part not in new.parts:
+            return
+        known = self._quarantines.get(new.part)
         if known is None:
             self._add(new)
             return
--- a/marigoldtrail/quarantine/tests/test_evidence.py
+++ b/marigoldtrail/quarantine/tests/test_evidence.py
@@ -259,6 +259,11 @@
     assert successor.held() == []
     for quarantine in (weaker, told[0]):
         successor.evidence.adopt(quarantine, successor.now)
+    assert successor.held() == []
+    # A crash after the answer is reason for it again.
+    successor.wait()
+    crashed_again = msgspec.structs.replace(told[0], age_ms=0)
+    successor.evidence.adopt(crashed_again, successor.now)
     assert successor.held() == [{"bad"}]
 
 
