Know the streams of a new fleet also after its first configuration

Cause: a leader that may have had predecessors takes streams without a record for unknown for 60 s. It took itself for the first one only if no configuration was in force when it first looked, after the first list of upstreams; the first configuration comes earlier (all hosts logged).

Change: it is the first one, too, if the only configuration came in its own term, behind the first entry of the term in the log.

Evidence: the new test failed before. Tests of registry pass.

--- a/marigoldtrail/consensus/group.py
+++ b/marigoldtrail/consensus/group.py
@@ -145,6 +145,11 @@
             return get_quorum_contact_time(self._state)
         return self._state.leader_contact_at
 
+    @property
+    def term_start_index(self) -> int:
+        """Log index of the first entry of this host's term as leader; 0 if it is not known."""
+        return self._state.term_start_index
+
     @property
     def applied_index(self) -> int:
         """Index of the last entry that was applied to the state machine."""
--- a/marigoldtrail/registry/tests/test_version_service.py
+++ b/marigoldtrail/registry/tests/test_version_service.py
@@ -22,6 +22,7 @@
     def __init__(self):
         self.machine = ConfigMachine()
         self.term = 1
+        self.term_start_index = 0
         self.applied_index = 0
 
     def has_level(self, level):
@@ -79,6 +80,17 @@
     assert service.ledger.services == {"s": ["v2"]}
 
 
+async def test_first_leader_knows_all_streams_also_after_its_first_configuration(autojump_clock):
+    """Guards against streams of a new fleet that can't be resumed in its first minute."""
+    group = AppliedGroup()
+    service = make_service(group)
+    # The configuration comes before the first list of upstreams.
+    await group.propose(encode_command(make_manifest()), timeout_s=1.0)
+    await service.add_missing(make_entries("v1"))
+    await service.add_missing(make_entries("v1", "v2"))
+    assert await find(service, b"began at v1") == "v1"
+
+
 async def test_new_leader_counts_the_time_of_versions_and_records_anew(autojump_clock):
     """Guards against a version or a record that a new leader takes for long gone."""
     group = AppliedGroup()
--- a/marigoldtrail/registry/version_service.py
+++ b/marigoldtrail/registry/version_service.py
@@ -203,12 +203,18 @@
     def _find_complete_at(self) -> float:
         """Return when this leader knows all streams; call it after a barrier of its term."""
         if self._complete_at is None:
-            state = self._machine.state
-            # A fleet without a configuration has served no stream before.
-            has_all = bool(state.versions.services) or state.manifest is None
+            has_all = bool(self._machine.state.versions.services) or self._is_first_leader()
             self._complete_at = 0.0 if has_all else self._timers.now() + RETENTION_S
         return self._complete_at
 
+    def _is_first_leader(self) -> bool:
+        """Return whether no stream was served before this term: there was no configuration."""
+        state = self._machine.state
+        is_only_one = len(state.manifests_accepted) <= 1
+        return is_only_one and (
+            state.manifest is None or state.manifest_index > self._group.term_start_index
+        )
+
     async def remove_expired(self, entries: list[UpstreamEntry]) -> None:
         """Remove the versions and records that no stream in progress can hold any more."""
         self._start_term()
