Use one limit for the age of a fleet state that proves nothing unknown

The operators' orders had a copy of the relay's constant. No change of behaviour; lint, and 61 tests of site, late orders and the relay pass.

--- a/marigoldtrail/relay/request_router.py
+++ b/marigoldtrail/relay/request_router.py
@@ -11,7 +11,7 @@
 from marigoldtrail.routing import Route
 from marigoldtrail.routing.table import choose_service
 
-# An older fleet state may lack new routes and keys and does not prove that one is unknown.
+# An older fleet state may lack new routes, keys and data centres, and proves none unknown.
 MAX_FLEET_STATE_AGE_S = 1.5
 DEFAULT_DEADLINE_S = 30.0
 # Time reserved for the response to reach the caller.
--- a/marigoldtrail/site/operations.py
+++ b/marigoldtrail/site/operations.py
@@ -9,6 +9,7 @@
 from marigoldtrail.fleet import CONFIG_GROUP
 from marigoldtrail.fleet.leaders import LeaderFinder
 from marigoldtrail.registry import NUMBER_IN_FORCE, FleetState
+from marigoldtrail.relay.request_router import MAX_FLEET_STATE_AGE_S
 from marigoldtrail.schema.generated.registry import (
     GetRoutes,
     GetTakeout,
@@ -26,8 +27,6 @@
 ATTEMPT_TIMEOUT_S = 0.8
 # Documents of many routes take longer to send and to check.
 TIMEOUT_S_PER_BYTE = 1 / 200_000
-# An older fleet state does not prove that a data centre is unknown.
-MAX_FLEET_STATE_AGE_S = 1.5
 # With the longest pause that `ContinuityMonitor` tolerates, less than an operator waits.
 READ_TAKEOUT_TIMEOUT_S = 0.4
 
