Open a log group again after a disk failure that may pass

Cause: a failed sync (on a real file system also that of a full disk) stopped the group on its host for the life of the process. After the second host of three there was no quorum. Class: a passing fault turned into a permanent state that nobody ends or sees.

What a failed sync leaves in the page cache counts for nothing: the log is reduced to what was durable, its newest segment is written to a new file, committed entries are written again from memory, and the vote is written anew. Until then the host neither votes nor acknowledges. A host that starts with a full disk joins later.

MemoryDisk now keeps bytes that a failed sync has dropped from becoming durable by a later sync; without that the test of the rewritten segment did not fail when the rewrite was left out (with it, it does). The simulation no longer restarts stopped hosts, so that they have to come back by themselves.

--- a/marigoldtrail/consensus/applying.py
+++ b/marigoldtrail/consensus/applying.py
@@ -226,7 +226,7 @@
             _log.warning("group %s: snapshot write failed: %s", state.name, saved)
             return
         async with state.lock:
-            if snapshot.index > state.log.snapshot_index:
+            if state.stop_failure is None and snapshot.index > state.log.snapshot_index:
                 check_disk(state, await state.log.compact(snapshot.index))
     finally:
         state.is_writing_snapshot = False
--- a/marigoldtrail/consensus/election.py
+++ b/marigoldtrail/consensus/election.py
@@ -55,9 +55,11 @@
     state : GroupState
         The group.
     """
-    while state.stop_failure is None:
+    while True:
         now = state.timers.now()
-        if state.role == LEADER:
+        if state.stop_failure is not None:
+            await state.changed.wait()
+        elif state.role == LEADER:
             due = get_quorum_contact_time(state) + CHECK_QUORUM_S
             if now >= due:
                 step_down(state, "no quorum was heard in time")
--- a/marigoldtrail/consensus/follower.py
+++ b/marigoldtrail/consensus/follower.py
@@ -217,11 +217,12 @@
         if index + 1 > log.last_index:
             break
         if index + 1 > state.commit_index and log.term_at(index + 1) != entry.term:
+            # Lowered first: a truncation that fails may still have removed the entries.
+            state.synced_index = min(state.synced_index, index)
             result = await log.truncate_after(index, committed=state.commit_index)
             if isinstance(result, Failure):
                 stop_group(state, result)
                 return result
-            state.synced_index = min(state.synced_index, index)
             break
         index += 1
         known += 1
@@ -357,6 +358,9 @@
     saved = check_disk(state, await state.store.save_snapshot(snapshot))
     if isinstance(saved, Failure):
         return saved
+    if state.log.term_at(snapshot.index) != snapshot.term:
+        # Of this log nothing after the snapshot is kept.
+        state.synced_index = min(state.synced_index, snapshot.index)
     replaced = check_disk(
         state, await state.log.replace(snapshot.index, snapshot.term, snapshot.voters)
     )
--- a/marigoldtrail/consensus/group.py
+++ b/marigoldtrail/consensus/group.py
@@ -10,10 +10,11 @@
 
 from marigoldtrail.consensus.applying import apply_committed, write_proposals
 from marigoldtrail.consensus.election import run_elections, start_replication, transfer_leadership
-from marigoldtrail.consensus.levels import build_level_failure, get_command_level, has_level
+from marigoldtrail.consensus.levels import has_level
 from marigoldtrail.consensus.log import COMMAND, MEMBERS, encode_voters
 from marigoldtrail.consensus.membership import list_learners
 from marigoldtrail.consensus.primitives import Proposal, StateMachine
+from marigoldtrail.consensus.reopening import open_first, reopen_after_failures
 from marigoldtrail.consensus.replication import (
     get_confirmed_read_round,
     get_quorum_contact_time,
@@ -25,11 +26,7 @@
     adopt_term,
     check_disk,
     has_same_voters,
-    load_state,
-    restore_machine,
-    stop_group,
 )
-from marigoldtrail.consensus.store import open_store
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Address, PeerClient
 from marigoldtrail.schema.generated.consensus import GroupIdentity, LogEntry, Member
@@ -157,13 +154,13 @@
 
     @property
     def stop_failure(self) -> Failure | None:
-        """The failure of the disk that stopped the group on this host, if any."""
+        """The failure of the disk that keeps this host out of the group, if any."""
         return self._state.stop_failure
 
     @property
     def has_voters(self) -> bool:
         """Whether the group is known to be initialised, that is, to have voters."""
-        return self._opened.is_set() and bool(self._state.log.voters)
+        return self._state.is_open and bool(self._state.log.voters)
 
     def has_level(self, level: int) -> bool:
         """Tell whether this host leads and all members can apply commands of a feature level."""
@@ -198,19 +195,11 @@
         state = self._state
         async with trio.open_nursery() as nursery:
             state.nursery = nursery
-            opened = await open_store(self._disk, state.name, state.rng)
-            if isinstance(opened, Failure):
-                stop_group(state, opened)
-            else:
-                load_state(state, opened.store, opened.log)
-                snapshot = opened.snapshot
-                if snapshot is not None and snapshot.level > get_command_level(state.machine):
-                    stop_group(state, build_level_failure(state, snapshot))
-                elif snapshot is not None:
-                    restore_machine(state, snapshot)
-                nursery.start_soon(run_elections, state)
-                nursery.start_soon(write_proposals, state)
-                nursery.start_soon(apply_committed, state)
+            await open_first(state, self._disk)
+            nursery.start_soon(run_elections, state)
+            nursery.start_soon(write_proposals, state)
+            nursery.start_soon(apply_committed, state)
+            nursery.start_soon(reopen_after_failures, state, self._disk)
             self._opened.set()
             task_status.started()
             await trio.sleep_forever()
@@ -387,8 +376,7 @@
             Leader, term, indexes, members and learners.
         """
         state = self._state
-        opened = self._opened.is_set() and hasattr(state, "log")
-        voters = sorted(state.log.voters, key=lambda member: member.host) if opened else []
+        voters = sorted(state.log.voters, key=lambda member: member.host) if state.is_open else []
         return GroupStatus(
             group=state.name,
             leader=state.leader or "",
@@ -396,7 +384,7 @@
             commit_index=state.commit_index,
             applied_index=state.applied_index,
             members=[member.host for member in voters],
-            learners=list_learners(state) if opened else [],
+            learners=list_learners(state) if state.is_open else [],
             storage_ids=[member.storage_id for member in voters],
         )
 
@@ -454,7 +442,8 @@
             if isinstance(appended, Failure):
                 return appended
             synced = check_disk(state, await state.log.journal.sync())
-            state.synced_index = state.log.last_index
+            if not isinstance(synced, Failure):
+                state.synced_index = state.log.last_index
             return synced
 
     async def handle(
--- a/marigoldtrail/consensus/log.py
+++ b/marigoldtrail/consensus/log.py
@@ -215,6 +215,25 @@
             found.append(entry)
         return found
 
+    def entries_after(self, index: int, count: int) -> list[LogEntry]:
+        """
+        Return a number of consecutive entries.
+
+        Parameters
+        ----------
+        index : int
+            Position before the first one, not before `base_index`.
+        count : int
+            Number of entries.
+
+        Returns
+        -------
+        list of LogEntry
+            The entries; fewer if the log ends before.
+        """
+        start = index - self.base_index
+        return self._entries[start : start + count]
+
     def first_index_of_term(self, index: int) -> int:
         """
         Return the first index in memory that has the same term as an entry.
@@ -299,12 +318,35 @@
                 detail=f"the leader's log conflicts with committed entry {index + 1}",
             )
         result = await self.journal.drop_after(index)
-        if isinstance(result, Failure):
-            return result
+        if not isinstance(result, Failure):
+            self._forget_after(index)
+        return result
+
+    def _forget_after(self, index: int) -> None:
         del self._entries[index - self.base_index :]
         while self._member_lists[-1][0] > index:
             self._member_lists.pop()
-        return None
+
+    async def write_tail_anew(self, index: int) -> None | Failure:
+        """
+        Remove the entries after an index and write those before it to a new file.
+
+        After a failed sync a file may exist in the page cache only.
+
+        Parameters
+        ----------
+        index : int
+            Last index to keep.
+
+        Returns
+        -------
+        None or Failure
+            The failure of the journal.
+        """
+        result = await self.journal.write_tail_anew(index)
+        if not isinstance(result, Failure):
+            self._forget_after(max(index, self.base_index))
+        return result
 
     async def compact(self, index: int) -> None | Failure:
         """
--- a/marigoldtrail/consensus/state.py
+++ b/marigoldtrail/consensus/state.py
@@ -180,6 +180,11 @@
         """Storage id of this host's log."""
         return self.store.vote.storage_id
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the files have been opened since the start of the process."""
+        return hasattr(self, "log")
+
     @property
     def is_voter(self) -> bool:
         """Whether this host's log is a voter in the newest member list."""
@@ -334,14 +339,14 @@
 
 def stop_group(state: GroupState, failure: Failure) -> None:
     """
-    Stop the group on this host after a failure of the disk.
+    Stop the group on this host after a failure of the disk, until its files are opened again.
 
     Parameters
     ----------
     state : GroupState
         The group.
     failure : Failure
-        The failure; every later call returns it.
+        The failure; calls return it meanwhile.
     """
     if state.stop_failure is not None:
         return
--- a/marigoldtrail/consensus/tests/cluster.py
+++ b/marigoldtrail/consensus/tests/cluster.py
@@ -16,6 +16,10 @@
 ADMIN_IP = "10.0.1.1"
 
 
+def others_of(cluster, *names):
+    return [name for name in cluster.names if name not in names]
+
+
 class Register:
     """State machine that records each command with its index; a repeated command has one effect."""
 
--- a/marigoldtrail/consensus/tests/simulation.py
+++ b/marigoldtrail/consensus/tests/simulation.py
@@ -186,8 +186,6 @@
     async def recover(self):
         """End all faults; the group must recover with all acknowledged commands."""
         await self.heal()
-        for disk in self.cluster.disks.values():
-            disk.fail_syncs = False
         for name in self.cluster.names:
             await self.restart()
             await self.start(name)
@@ -227,9 +225,6 @@
             await self.cluster.crash(name)
 
     async def restart(self):
-        for name in list(self.cluster.group_sets):
-            if self.cluster.group(name).stop_failure is not None:
-                await self.cluster.crash(name)
         name = self.pick_host(up=False)
         if name is not None:
             await self.start(name)
@@ -252,6 +247,7 @@
         self.cluster.heal()
         for disk in self.cluster.disks.values():
             disk.capacity_bytes = None
+            disk.fail_syncs = False
             disk.sync_delay_s = 0.002
 
     async def delay(self):
--- a/marigoldtrail/consensus/tests/test_disk_failures.py
+++ b/marigoldtrail/consensus/tests/test_disk_failures.py
@@ -1,8 +1,12 @@
 """Tests of groups whose hosts' disks fail for some time."""
 
+from functools import partial
+
 import trio
 
-from marigoldtrail.consensus.tests.cluster import Cluster
+from marigoldtrail.consensus.state import stop_group
+from marigoldtrail.consensus.tests.cluster import Cluster, others_of
+from marigoldtrail.errors import Reason, RunState
 
 FAILURE_S = 3.0
 
@@ -31,3 +35,50 @@
     await cluster.wait_until(
         lambda: all({b"before", b"after"} <= set(m.effects) for m in cluster.machines.values())
     )
+
+
+async def test_entry_whose_sync_failed_is_written_again_before_it_is_acknowledged(
+    autojump_clock, nursery
+):
+    """Guards against acknowledged entries that exist in the page cache only."""
+    cluster = Cluster(nursery)
+    leader = await cluster.start_all()
+    kept, crashed = others_of(cluster, leader)
+    await cluster.crash(crashed)
+    cluster.disks[kept].fail_syncs = True
+    nursery.start_soon(partial(cluster.group(leader).propose, b"x", timeout_s=1))
+    await trio.sleep(1)
+    assert cluster.group(kept).stop_failure is not None
+    cluster.disks[kept].fail_syncs = False
+    await cluster.wait_until(lambda: b"x" in cluster.machines[leader].effects)
+    await cluster.crash(kept, torn=False)
+    await cluster.replace(leader)
+    await cluster.start(kept)
+    await cluster.start(crashed)
+    await cluster.wait_for_leader()
+    await cluster.wait_until(lambda: b"x" in cluster.machines[crashed].effects)
+
+
+async def test_host_whose_disk_refuses_the_first_write_takes_part_later(autojump_clock, nursery):
+    """Guards against a host that stays out of its group after a start with a full disk."""
+    cluster = Cluster(nursery)
+    cluster.disks["a"].capacity_bytes = 0
+    for name in cluster.names:
+        await cluster.start(name)
+    assert cluster.group("a").stop_failure is not None
+    assert cluster.group("a").describe().members == []
+    cluster.disks["a"].capacity_bytes = None
+    await trio.sleep(3)
+    assert await cluster.init() is None
+    await cluster.propose(b"x")
+    await cluster.wait_until(lambda: b"x" in cluster.machines["a"].effects)
+
+
+async def test_wrong_content_on_disk_stops_the_group_for_good(autojump_clock, nursery):
+    """Guards against a host that goes on with a log that conflicts with committed entries."""
+    cluster = Cluster(nursery)
+    leader = await cluster.start_all()
+    state = cluster.group(leader)._state
+    stop_group(state, state.make_failure(Reason.CORRUPT, RunState.NOT_RUN, "log.truncate"))
+    await trio.sleep(30)
+    assert cluster.group(leader).stop_failure is not None
--- a/marigoldtrail/consensus/tests/test_repair.py
+++ b/marigoldtrail/consensus/tests/test_repair.py
@@ -4,7 +4,7 @@
 import trio
 
 from marigoldtrail.consensus import applying
-from marigoldtrail.consensus.tests.cluster import GROUP, Cluster, Register
+from marigoldtrail.consensus.tests.cluster import GROUP, Cluster, Register, others_of
 from marigoldtrail.errors import Reason, RunState, is_failure
 
 
@@ -12,10 +12,6 @@
     return sorted(n for n in cluster.disks[name].files if n.startswith(f"{GROUP}/log/"))
 
 
-def others_of(cluster, *names):
-    return [name for name in cluster.names if name not in names]
-
-
 def voter_ids(cluster, name):
     return {m.host: m.storage_id for m in cluster.group(name)._state.log.voters}
 
--- a/marigoldtrail/storage/disk.py
+++ b/marigoldtrail/storage/disk.py
@@ -215,6 +215,8 @@
 
     async def write_atomic(self, name: str, data: bytes) -> None | Failure:
         """Replace a file; see `Disk.write_atomic`."""
+        # Later appends must reach the new file.
+        self._close_file(name)
 
         def run() -> None:
             path = self._path(name)
@@ -248,9 +250,7 @@
 
     async def remove(self, name: str) -> None | Failure:
         """Remove a file; see `Disk.remove`."""
-        file = self._files.pop(name, None)
-        if file is not None:
-            file.close()
+        self._close_file(name)
 
         def run() -> None:
             path = self._path(name)
@@ -327,6 +327,11 @@
             file.use_count -= 1
             self._close_idle_files()
 
+    def _close_file(self, name: str) -> None:
+        file = self._files.pop(name, None)
+        if file is not None:
+            file.close()
+
     def _close_idle_files(self) -> None:
         for name, file in list(self._files.items()):
             if len(self._files) <= MAX_OPEN_FILES:
--- a/marigoldtrail/storage/journal.py
+++ b/marigoldtrail/storage/journal.py
@@ -325,6 +325,32 @@
         segment.size = size
         return None
 
+    async def write_tail_anew(self, index: int) -> None | Failure:
+        """
+        Remove the records after an index and write the newest segment to a new file.
+
+        Parameters
+        ----------
+        index : int
+            Last index to keep.
+
+        Returns
+        -------
+        None or Failure
+            The failure of the disk.
+        """
+        dropped = await self.drop_after(index)
+        if isinstance(dropped, Failure) or not self._segments:
+            return dropped
+        segment = self._segments[-1]
+        data = await self._disk.read(segment.name, length=segment.size)
+        if isinstance(data, Failure):
+            return data
+        written = await self._disk.write_atomic(segment.name, data)
+        if not isinstance(written, Failure):
+            self._discard_unsynced(segment)
+        return written
+
     def _discard_unsynced(self, segment: Segment) -> None:
         if segment.name in self._unsynced:
             self._unsynced.remove(segment.name)
--- a/marigoldtrail/testing/disk.py
+++ b/marigoldtrail/testing/disk.py
@@ -12,13 +12,41 @@
 
 
 class MemoryFile:
-    """Content of a file and the number of its bytes that are durable."""
+    """
+    Content of a file and the number of its bytes that are durable.
+
+    Attributes
+    ----------
+    dropped_at : int or None
+        First byte that a failed sync has dropped; as in a page cache, it can still be read, but no
+        later sync makes it durable.
+    """
 
-    __slots__ = ("data", "synced_bytes")
+    __slots__ = ("data", "synced_bytes", "dropped_at")
 
     def __init__(self) -> None:
         self.data = bytearray()
         self.synced_bytes = 0
+        self.dropped_at: int | None = None
+
+    def fail_sync(self) -> None:
+        """Drop the bytes that are not durable."""
+        if self.synced_bytes < len(self.data):
+            self.dropped_at = min(self.synced_bytes, self.dropped_at or self.synced_bytes)
+
+    def sync(self, size: int) -> None:
+        """Make the bytes up to a size durable, except those that were dropped."""
+        end = min(size, len(self.data))
+        if self.dropped_at is not None:
+            end = min(end, self.dropped_at)
+        self.synced_bytes = max(self.synced_bytes, end)
+
+    def truncate(self, size: int) -> None:
+        """Remove the bytes after a size, durably."""
+        del self.data[size:]
+        if self.dropped_at is not None and self.dropped_at >= size:
+            self.dropped_at = None
+        self.synced_bytes = len(self.data) if self.dropped_at is None else self.dropped_at
 
 
 class MemoryDisk:
@@ -70,10 +98,11 @@
             Whether a random part of the unsynced bytes is kept.
         """
         for name, file in list(self.files.items()):
-            unsynced = len(file.data) - file.synced_bytes
-            kept = self._rng.randint(0, unsynced) if torn else 0
+            end = len(file.data) if file.dropped_at is None else file.dropped_at
+            kept = self._rng.randint(0, max(0, end - file.synced_bytes)) if torn else 0
             del file.data[file.synced_bytes + kept :]
             file.synced_bytes = len(file.data)
+            file.dropped_at = None
             if not file.data:
                 del self.files[name]
 
@@ -96,9 +125,11 @@
         await trio.sleep(self.sync_delay_s)
         self.syncs += 1
         if self.fail_syncs:
+            if file is not None:
+                file.fail_sync()
             return build_disk_failure(OSError(errno.EIO, "input/output error"), "disk.sync", name)
         if file is not None and not self.lie_about_sync:
-            file.synced_bytes = max(file.synced_bytes, min(size, len(file.data)))
+            file.sync(size)
         return None
 
     async def read(
@@ -147,9 +178,7 @@
             return build_disk_failure(
                 OSError(errno.EIO, "input/output error"), "disk.truncate", name
             )
-        file = self.files[name]
-        del file.data[size:]
-        file.synced_bytes = len(file.data)
+        self.files[name].truncate(size)
         return None
 
     async def get_size(self, name: str) -> int | Failure:
