Hand the leadership over when the leader's disk is full

Callers: while the disk of the leading control host was full, every change was refused (disk_full, not run), although the other hosts had room; the leader led on until it had room again. Operators wait ack_ms (4 s) for an acknowledgement.

Cause: a refused append fails its proposals and nothing else. Class: a host that keeps a duty which it can't do while others could.

A leader whose append is refused now transfers its leadership. A transfer asks the followers that hold the whole log in turn, two requests each, since the first may have no room either; without a successor in 1.5 s the host leads on.

--- a/marigoldtrail/consensus/applying.py
+++ b/marigoldtrail/consensus/applying.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from marigoldtrail.consensus.election import transfer_leadership
 from marigoldtrail.consensus.levels import get_state_level, hold_at_unsupported_command
 from marigoldtrail.consensus.log import COMMAND
 from marigoldtrail.consensus.primitives import Proposal, UnsupportedCommandError
@@ -18,6 +19,7 @@
 MAX_BATCH_BYTES = 1024 * 1024
 SNAPSHOT_ENTRIES = 4096
 SNAPSHOT_BYTES = 16 * 1024 * 1024
+HAND_OVER_TIMEOUT_S = 1.5
 # Entries applied before the applier yields to other tasks.
 APPLY_BURST_ENTRIES = 64
 
@@ -121,6 +123,15 @@
     elif state.term_start_index == 0:
         # A leader cannot commit anything before the first entry of its term.
         step_down(state, "no room for the first entry of the term")
+    elif not state.is_transferring:
+        state.report("hand_over", "the disk of the leader is full")
+        state.nursery.start_soon(hand_over, state)
+
+
+async def hand_over(state: GroupState) -> None:
+    """Transfer the leadership to a host that may have room; lead on if no other host can lead."""
+    if not await transfer_leadership(state, timeout_s=HAND_OVER_TIMEOUT_S):
+        state.report("lead_on", "no other host could take over")
 
 
 async def apply_committed(state: GroupState) -> None:
--- a/marigoldtrail/consensus/election.py
+++ b/marigoldtrail/consensus/election.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import trio
 
 from marigoldtrail.consensus.log import NO_OPERATION
@@ -44,6 +46,8 @@
 # Repeating a refused pre-vote is cheap; the refusal may come from a follower that had contact with
 # the old leader slightly later.
 PRE_VOTE_RETRY_S = (0.1, 0.5)
+# A second request to the same follower covers one that was lost.
+ATTEMPTS_PER_SUCCESSOR = 2
 
 
 async def run_elections(state: GroupState) -> None:
@@ -406,8 +410,10 @@
     # New proposals are refused from here on, so that the follower can catch up.
     state.is_transferring = True
     with trio.move_on_after(timeout_s):
-        while state.is_leader_in(term):
-            await request_transfer(state, term)
+        for attempt in itertools.count():
+            if not state.is_leader_in(term):
+                break
+            await request_transfer(state, term, attempt // ATTEMPTS_PER_SUCCESSOR)
             await state.changed.wait_with_timeout(HEARTBEAT_S)
     if state.is_leader_in(term):
         state.is_transferring = False
@@ -415,9 +421,9 @@
     return True
 
 
-async def request_transfer(state: GroupState, term: int) -> None:
+async def request_transfer(state: GroupState, term: int, turn: int) -> None:
     """
-    Ask the most up-to-date follower to campaign if it has the whole log.
+    Ask a follower that has the whole log to campaign.
 
     Parameters
     ----------
@@ -425,17 +431,23 @@
         The group.
     term : int
         Term in which this host leads.
+    turn : int
+        Number of followers that were asked before and did not take over, for example because their
+        disks are full.
     """
+    if state.queue or state.applied_index < state.log.last_index:
+        # Some proposers are still waiting for their results.
+        return
     voters = {member.storage_id for member in state.log.voters}
-    peers = [peer for peer in state.peers.values() if peer.storage_id in voters]
+    peers = [
+        peer
+        for peer in state.peers.values()
+        if peer.storage_id in voters and peer.match_index >= state.log.last_index
+    ]
     if not peers:
         return
-    peer = max(peers, key=lambda peer: (peer.match_index, peer.last_contact_at))
-    if state.queue or peer.match_index < state.log.last_index:
-        return
-    if state.applied_index < state.log.last_index:
-        # Some proposers are still waiting for their results.
-        return
+    peers.sort(key=lambda peer: peer.last_contact_at, reverse=True)
+    peer = peers[turn % len(peers)]
     request = CampaignNow(group=state.name, term=term, target_id=peer.storage_id)
     await state.client.call(
         state.addresses[peer.host], request, CampaignReply, timeout_s=PRE_VOTE_TIMEOUT_S
--- a/marigoldtrail/consensus/tests/test_disk_failures.py
+++ b/marigoldtrail/consensus/tests/test_disk_failures.py
@@ -9,6 +9,8 @@
 from marigoldtrail.errors import Reason, RunState
 
 FAILURE_S = 3.0
+# Operators wait this long for an acknowledgement.
+ACK_S = 4.0
 
 
 async def fail_syncs_in_turn(cluster):
@@ -82,3 +84,48 @@
     stop_group(state, state.make_failure(Reason.CORRUPT, RunState.NOT_RUN, "log.truncate"))
     await trio.sleep(30)
     assert cluster.group(leader).stop_failure is not None
+
+
+def fill(disk):
+    disk.capacity_bytes = sum(len(file.data) for file in disk.files.values())
+
+
+async def test_leader_with_a_full_disk_hands_over_to_a_host_with_room(autojump_clock, nursery):
+    """Guards against commands that are refused although other hosts have room for them."""
+    cluster = Cluster(nursery)
+    leader = await cluster.start_all()
+    fill(cluster.disks[leader])
+    await cluster.propose(b"x", timeout_s=ACK_S)
+    assert not cluster.group(leader).is_leader
+
+
+async def test_leader_whose_followers_cannot_lead_leads_on(autojump_clock, nursery):
+    """Guards against a group without a leader after two disks are full at once."""
+    cluster = Cluster(nursery)
+    leader = await cluster.start_all()
+    for name in (leader, others_of(cluster, leader)[0]):
+        fill(cluster.disks[name])
+    refused = await cluster.group(leader).propose(b"x", timeout_s=1)
+    assert refused.reason is Reason.DISK_FULL and refused.run_state is RunState.NOT_RUN
+    await trio.sleep(5)
+    for disk in cluster.disks.values():
+        disk.capacity_bytes = None
+    await cluster.propose(b"x", timeout_s=ACK_S)
+
+
+async def test_each_command_is_accepted_in_time_while_disks_are_full_in_turn(
+    autojump_clock, nursery
+):
+    """Guards against changes that wait for a full disk although a quorum has room."""
+    cluster = Cluster(nursery)
+    await cluster.start_all()
+    for number, name in enumerate(cluster.names * 2):
+        fill(cluster.disks[name])
+        with trio.move_on_after(FAILURE_S + ACK_S):
+            for step in range(100):
+                await cluster.propose(b"%d-%d" % (number, step), timeout_s=ACK_S)
+                await trio.sleep(0.5)
+        cluster.disks[name].capacity_bytes = None
+        await trio.sleep(1)
+    await cluster.propose(b"last", timeout_s=ACK_S)
+    await cluster.wait_until(lambda: all(b"last" in m.effects for m in cluster.machines.values()))
