--- a/marigoldtrail/consensus/applying.py
+++ b/marigoldtrail/consensus/applying.py
@@ -12,7 +12,14 @@
 from marigoldtrail.consensus.log import COMMAND
 from marigoldtrail.consensus.primitives import Proposal, UnsupportedCommandError
 from marigoldtrail.consensus.replication import advance_commit
-from marigoldtrail.consensus.state import LEADER, GroupState, check_disk, step_down, stop_group
+from marigoldtrail.consensus.state import (
+    LEADER,
+    GroupState,
+    check_disk,
+    record_room,
+    step_down,
+    stop_group,
+)
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.schema.generated.consensus import LogEntry, StoredSnapshot
 
@@ -61,6 +68,7 @@
         proposal.index = start + offset
         state.pending_proposals[proposal.index] = proposal
     appended = await state.log.append(entries)
+    record_room(state, appended)
     if isinstance(appended, Failure):
         fail_batch(state, batch, appended)
         return
--- a/marigoldtrail/consensus/follower.py
+++ b/marigoldtrail/consensus/follower.py
@@ -9,6 +9,7 @@
     adopt_term,
     check_disk,
     record_leader_contact,
+    record_room,
     restore_machine,
     stop_group,
 )
@@ -227,6 +228,7 @@
         index += 1
         known += 1
     result = await log.append(req.entries[known:])
+    record_room(state, result)
     if isinstance(result, Failure) and result.reason is not Reason.DISK_FULL:
         stop_group(state, result)
         return result
--- a/marigoldtrail/consensus/group.py
+++ b/marigoldtrail/consensus/group.py
@@ -157,6 +157,11 @@
         """The failure of the disk that keeps this host out of the group, if any."""
         return self._state.stop_failure
 
+    @property
+    def has_room(self) -> bool:
+        """Whether the last entry was not refused by a full disk."""
+        return self._state.has_room
+
     @property
     def has_voters(self) -> bool:
         """Whether the group is known to be initialised, that is, to have voters."""
--- a/marigoldtrail/consensus/reopening.py
+++ b/marigoldtrail/consensus/reopening.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 from marigoldtrail.consensus.levels import build_level_failure, get_command_level
 from marigoldtrail.consensus.log import ReplicatedLog
 from marigoldtrail.consensus.state import (
@@ -19,6 +21,8 @@
 FIRST_REOPEN_PAUSE_S = 0.1
 MAX_REOPEN_PAUSE_S = 2.0
 
+_log = logging.getLogger(__name__)
+
 _PASSING_REASONS = (Reason.DISK_ERROR, Reason.DISK_FULL, Reason.NOT_FOUND)
 
 
@@ -121,6 +125,8 @@
             return
         state.stop_failure = None
         reset_campaign(state)
+    out_s = state.timers.now() - state.stopped_at
+    _log.warning("group %s: this host is in the group again after %.1f s", state.name, out_s)
     state.report("reopen_group", "the disk works again", last_index=state.log.last_index)
     state.changed.notify()
 
--- a/marigoldtrail/consensus/state.py
+++ b/marigoldtrail/consensus/state.py
@@ -102,6 +102,8 @@
         "is_writing_snapshot",
         "leader_scope",
         "stop_failure",
+        "stopped_at",
+        "has_room",
         "may_campaign",
         "held_index",
         "refused_snapshot",
@@ -164,6 +166,9 @@
         self.is_writing_snapshot = False
         self.leader_scope = trio.CancelScope()
         self.stop_failure: Failure | None = None
+        self.stopped_at = 0.0
+        # Whether the last append was not refused by a full disk.
+        self.has_room = True
         self.may_campaign = True
         # Index of the last command that needs a later release.
         self.held_index = 0
@@ -351,12 +356,35 @@
     if state.stop_failure is not None:
         return
     state.stop_failure = failure
+    state.stopped_at = state.timers.now()
     step_down(state, str(failure))
     state.leader = None
+    _log.error("group %s: this host is out of the group: %s", state.name, failure)
     state.report("stop_group", str(failure))
     state.changed.notify()
 
 
+def record_room(state: GroupState, result: None | Failure) -> None:
+    """
+    Record whether an append was refused by a full disk.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    result : None or Failure
+        Result of the append.
+    """
+    has_room = not isinstance(result, Failure) or result.reason is not Reason.DISK_FULL
+    if has_room == state.has_room:
+        return
+    state.has_room = has_room
+    if has_room:
+        _log.warning("group %s: the disk has room again", state.name)
+    else:
+        _log.error("group %s: the disk is full: %s", state.name, result)
+
+
 def check_disk(state: GroupState, result: None | Failure) -> Failure | None:
     """
     Stop the group if a disk operation failed for a reason other than a full disk.
--- a/marigoldtrail/consensus/tests/test_disk_failures.py
+++ b/marigoldtrail/consensus/tests/test_disk_failures.py
@@ -129,3 +129,27 @@
         await trio.sleep(1)
     await cluster.propose(b"last", timeout_s=ACK_S)
     await cluster.wait_until(lambda: all(b"last" in m.effects for m in cluster.machines.values()))
+
+
+async def test_stop_and_return_of_a_group_are_logged(autojump_clock, nursery, caplog):
+    """Guards against a host that is out of its group without an operator who can see it."""
+    cluster = Cluster(nursery)
+    leader = await cluster.start_all()
+    follower = others_of(cluster, leader)[0]
+    cluster.disks[follower].fail_syncs = True
+    await cluster.propose(b"x")
+    await cluster.wait_until(lambda: cluster.group(follower).stop_failure is not None)
+    cluster.disks[follower].fail_syncs = False
+    await cluster.wait_until(lambda: b"x" in cluster.machines[follower].effects)
+    fill(cluster.disks[follower])
+    await cluster.propose(b"y")
+    await cluster.wait_until(lambda: not cluster.group(follower).has_room)
+    cluster.disks[follower].capacity_bytes = None
+    await cluster.wait_until(lambda: cluster.group(follower).has_room)
+    lines = [r.getMessage() for r in caplog.records if r.levelname in ("WARNING", "ERROR")]
+    assert ["out of the group", "in the group again", "is full", "has room again"] == [
+        part
+        for line in lines
+        for part in ("out of the group", "in the group again", "is full", "has room again")
+        if part in line
+    ]
--- a/marigoldtrail/site/control_host.py
+++ b/marigoldtrail/site/control_host.py
@@ -86,6 +86,16 @@
         components.metrics.add_gauge(
             "applied_index", "Last applied entry of the log.", lambda: group.applied_index
         )
+        components.metrics.add_gauge(
+            "log_stopped",
+            "Whether a failed disk keeps this host out of the log group.",
+            lambda: group.stop_failure is not None,
+        )
+        components.metrics.add_gauge(
+            "log_disk_full",
+            "Whether a full disk refused the last entry of the log.",
+            lambda: not group.has_room,
+        )
         self.continuity = ContinuityMonitor(
             get_contact_time=lambda: group.contact_time, timers=components.timers
         )
