--- a/marigoldtrail/storage/disk.py
+++ b/marigoldtrail/storage/disk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import fcntl
 import logging
@@ -310,8 +311,16 @@
         except OSError:
             # Remove the partial append: later appends would follow it.
             os.ftruncate(fd, size)
+            if size == 0:
+                self._remove_empty(file, name)
             raise
 
+    def _remove_empty(self, file: OpenFile, name: str) -> None:
+        file.close()
+        # The append has failed already; readers cope with an empty file.
+        with contextlib.suppress(OSError):
+            self._path(name).unlink()
+
     def _sync(self, file: OpenFile, name: str) -> None:
         os.fsync(self._open(file, name))
 
--- a/marigoldtrail/storage/journal.py
+++ b/marigoldtrail/storage/journal.py
@@ -357,7 +357,7 @@
 
     async def recover(self, *, truncate_corrupt: bool) -> None | Failure:
         """
-        Load all segments; truncate a torn tail.
+        Load all segments; remove empty ones and truncate a torn tail.
 
         Parameters
         ----------
@@ -377,6 +377,13 @@
             data = await self._disk.read(name)
             if isinstance(data, Failure):
                 return data
+            if not data:
+                # A refused first append leaves an empty file. It never held a record, and the
+                # records from its index on may since have been written to other segments.
+                removed = await self._disk.remove(name)
+                if isinstance(removed, Failure):
+                    return removed
+                continue
             segment, complete = self._scan(name, data)
             if complete:
                 self._segments.append(segment)
--- a/marigoldtrail/storage/tests/test_disk.py
+++ b/marigoldtrail/storage/tests/test_disk.py
@@ -96,6 +96,22 @@
     disk.close()
 
 
+async def test_refused_first_append_leaves_no_file(tmp_path, monkeypatch):
+    """Guards against empty segments, which may later stand among valid ones."""
+    disk = open_folder(tmp_path, timers=Timers())
+
+    def refuse(fd, data):
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    monkeypatch.setattr(os, "write", refuse)
+    assert (await disk.append("log/1", b"refused")).reason is Reason.DISK_FULL
+    monkeypatch.undo()
+    assert await disk.list_names() == []
+    assert await disk.append("log/1", b"after") is None
+    assert await disk.read("log/1") == b"after"
+    disk.close()
+
+
 async def test_failed_fsync_of_the_folder_breaks_the_journal(tmp_path, monkeypatch):
     """Guards against an fsync error, a full disk included, that is treated as recoverable."""
     disk = open_folder(tmp_path, timers=Timers())
--- a/marigoldtrail/storage/tests/test_journal.py
+++ b/marigoldtrail/storage/tests/test_journal.py
@@ -72,6 +72,21 @@
         assert await disk.list_names(PREFIX) == [f"{PREFIX}{1:020d}.log"]
 
 
+async def test_empty_segment_of_a_refused_append_is_skipped(autojump_clock, disk):
+    """Guards against valid records that are taken for corrupt behind an empty segment."""
+    journal = await fill(disk, 4)
+    await disk.append(f"{PREFIX}{5:020d}.log", b"")
+    assert await journal.drop_after(3) is None
+    # Of one batch, both records go to the first segment, so that the next one starts at 6.
+    assert await journal.append(make_records(4, 5, term=2)) is None
+    for record in make_records(6, 12, term=2):
+        assert await journal.append([record]) is None
+    again = await open_small(disk)
+    expected = [*make_records(1, 3), *make_records(4, 12, term=2)]
+    assert await again.read_from(1) == expected
+    assert f"{PREFIX}{5:020d}.log" not in await disk.list_names(PREFIX)
+
+
 @pytest.mark.parametrize("offset", [0, 5, 10, 17, 26])
 async def test_corruption_before_valid_records_is_refused(autojump_clock, disk, offset):
     """Guards against a journal that skips, alters or silently truncates a corrupt record."""
