Sync the folder of a file in sync, once for each file that is opened

FolderDisk synced the folder when it created a file, and only then. If that sync was refused, the next append found the file open and went on: the folder was never synced and the records counted as durable, also after a process that was killed between the two steps.

sync, which promises durability, now also makes the name durable: the first sync after a file is opened syncs its folder, and the folders above it up to the data folder once for each process. write_atomic does the same for the folders above. FolderDisk takes its calls of the operating system as an argument, so that tests can let each of them fail. A folder that cannot be listed is now a failure instead of an empty folder.

--- a/marigoldtrail/storage/disk.py
+++ b/marigoldtrail/storage/disk.py
@@ -7,10 +7,11 @@
 import fcntl
 import logging
 import os
+import stat
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
-from typing import Protocol, TypeVar
+from typing import Protocol, TypeVar, cast
 
 import trio
 
@@ -21,6 +22,7 @@
 SLOW_SYNC_S = 1.0
 LOCK_NAME = "lock"
 TEMPORARY_SUFFIX = ".tmp"
+FILE_MODE = 0o644
 
 _FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 
@@ -34,7 +36,8 @@
     Files by relative name; every method returns a `Failure` if the operation fails.
 
     Names separate folders with ``/``. Calls for one name must not overlap. Truncation, removal and
-    atomic writes are durable on return; appended bytes are durable after `sync`.
+    atomic writes are durable on return; appended bytes and the name of their file are durable after
+    `sync`.
     """
 
     async def append(self, name: str, data: bytes) -> None | Failure:
@@ -57,7 +60,7 @@
         ...
 
     async def sync(self, name: str) -> None | Failure:
-        """Make the appended bytes of a file durable."""
+        """Make the appended bytes and the name of a file durable."""
         ...
 
     async def read(
@@ -86,6 +89,33 @@
         """Return the size of a file in bytes; ``NOT_FOUND`` if it does not exist."""
         ...
 
+    async def sync_names(self, folder: str) -> None | Failure:
+        """Make all names in a folder durable, with its own; does nothing if it does not exist."""
+        ...
+
+
+class FileCalls(Protocol):
+    """The calls of the operating system that `FolderDisk` makes; as in the module `os`."""
+
+    def open(self, path: Path, flags: int, mode: int = 0o777, /) -> int: ...
+    def close(self, fd: int, /) -> None: ...
+    def pread(self, fd: int, length: int, offset: int, /) -> bytes: ...
+    def write(self, fd: int, data: memoryview, /) -> int: ...
+    def ftruncate(self, fd: int, length: int, /) -> None: ...
+    def fsync(self, fd: int, /) -> None: ...
+    def fstat(self, fd: int, /) -> os.stat_result: ...
+    def stat(self, path: Path, /) -> os.stat_result: ...
+    def replace(self, source: Path, target: Path, /) -> None: ...
+    def unlink(self, path: Path, /) -> None: ...
+    def mkdir(self, path: Path, /) -> None: ...
+    def listdir(self, path: Path, /) -> list[str]: ...
+
+
+class BlockingRunner(Protocol):
+    """Runs a function that blocks; as `trio.to_thread.run_sync`."""
+
+    async def __call__(self, run: Callable[[], Result], /) -> Result: ...
+
 
 def build_disk_failure(exc: OSError, step: str, name: str) -> Failure:
     """
@@ -119,19 +149,23 @@
 
 
 class OpenFile:
-    """A file kept open for appending, and the number of calls that currently use it."""
+    """
+    A file kept open for appending.
 
-    __slots__ = ("fd", "use_count")
+    Attributes
+    ----------
+    use_count : int
+        Number of calls that currently use it.
+    is_name_durable : bool
+        Whether its folder has been synced since the file was opened.
+    """
+
+    __slots__ = ("fd", "use_count", "is_name_durable")
 
     def __init__(self) -> None:
         self.fd: int | None = None
         self.use_count = 0
-
-    def close(self) -> None:
-        """Close the file descriptor, if open."""
-        if self.fd is not None:
-            os.close(self.fd)
-            self.fd = None
+        self.is_name_durable = False
 
 
 class FolderDisk:
@@ -144,13 +178,36 @@
         The folder.
     timers : Timers
         Measures the duration of fsync calls.
+    calls : FileCalls or None
+        The operating system's calls; None for the real ones.
+    run_blocking : BlockingRunner
+        Runs these calls.
     """
 
-    __slots__ = ("_folder", "_timers", "_files", "_lock_fd")
-
-    def __init__(self, *, folder: Path, timers: Timers) -> None:
+    __slots__ = (
+        "_folder",
+        "_timers",
+        "_calls",
+        "_run_blocking",
+        "_files",
+        "_durable_folders",
+        "_lock_fd",
+    )
+
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        timers: Timers,
+        calls: FileCalls | None = None,
+        run_blocking: BlockingRunner = trio.to_thread.run_sync,
+    ) -> None:
         self._folder = folder
         self._timers = timers
+        self._calls = calls or cast(FileCalls, os)
+        self._run_blocking = run_blocking
+        # Folders whose own name this process has made durable.
+        self._durable_folders: set[Path] = set()
         self._files: OrderedDict[str, OpenFile] = OrderedDict()
         self._lock_fd: int | None = None
 
@@ -174,7 +231,7 @@
     def close(self) -> None:
         """Close all files and unlock the folder."""
         while self._files:
-            self._files.popitem()[1].close()
+            self._close_descriptor(self._files.popitem()[1])
         if self._lock_fd is not None:
             os.close(self._lock_fd)
             self._lock_fd = None
@@ -208,9 +265,10 @@
         """Read a file; see `Disk.read`."""
 
         def run() -> bytes:
-            with open(self._path(name), "rb") as file:
-                file.seek(offset)
-                return file.read(-1 if length is None else length)
+            with self._opened(self._path(name), os.O_RDONLY) as fd:
+                size = self._calls.fstat(fd).st_size
+                end = size if length is None else min(size, offset + length)
+                return self._read_range(fd, offset, end)
 
         return await self._run("disk.read", name, run)
 
@@ -224,15 +282,14 @@
             self._make_parents(path)
             temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
             try:
-                with open(temporary, "wb") as file:
-                    file.write(data)
-                    file.flush()
-                    os.fsync(file.fileno())
-                os.replace(temporary, path)
+                with self._opened(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC) as fd:
+                    self._write_all(fd, data)
+                    self._calls.fsync(fd)
+                self._calls.replace(temporary, path)
             except OSError:
-                temporary.unlink(missing_ok=True)
+                self._unlink_quietly(temporary)
                 raise
-            sync_folder(path.parent)
+            self._sync_names(path.parent)
 
         return await self._run("disk.write_atomic", name, run)
 
@@ -242,8 +299,8 @@
         def run() -> list[str]:
             names = [
                 path.relative_to(self._folder).as_posix()
-                for path in self._folder.rglob("*")
-                if path.is_file() and not path.name.endswith(TEMPORARY_SUFFIX)
+                for path in self._list_files(self._folder)
+                if not path.name.endswith(TEMPORARY_SUFFIX)
             ]
             return sorted(name for name in names if name.startswith(prefix) and name != LOCK_NAME)
 
@@ -255,9 +312,10 @@
 
         def run() -> None:
             path = self._path(name)
-            path.unlink(missing_ok=True)
-            if path.parent.is_dir():
-                sync_folder(path.parent)
+            with contextlib.suppress(FileNotFoundError):
+                self._calls.unlink(path)
+            if self._exists(path.parent):
+                self._sync_folder(path.parent)
 
         return await self._run("disk.remove", name, run)
 
@@ -265,18 +323,27 @@
         """Truncate a file; see `Disk.truncate`."""
 
         def run() -> None:
-            fd = os.open(self._path(name), os.O_WRONLY | os.O_CLOEXEC)
-            try:
-                os.ftruncate(fd, size)
-                os.fsync(fd)
-            finally:
-                os.close(fd)
+            with self._opened(self._path(name), os.O_WRONLY) as fd:
+                self._calls.ftruncate(fd, size)
+                self._calls.fsync(fd)
 
         return await self._run("disk.truncate", name, run)
 
     async def get_size(self, name: str) -> int | Failure:
         """Return the size of a file; see `Disk.get_size`."""
-        return await self._run("disk.size", name, lambda: self._path(name).stat().st_size)
+        return await self._run(
+            "disk.size", name, lambda: self._calls.stat(self._path(name)).st_size
+        )
+
+    async def sync_names(self, folder: str) -> None | Failure:
+        """Make the names in a folder durable; see `Disk.sync_names`."""
+
+        def run() -> None:
+            path = self._path(folder)
+            if self._exists(path):
+                self._sync_names(path)
+
+        return await self._run("disk.sync_names", folder, run)
 
     def _path(self, name: str) -> Path:
         parts = name.split("/")
@@ -284,45 +351,99 @@
             raise ValueError(f"{name!r} is not a valid file name in the data folder")
         return self._folder.joinpath(*parts)
 
+    def _exists(self, path: Path) -> bool:
+        try:
+            self._calls.stat(path)
+        except FileNotFoundError:
+            return False
+        return True
+
     def _make_parents(self, path: Path) -> None:
-        missing = [folder for folder in path.parents if not folder.exists()]
+        missing = [folder for folder in path.parents if not self._exists(folder)]
         for folder in reversed(missing):
-            folder.mkdir(exist_ok=True)
-            sync_folder(folder.parent)
+            with contextlib.suppress(FileExistsError):
+                self._calls.mkdir(folder)
+
+    def _list_files(self, folder: Path) -> list[Path]:
+        found: list[Path] = []
+        for name in self._calls.listdir(folder):
+            path = folder / name
+            # A temporary file may be gone by now.
+            with contextlib.suppress(FileNotFoundError):
+                is_folder = stat.S_ISDIR(self._calls.stat(path).st_mode)
+                found += self._list_files(path) if is_folder else [path]
+        return found
+
+    @contextlib.contextmanager
+    def _opened(self, path: Path, flags: int) -> Iterator[int]:
+        fd = self._calls.open(path, flags | os.O_CLOEXEC, FILE_MODE)
+        try:
+            yield fd
+        finally:
+            self._calls.close(fd)
+
+    def _read_range(self, fd: int, offset: int, end: int) -> bytes:
+        parts: list[bytes] = []
+        while offset < end:
+            part = self._calls.pread(fd, end - offset, offset)
+            if not part:
+                break
+            parts.append(part)
+            offset += len(part)
+        return b"".join(parts)
+
+    def _write_all(self, fd: int, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            view = view[self._calls.write(fd, view) :]
+
+    def _unlink_quietly(self, path: Path) -> None:
+        # The operation has failed already; its first error is the one to report.
+        with contextlib.suppress(OSError):
+            self._calls.unlink(path)
 
     def _open(self, file: OpenFile, name: str) -> int:
         if file.fd is None:
             path = self._path(name)
             self._make_parents(path)
-            created = not path.exists()
             flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
-            file.fd = os.open(path, flags, 0o644)
-            if created:
-                sync_folder(path.parent)
+            file.fd = self._calls.open(path, flags, FILE_MODE)
         return file.fd
 
     def _append(self, file: OpenFile, name: str, data: bytes) -> None:
         fd = self._open(file, name)
-        size = os.fstat(fd).st_size
-        view = memoryview(data)
+        size = self._calls.fstat(fd).st_size
         try:
-            while view:
-                view = view[os.write(fd, view) :]
+            self._write_all(fd, data)
         except OSError:
             # Remove the partial append: later appends would follow it.
-            os.ftruncate(fd, size)
+            self._calls.ftruncate(fd, size)
             if size == 0:
-                self._remove_empty(file, name)
+                # Readers cope with an empty file, should it remain.
+                self._close_descriptor(file)
+                self._unlink_quietly(self._path(name))
             raise
 
-    def _remove_empty(self, file: OpenFile, name: str) -> None:
-        file.close()
-        # The append has failed already; readers cope with an empty file.
-        with contextlib.suppress(OSError):
-            self._path(name).unlink()
-
     def _sync(self, file: OpenFile, name: str) -> None:
-        os.fsync(self._open(file, name))
+        self._calls.fsync(self._open(file, name))
+        if not file.is_name_durable:
+            # Also for a file of an earlier process, which may have been killed before this step.
+            self._sync_names(self._path(name).parent)
+            file.is_name_durable = True
+
+    def _sync_names(self, folder: Path) -> None:
+        inside = folder.relative_to(self._folder)
+        parent = self._folder
+        for part in inside.parts:
+            if parent / part not in self._durable_folders:
+                self._sync_folder(parent)
+                self._durable_folders.add(parent / part)
+            parent /= part
+        self._sync_folder(folder)
+
+    def _sync_folder(self, folder: Path) -> None:
+        with self._opened(folder, os.O_RDONLY | os.O_DIRECTORY) as fd:
+            self._calls.fsync(fd)
 
     async def _with_file(
         self, step: str, name: str, run: Callable[[OpenFile], None]
@@ -339,38 +460,28 @@
     def _close_file(self, name: str) -> None:
         file = self._files.pop(name, None)
         if file is not None:
-            file.close()
+            self._close_descriptor(file)
+
+    def _close_descriptor(self, file: OpenFile) -> None:
+        if file.fd is not None:
+            self._calls.close(file.fd)
+        file.fd = None
+        file.is_name_durable = False
 
     def _close_idle_files(self) -> None:
         for name, file in list(self._files.items()):
             if len(self._files) <= MAX_OPEN_FILES:
                 return
             if file.use_count == 0:
-                self._files.pop(name).close()
+                self._close_descriptor(self._files.pop(name))
 
     async def _run(self, step: str, name: str, run: Callable[[], Result]) -> Result | Failure:
         try:
-            return await trio.to_thread.run_sync(run)
+            return await self._run_blocking(run)
         except OSError as exc:
             return build_disk_failure(exc, step, name)
 
 
-def sync_folder(folder: Path) -> None:
-    """
-    Make the directory entries of a folder durable.
-
-    Parameters
-    ----------
-    folder : pathlib.Path
-        The folder.
-    """
-    fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-    try:
-        os.fsync(fd)
-    finally:
-        os.close(fd)
-
-
 def open_folder(path: str | Path, *, timers: Timers) -> FolderDisk | Failure:
     """
     Open and lock a data folder; create it if needed.
--- a/marigoldtrail/storage/tests/test_disk.py
+++ b/marigoldtrail/storage/tests/test_disk.py
@@ -112,6 +112,52 @@
     disk.close()
 
 
+def watch_folder_syncs(monkeypatch, synced, *, refuse=()):
+    """Note the folders that are synced; a sync of a folder whose name is in `refuse` fails."""
+    fsync = os.fsync
+
+    def watch(fd):
+        path = os.readlink(f"/proc/self/fd/{fd}")
+        if os.path.isdir(path):
+            if os.path.basename(path) in refuse:
+                raise OSError(errno.ENOSPC, "no space left on device")
+            synced.append(os.path.basename(path))
+        fsync(fd)
+
+    monkeypatch.setattr(os, "fsync", watch)
+
+
+@pytest.mark.parametrize("refused", ["data", "g", "log"])
+async def test_sync_succeeds_only_when_the_name_is_durable(tmp_path, monkeypatch, refused):
+    """Guards against a file that counts as durable in a folder that was never synced."""
+    disk = open_folder(tmp_path / "data", timers=Timers())
+    synced = []
+    watch_folder_syncs(monkeypatch, synced, refuse=[refused])
+    await disk.append("g/log/1", b"a")
+    assert (await disk.sync("g/log/1")).reason is Reason.DISK_ERROR
+    monkeypatch.undo()
+    watch_folder_syncs(monkeypatch, synced)
+    assert await disk.append("g/log/1", b"b") is None
+    assert await disk.sync("g/log/1") is None
+    assert set(synced) == {"data", "g", "log"}
+    disk.close()
+
+
+async def test_sync_covers_the_name_of_a_file_that_an_earlier_process_left(tmp_path, monkeypatch):
+    """Guards against a file whose process was killed before it could sync the folder."""
+    disk = open_folder(tmp_path / "data", timers=Timers())
+    await disk.append("g/log/1", b"a")
+    disk.close()
+    disk = open_folder(tmp_path / "data", timers=Timers())
+    synced = []
+    watch_folder_syncs(monkeypatch, synced)
+    for _ in range(3):
+        await disk.append("g/log/1", b"b")
+        assert await disk.sync("g/log/1") is None
+    assert synced == ["data", "g", "log"]
+    disk.close()
+
+
 async def test_failed_fsync_of_the_folder_breaks_the_journal(tmp_path, monkeypatch):
     """Guards against an fsync error, a full disk included, that is treated as recoverable."""
     disk = open_folder(tmp_path, timers=Timers())
--- a/marigoldtrail/testing/disk.py
+++ b/marigoldtrail/testing/disk.py
@@ -188,6 +188,15 @@
             return missing_failure("disk.size", name)
         return len(self.files[name].data)
 
+    async def sync_names(self, folder: str) -> None | Failure:
+        """Make the names in a folder durable; see `Disk.sync_names`."""
+        await trio.lowlevel.checkpoint()
+        if self.fail_syncs:
+            return build_disk_failure(
+                OSError(errno.EIO, "input/output error"), "disk.sync_names", folder
+            )
+        return None
+
     def _has_room(self, count: int) -> bool:
         if self.capacity_bytes is None:
             return True
