Report a full disk only if nothing has changed

DISK_FULL and NOT_RUN tell a caller that it may go on as before. FolderDisk also said so after a partial append that could not be cut off, after a rename whose folder sync was refused, and after a truncation or removal whose sync was refused. The vote on disk could then differ from the one in memory, and records could follow the rest of a refused one.

What fails after the first effect is now DISK_ERROR and MAY_HAVE_RUN, so that the group closes its files and opens them again. The Disk protocol names what each method may leave.

--- a/marigoldtrail/consensus/log.py
+++ b/marigoldtrail/consensus/log.py
@@ -385,15 +385,18 @@
         Returns
         -------
         None or Failure
-            The failure of the journal.
+            The failure of the journal; then the entries in memory are unchanged.
         """
-        if self.term_at(index) == term:
-            self._drop_until(index)
-            self._set_snapshot(index, voters)
-            return await self.journal.drop_until(index)
-        result = await self.journal.drop_after(0)
+        continues = self.term_at(index) == term
+        journal = self.journal
+        result = await (journal.drop_until(index) if continues else journal.drop_after(0))
         if isinstance(result, Failure):
+            # The entries in memory stay: the snapshot is not applied yet.
             return result
+        if continues:
+            self._drop_until(index)
+            self._set_snapshot(index, voters)
+            return None
         self._entries.clear()
         self.base_index = index
         self.base_term = term
--- a/marigoldtrail/storage/disk.py
+++ b/marigoldtrail/storage/disk.py
@@ -38,6 +38,10 @@
     Names separate folders with ``/``. Calls for one name must not overlap. Truncation, removal and
     atomic writes are durable on return; appended bytes and the name of their file are durable after
     `sync`.
+
+    ``DISK_FULL`` and ``NOT_RUN`` mean that nothing has changed, so that the caller may go on and
+    try again later. After ``DISK_ERROR`` the file is in one of the states that each method names,
+    and may change to another of them at a loss of power.
     """
 
     async def append(self, name: str, data: bytes) -> None | Failure:
@@ -54,13 +58,26 @@
         Returns
         -------
         None or Failure
-            ``DISK_FULL`` and ``NOT_RUN`` if the disk is full and nothing was appended; else
-            ``DISK_ERROR``.
+            ``DISK_FULL`` if nothing was appended, though an empty file may have been created.
+            After ``DISK_ERROR`` any part of the bytes may follow the earlier content.
         """
         ...
 
     async def sync(self, name: str) -> None | Failure:
-        """Make the appended bytes and the name of a file durable."""
+        """
+        Make the appended bytes and the name of a file durable.
+
+        Parameters
+        ----------
+        name : str
+            Name of the file.
+
+        Returns
+        -------
+        None or Failure
+            ``DISK_ERROR``, also on a full disk: reads may return bytes that a later sync does not
+            write. Only what an earlier sync covered is known to be durable.
+        """
         ...
 
     async def read(
@@ -70,7 +87,21 @@
         ...
 
     async def write_atomic(self, name: str, data: bytes) -> None | Failure:
-        """Replace a whole file so that a crash leaves either the old or the new content."""
+        """
+        Replace a whole file so that a crash leaves either the old or the new content.
+
+        Parameters
+        ----------
+        name : str
+            Name of the file; created if needed.
+        data : bytes
+            The new content.
+
+        Returns
+        -------
+        None or Failure
+            ``DISK_FULL`` if the old content is in place. After ``DISK_ERROR`` either may be.
+        """
         ...
 
     async def list_names(self, prefix: str = "") -> list[str] | Failure:
@@ -78,11 +109,39 @@
         ...
 
     async def remove(self, name: str) -> None | Failure:
-        """Remove a file; does nothing if it does not exist."""
+        """
+        Remove a file; does nothing if it does not exist.
+
+        Parameters
+        ----------
+        name : str
+            Name of the file.
+
+        Returns
+        -------
+        None or Failure
+            ``DISK_FULL`` if the file is in place. After ``DISK_ERROR`` it may be gone, and may be
+            back after a loss of power.
+        """
         ...
 
     async def truncate(self, name: str, size: int) -> None | Failure:
-        """Truncate a file to a size in bytes."""
+        """
+        Truncate a file to a size in bytes.
+
+        Parameters
+        ----------
+        name : str
+            Name of the file.
+        size : int
+            Number of bytes to keep.
+
+        Returns
+        -------
+        None or Failure
+            ``NOT_FOUND`` if the file does not exist. After ``DISK_ERROR``, also on a full disk, the
+            file has either size.
+        """
         ...
 
     async def get_size(self, name: str) -> int | Failure:
@@ -148,6 +207,29 @@
     return Failure(reason=reason, run_state=state, step=step, detail=f"{name}: {exc}")
 
 
+@contextlib.contextmanager
+def after_effect() -> Iterator[None]:
+    """
+    Convert errors of steps after the first effect of an operation, so that none says "disk full".
+
+    Raises
+    ------
+    OSError
+        With the number ``EIO``, whatever the error was.
+
+    Examples
+    --------
+    >>> with after_effect():
+    ...     raise OSError(errno.ENOSPC, "full")
+    Traceback (most recent call last):
+    OSError: [Errno 5] after a partial effect: [Errno 28] full
+    """
+    try:
+        yield
+    except OSError as exc:
+        raise OSError(errno.EIO, f"after a partial effect: {exc}") from exc
+
+
 class OpenFile:
     """
     A file kept open for appending.
@@ -249,14 +331,6 @@
         took_s = self._timers.now() - started
         if took_s > SLOW_SYNC_S:
             _log.warning("fsync of %s took %.1f s", name, took_s)
-        if isinstance(result, Failure):
-            # After any fsync error, a full disk included, the state of the file is unknown.
-            return Failure(
-                reason=Reason.DISK_ERROR,
-                run_state=RunState.MAY_HAVE_RUN,
-                step=result.step,
-                detail=result.detail,
-            )
         return result
 
     async def read(
@@ -289,7 +363,8 @@
             except OSError:
                 self._unlink_quietly(temporary)
                 raise
-            self._sync_names(path.parent)
+            with after_effect():
+                self._sync_names(path.parent)
 
         return await self._run("disk.write_atomic", name, run)
 
@@ -314,8 +389,9 @@
             path = self._path(name)
             with contextlib.suppress(FileNotFoundError):
                 self._calls.unlink(path)
-            if self._exists(path.parent):
-                self._sync_folder(path.parent)
+            with after_effect():
+                if self._exists(path.parent):
+                    self._sync_folder(path.parent)
 
         return await self._run("disk.remove", name, run)
 
@@ -323,7 +399,7 @@
         """Truncate a file; see `Disk.truncate`."""
 
         def run() -> None:
-            with self._opened(self._path(name), os.O_WRONLY) as fd:
+            with self._opened(self._path(name), os.O_WRONLY) as fd, after_effect():
                 self._calls.ftruncate(fd, size)
                 self._calls.fsync(fd)
 
@@ -340,8 +416,9 @@
 
         def run() -> None:
             path = self._path(folder)
-            if self._exists(path):
-                self._sync_names(path)
+            with after_effect():
+                if self._exists(path):
+                    self._sync_names(path)
 
         return await self._run("disk.sync_names", folder, run)
 
@@ -417,7 +494,8 @@
             self._write_all(fd, data)
         except OSError:
             # Remove the partial append: later appends would follow it.
-            self._calls.ftruncate(fd, size)
+            with after_effect():
+                self._calls.ftruncate(fd, size)
             if size == 0:
                 # Readers cope with an empty file, should it remain.
                 self._close_descriptor(file)
@@ -425,11 +503,13 @@
             raise
 
     def _sync(self, file: OpenFile, name: str) -> None:
-        self._calls.fsync(self._open(file, name))
-        if not file.is_name_durable:
-            # Also for a file of an earlier process, which may have been killed before this step.
-            self._sync_names(self._path(name).parent)
-            file.is_name_durable = True
+        # After any fsync error, a full disk included, the state of the file is unknown.
+        with after_effect():
+            self._calls.fsync(self._open(file, name))
+            if not file.is_name_durable:
+                # An earlier process may have created the file and been killed before this step.
+                self._sync_names(self._path(name).parent)
+                file.is_name_durable = True
 
     def _sync_names(self, folder: Path) -> None:
         inside = folder.relative_to(self._folder)
--- a/marigoldtrail/storage/journal.py
+++ b/marigoldtrail/storage/journal.py
@@ -304,14 +304,17 @@
         Returns
         -------
         None or Failure
-            The failure of the disk.
+            ``DISK_FULL`` if no record was removed; any other failure of the disk is final.
         """
         if self.fatal_failure is not None:
             return self.fatal_failure
+        last_index = self.last_index
         while self._segments and self._segments[-1].first_index > index:
             result = await self._disk.remove(self._segments[-1].name)
             if isinstance(result, Failure):
-                return self._record_failure(result)
+                # The caller still holds all records; those that are gone cannot be followed.
+                has_effect = self.last_index != last_index
+                return self._record_failure(build_effect_failure(result) if has_effect else result)
             self._discard_unsynced(self._segments.pop())
         if not self._segments or self._segments[-1].last_index <= index:
             return None
@@ -320,7 +323,7 @@
         size = segment.offsets[keep]
         result = await self._disk.truncate(segment.name, size)
         if isinstance(result, Failure):
-            return self._record_failure(result)
+            return self._record_failure(build_effect_failure(result))
         del segment.offsets[keep:]
         segment.size = size
         return None
@@ -433,6 +436,28 @@
         return None
 
 
+def build_effect_failure(failure: Failure) -> Failure:
+    """
+    Build the failure for an operation of which a part has had an effect.
+
+    Parameters
+    ----------
+    failure : Failure
+        Failure of a later part.
+
+    Returns
+    -------
+    Failure
+        With reason ``DISK_ERROR``, also on a full disk.
+    """
+    return Failure(
+        reason=Reason.DISK_ERROR,
+        run_state=RunState.MAY_HAVE_RUN,
+        step=failure.step,
+        detail=failure.detail,
+    )
+
+
 def build_corrupt_failure(name: str, offset: int) -> Failure:
     """
     Build the failure for a corrupt record.
--- a/marigoldtrail/storage/tests/test_disk.py
+++ b/marigoldtrail/storage/tests/test_disk.py
@@ -1,6 +1,7 @@
 """Test the real data folder, and that the in-memory disk behaves the same."""
 
 import errno
+import itertools
 import os
 import random
 
@@ -158,6 +159,54 @@
     disk.close()
 
 
+def refuse_calls(monkeypatch, name, *, accepted=0):
+    """Let a call of the operating system fail with a full disk after some that succeed."""
+    real = getattr(os, name)
+    calls = itertools.count()
+
+    def refuse(*args):
+        if next(calls) >= accepted:
+            raise OSError(errno.ENOSPC, "no space left on device")
+        return real(*args)
+
+    monkeypatch.setattr(os, name, refuse)
+
+
+async def test_partial_append_that_stays_is_not_reported_as_a_full_disk(tmp_path, monkeypatch):
+    """Guards against a caller that appends behind the rest of a refused record."""
+    disk = open_folder(tmp_path, timers=Timers())
+    write = os.write
+    monkeypatch.setattr(os, "write", lambda fd, data: write(fd, data[:3]))
+    refuse_calls(monkeypatch, "write", accepted=1)
+    refuse_calls(monkeypatch, "ftruncate")
+    failure = await disk.append("log/1", b"refused")
+    monkeypatch.undo()
+    assert failure.reason is Reason.DISK_ERROR and failure.run_state is RunState.MAY_HAVE_RUN
+    assert await disk.read("log/1") == b"ref"
+    disk.close()
+
+
+@pytest.mark.parametrize("step", ["write_atomic", "truncate", "remove"])
+async def test_refused_sync_after_an_effect_is_not_reported_as_a_full_disk(
+    tmp_path, monkeypatch, step
+):
+    """Guards against a vote, a log or a snapshot that changed although the call says it did not."""
+    disk = open_folder(tmp_path, timers=Timers())
+    await disk.write_atomic("g/file", b"old")
+    run = {
+        "write_atomic": lambda: disk.write_atomic("g/file", b"new"),
+        "truncate": lambda: disk.truncate("g/file", 1),
+        "remove": lambda: disk.remove("g/file"),
+    }[step]
+    refuse_calls(monkeypatch, "fsync", accepted=1 if step == "write_atomic" else 0)
+    failure = await run()
+    monkeypatch.undo()
+    assert failure.reason is Reason.DISK_ERROR and failure.run_state is RunState.MAY_HAVE_RUN
+    content = await disk.read("g/file")
+    assert is_failure(content) if step == "remove" else content in (b"new", b"o")
+    disk.close()
+
+
 async def test_failed_fsync_of_the_folder_breaks_the_journal(tmp_path, monkeypatch):
     """Guards against an fsync error, a full disk included, that is treated as recoverable."""
     disk = open_folder(tmp_path, timers=Timers())
--- a/marigoldtrail/storage/tests/test_journal.py
+++ b/marigoldtrail/storage/tests/test_journal.py
@@ -1,5 +1,6 @@
 """Test the journal on the in-memory disk with injected faults."""
 
+import itertools
 import random
 
 import pytest
@@ -8,6 +9,7 @@
 from marigoldtrail.storage import Record, open_journal
 from marigoldtrail.storage.journal import encode_record
 from marigoldtrail.testing import MemoryDisk
+from marigoldtrail.testing.disk import full_failure
 
 PREFIX = "config/log/"
 
@@ -124,6 +126,25 @@
         assert (await call).reason is Reason.DISK_ERROR
 
 
+@pytest.mark.parametrize("refused", [1, 2])
+async def test_journal_that_lost_records_to_a_refused_removal_is_not_used(
+    autojump_clock, disk, monkeypatch, refused
+):
+    """Guards against a caller that goes on with records that are no longer on disk."""
+    journal = await fill(disk, 12)
+    calls = itertools.count(1)
+    remove = disk.remove
+
+    async def refuse(name):
+        return full_failure("remove", name) if next(calls) == refused else await remove(name)
+
+    monkeypatch.setattr(MemoryDisk, "remove", lambda self, name: refuse(name))
+    failure = await journal.drop_after(0)
+    monkeypatch.undo()
+    is_usable = await journal.append(make_records(13, 13)) is None
+    assert is_usable == (failure.reason is Reason.DISK_FULL) == (refused == 1)
+
+
 async def test_full_disk_appends_nothing_and_recovers(autojump_clock, disk):
     """Guards against a partial batch, or an unusable journal, after a full disk."""
     journal = await fill(disk, 3)
