Make durable what an earlier process left before it counts

At the start of a process, entries that an earlier one had appended and not synced (killed in between), or whose sync had failed, were read from the page cache and acknowledged as durable; no later step synced them.

A reopened log keeps the entries that were not yet acknowledged instead of cutting them off: they are durable by then, and the leader replaces them if they conflict. A host that starts with a full disk takes part when there is room; it could neither vote nor append before.

--- a/marigoldtrail/consensus/log.py
+++ b/marigoldtrail/consensus/log.py
@@ -331,8 +331,6 @@
         """
         Remove the entries after an index and write those before it to a new file.
 
-        After a failed sync a file may exist in the page cache only.
-
         Parameters
         ----------
         index : int
--- a/marigoldtrail/consensus/reopening.py
+++ b/marigoldtrail/consensus/reopening.py
@@ -214,9 +214,7 @@
 
 async def restore_log(state: GroupState, opened: OpenedStore) -> None | Failure:
     """
-    Reduce the log to what is known to be durable, and add the committed entries from memory.
-
-    Entries whose sync failed may exist in the page cache only; the leader sends them again.
+    Check that the log on disk holds what was durable, and add committed entries from memory.
 
     Parameters
     ----------
@@ -237,9 +235,8 @@
         renewed = await opened.store.renew_storage_id(state.rng, why)
         if isinstance(renewed, Failure):
             return renewed
-    kept = await log.write_tail_anew(durable)
-    if isinstance(kept, Failure) or log.last_index >= state.commit_index:
-        return kept
+    if log.last_index >= state.commit_index:
+        return None
     if log.last_index < state.log.base_index:
         return build_gap_failure(state, log)
     count = state.commit_index - log.last_index
--- a/marigoldtrail/consensus/store.py
+++ b/marigoldtrail/consensus/store.py
@@ -130,6 +130,21 @@
         """Common prefix of the names of the snapshot files."""
         return f"{self.group}/snapshot/"
 
+    async def sync_names(self) -> None | Failure:
+        """
+        Make the names of all files durable.
+
+        Returns
+        -------
+        None or Failure
+            The failure of the disk.
+        """
+        for folder in (self.group, self.log_prefix, self.snapshot_prefix):
+            result = await self.disk.sync_names(folder.rstrip("/"))
+            if isinstance(result, Failure):
+                return result
+        return None
+
     async def save_vote(self, term: int, voted_for: str) -> None | Failure:
         """
         Write term and vote durably.
@@ -220,7 +235,8 @@
     Open the files of a group; format an empty folder.
 
     A log with corruption other than a torn tail gets a new storage id, so that it counts towards no
-    quorum until the leader has restored it.
+    quorum until the leader has restored it. What an earlier process left counts only after it is
+    made durable: that process may have been killed before its syncs, or after one that failed.
 
     Parameters
     ----------
@@ -237,6 +253,9 @@
         The failure of the disk.
     """
     store = GroupStore(disk=disk, group=group)
+    result = await store.sync_names()
+    if isinstance(result, Failure):
+        return result
     result = await load_vote(store, rng)
     if isinstance(result, Failure):
         return result
@@ -256,6 +275,9 @@
     log = await combine_log(store, journal, snapshot, rng)
     if isinstance(log, Failure):
         return log
+    result = await log.write_tail_anew(log.last_index)
+    if isinstance(result, Failure):
+        return result
     removed = await disk.remove(store.partial_name)
     return removed if isinstance(removed, Failure) else OpenedStore(store, log, snapshot)
 
--- a/marigoldtrail/consensus/tests/test_disk_failures.py
+++ b/marigoldtrail/consensus/tests/test_disk_failures.py
@@ -76,6 +76,21 @@
     await cluster.wait_until(lambda: b"x" in cluster.machines["a"].effects)
 
 
+async def test_host_that_restarts_with_a_full_disk_takes_part_later(autojump_clock, nursery):
+    """Guards against a host that ends or stays out because it cannot make its log durable."""
+    cluster = Cluster(nursery)
+    leader = await cluster.start_all()
+    await cluster.propose(b"before")
+    name = others_of(cluster, leader)[0]
+    await cluster.crash(name)
+    cluster.disks[name].capacity_bytes = 0
+    await cluster.start(name)
+    await cluster.propose(b"meanwhile")
+    assert cluster.group(name).stop_failure is not None
+    cluster.disks[name].capacity_bytes = None
+    await cluster.wait_until(lambda: b"meanwhile" in cluster.machines[name].effects)
+
+
 async def test_wrong_content_on_disk_stops_the_group_for_good(autojump_clock, nursery):
     """Guards against a host that goes on with a log that conflicts with committed entries."""
     cluster = Cluster(nursery)
--- a/marigoldtrail/storage/journal.py
+++ b/marigoldtrail/storage/journal.py
@@ -197,6 +197,10 @@
             raise ValueError(f"record {records[0].index} does not follow {self.last_index}")
         segment = self._segments[-1] if self._segments else None
         if segment is None or segment.size >= self._segment_bytes:
+            # Only the newest segment may hold records that are not durable; see `write_tail_anew`.
+            synced = await self.sync()
+            if isinstance(synced, Failure):
+                return synced
             segment = self._create_segment(records[0].index)
         encoded = [encode_record(record) for record in records]
         result = await self._disk.append(segment.name, b"".join(encoded))
@@ -332,6 +336,9 @@
         """
         Remove the records after an index and write the newest segment to a new file.
 
+        Makes the records durable that an earlier process or a failed sync has left in the page
+        cache. A sync is not enough: it may succeed although an earlier one has dropped pages.
+
         Parameters
         ----------
         index : int
