Close the listener of an entry only once its queue is empty

What callers saw: while an entry stopped, requests on established connections were reset, neither run nor answered. With 40 callers that came back at once the drain never ended before the grace period, as there was always an open connection, and the process ended shortly before or after `grace_s`.

Cause: the listening socket was open until the process ended, and the end closed it with connections in its queue, which the kernel resets. Connections accepted after the last look at the number of connections were closed unread.

`ListenerControl` closes a listener on request: what is in its queue is accepted and served, and the socket is closed in the same step. An entry does so after `ADDRESS_EXPIRY_S`, then ends its connections; later callers are refused when they connect and turn to other entries. The network in memory implements the same.

`test_stops.py` runs a host on real sockets. Both tests failed before: connections in the queue were reset, and a caller could connect after the drain. `test_stop.py` only gains the control that the host now has.

--- a/bench/loopback.py
+++ b/bench/loopback.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from marigoldtrail.net import Address, Network
+from marigoldtrail.net import Address, ListenerControl, Network
 from marigoldtrail.net.network import StreamHandler
 
 
@@ -40,6 +40,7 @@
         address: Address,
         handler: StreamHandler,
         *,
+        control: ListenerControl | None = None,
         task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Accept streams; see `Network.listen`."""
@@ -49,7 +50,7 @@
                 stream = CountingStream(stream=stream, network=self)
             await handler(stream)
 
-        await self._network.listen(address, handle, task_status=task_status)
+        await self._network.listen(address, handle, control=control, task_status=task_status)
 
 
 class CountingStream(trio.abc.Stream):
--- a/marigoldtrail/net/__init__.py
+++ b/marigoldtrail/net/__init__.py
@@ -3,6 +3,7 @@
 from marigoldtrail.net.address import Address, is_address
 from marigoldtrail.net.client import PeerClient
 from marigoldtrail.net.frames import MAX_FRAME_BYTES, Envelope, FrameStream
+from marigoldtrail.net.listener import ListenerControl
 from marigoldtrail.net.network import Network, TcpNetwork
 from marigoldtrail.net.server import Handlers, serve_peers
 
@@ -12,6 +13,7 @@
     "Envelope",
     "FrameStream",
     "Handlers",
+    "ListenerControl",
     "Network",
     "PeerClient",
     "TcpNetwork",
--- a/marigoldtrail/net/network.py
+++ b/marigoldtrail/net/network.py
@@ -10,6 +10,7 @@
 import trio
 
 from marigoldtrail.net.address import Address
+from marigoldtrail.net.listener import ListenerControl, QueueDrainingListener
 
 # Two probes, the first after 1 s without traffic; 3 s for data that is not acknowledged.
 _KEEPALIVE_OPTIONS = (
@@ -54,10 +55,11 @@
         address: Address,
         handler: StreamHandler,
         *,
+        control: ListenerControl | None = None,
         task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """
-        Accept streams until cancelled and handle each in its own task.
+        Accept streams until cancelled, or closed, and handle each in its own task.
 
         Parameters
         ----------
@@ -65,6 +67,8 @@
             Address to listen on; port 0 selects a free port.
         handler : callable
             Called with each accepted stream.
+        control : ListenerControl or None
+            Closes the listener on request; this function then returns once all streams are handled.
         task_status : trio.TaskStatus
             Started with the actual listen address.
         """
@@ -100,22 +104,40 @@
         address: Address,
         handler: StreamHandler,
         *,
+        control: ListenerControl | None = None,
         task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Accept TCP streams; see `Network.listen`."""
+        control = control or ListenerControl()
         listeners = await trio.open_tcp_listeners(address.port, host=self._bind_ip or address.ip)
         port = listeners[0].socket.getsockname()[1]
-        task_status.started(Address(address.ip, port))
 
-        async def accept(stream: trio.SocketStream) -> None:
+        async def handle(stream: trio.SocketStream) -> None:
             try:
                 enable_keepalive(stream)
                 await handler(stream)
             except Exception:
                 # An error in one connection must not end the process and with it all others.
                 _log.exception("handler of a connection raised an exception")
+            finally:
+                control.connections -= 1
+                await trio.aclose_forcefully(stream)
 
-        await trio.serve_listeners(accept, listeners)
+        async with trio.open_nursery() as nursery:
+
+            def serve(stream: trio.SocketStream) -> None:
+                nursery.start_soon(handle, stream)
+
+            draining = [
+                QueueDrainingListener(listener=listener, control=control, serve=serve)
+                for listener in listeners
+            ]
+            try:
+                with control.accepting():
+                    task_status.started(Address(address.ip, port))
+                    await trio.serve_listeners(handle, draining, handler_nursery=nursery)
+            finally:
+                control.set_closed()
 
 
 def enable_keepalive(stream: trio.SocketStream) -> None:
--- /dev/null
+++ b/marigoldtrail/platform/tests/test_stops.py
@@ -0,0 +1,122 @@
+"""Callers of a host that stops, over real sockets."""
+
+import random
+import socket
+
+import pytest
+import trio
+
+from marigoldtrail.net import TcpNetwork
+from marigoldtrail.platform.adapter import build_adapter
+from marigoldtrail.schema.generated.site import Bounds, SiteSettings, UpstreamList
+from marigoldtrail.site.components import HostComponents
+from marigoldtrail.site.entry_host import ADDRESS_EXPIRY_S, EntryHost
+from marigoldtrail.timers import Timers
+
+IP = "127.0.0.1"
+REQUEST = b"GET /plain/1 HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+
+class HookTimers(Timers):
+    """Timers that call a function after each sleep of some length, before any other step."""
+
+    __slots__ = ("hooks",)
+
+    def __init__(self):
+        super().__init__()
+        self.hooks = {}
+
+    async def sleep(self, seconds):
+        """Sleep, then call the function for this length."""
+        await super().sleep(seconds)
+        self.hooks.get(seconds, lambda: None)()
+
+
+def find_free_port():
+    with socket.socket() as sock:
+        sock.bind((IP, 0))
+        return sock.getsockname()[1]
+
+
+def connect(address, data=REQUEST):
+    """Connect and send without a step of the host, so that the connection is in its queue."""
+    ip, _, port = address.rpartition(":")
+    sock = socket.create_connection((ip, int(port)))
+    sock.sendall(data)
+    return sock
+
+
+def read_all(sock):
+    """Read until the end of a connection; it must be closed by then."""
+    sock.settimeout(2)
+    data = b""
+    while part := sock.recv(65536):
+        data += part
+    sock.close()
+    return data
+
+
+def make_components(nursery, role, tmp_path):
+    """Return the components of a host without other hosts."""
+    addresses = {
+        name: f"{IP}:{find_free_port()}" for name in ("request", "ready", "operator", "lookup")
+    }
+    peer_port = find_free_port()
+    cfg = SiteSettings(
+        host=role,
+        role=role,
+        data_centre="dc-a",
+        region="r",
+        ip=IP,
+        seeds=[addresses["operator"]],
+        internal_ports=[peer_port, peer_port],
+        upstream_list=UpstreamList(address=f"{IP}:{find_free_port()}"),
+        bounds=Bounds(),
+        data_folder=str(tmp_path),
+        first_start=True,
+        **{f"{name}_address": address for name, address in addresses.items()},
+    )
+    return HostComponents(
+        cfg=cfg,
+        adapter=build_adapter(),
+        network=TcpNetwork(),
+        timers=HookTimers(),
+        rng=random.Random(1),
+        nursery=nursery,
+    )
+
+
+async def test_connections_in_the_queue_at_a_stop_get_an_answer(autojump_clock, tmp_path):
+    """Guards against a stop that resets connections which no one has accepted yet."""
+    callers = []
+    async with trio.open_nursery() as nursery:
+        components = make_components(nursery, "entry", tmp_path)
+        address = components.cfg.request_address
+
+        def connect_late():
+            callers.extend(connect(address) for _ in range(20))
+
+        components.timers.hooks[ADDRESS_EXPIRY_S] = connect_late
+        host = EntryHost(components=components)
+        nursery.start_soon(host.run)
+        await trio.sleep(0.1)
+        await host.drain()
+        nursery.cancel_scope.cancel()
+    assert len(callers) == 20
+    for caller in callers:
+        answer = read_all(caller).lower()
+        assert answer.startswith(b"http/1.1 503 ")
+        assert b"connection: close" in answer and b"retry-after: " in answer
+
+
+async def test_callers_at_the_end_of_a_stop_are_refused_when_they_connect(autojump_clock, tmp_path):
+    """Guards against connections that are accepted, or queued, once the last ones are closed."""
+    async with trio.open_nursery() as nursery:
+        components = make_components(nursery, "entry", tmp_path)
+        host = EntryHost(components=components)
+        nursery.start_soon(host.run)
+        await trio.sleep(0.1)
+        await host.drain()
+        with pytest.raises(ConnectionRefusedError):
+            connect(components.cfg.request_address)
+        nursery.cancel_scope.cancel()
--- a/marigoldtrail/relay/tests/test_stop.py
+++ b/marigoldtrail/relay/tests/test_stop.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from marigoldtrail.net import ListenerControl
 from marigoldtrail.relay.tests.helpers import (
     RelayHarness,
     make_request,
@@ -57,7 +58,9 @@
     )
     async with trio.open_nursery() as nursery:
         components.nursery = nursery
-        host = SimpleNamespace(components=components, relay=harness.relay)
+        host = SimpleNamespace(
+            components=components, relay=harness.relay, listener=ListenerControl()
+        )
         if stream is not None:
             nursery.start_soon(harness.relay.serve, stream)
         await EntryHost.drain(host)
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from marigoldtrail.net import Address
+from marigoldtrail.net import Address, ListenerControl
 from marigoldtrail.pieces import PieceClient
 from marigoldtrail.ratelimits import PlaceClient, UpstreamLimiter, compute_share
 from marigoldtrail.reachability import ReachabilityMonitor
@@ -45,6 +45,7 @@
 
     __slots__ = (
         "components",
+        "listener",
         "monitor",
         "pieces",
         "reachability",
@@ -55,6 +56,7 @@
 
     def __init__(self, *, components: HostComponents) -> None:
         self.components = components
+        self.listener = ListenerControl()
         self.monitor = UpstreamMonitor(
             fleet_state=components.fleet_state,
             data_centre=components.cfg.data_centre,
@@ -174,7 +176,12 @@
                 partial(components.serve_http, cfg.ready_address, handler, Limits())
             )
             await nursery.start(
-                components.network.listen, Address.parse(cfg.request_address), self.relay.serve
+                partial(
+                    components.network.listen,
+                    Address.parse(cfg.request_address),
+                    self.relay.serve,
+                    control=self.listener,
+                )
             )
             await nursery.start(components.serve_metrics)
             nursery.start_soon(components.reporter.run)
@@ -225,6 +232,9 @@
 
         components.nursery.start_soon(run_guarded, report)
         await components.timers.sleep(ADDRESS_EXPIRY_S)
+        # Callers with an old address are refused from here on and turn to other entries; the drain
+        # would have no end while they still came.
+        await self.listener.close()
         await self.relay.drain(latest_end)
         _log.info(
             "drained",
--- a/marigoldtrail/testing/network.py
+++ b/marigoldtrail/testing/network.py
@@ -8,6 +8,7 @@
 import trio
 
 from marigoldtrail.net.address import Address
+from marigoldtrail.net.listener import ListenerControl
 from marigoldtrail.net.network import StreamHandler
 
 CHUNK_LIMIT_BYTES = 65536
@@ -280,21 +281,35 @@
         return client
 
     async def listen(
-        self, address: Address, handler: StreamHandler, task_status: trio.TaskStatus[Address]
+        self,
+        address: Address,
+        handler: StreamHandler,
+        control: ListenerControl,
+        task_status: trio.TaskStatus[Address],
     ) -> None:
-        """Accept streams until cancelled."""
+        """Accept streams until cancelled or closed; there is no queue, as all are accepted."""
         if address.port == 0:
             self._next_port += 1
             address = Address(address.ip, self._next_port)
         if address in self._listeners:
             raise OSError(f"address {address} is in use")
-        try:
-            async with trio.open_nursery() as nursery:
-                self._listeners[address] = (handler, nursery)
-                task_status.started(address)
-                await trio.sleep_forever()
-        finally:
-            self._listeners.pop(address, None)
+
+        async def handle(stream: trio.abc.Stream) -> None:
+            control.connections += 1
+            try:
+                await handler(stream)
+            finally:
+                control.connections -= 1
+
+        async with trio.open_nursery() as nursery:
+            try:
+                with control.accepting():
+                    self._listeners[address] = (handle, nursery)
+                    task_status.started(address)
+                    await trio.sleep_forever()
+            finally:
+                self._listeners.pop(address, None)
+                control.set_closed()
 
 
 class Endpoint:
@@ -324,7 +339,8 @@
         address: Address,
         handler: StreamHandler,
         *,
+        control: ListenerControl | None = None,
         task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Accept streams; see `marigoldtrail.net.Network.listen`."""
-        await self.network.listen(address, handler, task_status)
+        await self.network.listen(address, handler, control or ListenerControl(), task_status)
