--- a/marigoldtrail/consensus/applying.py
+++ b/marigoldtrail/consensus/applying.py
@@ -212,9 +212,11 @@
     state : GroupState
         The group.
     """
+    if state.stop_failure is not None or state.is_writing_snapshot:
+        return
     index = state.applied_index
     has_many_entries = index - state.log.snapshot_index >= SNAPSHOT_ENTRIES
-    if state.is_writing_snapshot or not (has_many_entries or state.applied_bytes >= SNAPSHOT_BYTES):
+    if not (has_many_entries or state.applied_bytes >= SNAPSHOT_BYTES):
         return
     state.is_writing_snapshot = True
     state.applied_bytes = 0
--- a/marigoldtrail/consensus/group.py
+++ b/marigoldtrail/consensus/group.py
@@ -26,6 +26,7 @@
     adopt_term,
     check_disk,
     has_same_voters,
+    stop_group,
 )
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Address, PeerClient
@@ -200,7 +201,9 @@
         state = self._state
         async with trio.open_nursery() as nursery:
             state.nursery = nursery
-            await open_first(state, self._disk)
+            failure = await open_first(state, self._disk)
+            if failure is not None:
+                stop_group(state, failure)
             nursery.start_soon(run_elections, state)
             nursery.start_soon(write_proposals, state)
             nursery.start_soon(apply_committed, state)
--- a/marigoldtrail/consensus/reopening.py
+++ b/marigoldtrail/consensus/reopening.py
@@ -11,7 +11,6 @@
     load_state,
     reset_campaign,
     restore_machine,
-    stop_group,
 )
 from marigoldtrail.consensus.store import GroupStore, OpenedStore, open_store
 from marigoldtrail.errors import Failure, Reason, RunState
@@ -51,27 +50,32 @@
     return failure.reason in _PASSING_REASONS
 
 
-async def open_first(state: GroupState, disk: Disk) -> None:
+async def open_first(state: GroupState, disk: Disk) -> None | Failure:
     """
     Open the files of a group that has no log in memory yet.
 
     Parameters
     ----------
     state : GroupState
-        The group; stopped if the files cannot be opened.
+        The group.
     disk : Disk
         The data folder.
+
+    Returns
+    -------
+    None or Failure
+        The failure of the disk, or of a snapshot that needs a later release.
     """
     opened = await open_store(disk, state.name, state.rng)
     if isinstance(opened, Failure):
-        stop_group(state, opened)
-        return
+        return opened
     load_state(state, opened.store, opened.log)
     snapshot = opened.snapshot
     if snapshot is not None and snapshot.level > get_command_level(state.machine):
-        stop_group(state, build_level_failure(state, snapshot))
-    elif snapshot is not None:
+        return build_level_failure(state, snapshot)
+    if snapshot is not None:
         restore_machine(state, snapshot)
+    return None
 
 
 async def reopen_after_failures(state: GroupState, disk: Disk) -> None:
@@ -113,12 +117,7 @@
         The data folder.
     """
     async with state.lock:
-        if not state.is_open:
-            state.stop_failure = None
-            await open_first(state, disk)
-            result = state.stop_failure
-        else:
-            result = await reopen(state, disk)
+        result = await (reopen if state.is_open else open_first)(state, disk)
         if isinstance(result, Failure):
             state.stop_failure = result
             state.report("reopen_failed", str(result))
--- a/marigoldtrail/consensus/tests/test_disk_failures.py
+++ b/marigoldtrail/consensus/tests/test_disk_failures.py
@@ -4,9 +4,10 @@
 
 import trio
 
+from marigoldtrail.consensus import applying
 from marigoldtrail.consensus.state import stop_group
 from marigoldtrail.consensus.tests.cluster import Cluster, others_of
-from marigoldtrail.errors import Reason, RunState
+from marigoldtrail.errors import Reason, RunState, is_failure
 
 FAILURE_S = 3.0
 # Operators wait this long for an acknowledgement.
@@ -164,3 +165,29 @@
     lines = [r.getMessage() for r in caplog.records if r.levelname in ("WARNING", "ERROR")]
     parts = ["out of the group", "in the group again", "is full", "has room again"]
     assert [part for line in lines for part in parts if part in line] == parts
+
+
+async def test_message_during_a_late_first_opening_is_refused(autojump_clock, nursery):
+    """Guards against a handler that uses the log of a group before it is open."""
+    cluster = Cluster(nursery)
+    cluster.disks["a"].capacity_bytes = 0
+    for name in cluster.names:
+        await cluster.start(name)
+    cluster.disks["a"].capacity_bytes = None
+    cluster.disks["a"].sync_delay_s = 20
+    await trio.sleep(5)
+    assert is_failure(await cluster.init())
+    await trio.sleep(60)
+    assert await cluster.init() is None
+    await cluster.propose(b"x")
+
+
+async def test_stopped_group_begins_no_snapshot(autojump_clock, nursery, monkeypatch):
+    """Guards against a snapshot that replaces files while a group opens them again."""
+    monkeypatch.setattr(applying, "SNAPSHOT_ENTRIES", 1)
+    cluster = Cluster(nursery)
+    state = cluster.group(await cluster.start_all())._state
+    state.log.snapshot_index = 0
+    stop_group(state, state.make_failure(Reason.DISK_ERROR, RunState.NOT_RUN, "disk.sync"))
+    applying.start_snapshot(state)
+    assert not state.is_writing_snapshot
