--- a/marigoldtrail/consensus/tests/test_disk_failures.py
+++ b/marigoldtrail/consensus/tests/test_disk_failures.py
@@ -177,6 +177,7 @@
     cluster.disks["a"].sync_delay_s = 20
     await trio.sleep(5)
     assert is_failure(await cluster.init())
+    cluster.disks["a"].sync_delay_s = 0.001
     await trio.sleep(60)
     assert await cluster.init() is None
     await cluster.propose(b"x")
