Finish a stop that is signalled again

What callers saw: a second SIGTERM during a stop ended the process at the end of its drain with status -15, and reset connections that were still being closed.

Cause: the task that reads signals waited for the drain. The second signal stayed pending, and trio raises pending signals again, with the handler that was there before, when their receiver is closed, which was before the tasks had ended.

The drain now runs in its own task beside the reading of signals, and the receiver is closed after all tasks have ended. Each signal is logged; a settings signal during a stop is handled as before it.

`test_signal_that_comes_again_does_not_cut_a_stop` failed before.

--- a/marigoldtrail/platform/tests/test_stops.py
+++ b/marigoldtrail/platform/tests/test_stops.py
@@ -1,8 +1,10 @@
 """Callers of a host that stops, over real sockets."""
 
 import random
+import signal
 import socket
 
+import msgspec
 import pytest
 import trio
 
@@ -11,6 +13,8 @@
 from marigoldtrail.schema.generated.site import Bounds, SiteSettings, UpstreamList
 from marigoldtrail.site.components import HostComponents
 from marigoldtrail.site.entry_host import ADDRESS_EXPIRY_S, EntryHost
+from marigoldtrail.site.launch import serve_site
+from marigoldtrail.site.settings_file import SettingsFile
 from marigoldtrail.timers import Timers
 
 IP = "127.0.0.1"
@@ -56,13 +60,13 @@
     return data
 
 
-def make_components(nursery, role, tmp_path):
-    """Return the components of a host without other hosts."""
+def make_settings(role, tmp_path):
+    """Return the settings of a host without other hosts."""
     addresses = {
         name: f"{IP}:{find_free_port()}" for name in ("request", "ready", "operator", "lookup")
     }
     peer_port = find_free_port()
-    cfg = SiteSettings(
+    return SiteSettings(
         host=role,
         role=role,
         data_centre="dc-a",
@@ -76,8 +80,12 @@
         first_start=True,
         **{f"{name}_address": address for name, address in addresses.items()},
     )
+
+
+def make_components(nursery, role, tmp_path):
+    """Return the components of a host without other hosts."""
     return HostComponents(
-        cfg=cfg,
+        cfg=make_settings(role, tmp_path),
         adapter=build_adapter(),
         network=TcpNetwork(),
         timers=HookTimers(),
@@ -120,3 +128,25 @@
         with pytest.raises(ConnectionRefusedError):
             connect(components.cfg.request_address)
         nursery.cancel_scope.cancel()
+
+
+async def test_signal_that_comes_again_does_not_cut_a_stop(autojump_clock, tmp_path):
+    """Guards against a second SIGTERM that ends the process with connections open."""
+    cut_by = []
+    path = tmp_path / "node.json"
+    cfg = make_settings("entry", tmp_path)
+    path.write_bytes(msgspec.json.encode(cfg))
+    previous = signal.signal(signal.SIGTERM, lambda number, frame: cut_by.append(number))
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_site, cfg, build_adapter(), SettingsFile(path=str(path)))
+            await trio.sleep(0.1)
+            caller = connect(cfg.request_address, b"")
+            for _ in range(3):
+                signal.raise_signal(signal.SIGTERM)
+                await trio.sleep(0.2)
+            caller.sendall(REQUEST)
+    finally:
+        signal.signal(signal.SIGTERM, previous)
+    assert not cut_by
+    assert read_all(caller).startswith(b"HTTP/1.1 503 ")
--- a/marigoldtrail/site/launch.py
+++ b/marigoldtrail/site/launch.py
@@ -76,38 +76,56 @@
         None after a normal stop; otherwise why the host could not start.
     """
     timers = Timers()
-    async with trio.open_nursery() as nursery:
-        components = HostComponents(
-            cfg=cfg,
-            adapter=adapter,
-            network=TcpNetwork(bind_ip=cfg.bind_ip),
-            timers=timers,
-            rng=random.Random(),
-            nursery=nursery,
-        )
-        host: EntryHost | ControlHost
-        if cfg.role == "entry":
-            host = EntryHost(components=components)
-        else:
-            disk = open_folder(cfg.data_folder, timers=timers)
-            if isinstance(disk, Failure):
-                return disk
-            host = ControlHost(components=components, disk=disk)
-        _log.info("start", extra={"role": cfg.role, "first_start": cfg.first_start})
-        nursery.start_soon(host.run)
-        nursery.start_soon(watch_settings, components, file, timers)
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+    # The handlers stay until the last task has ended: a signal that comes again during a stop would
+    # otherwise end the process with connections open.
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async with trio.open_nursery() as nursery:
+            components = HostComponents(
+                cfg=cfg,
+                adapter=adapter,
+                network=TcpNetwork(bind_ip=cfg.bind_ip),
+                timers=timers,
+                rng=random.Random(),
+                nursery=nursery,
+            )
+            host: EntryHost | ControlHost
+            if cfg.role == "entry":
+                host = EntryHost(components=components)
+            else:
+                disk = open_folder(cfg.data_folder, timers=timers)
+                if isinstance(disk, Failure):
+                    return disk
+                host = ControlHost(components=components, disk=disk)
+            _log.info("start", extra={"role": cfg.role, "first_start": cfg.first_start})
+            nursery.start_soon(host.run)
+            nursery.start_soon(watch_settings, components, file, timers)
+            is_stopping = False
             async for number in signals:
                 if number == signal.SIGHUP:
                     reload_settings(components, file)
                     continue
                 _log.info("stop", extra={"signal": signal.Signals(number).name})
-                await host.drain()
-                nursery.cancel_scope.cancel()
-                break
+                if not is_stopping:
+                    is_stopping = True
+                    nursery.start_soon(stop_host, host, nursery.cancel_scope)
     return None
 
 
+async def stop_host(host: EntryHost | ControlHost, scope: trio.CancelScope) -> None:
+    """
+    Drain a host, then cancel its tasks.
+
+    Parameters
+    ----------
+    host : EntryHost or ControlHost
+        The host.
+    scope : trio.CancelScope
+        Scope of its tasks.
+    """
+    await host.drain()
+    scope.cancel()
+
+
 async def watch_settings(components: HostComponents, file: SettingsFile, timers: Timers) -> None:
     """
     Reload the settings whenever their file changes, even without a signal, until cancelled.
