Answer the callers of all HTTP endpoints when a host stops

What callers saw: when a control host stopped, operators' orders and queries in progress ended without an answer, and connections in the queue of the operator, look-up, metrics and readiness endpoints were reset.

Cause: the tasks of the endpoints were cancelled 0.5 s after the leadership had moved, whatever they did, and the listeners were closed with connections in their queues.

From the signal on, each reply announces that its connection is closed. At the end of the drain the listeners of the endpoints are closed with empty queues, idle connections are closed, requests in progress get 1.2 s (0.1 s at entries), then 503 with Retry-After, and their connections are closed gracefully. An entry whose grace period is used up by requests skips this.

`test_calls_in_the_queue_of_endpoints_at_a_stop_get_an_answer` and `test_operator_is_answered_at_a_stop` failed before. `test_stop.py` only gains the two components that the host now uses.

--- a/marigoldtrail/platform/tests/test_stops.py
+++ b/marigoldtrail/platform/tests/test_stops.py
@@ -8,16 +8,22 @@
 import pytest
 import trio
 
+from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import TcpNetwork
 from marigoldtrail.platform.adapter import build_adapter
 from marigoldtrail.schema.generated.site import Bounds, SiteSettings, UpstreamList
 from marigoldtrail.site.components import HostComponents
+from marigoldtrail.site.control_host import DRAIN_DELAY_S, ControlHost
 from marigoldtrail.site.entry_host import ADDRESS_EXPIRY_S, EntryHost
 from marigoldtrail.site.launch import serve_site
+from marigoldtrail.site.operations import Operations
 from marigoldtrail.site.settings_file import SettingsFile
+from marigoldtrail.testing import MemoryDisk
 from marigoldtrail.timers import Timers
 
 IP = "127.0.0.1"
+LOOKUP = b"GET /-/resolve HTTP/1.1\r\nHost: a.example\r\n\r\n"
+QUERY = b"GET /-/config HTTP/1.1\r\nHost: a.example\r\n\r\n"
 REQUEST = b"GET /plain/1 HTTP/1.1\r\nHost: a.example\r\n\r\n"
 
 
@@ -150,3 +156,59 @@
         signal.signal(signal.SIGTERM, previous)
     assert not cut_by
     assert read_all(caller).startswith(b"HTTP/1.1 503 ")
+
+
+async def test_calls_in_the_queue_of_endpoints_at_a_stop_get_an_answer(autojump_clock, tmp_path):
+    """Guards against operators, callers and checks whose connection a stopping host resets."""
+    for role, host_type, pause_s in (
+        ("control", ControlHost, DRAIN_DELAY_S),
+        ("entry", EntryHost, ADDRESS_EXPIRY_S),
+    ):
+        callers = []
+        async with trio.open_nursery() as nursery:
+            components = make_components(nursery, role, tmp_path)
+            cfg = components.cfg
+            calls = {cfg.operator_address: QUERY, cfg.lookup_address: LOOKUP}
+            if role == "entry":
+                calls = {cfg.ready_address: REQUEST}
+
+            def connect_late(calls=calls, callers=callers):
+                callers.extend(connect(*call) for call in calls.items() for _ in range(10))
+
+            components.timers.hooks[pause_s] = connect_late
+            more = {"disk": MemoryDisk(rng=random.Random(1))} if role == "control" else {}
+            host = host_type(components=components, **more)
+            nursery.start_soon(host.run)
+            await trio.sleep(1)
+            await host.drain()
+            for address in calls:
+                with pytest.raises(ConnectionRefusedError):
+                    connect(address)
+            nursery.cancel_scope.cancel()
+        assert len(callers) == 10 * len(calls)
+        for caller in callers:
+            answer = read_all(caller).lower()
+            assert answer.startswith(b"http/1.1 ") and b"connection: close" in answer
+
+
+@pytest.mark.parametrize("took_s", [0.9, 60.0])
+async def test_operator_is_answered_at_a_stop(autojump_clock, tmp_path, monkeypatch, took_s):
+    """Guards against an order in progress whose connection ends without an answer."""
+
+    async def get_routes(operations):
+        await trio.sleep(took_s)
+        return Failure(reason=Reason.NOT_FOUND, run_state=RunState.NOT_RUN, step="routes")
+
+    monkeypatch.setattr(Operations, "get_routes", get_routes)
+    async with trio.open_nursery() as nursery:
+        components = make_components(nursery, "control", tmp_path)
+        host = ControlHost(components=components, disk=MemoryDisk(rng=random.Random(1)))
+        nursery.start_soon(host.run)
+        await trio.sleep(1)
+        caller = connect(components.cfg.operator_address, QUERY)
+        await trio.sleep(0.1)
+        await host.drain()
+        nursery.cancel_scope.cancel()
+    status = b"404" if took_s < 1 else b"503"
+    answer = read_all(caller).lower()
+    assert answer.startswith(b"http/1.1 " + status) and b"connection: close" in answer
--- a/marigoldtrail/relay/endpoints.py
+++ b/marigoldtrail/relay/endpoints.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import msgspec
 import trio
@@ -37,8 +38,83 @@
 
 Handler = Callable[[CallerRequest], Awaitable[Reply]]
 
+STOPPING_REPLY = Reply(status=503, headers=[(b"retry-after", b"0.3")])
 
-async def serve_endpoint(stream: trio.abc.Stream, handler: Handler, limits: Limits) -> None:
+
+class EndpointStop:
+    """
+    Ends the connections of a host's endpoints when the host stops.
+
+    Attributes
+    ----------
+    is_stopping : bool
+        Whether each reply announces that its connection is closed.
+    has_ended : bool
+        Whether requests are refused.
+
+    Examples
+    --------
+    >>> stop = EndpointStop()
+    >>> stop.start()
+    >>> stop.is_stopping, stop.has_ended
+    (True, False)
+    """
+
+    __slots__ = ("is_stopping", "has_ended", "_reading", "_handling")
+
+    def __init__(self) -> None:
+        self.is_stopping = False
+        self.has_ended = False
+        # Connections that wait for a request or are reading one.
+        self._reading: set[CallerConnection] = set()
+        self._handling: set[trio.CancelScope] = set()
+
+    def start(self) -> None:
+        """Announce the close in each reply from here on."""
+        self.is_stopping = True
+
+    def close_idle(self) -> None:
+        """Close connections on which no part of a request has arrived."""
+        for conn in self._reading:
+            conn.close_if_idle()
+
+    def end(self) -> None:
+        """Refuse requests in progress and all later ones."""
+        self.has_ended = True
+        for scope in self._handling:
+            scope.cancel()
+
+    async def read_request(self, conn: CallerConnection) -> CallerRequest | Refusal | Closed:
+        """Read the next request of a connection."""
+        self._reading.add(conn)
+        try:
+            return await conn.read_request()
+        finally:
+            self._reading.discard(conn)
+
+    async def handle(self, handler: Handler, request: CallerRequest) -> Reply:
+        """Return the reply of a handler, or a refusal once the stop has ended."""
+        reply = STOPPING_REPLY
+        if not self.has_ended:
+            scope = trio.CancelScope()
+            self._handling.add(scope)
+            try:
+                with scope:
+                    reply = await handle_guarded(handler, request)
+            finally:
+                self._handling.discard(scope)
+        if self.is_stopping:
+            headers = [*reply.headers, (b"connection", b"close")]
+            return msgspec.structs.replace(reply, headers=headers)
+        return reply
+
+
+async def serve_endpoint(
+    stream: trio.abc.Stream,
+    handler: Handler,
+    limits: Limits,
+    stop: EndpointStop | None = None,
+) -> None:
     """
     Serve the requests of one connection with a handler.
 
@@ -50,18 +126,21 @@
         Returns the reply to a request.
     limits : Limits
         Limits for requests.
+    stop : EndpointStop or None
+        Ends the connection when the host stops; None if it never does.
     """
+    stop = stop or EndpointStop()
     conn = CallerConnection(stream=stream, limits=lambda: limits)
     is_forced = True
     try:
         while True:
-            request = await conn.read_request()
+            request = await stop.read_request(conn)
             if isinstance(request, Closed):
                 return
             if isinstance(request, Refusal):
                 await conn.send_response(request.status, [(b"connection", b"close")], b"")
                 break
-            reply = await handle_while_connected(conn, handler, request)
+            reply = await handle_while_connected(conn, partial(stop.handle, handler), request)
             if reply is None:
                 return
             await conn.send_response(reply.status, reply.headers, reply.body)
@@ -73,8 +152,7 @@
     except Exception:
         _log.exception("endpoint connection raised an exception")
     finally:
-        # After a failure or cancellation, unsent data is dropped: a stopping host does not wait
-        # for the callers of its endpoints.
+        # After a failure or cancellation, unsent data is dropped.
         dropped = await conn.aclose(is_forced=is_forced)
         if dropped:
             _log.info("data of a caller was dropped at an endpoint", extra={"bytes": dropped})
@@ -108,7 +186,7 @@
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watch, nursery.cancel_scope)
-        reply = await handle_guarded(handler, request)
+        reply = await handler(request)
         nursery.cancel_scope.cancel()
     return reply
 
--- a/marigoldtrail/relay/tests/test_stop.py
+++ b/marigoldtrail/relay/tests/test_stop.py
@@ -6,6 +6,7 @@
 import trio
 
 from marigoldtrail.net import ListenerControl
+from marigoldtrail.relay.endpoints import EndpointStop
 from marigoldtrail.relay.tests.helpers import (
     RelayHarness,
     make_request,
@@ -35,6 +36,10 @@
     pass
 
 
+async def close_nothing(timeout_s):
+    return 0
+
+
 async def fail_to_report(**fields):
     raise RuntimeError("unexpected")
 
@@ -55,6 +60,8 @@
         timers=SimpleNamespace(now=trio.current_time, sleep=sleep),
         cfg=SimpleNamespace(bounds=SimpleNamespace(grace_s=GRACE_S)),
         reporter=SimpleNamespace(identity=SimpleNamespace(), report_once=report),
+        endpoint_stop=EndpointStop(),
+        close_endpoints=close_nothing,
     )
     async with trio.open_nursery() as nursery:
         components.nursery = nursery
--- a/marigoldtrail/site/components.py
+++ b/marigoldtrail/site/components.py
@@ -7,11 +7,11 @@
 
 import trio
 
-from marigoldtrail.net import Address, Network, PeerClient
+from marigoldtrail.net import Address, ListenerControl, Network, PeerClient
 from marigoldtrail.reachability import UpstreamContact
 from marigoldtrail.registry import FleetState, HostReporter, peer_name
 from marigoldtrail.relay import CallerRequest, ConnectionPool, Reply, make_answer_recorder
-from marigoldtrail.relay.endpoints import Handler, serve_endpoint
+from marigoldtrail.relay.endpoints import EndpointStop, Handler, serve_endpoint
 from marigoldtrail.routing import Limits
 from marigoldtrail.schema.generated.registry import HostReport
 from marigoldtrail.schema.generated.site import SiteSettings
@@ -21,6 +21,9 @@
 from marigoldtrail.timers import Timers
 
 METRICS_PATH = "/metrics"
+CLOSE_POLL_INTERVAL_S = 0.02
+# Time for the refusals of requests to endpoints that are still in progress when they must end.
+LAST_REPLIES_S = 0.3
 
 
 class HostComponents:
@@ -56,6 +59,8 @@
         "pool",
         "reporter",
         "metrics",
+        "endpoint_stop",
+        "_endpoint_listeners",
     )
 
     def __init__(
@@ -74,6 +79,8 @@
         self.timers = timers
         self.rng = rng
         self.nursery = nursery
+        self.endpoint_stop = EndpointStop()
+        self._endpoint_listeners: list[ListenerControl] = []
         self.metrics = PrometheusMetrics()
         self.peers = PeerClient(network=network, host=cfg.host, nursery=nursery)
         self.fleet_state = FleetState(parse_document=adapter.parse_document, timers=timers)
@@ -166,9 +173,44 @@
         *,
         task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve an HTTP endpoint until cancelled."""
+        """Serve an HTTP endpoint until cancelled or closed."""
+        control = ListenerControl()
+        self._endpoint_listeners.append(control)
 
         async def serve(stream: trio.abc.Stream) -> None:
-            await serve_endpoint(stream, handler, limits)
+            await serve_endpoint(stream, handler, limits, self.endpoint_stop)
 
-        await self.network.listen(Address.parse(address), serve, task_status=task_status)
+        await self.network.listen(
+            Address.parse(address), serve, control=control, task_status=task_status
+        )
+
+    async def close_endpoints(self, timeout_s: float) -> int:
+        """
+        Close the HTTP endpoints: answer what has arrived, then refuse it, and end the connections.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Seconds after which requests in progress are refused.
+
+        Returns
+        -------
+        int
+            Number of connections that are still open.
+        """
+        for listener in self._endpoint_listeners:
+            await listener.close()
+        if await self._wait_for_endpoints(timeout_s):
+            self.endpoint_stop.end()
+            return await self._wait_for_endpoints(LAST_REPLIES_S)
+        return 0
+
+    async def _wait_for_endpoints(self, timeout_s: float) -> int:
+        """Close connections as they become idle; return how many are left after a time."""
+        ends_at = self.timers.now() + timeout_s
+        while True:
+            self.endpoint_stop.close_idle()
+            count = sum(listener.connections for listener in self._endpoint_listeners)
+            if not count or self.timers.now() >= ends_at:
+                return count
+            await self.timers.sleep(CLOSE_POLL_INTERVAL_S)
--- a/marigoldtrail/site/control_host.py
+++ b/marigoldtrail/site/control_host.py
@@ -25,6 +25,8 @@
 UNREACHABLE_REMOVAL_S = 5.0
 TRANSFER_TIMEOUT_S = 1.5
 DRAIN_DELAY_S = 0.5
+# Longer than an order or a query of an operator takes.
+LAST_REQUESTS_S = 1.2
 
 _log = logging.getLogger(__name__)
 
@@ -152,7 +154,10 @@
                 await bootstrap_group(group, components.peers, seeds, timers=components.timers)
 
     async def drain(self) -> None:
-        """Transfer the leadership before the process ends."""
+        """Transfer the leadership and answer the operators before the process ends."""
+        components = self.components
+        components.endpoint_stop.start()
         await self.groups.transfer_leadership(timeout_s=TRANSFER_TIMEOUT_S)
-        await self.components.timers.sleep(DRAIN_DELAY_S)
-        _log.info("drained")
+        await components.timers.sleep(DRAIN_DELAY_S)
+        connections_left = await components.close_endpoints(LAST_REQUESTS_S)
+        _log.info("drained", extra={"connections_left": connections_left})
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -28,6 +28,8 @@
 ADDRESS_EXPIRY_S = 3.5
 # Draining stops this long before the grace period ends, so that the process has exited by then.
 EXIT_MARGIN_S = 0.8
+# Time for the answers to readiness checks and reads of the metrics at the end of a stop.
+LAST_CHECKS_S = 0.1
 CRASH_REPORT_DELAY_S = 0.02
 
 _log = logging.getLogger(__name__)
@@ -225,6 +227,7 @@
         latest_end = started + components.cfg.bounds.grace_s - EXIT_MARGIN_S
         self._draining = True
         self.relay.start_draining(latest_end)
+        components.endpoint_stop.start()
         components.reporter.identity.ready = False
 
         async def report() -> None:
@@ -236,6 +239,8 @@
         # would have no end while they still came.
         await self.listener.close()
         await self.relay.drain(latest_end)
+        if components.timers.now() < latest_end:
+            await components.close_endpoints(LAST_CHECKS_S)
         _log.info(
             "drained",
             extra={
