--- a/marigoldtrail/consensus/tests/test_store.py
+++ b/marigoldtrail/consensus/tests/test_store.py
@@ -1,12 +1,15 @@
 """Tests of a group's files that an earlier process left without syncing them."""
 
+import functools
 import random
 
 import pytest
 
+from marigoldtrail.consensus import store
 from marigoldtrail.consensus.log import COMMAND
 from marigoldtrail.consensus.store import open_store
 from marigoldtrail.schema.generated.consensus import LogEntry, StoredSnapshot
+from marigoldtrail.storage import open_journal
 from marigoldtrail.testing.faulty_files import FaultyDisk
 
 
@@ -22,6 +25,19 @@
     return FaultyDisk(rng=random.Random(1))
 
 
+async def test_entries_in_several_segments_are_durable_before_they_count(
+    autojump_clock, disk, monkeypatch
+):
+    """Guards against an older segment that was never synced."""
+    monkeypatch.setattr(store, "open_journal", functools.partial(open_journal, segment_bytes=1))
+    await append(await open_store(disk, "g", random.Random(1)), 1, 3)
+    disk.kill()
+    opened = await open_store(disk, "g", random.Random(2))
+    disk.crash(torn=False)
+    assert (await open_store(disk, "g", random.Random(3))).log.last_index == 3
+    assert opened.log.last_index == 3
+
+
 @pytest.mark.parametrize("is_sync_refused", [False, True])
 async def test_entries_of_a_killed_process_are_durable_before_they_count(
     autojump_clock, disk, is_sync_refused
@@ -58,7 +74,7 @@
     assert opened.snapshot == snapshot and opened.log.base_index == 9
 
 
-async def fail_at_folder_sync(disk, store, snapshot):
+async def fail_at_folder_sync(disk, files, snapshot):
     """Save a snapshot whose name does not become durable."""
     fsync = type(disk.files).fsync
     calls = []
@@ -71,5 +87,5 @@
 
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(type(disk.files), "fsync", fail_second)
-        assert await store.save_snapshot(snapshot) is not None
+        assert await files.save_snapshot(snapshot) is not None
     assert disk.files.failed[-1] == "fsync of a folder"
--- a/marigoldtrail/storage/disk.py
+++ b/marigoldtrail/storage/disk.py
@@ -474,6 +474,16 @@
         while view:
             view = view[self._calls.write(fd, view) :]
 
+    def _undo_append(self, file: OpenFile, fd: int, name: str, size: int) -> None:
+        # Later appends would follow the part that was written.
+        with after_effect():
+            if self._calls.fstat(fd).st_size != size:
+                self._calls.ftruncate(fd, size)
+        if size == 0:
+            # Readers cope with an empty file, should it remain.
+            self._close_descriptor(file)
+            self._unlink_quietly(self._path(name))
+
     def _unlink_quietly(self, path: Path) -> None:
         # The operation has failed already; its first error is the one to report.
         with contextlib.suppress(OSError):
@@ -493,13 +503,7 @@
         try:
             self._write_all(fd, data)
         except OSError:
-            # Remove the partial append: later appends would follow it.
-            with after_effect():
-                self._calls.ftruncate(fd, size)
-            if size == 0:
-                # Readers cope with an empty file, should it remain.
-                self._close_descriptor(file)
-                self._unlink_quietly(self._path(name))
+            self._undo_append(file, fd, name, size)
             raise
 
     def _sync(self, file: OpenFile, name: str) -> None:
--- a/marigoldtrail/testing/faulty_files.py
+++ b/marigoldtrail/testing/faulty_files.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from marigoldtrail.storage.disk import FolderDisk
+from marigoldtrail.storage.disk import BlockingRunner, FolderDisk
 from marigoldtrail.timers import Timers
 
 FULL = "full"
@@ -21,7 +21,6 @@
 KINDS = (FULL, INPUT_OUTPUT, PARTIAL)
 
 ROOT = Path("/data")
-CALL_S = 0.0005
 
 # Calls that need no room on the disk, and so succeed on a full one.
 _READING = frozenset({"open", "pread", "fstat", "stat", "listdir"})
@@ -187,11 +186,11 @@
     OSError: [Errno 5] fault: mkdir
     """
 
-    __slots__ = ("root", "count", "fail_at", "fail_count", "fail_kind", "failed", "_open", "_next")
+    __slots__ = ("root", "calls", "fail_at", "fail_count", "fail_kind", "failed", "_open", "_next")
 
     def __init__(self) -> None:
         self.root = Folder()
-        self.count = 0
+        self.calls: list[str] = []
         self.fail_at: int | None = None
         self.fail_count = 1
         self.fail_kind = INPUT_OUTPUT
@@ -199,6 +198,36 @@
         self._open: dict[int, tuple[File | Folder, int]] = {}
         self._next = 3
 
+    @property
+    def count(self) -> int:
+        """Number of calls so far, which is the index of the next one."""
+        return len(self.calls)
+
+    def list_indexes(self, kind: str, *, fail_count: int = 1) -> list[int]:
+        """
+        Return the indexes of the calls so far at which a fault of a kind is of interest.
+
+        Parameters
+        ----------
+        kind : str
+            How the calls fail.
+        fail_count : int
+            Number of calls that fail in a row.
+
+        Returns
+        -------
+        list of int
+            Of writes, if they fail in part; of all calls, if only one fails with an error; else of
+            the calls that change something.
+        """
+        if kind == INPUT_OUTPUT and fail_count == 1:
+            return list(range(self.count))
+        return [
+            index
+            for index, call in enumerate(self.calls)
+            if (call == "write" if kind == PARTIAL else call not in _READING)
+        ]
+
     def lose_power(self, rng: random.Random | None) -> None:
         """Keep or lose each change that is not durable; lose all without randomness."""
         self._open.clear()
@@ -210,7 +239,7 @@
 
     def _enter(self, call: str) -> None:
         is_failing, is_first = self.is_failing(), self.count == self.fail_at
-        self.count += 1
+        self.calls.append(call)
         if not is_failing or (self.fail_kind != INPUT_OUTPUT and call in _READING):
             return
         if self.fail_kind == PARTIAL and is_first:
@@ -352,15 +381,20 @@
     ----------
     rng : random.Random
         Decides what a loss of power keeps.
+    operation_s : float
+        Duration of each operation of the disk in seconds.
     """
 
     __slots__ = ("files", "_rng")
 
-    def __init__(self, *, rng: random.Random) -> None:
+    def __init__(self, *, rng: random.Random, operation_s: float = 0.0) -> None:
         self.files = FaultyFiles()
         self._rng = rng
         super().__init__(
-            folder=ROOT, timers=Timers(seed=1), calls=self.files, run_blocking=run_inline
+            folder=ROOT,
+            timers=Timers(seed=1),
+            calls=self.files,
+            run_blocking=build_runner(operation_s),
         )
 
     def kill(self) -> None:
@@ -381,19 +415,23 @@
         self.files.lose_power(self._rng if torn else None)
 
 
-async def run_inline(run: Callable[[], Result], /) -> Result:
+def build_runner(operation_s: float) -> BlockingRunner:
     """
-    Run a function of the disk in simulated time.
+    Build a function that runs the operations of a disk in simulated time.
 
     Parameters
     ----------
-    run : callable
-        The function.
+    operation_s : float
+        Duration of each operation in seconds.
 
     Returns
     -------
-    object
-        Its result.
+    BlockingRunner
+        The function.
     """
-    await trio.sleep(CALL_S)
-    return run()
+
+    async def run_operation(run: Callable[[], Result], /) -> Result:
+        await trio.sleep(operation_s)
+        return run()
+
+    return run_operation
