Read, sync and remove segment files of records again after a failure that passes

A segment file that could not be read for a moment was marked as missing and only fetched from another member: with no member to fetch it from, its records were never served again. It is now also read again in the next round. Files of dropped segments whose removal was refused stayed until the next drop or restart; the removal is now tried again.

--- a/marigoldtrail/records/segment.py
+++ b/marigoldtrail/records/segment.py
@@ -75,6 +75,7 @@
         "tail",
         "is_verified",
         "is_missing",
+        "has_read_error",
         "is_indexed",
         "index",
         "is_index_stored",
@@ -93,6 +94,8 @@
         self.is_verified = False
         # Whether the file was found to be incomplete or to differ from the expected content.
         self.is_missing = False
+        # Whether the disk refused to read the file, whose content may therefore be right.
+        self.has_read_error = False
         self.is_indexed = False
         self.index = SegmentIndex()
         self.is_index_stored = False
--- a/marigoldtrail/records/segments.py
+++ b/marigoldtrail/records/segments.py
@@ -233,7 +233,8 @@
         async with self._lock:
             self.failure = None
             for segment in list(self._segments.values()):
-                if not segment.is_verified and not segment.is_missing and self._is_current(segment):
+                needs_check = not segment.is_missing or segment.has_read_error
+                if not segment.is_verified and needs_check and self._is_current(segment):
                     await self._verify_segment(segment)
             for segment in list(self._segments.values()):
                 if segment.is_verified and self._is_current(segment):
@@ -265,31 +266,49 @@
         index = await self._scan_prefix(segment) if size >= segment.flushed else None
         if not self._is_current(segment):
             return
-        if index is None:
-            segment.is_missing = True
-            _log.error(
-                "segment file %s is missing or corrupt; fetching it from another member", name
-            )
+        if index is None or isinstance(index, Failure):
+            self._set_missing(segment, index)
+            return
+        durable = await self._make_durable(name, segment, size)
+        if isinstance(durable, Failure):
+            self._set_failure(durable)
             return
-        if size > segment.flushed:
-            cut = await self._disk.truncate(name, segment.flushed)
-            if isinstance(cut, Failure):
-                self._set_failure(cut)
-                return
         # No await below: entries appended during the scan are all in the tail.
         segment.index = index
         for entry in iterate_entries(segment.tail, segment.flushed):
             segment.add_to_index(entry)
         segment.is_indexed = True
+        segment.is_missing = segment.has_read_error = False
         segment.is_verified = True
 
-    async def _scan_prefix(self, segment: Segment) -> SegmentIndex | None:
+    def _set_missing(self, segment: Segment, failure: Failure | None) -> None:
+        segment.is_missing = True
+        # The file is read again in the next round, as no member may have another copy.
+        segment.has_read_error = failure is not None
+        if failure is not None:
+            self._set_failure(failure)
+        _log.error(
+            "segment file %s is missing, corrupt or unreadable; fetching it from another member",
+            self.get_file_name(segment.number),
+        )
+
+    async def _make_durable(self, name: str, segment: Segment, size: int) -> None | Failure:
+        if size > segment.flushed:
+            cut = await self._disk.truncate(name, segment.flushed)
+            if isinstance(cut, Failure):
+                return cut
+        # An earlier process may have been killed before its sync, and the snapshot that says how
+        # much is flushed may come from another member.
+        return await self._disk.sync(name) if segment.flushed else None
+
+    async def _scan_prefix(self, segment: Segment) -> SegmentIndex | None | Failure:
         stored = await self._read_index(segment)
         scan = Segment(number=segment.number)
         while scan.size < segment.flushed:
             entries = await self.read_entries(segment.number, scan.size, segment.flushed)
             if isinstance(entries, Failure):
-                return None
+                is_content_wrong = entries.reason in (Reason.CORRUPT, Reason.NOT_FOUND)
+                return None if is_content_wrong else entries
             for entry in entries:
                 scan.crc = crc32c(encode_entry(entry.kind, entry.payload), scan.crc)
                 if stored is None:
@@ -335,7 +354,10 @@
         current_names = {self.get_file_name(number) for number in self._segments}
         for name in names:
             if name.removesuffix(INDEX_SUFFIX) not in current_names:
-                await self._disk.remove(name)
+                removed = await self._disk.remove(name)
+                if isinstance(removed, Failure):
+                    self._may_have_orphans = True
+                    self._set_failure(removed)
 
     async def install(self, segment: Segment, data: bytes) -> bool:
         """
@@ -364,7 +386,7 @@
             if isinstance(result, Failure):
                 self._set_failure(result)
                 return False
-            segment.is_missing = False
+            segment.is_missing = segment.has_read_error = False
             segment.is_index_stored = False
             await self._verify_segment(segment)
             return segment.is_verified
--- a/marigoldtrail/records/tests/test_segments.py
+++ b/marigoldtrail/records/tests/test_segments.py
@@ -1,6 +1,7 @@
 """Segment files on a disk with torn writes, corruption and write errors."""
 
 import json
+import random
 
 import msgspec
 import pytest
@@ -12,6 +13,7 @@
 from marigoldtrail.records.search import search_records
 from marigoldtrail.records.tests.fakes import FOLDER, corrupt, make_disk, make_machine, make_record
 from marigoldtrail.schema.generated.records import FindRecords, SegmentChunk
+from marigoldtrail.testing.faulty_files import INPUT_OUTPUT, FaultyDisk, FaultyFiles
 
 FILE = f"{FOLDER}/{1:08d}.seg"
 
@@ -162,6 +164,68 @@
     ]
 
 
+def make_faulty_machine():
+    """Return a machine on a disk whose single calls can fail, and the disk."""
+    disk = FaultyDisk(rng=random.Random(1))
+    return make_machine(disk), disk
+
+
+async def test_segment_that_could_not_be_read_for_a_moment_is_read_again(autojump_clock):
+    """Guards against records that are never served again although their file is whole."""
+    machine, disk = make_faulty_machine()
+    put(machine, range(2))
+    await machine.store.flush()
+    again = make_machine(disk)
+    again.restore(machine.snapshot())
+    disk.files.fail_kind, disk.files.fail_count = INPUT_OUTPUT, 1
+    # The sizes are asked for before; the first read fails.
+    disk.files.fail_at = disk.files.count + 2
+    await again.store.maintain()
+    assert disk.files.failed == ["fstat"] and again.store.failure is not None
+    await again.store.maintain()
+    assert again.store.failure is None and again.is_complete()
+    assert await find(again, client_account="acme") == ["00000001", "00000000"]
+
+
+async def test_file_of_a_killed_process_is_durable_before_it_counts(autojump_clock):
+    """Guards against a host that counts as complete with bytes that only the page cache holds."""
+    machine, disk = make_faulty_machine()
+    put(machine, range(2))
+    await machine.store.flush()
+    killed, own_disk = make_faulty_machine()
+    await own_disk.append(FILE, await disk.read(FILE))
+    own_disk.kill()
+    # From the snapshot of the member that has synced its file.
+    killed.restore(machine.snapshot())
+    await killed.store.maintain()
+    assert killed.is_complete()
+    own_disk.crash(torn=False)
+    assert await own_disk.read(FILE) == await disk.read(FILE)
+
+
+async def test_refused_removal_of_a_dropped_file_is_tried_again(autojump_clock):
+    """Guards against files of dropped segments that fill the disk until the next restart."""
+    machine, disk = make_faulty_machine()
+    await machine.store.flush()
+    put(machine, range(2))
+    await machine.store.flush()
+    orphan = f"{FOLDER}/{9:08d}.seg"
+    await disk.append(orphan, b"dropped")
+    machine.store.restore(machine.store.dump())
+    unlink = FaultyFiles.unlink
+
+    def refuse(self, path):
+        self.fail_at, self.fail_count = self.count, 1
+        unlink(self, path)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(FaultyFiles, "unlink", refuse)
+        await machine.store.maintain()
+    assert machine.store.failure is not None
+    await machine.store.maintain()
+    assert await disk.list_names(FOLDER) == [FILE] and machine.store.failure is None
+
+
 async def test_retention_drops_whole_old_segments_and_their_files(autojump_clock):
     """Guards against files that remain after retention, and recent records that are dropped."""
     disk = make_disk()
