Let no new stream wait for its record until its deadline

Callers: beside two software versions, streams that began within 1 s of the loss of the leader at another than the oldest version got no event and, after 2 s, 504.

Cause: the first event waits for a durable record of the version, without bound, and nothing told the entry to look for another way. Streams that begin later prefer the oldest version, which needs no record.

Once no leader has answered for 1 s, a stream whose record was never sent to a host begins anew at the oldest version; no records are sent from then on, and calls under way end 0.25 s later, so that records stay withdrawable. A record that may have reached a leader can't be taken back: other hosts would resume the stream at its version. Its caller gets 502 after 1.5 s with a time to come back. Where only versions with records are usable and no leader has answered for 2 s, new streams are refused with 503 before an upstream reads their prompt. The upstream is not blamed.

The test of an error in a call now has a leader that answered, since nothing is sent without one.

--- a/marigoldtrail/platform/tests/test_stream_versions.py
+++ b/marigoldtrail/platform/tests/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 import re
 
+import pytest
 import trio
 
 from marigoldtrail.platform.standin import make_resume_headers
@@ -158,3 +159,102 @@
         await site.crash(ip)
     await trio.sleep(2)
     assert set((await begin_streams(site)).values()) == {OLD}
+
+
+async def crash_control(site):
+    for ip in site.control:
+        await site.crash(ip)
+
+
+async def cut_control(site):
+    """Cut the control hosts off from the entries; what is under way arrives once they return."""
+    for ip in site.control:
+        for entry in site.entries:
+            site.network.cut(ip, entry)
+
+
+async def begin_while_the_leader_is_lost(site):
+    """Begin streams for 1.2 s; return the replies by request id, and the version of each begun."""
+    replies = {}
+
+    async def begin(request_id, entry):
+        replies[request_id] = await site.send_request(
+            "/talk/1", entry=entry, request_id=request_id, body=b"p"
+        )
+
+    async with trio.open_nursery() as callers:
+        for number in range(STREAMS):
+            callers.start_soon(begin, f"lost-{number}", number % 3)
+            await trio.sleep(0.05)
+    began = {name: read_versions(reply) for name, reply in replies.items() if reply}
+    return replies, {name: versions[0].decode() for name, versions in began.items() if versions}
+
+
+@pytest.mark.parametrize("lose_control", [crash_control, cut_control])
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_new_streams_do_not_wait_for_a_record_until_their_deadline(
+    autojump_clock, nursery, lose_control, seed
+):
+    """Guards against callers that hear nothing because the leader was lost a moment ago."""
+    site = await start_mixed_site(nursery, seed=seed)
+    await lose_control(site)
+    replies, began = await begin_while_the_leader_is_lost(site)
+    refused = {name: reply for name, reply in replies.items() if name not in began}
+    assert len(began) > STREAMS / 2
+    for status, headers, body in refused.values():
+        assert status == 502 and b"version" in body
+        assert float(headers[b"retry-after"]) < 0.5
+    for request_id in refused:
+        reply = await site.send_request("/talk/1", request_id=f"later-{request_id}", body=b"p")
+        assert reply[0] == 200 and len(read_versions(reply)) == EVENTS
+
+
+async def test_stream_that_moved_because_its_record_was_not_sent_keeps_its_new_version(
+    autojump_clock, nursery
+):
+    """Guards against a withdrawn record that a later leader still gets."""
+    site = await start_mixed_site(nursery)
+    await crash_control(site)
+    _, began = await begin_while_the_leader_is_lost(site)
+    sent = {(name[:3], request.headers["x-request-id"]) for name, request in site.seen}
+    assert any(("new", request_id) in sent and version == OLD
+               for request_id, version in began.items())  # fmt: skip
+    for ip in site.control:
+        await site.start_host(ip)
+    await trio.sleep(5)
+    for entry in range(3):
+        resumed = await resume_streams(site, began, entry=entry)
+        assert all(versions == {began[request_id]} for request_id, versions in resumed.items())
+        assert len(resumed) > STREAMS / 2
+
+
+async def test_stream_does_not_move_to_another_version_than_a_record_on_its_way(
+    autojump_clock, nursery
+):
+    """Guards against a record that a cut-off entry sent, and that arrives after the first event."""
+    site = await start_mixed_site(nursery)
+    await cut_control(site)
+    _, began = await begin_while_the_leader_is_lost(site)
+    for ip in site.control:
+        for entry in site.entries:
+            site.network.restore(ip, entry)
+    await trio.sleep(3)
+    for entry in range(3):
+        resumed = await resume_streams(site, began, entry=entry)
+        assert all(versions == {began[request_id]} for request_id, versions in resumed.items())
+        assert len(resumed) > STREAMS / 2
+
+
+async def test_streams_that_would_wait_in_vain_are_refused_before_an_upstream_runs_them(
+    autojump_clock, nursery
+):
+    """Guards against prompts that are read for callers who can get no event."""
+    site = await start_mixed_site(nursery)
+    site.list[:] = [entry for entry in site.list if not entry["id"].startswith("llm-")]
+    await trio.sleep(2)
+    await crash_control(site)
+    await trio.sleep(2.5)
+    calls = len(site.seen)
+    status, headers, body = await site.send_request("/talk/1", request_id="late", body=b"p")
+    assert status == 503 and b"version" in body and float(headers[b"retry-after"]) >= 0.5
+    assert len(site.seen) == calls
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -232,6 +232,9 @@
                 return failure
             if not self._chooser.list_upstreams(exchange):
                 return self._make_no_upstream_failure(exchange)
+        failure = self._admission.check_arrival(exchange)
+        if failure is not None:
+            return failure
         for _ in range(MAX_STAGE_RUNS):
             failure = await self._run_stages(exchange)
             if failure is not None:
@@ -308,6 +311,10 @@
                 failure = result
                 if result.reason is Reason.NOT_FOUND:
                     return result
+                if result.reason is Reason.VIEW_NOT_CURRENT and not (
+                    exchange.may_run_again() and self._admission.withdraw_record(exchange)
+                ):
+                    return result
             exchange.tried.add(assignment.upstream.name)
             if self._mover.has_taken(exchange):
                 continue
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -373,7 +373,9 @@
         status = 503 if result.run_state is RunState.NOT_RUN else 502
         if status == 502 and result.reason is Reason.DEADLINE:
             status = 504
-        await self._send_error(conn, status, str(result), retry_after_s=result.retry_after_s)
+        may_return = status == 503 or result.reason is Reason.VIEW_NOT_CURRENT
+        retry_after_s = result.retry_after_s if may_return else 0.0
+        await self._send_error(conn, status, str(result), retry_after_s=retry_after_s)
         return None
 
     async def _send_error(
@@ -386,7 +388,7 @@
         retry_after_s: float = 0.0,
     ) -> None:
         headers = [(b"content-type", b"application/json"), *self._make_connection_headers(is_last)]
-        if status in (429, 503):
+        if status in (429, 503) or retry_after_s:
             pause_s = retry_after_s or RETRY_AFTER_S * self._rng.uniform(0.5, 1.5)
             headers.append((b"retry-after", f"{pause_s:.2f}".encode()))
         await conn.send_response(status, headers, _encode({"error": detail, "host": self._host}))
--- a/marigoldtrail/relay/stream_admission.py
+++ b/marigoldtrail/relay/stream_admission.py
@@ -5,7 +5,12 @@
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.exchange import Exchange
-from marigoldtrail.relay.stream_versions import StreamVersions
+from marigoldtrail.relay.stream_versions import (
+    MAX_LEADER_AGE_S,
+    RETRY_AFTER_S,
+    Recording,
+    StreamVersions,
+)
 from marigoldtrail.routing import Upstream
 from marigoldtrail.timers import Timers
 
@@ -14,6 +19,15 @@
 # Longest wait of a resumed stream for the first reply of the leader after an interruption.
 MAX_LIST_WAIT_S = 0.6
 LIST_POLL_INTERVAL_S = 0.02
+# Most elections are over by then; a caller that waits longer is better off at another entry.
+MAX_RECORD_WAIT_S = 1.5
+# Elections are over by then, unless the control hosts have no majority or can't be reached.
+MAX_ELECTION_S = 2.0
+RECORD_POLL_INTERVAL_S = 0.02
+# A caller that may come back gets its answer so long before the end of the time that it waits.
+MIN_LEFT_S = 0.2
+# After this time a caller finds upstreams of the version that needs no record.
+SOON_S = 0.1
 # Bytes that an earlier process wrote have been read this long after its successor was listed.
 OLD_BYTES_S = 0.3
 # Recorded for a stream whose version is not known; no version begins with a space.
@@ -85,7 +99,9 @@
         Other hosts must be able to find the version of the stream when its caller has an event.
         """
         if exchange.recording is not None:
-            await exchange.recording.wait()
+            failure = await self._wait_for_record(exchange, exchange.recording)
+            if failure is not None:
+                return failure
         current = self._fleet_state.upstreams.get(upstream.name, upstream)
         if (current.version, current.born_ms) != (upstream.version, upstream.born_ms):
             return Failure(
@@ -97,6 +113,59 @@
             )
         return None
 
+    def check_arrival(self, exchange: Exchange) -> Failure | None:
+        """Return why a new stream is not sent: all versions need records that nobody can make."""
+        has_leader = self._fleet_state.age_s() <= MAX_ELECTION_S
+        if has_leader or not exchange.stream_key or exchange.is_resumed:
+            return None
+        if self._has_default(exchange) or not self._fleet_state.usable_upstreams(
+            exchange.service.name
+        ):
+            return None
+        return make_unrecorded_failure(exchange, RunState.NOT_RUN, RETRY_AFTER_S)
+
+    async def _wait_for_record(self, exchange: Exchange, recording: Recording) -> Failure | None:
+        """Wait until a record is durable; return why the stream does not begin without it."""
+        until = min(self._timers.now() + MAX_RECORD_WAIT_S, exchange.start_deadline - MIN_LEFT_S)
+        while not await recording.wait(RECORD_POLL_INTERVAL_S):
+            has_default = self._has_default(exchange)
+            age_s = self._fleet_state.age_s()
+            may_move = has_default and not recording.may_be_durable and age_s > MAX_LEADER_AGE_S
+            if may_move or age_s > MAX_RECORD_WAIT_S or self._timers.now() >= until:
+                retry_after_s = SOON_S if has_default else RETRY_AFTER_S
+                return make_unrecorded_failure(exchange, RunState.MAY_HAVE_RUN, retry_after_s)
+        return None
+
+    def _has_default(self, exchange: Exchange) -> bool:
+        """Return whether upstreams of the version that needs no record are usable."""
+        service = exchange.service.name
+        default = self._versions.get_default(service)
+        return default is not None and bool(
+            self._fleet_state.usable_upstreams(service, version=default)
+        )
+
+    def withdraw_record(self, exchange: Exchange) -> bool:
+        """
+        Withdraw a record, so that the stream can begin at the version that needs none.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request; no event of its stream was forwarded.
+
+        Returns
+        -------
+        bool
+            False if the record may have become durable: other hosts would then resume the stream
+            at its version.
+        """
+        recording = exchange.recording
+        if recording is None or recording.may_be_durable:
+            return False
+        recording.is_wanted = False
+        exchange.recording = None
+        return self._has_default(exchange)
+
     def note_events(self, exchange: Exchange, upstream: Upstream) -> None:
         """
         Bind a stream to the version of the upstream that has written its events.
@@ -134,6 +203,36 @@
             self._versions.start_recording(key, UNKNOWN_VERSION)
 
 
+def make_unrecorded_failure(
+    exchange: Exchange, run_state: RunState, retry_after_s: float
+) -> Failure:
+    """
+    Return the failure of a new stream whose version could not be recorded.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The request.
+    run_state : RunState
+        Whether an upstream has begun to run it.
+    retry_after_s : float
+        Seconds after which its caller may come back.
+
+    Returns
+    -------
+    Failure
+        ``VIEW_NOT_CURRENT``.
+    """
+    return Failure(
+        reason=Reason.VIEW_NOT_CURRENT,
+        run_state=run_state,
+        step="stream.record",
+        peer=exchange.service.name,
+        detail="no leader recorded the version of the stream in time",
+        retry_after_s=retry_after_s,
+    )
+
+
 def is_version_unknown(exchange: Exchange, fleet_state: FleetState) -> bool:
     """
     Return whether the latest events of a stream may be of either of two versions.
--- a/marigoldtrail/relay/stream_versions.py
+++ b/marigoldtrail/relay/stream_versions.py
@@ -25,7 +25,12 @@
 # Streams that this host remembers by itself, beyond those in the log.
 MAX_REMEMBERED = 4096
 MAX_BATCH = 256
+# Without a leader that has answered so recently, new streams prefer versions without records, and
+# no records are sent: those on their way can't be withdrawn.
+MAX_LEADER_AGE_S = 1.0
 RECORD_TIMEOUT_S = 2.0
+# A call that found no leader ends when the last answer of one is so old.
+MAX_CALL_AGE_S = 1.25
 RECORD_RETRY_S = 0.1
 FIND_TIMEOUT_S = 1.0
 # A caller may come back when a leader has had time to be elected.
@@ -54,22 +59,33 @@
     ----------
     stream : StreamVersion
         The record.
+
+    Attributes
+    ----------
+    is_wanted : bool
+        Whether it still has to be made durable.
+    may_be_durable : bool
+        Whether a call with the record may have reached a leader. If not, the record can be
+        withdrawn, and its stream can begin at another version.
     """
 
-    __slots__ = ("stream", "is_wanted", "_done")
+    __slots__ = ("stream", "is_wanted", "may_be_durable", "_done")
 
     def __init__(self, *, stream: StreamVersion) -> None:
         self.stream = stream
         self.is_wanted = True
+        self.may_be_durable = False
         self._done = trio.Event()
 
     def finish(self) -> None:
         """Note that the record is durable."""
         self._done.set()
 
-    async def wait(self) -> None:
-        """Wait until the record is durable."""
-        await self._done.wait()
+    async def wait(self, timeout_s: float) -> bool:
+        """Wait for at most some seconds; return whether the record is durable."""
+        with trio.move_on_after(timeout_s):
+            await self._done.wait()
+        return self._done.is_set()
 
 
 class StreamVersions:
@@ -176,9 +192,19 @@
             # A stream must not wait for a record that nobody can make.
             self._finish(batch)
             return True
+        age_s = self._fleet_state.age_s()
+        if age_s > MAX_LEADER_AGE_S:
+            return False
         request = RecordStreams(streams=[recording.stream for recording in batch])
-        reply = await self._call_leader(request, StreamsRecorded, RECORD_TIMEOUT_S)
+        unsent = [recording for recording in batch if not recording.may_be_durable]
+        for recording in batch:
+            recording.may_be_durable = True
+        timeout_s = min(RECORD_TIMEOUT_S, MAX_CALL_AGE_S - age_s)
+        reply = await self._call_leader(request, StreamsRecorded, timeout_s)
         if isinstance(reply, Failure):
+            if reply.run_state is RunState.NOT_RUN:
+                for recording in unsent:
+                    recording.may_be_durable = False
             _log.warning("versions of %d streams not recorded: %s", len(batch), reply)
             return False
         self._finish(batch)
--- a/marigoldtrail/relay/tests/test_stream_versions.py
+++ b/marigoldtrail/relay/tests/test_stream_versions.py
@@ -192,11 +192,11 @@
 
     timers = Timers(seed=1)
     fleet_state = FleetState(parse_document=lambda data: "", timers=timers)
+    fleet_state.confirmed_at = trio.current_time()
     versions = StreamVersions(fleet_state=fleet_state, call_leader=call_leader, timers=timers)
     nursery.start_soon(versions.run)
     recording = versions.start_recording(b"key", "v2")
-    with trio.fail_after(2):
-        await recording.wait()
+    assert await recording.wait(2)
     assert not failures
 
 
--- a/marigoldtrail/relay/transmission.py
+++ b/marigoldtrail/relay/transmission.py
@@ -27,6 +27,9 @@
 # on at another one.
 REFUSAL_WAIT_S = 0.2
 
+# Failures for which the upstream is not to blame.
+_BLAMELESS_REASONS = (Reason.NOT_FOUND, Reason.QUARANTINED, Reason.VIEW_NOT_CURRENT)
+
 
 class Transmission:
     """
@@ -276,7 +279,7 @@
         elif result.reason is Reason.OVERLOADED:
             self._monitor.record_failure(name, is_dead=False)
             self._monitor.start_pause(name, result.retry_after_s)
-        elif result.reason not in (Reason.NOT_FOUND, Reason.QUARANTINED):
+        elif result.reason not in _BLAMELESS_REASONS:
             self._monitor.record_failure(name, is_dead=True)
 
     async def close(self, tx: Transmission) -> None:
--- a/marigoldtrail/relay/upstream_chooser.py
+++ b/marigoldtrail/relay/upstream_chooser.py
@@ -14,14 +14,12 @@
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.stream_admission import is_version_unknown
-from marigoldtrail.relay.stream_versions import StreamVersions
+from marigoldtrail.relay.stream_versions import MAX_LEADER_AGE_S, StreamVersions
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
 from marigoldtrail.routing import Upstream
 
 # Assumed duration of a request to a service without engine until one has been measured.
 DEFAULT_DURATION_S = 0.03
-# Without a leader that has answered so recently, new streams prefer versions without records.
-MAX_LEADER_AGE_S = 1.0
 
 
 class UpstreamChooser:
