Ask the other members after the failure of one member's disk

Callers: while a control host was out of its group because of its disk, calls of the leader that reached this host first failed at once, although another host led: resumed streams were refused with 503, and calls of record groups that the host had led before went to it again each time.

Cause: the finder of the leader took each failure that it did not know for final, and kept the host as the leader. Class: the failure of one host that is taken for that of the group.

After DISK_ERROR, DISK_FULL or CORRUPT the finder forgets the host as the leader and asks each other member once. Only if none answers is the failure final: a leader with a full disk refuses commands and goes on, and its callers shall hear that without a wait.

--- a/marigoldtrail/fleet/leaders.py
+++ b/marigoldtrail/fleet/leaders.py
@@ -36,6 +36,10 @@
     }
 )
 
+# Failures of the disk of one host. It may be out of the group, so that another member leads; if
+# none answers, they are final, since a leader with a full disk refuses commands and goes on.
+DISK_REASONS = frozenset({Reason.DISK_ERROR, Reason.DISK_FULL, Reason.CORRUPT})
+
 
 class HostAddresses(Protocol):
     """Lookup of host addresses."""
@@ -138,6 +142,7 @@
         may_have_run = False
         last: Failure | None = None
         while True:
+            disk_failure: Failure | None = None
             for host in self._iterate_members(group):
                 remaining = deadline - self._timers.now()
                 if remaining <= 0:
@@ -155,9 +160,13 @@
                     return reply
                 last = reply
                 may_have_run = may_have_run or reply.run_state is RunState.MAY_HAVE_RUN
-                if reply.reason not in RETRYABLE_REASONS:
+                if reply.reason in DISK_REASONS:
+                    disk_failure = disk_failure or reply
+                elif reply.reason not in RETRYABLE_REASONS:
                     return _build_final_failure(last, request, may_have_run)
                 self._record_failure(group, host, reply)
+            if disk_failure is not None:
+                return _build_final_failure(disk_failure, request, may_have_run)
             await self._timers.sleep(min(ROUND_PAUSE_S, max(0.0, deadline - self._timers.now())))
 
     def _iterate_members(self, group: str) -> Iterator[str]:
--- a/marigoldtrail/platform/tests/test_stream_versions.py
+++ b/marigoldtrail/platform/tests/test_stream_versions.py
@@ -258,3 +258,24 @@
     status, headers, body = await site.send_request("/talk/1", request_id="late", body=b"p")
     assert status == 503 and b"version" in body and float(headers[b"retry-after"]) >= 0.5
     assert len(site.seen) == calls
+
+
+@pytest.mark.parametrize("number", range(3))
+async def test_stream_resumes_while_a_control_host_is_out_of_its_group_because_of_its_disk(
+    autojump_clock, nursery, number
+):
+    """Guards against the failure of one host's disk that is taken for the answer of the leader."""
+    site = await start_mixed_site(nursery)
+    began = await begin_streams(site)
+    stopped = site.control[number]
+    site.disks[stopped].fail_syncs = True
+    await site.add_upstream("later", "llm", "dc-a", version="v3")
+    await trio.sleep(4)
+    assert site.hosts[stopped].groups["config"].stop_failure is not None
+    for entry in range(3):
+        finder = site.hosts[site.entries[entry]].components.reporter.finder
+        for request_id in list(began)[:6]:
+            # An entry that knows no leader asks the control hosts in turn.
+            finder._leaders.clear()
+            reply = await resume_stream(site, request_id, entry=entry)
+            assert reply[0] == 200
