Let disk calls of control hosts fail in the soak, in turn beside changes

The soak limited the file size only, so that a disk refused writes and nothing else. Control hosts now start through a module that wraps the calls of the process for its data folder; syncs, syncs of the folder, renames, truncations and writes fail as a file says.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from bench.soak.faulty_host import DISK_FAULTS
 from bench.soak.fleet import HOSTS, Fleet
 from bench.soak.plan import Fault
 from bench.soak.proxy import Proxy
@@ -52,9 +53,10 @@
             for fault in plan:
                 await trio.sleep_until(started + fault.at)
                 self.counts[fault.kind] += 1
-                nursery.start_soon(self._inject, fault)
+                nursery.start_soon(self.inject, fault)
 
-    async def _inject(self, fault: Fault) -> None:
+    async def inject(self, fault: Fault) -> None:
+        """Inject a fault and wait for its end."""
         if fault.target == "hosts":
             async with trio.open_nursery() as nursery:
                 for name in HOSTS:
@@ -90,6 +92,10 @@
             fleet.limit_file_size(name, FULL_DISK_BYTES)
             await trio.sleep(duration_s)
             fleet.limit_file_size(name, -1)
+        elif kind in DISK_FAULTS:
+            fleet.begin_disk_fault(name, kind)
+            await trio.sleep(duration_s)
+            fleet.end_disk_fault(name, kind)
         else:
             await self._inject_link_fault(kind, fleet.ip(name), duration_s)
 
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -14,6 +14,7 @@
 import msgspec
 import trio
 
+from bench.soak.faulty_host import DISK_FAULTS
 from bench.soak.proxy import Proxy
 from marigoldtrail.net import Address
 
@@ -59,6 +60,7 @@
         "_proxy",
         "_processes",
         "_seeds",
+        "_disk_faults",
     )
 
     def __init__(self, *, network: str, folder: Path, list_address: Address, proxy: Proxy) -> None:
@@ -68,6 +70,7 @@
         self._proxy = proxy
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._seeds = list(CONTROL)
+        self._disk_faults: dict[str, Counter[str]] = {name: Counter() for name in CONTROL}
         self.starts: Counter[str] = Counter()
         self.unexpected_exits: list[str] = []
 
@@ -140,12 +143,41 @@
         self.starts[name] += 1
         with (self._folder / f"{name}.out").open("ab") as out:
             self._processes[name] = subprocess.Popen(  # noqa: S603
-                [sys.executable, "-m", "marigoldtrail.platform"],
+                [sys.executable, "-m", *self._program(name)],
                 env={**os.environ, "MARIGOLDTRAIL_CONFIG": str(path)},
                 stdout=out,
                 stderr=out,
             )
 
+    def _program(self, name: str) -> list[str]:
+        """Return the module and arguments of a host; only control hosts have a disk."""
+        if name not in CONTROL:
+            return ["marigoldtrail.platform"]
+        folder = os.path.realpath(self._data_folder(name))
+        return ["bench.soak.faulty_host", str(self._disk_control(name)), folder]
+
+    def _disk_control(self, name: str) -> Path:
+        return self._folder / f"{name}.disk"
+
+    def begin_disk_fault(self, name: str, kind: str) -> None:
+        """Let calls on the disk of a control host fail, beside those that fail already."""
+        self._disk_faults[name][kind] += 1
+        self._write_disk_control(name)
+
+    def end_disk_fault(self, name: str, kind: str) -> None:
+        """End a fault of a disk; others of the same host go on."""
+        self._disk_faults[name][kind] -= 1
+        self._write_disk_control(name)
+
+    def _write_disk_control(self, name: str) -> None:
+        active = [kind for kind, count in self._disk_faults[name].items() if count]
+        calls = sorted({call for kind in active for call in DISK_FAULTS[kind]})
+        path = self._disk_control(name)
+        # The process reads the file at any time, so it is replaced as a whole.
+        temporary = path.with_suffix(".new")
+        temporary.write_text(" ".join(calls))
+        temporary.replace(path)
+
     def is_running(self, name: str) -> bool:
         """Return whether the process of a host runs; record an unexpected exit."""
         process = self._processes.get(name)
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from bench.soak.faulty_host import DISK_FAULTS
+
 # Weights of the kinds; faults of one process or link, and series of them, are the most frequent.
 HOST_KINDS = {
     "kill": 4,
@@ -33,6 +35,8 @@
 MIN_LIMIT_S = 4.0
 MAX_LIMIT_S = 9.0
 LIMITS_PER_S = (0.5, 1.0, 2.0, 5.0)
+# Failing calls on the disks of control hosts.
+MAX_DISK_FAULTS = 5
 
 
 class Fault(msgspec.Struct, kw_only=True, frozen=True):
@@ -106,6 +110,7 @@
             Fault(at=seconds, kind="kill", target="hosts", duration_s=rng.uniform(0.2, 1.0))
         )
     plan += draw_limits(seed, seconds, upstreams)
+    plan += draw_disk_faults(seed, seconds, control)
     return sorted(plan, key=lambda fault: fault.at)
 
 
@@ -127,3 +132,17 @@
         )
         for _ in range(rng.randint(0, MAX_LIMITS))
     ]
+
+
+def draw_disk_faults(seed: int, seconds: float, control: list[str]) -> list[Fault]:
+    """Draw failing calls on disks, with a random number generator of their own."""
+    rng = random.Random(f"disks {seed}")
+    return [
+        Fault(
+            at=rng.uniform(0, seconds),
+            kind=rng.choice(list(DISK_FAULTS)),
+            target=rng.choice(control),
+            duration_s=rng.uniform(MIN_FAULT_S, MAX_FAULT_S),
+        )
+        for _ in range(rng.randint(0, MAX_DISK_FAULTS))
+    ]
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -23,6 +23,7 @@
 from bench.soak.crashing import check_crashing_order
 from bench.soak.faults import Injector
 from bench.soak.fleet import CONTROL, ENTRIES, HOSTS, Fleet
+from bench.soak.full_disks import check_full_disks
 from bench.soak.ledger import Ledger
 from bench.soak.plan import make_plan
 from bench.soak.proxy import Proxy
@@ -127,6 +128,11 @@
                 await check_takeout(takeouts, partial(callers.send_plain, ENTRIES), ledger)
                 crashes = await check_crashing_order(seed, fleet, platform, ledger)
                 injector.counts["crash by an order"] += len(crashes)
+                async with trio.open_nursery() as watch:
+                    watch.start_soon(watch_processes, fleet, ledger)
+                    injector.counts += await check_full_disks(seed, injector, operators, ledger)
+                    watch.cancel_scope.cancel()
+                await check_recovery(fleet, operators, callers, ledger)
             else:
                 ledger.report_violation("the first configuration was not accepted")
         finally:
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -1,10 +1,17 @@
 """Tests of the soak test: checks, fault plan, proxy, and a run of one short seed."""
 
+import os
+from collections import Counter
+
 import pytest
 import trio
 
 from bench.soak.__main__ import read_regression_seeds
 from bench.soak.crashing import MAX_ARRIVALS, WINDOW_S, count_late
+from bench.soak.faults import Injector
+from bench.soak.faulty_host import DISK_FAULTS, install_faults
+from bench.soak.fleet import CONTROL, Fleet
+from bench.soak.full_disks import check_full_disks, draw_turns
 from bench.soak.ledger import Attempt, Ledger, Run, compute_seal
 from bench.soak.limits import NamedLimit
 from bench.soak.networks import claim_network
@@ -12,7 +19,10 @@
 from bench.soak.proxy import Proxy
 from bench.soak.run import run_seed
 from bench.soak.takeouts import IN, OUT, TakeoutOperator, check_takeout
+from marigoldtrail.errors import Failure
 from marigoldtrail.net import Address
+from marigoldtrail.storage import open_folder
+from marigoldtrail.timers import Timers
 
 SEED = 7
 SECONDS = 5.0
@@ -130,6 +140,116 @@
     assert sum(fault.kind == "wipe" for fault in plans[0]) <= 1
 
 
+def test_failing_disks_leave_other_faults_as_they_were(monkeypatch):
+    """Guards against a new kind of fault that changes what a seed that has failed once does."""
+    plan = make_plan(1, 60.0, **PLAN)
+    monkeypatch.setattr("bench.soak.plan.draw_disk_faults", lambda *_: [])
+    others = make_plan(1, 60.0, **PLAN)
+    assert [fault for fault in plan if fault.kind not in DISK_FAULTS] == others != plan
+
+
+def test_all_kinds_of_failing_disks_are_drawn():
+    """Guards against a kind of failing disk that no seed plays."""
+    kinds = {fault.kind for seed in range(50) for fault in make_plan(seed, 9.0, **PLAN)}
+    assert kinds >= set(DISK_FAULTS)
+    turns = [draw_turns(seed, CONTROL) for seed in range(50)]
+    assert {len(plan.at_once) for plan in turns} == {0, 2}
+    assert all(len({fault.target for fault in plan.at_once}) in (0, 2) for plan in turns)
+
+
+async def use_disk(disk):
+    """Use each operation of a disk once; return the names of those that fail."""
+    failed = set()
+    for name, operation in (
+        ("new file", lambda: disk.append("new/a", b"first")),
+        ("append", lambda: disk.append("log", b"second")),
+        ("sync", lambda: disk.sync("log")),
+        ("replace", lambda: disk.write_atomic("vote", b"third")),
+        ("truncate", lambda: disk.truncate("log", 2)),
+    ):
+        if isinstance(await operation(), Failure):
+            failed.add(name)
+    return failed
+
+
+@pytest.mark.parametrize("kind", DISK_FAULTS)
+async def test_failing_calls_reach_the_disk_of_a_host(kind, tmp_path, monkeypatch):
+    """Guards against a fault of a disk that has no effect, or that does not end."""
+    for name in ("fsync", "replace", "ftruncate", "write"):
+        # Restores the call after the test.
+        monkeypatch.setattr(os, name, getattr(os, name))
+    folder, control = tmp_path / "data", tmp_path / "faults"
+    install_faults(str(control), str(folder))
+    disk = open_folder(folder, timers=Timers())
+    assert await disk.append("log", b"begin") is None
+    control.write_text(" ".join(DISK_FAULTS[kind]))
+    failed = await use_disk(disk)
+    all_syncs = {"sync", "replace", "truncate"}
+    expected = {
+        "sync_error": all_syncs,
+        "sync_full": all_syncs,
+        "folder_sync_error": {"new file", "replace"},
+        "rename_error": {"replace"},
+        "truncate_error": {"truncate"},
+        "short_write": {"new file", "append"},
+        "torn_append": {"new file", "append", "truncate"},
+        "failing_disk": {"new file", "append", *all_syncs},
+    }
+    assert failed == expected[kind]
+    # A short write remains if the file cannot be truncated.
+    assert ((folder / "log").read_bytes() == b"beginsec") == (
+        kind in ("torn_append", "failing_disk")
+    )
+    (tmp_path / "other").write_bytes(b"x")
+    with (tmp_path / "other").open("rb") as other:
+        os.fsync(other.fileno())
+    control.write_text("")
+    (folder / "new").mkdir(exist_ok=True)
+    assert await use_disk(disk) == set()
+    disk.close()
+
+
+async def test_overlapping_faults_of_a_disk_end_one_by_one(tmp_path):
+    """Guards against a fault of a disk that ends with another one of the same host."""
+    fleet = Fleet(network="127.0", folder=tmp_path, list_address=None, proxy=None)
+    control = tmp_path / f"{CONTROL[0]}.disk"
+    for kind in ("sync_error", "torn_append", "sync_error"):
+        fleet.begin_disk_fault(CONTROL[0], kind)
+    fleet.end_disk_fault(CONTROL[0], "sync_error")
+    assert control.read_text().split() == ["sync-error", "truncate", "write"]
+    fleet.end_disk_fault(CONTROL[0], "sync_error")
+    fleet.end_disk_fault(CONTROL[0], "torn_append")
+    assert control.read_text() == ""
+
+
+async def test_changes_that_are_refused_after_full_disks_are_reported(autojump_clock):
+    """Guards against a site that accepts no change after its disks were full, unseen."""
+
+    class Operators:
+        def __init__(self, accepts):
+            self.accepts = accepts
+
+        async def run(self):
+            await trio.sleep_forever()
+
+        async def send_next(self, timeout_s):
+            return self.accepts
+
+    class Disks(Injector):
+        async def inject(self, fault):
+            self.counts[fault.target] += 1
+            await trio.sleep(fault.duration_s)
+
+    seed = next(seed for seed in range(50) if draw_turns(seed, CONTROL).at_once)
+    turns = draw_turns(seed, CONTROL)
+    for accepts in (True, False):
+        ledger, injector = make_ledger(), Disks(fleet=None, platform=None, proxy=None)
+        await check_full_disks(seed, injector, Operators(accepts), ledger)
+        assert len(ledger.violations) == (not accepts)
+        faults = [*turns.in_turn, *turns.at_once]
+        assert injector.counts == Counter(fault.target for fault in faults)
+
+
 @pytest.fixture
 def network():
     """Provide loopback addresses that no other run on this machine uses."""
