Count requests without an answer around planned stops in the soak

Callers kept their connections and followed the directory through the proxy, so that the soak did not see what a stopping entry does to the rest. Direct callers now reach the entries without the proxy, on a new connection for each request or on kept ones until the process is gone. A request that was passed on or read and got no answer around a planned stop or reload is a broken promise, with the excuses of the platform's rule; those that were not read are counted by stop and printed.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -31,6 +31,8 @@
     )
     for violation in outcome.violations:
         typer.echo(f"    {violation}")
+    for line in outcome.planned:
+        typer.echo(f"    without an answer: {line}")
 
 
 def read_regression_seeds() -> list[tuple[int, float]]:
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 from collections import Counter
+from collections.abc import Sequence
 
 import h11
 import msgspec
@@ -12,6 +13,8 @@
 
 from bench.soak.fleet import CONTROL, ENTRIES, Fleet
 from bench.soak.ledger import Attempt, Ledger
+from bench.soak.planned import DEADLINE, END, LOST_S, RESET
+from bench.soak.sockets import read_unread_bytes
 from bench.soak.upstreams import PIECES, STREAM_EVENTS
 from marigoldtrail.net import Address
 from marigoldtrail.platform.standin import (
@@ -33,6 +36,8 @@
 CONFIG_TIMEOUT_S = 10.0
 CONNECT_TIMEOUT_S = 1.0
 MAX_THINK_S = 0.12
+# Time within which a request is sent as a whole.
+SENDING_S = 0.02
 MAX_CONFIG_PAUSE_S = 1.5
 # Weights of the kinds of request.
 REQUEST_WEIGHTS = {"plain": 6, "order": 5, "version": 3, "stream": 3, "resume": 3}
@@ -127,11 +132,27 @@
 class Callers:
     """Callers that send requests to entries and check the responses."""
 
-    __slots__ = ("counts", "_ledger", "_fleet", "_operators", "_rng", "_numbers", "_addresses")
+    __slots__ = (
+        "counts",
+        "_ledger",
+        "_fleet",
+        "_operators",
+        "_rng",
+        "_prefix",
+        "_numbers",
+        "_addresses",
+    )
 
     def __init__(
-        self, *, ledger: Ledger, fleet: Fleet, operators: Operators, rng: random.Random
+        self,
+        *,
+        ledger: Ledger,
+        fleet: Fleet,
+        operators: Operators,
+        rng: random.Random,
+        prefix: str = "id",
     ) -> None:
+        self._prefix = prefix
         self.counts: Counter[str] = Counter()
         self._ledger = ledger
         self._fleet = fleet
@@ -179,9 +200,53 @@
             with trio.CancelScope(shield=True):
                 await conn.aclose()
 
-    async def send_request(self, conn: HttpConnection, entry: str, kind: str) -> bool:
-        """Send a request and check the response; return whether the connection is reusable."""
-        request_id = f"id-{next(self._numbers)}"
+    async def send_request(
+        self,
+        conn: HttpConnection,
+        entry: str,
+        kind: str,
+        *,
+        headers: Sequence[tuple[str, str]] = (),
+        direct_from: Address | None = None,
+    ) -> bool:
+        """
+        Send a request and check the response.
+
+        Parameters
+        ----------
+        conn : HttpConnection
+            A connection with no request in progress.
+        entry, kind : str
+            The entry at its other end, and the kind of request.
+        headers : sequence of (str, str)
+            More headers.
+        direct_from : Address or None
+            The caller's end of a connection without the proxy.
+
+        Returns
+        -------
+        bool
+            Whether the connection is reusable.
+        """
+        attempt, version = self._make_attempt(entry, kind, is_direct=direct_from is not None)
+        fields = [*self._make_headers(attempt, kind), *headers]
+        async with trio.open_nursery() as nursery:
+            if direct_from is not None:
+                nursery.start_soon(self._watch_reading, attempt, direct_from)
+            is_reusable = await self._exchange(conn, attempt, kind, version, fields)
+            nursery.cancel_scope.cancel()
+        return is_reusable
+
+    async def _watch_reading(self, attempt: Attempt, caller: Address) -> None:
+        """Note whether the process has read a request that has no answer after some time."""
+        await trio.sleep(LOST_S + SENDING_S)
+        if attempt.sent_at + LOST_S <= trio.current_time():
+            entry = self._fleet.bound_request_address(attempt.entry[0])
+            attempt.unread_bytes = read_unread_bytes(entry, caller)
+
+    def _make_attempt(self, entry: str, kind: str, *, is_direct: bool) -> tuple[Attempt, int]:
+        """Record an attempt; return it and the version that its path needs."""
+        request_id = f"{self._prefix}-{next(self._numbers)}"
         body = request_id.encode() * self._rng.randint(0, 20) if kind != "version" else b""
         version = self._operators.newest
         path = f"/{kind}/{version}/x" if kind == "version" else f"/{kind}/{request_id}"
@@ -191,25 +256,41 @@
             body=body,
             may_repeat=kind not in ("order", "stream"),
             entry=(entry, self._fleet.starts[entry]),
+            deadline_s=DEADLINE_S,
+            is_direct=is_direct,
         )
         self._ledger.record_attempt(attempt)
-        served_before = self._ledger.newest_served_version(attempt.entry)
-        headers = make_caller_headers(
+        return attempt, version
+
+    def _make_headers(self, attempt: Attempt, kind: str) -> list[tuple[str, str]]:
+        return make_caller_headers(
             HOST,
-            request_id=request_id,
+            request_id=attempt.request_id,
             deadline_s=DEADLINE_S,
             key=KEY,
             prompt=f"5c1e:200,{next(self._numbers):x}:100",
             prompt_tokens=300,
             output_tokens=20,
             piece_counts=PIECES if kind in ("stream", "resume") else (),
-            piece_key=request_id if kind in ("stream", "resume") else "",
+            piece_key=attempt.request_id if kind in ("stream", "resume") else "",
         )
+
+    async def _exchange(
+        self,
+        conn: HttpConnection,
+        attempt: Attempt,
+        kind: str,
+        version: int,
+        headers: list[tuple[str, str]],
+    ) -> bool:
+        served_before = self._ledger.newest_served_version(attempt.entry)
         outcome = "no answer"
         is_reusable = False
-        with trio.move_on_after(DEADLINE_S):
+        with trio.move_on_after(DEADLINE_S) as scope:
             try:
-                await conn.send("POST" if body else "GET", path, headers, body)
+                method = "POST" if attempt.body else "GET"
+                await conn.send(method, attempt.path, headers, attempt.body)
+                attempt.sent_at = trio.current_time()
                 head = await conn.read_response_head()
                 if head is not None:
                     outcome = str(head.status_code)
@@ -223,8 +304,13 @@
                     else:
                         await conn.read_body()
                     is_reusable = conn.prepare_next_request()
-            except ERRORS:
-                pass
+            except h11.ProtocolError:
+                attempt.failure = END
+            except STREAM_ERRORS:
+                attempt.failure = RESET
+        if scope.cancelled_caught:
+            attempt.failure = DEADLINE
+        attempt.ended_at = trio.current_time()
         if outcome == "200" and kind == "version":
             self._ledger.check_served_version(attempt.entry, version, served_before)
         self.counts[f"{kind} {outcome}"] += 1
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -10,6 +10,7 @@
 from bench.soak.faulty_host import DISK_FAULTS
 from bench.soak.fleet import HOSTS, Fleet
 from bench.soak.plan import Fault
+from bench.soak.planned import Disruption
 from bench.soak.proxy import Proxy
 from bench.soak.upstreams import Platform
 
@@ -17,6 +18,9 @@
 # Less than the size of any file of a host after its start.
 FULL_DISK_BYTES = 64
 RESTART_S = 0.3
+# Signals to stop, by kind of planned stop.
+STOP_SIGNALS = {"term": 1, "term_twice": 2}
+PLANNED_KINDS = frozenset({*STOP_SIGNALS, "reload"})
 
 
 class Injector:
@@ -36,12 +40,15 @@
     ----------
     counts : Counter
         Number of injected faults by kind.
+    disruptions : list of Disruption
+        All faults that are not planned work.
     """
 
-    __slots__ = ("counts", "_fleet", "_platform", "_proxy")
+    __slots__ = ("counts", "disruptions", "_fleet", "_platform", "_proxy")
 
     def __init__(self, *, fleet: Fleet, platform: Platform, proxy: Proxy) -> None:
         self.counts: Counter[str] = Counter()
+        self.disruptions: list[Disruption] = []
         self._fleet = fleet
         self._platform = platform
         self._proxy = proxy
@@ -57,14 +64,20 @@
 
     async def inject(self, fault: Fault) -> None:
         """Inject a fault and wait for its end."""
-        if fault.target == "hosts":
-            async with trio.open_nursery() as nursery:
-                for name in HOSTS:
-                    nursery.start_soon(self._inject_host_fault, fault.kind, name, fault.duration_s)
-        elif fault.target in HOSTS:
-            await self._inject_host_fault(fault.kind, fault.target, fault.duration_s)
+        targets = HOSTS if fault.target == "hosts" else [fault.target]
+        async with trio.open_nursery() as nursery:
+            for target in targets:
+                nursery.start_soon(self._inject_at, fault, target)
+
+    async def _inject_at(self, fault: Fault, target: str) -> None:
+        disruption = Disruption(target=target, kind=fault.kind, at=trio.current_time())
+        if fault.kind not in PLANNED_KINDS:
+            self.disruptions.append(disruption)
+        if target in HOSTS:
+            await self._inject_host_fault(fault.kind, target, fault.duration_s)
         else:
             await self._inject_upstream_fault(fault)
+        disruption.until = trio.current_time()
 
     async def _inject_host_fault(self, kind: str, name: str, duration_s: float) -> None:
         fleet = self._fleet
@@ -77,8 +90,8 @@
                 fleet.wipe(name)
             await trio.sleep(duration_s)
             fleet.start_host(name)
-        elif kind == "term":
-            if await fleet.terminate(name):
+        elif kind in STOP_SIGNALS:
+            if await fleet.terminate(name, signals=STOP_SIGNALS[kind]):
                 await trio.sleep(RESTART_S)
                 fleet.start_host(name)
         elif kind == "pause":
@@ -86,8 +99,7 @@
             await trio.sleep(duration_s)
             fleet.send_signal(name, signal.SIGCONT)
         elif kind == "reload":
-            fleet.write_settings(name)
-            fleet.send_signal(name, signal.SIGHUP)
+            fleet.reload(name)
         elif kind == "disk_full":
             fleet.limit_file_size(name, FULL_DISK_BYTES)
             await trio.sleep(duration_s)
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -15,6 +15,7 @@
 import trio
 
 from bench.soak.faulty_host import DISK_FAULTS
+from bench.soak.planned import RELOAD, STOP, PlannedWork
 from bench.soak.proxy import Proxy
 from marigoldtrail.net import Address
 
@@ -22,6 +23,8 @@
 ENTRIES = ["entry-1", "entry-2"]
 HOSTS = CONTROL + ENTRIES
 PEER_PORT, REQUEST_PORT, READY_PORT, OPERATOR_PORT, LOOKUP_PORT = 7740, 8625, 8621, 8628, 8620
+# Time between two signals to stop.
+SECOND_SIGNAL_S = 0.4
 # Longer than a host needs to finish its requests; it is killed after that, as on the platform.
 GRACE_S = 8.0
 TORN_WRITE_BYTES = b"\x07torn write\xff" * 3
@@ -49,11 +52,14 @@
         Number of starts of each host.
     unexpected_exits : list of str
         Messages about processes that exited without being stopped.
+    planned : list of PlannedWork
+        Planned stops and reloads of entries.
     """
 
     __slots__ = (
         "starts",
         "unexpected_exits",
+        "planned",
         "_network",
         "_folder",
         "_list_address",
@@ -73,6 +79,7 @@
         self._disk_faults: dict[str, Counter[str]] = {name: Counter() for name in CONTROL}
         self.starts: Counter[str] = Counter()
         self.unexpected_exits: list[str] = []
+        self.planned: list[PlannedWork] = []
 
     def ip(self, name: str) -> str:
         """Return the address under which others reach a host."""
@@ -85,6 +92,10 @@
         """Return where callers reach an entry."""
         return f"{self.ip(name)}:{REQUEST_PORT}"
 
+    def bound_request_address(self, name: str) -> Address:
+        """Return where an entry listens, behind the proxy."""
+        return Address(self._bind_ip(name), REQUEST_PORT)
+
     def operator_address(self, name: str) -> str:
         """Return the address where operators reach a control host."""
         return f"{self.ip(name)}:{OPERATOR_PORT}"
@@ -203,17 +214,56 @@
         process.wait()
         return True
 
-    async def terminate(self, name: str) -> bool:
-        """Stop the process of a host as the platform does; return False if there is none."""
+    def reload(self, name: str) -> None:
+        """Write other settings of a host and signal that they have changed."""
+        self.write_settings(name)
+        if self.is_running(name):
+            self._note_planned(name, RELOAD)
+            self.send_signal(name, signal.SIGHUP)
+
+    def _note_planned(self, name: str, kind: str) -> PlannedWork:
+        work = PlannedWork(entry=(name, self.starts[name]), kind=kind, at=trio.current_time())
+        if name in ENTRIES:
+            self.planned.append(work)
+        return work
+
+    def count_refused_connection(self, name: str) -> None:
+        """Count a connection that an entry refuses, if the entry is being stopped."""
+        for work in self.planned:
+            if work.entry[0] == name and work.kind == STOP and work.until == float("inf"):
+                work.refused += 1
+
+    async def terminate(self, name: str, *, signals: int = 1) -> bool:
+        """
+        Stop the process of a host as the platform does.
+
+        Parameters
+        ----------
+        name : str
+            The host.
+        signals : int
+            Number of signals to stop, with some time between them.
+
+        Returns
+        -------
+        bool
+            False if there is no process.
+        """
         if not self.is_running(name):
             return False
         process = self._processes.pop(name)
+        work = self._note_planned(name, STOP)
         process.send_signal(signal.SIGCONT)
-        process.terminate()
         with trio.move_on_after(GRACE_S):
+            for _ in range(signals - 1):
+                process.terminate()
+                await trio.sleep(SECOND_SIGNAL_S)
+            process.terminate()
             await trio.to_thread.run_sync(process.wait, abandon_on_cancel=True)
+        work.was_killed = process.poll() is None
         process.kill()
         process.wait()
+        work.until = trio.current_time()
         return True
 
     def limit_file_size(self, name: str, max_bytes: int) -> None:
--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -47,6 +47,17 @@
         Entry that it was sent to, and the number of starts of its process at that time.
     status : int
         Status of the response; 0 if there was none.
+    deadline_s : float
+        Time from the request to its deadline, in seconds.
+    is_direct : bool
+        Whether it was sent without the proxy.
+    sent_at, ended_at : float
+        Monotonic times at which its last byte was sent and at which it ended; infinite until then.
+    failure : str
+        How it ended without a complete response; empty if it did not.
+    unread_bytes : int or None
+        Bytes of the connection that the process had not read some time after the request was sent;
+        None if the request had ended.
     """
 
     request_id: str
@@ -55,6 +66,12 @@
     may_repeat: bool
     entry: tuple[str, int]
     status: int = 0
+    deadline_s: float = float("inf")
+    is_direct: bool = False
+    sent_at: float = float("inf")
+    ended_at: float = float("inf")
+    failure: str = ""
+    unread_bytes: int | None = None
 
 
 class Ledger:
@@ -76,6 +93,8 @@
         Runs of each request.
     accepted, sent : dict of int to bytes
         Documents by version: acknowledged configurations, and all that were sent.
+    touched : dict of str to set of str
+        Names of the upstreams that have worked on each request or a piece of it.
     """
 
     __slots__ = (
@@ -84,6 +103,7 @@
         "runs",
         "accepted",
         "sent",
+        "touched",
         "_account",
         "_key",
         "_served_versions",
@@ -97,6 +117,7 @@
         self.runs: dict[str, list[Run]] = defaultdict(list)
         self.accepted: dict[int, bytes] = {}
         self.sent: dict[int, bytes] = {}
+        self.touched: dict[str, set[str]] = defaultdict(set)
         self._served_versions: dict[tuple[str, int], int] = {}
 
     def report_violation(self, text: str) -> None:
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -37,6 +37,11 @@
 LIMITS_PER_S = (0.5, 1.0, 2.0, 5.0)
 # Failing calls on the disks of control hosts.
 MAX_DISK_FAULTS = 5
+# Signals to hosts in series; a stop lasts longer than the gap, so that stops overlap.
+SIGNAL_KINDS = {"term": 3, "term_twice": 2, "reload": 3, "kill": 2}
+SIGNALS_SHARE = 0.5
+MIN_SIGNALS, MAX_SIGNALS = 3, 8
+SIGNAL_GAP_S = 0.6
 
 
 class Fault(msgspec.Struct, kw_only=True, frozen=True):
@@ -111,6 +116,7 @@
         )
     plan += draw_limits(seed, seconds, upstreams)
     plan += draw_disk_faults(seed, seconds, control)
+    plan += draw_signals(seed, seconds, control + entries)
     return sorted(plan, key=lambda fault: fault.at)
 
 
@@ -146,3 +152,18 @@
         )
         for _ in range(rng.randint(0, MAX_DISK_FAULTS))
     ]
+
+
+def draw_signals(seed: int, seconds: float, hosts: list[str]) -> list[Fault]:
+    """Draw a series of signals to hosts, with a random number generator of their own."""
+    rng = random.Random(f"signals {seed}")
+    plan: list[Fault] = []
+    if rng.random() >= SIGNALS_SHARE:
+        return plan
+    at = rng.uniform(0, seconds / 2)
+    for _ in range(rng.randint(MIN_SIGNALS, MAX_SIGNALS)):
+        kind = rng.choices(list(SIGNAL_KINDS), list(SIGNAL_KINDS.values()))[0]
+        duration_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        plan.append(Fault(at=at, kind=kind, target=rng.choice(hosts), duration_s=duration_s))
+        at += rng.expovariate(1 / SIGNAL_GAP_S)
+    return plan
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -14,6 +14,7 @@
 from bench.soak.callers import (
     ACCOUNT,
     KEY,
+    MAX_THINK_S,
     REQUEST_WEIGHTS,
     Callers,
     Operators,
@@ -21,12 +22,15 @@
     open_connection,
 )
 from bench.soak.crashing import check_crashing_order
+from bench.soak.direct import DirectCallers, start_direct_callers
 from bench.soak.faults import Injector
 from bench.soak.fleet import CONTROL, ENTRIES, HOSTS, Fleet
 from bench.soak.full_disks import check_full_disks
 from bench.soak.ledger import Ledger
 from bench.soak.plan import make_plan
+from bench.soak.planned import judge_planned_work
 from bench.soak.proxy import Proxy
+from bench.soak.stops import play_stops
 from bench.soak.takeouts import TakeoutOperator, check_takeout
 from bench.soak.upstreams import Platform
 from marigoldtrail.platform.standin import CONFIG_PATH, read_version
@@ -34,6 +38,8 @@
 
 CALLER_COUNT = 8
 OPERATOR_COUNT = 2
+# Callers of each sort that reach each entry without the proxy.
+DIRECT_COUNT = 1
 # A site that has not recovered by then is considered hung; no promise states a shorter time.
 RECOVERY_S = 40.0
 WATCH_INTERVAL_S = 0.1
@@ -53,6 +59,8 @@
         Number of faults by kind, and of responses by kind of request and outcome.
     accepted : int
         Configurations that were acknowledged.
+    planned : list of str
+        Requests without an answer around planned work.
     """
 
     seed: int
@@ -60,6 +68,7 @@
     injected: Counter[str]
     answers: Counter[str]
     accepted: int
+    planned: list[str]
 
 
 async def run_seed(seed: int, seconds: float, *, network: str, folder: Path) -> Outcome:
@@ -100,6 +109,16 @@
         callers = Callers(
             ledger=ledger, fleet=fleet, operators=operators, rng=random.Random(seed + 3)
         )
+        direct = Callers(
+            ledger=ledger,
+            fleet=fleet,
+            operators=operators,
+            rng=random.Random(f"direct {seed}"),
+            prefix="direct",
+        )
+        direct_callers = DirectCallers(
+            callers=direct, fleet=fleet, rng=random.Random(f"direct callers {seed}")
+        )
         takeouts = TakeoutOperator(
             fleet=fleet, count_runs=lambda: platform.other_runs, rng=random.Random(seed + 4)
         )
@@ -120,6 +139,13 @@
                         traffic.start_soon(operators.run)
                     for _ in range(CALLER_COUNT):
                         traffic.start_soon(callers.run)
+                    start_direct_callers(
+                        traffic,
+                        direct_callers,
+                        ENTRIES,
+                        count=DIRECT_COUNT,
+                        max_pause_s=MAX_THINK_S,
+                    )
                     traffic.start_soon(callers.follow_directory)
                     traffic.start_soon(takeouts.run)
                     await injector.run(plan)
@@ -131,6 +157,7 @@
                 async with trio.open_nursery() as watch:
                     watch.start_soon(watch_processes, fleet, ledger)
                     injector.counts += await check_full_disks(seed, injector, operators, ledger)
+                    await play_stops(seed, injector, operators, direct_callers)
                     watch.cancel_scope.cancel()
                 await check_recovery(fleet, operators, callers, ledger)
             else:
@@ -138,12 +165,14 @@
         finally:
             fleet.stop()
             nursery.cancel_scope.cancel()
+    planned = judge_planned_work(fleet.planned, injector.disruptions, ledger)
     return Outcome(
         seed=seed,
         violations=ledger.violations,
         injected=injector.counts,
-        answers=callers.counts,
+        answers=callers.counts + direct.counts,
         accepted=len(ledger.accepted),
+        planned=planned,
     )
 
 
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -260,7 +260,10 @@
         is_long = self._rng.random() < LONG_WORK_SHARE
         await trio.sleep(self._rng.uniform(0, LONG_WORK_S if is_long else WORK_S))
 
-    def _record_run(self, request: HttpRequest, received: ReceivedRequest) -> None:
+    def _record_run(
+        self, upstream: Upstream, request: HttpRequest, received: ReceivedRequest
+    ) -> None:
+        self._ledger.touched[received.request_id].add(upstream.name)
         run = Run(
             request_id=received.request_id,
             path=request.path,
@@ -272,7 +275,7 @@
     async def _work(self, upstream: Upstream, request: HttpRequest, reply: ResponseWriter) -> None:
         received = read_received(request.headers)
         request_id = received.request_id
-        self._record_run(request, received)
+        self._record_run(upstream, request, received)
         self.other_runs += upstream.name == OTHER_UPSTREAM
         if self.crashing_body and request.body == self.crashing_body:
             self.crashing_arrivals.append(trio.current_time())
@@ -297,7 +300,7 @@
             return
         if found != [(request_id, 1, piece) for piece in range(PIECES[1])]:
             self._ledger.report_violation(f"{request_id}: the engine received the results {found}")
-        self._record_run(request, received)
+        self._record_run(upstream, request, received)
         first = int(received.resume_after) + 1 if received.resume_after else 0
         await self._pause()
         headers = {**make_answer_headers(request_id, request_id), **upstream.limit_headers()}
@@ -327,6 +330,7 @@
         if None in inputs:
             return None
         request_id, stage, index = piece.request_id, piece.stage, piece.index
+        self._ledger.touched[request_id].add(upstream.name)
         expected = [(request_id, 0, n) for n in range(PIECES[0])] if stage else []
         if inputs != expected or index >= PIECES[stage] or (not stage and piece.key is None):
             self._ledger.report_violation(
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -10,21 +10,23 @@
 from bench.soak.crashing import MAX_ARRIVALS, WINDOW_S, count_late
 from bench.soak.faults import Injector
 from bench.soak.faulty_host import DISK_FAULTS, install_faults
-from bench.soak.fleet import CONTROL, Fleet
+from bench.soak.fleet import CONTROL, ENTRIES, Fleet
 from bench.soak.full_disks import check_full_disks, draw_turns
 from bench.soak.ledger import Attempt, Ledger, Run, compute_seal
 from bench.soak.limits import NamedLimit
 from bench.soak.networks import claim_network
-from bench.soak.plan import make_plan
+from bench.soak.plan import draw_disk_faults, draw_signals, make_plan
 from bench.soak.proxy import Proxy
 from bench.soak.run import run_seed
+from bench.soak.stops import draw_stops
 from bench.soak.takeouts import IN, OUT, TakeoutOperator, check_takeout
 from marigoldtrail.errors import Failure
 from marigoldtrail.net import Address
 from marigoldtrail.storage import open_folder
 from marigoldtrail.timers import Timers
 
-SEED = 7
+# The first of them plays planned stops in series after its faults, the other one full disks.
+SEEDS = (7, 1)
 SECONDS = 5.0
 PLAN = {"control": ["c1", "c2"], "entries": ["e1"], "upstreams": ["u1"]}
 
@@ -140,12 +142,17 @@
     assert sum(fault.kind == "wipe" for fault in plans[0]) <= 1
 
 
-def test_failing_disks_leave_other_faults_as_they_were(monkeypatch):
+def test_new_kinds_of_faults_leave_others_as_they_were(monkeypatch):
     """Guards against a new kind of fault that changes what a seed that has failed once does."""
-    plan = make_plan(1, 60.0, **PLAN)
+    seed = next(seed for seed in range(9) if draw_signals(seed, 60.0, ["c1"]))
+    plan = make_plan(seed, 60.0, **PLAN)
+    added = draw_disk_faults(seed, 60.0, PLAN["control"])
+    added += draw_signals(seed, 60.0, PLAN["control"] + PLAN["entries"])
     monkeypatch.setattr("bench.soak.plan.draw_disk_faults", lambda *_: [])
-    others = make_plan(1, 60.0, **PLAN)
-    assert [fault for fault in plan if fault.kind not in DISK_FAULTS] == others != plan
+    monkeypatch.setattr("bench.soak.plan.draw_signals", lambda *_: [])
+    others = make_plan(seed, 60.0, **PLAN)
+    assert others != plan
+    assert sorted(others + added, key=lambda fault: fault.at) == plan
 
 
 def test_all_kinds_of_failing_disks_are_drawn():
@@ -321,9 +328,16 @@
         assert len(ledger.violations) == count
 
 
-async def test_short_seed_keeps_all_promises(network, tmp_path):
+def test_short_seeds_play_what_follows_the_faults():
+    """Guards against short seeds that leave out the planned stops or the full disks."""
+    assert [bool(draw_stops(seed, CONTROL, ENTRIES)) for seed in SEEDS] == [True, False]
+    assert [bool(draw_turns(seed, CONTROL).at_once) for seed in SEEDS] == [False, True]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_short_seed_keeps_all_promises(seed, network, tmp_path):
     """Guards against broken promises of the complete system with real processes and signals."""
-    outcome = await run_seed(SEED, SECONDS, network=network, folder=tmp_path)
+    outcome = await run_seed(seed, SECONDS, network=network, folder=tmp_path)
     assert outcome.violations == []
     assert outcome.answers.total() > 0 and outcome.injected.total() > 0
 
