Read an idle connection once more in the step that ends it

What callers saw: a request on a connection that was idle, or new, was reset when it arrived while the host closed that connection.

Cause: the last read was given up by a time-out, and the close came in a later step of the event loop, after the steps of other tasks: milliseconds on a host under load. What arrived between was not read, and a close with unread data is a reset.

The socket is now read once more, and its sending direction is ended if nothing has arrived, without other work between the two. A request that crosses the close is still neither read nor answered, which HTTP/1.1 does not allow for, but its caller sees a regular end in place of a reset.

Evidence: `test_request_that_arrives_before_the_last_step_of_a_stop_is_served` sends a request just before the task closes the connection; before, it got no answer. `test_request_that_crosses_the_close_of_a_connection_sees_a_regular_end` covers the other case with a function that is new.

--- a/marigoldtrail/net/listener.py
+++ b/marigoldtrail/net/listener.py
@@ -106,13 +106,19 @@
     async def aclose(self) -> None:
         """Close the listener."""
         if self._control.is_closing:
-            for sock in accept_and_close(socket.socket(fileno=self._listener.socket.detach())):
+            for sock in accept_and_close(take_socket(self._listener)):
                 self._control.connections += 1
                 self._control.accepted_at_close += 1
                 self._serve(trio.SocketStream(trio.socket.from_stdlib_socket(sock)))
         await self._listener.aclose()
 
 
+def take_socket(listener: trio.SocketListener) -> socket.socket:
+    """Return the socket of a listener, which no longer owns it."""
+    sock = listener.socket
+    return socket.socket(sock.family, sock.type, sock.proto, fileno=sock.detach())
+
+
 def accept_and_close(listener: socket.socket) -> list[socket.socket]:
     """
     Accept all connections in the queue of a listening socket and close it.
--- a/marigoldtrail/relay/connection_end.py
+++ b/marigoldtrail/relay/connection_end.py
@@ -64,6 +64,51 @@
     return dropped
 
 
+def receive_or_end(stream: trio.abc.Stream) -> bytes | None:
+    """
+    Return what has arrived on an idle connection, or end it if nothing has.
+
+    Nothing is done between the two, so that a request either is returned here or arrives after the
+    end. Its caller then sees a regular end, also if the close that follows finds it unread.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        The connection; one without a socket is left alone.
+
+    Returns
+    -------
+    bytes or None
+        The data, empty if the peer has closed the connection; None if the connection was ended.
+
+    Raises
+    ------
+    trio.BrokenResourceError
+        If the connection is broken.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return None
+    sock = borrow_socket(stream)
+    try:
+        return sock.recv(READ_BYTES)
+    except BlockingIOError:
+        try:
+            sock.shutdown(socket.SHUT_WR)
+        except OSError as exc:
+            raise trio.BrokenResourceError(str(exc)) from exc
+        return None
+    except OSError as exc:
+        raise trio.BrokenResourceError(str(exc)) from exc
+    finally:
+        sock.detach()
+
+
+def borrow_socket(stream: trio.SocketStream) -> socket.socket:
+    """Return the socket of a stream, which still owns its descriptor: detach it after use."""
+    sock = stream.socket
+    return socket.socket(sock.family, sock.type, sock.proto, fileno=sock.fileno())
+
+
 def reset_on_close(stream: trio.abc.Stream) -> None:
     """Let the close of a connection be a reset, which is no regular end of a response."""
     if isinstance(stream, trio.SocketStream):
--- a/marigoldtrail/relay/idle_wait.py
+++ b/marigoldtrail/relay/idle_wait.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from marigoldtrail.relay.connection_end import READ_BYTES, EndReason
+from marigoldtrail.relay.connection_end import READ_BYTES, EndReason, receive_or_end
 
 # Time to read what is already in the socket; a read that was cancelled before it began reads
 # nothing.
@@ -67,6 +67,10 @@
                 return bytes(await self._stream.receive_some(READ_BYTES))
         with trio.move_on_after(ARRIVED_CHECK_S):
             return bytes(await self._stream.receive_some(READ_BYTES))
+        # Other tasks have run since that read.
+        data = receive_or_end(self._stream)
+        if data is not None:
+            return data
         return EndReason.IDLE_AT_STOP if self._is_stopped else EndReason.IDLE
 
     def _find_end(self) -> float:
--- a/marigoldtrail/relay/tests/test_idle_connections.py
+++ b/marigoldtrail/relay/tests/test_idle_connections.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 
+from marigoldtrail.relay.connection_end import receive_or_end
 from marigoldtrail.relay.idle_wait import LOWERED_LIMIT_GRACE_S
 from marigoldtrail.relay.tests.helpers import (
     RelayHarness,
@@ -101,6 +102,58 @@
     assert (await read_all(stream)).startswith(b"HTTP/1.1 200")
 
 
+class BeforeStep(trio.abc.Instrument):
+    """Call a function before a step of a task, after all steps that come before it."""
+
+    def __init__(self, name, countdown, function):
+        self.name = name
+        self.countdown = countdown
+        self.function = function
+
+    def before_task_step(self, task):
+        if task.name.endswith(self.name):
+            self.countdown -= 1
+            if self.countdown == 0:
+                self.function()
+
+
+async def test_request_that_arrives_before_the_last_step_of_a_stop_is_served(
+    autojump_clock, nursery
+):
+    """Guards against a reset while the task that closes a connection waits for its turn."""
+    harness = await start_harness(nursery, 15.0)
+    caller, accepted = socket.socketpair()
+    nursery.start_soon(
+        harness.relay.serve, trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+    )
+    await trio.sleep(1.0)
+    harness.relay.start_draining()
+    # The first step begins the last read, the second one ends it.
+    instrument = BeforeStep("Relay.serve", 2, lambda: caller.send(make_request()))
+    trio.lowlevel.add_instrument(instrument)
+    harness.relay.close_idle()
+    stream = trio.SocketStream(trio.socket.from_stdlib_socket(caller))
+    with trio.fail_after(5):
+        answer = await read_all(stream)
+    trio.lowlevel.remove_instrument(instrument)
+    assert instrument.countdown <= 0
+    assert answer.startswith(b"HTTP/1.1 200")
+
+
+async def test_request_that_crosses_the_close_of_a_connection_sees_a_regular_end():
+    """Guards against a reset for a caller whose request crosses the close; it can't be answered."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        caller = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+    with caller:
+        caller.settimeout(5)
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+        assert receive_or_end(stream) is None
+        caller.sendall(make_request())
+        await trio.aclose_forcefully(stream)
+        assert caller.recv(1) == b""
+
+
 async def test_idle_connection_takes_over_raised_sizes(autojump_clock, nursery):
     """Guards against refusals by limits that were in force before a connection was idle."""
     harness = await start_harness(nursery, 5.0)
