Queue no connection between the last accept and the close of a listener

What callers saw: on a host under load, up to 4 connections were established and reset in the moment in which a stopping entry closed its listener.

Cause: connections are queued by the kernel. If the process loses the processor, or waits for the thread that writes the log, between the accept that finds the queue empty and the close, those that were queued meanwhile are reset.

On Linux, a BPF program of one instruction that drops all packets is attached to the listening socket before the last accepts, which needs no privilege. A caller in this moment isn't connected and has sent nothing: the repetition of its opening packet, after a second, is refused, and it may turn to another host with any request. Where the option is refused, all is as before, and a line of level debug says so.

Evidence: `test_caller_between_the_last_accept_and_the_close_is_refused_not_reset` connects in this moment; without the program its connection is reset.

--- a/marigoldtrail/net/listener.py
+++ b/marigoldtrail/net/listener.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+import array
+import contextlib
 import logging
 import socket
+import struct
+import sys
 from collections.abc import Callable
 
 import trio
 
+# Linux: options of a socket for a classic BPF program. The module `socket` has no names for them.
+_SO_ATTACH_FILTER = 26
+_SO_DETACH_FILTER = 27
+# The one instruction "return 0": no byte of any packet is kept.
+_DROP_ALL = struct.pack("=HBBI", 0x06, 0, 0, 0)
+
 _log = logging.getLogger(__name__)
 
 
@@ -119,12 +129,31 @@
     return socket.socket(sock.family, sock.type, sock.proto, fileno=sock.detach())
 
 
+def drop_new_connections(listener: socket.socket) -> None:
+    """Let the kernel drop what arrives at a listening socket, as far as the system can do so."""
+    instruction = array.array("B", _DROP_ALL)
+    program = struct.pack("@HP", 1, instruction.buffer_info()[0])
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, program)
+    except OSError as exc:
+        _log.debug("new connections are queued until the listener is closed: %s", exc)
+
+
+def stop_dropping(accepted: socket.socket) -> None:
+    """Remove the program of the listener, which a connection inherits if both began together."""
+    # There is no program in nearly all cases, which is an error.
+    with contextlib.suppress(OSError):
+        accepted.setsockopt(socket.SOL_SOCKET, _SO_DETACH_FILTER, 0)
+
+
 def accept_and_close(listener: socket.socket) -> list[socket.socket]:
     """
     Accept all connections in the queue of a listening socket and close it.
 
-    Nothing is done between the last accept and the close, since a connection that is queued in that
-    time is reset.
+    A connection that is queued between the last accept and the close is reset, after its caller may
+    have sent a request. Little time passes between the two unless the process loses the processor
+    or this thread waits for the interpreter. Therefore no connection is queued any more from before
+    the last accept: the opening packet is dropped, and its repetition, a second later, is refused.
 
     Parameters
     ----------
@@ -138,9 +167,11 @@
     """
     accepted: list[socket.socket] = []
     with listener:
+        if sys.platform == "linux":
+            drop_new_connections(listener)
         while True:
             try:
-                accepted.append(listener.accept()[0])
+                sock = listener.accept()[0]
             except BlockingIOError:
                 break
             except ConnectionError:
@@ -149,4 +180,7 @@
             except OSError as exc:
                 _log.warning("connections are left in the queue of a closed listener: %s", exc)
                 break
+            if sys.platform == "linux":
+                stop_dropping(sock)
+            accepted.append(sock)
     return accepted
