Refuse a request that is still incomplete at the end of a stop

What callers saw: when an entry had reached the end of its grace period, a caller whose request was still arriving got the end of its connection, or a reset, and no answer.

Cause: the end of a stop cancels requests in progress, which are then answered, but requests that were being read ended with the process.

Their reading is now cancelled at the same time, and they are refused with 503, `connection: close` and Retry-After, which is true: nothing of them has run.

Evidence: `test_incomplete_request_at_the_end_of_a_stop_is_refused`; before, the connection ended without an answer.

--- a/marigoldtrail/platform/tests/test_stops.py
+++ b/marigoldtrail/platform/tests/test_stops.py
@@ -25,6 +25,7 @@
 LOOKUP = b"GET /-/resolve HTTP/1.1\r\nHost: a.example\r\n\r\n"
 QUERY = b"GET /-/config HTTP/1.1\r\nHost: a.example\r\n\r\n"
 REQUEST = b"GET /plain/1 HTTP/1.1\r\nHost: a.example\r\n\r\n"
+INCOMPLETE_REQUEST = b"POST /plain/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 9\r\n\r\nbody"
 
 
 class HookTimers(Timers):
@@ -212,3 +213,19 @@
     status = b"404" if took_s < 1 else b"503"
     answer = read_all(caller).lower()
     assert answer.startswith(b"http/1.1 " + status) and b"connection: close" in answer
+
+
+async def test_incomplete_request_at_the_end_of_a_stop_is_refused(autojump_clock, tmp_path):
+    """Guards against the end of a connection without an answer while a body arrives."""
+    async with trio.open_nursery() as nursery:
+        components = make_components(nursery, "entry", tmp_path)
+        host = EntryHost(components=components)
+        nursery.start_soon(host.run)
+        await trio.sleep(0.1)
+        nursery.start_soon(host.drain)
+        await trio.sleep(ADDRESS_EXPIRY_S - 0.1)
+        caller = connect(components.cfg.request_address, INCOMPLETE_REQUEST)
+        await trio.sleep(Bounds().grace_s - ADDRESS_EXPIRY_S)
+        nursery.cancel_scope.cancel()
+    answer = read_all(caller).lower()
+    assert answer.startswith(b"http/1.1 503 ") and b"connection: close" in answer
--- a/marigoldtrail/relay/caller_connection.py
+++ b/marigoldtrail/relay/caller_connection.py
@@ -120,6 +120,7 @@
         "_find_idle_limit_s",
         "_conn",
         "_idle_wait",
+        "_read_scope",
         "_is_new",
         "_is_head",
         "_has_started",
@@ -141,6 +142,7 @@
         # The limit in force on heads, which may change meanwhile, is checked by `_read_head`.
         self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_INCOMPLETE_BYTES)
         self._idle_wait: IdleWait | None = None
+        self._read_scope = trio.CancelScope()
         # Whether nothing has been received yet.
         self._is_new = True
         # Responses to HEAD requests have no body.
@@ -169,6 +171,11 @@
         CallerRequest, Refusal or Closed
             The request, the reason for its refusal, or the note that there is none.
         """
+        with trio.CancelScope() as self._read_scope:
+            return await self._read_request()
+        return Refusal(status=503, detail="the host stops")
+
+    async def _read_request(self) -> CallerRequest | Refusal | Closed:
         try:
             event = await self._begin_head()
             if isinstance(event, Closed):
@@ -238,6 +245,11 @@
         if self._idle_wait is not None:
             self._idle_wait.stop()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the request that is being read, because the host stops."""
+        if self.is_receiving:
+            self._read_scope.cancel()
+
     async def _receive(self) -> ReadEvent:
         self._conn.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
         return self._conn.next_event()
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -181,6 +181,8 @@
         self._stop.end()
         for exchange in self._exchanges:
             exchange.scope.cancel()
+        for conn in self._reading:
+            conn.refuse_incomplete()
         await self._close_until(latest_end + LAST_ANSWERS_S)
 
     async def _close_until(self, end: float) -> None:
