Wait at the start until the disk accepts the data folder

A process that could not create its data folder or lock file, because the disk was full or failed, ended and was started again and again. It now says so once and waits; a folder that another process has locked, or that cannot be used for another reason, still ends it. The start also removes what atomic writes of killed processes have left, which nothing listed and which took room. A settings file that could not be read for a moment is read again: its change was taken as seen.

--- a/marigoldtrail/node/launch.py
+++ b/marigoldtrail/node/launch.py
@@ -10,7 +10,7 @@
 from marigoldtrail.net import Address, PeerClient, TcpNetwork
 from marigoldtrail.node.node import Node, run_node
 from marigoldtrail.schema.generated.settings import Settings
-from marigoldtrail.storage import open_folder
+from marigoldtrail.storage import wait_for_folder
 from marigoldtrail.telemetry import Metrics, Telemetry, build_tracer_provider
 from marigoldtrail.timers import Timers
 
@@ -38,7 +38,7 @@
     timers = Timers()
     disk = None
     if "control" in cfg.roles:
-        opened = open_folder(cfg.data_folder, timers=timers)
+        opened = await wait_for_folder(cfg.data_folder, timers=timers)
         if isinstance(opened, Failure):
             return opened
         disk = opened
--- a/marigoldtrail/site/launch.py
+++ b/marigoldtrail/site/launch.py
@@ -17,7 +17,7 @@
 from marigoldtrail.site.control_host import ControlHost
 from marigoldtrail.site.entry_host import EntryHost
 from marigoldtrail.site.settings_file import SettingsFile
-from marigoldtrail.storage import open_folder
+from marigoldtrail.storage import FolderDisk, wait_for_folder
 from marigoldtrail.telemetry.nonblocking_logs import configure_nonblocking_logging
 from marigoldtrail.timers import Timers
 
@@ -76,6 +76,13 @@
         None after a normal stop; otherwise why the host could not start.
     """
     timers = Timers()
+    disk: FolderDisk | None = None
+    if cfg.role != "entry":
+        # A signal ends the process during this wait.
+        opened = await wait_for_folder(cfg.data_folder, timers=timers)
+        if isinstance(opened, Failure):
+            return opened
+        disk = opened
     # The handlers stay until the last task has ended: a signal that comes again during a stop would
     # otherwise end the process with connections open.
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -89,12 +96,9 @@
                 nursery=nursery,
             )
             host: EntryHost | ControlHost
-            if cfg.role == "entry":
+            if disk is None:
                 host = EntryHost(components=components)
             else:
-                disk = open_folder(cfg.data_folder, timers=timers)
-                if isinstance(disk, Failure):
-                    return disk
                 host = ControlHost(components=components, disk=disk)
             _log.info("start", extra={"role": cfg.role, "first_start": cfg.first_start})
             nursery.start_soon(host.run)
--- a/marigoldtrail/site/settings_file.py
+++ b/marigoldtrail/site/settings_file.py
@@ -40,6 +40,8 @@
             self._stamp = self._read_stamp()
             data = Path(self.path).read_bytes()
         except OSError as exc:
+            # The change is still to be read.
+            self._stamp = None
             return f"{self.path}: {exc.strerror}"
         settings = parse_site_settings(data, self.path)
         if isinstance(settings, list):
--- a/marigoldtrail/site/tests/test_settings.py
+++ b/marigoldtrail/site/tests/test_settings.py
@@ -1,5 +1,6 @@
 """Settings files of hosts on the platform."""
 
+import errno
 import json
 import re
 from pathlib import Path
@@ -104,6 +105,24 @@
     assert set(json.loads(filled)) == set(settings.__struct_fields__)
 
 
+def test_change_that_could_not_be_read_is_read_again(tmp_path, monkeypatch):
+    """Guards against changed seeds that are never applied because the disk failed for a moment."""
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(GOOD))
+    file = SettingsFile(path=str(path))
+    assert file.read().host == "front-1"
+    path.write_text(json.dumps({**GOOD, "host": "front-other"}))
+
+    def fail(path):
+        raise OSError(errno.EIO, "input/output error")
+
+    monkeypatch.setattr(Path, "read_bytes", fail)
+    assert isinstance(file.read(), str)
+    monkeypatch.undo()
+    assert file.has_changed()
+    assert file.read().host == "front-other"
+
+
 def test_changes_of_the_file_are_detected(tmp_path):
     """Guards against changed seeds that are never applied because no signal was sent."""
     path = tmp_path / "node.json"
--- a/marigoldtrail/storage/tests/test_disk.py
+++ b/marigoldtrail/storage/tests/test_disk.py
@@ -8,7 +8,7 @@
 import pytest
 
 from marigoldtrail.errors import Reason, RunState, is_failure
-from marigoldtrail.storage import Record, open_folder, open_journal
+from marigoldtrail.storage import Record, open_folder, open_journal, wait_for_folder
 from marigoldtrail.testing import MemoryDisk
 from marigoldtrail.timers import Timers
 
@@ -66,6 +66,35 @@
     third.close()
 
 
+@pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO])
+async def test_start_waits_until_the_disk_accepts_the_lock_file(
+    tmp_path, monkeypatch, autojump_clock, number
+):
+    """Guards against a process that ends again and again while its disk is full."""
+    real, refused = os.open, []
+
+    def refuse(path, *args):
+        if str(path).endswith("lock") and len(refused) < 5:
+            refused.append(path)
+            raise OSError(number, "refused")
+        return real(path, *args)
+
+    monkeypatch.setattr(os, "open", refuse)
+    disk = await wait_for_folder(tmp_path, timers=Timers())
+    assert not is_failure(disk) and len(refused) == 5
+    assert "in use" in (await wait_for_folder(tmp_path, timers=Timers())).detail
+    disk.close()
+
+
+async def test_rest_of_an_atomic_write_is_removed_at_the_start(tmp_path):
+    """Guards against files of killed processes that fill the disk and are never listed."""
+    (tmp_path / "g").mkdir()
+    (tmp_path / "g" / "snapshot.tmp").write_bytes(b"rest")
+    disk = open_folder(tmp_path, timers=Timers())
+    assert list((tmp_path / "g").iterdir()) == []
+    disk.close()
+
+
 async def test_names_stay_inside_the_folder(tmp_path):
     """Guards against a name that accesses files outside the data folder."""
     disk = open_folder(tmp_path, timers=Timers())
