Read files with seek and read

Reading with pread came with the injectable calls of FolderDisk. The pages of the users' platform name open, read, write and seek among the supported operations, and not pread; whether it works there was not tried.

Run: tests of storage, test_faulty_files, test_segments and test_store; lint.

--- a/marigoldtrail/testing/faulty_files.py
+++ b/marigoldtrail/testing/faulty_files.py
@@ -23,7 +23,7 @@
 ROOT = Path("/data")
 
 # Calls that need no room on the disk, and so succeed on a full one.
-_READING = frozenset({"open", "pread", "fstat", "stat", "listdir"})
+_READING = frozenset({"open", "read", "fstat", "stat", "listdir"})
 
 Result = TypeVar("Result")
 
@@ -186,7 +186,17 @@
     OSError: [Errno 5] fault: mkdir
     """
 
-    __slots__ = ("root", "calls", "fail_at", "fail_count", "fail_kind", "failed", "_open", "_next")
+    __slots__ = (
+        "root",
+        "calls",
+        "fail_at",
+        "fail_count",
+        "fail_kind",
+        "failed",
+        "_open",
+        "_positions",
+        "_next",
+    )
 
     def __init__(self) -> None:
         self.root = Folder()
@@ -196,6 +206,7 @@
         self.fail_kind = INPUT_OUTPUT
         self.failed: list[str] = []
         self._open: dict[int, tuple[File | Folder, int]] = {}
+        self._positions: dict[int, int] = {}
         self._next = 3
 
     @property
@@ -288,11 +299,20 @@
         """Close a file; see `os.close`."""
         # Unknown after a loss of power, when the process no longer exists.
         self._open.pop(fd, None)
-
-    def pread(self, fd: int, length: int, offset: int, /) -> bytes:
-        """Read at an offset; see `os.pread`."""
-        self._enter("pread")
-        return bytes(self._get_file(fd).data[offset : offset + length])
+        self._positions.pop(fd, None)
+
+    def lseek(self, fd: int, offset: int, whence: int, /) -> int:
+        """Set the position from the start of a file; never fails; see `os.lseek`."""
+        self._positions[fd] = offset
+        return offset
+
+    def read(self, fd: int, length: int, /) -> bytes:
+        """Read at the position; see `os.read`."""
+        self._enter("read")
+        offset = self._positions.get(fd, 0)
+        part = bytes(self._get_file(fd).data[offset : offset + length])
+        self._positions[fd] = offset + len(part)
+        return part
 
     def write(self, fd: int, data: memoryview, /) -> int:
         """Append; see `os.write`."""
