Log and count what a stop refuses, accepts last, cuts and resets

What operators saw: `drained` counted the requests and connections left at the end of the drain, but not the connections that were accepted or closed after it, nor those that were reset; there was no metric of either.

`drained` of an entry now also tells how many connections were in the queue of the listener at its close, how many requests were refused because of the stop and how many connections were closed with unread data, that of a control host the connections left and those in the queues. A line `stopped` tells, for an entry, what was closed, reset and refused between the drain and the end of all tasks; a process that was killed writes none. The metrics `caller_connections_reset_total{reason}` and `requests_refused_at_stop_total` count the same.

Evidence: `test_what_a_stop_refuses_accepts_and_cuts_is_logged`, which failed before as there was no such line.

--- a/marigoldtrail/platform/tests/test_stops.py
+++ b/marigoldtrail/platform/tests/test_stops.py
@@ -1,5 +1,6 @@
 """Callers of a host that stops, over real sockets."""
 
+import logging
 import random
 import signal
 import socket
@@ -229,3 +230,28 @@
         nursery.cancel_scope.cancel()
     answer = read_all(caller).lower()
     assert answer.startswith(b"http/1.1 503 ") and b"connection: close" in answer
+
+
+async def test_what_a_stop_refuses_accepts_and_cuts_is_logged(autojump_clock, tmp_path, caplog):
+    """Guards against a stop that cuts connections without a trace."""
+    caplog.set_level(logging.INFO)
+    path = tmp_path / "node.json"
+    cfg = make_settings("entry", tmp_path)
+    path.write_bytes(msgspec.json.encode(cfg))
+    callers = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve_site, cfg, build_adapter(), SettingsFile(path=str(path)))
+        await trio.sleep(0.1)
+        signal.raise_signal(signal.SIGTERM)
+        await trio.sleep(1)
+        callers.append(connect(cfg.request_address))
+        # This request never becomes complete, and its caller does not close the connection.
+        await trio.sleep(2)
+        callers.append(connect(cfg.request_address, INCOMPLETE_REQUEST))
+    lines = {record.message: record for record in caplog.records}
+    drained, stopped = lines["drained"], lines["stopped"]
+    assert (drained.requests_refused, drained.connections_left) == (1, 1)
+    assert (drained.requests_left, drained.connections_reset) == (0, 0)
+    assert (stopped.connections_closed, stopped.connections_reset) == (1, 0)
+    for caller in callers:
+        caller.close()
--- a/marigoldtrail/relay/caller_connection.py
+++ b/marigoldtrail/relay/caller_connection.py
@@ -14,6 +14,7 @@
     READ_BYTES,
     EndReason,
     close_gracefully,
+    has_unread_data,
     reset_on_close,
 )
 from marigoldtrail.relay.idle_wait import FindIdleLimitFn, IdleWait
@@ -112,6 +113,8 @@
         Whether the heads of streams say that the connection is closed after them.
     is_broken : bool
         Whether nothing more may be sent.
+    was_reset : bool
+        Whether it was closed with data that was not read, which resets it.
     """
 
     __slots__ = (
@@ -127,6 +130,7 @@
         "_pipelined_bytes",
         "announces_close",
         "is_broken",
+        "was_reset",
     )
 
     def __init__(
@@ -151,6 +155,7 @@
         self._pipelined_bytes = 0
         self.announces_close = False
         self.is_broken = False
+        self.was_reset = False
 
     @property
     def has_started(self) -> bool:
@@ -391,6 +396,7 @@
             if is_forced or self.is_broken:
                 if self._ends_with_close():
                     reset_on_close(self._stream)
+                self.was_reset = has_unread_data(self._stream)
                 await trio.aclose_forcefully(self._stream)
             else:
                 dropped += await close_gracefully(self._stream)
--- a/marigoldtrail/relay/connection_end.py
+++ b/marigoldtrail/relay/connection_end.py
@@ -103,6 +103,19 @@
         sock.detach()
 
 
+def has_unread_data(stream: trio.abc.Stream) -> bool:
+    """Return whether data has arrived that was not read, so that a close resets the connection."""
+    if not isinstance(stream, trio.SocketStream):
+        return False
+    sock = borrow_socket(stream)
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+    finally:
+        sock.detach()
+
+
 def borrow_socket(stream: trio.SocketStream) -> socket.socket:
     """Return the socket of a stream, which still owns its descriptor: detach it after use."""
     sock = stream.socket
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -42,6 +42,27 @@
 _encode = msgspec.json.Encoder().encode
 
 
+class StopCounts(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    Counts of a relay while its host stops.
+
+    Parameters
+    ----------
+    connections, requests : int
+        Open connections, and requests that are being read or served.
+    closed, reset : int
+        Connections that were closed, and those of them that were reset, since the start.
+    refused : int
+        Requests that were refused because the host stops.
+    """
+
+    connections: int
+    requests: int
+    closed: int
+    reset: int
+    refused: int
+
+
 class Relay:
     """
     Forwards the requests of callers to upstreams.
@@ -192,6 +213,17 @@
             await self._timers.sleep(DRAIN_POLL_INTERVAL_S)
             self.close_idle()
 
+    def count_ends(self) -> StopCounts:
+        """Return the counts of the stop so far."""
+        recorder = self._recorder
+        return StopCounts(
+            connections=self.connections,
+            requests=self.active_requests,
+            closed=recorder.connection_ends,
+            reset=recorder.connections_reset,
+            refused=recorder.stop_refusals,
+        )
+
     @property
     def active_requests(self) -> int:
         """Number of requests that are being read or served."""
@@ -227,7 +259,9 @@
         finally:
             dropped = await conn.aclose(is_forced=is_forced)
             self.connections -= 1
-            self._recorder.record_connection_end(reason or EndReason.HOST_STOPPED, dropped)
+            self._recorder.record_connection_end(
+                reason or EndReason.HOST_STOPPED, dropped, was_reset=conn.was_reset
+            )
 
     async def _serve_next(self, conn: CallerConnection) -> EndReason | None:
         """Serve the next request; return why the connection must be closed."""
@@ -284,6 +318,8 @@
         started = self._timers.now()
         routed = self._route(conn, request, info, started)
         if isinstance(routed, Refusal):
+            if routed.status == 503 and self._stop.is_stopping:
+                self._recorder.record_stop_refusal()
             _log.info(
                 "request refused",
                 extra={
--- a/marigoldtrail/relay/request_end.py
+++ b/marigoldtrail/relay/request_end.py
@@ -27,9 +27,23 @@
         Clock.
     metrics : PrometheusMetrics
         Counts them.
+
+    Attributes
+    ----------
+    connection_ends, connections_reset : int
+        Number of connections that were closed, and of those that were reset.
+    stop_refusals : int
+        Number of requests that were refused because the host stops.
     """
 
-    __slots__ = ("_fleet_state", "_timers", "_metrics")
+    __slots__ = (
+        "_fleet_state",
+        "_timers",
+        "_metrics",
+        "connection_ends",
+        "connections_reset",
+        "stop_refusals",
+    )
 
     def __init__(
         self, *, fleet_state: FleetState, timers: Timers, metrics: PrometheusMetrics
@@ -37,6 +51,9 @@
         self._fleet_state = fleet_state
         self._timers = timers
         self._metrics = metrics
+        self.connection_ends = 0
+        self.connections_reset = 0
+        self.stop_refusals = 0
 
     def record(
         self,
@@ -141,7 +158,14 @@
             },
         )
 
-    def record_connection_end(self, reason: EndReason, dropped_bytes: int) -> None:
+    def record_stop_refusal(self) -> None:
+        """Count a request that is refused because the host stops."""
+        self.stop_refusals += 1
+        self._metrics.count_stop_refusal()
+
+    def record_connection_end(
+        self, reason: EndReason, dropped_bytes: int, *, was_reset: bool
+    ) -> None:
         """
         Count the end of a caller's connection; log it if data was dropped.
 
@@ -151,8 +175,12 @@
             Why it was closed.
         dropped_bytes : int
             Bytes that were received and not served.
+        was_reset : bool
+            Whether it was closed with data that was not read.
         """
-        self._metrics.count_connection_end(reason.value, dropped_bytes)
+        self.connection_ends += 1
+        self.connections_reset += was_reset
+        self._metrics.count_connection_end(reason.value, dropped_bytes, was_reset=was_reset)
         if dropped_bytes:
             _log.info(
                 "data of a caller was dropped at the end of its connection",
--- a/marigoldtrail/site/components.py
+++ b/marigoldtrail/site/components.py
@@ -184,6 +184,11 @@
             Address.parse(address), serve, control=control, task_status=task_status
         )
 
+    @property
+    def endpoints_accepted_at_close(self) -> int:
+        """Number of connections that were in the queues of the endpoints at their close."""
+        return sum(listener.accepted_at_close for listener in self._endpoint_listeners)
+
     async def close_endpoints(self, timeout_s: float) -> int:
         """
         Close the HTTP endpoints: answer what has arrived, then refuse it, and end the connections.
--- a/marigoldtrail/site/control_host.py
+++ b/marigoldtrail/site/control_host.py
@@ -160,4 +160,10 @@
         await self.groups.transfer_leadership(timeout_s=TRANSFER_TIMEOUT_S)
         await components.timers.sleep(DRAIN_DELAY_S)
         connections_left = await components.close_endpoints(LAST_REQUESTS_S)
-        _log.info("drained", extra={"connections_left": connections_left})
+        _log.info(
+            "drained",
+            extra={
+                "connections_left": connections_left,
+                "accepted_at_close": components.endpoints_accepted_at_close,
+            },
+        )
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -19,6 +19,7 @@
     StreamVersions,
     UpstreamMonitor,
 )
+from marigoldtrail.relay.relay import StopCounts
 from marigoldtrail.routing import Limits
 from marigoldtrail.site.components import HostComponents
 from marigoldtrail.site.leader_calls import LeaderCalls
@@ -54,6 +55,7 @@
         "relay",
         "versions",
         "_draining",
+        "_counts_at_end",
     )
 
     def __init__(self, *, components: HostComponents) -> None:
@@ -155,6 +157,7 @@
         )
         components.reporter.set_load_source(self.monitor.report_loads)
         self._draining = False
+        self._counts_at_end: StopCounts | None = None
 
     def _get_share(self, upstream: str) -> int:
         """Return the places of this entry at an upstream while there is no leader."""
@@ -223,6 +226,7 @@
     async def drain(self) -> None:
         """Finish the requests in progress while callers move to other entries."""
         components = self.components
+        counts_at_start = self.relay.count_ends()
         started = components.timers.now()
         latest_end = started + components.cfg.bounds.grace_s - EXIT_MARGIN_S
         self._draining = True
@@ -241,10 +245,29 @@
         await self.relay.drain(latest_end)
         if components.timers.now() < latest_end:
             await components.close_endpoints(LAST_CHECKS_S)
+        counts = self._counts_at_end = self.relay.count_ends()
         _log.info(
             "drained",
             extra={
-                "requests_left": self.relay.active_requests,
-                "connections_left": self.relay.connections,
+                "requests_left": counts.requests,
+                "connections_left": counts.connections,
+                "accepted_at_close": self.listener.accepted_at_close,
+                "requests_refused": counts.refused - counts_at_start.refused,
+                "connections_reset": counts.reset - counts_at_start.reset,
+            },
+        )
+
+    def log_stopped(self) -> None:
+        """Log what happened between the end of the drain and the end of all tasks."""
+        counts = self.relay.count_ends()
+        before = self._counts_at_end
+        if before is None:
+            return
+        _log.info(
+            "stopped",
+            extra={
+                "connections_closed": counts.closed - before.closed,
+                "connections_reset": counts.reset - before.reset,
+                "requests_refused": counts.refused - before.refused,
             },
         )
--- a/marigoldtrail/site/launch.py
+++ b/marigoldtrail/site/launch.py
@@ -112,6 +112,8 @@
                 if not is_stopping:
                     is_stopping = True
                     nursery.start_soon(stop_host, host, nursery.cancel_scope)
+        if isinstance(host, EntryHost):
+            host.log_stopped()
     return None
 
 
--- a/marigoldtrail/telemetry/prometheus.py
+++ b/marigoldtrail/telemetry/prometheus.py
@@ -33,6 +33,8 @@
         "_pieces",
         "_connection_ends",
         "_dropped_bytes",
+        "_resets",
+        "_stop_refusals",
         "_unanswered",
         "_left_out",
         "_routes",
@@ -69,6 +71,17 @@
             ["reason"],
             registry=registry,
         )
+        self._resets = Counter(
+            "caller_connections_reset",
+            "Connections of callers that were closed with unread data, by reason.",
+            ["reason"],
+            registry=registry,
+        )
+        self._stop_refusals = Counter(
+            "requests_refused_at_stop",
+            "Requests of callers that were refused because the host stops.",
+            registry=registry,
+        )
         self._unanswered = Counter(
             "requests_unanswered",
             "Whole requests that ended without a complete answer, by cause.",
@@ -124,12 +137,18 @@
         """Count pieces by their outcome."""
         self._pieces.labels(outcome=outcome).inc(count)
 
-    def count_connection_end(self, reason: str, dropped_bytes: int) -> None:
-        """Count a closed connection of a caller, and the bytes that were not served."""
+    def count_connection_end(self, reason: str, dropped_bytes: int, *, was_reset: bool) -> None:
+        """Count a closed connection of a caller, the bytes that were not served, and its reset."""
         self._connection_ends.labels(reason=reason).inc()
+        if was_reset:
+            self._resets.labels(reason=reason).inc()
         if dropped_bytes:
             self._dropped_bytes.labels(reason=reason).inc(dropped_bytes)
 
+    def count_stop_refusal(self) -> None:
+        """Count a request that was refused because the host stops."""
+        self._stop_refusals.inc()
+
     def count_unanswered(self, cause: str) -> None:
         """Count a whole request that ended without a complete answer by its cause."""
         self._unanswered.labels(cause=cause).inc()
