Test that a copied refusal brings no request to a second upstream

The test that existed has one upstream and looks at the answer alone. The new one has a second upstream that is free when the copy comes. It passes, and fails (as the other one) if a connection may carry an id twice.

--- a/marigoldtrail/relay/tests/test_faulty_upstreams.py
+++ b/marigoldtrail/relay/tests/test_faulty_upstreams.py
@@ -477,6 +477,48 @@
     assert (await harness.fetch(order)).endswith(b"ran 3")
 
 
+async def test_copy_of_a_refusal_does_not_send_a_request_that_runs_to_another_upstream(
+    autojump_clock, nursery
+):
+    """Guards against a second run because the first upstream wrote an earlier refusal once more."""
+    refusal = make_response("", status="503 No", headers="x-not-executed: 1\r\n")
+    ran_elsewhere = []
+
+    refused = []
+
+    async def copy_refusal(stream):
+        """Refuse the first request; write its refusal once more where that was refused."""
+        while True:
+            request_id = "id-1" if b"id-1" in await read_request(stream) else "id-2"
+            if not refused:
+                refused.append(stream)
+                await stream.send_all(refusal)
+                continue
+            if request_id == "id-1" and stream in refused:
+                await trio.sleep(0.1)
+                await stream.send_all(refusal)
+                await trio.sleep(0.2)
+            await stream.send_all(make_response(f"ran {request_id}", request_id=request_id))
+
+    async def run_second(stream):
+        while True:
+            await read_request(stream)
+            ran_elsewhere.append(trio.current_time())
+            await stream.send_all(make_response("ran elsewhere"))
+
+    harness = RelayHarness(nursery, RouteKind.UNSAFE, max_attempts=3)
+    await harness.start(copy_refusal, run_second)
+    order = make_request(method="POST", body=b"order")
+    harness.monitor.start_pause("i-1", 0.5)
+    assert (await harness.fetch(order)).startswith(b"HTTP/1.1 503")
+    other = make_request(method="POST", body=b"order", request_id="id-2")
+    assert (await harness.fetch(other)).endswith(b"ran id-2")
+    # The other upstream can be chosen only once the copy has come.
+    harness.monitor.start_pause("i-1", 0.05)
+    assert (await harness.fetch(order)).endswith(b"ran id-1")
+    assert not ran_elsewhere
+
+
 @pytest.mark.parametrize("status", [408, 429, 503])
 @pytest.mark.parametrize("kind", [RouteKind.UNSAFE, RouteKind.STREAMING])
 async def test_status_of_a_refusal_without_its_statement_promises_nothing(
