Keep the budgets of retries apart from the dispatcher

The dispatcher chose upstreams, and kept one budget for each service besides. One test reaches into the budgets and names their new place.

--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -11,7 +11,6 @@
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.pieces.client import PieceClient, StageRun
 from marigoldtrail.policy.placement import PREFILL_TOKENS_PER_S
-from marigoldtrail.policy.window_budget import WindowBudget
 from marigoldtrail.ratelimits import Place
 from marigoldtrail.reachability import ReachabilityMonitor, UpstreamContact
 from marigoldtrail.registry import FleetState
@@ -22,6 +21,7 @@
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.request_mover import Assignment, RequestMover
 from marigoldtrail.relay.responses import CompleteResponse, StreamForwarded
+from marigoldtrail.relay.retry_budgets import RetryBudgets
 from marigoldtrail.relay.send_gate import SendGate
 from marigoldtrail.relay.sender import Sender
 from marigoldtrail.relay.stage_request import make_stage_request
@@ -92,7 +92,6 @@
         "_monitor",
         "_reachability",
         "_pieces",
-        "_bounds",
         "_timers",
         "_metrics",
         "_attempts",
@@ -130,7 +129,7 @@
         self._monitor = monitor
         self._reachability = reachability
         self._pieces = pieces
-        self._bounds = bounds
+        self._budgets = RetryBudgets(bounds=bounds, fleet_state=fleet_state, timers=timers)
         self._timers = timers
         self._metrics = metrics
         self._gate = gate
@@ -152,8 +151,8 @@
             gate=gate,
             monitor=monitor,
             transmitter=transmitter,
-            has_retry=self._has_retry,
-            may_send_again=self._may_send_again,
+            has_retry=self._budgets.has_retry,
+            may_send_again=self._budgets.try_take,
             on_refused=self._note_failed_send,
             nursery=nursery,
         )
@@ -182,7 +181,6 @@
             abandoned=self._abandoned,
             timers=timers,
         )
-        self._budgets: dict[str, WindowBudget] = {}
 
     def finish(self, exchange: Exchange) -> None:
         """Release what a finished request still holds: stage results, and an unfinished record."""
@@ -222,7 +220,7 @@
         if self._reachability.is_cut_off:
             # The other entry counts the request for the budget of retries.
             return await self._serve_elsewhere(exchange)
-        self._get_budget(exchange.service.name).add_request(self._timers.now())
+        self._budgets.add_request(exchange.service.name)
         failure = await self._gate.check_arrival(exchange)
         if failure is not None:
             return failure
@@ -295,7 +293,7 @@
                     break
                 if place is None:
                     continue
-                if exchange.sends > 0 and not self._may_send_again(exchange.service.name):
+                if exchange.sends > 0 and not self._budgets.try_take(exchange.service.name):
                     self._gate.release(place, was_rejected=False)
                     break
                 self._monitor.record_send(upstream, exchange.service)
@@ -389,26 +387,6 @@
             self._metrics.count_send("answered")
         return result
 
-    def _has_retry(self, service: str) -> bool:
-        return self._get_budget(service).has_room(
-            self._timers.now(), entries=self._fleet_state.entry_count()
-        )
-
-    def _may_send_again(self, service: str) -> bool:
-        return self._get_budget(service).try_take(
-            self._timers.now(), entries=self._fleet_state.entry_count()
-        )
-
-    def _get_budget(self, service: str) -> WindowBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = WindowBudget(
-                ratio=self._bounds.retry_budget_ratio,
-                slack=self._bounds.retry_budget_slack,
-                window_s=self._bounds.budget_window_s,
-            )
-        return budget
-
     def _handle_first_event(self, exchange: Exchange) -> None:
         # An engine that generates has read its inputs, so their results may be evicted. The stages
         # of the few streams that are resumed at another upstream are then run again.
@@ -424,7 +402,7 @@
             exchange.info.is_forwarded
             or exchange.conn.has_started
             or not (is_new or exchange.may_run_again())
-            or not (is_new or self._may_send_again(exchange.service.name))
+            or not (is_new or self._budgets.try_take(exchange.service.name))
         ):
             return make_unforwarded_failure(exchange)
         result = await self._forwarder.forward(exchange)
--- a/marigoldtrail/relay/tests/test_silent_upstreams.py
+++ b/marigoldtrail/relay/tests/test_silent_upstreams.py
@@ -230,7 +230,7 @@
 
     monkeypatch.setattr(SendGate, "take_permit", count)
     harness = RelayHarness(nursery, RouteKind.SAFE, max_attempts=2)
-    harness.dispatcher._budgets["s"] = WindowBudget(ratio=0.0, slack=0.0, window_s=10.0)
+    harness.dispatcher._budgets._budgets["s"] = WindowBudget(ratio=0.0, slack=0.0, window_s=10.0)
     await harness.start(answer_late, answer_late)
     for name in ("i-0", "i-1"):
         harness.monitor.get_record(name).duration_s = 0.02
