--- a/marigoldtrail/platform/tests/test_upstream_limits.py
+++ b/marigoldtrail/platform/tests/test_upstream_limits.py
@@ -1,6 +1,7 @@
 """Upstreams that limit the requests they get, on a whole site in memory."""
 
 import itertools
+from functools import partial
 
 import pytest
 import trio
@@ -117,6 +118,76 @@
     assert sum(at >= lifted for at in site.arrivals["desk-0"]) >= 60
 
 
+async def restart_hosts(site, choose, *, times=3, after_s=4):
+    """Kill hosts and start them 2 s later, several times."""
+    for _ in range(times):
+        await trio.sleep(after_s)
+        hosts = choose(site)
+        for ip in hosts:
+            await site.crash(ip)
+        await trio.sleep(2)
+        for ip in hosts:
+            await site.start_host(ip)
+
+
+@pytest.mark.parametrize("limit", ["0.5", "50"])
+async def test_small_and_large_limits_of_the_only_upstream_are_used(autojump_clock, nursery, limit):
+    """Guards against a limit so small, or so large, that its room is left unused."""
+    site, callers = await start_limited_site(nursery, {"desk-0": limit}, keep={"desk-0"})
+    started = trio.current_time()
+    await callers.play(20, rate=max(10, 2 * float(limit)))
+    assert count_most_at(site, "desk-0", started) <= allowed(float(limit))
+    served = [at for at in site.arrivals["desk-0"] if at >= started + SETTLE_S]
+    assert len(served) >= 0.7 * float(limit) * (20 - SETTLE_S) - 1
+
+
+@pytest.mark.parametrize("limit", ["0.5", "2.0"])
+async def test_limit_holds_when_all_entries_but_one_are_restarted(autojump_clock, nursery, limit):
+    """Guards against entries that must be told of a limit by the upstream once more."""
+    site, callers = await start_limited_site(nursery, {"desk-0": limit})
+    started = trio.current_time()
+    nursery.start_soon(partial(restart_hosts, site, lambda site: site.entries[1:], times=2))
+    await callers.play(16, rate=40)
+    assert count_most_at(site, "desk-0", started) <= allowed(float(limit))
+
+
+async def test_limit_learned_by_one_entry_holds_for_demand_that_moves_to_others(
+    autojump_clock, nursery
+):
+    """Guards against a limit that each entry learns from the upstream by itself."""
+    site, callers = await start_limited_site(nursery, {"desk-0": "2.0"}, keep={"desk-0"})
+    started = trio.current_time()
+    for entry in range(ENTRIES):
+        callers.numbers = itertools.repeat(entry)
+        await callers.play(2, rate=50)
+    assert count_most_at(site, "desk-0", started) <= allowed(2.0)
+    served = [at for at in site.arrivals["desk-0"] if at >= started + SETTLE_S]
+    assert len(served) >= 0.7 * 2.0 * (2 * ENTRIES - SETTLE_S)
+
+
+async def test_limits_of_engines_and_stages_hold_while_schedulers_are_killed(
+    autojump_clock, nursery
+):
+    """Guards against a new scheduler that does not know the limits, or counts from none."""
+    site, callers = await start_limited_site(nursery, {"llm-0": "2.0", "board-0": "2.0"})
+    started = trio.current_time()
+    fields = [("x-pieces", "2,1"), ("x-piece-key", "pk"), ("x-token-count", "900,30")]
+    nursery.start_soon(partial(restart_hosts, site, lambda site: [find_leader(site)]))
+    await callers.play(20, rate=15, path="/ask/1", fields=fields)
+    assert count_most_at(site, "llm-0", started) <= allowed(2.0)
+    assert count_most_at(site, "board-0", started) <= allowed(2.0)
+    assert callers.statuses().count(200) >= 0.7 * len(callers.replies)
+
+
+async def test_look_ups_sent_again_because_of_silence_keep_the_limit(autojump_clock, nursery):
+    """Guards against second sends, and probes, that bypass the limit of the other upstream."""
+    site, callers = await start_limited_site(nursery, {"desk-0": "2.0"}, keep={"desk-0", "desk-1"})
+    site.work_s, site.slots = 0.6, 1000
+    started = trio.current_time()
+    await callers.play(15, rate=50)
+    assert count_most_at(site, "desk-0", started) <= allowed(2.0)
+
+
 async def test_limited_engines_and_stage_upstreams(autojump_clock, nursery):
     """Guards against a limit that holds for requests of entries but not for calls of schedulers."""
     site, callers = await start_limited_site(nursery, {"llm-0": "2.0", "board-0": "2.0"})
--- a/marigoldtrail/ratelimits/tests/test_limiter.py
+++ b/marigoldtrail/ratelimits/tests/test_limiter.py
@@ -112,6 +112,52 @@
     assert count_most(fleet.sent) <= allowed(limit)
 
 
+@pytest.mark.parametrize("entries", [1, 8, 191])
+@pytest.mark.parametrize("low", [0.5, 2.0])
+async def test_lowered_limit_is_kept_and_lifted_one_is_used(autojump_clock, entries, low):
+    """Guards against permits that were reserved, or are spaced, by an earlier limit."""
+    fleet = Fleet(entries, 50.0)
+    lowered_at, lifted_at = 10.0, 25.0
+
+    def name_limit(limit):
+        for limiter in fleet.limiters:
+            now = trio.current_time()
+            limiter._book.record_answer("u", 0, limit, sent_at=now, now=now)
+
+    async def change_limit():
+        await trio.sleep(lowered_at)
+        name_limit(low)
+        await trio.sleep(lifted_at - lowered_at)
+        name_limit(50.0)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(change_limit)
+        await fleet.play(demand("all", entries), rate=100, max_wait_s=0.2)
+    slow = [at for at in fleet.sent if lowered_at <= at < lifted_at]
+    assert count_most(slow, since=lowered_at + 3.0) <= allowed(low)
+    assert len(slow) >= 0.7 * low * (lifted_at - lowered_at) - 1
+    assert sum(at >= lifted_at for at in fleet.sent) >= 0.7 * 50.0 * (SECONDS - lifted_at) - 3
+
+
+@pytest.mark.parametrize("entries", [1, 8, 191])
+@pytest.mark.parametrize("kind", ["one", "all"])
+async def test_limit_is_used_again_once_a_leader_is_there(autojump_clock, entries, kind):
+    """Guards against shares that are kept after the leader has been found."""
+    fleet = Fleet(entries, 2.0)
+
+    async def lose_leader():
+        await trio.sleep(5)
+        fleet.leader = None
+        await trio.sleep(5)
+        fleet.leader = RegistryState(term=2, timers=fleet.timers)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lose_leader)
+        await fleet.play(demand(kind, entries), rate=100)
+    assert count_most(fleet.sent) <= allowed(2.0)
+    assert sum(at >= 11 for at in fleet.sent) >= 0.7 * 2.0 * (SECONDS - 11) - 1
+
+
 async def test_share_without_a_leader_is_small_but_usable(autojump_clock):
     """Guards against a host that may send nothing at all, or the whole limit, on its own."""
     fleet = Fleet(8, 8.0)
