Ask for a leader again soon after a refusal by the share of a limit

Callers: after a moment without a leader, requests for an upstream with Server-Limit were refused for long although the upstream had room: with 8 entries and 0.5 requests a second for 16 s, with 191 entries and 2 a second for up to 95 s.

Cause: without a leader an entry keeps to limit / entries, and tells a refused request when its share is next free. The entry left the upstream out until then, and did not ask the leader that was back. Class: a time that holds in one state (no leader) and is kept in the next one.

A refusal by the share now lasts for the rest of the 0.5 s in which no leader is asked for, or a little longer than the request could wait, so that the same request does not ask again in a loop.

--- a/marigoldtrail/platform/tests/test_upstream_limits.py
+++ b/marigoldtrail/platform/tests/test_upstream_limits.py
@@ -130,6 +130,20 @@
             await site.start_host(ip)
 
 
+@pytest.mark.parametrize("limit", ["0.5", "2.0"])
+async def test_room_is_used_again_after_the_leader_was_lost(autojump_clock, nursery, limit):
+    """Guards against entries that keep to their small shares although a leader is there again."""
+    site, callers = await start_limited_site(nursery, {"desk-0": limit}, keep={"desk-0"})
+    started = trio.current_time()
+    nursery.start_soon(partial(restart_hosts, site, lambda site: [find_leader(site)], times=1))
+    rate = max(10, 2 * float(limit))
+    await callers.play(10, rate=rate)
+    found = trio.current_time()
+    await callers.play(20, rate=rate)
+    assert count_most_at(site, "desk-0", started) <= allowed(float(limit))
+    assert sum(at >= found for at in site.arrivals["desk-0"]) >= 0.7 * float(limit) * 20 - 1
+
+
 @pytest.mark.parametrize("limit", ["0.5", "50"])
 async def test_small_and_large_limits_of_the_only_upstream_are_used(autojump_clock, nursery, limit):
     """Guards against a limit so small, or so large, that its room is left unused."""
--- a/marigoldtrail/ratelimits/limiter.py
+++ b/marigoldtrail/ratelimits/limiter.py
@@ -14,6 +14,8 @@
 
 # After a call that found no leader, requests use the share of this host for this time.
 LEADERLESS_S = 0.5
+# Smallest difference between the wait that is too long for a request and the longest it can bear.
+MIN_RETRY_S = 0.02
 
 RequestPermitFn = Callable[[RequestPermit], Awaitable[PermitReply | Failure]]
 
@@ -114,4 +116,9 @@
         if pacer is None:
             pacer = self._shares[upstream] = Pacer(now=now, rate=rate)
         is_granted, wait_s = pacer.reserve(now, rate=rate, max_wait_s=max_wait_s)
+        if not is_granted:
+            # The share may be free only minutes later, but a leader can grant permits sooner. The
+            # request itself must not ask again while it could wait for that.
+            retry_s = max(self._leaderless_until - now, max_wait_s) + MIN_RETRY_S
+            wait_s = min(wait_s, retry_s)
         return Permit(is_granted=is_granted, wait_s=wait_s)
--- a/marigoldtrail/ratelimits/tests/test_limiter.py
+++ b/marigoldtrail/ratelimits/tests/test_limiter.py
@@ -166,6 +166,18 @@
     assert 0.7 * SECONDS <= len(fleet.sent) <= 1.1 * SECONDS
 
 
+@pytest.mark.parametrize("max_wait_s", [0.0, 1.0])
+async def test_refusal_by_a_small_share_does_not_outlast_the_search_for_a_leader(
+    autojump_clock, max_wait_s
+):
+    """Guards against an upstream that an entry leaves out for minutes after the leader is back."""
+    fleet = Fleet(191, 2.0)
+    fleet.leader = None
+    permit = await fleet.limiters[0].acquire("u", max_wait_s)
+    # A request that could wait so long would ask again at once.
+    assert not permit.is_granted and max_wait_s < permit.wait_s <= max(0.5, max_wait_s) + 0.1
+
+
 async def test_upstream_without_limit_needs_no_permit(autojump_clock):
     """Guards against a round trip to the leader for each ordinary request."""
     fleet = Fleet(1, 2.0)
