Finish the drain of a node that is signalled again

What callers saw: nothing yet; a second SIGTERM to a process of `marigoldtrail serve` ended it at the end of its drain, before its last tasks had ended.

Cause: the same as at the hosts of a site: the pending signal was raised again, with the default handler, when its receiver was closed.

The receiver now stays until all tasks of the node have ended, and the drain runs beside the reading of signals.

Run: tests of node, `test_serve.py`, `test_commands.py`, reference pages, and lint. Not run: this with real processes.

--- a/marigoldtrail/cli/serve.py
+++ b/marigoldtrail/cli/serve.py
@@ -73,18 +73,23 @@
 
 async def drain_on_signal(node: Node) -> None:
     """
-    Drain a node at the first SIGTERM or SIGINT.
+    Drain a node at the first SIGTERM or SIGINT; run until cancelled.
 
     Parameters
     ----------
     node : Node
         The running node.
     """
+    # The handlers stay after the drain: a signal that comes again would otherwise end the process
+    # before its last tasks have.
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            _log.info("received %s, draining the node", signal.Signals(number).name)
-            await node.drain()
-            return
+        async with trio.open_nursery() as nursery:
+            is_draining = False
+            async for number in signals:
+                _log.info("received %s, draining the node", signal.Signals(number).name)
+                if not is_draining:
+                    is_draining = True
+                    nursery.start_soon(node.drain)
 
 
 def run_standins(
