--- a/marigoldtrail/consensus/follower.py
+++ b/marigoldtrail/consensus/follower.py
@@ -357,12 +357,12 @@
         return build_snapshot_failure(name)
     if snapshot.level > get_command_level(state.machine):
         return build_level_failure(state, snapshot)
+    if state.log.term_at(snapshot.index) != snapshot.term:
+        # Nothing after the snapshot is kept. Lowered first: a failed write may leave the snapshot.
+        state.synced_index = min(state.synced_index, snapshot.index)
     saved = check_disk(state, await state.store.save_snapshot(snapshot))
     if isinstance(saved, Failure):
         return saved
-    if state.log.term_at(snapshot.index) != snapshot.term:
-        # Of this log nothing after the snapshot is kept.
-        state.synced_index = min(state.synced_index, snapshot.index)
     replaced = check_disk(
         state, await state.log.replace(snapshot.index, snapshot.term, snapshot.voters)
     )
