Write the newest segment in place if there is no room for a copy of it

After a loss of power of all hosts there was no leader, though each command would have fit.

If the copy is refused for lack of room, the same bytes are written in place and synced (Disk.rewrite), which needs no room and makes dropped pages dirty again.

test_hosts_with_less_room_than_their_newest_segment_return_after_a_power_loss failed before.

--- a/marigoldtrail/consensus/tests/test_reopening.py
+++ b/marigoldtrail/consensus/tests/test_reopening.py
@@ -53,3 +53,20 @@
     await cluster.wait_until(lambda: b"29" in cluster.machines[old].effects)
     assert not cluster.disks[old].fails_at_snapshots
     assert cluster.storage_ids[old] == storage_id
+
+
+async def test_hosts_with_less_room_than_their_newest_segment_return_after_a_power_loss(
+    autojump_clock, nursery
+):
+    """Guards against hosts that stay out because a start copies a segment beside the old one."""
+    cluster = Cluster(nursery)
+    await cluster.start_all()
+    for number in range(20):
+        await cluster.propose(b"%d" % number + b"x" * 1000)
+    for name in cluster.names:
+        await cluster.crash(name)
+        disk = cluster.disks[name]
+        disk.capacity_bytes = sum(len(file.data) for file in disk.files.values()) + 10_000
+    for name in cluster.names:
+        await cluster.start(name)
+    await cluster.propose(b"after")
--- a/marigoldtrail/storage/disk.py
+++ b/marigoldtrail/storage/disk.py
@@ -151,6 +151,43 @@
         """Return the size of a file in bytes; ``NOT_FOUND`` if it does not exist."""
         ...
 
+    async def rewrite(self, name: str) -> None | Failure:
+        """
+        Write the content of a file in place again and make it durable.
+
+        Also makes those bytes durable that a failed sync has dropped from the page cache, and needs
+        no room for a second copy.
+
+        Parameters
+        ----------
+        name : str
+            Name of the file.
+
+        Returns
+        -------
+        None or Failure
+            The content is the same after a failure.
+        """
+        ...
+
+    async def probe_room(self, name: str, count: int) -> None | Failure:
+        """
+        Tell whether bytes can be appended to a file, and leave it as it was.
+
+        Parameters
+        ----------
+        name : str
+            Name of an existing file.
+        count : int
+            Number of bytes.
+
+        Returns
+        -------
+        None or Failure
+            ``DISK_FULL`` if there is no room. After ``DISK_ERROR`` zeros may follow the content.
+        """
+        ...
+
     async def sync_names(self, folder: str) -> None | Failure:
         """Make all names in a folder durable, with its own; does nothing if it does not exist."""
         ...
@@ -379,6 +416,34 @@
 
         return await self._run("disk.write_atomic", name, run)
 
+    async def rewrite(self, name: str) -> None | Failure:
+        """Write a file in place again; see `Disk.rewrite`."""
+        self._close_file(name)
+
+        def run() -> None:
+            path = self._path(name)
+            with self._opened(path, os.O_RDWR) as fd:
+                data = self._read_range(fd, 0, self._calls.fstat(fd).st_size)
+                self._calls.lseek(fd, 0, os.SEEK_SET)
+                self._write_all(fd, data)
+                with after_effect():
+                    self._calls.fsync(fd)
+                    self._sync_names(path.parent)
+
+        return await self._run("disk.rewrite", name, run)
+
+    async def probe_room(self, name: str, count: int) -> None | Failure:
+        """Tell whether there is room in a file; see `Disk.probe_room`."""
+
+        def run(file: OpenFile) -> None:
+            fd = self._open(file, name)
+            size = self._calls.fstat(fd).st_size
+            self._append(file, name, bytes(count))
+            with after_effect():
+                self._calls.ftruncate(fd, size)
+
+        return await self._with_file("disk.probe_room", name, run)
+
     async def list_names(self, prefix: str = "") -> list[str] | Failure:
         """List files; see `Disk.list_names`."""
 
--- a/marigoldtrail/storage/journal.py
+++ b/marigoldtrail/storage/journal.py
@@ -332,9 +332,28 @@
         segment.size = size
         return None
 
+    async def probe_room(self, count: int) -> None | Failure:
+        """
+        Tell whether there is room for a record.
+
+        Parameters
+        ----------
+        count : int
+            Size of the record in bytes.
+
+        Returns
+        -------
+        None or Failure
+            ``DISK_FULL`` if there is none; else the failure of the disk, which is final.
+        """
+        if self.fatal_failure is not None or not self._segments:
+            return self.fatal_failure
+        result = await self._disk.probe_room(self._segments[-1].name, count)
+        return self._record_failure(result) if isinstance(result, Failure) else None
+
     async def write_tail_anew(self, index: int) -> None | Failure:
         """
-        Remove the records after an index and write the newest segment to a new file.
+        Remove the records after an index and write the newest segment anew.
 
         Makes the records durable that an earlier process or a failed sync has left in the page
         cache. A sync is not enough: it may succeed although an earlier one has dropped pages.
@@ -357,6 +376,9 @@
         if isinstance(data, Failure):
             return data
         written = await self._disk.write_atomic(segment.name, data)
+        if isinstance(written, Failure) and written.reason is Reason.DISK_FULL:
+            # There is no room for a second copy.
+            written = await self._disk.rewrite(segment.name)
         if not isinstance(written, Failure):
             self._discard_unsynced(segment)
         return written
--- a/marigoldtrail/testing/disk.py
+++ b/marigoldtrail/testing/disk.py
@@ -158,6 +158,32 @@
         self.files[name] = file
         return None
 
+    async def rewrite(self, name: str) -> None | Failure:
+        """Write a file in place again; see `Disk.rewrite`."""
+        await trio.sleep(self.sync_delay_s)
+        self.syncs += 1
+        if name not in self.files:
+            return missing_failure("disk.rewrite", name)
+        file = self.files[name]
+        if self.fail_syncs:
+            file.fail_sync()
+            return build_disk_failure(
+                OSError(errno.EIO, "input/output error"), "disk.rewrite", name
+            )
+        if self.capacity_bytes == 0:
+            # Some full disks refuse every write, also one that needs no room.
+            return full_failure("disk.rewrite", name)
+        file.dropped_at = None
+        file.synced_bytes = len(file.data)
+        return None
+
+    async def probe_room(self, name: str, count: int) -> None | Failure:
+        """Tell whether there is room in a file; see `Disk.probe_room`."""
+        result = await self.append(name, bytes(count))
+        if not isinstance(result, Failure):
+            del self.files[name].data[-count:]
+        return result
+
     async def list_names(self, prefix: str = "") -> list[str] | Failure:
         """List files; see `Disk.list_names`."""
         await trio.lowlevel.checkpoint()
--- a/marigoldtrail/testing/faulty_files.py
+++ b/marigoldtrail/testing/faulty_files.py
@@ -315,7 +315,7 @@
         return part
 
     def write(self, fd: int, data: memoryview, /) -> int:
-        """Append; see `os.write`."""
+        """Write at the position that `lseek` has set, else append; see `os.write`."""
         is_partial = self.fail_kind == PARTIAL and self.count == self.fail_at
         self._enter("write")
         written = bytes(data)
@@ -323,7 +323,11 @@
             self.failed.append("partial write")
             written = written[: (len(written) + 1) // 2]
         file = self._get_file(fd)
-        file.change(len(file.data), written)
+        is_at_position = not self._open[fd][1] & os.O_APPEND and fd in self._positions
+        offset = self._positions[fd] if is_at_position else len(file.data)
+        file.change(offset, written)
+        if is_at_position:
+            self._positions[fd] = offset + len(written)
         return len(written)
 
     def ftruncate(self, fd: int, length: int, /) -> None:
