Write segment files of records again whose sync may have failed before

Its bytes are now written again in place. test_prefix_whose_sync_failed_at_a_start_is_written_again failed before.

--- a/marigoldtrail/records/segments.py
+++ b/marigoldtrail/records/segments.py
@@ -297,9 +297,9 @@
             cut = await self._disk.truncate(name, segment.flushed)
             if isinstance(cut, Failure):
                 return cut
-        # An earlier process may have been killed before its sync, and the snapshot that says how
-        # much is flushed may come from another member.
-        return await self._disk.sync(name) if segment.flushed else None
+        # An earlier process may have been killed before its sync, or after one that failed, and the
+        # snapshot that says how much is flushed may come from another member.
+        return await self._disk.rewrite(name) if segment.flushed else None
 
     async def _scan_prefix(self, segment: Segment) -> SegmentIndex | None | Failure:
         stored = await self._read_index(segment)
