Hand over only to a quorum with room, and only if ordinary entries don't fit

Before a hand-over the leader, and in a transfer the candidate and each voter, checks that 512 bytes can be appended to its log. So a transfer succeeds only with a quorum that can commit, and a command that is only too large is refused as before. Transfers are counted. A late reply no longer makes a stopped group write its vote.

What remains: a command that is larger than the leader's room is refused although another host may have room for it.

--- a/marigoldtrail/consensus/applying.py
+++ b/marigoldtrail/consensus/applying.py
@@ -16,6 +16,7 @@
     LEADER,
     GroupState,
     check_disk,
+    check_room,
     record_room,
     step_down,
     stop_group,
@@ -132,12 +133,16 @@
         # A leader cannot commit anything before the first entry of its term.
         step_down(state, "no room for the first entry of the term")
     elif not state.is_transferring:
-        state.report("hand_over", "the disk of the leader is full")
         state.nursery.start_soon(hand_over, state)
 
 
 async def hand_over(state: GroupState) -> None:
-    """Transfer the leadership to a host that may have room; lead on if no other host can lead."""
+    """Transfer the leadership to a host with room; lead on if there is none, or room for others."""
+    async with state.lock:
+        # A command that is larger than the others may have been refused.
+        if state.role != LEADER or state.is_transferring or await check_room(state):
+            return
+    state.report("hand_over", "the disk of the leader is full")
     if not await transfer_leadership(state, timeout_s=HAND_OVER_TIMEOUT_S):
         state.report("lead_on", "no other host could take over")
 
--- a/marigoldtrail/consensus/election.py
+++ b/marigoldtrail/consensus/election.py
@@ -27,6 +27,7 @@
     adopt_newer_term,
     adopt_term,
     check_disk,
+    check_room,
     get_quorum_size,
     reset_campaign,
     step_down,
@@ -121,6 +122,8 @@
             return
         if state.stop_failure is not None or not state.is_voter:
             return
+        if transfer and not await check_room(state):
+            return
         saved = check_disk(state, await state.store.save_vote(term + 1, state.storage_id))
         if isinstance(saved, Failure):
             return
@@ -211,7 +214,7 @@
     state.leader = state.host
     state.peers = build_peers(state)
     state.term_start_index = 0
-    state.is_transferring = False
+    state.transfers = 0
     state.read_round += 1
     state.is_read_round_sent = False
     state.leader_scope = trio.CancelScope()
@@ -297,6 +300,10 @@
             return state.stop_failure
         if req.term < state.term or has_voted_for_other(state, req):
             return build_vote_reply(state, False)
+        # Without room at a quorum, a new leader could not commit the first entry of its term, and
+        # nothing could be read.
+        if req.transfer and not await check_room(state):
+            return build_vote_reply(state, False)
         why = f"{req.candidate} campaigns in a newer term"
         if not is_up_to_date(state, req):
             adopted = await adopt_term(state, req.term, why)
@@ -408,7 +415,7 @@
         return True
     term = state.term
     # New proposals are refused from here on, so that the follower can catch up.
-    state.is_transferring = True
+    state.transfers += 1
     with trio.move_on_after(timeout_s):
         for attempt in itertools.count():
             if not state.is_leader_in(term):
@@ -416,7 +423,7 @@
             await request_transfer(state, term, attempt // ATTEMPTS_PER_SUCCESSOR)
             await state.changed.wait_with_timeout(HEARTBEAT_S)
     if state.is_leader_in(term):
-        state.is_transferring = False
+        state.transfers -= 1
         return False
     return True
 
--- a/marigoldtrail/consensus/state.py
+++ b/marigoldtrail/consensus/state.py
@@ -27,6 +27,9 @@
 # Used after a start; long enough to receive a heartbeat from an existing leader.
 FIRST_ELECTION_TIMEOUT_S = (0.4, 0.9)
 
+# More than the first entry of a term and an order of an operator need.
+PROBED_ENTRY_BYTES = 512
+
 FOLLOWER = "follower"
 CANDIDATE = "candidate"
 LEADER = "leader"
@@ -97,7 +100,7 @@
         "pending_proposals",
         "read_round",
         "is_read_round_sent",
-        "is_transferring",
+        "transfers",
         "incoming_snapshot",
         "is_writing_snapshot",
         "leader_scope",
@@ -161,7 +164,8 @@
         self.pending_proposals: dict[int, Proposal] = {}
         self.read_round = 0
         self.is_read_round_sent = False
-        self.is_transferring = False
+        # Number of transfers of this leadership that are under way.
+        self.transfers = 0
         self.incoming_snapshot: tuple[int, int] = (0, 0)
         self.is_writing_snapshot = False
         self.leader_scope = trio.CancelScope()
@@ -185,6 +189,11 @@
         """Storage id of this host's log."""
         return self.store.vote.storage_id
 
+    @property
+    def is_transferring(self) -> bool:
+        """Whether this leader refuses proposals because it transfers its leadership."""
+        return self.transfers > 0
+
     @property
     def is_open(self) -> bool:
         """Whether the files have been opened since the start of the process."""
@@ -308,7 +317,7 @@
         return
     state.leader = None
     state.leader_scope.cancel()
-    state.is_transferring = False
+    state.transfers = 0
     state.peers = {}
     reset_campaign(state)
     for proposal in state.queue:
@@ -406,6 +415,25 @@
     return result
 
 
+async def check_room(state: GroupState) -> bool:
+    """
+    Tell whether this host can append an entry; the caller holds the lock.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+
+    Returns
+    -------
+    bool
+        False also after a failure of the disk, which stops the group.
+    """
+    result = check_disk(state, await state.log.journal.probe_room(PROBED_ENTRY_BYTES))
+    record_room(state, result)
+    return result is None
+
+
 async def adopt_term(
     state: GroupState, term: int, why: str, *, voted_for: str = ""
 ) -> None | Failure:
@@ -465,7 +493,8 @@
 async def adopt_term_locked(state: GroupState, term: int, why: str) -> None:
     """Acquire the lock and adopt a term; see `adopt_term`."""
     async with state.lock:
-        await adopt_term(state, term, why)
+        if state.stop_failure is None:
+            await adopt_term(state, term, why)
 
 
 def get_quorum_size(state: GroupState) -> int:
