--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -273,6 +273,7 @@
         if isinstance(request, Closed):
             return request.value
         if isinstance(request, Refusal):
+            self._count_stop_refusal(request)
             await self._send_error(conn, request.status, request.detail, is_last=True)
             return EndReason.REFUSAL
         reason = await self._serve_recorded(conn, request)
@@ -281,6 +282,10 @@
             return EndReason.LAST_RESPONSE
         return reason
 
+    def _count_stop_refusal(self, refusal: Refusal) -> None:
+        if refusal.status == 503 and self._stop.is_stopping:
+            self._recorder.record_stop_refusal()
+
     async def _serve_recorded(
         self, conn: CallerConnection, request: CallerRequest
     ) -> EndReason | None:
@@ -318,8 +323,7 @@
         started = self._timers.now()
         routed = self._route(conn, request, info, started)
         if isinstance(routed, Refusal):
-            if routed.status == 503 and self._stop.is_stopping:
-                self._recorder.record_stop_refusal()
+            self._count_stop_refusal(routed)
             _log.info(
                 "request refused",
                 extra={
