Divide the disk module: protocol, data folder, opening of the folder

The docstring of ReplicatedLog.write_tail_anew said that a new file is written, which is not so without room for one.

--- a/marigoldtrail/consensus/log.py
+++ b/marigoldtrail/consensus/log.py
@@ -329,7 +329,7 @@
 
     async def write_tail_anew(self, index: int) -> None | Failure:
         """
-        Remove the entries after an index and write those before it to a new file.
+        Remove the entries after an index and write the newest segment of the others anew.
 
         Parameters
         ----------
--- a/marigoldtrail/testing/faulty_files.py
+++ b/marigoldtrail/testing/faulty_files.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from marigoldtrail.storage.disk import BlockingRunner, FolderDisk
+from marigoldtrail.storage.folder_disk import BlockingRunner, FolderDisk
 from marigoldtrail.timers import Timers
 
 FULL = "full"
@@ -171,7 +171,7 @@
 
 class FaultyFiles:
     """
-    `marigoldtrail.storage.disk.FileCalls` in memory.
+    `marigoldtrail.storage.folder_disk.FileCalls` in memory.
 
     Each call has an index, counted from 0. The `fail_count` calls from the index `fail_at` on fail
     in the way `fail_kind`: ``"full"`` (calls that only read succeed), ``"io"``, or ``"partial"``
