--- a/marigoldtrail/consensus/log.py
+++ b/marigoldtrail/consensus/log.py
@@ -318,33 +318,12 @@
                 detail=f"the leader's log conflicts with committed entry {index + 1}",
             )
         result = await self.journal.drop_after(index)
-        if not isinstance(result, Failure):
-            self._forget_after(index)
-        return result
-
-    def _forget_after(self, index: int) -> None:
+        if isinstance(result, Failure):
+            return result
         del self._entries[index - self.base_index :]
         while self._member_lists[-1][0] > index:
             self._member_lists.pop()
-
-    async def write_tail_anew(self, index: int) -> None | Failure:
-        """
-        Remove the entries after an index and write the newest segment of the others anew.
-
-        Parameters
-        ----------
-        index : int
-            Last index to keep.
-
-        Returns
-        -------
-        None or Failure
-            The failure of the journal.
-        """
-        result = await self.journal.write_tail_anew(index)
-        if not isinstance(result, Failure):
-            self._forget_after(max(index, self.base_index))
-        return result
+        return None
 
     async def compact(self, index: int) -> None | Failure:
         """
--- a/marigoldtrail/consensus/store.py
+++ b/marigoldtrail/consensus/store.py
@@ -275,7 +275,7 @@
     log = await combine_log(store, journal, snapshot, rng)
     if isinstance(log, Failure):
         return log
-    result = await log.write_tail_anew(log.last_index)
+    result = await journal.write_tail_anew()
     if isinstance(result, Failure):
         return result
     removed = await disk.remove(store.partial_name)
--- a/marigoldtrail/storage/journal.py
+++ b/marigoldtrail/storage/journal.py
@@ -351,26 +351,20 @@
         result = await self._disk.probe_room(self._segments[-1].name, count)
         return self._record_failure(result) if isinstance(result, Failure) else None
 
-    async def write_tail_anew(self, index: int) -> None | Failure:
+    async def write_tail_anew(self) -> None | Failure:
         """
-        Remove the records after an index and write the newest segment anew.
+        Write the newest segment anew.
 
         Makes the records durable that an earlier process or a failed sync has left in the page
         cache. A sync is not enough: it may succeed although an earlier one has dropped pages.
 
-        Parameters
-        ----------
-        index : int
-            Last index to keep.
-
         Returns
         -------
         None or Failure
             The failure of the disk.
         """
-        dropped = await self.drop_after(index)
-        if isinstance(dropped, Failure) or not self._segments:
-            return dropped
+        if self.fatal_failure is not None or not self._segments:
+            return self.fatal_failure
         segment = self._segments[-1]
         data = await self._disk.read(segment.name, length=segment.size)
         if isinstance(data, Failure):
--- a/marigoldtrail/storage/tests/test_single_faults.py
+++ b/marigoldtrail/storage/tests/test_single_faults.py
@@ -33,7 +33,7 @@
             opened = await open_journal(self.disk, PREFIX, segment_bytes=120)
         if is_failure(opened):
             return opened
-        written = await opened.write_tail_anew(opened.last_index)
+        written = await opened.write_tail_anew()
         if is_failure(written):
             return written
         self.journal = opened
