Keep started streams, and last attempts, when a host finds no upstream

Callers: a stream that had begun ended in the middle, with its connection closed, when all upstreams that its entry heard were silent for 1 s or more and then went on; a safe request without an attempt left got 502 in place of a late answer.

Cause: the monitor takes 0.4 s of silence and failed probes for a cut of this host, and the decision ended each attempt that may be repeated, also those that nothing else can serve: a started stream was not forwarded, and neither was a request that had come from another entry or had no attempt left.

Change: a finding of a cut is told to the attempts, and only those leave that another entry may serve from the start, or that were not sent yet.

--- a/marigoldtrail/reachability/monitor.py
+++ b/marigoldtrail/reachability/monitor.py
@@ -74,7 +74,7 @@
         "_rng",
         "_silence_limit_s",
         "_probed_at",
-        "_attempts",
+        "_listeners",
     )
 
     def __init__(
@@ -98,7 +98,7 @@
         self._rng = rng
         self._silence_limit_s = MIN_SILENCE_S
         self._probed_at = 0.0
-        self._attempts: set[trio.CancelScope] = set()
+        self._listeners: set[Callable[[], None]] = set()
 
     async def run(self) -> None:
         """Check the contact until cancelled."""
@@ -106,13 +106,23 @@
             await run_guarded(self._check)
 
     @contextmanager
-    def cancel_when_cut_off(self, scope: trio.CancelScope) -> Iterator[None]:
-        """Cancel a scope if the host is found to be cut off and its connections are silent."""
-        self._attempts.add(scope)
+    def call_when_cut_off(self, listener: Callable[[], None]) -> Iterator[None]:
+        """
+        Call a function each time the host is found to be cut off and its connections are silent.
+
+        The upstreams may all be silent and go on, so that a request in progress is worth keeping
+        unless something else can serve it.
+
+        Parameters
+        ----------
+        listener : callable
+            The function; it is called until the context ends.
+        """
+        self._listeners.add(listener)
         try:
             yield
         finally:
-            self._attempts.discard(scope)
+            self._listeners.discard(listener)
 
     async def _check(self) -> None:
         if self.is_cut_off:
@@ -142,13 +152,13 @@
                 extra={
                     "silence_ms": round(silence_s * 1000),
                     "unreached": sorted(self._contact.unreached),
-                    "attempts": len(self._attempts),
+                    "attempts": len(self._listeners),
                 },
             )
             # In a cut that refuses new connections, the open ones may still serve.
             if silence_s >= MIN_SILENCE_S:
-                for scope in self._attempts:
-                    scope.cancel()
+                for listener in list(self._listeners):
+                    listener()
         else:
             _log.info("upstreams can be reached again")
         self._on_change()
--- a/marigoldtrail/reachability/tests/test_monitor.py
+++ b/marigoldtrail/reachability/tests/test_monitor.py
@@ -99,7 +99,10 @@
         probed.down = probed.names
         probed.contact.start_request()
         probed.contact.note_connect_failed("u-0")
-        with trio.move_on_after(DETECTION_S) as scope, probed.monitor.cancel_when_cut_off(scope):
+        with (
+            trio.move_on_after(DETECTION_S) as scope,
+            probed.monitor.call_when_cut_off(scope.cancel),
+        ):
             while True:
                 await trio.sleep(0.1)
                 if not is_silent:
--- a/marigoldtrail/relay/attempts.py
+++ b/marigoldtrail/relay/attempts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from contextlib import AbstractContextManager, nullcontext
+from collections.abc import Callable
 
 import trio
 
@@ -39,7 +39,7 @@
     monitor : UpstreamMonitor
         Knows the usual durations.
     reachability : ReachabilityMonitor
-        Ends attempts when this host is cut off.
+        Finds that this host is cut off.
     mover : RequestMover
         Reserves another upstream for an attempt that takes unusually long.
     abandoned : AbandonedAttempts
@@ -107,7 +107,8 @@
                 nursery.start_soon(
                     self._cancel_if_slow, exchange, upstream, timeout_s, nursery.cancel_scope
                 )
-            with self._cancel_when_cut_off(exchange, nursery.cancel_scope):
+            leave = self._make_leave(exchange, reads_before, nursery.cancel_scope)
+            with self._reachability.call_when_cut_off(leave):
                 result = await self._sender.send(exchange, upstream, taken=taken)
             nursery.cancel_scope.cancel()
         if result is not None:
@@ -135,13 +136,18 @@
             await self._timers.sleep(timeout_s)
         scope.cancel()
 
-    def _cancel_when_cut_off(
-        self, exchange: Exchange, scope: trio.CancelScope
-    ) -> AbstractContextManager[None]:
-        """End an attempt when this host is cut off, if its caller may try again elsewhere."""
-        if not exchange.route.is_idempotent:
-            return nullcontext()
-        return self._reachability.cancel_when_cut_off(scope)
+    def _make_leave(
+        self, exchange: Exchange, reads_before: int, scope: trio.CancelScope
+    ) -> Callable[[], None]:
+        """Return what ends an attempt if another entry may serve the request from its start."""
+
+        def leave() -> None:
+            is_unsent = exchange.reads == reads_before and not exchange.may_have_run
+            may_start_again = is_unsent or exchange.may_run_again()
+            if may_start_again and not (exchange.info.is_forwarded or exchange.conn.has_started):
+                scope.cancel()
+
+        return leave
 
     def _get_attempt_timeout_s(
         self, exchange: Exchange, upstream: Upstream, *, runs: int
--- a/marigoldtrail/relay/tests/test_silent_upstreams.py
+++ b/marigoldtrail/relay/tests/test_silent_upstreams.py
@@ -1,10 +1,12 @@
 """Streams whose sound upstream falls silent for about a second and goes on."""
 
+import pytest
 import trio
 
 from marigoldtrail.policy.window_budget import WindowBudget
 from marigoldtrail.relay import SendGate
 from marigoldtrail.relay.tests.helpers import (
+    ENTRY_ADDRESS,
     RelayHarness,
     make_request,
     make_response,
@@ -236,3 +238,55 @@
         harness.monitor.get_record(name).duration_s = 0.02
     assert (await harness.fetch(make_request())).startswith(b"HTTP/1.1 200 ")
     assert len(taken) == 1
+
+
+@pytest.mark.parametrize("count", [1, 2, 4])
+@pytest.mark.parametrize("silence_s", [0.7, 1.0, 1.3, 1.6])
+async def test_stream_that_has_begun_is_whole_after_a_silence_of_all_upstreams(
+    autojump_clock, nursery, silence_s, count
+):
+    """Guards against streams that end because their host takes the silence for a cut of its own."""
+
+    async def stream_slowly(stream):
+        await read_request(stream)
+        await stream.send_all(STREAM_HEAD)
+        for event in EVENTS:
+            await stream.send_all(chunk(event))
+            await trio.sleep(0.1)
+        await stream.send_all(b"0\r\n\r\n")
+
+    harness = RelayHarness(
+        nursery, RouteKind.STREAMING, is_resumable=True, max_attempts=3, max_gap_s=0.2
+    )
+    await harness.start(*[stream_slowly] * count)
+    nursery.start_soon(harness.reachability.run)
+    nursery.start_soon(silence_upstreams, harness, count, silence_s)
+    assert is_whole(await harness.fetch(make_request()))
+
+
+async def silence_upstreams(harness, count, silence_s):
+    """Hold back what upstreams send and get for some seconds, shortly after a first event."""
+    await trio.sleep(0.05)
+    ips = [f"10.0.1.{number}" for number in range(count)]
+    for ip in ips:
+        harness.network.cut(ENTRY_ADDRESS.ip, ip)
+    await trio.sleep(silence_s)
+    for ip in ips:
+        harness.network.restore(ENTRY_ADDRESS.ip, ip)
+
+
+async def test_silent_upstream_of_a_last_attempt_is_kept_though_none_is_reached(
+    autojump_clock, nursery
+):
+    """Guards against a failure in place of an answer that no other host could give."""
+
+    async def answer_late(stream):
+        await read_request(stream)
+        await trio.sleep(0.1)
+        await stream.send_all(make_response("late"))
+
+    harness = RelayHarness(nursery, RouteKind.SAFE, max_attempts=1)
+    await harness.start(answer_late)
+    nursery.start_soon(harness.reachability.run)
+    nursery.start_soon(silence_upstreams, harness, 1, 1.6)
+    assert (await harness.fetch(make_request())).endswith(b"late")
