Let a started stream go on at another entry while its host reaches no upstream

Callers: since a finding of a cut no longer ends started streams, those of a host that really is cut off waited until their callers left (2 s and more).

Change: a stream that has begun and may be resumed is requested from another entry, with the id of its last event, while its upstream stays open. It leaves the upstream once the other entry has sent an event; an event of the upstream withdraws the request. An entry that refuses, breaks off or sends nothing changes nothing.

--- a/marigoldtrail/relay/tests/test_peer_forwarding.py
+++ b/marigoldtrail/relay/tests/test_peer_forwarding.py
@@ -188,3 +188,89 @@
     harness.reachability._change(True)
     data = await read_all(stream)
     assert data.endswith(chunk(EVENT) + b"0\r\n\r\n") and b"part of" not in data
+
+
+REST = chunk(b"id: 2\ndata: 2\n\n") + b"0\r\n\r\n"
+
+
+async def fetch_stream_of_silent_upstream(nursery, script, *, silence_s):
+    """Return the response to a stream that falls silent at a host that is then found cut off."""
+
+    async def fall_silent(stream):
+        await read_request(stream)
+        await stream.send_all(STREAM_HEAD + chunk(EVENT))
+        await trio.sleep(silence_s)
+        await stream.send_all(REST)
+
+    harness = await start(
+        nursery, script, RouteKind.STREAMING, is_resumable=True, max_attempts=2, max_gap_s=0.2
+    )
+    harness.reachability.is_cut_off = False
+    await harness.add_upstream(0, fall_silent)
+    stream = await harness.connect()
+    await stream.send_all(make_request(method="POST", body=b"b"))
+    await trio.sleep(0.6)
+    harness.reachability._change(True)
+    return await read_all(stream)
+
+
+async def test_started_stream_of_a_cut_off_host_goes_on_at_another_entry(autojump_clock, nursery):
+    """Guards against started streams that wait in vain because their host was cut off."""
+    seen = []
+
+    async def resume(stream):
+        seen.append((await read_request(stream)).lower())
+        await stream.send_all(STREAM_HEAD + REST)
+
+    started = trio.current_time()
+    data = await fetch_stream_of_silent_upstream(nursery, resume, silence_s=60.0)
+    assert trio.current_time() - started < 1.0
+    assert data.endswith(REST) and data.count(b"id: 1") == data.count(b"id: 2") == 1
+    assert b"last-event-id: 1\r\n" in seen[0] and b"resumes: id-1\r\n" in seen[0]
+
+
+async def test_silent_upstream_wins_over_an_entry_that_has_sent_no_event(autojump_clock, nursery):
+    """Guards against streams that leave a sound upstream for an entry that can't go on."""
+    ended_at = []
+
+    async def send_no_event(stream):
+        await read_request(stream)
+        await stream.send_all(STREAM_HEAD + chunk(b": wait\n\n"))
+        await read_all(stream)
+        ended_at.append(trio.current_time())
+
+    refusal = make_response("no", status="503 No", headers="retry-after: 1.5\r\n")
+
+    async def break_off(stream):
+        await read_request(stream)
+        await stream.send_all(STREAM_HEAD + chunk(b"id: 2\nda"))
+
+    for script in (send_no_event, reply_with(refusal), break_off):
+        data = await fetch_stream_of_silent_upstream(nursery, script, silence_s=1.3)
+        assert data.endswith(REST) and data.count(b"id: 1") == data.count(b"id: 2") == 1, script
+    await trio.sleep(0.1)
+    assert ended_at and ended_at[0] < trio.current_time() - 1.0
+
+
+async def test_stream_that_another_host_forwarded_is_not_offered_again(autojump_clock, nursery):
+    """Guards against streams that go round between entries which are cut off."""
+    seen = []
+    harness = await start(
+        nursery, reply_with(make_response("ok"), seen=seen), RouteKind.STREAMING,
+        is_resumable=True, max_attempts=2, max_gap_s=0.2,
+    )  # fmt: skip
+    harness.reachability.is_cut_off = False
+
+    async def fall_silent(stream):
+        await read_request(stream)
+        await stream.send_all(STREAM_HEAD + chunk(EVENT))
+        await trio.sleep(1.3)
+        await stream.send_all(REST)
+
+    await harness.add_upstream(0, fall_silent)
+    stream = await harness.connect()
+    headers = ["X-Marigoldtrail-Entry: other"]
+    await stream.send_all(make_request(method="POST", body=b"b", headers=headers))
+    await trio.sleep(0.6)
+    harness.reachability._change(True)
+    assert (await read_all(stream)).endswith(REST) and not seen
