--- /dev/null
+++ b/marigoldtrail/memory/tests/test_budget.py
@@ -0,0 +1,100 @@
+"""Memory of unfinished messages, alone and all together."""
+
+import trio
+
+from marigoldtrail.memory import MemoryBudget, compute_budget_bytes
+from marigoldtrail.memory.budget import PATIENCE_S
+from marigoldtrail.timers import Timers
+
+
+def make_budget(total=1000):
+    return MemoryBudget(total_bytes=total, timers=Timers(seed=1))
+
+
+async def test_message_waits_for_one_that_completes(autojump_clock, nursery):
+    """Guards against proper messages that fail because many arrive at once."""
+    budget = make_budget()
+    first, second = budget.open("a", "p"), budget.open("a", "q")
+    assert await first.take(800)
+
+    async def complete():
+        await trio.sleep(PATIENCE_S / 2)
+        first.close()
+
+    nursery.start_soon(complete)
+    assert await second.take(500)
+    assert budget.used_bytes == 500 and not budget.evicted
+
+
+async def test_largest_message_of_unknown_size_is_given_up(autojump_clock, nursery):
+    """Guards against a message without end that lets others fail, or the whole process."""
+    budget = make_budget()
+    scopes = {name: trio.CancelScope() for name in ("announced", "endless", "small")}
+    accounts = {}
+
+    async def hold(name, size):
+        with (
+            budget.open(
+                "a", name, has_known_size=name == "announced", evict=scopes[name].cancel
+            ) as account,
+            scopes[name],
+        ):
+            accounts[name] = account
+            assert await account.take(size)
+            await trio.sleep_forever()
+
+    for name, size in (("announced", 600), ("endless", 300), ("small", 50)):
+        nursery.start_soon(hold, name, size)
+    await trio.sleep(0.01)
+    started = trio.current_time()
+    assert await budget.open("a", "late").take(200)
+    assert trio.current_time() - started < 3 * PATIENCE_S
+    assert [name for name in accounts if accounts[name].is_evicted] == ["endless"]
+    assert budget.used_bytes == 600 + 50 + 200 and budget.evicted == {"a": 1}
+
+
+async def test_only_as_many_messages_as_needed_are_given_up(autojump_clock, nursery):
+    """Guards against more failures than memory is needed, while the first gives its bytes back."""
+    budget = make_budget()
+    closing = []
+    for number in range(4):
+        account = budget.open("a", str(number), evict=lambda: closing.append(True))
+        assert await account.take(250)
+    with trio.move_on_after(4 * PATIENCE_S):
+        await budget.open("a", "late").take(200)
+    assert len(closing) == 1
+
+
+async def test_message_that_is_the_largest_itself_is_given_up(autojump_clock):
+    """Guards against a message without end that waits for ever for its own memory."""
+    budget = make_budget()
+    account = budget.open("a", "p")
+    while await account.take(300):
+        pass
+    assert account.size == 900 and account.is_evicted
+    account.close()
+    assert budget.used_bytes == 0
+
+
+async def test_message_over_the_whole_budget_is_given_up(autojump_clock):
+    """Guards against a wait without end for more than there is."""
+    budget = make_budget()
+    with trio.fail_after(5 * PATIENCE_S):
+        assert not await budget.open("a", "p").take(1001)
+
+
+async def test_bytes_are_given_back_once(autojump_clock):
+    """Guards against a budget that is used up, or has no limit, after many messages."""
+    budget = make_budget()
+    with budget.open("a", "p") as account:
+        assert await account.take(300)
+        account.give_back(100)
+        assert budget.used_bytes == 200
+        account.give_back(500)
+        account.close()
+    assert budget.used_bytes == 0
+
+
+def test_budget_is_a_share_of_the_memory_of_the_host():
+    """Guards against a budget that the smallest host does not have beside an idle process."""
+    assert compute_budget_bytes(160) <= 160e6 / 2 / 3
--- a/marigoldtrail/site/components.py
+++ b/marigoldtrail/site/components.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from marigoldtrail.memory import MemoryBudget, compute_budget_bytes
 from marigoldtrail.net import Address, ListenerControl, Network, PeerClient
 from marigoldtrail.reachability import UpstreamContact
 from marigoldtrail.registry import FleetState, HostReporter, peer_name
@@ -53,6 +54,7 @@
         "timers",
         "rng",
         "nursery",
+        "memory",
         "peers",
         "fleet_state",
         "contact",
@@ -82,6 +84,7 @@
         self.endpoint_stop = EndpointStop()
         self._endpoint_listeners: list[ListenerControl] = []
         self.metrics = PrometheusMetrics()
+        self.memory = MemoryBudget(total_bytes=compute_budget_bytes(cfg.memory_mb), timers=timers)
         self.peers = PeerClient(network=network, host=cfg.host, nursery=nursery)
         self.fleet_state = FleetState(parse_document=adapter.parse_document, timers=timers)
         self.contact = UpstreamContact(timers=timers)
@@ -137,6 +140,16 @@
             "Upstreams that failed to connect since any connection was opened.",
             lambda: len(self.contact.unreached),
         )
+        add(
+            "unfinished_bytes",
+            "Memory of unfinished messages of others.",
+            lambda: self.memory.used_bytes,
+        )
+        add(
+            "messages_given_up",
+            "Unfinished messages that were given up for want of memory.",
+            lambda: self.memory.evicted.total(),
+        )
         add("log_lines_dropped", "Log lines dropped.", count_dropped_lines)
 
     @property
