--- a/marigoldtrail/platform/tests/test_cut_off_entries.py
+++ b/marigoldtrail/platform/tests/test_cut_off_entries.py
@@ -189,3 +189,30 @@
     assert reply is not None and reply[0] == 200
     ids = [line for line in reply[2].splitlines() if line.startswith(b"id: ")]
     assert ids == [b"id: %d" % number for number in range(1, EVENTS + 1)]
+
+
+async def test_streams_are_whole_after_a_silence_of_all_upstreams_beside_a_change(
+    autojump_clock, nursery, monkeypatch
+):
+    """Guards against streams that entries break off because all sound upstreams are silent."""
+    monkeypatch.setattr(standin, "EVENT_INTERVAL_S", 0.3)
+    site, _ = await start(nursery)
+    replies = []
+
+    async def fetch(entry):
+        reply = await site.send_request("/talk/1", entry=entry, request_id=f"s-{entry}", body=b"p")
+        replies.append(reply)
+
+    for entry in range(4):
+        nursery.start_soon(fetch, entry)
+    await trio.sleep(0.6)
+    for entry in range(4):
+        cut_off(site, entry)
+    assert await site.put_config(standin.config(9)) == 200
+    await trio.sleep(1.3)
+    for entry in range(4):
+        reconnect(site, entry)
+    await trio.sleep(1.5)
+    assert len(replies) == 4
+    for reply in replies:
+        assert reply is not None and reply[0] == 200 and reply[2].count(b"data: ") == EVENTS
