--- a/marigoldtrail/consensus/tests/test_single_faults.py
+++ b/marigoldtrail/consensus/tests/test_single_faults.py
@@ -12,10 +12,16 @@
 from marigoldtrail.schema.generated.consensus import LogEntry, StoredSnapshot
 from marigoldtrail.storage import open_journal
 from marigoldtrail.testing.faulty_files import FULL, KINDS, PARTIAL, FaultyDisk
+from marigoldtrail.testing.single_faults import (
+    FAIL_COUNTS,
+    check_end_of_process,
+    check_power_losses,
+    list_fault_indexes,
+    repeat_step,
+    set_fault,
+)
 
 GROUP = "g"
-# One failed call, and enough for the step that repairs it to fail too.
-FAIL_COUNTS = (1, 4)
 MAX_ATTEMPTS = 8
 
 
@@ -140,17 +146,17 @@
             await self.run_step(step, *arguments)
 
     async def run_step(self, step, *arguments):
-        """Run a step again until it succeeds; the disk fails for a few calls only."""
-        for _ in range(MAX_ATTEMPTS):
-            result = await step(*arguments)
-            if not is_failure(result):
-                return
-            assert result.reason in (Reason.DISK_FULL, Reason.DISK_ERROR), result
+        """Run a step again until it succeeds, or end the process; open the files in between."""
+
+        async def handle_failure(failure):
             if self.ends_at_failure:
                 raise StepFailed
-            if result.reason is Reason.DISK_ERROR and step != self.open:
+            if failure.reason is Reason.DISK_ERROR and step != self.open:
                 await self.run_step(self.open)
-        raise AssertionError(f"{step} fails again and again: {result}")
+
+        await repeat_step(
+            step, *arguments, max_attempts=MAX_ATTEMPTS, handle_failure=handle_failure
+        )
 
 
 @pytest.fixture(autouse=True)
@@ -160,28 +166,17 @@
     monkeypatch.setattr(store, "open_journal", functools.partial(open_journal, segment_bytes=60))
 
 
-async def list_indexes(kind, **options):
-    """Return the calls of a run without faults that shall fail."""
-    run = StoreRun(1)
-    await run.run()
-    return run.disk.files.list_indexes(kind, **options)
-
-
 @pytest.mark.parametrize("fail_count", FAIL_COUNTS)
 @pytest.mark.parametrize("kind", KINDS)
 async def test_files_of_a_group_keep_what_they_acknowledged_when_one_call_fails(
     autojump_clock, kind, fail_count
 ):
     """Guards against a vote, entry or snapshot that is lost by the rest of a failed step."""
-    for index in await list_indexes(kind, fail_count=fail_count):
+    for index in await list_fault_indexes(StoreRun(1), kind, fail_count=fail_count):
         run = StoreRun(index)
-        files = run.disk.files
-        files.fail_at, files.fail_kind, files.fail_count = index, kind, fail_count
+        set_fault(run, index, kind, fail_count)
         await run.run()
-        files.fail_at = None
-        for torn in (True, False):
-            run.disk.crash(torn=torn)
-            assert await run.open() is None
+        await check_power_losses(run)
 
 
 @pytest.mark.parametrize("fail_count", [1, 10**9])
@@ -191,18 +186,11 @@
     autojump_clock, kind, torn, fail_count
 ):
     """Guards against leftovers that only a start finds: of a killed process, then a power loss."""
-    for index in await list_indexes(kind, fail_count=fail_count):
+    for index in await list_fault_indexes(StoreRun(1), kind, fail_count=fail_count):
         run = StoreRun(index, ends_at_failure=True)
-        files = run.disk.files
-        files.fail_at, files.fail_kind, files.fail_count = index, kind, fail_count
+        set_fault(run, index, kind, fail_count)
         try:
             await run.run()
         except StepFailed:
             pass
-        files.fail_at = None
-        if fail_count == 1:
-            # A start makes durable what it finds, so that the power must also go without one.
-            run.disk.kill()
-            assert await run.open() is None
-        run.disk.crash(torn=torn)
-        assert await run.open() is None
+        await check_end_of_process(run, torn=torn, fail_count=fail_count)
--- a/marigoldtrail/storage/tests/test_single_faults.py
+++ b/marigoldtrail/storage/tests/test_single_faults.py
@@ -7,10 +7,16 @@
 from marigoldtrail.errors import Reason, is_failure
 from marigoldtrail.storage import Record, open_journal
 from marigoldtrail.testing.faulty_files import FULL, KINDS, PARTIAL, FaultyDisk
+from marigoldtrail.testing.single_faults import (
+    FAIL_COUNTS,
+    check_end_of_process,
+    check_power_losses,
+    list_fault_indexes,
+    repeat_step,
+    set_fault,
+)
 
 PREFIX = "g/log/"
-# One failed call, and enough for the step that repairs it to fail too.
-FAIL_COUNTS = (1, 4)
 
 
 class JournalRun:
@@ -113,25 +119,18 @@
             await self.run_step(step, *arguments)
 
     async def run_step(self, step, *arguments):
-        """Run a step again until it succeeds; the disk fails for a few calls only."""
-        for _ in range(2 * max(FAIL_COUNTS)):
-            result = await step(*arguments)
-            if not is_failure(result):
-                return
-            assert result.reason in (Reason.DISK_FULL, Reason.DISK_ERROR), result
-            if result.reason is Reason.DISK_ERROR and step != self.open:
+        """Run a step again until it succeeds; open the journal anew, or cut it, in between."""
+
+        async def handle_failure(failure):
+            if failure.reason is Reason.DISK_ERROR and step != self.open:
                 await self.run_step(self.open)
             elif step == self.append:
                 # As a new leader does that lacks the newest record.
                 await self.run_step(self.cut, 1)
-        raise AssertionError(f"{step} fails again and again: {result}")
-
 
-async def list_indexes(kind, **options):
-    """Return the calls of a run without faults that shall fail."""
-    run = JournalRun(1)
-    await run.run()
-    return run.disk.files.list_indexes(kind, **options)
+        await repeat_step(
+            step, *arguments, max_attempts=2 * max(FAIL_COUNTS), handle_failure=handle_failure
+        )
 
 
 @pytest.mark.parametrize("fail_count", FAIL_COUNTS)
@@ -140,15 +139,11 @@
     autojump_clock, kind, fail_count
 ):
     """Guards against a step whose rest on disk loses records at once or at a later start."""
-    for index in await list_indexes(kind, fail_count=fail_count):
+    for index in await list_fault_indexes(JournalRun(1), kind, fail_count=fail_count):
         run = JournalRun(index)
-        files = run.disk.files
-        files.fail_at, files.fail_kind, files.fail_count = index, kind, fail_count
+        set_fault(run, index, kind, fail_count)
         await run.run()
-        files.fail_at = None
-        for torn in (True, False):
-            run.disk.crash(torn=torn)
-            assert await run.open() is None
+        await check_power_losses(run)
 
 
 @pytest.mark.parametrize("fail_count", [1, 10**9])
@@ -158,18 +153,11 @@
     autojump_clock, kind, torn, fail_count
 ):
     """Guards against leftovers that only a start finds: of a killed process, then a power loss."""
-    for index in await list_indexes(kind, fail_count=fail_count):
+    for index in await list_fault_indexes(JournalRun(1), kind, fail_count=fail_count):
         run = JournalRun(index)
-        files = run.disk.files
-        files.fail_at, files.fail_kind, files.fail_count = index, kind, fail_count
+        set_fault(run, index, kind, fail_count)
         await stop_at_failure(run)
-        files.fail_at = None
-        if fail_count == 1:
-            # A start makes durable what it finds, so that the power must also go without one.
-            run.disk.kill()
-            assert await run.open() is None
-        run.disk.crash(torn=torn)
-        assert await run.open() is None
+        await check_end_of_process(run, torn=torn, fail_count=fail_count)
         await run.append(3)
         run.disk.crash(torn=torn)
         assert await run.open() is None
