--- a/marigoldtrail/platform/headers.py
+++ b/marigoldtrail/platform/headers.py
@@ -7,20 +7,10 @@
 import math
 import re
 
-from marigoldtrail.relay import (
-    EntryForwarding,
-    Forwarding,
-    HeaderCodec,
-    Headers,
-    RequestInfo,
-    ResponseInfo,
-)
+from marigoldtrail.relay import Forwarding, HeaderCodec, Headers, RequestInfo, ResponseInfo
 
 _AUTHORIZATION = b"authorization"
 _KEY_SCHEME = "token"
-# Of a request for the rest of a stream: the attempt that began it, and the last event received.
-_RESUMED_ID = b"resumes"
-_RESUME_AFTER = b"last-event-id"
 # Valid for one connection only; the body is framed again on the next one.
 _HOP_BY_HOP = frozenset(
     {
@@ -87,9 +77,9 @@
         prefix=_parse_prefix(values.get(b"x-prompt-prefix", "")),
         piece_counts=tuple(_parse_numbers(values.get(b"x-pieces", ""))),
         piece_key=values.get(b"x-piece-key", ""),
-        resume_after=values.get(_RESUME_AFTER, ""),
+        resume_after=values.get(b"last-event-id", ""),
         is_forwarded=_FORWARDED_BY in values,
-        resumed_id=values.get(_RESUMED_ID, ""),
+        resumed_id=values.get(b"resumes", ""),
     )
 
 
@@ -117,7 +107,7 @@
     if forwarding.removes_key:
         dropped |= {_AUTHORIZATION}
     if forwarding.resume_after:
-        dropped |= {_RESUME_AFTER}
+        dropped |= {b"last-event-id"}
     kept = [(name, value) for name, value in headers if name not in dropped]
     left_ms = max(1, int(forwarding.left_s * 1000))
     kept += [
@@ -132,27 +122,16 @@
     if forwarding.inputs:
         kept.append((b"x-inputs", ",".join(forwarding.inputs).encode()))
     if forwarding.resume_after:
-        kept.append((_RESUME_AFTER, forwarding.resume_after.encode()))
+        kept.append((b"last-event-id", forwarding.resume_after.encode()))
     return kept
 
 
-def build_forwarded_headers(headers: Headers, forwarding: EntryForwarding) -> Headers:
+def build_forwarded_headers(headers: Headers, left_s: float, host: str) -> Headers:
     """Return the headers for a request to another entry, which sets what is for upstreams."""
     dropped = _HOP_BY_HOP | {b"x-deadline-ms", _FORWARDED_BY} | read_connection_options(headers)
-    if forwarding.resume_after:
-        dropped |= {_RESUMED_ID, _RESUME_AFTER}
     kept = [(name, value) for name, value in headers if name not in dropped]
-    left_ms = max(1, int(forwarding.left_s * 1000))
-    kept += [
-        (b"x-deadline-ms", str(left_ms).encode()),
-        (_FORWARDED_BY, forwarding.host.encode()),
-    ]
-    if forwarding.resume_after:
-        kept += [
-            (_RESUMED_ID, forwarding.resumed_id.encode("latin-1")),
-            (_RESUME_AFTER, forwarding.resume_after.encode("latin-1")),
-        ]
-    return kept
+    left_ms = max(1, int(left_s * 1000))
+    return [*kept, (b"x-deadline-ms", str(left_ms).encode()), (_FORWARDED_BY, host.encode())]
 
 
 def read_connection_options(headers: Headers) -> set[bytes]:
--- a/marigoldtrail/relay/__init__.py
+++ b/marigoldtrail/relay/__init__.py
@@ -9,14 +9,7 @@
 from marigoldtrail.relay.relay import Relay
 from marigoldtrail.relay.send_gate import SendGate
 from marigoldtrail.relay.stream_versions import StreamVersions
-from marigoldtrail.relay.types import (
-    EntryForwarding,
-    Forwarding,
-    HeaderCodec,
-    Headers,
-    RequestInfo,
-    ResponseInfo,
-)
+from marigoldtrail.relay.types import Forwarding, HeaderCodec, Headers, RequestInfo, ResponseInfo
 from marigoldtrail.relay.upstream_connection import UpstreamConnection
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
 
@@ -26,7 +19,6 @@
     "ConnectionPool",
     "HeaderCodec",
     "Dispatcher",
-    "EntryForwarding",
     "Forwarding",
     "Headers",
     "PeerForwarder",
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -151,8 +151,6 @@
             gate=gate,
             monitor=monitor,
             transmitter=transmitter,
-            reachability=reachability,
-            forwarder=forwarder,
             has_retry=self._budgets.has_retry,
             may_send_again=self._budgets.try_take,
             on_refused=self._note_failed_send,
@@ -166,7 +164,6 @@
             on_first_event=self._handle_first_event,
             note_events=self._admission.note_events,
             mover=self._mover,
-            reachability=reachability,
         )
         self._abandoned = AbandonedAttempts(
             pool=pool,
@@ -287,10 +284,6 @@
             held = self._gate.check_send(exchange)
             if held is not None:
                 return held
-            stream = self._mover.take_stream(exchange)
-            if stream is not None:
-                self._metrics.count_send("forwarded")
-                return await self._forwarder.finish(exchange, stream)
             if self._reachability.is_cut_off:
                 return await self._serve_elsewhere(exchange)
             assignment = self._mover.take(exchange)
@@ -407,7 +400,7 @@
         is_new = not exchange.may_have_run
         if (
             exchange.info.is_forwarded
-            or (exchange.conn.has_started and not exchange.may_resume_elsewhere())
+            or exchange.conn.has_started
             or not (is_new or exchange.may_run_again())
             or not (is_new or self._budgets.try_take(exchange.service.name))
         ):
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -323,10 +323,6 @@
         _, shared = self.get_shared_prefix()
         return max(0, self.info.prompt_tokens - shared)
 
-    def may_resume_elsewhere(self) -> bool:
-        """Return whether another entry can be asked for the rest of the stream."""
-        return bool(self.splitter.last_id) and not self.info.is_forwarded
-
     def may_run_again(self) -> bool:
         """Return whether another upstream may run the request although one may have run it."""
         return self.route.is_idempotent and self.runs < self.route.max_attempts
--- a/marigoldtrail/relay/peer_forwarding.py
+++ b/marigoldtrail/relay/peer_forwarding.py
@@ -6,13 +6,11 @@
 import random
 from collections.abc import Awaitable, Callable
 
-import msgspec
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Address, Network
 from marigoldtrail.net.client import STREAM_ERRORS
-from marigoldtrail.relay.events import EventSplitter
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.responses import (
     NOT_RUN_STATUSES,
@@ -21,7 +19,7 @@
     is_event_stream,
     read_body,
 )
-from marigoldtrail.relay.types import EntryForwarding, HeaderCodec
+from marigoldtrail.relay.types import HeaderCodec
 from marigoldtrail.relay.upstream_connection import ResponseHead, UpstreamConnection
 from marigoldtrail.schema.generated.registry import EntryList
 from marigoldtrail.timers import Timers
@@ -42,32 +40,6 @@
 _log = logging.getLogger(__name__)
 
 
-class OfferedStream:
-    """
-    Rest of a stream that another entry has begun to send.
-
-    Parameters
-    ----------
-    conn : UpstreamConnection
-        Connection to the entry.
-    head : ResponseHead
-        Head of its response.
-    data : bytes
-        What was read of the body: an event, or nothing if the body has ended.
-    """
-
-    __slots__ = ("conn", "head", "data")
-
-    def __init__(self, *, conn: UpstreamConnection, head: ResponseHead, data: bytes) -> None:
-        self.conn = conn
-        self.head = head
-        self.data = data
-
-    async def aclose(self) -> None:
-        """Close the connection, so that the other entry ends the request."""
-        await self.conn.aclose()
-
-
 class PeerForwarder:
     """
     Forwards requests to entries that reach upstreams.
@@ -133,7 +105,7 @@
         Parameters
         ----------
         exchange : Exchange
-            The request. Of a response that has begun, only the rest is requested.
+            The request; nothing of its response was sent yet.
 
         Returns
         -------
@@ -141,60 +113,17 @@
             The response of the other entry, which may be a refusal; a failure is ``NOT_RUN`` only
             if no entry got the request.
         """
-        conn = await self._connect_any()
-        if conn is None:
-            return make_unforwarded_failure(exchange)
-        try:
-            return await self._exchange_messages(exchange, conn)
-        finally:
-            await conn.aclose()
-
-    async def offer(self, exchange: Exchange) -> OfferedStream | Failure:
-        """
-        Request the rest of a stream from another entry while its upstream is silent.
-
-        Parameters
-        ----------
-        exchange : Exchange
-            The request; its stream may be resumed.
-
-        Returns
-        -------
-        OfferedStream or Failure
-            The stream, once it has an event or its end; `finish` or `OfferedStream.aclose` must
-            be called with it. A failure if the other entry does not continue the stream.
-        """
-        conn = await self._connect_any()
-        if conn is None:
-            return make_unforwarded_failure(exchange)
-        stream: OfferedStream | Failure | None = None
-        try:
-            self._prepare_request(exchange, conn)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(conn.send_request)
-                stream = await read_offered_stream(conn)
-                nursery.cancel_scope.cancel()
-        finally:
-            if not isinstance(stream, OfferedStream):
-                await conn.aclose()
-        return stream
-
-    async def finish(self, exchange: Exchange, stream: OfferedStream) -> StreamForwarded | Failure:
-        """Forward the rest of a stream that another entry continues."""
-        exchange.start_response_of(stream.conn.upstream)
-        try:
-            return await self._forward_stream(exchange, stream.conn, stream.head, stream.data)
-        finally:
-            await stream.aclose()
-
-    async def _connect_any(self) -> UpstreamConnection | None:
         addresses = list(await self._get_addresses())
         self._rng.shuffle(addresses)
         for address in addresses[:MAX_CONNECTS]:
             conn = await self._connect(address)
-            if conn is not None:
-                return conn
-        return None
+            if conn is None:
+                continue
+            try:
+                return await self._exchange_messages(exchange, conn, address)
+            finally:
+                await conn.aclose()
+        return make_unforwarded_failure(exchange)
 
     async def _get_addresses(self) -> list[str]:
         async with self._list_lock:
@@ -219,27 +148,16 @@
                 _log.info("entry not reached: %s", exc, extra={"address": address})
         return None
 
-    def _prepare_request(self, exchange: Exchange, conn: UpstreamConnection) -> None:
+    async def _exchange_messages(
+        self, exchange: Exchange, conn: UpstreamConnection, address: str
+    ) -> CompleteResponse | StreamForwarded | Failure:
         request = exchange.request
         left_s = max(0.0, exchange.deadline - self._timers.now())
-        headers = self._header_codec.build_forwarded_headers(
-            request.headers,
-            EntryForwarding(
-                host=self._host,
-                left_s=left_s,
-                resumed_id=exchange.info.resumed_id or exchange.info.request_id,
-                resume_after=exchange.splitter.last_id,
-            ),
-        )
+        headers = self._header_codec.build_forwarded_headers(request.headers, left_s, self._host)
         conn.prepare_request(request.method, request.target, headers, request.body)
-
-    async def _exchange_messages(
-        self, exchange: Exchange, conn: UpstreamConnection
-    ) -> CompleteResponse | StreamForwarded | Failure:
-        self._prepare_request(exchange, conn)
         ran_before = exchange.may_have_run
         exchange.may_have_run = True
-        exchange.start_response_of(conn.upstream)
+        exchange.start_response_of(address)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(conn.send_request)
             head = await conn.read_head()
@@ -247,9 +165,6 @@
                 result: CompleteResponse | StreamForwarded | Failure = head
             elif exchange.is_stream and is_event_stream(head):
                 result = await self._forward_stream(exchange, conn, head)
-            elif exchange.conn.has_started:
-                detail = f"status {head.status}, or no events, in place of the rest of a stream"
-                result = conn.make_failure(Reason.BAD_ANSWER, detail)
             else:
                 result = await self._read_response(conn, head)
             nursery.cancel_scope.cancel()
@@ -270,27 +185,16 @@
         return CompleteResponse(status=head.status, headers=headers, body=body)
 
     async def _forward_stream(
-        self,
-        exchange: Exchange,
-        conn: UpstreamConnection,
-        head: ResponseHead,
-        data_before: bytes = b"",
+        self, exchange: Exchange, conn: UpstreamConnection, head: ResponseHead
     ) -> StreamForwarded | Failure:
-        """
-        Forward whole events; a connection that ends within one must not look complete.
-
-        `data_before` was read from the connection already.
-        """
+        """Forward whole events; a connection that ends within one must not look complete."""
         caller, splitter = exchange.conn, exchange.splitter
         headers = self._header_codec.build_response_headers(head.headers)
         give_up_at = self._find_give_up_at(exchange)
         while True:
-            data: bytes | Failure = data_before
-            if not data_before:
-                data = conn.make_failure(Reason.TIMEOUT, "no event from another entry")
-                with trio.move_on_after(max(0.0, give_up_at - self._timers.now())):
-                    data = await conn.read_body_part()
-            data_before = b""
+            data: bytes | Failure = conn.make_failure(Reason.TIMEOUT, "no event from another entry")
+            with trio.move_on_after(max(0.0, give_up_at - self._timers.now())):
+                data = await conn.read_body_part()
             if isinstance(data, Failure):
                 return data
             events = splitter.feed(data)
@@ -318,44 +222,6 @@
         return self._timers.now() + exchange.abandon_pause_s + PAUSE_MARGIN_S
 
 
-async def read_offered_stream(conn: UpstreamConnection) -> OfferedStream | Failure:
-    """
-    Read a response until it holds an event, or ends.
-
-    Parameters
-    ----------
-    conn : UpstreamConnection
-        Connection to an entry, to which the request is being sent.
-
-    Returns
-    -------
-    OfferedStream or Failure
-        A failure if the response is no stream of events, or breaks off; ``NOT_RUN`` if its status
-        promises that.
-    """
-    head = await conn.read_head()
-    if isinstance(head, Failure):
-        return head
-    if not is_event_stream(head):
-        failure = conn.make_failure(Reason.UPSTREAM_ERROR, f"status {head.status}")
-        if head.status in NOT_RUN_STATUSES:
-            return msgspec.structs.replace(failure, run_state=RunState.NOT_RUN)
-        return failure
-    splitter = EventSplitter()
-    data = b""
-    while not splitter.count:
-        part = await conn.read_body_part()
-        if isinstance(part, Failure):
-            return part
-        if not part:
-            break
-        data += part
-        splitter.feed(part)
-        if splitter.is_event_too_long:
-            return conn.make_failure(Reason.BAD_ANSWER, "an event without end")
-    return OfferedStream(conn=conn, head=head, data=data)
-
-
 def make_unforwarded_failure(exchange: Exchange) -> Failure:
     """Return the failure of a request that no host can serve, or that must not be forwarded."""
     run_state = RunState.MAY_HAVE_RUN if exchange.may_have_run else RunState.NOT_RUN
--- a/marigoldtrail/relay/request_mover.py
+++ b/marigoldtrail/relay/request_mover.py
@@ -2,25 +2,20 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
 
 import msgspec
 import trio
 
-from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.errors import Failure, Reason
 from marigoldtrail.ratelimits import Place
-from marigoldtrail.reachability import ReachabilityMonitor
 from marigoldtrail.relay.exchange import Exchange
-from marigoldtrail.relay.peer_forwarding import OfferedStream, PeerForwarder
 from marigoldtrail.relay.send_gate import SendGate
 from marigoldtrail.relay.transmission import Transmission, Transmitter
 from marigoldtrail.relay.upstream_chooser import UpstreamChooser
 from marigoldtrail.relay.upstream_monitor import UpstreamMonitor
 from marigoldtrail.routing import Upstream
 
-_log = logging.getLogger(__name__)
-
 
 class Assignment(msgspec.Struct, kw_only=True, frozen=True):
     """
@@ -43,12 +38,10 @@
 
 class RequestMover:
     """
-    Finds who else may serve requests whose upstream has fallen silent.
+    Finds other upstreams for requests whose upstream has fallen silent.
 
     A silent upstream may be sound and go on, so a request leaves it only for one that has taken the
-    request. Until then both are open, and what the first one sends is forwarded. While this host
-    reaches no upstream, the rest of a stream that has begun is requested from another entry, and
-    the upstream is left once that sends an event.
+    request. Until then both are open, and what the first one sends is forwarded.
 
     Parameters
     ----------
@@ -60,10 +53,6 @@
         Counts what is sent to cold upstreams.
     transmitter : Transmitter
         Sends the request.
-    reachability : ReachabilityMonitor
-        Tells whether this host reaches upstreams.
-    forwarder : PeerForwarder
-        Requests the rest of a stream from another entry.
     has_retry : callable
         Returns whether the budget of a service would grant a retry.
     may_send_again : callable
@@ -79,14 +68,11 @@
         "_gate",
         "_monitor",
         "_transmitter",
-        "_reachability",
-        "_forwarder",
         "_has_retry",
         "_may_send_again",
         "_on_refused",
         "_nursery",
         "_taken",
-        "_offered",
     )
 
     def __init__(
@@ -96,8 +82,6 @@
         gate: SendGate,
         monitor: UpstreamMonitor,
         transmitter: Transmitter,
-        reachability: ReachabilityMonitor,
-        forwarder: PeerForwarder,
         has_retry: Callable[[str], bool],
         may_send_again: Callable[[str], bool],
         on_refused: Callable[[Exchange, Upstream, Failure], None],
@@ -107,14 +91,11 @@
         self._gate = gate
         self._monitor = monitor
         self._transmitter = transmitter
-        self._reachability = reachability
-        self._forwarder = forwarder
         self._has_retry = has_retry
         self._may_send_again = may_send_again
         self._on_refused = on_refused
         self._nursery = nursery
         self._taken: dict[Exchange, Assignment] = {}
-        self._offered: dict[Exchange, OfferedStream] = {}
 
     async def reserve(self, exchange: Exchange, leaving: str) -> bool:
         """
@@ -130,14 +111,11 @@
         Returns
         -------
         bool
-            Whether the request may move; `take` or `take_stream` then returns where it was taken.
+            Whether the request may move; `take` then returns where it was taken.
         """
         passed_over = {leaving}
         # Asked before the permit, which can't be given back.
         while exchange.may_run_again() and self._has_retry(exchange.service.name):
-            # It may have been found while the request was offered to an upstream.
-            if self._reachability.is_cut_off:
-                return await self._offer_elsewhere(exchange)
             upstream = self._choose_other(exchange, passed_over)
             if upstream is None or self._gate.check_send(exchange) is not None:
                 return False
@@ -166,25 +144,6 @@
         self._taken[exchange] = Assignment(upstream=upstream, place=place, taken=tx)
         return True
 
-    async def _offer_elsewhere(self, exchange: Exchange) -> bool:
-        """Request the rest of a stream from another entry; return whether that has begun it."""
-        if not exchange.may_resume_elsewhere():
-            return False
-        if not self._may_send_again(exchange.service.name):
-            return False
-        exchange.runs += 1
-        stream = await self._forwarder.offer(exchange)
-        if isinstance(stream, Failure):
-            if stream.run_state is RunState.NOT_RUN:
-                exchange.runs -= 1
-            _log.info(
-                "stream not continued by another entry",
-                extra={"request_id": exchange.info.request_id, "failure": str(stream)},
-            )
-            return False
-        self._offered[exchange] = stream
-        return True
-
     def _choose_other(self, exchange: Exchange, passed_over: set[str]) -> Upstream | None:
         """Choose an upstream other than the one that has stopped, and those that refused."""
         added = passed_over - exchange.tried
@@ -195,22 +154,15 @@
             exchange.tried -= added
 
     def has_taken(self, exchange: Exchange) -> bool:
-        """Return whether another upstream, or another entry, has taken a request."""
-        return exchange in self._taken or exchange in self._offered
+        """Return whether another upstream has taken a request."""
+        return exchange in self._taken
 
     def take(self, exchange: Exchange) -> Assignment | None:
         """Return where a request was taken, if anywhere, to read the response there."""
         return self._taken.pop(exchange, None)
 
-    def take_stream(self, exchange: Exchange) -> OfferedStream | None:
-        """Return the rest of a stream if another entry has begun it."""
-        return self._offered.pop(exchange, None)
-
     def cancel(self, exchange: Exchange) -> None:
-        """Withdraw a request that does not move, or has ended, from where it was taken."""
-        stream = self._offered.pop(exchange, None)
-        if stream is not None:
-            self._nursery.start_soon(stream.aclose)
+        """Withdraw a request that does not move, or has ended, from the other upstream."""
         assignment = self._taken.pop(exchange, None)
         if assignment is not None and assignment.taken is not None:
             self._gate.release(assignment.place, was_rejected=False)
--- a/marigoldtrail/relay/sender.py
+++ b/marigoldtrail/relay/sender.py
@@ -7,7 +7,6 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason
-from marigoldtrail.reachability import ReachabilityMonitor
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.request_mover import RequestMover
 from marigoldtrail.relay.responses import (
@@ -46,8 +45,6 @@
         Called with the upstream of each received part of a stream that holds events.
     mover : RequestMover
         Moves a stalled stream to another upstream.
-    reachability : ReachabilityMonitor
-        Finds that this host is cut off.
     """
 
     __slots__ = (
@@ -58,7 +55,6 @@
         "_on_first_event",
         "_note_events",
         "_mover",
-        "_reachability",
     )
 
     def __init__(
@@ -71,7 +67,6 @@
         on_first_event: Callable[[Exchange], None],
         note_events: Callable[[Exchange, Upstream], None],
         mover: RequestMover,
-        reachability: ReachabilityMonitor,
     ) -> None:
         self._transmitter = transmitter
         self._header_codec = header_codec
@@ -80,7 +75,6 @@
         self._on_first_event = on_first_event
         self._note_events = note_events
         self._mover = mover
-        self._reachability = reachability
 
     async def send(
         self, exchange: Exchange, upstream: Upstream, *, taken: Transmission | None = None
@@ -181,8 +175,7 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch.run)
-            with self._reachability.call_when_cut_off(watch.check_soon):
-                result = await self._forward_events(exchange, tx, head, watch)
+            result = await self._forward_events(exchange, tx, head, watch)
             nursery.cancel_scope.cancel()
         return result
 
--- a/marigoldtrail/relay/stall_watch.py
+++ b/marigoldtrail/relay/stall_watch.py
@@ -102,11 +102,6 @@
         if self._offer_scope is not None:
             self._offer_scope.cancel()
 
-    def check_soon(self) -> None:
-        """Look for another server of the stream now, because this host reaches no upstream."""
-        if self._exchange.may_run_again():
-            self._sleep_scope.deadline = self._timers.now()
-
     async def run(self) -> None:
         """Look for another upstream whenever the stream stalls, until cancelled."""
         while True:
--- a/marigoldtrail/relay/types.py
+++ b/marigoldtrail/relay/types.py
@@ -125,28 +125,6 @@
     resume_after: str = ""
 
 
-class EntryForwarding(msgspec.Struct, kw_only=True, frozen=True):
-    """
-    Metadata that the relay adds to a request for another entry.
-
-    Parameters
-    ----------
-    host : str
-        Name of this host.
-    left_s : float
-        Seconds until the deadline.
-    resumed_id : str
-        Id of the attempt that began the stream, if its rest is requested.
-    resume_after : str
-        Id of the last forwarded event; empty to request the whole response.
-    """
-
-    host: str
-    left_s: float
-    resumed_id: str = ""
-    resume_after: str = ""
-
-
 class HeaderCodec(msgspec.Struct, kw_only=True, frozen=True):
     """
     Conversion between HTTP headers and metadata, as defined by a platform.
@@ -158,7 +136,8 @@
     build_request_headers : callable
         Returns the headers of a request to an upstream from those of the caller.
     build_forwarded_headers : callable
-        Returns the headers of a request to another entry from those of the caller.
+        Returns the headers of a request to another entry from those of the caller, the seconds
+        that are left, and the name of this host.
     parse_response : callable
         Returns the metadata of a response from its status and headers.
     build_response_headers : callable
@@ -167,6 +146,6 @@
 
     parse_request: Callable[[Headers], RequestInfo]
     build_request_headers: Callable[[Headers, Forwarding], Headers]
-    build_forwarded_headers: Callable[[Headers, EntryForwarding], Headers]
+    build_forwarded_headers: Callable[[Headers, float, str], Headers]
     parse_response: Callable[[int, Headers], ResponseInfo]
     build_response_headers: Callable[[Headers], Headers]
--- a/marigoldtrail/relay/upstream_connection.py
+++ b/marigoldtrail/relay/upstream_connection.py
@@ -68,8 +68,6 @@
 
     Attributes
     ----------
-    upstream : str
-        Name of the upstream.
     request_id : str
         Id of the current or last request; empty if it has none.
     may_have_sent : bool
@@ -85,8 +83,8 @@
         "may_have_sent",
         "idle_since",
         "idle_limit_s",
-        "upstream",
         "_stream",
+        "_upstream",
         "_header_codec",
         "_on_answer",
         "_on_bytes",
@@ -117,7 +115,7 @@
         self.idle_since = 0.0
         self.idle_limit_s: float | None = None
         self._stream = stream
-        self.upstream = upstream
+        self._upstream = upstream
         self._header_codec = header_codec
         self._on_answer = on_answer
         self._on_bytes = on_bytes
@@ -281,7 +279,7 @@
     def _report_answer(self, info: ResponseInfo) -> None:
         """Report what the upstream says of itself, unless another one has its address."""
         if not info.is_misdirected and self._on_answer is not None:
-            self._on_answer(self.upstream, info, self._sent_at)
+            self._on_answer(self._upstream, info, self._sent_at)
 
     def _accept_without_id(self, head: ResponseHead) -> ResponseHead | Failure:
         """Accept a response without an id unless it may be a late copy of an earlier response."""
@@ -391,7 +389,7 @@
         """Return a failure of the current request."""
         state = RunState.MAY_HAVE_RUN if self.may_have_sent else RunState.NOT_RUN
         return Failure(
-            reason=reason, run_state=state, step="upstream", peer=self.upstream, detail=detail
+            reason=reason, run_state=state, step="upstream", peer=self._upstream, detail=detail
         )
 
     async def aclose(self) -> None:
