Keep requests at their upstreams until a silence is longer than that of sound ones

Callers: a safe request, or a stream without an event, that had been sent to a sound upstream got 502 about 0.9 s after all upstreams of its entry fell silent, if no other entry served it; the upstream would have answered a moment later. On a whole site whose upstreams are silent, no entry can serve it.

Cause: one finding decided both where new requests go and which of those under way are given up. For the former 0.8 s are right; the latter had nothing to win yet.

Change: requests under way leave for another entry once no upstream has sent a byte for 2 s while the host is cut off; it is looked at throughout the cut, also if its connections fall silent after new ones were refused.

--- a/marigoldtrail/platform/tests/test_silence_of_all_upstreams.py
+++ b/marigoldtrail/platform/tests/test_silence_of_all_upstreams.py
@@ -45,3 +45,14 @@
     """Guards against streams that entries break off because all sound upstreams are silent."""
     monkeypatch.setattr(standin, "EVENT_INTERVAL_S", 0.25)
     check_whole(await fetch_in_silence(nursery, begins_s=0.5, silence_s=silence_s))
+
+
+@pytest.mark.parametrize("silence_s", [0.7, 1.0, 1.3, 1.6])
+async def test_streams_that_have_not_begun_are_served_after_a_silence_of_all_upstreams(
+    autojump_clock, nursery, silence_s
+):
+    """Guards against failures of streams that sound upstreams have and go on with in time."""
+    # The prompts are being read.
+    check_whole(
+        await fetch_in_silence(nursery, begins_s=standin.PREFILL_S / 2, silence_s=silence_s)
+    )
--- a/marigoldtrail/reachability/monitor.py
+++ b/marigoldtrail/reachability/monitor.py
@@ -25,6 +25,8 @@
 LOSS_PROBES = 3
 RECOVERY_PROBES = 2
 RECOVERY_INTERVAL_S = 0.5
+# Sound upstreams are silent for less. Requests that were sent stay there for as long.
+MAX_SOUND_SILENCE_S = 2.0
 
 # Tries to connect to an upstream within a number of seconds.
 ProbeUpstream = Callable[[Upstream, float], Awaitable[bool]]
@@ -108,15 +110,15 @@
     @contextmanager
     def call_when_cut_off(self, listener: Callable[[], None]) -> Iterator[None]:
         """
-        Call a function each time the host is found to be cut off and its connections are silent.
+        Call a function if the host is cut off and its connections stay silent.
 
-        The upstreams may all be silent and go on, so that a request in progress is worth keeping
-        unless something else can serve it.
+        New requests are kept from the upstreams as soon as a cut is found. Those that were sent are
+        worth keeping for `MAX_SOUND_SILENCE_S`, since all upstreams may just be silent and go on.
 
         Parameters
         ----------
         listener : callable
-            The function; it is called until the context ends.
+            The function; it may be called repeatedly until the context ends.
         """
         self._listeners.add(listener)
         try:
@@ -127,6 +129,7 @@
     async def _check(self) -> None:
         if self.is_cut_off:
             await self._timers.sleep(RECOVERY_INTERVAL_S - CHECK_INTERVAL_S)
+            self._tell_listeners()
             if await self._reaches_all(self._choose_targets(RECOVERY_PROBES)):
                 self._change(False)
             return
@@ -146,23 +149,25 @@
     def _change(self, is_cut_off: bool) -> None:
         self.is_cut_off = is_cut_off
         if is_cut_off:
-            silence_s = self._contact.silence_s
             _log.warning(
                 "no upstream can be reached",
                 extra={
-                    "silence_ms": round(silence_s * 1000),
+                    "silence_ms": round(self._contact.silence_s * 1000),
                     "unreached": sorted(self._contact.unreached),
                     "attempts": len(self._listeners),
                 },
             )
-            # In a cut that refuses new connections, the open ones may still serve.
-            if silence_s >= MIN_SILENCE_S:
-                for listener in list(self._listeners):
-                    listener()
         else:
             _log.info("upstreams can be reached again")
         self._on_change()
 
+    def _tell_listeners(self) -> None:
+        """Call the listeners if the connections have been silent for long."""
+        # In a cut that refuses new connections, the open ones may still serve.
+        if self._contact.silence_s >= MAX_SOUND_SILENCE_S:
+            for listener in list(self._listeners):
+                listener()
+
     def _choose_targets(self, count: int) -> list[Upstream]:
         """
         Choose upstreams, as far as possible of different services and data centres.
--- a/marigoldtrail/relay/tests/test_silent_upstreams.py
+++ b/marigoldtrail/relay/tests/test_silent_upstreams.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from marigoldtrail.net import Address
 from marigoldtrail.policy.window_budget import WindowBudget
 from marigoldtrail.relay import SendGate
 from marigoldtrail.relay.tests.helpers import (
@@ -290,3 +291,28 @@
     nursery.start_soon(harness.reachability.run)
     nursery.start_soon(silence_upstreams, harness, 1, 1.6)
     assert (await harness.fetch(make_request())).endswith(b"late")
+
+
+@pytest.mark.parametrize("kind", [RouteKind.SAFE, RouteKind.STREAMING])
+@pytest.mark.parametrize("is_refused_elsewhere", [False, True])
+async def test_request_with_attempts_left_is_kept_in_a_silence_of_all_upstreams(
+    autojump_clock, nursery, kind, is_refused_elsewhere
+):
+    """Guards against a failure in place of an answer of a sound upstream that is under way."""
+
+    async def answer_late(stream):
+        await read_request(stream)
+        await trio.sleep(0.1)
+        events = STREAM_HEAD + b"".join(map(chunk, EVENTS)) + b"0\r\n\r\n"
+        await stream.send_all(make_response("late") if kind is RouteKind.SAFE else events)
+
+    harness = RelayHarness(nursery, kind, is_resumable=True, max_attempts=2, max_gap_s=0.2)
+    await harness.start(answer_late)
+    if is_refused_elsewhere:
+        address = Address("10.0.2.0", 80)
+        harness.other_entries.append(str(address))
+        await harness.serve_script(address, reply_with(make_response("no", status="503 No")))
+    nursery.start_soon(harness.reachability.run)
+    nursery.start_soon(silence_upstreams, harness, 1, 1.6)
+    data = await harness.fetch(make_request())
+    assert is_whole(data) or data.endswith(b"late")
