Keep a request that another upstream has just taken when a cut is found

Callers: a stream that was moving away from a silent upstream ended in the middle, and a safe request got 502, if a cut was found in the 0.2 s in which the other upstream took it.

Cause: the dispatcher asked whether the host is cut off before it looked where the request had been taken, and no attempt was left for another entry.

Change: what was taken comes first. Both cases of the new test failed before.

--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -284,9 +284,9 @@
             held = self._gate.check_send(exchange)
             if held is not None:
                 return held
-            if self._reachability.is_cut_off:
-                return await self._serve_elsewhere(exchange)
             assignment = self._mover.take(exchange)
+            if assignment is None and self._reachability.is_cut_off:
+                return await self._serve_elsewhere(exchange)
             if assignment is None:
                 upstream, place = await self._choose_upstream(exchange)
                 if upstream is None:
--- a/marigoldtrail/relay/tests/test_silent_upstreams.py
+++ b/marigoldtrail/relay/tests/test_silent_upstreams.py
@@ -11,6 +11,7 @@
     RelayHarness,
     make_request,
     make_response,
+    read_all,
     read_request,
     reply_with,
 )
@@ -316,3 +317,35 @@
     nursery.start_soon(silence_upstreams, harness, 1, 1.6)
     data = await harness.fetch(make_request())
     assert is_whole(data) or data.endswith(b"late")
+
+
+@pytest.mark.parametrize("kind", [RouteKind.SAFE, RouteKind.STREAMING])
+async def test_request_that_another_upstream_has_just_taken_is_kept_in_a_cut(
+    autojump_clock, nursery, kind
+):
+    """Guards against a failure in place of the answer of an upstream that has taken a request."""
+    is_stream = kind is RouteKind.STREAMING
+
+    async def fall_silent(stream):
+        await read_request(stream)
+        if is_stream:
+            await stream.send_all(STREAM_HEAD + chunk(EVENTS[0]))
+        await trio.sleep(100)
+
+    async def answer_late(stream):
+        await read_request(stream)
+        await trio.sleep(0.5)
+        rest = STREAM_HEAD + b"".join(map(chunk, EVENTS[1:])) + b"0\r\n\r\n"
+        await stream.send_all(rest if is_stream else make_response("late"))
+
+    harness = RelayHarness(nursery, kind, is_resumable=True, max_attempts=2, max_gap_s=0.2)
+    await harness.start(fall_silent)
+    stream = await harness.connect()
+    await stream.send_all(make_request())
+    await trio.sleep(0.05)
+    await harness.add_upstream(1, answer_late)
+    # The request is offered to the other upstream after this time, for 0.2 s.
+    await trio.sleep(0.85 if is_stream else 0.2)
+    harness.reachability._change(True)
+    data = await read_all(stream)
+    assert is_whole(data) or data.endswith(b"late")
