Let a request go back to an upstream that it left only because it was silent

Callers: a stream left its silent, sound upstream for one that took it (no refusal for 0.2 s), and that one refused later, closed, answered with an error or was listed at another version: the connection was closed in the middle of the stream. A safe request got 502, or the error of the second upstream, in place of the late answer of the first. If all upstreams of a service are silent, the second one takes each request, since it can't refuse any.

Cause: an upstream that was left counted as one that had failed, and its repeat as one more upstream, so that nothing was left to try.

Change: the upstreams that a request left for their silence are kept apart. When no other upstream may get the request, it goes back to each of them once, with the id of its last event, a retry of the budget and a permit. The connections of the earlier runs are closed by then. The number of upstreams does not grow.

--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -302,7 +302,7 @@
             if isinstance(result, StreamForwarded):
                 return result
             if isinstance(result, CompleteResponse):
-                if not result.is_error or not exchange.may_run_again():
+                if not result.is_error or not (exchange.may_run_again() or exchange.left):
                     return result
                 error_response = result
             else:
@@ -315,8 +315,9 @@
                     return result
             exchange.tried.add(assignment.upstream.name)
             if self._mover.has_taken(exchange):
+                exchange.left.append(assignment.upstream.name)
                 continue
-            if exchange.may_have_run and not exchange.may_run_again():
+            if exchange.may_have_run and not (exchange.may_run_again() or exchange.left):
                 break
             if exchange.deadline - self._timers.now() < MIN_RETRY_TIME_S:
                 break
@@ -328,12 +329,16 @@
 
     async def _choose_upstream(self, exchange: Exchange) -> tuple[Upstream | None, Place | None]:
         """Return the next upstream, if any, and the place of the request there, if granted."""
-        upstream = self._chooser.choose(exchange)
-        max_wait_s = 0.0
+        upstream, max_wait_s = None, 0.0
+        if not exchange.may_have_run or exchange.may_run_again():
+            upstream = self._chooser.choose(exchange)
+            if upstream is None:
+                # Those that limit their requests may take this one a little later.
+                max_wait_s = self._find_max_wait_s(exchange)
+                upstream = self._gate.choose_limited(exchange, max_wait_s)
         if upstream is None:
-            # Those that limit their requests may take this one a little later.
-            max_wait_s = self._find_max_wait_s(exchange)
-            upstream = self._gate.choose_limited(exchange, max_wait_s)
+            # It counts once for the number of upstreams to which the request may be sent.
+            upstream, max_wait_s = self._chooser.choose_left(exchange), 0.0
         if upstream is None:
             return None, None
         return upstream, await self._gate.take_permit(exchange, upstream, max_wait_s)
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -71,7 +71,9 @@
     reads : int
         Number of upstreams and entries whose response was, or is, read.
     tried : set of str
-        Upstreams that failed or refused the request.
+        Upstreams that failed or refused the request, or that it left.
+    left : list of str
+        Upstreams that it left only because they were silent; it may go back to each of them once.
     splitter : EventSplitter
         Splitter for the events of a stream.
     stage_run : StageRun or None
@@ -112,6 +114,7 @@
         "sends",
         "reads",
         "tried",
+        "left",
         "splitter",
         "stage_run",
         "last_upstream",
@@ -156,6 +159,7 @@
         self.sends = 0
         self.reads = 0
         self.tried: set[str] = set()
+        self.left: list[str] = []
         self.splitter = EventSplitter()
         self.stage_run: StageRun | None = None
         self.last_upstream = ""
--- a/marigoldtrail/relay/upstream_chooser.py
+++ b/marigoldtrail/relay/upstream_chooser.py
@@ -93,6 +93,27 @@
             name = self._choose_engine(exchange, options)
         return self._fleet_state.upstreams.get(name) if name is not None else None
 
+    def choose_left(self, exchange: Exchange) -> Upstream | None:
+        """
+        Choose an upstream that a request left only because it was silent.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request; the upstream isn't chosen for it again.
+
+        Returns
+        -------
+        Upstream or None
+            The latest one that may get the request now, also if it is ejected.
+        """
+        while exchange.left:
+            name = exchange.left.pop()
+            found = [u for u in self.list_upstreams(exchange) if u.name == name]
+            if self._monitor.list_options(found, exchange.service):
+                return found[0]
+        return None
+
     def _choose_engine(self, exchange: Exchange, options: list[UpstreamOption]) -> str | None:
         """Choose an engine without the scheduler; all entries prefer the same one for a prefix."""
         prefix_key, shared = exchange.get_shared_prefix()
