Go back only to upstreams that were silent, not to those that failed

By reading: an upstream whose connection broke in the moment in which another one took the request counted as one that was left for its silence.

--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -315,7 +315,8 @@
                     return result
             exchange.tried.add(assignment.upstream.name)
             if self._mover.has_taken(exchange):
-                exchange.left.append(assignment.upstream.name)
+                if isinstance(result, Failure) and result.reason is Reason.TIMEOUT:
+                    exchange.left.append(assignment.upstream.name)
                 continue
             if exchange.may_have_run and not (exchange.may_run_again() or exchange.left):
                 break
