--- a/bench/soak/direct.py
+++ b/bench/soak/direct.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 
 import trio
 
@@ -32,11 +33,21 @@
         Processes of the hosts.
     rng : random.Random
         Draws kinds of requests and pauses.
+    weights : mapping of str to int
+        Weights of the kinds of request.
     """
 
-    __slots__ = ("_callers", "_fleet", "_rng")
+    __slots__ = ("_callers", "_fleet", "_rng", "_weights")
 
-    def __init__(self, *, callers: Callers, fleet: Fleet, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        callers: Callers,
+        fleet: Fleet,
+        rng: random.Random,
+        weights: Mapping[str, int] = REQUEST_WEIGHTS,
+    ) -> None:
+        self._weights = weights
         self._callers = callers
         self._fleet = fleet
         self._rng = rng
@@ -81,7 +92,7 @@
         headers: list[tuple[str, str]],
         conn: HttpConnection | None = None,
     ) -> bool:
-        kind = self._rng.choices(list(REQUEST_WEIGHTS), list(REQUEST_WEIGHTS.values()))[0]
+        kind = self._rng.choices(list(self._weights), list(self._weights.values()))[0]
         ip, port = stream.socket.getsockname()
         return await self._callers.send_request(
             conn or HttpConnection(stream=stream),
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -12,8 +11,6 @@
 import trio
 
 from bench.soak.callers import (
-    ACCOUNT,
-    KEY,
     MAX_THINK_S,
     REQUEST_WEIGHTS,
     Callers,
@@ -23,16 +20,14 @@
 )
 from bench.soak.crashing import check_crashing_order
 from bench.soak.direct import DirectCallers, start_direct_callers
-from bench.soak.faults import Injector
 from bench.soak.fleet import CONTROL, ENTRIES, HOSTS, Fleet
 from bench.soak.full_disks import check_full_disks, play_restarts
 from bench.soak.ledger import Ledger
-from bench.soak.plan import draw_small_files, make_plan
+from bench.soak.plan import make_plan
 from bench.soak.planned import judge_planned_work
-from bench.soak.proxy import Proxy
+from bench.soak.site import Site
 from bench.soak.stops import play_stops
-from bench.soak.takeouts import TakeoutOperator, check_takeout
-from bench.soak.upstreams import Platform
+from bench.soak.takeouts import check_takeout
 from marigoldtrail.platform.standin import CONFIG_PATH, read_version
 from marigoldtrail.timers import Timers
 
@@ -91,96 +86,74 @@
     Outcome
         Result of the run.
     """
-    ledger = Ledger(account=ACCOUNT, key=KEY)
     async with trio.open_nursery() as nursery:
-        proxy = Proxy(nursery=nursery)
-        platform = Platform(
-            ledger=ledger,
-            proxy=proxy,
-            network=network,
-            nursery=nursery,
-            rng=random.Random(seed + 1),
-        )
-        fleet = Fleet(
-            network=network,
-            folder=folder,
-            list_address=platform.list_address,
-            proxy=proxy,
-            has_small_files=draw_small_files(seed),
-        )
-        injector = Injector(fleet=fleet, platform=platform, proxy=proxy)
-        operators = Operators(ledger=ledger, fleet=fleet, rng=random.Random(seed + 2))
-        callers = Callers(
-            ledger=ledger, fleet=fleet, operators=operators, rng=random.Random(seed + 3)
-        )
-        direct = Callers(
-            ledger=ledger,
-            fleet=fleet,
-            operators=operators,
-            rng=random.Random(f"direct {seed}"),
-            prefix="direct",
-        )
-        direct_callers = DirectCallers(
-            callers=direct, fleet=fleet, rng=random.Random(f"direct callers {seed}")
-        )
-        takeouts = TakeoutOperator(
-            fleet=fleet, count_runs=lambda: platform.other_runs, rng=random.Random(seed + 4)
-        )
+        site = Site(seed=seed, network=network, folder=folder, nursery=nursery)
         try:
-            await platform.start()
-            await fleet.start()
-            plan = make_plan(
-                seed,
-                seconds,
-                control=CONTROL,
-                entries=ENTRIES,
-                upstreams=list(platform.upstreams),
-            )
-            if await operators.send_next(RECOVERY_S):
-                async with trio.open_nursery() as traffic:
-                    traffic.start_soon(watch_processes, fleet, ledger)
-                    for _ in range(OPERATOR_COUNT):
-                        traffic.start_soon(operators.run)
-                    for _ in range(CALLER_COUNT):
-                        traffic.start_soon(callers.run)
-                    start_direct_callers(
-                        traffic,
-                        direct_callers,
-                        ENTRIES,
-                        count=DIRECT_COUNT,
-                        max_pause_s=MAX_THINK_S,
-                    )
-                    traffic.start_soon(callers.follow_directory)
-                    traffic.start_soon(takeouts.run)
-                    await injector.run(plan)
-                    traffic.cancel_scope.cancel()
-                await check_recovery(fleet, operators, callers, ledger)
-                await check_takeout(takeouts, partial(callers.send_plain, ENTRIES), ledger)
-                crashes = await check_crashing_order(seed, fleet, platform, ledger)
-                injector.counts["crash by an order"] += len(crashes)
-                async with trio.open_nursery() as watch:
-                    watch.start_soon(watch_processes, fleet, ledger)
-                    injector.counts += await check_full_disks(seed, injector, operators, ledger)
-                    await play_restarts(seed, injector, operators)
-                    await play_stops(seed, injector, operators, direct_callers)
-                    watch.cancel_scope.cancel()
-                await check_recovery(fleet, operators, callers, ledger)
+            await site.platform.start()
+            await site.fleet.start()
+            if await site.operators.send_next(RECOVERY_S):
+                await play_parts(site, seconds)
             else:
-                ledger.report_violation("the first configuration was not accepted")
+                site.ledger.report_violation("the first configuration was not accepted")
         finally:
-            fleet.stop()
+            site.fleet.stop()
             nursery.cancel_scope.cancel()
-    planned = judge_planned_work(fleet.planned, injector.disruptions, ledger)
+    planned = judge_planned_work(site.fleet.planned, site.injector.disruptions, site.ledger)
     return Outcome(
         seed=seed,
-        violations=ledger.violations,
-        injected=injector.counts,
-        answers=callers.counts + direct.counts,
-        accepted=len(ledger.accepted),
+        violations=site.ledger.violations,
+        injected=site.injector.counts,
+        answers=site.counts,
+        accepted=len(site.ledger.accepted),
         planned=planned,
     )
 
 
+async def play_parts(site: Site, seconds: float) -> None:
+    """Play the faults of the plan and all that follows them."""
+    direct = site.make_direct_callers("direct")
+    async with trio.open_nursery() as watch:
+        watch.start_soon(watch_processes, site.fleet, site.ledger)
+        await play_plan(site, seconds, direct)
+        await check_after_plan(site)
+        await play_work(site, direct)
+        watch.cancel_scope.cancel()
+
+
+async def play_plan(site: Site, seconds: float, direct: DirectCallers) -> None:
+    """Inject the faults of the plan beside callers and operators."""
+    upstreams = list(site.platform.upstreams)
+    plan = make_plan(site.seed, seconds, control=CONTROL, entries=ENTRIES, upstreams=upstreams)
+    async with trio.open_nursery() as traffic:
+        for _ in range(OPERATOR_COUNT):
+            traffic.start_soon(site.operators.run)
+        for _ in range(CALLER_COUNT):
+            traffic.start_soon(site.callers.run)
+        start_direct_callers(traffic, direct, ENTRIES, count=DIRECT_COUNT, max_pause_s=MAX_THINK_S)
+        traffic.start_soon(site.callers.follow_directory)
+        traffic.start_soon(site.takeouts.run)
+        await site.injector.run(plan)
+        traffic.cancel_scope.cancel()
+
+
+async def check_after_plan(site: Site) -> None:
+    """Check the recovery, the last order on a data centre, and an order that crashes upstreams."""
+    await check_recovery(site.fleet, site.operators, site.callers, site.ledger)
+    send = partial(site.callers.send_plain, ENTRIES)
+    await check_takeout(site.takeouts, send, site.ledger)
+    crashes = await check_crashing_order(site.seed, site.fleet, site.platform, site.ledger)
+    site.injector.counts["crash by an order"] += len(crashes)
+
+
+async def play_work(site: Site, direct: DirectCallers) -> None:
+    """Let disks fail and stop hosts in series, and check the recovery."""
+    injector, operators = site.injector, site.operators
+    injector.counts += await check_full_disks(site.seed, injector, operators, site.ledger)
+    await play_restarts(site.seed, injector, operators)
+    await play_stops(site.seed, injector, operators, direct)
+    await check_recovery(site.fleet, operators, site.callers, site.ledger)
+
+
 async def watch_processes(fleet: Fleet, ledger: Ledger) -> None:
     """Report processes that exit unexpectedly and restart them as the platform would."""
     while True:
