Play silences of sound upstreams in the soak

Upstreams fall silent for 0.5 to 1.6 s, one, all of a service or all at once, and go on with nothing lost, beside changes, and in some seeds beside planned stops and reloads. The silence counts as no disruption, so that a request that was passed on or read and ends without a complete answer is a broken promise; the fault "silence" of 0.2 to 3 s excuses such a request and stays as it was. Its random number generator is its own, so that old seeds keep their faults.

Streams of 30 events last long enough to meet a silence.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -14,7 +14,7 @@
 import trio
 import typer
 
-from bench.soak.run import Outcome, run_seed
+from bench.soak.run import ALL, PARTS, Outcome, run_seed
 
 DEFAULT_SECONDS = 12.0
 SEEDS_FILE = Path(__file__).parent / "seeds.txt"
@@ -33,6 +33,8 @@
         typer.echo(f"    {violation}")
     for line in outcome.planned:
         typer.echo(f"    without an answer: {line}")
+    for line in outcome.notes:
+        typer.echo(f"    {line}")
 
 
 def read_regression_seeds() -> list[tuple[int, float]]:
@@ -57,8 +59,13 @@
     regressions: Annotated[
         bool, typer.Option(help="Run the seeds in seeds.txt, which failed before.")
     ] = False,
+    part: Annotated[
+        str, typer.Option(help=f"Part of the seeds to play: {', '.join(PARTS)}.")
+    ] = ALL,
 ) -> None:
     """Run seeds in sequence."""
+    if part not in PARTS:
+        raise typer.BadParameter(f"the parts are {', '.join(PARTS)}")
     broken = 0
     seeds = [(seed, seconds) for seed in range(first, first + count)]
     if regressions:
@@ -67,7 +74,8 @@
         seed_folder = folder.absolute() / str(seed)
         shutil.rmtree(seed_folder, ignore_errors=True)
         seed_folder.mkdir(parents=True)
-        outcome = trio.run(partial(run_seed, seed, length, network=network, folder=seed_folder))
+        run = partial(run_seed, network=network, folder=seed_folder, part=part)
+        outcome = trio.run(run, seed, length)
         print_outcome(outcome)
         if outcome.violations:
             broken += 1
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -15,7 +15,7 @@
 from bench.soak.ledger import Attempt, Ledger
 from bench.soak.planned import DEADLINE, END, LOST_S, RESET
 from bench.soak.sockets import read_unread_bytes
-from bench.soak.upstreams import PIECES, STREAM_EVENTS
+from bench.soak.upstreams import PIECES, count_events
 from marigoldtrail.net import Address
 from marigoldtrail.platform.standin import (
     CONFIG_PATH,
@@ -32,6 +32,8 @@
 ACCOUNT = "acme"
 HOST = "a.example"
 DEADLINE_S = 4.0
+# Covers two silences of 1.6 s, and ends before the last sixth of the grace period of a stop.
+LONG_DEADLINE_S = 6.0
 CALL_TIMEOUT_S = 1.5
 CONFIG_TIMEOUT_S = 10.0
 CONNECT_TIMEOUT_S = 1.0
@@ -41,6 +43,10 @@
 MAX_CONFIG_PAUSE_S = 1.5
 # Weights of the kinds of request.
 REQUEST_WEIGHTS = {"plain": 6, "order": 5, "version": 3, "stream": 3, "resume": 3}
+LONG_KINDS = frozenset({"long_stream", "long_resume"})
+STREAM_KINDS = LONG_KINDS | {"stream", "resume"}
+# Kinds of request that run once at most.
+ONCE_KINDS = frozenset({"order", "stream", "long_stream"})
 ERRORS = (*STREAM_ERRORS, h11.ProtocolError)
 
 
@@ -79,12 +85,15 @@
 def make_document(version: int) -> bytes:
     """Return a configuration; only the path of one route depends on the version."""
     fields = {"timeout_ms": 4000, "target_latency_ms": 1000, "max_attempts": 2}
+    long_fields = {**fields, "timeout_ms": round(1000 * LONG_DEADLINE_S)}
     routes = [
         make_route("plain", "/plain/", "safe", "desk", **fields),
         make_route("order", "/order/", "unsafe", "desk", **fields),
         make_route("version", f"/version/{version}/", "safe", "desk", **fields),
         make_engine_route("stream", "/stream/", **{**fields, "max_attempts": 1}),
         make_engine_route("resume", "/resume/", resumable=True, **fields),
+        make_engine_route("long_stream", "/long_stream/", **{**long_fields, "max_attempts": 1}),
+        make_engine_route("long_resume", "/long_resume/", resumable=True, **long_fields),
     ]
     return encode_config(version, routes=routes, accounts={ACCOUNT: [KEY]})
 
@@ -254,9 +263,9 @@
             request_id=request_id,
             path=path,
             body=body,
-            may_repeat=kind not in ("order", "stream"),
+            may_repeat=kind not in ONCE_KINDS,
             entry=(entry, self._fleet.starts[entry]),
-            deadline_s=DEADLINE_S,
+            deadline_s=LONG_DEADLINE_S if kind in LONG_KINDS else DEADLINE_S,
             is_direct=is_direct,
         )
         self._ledger.record_attempt(attempt)
@@ -266,13 +275,13 @@
         return make_caller_headers(
             HOST,
             request_id=attempt.request_id,
-            deadline_s=DEADLINE_S,
+            deadline_s=attempt.deadline_s,
             key=KEY,
             prompt=f"5c1e:200,{next(self._numbers):x}:100",
             prompt_tokens=300,
             output_tokens=20,
-            piece_counts=PIECES if kind in ("stream", "resume") else (),
-            piece_key=attempt.request_id if kind in ("stream", "resume") else "",
+            piece_counts=PIECES if kind in STREAM_KINDS else (),
+            piece_key=attempt.request_id if kind in STREAM_KINDS else "",
         )
 
     async def _exchange(
@@ -286,7 +295,7 @@
         served_before = self._ledger.newest_served_version(attempt.entry)
         outcome = "no answer"
         is_reusable = False
-        with trio.move_on_after(DEADLINE_S) as scope:
+        with trio.move_on_after(attempt.deadline_s) as scope:
             try:
                 method = "POST" if attempt.body else "GET"
                 await conn.send(method, attempt.path, headers, attempt.body)
@@ -320,7 +329,7 @@
         self, conn: HttpConnection, attempt: Attempt, kind: str, head: h11.Response
     ) -> None:
         headers = {name.decode(): value.decode() for name, value in head.headers}
-        if kind not in ("stream", "resume"):
+        if kind not in STREAM_KINDS:
             self._ledger.check_answer(attempt, headers, await conn.read_body())
             return
         events = [e.split(b"\nid: ") for e in (await conn.read_body()).split(b"\n\n") if e]
@@ -328,4 +337,6 @@
             self._ledger.report_violation(
                 f"{attempt.request_id}: received events of another request: {events}"
             )
-        self._ledger.check_stream(attempt, [int(event[1]) for event in events], STREAM_EVENTS)
+        self._ledger.check_stream(
+            attempt, [int(event[1]) for event in events], count_events(attempt.path)
+        )
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -25,6 +25,7 @@
 from bench.soak.ledger import Ledger
 from bench.soak.plan import make_plan
 from bench.soak.planned import judge_planned_work
+from bench.soak.silences import WEIGHTS, judge_silences, play_silences
 from bench.soak.site import Site
 from bench.soak.stops import play_stops
 from bench.soak.takeouts import check_takeout
@@ -38,6 +39,9 @@
 # A site that has not recovered by then is considered hung; no promise states a shorter time.
 RECOVERY_S = 40.0
 WATCH_INTERVAL_S = 0.1
+# Parts of a seed that can be played alone.
+ALL, SILENCES = "all", "silences"
+PARTS = (ALL, SILENCES)
 
 
 class Outcome(msgspec.Struct, kw_only=True):
@@ -56,6 +60,8 @@
         Configurations that were acknowledged.
     planned : list of str
         Requests without an answer around planned work.
+    notes : list of str
+        What else was measured.
     """
 
     seed: int
@@ -64,9 +70,12 @@
     answers: Counter[str]
     accepted: int
     planned: list[str]
+    notes: list[str]
 
 
-async def run_seed(seed: int, seconds: float, *, network: str, folder: Path) -> Outcome:
+async def run_seed(
+    seed: int, seconds: float, *, network: str, folder: Path, part: str = ALL
+) -> Outcome:
     """
     Run one seed.
 
@@ -80,6 +89,8 @@
         First two octets of the loopback addresses to use.
     folder : Path
         An empty folder for settings, data and logs.
+    part : str
+        The only part of the seed to play; `ALL` for all of them.
 
     Returns
     -------
@@ -92,7 +103,7 @@
             await site.platform.start()
             await site.fleet.start()
             if await site.operators.send_next(RECOVERY_S):
-                await play_parts(site, seconds)
+                await play_parts(site, seconds, part)
             else:
                 site.ledger.report_violation("the first configuration was not accepted")
         finally:
@@ -106,20 +117,40 @@
         answers=site.counts,
         accepted=len(site.ledger.accepted),
         planned=planned,
+        notes=site.notes,
     )
 
 
-async def play_parts(site: Site, seconds: float) -> None:
-    """Play the faults of the plan and all that follows them."""
-    direct = site.make_direct_callers("direct")
+async def play_parts(site: Site, seconds: float, part: str) -> None:
+    """Play the faults of the plan and all that follows them, or one part alone."""
     async with trio.open_nursery() as watch:
         watch.start_soon(watch_processes, site.fleet, site.ledger)
-        await play_plan(site, seconds, direct)
-        await check_after_plan(site)
-        await play_work(site, direct)
+        if part == ALL:
+            direct = site.make_direct_callers("direct")
+            await play_plan(site, seconds, direct)
+            await check_after_plan(site)
+            await play_work(site, direct)
+        if part in (ALL, SILENCES):
+            await check_silences(site)
         watch.cancel_scope.cancel()
 
 
+async def check_silences(site: Site) -> None:
+    """Let sound upstreams fall silent, judge the requests and check the recovery."""
+    played = await play_silences(
+        site.seed,
+        injector=site.injector,
+        upstreams=site.platform.upstreams,
+        proxy=site.proxy,
+        operators=site.operators,
+        callers=site.make_direct_callers("silent", WEIGHTS),
+    )
+    if played is not None:
+        works, disruptions = site.fleet.planned, site.injector.disruptions
+        site.notes.append(judge_silences(played, works, disruptions, site.ledger))
+        await check_recovery(site.fleet, site.operators, site.callers, site.ledger)
+
+
 async def play_plan(site: Site, seconds: float, direct: DirectCallers) -> None:
     """Inject the faults of the plan beside callers and operators."""
     upstreams = list(site.platform.upstreams)
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -34,6 +34,11 @@
         An empty folder for settings, data and logs.
     nursery : trio.Nursery
         Runs the proxy and the stand-ins.
+
+    Attributes
+    ----------
+    notes : list of str
+        Measurements to print.
     """
 
     __slots__ = (
@@ -46,11 +51,13 @@
         "operators",
         "callers",
         "takeouts",
+        "notes",
         "_all_callers",
     )
 
     def __init__(self, *, seed: int, network: str, folder: Path, nursery: trio.Nursery) -> None:
         self.seed = seed
+        self.notes: list[str] = []
         self.ledger = Ledger(account=ACCOUNT, key=KEY)
         self.proxy = Proxy(nursery=nursery)
         self.platform = Platform(
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -40,6 +40,10 @@
 LEAVE_S = 1.5
 STREAM_EVENTS = 6
 EVENT_PAUSE_S = 0.03
+# Streams that last long enough to meet a silence of their upstream: 1.8 s on average without one.
+LONG_PREFIX = "/long_"
+LONG_STREAM_EVENTS = 30
+LONG_EVENT_PAUSE_S = 0.06
 WORK_S = 0.02
 LONG_WORK_S = 0.8
 # Time from a crash by a request to the next start.
@@ -305,9 +309,10 @@
         await self._pause()
         headers = {**make_answer_headers(request_id, request_id), **upstream.limit_headers()}
         await reply.start_stream(headers)
-        for number in range(first, STREAM_EVENTS):
+        pause_s = LONG_EVENT_PAUSE_S if is_long(request.path) else EVENT_PAUSE_S
+        for number in range(first, count_events(request.path)):
             await reply.send_event(f"{request_id}\nid: {number}".encode())
-            await trio.sleep(self._rng.uniform(0, 2 * EVENT_PAUSE_S))
+            await trio.sleep(self._rng.uniform(0, 2 * pause_s))
         await reply.end_stream()
 
     def _find_result(self, handle: str) -> tuple[str, int, int] | None:
@@ -341,3 +346,13 @@
         handle = f"{upstream.advertised}/{request_id}-{stage}-{index}-{len(upstream.handles)}"
         upstream.handles[handle] = (request_id, stage, index)
         return handle
+
+
+def is_long(path: str) -> bool:
+    """Tell whether the stream of a path is a long one."""
+    return path.startswith(LONG_PREFIX)
+
+
+def count_events(path: str) -> int:
+    """Return the number of events of the stream of a path."""
+    return LONG_STREAM_EVENTS if is_long(path) else STREAM_EVENTS
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -19,8 +19,18 @@
 from bench.soak.limits import NamedLimit
 from bench.soak.networks import claim_network
 from bench.soak.plan import draw_disk_faults, draw_signals, make_plan
+from bench.soak.planned import RELOAD, Disruption, PlannedWork, judge_planned_work
 from bench.soak.proxy import Proxy
-from bench.soak.run import run_seed
+from bench.soak.run import SILENCES, run_seed
+from bench.soak.silences import (
+    MAX_SILENCE_S,
+    MIN_SILENCE_S,
+    Silence,
+    SilentTime,
+    draw_silence_signals,
+    draw_silences,
+    judge_silences,
+)
 from bench.soak.stops import draw_stops
 from bench.soak.takeouts import IN, OUT, TakeoutOperator, check_takeout
 from marigoldtrail.errors import Failure
@@ -31,6 +41,9 @@
 # The first of them plays planned stops in series after its faults, the other one full disks.
 SEEDS = (7, 1)
 SECONDS = 5.0
+# Lets all upstreams fall silent for longer than a cut is found in, beside reloads and stops.
+SILENT_SEED = 4
+SERVICES = {"desk-0": "desk", "desk-1": "desk", "llm-2": "llm"}
 PLAN = {"control": ["c1", "c2"], "entries": ["e1"], "upstreams": ["u1"]}
 
 
@@ -389,6 +402,51 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_nothing_is_lost_in_a_sound_silence(network):
+    """Guards against a silence that loses bytes or connections, or that lets them through."""
+    silence_s = 0.3
+    async with trio.open_nursery() as nursery:
+        proxy = Proxy(nursery=nursery)
+
+        async def echo(stream):
+            async for data in stream:
+                await stream.send_all(data)
+            await stream.aclose()
+
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        nursery.start_soon(trio.serve_listeners, echo, listeners)
+        advertised = Address(f"{network}.0.1", 7001)
+        await proxy.forward(advertised, Address("127.0.0.1", port))
+        stream = await trio.open_tcp_stream(advertised.ip, advertised.port)
+
+        async def talk():
+            await stream.send_all(b"one")
+            assert await stream.receive_some(10) == b"one"
+            return trio.current_time()
+
+        async def connect(ends):
+            other = await trio.open_tcp_stream(advertised.ip, advertised.port)
+            ends.append(trio.current_time())
+            await other.send_all(b"new")
+            assert await other.receive_some(10) == b"new"
+
+        await talk()
+        ends = []
+        proxy.begin_silence(advertised.ip)
+        async with trio.open_nursery() as waiting:
+            for _ in range(3):
+                waiting.start_soon(connect, ends)
+            waiting.start_soon(talk)
+            await trio.sleep(silence_s)
+            assert ends == []
+            proxy.end_silence(advertised.ip)
+            ended_at = trio.current_time()
+        assert len(ends) == 3 and min(ends) >= ended_at
+        assert await talk() >= ended_at
+        nursery.cancel_scope.cancel()
+
+
 async def test_requests_in_a_data_centre_that_was_taken_out_are_reported(autojump_clock):
     """Guards against a late order that undid the last one and that the check misses."""
     for last, runs, count in ((OUT, 1, 1), (OUT, 0, 0), (IN, 1, 0), ("", 1, 0)):
@@ -421,6 +479,71 @@
     assert outcome.answers.total() > 0 and outcome.injected.total() > 0
 
 
+async def test_short_seed_with_silences_loses_no_request(network, tmp_path):
+    """Guards against requests that end because their sound upstream is silent for a second."""
+    outcome = await run_seed(SILENT_SEED, SECONDS, network=network, folder=tmp_path, part=SILENCES)
+    assert outcome.violations == []
+    assert outcome.injected["sound silence of all"] > 0 and outcome.injected["reload"] > 0
+    assert outcome.answers["long_resume 200"] > 0
+
+
+def test_silences_are_drawn_of_all_scopes_and_beside_signals():
+    """Guards against seeds without a silence of a kind, of another length, or that overlap."""
+    plans = [draw_silences(seed, SERVICES) for seed in range(50)]
+    assert plans[:9] == [draw_silences(seed, SERVICES) for seed in range(9)]
+    targets = {silence.scope: set(silence.targets) for plan in plans for silence in plan}
+    assert targets.keys() == {"one", "service", "all"}
+    assert targets["all"] == set(SERVICES) and len(targets["one"]) == 1
+    for plan in plans:
+        assert all(MIN_SILENCE_S <= silence.duration_s <= MAX_SILENCE_S for silence in plan)
+        for one, other in zip(plan, plan[1:], strict=False):
+            assert one.at + one.duration_s <= other.at
+    signals = [fault for seed in range(50) for fault in draw_silence_signals(seed, 9.0)]
+    assert {fault.kind for fault in signals} == {"reload", "term", "term_twice"}
+    assert {fault.target for fault in signals} == {*CONTROL, *ENTRIES}
+
+
+@pytest.mark.parametrize("is_beside_reload", [False, True])
+@pytest.mark.parametrize(
+    ("fields", "fault", "count"),
+    [
+        ({"failure": "end", "status": 200}, None, 1),
+        ({"failure": "reset", "status": 200}, None, 1),
+        ({"failure": "end"}, None, 1),
+        ({"failure": "", "status": 200}, None, 0),
+        ({"failure": "", "status": 504}, None, 0),
+        ({"failure": "deadline", "status": 200}, None, 0),
+        ({"failure": "end", "status": 200, "ended_at": 15.9}, None, 0),
+        ({"failure": "end", "status": 200}, "restart", 0),
+        ({"failure": "end", "status": 200}, "limit", 1),
+    ],
+)
+def test_streams_that_end_beside_a_sound_silence_are_reported(
+    fields, fault, count, is_beside_reload
+):
+    """Guards against a silence that excuses a lost request, and against false reports."""
+    ledger = make_ledger()
+    values = {"sent_at": 10.0, "ended_at": 12.0, "deadline_s": 6.0, "is_direct": True, **fields}
+    ledger.record_attempt(
+        Attempt(
+            request_id="a",
+            path="/long_resume/a",
+            body=b"",
+            may_repeat=True,
+            entry=("e", 1),
+            **values,
+        )
+    )
+    ledger.touched["a"].add("u1")
+    silence = Silence(at=2.0, duration_s=1.2, scope="all", targets=("u1",))
+    played = SilentTime(at=9.0, until=20.0, silences=[silence])
+    disruptions = [Disruption(target="u1", kind=fault, at=8.0, until=9.0)] if fault else []
+    works = [PlannedWork(entry=("e", 1), kind=RELOAD, at=10.5)] if is_beside_reload else []
+    judge_planned_work(works, disruptions, ledger)
+    judge_silences(played, works, disruptions, ledger)
+    assert len(ledger.violations) == count
+
+
 def test_concurrent_runs_have_separate_networks():
     """Guards against address conflicts between concurrent test runs on one machine."""
     with claim_network() as one, claim_network() as other:
