Check the memory of processes in the soak against the limits of the platform

The platform kills a process over its memory limit, so that a process that takes more is a broken promise.

--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -9,12 +9,14 @@
 import subprocess
 import sys
 from collections import Counter
+from collections.abc import Mapping
 from pathlib import Path
 
 import msgspec
 import trio
 
 from bench.soak.faulty_host import DISK_FAULTS, SMALL_FILES
+from bench.soak.memory import LIMITS_MB
 from bench.soak.planned import RELOAD, STOP, PlannedWork
 from bench.soak.proxy import Proxy
 from marigoldtrail.net import Address
@@ -53,6 +55,8 @@
         Proxy in front of each host.
     has_small_files : bool
         Whether logs of control hosts consist of small files.
+    limits_mb : mapping of str to int
+        Limit on the memory of processes of each role, named in their settings.
 
     Attributes
     ----------
@@ -76,6 +80,7 @@
         "_seeds",
         "_disk_faults",
         "_has_small_files",
+        "_limits_mb",
     )
 
     def __init__(
@@ -86,7 +91,9 @@
         list_address: Address,
         proxy: Proxy,
         has_small_files: bool = False,
+        limits_mb: Mapping[str, int] = LIMITS_MB[0],
     ) -> None:
+        self._limits_mb = limits_mb
         self._has_small_files = has_small_files
         self._network = network
         self._folder = folder
@@ -138,11 +145,12 @@
 
     def write_settings(self, name: str, *, is_first: bool = False) -> Path:
         """Write the settings of a host, rotating the order of the seeds each time."""
-        is_control = name in CONTROL
+        role = find_role(name)
+        is_control = role == "control"
         self._seeds.append(self._seeds.pop(0))
         value = {
             "host": name,
-            "role": "control" if is_control else "entry",
+            "role": role,
             "data_centre": "z",
             "region": "r",
             "ip": self.ip(name),
@@ -155,6 +163,7 @@
             "seeds": [self.operator_address(seed) for seed in self._seeds],
             "first_start": is_first,
             "data_folder": str(self._data_folder(name)),
+            "memory_mb": self._limits_mb[role],
             "upstream_list": {"address": str(self._list_address)},
             "bounds": {"grace_s": GRACE_S},
         }
@@ -219,6 +228,11 @@
             del self._processes[name]
         return status is None
 
+    def pid(self, name: str) -> int | None:
+        """Return the id of the process of a host; None if there is none, or it is being stopped."""
+        process = self._processes.get(name)
+        return None if process is None else process.pid
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to the process of a host if it is running."""
         if self.is_running(name):
@@ -315,6 +329,18 @@
             self.kill(name)
 
 
+def find_role(name: str) -> str:
+    """
+    Return the role of a host.
+
+    Examples
+    --------
+    >>> find_role("entry-1")
+    'entry'
+    """
+    return "control" if name in CONTROL else "entry"
+
+
 def has_begun(pid: int) -> bool:
     """Tell whether a process has come to the first line of its program, or has ended."""
     try:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -20,7 +20,7 @@
 )
 from bench.soak.crashing import check_crashing_order
 from bench.soak.direct import DirectCallers, start_direct_callers
-from bench.soak.fleet import CONTROL, ENTRIES, HOSTS, Fleet
+from bench.soak.fleet import CONTROL, ENTRIES, HOSTS, Fleet, find_role
 from bench.soak.full_disks import check_full_disks, play_restarts
 from bench.soak.ledger import Ledger
 from bench.soak.plan import make_plan
@@ -39,6 +39,8 @@
 # A site that has not recovered by then is considered hung; no promise states a shorter time.
 RECOVERY_S = 40.0
 WATCH_INTERVAL_S = 0.1
+# The kernel keeps the peak of a process, so that reading it seldom misses its last moment only.
+MEMORY_INTERVAL_S = 0.1
 # Parts of a seed that can be played alone.
 ALL, SILENCES = "all", "silences"
 PARTS = (ALL, SILENCES)
@@ -107,6 +109,7 @@
             else:
                 site.ledger.report_violation("the first configuration was not accepted")
         finally:
+            record_memory(site)
             site.fleet.stop()
             nursery.cancel_scope.cancel()
     planned = judge_planned_work(site.fleet.planned, site.injector.disruptions, site.ledger)
@@ -117,7 +120,7 @@
         answers=site.counts,
         accepted=len(site.ledger.accepted),
         planned=planned,
-        notes=site.notes,
+        notes=[*site.notes, site.memory.describe()],
     )
 
 
@@ -125,6 +128,7 @@
     """Play the faults of the plan and all that follows them, or one part alone."""
     async with trio.open_nursery() as watch:
         watch.start_soon(watch_processes, site.fleet, site.ledger)
+        watch.start_soon(watch_memory, site)
         if part == ALL:
             direct = site.make_direct_callers("direct")
             await play_plan(site, seconds, direct)
@@ -197,6 +201,20 @@
         await trio.sleep(WATCH_INTERVAL_S)
 
 
+async def watch_memory(site: Site) -> None:
+    """Compare the memory of all processes with their limits until cancelled."""
+    async for _ in Timers().subscribe("soak", MEMORY_INTERVAL_S):
+        record_memory(site)
+
+
+def record_memory(site: Site) -> None:
+    """Compare the memory of all processes that run with their limits."""
+    for name in HOSTS:
+        pid = site.fleet.pid(name)
+        if pid is not None:
+            site.memory.record(name, find_role(name), pid)
+
+
 async def check_recovery(
     fleet: Fleet, operators: Operators, callers: Callers, ledger: Ledger
 ) -> None:
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -14,6 +14,7 @@
 from bench.soak.faults import Injector
 from bench.soak.fleet import Fleet
 from bench.soak.ledger import Ledger
+from bench.soak.memory import MemoryWatch, draw_limits
 from bench.soak.plan import draw_small_files
 from bench.soak.proxy import Proxy
 from bench.soak.takeouts import TakeoutOperator
@@ -44,6 +45,7 @@
     __slots__ = (
         "seed",
         "ledger",
+        "memory",
         "proxy",
         "platform",
         "fleet",
@@ -59,6 +61,8 @@
         self.seed = seed
         self.notes: list[str] = []
         self.ledger = Ledger(account=ACCOUNT, key=KEY)
+        limits_mb = draw_limits(seed)
+        self.memory = MemoryWatch(ledger=self.ledger, limits_mb=limits_mb)
         self.proxy = Proxy(nursery=nursery)
         self.platform = Platform(
             ledger=self.ledger,
@@ -73,6 +77,7 @@
             list_address=self.platform.list_address,
             proxy=self.proxy,
             has_small_files=draw_small_files(seed),
+            limits_mb=limits_mb,
         )
         self.injector = Injector(fleet=self.fleet, platform=self.platform, proxy=self.proxy)
         self.operators = Operators(
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -3,8 +3,11 @@
 import errno
 import os
 import random
+import subprocess
+import sys
 from collections import Counter
 
+import msgspec
 import pytest
 import trio
 
@@ -17,6 +20,7 @@
 from bench.soak.full_disks import check_full_disks, draw_restarts, draw_turns
 from bench.soak.ledger import Attempt, Ledger, Run, compute_seal
 from bench.soak.limits import NamedLimit
+from bench.soak.memory import BYTES_PER_MB, LIMITS_MB, MemoryWatch, draw_limits, read_peak_mb
 from bench.soak.networks import claim_network
 from bench.soak.plan import draw_disk_faults, draw_signals, make_plan
 from bench.soak.planned import RELOAD, Disruption, PlannedWork, judge_planned_work
@@ -544,6 +548,47 @@
     assert len(ledger.violations) == count
 
 
+def test_process_over_its_memory_is_reported_once():
+    """Guards against a process over its limit that is missed or reported again and again."""
+    limits_mb = {"entry": 1_000_000, "control": 1}
+    ledger = make_ledger()
+    watch = MemoryWatch(ledger=ledger, limits_mb=limits_mb)
+    watch.record("entry-1", "entry", os.getpid())
+    assert ledger.violations == []
+    watch.record("control-1", "control", os.getpid())
+    watch.record("control-1", "control", os.getpid())
+    assert len(ledger.violations) == 1
+    assert watch.peaks_mb["entry"] == pytest.approx(watch.peaks_mb["control"], rel=0.1)
+
+
+def test_peak_of_memory_is_that_of_the_kernel():
+    """Guards against a peak in another unit, or that is forgotten when memory is given back."""
+    before = read_peak_mb(os.getpid())
+    # The kernel counts pages for each processor and adds them up now and then.
+    error_mb = 10
+    data = bytearray(b"x") * (300 * BYTES_PER_MB)
+    with_data = read_peak_mb(os.getpid())
+    del data
+    assert 300 <= with_data <= before + 300 + error_mb
+    assert abs(read_peak_mb(os.getpid()) - with_data) <= error_mb
+    ended = subprocess.Popen([sys.executable, "-c", ""])
+    ended.wait()
+    assert read_peak_mb(ended.pid) == 0
+
+
+def test_limits_of_memory_are_drawn_and_named_in_the_settings(tmp_path):
+    """Guards against hosts that do not know their limit, and a limit that no seed has."""
+    assert [draw_limits(seed) for seed in range(9)] == [draw_limits(seed) for seed in range(9)]
+    for limits_mb in LIMITS_MB:
+        assert limits_mb in [draw_limits(seed) for seed in range(20)]
+        fleet = Fleet(
+            network="127.0", folder=tmp_path, list_address=None, proxy=None, limits_mb=limits_mb
+        )
+        for name, role in ((CONTROL[0], "control"), (ENTRIES[0], "entry")):
+            settings = msgspec.json.decode(fleet.write_settings(name).read_bytes())
+            assert settings["memory_mb"] == limits_mb[role]
+
+
 def test_concurrent_runs_have_separate_networks():
     """Guards against address conflicts between concurrent test runs on one machine."""
     with claim_network() as one, claim_network() as other:
