Drop the bodies of refusals instead of keeping them

Callers: the host of a faulty upstream ran out of memory; 40 refusals at once with bodies without end took 322 MiB of it. An order whose refusal had a body that broke off, or was too long, got 502 although the head states that it did not run.

Cause: the whole body of a refusal was read, up to 8 MiB, only so that its connection could be used again, and a failure of that read replaced the refusal.

Change: at most 64 KiB, and for at most 0.1 s, are read and dropped; a connection with more is closed. The refusal holds as its head states it.

--- a/marigoldtrail/relay/responses.py
+++ b/marigoldtrail/relay/responses.py
@@ -5,12 +5,17 @@
 import re
 
 import msgspec
+import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.relay.types import Headers
 from marigoldtrail.relay.upstream_connection import ResponseHead, UpstreamConnection
 
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+# The bodies of refusals are short and follow their heads at once. One that is longer or slower
+# costs a new connection.
+MAX_DISCARDED_BYTES = 64 * 1024
+DISCARD_TIMEOUT_S = 0.1
 HTTP_OK = 200
 HTTP_SERVER_ERROR = 500
 # Statuses that promise to the caller that the request did not run.
@@ -75,6 +80,27 @@
             return conn.make_failure(Reason.BAD_ANSWER, f"more than {MAX_BUFFERED_BYTES} bytes")
 
 
+async def discard_body(conn: UpstreamConnection) -> None:
+    """
+    Read and drop the body of a response, so that its connection may be used again.
+
+    Of a body that is long, slow or broken off only a part is read; the connection can't be used
+    again then.
+
+    Parameters
+    ----------
+    conn : UpstreamConnection
+        Connection from which the head was read.
+    """
+    left_bytes = MAX_DISCARDED_BYTES
+    with trio.move_on_after(DISCARD_TIMEOUT_S):
+        while left_bytes > 0:
+            data = await conn.read_body_part()
+            if isinstance(data, Failure) or not data:
+                return
+            left_bytes -= len(data)
+
+
 def is_event_stream(head: ResponseHead) -> bool:
     """
     Return whether a response is a stream of events.
--- a/marigoldtrail/relay/sender.py
+++ b/marigoldtrail/relay/sender.py
@@ -13,6 +13,7 @@
     NOT_RUN_STATUSES,
     CompleteResponse,
     StreamForwarded,
+    discard_body,
     is_event_stream,
     read_body,
 )
@@ -141,8 +142,8 @@
         if fault is not None:
             if fault.reason is Reason.BAD_ANSWER:
                 return fault
-            body = await read_body(tx.conn)
-            return body if isinstance(body, Failure) else fault
+            await discard_body(tx.conn)
+            return fault
         if head.status in NOT_RUN_STATUSES and not exchange.route.is_idempotent:
             # The upstream does not state that it did not run the request.
             return tx.conn.make_failure(
