Bound the memory of all unfinished responses of upstreams together

Callers: the host of a faulty upstream, whose answers had no end, ran out of memory, and the requests of all others on that host ended with it. 40 answers at once, without length, in chunks or of an announced 900 GB, took 338 MB of a host that has 160 MB; as answers to streaming routes, 178 MB.

Cause: each response had a bound of 8 MiB, all together had none, and a length that could never be kept was read up to that bound.

Change: a response that is not forwarded as a stream takes its memory from the budget of the host as it grows. Nothing is read while it waits for more; if it is given up, the upstream has failed with a bad answer. The memory is held until the caller has the response; one that is sent to a caller who does not read, or an error that is kept in case no other upstream answers, can be given up too. A length over the bound is refused at the head. Long bodies are no longer copied behind their heads before they are sent. The same holds for responses of other entries.

--- /dev/null
+++ b/marigoldtrail/relay/buffering.py
@@ -0,0 +1,105 @@
+"""Whole responses in memory: read within the host's budget, held until they have been sent."""
+
+from __future__ import annotations
+
+import trio
+
+from marigoldtrail.errors import Failure, Reason
+from marigoldtrail.memory import MemoryAccount, MemoryBudget
+from marigoldtrail.relay.responses import CompleteResponse, read_body
+from marigoldtrail.relay.upstream_connection import UpstreamConnection
+
+
+class HeldResponses:
+    """
+    Complete responses to one request that wait to be sent, and their memory.
+
+    Attributes
+    ----------
+    error : CompleteResponse or None
+        Error of an upstream that is sent unless another upstream answers.
+    send_scope : trio.CancelScope
+        Cancelled if the response is given up while it is sent.
+    """
+
+    __slots__ = ("error", "send_scope", "_account", "_error_account")
+
+    def __init__(self) -> None:
+        self.error: CompleteResponse | None = None
+        self.send_scope = trio.CancelScope()
+        self._account: MemoryAccount | None = None
+        self._error_account: MemoryAccount | None = None
+
+    def add(self, account: MemoryAccount) -> None:
+        """Hold the memory of a complete response."""
+        self._account = account
+
+    def keep_error(self, error: CompleteResponse) -> None:
+        """Keep the last response, an error, in place of an earlier one."""
+        self._drop_error()
+        self.error = error
+        self._error_account, self._account = self._account, None
+
+    def _drop_error(self) -> None:
+        self.error = None
+        if self._error_account is not None:
+            self._error_account.close()
+            self._error_account = None
+
+    def give_up(self, account: MemoryAccount) -> None:
+        """Give up the response of an account, because others need the memory."""
+        if account is self._error_account:
+            self._drop_error()
+        elif account is self._account:
+            self.send_scope.cancel()
+
+    def close(self) -> None:
+        """Give the memory of all responses back."""
+        self._drop_error()
+        if self._account is not None:
+            self._account.close()
+            self._account = None
+
+
+async def read_held_body(
+    memory: MemoryBudget, conn: UpstreamConnection, held: HeldResponses
+) -> bytes | Failure:
+    """
+    Read the whole body of a response within the memory of the host.
+
+    Parameters
+    ----------
+    memory : MemoryBudget
+        Memory for unfinished messages.
+    conn : UpstreamConnection
+        Connection from which the head was read.
+    held : HeldResponses
+        Holds the memory of a complete body from then on.
+
+    Returns
+    -------
+    bytes or Failure
+        A failure if the body breaks off, is too long, or was given up for want of memory.
+    """
+    scope = trio.CancelScope()
+
+    def evict() -> None:
+        scope.cancel()
+        held.give_up(account)
+
+    account = memory.open(
+        "response", conn.upstream, has_known_size=conn.announced_bytes is not None, evict=evict
+    )
+    detail = "given up for want of memory"
+    body: bytes | Failure = conn.make_failure(Reason.BAD_ANSWER, detail)
+    try:
+        with scope:
+            body = await read_body(conn, account)
+    finally:
+        if isinstance(body, Failure):
+            account.close()
+    if isinstance(body, bytes):
+        # An answer that is complete is not given up before those that may have no end.
+        account.has_known_size = True
+        held.add(account)
+    return body
--- a/marigoldtrail/relay/caller_connection.py
+++ b/marigoldtrail/relay/caller_connection.py
@@ -26,6 +26,8 @@
 BODY_TIMEOUT_S = 20.0
 # Pipelined requests are read up to this size while an earlier request is served.
 MAX_PIPELINED_BYTES = 65536
+# Longer bodies are not copied behind their heads: a slow caller would hold the memory twice.
+MAX_JOINED_BYTES = 65536
 # Heads of this size are refused, also if the configuration allows longer ones.
 MAX_INCOMPLETE_BYTES = 1024 * 1024
 
@@ -327,7 +329,7 @@
         await self._send(self._conn.send(h11.EndOfMessage()) or b"")
 
     async def send_response(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole response in one write; raises like `start_response`."""
+        """Send a whole response, in one write if it is short; raises like `start_response`."""
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.is_broken = True
             return
@@ -335,6 +337,11 @@
         response = h11.Response(status_code=status, headers=headers)
         self._has_started = True
         data = self._conn.send(response) or b""
+        if len(body) > MAX_JOINED_BYTES and not self._is_head:
+            await self._send(data)
+            await self.send_body_part(body)
+            await self.end_response()
+            return
         if not self._is_head:
             data += self._conn.send(h11.Data(data=body)) or b""
         data += self._conn.send(h11.EndOfMessage()) or b""
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -9,6 +9,7 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.memory import MemoryBudget
 from marigoldtrail.pieces.client import PieceClient, StageRun
 from marigoldtrail.policy.placement import PREFILL_TOKENS_PER_S
 from marigoldtrail.ratelimits import Place
@@ -82,6 +83,8 @@
         Records and finds the versions that began streams.
     forwarder : PeerForwarder
         Forwards requests to another entry while this host reaches no upstream.
+    memory : MemoryBudget
+        Memory for the responses that are not forwarded as streams.
     nursery : trio.Nursery
         Runs probes of upstreams.
     """
@@ -122,6 +125,7 @@
         gate: SendGate,
         versions: StreamVersions,
         forwarder: PeerForwarder,
+        memory: MemoryBudget,
         nursery: trio.Nursery,
     ) -> None:
         self._data_centre = data_centre
@@ -164,6 +168,7 @@
             on_first_event=self._handle_first_event,
             note_events=self._admission.note_events,
             mover=self._mover,
+            memory=memory,
         )
         self._abandoned = AbandonedAttempts(
             pool=pool,
@@ -278,7 +283,6 @@
     async def _try_upstreams(
         self, exchange: Exchange
     ) -> CompleteResponse | StreamForwarded | Failure:
-        error_response: CompleteResponse | None = None
         failure = self._make_no_upstream_failure(exchange)
         while True:
             held = self._gate.check_send(exchange)
@@ -304,7 +308,8 @@
             if isinstance(result, CompleteResponse):
                 if not result.is_error or not (exchange.may_run_again() or exchange.left):
                     return result
-                error_response = result
+                exchange.held.keep_error(result)
+                failure = make_status_failure(exchange, result)
             else:
                 failure = result
                 if result.reason is Reason.NOT_FOUND:
@@ -322,8 +327,8 @@
                 break
             if exchange.deadline - self._timers.now() < MIN_RETRY_TIME_S:
                 break
-        if error_response is not None:
-            return error_response
+        if exchange.held.error is not None:
+            return exchange.held.error
         upstreams = self._chooser.list_upstreams(exchange)
         ready_in_s = self._monitor.get_ready_in_s(upstreams, exchange.service)
         return msgspec.structs.replace(failure, retry_after_s=ready_in_s)
@@ -429,6 +434,17 @@
         )
 
 
+def make_status_failure(exchange: Exchange, error: CompleteResponse) -> Failure:
+    """Return the failure of a request whose last upstream responded with an error."""
+    return Failure(
+        reason=Reason.UPSTREAM_ERROR,
+        run_state=RunState.MAY_HAVE_RUN,
+        step="upstream",
+        peer=exchange.last_upstream,
+        detail=f"status {error.status}",
+    )
+
+
 def describe_missing_upstream(stream_version: str | None) -> str:
     """Return why no upstream can take a request, or continue a stream of a version."""
     if stream_version is None:
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -6,6 +6,7 @@
 
 from marigoldtrail.pieces.client import StageRun
 from marigoldtrail.quarantine import list_parts, make_fingerprint
+from marigoldtrail.relay.buffering import HeldResponses
 from marigoldtrail.relay.caller_connection import CallerConnection, CallerRequest
 from marigoldtrail.relay.events import EventSplitter
 from marigoldtrail.relay.stream_versions import Recording, make_stream_key
@@ -94,6 +95,8 @@
         sent something.
     has_trial_grant : bool
         Whether the next send is a trial of a quarantined prompt.
+    held : HeldResponses
+        Complete responses that wait to be sent.
     """
 
     __slots__ = (
@@ -126,6 +129,7 @@
         "source",
         "relisted_at",
         "has_trial_grant",
+        "held",
     )
 
     def __init__(
@@ -170,6 +174,7 @@
         self.source: Upstream | None = None
         self.relisted_at: float | None = None
         self.has_trial_grant = False
+        self.held = HeldResponses()
         self.scope = trio.CancelScope(deadline=self.start_deadline)
 
     @property
--- a/marigoldtrail/relay/peer_forwarding.py
+++ b/marigoldtrail/relay/peer_forwarding.py
@@ -9,15 +9,16 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.memory import MemoryBudget
 from marigoldtrail.net import Address, Network
 from marigoldtrail.net.client import STREAM_ERRORS
+from marigoldtrail.relay.buffering import read_held_body
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.responses import (
     NOT_RUN_STATUSES,
     CompleteResponse,
     StreamForwarded,
     is_event_stream,
-    read_body,
 )
 from marigoldtrail.relay.types import HeaderCodec
 from marigoldtrail.relay.upstream_connection import ResponseHead, UpstreamConnection
@@ -62,6 +63,8 @@
         Clock.
     rng : random.Random
         Chooses among the entries.
+    memory : MemoryBudget
+        Memory for the responses that are not forwarded as streams.
     """
 
     __slots__ = (
@@ -75,6 +78,7 @@
         "_listed_at",
         "_tried_at",
         "_list_lock",
+        "_memory",
     )
 
     def __init__(
@@ -86,6 +90,7 @@
         list_entries: ListEntriesFn,
         timers: Timers,
         rng: random.Random,
+        memory: MemoryBudget,
     ) -> None:
         self._host = host
         self._network = network
@@ -97,6 +102,7 @@
         self._listed_at = float("-inf")
         self._tried_at = float("-inf")
         self._list_lock = trio.Lock()
+        self._memory = memory
 
     async def forward(self, exchange: Exchange) -> CompleteResponse | StreamForwarded | Failure:
         """
@@ -166,7 +172,7 @@
             elif exchange.is_stream and is_event_stream(head):
                 result = await self._forward_stream(exchange, conn, head)
             else:
-                result = await self._read_response(conn, head)
+                result = await self._read_response(exchange, conn, head)
             nursery.cancel_scope.cancel()
         if isinstance(result, CompleteResponse) and result.status in NOT_RUN_STATUSES:
             if ran_before:
@@ -176,9 +182,9 @@
         return result
 
     async def _read_response(
-        self, conn: UpstreamConnection, head: ResponseHead
+        self, exchange: Exchange, conn: UpstreamConnection, head: ResponseHead
     ) -> CompleteResponse | Failure:
-        body = await read_body(conn)
+        body = await read_held_body(self._memory, conn, exchange.held)
         if isinstance(body, Failure):
             return body
         headers = self._header_codec.build_response_headers(head.headers)
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -337,14 +337,21 @@
                 conn, routed.status, routed.detail, retry_after_s=routed.retry_after_s
             )
             return None
+        try:
+            return await self._answer(routed)
+        finally:
+            routed.held.close()
+
+    async def _answer(self, routed: Exchange) -> EndReason | None:
+        """Dispatch a request and send its response; return why that is not complete, if so."""
         result, has_left = await self._dispatch(routed)
         if result is None and not has_left:
             result = self._make_cancelled_failure(routed)
         if isinstance(result, StreamForwarded | CompleteResponse):
-            self._stop.record_duration(routed.route.name, self._timers.now() - started)
+            self._stop.record_duration(routed.route.name, self._timers.now() - routed.started)
         self._recorder.record(routed, result, has_left=has_left)
         if result is None:
-            conn.is_broken = True
+            routed.conn.is_broken = True
             return EndReason.CALLER_LEFT
         return await self._send_result(routed, result)
 
@@ -410,7 +417,11 @@
             return EndReason.BROKEN_RESPONSE
         if isinstance(result, CompleteResponse):
             headers = [*result.headers, *self._make_connection_headers()]
-            await conn.send_response(result.status, headers, result.body)
+            with exchange.held.send_scope as scope:
+                await conn.send_response(result.status, headers, result.body)
+            if scope.cancelled_caught:
+                conn.is_broken = True
+                return EndReason.BROKEN_RESPONSE
             return None
         status = 503 if result.run_state is RunState.NOT_RUN else 502
         if status == 502 and result.reason is Reason.DEADLINE:
--- a/marigoldtrail/relay/responses.py
+++ b/marigoldtrail/relay/responses.py
@@ -8,6 +8,7 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.memory import MemoryAccount
 from marigoldtrail.relay.types import Headers
 from marigoldtrail.relay.upstream_connection import ResponseHead, UpstreamConnection
 
@@ -52,7 +53,9 @@
     """Result of a request whose stream was forwarded to its end."""
 
 
-async def read_body(conn: UpstreamConnection) -> bytes | Failure:
+async def read_body(
+    conn: UpstreamConnection, account: MemoryAccount | None = None
+) -> bytes | Failure:
     """
     Read the whole body of a response.
 
@@ -60,24 +63,30 @@
     ----------
     conn : UpstreamConnection
         Connection from which the head was read.
+    account : MemoryAccount or None
+        Account of the memory that the body takes; nothing is read while it has to wait for more.
 
     Returns
     -------
     bytes or Failure
-        The body, at most `MAX_BUFFERED_BYTES`.
+        The body, at most `MAX_BUFFERED_BYTES`. A longer announced one is not read.
     """
-    parts: list[bytes] = []
-    size = 0
+    if conn.announced_bytes is not None and conn.announced_bytes > MAX_BUFFERED_BYTES:
+        detail = f"a body of {conn.announced_bytes} bytes was announced"
+        return conn.make_failure(Reason.BAD_ANSWER, detail)
+    body = bytearray()
     while True:
         data = await conn.read_body_part()
         if isinstance(data, Failure):
             return data
         if not data:
-            return b"".join(parts)
-        parts.append(data)
-        size += len(data)
-        if size > MAX_BUFFERED_BYTES:
+            return bytes(body)
+        if len(body) + len(data) > MAX_BUFFERED_BYTES:
             return conn.make_failure(Reason.BAD_ANSWER, f"more than {MAX_BUFFERED_BYTES} bytes")
+        if account is not None and not await account.take(len(data)):
+            detail = f"given up after {account.size} bytes for want of memory"
+            return conn.make_failure(Reason.BAD_ANSWER, detail)
+        body += data
 
 
 async def discard_body(conn: UpstreamConnection) -> None:
@@ -93,6 +102,8 @@
         Connection from which the head was read.
     """
     left_bytes = MAX_DISCARDED_BYTES
+    if conn.announced_bytes is not None and conn.announced_bytes > left_bytes:
+        return
     with trio.move_on_after(DISCARD_TIMEOUT_S):
         while left_bytes > 0:
             data = await conn.read_body_part()
--- a/marigoldtrail/relay/sender.py
+++ b/marigoldtrail/relay/sender.py
@@ -7,6 +7,8 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason
+from marigoldtrail.memory import MemoryBudget
+from marigoldtrail.relay.buffering import read_held_body
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.request_mover import RequestMover
 from marigoldtrail.relay.responses import (
@@ -15,7 +17,6 @@
     StreamForwarded,
     discard_body,
     is_event_stream,
-    read_body,
 )
 from marigoldtrail.relay.stall_timer import StallTimer
 from marigoldtrail.relay.stall_watch import StallWatch
@@ -46,6 +47,8 @@
         Called with the upstream of each received part of a stream that holds events.
     mover : RequestMover
         Moves a stalled stream to another upstream.
+    memory : MemoryBudget
+        Memory for the responses that are not forwarded as streams.
     """
 
     __slots__ = (
@@ -56,6 +59,7 @@
         "_on_first_event",
         "_note_events",
         "_mover",
+        "_memory",
     )
 
     def __init__(
@@ -68,6 +72,7 @@
         on_first_event: Callable[[Exchange], None],
         note_events: Callable[[Exchange, Upstream], None],
         mover: RequestMover,
+        memory: MemoryBudget,
     ) -> None:
         self._transmitter = transmitter
         self._header_codec = header_codec
@@ -76,6 +81,7 @@
         self._on_first_event = on_first_event
         self._note_events = note_events
         self._mover = mover
+        self._memory = memory
 
     async def send(
         self, exchange: Exchange, upstream: Upstream, *, taken: Transmission | None = None
@@ -154,7 +160,7 @@
         if exchange.conn.has_started:
             detail = f"status {head.status}, or no events, in place of the rest of a stream"
             return tx.conn.make_failure(Reason.BAD_ANSWER, detail)
-        body = await read_body(tx.conn)
+        body = await read_held_body(self._memory, tx.conn, exchange.held)
         if isinstance(body, Failure):
             return body
         return CompleteResponse(
--- a/marigoldtrail/relay/upstream_connection.py
+++ b/marigoldtrail/relay/upstream_connection.py
@@ -18,6 +18,7 @@
 MAX_SKIPPED_RESPONSES = 4
 MAX_SKIPPED_BYTES = 1024 * 1024
 MAX_INFORMATIONAL_RESPONSES = 8
+STATUSES_WITHOUT_BODY = (204, 304)
 # A connection with more refused requests than can be remembered is not used again.
 MAX_REFUSED_REQUESTS = 64
 # Latest answers without an id that are recognised when an upstream sends one of them again.
@@ -68,6 +69,8 @@
 
     Attributes
     ----------
+    upstream : str
+        Name of the upstream.
     request_id : str
         Id of the current or last request; empty if it has none.
     may_have_sent : bool
@@ -76,6 +79,8 @@
         Monotonic time in seconds at which it became idle.
     idle_limit_s : float or None
         Idle time in seconds after which the upstream closes it; None if not stated.
+    announced_bytes : int or None
+        Length of the body that the last head announced; None if it has another end.
     """
 
     __slots__ = (
@@ -83,8 +88,9 @@
         "may_have_sent",
         "idle_since",
         "idle_limit_s",
+        "announced_bytes",
+        "upstream",
         "_stream",
-        "_upstream",
         "_header_codec",
         "_on_answer",
         "_on_bytes",
@@ -114,8 +120,9 @@
         self.may_have_sent = False
         self.idle_since = 0.0
         self.idle_limit_s: float | None = None
+        self.announced_bytes: int | None = None
         self._stream = stream
-        self._upstream = upstream
+        self.upstream = upstream
         self._header_codec = header_codec
         self._on_answer = on_answer
         self._on_bytes = on_bytes
@@ -279,7 +286,7 @@
     def _report_answer(self, info: ResponseInfo) -> None:
         """Report what the upstream says of itself, unless another one has its address."""
         if not info.is_misdirected and self._on_answer is not None:
-            self._on_answer(self._upstream, info, self._sent_at)
+            self._on_answer(self.upstream, info, self._sent_at)
 
     def _accept_without_id(self, head: ResponseHead) -> ResponseHead | Failure:
         """Accept a response without an id unless it may be a late copy of an earlier response."""
@@ -305,10 +312,22 @@
         headers = list(event.headers)
         info = self._header_codec.parse_response(event.status_code, headers)
         self.idle_limit_s = info.keep_alive_s
+        self.announced_bytes = self._find_announced_bytes(event.status_code, headers)
         if any(n == b"connection" and b"close" in v.lower() for n, v in headers):
             self._is_closing = True
         return ResponseHead(status=event.status_code, headers=headers, info=info)
 
+    def _find_announced_bytes(self, status: int, headers: Headers) -> int | None:
+        """Return the length of a body; None if it ends otherwise, or if there is none."""
+        values = dict(headers)
+        if b"transfer-encoding" in values:
+            return None
+        if self._request.method == b"HEAD" or status in STATUSES_WITHOUT_BODY:
+            return None
+        # h11 accepts only digits here, and the same value if there are several.
+        length = values.get(b"content-length")
+        return int(length) if length is not None else None
+
     async def _skip_response(self) -> Failure | None:
         """Read and discard a response to another request, then prepare to read the next one."""
         size = 0
@@ -389,7 +408,7 @@
         """Return a failure of the current request."""
         state = RunState.MAY_HAVE_RUN if self.may_have_sent else RunState.NOT_RUN
         return Failure(
-            reason=reason, run_state=state, step="upstream", peer=self._upstream, detail=detail
+            reason=reason, run_state=state, step="upstream", peer=self.upstream, detail=detail
         )
 
     async def aclose(self) -> None:
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -133,7 +133,9 @@
                 list_entries=leader.list_entries,
                 timers=components.timers,
                 rng=components.rng,
+                memory=components.memory,
             ),
+            memory=components.memory,
         )
         self.relay = Relay(
             host=components.cfg.host,
