Let proper messages through while endless ones use up the memory

Callers: while 40 answers of a faulty upstream had no end, proper answers of 300 kB from another upstream waited up to 1.9 s for memory.

Cause: a message could take all that was free. What was given back by one that was given up went to all that waited, most of them without end.

Change: a message of unknown size grows no larger than the memory that is free, so that many of them leave room. One at a time may grow to three times of it: proper messages that need a little more than their share complete one by one. The last open message, and those of announced size, may take all.

--- a/marigoldtrail/memory/budget.py
+++ b/marigoldtrail/memory/budget.py
@@ -14,6 +14,10 @@
 BUDGET_SHARE = 0.125
 # Budget of a host whose settings name no limit.
 DEFAULT_BUDGET_BYTES = 64 * BYTES_PER_MB
+# A message of unknown size grows no larger than the memory that is free, so that many without end
+# leave room for others. One at a time may grow to this multiple of it: proper ones that need a
+# little more complete one by one. A larger multiple would leave less room.
+AHEAD_MULTIPLE = 3
 # Complete messages give their memory back within this time, so that others only wait for it.
 PATIENCE_S = 0.25
 
@@ -135,7 +139,8 @@
 
     A message that finds no room waits for those that complete. If none does in time, the largest
     one is given up, first among those whose size was not announced: a message without end grows
-    beyond all others.
+    beyond all others. Messages of unknown size never use up the whole budget together, so that a
+    shorter one does not have to wait for them.
 
     Parameters
     ----------
@@ -165,7 +170,15 @@
     0
     """
 
-    __slots__ = ("total_bytes", "used_bytes", "evicted", "_timers", "_accounts", "_changed")
+    __slots__ = (
+        "total_bytes",
+        "used_bytes",
+        "evicted",
+        "_timers",
+        "_accounts",
+        "_ahead",
+        "_changed",
+    )
 
     def __init__(self, *, total_bytes: int, timers: Timers) -> None:
         self.total_bytes = total_bytes
@@ -173,6 +186,8 @@
         self.evicted: Counter[str] = Counter()
         self._timers = timers
         self._accounts: set[MemoryAccount] = set()
+        # The account that may grow beyond the free memory.
+        self._ahead: MemoryAccount | None = None
         self._changed = Notifier()
 
     def open(
@@ -216,12 +231,12 @@
     async def take(self, account: MemoryAccount, count: int) -> bool:
         """Take bytes for an account; see `MemoryAccount.take`."""
         patient_until = self._timers.now() + PATIENCE_S
-        while not account.is_evicted and not self.has_room(count):
+        while not account.is_evicted and not self._may_take(account, count, self.used_bytes):
             left_s = patient_until - self._timers.now()
             if left_s > 0:
                 await self._changed.wait_with_timeout(left_s)
                 continue
-            if not self._is_enough_leaving(count):
+            if not self._is_enough_leaving(account, count):
                 self._evict_largest()
             patient_until = self._timers.now() + PATIENCE_S
         if account.is_evicted:
@@ -230,10 +245,32 @@
         account.size += count
         return True
 
-    def _is_enough_leaving(self, count: int) -> bool:
+    def _may_take(self, account: MemoryAccount, count: int, used_bytes: int) -> bool:
+        """Return whether an account may take bytes while a number of bytes is taken."""
+        free_bytes = self.total_bytes - used_bytes
+        if account.has_known_size or len(self._accounts) == 1:
+            return count <= free_bytes
+        size = account.size + count
+        if size <= free_bytes:
+            return True
+        is_short = size <= AHEAD_MULTIPLE * free_bytes and count <= free_bytes
+        return is_short and self._is_ahead(account)
+
+    def _is_ahead(self, account: MemoryAccount) -> bool:
+        """
+        Return whether an account is the one that may grow beyond the free memory.
+
+        It is the first that has to, until its message is complete.
+        """
+        ahead = self._ahead
+        if ahead is None or ahead.is_evicted or ahead.has_known_size:
+            self._ahead = account
+        return self._ahead is account
+
+    def _is_enough_leaving(self, account: MemoryAccount, count: int) -> bool:
         """Return whether messages that were given up are about to give enough back."""
-        leaving = sum(account.size for account in self._accounts if account.is_evicted)
-        return self.used_bytes - leaving + count <= self.total_bytes
+        leaving = sum(item.size for item in self._accounts if item.is_evicted)
+        return self._may_take(account, count, self.used_bytes - leaving)
 
     def _evict_largest(self) -> None:
         kept = [account for account in self._accounts if not account.is_evicted]
@@ -263,4 +300,6 @@
     def close(self, account: MemoryAccount) -> None:
         """Give back all bytes of an account and forget it."""
         self._accounts.discard(account)
+        if self._ahead is account:
+            self._ahead = None
         self.give_back(account, account.size)
--- a/marigoldtrail/memory/tests/test_budget.py
+++ b/marigoldtrail/memory/tests/test_budget.py
@@ -98,3 +98,48 @@
 def test_budget_is_a_share_of_the_memory_of_the_host():
     """Guards against a budget that the smallest host does not have beside an idle process."""
     assert compute_budget_bytes(160) <= 160e6 / 2 / 3
+
+
+async def test_messages_without_end_leave_room_for_others(autojump_clock, nursery):
+    """Guards against short messages that wait because endless ones have taken all memory."""
+    budget = make_budget(100_000)
+
+    async def grow():
+        with budget.open("a", "endless") as account:
+            while await account.take(100):
+                await trio.lowlevel.checkpoint()
+
+    for _ in range(40):
+        nursery.start_soon(grow)
+    await trio.sleep(PATIENCE_S / 2)
+    started = trio.current_time()
+    with budget.open("a", "short") as short, budget.open("a", "q", has_known_size=True) as known:
+        assert await short.take(500) and await known.take(500)
+    assert trio.current_time() == started and not budget.evicted
+
+
+async def test_few_messages_of_unknown_size_use_more_than_half_of_the_budget(autojump_clock):
+    """Guards against proper messages that are given up while most of the memory is free."""
+    budget = make_budget()
+    with budget.open("a", "p") as first, budget.open("a", "q") as second:
+        for _ in range(6):
+            assert await first.take(50) and await second.take(50)
+    assert not budget.evicted
+
+
+async def test_messages_a_little_over_their_share_complete_one_by_one(autojump_clock, nursery):
+    """Guards against proper messages that wait for each other until some are given up."""
+    budget = make_budget(10_000)
+    complete = []
+
+    async def receive():
+        with budget.open("a", "p") as account:
+            for _ in range(30):
+                assert await account.take(10)
+                await trio.sleep(0.001)
+            complete.append(account)
+
+    for _ in range(40):
+        nursery.start_soon(receive)
+    await trio.sleep(4 * PATIENCE_S)
+    assert len(complete) == 40 and not budget.evicted
--- a/marigoldtrail/relay/tests/test_endless_answers.py
+++ b/marigoldtrail/relay/tests/test_endless_answers.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from marigoldtrail.memory.budget import PATIENCE_S
 from marigoldtrail.net import Address
 from marigoldtrail.relay.tests.helpers import (
     ENTRY_ADDRESS,
@@ -290,3 +291,25 @@
     await harness.start(reply_with(head))
     data = await harness.fetch(make_request(method="HEAD"))
     assert data.startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks", "close"])
+async def test_answers_without_end_do_not_hold_up_proper_ones(autojump_clock, nursery, framing):
+    """Guards against proper answers that wait, or fail, because others have taken the memory."""
+    body = b"y" * 300_000
+    harness = RelayHarness(nursery, memory_mb=HOST_MB)
+    await harness.start(send_without_end(*ANSWERS["without length"]))
+    proper = []
+    async with trio.open_nursery() as callers:
+        callers.start_soon(fetch_all, harness, make_request(method="POST", body=b"b"))
+        # By then, the memory is used up.
+        await trio.sleep(0.6)
+        await harness.add_upstream(1, send_body(body, framing))
+        for _ in range(12):
+            started = trio.current_time()
+            data = await harness.fetch(make_request())
+            if data.endswith(body):
+                proper.append(trio.current_time() - started)
+
+    # At most two others had to be given up before.
+    assert len(proper) == 12 and max(proper) < 2 * PATIENCE_S
