Keep the body of a caller in one object while it is read

What callers would see: a body in chunks of two bytes, within the limit of the configuration, took over sixty times its size in the memory of an entry until it was complete; a few of them at once end a process of 160 MB, and with it the requests of all others.

Cause: each part of a body was kept as an object of its own.

Change: parts are appended to one bytearray.

--- a/marigoldtrail/relay/caller_connection.py
+++ b/marigoldtrail/relay/caller_connection.py
@@ -262,8 +262,8 @@
         return self._conn.next_event()
 
     async def _read_body(self, limits: Limits) -> bytes | Refusal | Closed:
-        parts: list[bytes] = []
-        size = 0
+        # One object: the parts of a body may be single bytes.
+        body = bytearray()
         with trio.move_on_after(BODY_TIMEOUT_S) as scope:
             while True:
                 event = self._conn.next_event()
@@ -276,13 +276,12 @@
                     if pause.cancelled_caught:
                         scope.cancel()
                 elif isinstance(event, h11.Data):
-                    parts.append(bytes(event.data))
-                    size += len(event.data)
-                    if size > limits.max_body_bytes:
+                    body += event.data
+                    if len(body) > limits.max_body_bytes:
                         detail = f"a body has at most {limits.max_body_bytes} bytes"
                         return Refusal(status=413, detail=detail)
                 elif isinstance(event, h11.EndOfMessage):
-                    return b"".join(parts)
+                    return bytes(body)
                 else:
                     return Closed.CALLER
         return Refusal(status=408, detail="the body did not arrive in time")
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -109,7 +109,16 @@
 class RelayHarness:
     """A relay, and upstreams whose connections are served by functions of the tests."""
 
-    def __init__(self, nursery, kind=RouteKind.SAFE, *, accounts=None, memory_mb=0, **route):
+    def __init__(
+        self,
+        nursery,
+        kind=RouteKind.SAFE,
+        *,
+        accounts=None,
+        memory_mb=0,
+        max_body_bytes=5000,
+        **route,
+    ):
         self.nursery = nursery
         self.network = MemoryNetwork(seed=1)
         self.timers = Timers(seed=1)
@@ -118,7 +127,7 @@
             version=1,
             routes=(make_route(kind, **route),),
             services=tuple(Service(name=name, max_connections=9) for name in ("s", "t")),
-            limits=Limits(max_header_bytes=2000, max_body_bytes=5000),
+            limits=Limits(max_header_bytes=2000, max_body_bytes=max_body_bytes),
             accounts=accounts,
         )
         self.fleet_state.routes = build_index(table)
