Bound the memory of the requests of all callers of a host together

What callers would see: each body has a limit (4 MiB in the users' configurations) and each connection one for what is sent ahead, but all connections together had none. 40 callers that send a body without end end a process of 160 MB, and with it the requests of all others.

Change: a host has a RequestMemory, half of the budget for unfinished messages; the other half stays for responses, so that requests that hold their memory until their response has come can't wait for each other. Parts up to 64 KiB take memory as they arrive; the rest of a larger body is taken as a whole before it is read, so that large bodies that arrive together are read one after the other. A request that finds no room waits. It is refused after 2 s with 503, Retry-After and Connection: close, and has not run. A large body that has not arrived within 1 s is given up if others wait for its memory; one that was read is never given up. Data that is sent ahead is read in parts of 4 KiB, and not beyond the memory. What was read is dropped before a connection is closed gracefully. Endpoints of the host use the same memory. Gauges request_bytes and requests_without_memory; log lines name the caller.

Bodies are limited to 45% of this memory: 4.5 MB on a host of 160 MB, and 413 beyond.

--- a/marigoldtrail/memory/budget.py
+++ b/marigoldtrail/memory/budget.py
@@ -14,12 +14,18 @@
 BUDGET_SHARE = 0.125
 # Budget of a host whose settings name no limit.
 DEFAULT_BUDGET_BYTES = 64 * BYTES_PER_MB
-# A message of unknown size grows no larger than the memory that is free, so that many without end
-# leave room for others. One at a time may grow to this multiple of it: proper ones that need a
-# little more complete one by one. A larger multiple would leave less room.
+# A message grows no larger than the memory that is free, so that many without end leave room for
+# others. One at a time may grow to this multiple of it: proper ones that need a little more
+# complete one by one. A larger multiple would leave less room.
 AHEAD_MULTIPLE = 3
 # Complete messages give their memory back within this time, so that others only wait for it.
 PATIENCE_S = 0.25
+# While messages complete, one that waits is patient for at most this multiple of the time.
+MAX_PATIENCE_MULTIPLE = 8
+# A message that was given up gives its bytes back within this multiple of the time.
+LEAVING_MULTIPLE = 6
+# Share at which a message of announced size counts when the largest is given up: it has an end.
+ANNOUNCED_WEIGHT = 0.3
 
 _log = logging.getLogger(__name__)
 
@@ -67,13 +73,29 @@
 
     Attributes
     ----------
+    budget : MemoryBudget
+        The budget that it belongs to.
     size : int
         Bytes taken.
     is_evicted : bool
         Whether the message has to be given up.
+    is_complete : bool
+        Whether all of the message has arrived.
+    is_closed : bool
+        Whether it takes no more bytes.
     """
 
-    __slots__ = ("purpose", "peer", "has_known_size", "size", "is_evicted", "_budget", "_evict")
+    __slots__ = (
+        "purpose",
+        "peer",
+        "has_known_size",
+        "size",
+        "is_evicted",
+        "is_complete",
+        "is_closed",
+        "budget",
+        "_evict",
+    )
 
     def __init__(
         self,
@@ -89,7 +111,9 @@
         self.has_known_size = has_known_size
         self.size = 0
         self.is_evicted = False
-        self._budget = budget
+        self.is_complete = False
+        self.is_closed = False
+        self.budget = budget
         self._evict = evict
 
     async def take(self, count: int) -> bool:
@@ -104,13 +128,17 @@
         Returns
         -------
         bool
-            False if the message has to be given up.
+            False if the message has to be given up, or the account was closed.
         """
-        return await self._budget.take(self, count)
+        return await self.budget.take(self, count)
 
     def give_back(self, count: int) -> None:
         """Give back bytes that are no longer held."""
-        self._budget.give_back(self, min(count, self.size))
+        self.budget.give_back(self, min(count, self.size))
+
+    def complete(self) -> None:
+        """Note that all of the message has arrived; it is no longer given up."""
+        self.is_complete = True
 
     def evict(self) -> None:
         """Give the message up, because others need the memory."""
@@ -119,7 +147,7 @@
 
     def close(self) -> None:
         """Give back all bytes; the account may be closed again."""
-        self._budget.close(self)
+        self.budget.close(self)
 
     def __enter__(self) -> MemoryAccount:
         return self
@@ -137,10 +165,11 @@
     """
     Bytes that all unfinished messages of one host may take together.
 
-    A message that finds no room waits for those that complete. If none does in time, the largest
-    one is given up, first among those whose size was not announced: a message without end grows
-    beyond all others. Messages of unknown size never use up the whole budget together, so that a
-    shorter one does not have to wait for them.
+    A message grows no larger than the memory that is free, except for one at a time, which is
+    ahead: it is the first that had to wait, and memory that it waits for is kept for it. A message
+    that finds no room waits for those that complete. If none does in time, the largest one is given
+    up, which is one without end if there is any. A message that has arrived completely and is still
+    in use is never given up; if too few others remain to make room, the message waits.
 
     Parameters
     ----------
@@ -148,6 +177,8 @@
         The budget.
     timers : Timers
         Clock.
+    patience_s : float
+        Seconds without room after which a message is given up.
 
     Attributes
     ----------
@@ -162,12 +193,11 @@
     --------
     >>> import trio
     >>> budget = MemoryBudget(total_bytes=1000, timers=Timers())
-    >>> account = budget.open("response", "i-1")
-    >>> trio.run(account.take, 600), budget.used_bytes
-    (True, 600)
-    >>> account.close()
-    >>> budget.used_bytes
-    0
+    >>> async def receive():
+    ...     with budget.open("response", "i-1") as account:
+    ...         return await account.take(600), budget.used_bytes
+    >>> trio.run(receive), budget.used_bytes
+    ((True, 600), 0)
     """
 
     __slots__ = (
@@ -175,19 +205,29 @@
         "used_bytes",
         "evicted",
         "_timers",
+        "_patience_s",
         "_accounts",
+        "_evicted_at",
+        "_completed_at",
         "_ahead",
+        "_kept_bytes",
         "_changed",
     )
 
-    def __init__(self, *, total_bytes: int, timers: Timers) -> None:
+    def __init__(self, *, total_bytes: int, timers: Timers, patience_s: float = PATIENCE_S) -> None:
         self.total_bytes = total_bytes
         self.used_bytes = 0
         self.evicted: Counter[str] = Counter()
         self._timers = timers
+        self._patience_s = patience_s
         self._accounts: set[MemoryAccount] = set()
-        # The account that may grow beyond the free memory.
+        # When accounts that still hold bytes were given up.
+        self._evicted_at: dict[MemoryAccount, float] = {}
+        # When a message last gave its bytes back by itself.
+        self._completed_at = float("-inf")
+        # The account that may grow beyond the free memory, and what it waits for.
         self._ahead: MemoryAccount | None = None
+        self._kept_bytes = 0
         self._changed = Notifier()
 
     def open(
@@ -225,59 +265,77 @@
         return account
 
     def has_room(self, count: int) -> bool:
-        """Return whether a number of bytes can be taken at once."""
+        """Return whether a number of bytes is free."""
         return self.used_bytes + count <= self.total_bytes
 
+    def may_take(self, account: MemoryAccount, count: int) -> bool:
+        """Return whether an account may take bytes without waiting."""
+        return self._has_share(account, count, self.used_bytes)
+
+    def _has_share(self, account: MemoryAccount, count: int, used_bytes: int) -> bool:
+        """Return whether an account may take bytes while a number of bytes is taken."""
+        is_ahead = account is self._ahead
+        free_bytes = self.total_bytes - used_bytes - (0 if is_ahead else self._kept_bytes)
+        if count > free_bytes:
+            return False
+        limit_bytes = AHEAD_MULTIPLE * free_bytes if is_ahead else free_bytes
+        return account.size + count <= limit_bytes or len(self._accounts) == 1
+
     async def take(self, account: MemoryAccount, count: int) -> bool:
         """Take bytes for an account; see `MemoryAccount.take`."""
-        patient_until = self._timers.now() + PATIENCE_S
-        while not account.is_evicted and not self._may_take(account, count, self.used_bytes):
-            left_s = patient_until - self._timers.now()
-            if left_s > 0:
-                await self._changed.wait_with_timeout(left_s)
-                continue
-            if not self._is_enough_leaving(account, count):
-                self._evict_largest()
-            patient_until = self._timers.now() + PATIENCE_S
-        if account.is_evicted:
+        if account.size + count > self.total_bytes:
+            self._evict(account)
+            return False
+        try:
+            await self._wait_for_share(account, count)
+        finally:
+            if account is self._ahead:
+                self._kept_bytes = 0
+        if account.is_evicted or account.is_closed:
             return False
         self.used_bytes += count
         account.size += count
         return True
 
-    def _may_take(self, account: MemoryAccount, count: int, used_bytes: int) -> bool:
-        """Return whether an account may take bytes while a number of bytes is taken."""
-        free_bytes = self.total_bytes - used_bytes
-        if account.has_known_size or len(self._accounts) == 1:
-            return count <= free_bytes
-        size = account.size + count
-        if size <= free_bytes:
-            return True
-        is_short = size <= AHEAD_MULTIPLE * free_bytes and count <= free_bytes
-        return is_short and self._is_ahead(account)
-
-    def _is_ahead(self, account: MemoryAccount) -> bool:
-        """
-        Return whether an account is the one that may grow beyond the free memory.
+    async def _wait_for_share(self, account: MemoryAccount, count: int) -> None:
+        """Wait until an account may take bytes, is given up or is closed."""
+        started = self._timers.now()
+        while not (account.is_evicted or account.is_closed or self.may_take(account, count)):
+            if self._ahead is None:
+                self._ahead = account
+            if account is self._ahead:
+                self._kept_bytes = count
+                if self.may_take(account, count):
+                    return
+            left_s = self._find_patient_until(started) - self._timers.now()
+            if left_s <= 0:
+                self._make_room(account, count)
+                left_s = self._patience_s
+            if not account.is_evicted:
+                await self._changed.wait_with_timeout(left_s)
 
-        It is the first that has to, until its message is complete.
-        """
-        ahead = self._ahead
-        if ahead is None or ahead.is_evicted or ahead.has_known_size:
-            self._ahead = account
-        return self._ahead is account
-
-    def _is_enough_leaving(self, account: MemoryAccount, count: int) -> bool:
-        """Return whether messages that were given up are about to give enough back."""
-        leaving = sum(item.size for item in self._accounts if item.is_evicted)
-        return self._may_take(account, count, self.used_bytes - leaving)
-
-    def _evict_largest(self) -> None:
-        kept = [account for account in self._accounts if not account.is_evicted]
-        if not kept:
+    def _find_patient_until(self, started: float) -> float:
+        """Return when others are given up for a message that waits, unless one completes."""
+        until = max(started, self._completed_at) + self._patience_s
+        return min(until, started + MAX_PATIENCE_MULTIPLE * self._patience_s)
+
+    def _make_room(self, account: MemoryAccount, count: int) -> None:
+        """Give up the largest message, unless enough is about to be given back."""
+        now = self._timers.now()
+        leaving_s = LEAVING_MULTIPLE * self._patience_s
+        leaving = sum(item.size for item, at in self._evicted_at.items() if now < at + leaving_s)
+        if leaving and self._has_share(account, count, self.used_bytes - leaving):
+            return
+        complete = sum(item.size for item in self._accounts if item.is_complete)
+        if complete + count > self.total_bytes:
             return
-        largest = max(kept, key=lambda account: (not account.has_known_size, account.size))
+        kept = [i for i in self._accounts if i.size and not (i.is_evicted or i.is_complete)]
+        self._evict(max(kept, key=weigh_account, default=account))
+
+    def _evict(self, largest: MemoryAccount) -> None:
         self.evicted[largest.purpose] += 1
+        self._evicted_at[largest] = self._timers.now()
+        self._forget_ahead(largest)
         _log.warning(
             "a message was given up for want of memory",
             extra={
@@ -288,8 +346,15 @@
                 "total_bytes": self.total_bytes,
             },
         )
+        # Before its own task gives the bytes back: others have to see that they come.
+        self._changed.notify()
         largest.evict()
 
+    def _forget_ahead(self, account: MemoryAccount) -> None:
+        if account is self._ahead:
+            self._ahead = None
+            self._kept_bytes = 0
+
     def give_back(self, account: MemoryAccount, count: int) -> None:
         """Give back bytes of an account."""
         account.size -= count
@@ -299,7 +364,16 @@
 
     def close(self, account: MemoryAccount) -> None:
         """Give back all bytes of an account and forget it."""
+        if account.size and not account.is_evicted:
+            self._completed_at = self._timers.now()
+        account.is_closed = True
         self._accounts.discard(account)
-        if self._ahead is account:
-            self._ahead = None
+        self._evicted_at.pop(account, None)
+        self._forget_ahead(account)
         self.give_back(account, account.size)
+        self._changed.notify()
+
+
+def weigh_account(account: MemoryAccount) -> float:
+    """Return by what size an account counts when the largest message is given up."""
+    return account.size * (ANNOUNCED_WEIGHT if account.has_known_size else 1.0)
--- a/marigoldtrail/memory/tests/test_budget.py
+++ b/marigoldtrail/memory/tests/test_budget.py
@@ -143,3 +143,21 @@
         nursery.start_soon(receive)
     await trio.sleep(4 * PATIENCE_S)
     assert len(complete) == 40 and not budget.evicted
+
+
+async def test_complete_message_is_not_given_up(autojump_clock, nursery):
+    """Guards against messages in use that fail, or others that fail without making room."""
+    budget = make_budget()
+    complete, partial = budget.open("a", "p"), budget.open("a", "q")
+    assert await complete.take(600) and await partial.take(100)
+    complete.complete()
+    waiting = budget.open("a", "r")
+    with trio.move_on_after(4 * PATIENCE_S):
+        await waiting.take(500)
+    assert waiting.size == 0 and not budget.evicted
+    nursery.start_soon(waiting.take, 400)
+    await trio.sleep(2 * PATIENCE_S)
+    assert partial.is_evicted and not complete.is_evicted
+    partial.close()
+    await trio.sleep(0.01)
+    assert waiting.size == 400
--- a/marigoldtrail/relay/caller_connection.py
+++ b/marigoldtrail/relay/caller_connection.py
@@ -3,18 +3,25 @@
 from __future__ import annotations
 
 import enum
+import sys
 from collections.abc import Callable
 
 import h11
 import msgspec
 import trio
 
+from marigoldtrail.memory.requests import (
+    SMALL_BYTES,
+    RequestMemory,
+    make_default_request_memory,
+)
 from marigoldtrail.net.client import STREAM_ERRORS
 from marigoldtrail.relay.connection_end import (
     READ_BYTES,
     EndReason,
     close_gracefully,
     has_unread_data,
+    name_peer,
     reset_on_close,
 )
 from marigoldtrail.relay.idle_wait import FindIdleLimitFn, IdleWait
@@ -28,6 +35,7 @@
 MAX_PIPELINED_BYTES = 65536
 # Longer bodies are not copied behind their heads: a slow caller would hold the memory twice.
 MAX_JOINED_BYTES = 65536
+PIPELINED_READ_BYTES = 4096
 # Heads of this size are refused, also if the configuration allows longer ones.
 MAX_INCOMPLETE_BYTES = 1024 * 1024
 
@@ -108,6 +116,8 @@
     find_idle_limit_s : callable or None
         Returns the longest idle limit in seconds that was in force since a monotonic time; None
         for the current one.
+    memory : RequestMemory or None
+        Memory of all requests of the host; None for one without a site.
 
     Attributes
     ----------
@@ -130,6 +140,9 @@
         "_is_head",
         "_has_started",
         "_pipelined_bytes",
+        "_memory",
+        "_account",
+        "_body_bytes",
         "announces_close",
         "is_broken",
         "was_reset",
@@ -141,6 +154,7 @@
         stream: trio.abc.Stream,
         limits: Callable[[], Limits],
         find_idle_limit_s: FindIdleLimitFn | None = None,
+        memory: RequestMemory | None = None,
     ) -> None:
         self._stream = stream
         self._limits = limits
@@ -155,6 +169,9 @@
         self._is_head = False
         self._has_started = False
         self._pipelined_bytes = 0
+        self._memory = memory or make_default_request_memory()
+        self._account = self._memory.open(name_peer(stream), self._stop_reading)
+        self._body_bytes = 0
         self.announces_close = False
         self.is_broken = False
         self.was_reset = False
@@ -178,9 +195,14 @@
         CallerRequest, Refusal or Closed
             The request, the reason for its refusal, or the note that there is none.
         """
+        result: CallerRequest | Refusal | Closed | None = None
         with trio.CancelScope() as self._read_scope:
-            return await self._read_request()
-        return Refusal(status=503, detail="the host stops")
+            result = await self._read_request()
+        if isinstance(result, CallerRequest):
+            return result
+        if self._account.is_evicted:
+            return Refusal(status=503, detail="the host has no memory left for the request")
+        return result or Refusal(status=503, detail="the host stops")
 
     async def _read_request(self) -> CallerRequest | Refusal | Closed:
         try:
@@ -193,16 +215,18 @@
             if not isinstance(head, h11.Request):
                 return head
             self._is_head = head.method == b"HEAD"
-            fault = check_head(head, limits)
+            fault = check_head(head, limits, self._memory.max_body_bytes)
             if fault is not None:
                 return fault
-            body = await self._read_body(limits)
+            body = await self._read_body(limits, find_body_length(head))
         except h11.RemoteProtocolError as exc:
             return Refusal(status=exc.error_status_hint or 400, detail=str(exc))
         except STREAM_ERRORS:
             return Closed.CALLER
         if not isinstance(body, bytes):
             return body
+        self._body_bytes = len(body)
+        self._account.complete(self._body_bytes + self.buffered_bytes)
         return CallerRequest(
             method=bytes(head.method),
             target=bytes(head.target),
@@ -210,23 +234,37 @@
             body=body,
         )
 
+    def _stop_reading(self) -> None:
+        self._read_scope.cancel()
+
     async def _begin_head(self) -> ReadEvent | Closed:
         """Wait until a part of the next request has arrived."""
+        if not await self._account.hold(self.buffered_bytes):
+            return Closed.CALLER
         event = self._conn.next_event()
         if event is not h11.NEED_DATA or self._conn.trailing_data[0]:
             return event
         data = await self._wait_for_data()
         if isinstance(data, EndReason):
             return Closed(data)
+        return await self._take_in(data)
+
+    async def _take_in(self, data: bytes, held: int = 0) -> ReadEvent | Closed:
+        """Parse data that has arrived, once there is memory for it and what is held already."""
+        if not await self._account.hold(held + self.buffered_bytes + len(data)):
+            # The request is refused; see `read_request`.
+            return Closed.CALLER
         self._conn.receive_data(data)
         return self._conn.next_event()
 
-    async def _read_head(self, event: ReadEvent, limits: Limits) -> h11.Request | Refusal | Closed:
+    async def _read_head(
+        self, event: ReadEvent | Closed, limits: Limits
+    ) -> h11.Request | Refusal | Closed:
         with trio.move_on_after(limits.header_timeout_s):
             while event is h11.NEED_DATA:
                 if len(self._conn.trailing_data[0]) > limits.max_header_bytes:
                     return refuse_head(limits)
-                event = await self._receive()
+                event = await self._take_in(bytes(await self._stream.receive_some(READ_BYTES)))
         if isinstance(event, h11.Request):
             return event
         if event is h11.NEED_DATA:
@@ -257,51 +295,69 @@
         if self.is_receiving:
             self._read_scope.cancel()
 
-    async def _receive(self) -> ReadEvent:
-        self._conn.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
-        return self._conn.next_event()
-
-    async def _read_body(self, limits: Limits) -> bytes | Refusal | Closed:
+    async def _read_body(self, limits: Limits, length: int | None) -> bytes | Refusal | Closed:
+        max_bytes = min(limits.max_body_bytes, self._memory.max_body_bytes)
+        if length is not None and not await self._account.reserve(length, has_known_size=True):
+            return Closed.CALLER
         # One object: the parts of a body may be single bytes.
         body = bytearray()
-        with trio.move_on_after(BODY_TIMEOUT_S) as scope:
+        event: ReadEvent | Closed = self._conn.next_event()
+        with trio.move_on_after(BODY_TIMEOUT_S):
             while True:
-                event = self._conn.next_event()
                 if event is h11.NEED_DATA:
-                    if self._conn.they_are_waiting_for_100_continue:
-                        proceed = h11.InformationalResponse(status_code=100, headers=[])
-                        await self._stream.send_all(self._conn.send(proceed) or b"")
-                    with trio.move_on_after(MAX_BODY_PAUSE_S) as pause:
-                        self._conn.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
-                    if pause.cancelled_caught:
-                        scope.cancel()
+                    size = len(body) + self.buffered_bytes
+                    bound = length or (max_bytes if size >= SMALL_BYTES else 0)
+                    if not await self._account.reserve(bound, has_known_size=False):
+                        return Closed.CALLER
+                    data = await self._receive_body_part(
+                        READ_BYTES if bound else SMALL_BYTES - size
+                    )
+                    if data is None:
+                        break
+                    event = await self._take_in(data, held=len(body))
                 elif isinstance(event, h11.Data):
                     body += event.data
-                    if len(body) > limits.max_body_bytes:
-                        detail = f"a body has at most {limits.max_body_bytes} bytes"
-                        return Refusal(status=413, detail=detail)
+                    if len(body) > max_bytes:
+                        return refuse_body(max_bytes)
+                    event = self._conn.next_event()
                 elif isinstance(event, h11.EndOfMessage):
                     return bytes(body)
                 else:
                     return Closed.CALLER
         return Refusal(status=408, detail="the body did not arrive in time")
 
+    async def _receive_body_part(self, max_bytes: int) -> bytes | None:
+        """Return data of a body; None if none arrives for too long."""
+        if self._conn.they_are_waiting_for_100_continue:
+            proceed = h11.InformationalResponse(status_code=100, headers=[])
+            await self._stream.send_all(self._conn.send(proceed) or b"")
+        with trio.move_on_after(MAX_BODY_PAUSE_S):
+            return bytes(await self._stream.receive_some(max_bytes))
+        return None
+
     async def wait_closed(self) -> None:
         """Wait until the caller closes the connection, while its request is served."""
         self._pipelined_bytes = 0
         try:
             while True:
-                data = await self._stream.receive_some(READ_BYTES)
+                data = await self._stream.receive_some(PIPELINED_READ_BYTES)
                 if not data:
                     return
                 self._pipelined_bytes += len(data)
                 self._conn.receive_data(bytes(data))
-                if self._pipelined_bytes > MAX_PIPELINED_BYTES:
+                if not await self._may_read_ahead():
                     # Too much pipelined data: stop reading, so that a close is no longer detected.
                     await trio.sleep_forever()
         except STREAM_ERRORS:
             return
 
+    async def _may_read_ahead(self) -> bool:
+        """Return whether more of the requests after the current one may be read."""
+        size = self._body_bytes + self.buffered_bytes
+        if self._pipelined_bytes > MAX_PIPELINED_BYTES or not self._account.may_hold(size):
+            return False
+        return await self._account.hold(size)
+
     async def start_response(self, status: int, headers: Headers) -> None:
         """
         Send the head of a stream.
@@ -371,6 +427,7 @@
             return False
         self._conn.start_next_cycle()
         self._has_started = False
+        self._account.close()
         return True
 
     @property
@@ -398,6 +455,7 @@
             Number of received bytes that were dropped without being served.
         """
         dropped = self.buffered_bytes
+        self._account.close()
         with trio.CancelScope(shield=True):
             if is_forced or self.is_broken:
                 if self._ends_with_close():
@@ -405,11 +463,15 @@
                 self.was_reset = has_unread_data(self._stream)
                 await trio.aclose_forcefully(self._stream)
             else:
+                # Frees what was read: the graceful close takes time.
+                self._conn = h11.Connection(h11.SERVER)
                 dropped += await close_gracefully(self._stream)
         return dropped
 
 
-def check_head(head: h11.Request, limits: Limits) -> Refusal | None:
+def check_head(
+    head: h11.Request, limits: Limits, max_body_bytes: int = sys.maxsize
+) -> Refusal | None:
     """
     Refuse heads that are too large or whose body length is ambiguous (request smuggling).
 
@@ -419,6 +481,8 @@
         The head.
     limits : Limits
         Current limits.
+    max_body_bytes : int
+        Size of the largest body that the host can hold.
 
     Returns
     -------
@@ -435,13 +499,24 @@
         return Refusal(status=400, detail="a header that may be given once is given twice")
     if head.method == b"CONNECT":
         return Refusal(status=400, detail="CONNECT is not supported")
-    for name, value in head.headers:
-        if name == b"content-length" and value.isdigit() and int(value) > limits.max_body_bytes:
-            detail = f"a body has at most {limits.max_body_bytes} bytes"
-            return Refusal(status=413, detail=detail)
+    length = find_body_length(head)
+    max_body_bytes = min(limits.max_body_bytes, max_body_bytes)
+    if length is not None and length > max_body_bytes:
+        return refuse_body(max_body_bytes)
     return None
 
 
+def find_body_length(head: h11.Request) -> int | None:
+    """Return the announced length of a body; None if there is none."""
+    lengths = [value for name, value in head.headers if name == b"content-length"]
+    return max((int(value) for value in lengths if value.isdigit()), default=None)
+
+
+def refuse_body(max_bytes: int) -> Refusal:
+    """Return the refusal of a body that is too large."""
+    return Refusal(status=413, detail=f"a body has at most {max_bytes} bytes")
+
+
 def refuse_head(limits: Limits) -> Refusal:
     """Return the refusal of a head that is too large."""
     return Refusal(status=431, detail=f"a head has at most {limits.max_header_bytes} bytes")
--- a/marigoldtrail/relay/endpoints.py
+++ b/marigoldtrail/relay/endpoints.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from marigoldtrail.memory.requests import RequestMemory
 from marigoldtrail.net.client import STREAM_ERRORS
 from marigoldtrail.relay.caller_connection import CallerConnection, CallerRequest, Closed, Refusal
 from marigoldtrail.relay.types import Headers
@@ -114,6 +115,7 @@
     handler: Handler,
     limits: Limits,
     stop: EndpointStop | None = None,
+    memory: RequestMemory | None = None,
 ) -> None:
     """
     Serve the requests of one connection with a handler.
@@ -128,9 +130,11 @@
         Limits for requests.
     stop : EndpointStop or None
         Ends the connection when the host stops; None if it never does.
+    memory : RequestMemory or None
+        Memory of all requests of the host; None for one without a site.
     """
     stop = stop or EndpointStop()
-    conn = CallerConnection(stream=stream, limits=lambda: limits)
+    conn = CallerConnection(stream=stream, limits=lambda: limits, memory=memory)
     is_forced = True
     try:
         while True:
@@ -138,7 +142,7 @@
             if isinstance(request, Closed):
                 return
             if isinstance(request, Refusal):
-                await conn.send_response(request.status, [(b"connection", b"close")], b"")
+                await conn.send_response(request.status, make_refusal_headers(request), b"")
                 break
             reply = await handle_while_connected(conn, partial(stop.handle, handler), request)
             if reply is None:
@@ -158,6 +162,12 @@
             _log.info("data of a caller was dropped at an endpoint", extra={"bytes": dropped})
 
 
+def make_refusal_headers(refusal: Refusal) -> Headers:
+    """Return the headers of the refusal of a request that was not read to its end."""
+    headers = [(b"connection", b"close")]
+    return [*headers, *STOPPING_REPLY.headers] if refusal.status == 503 else headers
+
+
 async def handle_while_connected(
     conn: CallerConnection, handler: Handler, request: CallerRequest
 ) -> Reply | None:
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -9,6 +9,7 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.memory.requests import RequestMemory, make_default_request_memory
 from marigoldtrail.net.client import STREAM_ERRORS
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.caller_connection import CallerConnection, CallerRequest, Closed, Refusal
@@ -87,6 +88,8 @@
         Jitter for the retry times sent to callers.
     metrics : PrometheusMetrics
         Counts requests.
+    memory : RequestMemory or None
+        Memory of the requests of all callers; None for the default.
     """
 
     __slots__ = (
@@ -104,6 +107,7 @@
         "_stop",
         "_exchanges",
         "_router",
+        "_memory",
         "connections",
         "requests",
     )
@@ -120,6 +124,7 @@
         timers: Timers,
         rng: random.Random,
         metrics: PrometheusMetrics,
+        memory: RequestMemory | None = None,
     ) -> None:
         self._host = host
         self._fleet_state = fleet_state
@@ -136,6 +141,7 @@
         self._stop = StopAdmission()
         self._exchanges: set[Exchange] = set()
         self._router = RequestRouter(fleet_state=fleet_state, stop=self._stop)
+        self._memory = memory or make_default_request_memory()
         self.connections = 0
         self.requests = 0
 
@@ -239,7 +245,10 @@
             The accepted stream.
         """
         conn = CallerConnection(
-            stream=stream, limits=self.limits, find_idle_limit_s=self._find_idle_limit_s
+            stream=stream,
+            limits=self.limits,
+            find_idle_limit_s=self._find_idle_limit_s,
+            memory=self._memory,
         )
         self.connections += 1
         reason: EndReason | None = None
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -117,6 +117,7 @@
         accounts=None,
         memory_mb=0,
         max_body_bytes=5000,
+        request_memory=None,
         **route,
     ):
         self.nursery = nursery
@@ -225,6 +226,7 @@
             timers=self.timers,
             rng=rng,
             metrics=metrics,
+            memory=request_memory,
         )
 
     async def _list_entries(self):
--- a/marigoldtrail/site/components.py
+++ b/marigoldtrail/site/components.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from marigoldtrail.memory import MemoryBudget, compute_budget_bytes
+from marigoldtrail.memory import MemoryBudget, RequestMemory, compute_budget_bytes
 from marigoldtrail.net import Address, ListenerControl, Network, PeerClient
 from marigoldtrail.reachability import UpstreamContact
 from marigoldtrail.registry import FleetState, HostReporter, peer_name
@@ -25,6 +25,8 @@
 CLOSE_POLL_INTERVAL_S = 0.02
 # Time for the refusals of requests to endpoints that are still in progress when they must end.
 LAST_REPLIES_S = 0.3
+# Requests and responses have apart what they need; see `RequestMemory`.
+REQUEST_SHARE = 0.5
 
 
 class HostComponents:
@@ -55,6 +57,7 @@
         "rng",
         "nursery",
         "memory",
+        "request_memory",
         "peers",
         "fleet_state",
         "contact",
@@ -84,7 +87,10 @@
         self.endpoint_stop = EndpointStop()
         self._endpoint_listeners: list[ListenerControl] = []
         self.metrics = PrometheusMetrics()
-        self.memory = MemoryBudget(total_bytes=compute_budget_bytes(cfg.memory_mb), timers=timers)
+        budget_bytes = compute_budget_bytes(cfg.memory_mb)
+        request_bytes = int(budget_bytes * REQUEST_SHARE)
+        self.memory = MemoryBudget(total_bytes=budget_bytes - request_bytes, timers=timers)
+        self.request_memory = RequestMemory(total_bytes=request_bytes, timers=timers)
         self.peers = PeerClient(network=network, host=cfg.host, nursery=nursery)
         self.fleet_state = FleetState(parse_document=adapter.parse_document, timers=timers)
         self.contact = UpstreamContact(timers=timers)
@@ -150,6 +156,16 @@
             "Unfinished messages that were given up for want of memory.",
             lambda: self.memory.evicted.total(),
         )
+        add(
+            "request_bytes",
+            "Memory of the requests of callers.",
+            lambda: self.request_memory.used_bytes,
+        )
+        add(
+            "requests_without_memory",
+            "Requests that were refused or given up for want of memory.",
+            lambda: self.request_memory.refused,
+        )
         add("log_lines_dropped", "Log lines dropped.", count_dropped_lines)
 
     @property
@@ -191,7 +207,7 @@
         self._endpoint_listeners.append(control)
 
         async def serve(stream: trio.abc.Stream) -> None:
-            await serve_endpoint(stream, handler, limits, self.endpoint_stop)
+            await serve_endpoint(stream, handler, limits, self.endpoint_stop, self.request_memory)
 
         await self.network.listen(
             Address.parse(address), serve, control=control, task_status=task_status
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -147,6 +147,7 @@
             timers=components.timers,
             rng=components.rng,
             metrics=components.metrics,
+            memory=components.request_memory,
         )
         components.metrics.add_gauge(
             "requests_in_progress", "Requests in progress.", lambda: self.relay.requests
