Bound the memory of the frames of all peers together, and their time

What callers would see: the port for other hosts reads frames of up to 8 MiB from anyone who connects, on any number of connections, and serves up to 1024 calls at once on each. A few dozen of them end a process of a control host, and what its leaders hold for callers. A frame that is announced and never comes kept its memory as long as its connection.

Change: each frame takes its length from the memory budget of the host before it is read, until its call has ended. A frame that finds no room is not read. If others wait in vain, the connection with the longest frame is closed, first among frames that have not arrived. A frame of which nothing arrives for 10 s ends its connection; slow frames and silent connections go on. A connection reads 8 KiB ahead instead of 64. A frame is copied once less, and not kept beside the decoded request. Invalid, late and given-up frames are counted (gauge faulty_frames) and one a second is logged with its peer, before only at debug level.

--- a/marigoldtrail/net/__init__.py
+++ b/marigoldtrail/net/__init__.py
@@ -5,12 +5,13 @@
 from marigoldtrail.net.frames import MAX_FRAME_BYTES, Envelope, FrameStream
 from marigoldtrail.net.listener import ListenerControl
 from marigoldtrail.net.network import Network, TcpNetwork
-from marigoldtrail.net.server import Handlers, serve_peers
+from marigoldtrail.net.server import FaultyFrames, Handlers, serve_peers
 
 __all__ = [
     "MAX_FRAME_BYTES",
     "Address",
     "Envelope",
+    "FaultyFrames",
     "FrameStream",
     "Handlers",
     "ListenerControl",
--- a/marigoldtrail/net/frames.py
+++ b/marigoldtrail/net/frames.py
@@ -3,12 +3,23 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Callable
 
 import msgspec
 import trio
 
+from marigoldtrail.memory import MemoryAccount
+
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 READ_CHUNK_BYTES = 65536
+# Parts of the next frame are read ahead up to this size.
+READ_AHEAD_BYTES = 8192
+# Longest pause in a frame. A slow link still moves some bytes; a connection may be silent between
+# frames.
+MAX_FRAME_PAUSE_S = 10.0
+
+# Opens the account of a frame.
+OpenAccountFn = Callable[[], MemoryAccount]
 
 _LENGTH = struct.Struct(">I")
 
@@ -47,12 +58,32 @@
     ----------
     stream : trio.abc.Stream
         The byte stream.
-    """
+    open_account : callable or None
+        Opens the account of each received frame, for its whole length; None if the other side is
+        trusted.
 
-    __slots__ = ("stream", "_buffer", "_send_lock", "_encoder", "_decoder")
+    Attributes
+    ----------
+    account : MemoryAccount or None
+        Account of the frame that was received last; who uses the frame closes it.
+    """
 
-    def __init__(self, *, stream: trio.abc.Stream) -> None:
+    __slots__ = (
+        "stream",
+        "account",
+        "_open_account",
+        "_buffer",
+        "_send_lock",
+        "_encoder",
+        "_decoder",
+    )
+
+    def __init__(
+        self, *, stream: trio.abc.Stream, open_account: OpenAccountFn | None = None
+    ) -> None:
         self.stream = stream
+        self.account: MemoryAccount | None = None
+        self._open_account = open_account
         self._buffer = bytearray()
         self._send_lock = trio.Lock()
         self._encoder = msgspec.msgpack.Encoder()
@@ -110,33 +141,58 @@
         Raises
         ------
         ValueError
-            If a frame exceeds `MAX_FRAME_BYTES` or is not a valid envelope.
+            If a frame exceeds `MAX_FRAME_BYTES`, is not a valid envelope, does not arrive, or has
+            to be given up for want of memory.
         trio.BrokenResourceError, trio.ClosedResourceError
             If the stream is broken or closed.
         """
-        header = await self._read_exactly(_LENGTH.size)
-        if header is None:
+        if not await self._fill(_LENGTH.size):
             return None
-        (length,) = _LENGTH.unpack(header)
+        (length,) = _LENGTH.unpack_from(self._buffer)
         if length > MAX_FRAME_BYTES:
             raise ValueError(f"a frame of {length} bytes is over {MAX_FRAME_BYTES}")
-        payload = await self._read_exactly(length)
-        if payload is None:
+        self.account = self._open_account() if self._open_account is not None else None
+        if self.account is None:
+            return await self._receive_envelope(length)
+        envelope = None
+        try:
+            if not await self.account.take(length):
+                raise ValueError(f"a frame of {length} bytes was given up for want of memory")
+            envelope = await self._receive_envelope(length)
+        finally:
+            if envelope is None:
+                self.account.close()
+        # Frames that have arrived are the last to be given up.
+        self.account.has_known_size = True
+        return envelope
+
+    async def _receive_envelope(self, length: int) -> Envelope | None:
+        end = _LENGTH.size + length
+        if not await self._fill(end):
             return None
+        with memoryview(self._buffer) as view:
+            payload = bytes(view[_LENGTH.size : end])
+        del self._buffer[:end]
         try:
             return self._decoder.decode(payload)
         except (msgspec.MsgspecError, RecursionError) as exc:
             raise ValueError(f"invalid frame: {exc}") from exc
 
-    async def _read_exactly(self, count: int) -> bytes | None:
-        while len(self._buffer) < count:
-            chunk = await self.stream.receive_some(READ_CHUNK_BYTES)
+    async def _fill(self, count: int) -> bool:
+        """Receive until the buffer has a number of bytes; return False at the end of the stream."""
+        while (missing := count - len(self._buffer)) > 0:
+            chunk = await self._receive_some(min(max(missing, READ_AHEAD_BYTES), READ_CHUNK_BYTES))
             if not chunk:
-                return None
+                return False
             self._buffer += chunk
-        data = bytes(self._buffer[:count])
-        del self._buffer[:count]
-        return data
+        return True
+
+    async def _receive_some(self, max_bytes: int) -> bytes | bytearray:
+        if not self._buffer:
+            return await self.stream.receive_some(max_bytes)
+        with trio.move_on_after(MAX_FRAME_PAUSE_S):
+            return await self.stream.receive_some(max_bytes)
+        raise ValueError(f"a frame was not continued for {MAX_FRAME_PAUSE_S:g} s")
 
     async def aclose(self) -> None:
         """Close the stream at once."""
--- a/marigoldtrail/net/network.py
+++ b/marigoldtrail/net/network.py
@@ -140,6 +140,16 @@
                 control.set_closed()
 
 
+def name_peer(stream: trio.abc.Stream) -> str:
+    """Return the IP address of the other side of a connection, or "unknown" if it is not known."""
+    if not isinstance(stream, trio.SocketStream):
+        return str(getattr(stream, "remote", "unknown"))
+    try:
+        return str(stream.socket.getpeername()[0])
+    except (OSError, IndexError):
+        return "unknown"
+
+
 def enable_keepalive(stream: trio.SocketStream) -> None:
     """
     Enable keep-alive probes, so that the kernel breaks a connection whose peer is lost.
--- a/marigoldtrail/net/server.py
+++ b/marigoldtrail/net/server.py
@@ -10,12 +10,17 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.memory import MemoryAccount, MemoryBudget
+from marigoldtrail.memory.budget import DEFAULT_BUDGET_BYTES
 from marigoldtrail.net.address import Address
 from marigoldtrail.net.client import STREAM_ERRORS
 from marigoldtrail.net.frames import Envelope, FrameStream, UnsendableMessageError
-from marigoldtrail.net.network import Network
+from marigoldtrail.net.network import Network, name_peer
+from marigoldtrail.timers import Timers
 
 MAX_CALLS_PER_CONNECTION = 1024
+PURPOSE = "frame"
+LOG_INTERVAL_S = 1.0
 
 Handler = Callable[[Any, str], Awaitable[msgspec.Struct]]
 Handlers = dict[type, Handler]
@@ -23,17 +28,49 @@
 _log = logging.getLogger(__name__)
 
 
+class FaultyFrames:
+    """
+    Counts frames for which connections were closed, and logs some of them.
+
+    Attributes
+    ----------
+    count : int
+        Number of frames that were too long, invalid, incomplete or given up.
+    """
+
+    __slots__ = ("count", "_next_log_at")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._next_log_at = 0.0
+
+    def add(self, peer: str, exc: Exception) -> None:
+        """Count a frame; log it unless another one was logged a moment ago."""
+        self.count += 1
+        now = trio.current_time()
+        if now >= self._next_log_at:
+            self._next_log_at = now + LOG_INTERVAL_S
+            extra = {"peer": peer, "reason": str(exc), "faulty_frames": self.count}
+            _log.warning("the connection of a peer was closed", extra=extra)
+
+
 async def serve_peers(
     network: Network,
     address: Address,
     handlers: Handlers,
     *,
     host: str,
+    memory: MemoryBudget | None = None,
+    faulty: FaultyFrames | None = None,
     task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """
     Serve calls until cancelled.
 
+    The frames of calls that are being read or served take memory from a budget. A connection whose
+    frame finds none is read no further. If others wait in vain, the connection with the longest
+    frame is closed, first among those that have not arrived.
+
     Parameters
     ----------
     network : Network
@@ -45,27 +82,54 @@
         sending host, and returns the reply or a `Failure`.
     host : str
         Name of this host, sent with each reply.
+    memory : MemoryBudget or None
+        Memory of unfinished messages; None for the default.
+    faulty : FaultyFrames or None
+        Counts the frames for which connections were closed.
     task_status : trio.TaskStatus
         Started with the actual listen address.
     """
     request_types = {request_type.__name__: request_type for request_type in handlers}
 
+    budget = memory or MemoryBudget(total_bytes=DEFAULT_BUDGET_BYTES, timers=Timers())
+    faulty_frames = faulty or FaultyFrames()
+
     async def serve_connection(stream: trio.abc.Stream) -> None:
-        frames = FrameStream(stream=stream)
-        limit = trio.Semaphore(MAX_CALLS_PER_CONNECTION)
+        peer = name_peer(stream)
+        scope = trio.CancelScope()
+
+        def open_account() -> MemoryAccount:
+            return budget.open(PURPOSE, peer, evict=scope.cancel)
+
+        frames = FrameStream(stream=stream, open_account=open_account)
         try:
-            async with trio.open_nursery() as nursery:
-                while (envelope := await frames.receive()) is not None:
-                    await limit.acquire()
-                    nursery.start_soon(serve_call, frames, envelope, limit)
-                # The caller has disconnected: the remaining replies cannot be delivered.
-                nursery.cancel_scope.cancel()
+            with scope:
+                await serve_calls(frames)
+        except* ValueError as group:
+            faulty_frames.add(peer, group.exceptions[0])
         except* STREAM_ERRORS as group:
             _log.debug("peer connection ended: %s", group.exceptions[0])
         finally:
+            # The call of the last frame may not have begun.
+            if frames.account is not None:
+                frames.account.close()
             await frames.aclose()
 
-    async def serve_call(frames: FrameStream, envelope: Envelope, limit: trio.Semaphore) -> None:
+    async def serve_calls(frames: FrameStream) -> None:
+        limit = trio.Semaphore(MAX_CALLS_PER_CONNECTION)
+        async with trio.open_nursery() as nursery:
+            while (envelope := await frames.receive()) is not None:
+                await limit.acquire()
+                nursery.start_soon(serve_call, frames, envelope, limit, frames.account)
+            # The caller has disconnected: the remaining replies cannot be delivered.
+            nursery.cancel_scope.cancel()
+
+    async def serve_call(
+        frames: FrameStream,
+        envelope: Envelope,
+        limit: trio.Semaphore,
+        account: MemoryAccount | None,
+    ) -> None:
         try:
             reply = await run_handler(envelope)
             try:
@@ -77,6 +141,8 @@
         except STREAM_ERRORS as exc:
             _log.debug("failed to send the reply to %s: %s", envelope.kind, exc)
         finally:
+            if account is not None:
+                account.close()
             limit.release()
 
     async def run_handler(envelope: Envelope) -> msgspec.Struct:
@@ -87,6 +153,8 @@
             request: Any = msgspec.msgpack.decode(envelope.body, type=request_type)
         except (msgspec.MsgspecError, RecursionError) as exc:
             return reject(envelope, str(exc))
+        # The handler may take long, and the request has a copy.
+        envelope.body = msgspec.Raw()
         try:
             return await handlers[request_type](request, envelope.sender)
         except Exception:
--- a/marigoldtrail/relay/caller_connection.py
+++ b/marigoldtrail/relay/caller_connection.py
@@ -16,12 +16,12 @@
     make_default_request_memory,
 )
 from marigoldtrail.net.client import STREAM_ERRORS
+from marigoldtrail.net.network import name_peer
 from marigoldtrail.relay.connection_end import (
     READ_BYTES,
     EndReason,
     close_gracefully,
     has_unread_data,
-    name_peer,
     reset_on_close,
 )
 from marigoldtrail.relay.idle_wait import FindIdleLimitFn, IdleWait
--- a/marigoldtrail/relay/connection_end.py
+++ b/marigoldtrail/relay/connection_end.py
@@ -103,16 +103,6 @@
         sock.detach()
 
 
-def name_peer(stream: trio.abc.Stream) -> str:
-    """Return the IP address of the other side of a connection, or "caller" if it is not known."""
-    if not isinstance(stream, trio.SocketStream):
-        return str(getattr(stream, "remote", "caller"))
-    try:
-        return str(stream.socket.getpeername()[0])
-    except (OSError, IndexError):
-        return "caller"
-
-
 def has_unread_data(stream: trio.abc.Stream) -> bool:
     """Return whether data has arrived that was not read, so that a close resets the connection."""
     if not isinstance(stream, trio.SocketStream):
--- a/marigoldtrail/site/components.py
+++ b/marigoldtrail/site/components.py
@@ -8,7 +8,7 @@
 import trio
 
 from marigoldtrail.memory import MemoryBudget, RequestMemory, compute_budget_bytes
-from marigoldtrail.net import Address, ListenerControl, Network, PeerClient
+from marigoldtrail.net import Address, FaultyFrames, ListenerControl, Network, PeerClient
 from marigoldtrail.reachability import UpstreamContact
 from marigoldtrail.registry import FleetState, HostReporter, peer_name
 from marigoldtrail.relay import CallerRequest, ConnectionPool, Reply, make_answer_recorder
@@ -58,6 +58,7 @@
         "nursery",
         "memory",
         "request_memory",
+        "faulty_frames",
         "peers",
         "fleet_state",
         "contact",
@@ -91,6 +92,7 @@
         request_bytes = int(budget_bytes * REQUEST_SHARE)
         self.memory = MemoryBudget(total_bytes=budget_bytes - request_bytes, timers=timers)
         self.request_memory = RequestMemory(total_bytes=request_bytes, timers=timers)
+        self.faulty_frames = FaultyFrames()
         self.peers = PeerClient(network=network, host=cfg.host, nursery=nursery)
         self.fleet_state = FleetState(parse_document=adapter.parse_document, timers=timers)
         self.contact = UpstreamContact(timers=timers)
@@ -166,6 +168,11 @@
             "Requests that were refused or given up for want of memory.",
             lambda: self.request_memory.refused,
         )
+        add(
+            "faulty_frames",
+            "Frames of other hosts for which their connections were closed.",
+            lambda: self.faulty_frames.count,
+        )
         add("log_lines_dropped", "Log lines dropped.", count_dropped_lines)
 
     @property
--- a/marigoldtrail/site/control_host.py
+++ b/marigoldtrail/site/control_host.py
@@ -132,6 +132,8 @@
                     Address.parse(components.own_name),
                     handlers,
                     host=components.own_name,
+                    memory=components.memory,
+                    faulty=components.faulty_frames,
                     task_status=task_status,
                 )
 
