Play upstreams that send without end in the soak

One or all upstreams of a service send without end, to 60 callers at one entry, beside changes: 64 KiB every 30 ms of a body without length, of an announced 900 GB, in chunks or one-byte chunks, in a success, a refusal, an answer on a streaming route, or as comments in a stream. Requests for services whose upstreams are all sound have to be served, but for 3 and one in ten, and the memory of each process has to stay within its limit. These callers do not read the kernel's table of connections, which made the driver up to a second late; it prints its lateness.

--- a/bench/soak/direct.py
+++ b/bench/soak/direct.py
@@ -35,9 +35,12 @@
         Draws kinds of requests and pauses.
     weights : mapping of str to int
         Weights of the kinds of request.
+    is_judged : bool
+        Whether a request without an answer is judged around planned work. That reads the kernel's
+        table of connections for each request, which takes long with many callers.
     """
 
-    __slots__ = ("_callers", "_fleet", "_rng", "_weights")
+    __slots__ = ("_callers", "_fleet", "_rng", "_weights", "_is_judged")
 
     def __init__(
         self,
@@ -46,7 +49,9 @@
         fleet: Fleet,
         rng: random.Random,
         weights: Mapping[str, int] = REQUEST_WEIGHTS,
+        is_judged: bool = True,
     ) -> None:
+        self._is_judged = is_judged
         self._weights = weights
         self._callers = callers
         self._fleet = fleet
@@ -99,7 +104,7 @@
             entry,
             kind,
             headers=headers,
-            direct_from=Address(ip, port),
+            direct_from=Address(ip, port) if self._is_judged else None,
         )
 
 
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -20,6 +20,7 @@
 )
 from bench.soak.crashing import check_crashing_order
 from bench.soak.direct import DirectCallers, start_direct_callers
+from bench.soak.endless import draw_endless, judge_endless, play_endless
 from bench.soak.fleet import CONTROL, ENTRIES, HOSTS, Fleet, find_role
 from bench.soak.full_disks import check_full_disks, play_restarts
 from bench.soak.ledger import Ledger
@@ -41,9 +42,9 @@
 WATCH_INTERVAL_S = 0.1
 # The kernel keeps the peak of a process, so that reading it seldom misses its last moment only.
 MEMORY_INTERVAL_S = 0.1
-# Parts of a seed that can be played alone.
-ALL, SILENCES = "all", "silences"
-PARTS = (ALL, SILENCES)
+# All parts of a seed, and those that can be played alone.
+ALL, SILENCES, ENDLESS = "all", "silences", "endless"
+PARTS = (ALL, SILENCES, ENDLESS)
 
 
 class Outcome(msgspec.Struct, kw_only=True):
@@ -136,6 +137,8 @@
             await play_work(site, direct)
         if part in (ALL, SILENCES):
             await check_silences(site)
+        if part in (ALL, ENDLESS):
+            await check_endless(site)
         watch.cancel_scope.cancel()
 
 
@@ -189,6 +192,25 @@
     await check_recovery(site.fleet, operators, site.callers, site.ledger)
 
 
+async def check_endless(site: Site) -> None:
+    """Let upstreams send without end, judge other requests and check the recovery."""
+    services = {name: item.service for name, item in site.platform.upstreams.items()}
+    plan = draw_endless(site.seed, services)
+    for number, played in enumerate(plan):
+        prefix = f"sound{number}"
+        lateness = await play_endless(
+            played,
+            upstreams=site.platform.upstreams,
+            operators=site.operators,
+            load=site.make_direct_callers(f"load{number}", played.weights, is_judged=False),
+            sound=site.make_direct_callers(prefix, played.sound_weights, is_judged=False),
+        )
+        site.injector.counts[f"endless {played.kind}"] += 1
+        site.notes.append(judge_endless(played, prefix, lateness, site.ledger))
+    if plan:
+        await check_recovery(site.fleet, site.operators, site.callers, site.ledger)
+
+
 async def watch_processes(fleet: Fleet, ledger: Ledger) -> None:
     """Report processes that exit unexpectedly and restart them as the platform would."""
     while True:
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -103,12 +103,18 @@
         return callers
 
     def make_direct_callers(
-        self, prefix: str, weights: Mapping[str, int] = REQUEST_WEIGHTS
+        self,
+        prefix: str,
+        weights: Mapping[str, int] = REQUEST_WEIGHTS,
+        *,
+        is_judged: bool = True,
     ) -> DirectCallers:
         """Return callers without the proxy; the prefix begins their ids and seeds their draws."""
         callers = self._make_callers(random.Random(f"{prefix} {self.seed}"), prefix)
         rng = random.Random(f"{prefix} callers {self.seed}")
-        return DirectCallers(callers=callers, fleet=self.fleet, rng=rng, weights=weights)
+        return DirectCallers(
+            callers=callers, fleet=self.fleet, rng=rng, weights=weights, is_judged=is_judged
+        )
 
     @property
     def counts(self) -> Counter[str]:
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from bench.soak.endless_answers import REFUSAL, send_endless
 from bench.soak.ledger import Ledger, Run, compute_seal
 from bench.soak.limits import NamedLimit
 from bench.soak.proxy import Proxy
@@ -72,6 +73,7 @@
         "scope",
         "handles",
         "limit",
+        "endless",
     )
 
     def __init__(self, *, name: str, service: str, advertised: Address, real: Address) -> None:
@@ -85,6 +87,8 @@
         # Request id, stage and piece index of each result.
         self.handles: dict[str, tuple[str, int, int]] = {}
         self.limit: NamedLimit | None = None
+        # Kind of the endless answers that it sends; empty for sound answers.
+        self.endless = ""
 
     @property
     def id(self) -> str:
@@ -248,8 +252,23 @@
             await reply.send_json(200, {}, identity)
         else:
             self._check_limit(upstream)
+            if upstream.endless:
+                await self._send_endless(upstream, request, reply)
+                return
             await self._serve(upstream, request, reply)
 
+    async def _send_endless(
+        self, upstream: Upstream, request: HttpRequest, reply: ResponseWriter
+    ) -> None:
+        received = read_received(request.headers)
+        request_id = received.request_id
+        headers = make_answer_headers(request_id, compute_seal(request_id, b""))
+        if upstream.endless == REFUSAL:
+            headers.update(NOT_RUN)
+        elif not request.path.startswith(INTERNAL_PREFIX):
+            self._record_run(upstream, request, received)
+        await send_endless(upstream.endless, reply.stream, headers)
+
     async def _serve(self, upstream: Upstream, request: HttpRequest, reply: ResponseWriter) -> None:
         if request.path == PIECES_PATH:
             await self._run_pieces(upstream, request, reply)
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -7,13 +7,17 @@
 import sys
 from collections import Counter
 
+import h11
 import msgspec
 import pytest
 import trio
+import trio.testing
 
 from bench.soak.__main__ import read_regression_seeds
 from bench.soak.callers import Operators
 from bench.soak.crashing import MAX_ARRIVALS, WINDOW_S, count_late
+from bench.soak.endless import KINDS, EndlessTime, draw_endless, judge_endless
+from bench.soak.endless_answers import ANSWERS, BLOCK_BYTES, REFUSAL, send_endless
 from bench.soak.faults import Injector
 from bench.soak.faulty_host import DISK_FAULTS, install_faults
 from bench.soak.fleet import CONTROL, ENTRIES, Fleet
@@ -25,7 +29,7 @@
 from bench.soak.plan import draw_disk_faults, draw_signals, make_plan
 from bench.soak.planned import RELOAD, Disruption, PlannedWork, judge_planned_work
 from bench.soak.proxy import Proxy
-from bench.soak.run import SILENCES, run_seed
+from bench.soak.run import ENDLESS, SILENCES, run_seed
 from bench.soak.silences import (
     MAX_SILENCE_S,
     MIN_SILENCE_S,
@@ -48,6 +52,9 @@
 # Lets all upstreams fall silent for longer than a cut is found in, beside reloads and stops.
 SILENT_SEED = 4
 SERVICES = {"desk-0": "desk", "desk-1": "desk", "llm-2": "llm"}
+# Lets one engine, then all upstreams of the plain service send without end, with 160 MB for a host.
+ENDLESS_SEED = 9
+ALL_SERVICES = {**SERVICES, "board-3": "board"}
 PLAN = {"control": ["c1", "c2"], "entries": ["e1"], "upstreams": ["u1"]}
 
 
@@ -589,6 +596,73 @@
             assert settings["memory_mb"] == limits_mb[role]
 
 
+async def test_short_seed_with_endless_answers_stays_within_memory(network, tmp_path):
+    """Guards against upstreams that send without end and take the memory or time of a host."""
+    outcome = await run_seed(ENDLESS_SEED, SECONDS, network=network, folder=tmp_path, part=ENDLESS)
+    assert outcome.violations == []
+    assert outcome.injected["endless no_length"] > 0
+
+
+def test_all_kinds_of_endless_answers_are_drawn():
+    """Guards against a kind of endless answer that no seed plays."""
+    plans = [draw_endless(seed, ALL_SERVICES) for seed in range(200)]
+    assert plans == [draw_endless(seed, ALL_SERVICES) for seed in range(200)]
+    drawn = {(played.service, played.kind) for plan in plans for played in plan}
+    assert drawn == {(service, kind) for service, kinds in KINDS.items() for kind in kinds}
+    assert {kind for kinds in KINDS.values() for kind in kinds} == set(ANSWERS)
+    assert {len(p.targets) for plan in plans for p in plan if p.service == "desk"} == {1, 2}
+
+
+@pytest.mark.parametrize("kind", ANSWERS)
+async def test_endless_answers_go_on_as_http(kind, autojump_clock):
+    """Guards against an endless answer that ends, or that is no HTTP response."""
+    sender, receiver = trio.testing.memory_stream_pair()
+    conn = h11.Connection(h11.CLIENT)
+    conn.send(h11.Request(method="GET", target="/", headers=[("host", "a")]))
+    conn.send(h11.EndOfMessage())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send_endless, kind, sender, {"x-request-id": "a"})
+        started = trio.current_time()
+        received = 0
+        while received < 5 * BLOCK_BYTES:
+            data = bytes(await receiver.receive_some(BLOCK_BYTES))
+            received += len(data)
+            conn.receive_data(data)
+            while not isinstance(event := conn.next_event(), type(h11.NEED_DATA)):
+                if isinstance(event, h11.Response):
+                    assert event.status_code == (503 if kind == REFUSAL else 200)
+                    assert (b"x-request-id", b"a") in event.headers
+                else:
+                    assert isinstance(event, h11.Data)
+        assert 0.1 <= trio.current_time() - started <= 0.2
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ("unserved", "count"), [({}, 0), ({"status": 503}, 1), ({"failure": "deadline"}, 1)]
+)
+def test_unserved_requests_beside_endless_answers_are_reported(unserved, count):
+    """Guards against a host that serves nothing else while a faulty upstream sends, unseen."""
+    ledger = make_ledger()
+    for number in range(40):
+        fields = {"status": 200, **(unserved if number < 10 else {})}
+        ledger.record_attempt(
+            Attempt(
+                request_id=f"sound0-{number}",
+                path="/plain/x",
+                body=b"",
+                may_repeat=True,
+                entry=("e", 1),
+                ended_at=1.0,
+                **fields,
+            )
+        )
+    played = EndlessTime(service="llm", kind=REFUSAL, targets=("llm-2",), entry="e")
+    judge_endless(played, "sound0", [0.0], ledger)
+    judge_endless(played, "sound1", [0.0], ledger)
+    assert len(ledger.violations) == count
+
+
 def test_concurrent_runs_have_separate_networks():
     """Guards against address conflicts between concurrent test runs on one machine."""
     with claim_network() as one, claim_network() as other:
