Let callers come back later while no entry reaches an upstream

Callers: a request that arrived while all upstreams were silent was refused at once with Retry-After 0.05 s at each entry. Callers come back a few times only, and used their attempts up within 0.2 s of a silence of a second.

Cause: the refusal always assumed that another entry serves.

Change: if the leader lists no entry that reaches upstreams, or the request was forwarded by another entry, the refusal names 0.5 s, after which a host that is cut off probes again. Without an answer of a leader, or while entries are listed, it stays at 0.05 s.

--- a/marigoldtrail/relay/peer_forwarding.py
+++ b/marigoldtrail/relay/peer_forwarding.py
@@ -34,6 +34,9 @@
 PAUSE_MARGIN_S = 0.5
 # A caller may try another entry at once.
 RETRY_AFTER_S = 0.05
+# No entry reaches an upstream, which each of them tries again after this time. Callers come back
+# only a few times.
+NO_ENTRY_RETRY_AFTER_S = 0.5
 
 # Asks the leader for the entries that reach upstreams.
 ListEntriesFn = Callable[[], Awaitable[EntryList | Failure]]
@@ -129,7 +132,7 @@
                 return await self._exchange_messages(exchange, conn, address)
             finally:
                 await conn.aclose()
-        return make_unforwarded_failure(exchange)
+        return make_unforwarded_failure(exchange, is_alone=self._knows_no_entry())
 
     async def _get_addresses(self) -> list[str]:
         async with self._list_lock:
@@ -143,6 +146,10 @@
         is_current = self._timers.now() < self._listed_at + MAX_LIST_AGE_S
         return self._addresses if is_current else []
 
+    def _knows_no_entry(self) -> bool:
+        """Return whether the leader says that no other entry reaches an upstream."""
+        return not self._addresses and self._timers.now() < self._listed_at + MAX_LIST_AGE_S
+
     async def _connect(self, address: str) -> UpstreamConnection | None:
         with trio.move_on_after(CONNECT_TIMEOUT_S):
             try:
@@ -228,14 +235,29 @@
         return self._timers.now() + exchange.abandon_pause_s + PAUSE_MARGIN_S
 
 
-def make_unforwarded_failure(exchange: Exchange) -> Failure:
-    """Return the failure of a request that no host can serve, or that must not be forwarded."""
+def make_unforwarded_failure(exchange: Exchange, *, is_alone: bool = False) -> Failure:
+    """
+    Return the failure of a request that no host can serve, or that must not be forwarded.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The request.
+    is_alone : bool
+        Whether no other entry is known to reach upstreams.
+
+    Returns
+    -------
+    Failure
+        ``UNREACHABLE``, with the time after which its caller may come back.
+    """
     run_state = RunState.MAY_HAVE_RUN if exchange.may_have_run else RunState.NOT_RUN
+    is_alone = is_alone or exchange.info.is_forwarded
     return Failure(
         reason=Reason.UNREACHABLE,
         run_state=run_state,
         step="upstream.choose",
         peer=exchange.service.name,
         detail="this host reaches no upstream",
-        retry_after_s=RETRY_AFTER_S,
+        retry_after_s=NO_ENTRY_RETRY_AFTER_S if is_alone else RETRY_AFTER_S,
     )
--- a/marigoldtrail/relay/tests/helpers.py
+++ b/marigoldtrail/relay/tests/helpers.py
@@ -177,7 +177,7 @@
             rng=rng,
         )
         self.leader = VersionLeader()
-        # Addresses of entries that reach upstreams.
+        # Addresses of entries that reach upstreams; None if no leader answers.
         self.other_entries = []
         self.versions = StreamVersions(
             fleet_state=self.fleet_state, call_leader=self.leader.call, timers=self.timers
@@ -230,6 +230,8 @@
         )
 
     async def _list_entries(self):
+        if self.other_entries is None:
+            return Failure(reason=Reason.TIMEOUT, run_state=RunState.NOT_RUN, step="entries")
         return EntryList(addresses=list(self.other_entries))
 
     async def start(self, *scripts):
