Tell apart why responses are broken off

Operators: each stream that ended in the middle was counted as broken_response, and its line said nothing of the reason or of a change of the configuration. A response that the connection could not carry any more was counted as a regular last one, and its request not as unanswered.

Change: "response broken off" names the failure, the events and the time left, whether the route is still that of the configuration, and the silent upstreams that the request left; responses_broken_off_total counts by reason.

Evidence: the two new tests failed without the change of the relay; they pass, with relay/tests/test_connection_end.py, test_handler_errors.py and the tests of schema and telemetry.

--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -420,25 +420,30 @@
         conn = exchange.conn
         if isinstance(result, StreamForwarded):
             return None
+        failure = result if isinstance(result, Failure) else None
         if conn.has_started:
             # Close the connection so that the caller detects the incomplete stream.
             conn.is_broken = True
-            return EndReason.BROKEN_RESPONSE
-        if isinstance(result, CompleteResponse):
+        elif isinstance(result, CompleteResponse):
             headers = [*result.headers, *self._make_connection_headers()]
             with exchange.held.send_scope as scope:
                 await conn.send_response(result.status, headers, result.body)
             if scope.cancelled_caught:
                 conn.is_broken = True
-                return EndReason.BROKEN_RESPONSE
+        else:
+            await self._send_failure(conn, result)
+        if not conn.is_broken:
             return None
+        self._recorder.record_broken(exchange, failure)
+        return EndReason.BROKEN_RESPONSE
+
+    async def _send_failure(self, conn: CallerConnection, result: Failure) -> None:
         status = 503 if result.run_state is RunState.NOT_RUN else 502
         if status == 502 and result.reason is Reason.DEADLINE:
             status = 504
         may_return = status == 503 or result.reason is Reason.VIEW_NOT_CURRENT
         retry_after_s = result.retry_after_s if may_return else 0.0
         await self._send_error(conn, status, str(result), retry_after_s=retry_after_s)
-        return None
 
     async def _send_error(
         self,
--- a/marigoldtrail/relay/request_end.py
+++ b/marigoldtrail/relay/request_end.py
@@ -158,6 +158,34 @@
             },
         )
 
+    def record_broken(self, exchange: Exchange, failure: Failure | None) -> None:
+        """
+        Count and log a response that is broken off.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+        failure : Failure or None
+            Why; None if the connection can't carry a response any more.
+        """
+        reason = failure.reason.value if failure is not None else "connection"
+        self._metrics.count_broken_response(reason)
+        routes = self._fleet_state.routes
+        _log.info(
+            "response broken off",
+            extra={
+                "request_id": exchange.info.request_id,
+                "reason": reason,
+                "failure": str(failure or ""),
+                "events": exchange.splitter.count,
+                "left_ms": round((exchange.deadline - self._timers.now()) * 1000),
+                # A new configuration may have taken away what the request needed.
+                "is_route_current": routes is not None and exchange.route in routes.table.routes,
+                "left_upstreams": exchange.left,
+            },
+        )
+
     def record_stop_refusal(self) -> None:
         """Count a request that is refused because the host stops."""
         self.stop_refusals += 1
--- a/marigoldtrail/relay/tests/test_connection_end.py
+++ b/marigoldtrail/relay/tests/test_connection_end.py
@@ -61,6 +61,53 @@
     assert count(harness, 'requests_unanswered_total{cause="broken_response"}') == 1
 
 
+async def test_broken_responses_tell_their_causes_apart(autojump_clock, nursery, caplog):
+    """Guards against streams that break off for a reason that no line or counter names."""
+    caplog.set_level(logging.INFO)
+
+    async def close(stream):
+        await read_request(stream)
+        await stream.send_all(STREAM_HEAD + chunk(EVENTS[0]))
+
+    async def stall(stream):
+        await close(stream)
+        await trio.sleep(60.0)
+
+    async def send_garbage(stream):
+        await close(stream)
+        await stream.send_all(b"no chunk\r\n")
+
+    reasons = {"disconnected": close, "timeout": stall, "bad_answer": send_garbage}
+    for number, script in enumerate(reasons.values()):
+        harness = RelayHarness(nursery, RouteKind.STREAMING, timeout_s=60.0)
+        await harness.start(script)
+        await harness.fetch(make_request())
+        reason = list(reasons)[number]
+        assert count(harness, f'responses_broken_off_total{{reason="{reason}"}}') == 1, reason
+        record = [r for r in caplog.records if r.message == "response broken off"][-1]
+        found = (record.reason, record.events, record.is_route_current)
+        assert found == (reason, 1, True)
+
+
+async def test_response_that_the_connection_cannot_carry_is_counted(
+    autojump_clock, nursery, monkeypatch
+):
+    """Guards against a request without an answer that counts as a regular last response."""
+    read_request_of = CallerConnection.read_request
+
+    async def read_then_fail(conn):
+        request = await read_request_of(conn)
+        conn._conn.send_failed()
+        return request
+
+    monkeypatch.setattr(CallerConnection, "read_request", read_then_fail)
+    harness = RelayHarness(nursery)
+    await harness.start(reply_with(make_response()))
+    assert not await harness.fetch(make_request())
+    assert count(harness, 'requests_unanswered_total{cause="broken_response"}') == 1
+    assert count(harness, 'responses_broken_off_total{reason="connection"}') == 1
+
+
 async def test_broken_stream_does_not_look_complete_to_a_caller_of_http_1_0(nursery):
     """Guards against an answer without length or chunks whose early end looks regular."""
 
--- a/marigoldtrail/telemetry/prometheus.py
+++ b/marigoldtrail/telemetry/prometheus.py
@@ -36,6 +36,7 @@
         "_resets",
         "_stop_refusals",
         "_unanswered",
+        "_broken",
         "_left_out",
         "_routes",
     )
@@ -88,6 +89,12 @@
             ["cause"],
             registry=registry,
         )
+        self._broken = Counter(
+            "responses_broken_off",
+            "Responses to callers that were broken off, by the reason of the failure.",
+            ["reason"],
+            registry=registry,
+        )
         self._left_out = Counter(
             "left_out_entries",
             "Entries of the list of upstreams that were left out, at each reading, by reason.",
@@ -153,6 +160,10 @@
         """Count a whole request that ended without a complete answer by its cause."""
         self._unanswered.labels(cause=cause).inc()
 
+    def count_broken_response(self, reason: str) -> None:
+        """Count a response that was broken off by the reason of the failure."""
+        self._broken.labels(reason=reason).inc()
+
     def count_left_out_entry(self, reason: str) -> None:
         """Count an entry of the list of upstreams that was left out by its reason."""
         self._left_out.labels(reason=reason).inc()
