Bound the platform's list of upstreams over all its pages

What callers would see: a list whose pages never end, or whose entries are values of a byte, takes far more memory on the leader than the 8 MiB of its longest page, up to 64 times as much, and more once it is decoded. The control host ends, and with it what its leader serves.

Change: all pages of a reading have at most 4 MiB, over 15,000 entries of usual size, and at most a comma for each 16 bytes of that, counted before a page is decoded. A longer list is a bad answer: the reading fails, and the reason names the platform and both figures.

Evidence: marigoldtrail/platform/tests/test_list_bounds.py, limit 40 MB of traced memory for pages of 512 KiB. A list of 12,000 entries in 40 pages is read.

--- a/marigoldtrail/platform/calls.py
+++ b/marigoldtrail/platform/calls.py
@@ -24,6 +24,10 @@
 PAGE_TIMEOUT_S = 0.8
 FREE_RESULTS_TIMEOUT_S = 1.0
 MAX_PAGES = 64
+# All pages together: over 15,000 entries of usual size. Decoded, they take many times as much.
+MAX_LIST_BYTES = 4 * 1024 * 1024
+# An entry of usual size has a comma each 18 bytes; values of a byte or two take most memory.
+MAX_LIST_COMMAS = MAX_LIST_BYTES // 16
 # Larger pages are parsed in a thread, which keeps the leader sending its heartbeats.
 MAX_INLINE_PARSE_BYTES = 65536
 HTTP_OK = 200
@@ -48,6 +52,7 @@
         entries: list[UpstreamEntry] = []
         left_out: list[LeftOutEntry] = []
         token: str | None = None
+        size = commas = 0
         for _ in range(MAX_PAGES):
             target = "/instances" + (f"?page_token={quote(token)}" if token else "")
             body = await call_upstream(
@@ -62,6 +67,10 @@
             )
             if isinstance(body, Failure):
                 return body
+            size += len(body)
+            commas += body.count(b",")
+            if size > MAX_LIST_BYTES or commas > MAX_LIST_COMMAS:
+                return _bad_answer(platform.name, f"a list of over {size} bytes, {commas} commas")
             if len(body) > MAX_INLINE_PARSE_BYTES:
                 page = await trio.to_thread.run_sync(parse_page, body, left_out)
             else:
