Keep the body of a request to the product interface in one object

What callers would see: a body in parts of two bytes took over sixty times its size until it was complete; the limit of 1 MiB did not bound it.

Cause: each part was kept as an object of its own.

Change: parts are appended to one bytearray.

--- a/marigoldtrail/api/http.py
+++ b/marigoldtrail/api/http.py
@@ -184,20 +184,18 @@
         declared = self.headers.get(b"content-length", b"0")
         if not declared.isdigit() or int(declared) > max_bytes:
             return _body_too_large(max_bytes)
-        chunks: list[bytes] = []
-        size = 0
+        # One object: the parts of a body may be single bytes.
+        body = bytearray()
         with trio.move_on_after(BODY_TIMEOUT_S):
             while True:
                 message = await self.receive()
                 if message["type"] == "http.disconnect":
                     raise ClientDisconnectedError
-                body: bytes = message.get("body", b"")
-                chunks.append(body)
-                size += len(body)
-                if size > max_bytes:
+                body += message.get("body", b"")
+                if len(body) > max_bytes:
                     return _body_too_large(max_bytes)
                 if not message.get("more_body", False):
-                    return b"".join(chunks)
+                    return bytes(body)
         return bad_request_failure(
             f"body: not complete within {BODY_TIMEOUT_S} s", step="request.timeout"
         )
