Let other tasks run while the body of a caller is parsed

Change: a checkpoint after each 256 parts.

Evidence: test_small_chunks_let_other_tasks_run sends 8,192 chunks of a byte in one read and asks for 32 turns of another task.

--- a/marigoldtrail/relay/caller_connection.py
+++ b/marigoldtrail/relay/caller_connection.py
@@ -36,6 +36,8 @@
 # Longer bodies are not copied behind their heads: a slow caller would hold the memory twice.
 MAX_JOINED_BYTES = 65536
 PIPELINED_READ_BYTES = 4096
+# Parts of a body that are parsed before other tasks run: chunks of a byte cost most.
+PARTS_PER_TURN = 256
 # Heads of this size are refused, also if the configuration allows longer ones.
 MAX_INCOMPLETE_BYTES = 1024 * 1024
 
@@ -301,6 +303,7 @@
             return Closed.CALLER
         # One object: the parts of a body may be single bytes.
         body = bytearray()
+        parts = 0
         event: ReadEvent | Closed = self._conn.next_event()
         with trio.move_on_after(BODY_TIMEOUT_S):
             while True:
@@ -319,6 +322,9 @@
                     body += event.data
                     if len(body) > max_bytes:
                         return refuse_body(max_bytes)
+                    parts += 1
+                    if parts % PARTS_PER_TURN == 0:
+                        await trio.lowlevel.checkpoint()
                     event = self._conn.next_event()
                 elif isinstance(event, h11.EndOfMessage):
                     return bytes(body)
--- a/marigoldtrail/relay/tests/test_request_memory.py
+++ b/marigoldtrail/relay/tests/test_request_memory.py
@@ -4,8 +4,11 @@
 
 import pytest
 import trio
+import trio.testing
 
 from marigoldtrail.memory import RequestMemory, compute_budget_bytes
+from marigoldtrail.memory.requests import READ_BYTES
+from marigoldtrail.relay.caller_connection import PARTS_PER_TURN, CallerConnection
 from marigoldtrail.relay.tests.helpers import (
     RelayHarness,
     make_request,
@@ -14,7 +17,7 @@
     read_request,
 )
 from marigoldtrail.relay.tests.test_relay import chunk
-from marigoldtrail.routing import RouteKind
+from marigoldtrail.routing import Limits, RouteKind
 from marigoldtrail.site.components import REQUEST_SHARE
 from marigoldtrail.timers import Timers
 
@@ -227,3 +230,28 @@
     tracemalloc.stop()
     assert answer.startswith(b"HTTP/1.1 200")
     assert peak < 8 * size
+
+
+async def test_small_chunks_let_other_tasks_run(autojump_clock):
+    """Guards against one caller whose chunks of a byte hold up all other requests."""
+    count = 8192
+    # All of it arrives in one read.
+    data = CHUNKED + chunk(b"x") * count + b"0\r\n\r\n"
+    assert len(data) <= READ_BYTES
+    ours, theirs = trio.testing.memory_stream_pair()
+    conn = CallerConnection(stream=theirs, limits=Limits)
+    await ours.send_all(data)
+    turns = 0
+
+    async def take_turns():
+        nonlocal turns
+        while True:
+            turns += 1
+            await trio.lowlevel.checkpoint()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(take_turns)
+        request = await conn.read_request()
+        nursery.cancel_scope.cancel()
+    assert request.body == b"x" * count
+    assert turns >= count // PARTS_PER_TURN
