Count what streams hold against the memory of the host

Callers: an event without end is cut at 256 KiB, but many streams at once had no bound; 160 of one faulty upstream took 67 MB of a host that has 80 MB free.

Cause: the bytes of incomplete events, and of those that a slow caller has not read yet, were in no account.

Change: a stream that holds 16 KiB or more takes the memory from the budget of the host; if it is given up, the upstream has failed with a bad answer. Shorter ones are not counted.

Evidence: the test of 40 streams on a host with a budget of 5 MB fails if nothing is counted and passes now. 40 heads or streams without end at once take at most 17 MB in ten cases, which was so before. A proper stream of events of 40 kB beside endless ones is whole. All tests of relay pass.

--- a/marigoldtrail/relay/buffering.py
+++ b/marigoldtrail/relay/buffering.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import trio
 
 from marigoldtrail.errors import Failure, Reason
 from marigoldtrail.memory import MemoryAccount, MemoryBudget
-from marigoldtrail.relay.responses import CompleteResponse, read_body
+from marigoldtrail.relay.responses import CompleteResponse, StreamForwarded, read_body
 from marigoldtrail.relay.upstream_connection import UpstreamConnection
 
+# Streams that hold less are not counted: almost all are events of this size that arrive whole.
+MIN_COUNTED_BYTES = 16384
+
 
 class HeldResponses:
     """
@@ -90,8 +95,7 @@
     account = memory.open(
         "response", conn.upstream, has_known_size=conn.announced_bytes is not None, evict=evict
     )
-    detail = "given up for want of memory"
-    body: bytes | Failure = conn.make_failure(Reason.BAD_ANSWER, detail)
+    body: bytes | Failure = make_eviction_failure(conn)
     try:
         with scope:
             body = await read_body(conn, account)
@@ -103,3 +107,60 @@
         account.has_known_size = True
         held.add(account)
     return body
+
+
+async def run_stream(
+    memory: MemoryBudget,
+    conn: UpstreamConnection,
+    forward: Callable[[MemoryAccount], Awaitable[StreamForwarded | Failure]],
+) -> StreamForwarded | Failure:
+    """
+    Forward a stream with an account for what it holds in memory.
+
+    Parameters
+    ----------
+    memory : MemoryBudget
+        Memory for unfinished messages.
+    conn : UpstreamConnection
+        Connection of the stream.
+    forward : callable
+        Forwards the stream; calls `count_held` with the account.
+
+    Returns
+    -------
+    StreamForwarded or Failure
+        What `forward` returns; a failure if the stream was given up for want of memory.
+    """
+    scope = trio.CancelScope()
+    with memory.open("stream", conn.upstream, evict=scope.cancel) as account, scope:
+        return await forward(account)
+    return make_eviction_failure(conn)
+
+
+async def count_held(account: MemoryAccount, size: int) -> bool:
+    """
+    Let the account of a stream hold a number of bytes; wait if they are not free.
+
+    Parameters
+    ----------
+    account : MemoryAccount
+        The account.
+    size : int
+        What the stream holds: incomplete events, and those that are being sent.
+
+    Returns
+    -------
+    bool
+        False if the stream has to be given up.
+    """
+    if size < MIN_COUNTED_BYTES:
+        size = 0
+    if size > account.size:
+        return await account.take(size - account.size)
+    account.give_back(account.size - size)
+    return not account.is_evicted
+
+
+def make_eviction_failure(conn: UpstreamConnection) -> Failure:
+    """Return the failure of a response that was given up for want of memory."""
+    return conn.make_failure(Reason.BAD_ANSWER, "given up for want of memory")
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -84,7 +84,7 @@
     forwarder : PeerForwarder
         Forwards requests to another entry while this host reaches no upstream.
     memory : MemoryBudget
-        Memory for the responses that are not forwarded as streams.
+        Memory for responses.
     nursery : trio.Nursery
         Runs probes of upstreams.
     """
--- a/marigoldtrail/relay/events.py
+++ b/marigoldtrail/relay/events.py
@@ -76,6 +76,11 @@
             self.last_id = ids[-1].decode("latin-1").strip()
         return complete
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes after the last returned event."""
+        return len(self._partial)
+
     @property
     def is_event_too_long(self) -> bool:
         """Whether the incomplete event exceeds `MAX_EVENT_BYTES`."""
--- a/marigoldtrail/relay/peer_forwarding.py
+++ b/marigoldtrail/relay/peer_forwarding.py
@@ -9,10 +9,15 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
-from marigoldtrail.memory import MemoryBudget
+from marigoldtrail.memory import MemoryAccount, MemoryBudget
 from marigoldtrail.net import Address, Network
 from marigoldtrail.net.client import STREAM_ERRORS
-from marigoldtrail.relay.buffering import read_held_body
+from marigoldtrail.relay.buffering import (
+    count_held,
+    make_eviction_failure,
+    read_held_body,
+    run_stream,
+)
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.responses import (
     NOT_RUN_STATUSES,
@@ -67,7 +72,7 @@
     rng : random.Random
         Chooses among the entries.
     memory : MemoryBudget
-        Memory for the responses that are not forwarded as streams.
+        Memory for responses.
     """
 
     __slots__ = (
@@ -199,6 +204,19 @@
 
     async def _forward_stream(
         self, exchange: Exchange, conn: UpstreamConnection, head: ResponseHead
+    ) -> StreamForwarded | Failure:
+        return await run_stream(
+            self._memory,
+            conn,
+            lambda account: self._forward_events(exchange, conn, head, account),
+        )
+
+    async def _forward_events(
+        self,
+        exchange: Exchange,
+        conn: UpstreamConnection,
+        head: ResponseHead,
+        account: MemoryAccount,
     ) -> StreamForwarded | Failure:
         """Forward whole events; a connection that ends within one must not look complete."""
         caller, splitter = exchange.conn, exchange.splitter
@@ -213,6 +231,8 @@
             events = splitter.feed(data)
             if splitter.is_event_too_long:
                 return conn.make_failure(Reason.BAD_ANSWER, "an event without end")
+            if not await count_held(account, splitter.held_bytes + len(events)):
+                return make_eviction_failure(conn)
             if not data:
                 if splitter.is_within_event:
                     return conn.make_failure(
--- a/marigoldtrail/relay/sender.py
+++ b/marigoldtrail/relay/sender.py
@@ -7,8 +7,13 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason
-from marigoldtrail.memory import MemoryBudget
-from marigoldtrail.relay.buffering import read_held_body
+from marigoldtrail.memory import MemoryAccount, MemoryBudget
+from marigoldtrail.relay.buffering import (
+    count_held,
+    make_eviction_failure,
+    read_held_body,
+    run_stream,
+)
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.request_mover import RequestMover
 from marigoldtrail.relay.responses import (
@@ -48,7 +53,7 @@
     mover : RequestMover
         Moves a stalled stream to another upstream.
     memory : MemoryBudget
-        Memory for the responses that are not forwarded as streams.
+        Memory for responses.
     """
 
     __slots__ = (
@@ -182,12 +187,21 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch.run)
-            result = await self._forward_events(exchange, tx, head, watch)
+            result = await run_stream(
+                self._memory,
+                tx.conn,
+                lambda account: self._forward_events(exchange, tx, head, watch, account),
+            )
             nursery.cancel_scope.cancel()
         return result
 
     async def _forward_events(
-        self, exchange: Exchange, tx: Transmission, head: ResponseHead, watch: StallWatch
+        self,
+        exchange: Exchange,
+        tx: Transmission,
+        head: ResponseHead,
+        watch: StallWatch,
+        account: MemoryAccount,
     ) -> StreamForwarded | Failure:
         caller, splitter = exchange.conn, exchange.splitter
         is_admitted = False
@@ -207,6 +221,8 @@
             tx.attempt.count_events(splitter.count - count_before)
             if splitter.is_event_too_long:
                 return tx.conn.make_failure(Reason.BAD_ANSWER, "an event without end")
+            if not await count_held(account, splitter.held_bytes + len(events)):
+                return make_eviction_failure(tx.conn)
             if events:
                 if exchange.first_event_at is None:
                     exchange.record_first_event(self._timers.now())
--- a/marigoldtrail/relay/tests/test_endless_answers.py
+++ b/marigoldtrail/relay/tests/test_endless_answers.py
@@ -45,6 +45,23 @@
     "refusal in chunks": (REFUSAL + CHUNKED, CHUNK),
 }
 
+STREAM = HEAD + b"content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+OTHER = HEAD.replace(b"id-1", b"id-0") + b"content-length: 60000\r\n\r\n" + b"x" * 60000
+HEADS = {
+    "fields": (HEAD, (b"x-a: " + b"a" * 1000 + b"\r\n") * 65),
+    "one field": (HEAD + b"x-a: ", BLOCK),
+    "no http": (b"", BLOCK),
+    "informational": (b"", b"HTTP/1.1 103 Early\r\nx-a: b\r\n\r\n" * 2100),
+    "other requests": (b"", OTHER),
+    "chunk extension": (STREAM + b"4;a=", BLOCK),
+    "trailers": (STREAM + b"0\r\n", (b"x-a: " + b"a" * 1000 + b"\r\n") * 65),
+}
+EVENTS = {
+    "event": (STREAM, b"10000\r\n" + BLOCK + b"\r\n"),
+    "lines of an event": (STREAM, b"10000\r\n" + b"data: x\n" * 8192 + b"\r\n"),
+    "comments": (STREAM, b"10000\r\n" + b": c\n\n: d\n" * 6553 + b":abcd\n\r\n"),
+}
+
 
 def send_without_end(head, block):
     """Return a script that sends a head, then a block at intervals until the peer closes."""
@@ -132,6 +149,55 @@
     assert harness.memory.used_bytes == 0
 
 
+@pytest.mark.parametrize("kind", [*HEADS, *EVENTS])
+async def test_heads_and_events_without_end_stay_within_the_memory_of_the_host(
+    autojump_clock, nursery, kind
+):
+    """Guards against a host that runs out of memory because of one faulty upstream."""
+    harness = RelayHarness(nursery, RouteKind.STREAMING, memory_mb=HOST_MB)
+    await harness.start(send_without_end(*{**HEADS, **EVENTS}[kind]))
+    with trace_peak() as peaks:
+        received = await fetch_all(harness, make_request(method="POST", body=b"b"))
+    assert not any(data.endswith(b"0\r\n\r\n") for data in received)
+    assert peaks[0] < PEAK_BYTES
+    assert harness.memory.used_bytes == 0
+
+
+async def test_events_without_end_of_many_streams_are_given_up(autojump_clock, nursery):
+    """Guards against streams that stay within their own bounds, but not within the host's."""
+    harness = RelayHarness(nursery, RouteKind.STREAMING, memory_mb=HOST_MB // 4)
+    await harness.start(send_without_end(*EVENTS["event"]))
+    most = 0
+
+    async def watch():
+        nonlocal most
+        while True:
+            most = max(most, harness.memory.used_bytes)
+            await trio.sleep(0.01)
+
+    nursery.start_soon(watch)
+    received = await fetch_all(harness, make_request(method="POST", body=b"b"))
+    assert not any(data.endswith(b"0\r\n\r\n") for data in received)
+    assert harness.memory.total_bytes / 2 < most <= harness.memory.total_bytes
+    assert harness.memory.evicted["stream"] and harness.memory.used_bytes == 0
+    assert harness.monitor.get_record("i-0").consecutive_failures == REQUESTS
+
+
+async def test_proper_stream_of_long_events_is_whole_beside_endless_ones(autojump_clock, nursery):
+    """Guards against a proper stream that is given up, or changed, for want of memory."""
+    events = b"".join(b"id: %d\ndata: %s\n\n" % (n, b"x" * 40_000) for n in range(1, 21))
+    harness = RelayHarness(nursery, RouteKind.STREAMING, memory_mb=HOST_MB // 4)
+    await harness.start(send_without_end(*EVENTS["event"]))
+    async with trio.open_nursery() as callers:
+        callers.start_soon(fetch_all, harness, make_request(method="POST", body=b"b"))
+        await trio.sleep(0.3)
+        body = send_body(events, "close")
+        await harness.add_upstream(1, body)
+        data = await harness.fetch(make_request(method="POST", body=b"b"))
+    assert data.startswith(b"HTTP/1.1 200") and data.count(b"x" * 40_000) == 20
+    assert data.endswith(b"0\r\n\r\n")
+
+
 async def test_answers_of_another_entry_stay_within_the_memory_of_the_host(autojump_clock, nursery):
     """Guards against a host without upstreams that another entry brings to its end."""
     harness = RelayHarness(nursery, memory_mb=HOST_MB)
