Skip blank lines and comments of a stream together

Callers: all requests of a host waited while blank lines without end of a faulty upstream were read: 53 ms for 64 KiB of them, 26 ms for comments.

Cause: each blank line was a match of its own, followed by a check whether the lines before it are an event.

Change: blank lines and comments that follow a blank line are one match. Where events end, what is returned with them, and their count stay as they were.

--- a/marigoldtrail/relay/events.py
+++ b/marigoldtrail/relay/events.py
@@ -7,7 +7,9 @@
 # Engines send no longer events.
 MAX_EVENT_BYTES = 256 * 1024
 
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
+# A blank line, and all line ends and comments after it that form blocks without an event. They are
+# matched together: a match for each costs a faulty upstream little and the processor much.
+_EVENT_END = re.compile(rb"(\r?\n\r?\n)(?:\r?\n\r?\n|(?:\r?\n)?+(?::[^\r\n]*+\r?\n)++\r?\n)*+")
 # Length in bytes of the longest incomplete event end (``\r\n\r``).
 _MAX_PARTIAL_END_BYTES = 3
 _EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
@@ -62,8 +64,8 @@
         self._partial += data
         end = 0
         for match in _EVENT_END.finditer(self._partial, start):
-            if is_event(bytes(self._partial[self._block_start : match.end()])):
-                end = match.end()
+            if is_event(bytes(self._partial[self._block_start : match.end(1)])):
+                end = match.end(1)
                 self.count += 1
             self._block_start = match.end()
         if not end:
--- a/marigoldtrail/relay/tests/test_endless_answers.py
+++ b/marigoldtrail/relay/tests/test_endless_answers.py
@@ -60,6 +60,7 @@
     "event": (STREAM, b"10000\r\n" + BLOCK + b"\r\n"),
     "lines of an event": (STREAM, b"10000\r\n" + b"data: x\n" * 8192 + b"\r\n"),
     "comments": (STREAM, b"10000\r\n" + b": c\n\n: d\n" * 6553 + b":abcd\n\r\n"),
+    "blank lines": (STREAM, b"10000\r\n" + b"\n" * 65536 + b"\r\n"),
 }
 
 
