Test that an upstream whose answer was given up gets no more requests

A guard for behaviour that was there already: an answer that is refused by its announced length, or given up for want of memory, ejects its upstream as other failures do, so that the next eight requests go to a sound one; one log line names the upstream, and sends_total counts a bad answer. Both cases of the test pass without a change of code.

--- a/marigoldtrail/relay/tests/test_endless_answers.py
+++ b/marigoldtrail/relay/tests/test_endless_answers.py
@@ -380,3 +380,26 @@
 
     # At most two others had to be given up before.
     assert len(proper) == 12 and max(proper) < 2 * PATIENCE_S
+
+
+@pytest.mark.parametrize("kind", ["announced length", "without length"])
+async def test_upstream_whose_answer_was_given_up_is_known_as_faulty(
+    autojump_clock, nursery, caplog, kind
+):
+    """Guards against requests that go on to an upstream whose answers have no end."""
+    caplog.set_level("INFO")
+    seen = []
+    # The budget of 1 MB is used up before the deadline.
+    harness = RelayHarness(nursery, memory_mb=8)
+    await harness.start(send_without_end(*ANSWERS[kind]))
+    assert (await harness.fetch(make_request())).startswith(b"HTTP/1.1 502")
+    await harness.add_upstream(1, reply_with(make_response("sound"), seen=seen))
+    for _ in range(8):
+        assert (await harness.fetch(make_request())).endswith(b"sound")
+    assert len(seen) == 8
+    failed = [record for record in caplog.records if record.message == "send failed"]
+    assert [record.subject for record in failed] == ["i-0"]
+    assert "bad_answer" in failed[0].failure
+    assert b'sends_total{outcome="bad_answer"} 1.0' in harness.metrics.render_text()
+    given_up = [record.peer for record in caplog.records if "for want of memory" in record.message]
+    assert given_up == ([] if kind == "announced length" else ["i-0"])
