Mend what a review of the memory bounds found

Callers, each shown by a test of the review that failed before: - of 40 proper answers of 0.5 MiB on the smallest host, 22 to 32 were whole: the responses had half of the budget that the tests gave them, and announced answers waited for each other half read. Requests, responses and frames have budgets of their own now (a tenth, an eighth, a sixteenth of the limit), and an announced length is taken as a whole before it is read; - a sound upstream was ejected for the host's want of memory: an announced answer that is given up is no_memory, for which nobody is blamed; - complete answers were broken off while they moved on over a slow link: one that is being sent is given up only after a pause, and its progress counts for all; - a kept connection got a 503 that nobody asked for after a read-ahead without memory, and a caller that left was not noticed: what is sent ahead never waits for memory; - a complete request was given up for its own read-ahead; - an answer that was given up before its send began got no answer: 502 now; - the memory of a kept error, of an attempt that was left, and of an answer given up as its end was read went wrong in three ways (HeldResponses); - a body that the configuration allows got 413 on a small host: 503 now.

The tests of the review use the budgets as a host has them.

--- a/marigoldtrail/errors/failure.py
+++ b/marigoldtrail/errors/failure.py
@@ -31,6 +31,7 @@
     DEADLINE = "deadline"
     NO_UPSTREAM = "no_upstream"
     NO_SLOT = "no_slot"
+    NO_MEMORY = "no_memory"
     UPSTREAM_ERROR = "upstream_error"
     BAD_ANSWER = "bad_answer"
     UNREACHABLE = "unreachable"
--- a/marigoldtrail/memory/budget.py
+++ b/marigoldtrail/memory/budget.py
@@ -12,16 +12,23 @@
 BYTES_PER_MB = 1_000_000
 # An idle process takes half of the smallest host; parsing and sending copy a message twice.
 BUDGET_SHARE = 0.125
+# Requests, responses and frames have apart what they need: a request holds its memory while it
+# waits for its response, and a call while it waits for another host. Multiples of the budget.
+REQUEST_RATIO = 0.8
+FRAME_RATIO = 0.5
 # Budget of a host whose settings name no limit.
 DEFAULT_BUDGET_BYTES = 64 * BYTES_PER_MB
 # A message grows no larger than the memory that is free, so that many without end leave room for
 # others. One at a time may grow to this multiple of it: proper ones that need a little more
 # complete one by one. A larger multiple would leave less room.
 AHEAD_MULTIPLE = 3
+# Many messages of unknown size leave more room for the one that is ahead.
+MANY_MESSAGES = 8
+MANY_MULTIPLE = 0.5
 # Complete messages give their memory back within this time, so that others only wait for it.
 PATIENCE_S = 0.25
-# While messages complete, one that waits is patient for at most this multiple of the time.
-MAX_PATIENCE_MULTIPLE = 8
+# A complete message that is being sent is given up only if nothing of it is sent for so long.
+MAX_SEND_PAUSE_S = 5.0
 # A message that was given up gives its bytes back within this multiple of the time.
 LEAVING_MULTIPLE = 6
 # Share at which a message of announced size counts when the largest is given up: it has an end.
@@ -30,6 +37,16 @@
 _log = logging.getLogger(__name__)
 
 
+def compute_request_bytes(memory_mb: float) -> int:
+    """Return the memory of the requests of callers for a limit in MB; 0 if there is none."""
+    return int(compute_budget_bytes(memory_mb) * REQUEST_RATIO)
+
+
+def compute_frame_bytes(memory_mb: float) -> int:
+    """Return the memory of the frames of other hosts for a limit in MB; 0 if there is none."""
+    return int(compute_budget_bytes(memory_mb) * FRAME_RATIO)
+
+
 def compute_budget_bytes(memory_mb: float) -> int:
     """
     Return the budget for a limit on the memory of the process.
@@ -83,6 +100,9 @@
         Whether all of the message has arrived.
     is_closed : bool
         Whether it takes no more bytes.
+    sent_at : float or None
+        Monotonic time in seconds at which a part of the complete message was last sent; None if it
+        is in use otherwise.
     """
 
     __slots__ = (
@@ -93,6 +113,7 @@
         "is_evicted",
         "is_complete",
         "is_closed",
+        "sent_at",
         "budget",
         "_evict",
     )
@@ -113,6 +134,7 @@
         self.is_evicted = False
         self.is_complete = False
         self.is_closed = False
+        self.sent_at: float | None = None
         self.budget = budget
         self._evict = evict
 
@@ -139,6 +161,17 @@
     def complete(self) -> None:
         """Note that all of the message has arrived; it is no longer given up."""
         self.is_complete = True
+        self.budget.forget_ahead(self)
+
+    def note_sent(self) -> None:
+        """Note that a part of the complete message was sent, or that its send begins."""
+        self.complete()
+        self.sent_at = self.budget.note_progress()
+
+    def is_in_use(self, now: float) -> bool:
+        """Return whether a complete message must not be given up at a monotonic time in seconds."""
+        is_stalled = self.sent_at is not None and now > self.sent_at + MAX_SEND_PAUSE_S
+        return self.is_complete and not self.is_evicted and not is_stalled
 
     def evict(self) -> None:
         """Give the message up, because others need the memory."""
@@ -169,7 +202,8 @@
     ahead: it is the first that had to wait, and memory that it waits for is kept for it. A message
     that finds no room waits for those that complete. If none does in time, the largest one is given
     up, which is one without end if there is any. A message that has arrived completely and is still
-    in use is never given up; if too few others remain to make room, the message waits.
+    in use is not given up, unless its send has stopped; if too few others remain to make room, the
+    message waits.
 
     Parameters
     ----------
@@ -208,7 +242,7 @@
         "_patience_s",
         "_accounts",
         "_evicted_at",
-        "_completed_at",
+        "_progress_at",
         "_ahead",
         "_kept_bytes",
         "_changed",
@@ -223,8 +257,8 @@
         self._accounts: set[MemoryAccount] = set()
         # When accounts that still hold bytes were given up.
         self._evicted_at: dict[MemoryAccount, float] = {}
-        # When a message last gave its bytes back by itself.
-        self._completed_at = float("-inf")
+        # When a message last gave its bytes back by itself, or a part of a complete one was sent.
+        self._progress_at = float("-inf")
         # The account that may grow beyond the free memory, and what it waits for.
         self._ahead: MemoryAccount | None = None
         self._kept_bytes = 0
@@ -264,6 +298,11 @@
         self._accounts.add(account)
         return account
 
+    def note_progress(self) -> float:
+        """Note that memory is about to come back; return the monotonic time in seconds."""
+        self._progress_at = self._timers.now()
+        return self._progress_at
+
     def has_room(self, count: int) -> bool:
         """Return whether a number of bytes is free."""
         return self.used_bytes + count <= self.total_bytes
@@ -278,8 +317,12 @@
         free_bytes = self.total_bytes - used_bytes - (0 if is_ahead else self._kept_bytes)
         if count > free_bytes:
             return False
-        limit_bytes = AHEAD_MULTIPLE * free_bytes if is_ahead else free_bytes
-        return account.size + count <= limit_bytes or len(self._accounts) == 1
+        multiple = 1.0
+        if is_ahead:
+            multiple = AHEAD_MULTIPLE
+        elif len(self._accounts) >= MANY_MESSAGES and not account.has_known_size:
+            multiple = MANY_MULTIPLE
+        return account.size + count <= multiple * free_bytes or len(self._accounts) == 1
 
     async def take(self, account: MemoryAccount, count: int) -> bool:
         """Take bytes for an account; see `MemoryAccount.take`."""
@@ -307,18 +350,14 @@
                 self._kept_bytes = count
                 if self.may_take(account, count):
                     return
-            left_s = self._find_patient_until(started) - self._timers.now()
+            patient_until = max(started, self._progress_at) + self._patience_s
+            left_s = patient_until - self._timers.now()
             if left_s <= 0:
                 self._make_room(account, count)
                 left_s = self._patience_s
             if not account.is_evicted:
                 await self._changed.wait_with_timeout(left_s)
 
-    def _find_patient_until(self, started: float) -> float:
-        """Return when others are given up for a message that waits, unless one completes."""
-        until = max(started, self._completed_at) + self._patience_s
-        return min(until, started + MAX_PATIENCE_MULTIPLE * self._patience_s)
-
     def _make_room(self, account: MemoryAccount, count: int) -> None:
         """Give up the largest message, unless enough is about to be given back."""
         now = self._timers.now()
@@ -326,16 +365,25 @@
         leaving = sum(item.size for item, at in self._evicted_at.items() if now < at + leaving_s)
         if leaving and self._has_share(account, count, self.used_bytes - leaving):
             return
-        complete = sum(item.size for item in self._accounts if item.is_complete)
-        if complete + count > self.total_bytes:
+        kept = [item for item in self._accounts if item.is_in_use(now)]
+        if sum(item.size for item in kept) + count > self.total_bytes:
             return
-        kept = [i for i in self._accounts if i.size and not (i.is_evicted or i.is_complete)]
-        self._evict(max(kept, key=weigh_account, default=account))
+        largest = self._find_largest(now)
+        if largest is not None:
+            self._evict(largest)
+        elif not account.is_complete:
+            self._evict(account)
+
+    def _find_largest(self, now: float) -> MemoryAccount | None:
+        """Return the largest message that may be given up, first of those that are incomplete."""
+        found = [i for i in self._accounts if i.size and not (i.is_evicted or i.is_in_use(now))]
+        incomplete = [item for item in found if not item.is_complete]
+        return max(incomplete or found, key=weigh_account, default=None)
 
     def _evict(self, largest: MemoryAccount) -> None:
         self.evicted[largest.purpose] += 1
         self._evicted_at[largest] = self._timers.now()
-        self._forget_ahead(largest)
+        self.forget_ahead(largest)
         _log.warning(
             "a message was given up for want of memory",
             extra={
@@ -350,10 +398,12 @@
         self._changed.notify()
         largest.evict()
 
-    def _forget_ahead(self, account: MemoryAccount) -> None:
+    def forget_ahead(self, account: MemoryAccount) -> None:
+        """Let another message be ahead of the others."""
         if account is self._ahead:
             self._ahead = None
             self._kept_bytes = 0
+            self._changed.notify()
 
     def give_back(self, account: MemoryAccount, count: int) -> None:
         """Give back bytes of an account."""
@@ -365,11 +415,11 @@
     def close(self, account: MemoryAccount) -> None:
         """Give back all bytes of an account and forget it."""
         if account.size and not account.is_evicted:
-            self._completed_at = self._timers.now()
+            self._progress_at = self._timers.now()
         account.is_closed = True
         self._accounts.discard(account)
         self._evicted_at.pop(account, None)
-        self._forget_ahead(account)
+        self.forget_ahead(account)
         self.give_back(account, account.size)
         self._changed.notify()
 
--- a/marigoldtrail/memory/requests.py
+++ b/marigoldtrail/memory/requests.py
@@ -118,11 +118,20 @@
             account.complete()
         return account
 
-    def may_hold(self, size: int) -> bool:
-        """Return whether this much can be held without waiting."""
-        taken = self._small.size if self._small is not None else 0
-        count = min(size, SMALL_BYTES) - FREE_BYTES - taken
-        return size <= SMALL_BYTES and (count <= 0 or self._memory.small.has_room(count))
+    async def try_hold(self, size: int) -> bool:
+        """Take the memory of what was sent ahead; return False if that would have to wait."""
+        small = size - FREE_BYTES
+        if size > SMALL_BYTES:
+            return False
+        if small <= 0:
+            return True
+        if self._small is None:
+            self._small = self._open(self._memory.small, has_known_size=False)
+        count = small - self._small.size
+        if count <= 0:
+            return True
+        may_take = self._memory.small.may_take(self._small, count)
+        return may_take and await self._small.take(count)
 
     def complete(self, size: int) -> None:
         """
@@ -147,6 +156,7 @@
                 account.close()
         self._small = self._large = None
         self._is_complete = False
+        self.is_evicted = False
 
 
 class RequestMemory:
--- a/marigoldtrail/relay/buffering.py
+++ b/marigoldtrail/relay/buffering.py
@@ -27,16 +27,19 @@
         Cancelled if the response is given up while it is sent.
     """
 
-    __slots__ = ("error", "send_scope", "_account", "_error_account")
+    __slots__ = ("error", "send_scope", "_account", "_error_account", "_is_sending")
 
     def __init__(self) -> None:
         self.error: CompleteResponse | None = None
         self.send_scope = trio.CancelScope()
         self._account: MemoryAccount | None = None
         self._error_account: MemoryAccount | None = None
+        self._is_sending = False
 
     def add(self, account: MemoryAccount) -> None:
-        """Hold the memory of a complete response."""
+        """Hold the memory of a complete response, in place of that of an attempt that was left."""
+        if self._account is not None:
+            self._account.close()
         self._account = account
 
     def keep_error(self, error: CompleteResponse) -> None:
@@ -53,11 +56,23 @@
 
     def give_up(self, account: MemoryAccount) -> None:
         """Give up the response of an account, because others need the memory."""
-        if account is self._error_account:
+        if account is self._error_account and not self._is_sending:
             self._drop_error()
-        elif account is self._account:
+        elif account in (self._account, self._error_account):
             self.send_scope.cancel()
 
+    def begin_send(self) -> trio.CancelScope:
+        """Return the scope in which the response is sent."""
+        self._is_sending = True
+        self.note_sent()
+        return self.send_scope
+
+    def note_sent(self) -> None:
+        """Note that a part of the response was sent."""
+        for account in (self._account, self._error_account):
+            if account is not None:
+                account.note_sent()
+
     def close(self) -> None:
         """Give the memory of all responses back."""
         self._drop_error()
@@ -102,6 +117,10 @@
     finally:
         if isinstance(body, Failure):
             account.close()
+    if account.is_evicted:
+        # It was given up as its end was read.
+        account.close()
+        return make_eviction_failure(conn)
     if isinstance(body, bytes):
         # An answer that is complete is not given up before those that may have no end.
         account.has_known_size = True
@@ -162,5 +181,11 @@
 
 
 def make_eviction_failure(conn: UpstreamConnection) -> Failure:
-    """Return the failure of a response that was given up for want of memory."""
-    return conn.make_failure(Reason.BAD_ANSWER, "given up for want of memory")
+    """
+    Return the failure of a response that was given up for want of memory.
+
+    One of unknown length may have no end, so that its upstream counts as faulty.
+    """
+    has_end = conn.announced_bytes is not None
+    reason = Reason.NO_MEMORY if has_end else Reason.BAD_ANSWER
+    return conn.make_failure(reason, "given up for want of memory")
--- a/marigoldtrail/relay/caller_connection.py
+++ b/marigoldtrail/relay/caller_connection.py
@@ -35,6 +35,7 @@
 MAX_PIPELINED_BYTES = 65536
 # Longer bodies are not copied behind their heads: a slow caller would hold the memory twice.
 MAX_JOINED_BYTES = 65536
+# The first part of them is read without an account, so that a close is noticed.
 PIPELINED_READ_BYTES = 4096
 # Parts of a body that are parsed before other tasks run: chunks of a byte cost most.
 PARTS_PER_TURN = 256
@@ -321,7 +322,7 @@
                 elif isinstance(event, h11.Data):
                     body += event.data
                     if len(body) > max_bytes:
-                        return refuse_body(max_bytes)
+                        return refuse_body(limits, len(body))
                     parts += 1
                     if parts % PARTS_PER_TURN == 0:
                         await trio.lowlevel.checkpoint()
@@ -359,10 +360,10 @@
 
     async def _may_read_ahead(self) -> bool:
         """Return whether more of the requests after the current one may be read."""
+        if self._pipelined_bytes <= PIPELINED_READ_BYTES:
+            return True
         size = self._body_bytes + self.buffered_bytes
-        if self._pipelined_bytes > MAX_PIPELINED_BYTES or not self._account.may_hold(size):
-            return False
-        return await self._account.hold(size)
+        return self._pipelined_bytes <= MAX_PIPELINED_BYTES and await self._account.try_hold(size)
 
     async def start_response(self, status: int, headers: Headers) -> None:
         """
@@ -389,8 +390,19 @@
         """End the response body; raises like `start_response`."""
         await self._send(self._conn.send(h11.EndOfMessage()) or b"")
 
-    async def send_response(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole response, in one write if it is short; raises like `start_response`."""
+    async def send_response(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        *,
+        on_sent: Callable[[], None] = lambda: None,
+    ) -> None:
+        """
+        Send a whole response, in one write if it is short; raises like `start_response`.
+
+        `on_sent` is called after each part of a long body.
+        """
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.is_broken = True
             return
@@ -400,7 +412,9 @@
         data = self._conn.send(response) or b""
         if len(body) > MAX_JOINED_BYTES and not self._is_head:
             await self._send(data)
-            await self.send_body_part(body)
+            for start in range(0, len(body), MAX_JOINED_BYTES):
+                await self.send_body_part(body[start : start + MAX_JOINED_BYTES])
+                on_sent()
             await self.end_response()
             return
         if not self._is_head:
@@ -506,9 +520,8 @@
     if head.method == b"CONNECT":
         return Refusal(status=400, detail="CONNECT is not supported")
     length = find_body_length(head)
-    max_body_bytes = min(limits.max_body_bytes, max_body_bytes)
-    if length is not None and length > max_body_bytes:
-        return refuse_body(max_body_bytes)
+    if length is not None and length > min(limits.max_body_bytes, max_body_bytes):
+        return refuse_body(limits, length)
     return None
 
 
@@ -518,9 +531,11 @@
     return max((int(value) for value in lengths if value.isdigit()), default=None)
 
 
-def refuse_body(max_bytes: int) -> Refusal:
-    """Return the refusal of a body that is too large."""
-    return Refusal(status=413, detail=f"a body has at most {max_bytes} bytes")
+def refuse_body(limits: Limits, size: int) -> Refusal:
+    """Return the refusal of a body that is too large for the configuration, or for this host."""
+    if size > limits.max_body_bytes:
+        return Refusal(status=413, detail=f"a body has at most {limits.max_body_bytes} bytes")
+    return Refusal(status=503, detail="the body is too large for the memory of this host")
 
 
 def refuse_head(limits: Limits) -> Refusal:
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -22,6 +22,7 @@
     RequestRecorder,
     make_deadline_failure,
     make_error_failure,
+    make_memory_failure,
     make_stop_failure,
 )
 from marigoldtrail.relay.request_router import MAX_FLEET_STATE_AGE_S, RequestRouter
@@ -424,19 +425,28 @@
         if conn.has_started:
             # Close the connection so that the caller detects the incomplete stream.
             conn.is_broken = True
-        elif isinstance(result, CompleteResponse):
-            headers = [*result.headers, *self._make_connection_headers()]
-            with exchange.held.send_scope as scope:
-                await conn.send_response(result.status, headers, result.body)
-            if scope.cancelled_caught:
-                conn.is_broken = True
-        else:
+        elif isinstance(result, Failure):
             await self._send_failure(conn, result)
+        elif exchange.held.send_scope.cancel_called:
+            await self._send_failure(conn, make_memory_failure(exchange))
+        else:
+            await self._send_complete(exchange, result)
         if not conn.is_broken:
             return None
         self._recorder.record_broken(exchange, failure)
         return EndReason.BROKEN_RESPONSE
 
+    async def _send_complete(self, exchange: Exchange, result: CompleteResponse) -> None:
+        """Send a response unless its memory is needed while its caller reads nothing."""
+        conn = exchange.conn
+        headers = [*result.headers, *self._make_connection_headers()]
+        with exchange.held.begin_send() as scope:
+            await conn.send_response(
+                result.status, headers, result.body, on_sent=exchange.held.note_sent
+            )
+        if scope.cancelled_caught:
+            conn.is_broken = True
+
     async def _send_failure(self, conn: CallerConnection, result: Failure) -> None:
         status = 503 if result.run_state is RunState.NOT_RUN else 502
         if status == 502 and result.reason is Reason.DEADLINE:
--- a/marigoldtrail/relay/request_end.py
+++ b/marigoldtrail/relay/request_end.py
@@ -230,6 +230,11 @@
     return _make_failure(exchange, Reason.STOPPING, "the host stops")
 
 
+def make_memory_failure(exchange: Exchange) -> Failure:
+    """Return the failure of a request whose response was given up for want of memory."""
+    return _make_failure(exchange, Reason.NO_MEMORY, "the host has no memory left")
+
+
 def make_error_failure(exchange: Exchange) -> Failure:
     """Return the failure of a request in which an unexpected exception was raised."""
     return _make_failure(exchange, Reason.INTERNAL, "the host failed")
--- a/marigoldtrail/relay/responses.py
+++ b/marigoldtrail/relay/responses.py
@@ -75,6 +75,11 @@
         detail = f"a body of {conn.announced_bytes} bytes was announced"
         return conn.make_failure(Reason.BAD_ANSWER, detail)
     body = bytearray()
+    announced = conn.announced_bytes
+    if account is not None and announced is not None and not await account.take(announced):
+        # The upstream has done nothing wrong.
+        return conn.make_failure(Reason.NO_MEMORY, f"no room for {announced} bytes")
+    is_counted = account is not None and announced is None
     while True:
         data = await conn.read_body_part()
         if isinstance(data, Failure):
@@ -83,7 +88,7 @@
             return bytes(body)
         if len(body) + len(data) > MAX_BUFFERED_BYTES:
             return conn.make_failure(Reason.BAD_ANSWER, f"more than {MAX_BUFFERED_BYTES} bytes")
-        if account is not None and not await account.take(len(data)):
+        if is_counted and account is not None and not await account.take(len(data)):
             detail = f"given up after {account.size} bytes for want of memory"
             return conn.make_failure(Reason.BAD_ANSWER, detail)
         body += data
--- a/marigoldtrail/relay/tests/test_request_memory.py
+++ b/marigoldtrail/relay/tests/test_request_memory.py
@@ -6,7 +6,7 @@
 import trio
 import trio.testing
 
-from marigoldtrail.memory import RequestMemory, compute_budget_bytes
+from marigoldtrail.memory import RequestMemory, compute_request_bytes
 from marigoldtrail.memory.requests import READ_BYTES
 from marigoldtrail.relay.caller_connection import PARTS_PER_TURN, CallerConnection
 from marigoldtrail.relay.tests.helpers import (
@@ -18,13 +18,12 @@
 )
 from marigoldtrail.relay.tests.test_relay import chunk
 from marigoldtrail.routing import Limits, RouteKind
-from marigoldtrail.site.components import REQUEST_SHARE
 from marigoldtrail.timers import Timers
 
 # The smallest host of the users' pages, and what their configurations allow.
 MEMORY_MB = 160
 MAX_BODY_BYTES = 4 * 1024 * 1024
-REQUEST_BYTES = int(compute_budget_bytes(MEMORY_MB) * REQUEST_SHARE)
+REQUEST_BYTES = compute_request_bytes(MEMORY_MB)
 # One request at a time is copied when it is put together, and each connection has its objects.
 PEAK_BYTES = REQUEST_BYTES + 2 * MAX_BODY_BYTES
 CONNECTION_BYTES = 64 * 1024
--- a/marigoldtrail/relay/transmission.py
+++ b/marigoldtrail/relay/transmission.py
@@ -28,7 +28,12 @@
 REFUSAL_WAIT_S = 0.2
 
 # Failures for which the upstream is not to blame.
-_BLAMELESS_REASONS = (Reason.NOT_FOUND, Reason.QUARANTINED, Reason.VIEW_NOT_CURRENT)
+_BLAMELESS_REASONS = (
+    Reason.NOT_FOUND,
+    Reason.NO_MEMORY,
+    Reason.QUARANTINED,
+    Reason.VIEW_NOT_CURRENT,
+)
 
 
 class Transmission:
--- a/marigoldtrail/site/components.py
+++ b/marigoldtrail/site/components.py
@@ -7,7 +7,13 @@
 
 import trio
 
-from marigoldtrail.memory import MemoryBudget, RequestMemory, compute_budget_bytes
+from marigoldtrail.memory import (
+    MemoryBudget,
+    RequestMemory,
+    compute_budget_bytes,
+    compute_frame_bytes,
+    compute_request_bytes,
+)
 from marigoldtrail.net import Address, FaultyFrames, ListenerControl, Network, PeerClient
 from marigoldtrail.reachability import UpstreamContact
 from marigoldtrail.registry import FleetState, HostReporter, peer_name
@@ -25,8 +31,6 @@
 CLOSE_POLL_INTERVAL_S = 0.02
 # Time for the refusals of requests to endpoints that are still in progress when they must end.
 LAST_REPLIES_S = 0.3
-# Requests and responses have apart what they need; see `RequestMemory`.
-REQUEST_SHARE = 0.5
 
 
 class HostComponents:
@@ -57,6 +61,7 @@
         "rng",
         "nursery",
         "memory",
+        "frame_memory",
         "request_memory",
         "faulty_frames",
         "peers",
@@ -88,10 +93,13 @@
         self.endpoint_stop = EndpointStop()
         self._endpoint_listeners: list[ListenerControl] = []
         self.metrics = PrometheusMetrics()
-        budget_bytes = compute_budget_bytes(cfg.memory_mb)
-        request_bytes = int(budget_bytes * REQUEST_SHARE)
-        self.memory = MemoryBudget(total_bytes=budget_bytes - request_bytes, timers=timers)
-        self.request_memory = RequestMemory(total_bytes=request_bytes, timers=timers)
+        self.memory = MemoryBudget(total_bytes=compute_budget_bytes(cfg.memory_mb), timers=timers)
+        self.frame_memory = MemoryBudget(
+            total_bytes=compute_frame_bytes(cfg.memory_mb), timers=timers
+        )
+        self.request_memory = RequestMemory(
+            total_bytes=compute_request_bytes(cfg.memory_mb), timers=timers
+        )
         self.faulty_frames = FaultyFrames()
         self.peers = PeerClient(network=network, host=cfg.host, nursery=nursery)
         self.fleet_state = FleetState(parse_document=adapter.parse_document, timers=timers)
@@ -151,12 +159,12 @@
         add(
             "unfinished_bytes",
             "Memory of unfinished messages of others.",
-            lambda: self.memory.used_bytes,
+            lambda: self.memory.used_bytes + self.frame_memory.used_bytes,
         )
         add(
             "messages_given_up",
             "Unfinished messages that were given up for want of memory.",
-            lambda: self.memory.evicted.total(),
+            lambda: self.memory.evicted.total() + self.frame_memory.evicted.total(),
         )
         add(
             "request_bytes",
--- a/marigoldtrail/site/control_host.py
+++ b/marigoldtrail/site/control_host.py
@@ -132,7 +132,7 @@
                     Address.parse(components.own_name),
                     handlers,
                     host=components.own_name,
-                    memory=components.memory,
+                    memory=components.frame_memory,
                     faulty=components.faulty_frames,
                     task_status=task_status,
                 )
