Give back the memory of a response whose attempt was cancelled

Callers: a response that was complete just when its attempt was cancelled, as another upstream had taken the request, kept its memory for ever, and the answer of the other upstream was cut if others needed that memory.

Cause: the next response to the request replaced the account of the last one without closing it.

Change: before the next body is read, the last response is forgotten unless it was kept, with its account and its scope.

--- a/marigoldtrail/relay/buffering.py
+++ b/marigoldtrail/relay/buffering.py
@@ -36,6 +36,13 @@
         self._error_account: MemoryAccount | None = None
         self._is_sending = False
 
+    def start_next(self) -> None:
+        """Forget the last response unless it was kept: its attempt was cancelled meanwhile."""
+        if self._account is not None:
+            self._account.close()
+            self._account = None
+            self.send_scope = trio.CancelScope()
+
     def add(self, account: MemoryAccount) -> None:
         """Hold the memory of a complete response, in place of that of an attempt that was left."""
         if self._account is not None:
@@ -76,9 +83,7 @@
     def close(self) -> None:
         """Give the memory of all responses back."""
         self._drop_error()
-        if self._account is not None:
-            self._account.close()
-            self._account = None
+        self.start_next()
 
 
 async def read_held_body(
@@ -101,6 +106,7 @@
     bytes or Failure
         A failure if the body breaks off, is too long, or was given up for want of memory.
     """
+    held.start_next()
     scope = trio.CancelScope()
 
     def evict() -> None:
