--- a/marigoldtrail/memory/budget.py
+++ b/marigoldtrail/memory/budget.py
@@ -22,13 +22,13 @@
 # others. One at a time may grow to this multiple of it: proper ones that need a little more
 # complete one by one. A larger multiple would leave less room.
 AHEAD_MULTIPLE = 3
-# Many messages of unknown size leave more room for the one that is ahead.
+# Many messages leave more room for the one that is ahead.
 MANY_MESSAGES = 8
 MANY_MULTIPLE = 0.5
 # Complete messages give their memory back within this time, so that others only wait for it.
 PATIENCE_S = 0.25
 # A complete message that is being sent is given up only if nothing of it is sent for so long.
-MAX_SEND_PAUSE_S = 5.0
+MAX_SEND_PAUSE_S = 2.0
 # A message that was given up gives its bytes back within this multiple of the time.
 LEAVING_MULTIPLE = 6
 # Share at which a message of announced size counts when the largest is given up: it has an end.
@@ -320,7 +320,7 @@
         multiple = 1.0
         if is_ahead:
             multiple = AHEAD_MULTIPLE
-        elif len(self._accounts) >= MANY_MESSAGES and not account.has_known_size:
+        elif len(self._accounts) >= MANY_MESSAGES:
             multiple = MANY_MULTIPLE
         return account.size + count <= multiple * free_bytes or len(self._accounts) == 1
 
