--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -32,7 +32,8 @@
 ACCOUNT = "acme"
 HOST = "a.example"
 DEADLINE_S = 4.0
-# Covers two silences of 1.6 s, and ends before the last sixth of the grace period of a stop.
+# Covers two silences of 1.6 s. A request that was sent before a stop reaches it before the last
+# sixth of the grace period; one that was sent after the signal may not.
 LONG_DEADLINE_S = 6.0
 CALL_TIMEOUT_S = 1.5
 CONFIG_TIMEOUT_S = 10.0
