--- a/marigoldtrail/api/problems.py
+++ b/marigoldtrail/api/problems.py
@@ -21,6 +21,7 @@
     Reason.CLAIM_MAY_HAVE_RUN: 409,
     Reason.UPSTREAM_ERROR: 502,
     Reason.BAD_ANSWER: 502,
+    Reason.NO_MEMORY: 502,
     Reason.UNREACHABLE: 502,
     Reason.DISCONNECTED: 502,
     Reason.DEADLINE: 504,
