Parse the endless list of a test in its own thread

Runs of this test took 5 s, 34 s and over 150 s: while another thread parses, the loop of a test clock without a deadline spins and takes the interpreter from it (stacks of both threads show it). The bounds and the code that reads are the same.

--- a/marigoldtrail/platform/tests/test_list_bounds.py
+++ b/marigoldtrail/platform/tests/test_list_bounds.py
@@ -6,6 +6,7 @@
 import pytest
 
 from marigoldtrail.errors import Failure, Reason
+from marigoldtrail.platform import calls
 from marigoldtrail.platform.calls import make_list_reader
 from marigoldtrail.platform.headers import HEADER_CODEC
 from marigoldtrail.platform.tests.test_stage_calls import ADDRESS
@@ -78,8 +79,10 @@
 
 
 @pytest.mark.parametrize("kind", list(PAGES))
-async def test_list_without_end_is_bounded(autojump_clock, nursery, kind):
+async def test_list_without_end_is_bounded(autojump_clock, nursery, monkeypatch, kind):
     """Guards against a list of a faulty platform that ends the process of a control host."""
+    # A test clock without a deadline keeps the processor busy while another thread parses.
+    monkeypatch.setattr(calls, "MAX_INLINE_PARSE_BYTES", 2 * PAGE_BYTES)
     read_list = await start(nursery, repeat(PAGES[kind]))
     tracemalloc.start()
     result = await read_list()
@@ -90,8 +93,9 @@
     assert peak < PEAK_BYTES
 
 
-async def test_long_list_is_read(autojump_clock, nursery):
+async def test_long_list_is_read(autojump_clock, nursery, monkeypatch):
     """Guards against a bound that refuses the list of a large fleet."""
+    monkeypatch.setattr(calls, "MAX_INLINE_PARSE_BYTES", 2 * PAGE_BYTES)
     pages = 40
 
     def make_body(number):
