Start hosts whose deployment leaves out optional settings

A deployment that names no limit on the memory fills deploy/host.json with "memory_mb": null, and since every host ended at its start with "$.memory_mb: None is not of type 'number'" (exit 2). All bounds, the region and the first start were refused in the same way, and drain_ms also if it was no whole number, though nothing uses it.

An optional value that is null now counts as left out, wherever it stands, and the region and the bounds are optional. A null that stands for a needed value, or in a list, is reported as before.

--- a/marigoldtrail/platform/tests/test_start.py
+++ b/marigoldtrail/platform/tests/test_start.py
@@ -1,12 +1,57 @@
 """Start of a host's process."""
 
+import contextlib
 import os
 import signal
+import socket
 import subprocess
 import sys
+import time
 
+import pytest
+
+from marigoldtrail.platform.tests.settings_template import (
+    fill_template,
+    list_placeholders,
+    make_fields,
+)
+from marigoldtrail.schema import parse_site_settings
 from marigoldtrail.site.launch import EXIT_INVALID
 
+METRICS_PORT = 9100
+START_TIMEOUT_S = 30.0
+# Each of them names this host, another one, or a place for its data.
+NEEDED = (
+    "cloud.address",
+    "data_dir",
+    "internal_ports",
+    "ip",
+    "listen.control",
+    "listen.directory",
+    "listen.front",
+    "listen.ready",
+    "node_name",
+    "role",
+    "seeds",
+    "zone",
+)
+
+
+def find_free_ip():
+    """Return a loopback address at which the port of the metrics is free."""
+    for number in range(1, 255):
+        ip = f"127.77.{number}.1"
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((ip, METRICS_PORT))
+            return ip
+    raise RuntimeError("the port of the metrics is in use at all addresses")
+
+
+def is_listening(address):
+    ip, _, port = address.rpartition(":")
+    with socket.socket() as sock:
+        return sock.connect_ex((ip, int(port))) == 0
+
 
 def test_reload_signal_does_not_end_a_starting_process(tmp_path):
     """Guards against a reload signal that ends a process before it can handle the signal."""
@@ -21,3 +66,42 @@
             settings.write(b"{}")
         _, errors = process.communicate()
     assert process.returncode == EXIT_INVALID and str(path).encode() in errors
+
+
+def test_all_placeholders_but_the_needed_ones_may_be_left_out():
+    """Guards against a new placeholder whose missing value stops the start."""
+    fields = {
+        role: make_fields(role, "10.0.0.1", (1, 2, 3, 4, 5), "/data")
+        for role in ("entry", "control")
+    }
+    for role, values in fields.items():
+        assert not isinstance(parse_site_settings(fill_template(values).encode()), list), role
+    optional = [name for name in list_placeholders() if name not in NEEDED]
+    assert "limits.memory_mb" in optional and "region" in optional and "bootstrap" in optional
+    assert set(NEEDED) <= set(list_placeholders())
+
+
+@pytest.mark.parametrize("role", ["entry", "control"])
+def test_host_starts_with_every_optional_value_null(tmp_path, role):
+    """Guards against a fleet that does not start since its deployment names no limit."""
+    ip = find_free_ip()
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(5)]
+        for sock in socks:
+            sock.bind((ip, 0))
+        ports = [sock.getsockname()[1] for sock in socks]
+    fields = make_fields(role, ip, ports, tmp_path)
+    path = tmp_path / "node.json"
+    path.write_text(fill_template(fields))
+    assert '"memory_mb": null' in path.read_text()
+    env = {**os.environ, "MARIGOLDTRAIL_CONFIG": str(path)}
+    command = [sys.executable, "-m", "marigoldtrail.platform"]
+    with subprocess.Popen(command, env=env, stderr=subprocess.PIPE) as process:
+        address = fields["listen"]["front" if role == "entry" else "control"]
+        ends_at = time.monotonic() + START_TIMEOUT_S
+        while process.poll() is None and time.monotonic() < ends_at and not is_listening(address):
+            time.sleep(0.05)
+        has_started = process.poll() is None and is_listening(address)
+        process.kill()
+        _, errors = process.communicate()
+    assert has_started, errors.decode()
--- a/marigoldtrail/schema/documents.py
+++ b/marigoldtrail/schema/documents.py
@@ -202,6 +202,12 @@
     value = decode_json(data, source)
     if isinstance(value, Fault):
         return [value]
+    return _validate(value, schema, document_type, source)
+
+
+def _validate(
+    value: Any, schema: str, document_type: type[Document], source: str
+) -> Document | list[Fault]:
     errors = sorted(_load_validator(schema).iter_errors(value), key=lambda exc: exc.json_path)
     if errors:
         return [_make_schema_fault(exc, source) for exc in errors[:MAX_FAULTS]]
@@ -292,6 +298,8 @@
     """
     Parse the settings of a host in a fleet that discovers its members through seed hosts.
 
+    An optional value that is null counts as left out.
+
     Parameters
     ----------
     data : bytes
@@ -304,11 +312,7 @@
     SiteSettings or list of Fault
         The settings, or all their faults.
     """
-    try:
-        settings: SiteSettings | list[Fault] = msgspec.json.decode(data, type=SiteSettings)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
-        # msgspec reports only the first fault; the validator, loaded only now, reports all.
-        settings = parse_document(data, "site", SiteSettings, source)
+    settings = _decode_site_settings(data, source)
     if isinstance(settings, list):
         return settings
     needed = {
@@ -346,6 +350,29 @@
     return faults or settings
 
 
+def _decode_site_settings(data: bytes, source: str) -> SiteSettings | list[Fault]:
+    try:
+        return msgspec.json.decode(data, type=SiteSettings)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        pass
+    value = decode_json(data, source)
+    if isinstance(value, Fault):
+        return [value]
+    value = _drop_nulls(value)
+    try:
+        return msgspec.convert(value, SiteSettings)
+    except msgspec.MsgspecError:
+        # msgspec reports only the first fault; the validator, loaded only now, reports all.
+        return _validate(value, "site", SiteSettings, source)
+
+
+def _drop_nulls(value: Any) -> Any:
+    """Return a value without the null members of its objects: these count as left out."""
+    if not isinstance(value, dict):
+        return value
+    return {key: _drop_nulls(member) for key, member in value.items() if member is not None}
+
+
 def is_site_settings(data: bytes) -> bool:
     """Check whether a file holds settings of a fleet that uses seed hosts for discovery."""
     value = decode_json(data, "settings")
--- a/marigoldtrail/site/tests/test_settings.py
+++ b/marigoldtrail/site/tests/test_settings.py
@@ -5,11 +5,13 @@
 import re
 from pathlib import Path
 
+import msgspec
 import pytest
 from typer.testing import CliRunner
 
 from marigoldtrail.cli.app import app
-from marigoldtrail.schema import parse_site_settings
+from marigoldtrail.schema import load_schema, parse_site_settings
+from marigoldtrail.schema.generated.site import Bounds, SiteSettings
 from marigoldtrail.site.settings_file import SettingsFile
 
 GOOD = {
@@ -90,6 +92,38 @@
     assert isinstance(SettingsFile(path="").read(), str)
 
 
+@pytest.mark.parametrize("name", [f.name for f in msgspec.structs.fields(SiteSettings)])
+def test_null_counts_as_left_out(name):
+    """Guards against an optional value that a deployment leaves out and that stops the start."""
+    without = {key: value for key, value in GOOD.items() if key != name}
+    expected = parse_site_settings(json.dumps(without).encode())
+    found = parse_site_settings(json.dumps({**GOOD, name: None}).encode())
+    assert found == expected
+    is_optional = name not in load_schema("site")["required"]
+    is_needed = name in ("request_address", "ready_address")
+    assert isinstance(found, SiteSettings) == (is_optional and not is_needed)
+
+
+@pytest.mark.parametrize("name", Bounds.__struct_fields__)
+def test_null_bound_counts_as_left_out(name):
+    """Guards against a bound that a deployment leaves out and that stops the start."""
+    found = parse_site_settings(json.dumps({**GOOD, "bounds": {name: None}}).encode())
+    assert found == parse_site_settings(json.dumps(GOOD).encode())
+
+
+@pytest.mark.parametrize("name", Bounds.__struct_fields__)
+def test_fraction_is_accepted_for_a_bound(name):
+    """Guards against a host that does not start because a bound is no whole number."""
+    found = parse_site_settings(json.dumps({**GOOD, "bounds": {name: 2.5}}).encode())
+    assert getattr(found.bounds, name) == 2.5
+
+
+@pytest.mark.parametrize("text", [b"null", b"[null]", b'{"seeds": [null]}'])
+def test_null_that_is_no_member_is_reported(text):
+    """Guards against nulls that are dropped where they stand for a value."""
+    assert isinstance(parse_site_settings(text), list)
+
+
 def test_template_has_only_known_fields():
     """Guards against unknown or missing fields in the template of the settings."""
     text = TEMPLATE.read_text()
