Ask one place before a host gives up a response, and count it

Beside a silence or a change nothing told a response that this host broke off by its own decision from one whose upstream broke off: both were "response broken off" with a reason such as timeout or bad_answer.

OwedResponse belongs to each request that was read. While nothing was sent a failure can take the place of the response; a started one is given up only for memory, and for a silence after which callers have left. Such an end is named in the line (given_up_for) and counted in responses_given_up_total{cause}.

--- a/marigoldtrail/relay/attempts.py
+++ b/marigoldtrail/relay/attempts.py
@@ -11,6 +11,7 @@
 from marigoldtrail.reachability import ReachabilityMonitor
 from marigoldtrail.relay.abandoned import AbandonedAttempts
 from marigoldtrail.relay.exchange import Exchange
+from marigoldtrail.relay.owed_response import GiveUpCause
 from marigoldtrail.relay.request_mover import RequestMover
 from marigoldtrail.relay.responses import CompleteResponse, StreamForwarded
 from marigoldtrail.relay.sender import Sender
@@ -144,7 +145,9 @@
         def leave() -> None:
             is_unsent = exchange.reads == reads_before and not exchange.may_have_run
             may_start_again = is_unsent or exchange.may_run_again()
-            if may_start_again and not (exchange.info.is_forwarded or exchange.conn.has_started):
+            if not may_start_again or exchange.info.is_forwarded:
+                return
+            if exchange.owed.give_up(GiveUpCause.CUT_OFF):
                 scope.cancel()
 
         return leave
--- a/marigoldtrail/relay/buffering.py
+++ b/marigoldtrail/relay/buffering.py
@@ -8,6 +8,7 @@
 
 from marigoldtrail.errors import Failure, Reason
 from marigoldtrail.memory import MemoryAccount, MemoryBudget
+from marigoldtrail.relay.owed_response import GiveUpCause, OwedResponse
 from marigoldtrail.relay.responses import CompleteResponse, StreamForwarded, read_body
 from marigoldtrail.relay.upstream_connection import UpstreamConnection
 
@@ -137,6 +138,7 @@
 async def run_stream(
     memory: MemoryBudget,
     conn: UpstreamConnection,
+    owed: OwedResponse,
     forward: Callable[[MemoryAccount], Awaitable[StreamForwarded | Failure]],
 ) -> StreamForwarded | Failure:
     """
@@ -148,6 +150,8 @@
         Memory for unfinished messages.
     conn : UpstreamConnection
         Connection of the stream.
+    owed : OwedResponse
+        Notes that the response was given up.
     forward : callable
         Forwards the stream; calls `count_held` with the account.
 
@@ -157,7 +161,12 @@
         What `forward` returns; a failure if the stream was given up for want of memory.
     """
     scope = trio.CancelScope()
-    with memory.open("stream", conn.upstream, evict=scope.cancel) as account, scope:
+
+    def evict() -> None:
+        if owed.give_up(GiveUpCause.MEMORY):
+            scope.cancel()
+
+    with memory.open("stream", conn.upstream, evict=evict) as account, scope:
         return await forward(account)
     return make_eviction_failure(conn)
 
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -9,6 +9,7 @@
 from marigoldtrail.relay.buffering import HeldResponses
 from marigoldtrail.relay.caller_connection import CallerConnection, CallerRequest
 from marigoldtrail.relay.events import EventSplitter
+from marigoldtrail.relay.owed_response import OwedResponse
 from marigoldtrail.relay.stream_versions import Recording, make_stream_key
 from marigoldtrail.relay.types import RequestInfo
 from marigoldtrail.routing import ClientAccount, Route, RouteKind, Service, Upstream
@@ -97,6 +98,8 @@
         Whether the next send is a trial of a quarantined prompt.
     held : HeldResponses
         Complete responses that wait to be sent.
+    owed : OwedResponse
+        Decides whether this host may end the request for a cause of its own.
     """
 
     __slots__ = (
@@ -130,6 +133,7 @@
         "relisted_at",
         "has_trial_grant",
         "held",
+        "owed",
     )
 
     def __init__(
@@ -175,6 +179,7 @@
         self.relisted_at: float | None = None
         self.has_trial_grant = False
         self.held = HeldResponses()
+        self.owed = OwedResponse(conn=conn)
         self.scope = trio.CancelScope(deadline=self.start_deadline)
 
     @property
@@ -217,6 +222,7 @@
         self.reads += 1
         # The version of the earlier events was settled when this peer was chosen.
         self.source, self.relisted_at = None, None
+        self.owed.given_up_for = None
         # A cancelled attempt may have left a part of an event, which belongs to its run only.
         self.splitter.discard_partial()
 
--- a/marigoldtrail/relay/peer_forwarding.py
+++ b/marigoldtrail/relay/peer_forwarding.py
@@ -19,6 +19,7 @@
     run_stream,
 )
 from marigoldtrail.relay.exchange import Exchange
+from marigoldtrail.relay.owed_response import GiveUpCause
 from marigoldtrail.relay.responses import (
     NOT_RUN_STATUSES,
     CompleteResponse,
@@ -208,6 +209,7 @@
         return await run_stream(
             self._memory,
             conn,
+            exchange.owed,
             lambda account: self._forward_events(exchange, conn, head, account),
         )
 
@@ -224,8 +226,10 @@
         give_up_at = self._find_give_up_at(exchange)
         while True:
             data: bytes | Failure = conn.make_failure(Reason.TIMEOUT, "no event from another entry")
-            with trio.move_on_after(max(0.0, give_up_at - self._timers.now())):
+            with trio.move_on_after(max(0.0, give_up_at - self._timers.now())) as scope:
                 data = await conn.read_body_part()
+            if scope.cancelled_caught:
+                exchange.owed.give_up(GiveUpCause.SILENCE)
             if isinstance(data, Failure):
                 return data
             events = splitter.feed(data)
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -17,6 +17,7 @@
 from marigoldtrail.relay.dispatch import Dispatcher
 from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.relay.idle_wait import IdleLimits
+from marigoldtrail.relay.owed_response import GiveUpCause
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.request_end import (
     RequestRecorder,
@@ -445,6 +446,7 @@
                 result.status, headers, result.body, on_sent=exchange.held.note_sent
             )
         if scope.cancelled_caught:
+            exchange.owed.give_up(GiveUpCause.MEMORY)
             conn.is_broken = True
 
     async def _send_failure(self, conn: CallerConnection, result: Failure) -> None:
--- a/marigoldtrail/relay/request_end.py
+++ b/marigoldtrail/relay/request_end.py
@@ -170,13 +170,18 @@
             Why; None if the connection can't carry a response any more.
         """
         reason = failure.reason.value if failure is not None else "connection"
+        cause = exchange.owed.given_up_for
+        given_up_for = cause.value if cause is not None else ""
         self._metrics.count_broken_response(reason)
+        if given_up_for:
+            self._metrics.count_given_up_response(given_up_for)
         routes = self._fleet_state.routes
         _log.info(
             "response broken off",
             extra={
                 "request_id": exchange.info.request_id,
                 "reason": reason,
+                "given_up_for": given_up_for,
                 "failure": str(failure or ""),
                 "events": exchange.splitter.count,
                 "left_ms": round((exchange.deadline - self._timers.now()) * 1000),
--- a/marigoldtrail/relay/sender.py
+++ b/marigoldtrail/relay/sender.py
@@ -190,6 +190,7 @@
             result = await run_stream(
                 self._memory,
                 tx.conn,
+                exchange.owed,
                 lambda account: self._forward_events(exchange, tx, head, watch, account),
             )
             nursery.cancel_scope.cancel()
--- a/marigoldtrail/relay/stall_watch.py
+++ b/marigoldtrail/relay/stall_watch.py
@@ -6,6 +6,7 @@
 
 from marigoldtrail.errors import Failure, Reason
 from marigoldtrail.relay.exchange import Exchange
+from marigoldtrail.relay.owed_response import GiveUpCause
 from marigoldtrail.relay.request_mover import RequestMover
 from marigoldtrail.relay.stall_timer import StallTimer
 from marigoldtrail.relay.upstream_connection import UpstreamConnection
@@ -116,7 +117,8 @@
             self._timer.last_check_at = self._timers.now()
 
     async def _check(self) -> None:
-        if self._timers.now() >= self._timer.give_up_at(self._exchange):
+        is_overdue = self._timers.now() >= self._timer.give_up_at(self._exchange)
+        if is_overdue and self._exchange.owed.give_up(GiveUpCause.SILENCE):
             self._stop(Reason.TIMEOUT, "no event while its caller waits for one")
             return
         is_taken = False
--- a/marigoldtrail/telemetry/prometheus.py
+++ b/marigoldtrail/telemetry/prometheus.py
@@ -37,6 +37,7 @@
         "_stop_refusals",
         "_unanswered",
         "_broken",
+        "_given_up",
         "_left_out",
         "_routes",
     )
@@ -95,6 +96,12 @@
             ["reason"],
             registry=registry,
         )
+        self._given_up = Counter(
+            "responses_given_up",
+            "Responses to callers that this host broke off for a cause of its own, by the cause.",
+            ["cause"],
+            registry=registry,
+        )
         self._left_out = Counter(
             "left_out_entries",
             "Entries of the list of upstreams that were left out, at each reading, by reason.",
@@ -164,6 +171,10 @@
         """Count a response that was broken off by the reason of the failure."""
         self._broken.labels(reason=reason).inc()
 
+    def count_given_up_response(self, cause: str) -> None:
+        """Count a response that this host broke off for a cause of its own."""
+        self._given_up.labels(cause=cause).inc()
+
     def count_left_out_entry(self, reason: str) -> None:
         """Count an entry of the list of upstreams that was left out by its reason."""
         self._left_out.labels(reason=reason).inc()
