Let streams that have begun go on when their prompt is quarantined

Callers of a sound upstream saw their stream end after its first event: a quarantine, which other requests with the same prompt part had brought about, cancelled each attempt with fewer than two events, and a started response can't be replaced by a failure. The silence of an upstream between its first two events makes this moment a second long.

The attempt asks the owner of the response now. A request with nothing sent is withdrawn as before, a started one goes on at the upstream that has it, which is no further run. Found by reading the table of ends; class of fault: giving up what works for a guess.

--- a/marigoldtrail/quarantine/attempt.py
+++ b/marigoldtrail/quarantine/attempt.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import trio
 
 from marigoldtrail.quarantine.guard import PromptGuard
@@ -26,6 +28,8 @@
         The upstream.
     is_trial : bool
         Whether the request is sent although it is quarantined.
+    may_give_up : callable
+        Returns whether the request may be ended for a quarantine.
 
     Attributes
     ----------
@@ -33,7 +37,16 @@
         Cancelled if the request is quarantined before the answer is under way.
     """
 
-    __slots__ = ("scope", "_guard", "_request", "_parts", "_upstream", "_events", "_is_answered")
+    __slots__ = (
+        "scope",
+        "_guard",
+        "_request",
+        "_parts",
+        "_upstream",
+        "_may_give_up",
+        "_events",
+        "_is_answered",
+    )
 
     def __init__(
         self,
@@ -43,16 +56,23 @@
         parts: frozenset[str],
         upstream: str,
         is_trial: bool,
+        may_give_up: Callable[[], bool],
     ) -> None:
         self.scope = trio.CancelScope()
         self._guard = guard
         self._request = request
         self._parts = parts
         self._upstream = upstream
+        self._may_give_up = may_give_up
         self._events = 0
         self._is_answered = False
         if not is_trial:
-            guard.watch(parts, self.scope)
+            guard.watch(parts, self._withdraw)
+
+    def _withdraw(self) -> None:
+        """Cancel the attempt because the request is quarantined."""
+        if self._may_give_up():
+            self.scope.cancel()
 
     def count_events(self, count: int) -> None:
         """Count events of the answer."""
@@ -65,7 +85,7 @@
         if self._is_answered:
             return
         self._is_answered = True
-        self._guard.unwatch(self.scope)
+        self._guard.unwatch(self._withdraw)
         self._guard.record_answer(self._parts)
 
     def record_disconnect(self) -> None:
@@ -75,4 +95,4 @@
 
     def end(self) -> None:
         """Stop watching the request."""
-        self._guard.unwatch(self.scope)
+        self._guard.unwatch(self._withdraw)
--- a/marigoldtrail/quarantine/guard.py
+++ b/marigoldtrail/quarantine/guard.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 
 import msgspec
-import trio
 
 from marigoldtrail.quarantine.answered import MAX_ANSWERED_PARTS, AnsweredParts
 from marigoldtrail.quarantine.quarantine import (
@@ -90,7 +90,7 @@
         self._confirmed_crash = 0
         self._confirmed_answers: dict[str, float] = {}
         # Requests at upstreams that have no answer yet.
-        self._unanswered: dict[trio.CancelScope, frozenset[str]] = {}
+        self._unanswered: dict[Callable[[], None], frozenset[str]] = {}
 
     @property
     def quarantine_count(self) -> int:
@@ -113,13 +113,13 @@
         """
         return [held for held in self._held if held.parts <= parts]
 
-    def watch(self, parts: frozenset[str], scope: trio.CancelScope) -> None:
-        """Cancel a scope if a request that has no answer yet is quarantined."""
-        self._unanswered[scope] = parts
+    def watch(self, parts: frozenset[str], withdraw: Callable[[], None]) -> None:
+        """Call a function if a request that has no answer yet is quarantined."""
+        self._unanswered[withdraw] = parts
 
-    def unwatch(self, scope: trio.CancelScope) -> None:
+    def unwatch(self, withdraw: Callable[[], None]) -> None:
         """Stop watching a request; no effect if it is not watched."""
-        self._unanswered.pop(scope, None)
+        self._unanswered.pop(withdraw, None)
 
     def record_answer(self, parts: frozenset[str]) -> None:
         """Record that an answer on a request with these parts is under way."""
@@ -161,9 +161,9 @@
             decode_quarantine(quarantine, now) for quarantine in quarantines if quarantine.parts
         ]
         certain = [held.parts for held in self._held if not held.is_answered_before]
-        for scope, parts in list(self._unanswered.items()):
+        for withdraw, parts in list(self._unanswered.items()):
             if any(held_parts <= parts for held_parts in certain):
-                scope.cancel()
+                withdraw()
 
     def build_report(self) -> PromptReport:
         """Return what the leader does not know yet."""
--- a/marigoldtrail/relay/transmission.py
+++ b/marigoldtrail/relay/transmission.py
@@ -8,6 +8,7 @@
 from marigoldtrail.quarantine import PromptAttempt, PromptGuard
 from marigoldtrail.reachability import UpstreamContact
 from marigoldtrail.relay.exchange import Exchange
+from marigoldtrail.relay.owed_response import GiveUpCause
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.prefill import PrefillReservation
 from marigoldtrail.relay.responses import (
@@ -207,6 +208,7 @@
                 parts=exchange.parts,
                 upstream=upstream.name,
                 is_trial=is_trial,
+                may_give_up=lambda: exchange.owed.give_up(GiveUpCause.QUARANTINE),
             ),
             prefill=PrefillReservation(monitor=self._monitor, name=upstream.name, tokens=tokens),
             started=self._timers.now(),
