Hold off requests whose pieces crash upstreams of stages

Each stage of a request now has a part of its own in the fleet's evidence. The scheduler blames all requests with pieces in the call, gives them calls of their own from then on, and reports a stage that is done as an answer, which clears the sound ones. A request fails with the third crash, a trial with the first one, and queued pieces fail when the part is quarantined. Entries check the parts of the stages on arrival. Control hosts report crashes at once, as entries do.

--- a/marigoldtrail/pieces/job.py
+++ b/marigoldtrail/pieces/job.py
@@ -7,6 +7,12 @@
 
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES
 
+# A request under whose pieces so many upstreams crashed gets no further call for itself: when it
+# comes again, all hosts hold it off.
+MAX_CRASHES = 3
+# Failure of a job whose pieces have crashed upstreams.
+CRASHES_UPSTREAMS = "the request has crashed upstreams"
+
 
 class PieceJob:
     """
@@ -42,6 +48,18 @@
         Bytes that cross data centres if the job does not run in `data_centre`.
     queued_at : float
         Monotonic time in seconds at which it was queued.
+    crash_part : str
+        Part of the request to which crashes of upstreams by its pieces are put down; empty if they
+        can't be.
+    max_crashes : int
+        Number of calls with its pieces that may crash an upstream until it fails.
+
+    Attributes
+    ----------
+    crashes : int
+        Number of calls with its pieces under which an upstream crashed.
+    is_apart : bool
+        Whether its pieces take calls of their own: another crash then shows who is at fault.
     """
 
     __slots__ = (
@@ -63,6 +81,10 @@
         "failure",
         "done",
         "queued_at",
+        "crash_part",
+        "max_crashes",
+        "crashes",
+        "is_apart",
         "waiting",
     )
 
@@ -83,6 +105,8 @@
         result_bytes: int,
         moved_bytes: int,
         queued_at: float,
+        crash_part: str = "",
+        max_crashes: int = MAX_CRASHES,
     ) -> None:
         self.request_id = request_id
         self.stage = stage
@@ -97,6 +121,10 @@
         self.result_bytes = result_bytes
         self.moved_bytes = moved_bytes
         self.queued_at = queued_at
+        self.crash_part = crash_part
+        self.max_crashes = max_crashes
+        self.crashes = 0
+        self.is_apart = False
         self.handles: list[str] = [""] * count
         self.is_started = False
         self.missing = count
@@ -155,6 +183,13 @@
             self.done.set()
         return True
 
+    def record_crash(self) -> None:
+        """Record a call with its pieces under which an upstream crashed."""
+        self.is_apart = True
+        self.crashes += 1
+        if self.crashes >= self.max_crashes:
+            self.fail(CRASHES_UPSTREAMS)
+
     def fail(self, reason: str) -> None:
         """End the job with an error unless it has ended."""
         if self.is_open:
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -10,6 +10,7 @@
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.pieces.crashes import PieceCrashes
 from marigoldtrail.pieces.job import Piece, PieceResult
 from marigoldtrail.pieces.results import ResultStore
 from marigoldtrail.pieces.scheduler import BUSY_PAUSE_S, PieceScheduler
@@ -96,9 +97,15 @@
         Clock.
     metrics : PrometheusMetrics
         Counts pieces.
+
+    Attributes
+    ----------
+    crashes : PieceCrashes
+        Crashes of upstreams under its calls.
     """
 
     __slots__ = (
+        "crashes",
         "_fleet_state",
         "_call",
         "_timers",
@@ -120,6 +127,7 @@
         timers: Timers,
         metrics: PrometheusMetrics,
     ) -> None:
+        self.crashes = PieceCrashes(prompts=fleet_state.prompts)
         self._fleet_state = fleet_state
         self._call = call
         self._timers = timers
@@ -379,6 +387,9 @@
             worker.back_off(failure.retry_after_s, now)
         else:
             scheduler.eject(worker, now)
+        if failure.reason is Reason.DISCONNECTED and failure.run_state is RunState.MAY_HAVE_RUN:
+            jobs = dict.fromkeys(piece.job for piece in pieces)
+            self.crashes.record_crash(worker.upstream.name, jobs)
         _log.warning(
             "pieces failed: %s",
             failure,
@@ -406,6 +417,8 @@
                 self._results.add(worker, result.handle, job.result_bytes, until=until)
                 if not job.finish_piece(piece, result.handle):
                     unneeded.add(result.handle)
+                elif not job.missing:
+                    self.crashes.record_done(job)
             elif result.reason in FINAL_REASONS:
                 if piece.calls == 1 and not job.handles[piece.index]:
                     job.fail(result.reason)
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -298,6 +298,8 @@
         is_queue_long = waiting > self.spec.batch * len(self.workers)
         taken: list[Piece] = []
         for job in queue.jobs_for(worker.upstream.data_centre):
+            if taken and job.is_apart:
+                continue
             if not is_queue_long and not self._may_take(job, worker, now):
                 continue
             size = max(1.0, job.result_bytes * SIZE_MARGIN)
@@ -313,7 +315,7 @@
             del job.waiting[:fitting]
             taken += part
             used += size * len(part)
-            if len(taken) >= self.spec.batch:
+            if len(taken) >= self.spec.batch or (part and job.is_apart):
                 break
         return taken
 
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -20,9 +20,10 @@
     find_critical_path_s,
 )
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
-from marigoldtrail.pieces.job import PieceJob
+from marigoldtrail.pieces.job import CRASHES_UPSTREAMS, MAX_CRASHES, PieceJob
 from marigoldtrail.pieces.placer import EnginePlacer
 from marigoldtrail.pieces.runner import PieceCall, PieceRunner
+from marigoldtrail.quarantine import make_stage_part
 from marigoldtrail.registry import FleetState
 from marigoldtrail.schema.generated.pieces import (
     NoteProgress,
@@ -293,7 +294,7 @@
         changed = Notifier()
 
         async def wait(job: PieceJob, number: int) -> None:
-            await job.done.wait()
+            await self._wait_for_job(job, is_trial=admitted.request.is_trial)
             finished[number] = job
             changed.notify()
 
@@ -322,6 +323,20 @@
             for job in jobs:
                 job.fail("the request has ended")
 
+    async def _wait_for_job(self, job: PieceJob, *, is_trial: bool) -> None:
+        """Wait until a job has ended; it fails when its request is quarantined."""
+
+        def withdraw() -> None:
+            job.fail(CRASHES_UPSTREAMS)
+
+        prompts = self._fleet_state.prompts
+        if job.crash_part and not is_trial:
+            prompts.watch(frozenset((job.crash_part,)), withdraw)
+        try:
+            await job.done.wait()
+        finally:
+            prompts.unwatch(withdraw)
+
     def _count_planned(
         self, admitted: AdmittedRequest, stages: Iterable[StageRequest], sign: int
     ) -> None:
@@ -368,7 +383,10 @@
             result_bytes=stage.result_bytes,
             moved_bytes=moved_bytes,
             queued_at=now,
+            crash_part=make_stage_part(request.fingerprint, number) if request.fingerprint else "",
+            max_crashes=1 if request.is_trial else MAX_CRASHES,
         )
+        job.is_apart = self._runner.crashes.has_crashed(job.crash_part)
         self._jobs.setdefault(request.request_id, []).append(job)
         while len(self._jobs) > MAX_REQUESTS_KEPT:
             del self._jobs[next(iter(self._jobs))]
@@ -380,7 +398,11 @@
         return job
 
     def _job_failure(self, job: PieceJob) -> Failure:
-        reason = Reason.DEADLINE if job.failure in ("late", "too late") else Reason.UPSTREAM_ERROR
+        reason = Reason.UPSTREAM_ERROR
+        if job.failure in ("late", "too late"):
+            reason = Reason.DEADLINE
+        elif job.failure == CRASHES_UPSTREAMS:
+            reason = Reason.QUARANTINED
         return self._failure(reason, f"stage {job.stage}: {job.failure}")
 
     async def _note_progress(self, request: NoteProgress, sender: str) -> ProgressNoted:
--- /dev/null
+++ b/marigoldtrail/pieces/tests/test_crashes.py
@@ -0,0 +1,75 @@
+"""Tests of crashes of upstreams under calls with pieces of several requests."""
+
+import trio
+
+from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.pieces.crashes import MAX_CRASHED_PARTS, PieceCrashes
+from marigoldtrail.pieces.job import CRASHES_UPSTREAMS, MAX_CRASHES
+from marigoldtrail.pieces.tests.test_runner import Upstreams, make_job
+from marigoldtrail.quarantine import PromptGuard
+from marigoldtrail.timers import Timers
+
+CRASH = Failure(reason=Reason.DISCONNECTED, run_state=RunState.MAY_HAVE_RUN, step="test")
+TIMEOUT = Failure(reason=Reason.TIMEOUT, run_state=RunState.MAY_HAVE_RUN, step="test")
+
+
+def list_reported(upstreams):
+    """Return the upstream and the parts of each crash that the host would report."""
+    report = upstreams.prompts.build_report()
+    return [(crash.upstream, crash.parts) for crash in report.crashes]
+
+
+async def test_requests_of_a_crashed_call_run_apart(autojump_clock, nursery):
+    """Guards against a sound request that is blamed because it shares calls with another one."""
+    upstreams = Upstreams(nursery, count=2)
+    upstreams.answers = [CRASH]
+    jobs = [make_job(name, crash_part=f"s:0:{name}") for name in ("one", "two")]
+    for job in jobs:
+        upstreams.runner.scheduler("s").add(job)
+    upstreams.runner.wake()
+    for job in jobs:
+        await job.done.wait()
+    assert [count for _, count in upstreams.calls] == [2, 1, 1]
+    crashed = upstreams.calls[0][0]
+    assert list_reported(upstreams) == [(crashed, ["s:0:one"]), (crashed, ["s:0:two"])]
+    # Their results clear both of them.
+    answered = {answer.part for answer in upstreams.prompts.build_report().answers}
+    assert answered == {"s:0:one", "s:0:two"}
+    assert not any(map(upstreams.runner.crashes.has_crashed, answered))
+
+
+async def test_request_fails_once_its_pieces_have_crashed_enough_upstreams(autojump_clock, nursery):
+    """Guards against one request that crashes all upstreams of a stage."""
+    upstreams = Upstreams(nursery, count=6)
+    upstreams.answers = [CRASH] * 6
+    job = await upstreams.work("one", crash_part="s:0:one")
+    assert job.failure == CRASHES_UPSTREAMS
+    assert len(upstreams.calls) == len(list_reported(upstreams)) == MAX_CRASHES
+
+
+async def test_trial_ends_with_its_first_crash(autojump_clock, nursery):
+    """Guards against a trial of a quarantined request that crashes several upstreams."""
+    upstreams = Upstreams(nursery, count=6)
+    upstreams.answers = [CRASH] * 6
+    job = await upstreams.work("one", crash_part="s:0:one", max_crashes=1)
+    assert job.failure == CRASHES_UPSTREAMS and len(upstreams.calls) == 1
+
+
+async def test_failures_other_than_crashes_blame_no_request(autojump_clock, nursery):
+    """Guards against requests that are held off because an upstream was silent."""
+    upstreams = Upstreams(nursery, count=2)
+    upstreams.answers = [TIMEOUT, TIMEOUT]
+    job = await upstreams.work("one", crash_part="s:0:one")
+    assert not job.failure and not list_reported(upstreams) and not job.is_apart
+
+
+def test_parts_that_have_crashed_are_bounded():
+    """Guards against memory that grows with the requests beside crashes."""
+
+    async def record():
+        crashes = PieceCrashes(prompts=PromptGuard(timers=Timers()))
+        for number in range(MAX_CRASHED_PARTS + 5):
+            crashes.record_crash("w0", [make_job("one", crash_part=f"s:0:{number}")])
+        return [crashes.has_crashed(f"s:0:{number}") for number in (4, 5, MAX_CRASHED_PARTS + 4)]
+
+    assert trio.run(record) == [False, True, True]
--- a/marigoldtrail/pieces/tests/test_runner.py
+++ b/marigoldtrail/pieces/tests/test_runner.py
@@ -24,6 +24,28 @@
 WORK_S = 0.2
 
 
+def make_job(name, count=1, *, expires_s=10.0, size=1000, **fields):
+    """Return a job of one stage."""
+    now = trio.current_time()
+    return PieceJob(
+        request_id=name,
+        stage=0,
+        key="k",
+        inputs=[],
+        count=count,
+        expires_at=now + expires_s,
+        start_by=now + 1.0,
+        may_yield=True,
+        is_deferred=False,
+        yield_s=0.0,
+        data_centre="",
+        result_bytes=size,
+        moved_bytes=0,
+        queued_at=now,
+        **fields,
+    )
+
+
 class Upstreams:
     """Scripted upstreams: each call returns the next answer, or results after `WORK_S`."""
 
@@ -34,6 +56,7 @@
         self.free_s = 0.0
         timers = Timers(seed=1)
         fleet_state = FleetState(parse_document=lambda data: "", timers=timers)
+        self.prompts = fleet_state.prompts
         service = Service(name="s", max_connections=9, pieces=SPEC)
         table = RouteTable(
             version=1, routes=(), services=(service,), limits=Limits(), accounts=None
@@ -69,25 +92,9 @@
         await trio.sleep(self.free_s)
         self.freed += handles
 
-    async def work(self, name, count=1, *, expires_s=10.0, size=1000):
+    async def work(self, name, count=1, **fields):
         """Run a job to its end and return it."""
-        now = trio.current_time()
-        job = PieceJob(
-            request_id=name,
-            stage=0,
-            key="k",
-            inputs=[],
-            count=count,
-            expires_at=now + expires_s,
-            start_by=now + 1.0,
-            may_yield=True,
-            is_deferred=False,
-            yield_s=0.0,
-            data_centre="",
-            result_bytes=size,
-            moved_bytes=0,
-            queued_at=now,
-        )
+        job = make_job(name, count, **fields)
         self.runner.scheduler("s").add(job)
         self.runner.wake()
         await job.done.wait()
--- a/marigoldtrail/platform/tests/standin.py
+++ b/marigoldtrail/platform/tests/standin.py
@@ -87,6 +87,8 @@
         self.crashing_parts = set()
         # Bodies of requests under which an upstream crashes when it begins to run them.
         self.crashing_bodies = set()
+        # Keys of pieces under which an upstream of a stage crashes.
+        self.crashing_keys = set()
         # Seconds from the arrival of such a request to the crash.
         self.begin_s = 0.03
         self.crashing_arrivals = []
@@ -171,6 +173,11 @@
         limit = make_limit_headers(self.limits.get(name, ""))
         if request.path == PIECES_PATH:
             pieces = read_pieces(request.body)
+            if not self.crashing_keys.isdisjoint(piece.key for piece in pieces):
+                self.crashing_arrivals.append(trio.current_time())
+                await trio.sleep(self.begin_s)
+                self._crash_engine(name)
+                await trio.sleep_forever()
             await trio.sleep(0.05)
             self.used_handles.update(handle for piece in pieces for handle in piece.inputs)
             handles = [f"{entry['address']}/{p.request_id}-{p.stage}-{p.index}" for p in pieces]
--- a/marigoldtrail/quarantine/__init__.py
+++ b/marigoldtrail/quarantine/__init__.py
@@ -2,7 +2,12 @@
 
 from marigoldtrail.quarantine.attempt import PromptAttempt
 from marigoldtrail.quarantine.evidence import PromptEvidence
-from marigoldtrail.quarantine.fingerprint import is_fingerprint, list_parts, make_fingerprint
+from marigoldtrail.quarantine.fingerprint import (
+    is_fingerprint,
+    list_parts,
+    make_fingerprint,
+    make_stage_part,
+)
 from marigoldtrail.quarantine.guard import PromptGuard
 
 __all__ = [
@@ -12,4 +17,5 @@
     "is_fingerprint",
     "list_parts",
     "make_fingerprint",
+    "make_stage_part",
 ]
--- a/marigoldtrail/quarantine/fingerprint.py
+++ b/marigoldtrail/quarantine/fingerprint.py
@@ -7,6 +7,7 @@
 FINGERPRINT_BYTES = 16
 # Parts of prompts are read from a header in which a colon ends each name, so none begins like this.
 PREFIX = "r:"
+STAGE_PREFIX = "s:"
 
 # Identity and token count of each part of a prompt; the last part belongs to the request alone.
 Prompt = tuple[tuple[str, int], ...]
@@ -70,13 +71,40 @@
     return frozenset((fingerprint, *(part for part, _ in prompt[:-1])))
 
 
+def make_stage_part(fingerprint: str, stage: int) -> str:
+    """
+    Return the part of a request that may be at fault when an upstream of one of its stages crashes.
+
+    It differs from the fingerprint, since the result of a stage does not show that engines bear the
+    request, nor the result of one stage that those of another stage do.
+
+    Parameters
+    ----------
+    fingerprint : str
+        Fingerprint of the request.
+    stage : int
+        Number of the stage.
+
+    Returns
+    -------
+    str
+        The part.
+
+    Examples
+    --------
+    >>> make_stage_part("r:1f", 2)
+    's:2:1f'
+    """
+    return f"{STAGE_PREFIX}{stage}:{fingerprint.removeprefix(PREFIX)}"
+
+
 def is_fingerprint(part: str) -> bool:
     """
-    Return whether a part of a request is its fingerprint.
+    Return whether a part of a request stands for all of it, or for one of its stages.
 
     Examples
     --------
     >>> is_fingerprint(make_fingerprint(b"GET", b"/a", "", b"")), is_fingerprint("subject")
     (True, False)
     """
-    return part.startswith(PREFIX)
+    return part.startswith((PREFIX, STAGE_PREFIX))
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -5,7 +5,7 @@
 import trio
 
 from marigoldtrail.pieces.client import StageRun
-from marigoldtrail.quarantine import list_parts, make_fingerprint
+from marigoldtrail.quarantine import list_parts, make_fingerprint, make_stage_part
 from marigoldtrail.relay.buffering import HeldResponses
 from marigoldtrail.relay.caller_connection import CallerConnection, CallerRequest
 from marigoldtrail.relay.events import EventSplitter
@@ -315,6 +315,16 @@
             self._parts = list_parts(self.info.prefix, self.fingerprint)
         return self._parts
 
+    @property
+    def stage_parts(self) -> frozenset[str]:
+        """What may be at fault when upstreams of its stages crash: one part for each stage."""
+        counts = zip(self.route.stages, self.info.piece_counts, strict=False)
+        return frozenset(
+            make_stage_part(self.fingerprint, number)
+            for number, (_, count) in enumerate(counts)
+            if count
+        )
+
     @property
     def identity(self) -> str:
         """Identity of the request, the same when it is sent again."""
--- a/marigoldtrail/relay/send_gate.py
+++ b/marigoldtrail/relay/send_gate.py
@@ -96,7 +96,8 @@
         Failure or None
             ``QUARANTINED`` if it is held off.
         """
-        found = self._fleet_state.prompts.find_held(exchange.parts)
+        parts = exchange.parts | exchange.stage_parts
+        found = self._fleet_state.prompts.find_held(parts)
         if not found:
             return None
         is_leader_there = self._fleet_state.age_s() < MAX_LEADER_AGE_S
--- a/marigoldtrail/site/components.py
+++ b/marigoldtrail/site/components.py
@@ -25,12 +25,13 @@
 from marigoldtrail.site.adapter import Adapter
 from marigoldtrail.telemetry.nonblocking_logs import count_dropped_lines
 from marigoldtrail.telemetry.prometheus import PrometheusMetrics
-from marigoldtrail.timers import Timers
+from marigoldtrail.timers import Timers, run_guarded
 
 METRICS_PATH = "/metrics"
 CLOSE_POLL_INTERVAL_S = 0.02
 # Time for the refusals of requests to endpoints that are still in progress when they must end.
 LAST_REPLIES_S = 0.3
+CRASH_REPORT_DELAY_S = 0.02
 
 
 class HostComponents:
@@ -193,6 +194,18 @@
         port = self.cfg.internal_ports[0]
         return sorted(peer_name(seed, port) for seed in self.cfg.seeds)
 
+    async def report_crashes(self) -> None:
+        """Report each crash at once until cancelled; the leader may hold the periodic report."""
+        while True:
+            await self.fleet_state.prompts.crashed.wait()
+            # The other requests at the upstream are broken off within this time.
+            await self.timers.sleep(CRASH_REPORT_DELAY_S)
+            await run_guarded(self.send_report)
+
+    async def send_report(self) -> None:
+        """Report to the leader without waiting for news from it."""
+        await self.reporter.report_once(wait_s=0.0)
+
     async def serve_metrics(
         self, *, task_status: trio.TaskStatus[Address | None] = trio.TASK_STATUS_IGNORED
     ) -> None:
--- a/marigoldtrail/site/control_host.py
+++ b/marigoldtrail/site/control_host.py
@@ -144,6 +144,7 @@
             nursery.start_soon(self.continuity.run)
             nursery.start_soon(self.pieces.run)
             nursery.start_soon(components.reporter.run)
+            nursery.start_soon(components.report_crashes)
             await nursery.start(
                 partial(components.serve_http, cfg.operator_address, operators, limits)
             )
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -31,7 +31,6 @@
 EXIT_MARGIN_S = 0.8
 # Time for the answers to readiness checks and reads of the metrics at the end of a stop.
 LAST_CHECKS_S = 0.1
-CRASH_REPORT_DELAY_S = 0.02
 
 _log = logging.getLogger(__name__)
 
@@ -195,22 +194,10 @@
             nursery.start_soon(components.reporter.run)
             nursery.start_soon(self.relay.run)
             nursery.start_soon(self._announce_ready)
-            nursery.start_soon(self._report_crashes)
+            nursery.start_soon(components.report_crashes)
             nursery.start_soon(self.versions.run)
             nursery.start_soon(self.reachability.run)
 
-    async def _report_crashes(self) -> None:
-        """Report a crash beside a prompt at once; the periodic report may be held by the leader."""
-        components = self.components
-        while True:
-            await components.fleet_state.prompts.crashed.wait()
-            # The other requests at the upstream are broken off within this time.
-            await components.timers.sleep(CRASH_REPORT_DELAY_S)
-            await run_guarded(self._send_report)
-
-    async def _send_report(self) -> None:
-        await self.components.reporter.report_once(wait_s=0.0)
-
     def _handle_reachability(self) -> None:
         """Tell the leader at once, so that look-ups leave this entry out or name it again."""
         is_cut_off = self.reachability.is_cut_off
@@ -218,7 +205,7 @@
             # The upstreams were not to blame for their failures.
             self.monitor.end_ejections()
         self.components.reporter.identity.is_cut_off = is_cut_off
-        self.components.nursery.start_soon(run_guarded, self._send_report)
+        self.components.nursery.start_soon(run_guarded, self.components.send_report)
 
     async def _announce_ready(self) -> None:
         while not self.is_ready():
