Send refusals on kept connections after a HEAD request

A caller whose HEAD request was answered and whose next request on the same connection was refused before its head was known (408, 431, 400, or 503 for want of memory, the last one also for a request that had arrived whole) got neither: the connection was closed. The note that the request is a HEAD request was kept until the next head was read, so that the refusal was built without its body, h11 raised "Too little data for declared Content-Length", and the error was counted as handler_error.

The note now ends with its request.

Before the change all four cases of the new test failed with an empty answer. test_refused_requests, test_request_memory, test_relay and test_connection_end: 37 passed.

--- a/marigoldtrail/relay/caller_connection.py
+++ b/marigoldtrail/relay/caller_connection.py
@@ -447,6 +447,8 @@
             return False
         self._conn.start_next_cycle()
         self._has_started = False
+        # The next request may be refused before its method is known.
+        self._is_head = False
         self._account.close()
         return True
 
--- /dev/null
+++ b/marigoldtrail/relay/tests/test_refused_requests.py
@@ -0,0 +1,44 @@
+"""Requests that are refused before or while they are read."""
+
+import pytest
+
+from marigoldtrail.memory import RequestMemory
+from marigoldtrail.relay.tests.helpers import (
+    RelayHarness,
+    make_response,
+    read_all,
+    reply_with,
+)
+from marigoldtrail.relay.tests.test_stop import make_kept_request
+from marigoldtrail.timers import Timers
+
+# The memory of requests on this host has no room for it.
+LARGE_REQUEST = make_kept_request(method="POST", body=b"b" * 4900)
+
+
+def make_full_harness(nursery):
+    memory = RequestMemory(total_bytes=1000, timers=Timers(seed=1))
+    return RelayHarness(nursery, request_memory=memory)
+
+
+REFUSED = {
+    "late head": (make_kept_request()[:20], 408),
+    "long head": (b"GET /x/1 HTTP/1.1\r\nX-Long: " + b"a" * 3000, 431),
+    "invalid head": (b"no request\r\n\r\n", 400),
+    "whole request without memory": (LARGE_REQUEST, 503),
+}
+
+
+@pytest.mark.parametrize(("data", "status"), REFUSED.values(), ids=REFUSED)
+async def test_refusal_after_a_head_request_is_sent(autojump_clock, nursery, data, status):
+    """Guards against a connection that is closed instead of a refusal after a HEAD request."""
+    harness = make_full_harness(nursery)
+    await harness.start(reply_with(make_response("")))
+    stream = await harness.connect()
+    await stream.send_all(make_kept_request(method="HEAD"))
+    assert (await stream.receive_some(65536)).startswith(b"HTTP/1.1 200 ")
+    await stream.send_all(data)
+    answer = await read_all(stream)
+    assert answer.startswith(b"HTTP/1.1 %d " % status)
+    # Other requests than HEAD are told the reason.
+    assert answer.partition(b"\r\n\r\n")[2]
