Refuse requests that wait for memory when a stop ends

A request that arrived whole while the memory of requests was full, less than 2 s before the end of a stop, got neither an answer nor a refusal: its connection was closed. Its bytes were outside the parser until their memory was found, so that the connection counted as idle: refuse_incomplete passed it over, active_requests did not count it, and neither did caller_bytes_dropped_total.

The connection now knows the bytes that wait, and they count as a part of a request that has been received. The caller is refused with 503 in the last 0.3 s of the stop, as for other incomplete requests.

Before the change the new test failed: nothing had been sent when the drain had ended. test_refused_requests, test_request_memory, test_stop, test_connection_end, test_idle_connections and test_relay: 53 passed.

--- a/marigoldtrail/relay/caller_connection.py
+++ b/marigoldtrail/relay/caller_connection.py
@@ -143,6 +143,7 @@
         "_is_head",
         "_has_started",
         "_pipelined_bytes",
+        "_unparsed_bytes",
         "_memory",
         "_account",
         "_body_bytes",
@@ -172,6 +173,8 @@
         self._is_head = False
         self._has_started = False
         self._pipelined_bytes = 0
+        # Bytes that have arrived and wait for their memory.
+        self._unparsed_bytes = 0
         self._memory = memory or make_default_request_memory()
         self._account = self._memory.open(name_peer(stream), self._stop_reading)
         self._body_bytes = 0
@@ -187,7 +190,8 @@
     @property
     def is_receiving(self) -> bool:
         """Whether a part of the next request has been received."""
-        return self._conn.their_state is h11.SEND_BODY or bool(self._conn.trailing_data[0])
+        has_data = self._unparsed_bytes > 0 or self.buffered_bytes > 0
+        return has_data or self._conn.their_state is h11.SEND_BODY
 
     async def read_request(self) -> CallerRequest | Refusal | Closed:
         """
@@ -254,9 +258,11 @@
 
     async def _take_in(self, data: bytes, held: int = 0) -> ReadEvent | Closed:
         """Parse data that has arrived, once there is memory for it and what is held already."""
+        self._unparsed_bytes = len(data)
         if not await self._account.hold(held + self.buffered_bytes + len(data)):
             # The request is refused; see `read_request`.
             return Closed.CALLER
+        self._unparsed_bytes = 0
         self._conn.receive_data(data)
         return self._conn.next_event()
 
@@ -476,7 +482,7 @@
         int
             Number of received bytes that were dropped without being served.
         """
-        dropped = self.buffered_bytes
+        dropped = self.buffered_bytes + self._unparsed_bytes
         self._account.close()
         with trio.CancelScope(shield=True):
             if is_forced or self.is_broken:
--- a/marigoldtrail/relay/tests/test_refused_requests.py
+++ b/marigoldtrail/relay/tests/test_refused_requests.py
@@ -1,6 +1,7 @@
 """Requests that are refused before or while they are read."""
 
 import pytest
+import trio
 
 from marigoldtrail.memory import RequestMemory
 from marigoldtrail.relay.tests.helpers import (
@@ -42,3 +43,21 @@
     assert answer.startswith(b"HTTP/1.1 %d " % status)
     # Other requests than HEAD are told the reason.
     assert answer.partition(b"\r\n\r\n")[2]
+
+
+async def test_request_that_waits_for_memory_is_refused_at_the_end_of_a_stop(
+    autojump_clock, nursery
+):
+    """Guards against a stop that closes a connection whose whole request waits for memory."""
+    memory = RequestMemory(total_bytes=20000, timers=Timers(seed=1))
+    held = memory.small.open("request", "another caller")
+    assert await held.take(memory.small.total_bytes)
+    held.complete()
+    harness = RelayHarness(nursery, request_memory=memory)
+    await harness.start(reply_with(make_response()))
+    stream = await harness.connect()
+    await stream.send_all(LARGE_REQUEST)
+    await trio.sleep(0.1)
+    await harness.relay.drain(trio.current_time() + 0.1)
+    # The process ends here.
+    assert (await read_all(stream, timeout_s=0.01)).startswith(b"HTTP/1.1 503 ")
