--- a/marigoldtrail/relay/tests/test_endless_answers.py
+++ b/marigoldtrail/relay/tests/test_endless_answers.py
@@ -287,6 +287,29 @@
     assert harness.memory.used_bytes == 0 and harness.memory.evicted == {"response": 1}
 
 
+@pytest.mark.parametrize("silence_s", [0.5, 1.5, 2.0, 2.4])
+async def test_answer_to_a_caller_that_is_silent_for_a_while_is_whole_beside_others(
+    autojump_clock, nursery, monkeypatch, silence_s
+):
+    """Guards against a started answer that is broken off though its caller reads on later."""
+    send_all = MemoryStream.send_all
+    delayed = []
+
+    async def send(self, data):
+        if self.local == ENTRY_ADDRESS.ip and len(data) > LONG_PART_BYTES and not delayed:
+            delayed.append(self)
+            await trio.sleep(silence_s)
+        await send_all(self, data)
+
+    monkeypatch.setattr(MemoryStream, "send_all", send)
+    harness = RelayHarness(nursery, memory_mb=8)
+    await harness.start(reply_with(make_long_response()))
+    received = await fetch_all(harness, make_request(), 2)
+    assert delayed
+    assert all(data.endswith(b"x" * 600_000) for data in received)
+    assert not harness.memory.evicted
+
+
 async def test_kept_error_yields_to_the_answer_of_another_upstream(autojump_clock, nursery):
     """Guards against a long error that is kept in place of a proper answer to the same request."""
     error = make_long_response(status="500 Oops")
