Keep streams at their silent upstream if their stage results are freed

Callers saw a resumable stream with stages end after its first events when all engines were silent or slow at once, beside a change of the configuration. Once an engine has written the first event, the results of the stages are freed, so no other engine can take the request over: it refuses with 409. It was offered to them all the same, and one that does not refuse within 0.2 s counts as having taken it. An engine that is silent itself refuses later: the stream had left its sound engine by then, the stages were to run again, and a refusal of those broke the stream off.

A stream whose results are freed is not offered to other engines any more; the stages are run again only if its own engine fails. Nothing is lost by that: every such offer was refused, and took a permit and a retry of the budget.

Before the change the new test failed: the stream ended after one of three events. Tests of marigoldtrail/relay passed.

--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -266,7 +266,7 @@
             # Notify the schedulers of an earlier run only when the request ends: notified now, they
             # could mistake it for the end of the new run.
             stage_run.schedulers_used |= exchange.stage_run.schedulers_used
-        exchange.stage_run = stage_run
+        exchange.stage_run, exchange.are_inputs_freed = stage_run, False
         if has_pieces:
             failure = await self._pieces.run(exchange.stage_run)
             exchange.stages_done_at = self._timers.now()
@@ -402,6 +402,7 @@
         # An engine that generates has read its inputs, so their results may be evicted. The stages
         # of the few streams that are resumed at another upstream are then run again.
         if exchange.stage_run is not None:
+            exchange.are_inputs_freed = bool(exchange.stage_run.handles)
             self._pieces.report_prompt_read(exchange.stage_run)
 
     async def _serve_elsewhere(
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -80,6 +80,8 @@
         Splitter for the events of a stream.
     stage_run : StageRun or None
         Stages of the request.
+    are_inputs_freed : bool
+        Whether the results of the stages were freed because an engine has read them.
     scope : trio.CancelScope
         Cancels the request at its deadline, or earlier if a stream has not started in time.
     stream_version : str or None
@@ -123,6 +125,7 @@
         "left",
         "splitter",
         "stage_run",
+        "are_inputs_freed",
         "last_upstream",
         "first_event_at",
         "stages_done_at",
@@ -170,6 +173,7 @@
         self.left: list[str] = []
         self.splitter = EventSplitter()
         self.stage_run: StageRun | None = None
+        self.are_inputs_freed = False
         self.last_upstream = ""
         self.first_event_at: float | None = None
         self.stages_done_at: float | None = None
--- a/marigoldtrail/relay/request_mover.py
+++ b/marigoldtrail/relay/request_mover.py
@@ -113,6 +113,10 @@
         bool
             Whether the request may move; `take` then returns where it was taken.
         """
+        if exchange.are_inputs_freed:
+            # Another upstream can only refuse it, and may be silent itself until it does. The
+            # stages are run again if this one fails.
+            return False
         passed_over = {leaving}
         # Asked before the permit, which can't be given back.
         while exchange.may_run_again() and self._has_retry(exchange.service.name):
--- a/marigoldtrail/relay/tests/test_dispatch.py
+++ b/marigoldtrail/relay/tests/test_dispatch.py
@@ -10,6 +10,7 @@
     read_request,
     reply_with,
 )
+from marigoldtrail.relay.tests.test_relay import EVENTS, STREAM_HEAD, chunk
 from marigoldtrail.routing import RouteKind, StageSpec
 
 GONE = make_response("", status="409 Conflict", headers="x-not-executed: 1\r\n")
@@ -27,6 +28,9 @@
         stage_run.schedulers_used.add(host)
         stage_run.handles = (f"{host}/h",)
 
+    def report_prompt_read(self, stage_run):
+        self.calls.append(("read", *sorted(stage_run.schedulers_used)))
+
     def report_end(self, stage_run):
         self.calls.append(("end", *sorted(stage_run.schedulers_used)))
 
@@ -74,3 +78,43 @@
     await harness.start(break_off_then_refuse, break_off_then_refuse)
     data = await harness.fetch(make_request(headers=("X-Pieces: 1",)))
     assert len(sends) == 2 and data.startswith(b"HTTP/1.1 502 ")
+
+
+async def test_staged_stream_is_not_broken_off_after_a_silence_of_all_upstreams(
+    autojump_clock, nursery
+):
+    """Guards against a stream that leaves for an upstream without the freed results it needs."""
+    harness = RelayHarness(
+        nursery,
+        RouteKind.STREAMING,
+        is_resumable=True,
+        max_attempts=3,
+        max_gap_s=0.2,
+        stages=(StageSpec(service="p", result_bytes=1),),
+    )
+    schedulers = harness.dispatcher._pieces = FailingSchedulers()
+    silent_until = trio.current_time() + 1.2
+
+    async def pause(stream):
+        await read_request(stream)
+        await stream.send_all(STREAM_HEAD + chunk(EVENTS[0]))
+        await trio.sleep_until(silent_until)
+        await stream.send_all(chunk(EVENTS[1]) + chunk(EVENTS[2]) + b"0\r\n\r\n")
+
+    async def refuse_after_the_silence(stream):
+        await read_request(stream)
+        await trio.sleep_until(silent_until)
+        await stream.send_all(GONE)
+
+    await harness.start(pause)
+    async with trio.open_nursery() as callers:
+        replies = []
+
+        async def fetch():
+            replies.append(await harness.fetch(make_request(headers=("X-Pieces: 1",))))
+
+        callers.start_soon(fetch)
+        await trio.sleep(0.05)
+        await harness.add_upstream(1, refuse_after_the_silence)
+    assert all(event in replies[0] for event in EVENTS) and replies[0].endswith(b"0\r\n\r\n")
+    assert [call[0] for call in schedulers.calls] == ["run", "read", "end"]
