Test that streams whose stage results were freed go on after their engine broke off

The comment there no longer says that others always refuse: results that nobody needs are dropped when room is short, so some are still there.

--- a/marigoldtrail/relay/request_mover.py
+++ b/marigoldtrail/relay/request_mover.py
@@ -114,8 +114,8 @@
             Whether the request may move; `take` then returns where it was taken.
         """
         if exchange.are_inputs_freed:
-            # Another upstream can only refuse it, and may be silent itself until it does. The
-            # stages are run again if this one fails.
+            # Another upstream would refuse it if the results are gone, but only once it is not
+            # silent itself. The stages are run again if this one fails.
             return False
         passed_over = {leaving}
         # Asked before the permit, which can't be given back.
--- a/marigoldtrail/relay/tests/test_dispatch.py
+++ b/marigoldtrail/relay/tests/test_dispatch.py
@@ -118,3 +118,42 @@
         await harness.add_upstream(1, refuse_after_the_silence)
     assert all(event in replies[0] for event in EVENTS) and replies[0].endswith(b"0\r\n\r\n")
     assert [call[0] for call in schedulers.calls] == ["run", "read", "end"]
+
+
+async def test_staged_stream_goes_on_after_a_new_run_of_its_stages_if_its_engine_breaks_off(
+    autojump_clock, nursery
+):
+    """Guards against a stream that ends with its engine since its results were freed."""
+    harness = RelayHarness(
+        nursery,
+        RouteKind.STREAMING,
+        is_resumable=True,
+        max_attempts=3,
+        max_gap_s=0.2,
+        stages=(StageSpec(service="p", result_bytes=1),),
+    )
+    schedulers = harness.dispatcher._pieces = Schedulers()
+
+    async def break_off(stream):
+        await read_request(stream)
+        await stream.send_all(STREAM_HEAD + chunk(EVENTS[0]))
+        await trio.sleep(0.1)
+
+    async def go_on_with_new_results(stream):
+        while b"c0/h" in await read_request(stream):
+            await stream.send_all(GONE)
+        await stream.send_all(STREAM_HEAD + b"".join(map(chunk, EVENTS[1:])) + b"0\r\n\r\n")
+
+    await harness.start(break_off)
+    async with trio.open_nursery() as callers:
+        replies = []
+
+        async def fetch():
+            replies.append(await harness.fetch(make_request(headers=("X-Pieces: 1",))))
+
+        callers.start_soon(fetch)
+        await trio.sleep(0.05)
+        await harness.add_upstream(1, go_on_with_new_results)
+    assert [replies[0].count(event) for event in EVENTS] == [1, 1, 1]
+    assert replies[0].endswith(b"0\r\n\r\n")
+    assert [call[0] for call in schedulers.calls] == ["run", "read", "run", "end"]
