Soak: reloads within silences, silences in pairs, and ends of requests

The part with sound upstreams that fall silent drew its reloads at any time, and left 0.7 s on average between silences. Now half of the silences have a reload of an entry or control host, with other settings, within them, and four of ten are followed by another silence of the same upstreams 0.3 s later.

The entries serve their metrics, and each part prints how requests ended without a complete answer (requests_unanswered_total and responses_given_up_total by cause). In the silences part, a response that a host gives up for a cause of its own is a broken promise.

--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -26,6 +26,7 @@
 ENTRIES = ["entry-1", "entry-2"]
 HOSTS = CONTROL + ENTRIES
 PEER_PORT, REQUEST_PORT, READY_PORT, OPERATOR_PORT, LOOKUP_PORT = 7740, 8625, 8621, 8628, 8620
+METRICS_PORT = 8622
 # Processor time after which a process has come to the first line of its program, 0.03 s in three
 # measurements. No program can handle a signal that reaches the interpreter before; on a busy
 # machine that takes over a second.
@@ -129,6 +130,10 @@
         """Return the address where callers look up entries."""
         return f"{self.ip(name)}:{LOOKUP_PORT}"
 
+    def metrics_address(self, name: str) -> str:
+        """Return where the metrics of an entry are read, without the proxy."""
+        return f"{self._bind_ip(name)}:{METRICS_PORT}"
+
     def entry_at(self, address: str) -> str:
         """Return the entry with an address."""
         return next(name for name in ENTRIES if self.request_address(name) == address)
@@ -158,6 +163,7 @@
             "request_address": "" if is_control else self.request_address(name),
             "ready_address": "" if is_control else f"{self.ip(name)}:{READY_PORT}",
             "operator_address": self.operator_address(name) if is_control else "",
+            "metrics_address": "" if is_control else self.metrics_address(name),
             "lookup_address": self.lookup_address(name) if is_control else "",
             "internal_ports": [PEER_PORT, PEER_PORT + 9],
             "seeds": [self.operator_address(seed) for seed in self._seeds],
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -20,6 +20,7 @@
 )
 from bench.soak.crashing import check_crashing_order
 from bench.soak.direct import DirectCallers, start_direct_callers
+from bench.soak.end_counts import describe_ends, judge_given_up
 from bench.soak.endless import draw_endless, judge_endless, play_endless
 from bench.soak.fleet import CONTROL, ENTRIES, HOSTS, Fleet, find_role
 from bench.soak.full_disks import check_full_disks, play_restarts
@@ -130,18 +131,32 @@
     async with trio.open_nursery() as watch:
         watch.start_soon(watch_processes, site.fleet, site.ledger)
         watch.start_soon(watch_memory, site)
+        watch.start_soon(site.end_counts.watch)
         if part == ALL:
             direct = site.make_direct_callers("direct")
-            await play_plan(site, seconds, direct)
-            await check_after_plan(site)
-            await play_work(site, direct)
+            await count_ends(site, "faults", partial(play_plan, site, seconds, direct))
+            await count_ends(site, "recovery", partial(check_after_plan, site))
+            await count_ends(site, "planned work", partial(play_work, site, direct))
         if part in (ALL, SILENCES):
-            await check_silences(site)
+            judge_given_up(
+                await count_ends(site, SILENCES, partial(check_silences, site)), site.ledger
+            )
         if part in (ALL, ENDLESS):
-            await check_endless(site)
+            await count_ends(site, ENDLESS, partial(check_endless, site))
         watch.cancel_scope.cancel()
 
 
+async def count_ends(
+    site: Site, part: str, play: Callable[[], Awaitable[None]]
+) -> Counter[tuple[str, str]]:
+    """Play a part; return how requests ended meanwhile, as the entries count it."""
+    before = await site.end_counts.read()
+    await play()
+    counts = await site.end_counts.read() - before
+    site.notes.append(describe_ends(part, counts))
+    return counts
+
+
 async def check_silences(site: Site) -> None:
     """Let sound upstreams fall silent, judge the requests and check the recovery."""
     played = await play_silences(
--- a/bench/soak/silences.py
+++ b/bench/soak/silences.py
@@ -24,6 +24,11 @@
 MIN_SILENCE_S, MAX_SILENCE_S = 0.5, 1.6
 MIN_COUNT, MAX_COUNT = 4, 7
 MEAN_GAP_S = 0.7
+# Share of the silences after which the same upstreams fall silent again, and the time between.
+SECOND_SHARE = 0.4
+SECOND_GAP_S = 0.3
+# Share of the silences within which a host reloads its settings.
+RELOAD_SHARE = 0.5
 # Weights of silences of one upstream, of all of a service, and of all upstreams.
 SCOPES = {"one": 2, "service": 3, "all": 4}
 SIGNAL_KINDS = {"reload": 4, "term": 2, "term_twice": 1}
@@ -109,7 +114,41 @@
         duration_s = rng.uniform(MIN_SILENCE_S, MAX_SILENCE_S)
         plan.append(Silence(at=at, duration_s=duration_s, scope=scope, targets=tuple(targets)))
         at += duration_s + rng.expovariate(1 / MEAN_GAP_S)
-    return plan
+    return repeat_silences(seed, plan)
+
+
+def repeat_silences(seed: int, plan: list[Silence]) -> list[Silence]:
+    """Let some silences be followed by another one of the same upstreams; later ones move on."""
+    rng = random.Random(f"second silences {seed}")
+    repeated: list[Silence] = []
+    delay_s = 0.0
+    for silence in plan:
+        silence = msgspec.structs.replace(silence, at=silence.at + delay_s)
+        repeated.append(silence)
+        if rng.random() < SECOND_SHARE:
+            second = msgspec.structs.replace(
+                silence,
+                at=silence.at + silence.duration_s + SECOND_GAP_S,
+                duration_s=rng.uniform(MIN_SILENCE_S, MAX_SILENCE_S),
+            )
+            repeated.append(second)
+            delay_s += SECOND_GAP_S + second.duration_s
+    return repeated
+
+
+def draw_reloads_within(seed: int, plan: list[Silence]) -> list[Fault]:
+    """Draw reloads, with other settings, that begin within silences."""
+    rng = random.Random(f"reloads within silences {seed}")
+    return [
+        Fault(
+            at=silence.at + rng.uniform(0, silence.duration_s),
+            kind="reload",
+            target=rng.choice(ENTRIES if rng.random() < ENTRY_SHARE else CONTROL),
+            duration_s=0.0,
+        )
+        for silence in plan
+        if rng.random() < RELOAD_SHARE
+    ]
 
 
 def draw_silence_signals(seed: int, seconds: float) -> list[Fault]:
@@ -187,6 +226,7 @@
         start_direct_callers(traffic, callers, ENTRIES, count=CALLER_COUNT, max_pause_s=MAX_PAUSE_S)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(injector.run, draw_silence_signals(seed, plan[-1].at))
+            nursery.start_soon(injector.run, draw_reloads_within(seed, plan))
             nursery.start_soon(run_silences, plan, upstreams, proxy)
         await trio.sleep(TAIL_S)
         traffic.cancel_scope.cancel()
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -11,6 +11,7 @@
 
 from bench.soak.callers import ACCOUNT, KEY, REQUEST_WEIGHTS, Callers, Operators
 from bench.soak.direct import DirectCallers
+from bench.soak.end_counts import EndCounts
 from bench.soak.faults import Injector
 from bench.soak.fleet import Fleet
 from bench.soak.ledger import Ledger
@@ -40,6 +41,8 @@
     ----------
     notes : list of str
         Measurements to print.
+    end_counts : EndCounts
+        How requests have ended, as the entries count it.
     """
 
     __slots__ = (
@@ -54,6 +57,7 @@
         "callers",
         "takeouts",
         "notes",
+        "end_counts",
         "_all_callers",
     )
 
@@ -79,6 +83,7 @@
             has_small_files=draw_small_files(seed),
             limits_mb=limits_mb,
         )
+        self.end_counts = EndCounts(fleet=self.fleet)
         self.injector = Injector(fleet=self.fleet, platform=self.platform, proxy=self.proxy)
         self.operators = Operators(
             ledger=self.ledger, fleet=self.fleet, rng=random.Random(seed + 2)
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -16,6 +16,7 @@
 from bench.soak.__main__ import read_regression_seeds
 from bench.soak.callers import Operators
 from bench.soak.crashing import MAX_ARRIVALS, WINDOW_S, count_late
+from bench.soak.end_counts import GIVEN_UP, UNANSWERED, judge_given_up, parse_counts
 from bench.soak.endless import KINDS, EndlessTime, draw_endless, judge_endless
 from bench.soak.endless_answers import ANSWERS, BLOCK_BYTES, REFUSAL, send_endless
 from bench.soak.faults import Injector
@@ -33,8 +34,10 @@
 from bench.soak.silences import (
     MAX_SILENCE_S,
     MIN_SILENCE_S,
+    SECOND_GAP_S,
     Silence,
     SilentTime,
+    draw_reloads_within,
     draw_silence_signals,
     draw_silences,
     judge_silences,
@@ -44,6 +47,7 @@
 from marigoldtrail.errors import Failure
 from marigoldtrail.net import Address
 from marigoldtrail.storage import open_folder
+from marigoldtrail.telemetry.prometheus import PrometheusMetrics
 from marigoldtrail.timers import Timers
 
 # The first of them plays planned stops in series after its faults, the other one full disks.
@@ -509,6 +513,17 @@
         assert all(MIN_SILENCE_S <= silence.duration_s <= MAX_SILENCE_S for silence in plan)
         for one, other in zip(plan, plan[1:], strict=False):
             assert one.at + one.duration_s <= other.at
+    pairs = [pair for plan in plans for pair in zip(plan, plan[1:], strict=False)]
+    assert any(
+        other.targets == one.targets
+        and other.at == pytest.approx(one.at + one.duration_s + SECOND_GAP_S)
+        for one, other in pairs
+    )
+    reloads = [draw_reloads_within(seed, plan) for seed, plan in enumerate(plans)]
+    assert {fault.target for faults in reloads for fault in faults} == {*CONTROL, *ENTRIES}
+    for plan, faults in zip(plans, reloads, strict=True):
+        for fault in faults:
+            assert any(one.at <= fault.at <= one.at + one.duration_s for one in plan)
     signals = [fault for seed in range(50) for fault in draw_silence_signals(seed, 9.0)]
     assert {fault.kind for fault in signals} == {"reload", "term", "term_twice"}
     assert {fault.target for fault in signals} == {*CONTROL, *ENTRIES}
@@ -555,6 +570,20 @@
     assert len(ledger.violations) == count
 
 
+def test_responses_that_entries_give_up_are_reported():
+    """Guards against started responses that an entry breaks off unseen beside silences."""
+    metrics = PrometheusMetrics()
+    metrics.count_unanswered("deadline")
+    counts = parse_counts(metrics.render_text().decode())
+    ledger = make_ledger()
+    judge_given_up(counts, ledger)
+    assert counts == {(UNANSWERED, "deadline"): 1} and ledger.violations == []
+    metrics.count_given_up_response("memory")
+    counts = parse_counts(metrics.render_text().decode())
+    judge_given_up(counts, ledger)
+    assert counts[GIVEN_UP, "memory"] == 1 and len(ledger.violations) == 1
+
+
 def test_process_over_its_memory_is_reported_once():
     """Guards against a process over its limit that is missed or reported again and again."""
     limits_mb = {"entry": 1_000_000, "control": 1}
