Blame an upstream for the length of its answer, not for want of memory

Callers saw 502 and then 503 from a sound service: a proper answer of unknown length that was given up because others needed the memory had its upstream ejected, as if it had no end.

Such an answer is now given up as no_memory. An upstream is blamed for an answer over 8 MiB, or over the whole budget. So that an answer without end reaches that bound beside many others, the one of unknown length that is ahead is the last incomplete one to be given up.

--- a/marigoldtrail/memory/budget.py
+++ b/marigoldtrail/memory/budget.py
@@ -97,6 +97,8 @@
         Bytes taken.
     is_evicted : bool
         Whether the message has to be given up.
+    is_over_budget : bool
+        Whether the message is longer than the whole budget.
     is_complete : bool
         Whether all of the message has arrived.
     is_closed : bool
@@ -112,6 +114,7 @@
         "has_known_size",
         "size",
         "is_evicted",
+        "is_over_budget",
         "is_complete",
         "is_closed",
         "sent_at",
@@ -133,6 +136,7 @@
         self.has_known_size = has_known_size
         self.size = 0
         self.is_evicted = False
+        self.is_over_budget = False
         self.is_complete = False
         self.is_closed = False
         self.sent_at: float | None = None
@@ -328,6 +332,7 @@
     async def take(self, account: MemoryAccount, count: int) -> bool:
         """Take bytes for an account; see `MemoryAccount.take`."""
         if account.size + count > self.total_bytes:
+            account.is_over_budget = True
             self._evict(account)
             return False
         try:
@@ -379,7 +384,10 @@
         """Return the largest message that may be given up, first of those that are incomplete."""
         found = [i for i in self._accounts if i.size and not (i.is_evicted or i.is_in_use(now))]
         incomplete = [item for item in found if not item.is_complete]
-        return max(incomplete or found, key=weigh_account, default=None)
+        # The message that is ahead goes on to its end, or to the bound that shows it has none.
+        ahead = None if self._ahead is None or self._ahead.has_known_size else self._ahead
+        others = [item for item in incomplete if item is not ahead]
+        return max(others or incomplete or found, key=weigh_account, default=None)
 
     def _evict(self, largest: MemoryAccount) -> None:
         self.evicted[largest.purpose] += 1
--- a/marigoldtrail/relay/buffering.py
+++ b/marigoldtrail/relay/buffering.py
@@ -9,7 +9,12 @@
 from marigoldtrail.errors import Failure, Reason
 from marigoldtrail.memory import MemoryAccount, MemoryBudget
 from marigoldtrail.relay.owed_response import GiveUpCause, OwedResponse
-from marigoldtrail.relay.responses import CompleteResponse, StreamForwarded, read_body
+from marigoldtrail.relay.responses import (
+    CompleteResponse,
+    StreamForwarded,
+    make_eviction_failure,
+    read_body,
+)
 from marigoldtrail.relay.upstream_connection import UpstreamConnection
 
 # Streams that hold less are not counted: almost all are events of this size that arrive whole.
@@ -117,7 +122,7 @@
     account = memory.open(
         "response", conn.upstream, has_known_size=conn.announced_bytes is not None, evict=evict
     )
-    body: bytes | Failure = make_eviction_failure(conn)
+    body: bytes | Failure = make_eviction_failure(conn, account)
     try:
         with scope:
             body = await read_body(conn, account)
@@ -127,7 +132,7 @@
     if account.is_evicted:
         # It was given up as its end was read.
         account.close()
-        return make_eviction_failure(conn)
+        return make_eviction_failure(conn, account)
     if isinstance(body, bytes):
         # An answer that is complete is not given up before those that may have no end.
         account.has_known_size = True
@@ -168,7 +173,7 @@
 
     with memory.open("stream", conn.upstream, evict=evict) as account, scope:
         return await forward(account)
-    return make_eviction_failure(conn)
+    return make_stream_eviction_failure(conn)
 
 
 async def count_held(account: MemoryAccount, size: int) -> bool:
@@ -195,9 +200,9 @@
     return not account.is_evicted
 
 
-def make_eviction_failure(conn: UpstreamConnection) -> Failure:
+def make_stream_eviction_failure(conn: UpstreamConnection) -> Failure:
     """
-    Return the failure of a response that was given up for want of memory.
+    Return the failure of a stream that was given up for want of memory.
 
     One of unknown length may have no end, so that its upstream counts as faulty.
     """
--- a/marigoldtrail/relay/peer_forwarding.py
+++ b/marigoldtrail/relay/peer_forwarding.py
@@ -14,7 +14,7 @@
 from marigoldtrail.net.client import STREAM_ERRORS
 from marigoldtrail.relay.buffering import (
     count_held,
-    make_eviction_failure,
+    make_stream_eviction_failure,
     read_held_body,
     run_stream,
 )
@@ -236,7 +236,7 @@
             if splitter.is_event_too_long:
                 return conn.make_failure(Reason.BAD_ANSWER, "an event without end")
             if not await count_held(account, splitter.held_bytes + len(events)):
-                return make_eviction_failure(conn)
+                return make_stream_eviction_failure(conn)
             if not data:
                 if splitter.is_within_event:
                     return conn.make_failure(
--- a/marigoldtrail/relay/responses.py
+++ b/marigoldtrail/relay/responses.py
@@ -94,11 +94,32 @@
         if len(body) + len(data) > max_bytes:
             return conn.make_failure(Reason.BAD_ANSWER, f"more than {max_bytes} bytes")
         if is_counted and account is not None and not await account.take(len(data)):
-            detail = f"given up after {account.size} bytes for want of memory"
-            return conn.make_failure(Reason.BAD_ANSWER, detail)
+            return make_eviction_failure(conn, account)
         body += data
 
 
+def make_eviction_failure(conn: UpstreamConnection, account: MemoryAccount) -> Failure:
+    """
+    Return the failure of a whole response that was given up for want of memory.
+
+    Its upstream counts as faulty only if it sent more than all the memory for responses.
+
+    Parameters
+    ----------
+    conn : UpstreamConnection
+        Connection from which the head was read.
+    account : MemoryAccount
+        Account of the response.
+
+    Returns
+    -------
+    Failure
+        ``NO_MEMORY``, or ``BAD_ANSWER`` if the upstream is to blame.
+    """
+    reason = Reason.BAD_ANSWER if account.is_over_budget else Reason.NO_MEMORY
+    return conn.make_failure(reason, "given up for want of memory")
+
+
 async def discard_body(conn: UpstreamConnection) -> None:
     """
     Read and drop the body of a response, so that its connection may be used again.
--- a/marigoldtrail/relay/sender.py
+++ b/marigoldtrail/relay/sender.py
@@ -10,7 +10,7 @@
 from marigoldtrail.memory import MemoryAccount, MemoryBudget
 from marigoldtrail.relay.buffering import (
     count_held,
-    make_eviction_failure,
+    make_stream_eviction_failure,
     read_held_body,
     run_stream,
 )
@@ -223,7 +223,7 @@
             if splitter.is_event_too_long:
                 return tx.conn.make_failure(Reason.BAD_ANSWER, "an event without end")
             if not await count_held(account, splitter.held_bytes + len(events)):
-                return make_eviction_failure(tx.conn)
+                return make_stream_eviction_failure(tx.conn)
             if events:
                 if exchange.first_event_at is None:
                     exchange.record_first_event(self._timers.now())
