Let a stream that another upstream has taken go on when its prompt is quarantined

Callers saw a started stream end within the 0.2 s in which it was offered to another upstream, if a quarantine of its prompt came then. Both upstreams had the request: the first one was left since the other had taken it, and the check before a send then refused what had been sent already. The owner of the response was not asked.

The check is made only before a send. What another upstream has taken is withdrawn by its attempt, which asks the owner: a request with nothing sent still ends as quarantined, and no further upstream gets it.

Found by review.

--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -285,10 +285,11 @@
     ) -> CompleteResponse | StreamForwarded | Failure:
         failure = self._make_no_upstream_failure(exchange)
         while True:
-            held = self._gate.check_send(exchange)
+            # What another upstream has taken is sent already, and withdrawn by its attempt.
+            assignment = self._mover.take(exchange)
+            held = self._gate.check_send(exchange) if assignment is None else None
             if held is not None:
                 return held
-            assignment = self._mover.take(exchange)
             if assignment is None and self._reachability.is_cut_off:
                 return await self._serve_elsewhere(exchange)
             if assignment is None:
--- /dev/null
+++ b/marigoldtrail/relay/tests/test_moved_streams.py
@@ -0,0 +1,31 @@
+"""Started streams that are moved, beside what this host finds out meanwhile."""
+
+import pytest
+import trio
+
+from marigoldtrail.relay.tests.helpers import RelayHarness
+from marigoldtrail.relay.tests.test_left_upstreams import PausingUpstream, fall_silent_too
+from marigoldtrail.relay.tests.test_prompts import BAD, make_prompt_request
+from marigoldtrail.relay.tests.test_silent_upstreams import is_whole
+from marigoldtrail.routing import RouteKind
+
+
+@pytest.mark.parametrize("quarantined_at", [0.5, 0.85, 0.95, 1.1])
+async def test_stream_that_moves_is_not_broken_off_by_a_quarantine(
+    autojump_clock, nursery, quarantined_at
+):
+    """Guards against a started stream that is ended though an upstream has it."""
+    harness = RelayHarness(
+        nursery, RouteKind.STREAMING, is_resumable=True, max_attempts=2, max_gap_s=0.2
+    )
+    started = trio.current_time()
+    await harness.start(PausingUpstream().serve)
+
+    async def disturb():
+        await trio.sleep(0.05)
+        await harness.add_upstream(1, fall_silent_too)
+        await trio.sleep_until(started + quarantined_at)
+        harness.fleet_state.prompts.apply([], [BAD])
+
+    nursery.start_soon(disturb)
+    assert is_whole(await harness.fetch(make_prompt_request("start:5,bad:7,own:3")))
