Confirm the state of the fleet only once its configuration is in force

Since large configurations are decoded in a thread, a reply of the leader counted as applied before its configuration was. A host that had been cut off for long could serve by its old configuration in that time.

--- a/marigoldtrail/registry/fleet_state.py
+++ b/marigoldtrail/registry/fleet_state.py
@@ -312,7 +312,8 @@
         """
         Apply the leader's reply to a report, decoding a large configuration in a thread.
 
-        All other sections are in force at once, the configuration as soon as it is decoded.
+        All other sections are in force at once, the configuration as soon as it is decoded. The
+        state of the fleet counts as confirmed only then.
 
         Parameters
         ----------
@@ -324,7 +325,8 @@
         if len(reply.routes) <= MAX_INLINE_DECODE_BYTES or not self._has_newer_routes(reply):
             self.apply(reply, sent_at=sent_at)
             return
-        self.apply(msgspec.structs.replace(reply, routes=b""), sent_at=sent_at)
+        # A host that was cut off for long must not serve by its old configuration meanwhile.
+        self.apply(msgspec.structs.replace(reply, routes=b""), sent_at=float("-inf"))
         try:
             index = await trio.to_thread.run_sync(
                 self._decode_routes, reply.routes, abandon_on_cancel=True
@@ -332,6 +334,7 @@
             self._replace_routes(index, reply)
         except Exception:
             _log.exception("a section of the leader's reply could not be applied")
+        self.confirmed_at = max(self.confirmed_at, sent_at)
         self.changed.notify()
 
     def _apply_takeouts(self, reply: HostReportReply) -> None:
--- a/marigoldtrail/registry/tests/test_large_configuration.py
+++ b/marigoldtrail/registry/tests/test_large_configuration.py
@@ -39,13 +39,15 @@
 
     def parse(document):
         outcomes.append(has_had_turns.wait(TURNS_S))
+        # A host that was cut off must not serve by its old configuration meanwhile.
+        outcomes.append(fleet_state.confirmed_at < 0)
         return make_table(5)
 
     async def take_turns():
-        while not outcomes:
+        while not has_had_turns.is_set():
             for _ in range(TURNS):
                 await trio.lowlevel.checkpoint()
-            if fleet_state.confirmed_at > 0:
+            if fleet_state._takeouts == {"b"}:
                 has_had_turns.set()
 
     async def answer(request, sender):
@@ -70,7 +72,8 @@
     with trio.fail_after(OUTCOME_S):
         nursery.start_soon(take_turns)
         await reporter.report_once()
-    assert outcomes == [True]
+    assert outcomes == [True, True]
+    assert fleet_state.confirmed_at > 0
     assert fleet_state.version() == 5
 
 
