--- a/bench/soak/silences.py
+++ b/bench/soak/silences.py
@@ -10,6 +10,7 @@
 
 from bench.soak.callers import Operators
 from bench.soak.direct import DirectCallers, start_direct_callers
+from bench.soak.endless import watch_lateness
 from bench.soak.faults import Injector
 from bench.soak.fleet import CONTROL, ENTRIES
 from bench.soak.ledger import Attempt, Ledger
@@ -75,11 +76,15 @@
         Monotonic times in seconds; the second is infinite until the time has ended.
     silences : list of Silence
         Silences whose times begin at `at`.
+    lateness : list of float
+        By how many seconds the driver was late. All bytes pass through it, so that they wait for
+        so long beside the silences that were drawn.
     """
 
     at: float
     until: float
     silences: list[Silence]
+    lateness: list[float] = []
 
 
 def draw_silences(seed: int, services: dict[str, str]) -> list[Silence]:
@@ -223,6 +228,7 @@
     played = SilentTime(at=trio.current_time(), until=float("inf"), silences=plan)
     async with trio.open_nursery() as traffic:
         traffic.start_soon(operators.run)
+        traffic.start_soon(watch_lateness, played.lateness)
         start_direct_callers(traffic, callers, ENTRIES, count=CALLER_COUNT, max_pause_s=MAX_PAUSE_S)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(injector.run, draw_silence_signals(seed, plan[-1].at))
@@ -277,7 +283,9 @@
             ledger.report_violation(describe_loss(attempt, played))
     met = sum(1 for attempt in sent if is_beside(attempt, played))
     found = "".join(f", {name} {number}" for name, number in sorted(counts.items()))
-    return f"{len(played.silences)} silences, {len(sent)} requests, {met} met one{found}"
+    late_ms = 1000 * max(played.lateness, default=0.0)
+    line = f"{len(played.silences)} silences, {len(sent)} requests, {met} met one{found}"
+    return f"{line}; driver late by {late_ms:.0f} ms at most"
 
 
 def is_beside(attempt: Attempt, played: SilentTime) -> bool:
