Give up a call in progress without the others on its connection

Requests whose permit, record or call of stages shared a connection with a long call saw them fail ("the connection was closed before the reply") when that call was given up for want of memory.

A peer has one connection for all its calls, and giving up a frame ended the connection also if the frame had arrived and was being served. Only that call is cancelled now, and its peer gets the failure no_memory (may have run). A frame that has not arrived still ends its connection.

Evidence: the new test failed before: the short call on the connection got unreachable, may_have_run, in place of its reply.

--- a/marigoldtrail/memory/budget.py
+++ b/marigoldtrail/memory/budget.py
@@ -178,6 +178,10 @@
         is_stalled = self.sent_at is not None and now > self.sent_at + MAX_SEND_PAUSE_S
         return self.is_complete and not self.is_evicted and not is_stalled
 
+    def call_on_eviction(self, evict: Callable[[], None]) -> None:
+        """Call another function than before if the message has to be given up."""
+        self._evict = evict
+
     def evict(self) -> None:
         """Give the message up, because others need the memory."""
         self.is_evicted = True
--- a/marigoldtrail/net/server.py
+++ b/marigoldtrail/net/server.py
@@ -54,6 +54,25 @@
             _log.warning("the connection of a peer was closed", extra=extra)
 
 
+class Call(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A call that has arrived.
+
+    Parameters
+    ----------
+    envelope : Envelope
+        The call.
+    account : MemoryAccount or None
+        Memory of its frame.
+    scope : trio.CancelScope
+        Cancelled if the call is given up before its handler ends.
+    """
+
+    envelope: Envelope
+    account: MemoryAccount | None
+    scope: trio.CancelScope
+
+
 async def serve_peers(
     network: Network,
     address: Address,
@@ -68,8 +87,8 @@
     Serve calls until cancelled.
 
     The frames of calls that are being read or served take memory from a budget. A connection whose
-    frame finds none is read no further. If others wait in vain, the connection with the longest
-    frame is closed, first among those that have not arrived.
+    frame finds none is read no further. If others wait in vain, the longest one is given up, first
+    of those that have not arrived: its connection is closed. A call that is served fails alone.
 
     Parameters
     ----------
@@ -104,7 +123,7 @@
         frames = FrameStream(stream=stream, open_account=open_account)
         try:
             with scope:
-                await serve_calls(frames)
+                await serve_calls(frames, scope)
         except* ValueError as group:
             faulty_frames.add(peer, group.exceptions[0])
         except* STREAM_ERRORS as group:
@@ -115,23 +134,33 @@
                 frames.account.close()
             await frames.aclose()
 
-    async def serve_calls(frames: FrameStream) -> None:
+    async def serve_calls(frames: FrameStream, conn_scope: trio.CancelScope) -> None:
         limit = trio.Semaphore(MAX_CALLS_PER_CONNECTION)
         async with trio.open_nursery() as nursery:
             while (envelope := await frames.receive()) is not None:
                 await limit.acquire()
-                nursery.start_soon(serve_call, frames, envelope, limit, frames.account)
+                # A call that is served is given up alone; others share its connection.
+                call_scope = trio.CancelScope()
+                if frames.account is not None:
+                    frames.account.call_on_eviction(call_scope.cancel)
+                call = Call(envelope=envelope, account=frames.account, scope=call_scope)
+                nursery.start_soon(serve_call, frames, call, limit, conn_scope)
             # The caller has disconnected: the remaining replies cannot be delivered.
             nursery.cancel_scope.cancel()
 
     async def serve_call(
-        frames: FrameStream,
-        envelope: Envelope,
-        limit: trio.Semaphore,
-        account: MemoryAccount | None,
+        frames: FrameStream, call: Call, limit: trio.Semaphore, conn_scope: trio.CancelScope
     ) -> None:
+        envelope, account = call.envelope, call.account
         try:
-            reply = await run_handler(envelope)
+            reply: msgspec.Struct = give_up(envelope)
+            with call.scope:
+                reply = await run_handler(envelope)
+            if account is not None and account.is_evicted:
+                account.close()
+            elif account is not None:
+                # A peer that reads no replies loses its connection.
+                account.call_on_eviction(conn_scope.cancel)
             try:
                 await frames.send(envelope.call_id, type(reply).__name__, host, reply)
             except UnsendableMessageError as exc:
@@ -170,6 +199,15 @@
             detail=detail,
         )
 
+    def give_up(envelope: Envelope) -> Failure:
+        return Failure(
+            reason=Reason.NO_MEMORY,
+            run_state=RunState.MAY_HAVE_RUN,
+            step=envelope.kind,
+            peer=host,
+            detail="given up for want of memory",
+        )
+
     def reject(envelope: Envelope, detail: str) -> Failure:
         return Failure(
             reason=Reason.BAD_REQUEST,
--- a/marigoldtrail/net/tests/test_frame_memory.py
+++ b/marigoldtrail/net/tests/test_frame_memory.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.memory import MemoryBudget
 from marigoldtrail.net import MAX_FRAME_BYTES, Address, FaultyFrames, PeerClient, serve_peers
 from marigoldtrail.net.frames import MAX_FRAME_PAUSE_S
@@ -154,6 +155,36 @@
     assert port.memory.used_bytes == 0 and port.faulty.count == 0
 
 
+async def test_call_given_up_for_want_of_memory_leaves_others_on_its_connection(
+    autojump_clock, nursery
+):
+    """Guards against calls of other requests that fail with the connection of a long one."""
+    long_size, replies = 6_000_000, {}
+
+    async def work(request, sender):
+        await trio.sleep({"h-0": 3.0}.get(sender, 0.01) if len(request.data) > 1 else 1.0)
+        return BlobSize(len(request.data))
+
+    port = Port(nursery, work)
+    await port.start()
+    client, other = port.make_client(0), port.make_client(1)
+
+    async def call(name, caller, size, at):
+        await trio.sleep(at)
+        request = Blob(b"x" * size)
+        replies[name] = await caller.call(SERVER, request, BlobSize, timeout_s=5)
+
+    async with trio.open_nursery() as callers:
+        callers.start_soon(call, "small", client, 1, 0.0)
+        callers.start_soon(call, "long", client, long_size, 0.1)
+        callers.start_soon(call, "other", other, long_size, 0.2)
+    assert replies["small"] == BlobSize(1) and replies["other"] == BlobSize(long_size)
+    failure = replies["long"]
+    assert isinstance(failure, Failure) and failure.reason is Reason.NO_MEMORY
+    assert failure.run_state is RunState.MAY_HAVE_RUN
+    assert port.memory.used_bytes == 0
+
+
 @pytest.mark.parametrize("sent", [b"\0", b"\0\0\0\x09\x94", make_head(100_000)])
 async def test_frame_that_is_not_continued_ends_its_connection(autojump_clock, nursery, sent):
     """Guards against announced frames that never come and keep their memory."""
