Refuse requests whose stages get no answer with 503 instead of 502

Callers got a 502, which promises nothing, for requests that no upstream had got, while stage upstreams were silent or slow: calls that may not be repeated were lost to them, with up to 3 s left. The scheduler answers at the end of the time unless the pieces of a request are in a call that is still under way; the entry then gave up 0.2 s later, with the failure of its own call, which may have run at the scheduler.

Running stages does not run the request, and all other failures of stages say so already. The client of the schedulers now says it for calls without an answer too; the dispatcher still marks a request that was sent before.

Before the change the new test failed: may_have_run instead of not_run. Tests of pieces, dispatch and stage calls passed.

--- a/marigoldtrail/pieces/client.py
+++ b/marigoldtrail/pieces/client.py
@@ -4,6 +4,7 @@
 
 import logging
 
+import msgspec
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
@@ -202,7 +203,8 @@
                 stage_run.handles = tuple(reply.handles)
                 stage_run.upstream = reply.upstream
                 return None
-            failure = reply
+            # Stages may have run, but the request has not: only entries send it to an upstream.
+            failure = msgspec.structs.replace(reply, run_state=RunState.NOT_RUN)
             if reply.reason is Reason.VIEW_NOT_CURRENT:
                 await self._timers.sleep(RETRY_INTERVAL_S)
                 continue
--- a/marigoldtrail/pieces/tests/test_client.py
+++ b/marigoldtrail/pieces/tests/test_client.py
@@ -141,3 +141,19 @@
         client.report_end(stage_run)
         await trio.sleep(1)
     assert client._calls == {}
+
+
+class SilentHosts(Hosts):
+    """Hosts that answer pulses, but no request for stages."""
+
+    async def call(self, address, request, reply_type, *, timeout_s):
+        if isinstance(request, Pulse):
+            return PulseReply()
+        await trio.sleep(timeout_s)
+        return Failure(reason=Reason.TIMEOUT, run_state=RunState.MAY_HAVE_RUN, step="RunStages")
+
+
+async def test_request_whose_stages_get_no_answer_has_not_run(autojump_clock, nursery):
+    """Guards against a 502 in place of a refusal for a request that no upstream got."""
+    failure = await ask(make_client(nursery, SilentHosts()))
+    assert (failure.reason, failure.run_state) == (Reason.TIMEOUT, RunState.NOT_RUN)
