Let started streams go back to a silent upstream while a host finds itself cut off

Callers saw a started stream end although its upstream was only silent: it had moved to another upstream, that one failed late, and the host had found itself cut off meanwhile. A host that is cut off forwards requests to another entry, which can't go on with a started response, so that the way back to the first upstream was never tried.

A request that no other entry may serve now goes back to the upstream that it left for its silence. One that left none, or that another entry may serve, is treated as before; the way back takes a retry of the budget as always.

Found by review.

--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -290,7 +290,7 @@
             held = self._gate.check_send(exchange) if assignment is None else None
             if held is not None:
                 return held
-            if assignment is None and self._reachability.is_cut_off:
+            if assignment is None and self._is_for_another_entry(exchange):
                 return await self._serve_elsewhere(exchange)
             if assignment is None:
                 upstream, place = await self._choose_upstream(exchange)
@@ -334,6 +334,22 @@
         ready_in_s = self._monitor.get_ready_in_s(upstreams, exchange.service)
         return msgspec.structs.replace(failure, retry_after_s=ready_in_s)
 
+    def _is_for_another_entry(self, exchange: Exchange) -> bool:
+        """
+        Return whether a request leaves this host because it finds itself cut off.
+
+        One that no other entry may serve, and that left an upstream only for its silence, goes back
+        there: the finding may be a silence of all upstreams.
+        """
+        if not self._reachability.is_cut_off:
+            return False
+        may_leave = not (
+            exchange.conn.has_started
+            or exchange.info.is_forwarded
+            or (exchange.may_have_run and not exchange.may_run_again())
+        )
+        return may_leave or not exchange.left
+
     async def _choose_upstream(self, exchange: Exchange) -> tuple[Upstream | None, Place | None]:
         """Return the next upstream, if any, and the place of the request there, if granted."""
         upstream, max_wait_s = None, 0.0
--- a/marigoldtrail/relay/tests/test_moved_streams.py
+++ b/marigoldtrail/relay/tests/test_moved_streams.py
@@ -4,7 +4,12 @@
 import trio
 
 from marigoldtrail.relay.tests.helpers import RelayHarness
-from marigoldtrail.relay.tests.test_left_upstreams import PausingUpstream, fall_silent_too
+from marigoldtrail.relay.tests.test_left_upstreams import (
+    FAULTS,
+    PausingUpstream,
+    fall_silent_too,
+    fetch_moved_stream,
+)
 from marigoldtrail.relay.tests.test_prompts import BAD, make_prompt_request
 from marigoldtrail.relay.tests.test_silent_upstreams import is_whole
 from marigoldtrail.routing import RouteKind
@@ -29,3 +34,20 @@
 
     nursery.start_soon(disturb)
     assert is_whole(await harness.fetch(make_prompt_request("start:5,bad:7,own:3")))
+
+
+@pytest.mark.parametrize("fault", FAULTS.values(), ids=FAULTS)
+async def test_stream_goes_back_to_its_silent_upstream_while_this_host_is_cut_off(
+    autojump_clock, nursery, fault
+):
+    """Guards against a started stream that is ended since no other entry can go on with it."""
+
+    def cut_off(harness):
+        async def find_cut():
+            await trio.sleep(0.95)
+            harness.reachability._change(True)
+
+        nursery.start_soon(find_cut)
+
+    data, _ = await fetch_moved_stream(nursery, fault, on_start=cut_off)
+    assert is_whole(data)
