Let streams go back to an upstream whose inputs are gone once their stages have run again

Callers saw a resumable stream with stages end after its first events: it had left a silent upstream before the first event, the other one broke off later, and the first one refused the way back, since the results of the stages were freed. The stages were run again, but the refused way back was the only one, and the upstream counted as tried: none was left.

An upstream that only lacks the inputs of a request is not a tried one any more when the stages run again; one that the request had not left never was. The number of runs of stages bounds the repeats as before.

Before the change the new test failed: the stages ran twice, and the stream ended after one of three events. test_moved_streams, test_left_upstreams, test_dispatch, test_silent_upstreams, test_prompts and test_relay passed.

--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -314,6 +314,8 @@
             else:
                 failure = result
                 if result.reason is Reason.NOT_FOUND:
+                    # It only lacks the inputs; the request may have left it and gone back.
+                    exchange.tried.discard(assignment.upstream.name)
                     return result
                 if result.reason is Reason.VIEW_NOT_CURRENT and not (
                     exchange.may_run_again() and self._admission.withdraw_record(exchange)
--- a/marigoldtrail/relay/tests/test_moved_streams.py
+++ b/marigoldtrail/relay/tests/test_moved_streams.py
@@ -3,7 +3,8 @@
 import pytest
 import trio
 
-from marigoldtrail.relay.tests.helpers import RelayHarness
+from marigoldtrail.relay.tests.helpers import RelayHarness, make_request, read_request
+from marigoldtrail.relay.tests.test_dispatch import GONE, Schedulers
 from marigoldtrail.relay.tests.test_left_upstreams import (
     FAULTS,
     PausingUpstream,
@@ -11,8 +12,9 @@
     fetch_moved_stream,
 )
 from marigoldtrail.relay.tests.test_prompts import BAD, make_prompt_request
+from marigoldtrail.relay.tests.test_relay import EVENTS, STREAM_HEAD, chunk
 from marigoldtrail.relay.tests.test_silent_upstreams import is_whole
-from marigoldtrail.routing import RouteKind
+from marigoldtrail.routing import RouteKind, StageSpec
 
 
 @pytest.mark.parametrize("quarantined_at", [0.5, 0.85, 0.95, 1.1])
@@ -51,3 +53,41 @@
 
     data, _ = await fetch_moved_stream(nursery, fault, on_start=cut_off)
     assert is_whole(data)
+
+
+async def test_staged_stream_goes_back_after_its_stages_have_run_again(autojump_clock, nursery):
+    """Guards against an upstream that counts as failed since the inputs of the request are gone."""
+    harness = RelayHarness(
+        nursery,
+        RouteKind.STREAMING,
+        is_resumable=True,
+        max_attempts=4,
+        max_gap_s=0.2,
+        stages=(StageSpec(service="p", result_bytes=1),),
+    )
+    schedulers = harness.dispatcher._pieces = Schedulers()
+
+    async def serve_first(stream):
+        request = await read_request(stream)
+        if b"c0/h" not in request:
+            await stream.send_all(STREAM_HEAD + b"".join(map(chunk, EVENTS[1:])) + b"0\r\n\r\n")
+        elif any(call[0] == "read" for call in schedulers.calls):
+            await stream.send_all(GONE)
+        else:
+            await stream.send_all(STREAM_HEAD)
+            await trio.sleep(10)
+
+    async def serve_second(stream):
+        await read_request(stream)
+        await stream.send_all(STREAM_HEAD + chunk(EVENTS[0]))
+        await trio.sleep(0.3)
+
+    await harness.start(serve_first)
+
+    async def add_late():
+        await trio.sleep(0.05)
+        await harness.add_upstream(1, serve_second)
+
+    nursery.start_soon(add_late)
+    data = await harness.fetch(make_request(headers=("X-Pieces: 1",)))
+    assert is_whole(data), (data, schedulers.calls)
