Read the rest of refused bodies, so that no reset ends their callers' sends

A caller that sends its whole body before it looks for a response, and takes longer than 0.5 s after its request was refused (413, 431, or 503 for want of memory), was reset in its send and could take the refusal for a closed connection, which promises nothing. The graceful close read for 0.5 s in all.

It now reads on while bytes of the refused body are due and come without a pause of 0.5 s: up to the announced length, at most 8 MiB and 5 s. What is not a request, and what follows the body, is read for 0.5 s as before, so that input without end is still cut soon. A cancellation cuts the longer time, so that the end of a process waits for 0.5 s at most, as before; the end of the connection is then still counted.

--- a/marigoldtrail/relay/caller_connection.py
+++ b/marigoldtrail/relay/caller_connection.py
@@ -18,6 +18,7 @@
 from marigoldtrail.net.client import STREAM_ERRORS
 from marigoldtrail.net.network import name_peer
 from marigoldtrail.relay.connection_end import (
+    MAX_CLOSE_BYTES,
     READ_BYTES,
     EndReason,
     close_gracefully,
@@ -147,6 +148,7 @@
         "_memory",
         "_account",
         "_body_bytes",
+        "_due_bytes",
         "announces_close",
         "is_broken",
         "was_reset",
@@ -178,6 +180,8 @@
         self._memory = memory or make_default_request_memory()
         self._account = self._memory.open(name_peer(stream), self._stop_reading)
         self._body_bytes = 0
+        # Bytes that the caller may still send of a request that is refused.
+        self._due_bytes = 0
         self.announces_close = False
         self.is_broken = False
         self.was_reset = False
@@ -222,16 +226,19 @@
             if not isinstance(head, h11.Request):
                 return head
             self._is_head = head.method == b"HEAD"
+            self._due_bytes = find_due_bytes(head)
             fault = check_head(head, limits, self._memory.max_body_bytes)
             if fault is not None:
                 return fault
             body = await self._read_body(limits, find_body_length(head))
         except h11.RemoteProtocolError as exc:
+            self._due_bytes = 0
             return Refusal(status=exc.error_status_hint or 400, detail=str(exc))
         except STREAM_ERRORS:
             return Closed.CALLER
         if not isinstance(body, bytes):
             return body
+        self._due_bytes = 0
         self._body_bytes = len(body)
         self._account.complete(self._body_bytes + self.buffered_bytes)
         return CallerRequest(
@@ -327,6 +334,7 @@
                     event = await self._take_in(data, held=len(body))
                 elif isinstance(event, h11.Data):
                     body += event.data
+                    self._due_bytes -= len(event.data)
                     if len(body) > max_bytes:
                         return refuse_body(limits, len(body))
                     parts += 1
@@ -484,16 +492,16 @@
         """
         dropped = self.buffered_bytes + self._unparsed_bytes
         self._account.close()
-        with trio.CancelScope(shield=True):
-            if is_forced or self.is_broken:
-                if self._ends_with_close():
-                    reset_on_close(self._stream)
-                self.was_reset = has_unread_data(self._stream)
+        if is_forced or self.is_broken:
+            if self._ends_with_close():
+                reset_on_close(self._stream)
+            self.was_reset = has_unread_data(self._stream)
+            with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(self._stream)
-            else:
-                # Frees what was read: the graceful close takes time.
-                self._conn = h11.Connection(h11.SERVER)
-                dropped += await close_gracefully(self._stream)
+        else:
+            # Frees what was read: the graceful close takes time.
+            self._conn = h11.Connection(h11.SERVER)
+            dropped += await close_gracefully(self._stream, self._due_bytes - dropped)
         return dropped
 
 
@@ -539,6 +547,15 @@
     return max((int(value) for value in lengths if value.isdigit()), default=None)
 
 
+def find_due_bytes(head: h11.Request) -> int:
+    """Return how many bytes of a body are read after the refusal of its request."""
+    length = find_body_length(head)
+    if length is None:
+        is_chunked = any(name == b"transfer-encoding" for name, _ in head.headers)
+        return MAX_CLOSE_BYTES if is_chunked else 0
+    return min(length, MAX_CLOSE_BYTES)
+
+
 def refuse_body(limits: Limits, size: int) -> Refusal:
     """Return the refusal of a body that is too large for the configuration, or for this host."""
     if size > limits.max_body_bytes:
--- a/marigoldtrail/relay/connection_end.py
+++ b/marigoldtrail/relay/connection_end.py
@@ -12,6 +12,10 @@
 
 READ_BYTES = 65536
 GRACEFUL_CLOSE_TIMEOUT_S = 0.5
+# So long, and so much, is read from a caller that still sends the body of a refused request: it may
+# look for a response only after that, and a reset would end its send.
+MAX_CLOSE_S = 5.0
+MAX_CLOSE_BYTES = 8 * 1024 * 1024
 # On, with a timeout of 0 s: unsent data is dropped and the peer sees a reset.
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -34,17 +38,21 @@
     HOST_STOPPED = "host_stopped"
 
 
-async def close_gracefully(stream: trio.abc.Stream) -> int:
+async def close_gracefully(stream: trio.abc.Stream, due_bytes: int = 0) -> int:
     """
     Close a stream so that the peer can still read the last response.
 
     Closing a socket with unread data resets the connection, which can destroy a response in
-    transit. This function sends end-of-file, then reads and drops what the peer still sends.
+    transit. This function sends end-of-file, then reads and drops what the peer still sends for
+    `GRACEFUL_CLOSE_TIMEOUT_S`, and longer while it sends what is due without such a pause. Only the
+    longer time can be cancelled.
 
     Parameters
     ----------
     stream : trio.abc.Stream
         The stream.
+    due_bytes : int
+        Number of bytes that the peer may still send of the request that was refused.
 
     Returns
     -------
@@ -52,15 +60,31 @@
         Number of bytes that were dropped.
     """
     dropped = 0
-    with trio.move_on_after(GRACEFUL_CLOSE_TIMEOUT_S):
-        try:
-            if isinstance(stream, trio.abc.HalfCloseableStream):
+    began = received_at = trio.current_time()
+    shielded_until = began + GRACEFUL_CLOSE_TIMEOUT_S
+    is_open = isinstance(stream, trio.abc.HalfCloseableStream)
+    try:
+        if isinstance(stream, trio.abc.HalfCloseableStream):
+            with trio.CancelScope(deadline=shielded_until, shield=True):
                 await stream.send_eof()
-                while data := await stream.receive_some(READ_BYTES):
-                    dropped += len(data)
-        except STREAM_ERRORS:
-            pass
-    await trio.aclose_forcefully(stream)
+        while is_open:
+            now = trio.current_time()
+            ends_at = min(received_at + GRACEFUL_CLOSE_TIMEOUT_S, began + MAX_CLOSE_S)
+            is_shielded = now < shielded_until
+            if now >= ends_at or not (is_shielded or dropped < due_bytes):
+                break
+            if is_shielded:
+                ends_at = shielded_until
+            with trio.CancelScope(deadline=ends_at, shield=is_shielded):
+                data = await stream.receive_some(READ_BYTES)
+                received_at = trio.current_time()
+                is_open = bool(data)
+                dropped += len(data)
+    except STREAM_ERRORS:
+        pass
+    finally:
+        with trio.CancelScope(shield=True):
+            await trio.aclose_forcefully(stream)
     return dropped
 
 
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -268,11 +268,14 @@
             reason = EndReason.HANDLER_ERROR
             log_exception(group)
         finally:
-            dropped = await conn.aclose(is_forced=is_forced)
-            self.connections -= 1
-            self._recorder.record_connection_end(
-                reason or EndReason.HOST_STOPPED, dropped, was_reset=conn.was_reset
-            )
+            dropped = 0
+            try:
+                dropped = await conn.aclose(is_forced=is_forced)
+            finally:
+                self.connections -= 1
+                self._recorder.record_connection_end(
+                    reason or EndReason.HOST_STOPPED, dropped, was_reset=conn.was_reset
+                )
 
     async def _serve_next(self, conn: CallerConnection) -> EndReason | None:
         """Serve the next request; return why the connection must be closed."""
