Refuse requests to endpoints that are being read when a stop ends

An operator, or a caller of a look-up, whose request was being read at the end of a stop (incomplete, or whole and waiting for memory) saw its connection closed without an answer: EndpointStop.end cancelled the handlers and left the reads alone, unlike the stop of the relay.

It now ends them too, and their callers get 503 in the time that is left for the last replies.

Before the change both cases of the new test failed: nothing was sent. test_endless_input, test_handler_errors, test_stop, test_refused_requests and test_stops: 72 passed.

--- a/marigoldtrail/relay/endpoints.py
+++ b/marigoldtrail/relay/endpoints.py
@@ -84,6 +84,8 @@
         self.has_ended = True
         for scope in self._handling:
             scope.cancel()
+        for conn in self._reading:
+            conn.refuse_incomplete()
 
     async def read_request(self, conn: CallerConnection) -> CallerRequest | Refusal | Closed:
         """Read the next request of a connection."""
