Report results of trials by schedulers that saw no crash themselves

Callers of a request whose pieces had crashed upstreams were refused for ever, up to the expiry of an hour, although its pieces were sound by then, if the scheduler that had seen the crashes was replaced or had been started again: a scheduler reported a stage as done only if it had itself recorded a crash beside it, so that no trial could clear the part.

A scheduler now also reports the result of a trial, and that of a part that is held. The number of reports stays bounded by the quarantines.

Found by review. Before the change both cases of the new test failed: the report of the host named no answer.

--- a/marigoldtrail/pieces/crashes.py
+++ b/marigoldtrail/pieces/crashes.py
@@ -56,6 +56,8 @@
 
     def record_done(self, job: PieceJob) -> None:
         """Clear the part of a job that is done after a crash, which had another cause then."""
-        if job.crash_part in self._parts:
-            del self._parts[job.crash_part]
-            self._prompts.record_answer(frozenset((job.crash_part,)))
+        parts = frozenset((job.crash_part,))
+        # Another scheduler, or this one before its restart, may have seen the crash.
+        if job.crash_part in self._parts or job.is_trial or self._prompts.find_held(parts):
+            self._parts.pop(job.crash_part, None)
+            self._prompts.record_answer(parts)
--- a/marigoldtrail/pieces/job.py
+++ b/marigoldtrail/pieces/job.py
@@ -183,6 +183,11 @@
             self.done.set()
         return True
 
+    @property
+    def is_trial(self) -> bool:
+        """Whether it runs although its request is quarantined, so that no crash may follow."""
+        return self.max_crashes < MAX_CRASHES
+
     def record_crash(self) -> None:
         """Record a call with its pieces under which an upstream crashed."""
         self.is_apart = True
--- a/marigoldtrail/pieces/tests/test_crashes.py
+++ b/marigoldtrail/pieces/tests/test_crashes.py
@@ -1,5 +1,6 @@
 """Tests of crashes of upstreams under calls with pieces of several requests."""
 
+import pytest
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
@@ -7,6 +8,7 @@
 from marigoldtrail.pieces.job import CRASHES_UPSTREAMS, MAX_CRASHES
 from marigoldtrail.pieces.tests.test_runner import Upstreams, make_job
 from marigoldtrail.quarantine import PromptGuard
+from marigoldtrail.schema.generated.registry import PromptQuarantine
 from marigoldtrail.timers import Timers
 
 CRASH = Failure(reason=Reason.DISCONNECTED, run_state=RunState.MAY_HAVE_RUN, step="test")
@@ -55,6 +57,19 @@
     assert job.failure == CRASHES_UPSTREAMS and len(upstreams.calls) == 1
 
 
+@pytest.mark.parametrize("is_told", [True, False], ids=["told", "not_told"])
+async def test_result_of_a_trial_is_reported_by_another_scheduler(autojump_clock, nursery, is_told):
+    """Guards against a quarantine that no trial ends since the scheduler was replaced."""
+    upstreams = Upstreams(nursery)
+    part = "s:0:one"
+    quarantine = PromptQuarantine(part=part, parts=[part], trial_after_ms=0)
+    if is_told:
+        upstreams.prompts.apply([], [quarantine])
+    await upstreams.work("one", crash_part=part, max_crashes=1)
+    upstreams.prompts.apply([], [quarantine])
+    assert [answer.part for answer in upstreams.prompts.build_report().answers] == [part]
+
+
 async def test_failures_other_than_crashes_blame_no_request(autojump_clock, nursery):
     """Guards against requests that are held off because an upstream was silent."""
     upstreams = Upstreams(nursery, count=2)
