Let started streams leave a silent upstream only with a retry for the way back

Callers saw a stream broken off although its upstream was only silent and went on: it had moved to another upstream, that one failed late (a refusal, or inputs that were gone), and the budget of retries, used up by other streams that moved in the same silence, refused the way back.

A move of a started response now takes two retries, and holds the second for the way back until the request ends or uses it; an unused one is given back. Without both, the stream waits for its first upstream. Repeats stay within the budget.

Found by the silence matrix: all engines but one and the stages silent for 2.0 s, kind "stages, moved": "no upstream of version 'v1', which began the stream, is in service" after the event 1 or 3.

--- a/marigoldtrail/policy/window_budget.py
+++ b/marigoldtrail/policy/window_budget.py
@@ -76,10 +76,17 @@
         self._current_bin(now)[2] += 1
         return True
 
-    def has_room(self, now: float, *, entries: int) -> bool:
-        """Return whether `try_take` with the same arguments would grant a retry."""
+    def give_back(self, taken_at: float) -> None:
+        """Return an unused retry that was taken at a monotonic time in seconds."""
+        for item in reversed(self._bins):
+            if item[0] <= taken_at:
+                item[2] = max(0.0, item[2] - 1)
+                return
+
+    def has_room(self, now: float, *, entries: int, retries: int = 1) -> bool:
+        """Return whether `try_take` with the same arguments would grant a number of retries."""
         self._current_bin(now)
         requests = sum(item[1] for item in self._bins)
-        retries = sum(item[2] for item in self._bins)
+        taken = sum(item[2] for item in self._bins)
         limit = SAFETY_FACTOR * (self._ratio * requests + self._slack / max(1, entries))
-        return retries + 1 <= limit
+        return taken + retries <= limit
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -155,8 +155,7 @@
             gate=gate,
             monitor=monitor,
             transmitter=transmitter,
-            has_retry=self._budgets.has_retry,
-            may_send_again=self._budgets.try_take,
+            budgets=self._budgets,
             on_refused=self._note_failed_send,
             nursery=nursery,
         )
@@ -191,6 +190,7 @@
         """Release what a finished request still holds: stage results, and an unfinished record."""
         self._admission.finish(exchange)
         self._mover.cancel(exchange)
+        self._budgets.release(exchange)
         if exchange.stage_run is not None:
             self._pieces.report_end(exchange.stage_run)
 
@@ -298,7 +298,7 @@
                     break
                 if place is None:
                     continue
-                if exchange.sends > 0 and not self._budgets.try_take(exchange.service.name):
+                if exchange.sends > 0 and not self._budgets.try_send_again(exchange):
                     self._gate.release(place, was_rejected=False)
                     break
                 self._monitor.record_send(upstream, exchange.service)
--- a/marigoldtrail/relay/request_mover.py
+++ b/marigoldtrail/relay/request_mover.py
@@ -10,6 +10,7 @@
 from marigoldtrail.errors import Failure, Reason
 from marigoldtrail.ratelimits import Place
 from marigoldtrail.relay.exchange import Exchange
+from marigoldtrail.relay.retry_budgets import RetryBudgets
 from marigoldtrail.relay.send_gate import SendGate
 from marigoldtrail.relay.transmission import Transmission, Transmitter
 from marigoldtrail.relay.upstream_chooser import UpstreamChooser
@@ -53,10 +54,8 @@
         Counts what is sent to cold upstreams.
     transmitter : Transmitter
         Sends the request.
-    has_retry : callable
-        Returns whether the budget of a service would grant a retry.
-    may_send_again : callable
-        Takes a retry of a service from the budget; returns whether it was granted.
+    budgets : RetryBudgets
+        Grant the retries that a move takes.
     on_refused : callable
         Called with a request, an upstream that did not take it, and its failure.
     nursery : trio.Nursery
@@ -68,8 +67,7 @@
         "_gate",
         "_monitor",
         "_transmitter",
-        "_has_retry",
-        "_may_send_again",
+        "_budgets",
         "_on_refused",
         "_nursery",
         "_taken",
@@ -82,8 +80,7 @@
         gate: SendGate,
         monitor: UpstreamMonitor,
         transmitter: Transmitter,
-        has_retry: Callable[[str], bool],
-        may_send_again: Callable[[str], bool],
+        budgets: RetryBudgets,
         on_refused: Callable[[Exchange, Upstream, Failure], None],
         nursery: trio.Nursery,
     ) -> None:
@@ -91,8 +88,7 @@
         self._gate = gate
         self._monitor = monitor
         self._transmitter = transmitter
-        self._has_retry = has_retry
-        self._may_send_again = may_send_again
+        self._budgets = budgets
         self._on_refused = on_refused
         self._nursery = nursery
         self._taken: dict[Exchange, Assignment] = {}
@@ -119,7 +115,7 @@
             return False
         passed_over = {leaving}
         # Asked before the permit, which can't be given back.
-        while exchange.may_run_again() and self._has_retry(exchange.service.name):
+        while exchange.may_run_again() and self._budgets.may_move(exchange):
             upstream = self._choose_other(exchange, passed_over)
             if upstream is None or self._gate.check_send(exchange) is not None:
                 return False
@@ -134,7 +130,7 @@
         """Send a request to another upstream; return whether that has taken it."""
         tx: Transmission | Failure | None = None
         try:
-            if self._may_send_again(exchange.service.name):
+            if self._budgets.try_move(exchange):
                 self._monitor.record_send(upstream, exchange.service)
                 tx = await self._transmitter.offer(exchange, upstream)
         finally:
--- a/marigoldtrail/relay/retry_budgets.py
+++ b/marigoldtrail/relay/retry_budgets.py
@@ -4,6 +4,7 @@
 
 from marigoldtrail.policy.window_budget import WindowBudget
 from marigoldtrail.registry import FleetState
+from marigoldtrail.relay.exchange import Exchange
 from marigoldtrail.schema.generated.site import Bounds
 from marigoldtrail.timers import Timers
 
@@ -34,12 +35,40 @@
         """Count a request of a caller for a service."""
         self._get_budget(service).add_request(self._timers.now())
 
-    def has_retry(self, service: str) -> bool:
-        """Return whether the budget of a service would grant a retry."""
-        return self._get_budget(service).has_room(
-            self._timers.now(), entries=self._fleet_state.entry_count()
+    def may_move(self, exchange: Exchange) -> bool:
+        """
+        Return whether the budget grants that a request leaves its silent upstream for another one.
+
+        A started response needs a second retry: if the other upstream fails, it has to go back.
+        """
+        return self._get_budget(exchange.service.name).has_room(
+            self._timers.now(),
+            entries=self._fleet_state.entry_count(),
+            retries=1 + _lacks_way_back(exchange),
         )
 
+    def try_move(self, exchange: Exchange) -> bool:
+        """Take what a request needs to leave its upstream; return whether it was granted."""
+        if not self.may_move(exchange):
+            return False
+        if _lacks_way_back(exchange):
+            self.try_take(exchange.service.name)
+            exchange.retry_held_at = self._timers.now()
+        return self.try_take(exchange.service.name)
+
+    def try_send_again(self, exchange: Exchange) -> bool:
+        """Use the retry that a request holds, or take one; return whether there was one."""
+        if exchange.retry_held_at is not None:
+            exchange.retry_held_at = None
+            return True
+        return self.try_take(exchange.service.name)
+
+    def release(self, exchange: Exchange) -> None:
+        """Give the retry back that a request still holds, if any."""
+        if exchange.retry_held_at is not None:
+            self._get_budget(exchange.service.name).give_back(exchange.retry_held_at)
+            exchange.retry_held_at = None
+
     def try_take(self, service: str) -> bool:
         """Take a retry of a service from the budget; return whether it was granted."""
         return self._get_budget(service).try_take(
@@ -55,3 +84,8 @@
                 window_s=self._bounds.budget_window_s,
             )
         return budget
+
+
+def _lacks_way_back(exchange: Exchange) -> bool:
+    """Return whether a request could not go back to its upstream without breaking its response."""
+    return exchange.conn.has_started and exchange.retry_held_at is None
