Soak: let each reload change bounds too, not the seeds alone

A reload applies seeds and bounds, and the soak changed the order of the seeds only. The budget of repeats, the rate of cold upstreams and the life of directory answers now alternate at each start and reload of a host. The test fails without the change: the bounds are equal.

--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -36,6 +36,17 @@
 SECOND_SIGNAL_S = 0.4
 # Longer than a host needs to finish its requests; it is killed after that, as on the platform.
 GRACE_S = 8.0
+# Bounds in the settings of a host, in turn at each start and reload.
+BOUNDS = (
+    {"grace_s": GRACE_S},
+    {
+        "grace_s": GRACE_S,
+        "retry_budget_slack": 30.0,
+        "budget_window_s": 5.0,
+        "cold_over": 1.2,
+        "ttl_max_s": 2.0,
+    },
+)
 TORN_WRITE_BYTES = b"\x07torn write\xff" * 3
 SEGMENTS = "*.log"
 
@@ -79,6 +90,7 @@
         "_proxy",
         "_processes",
         "_seeds",
+        "_writes",
         "_disk_faults",
         "_has_small_files",
         "_limits_mb",
@@ -102,6 +114,7 @@
         self._proxy = proxy
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._seeds = list(CONTROL)
+        self._writes: Counter[str] = Counter()
         self._disk_faults: dict[str, Counter[str]] = {name: Counter() for name in CONTROL}
         self.starts: Counter[str] = Counter()
         self.unexpected_exits: list[str] = []
@@ -149,10 +162,11 @@
             self.start_host(name, is_first=True)
 
     def write_settings(self, name: str, *, is_first: bool = False) -> Path:
-        """Write the settings of a host, rotating the order of the seeds each time."""
+        """Write the settings of a host, with other seeds first and other bounds each time."""
         role = find_role(name)
         is_control = role == "control"
         self._seeds.append(self._seeds.pop(0))
+        self._writes[name] += 1
         value = {
             "host": name,
             "role": role,
@@ -171,7 +185,7 @@
             "data_folder": str(self._data_folder(name)),
             "memory_mb": self._limits_mb[role],
             "upstream_list": {"address": str(self._list_address)},
-            "bounds": {"grace_s": GRACE_S},
+            "bounds": BOUNDS[self._writes[name] % len(BOUNDS)],
         }
         path = self._folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(value))
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -480,6 +480,17 @@
         assert len(ledger.violations) == count
 
 
+def test_each_reload_changes_seeds_and_bounds(tmp_path):
+    """Guards against reloads of settings that are as they were."""
+    fleet = Fleet(
+        network="127.90", folder=tmp_path, list_address=Address("127.90.0.1", 1), proxy=None
+    )
+    written = [msgspec.json.decode(fleet.write_settings("entry-1").read_bytes()) for _ in range(3)]
+    for one, other in zip(written, written[1:], strict=False):
+        assert one["seeds"] != other["seeds"]
+        assert one["bounds"] != other["bounds"]
+
+
 def test_short_seeds_play_what_follows_the_faults():
     """Guards against short seeds that leave out the planned stops or the full disks."""
     assert [bool(draw_stops(seed, CONTROL, ENTRIES)) for seed in SEEDS] == [True, False]
