Count held retries in the window in which they are used, and only for the way back

A retry that a stream held for its way back was dated at the move: once that part of the window was over, the way back was not counted, and a service could get more repeats than its budget grants. It was also used up by any other upstream that the stream tried before it went back, so that the stream broke off although its first upstream had gone on.

A held retry counts in each window until it is used or given back. Other upstreams are tried only if the budget grants them a retry of their own.

Found by review.

--- a/marigoldtrail/policy/window_budget.py
+++ b/marigoldtrail/policy/window_budget.py
@@ -35,12 +35,14 @@
     True
     """
 
-    __slots__ = ("_ratio", "_slack", "_window_s", "_bins")
+    __slots__ = ("_ratio", "_slack", "_window_s", "_bins", "_held")
 
     def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
+        # Retries that are kept for later.
+        self._held = 0
         # Start time, requests and retries of each bin of the window.
         self._bins: deque[list[float]] = deque()
 
@@ -76,12 +78,18 @@
         self._current_bin(now)[2] += 1
         return True
 
-    def give_back(self, taken_at: float) -> None:
-        """Return an unused retry that was taken at a monotonic time in seconds."""
-        for item in reversed(self._bins):
-            if item[0] <= taken_at:
-                item[2] = max(0.0, item[2] - 1)
-                return
+    def hold(self) -> None:
+        """Keep one retry for later; it counts in each window until it is used or given back."""
+        self._held += 1
+
+    def give_back(self) -> None:
+        """Give a held retry back."""
+        self._held -= 1
+
+    def use_held(self, now: float) -> None:
+        """Count a held retry as taken at a monotonic time in seconds."""
+        self._held -= 1
+        self._current_bin(now)[2] += 1
 
     def has_room(self, now: float, *, entries: int, retries: int = 1) -> bool:
         """Return whether `try_take` with the same arguments would grant a number of retries."""
@@ -89,4 +97,4 @@
         requests = sum(item[1] for item in self._bins)
         taken = sum(item[2] for item in self._bins)
         limit = SAFETY_FACTOR * (self._ratio * requests + self._slack / max(1, entries))
-        return taken + retries <= limit
+        return taken + self._held + retries <= limit
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -355,7 +355,8 @@
     async def _choose_upstream(self, exchange: Exchange) -> tuple[Upstream | None, Place | None]:
         """Return the next upstream, if any, and the place of the request there, if granted."""
         upstream, max_wait_s = None, 0.0
-        if not exchange.may_have_run or exchange.may_run_again():
+        may_try_others = self._budgets.may_try_others(exchange)
+        if may_try_others and (not exchange.may_have_run or exchange.may_run_again()):
             upstream = self._chooser.choose(exchange)
             if upstream is None:
                 # Those that limit their requests may take this one a little later.
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -98,8 +98,8 @@
         sent something.
     has_trial_grant : bool
         Whether the next send is a trial of a quarantined prompt.
-    retry_held_at : float or None
-        Monotonic time in seconds at which a retry was taken for the way back to a silent upstream.
+    holds_retry : bool
+        Whether it holds a retry for the way back to a silent upstream.
     held : HeldResponses
         Complete responses that wait to be sent.
     owed : OwedResponse
@@ -137,7 +137,7 @@
         "source",
         "relisted_at",
         "has_trial_grant",
-        "retry_held_at",
+        "holds_retry",
         "held",
         "owed",
     )
@@ -185,7 +185,7 @@
         self.source: Upstream | None = None
         self.relisted_at: float | None = None
         self.has_trial_grant = False
-        self.retry_held_at: float | None = None
+        self.holds_retry = False
         self.held = HeldResponses()
         self.owed = OwedResponse(conn=conn)
         self.scope = trio.CancelScope(deadline=self.start_deadline)
--- a/marigoldtrail/relay/retry_budgets.py
+++ b/marigoldtrail/relay/retry_budgets.py
@@ -52,22 +52,31 @@
         if not self.may_move(exchange):
             return False
         if _lacks_way_back(exchange):
-            self.try_take(exchange.service.name)
-            exchange.retry_held_at = self._timers.now()
+            self._get_budget(exchange.service.name).hold()
+            exchange.holds_retry = True
         return self.try_take(exchange.service.name)
 
+    def may_try_others(self, exchange: Exchange) -> bool:
+        """Return whether a request may go to another upstream and still has its way back."""
+        budget = self._get_budget(exchange.service.name)
+        entries = self._fleet_state.entry_count()
+        return not exchange.holds_retry or budget.has_room(self._timers.now(), entries=entries)
+
     def try_send_again(self, exchange: Exchange) -> bool:
-        """Use the retry that a request holds, or take one; return whether there was one."""
-        if exchange.retry_held_at is not None:
-            exchange.retry_held_at = None
+        """Take a retry, or use the one that a request holds; return whether there was one."""
+        if self.try_take(exchange.service.name):
             return True
-        return self.try_take(exchange.service.name)
+        if not exchange.holds_retry:
+            return False
+        exchange.holds_retry = False
+        self._get_budget(exchange.service.name).use_held(self._timers.now())
+        return True
 
     def release(self, exchange: Exchange) -> None:
         """Give the retry back that a request still holds, if any."""
-        if exchange.retry_held_at is not None:
-            self._get_budget(exchange.service.name).give_back(exchange.retry_held_at)
-            exchange.retry_held_at = None
+        if exchange.holds_retry:
+            self._get_budget(exchange.service.name).give_back()
+            exchange.holds_retry = False
 
     def try_take(self, service: str) -> bool:
         """Take a retry of a service from the budget; return whether it was granted."""
@@ -88,4 +97,4 @@
 
 def _lacks_way_back(exchange: Exchange) -> bool:
     """Return whether a request could not go back to its upstream without breaking its response."""
-    return exchange.conn.has_started and exchange.retry_held_at is None
+    return exchange.conn.has_started and not exchange.holds_retry
