Do not blame a request for one cut of several calls with its pieces

A sound request whose pieces were in three calls was refused, and held off by the fleet, if one cut between the scheduler and its upstreams reset all of them: each counted as a crash. Three resets by a single upstream failed it too.

Calls that had begun before the last crash count with it, pieces of a request that runs apart take one call at a time, and a request fails once it has crashed three different upstreams.

--- a/marigoldtrail/pieces/crashes.py
+++ b/marigoldtrail/pieces/crashes.py
@@ -45,12 +45,11 @@
         """
         for job in jobs:
             part = job.crash_part
-            if not part:
+            if not part or not job.record_crash(upstream):
                 continue
             self._prompts.record_crash(upstream, part, frozenset((part,)))
             self._parts.pop(part, None)
             self._parts[part] = None
-            job.record_crash()
         while len(self._parts) > MAX_CRASHED_PARTS:
             del self._parts[next(iter(self._parts))]
 
--- a/marigoldtrail/pieces/job.py
+++ b/marigoldtrail/pieces/job.py
@@ -52,12 +52,12 @@
         Part of the request to which crashes of upstreams by its pieces are put down; empty if they
         can't be.
     max_crashes : int
-        Number of calls with its pieces that may crash an upstream until it fails.
+        Number of upstreams that may crash under calls with its pieces until it fails.
 
     Attributes
     ----------
-    crashes : int
-        Number of calls with its pieces under which an upstream crashed.
+    open_calls, calls_begun : int
+        Number of calls in progress that contain its pieces, and of all that did.
     is_apart : bool
         Whether its pieces take calls of their own: another crash then shows who is at fault.
     """
@@ -83,7 +83,10 @@
         "queued_at",
         "crash_part",
         "max_crashes",
-        "crashes",
+        "open_calls",
+        "calls_begun",
+        "_crashed_upstreams",
+        "_calls_at_crash",
         "is_apart",
         "waiting",
     )
@@ -123,7 +126,10 @@
         self.queued_at = queued_at
         self.crash_part = crash_part
         self.max_crashes = max_crashes
-        self.crashes = 0
+        self.open_calls = 0
+        self.calls_begun = 0
+        self._crashed_upstreams: set[str] = set()
+        self._calls_at_crash = 0
         self.is_apart = False
         self.handles: list[str] = [""] * count
         self.is_started = False
@@ -188,12 +194,28 @@
         """Whether it runs although its request is quarantined, so that no crash may follow."""
         return self.max_crashes < MAX_CRASHES
 
-    def record_crash(self) -> None:
-        """Record a call with its pieces under which an upstream crashed."""
+    def record_crash(self, upstream: str) -> bool:
+        """
+        Record an upstream that crashed under a call with pieces of the job.
+
+        Parameters
+        ----------
+        upstream : str
+            The upstream.
+
+        Returns
+        -------
+        bool
+            False if the call had begun before the last crash: one cut may end several calls.
+        """
         self.is_apart = True
-        self.crashes += 1
-        if self.crashes >= self.max_crashes:
+        if self._calls_at_crash == self.calls_begun:
+            return False
+        self._calls_at_crash = self.calls_begun
+        self._crashed_upstreams.add(upstream)
+        if len(self._crashed_upstreams) >= self.max_crashes:
             self.fail(CRASHES_UPSTREAMS)
+        return True
 
     def fail(self, reason: str) -> None:
         """End the job with an error unless it has ended."""
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -319,6 +319,8 @@
             _log.exception("unexpected error in a call to upstream %s", worker.upstream.name)
         finally:
             del self._in_progress[worker]
+            for job in {piece.job for piece in pieces}:
+                job.open_calls -= 1
         now = self._timers.now()
         if not isinstance(results, Failure) and worker.is_duplicate_answer(pieces, results):
             results = Failure(
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -279,6 +279,8 @@
             piece.calls += 1
         for job in changed:
             job.is_started = True
+            job.open_calls += 1
+            job.calls_begun += 1
             if not job.waiting:
                 del self.jobs[job]
         if changed:
@@ -298,7 +300,7 @@
         is_queue_long = waiting > self.spec.batch * len(self.workers)
         taken: list[Piece] = []
         for job in queue.jobs_for(worker.upstream.data_centre):
-            if taken and job.is_apart:
+            if job.is_apart and (taken or job.open_calls):
                 continue
             if not is_queue_long and not self._may_take(job, worker, now):
                 continue
--- a/marigoldtrail/pieces/tests/test_runner.py
+++ b/marigoldtrail/pieces/tests/test_runner.py
@@ -54,6 +54,8 @@
         self.calls = []
         self.freed = []
         self.free_s = 0.0
+        # Seconds until a scripted answer.
+        self.answer_s = 0.0
         timers = Timers(seed=1)
         fleet_state = FleetState(parse_document=lambda data: "", timers=timers)
         self.prompts = fleet_state.prompts
@@ -80,6 +82,7 @@
         self.calls.append((upstream.name, len(pieces)))
         if self.answers:
             answer = self.answers.pop(0)
+            await trio.sleep(self.answer_s)
             return answer(pieces) if callable(answer) else answer
         await trio.sleep(WORK_S)
         return self.results(pieces)
