--- a/marigoldtrail/pieces/tests/test_crashes.py
+++ b/marigoldtrail/pieces/tests/test_crashes.py
@@ -88,11 +88,12 @@
 async def test_pieces_of_a_request_that_runs_apart_take_one_call_at_a_time(autojump_clock, nursery):
     """Guards against a request that crashes all upstreams of a stage at the same time."""
     upstreams = Upstreams(nursery, count=4)
-    upstreams.answers, upstreams.answer_s = [CRASH] * 8, 0.05
+    upstreams.answers, upstreams.answer_s = [CRASH] * 12, 0.05
     job = await upstreams.work("one", count=12, crash_part="s:0:one")
     assert job.failure == CRASHES_UPSTREAMS
     # Three calls at once, before anything was known, then one after the other.
-    assert len(upstreams.calls) == 3 + MAX_CRASHES - 1
+    assert upstreams.in_progress[:3] == [0, 1, 2] and not any(upstreams.in_progress[3:])
+    assert len(upstreams.in_progress) >= 3 + MAX_CRASHES - 1
 
 
 async def test_failures_other_than_crashes_blame_no_request(autojump_clock, nursery):
--- a/marigoldtrail/pieces/tests/test_runner.py
+++ b/marigoldtrail/pieces/tests/test_runner.py
@@ -56,6 +56,9 @@
         self.free_s = 0.0
         # Seconds until a scripted answer.
         self.answer_s = 0.0
+        # Number of scripted answers on their way at the start of each call with such an answer.
+        self.in_progress = []
+        self._answering = 0
         timers = Timers(seed=1)
         fleet_state = FleetState(parse_document=lambda data: "", timers=timers)
         self.prompts = fleet_state.prompts
@@ -82,7 +85,10 @@
         self.calls.append((upstream.name, len(pieces)))
         if self.answers:
             answer = self.answers.pop(0)
+            self.in_progress.append(self._answering)
+            self._answering += 1
             await trio.sleep(self.answer_s)
+            self._answering -= 1
             return answer(pieces) if callable(answer) else answer
         await trio.sleep(WORK_S)
         return self.results(pieces)
