--- a/marigoldtrail/platform/tests/silence_matrix.py
+++ b/marigoldtrail/platform/tests/silence_matrix.py
@@ -358,6 +358,8 @@
         # Status and body, or why there is no complete response.
         self.result = "not sent"
         self.took_s = 0.0
+        # Time of the last byte of the request, relative to the silence.
+        self.sent_s = spec.body_s
 
     async def run(self):
         address = Address.parse(f"{self.site.entries[self.entry]}:8625")
@@ -405,6 +407,7 @@
                 rest = BODY
             await trio.sleep_until(self.start + spec.body_s)
             await stream.send_all(conn.send(h11.Data(data=rest)) + conn.send(h11.EndOfMessage()))
+        self.sent_s = trio.current_time() - self.start
         return await _read_response(stream, conn)
 
 
@@ -434,7 +437,7 @@
     if not isinstance(result, tuple):
         return result
     status, body = result
-    is_after_change = caller.spec.body_s >= lag_s
+    is_after_change = caller.sent_s >= lag_s
     if status == 200:
         return _find_body_fault(caller, body)
     if status in REFUSALS:
