--- a/marigoldtrail/relay/tests/test_moved_streams.py
+++ b/marigoldtrail/relay/tests/test_moved_streams.py
@@ -10,6 +10,7 @@
     PausingUpstream,
     fall_silent_too,
     fetch_moved_stream,
+    refuse_late,
 )
 from marigoldtrail.relay.tests.test_prompts import BAD, make_prompt_request
 from marigoldtrail.relay.tests.test_relay import EVENTS, STREAM_HEAD, chunk
@@ -91,3 +92,21 @@
     nursery.start_soon(add_late)
     data = await harness.fetch(make_request(headers=("X-Pieces: 1",)))
     assert is_whole(data), (data, schedulers.calls)
+
+
+async def test_stream_goes_back_though_its_prompt_is_quarantined(autojump_clock, nursery):
+    """Guards against a started stream that is ended for a quarantine after it has moved."""
+    harness = RelayHarness(
+        nursery, RouteKind.STREAMING, is_resumable=True, max_attempts=2, max_gap_s=0.2
+    )
+    started = trio.current_time()
+    await harness.start(PausingUpstream().serve)
+
+    async def disturb():
+        await trio.sleep(0.05)
+        await harness.add_upstream(1, refuse_late)
+        await trio.sleep_until(started + 1.05)
+        harness.fleet_state.prompts.apply([], [BAD])
+
+    nursery.start_soon(disturb)
+    assert is_whole(await harness.fetch(make_prompt_request("start:5,bad:7,own:3")))
