--- a/marigoldtrail/memory/budget.py
+++ b/marigoldtrail/memory/budget.py
@@ -316,10 +316,6 @@
         self._progress_at = self._timers.now()
         return self._progress_at
 
-    def has_room(self, count: int) -> bool:
-        """Return whether a number of bytes is free."""
-        return self.used_bytes + count <= self.total_bytes
-
     def may_take(self, account: MemoryAccount, count: int) -> bool:
         """Return whether an account may take bytes without waiting."""
         return self._has_share(account, count, self.used_bytes)
--- a/marigoldtrail/relay/tests/test_dispatch.py
+++ b/marigoldtrail/relay/tests/test_dispatch.py
@@ -35,6 +35,18 @@
         self.calls.append(("end", *sorted(stage_run.schedulers_used)))
 
 
+def make_staged_harness(nursery, **route):
+    """Return a relay whose route is a resumable stream with one stage."""
+    return RelayHarness(
+        nursery,
+        RouteKind.STREAMING,
+        is_resumable=True,
+        max_gap_s=0.2,
+        stages=(StageSpec(service="p", result_bytes=1),),
+        **route,
+    )
+
+
 async def test_schedulers_are_notified_after_the_last_run_only(autojump_clock, nursery):
     """Guards against a second run of the stages that is dropped by the end of the first run."""
     harness = RelayHarness(
@@ -84,14 +96,7 @@
     autojump_clock, nursery
 ):
     """Guards against a stream that leaves for an upstream without the freed results it needs."""
-    harness = RelayHarness(
-        nursery,
-        RouteKind.STREAMING,
-        is_resumable=True,
-        max_attempts=3,
-        max_gap_s=0.2,
-        stages=(StageSpec(service="p", result_bytes=1),),
-    )
+    harness = make_staged_harness(nursery, max_attempts=3)
     schedulers = harness.dispatcher._pieces = FailingSchedulers()
     silent_until = trio.current_time() + 1.2
 
@@ -124,14 +129,7 @@
     autojump_clock, nursery
 ):
     """Guards against a stream that ends with its engine since its results were freed."""
-    harness = RelayHarness(
-        nursery,
-        RouteKind.STREAMING,
-        is_resumable=True,
-        max_attempts=3,
-        max_gap_s=0.2,
-        stages=(StageSpec(service="p", result_bytes=1),),
-    )
+    harness = make_staged_harness(nursery, max_attempts=3)
     schedulers = harness.dispatcher._pieces = Schedulers()
 
     async def break_off(stream):
--- a/marigoldtrail/relay/tests/test_moved_streams.py
+++ b/marigoldtrail/relay/tests/test_moved_streams.py
@@ -4,7 +4,7 @@
 import trio
 
 from marigoldtrail.relay.tests.helpers import RelayHarness, make_request, read_request
-from marigoldtrail.relay.tests.test_dispatch import GONE, Schedulers
+from marigoldtrail.relay.tests.test_dispatch import GONE, Schedulers, make_staged_harness
 from marigoldtrail.relay.tests.test_left_upstreams import (
     FAULTS,
     PausingUpstream,
@@ -15,14 +15,11 @@
 from marigoldtrail.relay.tests.test_prompts import BAD, make_prompt_request
 from marigoldtrail.relay.tests.test_relay import EVENTS, STREAM_HEAD, chunk
 from marigoldtrail.relay.tests.test_silent_upstreams import is_whole
-from marigoldtrail.routing import RouteKind, StageSpec
+from marigoldtrail.routing import RouteKind
 
 
-@pytest.mark.parametrize("quarantined_at", [0.5, 0.85, 0.95, 1.1])
-async def test_stream_that_moves_is_not_broken_off_by_a_quarantine(
-    autojump_clock, nursery, quarantined_at
-):
-    """Guards against a started stream that is ended though an upstream has it."""
+async def fetch_beside_quarantine(nursery, other, quarantined_at):
+    """Return the stream of a silent upstream that moves to another one, beside a quarantine."""
     harness = RelayHarness(
         nursery, RouteKind.STREAMING, is_resumable=True, max_attempts=2, max_gap_s=0.2
     )
@@ -31,12 +28,21 @@
 
     async def disturb():
         await trio.sleep(0.05)
-        await harness.add_upstream(1, fall_silent_too)
+        await harness.add_upstream(1, other)
         await trio.sleep_until(started + quarantined_at)
         harness.fleet_state.prompts.apply([], [BAD])
 
     nursery.start_soon(disturb)
-    assert is_whole(await harness.fetch(make_prompt_request("start:5,bad:7,own:3")))
+    return await harness.fetch(make_prompt_request("start:5,bad:7,own:3"))
+
+
+@pytest.mark.parametrize("quarantined_at", [0.5, 0.85, 0.95, 1.1])
+async def test_stream_that_moves_is_not_broken_off_by_a_quarantine(
+    autojump_clock, nursery, quarantined_at
+):
+    """Guards against a started stream that is ended though an upstream has it."""
+    data = await fetch_beside_quarantine(nursery, fall_silent_too, quarantined_at)
+    assert is_whole(data)
 
 
 @pytest.mark.parametrize("fault", FAULTS.values(), ids=FAULTS)
@@ -58,14 +64,7 @@
 
 async def test_staged_stream_goes_back_after_its_stages_have_run_again(autojump_clock, nursery):
     """Guards against an upstream that counts as failed since the inputs of the request are gone."""
-    harness = RelayHarness(
-        nursery,
-        RouteKind.STREAMING,
-        is_resumable=True,
-        max_attempts=4,
-        max_gap_s=0.2,
-        stages=(StageSpec(service="p", result_bytes=1),),
-    )
+    harness = make_staged_harness(nursery, max_attempts=4)
     schedulers = harness.dispatcher._pieces = Schedulers()
 
     async def serve_first(stream):
@@ -96,17 +95,4 @@
 
 async def test_stream_goes_back_though_its_prompt_is_quarantined(autojump_clock, nursery):
     """Guards against a started stream that is ended for a quarantine after it has moved."""
-    harness = RelayHarness(
-        nursery, RouteKind.STREAMING, is_resumable=True, max_attempts=2, max_gap_s=0.2
-    )
-    started = trio.current_time()
-    await harness.start(PausingUpstream().serve)
-
-    async def disturb():
-        await trio.sleep(0.05)
-        await harness.add_upstream(1, refuse_late)
-        await trio.sleep_until(started + 1.05)
-        harness.fleet_state.prompts.apply([], [BAD])
-
-    nursery.start_soon(disturb)
-    assert is_whole(await harness.fetch(make_prompt_request("start:5,bad:7,own:3")))
+    assert is_whole(await fetch_beside_quarantine(nursery, refuse_late, 1.05))
--- a/marigoldtrail/relay/tests/test_prompts.py
+++ b/marigoldtrail/relay/tests/test_prompts.py
@@ -127,15 +127,15 @@
         assert harness.monitor.get_ejected() == set()
 
 
-async def test_answer_that_is_under_way_is_not_withdrawn(autojump_clock, nursery):
-    """Guards against sound streams that are cut by a quarantine."""
+async def fetch_beside_quarantine(nursery, sent):
+    """Return a stream whose prompt is quarantined after some events; the others follow later."""
 
     async def go_on(stream):
         await trio.sleep(1)
-        await stream.send_all(chunk(EVENTS[2]) + b"0\r\n\r\n")
+        await stream.send_all(b"".join(map(chunk, EVENTS[sent:])) + b"0\r\n\r\n")
 
     harness = RelayHarness(nursery, RouteKind.STREAMING)
-    await harness.start(send_events(2, then=go_on))
+    await harness.start(send_events(sent, then=go_on))
     replies = []
 
     async def fetch():
@@ -145,30 +145,21 @@
         callers.start_soon(fetch)
         await trio.sleep(0.5)
         harness.fleet_state.prompts.apply([], [BAD])
-    assert all(event in replies[0] for event in EVENTS) and replies[0].endswith(b"0\r\n\r\n")
+    return replies[0]
+
+
+async def test_answer_that_is_under_way_is_not_withdrawn(autojump_clock, nursery):
+    """Guards against sound streams that are cut by a quarantine."""
+    data = await fetch_beside_quarantine(nursery, 2)
+    assert all(event in data for event in EVENTS) and data.endswith(b"0\r\n\r\n")
 
 
 async def test_stream_with_its_first_event_sent_is_not_broken_off_by_a_quarantine(
     autojump_clock, nursery
 ):
     """Guards against a sound stream that is cut because another request crashed an upstream."""
-
-    async def go_on(stream):
-        await trio.sleep(1)
-        await stream.send_all(chunk(EVENTS[1]) + chunk(EVENTS[2]) + b"0\r\n\r\n")
-
-    harness = RelayHarness(nursery, RouteKind.STREAMING)
-    await harness.start(send_events(1, then=go_on))
-    replies = []
-
-    async def fetch():
-        replies.append(await harness.fetch(make_prompt_request("start:5,bad:7,own:3")))
-
-    async with trio.open_nursery() as callers:
-        callers.start_soon(fetch)
-        await trio.sleep(0.5)
-        harness.fleet_state.prompts.apply([], [BAD])
-    assert all(event in replies[0] for event in EVENTS) and replies[0].endswith(b"0\r\n\r\n")
+    data = await fetch_beside_quarantine(nursery, 1)
+    assert all(event in data for event in EVENTS) and data.endswith(b"0\r\n\r\n")
 
 
 async def test_trial_is_sent_once(autojump_clock, nursery):
