--- a/marigoldtrail/memory/budget.py
+++ b/marigoldtrail/memory/budget.py
@@ -28,7 +28,7 @@
 # Complete messages give their memory back within this time, so that others only wait for it.
 PATIENCE_S = 0.25
 # A complete message that is being sent is given up only if nothing of it is sent for so long. Sound
-# peers and links are silent for up to 2.5 s; connections without acknowledgements end after 3 s.
+# peers and links are silent for up to 2.5 s.
 MAX_SEND_PAUSE_S = 3.0
 # A message that was given up gives its bytes back within this multiple of the time.
 LEAVING_MULTIPLE = 6
