Use the shared report without a wait at the stop of an entry

HostComponents.send_report stood again as a function in EntryHost.drain. The fake components of test_stop have it in place of the reporter's call.

--- a/marigoldtrail/relay/tests/test_stop.py
+++ b/marigoldtrail/relay/tests/test_stop.py
@@ -59,7 +59,8 @@
     components = SimpleNamespace(
         timers=SimpleNamespace(now=trio.current_time, sleep=sleep),
         cfg=SimpleNamespace(bounds=SimpleNamespace(grace_s=GRACE_S)),
-        reporter=SimpleNamespace(identity=SimpleNamespace(), report_once=report),
+        reporter=SimpleNamespace(identity=SimpleNamespace()),
+        send_report=report,
         endpoint_stop=EndpointStop(),
         close_endpoints=close_nothing,
     )
--- a/marigoldtrail/site/entry_host.py
+++ b/marigoldtrail/site/entry_host.py
@@ -223,11 +223,7 @@
         self.relay.start_draining(latest_end)
         components.endpoint_stop.start()
         components.reporter.identity.ready = False
-
-        async def report() -> None:
-            await components.reporter.report_once(wait_s=0.0)
-
-        components.nursery.start_soon(run_guarded, report)
+        components.nursery.start_soon(run_guarded, components.send_report)
         await components.timers.sleep(ADDRESS_EXPIRY_S)
         # Callers with an old address are refused from here on and turn to other entries; the drain
         # would have no end while they still came.
