Ask the exchange whether it has pieces and may run elsewhere

The condition under which another entry may serve a request stood in _serve_elsewhere and again, negated, in _is_for_another_entry; whether a request has pieces was computed by the dispatcher and, by building all parts of its stages, for the message to the scheduler.

--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -249,8 +249,7 @@
 
     async def _run_stages(self, exchange: Exchange) -> Failure | None:
         """Request the stages, and the choice of an engine, from the fleet's scheduler."""
-        has_pieces = bool(exchange.route.stages) and any(exchange.info.piece_counts)
-        if not has_pieces and exchange.service.engine is None:
+        if not exchange.has_pieces and exchange.service.engine is None:
             return None
         stage_run = StageRun(
             request=make_stage_request(
@@ -267,7 +266,7 @@
             # could mistake it for the end of the new run.
             stage_run.schedulers_used |= exchange.stage_run.schedulers_used
         exchange.stage_run, exchange.are_inputs_freed = stage_run, False
-        if has_pieces:
+        if exchange.has_pieces:
             failure = await self._pieces.run(exchange.stage_run)
             exchange.stages_done_at = self._timers.now()
             return failure
@@ -345,12 +344,7 @@
         """
         if not self._reachability.is_cut_off:
             return False
-        may_leave = not (
-            exchange.conn.has_started
-            or exchange.info.is_forwarded
-            or (exchange.may_have_run and not exchange.may_run_again())
-        )
-        return may_leave or not exchange.left
+        return exchange.may_run_elsewhere() or not exchange.left
 
     async def _choose_upstream(self, exchange: Exchange) -> tuple[Upstream | None, Place | None]:
         """Return the next upstream, if any, and the place of the request there, if granted."""
@@ -429,12 +423,8 @@
         self, exchange: Exchange
     ) -> CompleteResponse | StreamForwarded | Failure:
         """Forward a request to another entry, unless it was forwarded or may not run again."""
-        is_new = not exchange.may_have_run
-        if (
-            exchange.info.is_forwarded
-            or exchange.conn.has_started
-            or not (is_new or exchange.may_run_again())
-            or not (is_new or self._budgets.try_take(exchange.service.name))
+        if not exchange.may_run_elsewhere() or (
+            exchange.may_have_run and not self._budgets.try_take(exchange.service.name)
         ):
             return make_unforwarded_failure(exchange)
         result = await self._forwarder.forward(exchange)
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -323,6 +323,11 @@
             self._parts = list_parts(self.info.prefix, self.fingerprint)
         return self._parts
 
+    @property
+    def has_pieces(self) -> bool:
+        """Whether a stage of its route has work to do for it."""
+        return bool(self.route.stages) and any(self.info.piece_counts)
+
     @property
     def stage_parts(self) -> frozenset[str]:
         """What may be at fault when upstreams of its stages crash: one part for each stage."""
@@ -359,3 +364,9 @@
     def may_run_again(self) -> bool:
         """Return whether another upstream may run the request although one may have run it."""
         return self.route.is_idempotent and self.runs < self.route.max_attempts
+
+    def may_run_elsewhere(self) -> bool:
+        """Return whether another entry may serve the request from its start."""
+        if self.info.is_forwarded or self.conn.has_started:
+            return False
+        return not self.may_have_run or self.may_run_again()
--- a/marigoldtrail/relay/stage_request.py
+++ b/marigoldtrail/relay/stage_request.py
@@ -53,6 +53,6 @@
         suspects=sorted(suspects),
         data_centre=data_centre,
         keeps_results=exchange.may_run_again(),
-        fingerprint=exchange.fingerprint if exchange.stage_parts else "",
+        fingerprint=exchange.fingerprint if exchange.has_pieces else "",
         is_trial=exchange.has_trial_grant,
     )
