--- a/marigoldtrail/registry/fleet_state.py
+++ b/marigoldtrail/registry/fleet_state.py
@@ -379,8 +379,9 @@
             self.brittle.merge(reply.brittle, self._timers.now())
 
     def _has_newer_routes(self, reply: HostReportReply) -> bool:
-        if not reply.routes or reply.term < self.term:
-            return False
+        return bool(reply.routes) and reply.term >= self.term and self._is_newer(reply)
+
+    def _is_newer(self, reply: HostReportReply) -> bool:
         return self.routes is None or reply.routes_version > self.routes.table.version
 
     def _apply_routes(self, reply: HostReportReply) -> None:
@@ -400,10 +401,9 @@
             )
             return
         # Another reply may have been applied while this one was decoded.
-        if self.routes is not None and reply.routes_version <= self.routes.table.version:
-            return
-        self.routes = index
-        _log.info("configuration in force", extra={"version": index.table.version})
+        if self._is_newer(reply):
+            self.routes = index
+            _log.info("configuration in force", extra={"version": index.table.version})
 
     def _apply_upstreams(self, reply: HostReportReply) -> None:
         if reply.upstreams is not None:
--- a/marigoldtrail/relay/retry_budgets.py
+++ b/marigoldtrail/relay/retry_budgets.py
@@ -41,11 +41,7 @@
 
         A started response needs a second retry: if the other upstream fails, it has to go back.
         """
-        return self._get_budget(exchange.service.name).has_room(
-            self._timers.now(),
-            entries=self._fleet_state.entry_count(),
-            retries=1 + _lacks_way_back(exchange),
-        )
+        return self._has_room(exchange, retries=1 + _lacks_way_back(exchange))
 
     def try_move(self, exchange: Exchange) -> bool:
         """Take what a request needs to leave its upstream; return whether it was granted."""
@@ -58,9 +54,7 @@
 
     def may_try_others(self, exchange: Exchange) -> bool:
         """Return whether a request may go to another upstream and still has its way back."""
-        budget = self._get_budget(exchange.service.name)
-        entries = self._fleet_state.entry_count()
-        return not exchange.holds_retry or budget.has_room(self._timers.now(), entries=entries)
+        return not exchange.holds_retry or self._has_room(exchange)
 
     def try_send_again(self, exchange: Exchange) -> bool:
         """Take a retry, or use the one that a request holds; return whether there was one."""
@@ -84,6 +78,11 @@
             self._timers.now(), entries=self._fleet_state.entry_count()
         )
 
+    def _has_room(self, exchange: Exchange, *, retries: int = 1) -> bool:
+        return self._get_budget(exchange.service.name).has_room(
+            self._timers.now(), entries=self._fleet_state.entry_count(), retries=retries
+        )
+
     def _get_budget(self, service: str) -> WindowBudget:
         budget = self._budgets.get(service)
         if budget is None:
