Tell jobs that they are trials, and count their open calls in one place

A job derived that it is a trial from its bound on crashes, while its waiter got the same as an argument. The count of its open calls was left too high if an exception was raised before the call; it is now reduced in _run_call, whatever happens there.

--- a/marigoldtrail/pieces/job.py
+++ b/marigoldtrail/pieces/job.py
@@ -10,6 +10,8 @@
 # A request under whose pieces so many upstreams crashed gets no further call for itself: when it
 # comes again, all hosts hold it off.
 MAX_CRASHES = 3
+# A trial of a quarantined request ends with the first crash.
+MAX_TRIAL_CRASHES = 1
 # Failure of a job whose pieces have crashed upstreams.
 CRASHES_UPSTREAMS = "the request has crashed upstreams"
 
@@ -51,8 +53,8 @@
     crash_part : str
         Part of the request to which crashes of upstreams by its pieces are put down; empty if they
         can't be.
-    max_crashes : int
-        Number of upstreams that may crash under calls with its pieces until it fails.
+    is_trial : bool
+        Whether it runs although its request is quarantined.
 
     Attributes
     ----------
@@ -82,7 +84,7 @@
         "done",
         "queued_at",
         "crash_part",
-        "max_crashes",
+        "is_trial",
         "open_calls",
         "calls_begun",
         "_crashed_upstreams",
@@ -109,7 +111,7 @@
         moved_bytes: int,
         queued_at: float,
         crash_part: str = "",
-        max_crashes: int = MAX_CRASHES,
+        is_trial: bool = False,
     ) -> None:
         self.request_id = request_id
         self.stage = stage
@@ -125,7 +127,7 @@
         self.moved_bytes = moved_bytes
         self.queued_at = queued_at
         self.crash_part = crash_part
-        self.max_crashes = max_crashes
+        self.is_trial = is_trial
         self.open_calls = 0
         self.calls_begun = 0
         self._crashed_upstreams: set[str] = set()
@@ -189,11 +191,6 @@
             self.done.set()
         return True
 
-    @property
-    def is_trial(self) -> bool:
-        """Whether it runs although its request is quarantined, so that no crash may follow."""
-        return self.max_crashes < MAX_CRASHES
-
     def record_crash(self, upstream: str) -> bool:
         """
         Record an upstream that crashed under a call with pieces of the job.
@@ -213,7 +210,8 @@
             return False
         self._calls_at_crash = self.calls_begun
         self._crashed_upstreams.add(upstream)
-        if len(self._crashed_upstreams) >= self.max_crashes:
+        max_crashes = MAX_TRIAL_CRASHES if self.is_trial else MAX_CRASHES
+        if len(self._crashed_upstreams) >= max_crashes:
             self.fail(CRASHES_UPSTREAMS)
         return True
 
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -288,6 +288,9 @@
                 detail=str(exc),
             )
             self._handle_failure(scheduler, worker, pieces, failure, self._timers.now())
+        finally:
+            for job in {piece.job for piece in pieces}:
+                job.open_calls -= 1
         self._wake.notify()
 
     async def _make_call(
@@ -319,8 +322,6 @@
             _log.exception("unexpected error in a call to upstream %s", worker.upstream.name)
         finally:
             del self._in_progress[worker]
-            for job in {piece.job for piece in pieces}:
-                job.open_calls -= 1
         now = self._timers.now()
         if not isinstance(results, Failure) and worker.is_duplicate_answer(pieces, results):
             results = Failure(
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -20,7 +20,7 @@
     find_critical_path_s,
 )
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
-from marigoldtrail.pieces.job import CRASHES_UPSTREAMS, MAX_CRASHES, PieceJob
+from marigoldtrail.pieces.job import CRASHES_UPSTREAMS, PieceJob
 from marigoldtrail.pieces.placer import EnginePlacer
 from marigoldtrail.pieces.runner import PieceCall, PieceRunner
 from marigoldtrail.quarantine import make_stage_part
@@ -294,7 +294,7 @@
         changed = Notifier()
 
         async def wait(job: PieceJob, number: int) -> None:
-            await self._wait_for_job(job, is_trial=admitted.request.is_trial)
+            await self._wait_for_job(job)
             finished[number] = job
             changed.notify()
 
@@ -323,14 +323,14 @@
             for job in jobs:
                 job.fail("the request has ended")
 
-    async def _wait_for_job(self, job: PieceJob, *, is_trial: bool) -> None:
+    async def _wait_for_job(self, job: PieceJob) -> None:
         """Wait until a job has ended; it fails when its request is quarantined."""
 
         def withdraw() -> None:
             job.fail(CRASHES_UPSTREAMS)
 
         prompts = self._fleet_state.prompts
-        if job.crash_part and not is_trial:
+        if job.crash_part and not job.is_trial:
             prompts.watch(frozenset((job.crash_part,)), withdraw)
         try:
             await job.done.wait()
@@ -384,7 +384,7 @@
             moved_bytes=moved_bytes,
             queued_at=now,
             crash_part=make_stage_part(request.fingerprint, number) if request.fingerprint else "",
-            max_crashes=1 if request.is_trial else MAX_CRASHES,
+            is_trial=request.is_trial,
         )
         job.is_apart = self._runner.crashes.has_crashed(job.crash_part)
         self._jobs.setdefault(request.request_id, []).append(job)
--- a/marigoldtrail/pieces/tests/test_crashes.py
+++ b/marigoldtrail/pieces/tests/test_crashes.py
@@ -53,7 +53,7 @@
     """Guards against a trial of a quarantined request that crashes several upstreams."""
     upstreams = Upstreams(nursery, count=6)
     upstreams.answers = [CRASH] * 6
-    job = await upstreams.work("one", crash_part="s:0:one", max_crashes=1)
+    job = await upstreams.work("one", crash_part="s:0:one", is_trial=True)
     assert job.failure == CRASHES_UPSTREAMS and len(upstreams.calls) == 1
 
 
@@ -65,7 +65,7 @@
     quarantine = PromptQuarantine(part=part, parts=[part], trial_after_ms=0)
     if is_told:
         upstreams.prompts.apply([], [quarantine])
-    await upstreams.work("one", crash_part=part, max_crashes=1)
+    await upstreams.work("one", crash_part=part, is_trial=True)
     upstreams.prompts.apply([], [quarantine])
     assert [answer.part for answer in upstreams.prompts.build_report().answers] == [part]
 
