Divide the graceful close into its two phases

One loop decided in each round whether it was in the phase that can't be cancelled or in the longer one, with four variables. The bounds are the same.

--- a/marigoldtrail/relay/connection_end.py
+++ b/marigoldtrail/relay/connection_end.py
@@ -61,25 +61,24 @@
     """
     dropped = 0
     began = received_at = trio.current_time()
-    shielded_until = began + GRACEFUL_CLOSE_TIMEOUT_S
-    is_open = isinstance(stream, trio.abc.HalfCloseableStream)
     try:
         if isinstance(stream, trio.abc.HalfCloseableStream):
-            with trio.CancelScope(deadline=shielded_until, shield=True):
+            with trio.CancelScope(deadline=began + GRACEFUL_CLOSE_TIMEOUT_S, shield=True):
                 await stream.send_eof()
-        while is_open:
-            now = trio.current_time()
-            ends_at = min(received_at + GRACEFUL_CLOSE_TIMEOUT_S, began + MAX_CLOSE_S)
-            is_shielded = now < shielded_until
-            if now >= ends_at or not (is_shielded or dropped < due_bytes):
-                break
-            if is_shielded:
-                ends_at = shielded_until
-            with trio.CancelScope(deadline=ends_at, shield=is_shielded):
-                data = await stream.receive_some(READ_BYTES)
-                received_at = trio.current_time()
-                is_open = bool(data)
+                while data := await stream.receive_some(READ_BYTES):
+                    dropped += len(data)
+                    received_at = trio.current_time()
+                # The peer has closed.
+                due_bytes = 0
+            while dropped < due_bytes:
+                ends_at = min(received_at + GRACEFUL_CLOSE_TIMEOUT_S, began + MAX_CLOSE_S)
+                data = b""
+                with trio.CancelScope(deadline=ends_at):
+                    data = await stream.receive_some(READ_BYTES)
+                if not data:
+                    break
                 dropped += len(data)
+                received_at = trio.current_time()
     except STREAM_ERRORS:
         pass
     finally:
