Divide the tests of the soak by what they play, and share set-ups of tests

The test that starts hosts polls by the timer service in place of time.sleep; tests of staged streams, and of answers to slow callers, share their set-up with the same assertions.

--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -3,11 +3,8 @@
 import errno
 import os
 import random
-import subprocess
-import sys
 from collections import Counter
 
-import h11
 import msgspec
 import pytest
 import trio
@@ -16,56 +13,30 @@
 from bench.soak.__main__ import read_regression_seeds
 from bench.soak.callers import Operators
 from bench.soak.crashing import MAX_ARRIVALS, WINDOW_S, count_late
-from bench.soak.end_counts import GIVEN_UP, UNANSWERED, judge_given_up, parse_counts
-from bench.soak.endless import KINDS, EndlessTime, draw_endless, judge_endless
-from bench.soak.endless_answers import ANSWERS, BLOCK_BYTES, REFUSAL, send_endless
 from bench.soak.faults import Injector
 from bench.soak.faulty_host import DISK_FAULTS, install_faults
 from bench.soak.fleet import CONTROL, ENTRIES, Fleet
 from bench.soak.full_disks import check_full_disks, draw_restarts, draw_turns
-from bench.soak.ledger import Attempt, Ledger, Run, compute_seal
+from bench.soak.ledger import Attempt, Run, compute_seal
 from bench.soak.limits import NamedLimit
-from bench.soak.memory import BYTES_PER_MB, LIMITS_MB, MemoryWatch, draw_limits, read_peak_mb
 from bench.soak.networks import claim_network
 from bench.soak.plan import draw_disk_faults, draw_signals, make_plan
-from bench.soak.planned import RELOAD, Disruption, PlannedWork, judge_planned_work
 from bench.soak.proxy import Proxy
-from bench.soak.run import ENDLESS, SILENCES, run_seed
-from bench.soak.silences import (
-    MAX_SILENCE_S,
-    MIN_SILENCE_S,
-    SECOND_GAP_S,
-    Silence,
-    SilentTime,
-    draw_reloads_within,
-    draw_silence_signals,
-    draw_silences,
-    judge_silences,
-)
+from bench.soak.run import run_seed
 from bench.soak.stops import draw_stops
 from bench.soak.takeouts import IN, OUT, TakeoutOperator, check_takeout
+from bench.tests.helpers import SECONDS, make_ledger
 from marigoldtrail.errors import Failure
 from marigoldtrail.net import Address
 from marigoldtrail.storage import open_folder
-from marigoldtrail.telemetry.prometheus import PrometheusMetrics
 from marigoldtrail.timers import Timers
 
 # The first of them plays planned stops in series after its faults, the other one full disks.
 SEEDS = (7, 1)
-SECONDS = 5.0
-# Lets all upstreams fall silent for longer than a cut is found in, beside reloads and stops.
-SILENT_SEED = 4
-SERVICES = {"desk-0": "desk", "desk-1": "desk", "llm-2": "llm"}
-# Lets one engine, then all upstreams of the plain service send without end, with 160 MB for a host.
-ENDLESS_SEED = 9
-ALL_SERVICES = {**SERVICES, "board-3": "board"}
+FULL, BROKEN = errno.ENOSPC, errno.EIO
 PLAN = {"control": ["c1", "c2"], "entries": ["e1"], "upstreams": ["u1"]}
 
 
-def make_ledger():
-    return Ledger(account="acme", key="secret")
-
-
 def make_attempt(ledger, *, may_repeat=False, status=0):
     attempt = Attempt(
         request_id="a", path="/order/a", body=b"b", may_repeat=may_repeat, entry=("e", 1)
@@ -259,9 +230,6 @@
     return errors, (folder / "file").read_bytes()
 
 
-FULL, BROKEN = errno.ENOSPC, errno.EIO
-
-
 @pytest.mark.parametrize(
     ("kind", "errors", "content"),
     [
@@ -364,13 +332,6 @@
         assert injector.counts == Counter(fault.target for fault in faults)
 
 
-@pytest.fixture
-def network():
-    """Provide loopback addresses that no other run on this machine uses."""
-    with claim_network() as claimed:
-        yield claimed
-
-
 async def test_proxy_faults_affect_connections(network):
     """Guards against proxy faults that have no effect."""
     async with trio.open_nursery() as nursery:
@@ -417,51 +378,6 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_nothing_is_lost_in_a_sound_silence(network):
-    """Guards against a silence that loses bytes or connections, or that lets them through."""
-    silence_s = 0.3
-    async with trio.open_nursery() as nursery:
-        proxy = Proxy(nursery=nursery)
-
-        async def echo(stream):
-            async for data in stream:
-                await stream.send_all(data)
-            await stream.aclose()
-
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        port = listeners[0].socket.getsockname()[1]
-        nursery.start_soon(trio.serve_listeners, echo, listeners)
-        advertised = Address(f"{network}.0.1", 7001)
-        await proxy.forward(advertised, Address("127.0.0.1", port))
-        stream = await trio.open_tcp_stream(advertised.ip, advertised.port)
-
-        async def talk():
-            await stream.send_all(b"one")
-            assert await stream.receive_some(10) == b"one"
-            return trio.current_time()
-
-        async def connect(ends):
-            other = await trio.open_tcp_stream(advertised.ip, advertised.port)
-            ends.append(trio.current_time())
-            await other.send_all(b"new")
-            assert await other.receive_some(10) == b"new"
-
-        await talk()
-        ends = []
-        proxy.begin_silence(advertised.ip)
-        async with trio.open_nursery() as waiting:
-            for _ in range(3):
-                waiting.start_soon(connect, ends)
-            waiting.start_soon(talk)
-            await trio.sleep(silence_s)
-            assert ends == []
-            proxy.end_silence(advertised.ip)
-            ended_at = trio.current_time()
-        assert len(ends) == 3 and min(ends) >= ended_at
-        assert await talk() >= ended_at
-        nursery.cancel_scope.cancel()
-
-
 async def test_requests_in_a_data_centre_that_was_taken_out_are_reported(autojump_clock):
     """Guards against a late order that undid the last one and that the check misses."""
     for last, runs, count in ((OUT, 1, 1), (OUT, 0, 0), (IN, 1, 0), ("", 1, 0)):
@@ -505,204 +421,6 @@
     assert outcome.answers.total() > 0 and outcome.injected.total() > 0
 
 
-async def test_short_seed_with_silences_loses_no_request(network, tmp_path):
-    """Guards against requests that end because their sound upstream is silent for a second."""
-    outcome = await run_seed(SILENT_SEED, SECONDS, network=network, folder=tmp_path, part=SILENCES)
-    assert outcome.violations == []
-    assert outcome.injected["sound silence of all"] > 0 and outcome.injected["reload"] > 0
-    assert outcome.answers["long_resume 200"] > 0
-
-
-def test_silences_are_drawn_of_all_scopes_and_beside_signals():
-    """Guards against seeds without a silence of a kind, of another length, or that overlap."""
-    plans = [draw_silences(seed, SERVICES) for seed in range(50)]
-    assert plans[:9] == [draw_silences(seed, SERVICES) for seed in range(9)]
-    targets = {silence.scope: set(silence.targets) for plan in plans for silence in plan}
-    assert targets.keys() == {"one", "service", "all"}
-    assert targets["all"] == set(SERVICES) and len(targets["one"]) == 1
-    for plan in plans:
-        assert all(MIN_SILENCE_S <= silence.duration_s <= MAX_SILENCE_S for silence in plan)
-        for one, other in zip(plan, plan[1:], strict=False):
-            assert one.at + one.duration_s <= other.at
-    pairs = [pair for plan in plans for pair in zip(plan, plan[1:], strict=False)]
-    assert any(
-        other.targets == one.targets
-        and other.at == pytest.approx(one.at + one.duration_s + SECOND_GAP_S)
-        for one, other in pairs
-    )
-    reloads = [draw_reloads_within(seed, plan) for seed, plan in enumerate(plans)]
-    assert {fault.target for faults in reloads for fault in faults} == {*CONTROL, *ENTRIES}
-    for plan, faults in zip(plans, reloads, strict=True):
-        for fault in faults:
-            assert any(one.at <= fault.at <= one.at + one.duration_s for one in plan)
-    signals = [fault for seed in range(50) for fault in draw_silence_signals(seed, 9.0)]
-    assert {fault.kind for fault in signals} == {"reload", "term", "term_twice"}
-    assert {fault.target for fault in signals} == {*CONTROL, *ENTRIES}
-
-
-@pytest.mark.parametrize("is_beside_reload", [False, True])
-@pytest.mark.parametrize(
-    ("fields", "fault", "count"),
-    [
-        ({"failure": "end", "status": 200}, None, 1),
-        ({"failure": "reset", "status": 200}, None, 1),
-        ({"failure": "end"}, None, 1),
-        ({"failure": "", "status": 200}, None, 0),
-        ({"failure": "", "status": 504}, None, 0),
-        ({"failure": "deadline", "status": 200}, None, 0),
-        ({"failure": "end", "status": 200, "ended_at": 15.9}, None, 0),
-        ({"failure": "end", "status": 200}, "restart", 0),
-        ({"failure": "end", "status": 200}, "limit", 1),
-    ],
-)
-def test_streams_that_end_beside_a_sound_silence_are_reported(
-    fields, fault, count, is_beside_reload
-):
-    """Guards against a silence that excuses a lost request, and against false reports."""
-    ledger = make_ledger()
-    values = {"sent_at": 10.0, "ended_at": 12.0, "deadline_s": 6.0, "is_direct": True, **fields}
-    ledger.record_attempt(
-        Attempt(
-            request_id="a",
-            path="/long_resume/a",
-            body=b"",
-            may_repeat=True,
-            entry=("e", 1),
-            **values,
-        )
-    )
-    ledger.touched["a"].add("u1")
-    silence = Silence(at=2.0, duration_s=1.2, scope="all", targets=("u1",))
-    played = SilentTime(at=9.0, until=20.0, silences=[silence])
-    disruptions = [Disruption(target="u1", kind=fault, at=8.0, until=9.0)] if fault else []
-    works = [PlannedWork(entry=("e", 1), kind=RELOAD, at=10.5)] if is_beside_reload else []
-    judge_planned_work(works, disruptions, ledger)
-    judge_silences(played, works, disruptions, ledger)
-    assert len(ledger.violations) == count
-
-
-def test_responses_that_entries_give_up_are_reported():
-    """Guards against started responses that an entry breaks off unseen beside silences."""
-    metrics = PrometheusMetrics()
-    metrics.count_unanswered("deadline")
-    counts = parse_counts(metrics.render_text().decode())
-    ledger = make_ledger()
-    judge_given_up(counts, ledger)
-    assert counts == {(UNANSWERED, "deadline"): 1} and ledger.violations == []
-    metrics.count_given_up_response("memory")
-    counts = parse_counts(metrics.render_text().decode())
-    judge_given_up(counts, ledger)
-    assert counts[GIVEN_UP, "memory"] == 1 and len(ledger.violations) == 1
-
-
-def test_process_over_its_memory_is_reported_once():
-    """Guards against a process over its limit that is missed or reported again and again."""
-    limits_mb = {"entry": 1_000_000, "control": 1}
-    ledger = make_ledger()
-    watch = MemoryWatch(ledger=ledger, limits_mb=limits_mb)
-    watch.record("entry-1", "entry", os.getpid())
-    assert ledger.violations == []
-    watch.record("control-1", "control", os.getpid())
-    watch.record("control-1", "control", os.getpid())
-    assert len(ledger.violations) == 1
-    assert watch.peaks_mb["entry"] == pytest.approx(watch.peaks_mb["control"], rel=0.1)
-
-
-def test_peak_of_memory_is_that_of_the_kernel():
-    """Guards against a peak in another unit, or that is forgotten when memory is given back."""
-    before = read_peak_mb(os.getpid())
-    # The kernel counts pages for each processor and adds them up now and then.
-    error_mb = 10
-    data = bytearray(b"x") * (300 * BYTES_PER_MB)
-    with_data = read_peak_mb(os.getpid())
-    del data
-    assert 300 <= with_data <= before + 300 + error_mb
-    assert abs(read_peak_mb(os.getpid()) - with_data) <= error_mb
-    ended = subprocess.Popen([sys.executable, "-c", ""])
-    ended.wait()
-    assert read_peak_mb(ended.pid) == 0
-
-
-def test_limits_of_memory_are_drawn_and_named_in_the_settings(tmp_path):
-    """Guards against hosts that do not know their limit, and a limit that no seed has."""
-    assert [draw_limits(seed) for seed in range(9)] == [draw_limits(seed) for seed in range(9)]
-    for limits_mb in LIMITS_MB:
-        assert limits_mb in [draw_limits(seed) for seed in range(20)]
-        fleet = Fleet(
-            network="127.0", folder=tmp_path, list_address=None, proxy=None, limits_mb=limits_mb
-        )
-        for name, role in ((CONTROL[0], "control"), (ENTRIES[0], "entry")):
-            settings = msgspec.json.decode(fleet.write_settings(name).read_bytes())
-            assert settings["memory_mb"] == limits_mb[role]
-
-
-async def test_short_seed_with_endless_answers_stays_within_memory(network, tmp_path):
-    """Guards against upstreams that send without end and take the memory or time of a host."""
-    outcome = await run_seed(ENDLESS_SEED, SECONDS, network=network, folder=tmp_path, part=ENDLESS)
-    assert outcome.violations == []
-    assert outcome.injected["endless no_length"] > 0
-
-
-def test_all_kinds_of_endless_answers_are_drawn():
-    """Guards against a kind of endless answer that no seed plays."""
-    plans = [draw_endless(seed, ALL_SERVICES) for seed in range(200)]
-    assert plans == [draw_endless(seed, ALL_SERVICES) for seed in range(200)]
-    drawn = {(played.service, played.kind) for plan in plans for played in plan}
-    assert drawn == {(service, kind) for service, kinds in KINDS.items() for kind in kinds}
-    assert {kind for kinds in KINDS.values() for kind in kinds} == set(ANSWERS)
-    assert {len(p.targets) for plan in plans for p in plan if p.service == "desk"} == {1, 2}
-
-
-@pytest.mark.parametrize("kind", ANSWERS)
-async def test_endless_answers_go_on_as_http(kind, autojump_clock):
-    """Guards against an endless answer that ends, or that is no HTTP response."""
-    sender, receiver = trio.testing.memory_stream_pair()
-    conn = h11.Connection(h11.CLIENT)
-    conn.send(h11.Request(method="GET", target="/", headers=[("host", "a")]))
-    conn.send(h11.EndOfMessage())
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(send_endless, kind, sender, {"x-request-id": "a"})
-        started = trio.current_time()
-        received = 0
-        while received < 5 * BLOCK_BYTES:
-            data = bytes(await receiver.receive_some(BLOCK_BYTES))
-            received += len(data)
-            conn.receive_data(data)
-            while not isinstance(event := conn.next_event(), type(h11.NEED_DATA)):
-                if isinstance(event, h11.Response):
-                    assert event.status_code == (503 if kind == REFUSAL else 200)
-                    assert (b"x-request-id", b"a") in event.headers
-                else:
-                    assert isinstance(event, h11.Data)
-        assert 0.1 <= trio.current_time() - started <= 0.2
-        nursery.cancel_scope.cancel()
-
-
-@pytest.mark.parametrize(
-    ("unserved", "count"), [({}, 0), ({"status": 503}, 1), ({"failure": "deadline"}, 1)]
-)
-def test_unserved_requests_beside_endless_answers_are_reported(unserved, count):
-    """Guards against a host that serves nothing else while a faulty upstream sends, unseen."""
-    ledger = make_ledger()
-    for number in range(40):
-        fields = {"status": 200, **(unserved if number < 10 else {})}
-        ledger.record_attempt(
-            Attempt(
-                request_id=f"sound0-{number}",
-                path="/plain/x",
-                body=b"",
-                may_repeat=True,
-                entry=("e", 1),
-                ended_at=1.0,
-                **fields,
-            )
-        )
-    played = EndlessTime(service="llm", kind=REFUSAL, targets=("llm-2",), entry="e")
-    judge_endless(played, "sound0", [0.0], ledger)
-    judge_endless(played, "sound1", [0.0], ledger)
-    assert len(ledger.violations) == count
-
-
 def test_concurrent_runs_have_separate_networks():
     """Guards against address conflicts between concurrent test runs on one machine."""
     with claim_network() as one, claim_network() as other:
--- a/marigoldtrail/platform/tests/test_start.py
+++ b/marigoldtrail/platform/tests/test_start.py
@@ -6,9 +6,9 @@
 import socket
 import subprocess
 import sys
-import time
 
 import pytest
+import trio
 
 from marigoldtrail.platform.tests.settings_template import (
     fill_template,
@@ -17,9 +17,11 @@
 )
 from marigoldtrail.schema import parse_site_settings
 from marigoldtrail.site.launch import EXIT_INVALID
+from marigoldtrail.timers import Timers
 
 METRICS_PORT = 9100
 START_TIMEOUT_S = 30.0
+POLL_S = 0.05
 # Each of them names this host, another one, or a place for its data.
 NEEDED = (
     "data_dir",
@@ -80,6 +82,15 @@
     assert set(NEEDED) <= set(list_placeholders())
 
 
+async def wait_for_start(process, address):
+    """Return whether a process listens at an address before it ends, or the time is up."""
+    with trio.move_on_after(START_TIMEOUT_S):
+        async for _ in Timers().subscribe("test", POLL_S):
+            if process.poll() is not None or is_listening(address):
+                break
+    return process.poll() is None and is_listening(address)
+
+
 @pytest.mark.parametrize("role", ["entry", "control"])
 def test_host_starts_with_every_optional_value_null(tmp_path, role):
     """Guards against a fleet that does not start since its deployment names no limit."""
@@ -97,10 +108,7 @@
     command = [sys.executable, "-m", "marigoldtrail.platform"]
     with subprocess.Popen(command, env=env, stderr=subprocess.PIPE) as process:
         address = fields["listen"]["front" if role == "entry" else "control"]
-        ends_at = time.monotonic() + START_TIMEOUT_S
-        while process.poll() is None and time.monotonic() < ends_at and not is_listening(address):
-            time.sleep(0.05)
-        has_started = process.poll() is None and is_listening(address)
+        has_started = trio.run(wait_for_start, process, address)
         process.kill()
         _, errors = process.communicate()
     assert has_started, errors.decode()
--- a/marigoldtrail/relay/tests/test_dispatch.py
+++ b/marigoldtrail/relay/tests/test_dispatch.py
@@ -92,6 +92,21 @@
     assert len(sends) == 2 and data.startswith(b"HTTP/1.1 502 ")
 
 
+async def fetch_from_first(harness, first, second):
+    """Return the response to a request that one upstream gets before there is another one."""
+    await harness.start(first)
+    replies = []
+
+    async def fetch():
+        replies.append(await harness.fetch(make_request(headers=("X-Pieces: 1",))))
+
+    async with trio.open_nursery() as callers:
+        callers.start_soon(fetch)
+        await trio.sleep(0.05)
+        await harness.add_upstream(1, second)
+    return replies[0]
+
+
 async def test_staged_stream_is_not_broken_off_after_a_silence_of_all_upstreams(
     autojump_clock, nursery
 ):
@@ -111,17 +126,8 @@
         await trio.sleep_until(silent_until)
         await stream.send_all(GONE)
 
-    await harness.start(pause)
-    async with trio.open_nursery() as callers:
-        replies = []
-
-        async def fetch():
-            replies.append(await harness.fetch(make_request(headers=("X-Pieces: 1",))))
-
-        callers.start_soon(fetch)
-        await trio.sleep(0.05)
-        await harness.add_upstream(1, refuse_after_the_silence)
-    assert all(event in replies[0] for event in EVENTS) and replies[0].endswith(b"0\r\n\r\n")
+    data = await fetch_from_first(harness, pause, refuse_after_the_silence)
+    assert all(event in data for event in EVENTS) and data.endswith(b"0\r\n\r\n")
     assert [call[0] for call in schedulers.calls] == ["run", "read", "end"]
 
 
@@ -142,16 +148,7 @@
             await stream.send_all(GONE)
         await stream.send_all(STREAM_HEAD + b"".join(map(chunk, EVENTS[1:])) + b"0\r\n\r\n")
 
-    await harness.start(break_off)
-    async with trio.open_nursery() as callers:
-        replies = []
-
-        async def fetch():
-            replies.append(await harness.fetch(make_request(headers=("X-Pieces: 1",))))
-
-        callers.start_soon(fetch)
-        await trio.sleep(0.05)
-        await harness.add_upstream(1, go_on_with_new_results)
-    assert [replies[0].count(event) for event in EVENTS] == [1, 1, 1]
-    assert replies[0].endswith(b"0\r\n\r\n")
+    data = await fetch_from_first(harness, break_off, go_on_with_new_results)
+    assert [data.count(event) for event in EVENTS] == [1, 1, 1]
+    assert data.endswith(b"0\r\n\r\n")
     assert [call[0] for call in schedulers.calls] == ["run", "read", "run", "end"]
--- a/marigoldtrail/relay/tests/test_endless_answers.py
+++ b/marigoldtrail/relay/tests/test_endless_answers.py
@@ -236,12 +236,9 @@
     return make_response("x" * size, status=status)
 
 
-async def test_memory_of_an_answer_is_held_until_a_slow_caller_has_it(
-    autojump_clock, nursery, monkeypatch
-):
-    """Guards against answers to slow callers that take memory which others count as free."""
+def delay_first_long_part(monkeypatch, delay_s):
+    """Delay the first long part that the entry sends; return a list that then holds its stream."""
     send_all = MemoryStream.send_all
-    delay_s = 3.0
     delayed = []
 
     async def send_slowly(self, data):
@@ -251,6 +248,15 @@
         await send_all(self, data)
 
     monkeypatch.setattr(MemoryStream, "send_all", send_slowly)
+    return delayed
+
+
+async def test_memory_of_an_answer_is_held_until_a_slow_caller_has_it(
+    autojump_clock, nursery, monkeypatch
+):
+    """Guards against answers to slow callers that take memory which others count as free."""
+    delay_s = 3.0
+    delay_first_long_part(monkeypatch, delay_s)
     harness = RelayHarness(nursery, memory_mb=8)
     await harness.start(reply_with(make_long_response()))
     stream = await harness.connect()
@@ -292,16 +298,7 @@
     autojump_clock, nursery, monkeypatch, silence_s
 ):
     """Guards against a started answer that is broken off though its caller reads on later."""
-    send_all = MemoryStream.send_all
-    delayed = []
-
-    async def send(self, data):
-        if self.local == ENTRY_ADDRESS.ip and len(data) > LONG_PART_BYTES and not delayed:
-            delayed.append(self)
-            await trio.sleep(silence_s)
-        await send_all(self, data)
-
-    monkeypatch.setattr(MemoryStream, "send_all", send)
+    delayed = delay_first_long_part(monkeypatch, silence_s)
     harness = RelayHarness(nursery, memory_mb=8)
     await harness.start(reply_with(make_long_response()))
     received = await fetch_all(harness, make_request(), 2)
