Leave what a host has loaded out of garbage collections

Cause: Python's settings collect after 700 new objects, and the older generations hold all modules and types. Change: the objects of the start are frozen, and 2,000 new objects precede a collection.

Run: platform/tests/test_start.py, site.

--- a/marigoldtrail/platform/tests/test_start.py
+++ b/marigoldtrail/platform/tests/test_start.py
@@ -1,6 +1,7 @@
 """Start of a host's process."""
 
 import contextlib
+import gc
 import os
 import re
 import shlex
@@ -14,12 +15,14 @@
 import pytest
 import trio
 
+from marigoldtrail.platform.adapter import build_adapter
 from marigoldtrail.platform.tests.settings_template import (
     fill_template,
     list_placeholders,
     make_fields,
 )
 from marigoldtrail.schema import parse_site_settings
+from marigoldtrail.site import launch
 from marigoldtrail.site.launch import EXIT_INVALID
 from marigoldtrail.timers import Timers
 
@@ -132,3 +135,19 @@
     ]
     assert "marigoldtrail/site/launch.py" in imported
     assert not [path for path in imported if excluded.search(path)]
+
+
+def test_host_collects_no_garbage_among_what_it_has_loaded(tmp_path, monkeypatch):
+    """Guards against collections that go through all modules and types again and again."""
+    path = tmp_path / "node.json"
+    path.write_text(fill_template(make_fields("entry", "127.0.0.1", (1, 2, 3, 4, 5), tmp_path)))
+    counts = []
+    monkeypatch.setattr(launch.trio, "run", lambda *_: counts.append(gc.get_freeze_count()))
+    monkeypatch.setattr(launch, "configure_nonblocking_logging", lambda **_: None)
+    thresholds = gc.get_threshold()
+    try:
+        assert launch.run_site(str(path), build_adapter()) == 0
+        assert counts[0] > 0 and gc.get_threshold() > thresholds
+    finally:
+        gc.unfreeze()
+        gc.set_threshold(*thresholds)
--- a/marigoldtrail/site/launch.py
+++ b/marigoldtrail/site/launch.py
@@ -16,6 +16,7 @@
 from marigoldtrail.site.components import HostComponents
 from marigoldtrail.site.control_host import ControlHost
 from marigoldtrail.site.entry_host import EntryHost
+from marigoldtrail.site.garbage import tune_garbage_collection
 from marigoldtrail.site.settings_file import SettingsFile
 from marigoldtrail.storage import FolderDisk, wait_for_folder
 from marigoldtrail.telemetry.nonblocking_logs import configure_nonblocking_logging
@@ -50,6 +51,7 @@
         sys.stderr.write(f"error: {cfg}\n")
         return EXIT_INVALID
     configure_nonblocking_logging(host=cfg.host)
+    tune_garbage_collection()
     failure = trio.run(serve_site, cfg, adapter, file)
     if failure is not None:
         _log.error("the host could not start: %s", failure)
