Keep started streams at a silent upstream until their deadline

What callers saw: a stream that had begun was broken off, its connection closed in the middle of the response, after a silence of max(2 s, 4 x target_latency, 8 x gap) + 0.5 s, while the caller was connected and had most of its time left, and its upstream would have gone on.

Cause: the host guessed how long the caller waits from the target and the gap of the route at the arrival of the request. A configuration that lowers them, or leaves them out, changes what the operator wants and nothing about the caller: patience for new streams then falls to 2.5 s, which two silences of a second with a wait in a queue between reach. Giving up wins nothing. The watch already moves the stream as soon as another upstream takes it, so that only streams reach this limit which nobody else can go on with; a caller that no longer waits closes its connection, which ends the request at once. The same guess ended streams that another entry serves.

Now a started response is given up by its host for want of memory only; a silence ends at the upstream, the caller or the deadline. StallWatch only offers the stream to others, and StallTimer is gone with its limit.

--- a/marigoldtrail/relay/owed_response.py
+++ b/marigoldtrail/relay/owed_response.py
@@ -10,8 +10,6 @@
 class GiveUpCause(enum.StrEnum):
     """Why a host wants to end a request although its upstream, caller and deadline do not."""
 
-    # Its upstream, or another entry, sends nothing for longer than callers wait.
-    SILENCE = "silence"
     # Others need the memory that its response takes.
     MEMORY = "memory"
     # Requests with the same prompt or order have crashed upstreams.
@@ -20,16 +18,14 @@
     CUT_OFF = "cut_off"
 
 
-# The memory of a host belongs to all its requests. A caller that waits longer has left already.
-_LAST_RESORTS = (GiveUpCause.MEMORY, GiveUpCause.SILENCE)
-
-
 class OwedResponse:
     """
     Decides whether a host may end a request that its upstream, caller and deadline do not end.
 
     While nothing of the response was sent, a failure can take its place. A started response can
-    only go on or break off.
+    only go on or break off, and breaks off only for memory, which belongs to all requests of the
+    host. A silence is no cause: nobody else can go on with it, and a caller that no longer waits
+    closes its connection.
 
     Parameters
     ----------
@@ -65,7 +61,7 @@
         """
         if not self._conn.has_started:
             return True
-        if cause not in _LAST_RESORTS:
+        if cause is not GiveUpCause.MEMORY:
             return False
         self.given_up_for = cause
         return True
--- a/marigoldtrail/relay/peer_forwarding.py
+++ b/marigoldtrail/relay/peer_forwarding.py
@@ -19,7 +19,6 @@
     run_stream,
 )
 from marigoldtrail.relay.exchange import Exchange
-from marigoldtrail.relay.owed_response import GiveUpCause
 from marigoldtrail.relay.responses import (
     NOT_RUN_STATUSES,
     CompleteResponse,
@@ -36,8 +35,6 @@
 # The list of entries is read again after this time, and not used after the second one.
 LIST_INTERVAL_S = 1.0
 MAX_LIST_AGE_S = 5.0
-# Callers have left a stream that pauses for this much longer than they wait.
-PAUSE_MARGIN_S = 0.5
 # A caller may try another entry at once.
 RETRY_AFTER_S = 0.05
 # No entry reaches an upstream, which each of them tries again after this time. Callers come back
@@ -223,13 +220,8 @@
         """Forward whole events; a connection that ends within one must not look complete."""
         caller, splitter = exchange.conn, exchange.splitter
         headers = self._header_codec.build_response_headers(head.headers)
-        give_up_at = self._find_give_up_at(exchange)
         while True:
-            data: bytes | Failure = conn.make_failure(Reason.TIMEOUT, "no event from another entry")
-            with trio.move_on_after(max(0.0, give_up_at - self._timers.now())) as scope:
-                data = await conn.read_body_part()
-            if scope.cancelled_caught:
-                exchange.owed.give_up(GiveUpCause.SILENCE)
+            data = await conn.read_body_part()
             if isinstance(data, Failure):
                 return data
             events = splitter.feed(data)
@@ -249,15 +241,10 @@
                 await caller.start_response(head.status, headers)
             if events:
                 await caller.send_body_part(events)
-                give_up_at = self._find_give_up_at(exchange)
             if not data:
                 await caller.end_response()
                 return StreamForwarded()
 
-    def _find_give_up_at(self, exchange: Exchange) -> float:
-        """Return the time after which the caller has left unless it gets an event."""
-        return self._timers.now() + exchange.abandon_pause_s + PAUSE_MARGIN_S
-
 
 def make_unforwarded_failure(exchange: Exchange, *, is_alone: bool = False) -> Failure:
     """
--- a/marigoldtrail/relay/sender.py
+++ b/marigoldtrail/relay/sender.py
@@ -23,7 +23,6 @@
     discard_body,
     is_event_stream,
 )
-from marigoldtrail.relay.stall_timer import StallTimer
 from marigoldtrail.relay.stall_watch import StallWatch
 from marigoldtrail.relay.transmission import Transmission, Transmitter, find_fault
 from marigoldtrail.relay.types import HeaderCodec
@@ -181,7 +180,6 @@
         watch = StallWatch(
             exchange=exchange,
             upstream=tx.upstream.name,
-            timer=StallTimer(now=self._timers.now()),
             mover=self._mover,
             timers=self._timers,
         )
--- a/marigoldtrail/relay/stall_watch.py
+++ b/marigoldtrail/relay/stall_watch.py
@@ -6,9 +6,7 @@
 
 from marigoldtrail.errors import Failure, Reason
 from marigoldtrail.relay.exchange import Exchange
-from marigoldtrail.relay.owed_response import GiveUpCause
 from marigoldtrail.relay.request_mover import RequestMover
-from marigoldtrail.relay.stall_timer import StallTimer
 from marigoldtrail.relay.upstream_connection import UpstreamConnection
 from marigoldtrail.timers import Timers
 
@@ -18,7 +16,8 @@
     Reads the stream of one upstream until another one has taken the request.
 
     Only complete events count as progress: bytes that never complete an event would otherwise
-    hold the request until its deadline.
+    keep the request from another upstream. If no other one takes it, the stream is read until
+    its upstream, its caller or its deadline ends it.
 
     Parameters
     ----------
@@ -26,8 +25,6 @@
         The request.
     upstream : str
         The upstream that sends the stream.
-    timer : StallTimer
-        Time since its last progress.
     mover : RequestMover
         Offers the request to other upstreams.
     timers : Timers
@@ -37,13 +34,13 @@
     __slots__ = (
         "_exchange",
         "_upstream",
-        "_timer",
         "_mover",
         "_timers",
         "_read_scope",
         "_offer_scope",
         "_sleep_scope",
-        "_end",
+        "_checked_at",
+        "_is_taken",
     )
 
     def __init__(
@@ -51,13 +48,11 @@
         *,
         exchange: Exchange,
         upstream: str,
-        timer: StallTimer,
         mover: RequestMover,
         timers: Timers,
     ) -> None:
         self._exchange = exchange
         self._upstream = upstream
-        self._timer = timer
         self._mover = mover
         self._timers = timers
         # Set while the stream is read.
@@ -66,8 +61,11 @@
         self._offer_scope: trio.CancelScope | None = None
         # Ends when the stream has to be checked.
         self._sleep_scope = trio.CancelScope()
-        # Why the stream is not read any more.
-        self._end: tuple[Reason, str] | None = None
+        # Monotonic time in seconds of the head of the response, of the last event, or of the last
+        # refused move, whichever is latest.
+        self._checked_at = timers.now()
+        # Whether another upstream has taken the request.
+        self._is_taken = False
 
     async def read(self, conn: UpstreamConnection) -> bytes | Failure:
         """
@@ -81,46 +79,43 @@
         Returns
         -------
         bytes or Failure
-            Empty at the end of the stream; ``TIMEOUT`` if another upstream has taken the request,
-            or if its caller has stopped waiting.
+            Empty at the end of the stream; ``TIMEOUT`` if another upstream has taken the request.
         """
         with trio.CancelScope() as self._read_scope:
             data = await conn.read_body_part()
             self._read_scope = None
-            if self._end is not None:
+            if self._is_taken:
                 # It arrived just when the request was to move.
-                self._end = None
+                self._is_taken = False
                 self._mover.cancel(self._exchange)
             return data
-        reason, detail = self._end or (Reason.INTERNAL, "the read was cancelled")
-        return conn.make_failure(reason, detail)
+        return conn.make_failure(Reason.TIMEOUT, "the stream has stopped")
 
     def note_progress(self) -> None:
         """Note that events were forwarded, so that no other upstream is needed."""
-        self._timer.note_progress(self._timers.now())
+        self._checked_at = self._timers.now()
         # Events follow each other faster than the first one follows the head.
-        self._sleep_scope.deadline = self._timer.next_check_at(self._exchange)
+        self._sleep_scope.deadline = self._next_check_at()
         if self._offer_scope is not None:
             self._offer_scope.cancel()
 
     async def run(self) -> None:
         """Look for another upstream whenever the stream stalls, until cancelled."""
         while True:
-            due_at = self._timer.next_check_at(self._exchange)
-            with trio.CancelScope(deadline=due_at) as self._sleep_scope:
+            with trio.CancelScope(deadline=self._next_check_at()) as self._sleep_scope:
                 await trio.sleep_forever()
-            if self._read_scope is None:
-                # This host waits for the caller, or for the record of the version.
-                self._timer.note_progress(self._timers.now())
-                continue
-            await self._check()
-            self._timer.last_check_at = self._timers.now()
+            # Otherwise this host waits for the caller, or for the record of the version.
+            if self._read_scope is not None:
+                await self._check()
+            self._checked_at = self._timers.now()
+
+    def _next_check_at(self) -> float:
+        """Return the time at which the stream is offered to others if it sends nothing."""
+        if not self._exchange.may_run_again():
+            return float("inf")
+        return self._checked_at + self._exchange.stall_timeout_s
 
     async def _check(self) -> None:
-        is_overdue = self._timers.now() >= self._timer.give_up_at(self._exchange)
-        if is_overdue and self._exchange.owed.give_up(GiveUpCause.SILENCE):
-            self._stop(Reason.TIMEOUT, "no event while its caller waits for one")
-            return
         is_taken = False
         with trio.CancelScope() as self._offer_scope:
             is_taken = await self._mover.reserve(self._exchange, self._upstream)
@@ -128,10 +123,6 @@
         self._offer_scope = None
         if is_taken and has_progress:
             self._mover.cancel(self._exchange)
-        elif is_taken:
-            self._stop(Reason.TIMEOUT, "the stream has stopped")
-
-    def _stop(self, reason: Reason, detail: str) -> None:
-        self._end = (reason, detail)
-        if self._read_scope is not None:
+        elif is_taken and self._read_scope is not None:
+            self._is_taken = True
             self._read_scope.cancel()
