Refuse requests that another entry's configuration forbids with 503, not for good

What callers saw: an entry that reaches no upstream forwards its requests to another entry. If that one was a version of the configuration behind (or ahead), its 401, 404, 413 or 431 reached the caller, who does not come back after these, though the entry that it had asked allows the request. Beside a configuration that some hosts have and others do not, proper requests were refused for good by an entry that already served by the new version.

Cause: the forwarding host passed on any answer of its peer. Its own configuration allows the request, so such a refusal says only that the two configurations differ.

Why it works: an unsigned 401, 404, 413 or 431 is the other entry's own refusal, made before the request is sent to an upstream, so that 503 is a truthful promise; the caller comes back at once and finds an entry, or this one, at the current version. Signed answers are an upstream's and are passed on unchanged.

--- a/marigoldtrail/relay/peer_forwarding.py
+++ b/marigoldtrail/relay/peer_forwarding.py
@@ -40,6 +40,9 @@
 PAUSE_MARGIN_S = 0.5
 # A caller may try another entry at once.
 RETRY_AFTER_S = 0.05
+# An entry refuses with these what its configuration does not allow, and callers do not come back.
+# This host's configuration allows the request, so that one of the two is not the current one.
+NOT_ALLOWED_STATUSES = (401, 404, 413, 431)
 # No entry reaches an upstream, which each of them tries again after this time. Callers come back
 # only a few times.
 NO_ENTRY_RETRY_AFTER_S = 0.5
@@ -187,6 +190,9 @@
             else:
                 result = await self._read_response(exchange, conn, head)
             nursery.cancel_scope.cancel()
+        if not isinstance(head, Failure) and is_not_allowed(head):
+            exchange.may_have_run = ran_before
+            return make_not_allowed_failure(exchange, head.status)
         if isinstance(result, CompleteResponse) and result.status in NOT_RUN_STATUSES:
             if ran_before:
                 # The promise of the other entry does not hold for an earlier attempt of this one.
@@ -259,6 +265,38 @@
         return self._timers.now() + exchange.abandon_pause_s + PAUSE_MARGIN_S
 
 
+def is_not_allowed(head: ResponseHead) -> bool:
+    """Return whether another entry refused a request that its configuration does not allow."""
+    # A response of an upstream, which may have the same status, is signed.
+    return head.status in NOT_ALLOWED_STATUSES and not head.info.is_signed
+
+
+def make_not_allowed_failure(exchange: Exchange, status: int) -> Failure:
+    """
+    Return the failure of a request that only the configuration of this host allows.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The request.
+    status : int
+        Status of the other entry.
+
+    Returns
+    -------
+    Failure
+        ``VIEW_NOT_CURRENT``, with the time after which its caller may come back.
+    """
+    return Failure(
+        reason=Reason.VIEW_NOT_CURRENT,
+        run_state=RunState.MAY_HAVE_RUN if exchange.may_have_run else RunState.NOT_RUN,
+        step="upstream.choose",
+        peer=exchange.last_upstream,
+        detail=f"another entry has another configuration (status {status})",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
 def make_unforwarded_failure(exchange: Exchange, *, is_alone: bool = False) -> Failure:
     """
     Return the failure of a request that no host can serve, or that must not be forwarded.
--- a/marigoldtrail/relay/tests/test_peer_forwarding.py
+++ b/marigoldtrail/relay/tests/test_peer_forwarding.py
@@ -1,5 +1,6 @@
 """Requests that an entry without upstreams forwards to another entry."""
 
+import pytest
 import trio
 
 from marigoldtrail.net import Address
@@ -196,3 +197,23 @@
     harness.reachability._tell_listeners()
     data = await read_all(stream)
     assert data.endswith(chunk(EVENT) + b"0\r\n\r\n") and b"part of" not in data
+
+
+@pytest.mark.parametrize("status", [401, 404, 413, 431])
+@pytest.mark.parametrize("kind", [RouteKind.UNSAFE, RouteKind.STREAMING])
+async def test_entry_with_another_configuration_refuses_no_request_for_good(
+    autojump_clock, nursery, status, kind
+):
+    """Guards against a final refusal, by an entry a version behind, of what this host allows."""
+    refusal = make_response("no", status=f"{status} No", headers="")
+    harness = await start(nursery, reply_with(refusal), kind)
+    data = await harness.fetch(make_request(method="POST", body=b"b"))
+    assert data.startswith(b"HTTP/1.1 503 ") and b"retry-after: 0.05" in data.lower()
+
+
+async def test_upstream_error_behind_another_entry_reaches_the_caller(autojump_clock, nursery):
+    """Guards against an upstream's own answer that is taken for a refusal of the entry."""
+    answer = make_response("none", status="404 No")
+    harness = await start(nursery, reply_with(answer), RouteKind.UNSAFE)
+    data = await harness.fetch(make_request(method="POST", body=b"b"))
+    assert data.startswith(b"HTTP/1.1 404 ") and data.endswith(b"none")
