Look at upstreams and waiting jobs once for each plan and stage

Cause: what a plan costs grows with what waits. Each idle upstream of a plan counted the whole queue, the time of the next plan was taken from three lists over all jobs, jobs computed whether they are open and large hundreds of thousands of times in a burst, and admission worked out the speed of each upstream twice for each stage. Change: one count for each plan, one pass for the next change, attributes in place of properties, upstreams by data centre, one speed for both backlogs.

The two new tests fail before it.

--- a/marigoldtrail/pieces/admission.py
+++ b/marigoldtrail/pieces/admission.py
@@ -63,11 +63,8 @@
         return StageEstimate(run_s=0.0)
     spec = scheduler.spec
     run_s = spec.call_overhead_s + min(stage.count, spec.batch) * spec.item_s
-    return StageEstimate(
-        run_s=run_s,
-        backlog_s=scheduler.backlog_s(now, priority),
-        total_s=scheduler.total_backlog_s(now),
-    )
+    backlog = scheduler.estimate_backlog(now, priority)
+    return StageEstimate(run_s=run_s, backlog_s=backlog.ahead_s, total_s=backlog.total_s)
 
 
 def find_critical_path_s(
--- a/marigoldtrail/pieces/job.py
+++ b/marigoldtrail/pieces/job.py
@@ -62,6 +62,10 @@
         Number of calls in progress that contain its pieces, and of all that did.
     is_apart : bool
         Whether its pieces take calls of their own: another crash then shows who is at fault.
+    is_large : bool
+        Whether a short wait for a worker in its data centre is worthwhile.
+    is_open : bool
+        Whether it is neither done nor failed.
     """
 
     __slots__ = (
@@ -90,6 +94,8 @@
         "_crashed_upstreams",
         "_calls_at_crash",
         "is_apart",
+        "is_large",
+        "is_open",
         "waiting",
     )
 
@@ -133,6 +139,8 @@
         self._crashed_upstreams: set[str] = set()
         self._calls_at_crash = 0
         self.is_apart = False
+        self.is_large = moved_bytes >= LARGE_RESULT_BYTES
+        self.is_open = True
         self.handles: list[str] = [""] * count
         self.is_started = False
         self.missing = count
@@ -155,16 +163,6 @@
         is_late = self.is_deferred or now > self.start_by
         return not self.is_started, is_late, self.start_by + self.yield_s
 
-    @property
-    def is_large(self) -> bool:
-        """Whether a short wait for a worker in its data centre is worthwhile."""
-        return self.moved_bytes >= LARGE_RESULT_BYTES
-
-    @property
-    def is_open(self) -> bool:
-        """Whether the job is neither done nor failed."""
-        return not self.done.is_set()
-
     def finish_piece(self, piece: Piece, handle: str) -> bool:
         """
         Record the result of a piece.
@@ -188,7 +186,7 @@
         if piece in self.waiting:
             self.waiting.remove(piece)
         if self.missing == 0:
-            self.done.set()
+            self._end()
         return True
 
     def record_crash(self, upstream: str) -> bool:
@@ -219,7 +217,11 @@
         """End the job with an error unless it has ended."""
         if self.is_open:
             self.failure = reason
-            self.done.set()
+            self._end()
+
+    def _end(self) -> None:
+        self.is_open = False
+        self.done.set()
 
 
 class Piece(msgspec.Struct, kw_only=True, eq=False):
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -179,8 +179,9 @@
                 nursery.start_soon(self._run_call, scheduler, worker, pieces)
             if scheduler.jobs and scheduler.spec.result_capacity_bytes:
                 # Waiting jobs may need the room of unneeded results.
-                for worker in scheduler.idle_workers(now):
-                    self._free_if_short(worker)
+                for worker in scheduler.workers.values():
+                    if worker.unneeded and worker.is_idle(now):
+                        self._free_if_short(worker)
 
     def _refresh_upstreams(self, now: float) -> None:
         """Update the upstreams if the list has changed or `UPSTREAMS_INTERVAL_S` has passed."""
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -59,6 +59,22 @@
     number: int
 
 
+class Backlog(NamedTuple):
+    """
+    Time that the admitted work of a service takes.
+
+    Parameters
+    ----------
+    ahead_s : float
+        Seconds until the work ahead of a request is done.
+    total_s : float
+        Seconds until all admitted work is done.
+    """
+
+    ahead_s: float
+    total_s: float
+
+
 class Queue:
     """
     Jobs with waiting pieces, sorted by urgency, for one plan.
@@ -132,7 +148,16 @@
         Unfinished pieces of the deferred requests, which run after all others.
     """
 
-    __slots__ = ("spec", "workers", "jobs", "planned", "deferred", "_pauses", "_finish_times_s")
+    __slots__ = (
+        "spec",
+        "workers",
+        "jobs",
+        "planned",
+        "deferred",
+        "_pauses",
+        "_nearby",
+        "_finish_times_s",
+    )
 
     def __init__(self, *, spec: PieceSpec) -> None:
         self.spec = spec
@@ -142,6 +167,8 @@
         self.deferred = 0
         # Pauses that upstreams asked for which are not listed now: name, and time of the end.
         self._pauses: dict[str, float] = {}
+        # The workers by data centre.
+        self._nearby: dict[str, list[Worker]] = {}
         # Cache during a plan: seconds until a data centre finishes a call, by number of pieces.
         self._finish_times_s: dict[str, dict[int, float]] = {}
 
@@ -158,6 +185,9 @@
                 worker.paused_until = worker.no_calls_until
             else:
                 worker.upstream = upstream
+        self._nearby.clear()
+        for worker in self.workers.values():
+            self._nearby.setdefault(worker.upstream.data_centre, []).append(worker)
 
     def _remember_pause(self, worker: Worker) -> None:
         """Keep the pause that an upstream asked for, in case it is listed again."""
@@ -222,7 +252,8 @@
     def idle_workers(self, now: float) -> list[Worker]:
         """Return the workers that can take a call now, the fastest first."""
         idle = [worker for worker in self.workers.values() if worker.is_idle(now)]
-        idle.sort(key=lambda worker: worker.slowness_at(now))
+        if len(idle) > 1:
+            idle.sort(key=lambda worker: worker.slowness_at(now))
         return idle
 
     def plan(self, now: float) -> list[tuple[Worker, list[Piece]]]:
@@ -248,11 +279,13 @@
         calls = []
         self._finish_times_s.clear()
         queue = Queue(jobs=list(self.jobs), now=now)
+        waiting = self.waiting_count()
         for worker in idle:
             if not self.jobs:
                 break
-            pieces = self._take_pieces(worker, queue, now)
+            pieces = self._take_pieces(worker, queue, waiting, now)
             if pieces:
+                waiting -= len(pieces)
                 worker.is_busy = True
                 worker.busy_until = now + self.duration_s(worker, len(pieces), now)
                 self._finish_times_s.pop(worker.upstream.data_centre, None)
@@ -260,7 +293,10 @@
         return calls
 
     def _drop_finished(self, now: float) -> None:
-        for job in list(self.jobs):
+        ended = [
+            job for job in self.jobs if now >= job.expires_at or not job.is_open or not job.waiting
+        ]
+        for job in ended:
             if now >= job.expires_at:
                 job.fail("too late")
             if not job.is_open:
@@ -268,8 +304,7 @@
             if not job.waiting:
                 del self.jobs[job]
 
-    def _take_pieces(self, worker: Worker, queue: Queue, now: float) -> list[Piece]:
-        waiting = self.waiting_count()
+    def _take_pieces(self, worker: Worker, queue: Queue, waiting: int, now: float) -> list[Piece]:
         if self._would_finish_sooner_elsewhere(worker, waiting, now):
             return []
         taken = self._fill_call(worker, queue, waiting, now)
@@ -368,8 +403,8 @@
             known[count] = min(
                 (
                     self._finish_in_s(worker, count, now)
-                    for worker in self.workers.values()
-                    if worker.upstream.data_centre == data_centre and worker.paused_until <= now
+                    for worker in self._nearby.get(data_centre, ())
+                    if worker.paused_until <= now
                 ),
                 default=float("inf"),
             )
@@ -414,49 +449,46 @@
 
     def next_change(self, now: float) -> float:
         """Return the seconds after which `plan` may give another result without any event."""
-        times = [max(w.paused_until, w.next_call_at) for w in self.workers.values()]
-        times += [job.queued_at + LOCAL_WAIT_S for job in self.jobs if job.is_large]
-        times += [job.expires_at for job in self.jobs]
-        future = [time for time in times if time > now]
-        return max(0.005, min(future) - now) if future else 1.0
-
-    def backlog_s(self, now: float, priority: int) -> float:
+        soonest = float("inf")
+        for worker in self.workers.values():
+            at = max(worker.paused_until, worker.next_call_at)
+            if now < at < soonest:
+                soonest = at
+        for job in self.jobs:
+            if now < job.expires_at < soonest:
+                soonest = job.expires_at
+            if job.is_large and now < job.queued_at + LOCAL_WAIT_S < soonest:
+                soonest = job.queued_at + LOCAL_WAIT_S
+        return max(0.005, soonest - now) if soonest < float("inf") else 1.0
+
+    def estimate_backlog(self, now: float, priority: int) -> Backlog:
         """
-        Return the seconds until the work ahead of a request is done.
+        Estimate how long the present workers take for the admitted work in full calls.
+
+        Full calls are assumed because calls fill up as soon as work waits. The time per piece in
+        the small calls of normal load would show a service as full at half of its capacity.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
         priority : int
-            Rank of the request; less urgent and deferred work runs after it.
+            Rank of a request; less urgent and deferred work runs after it.
 
         Returns
         -------
-        float
-            Seconds; infinite without any worker.
-        """
-        planned = sum(count for rank, count in self.planned.items() if rank <= priority)
-        return self._work_s(planned, now)
-
-    def total_backlog_s(self, now: float) -> float:
-        """Return the seconds until all admitted work is done."""
-        return self._work_s(sum(self.planned.values()) + self.deferred, now)
-
-    def _work_s(self, pieces: int, now: float) -> float:
+        Backlog
+            Both times are infinite without any worker.
         """
-        Return the seconds that the present workers take for some pieces in full calls.
-
-        Full calls are assumed because calls fill up as soon as work waits. The time per piece in
-        the small calls of normal load would show a service as full at half of its capacity.
-        """
-        workers = [
-            worker
-            for worker in self.workers.values()
-            if worker.paused_until <= now and not self._is_overdue(worker, now)
-        ]
-        if not workers:
-            return float("inf") if not self.workers else EJECTION_S
         full_call_s = self.spec.call_overhead_s + self.spec.batch * self.spec.item_s
-        speed = sum(worker.speed(full_call_s, now) for worker in workers)
-        return pieces * full_call_s / self.spec.batch / speed
+        speed = 0.0
+        for worker in self.workers.values():
+            if worker.paused_until <= now and not self._is_overdue(worker, now):
+                speed += worker.speed(full_call_s, now)
+        if not speed:
+            unknown_s = EJECTION_S if self.workers else float("inf")
+            return Backlog(ahead_s=unknown_s, total_s=unknown_s)
+        piece_s = full_call_s / self.spec.batch / speed
+        ahead = sum(count for rank, count in self.planned.items() if rank <= priority)
+        total = sum(self.planned.values()) + self.deferred
+        return Backlog(ahead_s=ahead * piece_s, total_s=total * piece_s)
--- a/marigoldtrail/pieces/tests/test_scheduler.py
+++ b/marigoldtrail/pieces/tests/test_scheduler.py
@@ -12,6 +12,7 @@
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
 from marigoldtrail.pieces.job import PieceJob
 from marigoldtrail.pieces.scheduler import MAX_TRIES, ROOM_MEMORY_S, PieceScheduler
+from marigoldtrail.pieces.worker import Worker
 from marigoldtrail.routing import PieceSpec, Upstream
 from marigoldtrail.schema.generated.pieces import StageRequest
 
@@ -317,11 +318,40 @@
     scheduler = make_scheduler("a", "a")
     hanging = scheduler.workers["w1"]
     scheduler.planned[0] += 12
-    before_s = scheduler.backlog_s(0.0, 0)
+    before_s = scheduler.estimate_backlog(0.0, 0).ahead_s
     hanging.is_busy, hanging.busy_until = True, 0.2
-    assert scheduler.backlog_s(0.2, 0) == before_s
-    assert scheduler.backlog_s(1.0, 0) == 2 * before_s
-    assert scheduler.total_backlog_s(1.0) == 2 * before_s
+    assert scheduler.estimate_backlog(0.2, 0).ahead_s == before_s
+    assert scheduler.estimate_backlog(1.0, 0) == (2 * before_s, 2 * before_s)
+
+
+def count_calls(monkeypatch, owner, name):
+    """Return a list that gets an item with each call of a method."""
+    method, calls = getattr(owner, name), []
+
+    def count(*args):
+        calls.append(name)
+        return method(*args)
+
+    monkeypatch.setattr(owner, name, count)
+    return calls
+
+
+def test_admission_of_a_stage_looks_at_each_upstream_once(monkeypatch):
+    """Guards against a scheduler that works out the speeds twice for each stage of a request."""
+    scheduler = make_scheduler("a", "b", "c")
+    speeds = count_calls(monkeypatch, Worker, "speed")
+    estimate_stage(scheduler, StageRequest(service="s", count=2), 0.0, 0)
+    assert len(speeds) == 3
+
+
+def test_plan_counts_the_queue_once(monkeypatch):
+    """Guards against plans that go through the whole queue for each idle upstream of a burst."""
+    scheduler = make_scheduler(*"abcd")
+    for number in range(8):
+        scheduler.add(make_job(f"job {number}", 4))
+    counts = count_calls(monkeypatch, PieceScheduler, "waiting_count")
+    assert len(scheduler.plan(0.0)) == 4 and len(counts) == 1
+    assert scheduler.waiting_count() == 16
 
 
 def test_critical_path_is_the_sum_of_a_chain_of_stages():
