Try further connections to a host beside one that does not open

A connection attempt whose first packet is lost in a short cut waits for the kernel, which repeats that packet after 1 s, then 2 s. All calls to the host wait behind it, so that a cut of 1.1 s cost up to 3 s, and a pulse after its end found a sound host silent. Now a further attempt starts each 0.2 s, up to eight, and the first one that opens is used.

The new test fails on the code before: the call after the cut times out.

--- a/marigoldtrail/net/client.py
+++ b/marigoldtrail/net/client.py
@@ -17,6 +17,11 @@
 
 STREAM_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, ValueError)
 _FAILURE_KIND = Failure.__name__
+# While a connection is not open, further ones are tried beside it, one each interval. The system
+# repeats the lost packet of one attempt only after 1 s, then 2 s: calls would wait for that long
+# after the end of a short cut. The first attempt goes on, since a link may be slower than that.
+DIAL_INTERVAL_S = 0.2
+MAX_DIALS = 8
 
 
 class PendingCall:
@@ -156,12 +161,42 @@
         async with lock:
             conn = self._connections.get(address)
             if conn is None or conn.is_closed:
-                stream = await self._network.connect(address)
+                stream = await self._dial(address)
                 conn = PeerConnection(frames=FrameStream(stream=stream))
                 self._connections[address] = conn
                 self._nursery.start_soon(conn.read_replies)
             return conn
 
+    async def _dial(self, address: Address) -> trio.abc.Stream:
+        """Open a connection, by the first attempt that succeeds; raise the first error."""
+        opened: list[trio.abc.Stream] = []
+        errors: list[Exception] = []
+
+        async def attempt() -> None:
+            try:
+                opened.append(await self._network.connect(address))
+            except STREAM_ERRORS as exc:
+                errors.append(exc)
+            nursery.cancel_scope.cancel()
+
+        try:
+            async with trio.open_nursery() as nursery:
+                for _ in range(MAX_DIALS):
+                    nursery.start_soon(attempt)
+                    await trio.sleep(DIAL_INTERVAL_S)
+        except BaseException:
+            await self._discard(opened)
+            raise
+        await self._discard(opened[1:])
+        if not opened:
+            raise errors[0]
+        return opened[0]
+
+    @staticmethod
+    async def _discard(streams: list[trio.abc.Stream]) -> None:
+        for stream in streams:
+            await trio.aclose_forcefully(stream)
+
     async def _exchange(
         self,
         conn: PeerConnection,
--- a/marigoldtrail/net/tests/test_calls.py
+++ b/marigoldtrail/net/tests/test_calls.py
@@ -297,3 +297,34 @@
     assert is_failure(failure) and failure.run_state is RunState.NOT_RUN
     assert failure.reason is Reason.BAD_REQUEST
     assert await client.call(SERVER, Echo("y"), Echoed, timeout_s=1) == Echoed("y", "a")
+
+
+class LossyDials:
+    """Network whose connections do not open while it is cut off, nor at all if begun meanwhile."""
+
+    def __init__(self, network):
+        self.network = network
+        self.is_cut = False
+
+    async def connect(self, address):
+        if self.is_cut:
+            await trio.sleep_forever()
+        return await self.network.connect(address)
+
+
+async def test_connection_begun_in_a_cut_does_not_delay_calls_after_it(autojump_clock, nursery):
+    """Guards against calls that wait until the kernel repeats the packet of a lost attempt."""
+    network = MemoryNetwork()
+    await start_pair(nursery, network)
+    dials = LossyDials(network.endpoint("10.0.0.1"))
+    client = PeerClient(network=dials, host="a", nursery=nursery)
+    dials.is_cut = True
+
+    async def call(timeout_s):
+        return await client.call(SERVER, Echo("hi"), Echoed, timeout_s=timeout_s)
+
+    nursery.start_soon(call, 3.0)
+    await trio.sleep(1.1)
+    dials.is_cut = False
+    reply = await call(0.45)
+    assert not is_failure(reply), reply
