Leave a scheduler only if another control host answers

Cause: an entry left its scheduler at the first pulse without an answer, also when it was the entry that was cut off. Entries then used up to five schedulers at the same time; each gave the whole room of the upstreams away, and pieces without room took the turns of others. Now the entry asks all control hosts. If none answers it waits; if another one does, it asks the scheduler once more over a new connection, since the cut may have ended in between. A refused connection needs no second question.

--- a/marigoldtrail/pieces/client.py
+++ b/marigoldtrail/pieces/client.py
@@ -25,6 +25,10 @@
 SCHEDULER_KEY = "scheduler"
 PULSE_INTERVAL_S = 0.3
 PULSE_TIMEOUT_S = 0.45
+# While it is checked whether a silent scheduler is lost, pulses go to all control hosts, each over
+# a new connection if the last one was silent: after a cut, TCP repeats packets of older ones late.
+CHECK_TIMEOUT_S = 0.3
+CHECK_INTERVAL_S = 0.2
 # A lost scheduler gets no requests until it answers a pulse. The first pulse is sent after this
 # delay, which doubles with each further loss within the window.
 FIRST_PROBE_DELAY_S = 0.3
@@ -131,6 +135,7 @@
         "_names",
         "_lost",
         "_calls",
+        "_checks",
     )
 
     def __init__(
@@ -151,6 +156,8 @@
         self._lost: dict[str, LostScheduler] = {}
         # Calls in progress at each scheduler; cancelled when it stops answering.
         self._calls: dict[str, set[trio.CancelScope]] = {}
+        # Checks in progress of schedulers that do not answer; set at the end of the check.
+        self._checks: dict[str, trio.Event] = {}
 
     def choose_scheduler(self) -> str | None:
         """
@@ -194,6 +201,10 @@
             if host is None:
                 await self._timers.sleep(RETRY_INTERVAL_S)
                 continue
+            if host in self._checks:
+                with trio.move_on_after(left_s):
+                    await self._checks[host].wait()
+                continue
             stage_run.request.left_ms = round(left_s * 1000)
             stage_run.request.slack_ms = round((stage_run.due_at - self._timers.now()) * 1000)
             stage_run.schedulers_used.add(host)
@@ -210,10 +221,64 @@
                 continue
             if reply.reason not in (Reason.UNREACHABLE, Reason.STOPPING):
                 break
-            self._handle_loss(host, str(reply))
+            if reply.reason is Reason.STOPPING:
+                self._handle_loss(host, str(reply))
+            else:
+                with trio.move_on_after(stage_run.deadline - self._timers.now()):
+                    await self._check_loss(host, reply)
             await self._timers.sleep(RETRY_INTERVAL_S)
         return failure
 
+    async def _check_loss(self, host: str, why: Failure) -> None:
+        """
+        Use other schedulers if one of them answers while this one does not.
+
+        If none answers, this entry is probably cut off. Other entries still use the scheduler, or
+        will use it again: two schedulers would give the room of the same upstreams away twice.
+        """
+        check = self._checks.get(host)
+        if check is not None:
+            await check.wait()
+            return
+        check = self._checks[host] = trio.Event()
+        try:
+            # Calls that wait for a connection would delay the pulses.
+            for scope in list(self._calls.get(host, ())):
+                scope.cancel()
+            # A refused connection is no silence that may have ended since.
+            was_refused = why.reason is Reason.UNREACHABLE and why.run_state is RunState.NOT_RUN
+            if not self._is_lost(host) and await self._is_silent_alone(host, was_refused):
+                self._handle_loss(host, str(why))
+        finally:
+            del self._checks[host]
+            check.set()
+
+    async def _is_silent_alone(self, host: str, was_refused: bool) -> bool:
+        """Wait until a control host answers; return whether this one still does not."""
+        while True:
+            started = self._timers.now()
+            answered = await self._find_answering({host, *self._hosts()})
+            if answered == host:
+                return False
+            if answered is not None:
+                # The cut may have ended between the two pulses.
+                return was_refused or isinstance(await self._pulse(host), Failure)
+            await self._timers.sleep_until(started + CHECK_INTERVAL_S)
+
+    async def _find_answering(self, hosts: set[str]) -> str | None:
+        """Return the host that answers a pulse first; None if all are silent."""
+        found: list[str] = []
+
+        async def ask(host: str) -> None:
+            if not isinstance(await self._pulse(host, CHECK_TIMEOUT_S), Failure):
+                found.append(host)
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            for host in sorted(hosts):
+                nursery.start_soon(ask, host)
+        return found[0] if found else None
+
     def _handle_loss(self, host: str, why: str) -> None:
         """Use other schedulers until this one answers again."""
         if self._is_lost(host):
@@ -257,10 +322,8 @@
             self._lost[host].is_lost = False
             _log.info("scheduler answers again", extra={"subject": host})
 
-    async def _pulse(self, host: str) -> PulseReply | Failure:
-        return await self._peers.call(
-            self._names[host], Pulse(), PulseReply, timeout_s=PULSE_TIMEOUT_S
-        )
+    async def _pulse(self, host: str, timeout_s: float = PULSE_TIMEOUT_S) -> PulseReply | Failure:
+        return await self._peers.call(self._names[host], Pulse(), PulseReply, timeout_s=timeout_s)
 
     async def _call(self, host: str, request: RunStages, timeout_s: float) -> StagesReply | Failure:
         calls = self._calls.get(host)
@@ -276,10 +339,11 @@
                 )
             finally:
                 calls.discard(scope)
-        return self._failure(Reason.UNREACHABLE, "the scheduler does not answer", peer=host)
+        failure = self._failure(Reason.UNREACHABLE, "the scheduler does not answer", peer=host)
+        return msgspec.structs.replace(failure, run_state=RunState.MAY_HAVE_RUN)
 
     async def _monitor(self, host: str) -> None:
-        """Cancel the calls at a scheduler that stops answering, so that another one is used."""
+        """Check a scheduler that stops answering, so that another one is used if it is lost."""
         calls = self._calls[host]
         try:
             while calls:
@@ -288,9 +352,7 @@
                     break
                 reply = await self._pulse(host)
                 if isinstance(reply, Failure):
-                    self._handle_loss(host, str(reply))
-                    for scope in list(calls):
-                        scope.cancel()
+                    await self._check_loss(host, reply)
         finally:
             # The next call starts another monitor.
             del self._calls[host]
--- a/marigoldtrail/pieces/tests/test_client.py
+++ b/marigoldtrail/pieces/tests/test_client.py
@@ -116,6 +116,56 @@
     assert "unexpected" not in caplog.text and client._lost == {}
 
 
+class SilentLinks(Hosts):
+    """Hosts that all run, behind links of one entry that are silent at times."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_cut = False
+        self.frozen = set()
+
+    async def call(self, address, request, reply_type, *, timeout_s):
+        host = f"{address.ip}:{address.port}"
+        for _ in range(2):
+            # Neither a request nor its answer passes a cut.
+            if self.is_cut or host in self.frozen:
+                await trio.sleep(timeout_s)
+                return Failure(reason=Reason.TIMEOUT, run_state=RunState.MAY_HAVE_RUN, step="test")
+            if isinstance(request, Pulse):
+                return PulseReply()
+            self.asked.append((trio.current_time(), host))
+            await trio.sleep(WORK_S)
+        return StagesReply(handles=["h"], upstream="")
+
+
+async def test_entries_that_are_cut_off_for_a_second_keep_their_scheduler(autojump_clock, nursery):
+    """Guards against several schedulers that give the same room away after each short cut."""
+    links = [SilentLinks() for _ in range(8)]
+    clients = [make_client(nursery, hosts) for hosts in links]
+    for _ in range(5):
+        for hosts, client in zip(links, clients, strict=True):
+            nursery.start_soon(ask, client)
+            await trio.sleep(0.04)
+            hosts.is_cut = True
+        await trio.sleep(1.1 - 0.32)
+        for hosts in links:
+            hosts.is_cut = False
+        await trio.sleep(0.5)
+        assert len({host for hosts in links for _, host in hosts.asked}) == 1
+    assert all(hosts.asked[-1][0] > trio.current_time() - 1 for hosts in links)
+
+
+async def test_frozen_scheduler_is_left_while_others_answer(autojump_clock, nursery):
+    """Guards against requests that wait for a scheduler that stands still."""
+    hosts = SilentLinks()
+    client = make_client(nursery, hosts)
+    hosts.frozen = {client.choose_scheduler()}
+    started = trio.current_time()
+    assert await ask(client) is None
+    waited_s = trio.current_time() - started - 2 * WORK_S
+    assert waited_s < PULSE_INTERVAL_S + 2 * PULSE_TIMEOUT_S + 0.1
+
+
 class FailingHosts(Hosts):
     """Hosts whose calls other than those that run stages raise an unexpected error."""
 
