Make the removal of a refused append durable before the next one

What callers saw: after a loss of power of all control hosts an acknowledged change was gone and one that had been refused (503, disk full) was in force (LOST: what was acknowledged is gone). Needed: the disk of the leader fills up in the middle of a batch, so that whole records of it are in the file; it has room again; a later change is acknowledged by the other hosts; power is lost before the leader's own sync of it has ended.

Cause: FolderDisk cut the file after a refused append and did not sync the cut, though it reported DISK_FULL and NOT_RUN, which says that nothing has changed. Until the next sync a loss of power may keep the refused bytes and lose the cut and what was appended next (each write after the last sync is present, missing or torn). The refused record has the index and the term of the acknowledged one, so that the logs match: the former leader can be elected with it, and nobody ever corrects it.

Why it works: the cut is synced before DISK_FULL is reported, so that the bytes at this place can only be those of the next append. If that sync fails, the failure is DISK_ERROR, and the files are opened again. It costs one sync for each append that was refused in part.

Earlier tests let calls fail one at a time and lost power after the next sync, or with nothing appended in between.

--- a/marigoldtrail/storage/folder_disk.py
+++ b/marigoldtrail/storage/folder_disk.py
@@ -359,10 +359,12 @@
             view = view[self._calls.write(fd, view) :]
 
     def _undo_append(self, file: OpenFile, fd: int, name: str, size: int) -> None:
-        # Later appends would follow the part that was written.
+        # Later appends would follow the part that was written. Synced, since a loss of power could
+        # otherwise keep that part in place of what is appended next.
         with after_effect():
             if self._calls.fstat(fd).st_size != size:
                 self._calls.ftruncate(fd, size)
+                self._calls.fsync(fd)
         if size == 0:
             # Readers cope with an empty file, should it remain.
             self._close_descriptor(file)
