Let entries load no code of control hosts

Cause: the packages of the registry, of stages and of the fleet export the parts of both roles, so that an entry loaded the log groups, the schedulers and their messages, and kept them in memory.

Change: these packages load what only control hosts run when it is first used (PEP 562). The names of control hosts and the calls of stages have modules of their own, which entries load.

--- a/marigoldtrail/fleet/__init__.py
+++ b/marigoldtrail/fleet/__init__.py
@@ -1,6 +1,7 @@
 """A node's view of the fleet, and its calls to the control hosts."""
 
-from marigoldtrail.fleet.client import ControlClient
+from typing import TYPE_CHECKING
+
 from marigoldtrail.fleet.groups import (
     CONFIG_GROUP,
     group_of_request,
@@ -9,8 +10,12 @@
     record_group_of,
     record_groups_of,
 )
-from marigoldtrail.fleet.sync import SyncLoop
-from marigoldtrail.fleet.view import VIEW_LEASE_S, FleetView
+from marigoldtrail.lazy_exports import make_lazy_getattr
+
+if TYPE_CHECKING:
+    from marigoldtrail.fleet.client import ControlClient
+    from marigoldtrail.fleet.sync import SyncLoop
+    from marigoldtrail.fleet.view import VIEW_LEASE_S, FleetView
 
 __all__ = [
     "CONFIG_GROUP",
@@ -24,3 +29,9 @@
     "record_group_of",
     "record_groups_of",
 ]
+
+# The hosts of a site have a view of their own, `registry.FleetState`.
+__getattr__ = make_lazy_getattr(
+    __name__,
+    {"VIEW_LEASE_S": "view", "ControlClient": "client", "FleetView": "view", "SyncLoop": "sync"},
+)
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -4,19 +4,17 @@
 
 import logging
 from collections import Counter
-from collections.abc import Awaitable, Callable
 
-import msgspec
 import trio
 
 from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.pieces.call import PieceCall
 from marigoldtrail.pieces.crashes import PieceCrashes
 from marigoldtrail.pieces.job import Piece, PieceResult
 from marigoldtrail.pieces.results import ResultStore
 from marigoldtrail.pieces.scheduler import BUSY_PAUSE_S, PieceScheduler
 from marigoldtrail.pieces.worker import Worker
 from marigoldtrail.registry import FleetState
-from marigoldtrail.routing import Upstream
 from marigoldtrail.telemetry.prometheus import PrometheusMetrics
 from marigoldtrail.timers import Notifier, Timers, run_guarded
 
@@ -45,22 +43,6 @@
 _log = logging.getLogger(__name__)
 
 
-class PieceCall(msgspec.Struct, kw_only=True, frozen=True):
-    """
-    Functions that make calls to upstreams.
-
-    Parameters
-    ----------
-    run : callable
-        Sends pieces with the remaining seconds of each; returns a result for each.
-    free : callable
-        Frees results at an upstream.
-    """
-
-    run: Callable[[Upstream, list[Piece], list[float]], Awaitable[list[PieceResult] | Failure]]
-    free: Callable[[Upstream, list[str]], Awaitable[Failure | None]]
-
-
 class CallInProgress:
     """
     A call in progress at an upstream.
--- a/marigoldtrail/platform/endpoints.py
+++ b/marigoldtrail/platform/endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 from urllib.parse import parse_qs, unquote
 
 import msgspec
@@ -10,11 +11,13 @@
 
 from marigoldtrail.errors import Failure, Reason
 from marigoldtrail.platform.json_elements import is_nested_over
-from marigoldtrail.registry.operator_changes import MAX_INLINE_PARSE_BYTES
 from marigoldtrail.relay import CallerRequest, Reply
 from marigoldtrail.relay.endpoints import Handler
+from marigoldtrail.routing.bounds import MAX_INLINE_PARSE_BYTES
 from marigoldtrail.site.lookup import FindEntries
-from marigoldtrail.site.operations import Operations
+
+if TYPE_CHECKING:
+    from marigoldtrail.site.operations import Operations
 
 _JSON = [(b"content-type", b"application/json")]
 _RETRY = [*_JSON, (b"retry-after", b"0.3")]
--- a/marigoldtrail/registry/operator_changes.py
+++ b/marigoldtrail/registry/operator_changes.py
@@ -18,6 +18,7 @@
 from marigoldtrail.registry.fleet_state import ParseDocument
 from marigoldtrail.registry.refusals import Refusals
 from marigoldtrail.routing import RouteTable, check_table
+from marigoldtrail.routing.bounds import MAX_INLINE_PARSE_BYTES
 from marigoldtrail.schema.generated.control import SubmitReply
 from marigoldtrail.schema.generated.registry import (
     GetRoutes,
@@ -32,8 +33,6 @@
 
 BARRIER_TIMEOUT_S = 0.8
 PROPOSE_TIMEOUT_S = 2.0
-# Larger documents are parsed in a thread, since parsing many routes would delay heartbeats.
-MAX_INLINE_PARSE_BYTES = 65536
 # Faults of a configuration that an answer names, and the length of each.
 MAX_FAULTS = 50
 MAX_FAULT_CHARS = 300
--- a/marigoldtrail/registry/reporter.py
+++ b/marigoldtrail/registry/reporter.py
@@ -11,7 +11,7 @@
 from marigoldtrail.fleet import CONFIG_GROUP
 from marigoldtrail.fleet.leaders import LeaderFinder
 from marigoldtrail.net import PeerClient
-from marigoldtrail.registry.bootstrap import PeerAddresses
+from marigoldtrail.registry.addresses import PeerAddresses
 from marigoldtrail.registry.fleet_state import FleetState
 from marigoldtrail.registry.item_checks import EncodedReply, decode_reply
 from marigoldtrail.schema.generated.registry import HostReport, UpstreamLoad
--- a/marigoldtrail/routing/bounds.py
+++ b/marigoldtrail/routing/bounds.py
@@ -21,6 +21,8 @@
 
 Part = TypeVar("Part", bound=msgspec.Struct)
 
+# Larger documents are parsed in a thread, since parsing many routes would delay heartbeats.
+MAX_INLINE_PARSE_BYTES = 65536
 # Largest integer that all readers of JSON represent exactly; messages hold up to 2**63 - 1.
 MAX_INTEGER = 2**53
 MAX_COUNT = 2**31 - 1
--- a/marigoldtrail/site/adapter.py
+++ b/marigoldtrail/site/adapter.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from marigoldtrail.pieces import PieceCall
 from marigoldtrail.registry.fleet_state import ParseDocument
-from marigoldtrail.registry.service import ReadUpstreams
 from marigoldtrail.relay import ConnectionPool, HeaderCodec
 from marigoldtrail.relay.endpoints import Handler
 from marigoldtrail.site.lookup import FindEntries
-from marigoldtrail.site.operations import Operations
+
+if TYPE_CHECKING:
+    # Entries do not load what only control hosts run.
+    from marigoldtrail.registry.service import ReadUpstreams
+    from marigoldtrail.site.operations import Operations
 
 
 class Adapter(msgspec.Struct, kw_only=True, frozen=True):
--- a/marigoldtrail/site/launch.py
+++ b/marigoldtrail/site/launch.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -14,13 +15,15 @@
 from marigoldtrail.schema.generated.site import SiteSettings
 from marigoldtrail.site.adapter import Adapter
 from marigoldtrail.site.components import HostComponents
-from marigoldtrail.site.control_host import ControlHost
 from marigoldtrail.site.entry_host import EntryHost
 from marigoldtrail.site.settings_file import SettingsFile
-from marigoldtrail.storage import FolderDisk, wait_for_folder
 from marigoldtrail.telemetry.nonblocking_logs import configure_nonblocking_logging
 from marigoldtrail.timers import Timers
 
+if TYPE_CHECKING:
+    from marigoldtrail.site.control_host import ControlHost
+    from marigoldtrail.storage import FolderDisk
+
 EXIT_FAILED = 1
 EXIT_INVALID = 2
 SETTINGS_CHECK_INTERVAL_S = 1.0
@@ -78,6 +81,9 @@
     timers = Timers()
     disk: FolderDisk | None = None
     if cfg.role != "entry":
+        # Entries have no disk.
+        from marigoldtrail.storage import wait_for_folder
+
         # A signal ends the process during this wait.
         opened = await wait_for_folder(cfg.data_folder, timers=timers)
         if isinstance(opened, Failure):
@@ -99,6 +105,9 @@
             if disk is None:
                 host = EntryHost(components=components)
             else:
+                # Entries run no log groups and no schedulers.
+                from marigoldtrail.site.control_host import ControlHost
+
                 host = ControlHost(components=components, disk=disk)
             _log.info("start", extra={"role": cfg.role, "first_start": cfg.first_start})
             nursery.start_soon(host.run)
