Run the stages of a request in its own task

Cause: each request had a nursery and one more task for each stage, which waited for the job and woke the first task, and a plan was made between the two: 4 of 11 starts of tasks and a third of the turns of a request with three stages. Change: a job tells its request that it has ended. The scheduler plans one turn after it was woken, so that the requests whose stages end in one call have queued their next ones.

The test of tasks fails before; the test of shared calls fails in two of eight orders without the turn.

--- a/marigoldtrail/pieces/job.py
+++ b/marigoldtrail/pieces/job.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 import trio
 
@@ -55,6 +57,8 @@
         can't be.
     is_trial : bool
         Whether it runs although its request is quarantined.
+    on_end : callable or None
+        Called with the job when it is done or has failed.
 
     Attributes
     ----------
@@ -97,6 +101,7 @@
         "is_large",
         "is_open",
         "waiting",
+        "_on_end",
     )
 
     def __init__(
@@ -118,6 +123,7 @@
         queued_at: float,
         crash_part: str = "",
         is_trial: bool = False,
+        on_end: Callable[[PieceJob], None] | None = None,
     ) -> None:
         self.request_id = request_id
         self.stage = stage
@@ -148,6 +154,7 @@
         self.done = trio.Event()
         # Pieces that wait for a call.
         self.waiting: list[Piece] = []
+        self._on_end = on_end
 
     def sort_key(self, now: float) -> tuple[bool, bool, float]:
         """
@@ -219,9 +226,15 @@
             self.failure = reason
             self._end()
 
+    def withdraw(self) -> None:
+        """End the job because its request is quarantined."""
+        self.fail(CRASHES_UPSTREAMS)
+
     def _end(self) -> None:
         self.is_open = False
         self.done.set()
+        if self._on_end is not None:
+            self._on_end(self)
 
 
 class Piece(msgspec.Struct, kw_only=True, eq=False):
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -153,6 +153,9 @@
                     # An error here must not stop the host, which also serves the configuration.
                     _log.exception("piece schedulers failed to plan calls")
                 await self._wake.wait_with_timeout(self._next_change())
+                # One plan, and fuller calls, for all that the same event brings: the requests whose
+                # stages have ended in a call queue their next ones first.
+                await trio.lowlevel.checkpoint()
 
     def wake(self) -> None:
         """Plan calls now, after pieces were queued."""
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -5,7 +5,7 @@
 import logging
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 import trio
@@ -290,32 +290,31 @@
 
     async def _run_graph(self, admitted: AdmittedRequest, graph: StageGraph) -> PieceJob | None:
         """Run all stages; return the job that failed, if one did."""
-        finished: dict[int, PieceJob] = {}
+        ended: list[PieceJob] = []
         changed = Notifier()
+        prompts = self._fleet_state.prompts
 
-        async def wait(job: PieceJob, number: int) -> None:
-            await self._wait_for_job(job)
-            finished[number] = job
+        def note_end(job: PieceJob) -> None:
+            prompts.unwatch(job.withdraw)
+            ended.append(job)
             changed.notify()
 
         jobs: list[PieceJob] = []
         unfinished = dict(enumerate(graph.stages))
         self._count_planned(admitted, unfinished.values(), 1)
         try:
-            async with trio.open_nursery() as nursery:
-                while not graph.is_done():
-                    for number in graph.take_startable():
-                        job = self._queue(admitted, graph, number)
-                        jobs.append(job)
-                        nursery.start_soon(wait, job, number)
+            while not graph.is_done():
+                for number in graph.take_startable():
+                    jobs.append(self._queue(admitted, graph, number, note_end))
+                # A job of a service that is gone has ended by now.
+                while not ended:
                     await changed.wait()
-                    for number, job in list(finished.items()):
-                        del finished[number]
-                        if job.failure:
-                            nursery.cancel_scope.cancel()
-                            return job
-                        self._count_planned(admitted, [unfinished.pop(number)], -1)
-                        self._runner.free(set(graph.finish(number, job.handles)))
+                while ended:
+                    job = ended.pop()
+                    if job.failure:
+                        return job
+                    self._count_planned(admitted, [unfinished.pop(job.stage)], -1)
+                    self._runner.free(set(graph.finish(job.stage, job.handles)))
             return None
         finally:
             self._count_planned(admitted, unfinished.values(), -1)
@@ -323,20 +322,6 @@
             for job in jobs:
                 job.fail("the request has ended")
 
-    async def _wait_for_job(self, job: PieceJob) -> None:
-        """Wait until a job has ended; it fails when its request is quarantined."""
-
-        def withdraw() -> None:
-            job.fail(CRASHES_UPSTREAMS)
-
-        prompts = self._fleet_state.prompts
-        if job.crash_part and not job.is_trial:
-            prompts.watch(frozenset((job.crash_part,)), withdraw)
-        try:
-            await job.done.wait()
-        finally:
-            prompts.unwatch(withdraw)
-
     def _count_planned(
         self, admitted: AdmittedRequest, stages: Iterable[StageRequest], sign: int
     ) -> None:
@@ -349,7 +334,14 @@
             else:
                 scheduler.planned[admitted.request.priority] += sign * stage.count
 
-    def _queue(self, admitted: AdmittedRequest, graph: StageGraph, number: int) -> PieceJob:
+    def _queue(
+        self,
+        admitted: AdmittedRequest,
+        graph: StageGraph,
+        number: int,
+        on_end: Callable[[PieceJob], None],
+    ) -> PieceJob:
+        """Queue a stage; its job fails when its request is quarantined."""
         request = admitted.request
         stage = graph.stages[number]
         data_centre = admitted.data_centre
@@ -385,7 +377,10 @@
             queued_at=now,
             crash_part=make_stage_part(request.fingerprint, number) if request.fingerprint else "",
             is_trial=request.is_trial,
+            on_end=on_end,
         )
+        if job.crash_part and not job.is_trial:
+            self._fleet_state.prompts.watch(frozenset((job.crash_part,)), job.withdraw)
         job.is_apart = self._runner.crashes.has_crashed(job.crash_part)
         self._jobs.setdefault(request.request_id, []).append(job)
         while len(self._jobs) > MAX_REQUESTS_KEPT:
--- a/marigoldtrail/pieces/tests/test_service.py
+++ b/marigoldtrail/pieces/tests/test_service.py
@@ -2,9 +2,12 @@
 
 import math
 import random
+from collections import Counter
+from functools import partial
 
 import pytest
 import trio
+import trio.testing
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.pieces import PieceCall, PieceResult, PieceService
@@ -17,11 +20,13 @@
     StagesReply,
 )
 from marigoldtrail.schema.generated.registry import HostReportReply, UpstreamEntry
+from marigoldtrail.serving.tests.fakes import make_schedule_deterministic
 from marigoldtrail.telemetry.prometheus import PrometheusMetrics
 from marigoldtrail.timers import Timers
 
 RESULT_BYTES = 1000
-WORK_S = 0.2
+# Ends at no time at which the scheduler looks at its upstreams.
+WORK_S = 0.19
 SPEC = PieceSpec(
     slots=1,
     queue=2,
@@ -39,6 +44,7 @@
 
     def __init__(self, nursery):
         timers = Timers(seed=1)
+        self.calls = []
         self.fleet_state = FleetState(parse_document=lambda data: "", timers=timers)
         service = Service(name="board", max_connections=9, pieces=SPEC)
         table = RouteTable(
@@ -56,6 +62,7 @@
         nursery.start_soon(self.service.run)
 
     async def run(self, upstream, pieces, remaining_s):
+        self.calls.append(sorted(piece.job.request_id for piece in pieces))
         await trio.sleep(WORK_S)
         return [PieceResult(handle=f"{piece.identity}") for piece in pieces]
 
@@ -80,10 +87,19 @@
         reply = HostReportReply(term=1, revisions={}, upstreams=entries)
         self.fleet_state.apply(reply, sent_at=trio.current_time())
 
-    async def ask(self, *, request_id="r", count=1, slack_s=1.0):
+    async def ask(self, *, request_id="r", count=1, slack_s=1.0, length=1):
+        stages = [
+            StageRequest(
+                service="board",
+                count=count,
+                result_bytes=RESULT_BYTES,
+                after=[number - 1] if number else [],
+            )
+            for number in range(length)
+        ]
         request = RunStages(
             request_id=request_id,
-            stages=[StageRequest(service="board", count=count, result_bytes=RESULT_BYTES)],
+            stages=stages,
             key="k",
             left_ms=round(LEFT_S * 1000),
             slack_ms=round(slack_s * 1000),
@@ -171,3 +187,42 @@
     scheduler.fleet_state.changed.notify()
     await trio.sleep(0.1)
     assert scheduler.service._placer._suspects == {}
+
+
+class TaskCounter(trio.abc.Instrument):
+    """Counts the tasks that are started, by the name of their function."""
+
+    def __init__(self):
+        self.started = Counter()
+
+    def task_spawned(self, task):
+        self.started[task.name.rpartition(".")[2]] += 1
+
+
+async def test_stages_take_one_task_for_each_call(autojump_clock, nursery):
+    """Guards against tasks for each stage, whose starts and turns a scheduler pays in a burst."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    await trio.testing.wait_all_tasks_blocked()
+    tasks = TaskCounter()
+    trio.lowlevel.add_instrument(tasks)
+    try:
+        assert isinstance(await scheduler.ask(length=3), StagesReply)
+    finally:
+        trio.lowlevel.remove_instrument(tasks)
+    assert tasks.started.pop("_run_call") == len(scheduler.calls) == 3
+    # One call that frees results may have begun.
+    assert tasks.started.total() <= 1, tasks.started
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_stages_that_become_ready_in_one_call_share_the_next(autojump_clock, nursery, seed):
+    """Guards against small calls for the first of several requests whose stages end together."""
+    make_schedule_deterministic(seed)
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    names = ["r1", "r2"]
+    async with trio.open_nursery() as requests:
+        for name in names:
+            requests.start_soon(partial(scheduler.ask, request_id=name, length=2))
+    assert scheduler.calls == [names, names]
