Go on with a run of stages that its entry asks for again

What callers saw: after a cut between an entry and the scheduler, requests were late because their stages started anew, and their first results took room until they expired. Cause: a pulse that times out closes the connection; the scheduler then ended the run, or dropped it when the entry sent the request again. The answer of a run that had ended in the cut was lost as well. Now a run has a number of its entry (a new optional field; 0, as earlier releases send, joins nothing). The scheduler goes on for 1 s without a connection, and an entry that asks for the same run gets its reply, unless results have expired or were freed. Runs belong to the scheduler's nursery: one task more a request.

Tests: a run is joined while it goes on and after its end; it is done again if results are gone; it ends if the entry does not come back.

--- a/marigoldtrail/pieces/client.py
+++ b/marigoldtrail/pieces/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 
 import msgspec
@@ -136,6 +137,7 @@
         "_lost",
         "_calls",
         "_checks",
+        "_run_numbers",
     )
 
     def __init__(
@@ -158,6 +160,7 @@
         self._calls: dict[str, set[trio.CancelScope]] = {}
         # Checks in progress of schedulers that do not answer; set at the end of the check.
         self._checks: dict[str, trio.Event] = {}
+        self._run_numbers = itertools.count(1)
 
     def choose_scheduler(self) -> str | None:
         """
@@ -196,6 +199,8 @@
             Why the stages failed; None on success.
         """
         failure = self._failure(Reason.NO_UPSTREAM, "no control host is known")
+        # The scheduler goes on with a run that it is asked for again after a cut.
+        stage_run.request.run = next(self._run_numbers)
         while (left_s := stage_run.deadline - self._timers.now()) > 0:
             host = self.choose_scheduler()
             if host is None:
--- a/marigoldtrail/pieces/results.py
+++ b/marigoldtrail/pieces/results.py
@@ -85,6 +85,10 @@
         kept = self._kept.get(handle)
         return kept.size if kept is not None else 0
 
+    def has_all(self, handles: Iterable[str]) -> bool:
+        """Return whether all results still exist."""
+        return all(handle in self._kept for handle in handles)
+
     def bytes_by_data_centre(self, handles: Iterable[str]) -> dict[str, int]:
         """Return the total size of results by data centre."""
         found: Counter[str] = Counter()
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -209,6 +209,10 @@
         """Return the total size of results by data centre."""
         return self._results.bytes_by_data_centre(handles)
 
+    def has_results(self, handles: list[str]) -> bool:
+        """Return whether no result has expired or was freed."""
+        return self._results.has_all(handles)
+
     def free(self, handles: set[str]) -> None:
         """Mark results as unneeded and free them where room is short."""
         for worker in self._results.mark_unneeded(handles):
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -23,6 +23,7 @@
 from marigoldtrail.pieces.job import CRASHES_UPSTREAMS, PieceJob
 from marigoldtrail.pieces.placer import EnginePlacer
 from marigoldtrail.pieces.runner import PieceCall, PieceRunner
+from marigoldtrail.pieces.stage_runs import StageRun
 from marigoldtrail.quarantine import make_stage_part
 from marigoldtrail.registry import FleetState
 from marigoldtrail.schema.generated.pieces import (
@@ -35,7 +36,7 @@
     StagesReply,
 )
 from marigoldtrail.telemetry.prometheus import PrometheusMetrics
-from marigoldtrail.timers import Notifier, Timers
+from marigoldtrail.timers import Notifier, Timers, run_guarded
 
 # Pieces of one request. Each takes memory from its admission on, and the callers name the count.
 MAX_PIECES = 10_000
@@ -104,7 +105,16 @@
         Counts pieces.
     """
 
-    __slots__ = ("_host", "_fleet_state", "_timers", "_runner", "_placer", "_jobs")
+    __slots__ = (
+        "_host",
+        "_fleet_state",
+        "_timers",
+        "_runner",
+        "_placer",
+        "_jobs",
+        "_runs",
+        "_nursery",
+    )
 
     def __init__(
         self,
@@ -124,6 +134,9 @@
         )
         self._placer = EnginePlacer(fleet_state=fleet_state, timers=timers, rng=rng)
         self._jobs: dict[str, list[PieceJob]] = {}
+        # Latest run of the stages of each request.
+        self._runs: dict[str, StageRun] = {}
+        self._nursery: trio.Nursery | None = None
 
     def get_handlers(self) -> Handlers:
         """
@@ -139,14 +152,48 @@
     async def run(self) -> None:
         """Plan and make calls until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self._runner.run)
             while True:
                 await self._fleet_state.changed.wait()
                 self._placer.forget_except(set(self._fleet_state.upstreams))
 
     async def _run_stages(self, request: RunStages, sender: str) -> StagesReply | Failure:
-        # An entry that sends a request again does not need the results of its first attempt.
-        self._drop_jobs(request.request_id)
+        if self._nursery is None:
+            return await self._run_once(request)
+        run = self._find_run(request, sender)
+        if run is None:
+            # An entry that asks for another run does not need the results of the one before.
+            self._drop_jobs(request.request_id)
+            dropped = self._failure(Reason.UPSTREAM_ERROR, "dropped")
+            run = StageRun(sender=sender, number=request.run, reply=dropped)
+            self._runs[request.request_id] = run
+            while len(self._runs) > MAX_REQUESTS_KEPT:
+                del self._runs[next(iter(self._runs))]
+            self._nursery.start_soon(run_guarded, run.execute, self._run_once, request)
+        run.waiting += 1
+        try:
+            await run.done.wait()
+        finally:
+            run.waiting -= 1
+            if not run.waiting and not run.done.is_set():
+                self._nursery.start_soon(run_guarded, run.end_unless_joined, self._timers)
+        return run.reply
+
+    def _find_run(self, request: RunStages, sender: str) -> StageRun | None:
+        """Return the run that an entry asks for again, unless it has no usable results."""
+        run = self._runs.get(request.request_id)
+        if run is None or not run.is_asked_for(request, sender):
+            return None
+        is_usable = not run.done.is_set() or (
+            isinstance(run.reply, StagesReply) and self._runner.has_results(run.reply.handles)
+        )
+        if not is_usable:
+            return None
+        _log.info("entry asks again for a run", extra={"request_id": request.request_id})
+        return run
+
+    async def _run_once(self, request: RunStages) -> StagesReply | Failure:
         await self._wait_for_view(request)
         admitted = self._admit(request)
         if isinstance(admitted, Failure):
@@ -412,6 +459,9 @@
 
     def _drop_jobs(self, request_id: str) -> None:
         """Free the results of a request and drop its unfinished jobs."""
+        run = self._runs.pop(request_id, None)
+        if run is not None:
+            run.scope.cancel()
         handles: set[str] = set()
         for job in self._jobs.pop(request_id, []):
             job.fail("dropped")
--- /dev/null
+++ b/marigoldtrail/pieces/stage_runs.py
@@ -0,0 +1,72 @@
+"""Runs of the stages of requests that outlive the connection over which they were asked for."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from marigoldtrail.errors import Failure
+from marigoldtrail.schema.generated.pieces import RunStages, StagesReply
+from marigoldtrail.timers import Timers
+
+# A run whose entry has lost its connection goes on for this time, in which the entry may ask again.
+REJOIN_S = 1.0
+
+
+class StageRun:
+    """
+    One run of the stages of a request.
+
+    Parameters
+    ----------
+    sender : str
+        Entry that asked for it.
+    number : int
+        Number of the run at the entry; 0 if unknown.
+    reply : Failure
+        Reply if the run is ended from outside.
+
+    Attributes
+    ----------
+    reply : StagesReply or Failure
+        Reply to the entry, once the run is done.
+    done : trio.Event
+        Set when the run has ended.
+    scope : trio.CancelScope
+        Ends the run.
+    waiting : int
+        Calls of the entry that wait for the reply.
+    """
+
+    __slots__ = ("_sender", "_number", "reply", "done", "scope", "waiting")
+
+    def __init__(self, *, sender: str, number: int, reply: Failure) -> None:
+        self._sender = sender
+        self._number = number
+        self.reply: StagesReply | Failure = reply
+        self.done = trio.Event()
+        self.scope = trio.CancelScope()
+        self.waiting = 0
+
+    def is_asked_for(self, request: RunStages, sender: str) -> bool:
+        """Return whether an entry asks for this run again."""
+        return request.run != 0 and (sender, request.run) == (self._sender, self._number)
+
+    async def execute(
+        self,
+        run_stages: Callable[[RunStages], Awaitable[StagesReply | Failure]],
+        request: RunStages,
+    ) -> None:
+        """Run the stages and keep the reply."""
+        try:
+            with self.scope:
+                self.reply = await run_stages(request)
+        finally:
+            self.done.set()
+
+    async def end_unless_joined(self, timers: Timers) -> None:
+        """End the run if its entry does not ask for it again."""
+        await timers.sleep(REJOIN_S)
+        if not self.waiting:
+            self.scope.cancel()
--- a/marigoldtrail/pieces/tests/test_service.py
+++ b/marigoldtrail/pieces/tests/test_service.py
@@ -8,6 +8,7 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.pieces import PieceCall, PieceResult, PieceService
+from marigoldtrail.pieces.stage_runs import REJOIN_S
 from marigoldtrail.registry import FleetState
 from marigoldtrail.routing import Limits, PieceSpec, RouteTable, Service, build_index
 from marigoldtrail.schema.generated.pieces import (
@@ -39,6 +40,7 @@
 
     def __init__(self, nursery):
         timers = Timers(seed=1)
+        self.pieces_run = 0
         self.fleet_state = FleetState(parse_document=lambda data: "", timers=timers)
         service = Service(name="board", max_connections=9, pieces=SPEC)
         table = RouteTable(
@@ -56,6 +58,7 @@
         nursery.start_soon(self.service.run)
 
     async def run(self, upstream, pieces, remaining_s):
+        self.pieces_run += len(pieces)
         await trio.sleep(WORK_S)
         return [PieceResult(handle=f"{piece.identity}") for piece in pieces]
 
@@ -80,7 +83,7 @@
         reply = HostReportReply(term=1, revisions={}, upstreams=entries)
         self.fleet_state.apply(reply, sent_at=trio.current_time())
 
-    async def ask(self, *, request_id="r", count=1, slack_s=1.0):
+    async def ask(self, *, request_id="r", count=1, slack_s=1.0, run=0):
         request = RunStages(
             request_id=request_id,
             stages=[StageRequest(service="board", count=count, result_bytes=RESULT_BYTES)],
@@ -88,6 +91,7 @@
             left_ms=round(LEFT_S * 1000),
             slack_ms=round(slack_s * 1000),
             engine_service="",
+            run=run,
         )
         return await self.service.get_handlers()[RunStages](request, "entry")
 
@@ -163,6 +167,48 @@
         assert trio.current_time() - started < 2 * WORK_S
 
 
+@pytest.mark.parametrize("away_s", [0.1, 0.5])
+async def test_entry_that_lost_its_connection_gets_the_same_run(autojump_clock, nursery, away_s):
+    """Guards against stages that start anew because the answer to their entry was lost."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    await trio.sleep(0.01)
+    with trio.move_on_after(WORK_S / 2):
+        await scheduler.ask(count=SPEC.batch, run=7)
+    await trio.sleep(away_s)
+    reply = await scheduler.ask(count=SPEC.batch, run=7)
+    assert isinstance(reply, StagesReply), reply
+    assert scheduler.pieces_run == SPEC.batch
+    # Another run is asked for when an engine has lost the results.
+    reply = await scheduler.ask(count=SPEC.batch, run=8)
+    assert isinstance(reply, StagesReply) and scheduler.pieces_run == 2 * SPEC.batch
+
+
+async def test_run_is_done_again_if_its_results_are_gone(autojump_clock, nursery):
+    """Guards against the handles of expired results in an answer that is sent again."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    await trio.sleep(0.01)
+    await scheduler.ask(run=7)
+    await trio.sleep(SPEC.result_retention_s + 0.3)
+    assert isinstance(await scheduler.ask(run=7), StagesReply)
+    assert scheduler.pieces_run == 2
+
+
+async def test_run_of_an_entry_that_is_gone_ends(autojump_clock, nursery):
+    """Guards against the work for requests of entries that do not come back."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    await trio.sleep(0.01)
+    with trio.move_on_after(WORK_S / 2):
+        await scheduler.ask(count=40 * SPEC.batch, run=7)
+    await trio.sleep(REJOIN_S + WORK_S)
+    pieces_run = scheduler.pieces_run
+    await trio.sleep(4 * WORK_S)
+    assert scheduler.pieces_run == pieces_run
+    assert not scheduler.service._runner.scheduler("board").waiting_count()
+
+
 async def test_scheduler_forgets_engines_when_the_list_changes(autojump_clock, nursery):
     """Guards against a scheduler that never forgets the engines it has chosen."""
     scheduler = Scheduler(nursery)
