Free results again if the call that frees them got no answer

What callers saw: after a short cut, stages waited up to 4 s for room. Cause: handles were forgotten once a call had tried to free them; the results took room, and counted, until they expired. Now they stay marked as unneeded, and the next call for room frees them again. A call that did free them and whose answer was lost does no harm: the upstream knows none of the handles.

The new test fails on the code before: the second job waits for 4 s and nothing is freed.

--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -263,7 +263,9 @@
             worker.is_freeing = False
         if failure is not None:
             worker.back_off(failure.retry_after_s, self._timers.now())
-            # The results stay counted until they expire.
+            # The results count until they expire, or until they are freed by another call.
+            self._results.mark_unneeded(handles)
+            worker.freed_at = self._timers.now()
             _log.warning("unneeded results were not freed at the upstream: %s", failure)
             return
         # The room is available only after the upstream has confirmed.
--- a/marigoldtrail/pieces/tests/test_runner.py
+++ b/marigoldtrail/pieces/tests/test_runner.py
@@ -367,3 +367,25 @@
     is_dark = False
     worker = upstreams.worker(upstreams.calls[0][0])
     assert worker.failures == 1 and worker.slowness_at(trio.current_time()) == 1.0
+
+
+async def test_results_whose_freeing_got_no_answer_are_freed_again(autojump_clock, nursery):
+    """Guards against room that stays taken until results expire because one call was lost."""
+    upstreams = Upstreams(nursery)
+    frees = []
+
+    async def free(upstream, handles):
+        frees.append(handles)
+        if len(frees) == 1:
+            await trio.sleep(1.0)
+            return Failure(reason=Reason.TIMEOUT, run_state=RunState.MAY_HAVE_RUN, step="test")
+        await upstreams.free(upstream, handles)
+
+    upstreams.runner._call = PieceCall(run=upstreams.run, free=free)
+    size = SPEC.result_capacity_bytes * 6 // 10
+    first = await upstreams.work("first", size=size)
+    upstreams.runner.free(set(first.handles))
+    started = trio.current_time()
+    job = await upstreams.work("second", size=size)
+    assert all(job.handles) and upstreams.freed == first.handles
+    assert trio.current_time() - started < 1.0 + 3 * WORK_S
