--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -195,6 +195,10 @@
         """Return the total size of results by data centre."""
         return self._results.bytes_by_data_centre(handles)
 
+    def has_results(self, handles: list[str]) -> bool:
+        """Return whether no result has expired or was freed."""
+        return self._results.has_all(handles)
+
     def free(self, handles: set[str]) -> None:
         """Mark results as unneeded and free them where room is short."""
         for worker in self._results.mark_unneeded(handles):
@@ -245,7 +249,9 @@
             worker.is_freeing = False
         if failure is not None:
             worker.back_off(failure.retry_after_s, self._timers.now())
-            # The results stay counted until they expire.
+            # The results count until they expire, or until they are freed by another call.
+            self._results.mark_unneeded(handles)
+            worker.freed_at = self._timers.now()
             _log.warning("unneeded results were not freed at the upstream: %s", failure)
             return
         # The room is available only after the upstream has confirmed.
