Keep streams that were sent until their caller leaves or their deadline

What callers saw: a stream that a sound upstream was working on ended with 504 before its first event, max(2 s, 4 x target_latency, 8 x gap) after its arrival, though its caller was connected and had time left. A configuration that lowers the target or leaves it out shortens that to 2 s for new requests.

The host took what a configuration says of the target for what the caller does.

Why this works: the limit by the target holds only while no upstream may have begun the request, so that stages and queues don't serve callers who are about to leave (503). From the moment at which it is sent, the deadline and the caller's leaving end it; a refusal by the upstream sets the earlier limit again.

Callers that leave at their own limit now leave before the host gives up.

--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -17,7 +17,7 @@
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.abandoned import AbandonedAttempts
 from marigoldtrail.relay.attempts import AttemptRunner
-from marigoldtrail.relay.exchange import Exchange
+from marigoldtrail.relay.exchange import MIN_ABANDON_PAUSE_S, Exchange
 from marigoldtrail.relay.peer_forwarding import PeerForwarder, make_unforwarded_failure
 from marigoldtrail.relay.pool import ConnectionPool
 from marigoldtrail.relay.request_mover import Assignment, RequestMover
@@ -194,6 +194,11 @@
         if exchange.stage_run is not None:
             self._pieces.report_end(exchange.stage_run)
 
+    def handle_leave(self, exchange: Exchange) -> None:
+        """Watch the upstream of a stream whose caller left after it had waited in vain."""
+        if exchange.is_stream and self._timers.now() - exchange.started >= MIN_ABANDON_PAUSE_S:
+            self.handle_deadline(exchange)
+
     def handle_deadline(self, exchange: Exchange) -> None:
         """Watch the upstream of a request that ended at its deadline without an answer."""
         upstream = self._fleet_state.upstreams.get(exchange.last_upstream)
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -64,8 +64,6 @@
 
     Attributes
     ----------
-    may_have_run : bool
-        Whether an upstream may have started to run the request.
     runs : int
         Number of upstreams that may have started to run the request.
     sends : int
@@ -119,7 +117,7 @@
         "deadline",
         "_fingerprint",
         "_parts",
-        "may_have_run",
+        "_may_have_run",
         "runs",
         "sends",
         "reads",
@@ -168,7 +166,7 @@
         self.deadline = deadline
         self._fingerprint = ""
         self._parts: frozenset[str] = frozenset()
-        self.may_have_run = False
+        self._may_have_run = False
         self.runs = 0
         self.sends = 0
         self.reads = 0
@@ -190,20 +188,32 @@
         self.owed = OwedResponse(conn=conn)
         self.scope = trio.CancelScope(deadline=self.start_deadline)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have started to run the request."""
+        return self._may_have_run
+
+    @may_have_run.setter
+    def may_have_run(self, may_have_run: bool) -> None:
+        self._may_have_run = may_have_run
+        self.scope.deadline = self.start_deadline
+
     @property
     def start_deadline(self) -> float:
         """
         Monotonic time in seconds by which the response must start.
 
-        Equals the deadline for responses that are no streams and for streams that have started.
+        Equals the deadline unless the request is for a stream that no upstream may have begun:
+        such a request is refused once its caller is expected to leave, and never run for nobody.
+        One that was sent is answered as long as its caller stays, whatever the target is.
         """
-        if not self.is_stream or self.first_event_at is not None:
+        if not self.is_stream or self._may_have_run or self.first_event_at is not None:
             return self.deadline
         return min(self.deadline, self.started + self.abandon_pause_s)
 
     @property
     def abandon_pause_s(self) -> float:
-        """Length in seconds of a pause after which callers abandon a stream."""
+        """Length in seconds of a pause after which callers of the route abandon a stream."""
         return max(
             MIN_ABANDON_PAUSE_S,
             ABANDON_PAUSE_TARGETS * self.route.target_latency_s,
@@ -237,7 +247,7 @@
     def record_first_event(self, now: float) -> None:
         """Record the start of the stream; from now on only the deadline cancels the request."""
         self.first_event_at = now
-        self.scope.deadline = self.deadline
+        self.scope.deadline = self.start_deadline
 
     @property
     def due_at(self) -> float:
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -359,7 +359,9 @@
     async def _answer(self, routed: Exchange) -> EndReason | None:
         """Dispatch a request and send its response; return why that is not complete, if so."""
         result, has_left = await self._dispatch(routed)
-        if result is None and not has_left:
+        if result is None and has_left:
+            self._dispatcher.handle_leave(routed)
+        elif result is None:
             result = self._make_cancelled_failure(routed)
         if isinstance(result, StreamForwarded | CompleteResponse):
             self._stop.record_duration(routed.route.name, self._timers.now() - routed.started)
--- a/marigoldtrail/relay/tests/test_abandoned.py
+++ b/marigoldtrail/relay/tests/test_abandoned.py
@@ -66,3 +66,23 @@
     data = await harness.fetch(make_request())
     await trio.sleep(2)
     assert data.endswith(b"0\r\n\r\n") and list_blamed(harness) == ["i-0"]
+
+
+async def test_stream_whose_caller_leaves_before_its_upstream_crashes_is_blamed(
+    autojump_clock, nursery
+):
+    """Guards against streams that crash their upstreams unseen, since no caller waits for them."""
+
+    async def hang(stream):
+        await read_request(stream)
+        await trio.sleep(2.25)
+        harness.network.refuse("10.0.0.1", "10.0.1.0")
+
+    harness = RelayHarness(nursery, RouteKind.STREAMING)
+    await harness.start(hang)
+    stream = await harness.connect()
+    await stream.send_all(make_request())
+    await trio.sleep(2.2)
+    await stream.aclose()
+    await trio.sleep(2)
+    assert list_blamed(harness) == ["i-0"]
--- a/marigoldtrail/relay/tests/test_exchange.py
+++ b/marigoldtrail/relay/tests/test_exchange.py
@@ -50,3 +50,14 @@
     assert exchange.start_deadline < exchange.deadline
     exchange.record_first_event(101.0)
     assert exchange.start_deadline == exchange.scope.deadline == exchange.deadline
+
+
+def test_stream_is_limited_by_its_deadline_while_an_upstream_may_run_it():
+    """Guards against a stream that ends at its upstream because of the target of its route."""
+    exchange = make_exchange(0)
+    limit = exchange.start_deadline
+    exchange.may_have_run = True
+    assert exchange.start_deadline == exchange.scope.deadline == exchange.deadline
+    # It was refused: a stream that nobody runs is not kept for a caller that is about to leave.
+    exchange.may_have_run = False
+    assert exchange.start_deadline == exchange.scope.deadline == limit < exchange.deadline
--- a/marigoldtrail/relay/tests/test_waiting_callers.py
+++ b/marigoldtrail/relay/tests/test_waiting_callers.py
@@ -46,6 +46,7 @@
 
 # What a stalled upstream sends first, and then at intervals.
 STALLS = {
+    "nothing": (b"", b""),
     "an event": (STREAM_HEAD + chunk(EVENTS[0]), b""),
     "no second event": (STREAM_HEAD + chunk(EVENTS[0]), chunk(b":")),
 }
@@ -97,6 +98,23 @@
     assert is_whole(await read_all(stream))
 
 
+@pytest.mark.parametrize("silence_s", SILENCES_S)
+@pytest.mark.parametrize("target_s", TARGETS_S)
+async def test_stream_that_was_sent_is_kept_until_its_first_event(
+    autojump_clock, nursery, target_s, silence_s
+):
+    """Guards against a failure in place of an answer that a sound upstream is working on."""
+
+    async def begin_late(stream):
+        await read_request(stream)
+        await trio.sleep(silence_s)
+        await stream.send_all(STREAM_HEAD + b"".join(map(chunk, EVENTS)) + END)
+
+    harness = make_streams(nursery, target_s)
+    await harness.start(begin_late)
+    assert is_whole(await harness.fetch(make_patient_request()))
+
+
 @pytest.mark.parametrize("silence_s", SILENCES_S)
 @pytest.mark.parametrize("target_s", TARGETS_S)
 async def test_stream_of_another_entry_is_kept_while_its_caller_waits(
@@ -135,7 +153,8 @@
     started = trio.current_time()
     data = await harness.fetch(make_patient_request())
     await trio.sleep(0.1)
-    assert not data.endswith(END) and EVENTS[0] in data
+    assert not data.endswith(END) and (EVENTS[0] in data) == (sends != "nothing")
+    assert sends != "nothing" or data.startswith(b"HTTP/1.1 504 ")
     assert len(ends) == 1 and DEADLINE_S - 0.1 <= ends[0] - started <= DEADLINE_S
     assert harness.relay.requests == 0
 
