Refuse a request that was accepted and that another entry denies

What callers saw: a request that was read before a change of the configuration was in force was answered 401 up to 1.6 s later, while it waited for its stages. A caller does not come back after a 401, 403, 404 or 413.

Cause: a request is bound to the configuration of its arrival, but one that is forwarded because its entry reaches no upstream is judged again by the entry that gets it, by whatever configuration that has by then.

Why this works: such a denial is told from an upstream's answer by the missing signature, promises that the request did not run, and becomes 503 with a time to come back, or 502 if an earlier attempt may have run. The caller's next attempt is judged once, by one configuration. Answers of upstreams with these statuses pass as before (test_error_of_an_upstream_is_passed_on_by_...).

--- a/marigoldtrail/relay/peer_forwarding.py
+++ b/marigoldtrail/relay/peer_forwarding.py
@@ -40,6 +40,8 @@
 # No entry reaches an upstream, which each of them tries again after this time. Callers come back
 # only a few times.
 NO_ENTRY_RETRY_AFTER_S = 0.5
+# Gives a configuration time to reach all entries, since callers come back only a few times.
+DENIED_RETRY_AFTER_S = 0.5
 
 # Asks the leader for the entries that reach upstreams.
 ListEntriesFn = Callable[[], Awaitable[EntryList | Failure]]
@@ -184,7 +186,12 @@
             else:
                 result = await self._read_response(exchange, conn, head)
             nursery.cancel_scope.cancel()
-        if isinstance(result, CompleteResponse) and result.status in NOT_RUN_STATUSES:
+        if not isinstance(result, CompleteResponse) or isinstance(head, Failure):
+            return result
+        if is_denial(head):
+            exchange.may_have_run = ran_before
+            return make_denied_failure(exchange, address, head.status)
+        if result.status in NOT_RUN_STATUSES:
             if ran_before:
                 # The promise of the other entry does not hold for an earlier attempt of this one.
                 return conn.make_failure(Reason.OVERLOADED, "refused by another entry")
@@ -246,6 +253,36 @@
                 return StreamForwarded()
 
 
+def is_denial(head: ResponseHead) -> bool:
+    """
+    Return whether another entry denies a request by its configuration or limits.
+
+    Upstreams sign their answers. Statuses that promise that a request has not run are no denials.
+    """
+    return (
+        400 <= head.status < 500
+        and head.status not in NOT_RUN_STATUSES
+        and not (head.info.is_signed)
+    )
+
+
+def make_denied_failure(exchange: Exchange, address: str, status: int) -> Failure:
+    """
+    Return the failure of a request that this host accepted, and another entry denied.
+
+    One of the two has another configuration than that of the arrival. The denial is not passed on,
+    since callers do not come back after it.
+    """
+    return Failure(
+        reason=Reason.VIEW_NOT_CURRENT,
+        run_state=RunState.MAY_HAVE_RUN if exchange.may_have_run else RunState.NOT_RUN,
+        step="entry.forward",
+        peer=address,
+        detail=f"status {status} of another configuration",
+        retry_after_s=DENIED_RETRY_AFTER_S,
+    )
+
+
 def make_unforwarded_failure(exchange: Exchange, *, is_alone: bool = False) -> Failure:
     """
     Return the failure of a request that no host can serve, or that must not be forwarded.
--- a/marigoldtrail/relay/tests/test_peer_forwarding.py
+++ b/marigoldtrail/relay/tests/test_peer_forwarding.py
@@ -79,6 +79,29 @@
     assert data.startswith(b"HTTP/1.1 503") and b"retry-after: 1.5" in data.lower()
 
 
+@pytest.mark.parametrize("status", [400, 401, 403, 404, 413, 431])
+@pytest.mark.parametrize("kind", RouteKind)
+async def test_request_that_was_accepted_is_not_denied_by_the_other_entry(
+    autojump_clock, nursery, status, kind
+):
+    """Guards against a denial of a request by a configuration that is not that of its arrival."""
+    denial = make_response("no", status=f"{status} No", headers="")
+    harness = await start(nursery, reply_with(denial), kind, max_attempts=2)
+    data = await harness.fetch(make_request(method="POST", body=b"b"))
+    assert data.startswith(b"HTTP/1.1 503 ") and b"retry-after: " in data.lower()
+
+
+@pytest.mark.parametrize("status", [400, 404, 413])
+async def test_error_of_an_upstream_is_passed_on_by_the_other_entry(
+    autojump_clock, nursery, status
+):
+    """Guards against a promise that a request did not run, in place of an upstream's answer."""
+    answer = make_response("no such thing", status=f"{status} No")
+    harness = await start(nursery, reply_with(answer), RouteKind.UNSAFE)
+    data = await harness.fetch(make_request(method="POST", body=b"b"))
+    assert data.startswith(b"HTTP/1.1 %d " % status) and data.endswith(b"no such thing")
+
+
 async def test_entry_that_refuses_connections_is_passed_over(autojump_clock, nursery):
     """Guards against a refusal because one of the listed entries has stopped."""
     harness = await start(nursery, reply_with(make_response("ok")), RouteKind.UNSAFE)
