--- a/marigoldtrail/pieces/tests/test_runner.py
+++ b/marigoldtrail/pieces/tests/test_runner.py
@@ -380,6 +380,7 @@
             await trio.sleep(1.0)
             return Failure(reason=Reason.TIMEOUT, run_state=RunState.MAY_HAVE_RUN, step="test")
         await upstreams.free(upstream, handles)
+        return None
 
     upstreams.runner._call = PieceCall(run=upstreams.run, free=free)
     size = SPEC.result_capacity_bytes * 6 // 10
--- a/marigoldtrail/relay/peer_forwarding.py
+++ b/marigoldtrail/relay/peer_forwarding.py
@@ -37,12 +37,11 @@
 MAX_LIST_AGE_S = 5.0
 # A caller may try another entry at once.
 RETRY_AFTER_S = 0.05
-# An entry refuses with these what its configuration does not allow, and callers do not come back.
-# This host's configuration allows the request, so that one of the two is not the current one.
-NOT_ALLOWED_STATUSES = (401, 404, 413, 431)
 # No entry reaches an upstream, which each of them tries again after this time. Callers come back
 # only a few times.
 NO_ENTRY_RETRY_AFTER_S = 0.5
+# Gives a configuration time to reach all entries, since callers come back only a few times.
+DENIED_RETRY_AFTER_S = 0.5
 
 # Asks the leader for the entries that reach upstreams.
 ListEntriesFn = Callable[[], Awaitable[EntryList | Failure]]
@@ -187,9 +186,9 @@
             else:
                 result = await self._read_response(exchange, conn, head)
             nursery.cancel_scope.cancel()
-        if not isinstance(head, Failure) and is_not_allowed(head):
+        if not isinstance(head, Failure) and is_denial(head):
             exchange.may_have_run = ran_before
-            return make_not_allowed_failure(exchange, head.status)
+            return make_denied_failure(exchange, address, head.status)
         if isinstance(result, CompleteResponse) and result.status in NOT_RUN_STATUSES:
             if ran_before:
                 # The promise of the other entry does not hold for an earlier attempt of this one.
@@ -252,35 +251,30 @@
                 return StreamForwarded()
 
 
-def is_not_allowed(head: ResponseHead) -> bool:
-    """Return whether another entry refused a request that its configuration does not allow."""
-    # A response of an upstream, which may have the same status, is signed.
-    return head.status in NOT_ALLOWED_STATUSES and not head.info.is_signed
-
+def is_denial(head: ResponseHead) -> bool:
+    """
+    Return whether another entry denies a request by its configuration or limits.
 
-def make_not_allowed_failure(exchange: Exchange, status: int) -> Failure:
+    Upstreams sign their answers. Statuses that promise that a request has not run are no denials.
     """
-    Return the failure of a request that only the configuration of this host allows.
+    is_refusal = 400 <= head.status < 500 and head.status not in NOT_RUN_STATUSES
+    return is_refusal and not head.info.is_signed
 
-    Parameters
-    ----------
-    exchange : Exchange
-        The request.
-    status : int
-        Status of the other entry.
 
-    Returns
-    -------
-    Failure
-        ``VIEW_NOT_CURRENT``, with the time after which its caller may come back.
+def make_denied_failure(exchange: Exchange, address: str, status: int) -> Failure:
+    """
+    Return the failure of a request that this host accepted, and another entry denied.
+
+    One of the two has another configuration than that of the arrival. The denial is not passed on,
+    since callers do not come back after it.
     """
     return Failure(
         reason=Reason.VIEW_NOT_CURRENT,
         run_state=RunState.MAY_HAVE_RUN if exchange.may_have_run else RunState.NOT_RUN,
-        step="upstream.choose",
-        peer=exchange.last_upstream,
-        detail=f"another entry has another configuration (status {status})",
-        retry_after_s=RETRY_AFTER_S,
+        step="entry.forward",
+        peer=address,
+        detail=f"status {status} of another configuration",
+        retry_after_s=DENIED_RETRY_AFTER_S,
     )
 
 
