Load the code of control hosts before what is loaded is frozen

Cause: entries no longer load the code of control hosts, so that a control host loaded it after the objects of the start were left out of garbage collections. Run: platform/tests/test_start.py (its case for control hosts fails before), site.

--- a/marigoldtrail/platform/tests/test_start.py
+++ b/marigoldtrail/platform/tests/test_start.py
@@ -30,6 +30,7 @@
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
 ROOT = Path(__file__).parents[3]
+CONTROL_HOST = "marigoldtrail.site.control_host"
 # Each of them names this host, another one, or a place for its data.
 NEEDED = (
     "data_dir",
@@ -137,17 +138,25 @@
     assert not [path for path in imported if excluded.search(path)]
 
 
-def test_host_collects_no_garbage_among_what_it_has_loaded(tmp_path, monkeypatch):
+@pytest.mark.parametrize("role", ["entry", "control"])
+def test_host_collects_no_garbage_among_what_it_has_loaded(tmp_path, monkeypatch, role):
     """Guards against collections that go through all modules and types again and again."""
     path = tmp_path / "node.json"
-    path.write_text(fill_template(make_fields("entry", "127.0.0.1", (1, 2, 3, 4, 5), tmp_path)))
-    counts = []
-    monkeypatch.setattr(launch.trio, "run", lambda *_: counts.append(gc.get_freeze_count()))
+    path.write_text(fill_template(make_fields(role, "127.0.0.1", (1, 2, 3, 4, 5), tmp_path)))
+    frozen = []
+
+    def note_frozen(*_):
+        frozen.append((gc.get_freeze_count(), CONTROL_HOST in sys.modules))
+
+    monkeypatch.setattr(launch.trio, "run", note_frozen)
     monkeypatch.setattr(launch, "configure_nonblocking_logging", lambda **_: None)
+    monkeypatch.delitem(sys.modules, CONTROL_HOST, raising=False)
     thresholds = gc.get_threshold()
     try:
         assert launch.run_site(str(path), build_adapter()) == 0
-        assert counts[0] > 0 and gc.get_threshold() > thresholds
+        ((count, has_control_host),) = frozen
+        assert count > 0 and gc.get_threshold() > thresholds
+        assert has_control_host == (role == "control")
     finally:
         gc.unfreeze()
         gc.set_threshold(*thresholds)
--- a/marigoldtrail/site/launch.py
+++ b/marigoldtrail/site/launch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import logging
 import random
 import signal
@@ -54,6 +55,9 @@
         sys.stderr.write(f"error: {cfg}\n")
         return EXIT_INVALID
     configure_nonblocking_logging(host=cfg.host)
+    if cfg.role != "entry":
+        # Loaded before the collector is tuned, so that collections leave it out too.
+        importlib.import_module("marigoldtrail.site.control_host")
     tune_garbage_collection()
     failure = trio.run(serve_site, cfg, adapter, file)
     if failure is not None:
