Free finished requests without the garbage collector

Cause: the account of a body refers to what gives the response up, which refers to the account; and a connection's account refers to the connection.

Change: a closed account, and the account of a closed connection, forget whom they would call.

--- a/marigoldtrail/memory/budget.py
+++ b/marigoldtrail/memory/budget.py
@@ -194,6 +194,9 @@
     def close(self) -> None:
         """Give back all bytes; the account may be closed again."""
         self.budget.close(self)
+        # What would be called refers to the account: only the garbage collector would free both,
+        # with the message.
+        self._evict = ignore_eviction
 
     def __enter__(self) -> MemoryAccount:
         return self
@@ -439,6 +442,10 @@
         self._changed.notify()
 
 
+def ignore_eviction() -> None:
+    """Do nothing: the message of a closed account holds no memory."""
+
+
 def weigh_account(account: MemoryAccount) -> float:
     """Return by what size an account counts when the largest message is given up."""
     return account.size * (ANNOUNCED_WEIGHT if account.has_known_size else 1.0)
--- a/marigoldtrail/memory/requests.py
+++ b/marigoldtrail/memory/requests.py
@@ -7,7 +7,12 @@
 
 import trio
 
-from marigoldtrail.memory.budget import DEFAULT_BUDGET_BYTES, MemoryAccount, MemoryBudget
+from marigoldtrail.memory.budget import (
+    DEFAULT_BUDGET_BYTES,
+    MemoryAccount,
+    MemoryBudget,
+    ignore_eviction,
+)
 from marigoldtrail.timers import Timers
 
 PURPOSE = "request"
@@ -158,6 +163,13 @@
         self._is_complete = False
         self.is_evicted = False
 
+    def end(self) -> None:
+        """Give back all memory; there is no next request."""
+        self.close()
+        # The connection that it would stop refers to the account: only the garbage collector would
+        # free the two, with all that the connection has received.
+        self._evict = ignore_eviction
+
 
 class RequestMemory:
     """
--- a/marigoldtrail/relay/caller_connection.py
+++ b/marigoldtrail/relay/caller_connection.py
@@ -491,7 +491,7 @@
             Number of received bytes that were dropped without being served.
         """
         dropped = self.buffered_bytes + self._unparsed_bytes
-        self._account.close()
+        self._account.end()
         if is_forced or self.is_broken:
             if self._ends_with_close():
                 reset_on_close(self._stream)
