Give no two hosts of the tests' stand-in the same storage id

Site drew the randomness of each host, and with it its storage id, from 1,000 seeds. A host that comes back with an empty disk could in the same way get the id that it had before, and count for what it has lost. Real hosts draw 64 bits of the system's randomness.

A seed that comes again is now made another one; all other plays stay as they are. Drawing 64 bits instead changed them, and with them the set-up of test_stream_that_moved_because_its_record_was_not_sent_keeps_its_new_version, which needs a stream that moves.

--- a/marigoldtrail/platform/tests/standin.py
+++ b/marigoldtrail/platform/tests/standin.py
@@ -78,6 +78,8 @@
         self.disks = {ip: MemoryDisk(rng=self.rng) for ip in self.control}
         self.hosts = {}
         self.scopes = {}
+        # How often each seed was drawn for a start of a host.
+        self.host_seeds = collections.Counter()
         self.engines = engines
         self.list = []
         # Entries of another writer, as JSON text.
@@ -268,7 +270,7 @@
                     adapter=build_adapter(),
                     network=self.network.endpoint(ip),
                     timers=Timers(seed=self.rng.randrange(1000)),
-                    rng=random.Random(self.rng.randrange(1000)),
+                    rng=self._make_host_rng(),
                     nursery=nursery,
                 )
                 if ip in self.control:
@@ -280,6 +282,12 @@
                 nursery.start_soon(host.run)
                 task_status.started()
 
+    def _make_host_rng(self):
+        """Return randomness unlike that of any other start, since storage ids are drawn from it."""
+        seed = self.rng.randrange(1000)
+        self.host_seeds[seed] += 1
+        return random.Random(seed + 1000 * (self.host_seeds[seed] - 1))
+
     async def crash(self, ip, *, empty=False):
         """Kill a process; its disk loses unsynced data, or all data if ``empty``."""
         self.scopes[ip].cancel()
