--- a/marigoldtrail/relay/tests/test_peer_forwarding.py
+++ b/marigoldtrail/relay/tests/test_peer_forwarding.py
@@ -222,3 +222,18 @@
     harness.reachability._tell_listeners()
     data = await read_all(stream)
     assert data.endswith(chunk(EVENT) + b"0\r\n\r\n") and b"part of" not in data
+
+
+async def test_refusal_of_another_entry_does_not_hide_an_earlier_attempt(autojump_clock, nursery):
+    """Guards against a promise that a request has not run which an upstream had before."""
+    refusal = make_response("no", status="404 No", headers="")
+    harness = await start(nursery, reply_with(refusal), max_attempts=3)
+    harness.reachability.is_cut_off = False
+
+    async def fail(stream):
+        await read_request(stream)
+        harness.reachability.is_cut_off = True
+
+    await harness.add_upstream(0, fail)
+    data = await harness.fetch(make_request())
+    assert data.startswith(b"HTTP/1.1 502 ") and b"of another configuration" in data
