Close an accepted connection once

Change: the listener closes only what it has taken from its queue at the end, which trio does not see.

--- a/marigoldtrail/net/network.py
+++ b/marigoldtrail/net/network.py
@@ -132,12 +132,18 @@
                 _log.exception("handler of a connection raised an exception")
             finally:
                 control.connections -= 1
+
+        async def handle_queued(stream: trio.SocketStream) -> None:
+            try:
+                await handle(stream)
+            finally:
+                # `trio.serve_listeners` closes those that it has accepted.
                 await trio.aclose_forcefully(stream)
 
         async with trio.open_nursery() as nursery:
 
             def serve(stream: trio.SocketStream) -> None:
-                nursery.start_soon(handle, stream)
+                nursery.start_soon(handle_queued, stream)
 
             draining = [
                 QueueDrainingListener(listener=listener, control=control, serve=serve)
