Set the timer for stalls of a stream once, not with each event

Change: the watch wakes at the time that was due at first and goes back to sleep if events have come; the deadline moves only with the first event, after which the limit is shorter.

--- a/marigoldtrail/relay/stall_watch.py
+++ b/marigoldtrail/relay/stall_watch.py
@@ -43,6 +43,7 @@
         "_read_scope",
         "_offer_scope",
         "_sleep_scope",
+        "_has_progress",
         "_end",
     )
 
@@ -66,6 +67,8 @@
         self._offer_scope: trio.CancelScope | None = None
         # Ends when the stream has to be checked.
         self._sleep_scope = trio.CancelScope()
+        # Whether events were forwarded.
+        self._has_progress = False
         # Why the stream is not read any more.
         self._end: tuple[Reason, str] | None = None
 
@@ -98,8 +101,10 @@
     def note_progress(self) -> None:
         """Note that events were forwarded, so that no other upstream is needed."""
         self._timer.note_progress(self._timers.now())
-        # Events follow each other faster than the first one follows the head.
-        self._sleep_scope.deadline = self._timer.next_check_at(self._exchange)
+        if not self._has_progress:
+            self._has_progress = True
+            # Events follow each other faster than the first one follows the head.
+            self._sleep_scope.deadline = self._timer.next_check_at(self._exchange)
         if self._offer_scope is not None:
             self._offer_scope.cancel()
 
@@ -109,6 +114,9 @@
             due_at = self._timer.next_check_at(self._exchange)
             with trio.CancelScope(deadline=due_at) as self._sleep_scope:
                 await trio.sleep_forever()
+            if self._timers.now() < self._timer.next_check_at(self._exchange):
+                # Events have come meanwhile. To move the deadline with each of them costs more.
+                continue
             if self._read_scope is None:
                 # This host waits for the caller, or for the record of the version.
                 self._timer.note_progress(self._timers.now())
