--- a/marigoldtrail/relay/stall_watch.py
+++ b/marigoldtrail/relay/stall_watch.py
@@ -40,6 +40,7 @@
         "_offer_scope",
         "_sleep_scope",
         "_checked_at",
+        "_has_progress",
         "_is_taken",
     )
 
@@ -64,6 +65,8 @@
         # Monotonic time in seconds of the head of the response, of the last event, or of the last
         # refused move, whichever is latest.
         self._checked_at = timers.now()
+        # Whether events were forwarded.
+        self._has_progress = False
         # Whether another upstream has taken the request.
         self._is_taken = False
 
@@ -94,8 +97,10 @@
     def note_progress(self) -> None:
         """Note that events were forwarded, so that no other upstream is needed."""
         self._checked_at = self._timers.now()
-        # Events follow each other faster than the first one follows the head.
-        self._sleep_scope.deadline = self._next_check_at()
+        if not self._has_progress:
+            self._has_progress = True
+            # Events follow each other faster than the first one follows the head.
+            self._sleep_scope.deadline = self._next_check_at()
         if self._offer_scope is not None:
             self._offer_scope.cancel()
 
@@ -104,6 +109,9 @@
         while True:
             with trio.CancelScope(deadline=self._next_check_at()) as self._sleep_scope:
                 await trio.sleep_forever()
+            if self._timers.now() < self._next_check_at():
+                # Events have come meanwhile. To move the deadline with each of them costs more.
+                continue
             # Otherwise this host waits for the caller, or for the record of the version.
             if self._read_scope is not None:
                 await self._check()
