Play the silence matrix with short deadlines, few upstreams and full rooms

The matrix knew one site, whose deadlines no silence reaches. A second one has 5.4 ms between three data centres, three upstreams a service, streams with one attempt that may not be resumed (targets of 0.8 and 2 s, 15 s for callers), a resumable one with 8 s, and plain routes with a time-out of 0.8 s and callers with 1.5 s. New there: a stage service without room for results for the first second of the silence, a configuration without targets and gaps that is in force before the requests are sent, and a silence of 2.6 s, which stands for two of a second with a wait in a queue between them. A failure of the first request on a kept connection is now a broken promise; it ended the program before.

--- a/marigoldtrail/platform/tests/silence_cells.py
+++ b/marigoldtrail/platform/tests/silence_cells.py
@@ -6,11 +6,10 @@
 """
 
 import itertools
+import random
 
 import msgspec
 
-# Time limit of callers, which no silence reaches by itself.
-DEADLINE_S = 6.0
 STAGE_CALL_S = 0.1
 # Offset of requests whose upstream has not been connected to when the silence begins.
 CONNECT_S = -0.02
@@ -29,6 +28,8 @@
     "1.5": (1.5,),
     "2.0": (2.0,),
     "twice 1.0": (1.0, 0.3, 1.0),
+    # Two silences of a second, and the wait in a queue between them.
+    "2.6": (2.6,),
 }
 SILENT = (
     "an upstream",
@@ -63,8 +64,63 @@
 ONLY_BY_HAND = ("plain services", "everything", "engines", "engines but one, the control hosts")
 # Number of parts into which the requests of a play are divided for the selection.
 PARTS = 12
-# Seconds from the beginning of the silence to that of the change.
-LAGS_S = (0.0, -0.02, 0.3)
+# Time from the beginning of the silence for which the stage service finds no room for results.
+FULL_S = 1.0
+
+
+class Figures(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    Figures of a site, and the values of the axes that are played there.
+
+    ``deadlines_s`` has the time limits of callers by kind, and under an empty text that of the
+    others; ``routes`` the fields of routes that differ, by their names; ``lags_s`` the seconds from
+    the beginning of the silence to that of the change.
+    """
+
+    deadlines_s: dict[str, float]
+    routes: dict[str, dict[str, int]]
+    # Delay between data centres; 0 for that of all links.
+    data_centre_delay_s: float
+    lengths: tuple[str, ...]
+    changes: tuple[str, ...]
+    lags_s: tuple[float, ...]
+    rooms: tuple[str, ...]
+
+    def find_deadline_s(self, kind):
+        """Return the time limit of the callers of a kind."""
+        return self.deadlines_s.get(kind.removeprefix("forwarded "), self.deadlines_s[""])
+
+
+_SHORT = {"timeout_ms": 800, "target_latency_ms": 200}
+_STREAM = {"timeout_ms": 15000, "gap_aim_ms": 200}
+_RESUMABLE = {"timeout_ms": 8000, "target_latency_ms": 2000, "gap_aim_ms": 200}
+SITES = {
+    "long deadlines": Figures(
+        # No silence reaches it by itself.
+        deadlines_s={"": 6.0},
+        routes={},
+        data_centre_delay_s=0.0,
+        lengths=("0.5", "1.0", "1.5", "2.0", "twice 1.0"),
+        changes=CHANGES,
+        lags_s=(0.0, -0.02, 0.3),
+        rooms=("free",),
+    ),
+    # A silence of a second reaches the deadline of plain requests, and of no stream.
+    "short deadlines": Figures(
+        deadlines_s={"": 8.0, "stream": 15.0, "stages": 15.0}
+        | dict.fromkeys(("safe", "unsafe", "limited"), 1.5),
+        routes=dict.fromkeys(("plain", "order", "meter"), _SHORT)
+        | {"line": {**_STREAM, "target_latency_ms": 800}}
+        | {"ask": {**_STREAM, "target_latency_ms": 2000}}
+        | dict.fromkeys(("talk", "redo", "moved"), _RESUMABLE),
+        data_centre_delay_s=0.0054,
+        lengths=("0.5", "1.0", "1.5", "twice 1.0", "2.6"),
+        changes=(*CHANGES, "targets left out"),
+        # With the first one the requests are read by the new configuration.
+        lags_s=(-1.5, 0.0, 0.3),
+        rooms=("free", "full"),
+    ),
+}
 
 
 class Spec(msgspec.Struct, frozen=True):
@@ -84,6 +140,8 @@
     length: str
     change: str
     lag_s: float = 0.0
+    room: str = "free"
+    site: str = "long deadlines"
 
 
 def _plain_phases():
@@ -132,9 +190,12 @@
     return sorted(specs, key=lambda spec: spec.head_s)
 
 
-def list_plays():
-    """Return all plays of the matrix."""
-    axes = itertools.product(SILENT, LENGTHS, CHANGES, LAGS_S)
+def list_plays(site="long deadlines"):
+    """Return all plays of the matrix of a site."""
+    figures = SITES[site]
+    axes = itertools.product(
+        SILENT, figures.lengths, figures.changes, figures.lags_s, figures.rooms, (site,)
+    )
     return [Play(*values) for values in axes if values[2] != "none" or values[3] == 0.0]
 
 
@@ -146,7 +207,10 @@
 
 def list_pairs(play, specs):
     """Return the pairs of values of two axes that a play with some requests has."""
-    values = list(enumerate((play.silent, play.length, play.change, play.lag_s)))
+    axes = [play.silent, play.length, play.change, play.lag_s]
+    if len(SITES[play.site].rooms) > 1:
+        axes.append(play.room)
+    values = list(enumerate(axes))
     pairs = set(itertools.combinations(values, 2))
     for spec in specs:
         for item in (("kind", spec.kind), ("phase", spec.phase)):
@@ -155,9 +219,16 @@
     return pairs
 
 
-def choose_pairwise():
+def choose_sample(site, count, *, seed):
+    """Return some plays of a site, each with a part of the requests."""
+    rng = random.Random(seed)
+    plays = rng.sample(list_plays(site), count)
+    return [(play, rng.choice(list_parts())) for play in plays]
+
+
+def choose_pairwise(site="long deadlines"):
     """Return plays and their requests, in which each pair of values of two axes occurs."""
-    plays = [play for play in list_plays() if play.silent not in ONLY_BY_HAND]
+    plays = [play for play in list_plays(site) if play.silent not in ONLY_BY_HAND]
     chosen, missing = [], set()
     for play in plays:
         missing |= list_pairs(play, ())
--- a/marigoldtrail/platform/tests/silence_matrix.py
+++ b/marigoldtrail/platform/tests/silence_matrix.py
@@ -1,14 +1,15 @@
 """
 Silence matrix: requests of each kind, in each phase, beside silences and changes.
 
-A silence loses nothing, and no deadline is reached by it, so that each request that was read gets
-a complete answer or a truthful refusal. All or a part of the matrix is run with ``python -m
-marigoldtrail.platform.tests.silence_matrix --part 1/4``.
+A silence loses nothing, and the deadline of no stream is reached by it, so that each request that
+was read gets a complete answer or a truthful refusal. All or a part of the matrix is run with
+``python -m marigoldtrail.platform.tests.silence_matrix --part 1/4``.
 """
 
 import argparse
 import collections
 import logging
+import random
 import re
 import sys
 import time
@@ -59,6 +60,7 @@
         self.spec = spec
         self.request_id = f"id-{number}"
         self.start = start
+        self.deadline_s = site.figures.find_deadline_s(spec.kind)
         self.entry = FORWARDING_ENTRY if spec.kind.startswith("forwarded") else number % 2
         self.path = PATHS[spec.kind.removeprefix("forwarded ")]
         # Status and body, or why there is no complete response.
@@ -76,24 +78,32 @@
         stream = await self.site.network.endpoint(CALLER_IP).connect(address)
         conn = h11.Connection(h11.CLIENT)
         if self.spec.phase == cells.KEPT:
-            await self._exchange(stream, conn, f"{self.request_id}-first", None)
+            self.result = await self._run_exchange(stream, conn, f"{self.request_id}-first", None)
+            if not isinstance(self.result, tuple):
+                self.result = f"first request on a kept connection: {self.result}"
+                await trio.aclose_forcefully(stream)
+                return
             conn.start_next_cycle()
         await trio.sleep_until(self.start + self.spec.head_s)
-        with trio.move_on_after(cells.DEADLINE_S + ANSWER_MARGIN_S):
-            self.result = "no answer in time"
-            sent = trio.current_time()
+        sent = trio.current_time()
+        self.result = await self._run_exchange(stream, conn, self.request_id, self.spec)
+        self.took_s = trio.current_time() - sent
+        await trio.aclose_forcefully(stream)
+
+    async def _run_exchange(self, stream, conn, request_id, spec):
+        """Return the response, or why there is none."""
+        with trio.move_on_after(self.deadline_s + ANSWER_MARGIN_S):
             try:
-                self.result = await self._exchange(stream, conn, self.request_id, self.spec)
+                return await self._exchange(stream, conn, request_id, spec)
             except (*STREAM_ERRORS, h11.RemoteProtocolError) as exc:
-                self.result = f"closed within the answer: {exc!r}"
-            self.took_s = trio.current_time() - sent
-        await trio.aclose_forcefully(stream)
+                return f"closed within the answer: {exc!r}"
+        return "no answer in time"
 
     async def _exchange(self, stream, conn, request_id, spec):
         fields = [
             ("host", "a.example"),
             ("x-request-id", request_id),
-            ("x-deadline-ms", str(round(cells.DEADLINE_S * 1000))),
+            ("x-deadline-ms", str(round(self.deadline_s * 1000))),
             ("authorization", f"Token {KEY}"),
             ("content-length", str(len(BODY))),
         ]
@@ -192,7 +202,7 @@
 
 async def _run(play, specs, seed):
     async with trio.open_nursery() as nursery:
-        site = MatrixSite(nursery, seed=seed, entries=3)
+        site = MatrixSite(nursery, figures=cells.SITES[play.site], seed=seed, entries=3)
         await site.start()
         configs = Configs(site)
         await configs.send()
@@ -222,6 +232,8 @@
 
     async def silence():
         await trio.sleep_until(start)
+        if play.room == "full":
+            site.full_until = start + cells.FULL_S
         await be_silent(site, choose_silent(site, play.silent), play.length)
 
     async with trio.open_nursery() as nursery:
@@ -259,13 +271,15 @@
 
 
 def _name(play):
-    return f"{play.silent} / {play.length} / {play.change} / {play.lag_s}"
+    return f"{play.silent} / {play.length} / {play.change} / {play.lag_s} / {play.room}"
 
 
 def main(argv):
     """Run all plays or a part, print the broken promises; return 1 if there are any."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--part", default="1/1", help="which part of the plays, as in 1/4")
+    parser.add_argument("--site", default="long deadlines", choices=[*cells.SITES])
+    parser.add_argument("--sample", type=int, default=0, help="only so many plays, by the seed")
     parser.add_argument("--pairs", action="store_true", help="only the selection of the test")
     parser.add_argument("--only", default="", help="text in the play, as in 'all upstreams'")
     parser.add_argument("--kind", default="", help="text in the kind of request")
@@ -276,8 +290,10 @@
     if args.log:
         logging.basicConfig(level=logging.INFO, format="%(name)s %(message)s %(args)s")
     number, count = map(int, args.part.split("/"))
-    items = [(play, cells.list_specs()) for play in cells.list_plays()]
-    items = cells.choose_pairwise() if args.pairs else items
+    items = [(play, cells.list_specs()) for play in cells.list_plays(args.site)]
+    items = cells.choose_pairwise(args.site) if args.pairs else items
+    if args.sample:
+        items = random.Random(args.seed).sample(items, args.sample)
     items = [item for item in items if args.only in _name(item[0])][number - 1 :: count]
     statuses, broken_plays, started = collections.Counter(), 0, time.monotonic()
     for play, specs in items:
--- a/marigoldtrail/platform/tests/silence_site.py
+++ b/marigoldtrail/platform/tests/silence_site.py
@@ -52,8 +52,11 @@
 class MatrixSite(Site):
     """A site whose upstreams send answers in parts at fixed times, and record what they run."""
 
-    def __init__(self, nursery, **fields):
+    def __init__(self, nursery, *, figures, **fields):
         super().__init__(nursery, **fields)
+        self.figures = figures
+        # Time until which the stage service has no room for results.
+        self.full_until = 0.0
         # Names of the upstreams that ran a request, by its id.
         self.runs = collections.defaultdict(list)
         self.calls_with_several = 0
@@ -67,6 +70,17 @@
                 await self.add_upstream(f"{service}-{number}", service, dc)
                 self.limits[f"meter-{number}"] = "40"
         await super().start()
+        if self.figures.data_centre_delay_s:
+            self._delay_links(self.figures.data_centre_delay_s)
+
+    def _delay_links(self, delay_s):
+        """Delay what hosts and upstreams send to other data centres."""
+        data_centres = {Address.parse(e["address"]).ip: e["zone"] for e in self.list}
+        for ip in (*self.control, *self.entries):
+            data_centres[ip] = self.settings(ip, first_start=False).data_centre
+        for source, target in itertools.permutations(data_centres, 2):
+            if data_centres[source] != data_centres[target]:
+                self.network.link(source, target).delay_s = delay_s
 
     async def _answer_upstream(self, name, entry, request, reply):
         path = request.path
@@ -104,6 +118,9 @@
         pieces = read_pieces(request.body)
         self.calls_with_several += len({piece.request_id for piece in pieces}) > 1
         await trio.sleep(cells.STAGE_CALL_S)
+        if trio.current_time() < self.full_until:
+            await reply.send_json(200, {"items": [{"reason": "room"} for _ in pieces]}, {})
+            return
         handles = [f"{entry['address']}/{p.request_id}-{next(self.piece_runs)}" for p in pieces]
         await reply.send_json(200, build_results(handles), {})
 
@@ -166,6 +183,8 @@
         }
         for name in ("ask", "redo", "moved"):
             self.routes[name]["stages"] = stages
+        for name, fields in site.figures.routes.items():
+            self.routes[name] |= fields
         self.removed_routes = set()
         self.services = ["desk", "shop", "meter", "llm", "board"]
 
@@ -201,6 +220,10 @@
         case "resumability":
             for name in ("line", "talk", "redo", "moved"):
                 routes[name]["resumable"] = not routes[name].get("resumable", False)
+        case "targets left out":
+            for route in routes.values():
+                route["target_latency_ms"] = 1
+                route.pop("gap_aim_ms", None)
         case "split":
             for name in ("plain", "order"):
                 routes[name].pop("service")
