--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -81,7 +81,7 @@
     are_inputs_freed : bool
         Whether the results of the stages were freed because an engine has read them.
     scope : trio.CancelScope
-        Cancels the request at its deadline, or earlier if a stream has not started in time.
+        Cancels the request at its deadline, or earlier if a stream was not sent in time.
     stream_version : str or None
         Software version whose events the stream holds; None before its first event. Only upstreams
         of this version may continue it.
