Follow the scheduler's choice without weighing all engines

Change: if the named engine may get the request and is not ejected, it is used; the offsets of cold engines are still noted for all of them. In every other case the options are built as before.

--- a/marigoldtrail/relay/upstream_chooser.py
+++ b/marigoldtrail/relay/upstream_chooser.py
@@ -82,6 +82,9 @@
     def choose(self, exchange: Exchange) -> Upstream | None:
         """Choose an upstream that has not been tried; None if none can take the request now."""
         untried = [u for u in self.list_upstreams(exchange) if u.name not in exchange.tried]
+        chosen = self._find_scheduled(exchange, untried)
+        if chosen is not None:
+            return chosen
         options = self._monitor.list_options(untried, exchange.service)
         if exchange.service.engine is None:
             name = choose_service_upstream(options, work_s=DEFAULT_DURATION_S, rng=self._rng)
@@ -93,6 +96,20 @@
             name = self._choose_engine(exchange, options)
         return self._fleet_state.upstreams.get(name) if name is not None else None
 
+    def _find_scheduled(self, exchange: Exchange, untried: list[Upstream]) -> Upstream | None:
+        """
+        Return the engine that the scheduler has chosen, if it is sound and may get the request.
+
+        The others need not be weighed then: an entry has few requests, and many engines.
+        """
+        if exchange.service.engine is None or exchange.stage_run is None:
+            return None
+        name = exchange.stage_run.upstream
+        wanted = next((upstream for upstream in untried if upstream.name == name), None)
+        if wanted is None or not self._monitor.is_sound_option(wanted, untried, exchange.service):
+            return None
+        return wanted
+
     def choose_left(self, exchange: Exchange) -> Upstream | None:
         """
         Choose an upstream that a request left only because it was silent.
--- a/marigoldtrail/relay/upstream_monitor.py
+++ b/marigoldtrail/relay/upstream_monitor.py
@@ -242,6 +242,37 @@
         median_s = self._median_duration_s(upstreams)
         return [self._make_option(u, median_s) for u in (healthy or usable)]
 
+    def is_sound_option(
+        self, wanted: Upstream, upstreams: list[Upstream], service: Service
+    ) -> bool:
+        """
+        Return whether `list_options` holds an upstream that is not ejected.
+
+        Parameters
+        ----------
+        wanted : Upstream
+            One of the upstreams.
+        upstreams : list of Upstream
+            Upstreams of the service that are in service.
+        service : Service
+            The service.
+
+        Returns
+        -------
+        bool
+            False if it may get no request now, or is ejected.
+        """
+        now = self._timers.now()
+        for upstream in upstreams:
+            # The offset of a cold upstream begins when it is first seen, for whatever request.
+            if upstream.cold_until > now:
+                self._find_cold_ready_at(upstream, service, now)
+            elif upstream.name in self._records:
+                self._records[upstream.name].is_cold = False
+        if self._find_ready_at(wanted, service, now) > now:
+            return False
+        return self.get_record(wanted.name).ejected_until <= now
+
     def get_ejected(self) -> set[str]:
         """Return the upstreams that are currently ejected."""
         now = self._timers.now()
