Record a report of a host without a look at all others

Cause: with each of the 540 reports a second of the large site, the leader went through all 191 hosts for one whose reports have stopped, and described the reporting host twice. Change: hosts are kept in the order of their last reports, so that the lost ones come first, and a description is made once for each report.

The test of descriptions fails before; that of lost hosts guards the order.

--- a/marigoldtrail/registry/state.py
+++ b/marigoldtrail/registry/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 import math
 
@@ -44,13 +45,19 @@
         The report.
     reported_at : float
         Monotonic time in seconds at which it arrived.
+
+    Attributes
+    ----------
+    entry : HostEntry
+        Description of the host that is sent to other hosts.
     """
 
-    __slots__ = ("report", "reported_at")
+    __slots__ = ("report", "reported_at", "entry")
 
     def __init__(self, *, report: HostReport, reported_at: float) -> None:
         self.report = report
         self.reported_at = reported_at
+        self.entry = make_host_entry(report)
 
 
 class RegistryState:
@@ -121,6 +128,7 @@
         self.hosts_revision = 0
         self.control_hosts_revision = 0
         self.loads_revision = 0
+        # In the order of their last reports, so that those whose reports have stopped come first.
         self._hosts: dict[str, ReceivedReport] = {}
         self._host_entries: list[HostEntry] = []
         # Entries receive the control hosts only. If they received all hosts, a restart of all
@@ -160,12 +168,14 @@
         known = self._hosts.get(report.host)
         if known is not None and known.report.incarnation > report.incarnation:
             return False
-        if known is None or make_host_entry(known.report) != make_host_entry(report):
+        received = ReceivedReport(report=report, reported_at=self._timers.now())
+        if known is None or known.entry != received.entry:
             self._is_host_list_current = False
         if known is not None:
+            del self._hosts[report.host]
             self._add_loads(known.report.loads, -1)
         self._add_loads(report.loads, 1)
-        self._hosts[report.host] = ReceivedReport(report=report, reported_at=self._timers.now())
+        self._hosts[report.host] = received
         self.loads_revision += 1
         self.refresh_hosts()
         self._record_leaving(report)
@@ -266,16 +276,15 @@
     def refresh_hosts(self) -> None:
         """Remove hosts whose reports have stopped and update the lists of hosts."""
         oldest = self._timers.now() - HOST_TIMEOUT_S
-        for name in [name for name, last in self._hosts.items() if last.reported_at < oldest]:
+        lost = itertools.takewhile(lambda name: self._hosts[name].reported_at < oldest, self._hosts)
+        for name in list(lost):
             _log.warning("host lost", extra={"subject": name})
             self._add_loads(self._hosts.pop(name).report.loads, -1)
             self._places.release_host(name)
             self._is_host_list_current = False
         if self._is_host_list_current:
             return
-        self._host_entries = [
-            make_host_entry(last.report) for _, last in sorted(self._hosts.items())
-        ]
+        self._host_entries = [last.entry for _, last in sorted(self._hosts.items())]
         self._is_host_list_current = True
         self.hosts_revision += 1
         control_entries = [entry for entry in self._host_entries if entry.role == "control"]
--- a/marigoldtrail/registry/tests/test_state.py
+++ b/marigoldtrail/registry/tests/test_state.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from marigoldtrail.registry import state
 from marigoldtrail.registry.state import HOST_TIMEOUT_S, SETTLE_S, RegistryState
 from marigoldtrail.schema.generated.registry import (
     HostReport,
@@ -41,6 +42,34 @@
     assert names(registry) == ["two"] and registry.hosts_revision == revision + 1
 
 
+async def test_all_hosts_that_stop_reporting_are_removed_whenever_they_began(autojump_clock):
+    """Guards against lost hosts that stay listed behind one that reports for longer."""
+    registry = RegistryState(term=1, timers=Timers(seed=1))
+    for name in ("one", "two", "three", "four"):
+        registry.record_report(report(name))
+    for name in ("three", "one"):
+        await trio.sleep(HOST_TIMEOUT_S * 0.55)
+        registry.record_report(report(name))
+    registry.refresh_hosts()
+    assert names(registry) == ["one", "three"]
+
+
+async def test_report_costs_the_leader_no_look_at_other_hosts(autojump_clock, monkeypatch):
+    """Guards against a leader whose work grows with the square of the number of hosts."""
+    described, hosts = [], [f"e{number}" for number in range(191)]
+    make_host_entry = state.make_host_entry
+
+    def describe(received):
+        described.append(received.host)
+        return make_host_entry(received)
+
+    monkeypatch.setattr(state, "make_host_entry", describe)
+    registry = RegistryState(term=1, timers=Timers(seed=1))
+    for host in hosts * 2:
+        registry.record_report(report(host))
+    assert described == hosts * 2
+
+
 async def test_report_of_an_earlier_incarnation_is_ignored(autojump_clock):
     """Guards against a delayed report that restores the state before a host's restart."""
     registry = RegistryState(term=1, timers=Timers(seed=1))
