--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -32,6 +32,7 @@
     "nodes": 360,
     "dataline": 200,
     "policy": 400,
+    "stages": 60,
 }
 MAX_ERROR_CHARS = 2000
 
--- a/marigoldtrail/net/server.py
+++ b/marigoldtrail/net/server.py
@@ -153,9 +153,11 @@
     ) -> None:
         envelope, account = call.envelope, call.account
         try:
-            reply: msgspec.Struct = give_up(envelope)
+            reply: msgspec.Struct | None = None
             with call.scope:
                 reply = await run_handler(envelope)
+            if reply is None:
+                reply = give_up(envelope)
             if account is not None and account.is_evicted:
                 account.close()
             elif account is not None:
