Load the library of checksums only where something is stored

Cause: crc32c comes with a command line, which loads argparse, importlib.metadata and readers of e-mail. Each entry loaded them through the log group's modules, and stores nothing.

--- a/marigoldtrail/consensus/store.py
+++ b/marigoldtrail/consensus/store.py
@@ -8,12 +8,12 @@
 from typing import TypeVar
 
 import msgspec
-from crc32c import crc32c
 
 from marigoldtrail.consensus.log import ReplicatedLog
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.schema.generated.consensus import StoredSnapshot, StoredVote
 from marigoldtrail.storage import Disk, Journal, open_journal
+from marigoldtrail.storage.checksum import crc32c
 
 _CHECKSUM = struct.Struct(">I")
 
--- a/marigoldtrail/platform/tests/test_start.py
+++ b/marigoldtrail/platform/tests/test_start.py
@@ -151,3 +151,12 @@
     finally:
         gc.unfreeze()
         gc.set_threshold(*thresholds)
+
+
+def test_start_loads_no_command_line_of_a_library():
+    """Guards against libraries whose unused parts cost each entry time at its start and memory."""
+    code = "import sys, marigoldtrail.platform.adapter, marigoldtrail.site; print(*sys.modules)"
+    run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    loaded = run.stdout.split()
+    assert "marigoldtrail.site.entry_host" in loaded
+    assert not {"argparse", "crc32c", "importlib.metadata"} & set(loaded)
--- a/marigoldtrail/storage/journal.py
+++ b/marigoldtrail/storage/journal.py
@@ -6,9 +6,9 @@
 from collections.abc import Sequence
 
 import msgspec
-from crc32c import crc32c
 
 from marigoldtrail.errors import Failure, Reason, RunState
+from marigoldtrail.storage.checksum import crc32c
 from marigoldtrail.storage.disk import Disk
 
 SEGMENT_BYTES = 4 * 1024 * 1024
