End the check of a silent scheduler behind slow links and without requests

Callers behind links that delay answers by 0.3 to 0.45 s (a loaded link, a squeezed one) waited for their stages until the deadline after one longer silence, and idle entries sent pulses to all control hosts for as long as these were down.

Cause: while a check lasts, only an answer to a pulse of 0.3 s ends it. The calls to the scheduler wait for its end, and each pulse that times out closes the connection that the next one opens again.

Change: after 2 s of silence, pulses have 1.2 s. Cuts of a second still end with the short pulses, which do not wait for packets that TCP repeats late. A check also ends when no request waits.

Evidence: both tests failed before; a request behind links with 0.43 s got no answer in 6 s, and a check was still in progress 2 s after the last request.

--- a/marigoldtrail/pieces/client.py
+++ b/marigoldtrail/pieces/client.py
@@ -30,6 +30,10 @@
 # a new connection if the last one was silent: after a cut, TCP repeats packets of older ones late.
 CHECK_TIMEOUT_S = 0.3
 CHECK_INTERVAL_S = 0.2
+# A silence that lasts for longer than the first time may be a slow link, whose answers take longer
+# than the pulses of a check. Pulses have the second time-out from then on.
+SHORT_SILENCE_S = 2.0
+PATIENT_CHECK_TIMEOUT_S = 1.2
 # A lost scheduler gets no requests until it answers a pulse. The first pulse is sent after this
 # delay, which doubles with each further loss within the window.
 FIRST_PROBE_DELAY_S = 0.3
@@ -138,6 +142,7 @@
         "_calls",
         "_checks",
         "_run_numbers",
+        "_runs_in_progress",
     )
 
     def __init__(
@@ -161,6 +166,7 @@
         # Checks in progress of schedulers that do not answer; set at the end of the check.
         self._checks: dict[str, trio.Event] = {}
         self._run_numbers = itertools.count(1)
+        self._runs_in_progress = 0
 
     def choose_scheduler(self) -> str | None:
         """
@@ -198,6 +204,13 @@
         Failure or None
             Why the stages failed; None on success.
         """
+        self._runs_in_progress += 1
+        try:
+            return await self._run(stage_run)
+        finally:
+            self._runs_in_progress -= 1
+
+    async def _run(self, stage_run: StageRun) -> Failure | None:
         failure = self._failure(Reason.NO_UPSTREAM, "no control host is known")
         # The scheduler goes on with a run that it is asked for again after a cut.
         stage_run.request.run = next(self._run_numbers)
@@ -259,23 +272,30 @@
             check.set()
 
     async def _is_silent_alone(self, host: str, was_refused: bool) -> bool:
-        """Wait until a control host answers; return whether this one still does not."""
-        while True:
+        """
+        Wait until a control host answers; return whether this one still does not.
+
+        Also ends when no request waits for a scheduler: the next one starts another check.
+        """
+        patient_from = self._timers.now() + SHORT_SILENCE_S
+        while self._runs_in_progress:
             started = self._timers.now()
-            answered = await self._find_answering({host, *self._hosts()})
+            timeout_s = CHECK_TIMEOUT_S if started < patient_from else PATIENT_CHECK_TIMEOUT_S
+            answered = await self._find_answering({host, *self._hosts()}, timeout_s)
             if answered == host:
                 return False
             if answered is not None:
                 # The cut may have ended between the two pulses.
                 return was_refused or isinstance(await self._pulse(host), Failure)
             await self._timers.sleep_until(started + CHECK_INTERVAL_S)
+        return False
 
-    async def _find_answering(self, hosts: set[str]) -> str | None:
+    async def _find_answering(self, hosts: set[str], timeout_s: float) -> str | None:
         """Return the host that answers a pulse first; None if all are silent."""
         found: list[str] = []
 
         async def ask(host: str) -> None:
-            if not isinstance(await self._pulse(host, CHECK_TIMEOUT_S), Failure):
+            if not isinstance(await self._pulse(host, timeout_s), Failure):
                 found.append(host)
                 nursery.cancel_scope.cancel()
 
--- a/marigoldtrail/pieces/tests/test_client.py
+++ b/marigoldtrail/pieces/tests/test_client.py
@@ -207,3 +207,39 @@
     """Guards against a 502 in place of a refusal for a request that no upstream got."""
     failure = await ask(make_client(nursery, SilentHosts()))
     assert (failure.reason, failure.run_state) == (Reason.TIMEOUT, RunState.NOT_RUN)
+
+
+class SlowLinks(SilentLinks):
+    """Hosts behind links of one entry that delay each answer."""
+
+    delay_s = 0.4
+
+    async def call(self, address, request, reply_type, *, timeout_s):
+        reply = Failure(reason=Reason.TIMEOUT, run_state=RunState.MAY_HAVE_RUN, step="test")
+        with trio.move_on_after(timeout_s):
+            await trio.sleep(self.delay_s)
+            reply = await super().call(address, request, reply_type, timeout_s=timeout_s)
+        return reply
+
+
+async def test_request_behind_slow_links_is_served_after_a_cut(autojump_clock, nursery):
+    """Guards against requests that wait until their deadline because answers take half a second."""
+    hosts = SlowLinks()
+    client = make_client(nursery, hosts)
+    nursery.start_soon(ask, client)
+    hosts.is_cut = True
+    await trio.sleep(1.1)
+    hosts.is_cut = False
+    hosts.delay_s = 0.43
+    await trio.sleep(0.2)
+    assert await ask(client) is None
+
+
+async def test_pulses_end_when_no_request_waits_for_a_scheduler(autojump_clock, nursery):
+    """Guards against endless pulses of idle entries while all control hosts are down."""
+    hosts = SilentLinks()
+    client = make_client(nursery, hosts)
+    hosts.is_cut = True
+    assert await ask(client) is not None
+    await trio.sleep(2.0)
+    assert not client._checks and not client._calls
