Start no stages for late copies of a run that has ended

After a cut, a scheduler ran the stages of a request that its entry had reported as ended, for a second and with results that nobody frees; or a request failed because a copy of its first run ended its second one.

Cause: an entry asks again for a run over a new connection. TCP still delivers what was sent over the old one, up to seconds later. By then the scheduler had forgotten the run, or knew a later one, took the copy for a new run, and let it go on for the second in which an entry may ask again.

Change: a scheduler remembers which run of a request an entry has ended, and refuses copies of it and of earlier runs. The number of runs that are kept is bounded as before.

--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -161,12 +161,16 @@
     async def _run_stages(self, request: RunStages, sender: str) -> StagesReply | Failure:
         if self._nursery is None:
             return await self._run_once(request)
+        latest = self._runs.get(request.request_id)
+        if latest is not None and latest.is_later_than(request, sender):
+            return self._failure(Reason.UPSTREAM_ERROR, "the run has ended")
         run = self._find_run(request, sender)
         if run is None:
             # An entry that asks for another run does not need the results of the one before.
             self._drop_jobs(request.request_id)
             dropped = self._failure(Reason.UPSTREAM_ERROR, "dropped")
             run = StageRun(sender=sender, number=request.run, reply=dropped)
+            self._runs.pop(request.request_id, None)
             self._runs[request.request_id] = run
             while len(self._runs) > MAX_REQUESTS_KEPT:
                 del self._runs[next(iter(self._runs))]
@@ -454,9 +458,9 @@
 
     def _drop_jobs(self, request_id: str) -> None:
         """Free the results of a request and drop its unfinished jobs."""
-        run = self._runs.pop(request_id, None)
+        run = self._runs.get(request_id)
         if run is not None:
-            run.scope.cancel()
+            run.drop()
         handles: set[str] = set()
         for job in self._jobs.pop(request_id, []):
             job.fail("dropped")
--- a/marigoldtrail/pieces/stage_runs.py
+++ b/marigoldtrail/pieces/stage_runs.py
@@ -37,9 +37,19 @@
         Ends the run.
     waiting : int
         Calls of the entry that wait for the reply.
+    is_dropped : bool
+        Whether its entry has reported that it needs it no more.
     """
 
-    __slots__ = ("_sender", "_number", "reply", "done", "scope", "waiting")
+    __slots__ = (
+        "_sender",
+        "_number",
+        "reply",
+        "done",
+        "scope",
+        "waiting",
+        "is_dropped",
+    )
 
     def __init__(self, *, sender: str, number: int, reply: Failure) -> None:
         self._sender = sender
@@ -48,11 +58,27 @@
         self.done = trio.Event()
         self.scope = trio.CancelScope()
         self.waiting = 0
+        self.is_dropped = False
 
     def is_asked_for(self, request: RunStages, sender: str) -> bool:
         """Return whether an entry asks for this run again."""
         return request.run != 0 and (sender, request.run) == (self._sender, self._number)
 
+    def is_later_than(self, request: RunStages, sender: str) -> bool:
+        """
+        Return whether a request of its entry is a late copy that asks for nothing any more.
+
+        After a cut, TCP delivers what was sent over a connection that its entry has closed since.
+        """
+        if request.run == 0 or sender != self._sender:
+            return False
+        return request.run < self._number or (request.run == self._number and self.is_dropped)
+
+    def drop(self) -> None:
+        """End the run because its entry needs it no more."""
+        self.is_dropped = True
+        self.scope.cancel()
+
     async def execute(
         self,
         run_stages: Callable[[RunStages], Awaitable[StagesReply | Failure]],
--- a/marigoldtrail/pieces/tests/test_service.py
+++ b/marigoldtrail/pieces/tests/test_service.py
@@ -273,3 +273,34 @@
         for name in names:
             requests.start_soon(partial(scheduler.ask, request_id=name, length=2))
     assert scheduler.calls == [names, names]
+
+
+async def test_late_copy_of_an_answered_run_starts_no_stages(autojump_clock, nursery):
+    """Guards against stages of a request that its entry has reported as ended."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    await trio.sleep(0.01)
+    assert isinstance(await scheduler.ask(run=7), StagesReply)
+    note = NoteProgress(request_id="r", has_ended=True)
+    await scheduler.service.get_handlers()[NoteProgress](note, "entry")
+    assert isinstance(await scheduler.ask(run=7), Failure)
+    assert scheduler.pieces_run == 1
+
+
+async def test_late_copy_of_an_earlier_run_does_not_end_the_latest(autojump_clock, nursery):
+    """Guards against a request that fails because a copy of its first run is delivered late."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    await trio.sleep(0.01)
+    assert isinstance(await scheduler.ask(run=7), StagesReply)
+    replies = []
+
+    async def ask_for_another():
+        replies.append(await scheduler.ask(run=8))
+
+    async with trio.open_nursery() as requests:
+        requests.start_soon(ask_for_another)
+        await trio.sleep(WORK_S / 2)
+        assert isinstance(await scheduler.ask(run=7), Failure)
+    assert isinstance(replies[0], StagesReply), replies
+    assert scheduler.pieces_run == 2
