Count the time to ask again for a run from its last lost connection

A run ended while its entry was about to ask for it again, if that entry lost its connection twice within a second; its stages began anew.

Cause: the timer of the first loss ended the run if nobody waited at that moment, however recently the entry had asked again.

Change: a timer ends the run only if the entry has not asked since it began.

Evidence: the test failed before with 16 pieces run instead of 10.

--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -176,6 +176,7 @@
                 del self._runs[next(iter(self._runs))]
             self._nursery.start_soon(run_guarded, run.execute, self._run_once, request)
         run.waiting += 1
+        run.asked += 1
         try:
             await run.done.wait()
         finally:
--- a/marigoldtrail/pieces/stage_runs.py
+++ b/marigoldtrail/pieces/stage_runs.py
@@ -37,6 +37,8 @@
         Ends the run.
     waiting : int
         Calls of the entry that wait for the reply.
+    asked : int
+        Number of times that the entry has asked for it.
     is_dropped : bool
         Whether its entry has reported that it needs it no more.
     """
@@ -48,6 +50,7 @@
         "done",
         "scope",
         "waiting",
+        "asked",
         "is_dropped",
     )
 
@@ -58,6 +61,7 @@
         self.done = trio.Event()
         self.scope = trio.CancelScope()
         self.waiting = 0
+        self.asked = 0
         self.is_dropped = False
 
     def is_asked_for(self, request: RunStages, sender: str) -> bool:
@@ -93,6 +97,7 @@
 
     async def end_unless_joined(self, timers: Timers) -> None:
         """End the run if its entry does not ask for it again."""
+        asked = self.asked
         await timers.sleep(REJOIN_S)
-        if not self.waiting:
+        if not self.waiting and self.asked == asked:
             self.scope.cancel()
--- a/marigoldtrail/pieces/tests/test_service.py
+++ b/marigoldtrail/pieces/tests/test_service.py
@@ -304,3 +304,16 @@
         assert isinstance(await scheduler.ask(run=7), Failure)
     assert isinstance(replies[0], StagesReply), replies
     assert scheduler.pieces_run == 2
+
+
+async def test_time_to_ask_again_begins_anew_with_each_lost_connection(autojump_clock, nursery):
+    """Guards against a run that ends too early because its entry was cut off twice."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    await trio.sleep(0.01)
+    for away_s in (0.8 * REJOIN_S, 0.3 * REJOIN_S):
+        with trio.move_on_after(0.1):
+            await scheduler.ask(length=10, run=7)
+        await trio.sleep(away_s)
+    assert isinstance(await scheduler.ask(length=10, run=7), StagesReply)
+    assert scheduler.pieces_run == 10
