--- a/marigoldtrail/pieces/tests/test_service.py
+++ b/marigoldtrail/pieces/tests/test_service.py
@@ -273,3 +273,47 @@
         for name in names:
             requests.start_soon(partial(scheduler.ask, request_id=name, length=2))
     assert scheduler.calls == [names, names]
+
+
+async def test_late_copy_of_an_answered_run_starts_no_stages(autojump_clock, nursery):
+    """Guards against stages of a request that its entry has reported as ended."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    await trio.sleep(0.01)
+    assert isinstance(await scheduler.ask(run=7), StagesReply)
+    note = NoteProgress(request_id="r", has_ended=True)
+    await scheduler.service.get_handlers()[NoteProgress](note, "entry")
+    assert isinstance(await scheduler.ask(run=7), Failure)
+    assert scheduler.pieces_run == 1
+
+
+async def test_late_copy_of_an_earlier_run_does_not_end_the_latest(autojump_clock, nursery):
+    """Guards against a request that fails because a copy of its first run is delivered late."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    await trio.sleep(0.01)
+    assert isinstance(await scheduler.ask(run=7), StagesReply)
+    replies = []
+
+    async def ask_for_another():
+        replies.append(await scheduler.ask(run=8))
+
+    async with trio.open_nursery() as requests:
+        requests.start_soon(ask_for_another)
+        await trio.sleep(WORK_S / 2)
+        assert isinstance(await scheduler.ask(run=7), Failure)
+    assert isinstance(replies[0], StagesReply), replies
+    assert scheduler.pieces_run == 2
+
+
+async def test_time_to_ask_again_begins_anew_with_each_lost_connection(autojump_clock, nursery):
+    """Guards against a run that ends too early because its entry was cut off twice."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    await trio.sleep(0.01)
+    for away_s in (0.8 * REJOIN_S, 0.3 * REJOIN_S):
+        with trio.move_on_after(0.1):
+            await scheduler.ask(length=10, run=7)
+        await trio.sleep(away_s)
+    assert isinstance(await scheduler.ask(length=10, run=7), StagesReply)
+    assert scheduler.pieces_run == 10
