Count the results that calls without an answer may have left

What callers saw: pieces without room after calls that timed out or were disconnected. Cause: such a call may have run; nobody knows the handles of its results, which take room until they expire, and the scheduler took that room for free. Now all its results count until the expected end of one more such call and the retention time have passed. A call that was not run leaves none.

--- a/marigoldtrail/pieces/results.py
+++ b/marigoldtrail/pieces/results.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 from collections import Counter
 from collections.abc import Iterable
 
@@ -35,12 +36,15 @@
     room is short, since each costs the scheduler as much as a call that runs pieces.
     """
 
-    __slots__ = ("_kept", "_expiring")
+    __slots__ = ("_kept", "_expiring", "_unanswered", "_numbers")
 
     def __init__(self) -> None:
         self._kept: dict[str, KeptResult] = {}
         # Heap of expiry times (monotonic, in seconds) with the handles.
         self._expiring: list[tuple[float, str]] = []
+        # Results that calls without an answer may have left, in order of their expiry times.
+        self._numbers = itertools.count()
+        self._unanswered: list[tuple[float, int, Worker, int]] = []
 
     def __len__(self) -> int:
         return len(self._kept)
@@ -66,6 +70,22 @@
         worker.add_bytes(size)
         heapq.heappush(self._expiring, (until, handle))
 
+    def add_unanswered(self, worker: Worker, size: int, *, until: float) -> None:
+        """
+        Count the results that a call without an answer may have left.
+
+        Parameters
+        ----------
+        worker : Worker
+            The upstream.
+        size : int
+            Bytes of room that they take if all pieces were run.
+        until : float
+            Monotonic time in seconds by which they have expired.
+        """
+        worker.add_bytes(size)
+        heapq.heappush(self._unanswered, (until, next(self._numbers), worker, size))
+
     def drop(self, handles: Iterable[str]) -> None:
         """Remove results that no longer exist."""
         for handle in handles:
@@ -79,6 +99,9 @@
         while self._expiring and self._expiring[0][0] <= now:
             _, handle = heapq.heappop(self._expiring)
             self.drop([handle])
+        while self._unanswered and self._unanswered[0][0] <= now:
+            _, _, worker, size = heapq.heappop(self._unanswered)
+            worker.add_bytes(-size)
 
     def size_of(self, handle: str) -> int:
         """Return the size of a result in bytes; 0 if it is gone."""
--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -390,6 +390,14 @@
         now: float,
     ) -> None:
         scheduler.finish(worker, len(pieces), None, now)
+        if failure.run_state is RunState.MAY_HAVE_RUN:
+            # Its results may take room, and nobody knows their handles to free them.
+            end = now + scheduler.duration_s(worker, len(pieces), now)
+            self._results.add_unanswered(
+                worker,
+                sum(piece.job.result_bytes for piece in pieces),
+                until=end + scheduler.spec.result_retention_s,
+            )
         self._metrics.count_pieces(failure.reason.value, len(pieces))
         if failure.reason is Reason.OVERLOADED:
             scheduler.pause(worker, BUSY_PAUSE_S, now)
--- a/marigoldtrail/pieces/tests/test_runner.py
+++ b/marigoldtrail/pieces/tests/test_runner.py
@@ -379,7 +379,7 @@
         if len(frees) == 1:
             await trio.sleep(1.0)
             return Failure(reason=Reason.TIMEOUT, run_state=RunState.MAY_HAVE_RUN, step="test")
-        await upstreams.free(upstream, handles)
+        return await upstreams.free(upstream, handles)
 
     upstreams.runner._call = PieceCall(run=upstreams.run, free=free)
     size = SPEC.result_capacity_bytes * 6 // 10
@@ -389,3 +389,21 @@
     job = await upstreams.work("second", size=size)
     assert all(job.handles) and upstreams.freed == first.handles
     assert trio.current_time() - started < 1.0 + 3 * WORK_S
+
+
+async def test_results_of_calls_without_an_answer_take_room(autojump_clock, nursery):
+    """Guards against pieces sent to an upstream whose room is taken by results nobody knows."""
+    upstreams = Upstreams(nursery)
+    upstreams.answers = [
+        Failure(reason=Reason.TIMEOUT, run_state=RunState.MAY_HAVE_RUN, step="test")
+    ]
+    size = SPEC.result_capacity_bytes * 6 // 10
+    started = trio.current_time()
+    job = await upstreams.work("one", size=size)
+    assert all(job.handles)
+    assert trio.current_time() - started > SPEC.result_retention_s
+    # A call that was not run has left none.
+    upstreams.answers = [Failure(reason=Reason.OVERLOADED, run_state=RunState.NOT_RUN, step="test")]
+    started = trio.current_time()
+    assert all((await upstreams.work("two", size=size // 6)).handles)
+    assert trio.current_time() - started < SPEC.result_retention_s / 2
