--- a/marigoldtrail/pieces/tests/test_client.py
+++ b/marigoldtrail/pieces/tests/test_client.py
@@ -215,11 +215,10 @@
     delay_s = 0.4
 
     async def call(self, address, request, reply_type, *, timeout_s):
-        reply = Failure(reason=Reason.TIMEOUT, run_state=RunState.MAY_HAVE_RUN, step="test")
         with trio.move_on_after(timeout_s):
             await trio.sleep(self.delay_s)
-            reply = await super().call(address, request, reply_type, timeout_s=timeout_s)
-        return reply
+            return await super().call(address, request, reply_type, timeout_s=timeout_s)
+        return Failure(reason=Reason.TIMEOUT, run_state=RunState.MAY_HAVE_RUN, step="test")
 
 
 async def test_request_behind_slow_links_is_served_after_a_cut(autojump_clock, nursery):
--- a/marigoldtrail/pieces/tests/test_runner.py
+++ b/marigoldtrail/pieces/tests/test_runner.py
@@ -381,8 +381,7 @@
         if len(frees) == 1:
             await trio.sleep(1.0)
             return Failure(reason=Reason.TIMEOUT, run_state=RunState.MAY_HAVE_RUN, step="test")
-        await upstreams.free(upstream, handles)
-        return None
+        return await upstreams.free(upstream, handles)
 
     upstreams.runner._call = PieceCall(run=upstreams.run, free=free)
     size = SPEC.result_capacity_bytes * 6 // 10
@@ -431,3 +430,21 @@
     upstreams.runner.free(set(first.handles))
     await trio.testing.wait_all_tasks_blocked()
     assert len(upstreams.calls) == 2
+
+
+async def test_results_of_calls_without_an_answer_take_room(autojump_clock, nursery):
+    """Guards against pieces sent to an upstream whose room is taken by results nobody knows."""
+    upstreams = Upstreams(nursery)
+    upstreams.answers = [
+        Failure(reason=Reason.TIMEOUT, run_state=RunState.MAY_HAVE_RUN, step="test")
+    ]
+    size = SPEC.result_capacity_bytes * 6 // 10
+    started = trio.current_time()
+    job = await upstreams.work("one", size=size)
+    assert all(job.handles)
+    assert trio.current_time() - started > SPEC.result_retention_s
+    # A call that was not run has left none.
+    upstreams.answers = [Failure(reason=Reason.OVERLOADED, run_state=RunState.NOT_RUN, step="test")]
+    started = trio.current_time()
+    assert all((await upstreams.work("two", size=size // 6)).handles)
+    assert trio.current_time() - started < SPEC.result_retention_s / 2
