Keep the checks for a cut at regular times while there are signs

The change that lets the reachability monitor sleep also began the probes at exactly 0.4 s of silence. They fail 0.6 s later, so that a sound silence of a second of all upstreams was taken for a cut each time: a play of the silence matrix (all upstreams silent twice for 1.0 s, key replaced) broke, since a request was forwarded to an entry with another configuration.

Change: a sign is looked at with the next of the regular times, as before. The wait ends at an absolute time, and both comparisons use the same sum, so that rounding cannot let the loop spin.

--- a/marigoldtrail/reachability/monitor.py
+++ b/marigoldtrail/reachability/monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
@@ -14,7 +15,7 @@
 from marigoldtrail.routing import Upstream
 from marigoldtrail.timers import Timers, run_guarded
 
-# Shortest time between two checks.
+# Time between checks while there are signs.
 CHECK_INTERVAL_S = 0.1
 # Silence of waiting requests after which the upstreams are probed.
 MIN_SILENCE_S = 0.4
@@ -104,30 +105,46 @@
         self._listeners: set[Callable[[], None]] = set()
 
     async def run(self) -> None:
-        """Check the contact whenever it may be lost or found again, until cancelled."""
+        """Check the contact while there are signs of a cut, until cancelled."""
+        due_at = self._timers.now()
         while True:
-            await self._timers.sleep(CHECK_INTERVAL_S)
-            await self._wait_for_signs()
+            due_at = max(due_at + CHECK_INTERVAL_S, self._timers.now())
+            await self._timers.sleep_until(due_at)
+            while not self._has_signs():
+                await self._wait_for_signs()
+                # Not at once: the probes that follow 0.4 s of silence fail 0.6 s later, so that a
+                # sound silence of a second would always be taken for a cut.
+                missed = math.ceil((self._timers.now() - due_at) / CHECK_INTERVAL_S)
+                due_at += max(1, missed) * CHECK_INTERVAL_S
+                await self._timers.sleep_until(due_at)
             await run_guarded(self._check)
 
+    def _has_signs(self) -> bool:
+        """Return whether a check may find something."""
+        if self.is_cut_off or self._contact.unreached:
+            return True
+        return self._timers.now() >= self._find_silence_end()
+
     async def _wait_for_signs(self) -> None:
         """
-        Wait until there is a sign of a cut, or of its end.
+        Wait until there may be a sign of a cut.
 
         Ten checks a second took more processor time of an idle entry than its reports to the leader
         (2.4 of 3.9 ms a second).
         """
         contact = self._contact
-        while not self.is_cut_off and not contact.unreached:
-            quiet_since = contact.quiet_since
-            if quiet_since is None:
+        while not self._has_signs():
+            if contact.quiet_since is None:
                 await contact.questioned.wait()
                 continue
-            left_s = quiet_since + self._find_silence_limit_s() - self._timers.now()
-            if left_s <= 0:
-                return
             # What is heard meanwhile starts another silence, whose limit may be the shortest one.
-            await contact.questioned.wait_with_timeout(min(left_s, MIN_SILENCE_S))
+            with trio.move_on_at(min(self._find_silence_end(), self._timers.now() + MIN_SILENCE_S)):
+                await contact.questioned.wait()
+
+    def _find_silence_end(self) -> float:
+        """Return when the silence is long enough for probes; never while no request waits."""
+        quiet_since = self._contact.quiet_since
+        return float("inf") if quiet_since is None else quiet_since + self._find_silence_limit_s()
 
     def _find_silence_limit_s(self) -> float:
         """Return the silence in seconds after which the upstreams are probed."""
@@ -161,8 +178,7 @@
                 self._change(False)
             return
         self._silence_limit_s = self._find_silence_limit_s()
-        is_silent = self._contact.silence_s >= self._silence_limit_s
-        if not is_silent and not self._contact.unreached:
+        if not self._has_signs():
             return
         self._probed_at = self._timers.now()
         targets = self._choose_targets(LOSS_PROBES)
