Keep the run of one entry when another entry reports the end of the request

A request that was forwarded to another entry failed with 'dropped' when the entry that it came from reported its end while the stages ran for the other one.

Cause: a report of an end names the request only, and ended the latest run whoever had asked for it.

Change: a report ends the run of its sender.

Evidence: the test failed before with a failure in place of the handles.

--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -454,7 +454,10 @@
 
     async def _note_progress(self, request: NoteProgress, sender: str) -> ProgressNoted:
         self._placer.record_progress(request.request_id, has_ended=request.has_ended)
-        self._drop_jobs(request.request_id)
+        run = self._runs.get(request.request_id)
+        if run is None or run.sender == sender:
+            self._drop_jobs(request.request_id)
+        # Otherwise the request has moved to another entry, whose run has replaced the sender's.
         return ProgressNoted()
 
     def _drop_jobs(self, request_id: str) -> None:
--- a/marigoldtrail/pieces/stage_runs.py
+++ b/marigoldtrail/pieces/stage_runs.py
@@ -44,7 +44,7 @@
     """
 
     __slots__ = (
-        "_sender",
+        "sender",
         "_number",
         "reply",
         "done",
@@ -55,7 +55,7 @@
     )
 
     def __init__(self, *, sender: str, number: int, reply: Failure) -> None:
-        self._sender = sender
+        self.sender = sender
         self._number = number
         self.reply: StagesReply | Failure = reply
         self.done = trio.Event()
@@ -66,7 +66,7 @@
 
     def is_asked_for(self, request: RunStages, sender: str) -> bool:
         """Return whether an entry asks for this run again."""
-        return request.run != 0 and (sender, request.run) == (self._sender, self._number)
+        return request.run != 0 and (sender, request.run) == (self.sender, self._number)
 
     def is_later_than(self, request: RunStages, sender: str) -> bool:
         """
@@ -74,7 +74,7 @@
 
         After a cut, TCP delivers what was sent over a connection that its entry has closed since.
         """
-        if request.run == 0 or sender != self._sender:
+        if request.run == 0 or sender != self.sender:
             return False
         return request.run < self._number or (request.run == self._number and self.is_dropped)
 
--- a/marigoldtrail/pieces/tests/test_service.py
+++ b/marigoldtrail/pieces/tests/test_service.py
@@ -90,7 +90,7 @@
         reply = HostReportReply(term=1, revisions={}, upstreams=entries)
         self.fleet_state.apply(reply, sent_at=trio.current_time())
 
-    async def ask(self, *, request_id="r", count=1, slack_s=1.0, length=1, run=0):
+    async def ask(self, *, request_id="r", count=1, slack_s=1.0, length=1, run=0, sender="entry"):
         stages = [
             StageRequest(
                 service="board",
@@ -109,7 +109,7 @@
             engine_service="",
             run=run,
         )
-        return await self.service.get_handlers()[RunStages](request, "entry")
+        return await self.service.get_handlers()[RunStages](request, sender)
 
 
 async def test_request_waits_for_the_list_of_upstreams(autojump_clock, nursery):
@@ -317,3 +317,23 @@
         await trio.sleep(away_s)
     assert isinstance(await scheduler.ask(length=10, run=7), StagesReply)
     assert scheduler.pieces_run == 10
+
+
+async def test_end_at_one_entry_does_not_end_the_run_of_another(autojump_clock, nursery):
+    """Guards against a request that fails because the entry that it left reports its end late."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    await trio.sleep(0.01)
+    with trio.move_on_after(WORK_S / 4):
+        await scheduler.ask(run=7)
+    replies = []
+
+    async def ask_for_another():
+        replies.append(await scheduler.ask(run=3, sender="other entry"))
+
+    async with trio.open_nursery() as requests:
+        requests.start_soon(ask_for_another)
+        await trio.sleep(WORK_S / 4)
+        note = NoteProgress(request_id="r", has_ended=True)
+        await scheduler.service.get_handlers()[NoteProgress](note, "entry")
+    assert isinstance(replies[0], StagesReply), replies
