Send the report of a request's end again after a short cut

Results of requests that ended in a cut of their entry took room at their upstreams until they expired (4 s), and their schedulers went on with stages that nobody needed.

Cause: an entry sent the report of an end once, with a time-out of 1 s, and only logged its loss.

Change: it sends the report up to three times. Reports that a prompt was read are sent once as before, since a late one would end a later run of the same request at the same entry.

Evidence: the test failed before: no report arrived in the second after a cut of 1.1 s.

--- a/marigoldtrail/pieces/client.py
+++ b/marigoldtrail/pieces/client.py
@@ -40,6 +40,10 @@
 MAX_PROBE_DELAY_S = 2.4
 REPEATED_LOSS_WINDOW_S = 5.0
 NOTE_TIMEOUT_S = 1.0
+# Reports of the end of a request are sent again after a short cut. Those of progress are not: a
+# late one would free the results of a later run of the same request.
+END_NOTE_TRIES = 3
+END_NOTE_INTERVAL_S = 0.5
 RETRY_INTERVAL_S = 0.05
 REPLY_MARGIN_S = 0.2
 
@@ -399,15 +403,20 @@
 
     async def _send_progress(self, host: str, request_id: str, has_ended: bool) -> None:
         request = NoteProgress(request_id=request_id, has_ended=has_ended)
-        reply = await self._peers.call(
-            self._names[host], request, ProgressNoted, timeout_s=NOTE_TIMEOUT_S
-        )
-        if isinstance(reply, Failure):
+        for tries_left in reversed(range(END_NOTE_TRIES if has_ended else 1)):
+            started = self._timers.now()
+            reply = await self._peers.call(
+                self._names[host], request, ProgressNoted, timeout_s=NOTE_TIMEOUT_S
+            )
+            if not isinstance(reply, Failure):
+                return
             _log.info(
                 "scheduler did not confirm the progress of the request: %s",
                 reply,
                 extra={"request_id": request_id},
             )
+            if tries_left:
+                await self._timers.sleep_until(started + END_NOTE_INTERVAL_S)
 
     def _failure(self, reason: Reason, detail: str, *, peer: str = "") -> Failure:
         return Failure(
--- a/marigoldtrail/pieces/tests/test_client.py
+++ b/marigoldtrail/pieces/tests/test_client.py
@@ -11,7 +11,14 @@
     StageRun,
 )
 from marigoldtrail.registry import FleetState
-from marigoldtrail.schema.generated.pieces import Pulse, PulseReply, RunStages, StagesReply
+from marigoldtrail.schema.generated.pieces import (
+    NoteProgress,
+    ProgressNoted,
+    Pulse,
+    PulseReply,
+    RunStages,
+    StagesReply,
+)
 from marigoldtrail.timers import Timers
 
 HOSTS = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"]
@@ -242,3 +249,33 @@
     assert await ask(client) is not None
     await trio.sleep(2.0)
     assert not client._checks and not client._calls
+
+
+class Notes(SilentLinks):
+    """Hosts that record the requests whose end they were told of."""
+
+    def __init__(self):
+        super().__init__()
+        self.ended = []
+
+    async def call(self, address, request, reply_type, *, timeout_s):
+        if not isinstance(request, NoteProgress) or self.is_cut:
+            return await super().call(address, request, reply_type, timeout_s=timeout_s)
+        self.ended.append(request.request_id)
+        return ProgressNoted()
+
+
+async def test_end_of_a_request_in_a_short_cut_is_reported_after_it(autojump_clock, nursery):
+    """Guards against results that take room until they expire because one report was lost."""
+    hosts = Notes()
+    client = make_client(nursery, hosts)
+    now = trio.current_time()
+    request = RunStages(request_id="r", stages=[], key="", left_ms=0, slack_ms=0, engine_service="")
+    stage_run = StageRun(request=request, deadline=now + 6.0, due_at=now + 1.5)
+    assert await client.run(stage_run) is None
+    hosts.is_cut = True
+    client.report_end(stage_run)
+    await trio.sleep(1.1)
+    hosts.is_cut = False
+    await trio.sleep(1.0)
+    assert hosts.ended == ["r"]
