Keep no handles of runs that their entry has ended

A scheduler kept the handles of the last 4,096 requests, with thousands of pieces each at most.

Cause: runs stay known after their end so that late copies of them are refused, and with each run its reply.

Change: the reply of a run that its entry has ended is replaced by the failure that copies get.

Evidence: the test failed before.

--- a/marigoldtrail/pieces/stage_runs.py
+++ b/marigoldtrail/pieces/stage_runs.py
@@ -46,6 +46,7 @@
     __slots__ = (
         "sender",
         "_number",
+        "_dropped",
         "reply",
         "done",
         "scope",
@@ -57,6 +58,7 @@
     def __init__(self, *, sender: str, number: int, reply: Failure) -> None:
         self.sender = sender
         self._number = number
+        self._dropped = reply
         self.reply: StagesReply | Failure = reply
         self.done = trio.Event()
         self.scope = trio.CancelScope()
@@ -81,6 +83,8 @@
     def drop(self) -> None:
         """End the run because its entry needs it no more."""
         self.is_dropped = True
+        # The handles of many pieces take memory for as long as the run is remembered.
+        self.reply = self._dropped
         self.scope.cancel()
 
     async def execute(
--- a/marigoldtrail/pieces/tests/test_service.py
+++ b/marigoldtrail/pieces/tests/test_service.py
@@ -337,3 +337,15 @@
         note = NoteProgress(request_id="r", has_ended=True)
         await scheduler.service.get_handlers()[NoteProgress](note, "entry")
     assert isinstance(replies[0], StagesReply), replies
+
+
+async def test_ended_requests_take_no_memory_for_their_handles(autojump_clock, nursery):
+    """Guards against the handles of thousands of ended requests in a scheduler's memory."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    await trio.sleep(0.01)
+    await scheduler.ask(run=7)
+    note = NoteProgress(request_id="r", has_ended=True)
+    await scheduler.service.get_handlers()[NoteProgress](note, "entry")
+    runs = scheduler.service._runs.values()
+    assert not [run for run in runs if isinstance(run.reply, StagesReply)]
