--- a/marigoldtrail/relay/tests/test_scheduled_engines.py
+++ b/marigoldtrail/relay/tests/test_scheduled_engines.py
@@ -13,18 +13,19 @@
 from marigoldtrail.timers import Timers
 
 SERVICE = Service(
-    name="s", max_connections=9, cold_start_s=3.0, max_cold_requests_per_s=6.6,
+    name="s",
+    max_connections=9,
+    cold_start_s=3.0,
+    max_cold_requests_per_s=6.6,
     engine=EngineSpec(slots=8, kv_cache_tokens=100_000),
-)  # fmt: skip
+)
 
 
 def make_monitor(upstreams):
     timers = Timers(seed=1)
     fleet_state = FleetState(parse_document=lambda data: "", timers=timers)
     fleet_state.upstreams = {upstream.name: upstream for upstream in upstreams}
-    return fleet_state, UpstreamMonitor(
-        fleet_state=fleet_state, data_centre="a", timers=timers
-    )  # fmt: skip
+    return fleet_state, UpstreamMonitor(fleet_state=fleet_state, data_centre="a", timers=timers)
 
 
 async def test_engine_of_the_scheduler_is_used_without_weighing_the_others(
@@ -43,11 +44,19 @@
         fleet_state=fleet_state, monitor=monitor, versions=None, rng=random.Random(1)
     )
     exchange = SimpleNamespace(
-        service=SERVICE, stream_version=None, stream_key=b"", tried=set(), is_resumed=False,
-        info=SimpleNamespace(prompt_tokens=100), recording=None, source=None, relisted_at=None,
-        stage_run=SimpleNamespace(upstream="e-7"), get_shared_prefix=lambda: ("", 0),
+        service=SERVICE,
+        stream_version=None,
+        stream_key=b"",
+        tried=set(),
+        is_resumed=False,
+        info=SimpleNamespace(prompt_tokens=100),
+        recording=None,
+        source=None,
+        relisted_at=None,
+        stage_run=SimpleNamespace(upstream="e-7"),
+        get_shared_prefix=lambda: ("", 0),
         splitter=SimpleNamespace(count=0),
-    )  # fmt: skip
+    )
     assert chooser.choose(exchange).name == "e-7" and made == []
     monitor.record_failure("e-7", is_dead=True)
     assert chooser.choose(exchange).name != "e-7"
