--- a/marigoldtrail/pieces/stage_runs.py
+++ b/marigoldtrail/pieces/joinable_runs.py
@@ -14,7 +14,7 @@
 REJOIN_S = 1.0
 
 
-class StageRun:
+class JoinableRun:
     """
     One run of the stages of a request.
 
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -21,9 +21,9 @@
 )
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
 from marigoldtrail.pieces.job import CRASHES_UPSTREAMS, PieceJob
+from marigoldtrail.pieces.joinable_runs import JoinableRun
 from marigoldtrail.pieces.placer import EnginePlacer
 from marigoldtrail.pieces.runner import PieceCall, PieceRunner
-from marigoldtrail.pieces.stage_runs import StageRun
 from marigoldtrail.quarantine import make_stage_part
 from marigoldtrail.registry import FleetState
 from marigoldtrail.schema.generated.pieces import (
@@ -135,7 +135,7 @@
         self._placer = EnginePlacer(fleet_state=fleet_state, timers=timers, rng=rng)
         self._jobs: dict[str, list[PieceJob]] = {}
         # Latest run of the stages of each request.
-        self._runs: dict[str, StageRun] = {}
+        self._runs: dict[str, JoinableRun] = {}
         self._nursery: trio.Nursery | None = None
 
     def get_handlers(self) -> Handlers:
@@ -166,15 +166,7 @@
             return self._failure(Reason.UPSTREAM_ERROR, "the run has ended")
         run = self._find_run(request, sender)
         if run is None:
-            # An entry that asks for another run does not need the results of the one before.
-            self._drop_jobs(request.request_id)
-            dropped = self._failure(Reason.UPSTREAM_ERROR, "dropped")
-            run = StageRun(sender=sender, number=request.run, reply=dropped)
-            self._runs.pop(request.request_id, None)
-            self._runs[request.request_id] = run
-            while len(self._runs) > MAX_REQUESTS_KEPT:
-                del self._runs[next(iter(self._runs))]
-            self._nursery.start_soon(run_guarded, run.execute, self._run_once, request)
+            run = self._start_run(self._nursery, request, sender)
         run.waiting += 1
         run.asked += 1
         try:
@@ -185,7 +177,20 @@
                 self._nursery.start_soon(run_guarded, run.end_unless_joined, self._timers)
         return run.reply
 
-    def _find_run(self, request: RunStages, sender: str) -> StageRun | None:
+    def _start_run(self, nursery: trio.Nursery, request: RunStages, sender: str) -> JoinableRun:
+        # An entry that asks for another run does not need the results of the one before.
+        self._drop_jobs(request.request_id)
+        dropped = self._failure(Reason.UPSTREAM_ERROR, "dropped")
+        run = JoinableRun(sender=sender, number=request.run, reply=dropped)
+        # The latest run is the last one to be forgotten.
+        self._runs.pop(request.request_id, None)
+        self._runs[request.request_id] = run
+        while len(self._runs) > MAX_REQUESTS_KEPT:
+            del self._runs[next(iter(self._runs))]
+        nursery.start_soon(run_guarded, run.execute, self._run_once, request)
+        return run
+
+    def _find_run(self, request: RunStages, sender: str) -> JoinableRun | None:
         """Return the run that an entry asks for again, unless it has no usable results."""
         run = self._runs.get(request.request_id)
         if run is None or not run.is_asked_for(request, sender):
--- a/marigoldtrail/pieces/tests/test_service.py
+++ b/marigoldtrail/pieces/tests/test_service.py
@@ -11,7 +11,7 @@
 
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.pieces import PieceCall, PieceResult, PieceService
-from marigoldtrail.pieces.stage_runs import REJOIN_S
+from marigoldtrail.pieces.joinable_runs import REJOIN_S
 from marigoldtrail.registry import FleetState
 from marigoldtrail.routing import Limits, PieceSpec, RouteTable, Service, build_index
 from marigoldtrail.schema.generated.pieces import (
