--- a/marigoldtrail/pieces/job.py
+++ b/marigoldtrail/pieces/job.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 import msgspec
-import trio
 
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES
 
@@ -89,7 +88,6 @@
         "is_started",
         "missing",
         "failure",
-        "done",
         "queued_at",
         "crash_part",
         "is_trial",
@@ -151,7 +149,6 @@
         self.is_started = False
         self.missing = count
         self.failure = ""
-        self.done = trio.Event()
         # Pieces that wait for a call.
         self.waiting: list[Piece] = []
         self._on_end = on_end
@@ -232,7 +229,6 @@
 
     def _end(self) -> None:
         self.is_open = False
-        self.done.set()
         if self._on_end is not None:
             self._on_end(self)
 
--- a/marigoldtrail/pieces/tests/test_crashes.py
+++ b/marigoldtrail/pieces/tests/test_crashes.py
@@ -25,12 +25,15 @@
     """Guards against a sound request that is blamed because it shares calls with another one."""
     upstreams = Upstreams(nursery, count=2)
     upstreams.answers = [CRASH]
-    jobs = [make_job(name, crash_part=f"s:0:{name}") for name in ("one", "two")]
-    for job in jobs:
+    ended = {name: trio.Event() for name in ("one", "two")}
+    for name in ended:
+        job = make_job(
+            name, crash_part=f"s:0:{name}", on_end=lambda job: ended[job.request_id].set()
+        )
         upstreams.runner.scheduler("s").add(job)
     upstreams.runner.wake()
-    for job in jobs:
-        await job.done.wait()
+    for event in ended.values():
+        await event.wait()
     assert [count for _, count in upstreams.calls] == [2, 1, 1]
     crashed = upstreams.calls[0][0]
     assert list_reported(upstreams) == [(crashed, ["s:0:one"]), (crashed, ["s:0:two"])]
--- a/marigoldtrail/pieces/tests/test_runner.py
+++ b/marigoldtrail/pieces/tests/test_runner.py
@@ -105,10 +105,11 @@
 
     async def work(self, name, count=1, **fields):
         """Run a job to its end and return it."""
-        job = make_job(name, count, **fields)
+        ended = trio.Event()
+        job = make_job(name, count, on_end=lambda _: ended.set(), **fields)
         self.runner.scheduler("s").add(job)
         self.runner.wake()
-        await job.done.wait()
+        await ended.wait()
         return job
 
     def worker(self, name="w0"):
