Weigh cached prompts against the wait at engines of learned speeds

Cause: the choice of engines took all engines of a service for equally fast and priced a cached prompt at a fixed rate, whether the request had time to wait or not. It believed 0.6 of their memory to be cached, and compared all engines in full for each request.

Change: the scheduler learns the slowness of each engine from times to first events, which entries report; it weighs the tokens saved against the wait, the time left until the request is late, and the end of the stream against the caller's deadline. A first event that shows an evicted prompt corrects what is believed cached. Prompt tokens that are read again are counted by cause.

--- a/marigoldtrail/pieces/client.py
+++ b/marigoldtrail/pieces/client.py
@@ -60,6 +60,8 @@
         The stages; the remaining times are filled in for each attempt.
     deadline, due_at : float
         Monotonic times in seconds: when the request is given up, and when it becomes late.
+    response_deadline : float
+        Monotonic time in seconds by which the whole response must have been sent.
 
     Attributes
     ----------
@@ -67,16 +69,37 @@
         Handles of the results for the upstream.
     upstream : str
         Engine chosen by the scheduler; empty if none.
+    first_event_s, stream_s : float
+        Seconds until the first event of that engine, and from then to its last one; 0 if unknown.
     schedulers_used : set of str
         Schedulers that the request was sent to.
     """
 
-    __slots__ = ("request", "deadline", "due_at", "handles", "upstream", "schedulers_used")
+    __slots__ = (
+        "request",
+        "deadline",
+        "due_at",
+        "response_deadline",
+        "handles",
+        "upstream",
+        "first_event_s",
+        "stream_s",
+        "schedulers_used",
+    )
 
-    def __init__(self, *, request: RunStages, deadline: float, due_at: float) -> None:
+    def __init__(
+        self,
+        *,
+        request: RunStages,
+        deadline: float,
+        due_at: float,
+        response_deadline: float = 0.0,
+    ) -> None:
         self.request = request
         self.deadline = deadline
         self.due_at = due_at
+        self.response_deadline = response_deadline
+        self.first_event_s = self.stream_s = 0.0
         self.handles: tuple[str, ...] = ()
         self.upstream = ""
         self.schedulers_used: set[str] = set()
@@ -229,6 +252,8 @@
                 continue
             stage_run.request.left_ms = round(left_s * 1000)
             stage_run.request.slack_ms = round((stage_run.due_at - self._timers.now()) * 1000)
+            response_left_s = stage_run.response_deadline - self._timers.now()
+            stage_run.request.deadline_ms = max(0, round(response_left_s * 1000))
             stage_run.schedulers_used.add(host)
             reply = await self._call(host, stage_run.request, left_s)
             if not isinstance(reply, Failure):
@@ -398,22 +423,26 @@
             self._note_progress(host, stage_run, has_ended=True)
 
     def _note_progress(self, host: str, stage_run: StageRun, *, has_ended: bool) -> None:
-        request_id = stage_run.request.request_id
-        self._nursery.start_soon(run_guarded, self._send_progress, host, request_id, has_ended)
+        note = NoteProgress(
+            request_id=stage_run.request.request_id,
+            has_ended=has_ended,
+            first_event_ms=round(stage_run.first_event_s * 1000),
+            stream_ms=round(stage_run.stream_s * 1000),
+        )
+        self._nursery.start_soon(run_guarded, self._send_progress, host, note)
 
-    async def _send_progress(self, host: str, request_id: str, has_ended: bool) -> None:
-        request = NoteProgress(request_id=request_id, has_ended=has_ended)
-        for tries_left in reversed(range(END_NOTE_TRIES if has_ended else 1)):
+    async def _send_progress(self, host: str, note: NoteProgress) -> None:
+        for tries_left in reversed(range(END_NOTE_TRIES if note.has_ended else 1)):
             started = self._timers.now()
             reply = await self._peers.call(
-                self._names[host], request, ProgressNoted, timeout_s=NOTE_TIMEOUT_S
+                self._names[host], note, ProgressNoted, timeout_s=NOTE_TIMEOUT_S
             )
             if not isinstance(reply, Failure):
                 return
             _log.info(
                 "scheduler did not confirm the progress of the request: %s",
                 reply,
-                extra={"request_id": request_id},
+                extra={"request_id": note.request_id},
             )
             if tries_left:
                 await self._timers.sleep_until(started + END_NOTE_INTERVAL_S)
--- /dev/null
+++ b/marigoldtrail/pieces/engine_speeds.py
@@ -0,0 +1,108 @@
+"""Speeds of engines, learned from the times to their first events."""
+
+from __future__ import annotations
+
+import math
+
+from marigoldtrail.policy.decay import decay_weight
+
+# A slowness outside this range is taken for its bound: such times have other causes.
+MIN_SLOWNESS, MAX_SLOWNESS = 0.2, 10.0
+# Weight of a new time in the usual slowness; the first ones count more.
+USUAL_WEIGHT = 0.1
+# The usual slowness of an engine that is not used decays to 1.
+USUAL_HALF_LIFE_S = 60.0
+# A time that differs by more than this factor from the usual one is a step change. It holds until
+# another time contradicts it, and decays: other work on the machine of an engine lasts about 0.6 s.
+STEP_FACTOR = 1.6
+STEP_HALF_LIFE_S = 1.0
+
+
+class EngineSpeed:
+    """
+    Slowness of one engine.
+
+    Parameters
+    ----------
+    born_ms : int
+        Start time of its process (wall clock, milliseconds).
+    now : float
+        Monotonic time in seconds.
+    """
+
+    __slots__ = ("born_ms", "count", "_usual_log", "_observed_at", "_step")
+
+    def __init__(self, *, born_ms: int, now: float) -> None:
+        self.born_ms = born_ms
+        self.count = 0
+        self._usual_log = 0.0
+        self._observed_at = now
+        self._step = 1.0
+
+    def _usual_at(self, now: float) -> float:
+        weight = decay_weight(max(0.0, now - self._observed_at), USUAL_HALF_LIFE_S)
+        return math.exp(self._usual_log * weight)
+
+    def slowness_at(self, now: float) -> float:
+        """Return the ratio of its times to those of an engine of the usual speed."""
+        if not self.count:
+            return 1.0
+        weight = decay_weight(max(0.0, now - self._observed_at), STEP_HALF_LIFE_S)
+        return self._usual_at(now) * float(self._step**weight)
+
+    def observe(self, ratio: float, now: float) -> None:
+        """Record the ratio of an observed time to the expected one."""
+        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
+        usual = self._usual_at(now)
+        deviation = ratio / usual
+        self._step = deviation if not 1 / STEP_FACTOR < deviation < STEP_FACTOR else 1.0
+        # A step change moves the usual slowness by no more than a time just below it.
+        limited = min(STEP_FACTOR, max(1 / STEP_FACTOR, deviation))
+        self.count += 1
+        weight = max(USUAL_WEIGHT, 1 / (self.count + 1))
+        self._usual_log = math.log(usual) + weight * math.log(limited)
+        self._observed_at = now
+
+
+class EngineSpeeds:
+    """Slowness of the engines of one service; an engine that has just started has the prior 1."""
+
+    __slots__ = ("_speeds",)
+
+    def __init__(self) -> None:
+        self._speeds: dict[str, EngineSpeed] = {}
+
+    def observe(
+        self, name: str, born_ms: int, *, expected_s: float, observed_s: float, now: float
+    ) -> None:
+        """
+        Record the time to a first event.
+
+        Parameters
+        ----------
+        name : str
+            The engine.
+        born_ms : int
+            Start time of its process (wall clock, milliseconds).
+        expected_s, observed_s : float
+            Seconds that an engine of the usual speed would take, and that this one took.
+        now : float
+            Monotonic time in seconds.
+        """
+        if not (expected_s > 0 and observed_s > 0):
+            return
+        speed = self._speeds.get(name)
+        if speed is None or speed.born_ms != born_ms:
+            speed = self._speeds[name] = EngineSpeed(born_ms=born_ms, now=now)
+        speed.observe(observed_s / expected_s, now)
+
+    def slowness_at(self, name: str, born_ms: int, now: float) -> float:
+        """Return the slowness of an engine; 1 if nothing is known of this process."""
+        speed = self._speeds.get(name)
+        if speed is None or speed.born_ms != born_ms:
+            return 1.0
+        return speed.slowness_at(now)
+
+    def retain(self, names: set[str]) -> None:
+        """Forget all engines other than those named."""
+        self._speeds = {name: speed for name, speed in self._speeds.items() if name in names}
--- a/marigoldtrail/pieces/engines.py
+++ b/marigoldtrail/pieces/engines.py
@@ -1,22 +1,51 @@
-"""State that the scheduler keeps for the engines: work in progress and cached prompts."""
+"""State that the scheduler keeps for the engines: work, cached prompts and speeds."""
 
 from __future__ import annotations
 
+import enum
 from collections import OrderedDict
 
-from marigoldtrail.policy.placement import EngineOption
+import msgspec
+
+from marigoldtrail.pieces.engine_speeds import EngineSpeeds
+from marigoldtrail.policy.engine_choice import (
+    PREFILL_TOKENS_PER_S,
+    EngineOption,
+    estimate_first_event_s,
+)
 from marigoldtrail.routing import EngineSpec, Upstream
 from marigoldtrail.schema.generated.pieces import PromptPart
 
-# Share of the memory of an engine that is assumed to hold parts of earlier prompts.
-CACHE_SHARE = 0.6
+# Share of the memory of an engine that holds running requests and cached prompts; the rest is lost
+# to the blocks in which memory is given away.
+USABLE_SHARE = 0.95
 EXPIRY_INTERVAL_S = 0.5
+# The slowness of all engines is computed anew at most once in this time.
+SPEED_INTERVAL_S = 0.05
+# Prefixes of which it is remembered that some engine has read them.
+MAX_READ_PREFIXES = 32_768
+# Shorter prefixes save less time than first events vary by.
+MIN_MISSED_TOKENS = 2000
+# Weight of a new stream in the mean duration of streams per token.
+STREAM_WEIGHT = 0.05
 
 # The prefixes of a prompt, shortest first: key of the chain of parts, and length in tokens.
 Prefixes = list[tuple[str, int]]
 
 
-class Placement:
+class RereadCause(enum.StrEnum):
+    """Why an engine reads a prefix that another engine, or itself, has read before."""
+
+    # An engine that may get the request has it cached, and another one was chosen.
+    MOVED = "moved"
+    # Those that have it cached may not get the request.
+    EXCLUDED = "excluded"
+    # The engine that read it last has started again, or is gone.
+    RESTARTED = "restarted"
+    EVICTED = "evicted"
+
+
+class Placement(msgspec.Struct, kw_only=True):
     """
     A request that was sent to an engine.
 
@@ -30,57 +59,133 @@
         Maximum number of tokens of the request in the memory of the engine.
     expires_at : float
         Monotonic time in seconds by which the request has ended.
+    cached_tokens : int
+        Tokens of the prompt that the engine was expected to have cached.
+    cached_since : float
+        Monotonic time in seconds at which that prefix was last used before.
+    output_tokens : int
+        Maximum number of tokens that it generates.
+    expected_s : float
+        Expected seconds to the first event at an engine of the usual speed; 0 if unknown.
     """
 
-    __slots__ = ("upstream", "prefill_tokens", "tokens", "expires_at")
+    upstream: str
+    prefill_tokens: int
+    tokens: int
+    expires_at: float
+    cached_tokens: int = 0
+    cached_since: float = 0.0
+    output_tokens: int = 0
+    expected_s: float = 0.0
 
-    def __init__(
-        self, *, upstream: str, prefill_tokens: int, tokens: int, expires_at: float
-    ) -> None:
-        self.upstream = upstream
-        self.prefill_tokens = prefill_tokens
-        self.tokens = tokens
-        self.expires_at = expires_at
 
+class EngineState:
+    """
+    Work in progress and cached prompts of one engine.
 
-class EngineWork:
-    """Totals of the requests in progress at one engine."""
+    Parameters
+    ----------
+    upstream : Upstream
+        The engine.
+    spec : EngineSpec
+        Its capacity.
 
-    __slots__ = ("requests", "prefill_tokens", "tokens")
+    Attributes
+    ----------
+    option : EngineOption
+        Description for the choice; the fields that depend on a request are set for each.
+    cached : OrderedDict
+        For each cached prefix the tokens that it adds to the one before, and the monotonic time in
+        seconds of its last use; least recently used first.
+    output_tokens : int
+        Maximum number of tokens that the requests in progress generate.
+    """
 
-    def __init__(self) -> None:
-        self.requests = 0
-        self.prefill_tokens = 0
-        self.tokens = 0
+    __slots__ = ("upstream", "option", "cached", "output_tokens")
+
+    def __init__(self, *, upstream: Upstream, spec: EngineSpec) -> None:
+        self.upstream = upstream
+        self.option = EngineOption(
+            name=upstream.name, slots=spec.slots, kv_tokens=spec.kv_cache_tokens
+        )
+        self.cached: OrderedDict[str, tuple[int, float]] = OrderedDict()
+        self.output_tokens = 0
 
     def add(self, placement: Placement, sign: int) -> None:
         """Add a request, or remove it with a negative sign."""
-        self.requests += sign
-        self.prefill_tokens += sign * placement.prefill_tokens
-        self.tokens += sign * placement.tokens
+        option = self.option
+        option.requests += sign
+        option.prefill_tokens += sign * placement.prefill_tokens
+        option.memory_tokens += sign * placement.tokens
+        self.output_tokens += sign * placement.output_tokens
 
 
 class EngineTracker:
     """
-    Work in progress and cached prompts of the engines of one service.
+    Work in progress, cached prompts and speeds of the engines of one service.
 
     Parameters
     ----------
     spec : EngineSpec
         Capacity of one engine.
+
+    Attributes
+    ----------
+    speeds : EngineSpeeds
+        Learned slowness of the engines.
+    stream_s_per_token : float
+        Mean duration of streams, divided by their maximum number of output tokens, at an engine of
+        the usual speed; 0 if unknown.
     """
 
-    __slots__ = ("spec", "_placements", "_work", "_expired_at", "_cached", "_cached_tokens")
+    __slots__ = (
+        "spec",
+        "speeds",
+        "stream_s_per_token",
+        "_placements",
+        "_engines",
+        "_holders",
+        "_read_at",
+        "_expired_at",
+        "_slowness_at",
+    )
 
     def __init__(self, *, spec: EngineSpec) -> None:
         self.spec = spec
+        self.speeds = EngineSpeeds()
+        self.stream_s_per_token = 0.0
         self._placements: dict[str, Placement] = {}
-        # Totals by engine, kept up to date because every request compares all engines.
-        self._work: dict[str, EngineWork] = {}
+        self._engines: dict[str, EngineState] = {}
+        # For each cached prefix the engines that have it, so that a request looks at these only.
+        self._holders: dict[str, set[str]] = {}
+        # The process that read each prefix last, least recently read first.
+        self._read_at: OrderedDict[str, tuple[str, int]] = OrderedDict()
         self._expired_at = float("-inf")
-        # For each engine, the cached prompt parts by prefix key, least recently used first.
-        self._cached: dict[str, OrderedDict[str, int]] = {}
-        self._cached_tokens: dict[str, int] = {}
+        self._slowness_at = float("-inf")
+
+    def _engine(self, upstream: Upstream) -> EngineState:
+        engine = self._engines.get(upstream.name)
+        if engine is not None and engine.upstream is upstream:
+            return engine
+        if engine is None:
+            engine = self._engines[upstream.name] = EngineState(upstream=upstream, spec=self.spec)
+        elif engine.upstream.born_ms != upstream.born_ms:
+            # It has started again, and has nothing cached.
+            self._evict_all(engine)
+        engine.upstream = upstream
+        return engine
+
+    def _evict_all(self, engine: EngineState) -> None:
+        while engine.cached:
+            self._evict_oldest(engine)
+
+    def _evict_oldest(self, engine: EngineState) -> None:
+        key, (tokens, _) = engine.cached.popitem(last=False)
+        engine.option.kept_tokens -= tokens
+        holders = self._holders[key]
+        holders.discard(engine.upstream.name)
+        if not holders:
+            del self._holders[key]
 
     def describe_engines(
         self,
@@ -107,28 +212,30 @@
         Returns
         -------
         list of EngineOption
-            One for each engine.
+            One for each engine; valid until the next call.
         """
         self._expire(now)
-        nothing = EngineWork()
+        engines = [self._engine(upstream) for upstream in upstreams]
+        self._refresh_slowness(now)
+        cached = self.cached_tokens_by_engine(prompt)
         total_in = sum(bytes_in.values())
         found = []
-        for upstream in upstreams:
-            own = self._work.get(upstream.name, nothing)
-            found.append(
-                EngineOption(
-                    name=upstream.name,
-                    slots=self.spec.slots,
-                    requests=own.requests,
-                    prefill_tokens=own.prefill_tokens,
-                    memory_tokens=own.tokens,
-                    kv_tokens=self.spec.kv_cache_tokens,
-                    cached_tokens=self.cached_tokens(upstream.name, prompt),
-                    remote_bytes=total_in - bytes_in.get(upstream.data_centre, 0),
-                )
+        for engine in engines:
+            option = engine.option
+            option.cached_tokens = cached.get(option.name, 0)
+            option.remote_bytes = (
+                total_in - bytes_in.get(engine.upstream.data_centre, 0) if total_in else 0
             )
+            found.append(option)
         return found
 
+    def _refresh_slowness(self, now: float) -> None:
+        if now < self._slowness_at + SPEED_INTERVAL_S:
+            return
+        self._slowness_at = now
+        for name, engine in self._engines.items():
+            engine.option.slowness = self.speeds.slowness_at(name, engine.upstream.born_ms, now)
+
     def _expire(self, now: float) -> None:
         if now < self._expired_at + EXPIRY_INTERVAL_S:
             return
@@ -136,60 +243,178 @@
         for request_id in [r for r, p in self._placements.items() if p.expires_at <= now]:
             self.mark_ended(request_id)
 
-    def cached_tokens(self, upstream: str, prompt: Prefixes) -> int:
-        """Return the length of the prefix of a prompt that an engine has probably cached."""
-        cached = self._cached.get(upstream)
-        if not cached:
-            return 0
-        tokens = 0
+    def cached_tokens_by_engine(self, prompt: Prefixes) -> dict[str, int]:
+        """Return the length of the cached prefix of a prompt for each engine that has one."""
+        found: dict[str, int] = {}
+        names: set[str] | None = None
         for key, length in prompt:
-            if key not in cached:
+            holders = self._holders.get(key)
+            names = holders if names is None else names & holders if holders else None
+            if not names:
                 break
-            tokens = length
-        return tokens
+            found.update(dict.fromkeys(names, length))
+        return found
+
+    def cached_tokens(self, upstream: str, prompt: Prefixes) -> int:
+        """Return the length of the prefix of a prompt that an engine has probably cached."""
+        return self.cached_tokens_by_engine(prompt).get(upstream, 0)
 
-    def place(self, request_id: str, prompt: Prefixes, placement: Placement) -> None:
+    def place(
+        self, request_id: str, prompt: Prefixes, placement: Placement, *, now: float = 0.0
+    ) -> None:
         """Record that a request is sent to an engine, which then caches the parts of its prompt."""
         self.mark_ended(request_id)
-        upstream = placement.upstream
+        engine = self._engines.get(placement.upstream)
+        if engine is None:
+            return
         self._placements[request_id] = placement
-        self._work.setdefault(upstream, EngineWork()).add(placement, 1)
-        cached = self._cached.setdefault(upstream, OrderedDict())
-        before = 0
+        engine.add(placement, 1)
+        cached, before = engine.cached, 0
         for key, length in prompt:
-            if key not in cached:
-                self._cached_tokens[upstream] = (
-                    self._cached_tokens.get(upstream, 0) + length - before
-                )
-                cached[key] = length - before
-            cached.move_to_end(key)
+            if key in cached:
+                tokens, placement.cached_since = cached.pop(key)
+            else:
+                tokens = length - before
+                engine.option.kept_tokens += tokens
+                self._holders.setdefault(key, set()).add(placement.upstream)
+            cached[key] = (tokens, now)
             before = length
-        while cached and self._cached_tokens[upstream] > self.spec.kv_cache_tokens * CACHE_SHARE:
-            _, dropped = cached.popitem(last=False)
-            self._cached_tokens[upstream] -= dropped
+        self._record_reads(prompt, engine)
+        self._evict_to_fit(engine)
+
+    def _evict_to_fit(self, engine: EngineState) -> None:
+        """Evict the prefixes that do not fit beside what the running requests generate."""
+        option = engine.option
+        capacity = option.kv_tokens * USABLE_SHARE - engine.output_tokens
+        while engine.cached and option.kept_tokens > capacity:
+            self._evict_oldest(engine)
+
+    def _record_reads(self, prompt: Prefixes, engine: EngineState) -> None:
+        # The last part belongs to the request alone.
+        for key, _ in prompt[:-1]:
+            self._read_at[key] = (engine.upstream.name, engine.upstream.born_ms)
+            self._read_at.move_to_end(key)
+        while len(self._read_at) > MAX_READ_PREFIXES:
+            self._read_at.popitem(last=False)
+
+    def find_rereads(
+        self, prompt: Prefixes, chosen: EngineOption, candidates: list[EngineOption]
+    ) -> tuple[RereadCause, int] | None:
+        """
+        Return why a chosen engine reads a shared prefix again.
+
+        Parameters
+        ----------
+        prompt : list of (str, int)
+            Prefixes of the prompt; the last one belongs to the request alone.
+        chosen : EngineOption
+            The engine.
+        candidates : list of EngineOption
+            All engines that may get the request.
+
+        Returns
+        -------
+        tuple or None
+            The cause, and the number of tokens; None if no engine has read more than it has cached.
+        """
+        known = [(key, length) for key, length in prompt[:-1] if key in self._read_at]
+        if not known or known[-1][1] <= chosen.cached_tokens:
+            return None
+        key, length = known[-1]
+        tokens = length - chosen.cached_tokens
+        if any(option.cached_tokens >= length for option in candidates):
+            return RereadCause.MOVED, tokens
+        if self._holders.get(key):
+            return RereadCause.EXCLUDED, tokens
+        name, born_ms = self._read_at[key]
+        engine = self._engines.get(name)
+        if engine is None or engine.upstream.born_ms != born_ms:
+            return RereadCause.RESTARTED, tokens
+        return RereadCause.EVICTED, tokens
+
+    def mark_prompt_read(
+        self, request_id: str, *, first_event_s: float = 0.0, now: float = 0.0
+    ) -> None:
+        """
+        Record that an engine has read the prompt of a request.
 
-    def mark_prompt_read(self, request_id: str) -> None:
-        """Record that an engine has read the prompt of a request."""
+        Parameters
+        ----------
+        request_id : str
+            The request.
+        first_event_s : float
+            Seconds from its sending to the first event; 0 if unknown.
+        now : float
+            Monotonic time in seconds.
+        """
         placement = self._placements.get(request_id)
-        if placement is not None:
-            self._work[placement.upstream].prefill_tokens -= placement.prefill_tokens
-            placement.prefill_tokens = 0
+        if placement is None:
+            return
+        engine = self._engines[placement.upstream]
+        engine.option.prefill_tokens -= placement.prefill_tokens
+        placement.prefill_tokens = 0
+        if first_event_s > 0 and placement.expected_s > 0:
+            self._learn(engine, placement, first_event_s, now)
+
+    def _learn(
+        self, engine: EngineState, placement: Placement, first_event_s: float, now: float
+    ) -> None:
+        born_ms = engine.upstream.born_ms
+        name = placement.upstream
+        expected_s = placement.expected_s
+        known = self.speeds.slowness_at(name, born_ms, now)
+        if placement.cached_tokens >= MIN_MISSED_TOKENS:
+            missed_s = expected_s + placement.cached_tokens / PREFILL_TOKENS_PER_S
+            is_missed = first_event_s > known * (expected_s + missed_s) / 2
+            if is_missed and first_event_s < known * missed_s * 2:
+                # It took as long as reading the whole prompt: the engine had evicted it, and what
+                # it has used less recently.
+                self._evict_unused_since(engine, placement.cached_since)
+                expected_s = missed_s
+        self.speeds.observe(name, born_ms, expected_s=expected_s, observed_s=first_event_s, now=now)
+
+    def _evict_unused_since(self, engine: EngineState, used_at: float) -> None:
+        while engine.cached and next(iter(engine.cached.values()))[1] <= used_at:
+            self._evict_oldest(engine)
+
+    def mark_ended(self, request_id: str, *, stream_s: float = 0.0, now: float = 0.0) -> None:
+        """
+        Record that a request has left its engine.
 
-    def mark_ended(self, request_id: str) -> None:
-        """Record that a request has left its engine."""
+        Parameters
+        ----------
+        request_id : str
+            The request.
+        stream_s : float
+            Seconds from its first to its last event; 0 if unknown.
+        now : float
+            Monotonic time in seconds.
+        """
         placement = self._placements.pop(request_id, None)
         if placement is None:
             return
-        work = self._work[placement.upstream]
-        work.add(placement, -1)
-        if not work.requests:
-            del self._work[placement.upstream]
+        engine = self._engines.get(placement.upstream)
+        if engine is None:
+            return
+        engine.add(placement, -1)
+        if stream_s > 0 and placement.output_tokens > 0:
+            slowness = self.speeds.slowness_at(placement.upstream, engine.upstream.born_ms, now)
+            value = stream_s / slowness / placement.output_tokens
+            weight = STREAM_WEIGHT if self.stream_s_per_token else 1.0
+            self.stream_s_per_token += weight * (value - self.stream_s_per_token)
+
+    def expect(self, option: EngineOption, prompt_tokens: int) -> float:
+        """Return the seconds to a first event that an engine of the usual speed would take."""
+        return estimate_first_event_s(option, max(0, prompt_tokens - option.cached_tokens))
 
     def forget_except(self, names: set[str]) -> None:
-        """Drop the cached prompts of all engines other than those named."""
-        for name in [name for name in self._cached if name not in names]:
-            del self._cached[name]
-            self._cached_tokens.pop(name, None)
+        """Drop all engines other than those named; requests there are counted until they end."""
+        for name in [name for name in self._engines if name not in names]:
+            engine = self._engines[name]
+            self._evict_all(engine)
+            if not engine.option.requests:
+                del self._engines[name]
+        self.speeds.retain(names)
 
 
 def list_prefixes(prompt: list[PromptPart]) -> Prefixes:
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -132,7 +132,9 @@
         self._runner = PieceRunner(
             fleet_state=fleet_state, call=call, timers=timers, metrics=metrics
         )
-        self._placer = EnginePlacer(fleet_state=fleet_state, timers=timers, rng=rng)
+        self._placer = EnginePlacer(
+            fleet_state=fleet_state, timers=timers, rng=rng, metrics=metrics
+        )
         self._jobs: dict[str, list[PieceJob]] = {}
         # Latest run of the stages of each request.
         self._runs: dict[str, JoinableRun] = {}
@@ -212,7 +214,9 @@
         if isinstance(handles, Failure):
             return handles
         bytes_in = self._runner.bytes_by_data_centre(set(handles))
-        upstream = self._placer.place(request, bytes_in, admitted.expires_at)
+        upstream = self._placer.place(
+            request, bytes_in, admitted.expires_at, admitted_at=admitted.started
+        )
         if upstream is not None and not request.keeps_results:
             # The engine fetches its inputs as soon as it has the request.
             self._runner.schedule_free(set(handles), INPUT_FETCH_S, LARGE_RESULT_BYTES)
@@ -458,7 +462,7 @@
         return self._failure(reason, f"stage {job.stage}: {job.failure}")
 
     async def _note_progress(self, request: NoteProgress, sender: str) -> ProgressNoted:
-        self._placer.record_progress(request.request_id, has_ended=request.has_ended)
+        self._placer.record_progress(request)
         run = self._runs.get(request.request_id)
         if run is None or run.sender == sender:
             self._drop_jobs(request.request_id)
--- a/marigoldtrail/pieces/tests/test_engines.py
+++ b/marigoldtrail/pieces/tests/test_engines.py
@@ -2,13 +2,21 @@
 
 import random
 
+import msgspec
 import trio
 
-from marigoldtrail.pieces.engines import CACHE_SHARE, EngineTracker, Placement, list_prefixes
+from marigoldtrail.pieces.engines import (
+    USABLE_SHARE,
+    EngineTracker,
+    Placement,
+    RereadCause,
+    list_prefixes,
+)
 from marigoldtrail.pieces.placer import SUSPECT_S, EnginePlacer
 from marigoldtrail.registry import FleetState
 from marigoldtrail.routing import EngineSpec, Limits, RouteTable, Service, Upstream, build_index
-from marigoldtrail.schema.generated.pieces import PromptPart, RunStages
+from marigoldtrail.schema.generated.pieces import NoteProgress, PromptPart, RunStages
+from marigoldtrail.telemetry.prometheus import PrometheusMetrics
 from marigoldtrail.timers import Timers
 
 SPEC = EngineSpec(slots=8, kv_cache_tokens=100_000)
@@ -33,7 +41,9 @@
     table = RouteTable(version=1, routes=(), services=(service,), limits=Limits(), accounts=None)
     fleet_state.routes = build_index(table)
     fleet_state.upstreams = {upstream.name: upstream for upstream in engines}
-    return EnginePlacer(fleet_state=fleet_state, timers=timers, rng=random.Random(1))
+    return EnginePlacer(
+        fleet_state=fleet_state, timers=timers, rng=random.Random(1), metrics=PrometheusMetrics()
+    )
 
 
 def ask(name, *parts, **fields):
@@ -49,6 +59,10 @@
     )
 
 
+def end(placer, request_id):
+    placer.record_progress(NoteProgress(request_id=request_id, has_ended=True))
+
+
 def own(number, tokens=500):
     return PromptPart(part=f"own-{number}", tokens=tokens)
 
@@ -59,7 +73,7 @@
     chosen = []
     for number in range(6):
         chosen.append(placer.place(ask(f"r{number}", SHARED, own(number)), {}, 100.0))
-        placer.record_progress(f"r{number}", has_ended=True)
+        end(placer, f"r{number}")
     assert len(set(chosen)) == 1
 
 
@@ -96,6 +110,7 @@
 def test_tracker_counts_the_tokens_to_prefill():
     """Guards against a queue of prompts at one engine that the choice does not count."""
     tracker = EngineTracker(spec=SPEC)
+    tracker.describe_engines([engine("e")], [], bytes_in={}, now=0.0)
     placement = Placement(upstream="e", prefill_tokens=8000, tokens=8100, expires_at=10.0)
     tracker.place("r", list_prefixes([SHARED]), placement)
 
@@ -115,7 +130,8 @@
 def test_least_recently_used_prompts_are_dropped_first():
     """Guards against an assumed cache larger than the memory of the engine."""
     tracker = EngineTracker(spec=SPEC)
-    count = int(SPEC.kv_cache_tokens * CACHE_SHARE / SHARED.tokens) + 1
+    tracker.describe_engines([engine("e")], [], bytes_in={}, now=0.0)
+    count = int(SPEC.kv_cache_tokens * USABLE_SHARE / SHARED.tokens) + 1
     parts = [PromptPart(part=f"p{n}", tokens=SHARED.tokens) for n in range(count)]
     for number, part in enumerate(parts):
         placement = Placement(upstream="e", prefill_tokens=0, tokens=1, expires_at=1.0)
@@ -135,7 +151,7 @@
         chosen = []
         for number, part in enumerate(prompts):
             chosen.append(placer.place(ask(f"r{number}", part, own(number)), {}, 100.0))
-            placer.record_progress(f"r{number}", has_ended=True)
+            end(placer, f"r{number}")
         return chosen
 
     first = homes(make_placer(*engines))
@@ -172,10 +188,10 @@
     placer.place(ask("r", own(0, 8000), suspects=["e0"]), {}, 100.0)
     placer.forget_except({"e1"})
     assert set(placer._suspects) <= {"e1"}
-    assert all(set(tracker._cached) <= {"e1"} for tracker in placer._trackers.values())
+    assert all(set(tracker._engines) <= {"e1"} for tracker in placer._trackers.values())
     placer.forget_except(set())
     assert not placer._suspects
-    assert not any(tracker._cached for tracker in placer._trackers.values())
+    assert not any(tracker._holders for tracker in placer._trackers.values())
 
 
 async def test_engine_at_its_limit_is_placed_on_less(autojump_clock):
@@ -185,6 +201,68 @@
     chosen = []
     for number in range(100):
         chosen.append(placer.place(ask(f"r{number}", own(number)), {}, 100.0))
-        placer.record_progress(f"r{number}", has_ended=True)
+        end(placer, f"r{number}")
         await trio.sleep(0.05)
     assert 5 <= chosen.count("limited") <= 12
+
+
+def describe(tracker, prompt, *names, born_ms=0):
+    upstreams = [msgspec.structs.replace(engine(name), born_ms=born_ms) for name in names]
+    return tracker.describe_engines(upstreams, list_prefixes(prompt), bytes_in={}, now=0.0)
+
+
+def place(tracker, request_id, prompt, upstream="e", *, now=0.0, **fields):
+    prefixes = list_prefixes(prompt)
+    placement = Placement(
+        upstream=upstream, prefill_tokens=0, tokens=prefixes[-1][1], expires_at=1e9, **fields
+    )
+    tracker.place(request_id, prefixes, placement, now=now)
+
+
+def test_engine_that_starts_again_has_nothing_cached():
+    """Guards against requests that are sent to an engine for a prompt that it has lost."""
+    tracker = EngineTracker(spec=SPEC)
+    describe(tracker, [SHARED], "e", born_ms=5)
+    place(tracker, "r", [SHARED, own(1)])
+    assert describe(tracker, [SHARED], "e", born_ms=5)[0].cached_tokens == SHARED.tokens
+    (option,) = describe(tracker, [SHARED], "e", born_ms=6)
+    assert option.cached_tokens == option.kept_tokens == 0
+
+
+def test_prompt_that_an_engine_has_evicted_is_expected_once():
+    """Guards against choosing an engine for prompts that it has evicted, again and again."""
+    tracker = EngineTracker(spec=SPEC)
+    describe(tracker, [], "e")
+    parts = [PromptPart(part=f"p{n}", tokens=8000) for n in range(4)]
+    for number, part in enumerate(parts):
+        place(tracker, f"r{number}", [part, own(number)], now=float(number))
+    (option,) = describe(tracker, [parts[1], own(9)], "e")
+    expected_s = tracker.expect(option, 8500)
+    place(tracker, "r9", [parts[1], own(9)], now=9.0, cached_tokens=8000, expected_s=expected_s)
+    # The first event is as late as reading the whole prompt makes it.
+    tracker.mark_prompt_read("r9", first_event_s=expected_s + 8000 / 50_000, now=9.3)
+    # What was used less recently is gone too, and what was used later is not.
+    cached = [describe(tracker, [part], "e")[0].cached_tokens for part in parts]
+    assert cached == [0, 8000, 8000, 8000]
+    assert 0.8 < tracker.speeds.slowness_at("e", 0, 9.3) < 1.2
+
+
+def test_cause_of_each_prompt_that_is_read_again():
+    """Guards against a metric that blames the memory of engines for a choice of the scheduler."""
+    tracker = EngineTracker(spec=SPEC)
+    prompt = [SHARED, own(1)]
+
+    def cause(*names, born_ms=0):
+        options = describe(tracker, prompt, *names, born_ms=born_ms)
+        return tracker.find_rereads(list_prefixes(prompt), options[-1], options)
+
+    assert cause("e") is None
+    place(tracker, "r", prompt)
+    assert cause("e") is None
+    assert cause("e", "other") == (RereadCause.MOVED, SHARED.tokens)
+    assert cause("other") == (RereadCause.EXCLUDED, SHARED.tokens)
+    assert cause("e", born_ms=7) == (RereadCause.RESTARTED, SHARED.tokens)
+    place(tracker, "r", prompt)
+    for number in range(20):
+        place(tracker, f"r{number}", [PromptPart(part=f"p{number}", tokens=8000)])
+    assert cause("e", born_ms=7) == (RereadCause.EVICTED, SHARED.tokens)
--- a/marigoldtrail/policy/placement.py
+++ b/marigoldtrail/policy/placement.py
@@ -8,21 +8,10 @@
 import msgspec
 import xxhash
 
-# Prefill speed of an engine; determines how long a wait for a cached prompt is worthwhile.
-PREFILL_TOKENS_PER_S = 50_000.0
-# Each request in progress slows token generation for the others at the engine slightly.
-RUNNING_COST_S = 0.004
 # A failure rate costs as much as this wait times the rate.
 FAILURE_COST_S = 3.0
 # Breaks ties in favour of the data centre of the entry.
 REMOTE_COST_S = 0.004
-# Above this share of its memory an engine preempts its newest requests.
-MEMORY_SHARE = 0.85
-FULL_COST_S = 2.0
-# Extra cost per token, beyond its time, of reading a token that another engine has cached.
-REREAD_COST_S = 3e-5
-# A result of 3 MB from another data centre costs as much as a wait of 40 ms.
-REMOTE_BYTE_COST_S = 0.04 / 3e6
 
 
 class UpstreamOption(msgspec.Struct, kw_only=True, frozen=True):
@@ -84,91 +73,7 @@
         cost_s = work_s * turns * option.slowness + option.failure_rate * FAILURE_COST_S
         return cost_s + (REMOTE_COST_S if option.is_remote else 0.0)
 
-    return _cheapest([(cost(option), option.name) for option in options], rng)
-
-
-class EngineOption(msgspec.Struct, kw_only=True, frozen=True):
-    """
-    An engine that could run a generation.
-
-    Parameters
-    ----------
-    name : str
-        The engine.
-    slots : int
-        Requests that it can run concurrently.
-    requests : int
-        Requests in progress there.
-    prefill_tokens : int
-        Prompt tokens that wait there for prefill.
-    memory_tokens : int
-        Maximum number of tokens of those requests in its memory.
-    kv_tokens : int
-        Tokens that fit into its memory; 0 if unknown.
-    cached_tokens : int
-        Length of the prompt prefix that it has cached.
-    remote_bytes : int
-        Bytes of results that it would fetch from other data centres.
-    failure_rate : float
-        Recent share of failed requests, from 0 to 1.
-    slowness : float
-        Ratio of its recent request time to that of its peers; 1 for an ordinary engine.
-    """
-
-    name: str
-    slots: int
-    requests: int = 0
-    prefill_tokens: int = 0
-    memory_tokens: int = 0
-    kv_tokens: int = 0
-    cached_tokens: int = 0
-    remote_bytes: int = 0
-    failure_rate: float = 0.0
-    slowness: float = 1.0
-
-
-def choose_engine(
-    options: Sequence[EngineOption], *, prompt_tokens: int, rng: random.Random
-) -> str | None:
-    """
-    Choose the engine of a generation.
-
-    Requests with the same shared prompt go to the engine that has cached it, unless the work that
-    waits there would take longer than reading the prompt again. Designed for long shared prompts
-    that fit into the memory of the fleet once but not several times, and for results that are
-    expensive to move.
-
-    Parameters
-    ----------
-    options : sequence of EngineOption
-        Engines that may get the request.
-    prompt_tokens : int
-        Length of the prompt.
-    rng : random.Random
-        Breaks ties.
-
-    Returns
-    -------
-    str or None
-        None if there are no options.
-    """
-    most_cached = max((option.cached_tokens for option in options), default=0)
-
-    def cost(option: EngineOption) -> float:
-        read = option.prefill_tokens + max(0, prompt_tokens - option.cached_tokens)
-        cost_s = read / PREFILL_TOKENS_PER_S + option.requests * RUNNING_COST_S
-        cost_s = cost_s * option.slowness + option.failure_rate * FAILURE_COST_S
-        cost_s += (most_cached - option.cached_tokens) * REREAD_COST_S
-        cost_s += option.remote_bytes * REMOTE_BYTE_COST_S
-        if option.kv_tokens and option.memory_tokens + prompt_tokens > (
-            MEMORY_SHARE * option.kv_tokens
-        ):
-            cost_s += FULL_COST_S
-        if option.requests >= option.slots:
-            cost_s += FULL_COST_S * option.requests / option.slots
-        return cost_s
-
-    return _cheapest([(cost(option), option.name) for option in options], rng)
+    return choose_cheapest([(cost(option), option.name) for option in options], rng)
 
 
 def choose_by_rendezvous_hash(key: str, names: Sequence[str]) -> str | None:
@@ -198,7 +103,22 @@
     )
 
 
-def _cheapest(costs: list[tuple[float, str]], rng: random.Random) -> str | None:
+def choose_cheapest(costs: list[tuple[float, str]], rng: random.Random) -> str | None:
+    """
+    Choose the name with the lowest cost.
+
+    Parameters
+    ----------
+    costs : list of (float, str)
+        Costs and names.
+    rng : random.Random
+        Breaks near ties.
+
+    Returns
+    -------
+    str or None
+        None if there are no costs.
+    """
     if not costs:
         return None
     least = min(cost for cost, _ in costs)
--- a/marigoldtrail/policy/tests/test_placement.py
+++ b/marigoldtrail/policy/tests/test_placement.py
@@ -4,10 +4,8 @@
 from collections import Counter
 
 from marigoldtrail.policy.placement import (
-    EngineOption,
     UpstreamOption,
     choose_by_rendezvous_hash,
-    choose_engine,
     choose_service_upstream,
 )
 from marigoldtrail.policy.window_budget import WindowBudget
@@ -34,34 +32,6 @@
     assert min(chosen.values()) > 50
 
 
-def test_prompt_goes_to_the_engine_that_has_cached_it_unless_it_is_too_busy():
-    """Guards against long shared prompts that are read again, and against an overloaded engine."""
-
-    def choose(unread):
-        home = EngineOption(name="home", slots=64, cached_tokens=13_000, prefill_tokens=unread)
-        return choose_engine(
-            [home, EngineOption(name="other", slots=64)], prompt_tokens=17_000, rng=RNG
-        )
-
-    assert choose(0) == "home" and choose(10_000) == "home"
-    assert choose(60_000) == "other"
-
-
-def test_engine_without_memory_or_slots_is_avoided():
-    """Guards against running requests that are preempted for lack of memory."""
-    full = EngineOption(name="full", slots=64, memory_tokens=9000, kv_tokens=10_000)
-    crowded = EngineOption(name="crowded", slots=4, requests=4)
-    free = EngineOption(name="free", slots=64, requests=9, prefill_tokens=9000, kv_tokens=90_000)
-    assert choose_engine([full, crowded, free], prompt_tokens=1000, rng=RNG) == "free"
-
-
-def test_engine_near_the_results_is_chosen_if_loads_are_similar():
-    """Guards against unnecessary transfers of large results between data centres."""
-    far = EngineOption(name="far", slots=64, remote_bytes=6_000_000)
-    near = EngineOption(name="near", slots=64, requests=5)
-    assert choose_engine([far, near], prompt_tokens=1000, rng=RNG) == "near"
-
-
 def test_loss_of_an_upstream_moves_only_its_own_keys():
     """Guards against the loss of all caches when one engine leaves."""
     names = list("abcdef")
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -11,7 +11,7 @@
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.memory import MemoryBudget
 from marigoldtrail.pieces.client import PieceClient, StageRun
-from marigoldtrail.policy.placement import PREFILL_TOKENS_PER_S
+from marigoldtrail.policy.engine_choice import BASE_FIRST_EVENT_S, PREFILL_TOKENS_PER_S
 from marigoldtrail.ratelimits import Place
 from marigoldtrail.reachability import ReachabilityMonitor, UpstreamContact
 from marigoldtrail.registry import FleetState
@@ -39,8 +39,6 @@
 
 # A retry with less time left is not started.
 MIN_RETRY_TIME_S = 0.02
-# Time from the choice of an engine to the first event, without prefill.
-BASE_FIRST_EVENT_S = 0.06
 PLACEMENT_TIMEOUT_S = 0.3
 MAX_STAGE_RUNS = 2
 
@@ -220,12 +218,19 @@
             The response, the note that a stream was forwarded, or the reason for the failure.
         """
         result = await self._run(exchange)
+        if isinstance(result, StreamForwarded):
+            self._record_stream_time(exchange)
         is_not_run = isinstance(result, Failure) and result.run_state is RunState.NOT_RUN
         if is_not_run and exchange.may_have_run:
             # The failure is that of the last step; an earlier attempt may have run.
             return msgspec.structs.replace(result, run_state=RunState.MAY_HAVE_RUN)
         return result
 
+    def _record_stream_time(self, exchange: Exchange) -> None:
+        stage_run, first_event_at = exchange.stage_run, exchange.first_event_at
+        if stage_run is not None and first_event_at is not None and is_first_choice(exchange):
+            stage_run.stream_s = self._timers.now() - first_event_at
+
     async def _run(self, exchange: Exchange) -> CompleteResponse | StreamForwarded | Failure:
         if self._reachability.is_cut_off:
             # The other entry counts the request for the budget of retries.
@@ -265,6 +270,7 @@
             ),
             deadline=exchange.start_deadline - self._estimate_first_event_s(exchange),
             due_at=exchange.due_at - self._estimate_first_event_s(exchange),
+            response_deadline=exchange.deadline,
         )
         if exchange.stage_run is not None:
             # Notify the schedulers of an earlier run only when the request ends: notified now, they
@@ -420,9 +426,13 @@
     def _handle_first_event(self, exchange: Exchange) -> None:
         # An engine that generates has read its inputs, so their results may be evicted. The stages
         # of the few streams that are resumed at another upstream are then run again.
-        if exchange.stage_run is not None:
-            exchange.are_inputs_freed = bool(exchange.stage_run.handles)
-            self._pieces.report_prompt_read(exchange.stage_run)
+        stage_run = exchange.stage_run
+        if stage_run is None:
+            return
+        exchange.are_inputs_freed = bool(stage_run.handles)
+        if is_first_choice(exchange):
+            stage_run.first_event_s = self._timers.now() - exchange.sent_at
+        self._pieces.report_prompt_read(stage_run)
 
     async def _serve_elsewhere(
         self, exchange: Exchange
@@ -450,6 +460,16 @@
         )
 
 
+def is_first_choice(exchange: Exchange) -> bool:
+    """Return whether the scheduler's engine has the request, which was sent to no other one."""
+    stage_run = exchange.stage_run
+    return (
+        stage_run is not None
+        and exchange.sends == 1
+        and exchange.last_upstream == stage_run.upstream
+    )
+
+
 def make_status_failure(exchange: Exchange, error: CompleteResponse) -> Failure:
     """Return the failure of a request whose last upstream responded with an error."""
     return Failure(
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -127,6 +127,7 @@
         "stage_run",
         "are_inputs_freed",
         "last_upstream",
+        "sent_at",
         "first_event_at",
         "stages_done_at",
         "scope",
@@ -176,6 +177,7 @@
         self.stage_run: StageRun | None = None
         self.are_inputs_freed = False
         self.last_upstream = ""
+        self.sent_at = started
         self.first_event_at: float | None = None
         self.stages_done_at: float | None = None
         self.stream_version: str | None = None
--- a/marigoldtrail/relay/transmission.py
+++ b/marigoldtrail/relay/transmission.py
@@ -214,6 +214,7 @@
             started=self._timers.now(),
             had_not_run=not exchange.may_have_run,
         )
+        exchange.sent_at = tx.started
         exchange.sends += 1
         exchange.runs += 1
         # Until a refusal has been read, assume that the request runs there.
--- a/marigoldtrail/relay/upstream_chooser.py
+++ b/marigoldtrail/relay/upstream_chooser.py
@@ -4,11 +4,10 @@
 
 import random
 
+from marigoldtrail.policy.engine_choice import EngineOption, Generation, choose_engine
 from marigoldtrail.policy.placement import (
-    EngineOption,
     UpstreamOption,
     choose_by_rendezvous_hash,
-    choose_engine,
     choose_service_upstream,
 )
 from marigoldtrail.registry import FleetState
@@ -151,4 +150,5 @@
             )
             for option in options
         ]
-        return choose_engine(engines, prompt_tokens=exchange.info.prompt_tokens, rng=self._rng)
+        generation = Generation(prompt_tokens=exchange.info.prompt_tokens)
+        return choose_engine(engines, generation, rng=self._rng)
--- a/marigoldtrail/telemetry/prometheus.py
+++ b/marigoldtrail/telemetry/prometheus.py
@@ -39,6 +39,7 @@
         "_broken",
         "_given_up",
         "_left_out",
+        "_reread_tokens",
         "_routes",
     )
 
@@ -108,6 +109,12 @@
             ["reason"],
             registry=registry,
         )
+        self._reread_tokens = Counter(
+            "prompt_tokens_read_again",
+            "Tokens of shared prompts that an engine reads although one has read them, by cause.",
+            ["cause"],
+            registry=registry,
+        )
         self._routes: set[str] = set()
 
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
@@ -179,6 +186,10 @@
         """Count an entry of the list of upstreams that was left out by its reason."""
         self._left_out.labels(reason=reason).inc()
 
+    def count_reread_tokens(self, cause: str, tokens: int) -> None:
+        """Count tokens of a shared prompt that an engine reads again."""
+        self._reread_tokens.labels(cause).inc(tokens)
+
     def render_text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return bytes(generate_latest(self._registry))
