Treat end-of-file after a failed write as a reset, and statuses over 599 as malformed

Cause: a socket reports a reset once. If the task that writes the request met it, the read that followed saw a regular end, which completed a response without a length. Statuses were never checked against the range of HTTP.

Change: connections keep the error of a failed write and treat the end after it as a truncation, in the relay and in the product's own interface. A status over 599 is a malformed response.

--- a/marigoldtrail/relay/upstream_connection.py
+++ b/marigoldtrail/relay/upstream_connection.py
@@ -21,6 +21,7 @@
 # Other tasks run after this many parts of a body: chunks may be as short as one byte.
 PARTS_BETWEEN_TURNS = 128
 STATUSES_WITHOUT_BODY = (204, 304)
+MAX_STATUS = 599
 # A connection with more refused requests than can be remembered is not used again.
 MAX_REFUSED_REQUESTS = 64
 # Latest answers without an id that are recognised when an upstream sends one of them again.
@@ -107,6 +108,7 @@
         "_is_response_complete",
         "_is_closing",
         "_is_closed_by_upstream",
+        "_send_error",
     )
 
     def __init__(
@@ -137,6 +139,8 @@
         self._conn = make_client_state()
         self._request = h11.Request(method="GET", target="/", headers=[("host", "-")])
         self._unsent = b""
+        # Why a write failed; the connection is not used again then.
+        self._send_error: str | None = None
         self._is_sent = False
         self._is_response_complete = True
         self._is_closing = False
@@ -253,9 +257,9 @@
         try:
             await self._stream.send_all(self._unsent)
             self._is_sent = True
-        except STREAM_ERRORS:
+        except STREAM_ERRORS as exc:
             # The upstream may have responded before it closed the connection; reading shows it.
-            return
+            self._send_error = str(exc) or type(exc).__name__
 
     async def read_head(self) -> ResponseHead | Failure:
         """
@@ -311,6 +315,8 @@
             return self._make_protocol_failure(exc)
         except STREAM_ERRORS as exc:
             return self.make_failure(Reason.DISCONNECTED, str(exc) or type(exc).__name__)
+        if event.status_code > MAX_STATUS:
+            return self.make_failure(Reason.BAD_ANSWER, f"invalid status {event.status_code}")
         headers = list(event.headers)
         info = self._header_codec.parse_response(event.status_code, headers)
         self.idle_limit_s = info.keep_alive_s
@@ -401,6 +407,10 @@
     async def _receive(self) -> None:
         data = bytes(await self._stream.receive_some(READ_BYTES))
         self._is_closed_by_upstream = not data
+        if not data and self._send_error is not None:
+            # A socket reports a reset once. If the write got it, the read sees a regular end, which
+            # would complete a response without a length.
+            raise trio.BrokenResourceError(f"reset while the request was sent: {self._send_error}")
         self._on_bytes()
         self._conn.receive_data(data)
 
--- a/marigoldtrail/testing/__init__.py
+++ b/marigoldtrail/testing/__init__.py
@@ -2,5 +2,6 @@
 
 from marigoldtrail.testing.disk import MemoryDisk
 from marigoldtrail.testing.network import MemoryNetwork
+from marigoldtrail.testing.resetting_stream import ResettingStream
 
-__all__ = ["MemoryDisk", "MemoryNetwork"]
+__all__ = ["MemoryDisk", "MemoryNetwork", "ResettingStream"]
--- a/marigoldtrail/upstream/connections.py
+++ b/marigoldtrail/upstream/connections.py
@@ -22,6 +22,7 @@
 # A longer number in a header counts as missing.
 MAX_NUMBER_DIGITS = 9
 
+MAX_STATUS = 599
 EXCHANGE_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
 
@@ -139,7 +140,11 @@
             )
         url = httpcore.URL(scheme=b"http", host=self._host, port=self._port, target=target.encode())
         request = httpcore.Request(method, url, headers=fields, content=body)
-        return await self._http.handle_async_request(request)
+        response = await self._http.handle_async_request(request)
+        if response.status > MAX_STATUS:
+            await self.aclose()
+            raise httpcore.RemoteProtocolError(f"invalid status {response.status}")
+        return response
 
     async def exchange(
         self, method: str, target: str, body: bytes, headers: list[tuple[bytes, bytes]]
--- a/marigoldtrail/upstream/streams.py
+++ b/marigoldtrail/upstream/streams.py
@@ -26,21 +26,26 @@
         The connected stream.
     """
 
-    __slots__ = ("may_have_sent", "_stream", "_unsent")
+    __slots__ = ("may_have_sent", "_stream", "_unsent", "_send_error")
 
     def __init__(self, *, stream: trio.abc.Stream) -> None:
         self.may_have_sent = False
         self._stream = stream
         self._unsent: list[bytes] = []
+        self._send_error: str | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Send the buffered bytes, then receive."""
         if self._unsent:
             await self._flush()
         try:
-            return bytes(await self._stream.receive_some(max_bytes))
+            data = bytes(await self._stream.receive_some(max_bytes))
         except STREAM_ERRORS as exc:
             raise httpcore.ReadError(str(exc) or type(exc).__name__) from exc
+        if not data and self._send_error is not None:
+            # The failed write got the error of a reset; the end that is read now is no regular one.
+            raise httpcore.ReadError(self._send_error)
+        return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Buffer bytes until the next `read`."""
@@ -53,9 +58,9 @@
         self.may_have_sent = True
         try:
             await self._stream.send_all(data)
-        except STREAM_ERRORS:
+        except STREAM_ERRORS as exc:
             # The peer may have answered before it closed; the next read returns that or fails.
-            return
+            self._send_error = str(exc) or type(exc).__name__
 
     async def aclose(self) -> None:
         """Close the stream at once."""
