Add `config check`, which checks a configuration before it is sent

Cause: only manifests could be checked without sending them, and only for what control hosts refuse. A document of the platform was checked by sending it. A prefix that no path matches, a target above its timeout or a version that control hosts acknowledge and ignore was not reported at all.

Change: `marigoldtrail config check FILE` takes both kinds of documents.

Not run: the rest of the suite.

--- a/marigoldtrail/cli/app.py
+++ b/marigoldtrail/cli/app.py
@@ -8,7 +8,7 @@
 import typer
 
 from marigoldtrail import __version__
-from marigoldtrail.cli import inspect, operate, serve
+from marigoldtrail.cli import check, inspect, operate, serve
 from marigoldtrail.cli.context import JsonOption, load_settings, read_input
 from marigoldtrail.cli.demo import run_demo_command
 from marigoldtrail.cli.exits import fail_with_faults, print_result
@@ -35,6 +35,7 @@
 app.add_typer(operate.build_service_app("upstream", "upstream"), name="upstream")
 app.add_typer(operate.claims_app, name="claims")
 app.add_typer(settings_app, name="settings")
+app.add_typer(check.config_app, name="config")
 app.command("serve")(serve.serve)
 app.command("status")(operate.show_status)
 app.command("request")(inspect.submit_request)
