Describe the check of a configuration, and compare with the manifest in force

Cause: the command had no page, and `--against-api` named the entry in another way than other commands do.

Change: docs/operations/config-check.md, whose commands run with those of the other pages. `--in-force` takes the manifest in force from the entry of `--api` and replaces `--against-api`.

Measured: marigoldtrail/cli passes, 62 tests, with the commands of all pages against a fleet. Not run: the rest of the suite.

--- a/marigoldtrail/cli/check.py
+++ b/marigoldtrail/cli/check.py
@@ -9,7 +9,7 @@
 import msgspec
 import typer
 
-from marigoldtrail.cli.context import JsonOption, call_api, read_input
+from marigoldtrail.cli.context import ApiOption, JsonOption, call_api, read_input
 from marigoldtrail.cli.exits import ExitCode
 from marigoldtrail.control.config_check import (
     check_manifest_config,
@@ -82,12 +82,10 @@
     against: Annotated[
         Path | None, typer.Option("--against", help="File with the version in force.")
     ] = None,
-    against_api: Annotated[
-        str,
-        typer.Option(
-            "--against-api", metavar="IP:PORT", help="Entry that gives the manifest in force."
-        ),
-    ] = "",
+    in_force: Annotated[
+        bool, typer.Option("--in-force", help="Compare with the manifest in force at --api.")
+    ] = False,
+    api: ApiOption = "",
     strict: Annotated[bool, typer.Option("--strict", help="Fail on warnings, too.")] = False,
     as_json: JsonOption = False,
 ) -> None:
@@ -95,17 +93,18 @@
 
     Example: marigoldtrail config check new.json --against current.json
     """
-    if against and against_api:
-        typer.echo("error: --against and --against-api exclude each other", err=True)
+    if in_force and (against or not api):
+        text = "excludes --against" if against else "needs --api"
+        typer.echo(f"error: --in-force {text}", err=True)
         raise typer.Exit(ExitCode.INVALID_INPUT)
     document = decode_document(read_input(path))
-    in_force = None
+    current = None
     if against:
-        in_force = _read_in_force(read_input(against), str(against))
-    elif against_api:
-        reply = call_api(against_api, lambda client: client.show_manifest())
-        in_force = _read_in_force(msgspec.json.encode(reply["manifest"]), against_api)
-    report = build_report(str(path), document, in_force)
+        current = _read_in_force(read_input(against), str(against))
+    elif in_force:
+        reply = call_api(api, lambda client: client.show_manifest())
+        current = _read_in_force(msgspec.json.encode(reply["manifest"]), api)
+    report = build_report(str(path), document, current)
     _print_report(report, as_json=as_json)
     raise typer.Exit(find_report_code(report, strict=strict))
 
@@ -258,5 +257,6 @@
     if report.differences == []:
         typer.echo(f"{report.file}: no differences from the version in force")
     if report.valid:
-        warnings = f", {len(report.findings)} warnings" if report.findings else ""
+        count = len(report.findings)
+        warnings = f", {count} warning{'s' if count > 1 else ''}" if count else ""
         typer.echo(f"{report.file}: {report.kind} {report.version} is valid{warnings}")
--- a/marigoldtrail/cli/tests/test_config_check.py
+++ b/marigoldtrail/cli/tests/test_config_check.py
@@ -69,8 +69,9 @@
     assert "error: " in result.output
 
 
-def test_exit_codes_and_json(tmp_path):
+def test_exit_codes_and_json(tmp_path, monkeypatch):
     """Guards against a script that takes an error, a conflict or a warning for success."""
+    monkeypatch.delenv("MARIGOLDTRAIL_API", raising=False)
     current, old_manifest = tmp_path / "current.json", tmp_path / "manifest.json"
     current.write_bytes(encode_routes())
     old_manifest.write_bytes(MANIFEST)
@@ -87,8 +88,9 @@
         (MANIFEST, against, 2),
         (MANIFEST, ("--against", str(old_manifest)), 0),
         (MANIFEST, ("--against", str(tmp_path / "missing.json")), 2),
-        (MANIFEST, (*against, "--against-api", "127.0.0.1:1"), 2),
-        (MANIFEST, ("--against-api", "127.0.0.1:1"), 5),
+        (MANIFEST, (*against, "--in-force", "--api", "127.0.0.1:1"), 2),
+        (MANIFEST, ("--in-force",), 2),
+        (MANIFEST, ("--in-force", "--api", "127.0.0.1:1"), 5),
     ]
     for data, options, code in cases:
         assert check(tmp_path, data, *options).exit_code == code, (data[:80], options)
--- a/marigoldtrail/cli/tests/test_pages.py
+++ b/marigoldtrail/cli/tests/test_pages.py
@@ -11,11 +11,13 @@
 
 from marigoldtrail.cli.tests.pages import ROOT, find_commands, run_page, run_program
 from marigoldtrail.node.tests.fleet import ProcessFleet, run_fleet
+from marigoldtrail.platform.standin import encode_config, make_engine_route, make_route
 
 # The order matters: manifest.md raises the manifest's number once, at-most-once.md stalls services.
 PAGES = (
     "README.md",
     "docs/operations/data-centre.md",
+    "docs/operations/config-check.md",
     "docs/operations/manifest.md",
     "docs/operations/cold-start.md",
     "docs/operations/trace.md",
@@ -39,6 +41,8 @@
     (first / "tsvetanov.manifest.json").write_text(text)
     for host in fleet.settings:
         shutil.copy(folder / f"{host}.json", first / f"{host}.settings.json")
+    routes = [make_route("orders", "/orders", "unsafe", "desk"), make_engine_route("ask", "/ask")]
+    (first / "routes.json").write_bytes(encode_config(1, routes=routes, accounts={"x": ["k"]}))
 
 
 async def test_commands_of_pages(tmp_path: Path, monkeypatch) -> None:
