--- a/marigoldtrail/routing/config_check.py
+++ b/marigoldtrail/routing/config_check.py
@@ -53,6 +53,7 @@
     found += _find_repeated("client account", (account.name for account in accounts))
     for route in table.routes:
         found += _check_reach(route, table)
+        found += _check_stages(route, services)
         found += _check_times(route, services)
     found += _find_unused_services(table)
     found += _check_accounts(table)
@@ -99,6 +100,19 @@
     return found
 
 
+def _check_stages(route: Route, services: dict[str, Service]) -> list[Finding]:
+    """Find stages whose pieces no upstream can run."""
+    return [
+        make_warning(
+            "stage-without-pieces",
+            f"route {route.name!r}",
+            f"stage {number} has service {stage.service!r}, which does not process pieces",
+        )
+        for number, stage in enumerate(route.stages)
+        if services[stage.service].pieces is None
+    ]
+
+
 def _check_times(route: Route, services: dict[str, Service]) -> list[Finding]:
     """Find times of a route that contradict each other."""
     entry = f"route {route.name!r}"
@@ -111,17 +125,19 @@
         found.append(make_warning("gap-above-timeout", entry, message))
     least_s = estimate_stages_s(route.stages, services)
     if least_s >= route.timeout_s:
-        message = f"stages take at least {least_s:g} s, the timeout is {route.timeout_s:g} s"
+        message = f"one piece a stage takes {least_s:g} s, the timeout is {route.timeout_s:g} s"
         found.append(make_warning("stages-above-timeout", entry, message))
     elif 0 < route.target_latency_s <= least_s:
-        message = f"stages take at least {least_s:g} s, the target is {route.target_latency_s:g} s"
+        message = (
+            f"one piece a stage takes {least_s:g} s, the target is {route.target_latency_s:g} s"
+        )
         found.append(make_warning("stages-above-target", entry, message))
     return found
 
 
 def estimate_stages_s(stages: tuple[StageSpec, ...], services: dict[str, Service]) -> float:
     """
-    Return the least time that the stages of a request take.
+    Return the least time that the stages take for a request with a piece in each of them.
 
     Parameters
     ----------
--- a/marigoldtrail/routing/tests/test_config_check.py
+++ b/marigoldtrail/routing/tests/test_config_check.py
@@ -75,6 +75,10 @@
         staged((), (0,), timeout_s=1.1),
         {("stages-above-target", "route 'r'")},
     ),
+    "stage at a service without pieces": (
+        make_table(route(stages=(StageSpec(service="s"),))),
+        {("stage-without-pieces", "route 'r'")},
+    ),
     "service without routes": (
         make_table(route(targets=BOTH[:1])),
         {("unused-service", "service 't'")},
