Divide contended services of stages fairly between client accounts

Cause: the work ahead of a request counted all admitted work, whoever had sent it. An account that sent several times its share made the requests of all others wait, and they were deferred or refused.

Change: RunStages has an optional field account. The scheduler counts unfinished pieces by account and rank. While a service has more work than a full call per upstream, from at least two named accounts, another account is ahead of a request by at most the work of its own account, and jobs of an account above its share are started later by the time that the excess takes. Otherwise nothing changes.

--- a/marigoldtrail/pieces/admission.py
+++ b/marigoldtrail/pieces/admission.py
@@ -38,7 +38,11 @@
 
 
 def estimate_stage(
-    scheduler: PieceScheduler | None, stage: StageRequest, now: float, priority: int
+    scheduler: PieceScheduler | None,
+    stage: StageRequest,
+    now: float,
+    priority: int,
+    account: str = "",
 ) -> StageEstimate:
     """
     Estimate the run time and waiting time of a stage.
@@ -53,6 +57,8 @@
         Monotonic time in seconds.
     priority : int
         Rank of the request; less urgent work is not counted.
+    account : str
+        Account of the request; empty if unknown.
 
     Returns
     -------
@@ -63,7 +69,7 @@
         return StageEstimate(run_s=0.0)
     spec = scheduler.spec
     run_s = spec.call_overhead_s + min(stage.count, spec.batch) * spec.item_s
-    backlog = scheduler.estimate_backlog(now, priority)
+    backlog = scheduler.estimate_backlog(now, priority, account)
     return StageEstimate(run_s=run_s, backlog_s=backlog.ahead_s, total_s=backlog.total_s)
 
 
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -13,6 +13,11 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from marigoldtrail.pieces.fair_shares import (
+    are_accounts_contending,
+    compute_share,
+    compute_work_ahead,
+)
 from marigoldtrail.pieces.job import Piece, PieceJob
 from marigoldtrail.pieces.worker import SIZE_MARGIN, Worker
 from marigoldtrail.routing import PieceSpec, Upstream
@@ -37,6 +42,8 @@
 # happened: estimates of room and of the times at which calls end change all the time.
 REPLAN_S = 0.02
 MAX_REMEMBERED_PAUSES = 256
+# Rank under which the deferred pieces of an account are counted: no request waits for them.
+DEFERRED_RANK = float("inf")
 MAX_TRIES = 4
 
 
@@ -149,6 +156,8 @@
         Unfinished pieces of the requests that can be on time, queued or not, by rank.
     deferred : int
         Unfinished pieces of the deferred requests, which run after all others.
+    by_account : dict
+        Unfinished pieces by account and rank, the deferred ones under `DEFERRED_RANK`.
     is_changed : bool
         Whether something has happened since the last plan that may lead to a call.
     plan_at : float
@@ -163,6 +172,7 @@
         "jobs",
         "planned",
         "deferred",
+        "by_account",
         "_pauses",
         "_nearby",
         "_finish_times_s",
@@ -174,6 +184,7 @@
         self.jobs: dict[PieceJob, None] = {}
         self.planned: Counter[int] = Counter()
         self.deferred = 0
+        self.by_account: dict[str, Counter[float]] = {}
         self.is_changed = True
         self.plan_at = 0.0
         # Pauses that upstreams asked for which are not listed now: name, and time of the end.
@@ -485,7 +496,51 @@
                 soonest = job.queued_at + LOCAL_WAIT_S
         return max(0.005, soonest - now) if soonest < float("inf") else 1.0
 
-    def estimate_backlog(self, now: float, priority: int) -> Backlog:
+    def count_unfinished(
+        self, account: str, priority: int, pieces: int, *, is_deferred: bool
+    ) -> None:
+        """Add unfinished pieces of a request; a negative number removes them."""
+        if not pieces:
+            return
+        if is_deferred:
+            self.deferred += pieces
+        else:
+            self.planned[priority] += pieces
+        counts = self.by_account.setdefault(account, Counter())
+        rank = DEFERRED_RANK if is_deferred else priority
+        counts[rank] += pieces
+        if not counts[rank]:
+            del counts[rank]
+        if not counts:
+            del self.by_account[account]
+
+    def work_by_account(self, priority: float = DEFERRED_RANK) -> dict[str, int]:
+        """Return the unfinished pieces of each account that are not less urgent than a rank."""
+        return {
+            account: sum(count for rank, count in counts.items() if rank <= priority)
+            for account, counts in self.by_account.items()
+        }
+
+    def _is_contended(self, work: dict[str, int]) -> bool:
+        return are_accounts_contending(work, self.spec.batch * len(self.workers))
+
+    def estimate_excess_s(self, account: str, now: float) -> float:
+        """Return the seconds that the work of an account above its share takes."""
+        work = self.work_by_account()
+        if not self._is_contended(work):
+            return 0.0
+        return max(0.0, work.get(account, 0) - compute_share(work)) * self._piece_s(now)
+
+    def _piece_s(self, now: float) -> float:
+        """Return the seconds per piece in full calls of all present workers; 0 without any."""
+        full_call_s = self._nominal_s(self.spec.batch)
+        speed = 0.0
+        for worker in self.workers.values():
+            if worker.paused_until <= now and not self._is_overdue(worker, now):
+                speed += worker.speed(full_call_s, now)
+        return full_call_s / self.spec.batch / speed if speed else 0.0
+
+    def estimate_backlog(self, now: float, priority: int, account: str = "") -> Backlog:
         """
         Estimate how long the present workers take for the admitted work in full calls.
 
@@ -498,21 +553,23 @@
             Monotonic time in seconds.
         priority : int
             Rank of a request; less urgent and deferred work runs after it.
+        account : str
+            Its account, which waits for others only up to its own work while they contend.
 
         Returns
         -------
         Backlog
             Both times are infinite without any worker.
         """
-        full_call_s = self.spec.call_overhead_s + self.spec.batch * self.spec.item_s
-        speed = 0.0
-        for worker in self.workers.values():
-            if worker.paused_until <= now and not self._is_overdue(worker, now):
-                speed += worker.speed(full_call_s, now)
-        if not speed:
+        piece_s = self._piece_s(now)
+        if not piece_s:
             unknown_s = EJECTION_S if self.workers else float("inf")
             return Backlog(ahead_s=unknown_s, total_s=unknown_s)
-        piece_s = full_call_s / self.spec.batch / speed
+        work = self.work_by_account()
+        if self._is_contended(work):
+            ahead = compute_work_ahead(self.work_by_account(priority), account)
+            total = compute_work_ahead(work, account)
+            return Backlog(ahead_s=ahead * piece_s, total_s=total * piece_s)
         ahead = sum(count for rank, count in self.planned.items() if rank <= priority)
         total = sum(self.planned.values()) + self.deferred
         return Backlog(ahead_s=ahead * piece_s, total_s=total * piece_s)
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -300,7 +300,9 @@
         """Estimate the run time and waiting time of each stage of a request."""
         now = self._timers.now()
         return [
-            estimate_stage(self._runner.scheduler(stage.service), stage, now, request.priority)
+            estimate_stage(
+                self._runner.scheduler(stage.service), stage, now, request.priority, request.account
+            )
             for stage in request.stages
         ]
 
@@ -388,12 +390,13 @@
     ) -> None:
         for stage in stages:
             scheduler = self._runner.scheduler(stage.service)
-            if scheduler is None:
-                continue
-            if admitted.is_deferred:
-                scheduler.deferred += sign * stage.count
-            else:
-                scheduler.planned[admitted.request.priority] += sign * stage.count
+            if scheduler is not None:
+                scheduler.count_unfinished(
+                    admitted.request.account,
+                    admitted.request.priority,
+                    sign * stage.count,
+                    is_deferred=admitted.is_deferred,
+                )
 
     def _queue(
         self,
@@ -420,6 +423,7 @@
             moved_bytes = sum(bytes_in.values()) * stage.count
             data_centre = max(bytes_in, key=lambda name: bytes_in[name], default="")
         rest_s = find_critical_path_s(request.stages, admitted.work, number)
+        excess_s = scheduler.estimate_excess_s(request.account, now) if scheduler else 0.0
         job = PieceJob(
             request_id=request.request_id,
             stage=number,
@@ -431,7 +435,7 @@
             start_by=admitted.started + max(0, request.slack_ms) / 1000 - rest_s,
             is_deferred=admitted.is_deferred,
             may_yield=input_bytes < LARGE_RESULT_BYTES,
-            yield_s=request.yield_ms / 1000,
+            yield_s=request.yield_ms / 1000 + excess_s,
             data_centre=data_centre,
             result_bytes=stage.result_bytes,
             moved_bytes=moved_bytes,
--- a/marigoldtrail/relay/stage_request.py
+++ b/marigoldtrail/relay/stage_request.py
@@ -31,6 +31,7 @@
     counts = [*info.piece_counts, *([0] * len(stages))]
     return RunStages(
         request_id=info.request_id,
+        account=exchange.account_name,
         stages=[
             StageRequest(
                 service=stage.service,
