Refuse waiting requests as soon as their stages can't be done in time

Cause: a request that was admitted and then overtaken, or whose upstreams went, waited until its deadline and failed there with reason deadline, without a time to come again.

Change: each plan, but at most every 0.1 s, finds the waiting jobs behind more full calls than their time allows, in time linear in their number. Their requests are refused with reason overloaded, run state not_run and a Retry-After at which they would be admitted. Jobs with started pieces are kept. The room for results is not part of the estimate, so jobs that wait for room may still reach their deadline.

--- a/marigoldtrail/pieces/job.py
+++ b/marigoldtrail/pieces/job.py
@@ -15,6 +15,8 @@
 MAX_TRIAL_CRASHES = 1
 # Failure of a job whose pieces have crashed upstreams.
 CRASHES_UPSTREAMS = "the request has crashed upstreams"
+# Failure of a waiting job that can no longer be done in time.
+OUT_OF_TIME = "the stages can no longer be done in time"
 
 
 class PieceJob:
@@ -63,6 +65,8 @@
     ----------
     open_calls, calls_begun : int
         Number of calls in progress that contain its pieces, and of all that did.
+    retry_after_s : float
+        Seconds until the work ahead of a job that was refused while it waited is done.
     is_apart : bool
         Whether its pieces take calls of their own: another crash then shows who is at fault.
     is_large : bool
@@ -88,6 +92,7 @@
         "is_started",
         "missing",
         "failure",
+        "retry_after_s",
         "queued_at",
         "crash_part",
         "is_trial",
@@ -149,6 +154,7 @@
         self.is_started = False
         self.missing = count
         self.failure = ""
+        self.retry_after_s = 0.0
         # Pieces that wait for a call.
         self.waiting: list[Piece] = []
         self._on_end = on_end
@@ -223,6 +229,11 @@
             self.failure = reason
             self._end()
 
+    def refuse(self, retry_after_s: float) -> None:
+        """End the job because it can no longer be done in time."""
+        self.retry_after_s = retry_after_s
+        self.fail(OUT_OF_TIME)
+
     def withdraw(self) -> None:
         """End the job because its request is quarantined."""
         self.fail(CRASHES_UPSTREAMS)
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -19,6 +19,7 @@
     compute_work_ahead,
 )
 from marigoldtrail.pieces.job import Piece, PieceJob
+from marigoldtrail.pieces.waiting_jobs import ServiceRate, find_hopeless_jobs
 from marigoldtrail.pieces.worker import SIZE_MARGIN, Worker
 from marigoldtrail.routing import PieceSpec, Upstream
 
@@ -41,6 +42,8 @@
 # Jobs that wait beside an idle upstream are looked at again after this time even if nothing has
 # happened: estimates of room and of the times at which calls end change all the time.
 REPLAN_S = 0.02
+# Waiting jobs are re-evaluated at most this often, which bounds the cost in bursts.
+REVIEW_INTERVAL_S = 0.1
 MAX_REMEMBERED_PAUSES = 256
 # Rank under which the deferred pieces of an account are counted: no request waits for them.
 DEFERRED_RANK = float("inf")
@@ -167,6 +170,7 @@
     __slots__ = (
         "is_changed",
         "plan_at",
+        "_review_at",
         "spec",
         "workers",
         "jobs",
@@ -187,6 +191,7 @@
         self.by_account: dict[str, Counter[float]] = {}
         self.is_changed = True
         self.plan_at = 0.0
+        self._review_at = 0.0
         # Pauses that upstreams asked for which are not listed now: name, and time of the end.
         self._pauses: dict[str, float] = {}
         # The workers by data centre.
@@ -302,6 +307,9 @@
         """
         self.is_changed = False
         self._drop_finished(now)
+        if now >= self._review_at:
+            self._review_at = now + REVIEW_INTERVAL_S
+            self._refuse_hopeless(now)
         idle = self.idle_workers(now)
         calls = self._plan_calls(idle, now) if self.jobs and idle else []
         wait_s = self._next_change(now)
@@ -338,6 +346,24 @@
             if not job.waiting:
                 del self.jobs[job]
 
+    def _refuse_hopeless(self, now: float) -> None:
+        """Refuse the waiting jobs that can no longer be done in time."""
+        piece_s = self._piece_s(now)
+        if not piece_s:
+            # An upstream may come back at any time.
+            return
+        first_call_s = min(
+            max(0.0, worker.busy_until - now) if worker.is_busy else 0.0
+            for worker in self.workers.values()
+            if worker.paused_until <= now and not self._is_overdue(worker, now)
+        )
+        batch = self.spec.batch
+        rate = ServiceRate(first_call_s=first_call_s, call_interval_s=batch * piece_s, batch=batch)
+        for job, wait_s in find_hopeless_jobs(self.jobs, now, rate):
+            job.refuse(wait_s)
+            job.waiting.clear()
+            del self.jobs[job]
+
     def _take_pieces(self, worker: Worker, queue: Queue, waiting: int, now: float) -> list[Piece]:
         if self._would_finish_sooner_elsewhere(worker, waiting, now):
             return []
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -20,7 +20,7 @@
     find_critical_path_s,
 )
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
-from marigoldtrail.pieces.job import CRASHES_UPSTREAMS, PieceJob
+from marigoldtrail.pieces.job import CRASHES_UPSTREAMS, OUT_OF_TIME, PieceJob
 from marigoldtrail.pieces.joinable_runs import JoinableRun
 from marigoldtrail.pieces.placer import EnginePlacer
 from marigoldtrail.pieces.runner import PieceCall, PieceRunner
@@ -286,6 +286,8 @@
             failed = await self._run_graph(admitted, graph)
             if failed is None:
                 break
+            if failed.failure == OUT_OF_TIME:
+                return self._refuse_waiting(admitted, failed)
             is_over = run == MAX_RUNS or self._timers.now() >= admitted.expires_at
             if failed.failure != RESULTS_GONE or is_over:
                 return self._job_failure(failed)
@@ -335,6 +337,31 @@
             Reason.OVERLOADED, "the stages can't be done in time", retry_after_s=late_s
         )
 
+    def _refuse_waiting(self, admitted: AdmittedRequest, job: PieceJob) -> Failure:
+        """Refuse an admitted request that can no longer be done in time."""
+        request = admitted.request
+        now = self._timers.now()
+        work = self._estimate_work(request)
+        path = find_critical_path_s(request.stages, work)
+        left_s = admitted.expires_at - now
+        late_s = compute_lateness_s(work, path, left_s, wait_share=request.wait_share)
+        # The caller has to be admitted again, and by then the work ahead has to be done.
+        retry_after_s = max(job.retry_after_s, late_s if math.isfinite(late_s) else 0.0)
+        _log.info(
+            "request refused",
+            extra={
+                "request_id": request.request_id,
+                "reason": OUT_OF_TIME,
+                "stage": job.stage,
+                "waited_ms": round(1000 * (now - admitted.started)),
+                "backlog_s": [round(item.backlog_s, 2) for item in work],
+                "total_s": [round(item.total_s, 2) for item in work],
+                "left_ms": round(1000 * left_s),
+                "retry_after_s": round(retry_after_s, 2),
+            },
+        )
+        return self._failure(Reason.OVERLOADED, OUT_OF_TIME, retry_after_s=retry_after_s)
+
     def _refuse_without_upstreams(self, request: RunStages) -> Failure:
         _log.info(
             "request refused",
