Show which accounts are refused, and test loads of competing accounts

Cause: log lines did not say whose request was refused or deferred, and no metric counted them by reason. No load had accounts. Counts of a service that left the configuration were never taken back.

Change: request refused and request deferred name the account, its unfinished pieces and the share; the metric stage_requests_declined counts them by reason. Counts end at the scheduler at which they began. StageLoad plays accounts and callers that return at once.

--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -347,18 +347,16 @@
                 del self.jobs[job]
 
     def _refuse_hopeless(self, now: float) -> None:
-        """Refuse the waiting jobs that can no longer be done in time."""
-        piece_s = self._piece_s(now)
+        """Refuse waiting jobs that can't be done in time, unless all upstreams may just be late."""
+        piece_s, batch = self._piece_s(now), self.spec.batch
         if not piece_s:
-            # An upstream may come back at any time.
             return
-        first_call_s = min(
+        first_s = min(
             max(0.0, worker.busy_until - now) if worker.is_busy else 0.0
             for worker in self.workers.values()
             if worker.paused_until <= now and not self._is_overdue(worker, now)
         )
-        batch = self.spec.batch
-        rate = ServiceRate(first_call_s=first_call_s, call_interval_s=batch * piece_s, batch=batch)
+        rate = ServiceRate(first_call_s=first_s, call_interval_s=batch * piece_s, batch=batch)
         for job, wait_s in find_hopeless_jobs(self.jobs, now, rate):
             job.refuse(wait_s)
             job.waiting.clear()
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -19,11 +19,13 @@
     estimate_stage,
     find_critical_path_s,
 )
+from marigoldtrail.pieces.fair_shares import compute_share
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
 from marigoldtrail.pieces.job import CRASHES_UPSTREAMS, OUT_OF_TIME, PieceJob
 from marigoldtrail.pieces.joinable_runs import JoinableRun
 from marigoldtrail.pieces.placer import EnginePlacer
 from marigoldtrail.pieces.runner import PieceCall, PieceRunner
+from marigoldtrail.pieces.scheduler import PieceScheduler
 from marigoldtrail.quarantine import make_stage_part
 from marigoldtrail.registry import FleetState
 from marigoldtrail.schema.generated.pieces import (
@@ -55,6 +57,22 @@
 _log = logging.getLogger(__name__)
 
 
+class AccountWork(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    Work of an account at a service.
+
+    Parameters
+    ----------
+    pieces : int
+        Its unfinished pieces.
+    share : float
+        Pieces of an equal share among the accounts with work there.
+    """
+
+    pieces: int
+    share: float
+
+
 class AdmittedRequest(msgspec.Struct, kw_only=True, frozen=True):
     """
     A request admitted by the scheduler.
@@ -109,6 +127,7 @@
         "_host",
         "_fleet_state",
         "_timers",
+        "_metrics",
         "_runner",
         "_placer",
         "_jobs",
@@ -129,6 +148,7 @@
         self._host = host
         self._fleet_state = fleet_state
         self._timers = timers
+        self._metrics = metrics
         self._runner = PieceRunner(
             fleet_state=fleet_state, call=call, timers=timers, metrics=metrics
         )
@@ -265,12 +285,16 @@
             is_deferred=not on_time,
         )
 
-    @staticmethod
-    def _log_deferral(request: RunStages, work: list[StageEstimate], path: float) -> None:
+    def _log_deferral(self, request: RunStages, work: list[StageEstimate], path: float) -> None:
+        self._metrics.count_declined("deferred", "late")
+        counts = self._count_account_work(request)
         _log.info(
             "request deferred",
             extra={
                 "request_id": request.request_id,
+                "account": request.account,
+                "account_pieces": [item.pieces for item in counts],
+                "account_share": [item.share for item in counts],
                 "rank": request.priority,
                 "path_s": round(path, 2),
                 "backlog_s": [round(item.backlog_s, 2) for item in work],
@@ -308,6 +332,16 @@
             for stage in request.stages
         ]
 
+    def _count_account_work(self, request: RunStages) -> list[AccountWork]:
+        """Return the work of the account of a request, and its share, by stage."""
+        counts = []
+        for stage in request.stages:
+            scheduler = self._runner.scheduler(stage.service)
+            work = scheduler.work_by_account() if scheduler is not None else {}
+            share = round(compute_share(work), 1)
+            counts.append(AccountWork(pieces=work.get(request.account, 0), share=share))
+        return counts
+
     def _refuse_if_too_late(
         self, request: RunStages, work: list[StageEstimate], path: float
     ) -> Failure | None:
@@ -322,10 +356,15 @@
             return None
         if math.isinf(late_s):
             return self._refuse_without_upstreams(request)
+        self._metrics.count_declined("refused", "overloaded")
+        counts = self._count_account_work(request)
         _log.info(
             "request refused",
             extra={
                 "request_id": request.request_id,
+                "account": request.account,
+                "account_pieces": [item.pieces for item in counts],
+                "account_share": [item.share for item in counts],
                 "reason": "its stages can't be done in time",
                 "backlog_s": [round(item.backlog_s, 2) for item in work],
                 "total_s": [round(item.total_s, 2) for item in work],
@@ -347,10 +386,15 @@
         late_s = compute_lateness_s(work, path, left_s, wait_share=request.wait_share)
         # The caller has to be admitted again, and by then the work ahead has to be done.
         retry_after_s = max(job.retry_after_s, late_s if math.isfinite(late_s) else 0.0)
+        self._metrics.count_declined("refused", "out_of_time")
+        counts = self._count_account_work(request)
         _log.info(
             "request refused",
             extra={
                 "request_id": request.request_id,
+                "account": request.account,
+                "account_pieces": [item.pieces for item in counts],
+                "account_share": [item.share for item in counts],
                 "reason": OUT_OF_TIME,
                 "stage": job.stage,
                 "waited_ms": round(1000 * (now - admitted.started)),
@@ -363,10 +407,12 @@
         return self._failure(Reason.OVERLOADED, OUT_OF_TIME, retry_after_s=retry_after_s)
 
     def _refuse_without_upstreams(self, request: RunStages) -> Failure:
+        self._metrics.count_declined("refused", "no_upstream")
         _log.info(
             "request refused",
             extra={
                 "request_id": request.request_id,
+                "account": request.account,
                 "reason": "a service of its stages has no upstreams",
                 "left_ms": request.left_ms,
                 "retry_after_s": NO_UPSTREAM_RETRY_S,
@@ -390,7 +436,11 @@
             changed.notify()
 
         jobs: list[PieceJob] = []
-        unfinished = dict(enumerate(graph.stages))
+        # Counted at the same scheduler to the end, also if its service leaves the configuration.
+        unfinished = {
+            number: (stage, self._runner.scheduler(stage.service))
+            for number, stage in enumerate(graph.stages)
+        }
         self._count_planned(admitted, unfinished.values(), 1)
         try:
             while not graph.is_done():
@@ -413,10 +463,12 @@
                 job.fail("the request has ended")
 
     def _count_planned(
-        self, admitted: AdmittedRequest, stages: Iterable[StageRequest], sign: int
+        self,
+        admitted: AdmittedRequest,
+        stages: Iterable[tuple[StageRequest, PieceScheduler | None]],
+        sign: int,
     ) -> None:
-        for stage in stages:
-            scheduler = self._runner.scheduler(stage.service)
+        for stage, scheduler in stages:
             if scheduler is not None:
                 scheduler.count_unfinished(
                     admitted.request.account,
--- a/marigoldtrail/pieces/tests/load.py
+++ b/marigoldtrail/pieces/tests/load.py
@@ -84,6 +84,7 @@
     late: int = 0
     refused: int = 0
     failed: int = 0
+    refusals: int = 0
 
     @property
     def on_time_share(self) -> float:
@@ -99,12 +100,20 @@
 class StageLoad:
     """Simulated upstreams and callers with a scheduler."""
 
-    def __init__(self, nursery, *, pools, kinds, seed=1, data_centres=4):
+    def __init__(
+        self, nursery, *, pools, kinds, seed=1, data_centres=4, accounts=None, patient=True
+    ):
         self.rng = random.Random(seed)
         self.timers = Timers(seed=seed)
         self.pools = {pool.name: pool for pool in pools}
         self.kinds = {kind.name: kind for kind in kinds}
         self.tallies = {kind.name: Tally() for kind in kinds}
+        # Weights of the client accounts; none by default.
+        self.accounts = accounts or {}
+        self.account_tallies = {account: Tally() for account in self.accounts}
+        self._account_rng = random.Random(seed + 2)
+        # Whether callers wait for the time after which to retry.
+        self.patient = patient
         self.slow: dict[str, float] = {}
         self.dead: set[str] = set()
         self.busy_s: Counter[str] = Counter()
@@ -204,13 +213,14 @@
         factor = self.rng.lognormvariate(-part.spread**2 / 2, part.spread)
         return max(1, min(round(4 * part.pieces), round(part.pieces * factor)))
 
-    async def _ask(self, kind, request_id, counts, waited_s):
+    async def _ask(self, kind, request_id, counts, waited_s, account):
         """Send a request once; return True if on time, False if late, a Failure otherwise."""
         started = trio.current_time()
         deadline_s = kind.deadline_s - waited_s
         patience_s = max(MIN_ABANDON_PAUSE_S, ABANDON_PAUSE_TARGETS * kind.target_s)
         request = RunStages(
             request_id=request_id,
+            account=account,
             stages=[
                 StageRequest(
                     service=part.service,
@@ -242,16 +252,28 @@
         return trio.current_time() - started + waited_s <= kind.target_s
 
     async def _call(self, kind, number):
-        tally = self.tallies[kind.name]
+        names, weights = list(self.accounts), list(self.accounts.values())
+        account = self._account_rng.choices(names, weights)[0] if names else ""
+        tallies = [self.tallies[kind.name]]
+        tallies += [self.account_tallies[account]] if names else []
         counts = [self._count(part) for part in kind.parts]
         first_at = trio.current_time()
-        tally.asked += 1
-        result = await self._ask(kind, f"{kind.name}/{number}", counts, 0.0)
+        for tally in tallies:
+            tally.asked += 1
+        result = await self._ask(kind, f"{kind.name}/{number}", counts, 0.0, account)
         if isinstance(result, Failure):
+            for tally in tallies:
+                tally.refusals += 1
             left_s = kind.deadline_s - (trio.current_time() - first_at)
-            await trio.sleep(min(max(result.retry_after_s, 0.25), left_s * RETURN_SHARE))
+            pause_s = max(result.retry_after_s, 0.25) if self.patient else 0.0
+            await trio.sleep(min(pause_s, left_s * RETURN_SHARE))
             waited_s = trio.current_time() - first_at
-            result = await self._ask(kind, f"{kind.name}/{number}b", counts, waited_s)
+            result = await self._ask(kind, f"{kind.name}/{number}b", counts, waited_s, account)
+        for tally in tallies:
+            self._record(tally, result)
+
+    @staticmethod
+    def _record(tally, result):
         if isinstance(result, Failure):
             if result.reason.value == "overloaded":
                 tally.refused += 1
--- a/marigoldtrail/pieces/tests/test_service.py
+++ b/marigoldtrail/pieces/tests/test_service.py
@@ -349,3 +349,17 @@
     await scheduler.service.get_handlers()[NoteProgress](note, "entry")
     runs = scheduler.service._runs.values()
     assert not [run for run in runs if isinstance(run.reply, StagesReply)]
+
+
+async def test_counts_end_with_their_service(autojump_clock, nursery):
+    """Guards against an account that stays over its share because its service left meanwhile."""
+    scheduler = Scheduler(nursery)
+    scheduler.list_upstreams(["board-0"])
+    nursery.start_soon(scheduler.ask)
+    await trio.sleep(WORK_S / 2)
+    counts = scheduler.service._runner.scheduler("board")
+    assert counts.work_by_account() == {"": 1}
+    empty = RouteTable(version=2, routes=(), services=(), limits=Limits(), accounts=None)
+    scheduler.fleet_state.routes = build_index(empty)
+    await trio.sleep(WORK_S)
+    assert not counts.by_account and not any(counts.planned.values())
--- a/marigoldtrail/pieces/tests/test_waiting_jobs.py
+++ b/marigoldtrail/pieces/tests/test_waiting_jobs.py
@@ -91,3 +91,5 @@
     for at, reply in refused:
         assert reply.reason is Reason.OVERLOADED and reply.run_state is RunState.NOT_RUN
         assert at < LEFT_S / 3 and reply.retry_after_s > 0
+    counted = f'declined_total{{outcome="refused",reason="out_of_time"}} {len(refused)}.0'
+    assert counted.encode() in scheduler.service._metrics.render_text()
--- a/marigoldtrail/telemetry/prometheus.py
+++ b/marigoldtrail/telemetry/prometheus.py
@@ -40,6 +40,7 @@
         "_given_up",
         "_left_out",
         "_reread_tokens",
+        "_declined",
         "_routes",
     )
 
@@ -115,6 +116,12 @@
             ["cause"],
             registry=registry,
         )
+        self._declined = Counter(
+            "stage_requests_declined",
+            "Requests with stages that the scheduler refused or deferred, by reason.",
+            ["outcome", "reason"],
+            registry=registry,
+        )
         self._routes: set[str] = set()
 
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
@@ -190,6 +197,10 @@
         """Count tokens of a shared prompt that an engine reads again."""
         self._reread_tokens.labels(cause).inc(tokens)
 
+    def count_declined(self, outcome: str, reason: str) -> None:
+        """Count a request that was refused or deferred by the scheduler of stages."""
+        self._declined.labels(outcome=outcome, reason=reason).inc()
+
     def render_text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return bytes(generate_latest(self._registry))
