Sum the work of accounts only where several have work

Cause: each estimate of a backlog summed the work of all accounts, also with none or one.

Change: the sums are made with at least two accounts at the service.

--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -524,8 +524,6 @@
         self, account: str, priority: int, pieces: int, *, is_deferred: bool
     ) -> None:
         """Add unfinished pieces of a request; a negative number removes them."""
-        if not pieces:
-            return
         if is_deferred:
             self.deferred += pieces
         else:
@@ -545,15 +543,17 @@
             for account, counts in self.by_account.items()
         }
 
-    def _is_contended(self, work: dict[str, int]) -> bool:
-        return are_accounts_contending(work, self.spec.batch * len(self.workers))
+    def _contending_work(self) -> dict[str, int]:
+        """Return all unfinished pieces by account; empty while accounts don't contend."""
+        work = self.work_by_account() if len(self.by_account) > 1 else {}
+        round_pieces = self.spec.batch * len(self.workers)
+        return work if are_accounts_contending(work, round_pieces) else {}
 
     def estimate_excess_s(self, account: str, now: float) -> float:
         """Return the seconds that the work of an account above its share takes."""
-        work = self.work_by_account()
-        if not self._is_contended(work):
-            return 0.0
-        return max(0.0, work.get(account, 0) - compute_share(work)) * self._piece_s(now)
+        work = self._contending_work()
+        excess = work.get(account, 0) - compute_share(work)
+        return excess * self._piece_s(now) if excess > 0 else 0.0
 
     def _piece_s(self, now: float) -> float:
         """Return the seconds per piece in full calls of all present workers; 0 without any."""
@@ -589,8 +589,8 @@
         if not piece_s:
             unknown_s = EJECTION_S if self.workers else float("inf")
             return Backlog(ahead_s=unknown_s, total_s=unknown_s)
-        work = self.work_by_account()
-        if self._is_contended(work):
+        work = self._contending_work()
+        if work:
             ahead = compute_work_ahead(self.work_by_account(priority), account)
             total = compute_work_ahead(work, account)
             return Backlog(ahead_s=ahead * piece_s, total_s=total * piece_s)
