Believe a late first event only if it is clear or repeated, and drop no cached prompts for it

Cause: other work on the machine of an engine makes one first event in seven 2.5 times as late. Such an event was taken for an evicted prompt, and for a step change of the speed.

Change: a step change is a time beyond three times the usual one, or the second one in a row beyond 1.6 times. No cached prompts are dropped for a late event. Reading a prompt again costs twice its time beside its own.

--- a/marigoldtrail/pieces/engine_speeds.py
+++ b/marigoldtrail/pieces/engine_speeds.py
@@ -12,9 +12,12 @@
 USUAL_WEIGHT = 0.1
 # The usual slowness of an engine that is not used decays to 1.
 USUAL_HALF_LIFE_S = 60.0
-# A time that differs by more than this factor from the usual one is a step change. It holds until
-# another time contradicts it, and decays: other work on the machine of an engine lasts about 0.6 s.
-STEP_FACTOR = 1.6
+# A time that differs by more than the first factor from the usual one is a step change, or by more
+# than the second one if the time before did so too. A single smaller one comes from other work on
+# the machine of an engine, which makes it up to 2.5 times slower for about 0.6 s and is over before
+# the next request.
+STEP_FACTOR = 3.0
+REPEATED_STEP_FACTOR = 1.6
 STEP_HALF_LIFE_S = 1.0
 
 
@@ -30,13 +33,14 @@
         Monotonic time in seconds.
     """
 
-    __slots__ = ("born_ms", "count", "_usual_log", "_observed_at", "_step")
+    __slots__ = ("born_ms", "count", "_usual_log", "_observed_at", "_deviation", "_step")
 
     def __init__(self, *, born_ms: int, now: float) -> None:
         self.born_ms = born_ms
         self.count = 0
         self._usual_log = 0.0
         self._observed_at = now
+        self._deviation = 1.0
         self._step = 1.0
 
     def _usual_at(self, now: float) -> float:
@@ -55,14 +59,21 @@
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
         usual = self._usual_at(now)
         deviation = ratio / usual
-        self._step = deviation if not 1 / STEP_FACTOR < deviation < STEP_FACTOR else 1.0
+        self._step = deviation if self._is_step(deviation) else 1.0
+        self._deviation = deviation
         # A step change moves the usual slowness by no more than a time just below it.
-        limited = min(STEP_FACTOR, max(1 / STEP_FACTOR, deviation))
+        limited = min(REPEATED_STEP_FACTOR, max(1 / REPEATED_STEP_FACTOR, deviation))
         self.count += 1
         weight = max(USUAL_WEIGHT, 1 / (self.count + 1))
         self._usual_log = math.log(usual) + weight * math.log(limited)
         self._observed_at = now
 
+    def _is_step(self, deviation: float) -> bool:
+        if not 1 / STEP_FACTOR < deviation < STEP_FACTOR:
+            return True
+        both = (self._deviation, deviation)
+        return min(both) > REPEATED_STEP_FACTOR or max(both) < 1 / REPEATED_STEP_FACTOR
+
 
 class EngineSpeeds:
     """Slowness of the engines of one service; an engine that has just started has the prior 1."""
--- a/marigoldtrail/pieces/engines.py
+++ b/marigoldtrail/pieces/engines.py
@@ -9,7 +9,6 @@
 
 from marigoldtrail.pieces.engine_speeds import EngineSpeeds
 from marigoldtrail.policy.engine_choice import (
-    PREFILL_TOKENS_PER_S,
     EngineOption,
     estimate_first_event_s,
 )
@@ -24,8 +23,6 @@
 SPEED_INTERVAL_S = 0.05
 # Prefixes of which it is remembered that some engine has read them.
 MAX_READ_PREFIXES = 32_768
-# Shorter prefixes save less time than first events vary by.
-MIN_MISSED_TOKENS = 2000
 # Weight of a new stream in the mean duration of streams per token.
 STREAM_WEIGHT = 0.05
 
@@ -59,10 +56,6 @@
         Maximum number of tokens of the request in the memory of the engine.
     expires_at : float
         Monotonic time in seconds by which the request has ended.
-    cached_tokens : int
-        Tokens of the prompt that the engine was expected to have cached.
-    cached_since : float
-        Monotonic time in seconds at which that prefix was last used before.
     output_tokens : int
         Maximum number of tokens that it generates.
     expected_s : float
@@ -73,8 +66,6 @@
     prefill_tokens: int
     tokens: int
     expires_at: float
-    cached_tokens: int = 0
-    cached_since: float = 0.0
     output_tokens: int = 0
     expected_s: float = 0.0
 
@@ -95,21 +86,17 @@
     option : EngineOption
         Description for the choice; the fields that depend on a request are set for each.
     cached : OrderedDict
-        For each cached prefix the tokens that it adds to the one before, and the monotonic time in
-        seconds of its last use; least recently used first.
-    output_tokens : int
-        Maximum number of tokens that the requests in progress generate.
+        Tokens that each cached prefix adds to the one before, least recently used first.
     """
 
-    __slots__ = ("upstream", "option", "cached", "output_tokens")
+    __slots__ = ("upstream", "option", "cached")
 
     def __init__(self, *, upstream: Upstream, spec: EngineSpec) -> None:
         self.upstream = upstream
         self.option = EngineOption(
             name=upstream.name, slots=spec.slots, kv_tokens=spec.kv_cache_tokens
         )
-        self.cached: OrderedDict[str, tuple[int, float]] = OrderedDict()
-        self.output_tokens = 0
+        self.cached: OrderedDict[str, int] = OrderedDict()
 
     def add(self, placement: Placement, sign: int) -> None:
         """Add a request, or remove it with a negative sign."""
@@ -117,7 +104,6 @@
         option.requests += sign
         option.prefill_tokens += sign * placement.prefill_tokens
         option.memory_tokens += sign * placement.tokens
-        self.output_tokens += sign * placement.output_tokens
 
 
 class EngineTracker:
@@ -180,7 +166,7 @@
             self._evict_oldest(engine)
 
     def _evict_oldest(self, engine: EngineState) -> None:
-        key, (tokens, _) = engine.cached.popitem(last=False)
+        key, tokens = engine.cached.popitem(last=False)
         engine.option.kept_tokens -= tokens
         holders = self._holders[key]
         holders.discard(engine.upstream.name)
@@ -259,9 +245,7 @@
         """Return the length of the prefix of a prompt that an engine has probably cached."""
         return self.cached_tokens_by_engine(prompt).get(upstream, 0)
 
-    def place(
-        self, request_id: str, prompt: Prefixes, placement: Placement, *, now: float = 0.0
-    ) -> None:
+    def place(self, request_id: str, prompt: Prefixes, placement: Placement) -> None:
         """Record that a request is sent to an engine, which then caches the parts of its prompt."""
         self.mark_ended(request_id)
         engine = self._engines.get(placement.upstream)
@@ -271,22 +255,22 @@
         engine.add(placement, 1)
         cached, before = engine.cached, 0
         for key, length in prompt:
-            if key in cached:
-                tokens, placement.cached_since = cached.pop(key)
-            else:
+            if key not in cached:
                 tokens = length - before
+                if key == prompt[-1][0]:
+                    # What the engine generates stays in its memory with the last part.
+                    tokens += placement.output_tokens
+                cached[key] = tokens
                 engine.option.kept_tokens += tokens
                 self._holders.setdefault(key, set()).add(placement.upstream)
-            cached[key] = (tokens, now)
+            cached.move_to_end(key)
             before = length
         self._record_reads(prompt, engine)
         self._evict_to_fit(engine)
 
     def _evict_to_fit(self, engine: EngineState) -> None:
-        """Evict the prefixes that do not fit beside what the running requests generate."""
-        option = engine.option
-        capacity = option.kv_tokens * USABLE_SHARE - engine.output_tokens
-        while engine.cached and option.kept_tokens > capacity:
+        capacity = engine.option.kv_tokens * USABLE_SHARE
+        while engine.cached and engine.option.kept_tokens > capacity:
             self._evict_oldest(engine)
 
     def _record_reads(self, prompt: Prefixes, engine: EngineState) -> None:
@@ -354,28 +338,18 @@
         engine.option.prefill_tokens -= placement.prefill_tokens
         placement.prefill_tokens = 0
         if first_event_s > 0 and placement.expected_s > 0:
-            self._learn(engine, placement, first_event_s, now)
+            self._learn_speed(engine, placement, first_event_s, now)
 
-    def _learn(
+    def _learn_speed(
         self, engine: EngineState, placement: Placement, first_event_s: float, now: float
     ) -> None:
-        born_ms = engine.upstream.born_ms
-        name = placement.upstream
-        expected_s = placement.expected_s
-        known = self.speeds.slowness_at(name, born_ms, now)
-        if placement.cached_tokens >= MIN_MISSED_TOKENS:
-            missed_s = expected_s + placement.cached_tokens / PREFILL_TOKENS_PER_S
-            is_missed = first_event_s > known * (expected_s + missed_s) / 2
-            if is_missed and first_event_s < known * missed_s * 2:
-                # It took as long as reading the whole prompt: the engine had evicted it, and what
-                # it has used less recently.
-                self._evict_unused_since(engine, placement.cached_since)
-                expected_s = missed_s
-        self.speeds.observe(name, born_ms, expected_s=expected_s, observed_s=first_event_s, now=now)
-
-    def _evict_unused_since(self, engine: EngineState, used_at: float) -> None:
-        while engine.cached and next(iter(engine.cached.values()))[1] <= used_at:
-            self._evict_oldest(engine)
+        self.speeds.observe(
+            placement.upstream,
+            engine.upstream.born_ms,
+            expected_s=placement.expected_s,
+            observed_s=first_event_s,
+            now=now,
+        )
 
     def mark_ended(self, request_id: str, *, stream_s: float = 0.0, now: float = 0.0) -> None:
         """
--- a/marigoldtrail/pieces/placer.py
+++ b/marigoldtrail/pieces/placer.py
@@ -244,11 +244,10 @@
             prefill_tokens=max(0, request.prompt_tokens - chosen.cached_tokens),
             tokens=request.prompt_tokens + request.output_tokens,
             expires_at=expires_at,
-            cached_tokens=chosen.cached_tokens,
             output_tokens=request.output_tokens,
             expected_s=tracker.expect(chosen, request.prompt_tokens),
         )
-        tracker.place(request.request_id, prompt, placement, now=now)
+        tracker.place(request.request_id, prompt, placement)
         limit = self._fleet_state.limits.get_limit(name)
         if limit is not None:
             self._permits.reserve(name, now, rate=limit, max_wait_s=MAX_PLACED_AHEAD_S)
--- a/marigoldtrail/policy/engine_choice.py
+++ b/marigoldtrail/policy/engine_choice.py
@@ -22,6 +22,9 @@
 # Above this share of its memory an engine preempts its newest requests.
 MEMORY_SHARE = 0.85
 FULL_COST_S = 2.0
+# Reading what another engine has cached costs others twice its time: requests that run there wait
+# meanwhile, and what it evicts is read again later.
+REREAD_WEIGHT = 2.0
 # A result of 3 MB from another data centre costs as much as a wait of 40 ms.
 REMOTE_BYTE_COST_S = 0.04 / 3e6
 # A response that is late, or cut off at its deadline, costs its caller as much as such a wait.
@@ -158,9 +161,6 @@
     """
     Estimate what running a generation at an engine costs callers, in seconds of waiting.
 
-    The time that a cached prefix saves counts twice: for this request, and for those that run at
-    the engine meanwhile, or that need what a full memory evicts for it.
-
     Parameters
     ----------
     option : EngineOption
@@ -183,12 +183,10 @@
     stream_s = generation.stream_s * option.slowness * STREAM_MARGIN
     if first_event_s + stream_s > generation.left_s:
         cost_s += CUT_COST_S
-    used_share = 1.0
-    if option.kv_tokens:
-        used_share = min(1.0, option.kept_tokens / option.kv_tokens)
-        if option.memory_tokens + generation.prompt_tokens > MEMORY_SHARE * option.kv_tokens:
-            cost_s += FULL_COST_S
-    cost_s += (most_cached - option.cached_tokens) / PREFILL_TOKENS_PER_S * (1 + used_share)
+    cost_s += (most_cached - option.cached_tokens) / PREFILL_TOKENS_PER_S * REREAD_WEIGHT
+    memory_limit = MEMORY_SHARE * option.kv_tokens
+    if memory_limit and option.memory_tokens + generation.prompt_tokens > memory_limit:
+        cost_s += FULL_COST_S
     if option.requests >= option.slots:
         cost_s += FULL_COST_S * option.requests / option.slots
     return cost_s
