--- a/marigoldtrail/policy/engine_choice.py
+++ b/marigoldtrail/policy/engine_choice.py
@@ -31,7 +31,7 @@
 LATE_COST_S = 1.0
 CUT_COST_S = 3.0
 # A first event is at risk of being late from this share of the time left on.
-SAFE_SLACK_SHARE = 0.5
+SAFE_SLACK_SHARE = 0.65
 # The cost is worked out for engines with a cached prefix, and for this many of the others with the
 # soonest first events: a choice among 70 engines costs a scheduler most of its time otherwise.
 COMPARED_ENGINES = 8
@@ -148,8 +148,8 @@
 
     Examples
     --------
-    >>> estimate_late_share(0.3, 1.0), estimate_late_share(0.75, 1.0), estimate_late_share(2.0, 1.0)
-    (0.0, 0.5, 1.0)
+    >>> estimate_late_share(0.6, 1.0), round(estimate_late_share(0.93, 1.0), 1)
+    (0.0, 0.8)
     """
     if slack_s <= 0:
         return 0.0
