--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -13,7 +13,13 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from marigoldtrail.pieces.fair_shares import (
+    are_accounts_contending,
+    compute_share,
+    compute_work_ahead,
+)
 from marigoldtrail.pieces.job import Piece, PieceJob
+from marigoldtrail.pieces.waiting_jobs import ServiceRate, find_hopeless_jobs
 from marigoldtrail.pieces.worker import SIZE_MARGIN, Worker
 from marigoldtrail.routing import PieceSpec, Upstream
 
@@ -36,7 +42,11 @@
 # Jobs that wait beside an idle upstream are looked at again after this time even if nothing has
 # happened: estimates of room and of the times at which calls end change all the time.
 REPLAN_S = 0.02
+# Waiting jobs are re-evaluated at most this often, which bounds the cost in bursts.
+REVIEW_INTERVAL_S = 0.1
 MAX_REMEMBERED_PAUSES = 256
+# Rank under which the deferred pieces of an account are counted: no request waits for them.
+DEFERRED_RANK = float("inf")
 MAX_TRIES = 4
 
 
@@ -149,6 +159,8 @@
         Unfinished pieces of the requests that can be on time, queued or not, by rank.
     deferred : int
         Unfinished pieces of the deferred requests, which run after all others.
+    by_account : dict
+        Unfinished pieces by account and rank, the deferred ones under `DEFERRED_RANK`.
     is_changed : bool
         Whether something has happened since the last plan that may lead to a call.
     plan_at : float
@@ -158,11 +170,13 @@
     __slots__ = (
         "is_changed",
         "plan_at",
+        "_review_at",
         "spec",
         "workers",
         "jobs",
         "planned",
         "deferred",
+        "by_account",
         "_pauses",
         "_nearby",
         "_finish_times_s",
@@ -174,8 +188,10 @@
         self.jobs: dict[PieceJob, None] = {}
         self.planned: Counter[int] = Counter()
         self.deferred = 0
+        self.by_account: dict[str, Counter[float]] = {}
         self.is_changed = True
         self.plan_at = 0.0
+        self._review_at = 0.0
         # Pauses that upstreams asked for which are not listed now: name, and time of the end.
         self._pauses: dict[str, float] = {}
         # The workers by data centre.
@@ -291,6 +307,9 @@
         """
         self.is_changed = False
         self._drop_finished(now)
+        if now >= self._review_at:
+            self._review_at = now + REVIEW_INTERVAL_S
+            self._refuse_hopeless(now)
         idle = self.idle_workers(now)
         calls = self._plan_calls(idle, now) if self.jobs and idle else []
         wait_s = self._next_change(now)
@@ -327,6 +346,22 @@
             if not job.waiting:
                 del self.jobs[job]
 
+    def _refuse_hopeless(self, now: float) -> None:
+        """Refuse waiting jobs that can't be done in time, unless all upstreams may just be late."""
+        piece_s, batch = self._piece_s(now), self.spec.batch
+        if not piece_s:
+            return
+        first_s = min(
+            max(0.0, worker.busy_until - now) if worker.is_busy else 0.0
+            for worker in self.workers.values()
+            if worker.paused_until <= now and not self._is_overdue(worker, now)
+        )
+        rate = ServiceRate(first_call_s=first_s, call_interval_s=batch * piece_s, batch=batch)
+        for job, wait_s in find_hopeless_jobs(self.jobs, now, rate):
+            job.refuse(wait_s)
+            job.waiting.clear()
+            del self.jobs[job]
+
     def _take_pieces(self, worker: Worker, queue: Queue, waiting: int, now: float) -> list[Piece]:
         if self._would_finish_sooner_elsewhere(worker, waiting, now):
             return []
@@ -485,7 +520,51 @@
                 soonest = job.queued_at + LOCAL_WAIT_S
         return max(0.005, soonest - now) if soonest < float("inf") else 1.0
 
-    def estimate_backlog(self, now: float, priority: int) -> Backlog:
+    def count_unfinished(
+        self, account: str, priority: int, pieces: int, *, is_deferred: bool
+    ) -> None:
+        """Add unfinished pieces of a request; a negative number removes them."""
+        if is_deferred:
+            self.deferred += pieces
+        else:
+            self.planned[priority] += pieces
+        counts = self.by_account.setdefault(account, Counter())
+        rank = DEFERRED_RANK if is_deferred else priority
+        counts[rank] += pieces
+        if not counts[rank]:
+            del counts[rank]
+        if not counts:
+            del self.by_account[account]
+
+    def work_by_account(self, priority: float = DEFERRED_RANK) -> dict[str, int]:
+        """Return the unfinished pieces of each account that are not less urgent than a rank."""
+        return {
+            account: sum(count for rank, count in counts.items() if rank <= priority)
+            for account, counts in self.by_account.items()
+        }
+
+    def _contending_work(self) -> dict[str, int]:
+        """Return all unfinished pieces by account; empty while accounts don't contend."""
+        work = self.work_by_account() if len(self.by_account) > 1 else {}
+        round_pieces = self.spec.batch * len(self.workers)
+        return work if are_accounts_contending(work, round_pieces) else {}
+
+    def estimate_excess_s(self, account: str, now: float) -> float:
+        """Return the seconds that the work of an account above its share takes."""
+        work = self._contending_work()
+        excess = work.get(account, 0) - compute_share(work)
+        return excess * self._piece_s(now) if excess > 0 else 0.0
+
+    def _piece_s(self, now: float) -> float:
+        """Return the seconds per piece in full calls of all present workers; 0 without any."""
+        full_call_s = self._nominal_s(self.spec.batch)
+        speed = 0.0
+        for worker in self.workers.values():
+            if worker.paused_until <= now and not self._is_overdue(worker, now):
+                speed += worker.speed(full_call_s, now)
+        return full_call_s / self.spec.batch / speed if speed else 0.0
+
+    def estimate_backlog(self, now: float, priority: int, account: str = "") -> Backlog:
         """
         Estimate how long the present workers take for the admitted work in full calls.
 
@@ -498,21 +577,23 @@
             Monotonic time in seconds.
         priority : int
             Rank of a request; less urgent and deferred work runs after it.
+        account : str
+            Its account, which waits for others only up to its own work while they contend.
 
         Returns
         -------
         Backlog
             Both times are infinite without any worker.
         """
-        full_call_s = self.spec.call_overhead_s + self.spec.batch * self.spec.item_s
-        speed = 0.0
-        for worker in self.workers.values():
-            if worker.paused_until <= now and not self._is_overdue(worker, now):
-                speed += worker.speed(full_call_s, now)
-        if not speed:
+        piece_s = self._piece_s(now)
+        if not piece_s:
             unknown_s = EJECTION_S if self.workers else float("inf")
             return Backlog(ahead_s=unknown_s, total_s=unknown_s)
-        piece_s = full_call_s / self.spec.batch / speed
+        work = self._contending_work()
+        if work:
+            ahead = compute_work_ahead(self.work_by_account(priority), account)
+            total = compute_work_ahead(work, account)
+            return Backlog(ahead_s=ahead * piece_s, total_s=total * piece_s)
         ahead = sum(count for rank, count in self.planned.items() if rank <= priority)
         total = sum(self.planned.values()) + self.deferred
         return Backlog(ahead_s=ahead * piece_s, total_s=total * piece_s)
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -19,11 +19,13 @@
     estimate_stage,
     find_critical_path_s,
 )
+from marigoldtrail.pieces.fair_shares import compute_share
 from marigoldtrail.pieces.graph import LARGE_RESULT_BYTES, StageGraph
-from marigoldtrail.pieces.job import CRASHES_UPSTREAMS, PieceJob
+from marigoldtrail.pieces.job import CRASHES_UPSTREAMS, OUT_OF_TIME, PieceJob
 from marigoldtrail.pieces.joinable_runs import JoinableRun
 from marigoldtrail.pieces.placer import EnginePlacer
 from marigoldtrail.pieces.runner import PieceCall, PieceRunner
+from marigoldtrail.pieces.scheduler import PieceScheduler
 from marigoldtrail.quarantine import make_stage_part
 from marigoldtrail.registry import FleetState
 from marigoldtrail.schema.generated.pieces import (
@@ -55,6 +57,22 @@
 _log = logging.getLogger(__name__)
 
 
+class AccountWork(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    Work of an account at a service.
+
+    Parameters
+    ----------
+    pieces : int
+        Its unfinished pieces.
+    share : float
+        Pieces of an equal share among the accounts with work there.
+    """
+
+    pieces: int
+    share: float
+
+
 class AdmittedRequest(msgspec.Struct, kw_only=True, frozen=True):
     """
     A request admitted by the scheduler.
@@ -109,6 +127,7 @@
         "_host",
         "_fleet_state",
         "_timers",
+        "_metrics",
         "_runner",
         "_placer",
         "_jobs",
@@ -129,6 +148,7 @@
         self._host = host
         self._fleet_state = fleet_state
         self._timers = timers
+        self._metrics = metrics
         self._runner = PieceRunner(
             fleet_state=fleet_state, call=call, timers=timers, metrics=metrics
         )
@@ -265,12 +285,16 @@
             is_deferred=not on_time,
         )
 
-    @staticmethod
-    def _log_deferral(request: RunStages, work: list[StageEstimate], path: float) -> None:
+    def _log_deferral(self, request: RunStages, work: list[StageEstimate], path: float) -> None:
+        self._metrics.count_declined("deferred", "late")
+        counts = self._count_account_work(request)
         _log.info(
             "request deferred",
             extra={
                 "request_id": request.request_id,
+                "account": request.account,
+                "account_pieces": [item.pieces for item in counts],
+                "account_share": [item.share for item in counts],
                 "rank": request.priority,
                 "path_s": round(path, 2),
                 "backlog_s": [round(item.backlog_s, 2) for item in work],
@@ -286,6 +310,8 @@
             failed = await self._run_graph(admitted, graph)
             if failed is None:
                 break
+            if failed.failure == OUT_OF_TIME:
+                return self._refuse_waiting(admitted, failed)
             is_over = run == MAX_RUNS or self._timers.now() >= admitted.expires_at
             if failed.failure != RESULTS_GONE or is_over:
                 return self._job_failure(failed)
@@ -300,10 +326,22 @@
         """Estimate the run time and waiting time of each stage of a request."""
         now = self._timers.now()
         return [
-            estimate_stage(self._runner.scheduler(stage.service), stage, now, request.priority)
+            estimate_stage(
+                self._runner.scheduler(stage.service), stage, now, request.priority, request.account
+            )
             for stage in request.stages
         ]
 
+    def _count_account_work(self, request: RunStages) -> list[AccountWork]:
+        """Return the work of the account of a request, and its share, by stage."""
+        counts = []
+        for stage in request.stages:
+            scheduler = self._runner.scheduler(stage.service)
+            work = scheduler.work_by_account() if scheduler is not None else {}
+            share = round(compute_share(work), 1)
+            counts.append(AccountWork(pieces=work.get(request.account, 0), share=share))
+        return counts
+
     def _refuse_if_too_late(
         self, request: RunStages, work: list[StageEstimate], path: float
     ) -> Failure | None:
@@ -318,10 +356,15 @@
             return None
         if math.isinf(late_s):
             return self._refuse_without_upstreams(request)
+        self._metrics.count_declined("refused", "overloaded")
+        counts = self._count_account_work(request)
         _log.info(
             "request refused",
             extra={
                 "request_id": request.request_id,
+                "account": request.account,
+                "account_pieces": [item.pieces for item in counts],
+                "account_share": [item.share for item in counts],
                 "reason": "its stages can't be done in time",
                 "backlog_s": [round(item.backlog_s, 2) for item in work],
                 "total_s": [round(item.total_s, 2) for item in work],
@@ -333,11 +376,43 @@
             Reason.OVERLOADED, "the stages can't be done in time", retry_after_s=late_s
         )
 
+    def _refuse_waiting(self, admitted: AdmittedRequest, job: PieceJob) -> Failure:
+        """Refuse an admitted request that can no longer be done in time."""
+        request = admitted.request
+        now = self._timers.now()
+        work = self._estimate_work(request)
+        path = find_critical_path_s(request.stages, work)
+        left_s = admitted.expires_at - now
+        late_s = compute_lateness_s(work, path, left_s, wait_share=request.wait_share)
+        # The caller has to be admitted again, and by then the work ahead has to be done.
+        retry_after_s = max(job.retry_after_s, late_s if math.isfinite(late_s) else 0.0)
+        self._metrics.count_declined("refused", "out_of_time")
+        counts = self._count_account_work(request)
+        _log.info(
+            "request refused",
+            extra={
+                "request_id": request.request_id,
+                "account": request.account,
+                "account_pieces": [item.pieces for item in counts],
+                "account_share": [item.share for item in counts],
+                "reason": OUT_OF_TIME,
+                "stage": job.stage,
+                "waited_ms": round(1000 * (now - admitted.started)),
+                "backlog_s": [round(item.backlog_s, 2) for item in work],
+                "total_s": [round(item.total_s, 2) for item in work],
+                "left_ms": round(1000 * left_s),
+                "retry_after_s": round(retry_after_s, 2),
+            },
+        )
+        return self._failure(Reason.OVERLOADED, OUT_OF_TIME, retry_after_s=retry_after_s)
+
     def _refuse_without_upstreams(self, request: RunStages) -> Failure:
+        self._metrics.count_declined("refused", "no_upstream")
         _log.info(
             "request refused",
             extra={
                 "request_id": request.request_id,
+                "account": request.account,
                 "reason": "a service of its stages has no upstreams",
                 "left_ms": request.left_ms,
                 "retry_after_s": NO_UPSTREAM_RETRY_S,
@@ -361,7 +436,11 @@
             changed.notify()
 
         jobs: list[PieceJob] = []
-        unfinished = dict(enumerate(graph.stages))
+        # Counted at the same scheduler to the end, also if its service leaves the configuration.
+        unfinished = {
+            number: (stage, self._runner.scheduler(stage.service))
+            for number, stage in enumerate(graph.stages)
+        }
         self._count_planned(admitted, unfinished.values(), 1)
         try:
             while not graph.is_done():
@@ -384,16 +463,19 @@
                 job.fail("the request has ended")
 
     def _count_planned(
-        self, admitted: AdmittedRequest, stages: Iterable[StageRequest], sign: int
+        self,
+        admitted: AdmittedRequest,
+        stages: Iterable[tuple[StageRequest, PieceScheduler | None]],
+        sign: int,
     ) -> None:
-        for stage in stages:
-            scheduler = self._runner.scheduler(stage.service)
-            if scheduler is None:
-                continue
-            if admitted.is_deferred:
-                scheduler.deferred += sign * stage.count
-            else:
-                scheduler.planned[admitted.request.priority] += sign * stage.count
+        for stage, scheduler in stages:
+            if scheduler is not None:
+                scheduler.count_unfinished(
+                    admitted.request.account,
+                    admitted.request.priority,
+                    sign * stage.count,
+                    is_deferred=admitted.is_deferred,
+                )
 
     def _queue(
         self,
@@ -420,6 +502,7 @@
             moved_bytes = sum(bytes_in.values()) * stage.count
             data_centre = max(bytes_in, key=lambda name: bytes_in[name], default="")
         rest_s = find_critical_path_s(request.stages, admitted.work, number)
+        excess_s = scheduler.estimate_excess_s(request.account, now) if scheduler else 0.0
         job = PieceJob(
             request_id=request.request_id,
             stage=number,
@@ -431,7 +514,7 @@
             start_by=admitted.started + max(0, request.slack_ms) / 1000 - rest_s,
             is_deferred=admitted.is_deferred,
             may_yield=input_bytes < LARGE_RESULT_BYTES,
-            yield_s=request.yield_ms / 1000,
+            yield_s=request.yield_ms / 1000 + excess_s,
             data_centre=data_centre,
             result_bytes=stage.result_bytes,
             moved_bytes=moved_bytes,
