Apply a changed capacity to engines that are known already

Cause: the state of an engine took slots and memory from the configuration when the engine was first seen. A later change of the configuration reached new engines only.

Change: the tracker updates the engines that it knows, and evicts what no longer fits.

Measured: the new test fails before with (8, 100000) in place of (3, 4000); the 16 tests of test_engines.py pass after.

--- a/marigoldtrail/pieces/engines.py
+++ b/marigoldtrail/pieces/engines.py
@@ -161,6 +161,16 @@
         engine.upstream = upstream
         return engine
 
+    def set_spec(self, spec: EngineSpec) -> None:
+        """Use another capacity, also for the engines that are known already."""
+        if spec == self.spec:
+            return
+        self.spec = spec
+        for engine in self._engines.values():
+            engine.option.slots = spec.slots
+            engine.option.kv_tokens = spec.kv_cache_tokens
+            self._evict_to_fit(engine)
+
     def _evict_all(self, engine: EngineState) -> None:
         while engine.cached:
             self._evict_oldest(engine)
--- a/marigoldtrail/pieces/placer.py
+++ b/marigoldtrail/pieces/placer.py
@@ -127,7 +127,7 @@
         tracker = self._trackers.get(service)
         if tracker is None:
             tracker = self._trackers[service] = EngineTracker(spec=spec)
-        tracker.spec = spec
+        tracker.set_spec(spec)
         return tracker
 
     def _list_engines(self, service: str, now: float) -> EngineList:
--- a/marigoldtrail/pieces/tests/test_engines.py
+++ b/marigoldtrail/pieces/tests/test_engines.py
@@ -248,3 +248,19 @@
     for number in range(20):
         place(tracker, f"r{number}", [PromptPart(part=f"p{number}", tokens=8000)])
     assert cause("e", born_ms=7) == (RereadCause.EVICTED, SHARED.tokens)
+
+
+async def test_changed_capacity_applies_to_known_engines(autojump_clock):
+    """Guards against engines that keep the slots and memory of an earlier configuration."""
+    placer = make_placer(engine("e"))
+    placer.place(ask("r0", SHARED, own(0)), {}, 100.0)
+    (service,) = placer._fleet_state.routes.table.services
+    spec = EngineSpec(slots=3, kv_cache_tokens=4000)
+    table = msgspec.structs.replace(
+        placer._fleet_state.routes.table, services=(msgspec.structs.replace(service, engine=spec),)
+    )
+    placer._fleet_state.routes = build_index(table)
+    placer.place(ask("r1", own(1)), {}, 100.0)
+    option = placer._trackers["llm"]._engines["e"].option
+    assert (option.slots, option.kv_tokens) == (3, 4000)
+    assert option.kept_tokens <= 4000
