Learn from the time to the first event of a request once

Change: the expected time of the placement is cleared after the first report.

Measured: the new test fails before with 3 observations in place of 1; the tests of test_engines.py pass after.

--- a/marigoldtrail/pieces/engines.py
+++ b/marigoldtrail/pieces/engines.py
@@ -349,6 +349,8 @@
         placement.prefill_tokens = 0
         if first_event_s > 0 and placement.expected_s > 0:
             self._learn_speed(engine, placement, first_event_s, now)
+            # The report may come again.
+            placement.expected_s = 0.0
 
     def _learn_speed(
         self, engine: EngineState, placement: Placement, first_event_s: float, now: float
--- a/marigoldtrail/pieces/tests/test_engines.py
+++ b/marigoldtrail/pieces/tests/test_engines.py
@@ -264,3 +264,13 @@
     option = placer._trackers["llm"]._engines["e"].option
     assert (option.slots, option.kv_tokens) == (3, 4000)
     assert option.kept_tokens <= 4000
+
+
+def test_time_that_is_reported_twice_counts_once():
+    """Guards against a repeated report that outweighs other observations of an engine."""
+    tracker = EngineTracker(spec=SPEC)
+    describe(tracker, [], "e")
+    place(tracker, "r", [own(1)], expected_s=0.1)
+    for _ in range(3):
+        tracker.mark_prompt_read("r", first_event_s=0.14, now=0.2)
+    assert tracker.speeds._speeds["e"].count == 1
