Learn nothing about an engine from requests of its earlier process

Cause: a report that came after an engine was replaced under the same name counted for the new process: it was taken for slow, and what it had cached was taken for evicted.

Change: a placement keeps the start time of the process that has the request; times of another process are ignored. Counts of requests and tokens are released as before.

Measured: the new test fails before; the 18 tests of test_engines.py pass after.

--- a/marigoldtrail/pieces/engines.py
+++ b/marigoldtrail/pieces/engines.py
@@ -60,6 +60,8 @@
         Maximum number of tokens that it generates.
     expected_s : float
         Expected seconds to the first event at an engine of the usual speed; 0 if unknown.
+    born_ms : int
+        Start time of the process that has it (wall clock, milliseconds).
     """
 
     upstream: str
@@ -68,6 +70,7 @@
     expires_at: float
     output_tokens: int = 0
     expected_s: float = 0.0
+    born_ms: int = 0
 
 
 class EngineState:
@@ -261,6 +264,7 @@
         engine = self._engines.get(placement.upstream)
         if engine is None:
             return
+        placement.born_ms = engine.upstream.born_ms
         self._placements[request_id] = placement
         engine.add(placement, 1)
         cached, before = engine.cached, 0
@@ -347,7 +351,8 @@
         engine = self._engines[placement.upstream]
         engine.option.prefill_tokens -= placement.prefill_tokens
         placement.prefill_tokens = 0
-        if first_event_s > 0 and placement.expected_s > 0:
+        is_same_process = placement.born_ms == engine.upstream.born_ms
+        if is_same_process and first_event_s > 0 and placement.expected_s > 0:
             self._learn_speed(engine, placement, first_event_s, now)
             # The report may come again.
             placement.expected_s = 0.0
@@ -383,7 +388,8 @@
         if engine is None:
             return
         engine.add(placement, -1)
-        if stream_s > 0 and placement.output_tokens > 0:
+        is_same_process = placement.born_ms == engine.upstream.born_ms
+        if is_same_process and stream_s > 0 and placement.output_tokens > 0:
             slowness = self.speeds.slowness_at(placement.upstream, engine.upstream.born_ms, now)
             value = stream_s / slowness / placement.output_tokens
             weight = STREAM_WEIGHT if self.stream_s_per_token else 1.0
--- a/marigoldtrail/pieces/tests/test_engines.py
+++ b/marigoldtrail/pieces/tests/test_engines.py
@@ -274,3 +274,19 @@
     for _ in range(3):
         tracker.mark_prompt_read("r", first_event_s=0.14, now=0.2)
     assert tracker.speeds._speeds["e"].count == 1
+
+
+def test_late_report_about_an_earlier_process_teaches_nothing():
+    """Guards against a replaced engine that a late report makes slow or empty."""
+    tracker = EngineTracker(spec=SPEC)
+    describe(tracker, [], "e", born_ms=5)
+    fields = {"cached_tokens": 8000, "expected_s": 0.1, "output_tokens": 100}
+    place(tracker, "old", [SHARED, own(1)], now=1.0, **fields)
+    describe(tracker, [], "e", born_ms=6)
+    place(tracker, "new", [SHARED, own(2)], now=1.0)
+    tracker.mark_prompt_read("old", first_event_s=0.4, now=3.0)
+    tracker.mark_ended("old", stream_s=1.0, now=3.0)
+    assert tracker.speeds.slowness_at("e", 6, 3.0) == 1.0
+    assert tracker.stream_s_per_token == 0.0
+    (option,) = describe(tracker, [SHARED], "e", born_ms=6)
+    assert (option.cached_tokens, option.requests) == (SHARED.tokens, 1)
