Ignore reported durations that are longer than the request has existed

Cause: stream_ms and first_event_ms were taken as reported. One absurd duration raised the mean duration of streams without bound, so that every stream seemed too long for its deadline for hundreds of requests.

Change: a duration that does not fit between the choice of the engine and the report leaves everything as it was.

Measured: the new test fails before; the tests of test_engines.py and test_engine_load.py pass after.

--- a/marigoldtrail/pieces/engines.py
+++ b/marigoldtrail/pieces/engines.py
@@ -26,6 +26,9 @@
 # Weight of a new stream in the mean duration of streams per token.
 STREAM_WEIGHT = 0.05
 
+# Reported durations are rounded to milliseconds.
+REPORT_TOLERANCE_S = 0.001
+
 # The prefixes of a prompt, shortest first: key of the chain of parts, and length in tokens.
 Prefixes = list[tuple[str, int]]
 
@@ -62,6 +65,8 @@
         Expected seconds to the first event at an engine of the usual speed; 0 if unknown.
     born_ms : int
         Start time of the process that has it (wall clock, milliseconds).
+    placed_at : float
+        Monotonic time in seconds at which the engine was chosen.
     """
 
     upstream: str
@@ -71,6 +76,11 @@
     output_tokens: int = 0
     expected_s: float = 0.0
     born_ms: int = 0
+    placed_at: float = 0.0
+
+    def is_possible(self, duration_s: float, now: float) -> bool:
+        """Return whether a reported duration fits between the choice of the engine and now."""
+        return 0 < duration_s <= now - self.placed_at + REPORT_TOLERANCE_S
 
 
 class EngineState:
@@ -264,7 +274,7 @@
         engine = self._engines.get(placement.upstream)
         if engine is None:
             return
-        placement.born_ms = engine.upstream.born_ms
+        placement.born_ms, placement.placed_at = engine.upstream.born_ms, now
         self._placements[request_id] = placement
         engine.add(placement, 1)
         cached, before = engine.cached, 0
@@ -352,7 +362,11 @@
         engine.option.prefill_tokens -= placement.prefill_tokens
         placement.prefill_tokens = 0
         is_same_process = placement.born_ms == engine.upstream.born_ms
-        if is_same_process and first_event_s > 0 and placement.expected_s > 0:
+        if (
+            is_same_process
+            and placement.is_possible(first_event_s, now)
+            and placement.expected_s > 0
+        ):
             self._learn_speed(engine, placement, first_event_s, now)
             # The report may come again.
             placement.expected_s = 0.0
@@ -389,7 +403,7 @@
             return
         engine.add(placement, -1)
         is_same_process = placement.born_ms == engine.upstream.born_ms
-        if is_same_process and stream_s > 0 and placement.output_tokens > 0:
+        if is_same_process and placement.is_possible(stream_s, now) and placement.output_tokens > 0:
             slowness = self.speeds.slowness_at(placement.upstream, engine.upstream.born_ms, now)
             value = stream_s / slowness / placement.output_tokens
             weight = STREAM_WEIGHT if self.stream_s_per_token else 1.0
--- a/marigoldtrail/pieces/tests/test_engines.py
+++ b/marigoldtrail/pieces/tests/test_engines.py
@@ -290,3 +290,15 @@
     assert tracker.stream_s_per_token == 0.0
     (option,) = describe(tracker, [SHARED], "e", born_ms=6)
     assert (option.cached_tokens, option.requests) == (SHARED.tokens, 1)
+
+
+def test_time_longer_than_the_request_is_ignored():
+    """Guards against an absurd duration in a report that makes each stream seem too long."""
+    tracker = EngineTracker(spec=SPEC)
+    describe(tracker, [], "e")
+    for number, stream_s in enumerate([1.0, 1e12]):
+        place(tracker, "r", [own(number)], now=10.0, expected_s=0.1, output_tokens=100)
+        tracker.mark_prompt_read("r", first_event_s=1e12, now=12.0)
+        tracker.mark_ended("r", stream_s=stream_s, now=12.0)
+    assert tracker.stream_s_per_token == 0.01
+    assert tracker.speeds.slowness_at("e", 0, 12.0) == 1.0
