Keep the error of a failed read of an upstream connection

Cause: a socket reports a reset once. A read after one that had failed saw a regular end, which completed a response without a length. No caller reads again today; the requirement holds for any later read.

Change: the connection keeps the first error, whether of a write or of a read.

--- a/marigoldtrail/relay/tests/test_early_answers.py
+++ b/marigoldtrail/relay/tests/test_early_answers.py
@@ -117,6 +117,16 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_error_of_a_read_is_kept(autojump_clock):
+    """Guards against a second read that takes what is left of a reset for a regular end."""
+    stream = ResettingStream(
+        answer=WITHOUT_LENGTH[0], reset_at=AFTER, read_delay_s=0.0, write_delay_s=0.0
+    )
+    result, conn = await exchange(stream)
+    assert isinstance(result, Failure) and conn.is_sent
+    assert isinstance(await conn.read_body_part(), Failure)
+
+
 INVALID_STATUSES = ["000", "0", "099", "2OO", "600", "999", "1000"]
 
 
--- a/marigoldtrail/relay/upstream_connection.py
+++ b/marigoldtrail/relay/upstream_connection.py
@@ -108,7 +108,7 @@
         "_is_response_complete",
         "_is_closing",
         "_is_closed_by_upstream",
-        "_send_error",
+        "_error",
     )
 
     def __init__(
@@ -139,8 +139,8 @@
         self._conn = make_client_state()
         self._request = h11.Request(method="GET", target="/", headers=[("host", "-")])
         self._unsent = b""
-        # Why a write failed; the connection is not used again then.
-        self._send_error: str | None = None
+        # The first error of a write or read; the connection is not used again then.
+        self._error: str | None = None
         self._is_sent = False
         self._is_response_complete = True
         self._is_closing = False
@@ -259,7 +259,7 @@
             self._is_sent = True
         except STREAM_ERRORS as exc:
             # The upstream may have responded before it closed the connection; reading shows it.
-            self._send_error = str(exc) or type(exc).__name__
+            self._keep_error(exc)
 
     async def read_head(self) -> ResponseHead | Failure:
         """
@@ -405,15 +405,23 @@
             await self._receive()
 
     async def _receive(self) -> None:
-        data = bytes(await self._stream.receive_some(READ_BYTES))
+        try:
+            data = bytes(await self._stream.receive_some(READ_BYTES))
+        except STREAM_ERRORS as exc:
+            self._keep_error(exc)
+            raise
         self._is_closed_by_upstream = not data
-        if not data and self._send_error is not None:
-            # A socket reports a reset once. If the write got it, the read sees a regular end, which
-            # would complete a response without a length.
-            raise trio.BrokenResourceError(f"reset while the request was sent: {self._send_error}")
+        if not data and self._error is not None:
+            # A socket reports a reset once. If the write or an earlier read got it, this one sees a
+            # regular end, which would complete a response without a length.
+            raise trio.BrokenResourceError(f"the connection was reset: {self._error}")
         self._on_bytes()
         self._conn.receive_data(data)
 
+    def _keep_error(self, exc: Exception) -> None:
+        if self._error is None:
+            self._error = str(exc) or type(exc).__name__
+
     def _make_protocol_failure(self, exc: h11.RemoteProtocolError) -> Failure:
         """Tell an answer that ended with its connection from one that is not valid."""
         reason = Reason.DISCONNECTED if self._is_closed_by_upstream else Reason.BAD_ANSWER
