Treat any end before the whole request was sent as a reset

Cause: trio lets other tasks run between the system call of a write, which takes a reset from the socket, and its exception. A shared prefix was evicted before the parts that need it, and engines of unknown memory kept no prompts.

Change: a response without a length is complete only if its request had been sent. Prefixes are evicted after what follows them.

--- a/marigoldtrail/pieces/engines.py
+++ b/marigoldtrail/pieces/engines.py
@@ -268,7 +268,9 @@
         """Return the length of the prefix of a prompt that an engine has probably cached."""
         return self.cached_tokens_by_engine(prompt).get(upstream, 0)
 
-    def place(self, request_id: str, prompt: Prefixes, placement: Placement) -> None:
+    def place(
+        self, request_id: str, prompt: Prefixes, placement: Placement, *, now: float = 0.0
+    ) -> None:
         """Record that a request is sent to an engine, which then caches the parts of its prompt."""
         self.mark_ended(request_id)
         engine = self._engines.get(placement.upstream)
@@ -287,14 +289,16 @@
                 cached[key] = tokens
                 engine.option.kept_tokens += tokens
                 self._holders.setdefault(key, set()).add(placement.upstream)
-            cached.move_to_end(key)
             before = length
+        for key, _ in reversed(prompt):
+            # A prefix is of use without what follows it, so that it is evicted later.
+            cached.move_to_end(key)
         self._record_reads(prompt, engine)
         self._evict_to_fit(engine)
 
     def _evict_to_fit(self, engine: EngineState) -> None:
         capacity = engine.option.kv_tokens * USABLE_SHARE
-        while engine.cached and engine.option.kept_tokens > capacity:
+        while capacity and engine.cached and engine.option.kept_tokens > capacity:
             self._evict_oldest(engine)
 
     def _record_reads(self, prompt: Prefixes, engine: EngineState) -> None:
--- a/marigoldtrail/pieces/placer.py
+++ b/marigoldtrail/pieces/placer.py
@@ -247,7 +247,7 @@
             output_tokens=request.output_tokens,
             expected_s=tracker.expect(chosen, request.prompt_tokens),
         )
-        tracker.place(request.request_id, prompt, placement)
+        tracker.place(request.request_id, prompt, placement, now=now)
         limit = self._fleet_state.limits.get_limit(name)
         if limit is not None:
             self._permits.reserve(name, now, rate=limit, max_wait_s=MAX_PLACED_AHEAD_S)
--- a/marigoldtrail/pieces/tests/test_engines.py
+++ b/marigoldtrail/pieces/tests/test_engines.py
@@ -211,12 +211,12 @@
     return tracker.describe_engines(upstreams, list_prefixes(prompt), bytes_in={}, now=0.0)
 
 
-def place(tracker, request_id, prompt, upstream="e"):
+def place(tracker, request_id, prompt, upstream="e", *, now=0.0, **fields):
     prefixes = list_prefixes(prompt)
     placement = Placement(
-        upstream=upstream, prefill_tokens=0, tokens=prefixes[-1][1], expires_at=1e9
+        upstream=upstream, prefill_tokens=0, tokens=prefixes[-1][1], expires_at=1e9, **fields
     )
-    tracker.place(request_id, prefixes, placement)
+    tracker.place(request_id, prefixes, placement, now=now)
 
 
 def test_engine_that_starts_again_has_nothing_cached():
@@ -280,7 +280,7 @@
     """Guards against a replaced engine that a late report makes slow or empty."""
     tracker = EngineTracker(spec=SPEC)
     describe(tracker, [], "e", born_ms=5)
-    fields = {"cached_tokens": 8000, "expected_s": 0.1, "output_tokens": 100}
+    fields = {"expected_s": 0.1, "output_tokens": 100}
     place(tracker, "old", [SHARED, own(1)], now=1.0, **fields)
     describe(tracker, [], "e", born_ms=6)
     place(tracker, "new", [SHARED, own(2)], now=1.0)
--- a/marigoldtrail/relay/tests/test_early_answers.py
+++ b/marigoldtrail/relay/tests/test_early_answers.py
@@ -117,6 +117,34 @@
         nursery.cancel_scope.cancel()
 
 
+class YieldingStream(ResettingStream):
+    """Lets other tasks run before each operation returns or raises, as sockets of trio do."""
+
+    async def send_all(self, data):
+        try:
+            await super().send_all(data)
+        except trio.BrokenResourceError:
+            await trio.lowlevel.cancel_shielded_checkpoint()
+            raise
+
+    async def receive_some(self, max_bytes=None):
+        data = await super().receive_some(max_bytes)
+        await trio.lowlevel.cancel_shielded_checkpoint()
+        return data
+
+
+async def test_read_that_runs_before_the_error_of_the_write_is_raised(autojump_clock):
+    """Guards against a reset that the write has taken and not yet raised when the read runs."""
+    for _ in range(40):
+        stream = YieldingStream(
+            answer=WITHOUT_LENGTH[0], reset_at=DURING, read_delay_s=0.05, write_delay_s=0.1
+        )
+        result, _conn = await exchange(stream)
+        assert isinstance(result, Failure)
+
+
+@pytest.mark.parametrize("reads_late", [False, True])
+@pytest.mark.parametrize("answer", WITHOUT_LENGTH)
 async def test_error_of_a_read_is_kept(autojump_clock):
     """Guards against a second read that takes what is left of a reset for a regular end."""
     stream = ResettingStream(
--- a/marigoldtrail/relay/upstream_connection.py
+++ b/marigoldtrail/relay/upstream_connection.py
@@ -411,10 +411,13 @@
             self._keep_error(exc)
             raise
         self._is_closed_by_upstream = not data
-        if not data and self._error is not None:
+        if not data and not (self._is_sent and self._error is None):
             # A socket reports a reset once. If the write or an earlier read got it, this one sees a
-            # regular end, which would complete a response without a length.
-            raise trio.BrokenResourceError(f"the connection was reset: {self._error}")
+            # regular end, which would complete a response without a length. The write raises its
+            # error only after other tasks have run, so that any end before the whole request was
+            # sent counts as a reset.
+            detail = self._error or "it ended while the request was being sent"
+            raise trio.BrokenResourceError(f"the connection was reset: {detail}")
         self._on_bytes()
         self._conn.receive_data(data)
 
