Wait for a view only where one is missing

Cause: every request with stages opened a cancel scope with a deadline to wait for services and upstreams that were nearly always known. Change: the wait is skipped if nothing is missing. Tests of pieces/tests/test_service.py pass.

--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -224,6 +224,8 @@
 
     async def _wait_for_view(self, request: RunStages) -> None:
         """Wait up to `VIEW_WAIT_S` for the services and upstreams that a request needs."""
+        if not self._describe_missing_view(request):
+            return
         with trio.move_on_after(VIEW_WAIT_S):
             while self._describe_missing_view(request):
                 await self._fleet_state.changed.wait()
