Parse responses of upstreams only once data has arrived

Cause: each call asked h11 for an event before anything had been received, encoded a new end of message, and opened a cancel scope around a release that shields itself. Change: the first receive precedes the first parse; the end of message is a constant; the extra scope is gone. Tests of calls, pool, connection ends, kept connections, owed and held responses in relay, of calls in platform, and of upstream pass.

--- a/marigoldtrail/relay/calls.py
+++ b/marigoldtrail/relay/calls.py
@@ -107,8 +107,8 @@
             result = _accept_response(conn, response, parse, are_answers_alike)
     finally:
         if conn is not None:
-            with trio.CancelScope(shield=True):
-                await pool.release(upstream.name, conn)
+            # Not interrupted by a cancellation: closing a connection is shielded.
+            await pool.release(upstream.name, conn)
     return result
 
 
--- a/marigoldtrail/relay/upstream_connection.py
+++ b/marigoldtrail/relay/upstream_connection.py
@@ -27,6 +27,11 @@
 # Latest answers without an id that are recognised when an upstream sends one of them again.
 REMEMBERED_ANSWERS = 128
 
+_END_OF_REQUEST = h11.EndOfMessage()
+_STATES_BEFORE_BODY = (h11.IDLE, h11.SEND_RESPONSE)
+# `h11.Connection.trailing_data` of an open connection without unread data.
+_NO_DATA = (b"", False)
+
 OnAnswer = Callable[[str, ResponseInfo, float], None]
 
 
@@ -246,7 +251,7 @@
         data = self._conn.send(self._request) or b""
         if body:
             data += self._conn.send(h11.Data(data=body)) or b""
-        data += self._conn.send(h11.EndOfMessage()) or b""
+        data += self._conn.send(_END_OF_REQUEST) or b""
         self._unsent = data
         self._is_sent = self._is_response_complete = self._is_closing = False
 
@@ -398,6 +403,9 @@
         return b"".join(parts)
 
     async def _next_event(self) -> object:
+        if self._conn.their_state in _STATES_BEFORE_BODY and self._conn.trailing_data == _NO_DATA:
+            # Parsing begins once there is something to parse.
+            await self._receive()
         while True:
             event = self._conn.next_event()
             if event is not h11.NEED_DATA:
