Shorten loops that run for each stage, call and result

Cause: the estimate of the backlog, the time of the next plan and the record of results made function calls and lists for each worker, call and piece. Change: the conditions are tested in place; decisions are the same.

--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -147,10 +147,16 @@
     def _next_change(self) -> float:
         """Return the seconds until the next planning round if no event comes earlier."""
         now = self._timers.now()
-        waits = [max(0.0, s.plan_at - now) for s in self._schedulers.values() if s.jobs]
-        waits += [max(0.0, self._scheduled_frees[0][0] - now)] if self._scheduled_frees else []
-        waits += [max(0.0, call.repeat_at - now) for call in self._in_progress.values()]
-        return min([UPSTREAMS_INTERVAL_S, *waits])
+        soonest = now + UPSTREAMS_INTERVAL_S
+        for scheduler in self._schedulers.values():
+            if scheduler.jobs and scheduler.plan_at < soonest:
+                soonest = scheduler.plan_at
+        if self._scheduled_frees and self._scheduled_frees[0][0] < soonest:
+            soonest = self._scheduled_frees[0][0]
+        for call in self._in_progress.values():
+            if call.repeat_at < soonest:
+                soonest = call.repeat_at
+        return max(0.0, soonest - now)
 
     def _dispatch(self) -> None:
         nursery = self._nursery
@@ -440,11 +446,11 @@
             self._metrics.count_pieces(outcome, count)
         unneeded = set()
         retried = []
+        until = now + scheduler.spec.result_retention_s
         for piece, result in zip(pieces, results, strict=True):
             job = piece.job
             if result.handle:
                 worker.record_handle(result.handle, piece)
-                until = now + scheduler.spec.result_retention_s
                 self._results.add(worker, result.handle, job.result_bytes, until=until)
                 if not job.finish_piece(piece, result.handle):
                     unneeded.add(result.handle)
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -506,8 +506,11 @@
         """
         full_call_s = self.spec.call_overhead_s + self.spec.batch * self.spec.item_s
         speed = 0.0
+        # The conditions of `_is_overdue`, written out since this runs for each stage of a request.
         for worker in self.workers.values():
-            if worker.paused_until <= now and not self._is_overdue(worker, now):
+            if worker.paused_until > now:
+                continue
+            if not worker.is_busy or now <= worker.busy_until + OVERDUE_S:
                 speed += worker.speed(full_call_s, now)
         if not speed:
             unknown_s = EJECTION_S if self.workers else float("inf")
--- a/marigoldtrail/pieces/worker.py
+++ b/marigoldtrail/pieces/worker.py
@@ -88,13 +88,16 @@
 
     def speed(self, full_call_s: float, now: float) -> float:
         """Return full calls per nominal time of a full call, in seconds, at the present speed."""
-        return min(1 / self.slowness_at(now), self.calls_per_s * full_call_s)
+        speed = 1 / self.slowness_at(now)
+        limit = self.calls_per_s * full_call_s
+        return limit if limit < speed else speed
 
     def record_handle(self, handle: str, piece: Piece) -> None:
         """Remember the piece that a handle was returned for."""
-        self._recent[handle] = piece.identity
-        while len(self._recent) > RECENT_HANDLES:
-            self._recent.popitem(last=False)
+        recent = self._recent
+        recent[handle] = piece.identity
+        if len(recent) > RECENT_HANDLES:
+            recent.popitem(last=False)
 
     def is_duplicate_answer(self, pieces: Sequence[Piece], results: Sequence[PieceResult]) -> bool:
         """
