--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -13,7 +13,7 @@
 from marigoldtrail.pieces.job import Piece, PieceResult
 from marigoldtrail.pieces.results import ResultStore
 from marigoldtrail.pieces.scheduler import BUSY_PAUSE_S, PieceScheduler
-from marigoldtrail.pieces.worker import Worker
+from marigoldtrail.pieces.worker import SIZE_MARGIN, Worker
 from marigoldtrail.registry import FleetState
 from marigoldtrail.telemetry.prometheus import PrometheusMetrics
 from marigoldtrail.timers import Notifier, Timers, run_guarded
@@ -31,7 +31,8 @@
 # The deadline of the piece has passed, or one of its inputs is lost: a retry would fail too.
 FINAL_REASONS = ("late", "gone")
 # Unneeded results are freed in batches, at most one batch per interval, when more than the first
-# share of the room is taken (the second share while pieces wait); above the third share, at once.
+# share of the room is taken (the second share while pieces wait that may not find room); above the
+# third share, at once.
 FREE_IDLE_SHARE = 0.5
 FREE_NEEDED_SHARE = 0.25
 FREE_AT_ONCE_SHARE = 0.75
@@ -146,10 +147,16 @@
     def _next_change(self) -> float:
         """Return the seconds until the next planning round if no event comes earlier."""
         now = self._timers.now()
-        waits = [max(0.0, s.plan_at - now) for s in self._schedulers.values() if s.jobs]
-        waits += [max(0.0, self._scheduled_frees[0][0] - now)] if self._scheduled_frees else []
-        waits += [max(0.0, call.repeat_at - now) for call in self._in_progress.values()]
-        return min([UPSTREAMS_INTERVAL_S, *waits])
+        soonest = now + UPSTREAMS_INTERVAL_S
+        for scheduler in self._schedulers.values():
+            if scheduler.jobs and scheduler.plan_at < soonest:
+                soonest = scheduler.plan_at
+        if self._scheduled_frees and self._scheduled_frees[0][0] < soonest:
+            soonest = self._scheduled_frees[0][0]
+        for call in self._in_progress.values():
+            if call.repeat_at < soonest:
+                soonest = call.repeat_at
+        return max(0.0, soonest - now)
 
     def _dispatch(self) -> None:
         nursery = self._nursery
@@ -234,13 +241,29 @@
         if scheduler is None or not scheduler.spec.result_capacity_bytes or not worker.unneeded:
             return
         share = worker.own_bytes() / scheduler.spec.result_capacity_bytes
-        # Waiting jobs may need this room, also while the upstream runs another call.
-        if share > (FREE_NEEDED_SHARE if scheduler.jobs else FREE_IDLE_SHARE):
+        if share > FREE_IDLE_SHARE or (
+            share > FREE_NEEDED_SHARE and self._may_lack_room(scheduler, worker)
+        ):
             now = self._timers.now()
             if share > FREE_AT_ONCE_SHARE or now >= worker.freed_at + FREE_INTERVAL_S:
                 worker.freed_at = now
                 self._free_unneeded(worker)
 
+    def _may_lack_room(self, scheduler: PieceScheduler, worker: Worker) -> bool:
+        """Return whether a full call of waiting pieces may not fit beside the results kept."""
+        if not scheduler.jobs:
+            return False
+        full_call_bytes = scheduler.spec.batch * max(job.result_bytes for job in scheduler.jobs)
+        added_bytes = full_call_bytes
+        call = self._in_progress.get(worker)
+        if call is not None:
+            added_bytes += sum(piece.job.result_bytes for piece in call.pieces)
+        elif worker.is_busy:
+            # The planned call has not begun.
+            added_bytes += full_call_bytes
+        taken = worker.own_bytes() + worker.other_bytes + added_bytes * SIZE_MARGIN
+        return taken > scheduler.spec.result_capacity_bytes
+
     def _free_unneeded(self, worker: Worker) -> None:
         if worker.is_freeing or self._nursery is None:
             return
@@ -423,11 +446,11 @@
             self._metrics.count_pieces(outcome, count)
         unneeded = set()
         retried = []
+        until = now + scheduler.spec.result_retention_s
         for piece, result in zip(pieces, results, strict=True):
             job = piece.job
             if result.handle:
                 worker.record_handle(result.handle, piece)
-                until = now + scheduler.spec.result_retention_s
                 self._results.add(worker, result.handle, job.result_bytes, until=until)
                 if not job.finish_piece(piece, result.handle):
                     unneeded.add(result.handle)
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -559,8 +559,11 @@
         """Return the seconds per piece in full calls of all present workers; 0 without any."""
         full_call_s = self._nominal_s(self.spec.batch)
         speed = 0.0
+        # The conditions of `_is_overdue`, written out since this runs for each stage of a request.
         for worker in self.workers.values():
-            if worker.paused_until <= now and not self._is_overdue(worker, now):
+            if worker.paused_until > now:
+                continue
+            if not worker.is_busy or now <= worker.busy_until + OVERDUE_S:
                 speed += worker.speed(full_call_s, now)
         return full_call_s / self.spec.batch / speed if speed else 0.0
 
