Weigh engines by speed and time left only where their speeds differ

Change: speeds and the time left count only if several engines differ by 1.6 times; otherwise the choice is the one of before. The assumed share of cached memory is 0.6 again.

--- a/marigoldtrail/pieces/engine_speeds.py
+++ b/marigoldtrail/pieces/engine_speeds.py
@@ -21,6 +21,13 @@
 STEP_HALF_LIFE_S = 1.0
 
 
+# Engines count as equally fast unless slow ones take this many times as long as fast ones. The first
+# events of equal engines differ by less, because of the requests that run beside them.
+UNEQUAL_RATIO = 1.6
+# An engine with fewer times says nothing about the speeds of its service.
+MIN_TIMES = 3
+
+
 class EngineSpeed:
     """
     Slowness of one engine.
@@ -43,7 +50,8 @@
         self._deviation = 1.0
         self._step = 1.0
 
-    def _usual_at(self, now: float) -> float:
+    def usual_at(self, now: float) -> float:
+        """Return the usual slowness, without a step change."""
         weight = decay_weight(max(0.0, now - self._observed_at), USUAL_HALF_LIFE_S)
         return math.exp(self._usual_log * weight)
 
@@ -52,12 +60,12 @@
         if not self.count:
             return 1.0
         weight = decay_weight(max(0.0, now - self._observed_at), STEP_HALF_LIFE_S)
-        return self._usual_at(now) * float(self._step**weight)
+        return self.usual_at(now) * float(self._step**weight)
 
     def observe(self, ratio: float, now: float) -> None:
         """Record the ratio of an observed time to the expected one."""
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
-        usual = self._usual_at(now)
+        usual = self.usual_at(now)
         deviation = ratio / usual
         self._step = deviation if self._is_step(deviation) else 1.0
         self._deviation = deviation
@@ -114,6 +122,18 @@
             return 1.0
         return speed.slowness_at(now)
 
+    def are_unequal(self, now: float) -> bool:
+        """
+        Return whether the engines of the service differ in their usual speed.
+
+        A tenth of them at either end, at least one, is left out: single engines may be slow for a
+        while.
+        """
+        known = sorted(s.usual_at(now) for s in self._speeds.values() if s.count >= MIN_TIMES)
+        skipped = max(1, len(known) // 10)
+        known = known[skipped : len(known) - skipped]
+        return len(known) >= 2 and known[-1] >= UNEQUAL_RATIO * known[0]
+
     def retain(self, names: set[str]) -> None:
         """Forget all engines other than those named."""
         self._speeds = {name: speed for name, speed in self._speeds.items() if name in names}
--- a/marigoldtrail/pieces/engines.py
+++ b/marigoldtrail/pieces/engines.py
@@ -15,12 +15,11 @@
 from marigoldtrail.routing import EngineSpec, Upstream
 from marigoldtrail.schema.generated.pieces import PromptPart
 
-# Share of the memory of an engine that holds running requests and cached prompts; the rest is lost
-# to the blocks in which memory is given away.
-USABLE_SHARE = 0.95
+# Share of the memory of an engine that is assumed to hold parts of earlier prompts.
+USABLE_SHARE = 0.6
 EXPIRY_INTERVAL_S = 0.5
 # The slowness of all engines is computed anew at most once in this time.
-SPEED_INTERVAL_S = 0.05
+SPEED_INTERVAL_S = 0.1
 # Prefixes of which it is remembered that some engine has read them.
 MAX_READ_PREFIXES = 32_768
 # Weight of a new stream in the mean duration of streams per token.
@@ -132,6 +131,8 @@
     ----------
     speeds : EngineSpeeds
         Learned slowness of the engines.
+    has_unequal_engines : bool
+        Whether the engines differ in speed; otherwise all count as equally fast.
     stream_s_per_token : float
         Mean duration of streams, divided by their maximum number of output tokens, at an engine of
         the usual speed; 0 if unknown.
@@ -140,6 +141,7 @@
     __slots__ = (
         "spec",
         "speeds",
+        "has_unequal_engines",
         "stream_s_per_token",
         "_placements",
         "_engines",
@@ -152,6 +154,7 @@
     def __init__(self, *, spec: EngineSpec) -> None:
         self.spec = spec
         self.speeds = EngineSpeeds()
+        self.has_unequal_engines = False
         self.stream_s_per_token = 0.0
         self._placements: dict[str, Placement] = {}
         self._engines: dict[str, EngineState] = {}
@@ -242,8 +245,12 @@
         if now < self._slowness_at + SPEED_INTERVAL_S:
             return
         self._slowness_at = now
+        self.has_unequal_engines = self.speeds.are_unequal(now)
         for name, engine in self._engines.items():
-            engine.option.slowness = self.speeds.slowness_at(name, engine.upstream.born_ms, now)
+            slowness = 1.0
+            if self.has_unequal_engines:
+                slowness = self.speeds.slowness_at(name, engine.upstream.born_ms, now)
+            engine.option.slowness = slowness
 
     def _expire(self, now: float) -> None:
         if now < self._expired_at + EXPIRY_INTERVAL_S:
--- a/marigoldtrail/pieces/tests/test_engine_speeds.py
+++ b/marigoldtrail/pieces/tests/test_engine_speeds.py
@@ -57,3 +57,20 @@
         observe(speeds, 1.0, float(number))
     speeds.observe("e", 0, expected_s=0.2, observed_s=observed_s, now=10.0)
     assert speeds.slowness_at("e", 0, 13.5) < 1.6
+
+
+def observe_all(ratios):
+    speeds = EngineSpeeds()
+    for number in range(5):
+        for name, ratio in enumerate(ratios):
+            observed_s = 0.2 * ratio * (1.15 if number % 2 else 0.85)
+            speeds.observe(f"e{name}", 0, expected_s=0.2, observed_s=observed_s, now=float(number))
+    return speeds
+
+
+def test_engines_count_as_unequal_only_if_several_differ():
+    """Guards against prompts that move between equal engines for the noise of their times."""
+    assert not observe_all([1.0] * 9).are_unequal(5.0)
+    assert not observe_all([1.0] * 8 + [5.0]).are_unequal(5.0)
+    assert observe_all([0.6, 1.0, 1.7] * 3).are_unequal(5.0)
+    assert not EngineSpeeds().are_unequal(5.0)
--- a/marigoldtrail/policy/engine_choice.py
+++ b/marigoldtrail/policy/engine_choice.py
@@ -22,9 +22,9 @@
 # Above this share of its memory an engine preempts its newest requests.
 MEMORY_SHARE = 0.85
 FULL_COST_S = 2.0
-# Reading what another engine has cached costs others twice its time: requests that run there wait
-# meanwhile, and what it evicts is read again later.
-REREAD_WEIGHT = 2.0
+# Reading what another engine has cached costs others this many times its time: requests that run
+# there wait meanwhile, and a part of what it evicts is read again later.
+REREAD_WEIGHT = 1.5
 # A result of 3 MB from another data centre costs as much as a wait of 40 ms.
 REMOTE_BYTE_COST_S = 0.04 / 3e6
 # A response that is late, or cut off at its deadline, costs its caller as much as such a wait.
