Count prompts that their home has yet to read, and speeds only where they differ

Cause: a prompt that no engine has counted as cached at its home when the request was placed there, so that the tokens waiting to be read at homes were not counted and first events were late. Noise of the first events of equal engines counted as speed.

Change: what is counted is what the engine has. Speeds count where several engines differ; of equal engines only one that has clearly turned slow. The time left is weighed on all sites. Loads of engines run with a fixed order of tasks.

--- a/marigoldtrail/pieces/engine_speeds.py
+++ b/marigoldtrail/pieces/engine_speeds.py
@@ -21,7 +21,7 @@
 STEP_HALF_LIFE_S = 1.0
 
 
-# Engines count as equally fast unless slow ones take this many times as long as fast ones. The first
+# Engines count as equally fast unless slow ones take this many times as long as fast ones. First
 # events of equal engines differ by less, because of the requests that run beside them.
 UNEQUAL_RATIO = 1.6
 # An engine with fewer times says nothing about the speeds of its service.
@@ -62,6 +62,13 @@
         weight = decay_weight(max(0.0, now - self._observed_at), STEP_HALF_LIFE_S)
         return self.usual_at(now) * float(self._step**weight)
 
+    def clear_step_at(self, now: float) -> float:
+        """Return the ratio to the usual slowness if it has just become clearly larger, else 1."""
+        if self._step < STEP_FACTOR:
+            return 1.0
+        weight = decay_weight(max(0.0, now - self._observed_at), STEP_HALF_LIFE_S)
+        return float(self._step**weight)
+
     def observe(self, ratio: float, now: float) -> None:
         """Record the ratio of an observed time to the expected one."""
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
@@ -122,6 +129,13 @@
             return 1.0
         return speed.slowness_at(now)
 
+    def clear_step_at(self, name: str, born_ms: int, now: float) -> float:
+        """Return how much slower than usual an engine has clearly become; 1 if it has not."""
+        speed = self._speeds.get(name)
+        if speed is None or speed.born_ms != born_ms:
+            return 1.0
+        return speed.clear_step_at(now)
+
     def are_unequal(self, now: float) -> bool:
         """
         Return whether the engines of the service differ in their usual speed.
--- a/marigoldtrail/pieces/engines.py
+++ b/marigoldtrail/pieces/engines.py
@@ -15,8 +15,9 @@
 from marigoldtrail.routing import EngineSpec, Upstream
 from marigoldtrail.schema.generated.pieces import PromptPart
 
-# Share of the memory of an engine that is assumed to hold parts of earlier prompts.
-USABLE_SHARE = 0.6
+# Share of the memory of an engine that holds prompts and generated tokens; the rest is lost to the
+# blocks in which memory is given away.
+USABLE_SHARE = 0.95
 EXPIRY_INTERVAL_S = 0.5
 # The slowness of all engines is computed anew at most once in this time.
 SPEED_INTERVAL_S = 0.1
@@ -131,8 +132,6 @@
     ----------
     speeds : EngineSpeeds
         Learned slowness of the engines.
-    has_unequal_engines : bool
-        Whether the engines differ in speed; otherwise all count as equally fast.
     stream_s_per_token : float
         Mean duration of streams, divided by their maximum number of output tokens, at an engine of
         the usual speed; 0 if unknown.
@@ -141,7 +140,6 @@
     __slots__ = (
         "spec",
         "speeds",
-        "has_unequal_engines",
         "stream_s_per_token",
         "_placements",
         "_engines",
@@ -154,7 +152,6 @@
     def __init__(self, *, spec: EngineSpec) -> None:
         self.spec = spec
         self.speeds = EngineSpeeds()
-        self.has_unequal_engines = False
         self.stream_s_per_token = 0.0
         self._placements: dict[str, Placement] = {}
         self._engines: dict[str, EngineState] = {}
@@ -245,12 +242,11 @@
         if now < self._slowness_at + SPEED_INTERVAL_S:
             return
         self._slowness_at = now
-        self.has_unequal_engines = self.speeds.are_unequal(now)
+        are_unequal = self.speeds.are_unequal(now)
+        # Of equal engines only one that has clearly turned slow counts as slower than the others.
+        find_slowness = self.speeds.slowness_at if are_unequal else self.speeds.clear_step_at
         for name, engine in self._engines.items():
-            slowness = 1.0
-            if self.has_unequal_engines:
-                slowness = self.speeds.slowness_at(name, engine.upstream.born_ms, now)
-            engine.option.slowness = slowness
+            engine.option.slowness = find_slowness(name, engine.upstream.born_ms, now)
 
     def _expire(self, now: float) -> None:
         if now < self._expired_at + EXPIRY_INTERVAL_S:
--- a/marigoldtrail/pieces/placer.py
+++ b/marigoldtrail/pieces/placer.py
@@ -238,6 +238,8 @@
         if choice is None:
             return None
         chosen, name = choice.option, choice.option.name
+        # The home of a prompt has to read it if no engine has: its tokens count until then.
+        chosen.cached_tokens = tracker.cached_tokens(name, prompt)
         expected_s = tracker.expect(chosen, request.prompt_tokens)
         reread = tracker.find_rereads(prompt, chosen, options)
         if reread is not None:
@@ -272,14 +274,7 @@
     def _make_generation(
         self, request: RunStages, tracker: EngineTracker, admitted_at: float
     ) -> Generation:
-        """
-        Describe the generation of a request; its times are counted from its arrival.
-
-        Where all engines are equally fast, the wait for a cached prompt is weighed without the time
-        left: moving what is late anyway makes others read prompts again.
-        """
-        if not tracker.has_unequal_engines:
-            return Generation(prompt_tokens=request.prompt_tokens)
+        """Describe the generation of a request; its times are counted from its arrival."""
         waited_s = self._timers.now() - admitted_at
         # The times of the message end where the entry expects the engine to start.
         reserved_s = BASE_FIRST_EVENT_S + request.prompt_tokens / PREFILL_TOKENS_PER_S
--- a/marigoldtrail/pieces/tests/test_engine_load.py
+++ b/marigoldtrail/pieces/tests/test_engine_load.py
@@ -10,6 +10,7 @@
 from marigoldtrail.registry import FleetState
 from marigoldtrail.routing import EngineSpec, Limits, RouteTable, Service, Upstream, build_index
 from marigoldtrail.schema.generated.pieces import NoteProgress, PromptPart, RunStages
+from marigoldtrail.serving.tests.fakes import make_schedule_deterministic
 from marigoldtrail.telemetry.prometheus import PrometheusMetrics
 from marigoldtrail.timers import Timers
 
@@ -47,6 +48,7 @@
     """Requests for engines that a placer chooses."""
 
     def __init__(self, speeds, *, memory_tokens=488_760, seed=1):
+        make_schedule_deterministic(seed)
         self.rng = random.Random(seed)
         self.engines = {f"e{n}": FakeEngine(speed, memory_tokens) for n, speed in enumerate(speeds)}
         timers = Timers(seed=seed)
--- a/marigoldtrail/pieces/tests/test_engines.py
+++ b/marigoldtrail/pieces/tests/test_engines.py
@@ -163,6 +163,15 @@
     assert all(first[n] == first[0] for n in moved)
 
 
+async def test_first_request_at_the_home_counts_its_whole_prompt(autojump_clock):
+    """Guards against a queue of prompts that their homes have yet to read and nobody counts."""
+    placer = make_placer(*[engine(f"e{n}") for n in range(4)])
+    request = ask("r", SHARED, own(1))
+    name = placer.place(request, {}, 100.0)
+    (tracker,) = placer._trackers.values()
+    assert tracker._engines[name].option.prefill_tokens == request.prompt_tokens
+
+
 async def test_overloaded_home_is_not_chosen(autojump_clock):
     """Guards against requests that wait at the home of their prompt while others are idle."""
     placer = make_placer(*[engine(f"e{n}") for n in range(4)])
