--- a/marigoldtrail/pieces/runner.py
+++ b/marigoldtrail/pieces/runner.py
@@ -13,7 +13,7 @@
 from marigoldtrail.pieces.job import Piece, PieceResult
 from marigoldtrail.pieces.results import ResultStore
 from marigoldtrail.pieces.scheduler import BUSY_PAUSE_S, PieceScheduler
-from marigoldtrail.pieces.worker import SIZE_MARGIN, Worker
+from marigoldtrail.pieces.worker import Worker
 from marigoldtrail.registry import FleetState
 from marigoldtrail.telemetry.prometheus import PrometheusMetrics
 from marigoldtrail.timers import Notifier, Timers, run_guarded
@@ -31,8 +31,7 @@
 # The deadline of the piece has passed, or one of its inputs is lost: a retry would fail too.
 FINAL_REASONS = ("late", "gone")
 # Unneeded results are freed in batches, at most one batch per interval, when more than the first
-# share of the room is taken (the second share while pieces wait that may not find room); above the
-# third share, at once.
+# share of the room is taken (the second share while pieces wait); above the third share, at once.
 FREE_IDLE_SHARE = 0.5
 FREE_NEEDED_SHARE = 0.25
 FREE_AT_ONCE_SHARE = 0.75
@@ -241,29 +240,13 @@
         if scheduler is None or not scheduler.spec.result_capacity_bytes or not worker.unneeded:
             return
         share = worker.own_bytes() / scheduler.spec.result_capacity_bytes
-        if share > FREE_IDLE_SHARE or (
-            share > FREE_NEEDED_SHARE and self._may_lack_room(scheduler, worker)
-        ):
+        # Waiting jobs may need this room, also while the upstream runs another call.
+        if share > (FREE_NEEDED_SHARE if scheduler.jobs else FREE_IDLE_SHARE):
             now = self._timers.now()
             if share > FREE_AT_ONCE_SHARE or now >= worker.freed_at + FREE_INTERVAL_S:
                 worker.freed_at = now
                 self._free_unneeded(worker)
 
-    def _may_lack_room(self, scheduler: PieceScheduler, worker: Worker) -> bool:
-        """Return whether a full call of waiting pieces may not fit beside the results kept."""
-        if not scheduler.jobs:
-            return False
-        full_call_bytes = scheduler.spec.batch * max(job.result_bytes for job in scheduler.jobs)
-        added_bytes = full_call_bytes
-        call = self._in_progress.get(worker)
-        if call is not None:
-            added_bytes += sum(piece.job.result_bytes for piece in call.pieces)
-        elif worker.is_busy:
-            # The planned call has not begun.
-            added_bytes += full_call_bytes
-        taken = worker.own_bytes() + worker.other_bytes + added_bytes * SIZE_MARGIN
-        return taken > scheduler.spec.result_capacity_bytes
-
     def _free_unneeded(self, worker: Worker) -> None:
         if worker.is_freeing or self._nursery is None:
             return
