Weigh the time left only where engines differ in speed

Change: on services of equal engines the choice weighs saved tokens against the wait alone, as before.

--- a/marigoldtrail/pieces/engines.py
+++ b/marigoldtrail/pieces/engines.py
@@ -132,6 +132,8 @@
     ----------
     speeds : EngineSpeeds
         Learned slowness of the engines.
+    has_unequal_engines : bool
+        Whether several engines differ in their usual speed.
     stream_s_per_token : float
         Mean duration of streams, divided by their maximum number of output tokens, at an engine of
         the usual speed; 0 if unknown.
@@ -140,6 +142,7 @@
     __slots__ = (
         "spec",
         "speeds",
+        "has_unequal_engines",
         "stream_s_per_token",
         "_placements",
         "_engines",
@@ -152,6 +155,7 @@
     def __init__(self, *, spec: EngineSpec) -> None:
         self.spec = spec
         self.speeds = EngineSpeeds()
+        self.has_unequal_engines = False
         self.stream_s_per_token = 0.0
         self._placements: dict[str, Placement] = {}
         self._engines: dict[str, EngineState] = {}
@@ -242,9 +246,11 @@
         if now < self._slowness_at + SPEED_INTERVAL_S:
             return
         self._slowness_at = now
-        are_unequal = self.speeds.are_unequal(now)
+        self.has_unequal_engines = self.speeds.are_unequal(now)
         # Of equal engines only one that has clearly turned slow counts as slower than the others.
-        find_slowness = self.speeds.slowness_at if are_unequal else self.speeds.clear_step_at
+        find_slowness = (
+            self.speeds.slowness_at if self.has_unequal_engines else self.speeds.clear_step_at
+        )
         for name, engine in self._engines.items():
             engine.option.slowness = find_slowness(name, engine.upstream.born_ms, now)
 
--- a/marigoldtrail/pieces/placer.py
+++ b/marigoldtrail/pieces/placer.py
@@ -274,7 +274,14 @@
     def _make_generation(
         self, request: RunStages, tracker: EngineTracker, admitted_at: float
     ) -> Generation:
-        """Describe the generation of a request; its times are counted from its arrival."""
+        """
+        Describe the generation of a request; its times are counted from its arrival.
+
+        Where all engines are equally fast the time left is not weighed: an engine that is in time
+        for one request then costs others results from another data centre and prompts read again.
+        """
+        if not tracker.has_unequal_engines:
+            return Generation(prompt_tokens=request.prompt_tokens)
         waited_s = self._timers.now() - admitted_at
         # The times of the message end where the entry expects the engine to start.
         reserved_s = BASE_FIRST_EVENT_S + request.prompt_tokens / PREFILL_TOKENS_PER_S
