Divide a service between accounts from a backlog of 0.65 s on

Change: accounts contend from half of the longest backlog that is admitted.

Loads of accounts, shares, scheduler and service pass (73).

--- a/marigoldtrail/pieces/fair_shares.py
+++ b/marigoldtrail/pieces/fair_shares.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 
 
-def are_accounts_contending(work: Mapping[str, int], round_pieces: int) -> bool:
+def are_accounts_contending(work: Mapping[str, int], free_pieces: int) -> bool:
     """
     Tell whether shares between accounts matter at a service.
 
@@ -16,8 +16,8 @@
     ----------
     work : mapping of str to int
         Unfinished pieces by account; the empty name stands for entries that send no account.
-    round_pieces : int
-        Pieces that the upstreams take with one full call each.
+    free_pieces : int
+        Pieces that may wait before accounts contend.
 
     Returns
     -------
@@ -32,7 +32,7 @@
     False
     """
     # While hosts are upgraded, one account may appear both by name and without.
-    return len(work) - ("" in work) >= 2 and sum(work.values()) > round_pieces
+    return len(work) - ("" in work) >= 2 and sum(work.values()) > free_pieces
 
 
 def compute_work_ahead(work: Mapping[str, int], account: str) -> int:
--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -43,6 +43,9 @@
 REPLAN_S = 0.02
 # Waiting jobs are re-evaluated at most this often, which bounds the cost in bursts.
 REVIEW_INTERVAL_S = 0.1
+# Accounts contend from this backlog on, half of the longest one that is admitted. With less, nobody
+# is refused for it, and any other order than by urgency makes more requests late.
+CONTENDED_BACKLOG_S = 0.65
 MAX_REMEMBERED_PAUSES = 256
 # Rank under which the deferred pieces of an account are counted: no request waits for them.
 DEFERRED_RANK = float("inf")
@@ -471,8 +474,9 @@
     def _contending_work(self) -> dict[str, int]:
         """Return all unfinished pieces by account; empty while accounts don't contend."""
         work = self.work_by_account() if len(self.by_account) > 1 else {}
-        round_pieces = self.spec.batch * len(self.workers)
-        return work if are_accounts_contending(work, round_pieces) else {}
+        rounds = max(1.0, CONTENDED_BACKLOG_S / self._nominal_s(self.spec.batch))
+        free_pieces = round(rounds * self.spec.batch * len(self.workers))
+        return work if are_accounts_contending(work, free_pieces) else {}
 
     def estimate_excess_s(self, account: str, now: float) -> float:
         """Return the seconds that the work of an account above its share takes."""
