Sum the work of accounts only while a service has a backlog

Cause: the counts of all accounts were added up for each stage of each request, on the host whose processor binds, before it was known whether there is any backlog.

Change: the total that is kept anyway is compared first. The decision is the same.

--- a/marigoldtrail/pieces/scheduler.py
+++ b/marigoldtrail/pieces/scheduler.py
@@ -473,11 +473,17 @@
 
     def _contending_work(self) -> dict[str, int]:
         """Return all unfinished pieces by account; empty while accounts don't contend."""
-        work = self.work_by_account() if len(self.by_account) > 1 else {}
         rounds = max(1.0, CONTENDED_BACKLOG_S / self._nominal_s(self.spec.batch))
         free_pieces = round(rounds * self.spec.batch * len(self.workers))
+        # Most requests meet no backlog, and the counts of all accounts cost more than this.
+        if len(self.by_account) < 2 or self._count_unfinished_pieces() <= free_pieces:
+            return {}
+        work = self.work_by_account()
         return work if are_accounts_contending(work, free_pieces) else {}
 
+    def _count_unfinished_pieces(self) -> int:
+        return sum(self.planned.values()) + self.deferred
+
     def estimate_excess_s(self, account: str, now: float) -> float:
         """Return the seconds that the work of an account above its share takes."""
         work = self._contending_work()
@@ -527,5 +533,5 @@
             total = compute_work_ahead(work, account)
             return Backlog(ahead_s=ahead * piece_s, total_s=total * piece_s)
         ahead = sum(count for rank, count in self.planned.items() if rank <= priority)
-        total = sum(self.planned.values()) + self.deferred
+        total = self._count_unfinished_pieces()
         return Backlog(ahead_s=ahead * piece_s, total_s=total * piece_s)
