Estimate first events in one place, and keep the state of engines where it is used

The formula for a first event stood three times, and that of an idle engine also at the entry. Tokens that an engine keeps were part of the options of the choice, which no longer reads them. The metric of prompts read again took the home of a prompt for an engine that has it; it now looks at the engines that do. A wrapper, a second look-up of speeds, a double check and a list that was only taken apart are gone, and so is the second fake fleet of the tests.

--- a/marigoldtrail/pieces/engine_speeds.py
+++ b/marigoldtrail/pieces/engine_speeds.py
@@ -57,15 +57,13 @@
 
     def slowness_at(self, now: float) -> float:
         """Return the ratio of its times to those of an engine of the usual speed."""
-        if not self.count:
-            return 1.0
-        weight = decay_weight(max(0.0, now - self._observed_at), STEP_HALF_LIFE_S)
-        return self.usual_at(now) * float(self._step**weight)
+        return self.usual_at(now) * self._step_at(now)
 
     def clear_step_at(self, now: float) -> float:
         """Return the ratio to the usual slowness if it has just become clearly larger, else 1."""
-        if self._step < STEP_FACTOR:
-            return 1.0
+        return self._step_at(now) if self._step >= STEP_FACTOR else 1.0
+
+    def _step_at(self, now: float) -> float:
         weight = decay_weight(max(0.0, now - self._observed_at), STEP_HALF_LIFE_S)
         return float(self._step**weight)
 
@@ -117,24 +115,25 @@
         """
         if not (expected_s > 0 and observed_s > 0):
             return
-        speed = self._speeds.get(name)
-        if speed is None or speed.born_ms != born_ms:
+        speed = self._find(name, born_ms)
+        if speed is None:
             speed = self._speeds[name] = EngineSpeed(born_ms=born_ms, now=now)
         speed.observe(observed_s / expected_s, now)
 
     def slowness_at(self, name: str, born_ms: int, now: float) -> float:
         """Return the slowness of an engine; 1 if nothing is known of this process."""
-        speed = self._speeds.get(name)
-        if speed is None or speed.born_ms != born_ms:
-            return 1.0
-        return speed.slowness_at(now)
+        speed = self._find(name, born_ms)
+        return speed.slowness_at(now) if speed is not None else 1.0
 
     def clear_step_at(self, name: str, born_ms: int, now: float) -> float:
         """Return how much slower than usual an engine has clearly become; 1 if it has not."""
+        speed = self._find(name, born_ms)
+        return speed.clear_step_at(now) if speed is not None else 1.0
+
+    def _find(self, name: str, born_ms: int) -> EngineSpeed | None:
+        """Return what is known of an engine, unless it has started again since."""
         speed = self._speeds.get(name)
-        if speed is None or speed.born_ms != born_ms:
-            return 1.0
-        return speed.clear_step_at(now)
+        return speed if speed is not None and speed.born_ms == born_ms else None
 
     def are_unequal(self, now: float) -> bool:
         """
--- a/marigoldtrail/pieces/engines.py
+++ b/marigoldtrail/pieces/engines.py
@@ -8,10 +8,7 @@
 import msgspec
 
 from marigoldtrail.pieces.engine_speeds import EngineSpeeds
-from marigoldtrail.policy.engine_choice import (
-    EngineOption,
-    estimate_first_event_s,
-)
+from marigoldtrail.policy.engine_choice import EngineOption
 from marigoldtrail.routing import EngineSpec, Upstream
 from marigoldtrail.schema.generated.pieces import PromptPart
 
@@ -25,7 +22,6 @@
 MAX_READ_PREFIXES = 32_768
 # Weight of a new stream in the mean duration of streams per token.
 STREAM_WEIGHT = 0.05
-
 # Reported durations are rounded to milliseconds.
 REPORT_TOLERANCE_S = 0.001
 
@@ -100,9 +96,11 @@
         Description for the choice; the fields that depend on a request are set for each.
     cached : OrderedDict
         Tokens that each cached prefix adds to the one before, least recently used first.
+    cached_tokens : int
+        Sum of these tokens.
     """
 
-    __slots__ = ("upstream", "option", "cached")
+    __slots__ = ("upstream", "option", "cached", "cached_tokens")
 
     def __init__(self, *, upstream: Upstream, spec: EngineSpec) -> None:
         self.upstream = upstream
@@ -110,6 +108,7 @@
             name=upstream.name, slots=spec.slots, kv_tokens=spec.kv_cache_tokens
         )
         self.cached: OrderedDict[str, int] = OrderedDict()
+        self.cached_tokens = 0
 
     def add(self, placement: Placement, sign: int) -> None:
         """Add a request, or remove it with a negative sign."""
@@ -194,7 +193,7 @@
 
     def _evict_oldest(self, engine: EngineState) -> None:
         key, tokens = engine.cached.popitem(last=False)
-        engine.option.kept_tokens -= tokens
+        engine.cached_tokens -= tokens
         holders = self._holders[key]
         holders.discard(engine.upstream.name)
         if not holders:
@@ -266,8 +265,8 @@
         found: dict[str, int] = {}
         names: set[str] | None = None
         for key, length in prompt:
-            holders = self._holders.get(key)
-            names = holders if names is None else names & holders if holders else None
+            holders = self._holders.get(key, set())
+            names = holders if names is None else names & holders
             if not names:
                 break
             found.update(dict.fromkeys(names, length))
@@ -296,7 +295,7 @@
                     # What the engine generates stays in its memory with the last part.
                     tokens += placement.output_tokens
                 cached[key] = tokens
-                engine.option.kept_tokens += tokens
+                engine.cached_tokens += tokens
                 self._holders.setdefault(key, set()).add(placement.upstream)
             before = length
         for key, _ in reversed(prompt):
@@ -307,7 +306,7 @@
 
     def _evict_to_fit(self, engine: EngineState) -> None:
         capacity = engine.option.kv_tokens * USABLE_SHARE
-        while capacity and engine.cached and engine.option.kept_tokens > capacity:
+        while capacity and engine.cached and engine.cached_tokens > capacity:
             self._evict_oldest(engine)
 
     def _record_reads(self, prompt: Prefixes, engine: EngineState) -> None:
@@ -343,10 +342,10 @@
             return None
         key, length = known[-1]
         tokens = length - chosen.cached_tokens
-        if any(option.cached_tokens >= length for option in candidates):
-            return RereadCause.MOVED, tokens
-        if self._holders.get(key):
-            return RereadCause.EXCLUDED, tokens
+        holders = self._holders.get(key)
+        if holders:
+            is_moved = any(option.name in holders for option in candidates)
+            return RereadCause.MOVED if is_moved else RereadCause.EXCLUDED, tokens
         name, born_ms = self._read_at[key]
         engine = self._engines.get(name)
         if engine is None or engine.upstream.born_ms != born_ms:
@@ -375,26 +374,17 @@
         engine.option.prefill_tokens -= placement.prefill_tokens
         placement.prefill_tokens = 0
         is_same_process = placement.born_ms == engine.upstream.born_ms
-        if (
-            is_same_process
-            and placement.is_possible(first_event_s, now)
-            and placement.expected_s > 0
-        ):
-            self._learn_speed(engine, placement, first_event_s, now)
-            # The report may come again.
+        if is_same_process and placement.is_possible(first_event_s, now):
+            self.speeds.observe(
+                placement.upstream,
+                placement.born_ms,
+                expected_s=placement.expected_s,
+                observed_s=first_event_s,
+                now=now,
+            )
+            # The report may come again; without an expected time it teaches nothing.
             placement.expected_s = 0.0
 
-    def _learn_speed(
-        self, engine: EngineState, placement: Placement, first_event_s: float, now: float
-    ) -> None:
-        self.speeds.observe(
-            placement.upstream,
-            engine.upstream.born_ms,
-            expected_s=placement.expected_s,
-            observed_s=first_event_s,
-            now=now,
-        )
-
     def mark_ended(self, request_id: str, *, stream_s: float = 0.0, now: float = 0.0) -> None:
         """
         Record that a request has left its engine.
@@ -422,10 +412,6 @@
             weight = STREAM_WEIGHT if self.stream_s_per_token else 1.0
             self.stream_s_per_token += weight * (value - self.stream_s_per_token)
 
-    def expect(self, option: EngineOption, prompt_tokens: int) -> float:
-        """Return the seconds to a first event that an engine of the usual speed would take."""
-        return estimate_first_event_s(option, max(0, prompt_tokens - option.cached_tokens))
-
     def forget_except(self, names: set[str]) -> None:
         """Drop all engines other than those named; requests there are counted until they end."""
         for name in [name for name in self._engines if name not in names]:
--- a/marigoldtrail/pieces/placer.py
+++ b/marigoldtrail/pieces/placer.py
@@ -7,11 +7,11 @@
 
 from marigoldtrail.pieces.engines import EngineTracker, Placement, Prefixes, list_prefixes
 from marigoldtrail.policy.engine_choice import (
-    BASE_FIRST_EVENT_S,
-    PREFILL_TOKENS_PER_S,
     EngineOption,
     Generation,
     choose_engine,
+    estimate_first_event_s,
+    estimate_idle_first_event_s,
 )
 from marigoldtrail.policy.placement import choose_by_rendezvous_hash
 from marigoldtrail.ratelimits import PermitLedger
@@ -240,7 +240,8 @@
         chosen, name = choice.option, choice.option.name
         # The home of a prompt has to read it if no engine has: its tokens count until then.
         chosen.cached_tokens = tracker.cached_tokens(name, prompt)
-        expected_s = tracker.expect(chosen, request.prompt_tokens)
+        read_tokens = max(0, request.prompt_tokens - chosen.cached_tokens)
+        expected_s = estimate_first_event_s(chosen, read_tokens)
         reread = tracker.find_rereads(prompt, chosen, options)
         if reread is not None:
             self._metrics.count_reread_tokens(reread[0].value, reread[1])
@@ -250,7 +251,7 @@
                 "request_id": request.request_id,
                 "subject": name,
                 "cached_tokens": chosen.cached_tokens,
-                "read_tokens": max(0, request.prompt_tokens - chosen.cached_tokens),
+                "read_tokens": read_tokens,
                 "expected_s": round(expected_s * chosen.slowness, 3),
                 "slowness": round(chosen.slowness, 2),
                 "uncached_s": round(choice.uncached_s, 3),
@@ -259,7 +260,7 @@
         )
         placement = Placement(
             upstream=name,
-            prefill_tokens=max(0, request.prompt_tokens - chosen.cached_tokens),
+            prefill_tokens=read_tokens,
             tokens=request.prompt_tokens + request.output_tokens,
             expires_at=expires_at,
             output_tokens=request.output_tokens,
@@ -284,7 +285,7 @@
             return Generation(prompt_tokens=request.prompt_tokens)
         waited_s = self._timers.now() - admitted_at
         # The times of the message end where the entry expects the engine to start.
-        reserved_s = BASE_FIRST_EVENT_S + request.prompt_tokens / PREFILL_TOKENS_PER_S
+        reserved_s = estimate_idle_first_event_s(request.prompt_tokens)
         left_s = float("inf")
         if request.deadline_ms > 0:
             left_s = request.deadline_ms / 1000 - waited_s
--- a/marigoldtrail/pieces/service.py
+++ b/marigoldtrail/pieces/service.py
@@ -59,18 +59,18 @@
 
 class AccountWork(msgspec.Struct, kw_only=True, frozen=True):
     """
-    Work of an account at a service.
+    Work of an account at the services of a request, by stage.
 
     Parameters
     ----------
-    pieces : int
+    pieces : list of int
         Its unfinished pieces.
-    share : float
+    shares : list of float
         Pieces of an equal share among the accounts with work there.
     """
 
-    pieces: int
-    share: float
+    pieces: list[int]
+    shares: list[float]
 
 
 class AdmittedRequest(msgspec.Struct, kw_only=True, frozen=True):
@@ -289,14 +289,14 @@
 
     def _log_deferral(self, request: RunStages, work: list[StageEstimate], path: float) -> None:
         self._metrics.count_declined("deferred", "late")
-        counts = self._count_account_work(request)
+        account = self._count_account_work(request)
         _log.info(
             "request deferred",
             extra={
                 "request_id": request.request_id,
                 "account": request.account,
-                "account_pieces": [item.pieces for item in counts],
-                "account_share": [item.share for item in counts],
+                "account_pieces": account.pieces,
+                "account_share": account.shares,
                 "rank": request.priority,
                 "path_s": round(path, 2),
                 "backlog_s": [round(item.backlog_s, 2) for item in work],
@@ -334,15 +334,15 @@
             for stage in request.stages
         ]
 
-    def _count_account_work(self, request: RunStages) -> list[AccountWork]:
-        """Return the work of the account of a request, and its share, by stage."""
-        counts = []
+    def _count_account_work(self, request: RunStages) -> AccountWork:
+        """Return the work of the account of a request, and its share."""
+        account = AccountWork(pieces=[], shares=[])
         for stage in request.stages:
             scheduler = self._runner.scheduler(stage.service)
             work = scheduler.work_by_account() if scheduler is not None else {}
-            share = round(compute_share(work), 1)
-            counts.append(AccountWork(pieces=work.get(request.account, 0), share=share))
-        return counts
+            account.pieces.append(work.get(request.account, 0))
+            account.shares.append(round(compute_share(work), 1))
+        return account
 
     def _refuse_if_too_late(
         self, request: RunStages, work: list[StageEstimate], path: float
@@ -359,14 +359,14 @@
         if math.isinf(late_s):
             return self._refuse_without_upstreams(request)
         self._metrics.count_declined("refused", "overloaded")
-        counts = self._count_account_work(request)
+        account = self._count_account_work(request)
         _log.info(
             "request refused",
             extra={
                 "request_id": request.request_id,
                 "account": request.account,
-                "account_pieces": [item.pieces for item in counts],
-                "account_share": [item.share for item in counts],
+                "account_pieces": account.pieces,
+                "account_share": account.shares,
                 "reason": "its stages can't be done in time",
                 "backlog_s": [round(item.backlog_s, 2) for item in work],
                 "total_s": [round(item.total_s, 2) for item in work],
@@ -389,14 +389,14 @@
         # The caller has to be admitted again, and by then the work ahead has to be done.
         retry_after_s = max(job.retry_after_s, late_s if math.isfinite(late_s) else 0.0)
         self._metrics.count_declined("refused", "out_of_time")
-        counts = self._count_account_work(request)
+        account = self._count_account_work(request)
         _log.info(
             "request refused",
             extra={
                 "request_id": request.request_id,
                 "account": request.account,
-                "account_pieces": [item.pieces for item in counts],
-                "account_share": [item.share for item in counts],
+                "account_pieces": account.pieces,
+                "account_share": account.shares,
                 "reason": OUT_OF_TIME,
                 "stage": job.stage,
                 "waited_ms": round(1000 * (now - admitted.started)),
--- a/marigoldtrail/pieces/tests/test_engine_load.py
+++ b/marigoldtrail/pieces/tests/test_engine_load.py
@@ -6,13 +6,10 @@
 import pytest
 import trio
 
-from marigoldtrail.pieces.placer import EnginePlacer
-from marigoldtrail.registry import FleetState
-from marigoldtrail.routing import EngineSpec, Limits, RouteTable, Service, Upstream, build_index
+from marigoldtrail.pieces.tests.test_engines import engine, make_placer
+from marigoldtrail.routing import EngineSpec
 from marigoldtrail.schema.generated.pieces import NoteProgress, PromptPart, RunStages
 from marigoldtrail.serving.tests.fakes import make_schedule_deterministic
-from marigoldtrail.telemetry.prometheus import PrometheusMetrics
-from marigoldtrail.timers import Timers
 
 TOKENS_PER_S = 48_200
 SHARED_TOKENS = 13_300
@@ -51,26 +48,8 @@
         make_schedule_deterministic(seed)
         self.rng = random.Random(seed)
         self.engines = {f"e{n}": FakeEngine(speed, memory_tokens) for n, speed in enumerate(speeds)}
-        timers = Timers(seed=seed)
-        self.fleet_state = FleetState(parse_document=lambda data: "", timers=timers)
         spec = EngineSpec(slots=64, kv_cache_tokens=memory_tokens)
-        service = Service(name="llm", max_connections=9, engine=spec)
-        table = RouteTable(
-            version=1, routes=(), services=(service,), limits=Limits(), accounts=None
-        )
-        self.fleet_state.routes = build_index(table)
-        self.fleet_state.upstreams = {
-            name: Upstream(
-                name=name, service="llm", address="10.0.0.1:1", data_centre="a", slots=64
-            )
-            for name in self.engines
-        }
-        self.placer = EnginePlacer(
-            fleet_state=self.fleet_state,
-            timers=timers,
-            rng=random.Random(seed),
-            metrics=PrometheusMetrics(),
-        )
+        self.placer = make_placer(*[engine(name, slots=64) for name in self.engines], spec=spec)
         self.times = []
         self.names = []
 
--- a/marigoldtrail/pieces/tests/test_engines.py
+++ b/marigoldtrail/pieces/tests/test_engines.py
@@ -23,21 +23,21 @@
 SHARED = PromptPart(part="shared", tokens=8000)
 
 
-def engine(name, *, data_centre="a", cold_until=0.0):
+def engine(name, *, data_centre="a", cold_until=0.0, slots=8):
     return Upstream(
         name=name,
         service="llm",
         address="10.0.0.1:1",
         data_centre=data_centre,
-        slots=8,
+        slots=slots,
         cold_until=cold_until,
     )
 
 
-def make_placer(*engines):
+def make_placer(*engines, spec=SPEC):
     timers = Timers(seed=1)
     fleet_state = FleetState(parse_document=lambda data: "", timers=timers)
-    service = Service(name="llm", max_connections=9, engine=SPEC)
+    service = Service(name="llm", max_connections=9, engine=spec)
     table = RouteTable(version=1, routes=(), services=(service,), limits=Limits(), accounts=None)
     fleet_state.routes = build_index(table)
     fleet_state.upstreams = {upstream.name: upstream for upstream in engines}
@@ -235,7 +235,7 @@
     place(tracker, "r", [SHARED, own(1)])
     assert describe(tracker, [SHARED], "e", born_ms=5)[0].cached_tokens == SHARED.tokens
     (option,) = describe(tracker, [SHARED], "e", born_ms=6)
-    assert option.cached_tokens == option.kept_tokens == 0
+    assert option.cached_tokens == tracker._engines["e"].cached_tokens == 0
 
 
 def test_cause_of_each_prompt_that_is_read_again():
@@ -270,9 +270,9 @@
     )
     placer._fleet_state.routes = build_index(table)
     placer.place(ask("r1", own(1)), {}, 100.0)
-    option = placer._trackers["llm"]._engines["e"].option
-    assert (option.slots, option.kv_tokens) == (3, 4000)
-    assert option.kept_tokens <= 4000
+    state = placer._trackers["llm"]._engines["e"]
+    assert (state.option.slots, state.option.kv_tokens) == (3, 4000)
+    assert state.cached_tokens <= 4000
 
 
 def test_time_that_is_reported_twice_counts_once():
--- a/marigoldtrail/policy/engine_choice.py
+++ b/marigoldtrail/policy/engine_choice.py
@@ -59,8 +59,6 @@
         Tokens that fit into its memory; 0 if unknown.
     cached_tokens : int
         Length of the prompt prefix that it has cached.
-    kept_tokens : int
-        Tokens of all prompts that it has cached.
     remote_bytes : int
         Bytes of results that it would fetch from other data centres.
     failure_rate : float
@@ -76,7 +74,6 @@
     memory_tokens: int = 0
     kv_tokens: int = 0
     cached_tokens: int = 0
-    kept_tokens: int = 0
     remote_bytes: int = 0
     failure_rate: float = 0.0
     slowness: float = 1.0
@@ -105,14 +102,36 @@
     stream_s: float = 0.0
 
 
+def estimate_idle_first_event_s(tokens: int) -> float:
+    """
+    Estimate the time to the first event at an idle engine of the usual speed.
+
+    Parameters
+    ----------
+    tokens : int
+        Prompt tokens that the engine would prefill.
+
+    Returns
+    -------
+    float
+        Seconds.
+
+    Examples
+    --------
+    >>> estimate_idle_first_event_s(2000)
+    0.1
+    """
+    return BASE_FIRST_EVENT_S + tokens / PREFILL_TOKENS_PER_S
+
+
 def estimate_first_event_s(option: EngineOption, tokens: int) -> float:
     """
-    Estimate the time to the first event at an engine of the usual speed.
+    Estimate the time to the first event at an engine, if it had the usual speed.
 
     Parameters
     ----------
     option : EngineOption
-        The engine.
+        The engine with its work in progress.
     tokens : int
         Tokens of the request that the engine would prefill.
 
@@ -126,8 +145,16 @@
     >>> estimate_first_event_s(EngineOption(name="e", slots=8, prefill_tokens=5000), 2000)
     0.2
     """
-    prefill_s = (option.prefill_tokens + tokens) / PREFILL_TOKENS_PER_S
-    return BASE_FIRST_EVENT_S + prefill_s + option.requests * RUNNING_COST_S
+    return (
+        estimate_idle_first_event_s(option.prefill_tokens + tokens)
+        + option.requests * RUNNING_COST_S
+    )
+
+
+def _estimate_arrival_s(option: EngineOption, tokens: int) -> float:
+    """Estimate the time to the first event with the engine's speed and the fetch of its inputs."""
+    first_event_s = estimate_first_event_s(option, tokens) * option.slowness
+    return first_event_s + option.remote_bytes * REMOTE_BYTE_COST_S
 
 
 def estimate_late_share(first_event_s: float, slack_s: float) -> float:
@@ -176,8 +203,7 @@
         Seconds.
     """
     read = max(0, generation.prompt_tokens - option.cached_tokens)
-    first_event_s = estimate_first_event_s(option, read) * option.slowness
-    first_event_s += option.remote_bytes * REMOTE_BYTE_COST_S
+    first_event_s = _estimate_arrival_s(option, read)
     cost_s = first_event_s + option.failure_rate * FAILURE_COST_S
     cost_s += LATE_COST_S * estimate_late_share(first_event_s, generation.slack_s)
     stream_s = generation.stream_s * option.slowness * STREAM_MARGIN
@@ -260,17 +286,8 @@
     """Return the engines with a cached prefix, and the others with the soonest first events."""
     if len(options) <= COMPARED_ENGINES:
         return list(options)
-    own_s = BASE_FIRST_EVENT_S + prompt_tokens / PREFILL_TOKENS_PER_S
-    found = []
-    times = []
-    for number, option in enumerate(options):
-        if option.cached_tokens:
-            found.append(option)
-            continue
-        wait_s = option.prefill_tokens / PREFILL_TOKENS_PER_S + option.requests * RUNNING_COST_S
-        first_event_s = (
-            own_s + wait_s
-        ) * option.slowness + option.remote_bytes * REMOTE_BYTE_COST_S
-        times.append((first_event_s, number))
-    soonest = heapq.nsmallest(COMPARED_ENGINES, times)
-    return found + [options[number] for _, number in soonest]
+    found = [option for option in options if option.cached_tokens]
+    others = [option for option in options if not option.cached_tokens]
+    return found + heapq.nsmallest(
+        COMPARED_ENGINES, others, key=lambda option: _estimate_arrival_s(option, prompt_tokens)
+    )
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -11,7 +11,7 @@
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.memory import MemoryBudget
 from marigoldtrail.pieces.client import PieceClient, StageRun
-from marigoldtrail.policy.engine_choice import BASE_FIRST_EVENT_S, PREFILL_TOKENS_PER_S
+from marigoldtrail.policy.engine_choice import estimate_idle_first_event_s
 from marigoldtrail.ratelimits import Place
 from marigoldtrail.reachability import ReachabilityMonitor, UpstreamContact
 from marigoldtrail.registry import FleetState
@@ -288,7 +288,7 @@
 
     def _estimate_first_event_s(self, exchange: Exchange) -> float:
         """Estimate the seconds from the end of the last stage to the first event."""
-        return BASE_FIRST_EVENT_S + exchange.info.prompt_tokens / PREFILL_TOKENS_PER_S
+        return estimate_idle_first_event_s(exchange.info.prompt_tokens)
 
     async def _try_upstreams(
         self, exchange: Exchange
--- a/marigoldtrail/relay/tests/test_early_answers.py
+++ b/marigoldtrail/relay/tests/test_early_answers.py
@@ -8,12 +8,7 @@
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.platform.headers import HEADER_CODEC
 from marigoldtrail.relay.connection_end import reset_on_close
-from marigoldtrail.relay.tests.helpers import (
-    RelayHarness,
-    make_request,
-    make_response,
-    reply_with,
-)
+from marigoldtrail.relay.tests.helpers import RelayHarness, make_request, make_response, reply_with
 from marigoldtrail.relay.upstream_connection import UpstreamConnection
 from marigoldtrail.routing import RouteKind
 from marigoldtrail.testing import ResettingStream
@@ -32,6 +27,11 @@
 )
 # Bytes of the request that the upstream reads before it resets the connection.
 BEFORE, DURING, AFTER = 0, 200_000, len(UPLOAD) + 4096
+# The read, or the write, meets the reset first.
+DELAYS = [
+    {"read_delay_s": 0.0, "write_delay_s": 0.1},
+    {"read_delay_s": 0.1, "write_delay_s": 0.0},
+]
 
 
 async def exchange(stream):
@@ -54,18 +54,12 @@
 
 @pytest.mark.parametrize("answer", WITHOUT_LENGTH)
 @pytest.mark.parametrize("reset_at", [BEFORE, DURING, AFTER])
-@pytest.mark.parametrize("read_delay_s, write_delay_s", [(0.0, 0.1), (0.1, 0.0)])
+@pytest.mark.parametrize("delays", DELAYS)
 async def test_reset_does_not_complete_a_response_without_length(
-    autojump_clock, answer, reset_at, read_delay_s, write_delay_s
+    autojump_clock, answer, reset_at, delays
 ):
     """Guards against a truncated response that is complete if the write sees the reset first."""
-    stream = ResettingStream(
-        answer=answer,
-        reset_at=reset_at,
-        read_delay_s=read_delay_s,
-        write_delay_s=write_delay_s,
-    )
-    result, conn = await exchange(stream)
+    result, conn = await exchange(ResettingStream(answer=answer, reset_at=reset_at, **delays))
     assert isinstance(result, Failure)
     assert result.reason is Reason.DISCONNECTED
     assert result.run_state is RunState.MAY_HAVE_RUN
@@ -74,18 +68,10 @@
 
 @pytest.mark.parametrize("answer", COMPLETE)
 @pytest.mark.parametrize("reset_at", [BEFORE, DURING])
-@pytest.mark.parametrize("read_delay_s, write_delay_s", [(0.0, 0.1), (0.1, 0.0)])
-async def test_complete_early_response_is_read(
-    autojump_clock, answer, reset_at, read_delay_s, write_delay_s
-):
+@pytest.mark.parametrize("delays", DELAYS)
+async def test_complete_early_response_is_read(autojump_clock, answer, reset_at, delays):
     """Guards against losing a complete response because its upstream stopped reading the upload."""
-    stream = ResettingStream(
-        answer=answer,
-        reset_at=reset_at,
-        read_delay_s=read_delay_s,
-        write_delay_s=write_delay_s,
-    )
-    result, conn = await exchange(stream)
+    result, conn = await exchange(ResettingStream(answer=answer, reset_at=reset_at, **delays))
     assert result == BODY
     # The rest of the upload must not be taken for another request.
     assert not conn.is_reusable()
@@ -174,6 +160,5 @@
     odd = reply_with(make_response("odd", status=f"{status} Odd"))
     await harness.start(odd, reply_with(make_response("sound")))
     for number in range(4):
-        request = make_request(request_id="id-1", path=f"/x/{number}")
-        data = await harness.fetch(request)
+        data = await harness.fetch(make_request(path=f"/x/{number}"))
         assert data.startswith(b"HTTP/1.1 200") and data.endswith(b"sound")
