--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
 import time
 from collections import deque
