--- a/review/common-2/site_2.py
+++ b/review/common-2/site_2.py
@@ -24,6 +24,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 FRONT, READY, CONTROL, DIRECTORY, LIST, REPLICA = 8625, 8621, 8628, 8630, 8624, 8080
+METRICS = 9100
 BOUNDS = {
     "seed_lag_s": 3, "reuse_after_s": 2, "stability_window_ms": 3000, "ack_ms": 4000,
     "catch_up_s": 4, "drain_ms": 3000, "grace_s": 8, "lost_ms": 200, "config_ms": 2000,
@@ -64,7 +65,7 @@
     for _ in range(50):
         network = f"127.{rng.randrange(60, 250)}.{rng.randrange(1, 250)}"
         try:
-            for last in (1, 11, 41, 61):
+            for last in (1, 31, 41, 61):
                 for port in (FRONT, CONTROL, LIST, REPLICA):
                     with socket.socket() as sock:
                         sock.bind((f"{network}.{last}", port))
@@ -215,7 +216,7 @@
 
     def ip(self, name: str) -> str:
         number = int(name.rpartition("-")[2])
-        return f"{self.network}.{number + (0 if name in self.controls else 10)}"
+        return f"{self.network}.{number + (30 if name in self.entries else 0)}"
 
     def zone(self, name: str) -> str:
         number = int(name.rpartition("-")[2]) - 1
@@ -227,6 +228,10 @@
     def control(self, name: str) -> tuple[str, int]:
         return self.ip(name), CONTROL
 
+    def find_seeds(self) -> list[str]:
+        """Return three control hosts of the operator's list, or fewer if there are fewer."""
+        return self.controls[:3]
+
     def _write_settings(self, name: str, role: str, *, bootstrap: bool) -> Path:
         ip, is_front = self.ip(name), name in self.entries
         data = self.folder / name
@@ -239,7 +244,7 @@
         fields = {
             "node_name": name, "role": role, "zone": self.zone(name), "region": "r", "ip": ip,
             "listen": listen, "internal_ports": [7740, 7755], "bootstrap": bootstrap,
-            "seeds": [f"{self.ip(seed)}:{CONTROL}" for seed in self.controls[:3]],
+            "seeds": [f"{self.ip(seed)}:{CONTROL}" for seed in self.find_seeds()],
             "limits": {"memory_mb": 300 if is_front else 296},
             "data_dir": None if is_front else str(data),
             "cloud": {"address": f"{self.list.address[0]}:{LIST}"}, "bounds": BOUNDS,
@@ -262,6 +267,17 @@
             )
         self.record.write(f"start {name}")
 
+    async def find_leader(self) -> str | None:
+        """Return the control host that leads according to its metrics; None if none does."""
+        for name in self.controls:
+            reply = await call(
+                (self.ip(name), METRICS), "GET", "/metrics", {}, None, timeout_s=1.0
+            )
+            text = reply.body.decode() if reply is not None else ""
+            if re.search(r"^\w*leads(\{[^}]*\})? 1(\.0)?$", text, re.MULTILINE):
+                return name
+        return None
+
     def kill(self, name: str) -> None:
         process = self._processes.pop(name)
         process.kill()
