--- a/review/common-2/site_2.py
+++ b/review/common-2/site_2.py
@@ -284,6 +284,18 @@
         process.wait()
         self.record.write(f"kill {name}")
 
+    async def stop_host(self, name: str) -> None:
+        """Stop a host as the platform does: SIGTERM, and SIGKILL after `grace_s`."""
+        process = self._processes.pop(name)
+        process.terminate()
+        self.record.write(f"SIGTERM {name}")
+        ends_at = time.monotonic() + BOUNDS["grace_s"]
+        while process.poll() is None and time.monotonic() < ends_at:
+            await asyncio.sleep(0.05)
+        if process.poll() is None:
+            process.kill()
+        self.record.write(f"{name} ended with status {process.wait()}")
+
     def signal(self, name: str, number: signal.Signals) -> None:
         self._processes[name].send_signal(number)
         self.record.write(f"{number.name} {name}")
