--- a/review/7/case.py
+++ b/review/7/case.py
@@ -18,6 +18,7 @@
     Hosts,
     Record,
     make_message,
+    make_own_answer,
     play,
     read_body,
     read_chunk,
@@ -78,6 +79,7 @@
         self.record, self.name, self.address = record, name, address
         self.zone, self.version = zone, version
         self.born_ms = int(time.time() * 1000)
+        self.running = 0
 
     def entry(self) -> dict:
         """Entry of the platform's list."""
@@ -110,7 +112,13 @@
             writer.write(make_message("HTTP/1.1 421 Misdirected Request", refusal, b""))
             return
         if not first.split(" ")[1].startswith("/chat/"):
-            writer.write(make_message("HTTP/1.1 200 OK", {"X-Instance-Id": self.name}, b""))
+            path = first.split(" ")[1]
+            running = self.running
+            writer.write(
+                make_own_answer(
+                    path, self.name, born_ms=self.born_ms, running=running, slots=64
+                )
+            )
             return
         request_id = headers["x-request-id"]
         begin = int(headers.get("last-event-id", "0")) + 1
@@ -123,14 +131,18 @@
             "X-Response-Seal": f"seal-{self.name}", "X-Weight-Versions": "1",
             "Transfer-Encoding": "chunked",
         }  # fmt: skip
-        writer.write(make_message("HTTP/1.1 200 OK", answer, None))
-        for number in range(begin, EVENTS + 1):
-            event = f"id: {number}\ndata: {self.version}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        self.running += 1
+        try:
+            writer.write(make_message("HTTP/1.1 200 OK", answer, None))
+            for number in range(begin, EVENTS + 1):
+                event = f"id: {number}\ndata: {self.version}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+                await asyncio.sleep(PAUSE_S)
+            writer.write(b"0\r\n\r\n")
             await writer.drain()
-            await asyncio.sleep(PAUSE_S)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
+        finally:
+            self.running -= 1
 
 
 class Stream:
@@ -200,7 +212,7 @@
 
 
 async def case(record: Record, trouble: bool) -> str:
-    hosts = Hosts(record, zones=["z-a", "z-b"])
+    hosts = Hosts(record, zones=["z-a", "z-b"], entries=7)
     engines = [
         Engine(record, f"i-{n + 1}", (f"{hosts.network}.{41 + n}", REPLICA), zone, version)
         for n, (zone, version) in enumerate(
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,5 @@
 #!/bin/sh
-# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: no disruption.
-cd "$(dirname "$0")/../.." && exec python3 -B review/7/case.py
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; writes record.txt in this folder.
+# TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+RECORD="review/7/record.txt" TROUBLE="${TROUBLE:-1}" exec python3 -B review/7/case.py
--- a/review/common-2/site_2.py
+++ b/review/common-2/site_2.py
@@ -49,7 +49,8 @@
 
     def __init__(self, folder: Path) -> None:
         self.began = time.monotonic()
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+        path = Path(os.environ.get("RECORD") or folder / "record.txt")
+        self._file = path.open("w", encoding="utf-8")
 
     def now(self) -> float:
         return time.monotonic() - self.began
@@ -123,6 +124,26 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + (body or b"")
 
 
+def make_own_answer(
+    path: str, name: str, *, born_ms: int, running: int, slots: int, cold_s: float = 0.0
+) -> bytes:
+    """Return what a sound replica says of itself: its health, its report, or that it has no such path."""
+    if path == "/health":
+        headers = {"X-Instance-Id": name, "X-Server-Load": f"{running},0,{slots}"}
+        if cold_s > 0:
+            headers["X-Cold-Ms"] = str(round(cold_s * 1000))
+        return make_message("HTTP/1.1 200 OK", headers, b"")
+    if path == "/-/report":
+        report = {
+            "stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}],
+            "busy": False, "sequence": 0, "waiting": 0, "running": running, "kv_used": 0,
+            "kv_total": 471059, "handles": 0, "born": born_ms,
+        }  # fmt: skip
+        kind = {"Content-Type": "application/json"}
+        return make_message("HTTP/1.1 200 OK", kind, json.dumps(report).encode())
+    return make_message("HTTP/1.1 404 Not Found", {"X-Not-Executed": "1"}, b"")
+
+
 async def call(
     address: tuple[str, int], method: str, path: str, headers: dict[str, str], body: bytes | None,
     *, timeout_s: float, bind: str | None = None,
@@ -362,6 +383,8 @@
 
 def play(case: object, file: str) -> None:
     """Run a case: 1 if a rule was broken, 0 if it held, 2 if the case could not run."""
+    # A script that is ended from outside ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(Path(file).resolve().parent)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
