Remove lost voters although others are lost, and let stopping hosts leave

Callers: after five planned replacements of five control hosts, or four losses, no control host leads any more.

Cause: the leader adds each successor at once, but removes a lost voter only if all others are sound, after 5 s that each leader counts anew. Two voters that are lost together keep each other listed, the list grows with each replacement, and the hosts that run become a minority of it. The change_members lines of the leaders show additions only.

A host that gets SIGTERM says so in its reports and ends once it is off the list. A late report of an earlier process adds nobody. Gauges log_voters and log_voters_missing.

--- a/marigoldtrail/consensus/__init__.py
+++ b/marigoldtrail/consensus/__init__.py
@@ -3,5 +3,13 @@
 from marigoldtrail.consensus.group import Group
 from marigoldtrail.consensus.group_set import GroupSet, init_fleet
 from marigoldtrail.consensus.primitives import StateMachine, UnsupportedCommandError
+from marigoldtrail.consensus.state import MIN_VOTERS
 
-__all__ = ["Group", "GroupSet", "StateMachine", "UnsupportedCommandError", "init_fleet"]
+__all__ = [
+    "MIN_VOTERS",
+    "Group",
+    "GroupSet",
+    "StateMachine",
+    "UnsupportedCommandError",
+    "init_fleet",
+]
--- a/marigoldtrail/consensus/election.py
+++ b/marigoldtrail/consensus/election.py
@@ -449,7 +449,9 @@
     peers = [
         peer
         for peer in state.peers.values()
-        if peer.storage_id in voters and peer.match_index >= state.log.last_index
+        if peer.storage_id in voters
+        and peer.match_index >= state.log.last_index
+        and peer.host not in state.leaving
     ]
     if not peers:
         return
--- a/marigoldtrail/consensus/group.py
+++ b/marigoldtrail/consensus/group.py
@@ -12,7 +12,7 @@
 from marigoldtrail.consensus.election import run_elections, start_replication, transfer_leadership
 from marigoldtrail.consensus.levels import has_level
 from marigoldtrail.consensus.log import COMMAND, MEMBERS, encode_voters
-from marigoldtrail.consensus.membership import list_learners
+from marigoldtrail.consensus.membership import list_learners, list_missing
 from marigoldtrail.consensus.primitives import Proposal, StateMachine
 from marigoldtrail.consensus.reopening import open_first, reopen_after_failures
 from marigoldtrail.consensus.replication import (
@@ -22,6 +22,7 @@
 )
 from marigoldtrail.consensus.state import (
     LEADER,
+    MIN_VOTERS,
     GroupState,
     adopt_term,
     check_disk,
@@ -41,6 +42,7 @@
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
 MAX_QUEUED_COMMANDS = 8192
 MAX_BATCH_ENTRIES = 1024
+RELEASE_POLL_INTERVAL_S = 0.02
 
 Request = TypeVar("Request")
 Reply = TypeVar("Reply")
@@ -76,6 +78,8 @@
         Maximum number of entries in one write; 1 disables group commit.
     unreachable_removal_s : float or None
         Seconds without contact after which the leader removes a voter; None for never.
+    min_voters : int
+        Number of voters below which none is removed without another in its place.
     """
 
     __slots__ = ("_state", "_disk", "_opened")
@@ -95,6 +99,7 @@
         telemetry: Telemetry | None = None,
         max_batch_entries: int = MAX_BATCH_ENTRIES,
         unreachable_removal_s: float | None = None,
+        min_voters: int = MIN_VOTERS,
     ) -> None:
         self._disk = disk
         self._opened = trio.Event()
@@ -110,6 +115,7 @@
             telemetry=telemetry,
             max_batch_entries=max_batch_entries,
             unreachable_removal_s=unreachable_removal_s,
+            min_voters=min_voters,
         )
 
     @property
@@ -174,6 +180,16 @@
         """Whether the group is known to be initialised, that is, to have voters."""
         return self._state.is_open and bool(self._state.log.voters)
 
+    @property
+    def voter_count(self) -> int:
+        """Number of voters on the newest member list that this host knows."""
+        return len(self._state.log.voters) if self._state.is_open else 0
+
+    @property
+    def missing_voter_count(self) -> int:
+        """Number of voters that this host does not reach as leader; 0 if it does not lead."""
+        return len(list_missing(self._state)) if self._state.is_open else 0
+
     def has_level(self, level: int) -> bool:
         """Tell whether this host leads and all members can apply commands of a feature level."""
         return has_level(self._state, level)
@@ -190,11 +206,54 @@
             Name of the host; its address must be known.
         """
         state = self._state
+        state.leaving.discard(host)
         if host not in state.hosts:
             state.hosts.append(host)
         if state.role == LEADER and host != state.host and host not in state.peers:
             start_replication(state, host)
 
+    def release_host(self, host: str) -> None:
+        """
+        Remove a host from the voters before its process stops, as far as enough others remain.
+
+        A host can't tell whether it stops for good. If it comes back, `add_host` makes it a voter
+        again, once it holds the whole log.
+
+        Parameters
+        ----------
+        host : str
+            Name of the host.
+        """
+        state = self._state
+        state.leaving.add(host)
+        if host in state.hosts:
+            state.hosts.remove(host)
+
+    async def wait_for_release(self, *, timeout_s: float) -> bool:
+        """
+        Wait until this host, whose process is about to stop, is no voter any more.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time-out in seconds.
+
+        Returns
+        -------
+        bool
+            False if it is still a voter, for example because too few others would remain.
+        """
+        state = self._state
+        ends_at = state.timers.now() + timeout_s
+        while state.is_open and state.stop_failure is None:
+            if not state.is_voter and state.log.voters_index <= state.commit_index:
+                return True
+            is_needed = state.is_voter and len(state.log.voters) <= state.min_voters
+            if is_needed or state.timers.now() >= ends_at:
+                return False
+            await state.timers.sleep(RELEASE_POLL_INTERVAL_S)
+        return False
+
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """
         Run the group until cancelled.
--- a/marigoldtrail/consensus/group_set.py
+++ b/marigoldtrail/consensus/group_set.py
@@ -14,7 +14,7 @@
 from marigoldtrail.consensus.follower import handle_append, handle_snapshot
 from marigoldtrail.consensus.group import MAX_BATCH_ENTRIES, Group
 from marigoldtrail.consensus.primitives import StateMachine
-from marigoldtrail.consensus.state import GroupState, has_same_voters
+from marigoldtrail.consensus.state import MIN_VOTERS, GroupState, has_same_voters
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Address, Handlers, PeerClient
 from marigoldtrail.schema.generated.consensus import (
@@ -70,6 +70,8 @@
         Largest number of entries in one write; 1 disables group commit.
     unreachable_removal_s : float or None
         Seconds without contact after which the leader removes a voter; None for never.
+    min_voters : int
+        Number of voters below which none is removed without another in its place.
     """
 
     __slots__ = ("_groups",)
@@ -88,6 +90,7 @@
         telemetry: Telemetry | None = None,
         max_batch_entries: int = MAX_BATCH_ENTRIES,
         unreachable_removal_s: float | None = None,
+        min_voters: int = MIN_VOTERS,
     ) -> None:
         self._groups = {
             name: Group(
@@ -103,6 +106,7 @@
                 telemetry=telemetry,
                 max_batch_entries=max_batch_entries,
                 unreachable_removal_s=unreachable_removal_s,
+                min_voters=min_voters,
             )
             for name, machine in machines.items()
         }
--- a/marigoldtrail/consensus/primitives.py
+++ b/marigoldtrail/consensus/primitives.py
@@ -119,6 +119,8 @@
         Next entry to send.
     now : float
         Monotonic time in seconds, taken as the time of the last contact.
+    silent_since : float
+        Monotonic time in seconds since which it may have been silent; before `now` if it led.
     """
 
     __slots__ = (
@@ -128,25 +130,34 @@
         "match_index",
         "confirmed_read_round",
         "last_contact_at",
+        "silent_since",
         "busy_since",
         "is_complete",
         "level",
         "wakeup",
     )
 
-    def __init__(self, *, host: str, storage_id: str, next_index: int, now: float) -> None:
+    def __init__(
+        self, *, host: str, storage_id: str, next_index: int, now: float, silent_since: float
+    ) -> None:
         self.host = host
         self.storage_id = storage_id
         self.next_index = next_index
         self.match_index = 0
         self.confirmed_read_round = 0
         self.last_contact_at = now
+        self.silent_since = silent_since
         self.busy_since = float("inf")
         self.is_complete = False
         # Feature level in its last reply; a release that states none has the lowest.
         self.level = 0
         self.wakeup = Notifier()
 
+    def record_contact(self, now: float) -> None:
+        """Record a reply to this leader."""
+        self.last_contact_at = now
+        self.silent_since = now
+
     def reset_progress(self, storage_id: str) -> None:
         """Discard the progress, because the host has a log with another storage id."""
         self.is_complete = False
--- a/marigoldtrail/consensus/replication.py
+++ b/marigoldtrail/consensus/replication.py
@@ -69,14 +69,37 @@
         Has the storage id of the voter on that host, if there is one.
     """
     member = find_voter(state.log.voters, host)
+    now = state.timers.now()
     return Peer(
         host=host,
         storage_id=member.storage_id if member is not None else "",
         next_index=state.log.last_index + 1,
-        now=state.timers.now(),
+        now=now,
+        silent_since=state.leader_contact_at if host == state.last_leader else now,
     )
 
 
+def is_replicating(state: GroupState, peer: Peer, term: int) -> bool:
+    """
+    Tell whether this host still replicates to another one.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    peer : Peer
+        The other host.
+    term : int
+        Term in which the replication began.
+
+    Returns
+    -------
+    bool
+        False after the end of the leadership, and once the host is no longer needed.
+    """
+    return state.is_leader_in(term) and state.peers.get(peer.host) is peer
+
+
 async def replicate(state: GroupState, peer: Peer, term: int) -> None:
     """
     Replicate the log to one host while this host leads.
@@ -90,7 +113,7 @@
     term : int
         Term in which this host leads.
     """
-    while state.is_leader_in(term):
+    while is_replicating(state, peer, term):
         peer.busy_since = state.timers.now()
         if peer.next_index <= state.log.base_index:
             progress = await send_snapshot(state, peer, term)
@@ -123,7 +146,7 @@
     term : int
         Term in which this host leads.
     """
-    while state.is_leader_in(term):
+    while is_replicating(state, peer, term):
         await state.timers.sleep(HEARTBEAT_S)
         if state.timers.now() >= peer.busy_since + HEARTBEAT_S and state.is_leader_in(term):
             await send_heartbeat(state, peer, term)
@@ -314,7 +337,7 @@
         return False
     if not state.is_leader_in(term) or reply_term != term or peer.storage_id != target:
         return False
-    peer.last_contact_at = state.timers.now()
+    peer.record_contact(state.timers.now())
     return True
 
 
--- a/marigoldtrail/consensus/state.py
+++ b/marigoldtrail/consensus/state.py
@@ -23,6 +23,8 @@
 
 HEARTBEAT_S = 0.25
 ELECTION_TIMEOUT_S = (1.0, 2.0)
+# A group with fewer voters could not tolerate the loss of one.
+MIN_VOTERS = 3
 CHECK_QUORUM_S = 1.0
 # Used after a start; long enough to receive a heartbeat from an existing leader.
 FIRST_ELECTION_TIMEOUT_S = (0.4, 0.9)
@@ -66,6 +68,15 @@
         Maximum number of entries in one write.
     unreachable_removal_s : float or None
         Seconds without contact after which the leader removes a voter; None for never.
+    min_voters : int
+        Number of voters below which none is removed without another in its place.
+
+    Attributes
+    ----------
+    leaving : set of str
+        Hosts that have announced to this leader that their processes end.
+    last_leader : str or None
+        The leader that this host heard of last, also after it has campaigned itself.
     """
 
     __slots__ = (
@@ -80,6 +91,8 @@
         "telemetry",
         "max_batch_entries",
         "unreachable_removal_s",
+        "min_voters",
+        "leaving",
         "leader_nursery",
         "lock",
         "nursery",
@@ -89,6 +102,7 @@
         "term",
         "leader",
         "leader_contact_at",
+        "last_leader",
         "campaign_at",
         "commit_index",
         "applied_index",
@@ -131,6 +145,7 @@
         telemetry: Telemetry | None,
         max_batch_entries: int,
         unreachable_removal_s: float | None = None,
+        min_voters: int = MIN_VOTERS,
     ) -> None:
         self.name = name
         self.host = host
@@ -143,6 +158,8 @@
         self.telemetry = telemetry
         self.max_batch_entries = max_batch_entries
         self.unreachable_removal_s = unreachable_removal_s
+        self.min_voters = min_voters
+        self.leaving: set[str] = set()
         # Runs the leader's tasks; None while this host is not the leader.
         self.leader_nursery: trio.Nursery | None = None
         self.lock = trio.Lock()
@@ -153,6 +170,7 @@
         self.term = 0
         self.leader: str | None = None
         self.leader_contact_at = float("-inf")
+        self.last_leader: str | None = None
         self.campaign_at = 0.0
         self.commit_index = 0
         self.applied_index = 0
@@ -294,6 +312,7 @@
         Host of the leader.
     """
     state.leader_contact_at = state.timers.now()
+    state.last_leader = leader
     reset_campaign(state)
     if state.leader != leader:
         state.leader = leader
@@ -319,6 +338,7 @@
     state.leader_scope.cancel()
     state.transfers = 0
     state.peers = {}
+    state.leaving = set()
     reset_campaign(state)
     for proposal in state.queue:
         proposal.resolve(state.make_failure(Reason.NOT_LEADER, RunState.NOT_RUN, "propose", why))
--- a/marigoldtrail/consensus/tests/cluster.py
+++ b/marigoldtrail/consensus/tests/cluster.py
@@ -91,7 +91,6 @@
                 machine = self.make_machine(name)
                 groups = GroupSet(
                     host=name,
-                    hosts={GROUP: self.names},
                     addresses=self.addresses,
                     client=PeerClient(network=network, host=name, nursery=nursery),
                     disk=self.disks[name],
@@ -99,6 +98,7 @@
                     timers=Timers(seed=1),
                     rng=self.rng,
                     telemetry=self.make_telemetry(name),
+                    **self.make_options(name),
                 )
                 self.group_sets[name] = groups
                 self.machines[name] = machine
@@ -115,8 +115,16 @@
                     )
 
                 await nursery.start(serve)
+                nursery.start_soon(self.run_beside, name)
                 task_status.started()
 
+    def make_options(self, name):
+        """Return the remaining options of the groups of a host."""
+        return {"hosts": {GROUP: self.names}}
+
+    async def run_beside(self, name):
+        """Run what a host does beside its groups, until its process ends."""
+
     async def crash(self, name, *, torn=True):
         """Crash a process; its disk loses the data that is not synced."""
         self.scopes[name].cancel()
@@ -170,6 +178,9 @@
         with trio.fail_after(timeout_s):
             while True:
                 for name in among or list(self.group_sets):
+                    if name not in self.group_sets:
+                        # It was ended while another one was asked.
+                        continue
                     group = self.group(name)
                     if group.is_leader and await group.read_barrier(timeout_s=1) is None:
                         return name
@@ -180,6 +191,8 @@
         with trio.fail_after(timeout_s):
             while True:
                 name = await self.wait_for_leader(timeout_s=timeout_s)
+                if name not in self.group_sets:
+                    continue
                 result = await self.group(name).propose(command, timeout_s=2)
                 if not is_failure(result):
                     return result
--- a/marigoldtrail/consensus/tests/test_joining.py
+++ b/marigoldtrail/consensus/tests/test_joining.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from marigoldtrail.consensus.membership import MIN_REMAINING_VOTERS
+from marigoldtrail.consensus.state import MIN_VOTERS
 from marigoldtrail.consensus.tests.cluster import GROUP, Cluster
 
 
@@ -64,7 +64,7 @@
         cluster.group(name)._state.unreachable_removal_s = 2.0
     await cluster.crash(next(name for name in cluster.names if name != leader))
     await trio.sleep(10)
-    assert len(voters(cluster, leader)) == MIN_REMAINING_VOTERS
+    assert len(voters(cluster, leader)) == MIN_VOTERS
 
 
 async def test_concurrent_init_creates_one_group(autojump_clock, nursery):
--- a/marigoldtrail/registry/reporter.py
+++ b/marigoldtrail/registry/reporter.py
@@ -86,6 +86,10 @@
         """Set the function that returns the work in progress at upstreams."""
         self._get_loads = loads
 
+    def announce_stop(self) -> None:
+        """Tell the leader with each report from now on that this process is about to end."""
+        self.identity = msgspec.structs.replace(self.identity, is_stopping=True)
+
     def add_seeds(self, seeds: list[str]) -> None:
         """Add control hosts to those that are tried in the search for the leader."""
         members = self._members[CONFIG_GROUP]
--- a/marigoldtrail/registry/service.py
+++ b/marigoldtrail/registry/service.py
@@ -202,11 +202,13 @@
         registry = self._current_registry()
         if registry is None:
             return self._refusals.not_leader("HostReport")
-        if request.peer_address:
-            self._group.add_host(request.peer_address)
         if not registry.record_report(request):
             detail = "a later start of the host is known"
             return self._refusals.refuse(Reason.STALE_EPOCH, "HostReport", detail=detail)
+        if request.peer_address and request.is_stopping:
+            self._group.release_host(request.peer_address)
+        elif request.peer_address:
+            self._group.add_host(request.peer_address)
         with trio.move_on_after(min(request.wait_ms / 1000, MAX_WAIT_S)):
             while self._is_leading(registry) and not self._has_changes_for(registry, request):
                 await registry.changed.wait()
--- a/marigoldtrail/site/control_host.py
+++ b/marigoldtrail/site/control_host.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from marigoldtrail.consensus import GroupSet
+from marigoldtrail.consensus import MIN_VOTERS, GroupSet
 from marigoldtrail.control.machine import ConfigMachine
 from marigoldtrail.fleet import CONFIG_GROUP
 from marigoldtrail.net import Address, serve_peers
@@ -21,9 +21,11 @@
 from marigoldtrail.storage import Disk
 
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
-# A host that is lost permanently must not count towards the quorum for long.
-UNREACHABLE_REMOVAL_S = 5.0
+# A host that is lost permanently must not count towards the quorum when the next one is lost, which
+# may be `catch_up_s` after its successor has started; an election may come between.
+UNREACHABLE_REMOVAL_S = 2.0
 TRANSFER_TIMEOUT_S = 1.5
+RELEASE_TIMEOUT_S = 1.5
 DRAIN_DELAY_S = 0.5
 # Longer than an order or a query of an operator takes.
 LAST_REQUESTS_S = 1.2
@@ -61,6 +63,7 @@
             timers=components.timers,
             rng=components.rng,
             unreachable_removal_s=UNREACHABLE_REMOVAL_S,
+            min_voters=count_min_voters(cfg.tolerated_host_losses),
         )
         self.registry = RegistryService(
             host=components.own_name,
@@ -98,6 +101,14 @@
             "Whether a full disk refused the last entry of the log.",
             lambda: not group.has_room,
         )
+        components.metrics.add_gauge(
+            "log_voters", "Voters on the newest member list.", lambda: group.voter_count
+        )
+        components.metrics.add_gauge(
+            "log_voters_missing",
+            "Voters that this host does not reach as leader; 0 if it does not lead.",
+            lambda: group.missing_voter_count,
+        )
         self.continuity = ContinuityMonitor(
             get_contact_time=lambda: group.contact_time, timers=components.timers
         )
@@ -139,6 +150,8 @@
 
             await nursery.start(serve)
             await nursery.start(self.groups.run)
+            # A host that was removed while it was down may know no other control host that runs.
+            components.reporter.add_seeds(self.groups[CONFIG_GROUP].describe().members)
             await nursery.start(components.serve_metrics)
             nursery.start_soon(self.registry.run)
             nursery.start_soon(self.continuity.run)
@@ -157,16 +170,43 @@
                 await bootstrap_group(group, components.peers, seeds, timers=components.timers)
 
     async def drain(self) -> None:
-        """Transfer the leadership and answer the operators before the process ends."""
+        """Leave the log group and answer the operators before the process ends."""
         components = self.components
         components.endpoint_stop.start()
+        components.reporter.announce_stop()
         await self.groups.transfer_leadership(timeout_s=TRANSFER_TIMEOUT_S)
-        await components.timers.sleep(DRAIN_DELAY_S)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(components.timers.sleep, DRAIN_DELAY_S)
+            group = self.groups[CONFIG_GROUP]
+            is_released = await group.wait_for_release(timeout_s=RELEASE_TIMEOUT_S)
         connections_left = await components.close_endpoints(LAST_REQUESTS_S)
         _log.info(
             "drained",
             extra={
+                "is_released": is_released,
                 "connections_left": connections_left,
                 "accepted_at_close": components.endpoints_accepted_at_close,
             },
         )
+
+
+def count_min_voters(tolerated_losses: int) -> int:
+    """
+    Return the number of voters that a group keeps in any case.
+
+    Parameters
+    ----------
+    tolerated_losses : int
+        Number of voters that may be lost at the same time.
+
+    Returns
+    -------
+    int
+        So many that a majority is left after these losses.
+
+    Examples
+    --------
+    >>> count_min_voters(1), count_min_voters(2)
+    (3, 5)
+    """
+    return max(MIN_VOTERS, 2 * tolerated_losses + 1)
