Refuse pre-votes of rivals while this host campaigns

Cause: of three control hosts one is lost, and both others get each other's pre-vote before either writes its new term. Their votes split, each campaign waits 2 s for the lost host, and there is no leader for 5 s. Another loss within the limits of a site then takes the majority for good.

Change: a host that asks for pre-votes refuses those of a host with an earlier log or, with equal logs, a lower storage id; one that asks for votes refuses all.

--- a/marigoldtrail/consensus/election.py
+++ b/marigoldtrail/consensus/election.py
@@ -23,6 +23,9 @@
     FOLLOWER,
     HEARTBEAT_S,
     LEADER,
+    NO_CAMPAIGN,
+    PRE_VOTE,
+    VOTE,
     GroupState,
     adopt_newer_term,
     adopt_term,
@@ -93,12 +96,16 @@
     if not state.is_voter or not state.may_campaign:
         return
     before = (state.term, state.leader_contact_at)
+    state.campaign_step = PRE_VOTE
     won = await request_votes(state, state.term + 1, pre_vote=True, transfer=False)
+    state.campaign_step = NO_CAMPAIGN
     if (state.term, state.leader_contact_at) != before:
         # A leader or a newer term has appeared, which has already postponed the campaign.
         return
     if won:
+        state.campaign_step = VOTE
         await campaign(state)
+        state.campaign_step = NO_CAMPAIGN
         # After a split vote, slow disks need the full range of the election time-out.
         reset_campaign(state)
     else:
@@ -294,7 +301,8 @@
     if not req.transfer and has_recent_leader_contact(state):
         return build_vote_reply(state, False)
     if req.pre_vote:
-        return build_vote_reply(state, req.term > state.term and is_up_to_date(state, req))
+        is_electable = req.term > state.term and is_up_to_date(state, req)
+        return build_vote_reply(state, is_electable and not is_rival(state, req))
     async with state.lock:
         if state.stop_failure is not None:
             return state.stop_failure
@@ -375,6 +383,32 @@
     return state.timers.now() < state.leader_contact_at + ELECTION_TIMEOUT_S[0]
 
 
+def is_rival(state: GroupState, req: RequestVote) -> bool:
+    """
+    Tell whether a pre-vote is refused in favour of this host's own campaign at the same time.
+
+    If both hosts went on to ask for votes, these could split, and the next campaign would come
+    seconds later.
+
+    Parameters
+    ----------
+    state : GroupState
+        The group.
+    req : RequestVote
+        The candidate's request.
+
+    Returns
+    -------
+    bool
+        True if this host asks for votes already, or if both ask for pre-votes and this one has the
+        later log or, with equal logs, the higher storage id.
+    """
+    if state.campaign_step != PRE_VOTE:
+        return state.campaign_step == VOTE
+    own = (state.log.last_term, state.log.last_index, state.storage_id)
+    return own > (req.last_term, req.last_index, req.candidate_id)
+
+
 def is_up_to_date(state: GroupState, req: RequestVote) -> bool:
     """
     Tell whether a candidate's log is at least as up to date as this host's log.
--- a/marigoldtrail/consensus/state.py
+++ b/marigoldtrail/consensus/state.py
@@ -36,6 +36,11 @@
 CANDIDATE = "candidate"
 LEADER = "leader"
 
+# Steps of a campaign after an election time-out.
+NO_CAMPAIGN = ""
+PRE_VOTE = "pre-vote"
+VOTE = "vote"
+
 _log = logging.getLogger(__name__)
 
 
@@ -122,6 +127,7 @@
         "stopped_at",
         "has_room",
         "may_campaign",
+        "campaign_step",
         "held_index",
         "refused_snapshot",
         "proposed",
@@ -192,6 +198,7 @@
         # Whether the last append was not refused by a full disk.
         self.has_room = True
         self.may_campaign = True
+        self.campaign_step = NO_CAMPAIGN
         # Index of the last command that needs a later release.
         self.held_index = 0
         # Index of the snapshot that was refused last; the leader sends it again and again.
--- a/marigoldtrail/consensus/tests/test_replacements.py
+++ b/marigoldtrail/consensus/tests/test_replacements.py
@@ -3,6 +3,8 @@
 import pytest
 import trio
 
+from marigoldtrail.consensus import election
+from marigoldtrail.consensus.state import PRE_VOTE, VOTE
 from marigoldtrail.consensus.tests.cluster import Cluster
 from marigoldtrail.consensus.tests.replacements import (
     RECOVER_S,
@@ -11,6 +13,7 @@
     play_replacements,
 )
 from marigoldtrail.consensus.tests.test_joining import voters
+from marigoldtrail.schema.generated.consensus import RequestVote
 
 
 async def start_cluster(nursery, *, size, tolerated=1):
@@ -101,3 +104,36 @@
     await cluster.wait_until(lambda: lost not in state.peers and lost not in state.hosts)
     assert cluster.group(leader).missing_voter_count == 0
     assert cluster.group(leader).voter_count == 4
+
+
+def make_pre_vote(state, *, candidate_id):
+    return RequestVote(
+        group=state.name,
+        term=state.term + 1,
+        candidate="z",
+        candidate_id=candidate_id,
+        target_id=state.storage_id,
+        last_index=state.log.last_index,
+        last_term=state.log.last_term,
+        pre_vote=True,
+        transfer=False,
+    )
+
+
+async def test_pre_votes_at_the_same_time_do_not_split_the_votes(autojump_clock, nursery):
+    """Guards against two remaining hosts of three that need seconds to elect one of them."""
+    cluster = await start_cluster(nursery, size=3)
+    name = next(name for name in cluster.names if not cluster.group(name).is_leader)
+    state = cluster.group(name)._state
+    state.leader_contact_at = float("-inf")
+
+    async def is_granted(candidate_id):
+        req = make_pre_vote(state, candidate_id=candidate_id)
+        return (await election.handle_vote(state, req)).granted
+
+    lower, higher = "", "~"
+    assert await is_granted(lower) and await is_granted(higher)
+    state.campaign_step = PRE_VOTE
+    assert not await is_granted(lower) and await is_granted(higher)
+    state.campaign_step = VOTE
+    assert not await is_granted(lower) and not await is_granted(higher)
