Name streams by what a configuration cannot change

Cause: the version of a stream is recorded under its account and the id of its first attempt, and only if its route says at that moment that its streams may be resumed. The next attempt is given another account, or another flag, finds no record and takes the oldest version.

Change: streams are also recorded under the id of the first attempt alone, and on every route for streams; routes whose streams are not resumed do not wait for the record. A take-up that names a stream is one on any route. The record with the account stays for earlier releases and goes before the other one, so that a caller of another account cannot change it.

The test that keys differ by account is replaced: the difference is the fault. In its place, one test holds the keys to their length and to what they share, and one that a stream of another account under the same id does not change a record.

--- a/marigoldtrail/platform/tests/test_stream_versions.py
+++ b/marigoldtrail/platform/tests/test_stream_versions.py
@@ -5,8 +5,8 @@
 import pytest
 import trio
 
-from marigoldtrail.platform.standin import make_resume_headers
-from marigoldtrail.platform.tests.standin import EVENTS
+from marigoldtrail.platform.standin import make_resume_headers, make_route
+from marigoldtrail.platform.tests.standin import EVENTS, KEY, config
 from marigoldtrail.platform.tests.test_site import start_serving_site
 
 OLD, NEW = "v1", "v2"
@@ -39,18 +39,19 @@
     return found
 
 
-async def resume_stream(site, request_id, *, entry=1, last_event="1"):
+async def resume_stream(site, request_id, *, entry=1, last_event="1", key=KEY):
     headers = make_resume_headers(request_id, last_event)
+    again = f"again-{entry}-{request_id}"
     return await site.send_request(
-        "/talk/1", entry=entry, request_id=f"again-{entry}-{request_id}", headers=headers, body=b"p"
+        "/talk/1", entry=entry, request_id=again, key=key, headers=headers, body=b"p"
     )
 
 
-async def resume_streams(site, began, *, entry=1):
+async def resume_streams(site, began, *, entry=1, key=KEY):
     """Resume all streams; return the versions of the events of those that went on."""
     replies = {}
     for request_id in began:
-        reply = await resume_stream(site, request_id, entry=entry)
+        reply = await resume_stream(site, request_id, entry=entry, key=key)
         assert reply[0] in (200, 503)
         if reply[0] == 200:
             versions = {version.decode() for version in read_versions(reply)}
@@ -279,3 +280,52 @@
             finder._leaders.clear()
             reply = await resume_stream(site, request_id, entry=entry)
             assert reply[0] == 200
+
+
+def make_config(version, *, accounts, more_routes=(), **route):
+    """Return a configuration with one route for streams."""
+    fields = {"resumable": True, "max_attempts": 2, "public": False, **route}
+    name, kind = fields.pop("name", "talk"), fields.pop("kind", "streaming")
+    routes = [make_route(name, "/talk/", kind, "llm", **fields), *more_routes]
+    names = [{"name": name, "api_keys": list(keys)} for name, keys in accounts.items()]
+    return config(version, routes=routes, tenants=names)
+
+
+ACME = {"acme": [KEY]}
+# What a configuration may change while streams are in progress: the fields before and after it.
+CHANGES = {
+    "key moves": ({}, {"accounts": {"acme": [], "other": [KEY]}}),
+    "account is renamed": ({}, {"accounts": {"acme-2": [KEY]}}),
+    "account is renamed and key replaced": ({}, {"accounts": {"acme-2": ["k-new"]}}),
+    "route becomes public": ({}, {"public": True, "accounts": {}}),
+    "route ceases to be public": ({"public": True, "accounts": {}}, {}),
+    "streams may be resumed": ({"resumable": False}, {}),
+    "streams may no longer be resumed": ({}, {"resumable": False}),
+    "route is no longer for streams": ({}, {"kind": "safe"}),
+    "route has another name": ({}, {"name": "chat"}),
+    "longer prefix": (
+        {},
+        {"more_routes": [make_route("new", "/talk/1", "streaming", "llm", public=True)]},
+    ),
+    "times, rank and attempts": (
+        {},
+        {"timeout_ms": 9000, "priority": 2, "max_attempts": 1, "gap_aim_ms": 500},
+    ),
+}
+
+
+@pytest.mark.parametrize("change", CHANGES)
+async def test_version_of_a_stream_outlives_changes_of_the_configuration(
+    autojump_clock, nursery, change
+):
+    """Guards against streams that are known by something that a configuration may change."""
+    before, after = CHANGES[change]
+    site = await start_mixed_site(nursery)
+    assert await site.put_config(make_config(2, **{"accounts": ACME, **before})) == 200
+    await trio.sleep(2)
+    began = await begin_streams(site)
+    assert await site.put_config(make_config(4, **{"accounts": ACME, **after})) == 200
+    await trio.sleep(2)
+    await site.crash(site.entries[0])
+    key = "k-new" if "replaced" in change else KEY
+    assert_all_went_on(began, await resume_streams(site, began, key=key))
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -10,7 +10,7 @@
 from marigoldtrail.relay.caller_connection import CallerConnection, CallerRequest
 from marigoldtrail.relay.events import EventSplitter
 from marigoldtrail.relay.owed_response import OwedResponse
-from marigoldtrail.relay.stream_versions import Recording, make_stream_key
+from marigoldtrail.relay.stream_versions import Recording, make_stream_keys
 from marigoldtrail.relay.types import RequestInfo
 from marigoldtrail.routing import ClientAccount, Route, RouteKind, Service, Upstream
 
@@ -265,16 +265,33 @@
 
     @property
     def is_resumed(self) -> bool:
-        """Whether the caller resumes a stream that an earlier attempt began."""
-        return self.is_stream and bool(self.info.resumed_id or self.info.resume_after)
+        """
+        Whether the caller resumes a stream that an earlier attempt began.
+
+        Also if the route is no longer one for streams, and the caller names both.
+        """
+        info = self.info
+        if not self.is_stream:
+            return bool(info.resumed_id and info.resume_after)
+        return bool(info.resumed_id or info.resume_after)
 
     @property
-    def stream_key(self) -> bytes:
-        """Key of the stream by the attempt that began it; empty if versions are not recorded."""
+    def stream_keys(self) -> tuple[bytes, ...]:
+        """Keys of the stream by the attempt that began it; none if that is not named."""
+        if not (self.is_stream or self.is_resumed):
+            return ()
         request_id = self.info.resumed_id if self.is_resumed else self.info.request_id
-        if not (request_id and self.is_stream and self.route.is_resumable):
-            return b""
-        return make_stream_key(self.account_name, request_id)
+        return make_stream_keys(self.account_name, request_id)
+
+    @property
+    def needs_durable_version(self) -> bool:
+        """
+        Whether no event of the stream may be forwarded before its version is found by other hosts.
+
+        The version is recorded without waiting if streams of the route are not resumed: a later
+        configuration may permit it while the stream is in progress.
+        """
+        return self.is_stream and self.route.is_resumable and bool(self.stream_keys)
 
     @property
     def route_rank(self) -> int:
--- a/marigoldtrail/relay/stream_admission.py
+++ b/marigoldtrail/relay/stream_admission.py
@@ -59,7 +59,7 @@
 
     async def find_version(self, exchange: Exchange) -> Failure | None:
         """Bind a resumed stream to the version that began it; return why that is not known."""
-        version = await self._versions.find(exchange.service.name, exchange.stream_key)
+        version = await self._versions.find(exchange.service.name, exchange.stream_keys)
         if isinstance(version, Failure):
             return version
         exchange.stream_version = version
@@ -78,19 +78,19 @@
 
     def start_recording(self, exchange: Exchange, upstream: Upstream) -> None:
         """Begin to record the version of a new stream, while the upstream reads its prompt."""
-        key = exchange.stream_key
-        if not key or exchange.stream_version is not None:
+        keys = exchange.stream_keys
+        if not keys or exchange.stream_version is not None:
             return
         recording = exchange.recording
         if recording is None:
             # Streams of the default version are known without a record.
             if upstream.version == self._versions.get_default(exchange.service.name):
                 return
-        elif recording.stream.version == upstream.version:
+        elif recording.version == upstream.version:
             return
         else:
             recording.is_wanted = False
-        exchange.recording = self._versions.start_recording(key, upstream.version)
+        exchange.recording = self._versions.start_recording(keys, upstream.version)
 
     async def admit(self, exchange: Exchange, upstream: Upstream) -> Failure | None:
         """
@@ -98,7 +98,7 @@
 
         Other hosts must be able to find the version of the stream when its caller has an event.
         """
-        if exchange.recording is not None:
+        if exchange.recording is not None and exchange.needs_durable_version:
             failure = await self._wait_for_record(exchange, exchange.recording)
             if failure is not None:
                 return failure
@@ -116,7 +116,7 @@
     def check_arrival(self, exchange: Exchange) -> Failure | None:
         """Return why a new stream is not sent: all versions need records that nobody can make."""
         has_leader = self._fleet_state.age_s() <= MAX_ELECTION_S
-        if has_leader or not exchange.stream_key or exchange.is_resumed:
+        if has_leader or not exchange.needs_durable_version or exchange.is_resumed:
             return None
         if self._has_default(exchange) or not self._fleet_state.usable_upstreams(
             exchange.service.name
@@ -178,29 +178,29 @@
         elif exchange.source is None or exchange.source.name != upstream.name:
             exchange.source, exchange.relisted_at = upstream, None
         later = self._fleet_state.find_other_version(exchange.source or upstream)
-        if later is None or not exchange.stream_key:
+        if later is None or not exchange.stream_keys:
             return
         now = self._timers.now()
         if exchange.relisted_at is None:
             exchange.relisted_at = now
         elif now >= exchange.relisted_at + OLD_BYTES_S:
             self._bind(exchange, later)
-            self._versions.start_recording(exchange.stream_key, later.version)
+            self._versions.start_recording(exchange.stream_keys, later.version)
 
     def _bind(self, exchange: Exchange, upstream: Upstream) -> None:
         exchange.stream_version = upstream.version
         exchange.source, exchange.relisted_at = upstream, None
-        if key := exchange.stream_key:
-            self._versions.remember(key, upstream.version)
+        if keys := exchange.stream_keys:
+            self._versions.remember(keys, upstream.version)
 
     def finish(self, exchange: Exchange) -> None:
-        """Withdraw the record of a stream that has ended before it was durable."""
-        if exchange.recording is not None:
+        """Withdraw the record of a stream that has ended without an event."""
+        if exchange.recording is not None and exchange.stream_version is None:
             exchange.recording.is_wanted = False
-        key = exchange.stream_key
-        if key and is_version_unknown(exchange, self._fleet_state):
-            self._versions.remember(key, UNKNOWN_VERSION)
-            self._versions.start_recording(key, UNKNOWN_VERSION)
+        keys = exchange.stream_keys
+        if keys and is_version_unknown(exchange, self._fleet_state):
+            self._versions.remember(keys, UNKNOWN_VERSION)
+            self._versions.start_recording(keys, UNKNOWN_VERSION)
 
 
 def make_unrecorded_failure(
--- a/marigoldtrail/relay/stream_versions.py
+++ b/marigoldtrail/relay/stream_versions.py
@@ -22,8 +22,8 @@
 from marigoldtrail.timers import Timers
 
 KEY_BYTES = 16
-# Streams that this host remembers by itself, beyond those in the log.
-MAX_REMEMBERED = 4096
+# Keys of streams that this host remembers by itself, beyond those in the log.
+MAX_REMEMBERED = 8192
 MAX_BATCH = 256
 # Without a leader that has answered so recently, new streams prefer versions without records, and
 # no records are sent: those on their way can't be withdrawn.
@@ -57,8 +57,10 @@
 
     Parameters
     ----------
-    stream : StreamVersion
-        The record.
+    keys : tuple of bytes
+        Keys of the stream.
+    version : str
+        The version.
 
     Attributes
     ----------
@@ -69,10 +71,11 @@
         withdrawn, and its stream can begin at another version.
     """
 
-    __slots__ = ("stream", "is_wanted", "may_be_durable", "_done")
+    __slots__ = ("keys", "version", "is_wanted", "may_be_durable", "_done")
 
-    def __init__(self, *, stream: StreamVersion) -> None:
-        self.stream = stream
+    def __init__(self, *, keys: tuple[bytes, ...], version: str) -> None:
+        self.keys = keys
+        self.version = version
         self.is_wanted = True
         self.may_be_durable = False
         self._done = trio.Event()
@@ -117,21 +120,22 @@
         versions = self._fleet_state.versions.get(service)
         return versions[0] if versions else None
 
-    def start_recording(self, key: bytes, version: str) -> Recording:
-        """Begin to make the version of a stream durable; `run` does it."""
-        recording = Recording(stream=StreamVersion(key=key, version=version))
+    def start_recording(self, keys: tuple[bytes, ...], version: str) -> Recording:
+        """Begin to make the version of a stream durable under all its keys; `run` does it."""
+        recording = Recording(keys=keys, version=version)
         self._queue.append(recording)
         self._queued.set()
         return recording
 
-    def remember(self, key: bytes, version: str) -> None:
+    def remember(self, keys: tuple[bytes, ...], version: str) -> None:
         """Remember the version of a stream whose first event is forwarded by this host."""
-        self._remembered[key] = version
-        self._remembered.move_to_end(key)
-        if len(self._remembered) > MAX_REMEMBERED:
+        for key in keys:
+            self._remembered[key] = version
+            self._remembered.move_to_end(key)
+        while len(self._remembered) > MAX_REMEMBERED:
             self._remembered.popitem(last=False)
 
-    async def find(self, service: str, key: bytes) -> str | Failure:
+    async def find(self, service: str, keys: tuple[bytes, ...]) -> str | Failure:
         """
         Find the version that began a stream.
 
@@ -139,26 +143,33 @@
         ----------
         service : str
             Service of the stream.
-        key : bytes
-            Key of the stream; empty if its caller did not name it.
+        keys : tuple of bytes
+            Keys of the stream, the surest first; empty if its caller did not name it.
 
         Returns
         -------
         str or Failure
             The version; ``VIEW_NOT_CURRENT`` if it is unknown or no leader answered.
         """
-        remembered = self._remembered.get(key)
-        if remembered is not None:
-            return remembered
+        for key in keys:
+            if (remembered := self._remembered.get(key)) is not None:
+                return remembered
         if not self._fleet_state.leader_records_streams:
             return self._find_only_version(service)
-        request = FindStreamVersion(service=service, key=key)
-        reply = await self._call_leader(request, StreamVersionReply, FIND_TIMEOUT_S)
-        if isinstance(reply, Failure):
-            return make_unknown_failure(service, f"no leader answered: {reply}", RETRY_AFTER_S)
-        if not reply.is_known:
+        default = self.get_default(service)
+        unrecorded = set()
+        for key in keys or (b"",):
+            request = FindStreamVersion(service=service, key=key)
+            reply = await self._call_leader(request, StreamVersionReply, FIND_TIMEOUT_S)
+            if isinstance(reply, Failure):
+                return make_unknown_failure(service, f"no leader answered: {reply}", RETRY_AFTER_S)
+            if reply.is_known and default is not None and reply.version != default:
+                return reply.version
+            if reply.is_known:
+                unrecorded.add(reply.version)
+        if len(unrecorded) != 1:
             return make_unknown_failure(service, "it may have any of several versions")
-        return reply.version
+        return unrecorded.pop()
 
     def _find_only_version(self, service: str) -> str | Failure:
         """Return the version of all upstreams of a service, beside a leader without records."""
@@ -195,7 +206,12 @@
         age_s = self._fleet_state.age_s()
         if age_s > MAX_LEADER_AGE_S:
             return False
-        request = RecordStreams(streams=[recording.stream for recording in batch])
+        streams = [
+            StreamVersion(key=key, version=recording.version)
+            for recording in batch
+            for key in recording.keys
+        ]
+        request = RecordStreams(streams=streams)
         unsent = [recording for recording in batch if not recording.may_be_durable]
         for recording in batch:
             recording.may_be_durable = True
@@ -216,29 +232,44 @@
             recording.finish()
 
 
-def make_stream_key(account: str, request_id: str) -> bytes:
+def make_stream_keys(account: str, request_id: str) -> tuple[bytes, ...]:
     """
-    Return the key of a stream.
+    Return the keys under which a stream is recorded.
+
+    The configuration may give a caller another client account while its stream is in progress, so
+    that only the id of the attempt, which the caller draws at random for each one, names it for
+    certain. The key with the account comes first: a caller of another account that begins a
+    stream under the same id does not change the record that is found by it. It is also the only
+    key of earlier releases.
 
     Parameters
     ----------
     account : str
-        Client account, so that callers cannot name the streams of others.
+        Client account of the attempt at hand; empty if there is none.
     request_id : str
-        Id of the attempt that brought its first event.
+        Id of the attempt that brought the first event; empty if it is not named.
 
     Returns
     -------
-    bytes
-        `KEY_BYTES` long, whatever the length of the id.
+    tuple of bytes
+        Each `KEY_BYTES` long, whatever the length of the id; none without an id.
 
     Examples
     --------
-    >>> make_stream_key("a", "1") == make_stream_key("b", "1")
-    False
+    >>> one, other = make_stream_keys("a", "1"), make_stream_keys("b", "1")
+    >>> one[0] == other[0], one[1] == other[1]
+    (False, True)
     """
-    text = f"{account}\0{request_id}".encode("utf-8", "surrogateescape")
-    return hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
+    if not request_id:
+        return ()
+    names = dict.fromkeys((account, ""))
+    return tuple(hash_stream_name(f"{name}\0{request_id}") for name in names)
+
+
+def hash_stream_name(name: str) -> bytes:
+    """Return a digest of `KEY_BYTES` bytes."""
+    data = name.encode("utf-8", "surrogateescape")
+    return hashlib.blake2b(data, digest_size=KEY_BYTES).digest()
 
 
 def make_unknown_failure(service: str, detail: str, retry_after_s: float = 0.0) -> Failure:
--- a/marigoldtrail/relay/tests/test_scheduled_engines.py
+++ b/marigoldtrail/relay/tests/test_scheduled_engines.py
@@ -46,7 +46,7 @@
     exchange = SimpleNamespace(
         service=SERVICE,
         stream_version=None,
-        stream_key=b"",
+        needs_durable_version=False,
         tried=set(),
         is_resumed=False,
         info=SimpleNamespace(prompt_tokens=100),
--- a/marigoldtrail/relay/tests/test_stream_versions.py
+++ b/marigoldtrail/relay/tests/test_stream_versions.py
@@ -4,9 +4,9 @@
 import trio
 
 from marigoldtrail.registry import FleetState
-from marigoldtrail.relay.stream_versions import KEY_BYTES, StreamVersions, make_stream_key
+from marigoldtrail.relay.stream_versions import KEY_BYTES, StreamVersions, make_stream_keys
 from marigoldtrail.relay.tests.helpers import RelayHarness, make_request, read_all, read_request
-from marigoldtrail.routing import RouteKind, Target
+from marigoldtrail.routing import ClientAccount, RouteKind, Target
 from marigoldtrail.routing.table import choose_service
 from marigoldtrail.schema.generated.registry import StreamsRecorded
 from marigoldtrail.timers import Timers
@@ -175,10 +175,78 @@
     assert data.count(b"v1") == 3
 
 
-def test_stream_keys_differ_by_account_and_have_a_fixed_length():
-    """Guards against invented ids that reach the streams of others, or fill the memory."""
-    assert make_stream_key("acme", "id-1") != make_stream_key("other", "id-1")
-    assert len(make_stream_key("acme", "x" * 10000)) == KEY_BYTES
+def test_stream_keys_have_a_fixed_length_and_one_holds_for_all_accounts():
+    """Guards against ids that fill the memory, and streams that are lost with their account."""
+    one, other = make_stream_keys("acme", "id-1"), make_stream_keys("other", "id-1")
+    assert one[0] != other[0] and one[1:] == other[1:] == make_stream_keys("", "id-1")
+    assert {len(key) for key in make_stream_keys("acme", "x" * 10000)} == {KEY_BYTES}
+    assert make_stream_keys("acme", "") == ()
+
+
+async def find_at_another_entry(harness, account, request_id):
+    """Return what an entry finds that has not seen the streams."""
+    versions = StreamVersions(
+        fleet_state=harness.fleet_state, call_leader=harness.leader.call, timers=harness.timers
+    )
+    return await versions.find("s", make_stream_keys(account, request_id))
+
+
+ACCOUNTS = (ClientAccount(name="one", keys=("k-1",)), ClientAccount(name="two", keys=("k-2",)))
+
+
+async def start_stream_of_account(nursery, *, label=b"v2", **route):
+    """Serve one stream at v2, beside the older v1, with a key of account one."""
+    received = []
+    scripts = [write_stream(received=received, label=label)]
+    harness = await start(nursery, scripts, ["v2"], accounts=ACCOUNTS, is_public=False, **route)
+    set_default(harness, "v1", "v2")
+    headers = ["Authorization: Token k-1"]
+    data = await harness.fetch(make_request(method="POST", body=b"b", headers=headers))
+    assert data.count(b"v2") == 3
+    return harness
+
+
+async def test_stream_is_found_after_its_key_has_another_account(autojump_clock, nursery):
+    """Guards against a stream whose version is lost when its client's key, or account, changes."""
+    harness = await start_stream_of_account(nursery)
+    for account in ("one", "two", "renamed", ""):
+        assert await find_at_another_entry(harness, account, "id-1") == "v2"
+    assert await find_at_another_entry(harness, "one", "id-2") == "v1"
+
+
+async def test_stream_of_another_account_does_not_change_a_record(autojump_clock, nursery):
+    """Guards against a caller that begins a stream under the id of a recorded one of others."""
+    harness = await start_stream_of_account(nursery)
+    recording = harness.versions.start_recording(make_stream_keys("two", "id-1"), "v3")
+    assert await recording.wait(2)
+    assert await find_at_another_entry(harness, "one", "id-1") == "v2"
+    assert await find_at_another_entry(harness, "two", "id-1") == "v3"
+
+
+async def test_record_of_an_earlier_release_is_found(autojump_clock, nursery):
+    """Guards against streams that begin at an earlier release and are resumed at this one."""
+    harness = await start(nursery, [], [])
+    set_default(harness, "v1", "v2")
+    harness.leader.recorded[make_stream_keys("one", "id-1")[0]] = "v2"
+    assert await find_at_another_entry(harness, "one", "id-1") == "v2"
+
+
+async def test_stream_is_recorded_before_its_route_permits_to_resume_it(autojump_clock, nursery):
+    """Guards against a stream without a record whose route is made resumable meanwhile."""
+    harness = await start_stream_of_account(nursery, is_resumable=False)
+    await trio.sleep(0.5)
+    assert await find_at_another_entry(harness, "one", "id-1") == "v2"
+
+
+async def test_stream_that_is_not_resumed_waits_for_no_record(autojump_clock, nursery):
+    """Guards against late first events on routes whose streams are not resumed."""
+    received = []
+    scripts = [write_stream(received=received, label=b"v2")]
+    harness = await start(nursery, scripts, ["v2"], is_resumable=False)
+    set_default(harness, "v1", "v2")
+    harness.leader.delay_s = 1e9
+    data = await harness.fetch(make_request(method="POST", body=b"b"))
+    assert data.count(b"v2") == 3 and data.endswith(b"0\r\n\r\n")
 
 
 async def test_unexpected_error_does_not_end_the_recording_of_versions(autojump_clock, nursery):
@@ -195,7 +263,7 @@
     fleet_state.confirmed_at = trio.current_time()
     versions = StreamVersions(fleet_state=fleet_state, call_leader=call_leader, timers=timers)
     nursery.start_soon(versions.run)
-    recording = versions.start_recording(b"key", "v2")
+    recording = versions.start_recording((b"key",), "v2")
     assert await recording.wait(2)
     assert not failures
 
@@ -235,7 +303,7 @@
     nursery.start_soon(relist)
     data = await harness.fetch(make_request(method="POST", body=b"b"))
     await trio.sleep(0.5)
-    return data, received, harness.leader.recorded.get(make_stream_key("", "id-1"))
+    return data, received, harness.leader.recorded.get(make_stream_keys("", "id-1")[0])
 
 
 async def test_stream_begun_before_the_list_shows_a_restart_stays_at_the_later_version(
--- a/marigoldtrail/relay/upstream_chooser.py
+++ b/marigoldtrail/relay/upstream_chooser.py
@@ -65,7 +65,7 @@
 
     def _would_record_wait(self, exchange: Exchange) -> bool:
         """Return whether a stream of another than the default version would wait for a leader."""
-        return bool(exchange.stream_key) and self._fleet_state.age_s() > MAX_LEADER_AGE_S
+        return exchange.needs_durable_version and self._fleet_state.age_s() > MAX_LEADER_AGE_S
 
     def list_excluded(self, exchange: Exchange) -> set[str]:
         """Return the engines that the scheduler must not choose."""
