Keep resumed streams at their service when the shares of a split change

Callers would get the second half of a stream from another service after a change of the weights of its route. Not seen on a site.

Cause: the service of each attempt is worked out anew from the id of the first one and the weights in force.

Change: an entry that learns a configuration records service and version of those of its streams, in progress or ended within 5 s, that it would be given another service for. A take-up on a route with several targets asks for that record. Routes with one target pay nothing.

--- a/marigoldtrail/platform/tests/test_stream_versions.py
+++ b/marigoldtrail/platform/tests/test_stream_versions.py
@@ -1,5 +1,6 @@
 """Streams that callers resume while several software versions are in service, on a whole site."""
 
+import random
 import re
 
 import pytest
@@ -27,10 +28,10 @@
     return re.findall(rb"data: (\S+)", reply[2]) if reply is not None else []
 
 
-async def begin_streams(site, *, entry=0):
+async def begin_streams(site, *, entry=0, count=STREAMS):
     """Begin streams; return the version that began each, by request id."""
     found = {}
-    for number in range(STREAMS):
+    for number in range(count):
         request_id = f"first-{entry}-{number}"
         reply = await site.send_request("/talk/1", entry=entry, request_id=request_id, body=b"p")
         versions = read_versions(reply)
@@ -329,3 +330,72 @@
     await site.crash(site.entries[0])
     key = "k-new" if "replaced" in change else KEY
     assert_all_went_on(began, await resume_streams(site, began, key=key))
+
+
+def make_split_config(version, *, llm, twin):
+    """Return a configuration with one route that divides its streams between two services."""
+    engine = {"slots": 8, "kv_capacity": 100000}
+    services = [{"name": n, "max_connections": 50, "engine": engine} for n in ("llm", "twin")]
+    targets = [{"service": "llm", "weight": llm}, {"service": "twin", "weight": twin}]
+    route = make_route("talk", "/talk/", "streaming", "llm", resumable=True, max_attempts=2)
+    route = {**route, "service": None, "split": targets}
+    return config(version, routes=[route], services=services)
+
+
+@pytest.mark.parametrize("is_killed", [True, False])
+async def test_stream_stays_at_its_service_when_the_shares_of_a_split_change(
+    autojump_clock, nursery, is_killed
+):
+    """Guards against a resumed stream that goes to the service which it would be given by now."""
+    site = await start_mixed_site(nursery)
+    for number in range(2):
+        await site.add_upstream(f"twin-{number}", "twin", f"dc-{'abc'[number]}")
+    assert await site.put_config(make_split_config(2, llm=100, twin=0)) == 200
+    await trio.sleep(2)
+    began = await begin_streams(site, count=12)
+    assert await site.put_config(make_split_config(4, llm=1, twin=99)) == 200
+    await trio.sleep(1)
+    if is_killed:
+        await site.crash(site.entries[0])
+    assert_all_went_on(began, await resume_streams(site, began))
+
+
+def draw_change(rng):
+    """Return the fields of a random configuration, and the key that callers then have."""
+    key = rng.choice([KEY, "k-new"])
+    fields = {
+        "accounts": {"acme": [], rng.choice(["acme", "acme-2", "other"]): [key]},
+        "public": rng.random() < 0.3,
+        "resumable": rng.random() < 0.7,
+        "name": rng.choice(["talk", "chat"]),
+        "priority": rng.randrange(3),
+    }
+    return fields, key
+
+
+@pytest.mark.parametrize("seed", range(3))
+async def test_streams_keep_their_version_beside_changes_and_kills(autojump_clock, nursery, seed):
+    """Guards against orders of changes, kills and take-ups that no single case plays."""
+    rng = random.Random(seed)
+    site = await start_mixed_site(nursery)
+    key, began = KEY, {}
+    for number in range(6):
+        fields, new_key = draw_change(rng)
+        for count in range(5):
+            request_id = f"first-{number}-{count}"
+            entry = rng.randrange(3)
+            reply = await site.send_request(
+                "/talk/1", entry=entry, request_id=request_id, key=key, body=b"p"
+            )
+            began[request_id] = {version.decode() for version in read_versions(reply)}
+        assert await site.put_config(make_config(2 * number + 2, **fields)) == 200
+        key = new_key
+        await trio.sleep(2)
+        await restart(site, rng.sample(site.entries, rng.randrange(3)))
+        if rng.random() < 0.4:
+            await restart(site, [rng.choice(site.control)])
+        await wait_until_ready(site)
+        await trio.sleep(rng.choice([0, 3]))
+        resumed = await resume_streams(site, began, entry=rng.randrange(3), key=key)
+        assert resumed == began
+    assert {OLD} in began.values() and {NEW} in began.values()
--- a/marigoldtrail/relay/dispatch.py
+++ b/marigoldtrail/relay/dispatch.py
@@ -27,6 +27,7 @@
 from marigoldtrail.relay.sender import Sender
 from marigoldtrail.relay.stage_request import make_stage_request
 from marigoldtrail.relay.stream_admission import StreamAdmission, is_version_unknown
+from marigoldtrail.relay.stream_services import StreamServices
 from marigoldtrail.relay.stream_versions import StreamVersions
 from marigoldtrail.relay.transmission import Transmitter
 from marigoldtrail.relay.types import HeaderCodec
@@ -101,6 +102,7 @@
         "_gate",
         "_chooser",
         "_admission",
+        "_services",
         "_mover",
         "_forwarder",
     )
@@ -138,7 +140,10 @@
         self._chooser = UpstreamChooser(
             fleet_state=fleet_state, monitor=monitor, versions=versions, rng=rng
         )
-        self._admission = StreamAdmission(fleet_state=fleet_state, versions=versions, timers=timers)
+        self._services = StreamServices(fleet_state=fleet_state, versions=versions, timers=timers)
+        self._admission = StreamAdmission(
+            fleet_state=fleet_state, versions=versions, services=self._services, timers=timers
+        )
         self._forwarder = forwarder
         transmitter = Transmitter(
             pool=pool,
@@ -184,6 +189,10 @@
             timers=timers,
         )
 
+    async def follow_routes(self) -> None:
+        """Record the streams that a new configuration affects, until cancelled."""
+        await self._services.run()
+
     def finish(self, exchange: Exchange) -> None:
         """Release what a finished request still holds: stage results, and an unfinished record."""
         self._admission.finish(exchange)
@@ -235,6 +244,7 @@
         if self._reachability.is_cut_off:
             # The other entry counts the request for the budget of retries.
             return await self._serve_elsewhere(exchange)
+        await self._services.restore(exchange)
         self._budgets.add_request(exchange.service.name)
         failure = await self._gate.check_arrival(exchange)
         if failure is not None:
--- a/marigoldtrail/relay/exchange.py
+++ b/marigoldtrail/relay/exchange.py
@@ -280,8 +280,12 @@
         """Keys of the stream by the attempt that began it; none if that is not named."""
         if not (self.is_stream or self.is_resumed):
             return ()
-        request_id = self.info.resumed_id if self.is_resumed else self.info.request_id
-        return make_stream_keys(self.account_name, request_id)
+        return make_stream_keys(self.account_name, self.first_attempt)
+
+    @property
+    def first_attempt(self) -> str:
+        """Id of the attempt that began the request; empty if a resumed stream does not name it."""
+        return self.info.resumed_id if self.is_resumed else self.info.request_id
 
     @property
     def needs_durable_version(self) -> bool:
--- a/marigoldtrail/relay/relay.py
+++ b/marigoldtrail/relay/relay.py
@@ -157,6 +157,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._follow_idle_limit)
             nursery.start_soon(self._prune_regularly)
+            nursery.start_soon(self._dispatcher.follow_routes)
 
     async def _follow_idle_limit(self) -> None:
         while True:
--- a/marigoldtrail/relay/stream_admission.py
+++ b/marigoldtrail/relay/stream_admission.py
@@ -5,6 +5,7 @@
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.registry import FleetState
 from marigoldtrail.relay.exchange import Exchange
+from marigoldtrail.relay.stream_services import StreamServices
 from marigoldtrail.relay.stream_versions import (
     MAX_LEADER_AGE_S,
     RETRY_AFTER_S,
@@ -44,17 +45,25 @@
         Upstreams of the fleet.
     versions : StreamVersions
         Records and finds the versions that began streams.
+    services : StreamServices
+        Keeps streams at the service that began them.
     timers : Timers
         Clock and delays.
     """
 
-    __slots__ = ("_fleet_state", "_versions", "_timers")
+    __slots__ = ("_fleet_state", "_versions", "_services", "_timers")
 
     def __init__(
-        self, *, fleet_state: FleetState, versions: StreamVersions, timers: Timers
+        self,
+        *,
+        fleet_state: FleetState,
+        versions: StreamVersions,
+        services: StreamServices,
+        timers: Timers,
     ) -> None:
         self._fleet_state = fleet_state
         self._versions = versions
+        self._services = services
         self._timers = timers
 
     async def find_version(self, exchange: Exchange) -> Failure | None:
@@ -192,9 +201,11 @@
         exchange.source, exchange.relisted_at = upstream, None
         if keys := exchange.stream_keys:
             self._versions.remember(keys, upstream.version)
+            self._services.note(exchange)
 
     def finish(self, exchange: Exchange) -> None:
         """Withdraw the record of a stream that has ended without an event."""
+        self._services.note_end(exchange)
         if exchange.recording is not None and exchange.stream_version is None:
             exchange.recording.is_wanted = False
         keys = exchange.stream_keys
--- a/marigoldtrail/relay/stream_versions.py
+++ b/marigoldtrail/relay/stream_versions.py
@@ -22,6 +22,8 @@
 from marigoldtrail.timers import Timers
 
 KEY_BYTES = 16
+# Begins the name of a service in a record; no version begins with a space.
+SERVICE_MARK = " service:"
 # Keys of streams that this host remembers by itself, beyond those in the log.
 MAX_REMEMBERED = 8192
 MAX_BATCH = 256
@@ -127,6 +129,10 @@
         self._queued.set()
         return recording
 
+    def start_recording_service(self, keys: tuple[bytes, ...], service: str) -> Recording:
+        """Begin to make the service of a stream durable, under keys of `make_service_keys`."""
+        return self.start_recording(keys, SERVICE_MARK + service)
+
     def remember(self, keys: tuple[bytes, ...], version: str) -> None:
         """Remember the version of a stream whose first event is forwarded by this host."""
         for key in keys:
@@ -171,6 +177,33 @@
             return make_unknown_failure(service, "it may have any of several versions")
         return unrecorded.pop()
 
+    async def find_service(self, service: str, keys: tuple[bytes, ...]) -> str | None:
+        """
+        Find the service that began a stream.
+
+        Parameters
+        ----------
+        service : str
+            Service by the configuration in force.
+        keys : tuple of bytes
+            Keys of `make_service_keys`.
+
+        Returns
+        -------
+        str or None
+            None if no other service is recorded, or no leader answered.
+        """
+        if not self._fleet_state.leader_records_streams:
+            return None
+        for key in keys:
+            request = FindStreamVersion(service=service, key=key)
+            reply = await self._call_leader(request, StreamVersionReply, FIND_TIMEOUT_S)
+            if isinstance(reply, Failure):
+                return None
+            if reply.is_known and reply.version.startswith(SERVICE_MARK):
+                return reply.version.removeprefix(SERVICE_MARK)
+        return None
+
     def _find_only_version(self, service: str) -> str | Failure:
         """Return the version of all upstreams of a service, beside a leader without records."""
         versions = self._fleet_state.list_versions(service)
@@ -266,6 +299,26 @@
     return tuple(hash_stream_name(f"{name}\0{request_id}") for name in names)
 
 
+def make_service_keys(account: str, request_id: str) -> tuple[bytes, ...]:
+    """
+    Return the keys under which the service of a stream is recorded.
+
+    Parameters
+    ----------
+    account, request_id : str
+        As for `make_stream_keys`.
+
+    Returns
+    -------
+    tuple of bytes
+        Others than those of its version.
+    """
+    if not request_id:
+        return ()
+    names = dict.fromkeys((account, ""))
+    return tuple(hash_stream_name(f"{name}\0{request_id}\0service") for name in names)
+
+
 def hash_stream_name(name: str) -> bytes:
     """Return a digest of `KEY_BYTES` bytes."""
     data = name.encode("utf-8", "surrogateescape")
