Play replaced control hosts beside others that come back

The simulation of replacements also cuts off, kills, restarts and wipes hosts that come back, between the rounds.

--- a/marigoldtrail/consensus/tests/replacements.py
+++ b/marigoldtrail/consensus/tests/replacements.py
@@ -81,11 +81,20 @@
 
     async def stop(self, name):
         """Stop a host for good with the signal that lets it leave the group."""
+        await self.drain(name)
+        await self.lose(name)
+
+    async def drain(self, name):
+        """Let a host leave the group, as it does when it gets the signal to stop."""
         group = self.group(name)
         self.stopping.add(name)
         await group.transfer_leadership(timeout_s=TRANSFER_TIMEOUT_S)
         await group.wait_for_release(timeout_s=RELEASE_TIMEOUT_S)
-        await self.lose(name)
+
+    async def come_back(self, name):
+        """Start the process of a host again."""
+        self.stopping.discard(name)
+        await self.start(name)
 
     def leader_or_none(self):
         return next((n for n in self.group_sets if self.group(n).is_leader), None)
@@ -112,11 +121,14 @@
         )
 
 
-async def play_replacements(seed, *, size, at_once=1, rounds=8, is_planned=None):
+async def play_replacements(
+    seed, *, size, at_once=1, rounds=8, is_planned=None, is_disturbed=False
+):
     """
     Replace hosts in series, as fast as a site's limits permit, and check the group meanwhile.
 
-    With `is_planned` None each round draws whether its hosts get a signal.
+    With `is_planned` None each round draws whether its hosts get a signal. If `is_disturbed`,
+    hosts that come back are lost between the rounds.
     """
     rng = random.Random(seed)
     acknowledged = []
@@ -136,6 +148,8 @@
         for _ in range(rounds):
             planned = rng.random() < 0.5 if is_planned is None else is_planned
             await (replace_planned if planned else replace_lost)(cluster, rng, at_once)
+            if is_disturbed:
+                await disturb(cluster, rng, at_once)
         await cluster.check()
         leader = await cluster.wait_for_leader()
         effects = cluster.machines[leader].effects
@@ -167,3 +181,24 @@
     for _ in range(at_once):
         await cluster.start_successor()
     await trio.sleep(CATCH_UP_S + rng.choice([0.1, 1.0]))
+
+
+async def disturb(cluster, rng, at_once):
+    """Lose hosts that come back; return when they no longer count as lost."""
+    names = sorted({cluster.pick(rng) for _ in range(at_once)})
+    kind = rng.choice(["cut", "kill", "restart", "wipe"])
+    for name in names:
+        if kind == "cut":
+            cluster.isolate(name)
+            continue
+        if kind == "restart":
+            await cluster.drain(name)
+        await cluster.crash(name)
+        if kind == "wipe":
+            cluster.empty_disk(name)
+    await trio.sleep(rng.choice([0.3, 1.5, 3.0, 6.0]))
+    cluster.heal()
+    for name in names:
+        if kind != "cut":
+            await cluster.come_back(name)
+    await trio.sleep(CATCH_UP_S)
--- a/marigoldtrail/consensus/tests/test_replacements.py
+++ b/marigoldtrail/consensus/tests/test_replacements.py
@@ -30,6 +30,17 @@
     assert await play_replacements(seed, size=size, at_once=at_once, rounds=rounds)
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("size, at_once, rounds", [(3, 1, 6), (5, 1, 6), (9, 2, 4)])
+async def test_hosts_are_replaced_beside_others_that_come_back(
+    autojump_clock, size, at_once, rounds, seed
+):
+    """Guards against hosts that are cut off, restarted or wiped, and then replaced or kept out."""
+    assert await play_replacements(
+        seed, size=size, at_once=at_once, rounds=rounds, is_disturbed=True
+    )
+
+
 async def test_voters_that_are_lost_together_leave_the_list(autojump_clock, nursery):
     """Guards against lost voters that keep each other on the list."""
     cluster = Cluster(nursery, size=5)
