--- a/marigoldtrail/relay/stream_services.py
+++ b/marigoldtrail/relay/stream_services.py
@@ -26,7 +26,16 @@
         The request, with the service and the version of the stream.
     """
 
-    __slots__ = ("hostname", "path", "attempt", "keys", "service_keys", "service", "version")
+    __slots__ = (
+        "hostname",
+        "path",
+        "attempt",
+        "keys",
+        "service_keys",
+        "service",
+        "version",
+        "is_recorded",
+    )
 
     def __init__(self, *, exchange: Exchange) -> None:
         self.hostname = exchange.request.header(b"host")
@@ -36,6 +45,7 @@
         self.service_keys = make_service_keys(exchange.account_name, self.attempt)
         self.service = exchange.service.name
         self.version = exchange.stream_version or ""
+        self.is_recorded = False
 
 
 class StreamServices:
@@ -100,9 +110,10 @@
         """Record the streams for which a host would choose another service by now."""
         for stream in self._streams.values():
             route = routes.find_route(stream.hostname, stream.path)
-            if route is None or route.kind is not RouteKind.STREAMING:
+            if route is None or route.kind is not RouteKind.STREAMING or stream.is_recorded:
                 continue
             if choose_service(route, stream.attempt) != stream.service:
+                stream.is_recorded = True
                 self._versions.start_recording(stream.keys, stream.version)
                 self._versions.start_recording_service(stream.service_keys, stream.service)
 
