--- a/marigoldtrail/consensus/election.py
+++ b/marigoldtrail/consensus/election.py
@@ -9,6 +9,7 @@
 from marigoldtrail.consensus.log import NO_OPERATION
 from marigoldtrail.consensus.membership import maintain_members
 from marigoldtrail.consensus.primitives import Proposal
+from marigoldtrail.consensus.quorum import get_quorum_size
 from marigoldtrail.consensus.replication import (
     build_peers,
     get_quorum_contact_time,
@@ -31,7 +32,6 @@
     adopt_term,
     check_disk,
     check_room,
-    get_quorum_size,
     reset_campaign,
     step_down,
 )
--- a/marigoldtrail/consensus/group.py
+++ b/marigoldtrail/consensus/group.py
@@ -14,6 +14,7 @@
 from marigoldtrail.consensus.log import COMMAND, MEMBERS, encode_voters
 from marigoldtrail.consensus.membership import list_learners, list_missing
 from marigoldtrail.consensus.primitives import Proposal, StateMachine
+from marigoldtrail.consensus.quorum import has_same_voters
 from marigoldtrail.consensus.reopening import open_first, reopen_after_failures
 from marigoldtrail.consensus.replication import (
     get_confirmed_read_round,
@@ -26,7 +27,6 @@
     GroupState,
     adopt_term,
     check_disk,
-    has_same_voters,
     stop_group,
 )
 from marigoldtrail.errors import Failure, Reason, RunState
--- a/marigoldtrail/consensus/group_set.py
+++ b/marigoldtrail/consensus/group_set.py
@@ -14,7 +14,8 @@
 from marigoldtrail.consensus.follower import handle_append, handle_snapshot
 from marigoldtrail.consensus.group import MAX_BATCH_ENTRIES, Group
 from marigoldtrail.consensus.primitives import StateMachine
-from marigoldtrail.consensus.state import MIN_VOTERS, GroupState, has_same_voters
+from marigoldtrail.consensus.quorum import has_same_voters
+from marigoldtrail.consensus.state import MIN_VOTERS, GroupState
 from marigoldtrail.errors import Failure, Reason, RunState
 from marigoldtrail.net import Address, Handlers, PeerClient
 from marigoldtrail.schema.generated.consensus import (
--- a/marigoldtrail/consensus/membership.py
+++ b/marigoldtrail/consensus/membership.py
@@ -6,7 +6,8 @@
 
 from marigoldtrail.consensus.log import MEMBERS, encode_voters
 from marigoldtrail.consensus.primitives import Peer, Proposal
-from marigoldtrail.consensus.state import CHECK_QUORUM_S, HEARTBEAT_S, GroupState, find_voter
+from marigoldtrail.consensus.quorum import find_voter
+from marigoldtrail.consensus.state import CHECK_QUORUM_S, HEARTBEAT_S, GroupState
 from marigoldtrail.schema.generated.consensus import Member
 
 # A host that has left is no longer called after this time.
--- a/marigoldtrail/consensus/replication.py
+++ b/marigoldtrail/consensus/replication.py
@@ -3,13 +3,8 @@
 from __future__ import annotations
 
 from marigoldtrail.consensus.primitives import Peer
-from marigoldtrail.consensus.state import (
-    HEARTBEAT_S,
-    GroupState,
-    adopt_newer_term,
-    find_voter,
-    get_quorum_value,
-)
+from marigoldtrail.consensus.quorum import find_voter, get_quorum_value
+from marigoldtrail.consensus.state import HEARTBEAT_S, GroupState, adopt_newer_term
 from marigoldtrail.errors import Failure
 from marigoldtrail.schema.generated.consensus import (
     AppendEntries,
